--- /dev/null
+++ b/crates/zinniastall-api/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' remote procedure calls: schema and generated code.
--- /dev/null
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts without I/O: consensus, leases, fences, command tables, tickets, membership and digests.
--- /dev/null
+++ b/crates/zinniastall-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command line over the remote procedure calls.
+
+fn main() {}
--- /dev/null
+++ b/crates/zinniastall-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry instance: serves callers and targets, routes and forwards.
+
+fn main() {}
--- /dev/null
+++ b/crates/zinniastall-model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration objects and the state machine that the control log replicates.
--- /dev/null
+++ b/crates/zinniastall-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path as pure filters over an immutable view.
--- /dev/null
+++ b/crates/zinniastall-store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log and snapshots of one data folder.
--- /dev/null
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and links between the system's own processes.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scaffolding of the whole-system tests.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Chores of the workspace.
+
+fn main() {}
