feat: fix the types between the crates

Cause: five people build at once; the types they share must not move under them. Ruled out: free-form maps between processes (no typed failures), one frame type per link (four codecs). Change: model objects and state machine, frames and links, the operators' schema with generated code, settings reader, logs, metrics, and the entry instance's view and publisher.

--- /dev/null
+++ b/crates/zinniastall-entry/src/publish.rs
@@ -0,0 +1,115 @@
+//! Publishes the view: the one place where parts of the instance's knowledge come together.
+
+use std::sync::Arc;
+
+use actix::{Actor, Context, Handler, Message};
+use indexmap::IndexMap;
+use zinniastall_model::{id, state::State};
+use zinniastall_wire::gossip;
+
+use crate::view::{Board, Digest, Target, View};
+
+/// Actor of the control arbiter that replaces the view when a part of it changes.
+#[derive(Debug)]
+pub struct Publisher {
+    view: View,
+    board: Board,
+}
+
+impl Publisher {
+    /// Creates the publisher of a board.
+    pub fn new(board: Board) -> Self {
+        Self {
+            view: (*board.view()).clone(),
+            board,
+        }
+    }
+
+    fn publish(&self) {
+        self.board.publish(self.view.clone());
+    }
+}
+
+impl Actor for Publisher {
+    type Context = Context<Self>;
+}
+
+/// The configuration in force changed, or whether control is reachable.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Configured {
+    /// Configuration; must list this instance.
+    pub state: Arc<State>,
+    /// Whether the control group is reachable.
+    pub connected: bool,
+}
+
+/// The set of live entry instances changed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Peers(pub Arc<IndexMap<id::Instance, gossip::Peer>>);
+
+/// The zone's targets changed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Targets(pub Arc<IndexMap<id::Target, Target>>);
+
+/// Digests of other zones changed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Digests(pub Arc<Vec<Digest>>);
+
+/// The instance stops taking new requests.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Draining;
+
+impl Handler<Configured> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, message: Configured, _: &mut Context<Self>) {
+        let held = self.view.state.as_ref().map_or(0, |state| state.revision);
+        // A late message must not take the configuration back: an accepted change never reverts.
+        if message.state.revision >= held {
+            self.view.state = Some(message.state);
+        }
+        self.view.connected = message.connected;
+        self.publish();
+    }
+}
+
+impl Handler<Peers> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, message: Peers, _: &mut Context<Self>) {
+        self.view.peers = message.0;
+        self.publish();
+    }
+}
+
+impl Handler<Targets> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, message: Targets, _: &mut Context<Self>) {
+        self.view.targets = message.0;
+        self.publish();
+    }
+}
+
+impl Handler<Digests> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, message: Digests, _: &mut Context<Self>) {
+        self.view.digests = message.0;
+        self.publish();
+    }
+}
+
+impl Handler<Draining> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, _: Draining, _: &mut Context<Self>) {
+        self.view.draining = true;
+        self.publish();
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/view.rs
@@ -0,0 +1,76 @@
+//! What traffic threads know: an immutable view, replaced as a whole.
+
+use std::{sync::Arc, time::Instant};
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use zinniastall_model::{id, place::Place, state::State};
+use zinniastall_wire::gossip;
+
+/// Everything that a request's path decides on.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// This instance.
+    pub instance: id::Instance,
+    /// Its run.
+    pub incarnation: id::Incarnation,
+    /// Where it runs.
+    pub place: Place,
+    /// Configuration in force; `None` until one that lists this instance has been found.
+    pub state: Option<Arc<State>>,
+    /// Whether the control group is reachable.
+    pub connected: bool,
+    /// Whether this instance takes no new requests.
+    pub draining: bool,
+    /// Entry instances that are alive, this one included, with what they say of themselves.
+    pub peers: Arc<IndexMap<id::Instance, gossip::Peer>>,
+    /// The zone's targets whose lease runs and that are not leaving.
+    pub targets: Arc<IndexMap<id::Target, Target>>,
+    /// Capacity of other zones, newest per place, subject and role.
+    pub digests: Arc<Vec<Digest>>,
+}
+
+/// A target and when this instance learned of it.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Its announcement.
+    pub report: gossip::Target,
+    /// When the announcement arrived at this instance; its load is as old as that at least.
+    pub heard: Instant,
+    /// When its lease runs out.
+    pub until: Instant,
+}
+
+/// A digest and when it was made, on this instance's clock.
+#[derive(Debug, Clone)]
+pub struct Digest {
+    /// The digest.
+    pub report: gossip::Digest,
+    /// When it was made, as far as its age when sent tells.
+    pub made: Instant,
+}
+
+/// Where the control arbiter publishes and traffic threads read.
+#[derive(Debug, Clone)]
+pub struct Board {
+    current: Arc<ArcSwap<View>>,
+}
+
+impl Board {
+    /// Creates a board with a first view.
+    pub fn new(view: View) -> Self {
+        Self {
+            current: Arc::new(ArcSwap::from_pointee(view)),
+        }
+    }
+
+    /// Returns the current view.
+    pub fn view(&self) -> Arc<View> {
+        self.current.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn publish(&self, view: View) {
+        self.current.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-model/src/change.rs
@@ -0,0 +1,89 @@
+//! Changes: what the control log carries and what applying it answers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id,
+    member::Member,
+    object::{Key, Object},
+};
+
+/// What a change does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Body {
+    /// Creates or replaces an object.
+    Apply(Object),
+    /// Deletes an object.
+    Delete(Key),
+    /// Adds an entry instance, or takes note of its new addresses.
+    Join(Member),
+    /// Declares an entry instance gone for certain.
+    Retire(id::Instance),
+}
+
+/// Who asks, and under which id: together they make a change idempotent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Operator or script.
+    pub operator: id::Operator,
+    /// Command id.
+    pub command: id::Command,
+}
+
+/// One change, as it stands in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Who asked; `None` for the system's own changes.
+    pub origin: Option<Origin>,
+    /// Revision that the object must have; 0 when it must not exist, `None` for no check.
+    pub expected: Option<id::Revision>,
+    /// What it does.
+    pub body: Body,
+}
+
+/// What applying a change answered; the same on every replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Answer {
+    /// The state has it.
+    Done {
+        /// Revision that it made.
+        revision: id::Revision,
+        /// Whether it narrows what instances may do, so that every member must confirm it.
+        narrows: bool,
+    },
+    /// Another change came first.
+    Conflict {
+        /// Revision that the object has; 0 when it does not exist.
+        current: id::Revision,
+    },
+    /// The command id was used before with another body.
+    Reused,
+    /// The change is not valid.
+    Invalid(Invalid),
+}
+
+/// Why a change is not valid.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Invalid {
+    /// A required field is empty.
+    #[error("field {0} must not be empty")]
+    Empty(String),
+    /// A field is longer than allowed.
+    #[error("field {0} is too long")]
+    Long(String),
+    /// A field does not have the right form.
+    #[error("field {0} is malformed")]
+    Malformed(String),
+    /// The object refers to one that does not exist.
+    #[error("{0} does not exist")]
+    Missing(String),
+    /// Another object refers to this one.
+    #[error("still in use by {0}")]
+    Used(String),
+    /// The state holds as many objects as it may.
+    #[error("too many objects")]
+    Full,
+}
--- /dev/null
+++ b/crates/zinniastall-settings/src/metrics.rs
@@ -0,0 +1,196 @@
+//! Metrics: statsd by cadence, and histograms by client and class.
+//!
+//! Every thread records into a [`Recorder`] of its own, so that recording never waits for another
+//! thread's work; a report merges them. The number of tag pairs is bounded: once it is reached,
+//! further clients are counted under [`OTHER`], because a caller who invents names must not make
+//! the process grow.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use cadence::{BufferedUdpMetricSink, Counted, QueuingMetricSink, StatsdClient, Timed};
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+
+/// Tag that collects what does not fit.
+pub const OTHER: &str = "other";
+/// Most tag pairs a metric keeps.
+const PAIRS: usize = 2048;
+/// Longest value kept, in microseconds: one hour.
+const LONGEST: u64 = 3_600_000_000;
+/// Significant digits of a histogram; 2 keeps one histogram within about 20 KB.
+const DIGITS: u8 = 2;
+/// Metrics waiting to be sent; more are dropped, since metrics must not hold up requests.
+const QUEUE: usize = 4096;
+
+/// Names one histogram.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// Name, such as `request.whole`.
+    pub name: &'static str,
+    /// Client or [`OTHER`].
+    pub client: String,
+    /// Class or [`OTHER`].
+    pub class: String,
+}
+
+/// Summary of one histogram; values in microseconds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Which histogram.
+    pub key: Key,
+    /// Values recorded.
+    pub count: u64,
+    /// Median.
+    pub p50: u64,
+    /// 95th percentile.
+    pub p95: u64,
+    /// 99th percentile.
+    pub p99: u64,
+    /// Greatest value.
+    pub max: u64,
+}
+
+type Shard = Arc<Mutex<IndexMap<Key, Histogram<u64>>>>;
+
+/// All metrics of a process.
+#[derive(Debug, Clone)]
+pub struct Hub {
+    statsd: Arc<StatsdClient>,
+    shards: Arc<Mutex<Vec<Shard>>>,
+}
+
+/// One thread's way to record.
+#[derive(Debug, Clone)]
+pub struct Recorder {
+    statsd: Arc<StatsdClient>,
+    shard: Shard,
+}
+
+impl Hub {
+    /// Starts metrics under a prefix; they are sent to a statsd address by UDP, if one is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no UDP socket can be had.
+    pub fn start(prefix: &str, statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+        let client = match statsd {
+            Some(address) => StatsdClient::builder(prefix, sink(address)?).build(),
+            None => StatsdClient::builder(prefix, cadence::NopMetricSink).build(),
+        };
+        Ok(Self {
+            statsd: Arc::new(client),
+            shards: Arc::default(),
+        })
+    }
+
+    /// Creates a recorder for the calling thread.
+    pub fn recorder(&self) -> Recorder {
+        let shard = Shard::default();
+        lock(&self.shards).push(Arc::clone(&shard));
+        Recorder {
+            statsd: Arc::clone(&self.statsd),
+            shard,
+        }
+    }
+
+    /// Merges all recorders into one summary a histogram.
+    pub fn report(&self) -> Vec<Row> {
+        let mut merged: IndexMap<Key, Histogram<u64>> = IndexMap::new();
+        for shard in lock(&self.shards).iter() {
+            for (key, histogram) in lock(shard).iter() {
+                match merged.get_mut(key) {
+                    // Every histogram has the same bounds, so adding cannot fail.
+                    Some(sum) => drop(sum.add(histogram)),
+                    None => drop(merged.insert(key.clone(), histogram.clone())),
+                }
+            }
+        }
+        merged
+            .into_iter()
+            .map(|(key, sum)| row(key, &sum))
+            .collect()
+    }
+}
+
+impl Recorder {
+    /// Records a duration in a histogram and sends it as a statsd timing.
+    pub fn time(&self, name: &'static str, client: &str, class: &str, value: Duration) {
+        let micros = u64::try_from(value.as_micros())
+            .unwrap_or(LONGEST)
+            .min(LONGEST);
+        let mut shard = lock(&self.shard);
+        let key = bounded(&shard, name, client, class);
+        self.statsd
+            .time_with_tags(name, micros / 1000)
+            .with_tag("client", &key.client)
+            .with_tag("class", &key.class)
+            .send();
+        let histogram = shard.entry(key).or_insert_with(histogram);
+        histogram.saturating_record(micros);
+    }
+
+    /// Counts an event.
+    pub fn count(&self, name: &'static str, amount: i64) {
+        self.statsd.count_with_tags(name, amount).send();
+    }
+}
+
+fn sink(address: SocketAddr) -> std::io::Result<QueuingMetricSink> {
+    let local = if address.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+    Ok(QueuingMetricSink::with_capacity(sink, QUEUE))
+}
+
+fn bounded(
+    shard: &IndexMap<Key, Histogram<u64>>,
+    name: &'static str,
+    client: &str,
+    class: &str,
+) -> Key {
+    let key = Key {
+        name,
+        client: client.to_owned(),
+        class: class.to_owned(),
+    };
+    if shard.contains_key(&key) || shard.len() < PAIRS {
+        return key;
+    }
+    Key {
+        name,
+        client: OTHER.to_owned(),
+        class: OTHER.to_owned(),
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST, DIGITS).unwrap_or_else(|_| {
+        // Unreachable with the constants above; an automatic histogram is the safe stand-in.
+        Histogram::new(DIGITS).expect("two significant digits are supported")
+    })
+}
+
+fn row(key: Key, histogram: &Histogram<u64>) -> Row {
+    Row {
+        key,
+        count: histogram.len(),
+        p50: histogram.value_at_quantile(0.50),
+        p95: histogram.value_at_quantile(0.95),
+        p99: histogram.value_at_quantile(0.99),
+        max: histogram.max(),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // A panic while recording leaves at worst one value out, so the data stays usable.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/zinniastall-settings/src/reader.rs
@@ -0,0 +1,303 @@
+//! Reads settings field by field and notes every fault on the way.
+
+use std::{cell::RefCell, net::SocketAddr, ops::RangeInclusive, time::Duration};
+
+use serde_json::{Map, Value};
+
+use crate::problem::{Fault, Problem};
+
+/// Longest permitted name, in bytes.
+const NAME_LIMIT: usize = 64;
+
+/// Collects faults while a file is read.
+#[derive(Debug, Default)]
+pub struct Notes {
+    problems: RefCell<Vec<Problem>>,
+}
+
+impl Notes {
+    /// Notes one fault.
+    pub fn add(&self, path: impl Into<String>, fault: Fault) {
+        let path = path.into();
+        self.problems.borrow_mut().push(Problem { path, fault });
+    }
+
+    /// Returns all faults.
+    pub fn into_problems(self) -> Vec<Problem> {
+        self.problems.into_inner()
+    }
+}
+
+/// Reads one JSON object.
+///
+/// Faults are noted and a stand-in value is returned, so that one run lists them all; a caller must
+/// not use the result if any fault was noted, which [`crate::load::parse`] sees to.
+#[derive(Debug)]
+pub struct Reader<'a> {
+    notes: &'a Notes,
+    path: String,
+    fields: Option<&'a Map<String, Value>>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts at a value that should be an object.
+    pub fn new(value: &'a Value, path: impl Into<String>, notes: &'a Notes) -> Self {
+        let path = path.into();
+        let fields = value.as_object();
+        if fields.is_none() {
+            notes.add(
+                if path.is_empty() { "." } else { &path },
+                Fault::Type("an object"),
+            );
+        }
+        Self {
+            notes,
+            path,
+            fields,
+            known: Vec::new(),
+        }
+    }
+
+    /// Notes a fault of one field.
+    pub fn fault(&self, field: &str, fault: Fault) {
+        self.notes.add(self.at(field), fault);
+    }
+
+    /// Reads a required IP address and port.
+    pub fn address(&mut self, field: &'static str) -> SocketAddr {
+        self.required(field, address)
+            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Reads an optional IP address and port.
+    pub fn optional_address(&mut self, field: &'static str) -> Option<SocketAddr> {
+        self.optional(field, address)
+    }
+
+    /// Reads a list of IP addresses and ports; empty when absent.
+    pub fn addresses(&mut self, field: &'static str) -> Vec<SocketAddr> {
+        self.list(field, address)
+    }
+
+    /// Reads a required name.
+    pub fn name(&mut self, field: &'static str) -> String {
+        self.required(field, name).unwrap_or_default()
+    }
+
+    /// Reads an optional name.
+    pub fn optional_name(&mut self, field: &'static str) -> Option<String> {
+        self.optional(field, name)
+    }
+
+    /// Reads a list of names; empty when absent.
+    pub fn names(&mut self, field: &'static str) -> Vec<String> {
+        self.list(field, name)
+    }
+
+    /// Reads a required text that is not empty, such as a path.
+    pub fn text(&mut self, field: &'static str) -> String {
+        self.required(field, text).unwrap_or_default()
+    }
+
+    /// Reads an optional text that is not empty.
+    pub fn optional_text(&mut self, field: &'static str) -> Option<String> {
+        self.optional(field, text)
+    }
+
+    /// Reads a whole number within a range, or its default.
+    pub fn number(&mut self, field: &'static str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        self.optional(field, |value| number(value, &range))
+            .unwrap_or(default)
+    }
+
+    /// Reads a duration in milliseconds within a range, or its default.
+    pub fn millis(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Duration {
+        Duration::from_millis(self.number(field, range, default))
+    }
+
+    /// Reads a number with a fraction, from zero up to `high`, or its default.
+    pub fn fraction(&mut self, field: &'static str, high: f64, default: f64) -> f64 {
+        self.optional(field, |value| {
+            let number = value.as_f64().ok_or(Fault::Type("a number"))?;
+            if (0.0..=high).contains(&number) {
+                Ok(number)
+            } else {
+                Err(Fault::Type(
+                    "a number that is not negative and within its limit",
+                ))
+            }
+        })
+        .unwrap_or(default)
+    }
+
+    /// Reads a truth value, or its default.
+    pub fn flag(&mut self, field: &'static str, default: bool) -> bool {
+        self.optional(field, |value| {
+            value.as_bool().ok_or(Fault::Type("true or false"))
+        })
+        .unwrap_or(default)
+    }
+
+    /// Reads a word that `choose` knows, or the default; `words` lists them for the fault.
+    pub fn word<T>(
+        &mut self,
+        field: &'static str,
+        words: &'static str,
+        choose: impl Fn(&str) -> Option<T>,
+        default: T,
+    ) -> T {
+        self.optional(field, |value| {
+            let word = value.as_str().ok_or(Fault::Type("text"))?;
+            choose(word).ok_or(Fault::Word(words))
+        })
+        .unwrap_or(default)
+    }
+
+    /// Reads a nested object; an absent one is read as empty, so that defaults apply.
+    pub fn nested<T>(&mut self, field: &'static str, read: impl FnOnce(&mut Reader<'_>) -> T) -> T {
+        let empty = Value::Object(Map::new());
+        let value = self.take(field).unwrap_or(&empty);
+        let mut reader = Reader::new(value, self.at(field), self.notes);
+        let result = read(&mut reader);
+        reader.finish();
+        result
+    }
+
+    /// Reads a list of nested objects; empty when absent.
+    pub fn objects<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&mut Reader<'_>) -> T,
+    ) -> Vec<T> {
+        let Some(value) = self.take(field) else {
+            return Vec::new();
+        };
+        let Some(items) = value.as_array() else {
+            self.fault(field, Fault::Type("a list"));
+            return Vec::new();
+        };
+        let path = self.at(field);
+        let one = |(index, item)| {
+            let mut reader = Reader::new(item, format!("{path}[{index}]"), self.notes);
+            let result = read(&mut reader);
+            reader.finish();
+            result
+        };
+        items.iter().enumerate().map(one).collect()
+    }
+
+    /// Notes every field that was not read.
+    pub fn finish(&self) {
+        let Some(fields) = self.fields else { return };
+        for field in fields.keys() {
+            if !self.known.contains(&field.as_str()) {
+                self.fault(field, Fault::Unknown);
+            }
+        }
+    }
+
+    fn required<T>(
+        &mut self,
+        field: &'static str,
+        parse: impl Fn(&Value) -> Result<T, Fault>,
+    ) -> Option<T> {
+        let absent = self
+            .fields
+            .is_some_and(|fields| !fields.contains_key(field));
+        if absent {
+            self.fault(field, Fault::Missing);
+        }
+        self.optional(field, parse)
+    }
+
+    fn optional<T>(
+        &mut self,
+        field: &'static str,
+        parse: impl Fn(&Value) -> Result<T, Fault>,
+    ) -> Option<T> {
+        let value = self.take(field)?;
+        match parse(value) {
+            Ok(value) => Some(value),
+            Err(fault) => {
+                self.fault(field, fault);
+                None
+            }
+        }
+    }
+
+    fn list<T>(
+        &mut self,
+        field: &'static str,
+        parse: impl Fn(&Value) -> Result<T, Fault>,
+    ) -> Vec<T> {
+        let Some(value) = self.take(field) else {
+            return Vec::new();
+        };
+        let Some(items) = value.as_array() else {
+            self.fault(field, Fault::Type("a list"));
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (index, item) in items.iter().enumerate() {
+            match parse(item) {
+                Ok(item) => parsed.push(item),
+                Err(fault) => self.fault(&format!("{field}[{index}]"), fault),
+            }
+        }
+        parsed
+    }
+
+    fn take(&mut self, field: &'static str) -> Option<&'a Value> {
+        self.known.push(field);
+        self.fields?.get(field)
+    }
+
+    fn at(&self, field: &str) -> String {
+        if self.path.is_empty() {
+            field.to_owned()
+        } else {
+            format!("{}.{field}", self.path)
+        }
+    }
+}
+
+fn address(value: &Value) -> Result<SocketAddr, Fault> {
+    let text = value.as_str().ok_or(Fault::Address)?;
+    text.parse().map_err(|_| Fault::Address)
+}
+
+fn name(value: &Value) -> Result<String, Fault> {
+    let text = value.as_str().ok_or(Fault::Name)?;
+    let fits = (1..=NAME_LIMIT).contains(&text.len());
+    let permitted = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+    if fits && text.chars().all(permitted) {
+        Ok(text.to_owned())
+    } else {
+        Err(Fault::Name)
+    }
+}
+
+fn text(value: &Value) -> Result<String, Fault> {
+    match value.as_str() {
+        Some(text) if !text.is_empty() => Ok(text.to_owned()),
+        _ => Err(Fault::Type("text that is not empty")),
+    }
+}
+
+fn number(value: &Value, range: &RangeInclusive<u64>) -> Result<u64, Fault> {
+    let number = value.as_u64().ok_or(Fault::Type("a whole number"))?;
+    if range.contains(&number) {
+        Ok(number)
+    } else {
+        Err(Fault::Range {
+            low: *range.start(),
+            high: *range.end(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -0,0 +1,48 @@
+//! Configuration on its way to entry instances, and confirmations on their way back.
+//!
+//! The follower speaks first and says which revision it holds; the sender answers with a snapshot
+//! or with the changes after it. Every message is numbered by revision, so that a doubled or late
+//! one is recognised and dropped.
+
+use serde::{Deserialize, Serialize};
+use zinniastall_model::{change::Change, id, member::Member, state::State};
+
+/// A message of a follow link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// Follower: send what comes after this revision.
+    From {
+        /// Revision that the follower holds; 0 for none.
+        revision: id::Revision,
+        /// The follower itself, so that control can add it to the membership; `None` from a relay's
+        /// follower that is a member already.
+        member: Option<Member>,
+    },
+    /// Sender: the whole state.
+    Snapshot(Box<State>),
+    /// Sender: changes, each with the revision that it makes, in order, without gaps.
+    Changes(Vec<(id::Revision, Change)>),
+    /// Sender: nothing new; keeps the link alive and says how far the sender is.
+    Alive {
+        /// Revision that the sender holds.
+        revision: id::Revision,
+        /// Whether the sender reaches the control group.
+        connected: bool,
+    },
+    /// Follower: what is in force there, and at those that follow it.
+    Confirm(Vec<Confirmation>),
+}
+
+/// One instance's word that a revision is in force there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Instance.
+    pub instance: id::Instance,
+    /// Its run.
+    pub incarnation: id::Incarnation,
+    /// Revision in force.
+    pub revision: id::Revision,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/zinniastall-wire/src/link.rs
@@ -0,0 +1,174 @@
+//! Links: WebSocket connections that carry frames.
+
+use futures_util::{Sink, SinkExt, Stream, StreamExt};
+use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
+use tokio_tungstenite::{
+    MaybeTlsStream, WebSocketStream,
+    tungstenite::{self, Message, protocol::WebSocketConfig},
+};
+
+use crate::{
+    frame::{self, Frame},
+    hello::{Hello, Purpose, Refusal, VERSION},
+};
+
+/// Why a link could not be opened or broke.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection or the WebSocket failed.
+    #[error("link failed")]
+    Socket(#[from] Box<tungstenite::Error>),
+    /// The address cannot be reached.
+    #[error("link cannot connect")]
+    Connect(#[from] std::io::Error),
+    /// A frame is malformed.
+    #[error(transparent)]
+    Frame(#[from] frame::Error),
+    /// The other end refused the link.
+    #[error("link refused: {0}")]
+    Refused(#[from] Refusal),
+    /// The other end sent something else than the handshake asks for.
+    #[error("handshake out of order")]
+    Handshake,
+    /// The other end closed the link.
+    #[error("link closed")]
+    Closed,
+}
+
+impl From<tungstenite::Error> for Error {
+    fn from(error: tungstenite::Error) -> Self {
+        Self::Socket(Box::new(error))
+    }
+}
+
+/// A link whose handshake is done.
+#[derive(Debug)]
+pub struct Link {
+    socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
+    peer: Hello,
+}
+
+/// Half of a link that sends.
+pub type Sender = std::pin::Pin<Box<dyn Sink<Frame, Error = Error> + Send>>;
+/// Half of a link that receives.
+pub type Receiver = std::pin::Pin<Box<dyn Stream<Item = Result<Frame, Error>> + Send>>;
+
+impl Link {
+    /// Dials an address and shakes hands.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be reached or the other end refuses.
+    pub async fn dial(address: &str, hello: Hello) -> Result<Self, Error> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{address}/link");
+        let (mut socket, _) = tokio_tungstenite::client_async_with_config(
+            url,
+            MaybeTlsStream::Plain(stream),
+            Some(config()),
+        )
+        .await?;
+        send(&mut socket, &Frame::Hello(hello)).await?;
+        let peer = match receive(&mut socket).await? {
+            Frame::Hello(peer) => peer,
+            Frame::Refused(refusal) => return Err(refusal.into()),
+            _ => return Err(Error::Handshake),
+        };
+        Ok(Self { socket, peer })
+    }
+
+    /// Takes a connection and shakes hands; `judge` decides on the other end's first frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the other end sends no valid first frame or `judge` refuses it.
+    pub async fn accept(
+        stream: TcpStream,
+        judge: impl FnOnce(&Hello) -> Result<Hello, Refusal>,
+    ) -> Result<Self, Error> {
+        stream.set_nodelay(true)?;
+        let stream = MaybeTlsStream::Plain(stream);
+        let mut socket =
+            tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+        let Frame::Hello(peer) = receive(&mut socket).await? else {
+            return Err(Error::Handshake);
+        };
+        let verdict = if peer.version == VERSION {
+            judge(&peer)
+        } else {
+            Err(Refusal::Version)
+        };
+        match verdict {
+            Ok(hello) => send(&mut socket, &Frame::Hello(hello)).await?,
+            Err(refusal) => {
+                send(&mut socket, &Frame::Refused(refusal.clone())).await?;
+                return Err(refusal.into());
+            }
+        }
+        Ok(Self { socket, peer })
+    }
+
+    /// Returns the other end's first frame.
+    pub const fn peer(&self) -> &Hello {
+        &self.peer
+    }
+
+    /// Returns what the link is for.
+    pub const fn purpose(&self) -> Purpose {
+        self.peer.purpose
+    }
+
+    /// Splits the link into its two directions.
+    pub fn split(self) -> (Sender, Receiver) {
+        let (sink, stream) = self.socket.split();
+        let sink =
+            sink.sink_map_err(Error::from)
+                .with(|frame: Frame| async move {
+                    Ok::<_, Error>(Message::Binary(frame.encode()?.into()))
+                });
+        let stream = stream.filter_map(|message| async move {
+            match message {
+                Ok(Message::Binary(bytes)) => Some(Frame::decode(&bytes).map_err(Error::from)),
+                Ok(Message::Close(_)) => Some(Err(Error::Closed)),
+                Ok(_) => None,
+                Err(error) => Some(Err(error.into())),
+            }
+        });
+        (Box::pin(sink), Box::pin(stream))
+    }
+}
+
+/// Binds a listener for links.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn listen(address: impl ToSocketAddrs) -> Result<TcpListener, Error> {
+    Ok(TcpListener::bind(address).await?)
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(frame::LIMIT))
+        .max_frame_size(Some(frame::LIMIT))
+}
+
+async fn send(
+    socket: &mut WebSocketStream<MaybeTlsStream<TcpStream>>,
+    frame: &Frame,
+) -> Result<(), Error> {
+    socket.send(Message::Binary(frame.encode()?.into())).await?;
+    Ok(())
+}
+
+async fn receive(socket: &mut WebSocketStream<MaybeTlsStream<TcpStream>>) -> Result<Frame, Error> {
+    loop {
+        match socket.next().await {
+            Some(Ok(Message::Binary(bytes))) => return Ok(Frame::decode(&bytes)?),
+            Some(Ok(Message::Close(_))) | None => return Err(Error::Closed),
+            Some(Ok(_)) => {}
+            Some(Err(error)) => return Err(error.into()),
+        }
+    }
+}
