test: start real processes behind a fault-injecting proxy

Cause: whole-system tests need processes on port 0, signals, captured logs and links that break in each direction. Ruled out: one port per pair of instances, since an advertised address is one for all callers; the proxy tells callers apart by the kernel's socket tables instead.

--- /dev/null
+++ b/crates/zinniastall-load/src/lib.rs
@@ -0,0 +1,3 @@
+//! Open-loop load, experiments and reports.
+
+pub mod sse;
--- /dev/null
+++ b/tests/src/binary.rs
@@ -0,0 +1,28 @@
+//! Finds the workspace's binaries.
+//!
+//! `cargo test --workspace` builds the binaries of every package that has an integration test,
+//! before any test runs, and all of ours have one. They lie in the folder above `deps`, where test
+//! executables lie; chores lie beside them.
+
+use std::path::PathBuf;
+
+use crate::error::{Error, Result};
+
+/// Returns the path of a binary of the workspace.
+///
+/// # Errors
+///
+/// [`Error::Binary`] when it is not built.
+pub fn path(name: &str) -> Result<PathBuf> {
+    let mut folder = std::env::current_exe()?;
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    let path = folder.join(name);
+    if path.is_file() {
+        Ok(path)
+    } else {
+        Err(Error::Binary(path))
+    }
+}
--- /dev/null
+++ b/tests/src/http.rs
@@ -0,0 +1,179 @@
+//! HTTP as a caller, target or test speaks it.
+//!
+//! Every request uses a connection of its own, so that no client library can repeat a request on a
+//! stale pooled one and spoil the count of runs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{Client, ClientRequest, http::Method};
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use indexmap::IndexMap;
+use serde_json::Value;
+
+use crate::{
+    error::{Error, Result},
+    sse::Events,
+};
+
+/// Longest wait for an answer.
+const BOUND: Duration = Duration::from_mins(1);
+/// Longest body of a whole answer, in bytes.
+const LIMIT: usize = 64 << 20;
+
+/// A request in the making.
+pub struct Request {
+    inner: ClientRequest,
+    body: Bytes,
+}
+
+impl std::fmt::Debug for Request {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:?}", self.inner)
+    }
+}
+
+/// Starts a GET request.
+pub fn get(address: SocketAddr, path: &str) -> Request {
+    request(Method::GET, address, path)
+}
+
+/// Starts a POST request.
+pub fn post(address: SocketAddr, path: &str) -> Request {
+    request(Method::POST, address, path)
+}
+
+/// Starts a request.
+pub fn request(method: Method, address: SocketAddr, path: &str) -> Request {
+    let client = Client::builder()
+        .timeout(BOUND)
+        .disable_redirects()
+        .finish();
+    Request {
+        inner: client
+            .request(method, format!("http://{address}{path}"))
+            .force_close(),
+        body: Bytes::new(),
+    }
+}
+
+impl Request {
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.inner = self.inner.insert_header((name, value));
+        self
+    }
+
+    /// Identifies the client by its key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Sets a JSON body.
+    #[must_use]
+    pub fn json(mut self, body: &Value) -> Self {
+        self.body = body.to_string().into();
+        self.header("content-type", "application/json")
+    }
+
+    /// Sets a body as it is.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sends the request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`] when the answer does not arrive whole.
+    pub async fn send(self) -> Result<Answer> {
+        let mut response = self.inner.send_body(self.body).await.map_err(refuse)?;
+        let head = Head::of(&response);
+        let body = response.body().limit(LIMIT).await.map_err(refuse)?;
+        Ok(Answer { head, body })
+    }
+
+    /// Sends the request and returns the answer's server-sent events as they arrive.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`] when no answer starts.
+    pub async fn stream(self) -> Result<(Head, Events<impl Stream<Item = Result<Bytes>> + Unpin>)> {
+        let response = self.inner.send_body(self.body).await.map_err(refuse)?;
+        let head = Head::of(&response);
+        let bytes = response.map(|chunk| chunk.map_err(refuse));
+        Ok((head, Events::new(bytes)))
+    }
+}
+
+/// Status and headers of an answer.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Status.
+    pub status: u16,
+    /// Headers; names in lower case.
+    pub headers: IndexMap<String, String>,
+}
+
+impl Head {
+    fn of<S>(response: &awc::ClientResponse<S>) -> Self {
+        let text = |value: &awc::http::header::HeaderValue| {
+            String::from_utf8_lossy(value.as_bytes()).into_owned()
+        };
+        let headers = response.headers().iter();
+        Self {
+            status: response.status().as_u16(),
+            headers: headers
+                .map(|(name, value)| (name.as_str().to_owned(), text(value)))
+                .collect(),
+        }
+    }
+
+    /// Returns a header, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: Head,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Returns the status.
+    pub const fn status(&self) -> u16 {
+        self.head.status
+    }
+
+    /// Returns a header, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.head.header(name)
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is none.
+    pub fn json(&self) -> Result<Value> {
+        Ok(serde_json::from_slice(&self.body)?)
+    }
+}
+
+fn refuse(error: impl std::fmt::Display) -> Error {
+    Error::Http(error.to_string())
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,189 @@
+//! Real processes of the system.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+use crate::{
+    binary,
+    error::{Error, Result},
+    log::{Log, field},
+    wait,
+};
+
+/// A running process; it is killed on drop, and its log is printed when a test fails.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: Log,
+}
+
+impl Process {
+    /// Starts a binary with a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the binary is not built or cannot be started.
+    pub fn start(name: &str, binary: &str, settings: &Path) -> Result<Self> {
+        let mut child = Command::new(binary::path(binary)?)
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let log = Log::default();
+        if let Some(output) = child.stdout.take() {
+            log.follow(output);
+        }
+        if let Some(output) = child.stderr.take() {
+            log.follow(output);
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log,
+        })
+    }
+
+    /// Returns the name that the test gave.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the log captured so far.
+    pub const fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Waits until the process reports the address that it bound for a role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process ends or reports nothing in time.
+    pub async fn address(&mut self, role: &str) -> Result<SocketAddr> {
+        let what = format!("{} listening for {role}", self.name);
+        let found = wait::until(&what, async || {
+            if let Some(address) = self.reported(role) {
+                return Some(Ok(address));
+            }
+            self.ended().map(Err)
+        });
+        found.await?
+    }
+
+    /// Waits until the log has a line of this event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not come in time.
+    pub async fn event(&self, event: &str) -> Result<String> {
+        let what = format!("event={event} of {}", self.name);
+        wait::until(&what, async || self.log.events(event).pop()).await
+    }
+
+    /// Ends the process at once, as a power cut would.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be signalled.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Freezes the process with SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be signalled.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be signalled.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks the process to end with SIGTERM, without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be signalled.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not end in time.
+    pub async fn ends(&mut self) -> Result<ExitStatus> {
+        let what = format!("end of {}", self.name);
+        wait::until(&what, async || self.child.try_wait().ok().flatten()).await
+    }
+
+    /// Asks the process to end and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be signalled or does not end in time.
+    pub async fn stop(&mut self) -> Result<ExitStatus> {
+        self.terminate()?;
+        self.ends().await
+    }
+
+    fn reported(&self, role: &str) -> Option<SocketAddr> {
+        let lines = self.log.events("listening");
+        let line = lines
+            .iter()
+            .find(|line| field(line, "role") == Some(role))?;
+        field(line, "address")?.parse().ok()
+    }
+
+    fn ended(&mut self) -> Option<Error> {
+        let status = self.child.try_wait().ok().flatten()?;
+        let name = self.name.clone();
+        Some(Error::Ended { name, status })
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let id = i32::try_from(self.child.id()).map_err(|_| nix::Error::ESRCH)?;
+        kill(Pid::from_raw(id), signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // An ended child cannot be killed; either way nothing of it must stay behind.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() || std::env::var_os("ZINNIASTALL_TEST_LOGS").is_some() {
+            eprintln!("--- log of {}", self.name);
+            for line in self.log.lines() {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/proxy/rule.rs
@@ -0,0 +1,55 @@
+//! What a proxy does to the bytes that pass it.
+
+use std::time::Duration;
+
+/// Directions of a connection, as its caller sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// From the caller.
+    Up,
+    /// Towards the caller.
+    Down,
+    /// Both.
+    Both,
+}
+
+/// What happens to one direction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Lane {
+    /// Nothing passes, not even the end of the connection, and neither end is told; what was sent
+    /// passes once this is lifted, as TCP would send it again.
+    pub stalled: bool,
+    /// Time that every byte takes.
+    pub delay: Duration,
+    /// Most bytes a second.
+    pub rate: Option<u64>,
+    /// Bytes after which both ends are reset.
+    pub cut_after: Option<u64>,
+}
+
+/// What happens to a connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Rule {
+    /// From the caller.
+    pub up: Lane,
+    /// Towards the caller.
+    pub down: Lane,
+    /// Connections are reset, new ones at once.
+    pub refused: bool,
+    /// The upstream end is closed; the caller is not told and hears nothing more.
+    pub half_open: bool,
+}
+
+impl Rule {
+    /// Changes the lanes of a way.
+    #[must_use]
+    pub fn with(mut self, way: Way, change: impl Fn(&mut Lane)) -> Self {
+        if way != Way::Down {
+            change(&mut self.up);
+        }
+        if way != Way::Up {
+            change(&mut self.down);
+        }
+        self
+    }
+}
--- /dev/null
+++ b/tests/src/wait.rs
@@ -0,0 +1,42 @@
+//! Waits for conditions.
+
+use std::time::{Duration, Instant};
+
+use crate::error::{Error, Result};
+
+/// Longest wait for a condition; generous, since machines under test are busy.
+pub const BOUND: Duration = Duration::from_secs(30);
+/// Time between two looks at a condition.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Waits until `probe` returns a value, for at most [`BOUND`].
+///
+/// # Errors
+///
+/// [`Error::Late`] names the condition.
+pub async fn until<T>(what: &str, probe: impl AsyncFnMut() -> Option<T>) -> Result<T> {
+    within(BOUND, what, probe).await
+}
+
+/// Waits until `probe` returns a value, for at most `bound`.
+///
+/// # Errors
+///
+/// [`Error::Late`] names the condition.
+pub async fn within<T>(
+    bound: Duration,
+    what: &str,
+    mut probe: impl AsyncFnMut() -> Option<T>,
+) -> Result<T> {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = probe().await {
+            return Ok(value);
+        }
+        if start.elapsed() > bound {
+            let what = what.to_owned();
+            return Err(Error::Late { what, bound });
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
--- /dev/null
+++ b/tests/tests/proxy.rs
@@ -0,0 +1,173 @@
+//! The fault-injecting proxy does what its rules say.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    time::{Duration, Instant},
+};
+
+use zinniastall_tests::{
+    proxy::{
+        Proxy,
+        callers::Callers,
+        rule::{Rule, Way},
+    },
+    wait,
+};
+
+/// Time after which silence counts as silence; a busy machine only makes it longer.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Longest wait for bytes that must come.
+const BOUND: Duration = Duration::from_secs(30);
+
+/// Starts a server that sends every byte back.
+fn echo() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut reader = stream.try_clone().unwrap();
+                let mut writer = stream;
+                let _ = std::io::copy(&mut reader, &mut writer);
+            });
+        }
+    });
+    address
+}
+
+fn proxied() -> (Proxy, TcpStream) {
+    let proxy = Proxy::bind().unwrap();
+    proxy.upstream(echo());
+    let stream = TcpStream::connect(proxy.address()).unwrap();
+    (proxy, stream)
+}
+
+fn answers(stream: &mut TcpStream, bound: Duration) -> std::io::Result<()> {
+    stream.set_read_timeout(Some(bound))?;
+    stream.write_all(b"x")?;
+    answer(stream, bound)
+}
+
+fn answer(stream: &mut TcpStream, bound: Duration) -> std::io::Result<()> {
+    stream.set_read_timeout(Some(bound))?;
+    stream.read_exact(&mut [0])
+}
+
+fn silent(stream: &mut TcpStream) -> bool {
+    let answered = answers(stream, SILENCE);
+    answered.is_err_and(|error| timed_out(&error))
+}
+
+fn timed_out(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::WouldBlock
+}
+
+fn broken(stream: &mut TcpStream) -> bool {
+    answer(stream, BOUND).is_err_and(|error| !timed_out(&error))
+}
+
+macro_rules! stalls {
+    ($($name:ident: $way:expr;)*) => {$(
+        /// Bytes stop without an error and arrive once the way is open again.
+        #[test]
+        fn $name() {
+            let (proxy, mut stream) = proxied();
+            answers(&mut stream, BOUND).unwrap();
+            proxy.stall($way);
+            assert!(silent(&mut stream));
+            proxy.heal();
+            answer(&mut stream, BOUND).unwrap();
+        }
+    )*};
+}
+
+stalls! {
+    stall_up_is_silent: Way::Up;
+    stall_down_is_silent: Way::Down;
+    stall_both_is_silent: Way::Both;
+}
+
+#[test]
+fn cut_resets_open_and_new_connections() {
+    let (proxy, mut stream) = proxied();
+    answers(&mut stream, BOUND).unwrap();
+    proxy.cut();
+    assert!(broken(&mut stream));
+    let mut second = TcpStream::connect(proxy.address()).unwrap();
+    assert!(broken(&mut second));
+    proxy.heal();
+    let mut third = TcpStream::connect(proxy.address()).unwrap();
+    answers(&mut third, BOUND).unwrap();
+}
+
+#[test]
+fn half_open_leaves_the_caller_waiting() {
+    let (proxy, mut stream) = proxied();
+    answers(&mut stream, BOUND).unwrap();
+    proxy.half_open();
+    assert!(silent(&mut stream));
+    proxy.cut();
+    assert!(broken(&mut stream));
+}
+
+#[test]
+fn delay_holds_each_byte() {
+    let (proxy, mut stream) = proxied();
+    answers(&mut stream, BOUND).unwrap();
+    proxy.delay(Way::Both, Duration::from_millis(50));
+    let start = Instant::now();
+    answers(&mut stream, BOUND).unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(100));
+}
+
+#[test]
+fn rate_limits_bytes() {
+    let (proxy, mut stream) = proxied();
+    proxy.rate(Way::Up, 100_000);
+    let start = Instant::now();
+    stream.write_all(&[0; 50_000]).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    stream.read_exact(&mut [0; 50_000]).unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(450));
+}
+
+#[test]
+fn cut_after_lets_exactly_that_much_pass() {
+    let (proxy, mut stream) = proxied();
+    proxy.cut_after(Way::Down, 3);
+    stream.write_all(b"abcdef").unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    stream.read_exact(&mut [0; 3]).unwrap();
+    assert!(broken(&mut stream));
+}
+
+#[test]
+fn an_orderly_end_passes() {
+    let (_proxy, mut stream) = proxied();
+    stream.write_all(b"abc").unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert_eq!(text, "abc");
+}
+
+/// Rules for one calling process leave others alone: that is how a zone is cut off.
+#[actix_rt::test]
+async fn callers_are_told_apart() {
+    let stalled = Rule::default().with(Way::Both, |lane| lane.stalled = true);
+    let callers = Callers::default();
+    callers.add(std::process::id(), "this test");
+    let proxy = Proxy::bind_for(&callers).unwrap();
+    proxy.upstream(echo());
+    proxy.rule_for("another", stalled);
+    let mut stream = TcpStream::connect(proxy.address()).unwrap();
+    answers(&mut stream, BOUND).unwrap();
+    proxy.rule_for("this test", stalled);
+    wait::until("the rule in force", async || {
+        silent(&mut stream).then_some(())
+    })
+    .await
+    .unwrap();
+}
