--- a/tests/tests/proxy.rs
+++ b/tests/tests/proxy.rs
@@ -22,12 +22,12 @@
 
 /// Starts a server that sends every byte back.
 fn echo() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             std::thread::spawn(move || {
-                let mut reader = stream.try_clone().unwrap();
+                let mut reader = stream.try_clone().expect("a second handle");
                 let mut writer = stream;
                 let _ = std::io::copy(&mut reader, &mut writer);
             });
@@ -37,9 +37,9 @@
 }
 
 fn proxied() -> (Proxy, TcpStream) {
-    let proxy = Proxy::bind().unwrap();
+    let proxy = Proxy::bind().expect("a proxy");
     proxy.upstream(echo());
-    let stream = TcpStream::connect(proxy.address()).unwrap();
+    let stream = TcpStream::connect(proxy.address()).expect("a connection");
     (proxy, stream)
 }
 
@@ -126,9 +126,10 @@
     let (proxy, mut stream) = proxied();
     proxy.rate(Way::Up, 100_000);
     let start = Instant::now();
-    stream.write_all(&[0; 50_000]).unwrap();
+    let mut bytes = vec![0; 50_000];
+    stream.write_all(&bytes).unwrap();
     stream.set_read_timeout(Some(BOUND)).unwrap();
-    stream.read_exact(&mut [0; 50_000]).unwrap();
+    stream.read_exact(&mut bytes).unwrap();
     assert!(start.elapsed() >= Duration::from_millis(450));
 }
 
