--- a/crates/zinniastall-route/src/lib.rs
+++ b/crates/zinniastall-route/src/lib.rs
@@ -1,1 +1,2 @@
 //! The request path as pure filters over an immutable view.
+pub mod prefix;
