feat(standin): engine, plain service, weight store and statsd sink

Change: one binary, chosen by the settings' kind; ledger, failure points, prefix cache, lagging load, announcements, orders with and without fence check, cancel noticed.

--- /dev/null
+++ b/crates/zinniastall-standin/src/announce.rs
@@ -0,0 +1,169 @@
+//! Announces a target to an entry instance of its zone, renews its lease, and leaves.
+//!
+//! One instance at a time hears of the target; when it does not answer, the next one of those that
+//! the last answer named is tried, so that the loss of an instance does not lose the target.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{ledger::now, settings::Announce, slots::Slots};
+
+/// Longest wait for an answer.
+const BOUND: Duration = Duration::from_secs(1);
+/// Pause after a round of instances that did not answer.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Least and greatest time between two announcements.
+const RENEW: (u64, u64) = (10, 60_000);
+
+/// What a target says of itself beside its load.
+pub trait Offer: Send + Sync {
+    /// Returns the role.
+    fn role(&self) -> String;
+    /// Returns models or services, in the form of the announcement.
+    fn serves(&self) -> Value;
+    /// Returns digests of cached prefixes, newest last.
+    fn prefixes(&self) -> Vec<u64>;
+}
+
+/// Announces one target.
+#[derive(Clone)]
+pub struct Announcer {
+    settings: Announce,
+    address: SocketAddr,
+    slots: Slots,
+    offer: Arc<dyn Offer>,
+    incarnation: u64,
+    leaving: Arc<AtomicBool>,
+}
+
+impl std::fmt::Debug for Announcer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Announcer({})", self.settings.target)
+    }
+}
+
+/// What an entry instance answers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Answer {
+    lease_ms: u64,
+    renew_ms: u64,
+    instances: Vec<SocketAddr>,
+}
+
+impl Announcer {
+    /// Creates an announcer; `address` is the bound one.
+    pub fn new(
+        settings: &Announce,
+        address: SocketAddr,
+        slots: Slots,
+        offer: Arc<dyn Offer>,
+    ) -> Self {
+        Self {
+            address: settings.advertise.unwrap_or(address),
+            settings: settings.clone(),
+            slots,
+            offer,
+            incarnation: now(),
+            leaving: Arc::default(),
+        }
+    }
+
+    /// Announces and renews until the task is dropped.
+    pub async fn run(self) {
+        let mut instances = self.settings.instances.clone();
+        let mut sequence = 0;
+        let mut known = false;
+        while !instances.is_empty() {
+            sequence += 1;
+            let Some(answer) = self.announce(instances[0], sequence).await else {
+                instances.rotate_left(1);
+                known = false;
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            if !known {
+                known = true;
+                tracing::info!(event = "announced", instance = %instances[0]);
+            }
+            instances = self.merge(instances[0], answer.instances);
+            let renew = answer.renew_ms.clamp(RENEW.0, RENEW.1);
+            tokio::time::sleep(Duration::from_millis(renew)).await;
+        }
+    }
+
+    /// Tells one entry instance that no new work must come.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        let body = json!({"target": self.settings.target, "incarnation": self.incarnation});
+        for instance in &self.settings.instances {
+            if post(*instance, "/v1/targets/leave", &body).await.is_some() {
+                tracing::info!(event = "left", instance = %instance);
+                return;
+            }
+        }
+    }
+
+    async fn announce(&self, instance: SocketAddr, sequence: u64) -> Option<Answer> {
+        let body = self.body(sequence);
+        let answer = post(instance, "/v1/targets/announce", &body).await?;
+        serde_json::from_value(answer).ok()
+    }
+
+    fn body(&self, sequence: u64) -> Value {
+        let hex = |digest: &u64| format!("{digest:016x}");
+        let prefixes: Vec<String> = self.offer.prefixes().iter().map(hex).collect();
+        json!({
+            "target": self.settings.target,
+            "incarnation": self.incarnation,
+            "sequence": sequence,
+            "address": self.address,
+            "kind": self.settings.kind,
+            "role": self.offer.role(),
+            "serves": self.offer.serves(),
+            "slots": self.slots.slots(),
+            "busy": self.slots.report(self.settings.lag),
+            "price": self.settings.price,
+            "leaving": self.leaving.load(Ordering::Acquire),
+            "cache": {"gap": self.settings.gap, "prefixes": prefixes},
+        })
+    }
+
+    /// Keeps the instance that answered first, then those it named, then those of the settings.
+    fn merge(&self, first: SocketAddr, named: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let mut instances = vec![first];
+        for instance in named.into_iter().chain(self.settings.instances.clone()) {
+            if !instances.contains(&instance) {
+                instances.push(instance);
+            }
+        }
+        instances
+    }
+}
+
+async fn post(instance: SocketAddr, path: &str, body: &Value) -> Option<Value> {
+    let client = awc::Client::builder().timeout(BOUND).finish();
+    let request = client.post(format!("http://{instance}{path}"));
+    let mut answer = match request.force_close().send_json(body).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            tracing::debug!(event = "announce-failed", instance = %instance, error = %error);
+            return None;
+        }
+    };
+    let status = answer.status();
+    let body = answer.json().await.ok();
+    if !status.is_success() {
+        tracing::warn!(event = "announce-refused", instance = %instance, status = status.as_u16());
+        return None;
+    }
+    body
+}
--- /dev/null
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -0,0 +1,87 @@
+//! Streamed answers, as server-sent events.
+
+use std::time::Duration;
+
+use actix_web::{HttpResponse, body::SizedStream, http::header::CONTENT_TYPE};
+use bytes::Bytes;
+use futures_util::stream;
+
+use super::chat::Job;
+use crate::failure::{Action, Point};
+
+/// Time in which the server sends what it holds.
+const FLUSH: Duration = Duration::from_millis(5);
+
+/// Why a streamed answer breaks.
+#[derive(Debug, thiserror::Error)]
+#[error("connection cut by a failure point")]
+pub(super) struct Cut;
+
+/// Where a stream is.
+enum Step {
+    Event(usize),
+    Done,
+    Over,
+}
+
+/// Answers with the events of a job, from its offset on.
+pub(super) fn answer(job: Job) -> HttpResponse {
+    let first = Step::Event(job.offset);
+    let events = stream::unfold((job, first), |(mut job, step)| async move {
+        match step {
+            Step::Event(index) => Some(event(job, index).await),
+            Step::Done => {
+                job.run.finish();
+                Some((
+                    Ok(Bytes::from_static(b"data: [DONE]\n\n")),
+                    (job, Step::Over),
+                ))
+            }
+            Step::Over => None,
+        }
+    });
+    HttpResponse::Ok()
+        .insert_header((CONTENT_TYPE, "text/event-stream"))
+        .streaming(events)
+}
+
+async fn event(job: Job, index: usize) -> (Result<Bytes, Cut>, (Job, Step)) {
+    let engine = &job.engine.settings.engine;
+    let wait = match index {
+        _ if index == job.offset => job.engine.first(job.uncached),
+        _ => engine.token,
+    };
+    if !wait.is_zero() && index < job.chat.tokens.max(1) {
+        tokio::time::sleep(wait).await;
+    }
+    if job.engine.failure.armed() {
+        // A failing body takes what the server has not yet sent with it; the events before the
+        // failure point must be out first.
+        tokio::time::sleep(FLUSH).await;
+    }
+    let sent = index - job.offset;
+    let last = index >= job.chat.tokens;
+    let met = job.engine.failure.meet(Point::Events, sent);
+    let met = met.or_else(|| {
+        last.then(|| job.engine.failure.meet(Point::End, 0))
+            .flatten()
+    });
+    match met {
+        None => {}
+        Some(Action::Hang) => std::future::pending().await,
+        Some(_) => return (Err(Cut), (job, Step::Over)),
+    }
+    let data = job.chat.event(&job.request, index);
+    let next = if last {
+        Step::Done
+    } else {
+        Step::Event(index + 1)
+    };
+    (Ok(Bytes::from(format!("data: {data}\n\n"))), (job, next))
+}
+
+/// Breaks the connection: the answer promises a byte that never comes.
+pub(super) fn cut() -> HttpResponse {
+    let broken = stream::once(std::future::ready(Err::<Bytes, _>(Cut)));
+    HttpResponse::Ok().body(SizedStream::new(1, Box::pin(broken)))
+}
--- /dev/null
+++ b/crates/zinniastall-standin/src/lib.rs
@@ -0,0 +1,18 @@
+//! Small fakes for tests and the demo: a model engine, a plain service, the weight store, a statsd
+//! sink.
+//!
+//! One binary; the settings' `kind` chooses. Targets ([`engine`], [`service`]) announce themselves
+//! through [`announce`] and keep a [`ledger`] of every request that they ran, which tests compare
+//! with what callers were told.
+
+pub mod announce;
+pub mod answer;
+pub mod daemon;
+pub mod engine;
+pub mod failure;
+pub mod ledger;
+pub mod service;
+pub mod settings;
+pub mod slots;
+pub mod statsd;
+pub mod weights;
--- a/crates/zinniastall-standin/src/main.rs
+++ b/crates/zinniastall-standin/src/main.rs
@@ -1,3 +1,16 @@
-//! Small fakes for tests and the demo: a model engine, a plain service, the weight store, a statsd sink.
+//! The `zinniastall-standin` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use zinniastall_settings::cli::Daemon;
+use zinniastall_standin::{daemon, settings::Standin};
+
+const DAEMON: Daemon = Daemon {
+    name: "zinniastall-standin",
+    about: "Stand-in of zinniastall's tests: model engine, plain service, weight store or statsd sink.",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+fn main() -> ExitCode {
+    DAEMON.main::<Standin>(daemon::run)
+}
--- /dev/null
+++ b/crates/zinniastall-standin/src/service.rs
@@ -0,0 +1,84 @@
+//! A plain service: answers any call under any path and keeps the same ledger.
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
+use serde_json::json;
+use zinniastall_model::header;
+
+use crate::{
+    failure::{Action, Point, Switch},
+    ledger::{Entry, Ledger, now},
+    settings::Standin,
+    slots::Slots,
+};
+
+/// A plain service; all threads share it.
+#[derive(Debug)]
+pub struct Service {
+    settings: Standin,
+    slots: Slots,
+    ledger: Ledger,
+    failure: Switch,
+}
+
+impl Service {
+    /// Creates a service.
+    pub fn new(settings: &Standin, slots: Slots, ledger: Ledger, failure: Switch) -> Self {
+        Self {
+            settings: settings.clone(),
+            slots,
+            ledger,
+            failure,
+        }
+    }
+
+    /// Adds the service's calls to a server.
+    pub fn configure(config: &mut web::ServiceConfig) {
+        config.default_service(web::to(call));
+    }
+}
+
+async fn call(service: web::Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let Some(slot) = service.slots.take().await else {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header((header::OUTCOME, "not-run"))
+            .json(json!({"error": {"type": "full", "message": "no place in the queue"}}));
+    };
+    let text = |name: &str| {
+        let value = request.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    };
+    let call = format!("{} {}", request.method(), request.uri());
+    let body_digest = blake3::hash(&body).to_hex().to_string();
+    let mut run = service.ledger.start(Entry {
+        request: text(header::REQUEST).to_owned(),
+        client: text(header::CLIENT).to_owned(),
+        class: text(header::CLASS).to_owned(),
+        body_digest: body_digest.clone(),
+        started: now(),
+        finished: None,
+        cancelled: false,
+        offset: 0,
+        cached: 0,
+        blocks: 0,
+        call: call.clone(),
+    });
+    match service.failure.meet(Point::First, 0) {
+        None => {}
+        Some(Action::Hang) => std::future::pending().await,
+        Some(_) => return HttpResponse::InternalServerError().json(json!({"error": {}})),
+    }
+    if !service.settings.service.busy.is_zero() {
+        tokio::time::sleep(service.settings.service.busy).await;
+    }
+    run.finish();
+    drop(slot);
+    HttpResponse::Ok().json(json!({
+        "service": service.settings.service.name,
+        "target": service.settings.announce.target,
+        "call": call,
+        "body_digest": body_digest,
+    }))
+}
--- /dev/null
+++ b/crates/zinniastall-standin/src/settings.rs
@@ -0,0 +1,206 @@
+//! Settings of a stand-in.
+
+use std::{net::SocketAddr, time::Duration};
+
+use zinniastall_model::id;
+use zinniastall_settings::{load::Settings, reader::Reader};
+
+use crate::failure::{self, Failure};
+
+/// What a stand-in stands in for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+    /// The weight store.
+    Weights,
+    /// A receiver of metrics.
+    Statsd,
+}
+
+/// Settings of a stand-in.
+#[derive(Debug, Clone)]
+pub struct Standin {
+    /// What it stands in for.
+    pub kind: Kind,
+    /// Address that it binds.
+    pub listen: SocketAddr,
+    /// Log level.
+    pub log: String,
+    /// Threads that serve requests.
+    pub threads: usize,
+    /// Most entries of its ledger; the oldest go first.
+    pub ledger: usize,
+    /// Requests that it runs at once.
+    pub slots: usize,
+    /// Requests that wait for a slot; more are refused as not run.
+    pub queue: usize,
+    /// Where it fails.
+    pub failure: Failure,
+    /// How it announces itself.
+    pub announce: Announce,
+    /// As a model engine.
+    pub engine: Engine,
+    /// As a plain service.
+    pub service: Service,
+    /// As the weight store.
+    pub weights: Weights,
+}
+
+/// How a target announces itself.
+#[derive(Debug, Clone)]
+pub struct Announce {
+    /// Entry instances of its zone to try first; none means that it stays silent.
+    pub instances: Vec<SocketAddr>,
+    /// Name of the target.
+    pub target: id::Target,
+    /// Address under which entry instances reach it; the bound one where absent.
+    pub advertise: Option<SocketAddr>,
+    /// Kind of target, as the deployment names it.
+    pub kind: String,
+    /// Age of the load that it reports.
+    pub lag: Duration,
+    /// Price of one busy second.
+    pub price: f64,
+    /// Whether its cache events have gaps.
+    pub gap: bool,
+}
+
+/// Settings of a model engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Models served from the start.
+    pub models: Vec<Model>,
+    /// Role at the start.
+    pub role: String,
+    /// Time to the first token without uncached blocks of prompt.
+    pub first: Duration,
+    /// Further time to the first token for each uncached block of prompt.
+    pub block: Duration,
+    /// Time from token to token.
+    pub token: Duration,
+    /// Blocks of prompt that its cache holds.
+    pub cache: usize,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fence: bool,
+    /// Time to load a model when ordered, without a weight store.
+    pub load: Duration,
+    /// Weight store from which ordered models come.
+    pub store: Option<SocketAddr>,
+}
+
+/// A model that an engine holds.
+#[derive(Debug, Clone)]
+pub struct Model {
+    /// Model.
+    pub model: id::Model,
+    /// Version.
+    pub version: String,
+    /// Adapters.
+    pub adapters: Vec<id::Adapter>,
+}
+
+/// Settings of a plain service.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Service.
+    pub name: id::Service,
+    /// Time that one request takes.
+    pub busy: Duration,
+}
+
+/// Settings of the weight store.
+#[derive(Debug, Clone)]
+pub struct Weights {
+    /// Bytes a second, over all downloads.
+    pub rate: u64,
+    /// Size of one file.
+    pub size: u64,
+}
+
+impl Settings for Standin {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            kind: reader.word(
+                "kind",
+                "engine, service, weights, statsd",
+                kind,
+                Kind::Engine,
+            ),
+            listen: reader.address("listen"),
+            log: reader
+                .optional_name("log")
+                .unwrap_or_else(|| "info".to_owned()),
+            threads: count(reader.number("threads", 1..=64, 1)),
+            ledger: count(reader.number("ledger", 1..=10_000_000, 100_000)),
+            slots: count(reader.number("slots", 1..=100_000, 8)),
+            queue: count(reader.number("queue", 0..=100_000, 64)),
+            failure: reader.nested("failure", failure::read),
+            announce: reader.nested("announce", announce),
+            engine: reader.nested("engine", engine),
+            service: reader.nested("service", |reader| Service {
+                name: reader
+                    .optional_name("name")
+                    .unwrap_or_else(|| "service".to_owned()),
+                busy: reader.millis("busy_ms", 0..=600_000, 0),
+            }),
+            weights: reader.nested("weights", |reader| Weights {
+                rate: reader.number("rate", 1..=1 << 40, 1 << 30),
+                size: reader.number("size", 1..=1 << 40, 1 << 20),
+            }),
+        }
+    }
+}
+
+fn kind(word: &str) -> Option<Kind> {
+    match word {
+        "engine" => Some(Kind::Engine),
+        "service" => Some(Kind::Service),
+        "weights" => Some(Kind::Weights),
+        "statsd" => Some(Kind::Statsd),
+        _ => None,
+    }
+}
+
+fn announce(reader: &mut Reader<'_>) -> Announce {
+    Announce {
+        instances: reader.addresses("instances"),
+        target: reader
+            .optional_name("target")
+            .unwrap_or_else(|| "standin".to_owned()),
+        advertise: reader.optional_address("advertise"),
+        kind: reader
+            .optional_name("kind")
+            .unwrap_or_else(|| "standin".to_owned()),
+        lag: reader.millis("lag_ms", 0..=600_000, 0),
+        price: reader.fraction("price", 1e9, 1.0),
+        gap: reader.flag("gap", false),
+    }
+}
+
+fn engine(reader: &mut Reader<'_>) -> Engine {
+    Engine {
+        models: reader.objects("models", |reader| Model {
+            model: reader.name("model"),
+            version: reader.name("version"),
+            adapters: reader.names("adapters"),
+        }),
+        role: reader
+            .optional_name("role")
+            .unwrap_or_else(|| "both".to_owned()),
+        first: reader.millis("first_ms", 0..=600_000, 0),
+        block: Duration::from_micros(reader.number("block_us", 0..=10_000_000, 0)),
+        token: Duration::from_micros(reader.number("token_us", 0..=60_000_000, 0)),
+        cache: count(reader.number("cache_blocks", 0..=10_000_000, 4096)),
+        checks_fence: reader.flag("checks_fence", true),
+        load: reader.millis("load_ms", 0..=600_000, 0),
+        store: reader.optional_address("store"),
+    }
+}
+
+/// Converts a checked number; its range keeps it within `usize`.
+fn count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     error::{Error, Result},
-    sse::Events,
+    sse::{DONE, Events},
 };
 
 /// Longest wait for an answer.
@@ -110,6 +110,27 @@
     }
 }
 
+/// Reads a streamed chat answer: its text, and whether its end mark arrived.
+///
+/// # Errors
+///
+/// Fails when an event is no chat event; a broken connection only leaves out the end mark.
+pub async fn content(
+    mut events: Events<impl Stream<Item = Result<Bytes>> + Unpin>,
+) -> Result<(String, bool)> {
+    let mut text = String::new();
+    while let Ok(Some(event)) = events.next().await {
+        if event.data == DONE {
+            return Ok((text, true));
+        }
+        let chunk: Value = serde_json::from_str(&event.data)?;
+        text += chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or_default();
+    }
+    Ok((text, false))
+}
+
 /// Status and headers of an answer.
 #[derive(Debug, Clone)]
 pub struct Head {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod proxy;
 pub use zinniastall_load::sse;
+pub mod settings;
 pub mod wait;
 
 pub use error::{Error, Result};
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -11,6 +11,8 @@
     unistd::Pid,
 };
 
+use tempfile::NamedTempFile;
+
 use crate::{
     binary,
     error::{Error, Result},
@@ -24,6 +26,8 @@
     name: String,
     child: Child,
     log: Log,
+    /// The settings file, which must exist until the process has read it.
+    settings: Option<NamedTempFile>,
 }
 
 impl Process {
@@ -51,9 +55,15 @@
             name: name.to_owned(),
             child,
             log,
+            settings: None,
         })
     }
 
+    /// Keeps a settings file until the process is dropped.
+    pub(crate) fn keep(&mut self, file: NamedTempFile) {
+        self.settings = Some(file);
+    }
+
     /// Returns the name that the test gave.
     pub fn name(&self) -> &str {
         &self.name
