--- /dev/null
+++ b/tests/src/cluster/objects.rs
@@ -0,0 +1,52 @@
+//! Applies common configuration objects.
+
+use serde_json::{Value, json};
+
+use super::Cluster;
+use crate::error::Result;
+
+impl Cluster {
+    /// Applies one object through the command line.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not accepted.
+    pub async fn apply(&self, object: &Value) -> Result<Value> {
+        self.ctl(&["apply", &object.to_string()]).await?.json()
+    }
+
+    /// Applies a client with one key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not accepted.
+    pub async fn client(&self, id: &str, key: &str) -> Result<Value> {
+        let digest = blake3::hash(key.as_bytes()).to_hex().to_string();
+        self.apply(&json!({"client": {"id": id, "keys": [digest], "weight": 1}}))
+            .await
+    }
+
+    /// Applies a model and a route of chat completions to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one is not accepted.
+    pub async fn model(&self, model: &str) -> Result<Value> {
+        self.apply(&json!({"model": {"id": model, "version": "1", "weights": model}}))
+            .await?;
+        self.apply(&json!({"route": {
+            "id": model, "prefix": "/v1/chat/completions", "model": model, "idempotent": true,
+        }}))
+        .await
+    }
+
+    /// Applies a residency rule over all of a client's requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not accepted.
+    pub async fn residency(&self, client: &str, regions: &[&str]) -> Result<Value> {
+        self.apply(&json!({"residency": {"id": client, "client": client, "regions": regions}}))
+            .await
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,10 +6,12 @@
 //! every address behind a proxy. Waiting is always for a condition, see [`wait`].
 
 pub mod binary;
+pub mod cluster;
 pub mod ctl;
 pub mod error;
 pub mod http;
 pub mod log;
+pub mod node;
 pub mod process;
 pub mod proxy;
 pub use zinniastall_load::sse;
--- /dev/null
+++ b/tests/src/node.rs
@@ -0,0 +1,207 @@
+//! A process of a cluster with a proxy before each of its addresses.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde_json::Value;
+
+use crate::{
+    error::{Error, Result},
+    process::Process,
+    proxy::{Proxy, callers::Callers},
+    settings,
+};
+
+/// Address that takes any free port.
+pub const ANY: &str = "127.0.0.1:0";
+
+/// A process of a cluster; it can be lost and started again at the same addresses.
+#[derive(Debug)]
+pub struct Node {
+    name: String,
+    region: String,
+    zone: String,
+    binary: &'static str,
+    settings: Value,
+    proxies: Proxies,
+    callers: Callers,
+    process: Process,
+}
+
+/// Proxies before a node's addresses, by role.
+pub type Proxies = IndexMap<&'static str, Proxy>;
+
+/// What a node is before it runs.
+#[derive(Debug)]
+pub struct Plan {
+    name: String,
+    region: String,
+    zone: String,
+    binary: &'static str,
+    proxies: Proxies,
+    callers: Callers,
+}
+
+impl Plan {
+    /// Binds the proxies of a node to come.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn bind(
+        callers: &Callers,
+        binary: &'static str,
+        name: &str,
+        place: (&str, &str),
+        roles: &[&'static str],
+    ) -> Result<Self> {
+        let bind = |role: &&'static str| Ok((*role, Proxy::bind_for(callers)?));
+        Ok(Self {
+            name: name.to_owned(),
+            region: place.0.to_owned(),
+            zone: place.1.to_owned(),
+            binary,
+            proxies: roles.iter().map(bind).collect::<Result<_>>()?,
+            callers: callers.clone(),
+        })
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the region.
+    pub fn region(&self) -> &str {
+        &self.region
+    }
+
+    /// Returns the availability zone.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// Returns the address of the proxy before a role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node has no such role.
+    pub fn address(&self, role: &str) -> Result<SocketAddr> {
+        Ok(proxy(&self.proxies, role)?.address())
+    }
+
+    /// Returns the proxies' addresses by role, as settings list them.
+    pub fn advertise(&self) -> Value {
+        let address = |(role, proxy): (&&str, &Proxy)| {
+            ((*role).to_owned(), proxy.address().to_string().into())
+        };
+        Value::Object(self.proxies.iter().map(address).collect())
+    }
+
+    /// Returns addresses to bind by role, as settings list them.
+    pub fn listen(&self) -> Value {
+        let any = |role: &&str| ((*role).to_owned(), ANY.into());
+        Value::Object(self.proxies.keys().map(any).collect())
+    }
+
+    /// Starts the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its process does not start.
+    pub async fn start(self, settings: Value) -> Result<Node> {
+        let process = settings::start(&self.name, self.binary, &settings)?;
+        let mut node = Node {
+            name: self.name,
+            region: self.region,
+            zone: self.zone,
+            binary: self.binary,
+            settings,
+            proxies: self.proxies,
+            callers: self.callers,
+            process,
+        };
+        node.connect().await?;
+        Ok(node)
+    }
+}
+
+impl Node {
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the region.
+    pub fn region(&self) -> &str {
+        &self.region
+    }
+
+    /// Returns the availability zone.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// Returns the process.
+    pub const fn process(&mut self) -> &mut Process {
+        &mut self.process
+    }
+
+    /// Returns the process, to look at.
+    pub const fn running(&self) -> &Process {
+        &self.process
+    }
+
+    /// Returns the settings, for a change before a restart.
+    pub const fn settings(&mut self) -> &mut Value {
+        &mut self.settings
+    }
+
+    /// Returns the proxy before a role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node has no such role.
+    pub fn proxy(&self, role: &str) -> Result<&Proxy> {
+        proxy(&self.proxies, role)
+    }
+
+    /// Returns the address of the proxy before a role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node has no such role.
+    pub fn address(&self, role: &str) -> Result<SocketAddr> {
+        Ok(self.proxy(role)?.address())
+    }
+
+    /// Returns all proxies.
+    pub const fn proxies(&self) -> &Proxies {
+        &self.proxies
+    }
+
+    /// Kills the process, if it still runs, and starts it again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub async fn restart(&mut self) -> Result<()> {
+        self.process.kill()?;
+        self.process = settings::start(&self.name, self.binary, &self.settings)?;
+        self.connect().await
+    }
+
+    async fn connect(&mut self) -> Result<()> {
+        self.callers.add(self.process.id(), &self.name);
+        for (role, proxy) in &self.proxies {
+            proxy.upstream(self.process.address(role).await?);
+        }
+        Ok(())
+    }
+}
+
+fn proxy<'a>(proxies: &'a Proxies, role: &str) -> Result<&'a Proxy> {
+    proxies
+        .get(role)
+        .ok_or_else(|| Error::Unknown(format!("role {role}")))
+}
