feat(load): open-loop experiments with audit, report and plot

Change: plan from a seed, pacing by the system timer, samples from the planned start, histograms by client and class, outcomes compared with the stand-ins' ledgers, JSON report, SVG plot, direct mode.

--- /dev/null
+++ b/crates/zinniastall-load/src/audit.rs
@@ -0,0 +1,121 @@
+//! Compares what callers were told with what the targets' ledgers say.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use awc::Client;
+use serde::{Deserialize, Serialize};
+
+use crate::{outcome::Outcome, tally::Claim};
+
+/// Longest ledger, in bytes.
+const LIMIT: usize = 1 << 30;
+/// Longest wait for a ledger.
+const BOUND: Duration = Duration::from_mins(1);
+
+/// One run of a request, as a ledger has it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Run {
+    /// BLAKE3 digest of the body, as hex.
+    pub body_digest: String,
+    /// When it started, in milliseconds since the epoch.
+    pub started: u64,
+    /// When it ended whole.
+    pub finished: Option<u64>,
+    /// Event at which it resumed.
+    pub offset: usize,
+    /// Blocks of its prompt that were cached.
+    pub cached: usize,
+    /// Blocks of its prompt.
+    pub blocks: usize,
+}
+
+/// The verdict.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Audit {
+    /// Ledgers that were read.
+    pub ledgers: usize,
+    /// Runs in them.
+    pub runs: u64,
+    /// Answers that were called whole but were not the right ones.
+    pub wrong: u64,
+    /// Whole answers without a run.
+    pub invented: u64,
+    /// Requests called "not run" that ran.
+    pub ran_anyway: u64,
+    /// Requests that may run once and ran more often.
+    pub doubled: u64,
+    /// Time that targets were busy, in milliseconds.
+    pub busy_ms: u64,
+    /// Blocks of prompt that were cached.
+    pub cached: u64,
+    /// Blocks of prompt.
+    pub blocks: u64,
+}
+
+impl Audit {
+    /// Returns how many requests broke a promise.
+    pub const fn violations(&self) -> u64 {
+        self.wrong + self.invented + self.ran_anyway + self.doubled
+    }
+}
+
+/// Why a ledger cannot be compared.
+#[derive(Debug, thiserror::Error)]
+#[error("ledger of {target} cannot be read: {cause}")]
+pub struct Error {
+    /// Target.
+    pub target: SocketAddr,
+    /// Cause.
+    pub cause: String,
+}
+
+/// Reads all ledgers.
+///
+/// # Errors
+///
+/// Fails when one cannot be read.
+pub async fn read(ledgers: &[SocketAddr]) -> Result<Vec<Run>, Error> {
+    let client = Client::builder().timeout(BOUND).finish();
+    let mut runs = Vec::new();
+    for target in ledgers {
+        let fail = |cause: String| Error {
+            target: *target,
+            cause,
+        };
+        let sent = client.get(format!("http://{target}/ledger")).send().await;
+        let mut response = sent.map_err(|error| fail(error.to_string()))?;
+        let ledger: Result<Vec<Run>, _> = response.json().limit(LIMIT).await;
+        runs.extend(ledger.map_err(|error| fail(error.to_string()))?);
+    }
+    Ok(runs)
+}
+
+/// Compares claims and runs; without ledgers only the answers themselves are judged.
+pub fn compare(claims: &[Claim], runs: &[Run], ledgers: usize) -> Audit {
+    let mut by_digest: HashMap<&str, u64> = HashMap::new();
+    let mut audit = Audit {
+        ledgers,
+        ..Audit::default()
+    };
+    for run in runs {
+        // A resumed stream goes on with the run that it belongs to.
+        *by_digest.entry(&run.body_digest).or_default() += u64::from(run.offset == 0);
+        audit.runs += 1;
+        audit.busy_ms += run
+            .finished
+            .map_or(0, |end| end.saturating_sub(run.started));
+        audit.cached += run.cached as u64;
+        audit.blocks += run.blocks as u64;
+    }
+    for claim in claims {
+        let ran = by_digest.get(claim.digest.as_str()).copied().unwrap_or(0);
+        let answered = claim.outcome == Outcome::Answered;
+        audit.wrong += u64::from(answered && !claim.right);
+        if ledgers > 0 {
+            audit.invented += u64::from(answered && ran == 0);
+            audit.ran_anyway += u64::from(claim.outcome == Outcome::NotRun && ran > 0);
+            audit.doubled += u64::from(!claim.idempotent && ran > 1);
+        }
+    }
+    audit
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/call.rs
@@ -0,0 +1,198 @@
+//! Sends one request and times its answer.
+
+use std::time::{Duration, Instant};
+
+use awc::{Client, error::SendRequestError};
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use serde_json::Value;
+use zinniastall_model::header;
+
+use crate::{
+    outcome::Outcome,
+    prompt::Prompt,
+    settings::Source,
+    sse::{DONE, Events},
+};
+
+/// Longest whole answer, in bytes.
+const LIMIT: usize = 64 << 20;
+
+/// What one request needs.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Where it goes.
+    pub url: String,
+    /// Its source.
+    pub source: &'a Source,
+    /// Its body.
+    pub prompt: &'a Prompt,
+    /// Ticket, if it may run at most once.
+    pub ticket: Option<String>,
+    /// Deadline sent along.
+    pub deadline: Duration,
+    /// When it should have started.
+    pub due: Instant,
+}
+
+/// What one request met.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether the answer was the one to this prompt, in full.
+    pub right: bool,
+    /// From the planned start to the first token.
+    pub first: Option<Duration>,
+    /// Times between tokens.
+    pub between: Vec<Duration>,
+    /// From the planned start to the end.
+    pub whole: Duration,
+    /// Region and availability zone that served it.
+    pub place: String,
+    /// Instance that received it.
+    pub instance: String,
+    /// Type of an error answer.
+    pub error: String,
+}
+
+impl Sample {
+    /// Creates a sample of a request that got no answer.
+    pub fn unanswered(outcome: Outcome, due: Instant, error: &str) -> Self {
+        Self {
+            outcome,
+            right: false,
+            first: None,
+            between: Vec::new(),
+            whole: due.elapsed(),
+            place: String::new(),
+            instance: String::new(),
+            error: error.to_owned(),
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Sends the request and waits for the end of its answer.
+    pub async fn send(&self, client: &Client) -> Sample {
+        let mut request = client
+            .post(&self.url)
+            .insert_header(("content-type", "application/json"))
+            .insert_header((header::CLASS, self.source.class.as_str()))
+            .insert_header((header::DEADLINE, self.deadline.as_millis().to_string()))
+            .insert_header((header::IDEMPOTENT, self.source.idempotent.to_string()));
+        if !self.source.key.is_empty() {
+            request = request.bearer_auth(&self.source.key);
+        }
+        if let Some(ticket) = &self.ticket {
+            request = request.insert_header((header::TICKET, ticket.as_str()));
+        }
+        let body = Bytes::copy_from_slice(self.prompt.body.as_bytes());
+        let mut response = match request.send_body(body).await {
+            Ok(response) => response,
+            // Without a connection no byte was sent.
+            Err(SendRequestError::Connect(_)) => {
+                return Sample::unanswered(Outcome::NotRun, self.due, "connect");
+            }
+            Err(_) => return Sample::unanswered(Outcome::Unknown, self.due, "broken"),
+        };
+        let text = |name: &str| {
+            let value = response.headers().get(name);
+            let value = value.and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let (place, instance) = (text(header::PLACE), text(header::INSTANCE));
+        let sample = if !response.status().is_success() {
+            let outcome = Outcome::parse(&text(header::OUTCOME));
+            let error = kind(response.body().limit(LIMIT).await.ok());
+            Sample::unanswered(outcome, self.due, &error)
+        } else if self.source.stream {
+            self.events(Events::new(response)).await
+        } else {
+            let body = response.body().limit(LIMIT).await.ok();
+            self.whole(body)
+        };
+        Sample {
+            place,
+            instance,
+            ..sample
+        }
+    }
+
+    /// Judges a whole answer.
+    fn whole(&self, body: Option<Bytes>) -> Sample {
+        let body = body.and_then(|body| serde_json::from_slice::<Value>(&body).ok());
+        let Some(body) = body else {
+            return Sample::unanswered(Outcome::Unknown, self.due, "broken");
+        };
+        let content = body["choices"][0]["message"]["content"].as_str();
+        let right = content.is_some_and(|content| self.matches(content));
+        Sample {
+            right,
+            first: Some(self.due.elapsed()),
+            ..Sample::unanswered(Outcome::Answered, self.due, "")
+        }
+    }
+
+    /// Follows a streamed answer to its end.
+    async fn events<S, E>(&self, mut events: Events<S>) -> Sample
+    where
+        S: Stream<Item = Result<Bytes, E>> + StreamExt + Unpin,
+    {
+        let mut first = None;
+        let mut between = Vec::new();
+        let mut last = Instant::now();
+        let mut content = String::new();
+        let mut end = (Outcome::Unknown, "broken".to_owned());
+        while let Ok(Some(event)) = events.next().await {
+            if event.data == DONE {
+                end = (Outcome::Answered, String::new());
+                break;
+            }
+            let data: Value = serde_json::from_str(&event.data).unwrap_or_default();
+            if event.name == "error" {
+                let outcome = data["error"]["outcome"].as_str().unwrap_or_default();
+                let kind = data["error"]["type"].as_str().unwrap_or("broken");
+                end = (Outcome::parse(outcome), kind.to_owned());
+                break;
+            }
+            let Some(token) = data["choices"][0]["delta"]["content"].as_str() else {
+                continue;
+            };
+            content += token;
+            let now = Instant::now();
+            match first {
+                None => first = Some(now.duration_since(self.due)),
+                Some(_) => between.push(now.duration_since(last)),
+            }
+            last = now;
+        }
+        Sample {
+            right: end.0 == Outcome::Answered && self.matches(&content),
+            first,
+            between,
+            ..Sample::unanswered(end.0, self.due, &end.1)
+        }
+    }
+
+    /// Returns whether a text is the stand-in's whole answer to this prompt.
+    fn matches(&self, content: &str) -> bool {
+        let mut tokens = content.split_ascii_whitespace();
+        let right = |index| {
+            let token = tokens.next()?;
+            let number = token.strip_prefix(&self.prompt.mark)?.strip_prefix('-')?;
+            (number.parse() == Ok(index)).then_some(())
+        };
+        let all = (0..self.source.tokens)
+            .map(right)
+            .all(|token| token.is_some());
+        all && tokens.next().is_none()
+    }
+}
+
+/// Returns the type of an error answer.
+fn kind(body: Option<Bytes>) -> String {
+    let body: Option<Value> = body.and_then(|body| serde_json::from_slice(&body).ok());
+    let kind = body.and_then(|body| Some(body["error"]["type"].as_str()?.to_owned()));
+    kind.unwrap_or_else(|| "untyped".to_owned())
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/locate.rs
@@ -0,0 +1,114 @@
+//! Asks the system which of its instances to use.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use awc::Client;
+use rand::{Rng, rngs::StdRng};
+use serde::Deserialize;
+
+use crate::settings::Source;
+
+/// Tickets asked for at once.
+const TICKETS: usize = 32;
+/// Least time for which an answer is kept, so that a wrong one is not asked for without end.
+const KEPT: Duration = Duration::from_millis(100);
+
+/// What the system answered to one source.
+#[derive(Debug, Default)]
+pub struct Directory {
+    instances: Vec<Instance>,
+    tickets: Vec<String>,
+    until: Option<Instant>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Instance {
+    callers: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    instances: Vec<Instance>,
+    valid_ms: u64,
+    #[serde(default)]
+    tickets: Vec<String>,
+}
+
+/// Where to send a request.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Address.
+    pub address: String,
+    /// Ticket, for a request that may run at most once.
+    pub ticket: Option<String>,
+}
+
+impl Directory {
+    /// Chooses an instance by weight; asks again when the last answer is no longer valid.
+    pub async fn choose(
+        &mut self,
+        client: &Client,
+        entries: &[SocketAddr],
+        source: &Source,
+        random: &mut StdRng,
+    ) -> Option<Choice> {
+        let valid = self.until.is_some_and(|until| Instant::now() < until);
+        let tickets = source.idempotent || !self.tickets.is_empty();
+        if !valid || !tickets {
+            self.ask(client, entries, source).await;
+        }
+        let address = self.pick(random)?;
+        let ticket = if source.idempotent {
+            None
+        } else {
+            Some(self.tickets.pop()?)
+        };
+        Some(Choice { address, ticket })
+    }
+
+    async fn ask(&mut self, client: &Client, entries: &[SocketAddr], source: &Source) {
+        for entry in entries {
+            let url = format!("http://{entry}/v1/locate?{}", query(source));
+            let request = client.get(url).bearer_auth(&source.key);
+            let Ok(mut response) = request.send().await else {
+                continue;
+            };
+            let Ok(answer) = response.json::<Answer>().await else {
+                continue;
+            };
+            let valid = Duration::from_millis(answer.valid_ms).max(KEPT);
+            self.until = Some(Instant::now() + valid);
+            self.instances = answer.instances;
+            self.tickets = answer.tickets;
+            return;
+        }
+    }
+
+    fn pick(&self, random: &mut StdRng) -> Option<String> {
+        let sum: f64 = self.instances.iter().map(|instance| instance.weight).sum();
+        let mut point = random.random::<f64>() * sum;
+        for instance in &self.instances {
+            point -= instance.weight;
+            if point <= 0.0 {
+                return Some(instance.callers.clone());
+            }
+        }
+        Some(self.instances.last()?.callers.clone())
+    }
+}
+
+fn query(source: &Source) -> String {
+    let mut parts = vec![format!("subject={}", source.model)];
+    let place = [("region", &source.region), ("zone", &source.zone)];
+    for (name, value) in place {
+        parts.extend(value.as_ref().map(|value| format!("{name}={value}")));
+    }
+    if !source.idempotent {
+        parts.push(format!("tickets={TICKETS}"));
+    }
+    parts.join("&")
+}
--- a/crates/zinniastall-load/src/main.rs
+++ b/crates/zinniastall-load/src/main.rs
@@ -1,3 +1,43 @@
-//! Open-loop load, experiments and reports.
+//! The `zinniastall-load` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use zinniastall_load::{plot, report, run, settings::Experiment};
+use zinniastall_settings::{
+    cli::{Daemon, EXIT_FAILED, EXIT_OK},
+    log,
+};
+
+const DAEMON: Daemon = Daemon {
+    name: "zinniastall-load",
+    about: "Open-loop load on zinniastall: runs an experiment and prints its report as JSON.",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+fn main() -> ExitCode {
+    DAEMON.main::<Experiment>(|experiment| {
+        log::start(&experiment.log);
+        match measure(&experiment) {
+            Ok(true) => ExitCode::from(EXIT_OK),
+            Ok(false) => ExitCode::from(EXIT_FAILED),
+            Err(error) => {
+                tracing::error!(event = "failed", error = format!("{error:#}"));
+                ExitCode::from(EXIT_FAILED)
+            }
+        }
+    })
+}
+
+/// Runs the experiment; true when no promise was seen broken.
+fn measure(experiment: &Experiment) -> eyre::Result<bool> {
+    let report = run::run(experiment)?;
+    let text = serde_json::to_string_pretty(&report)?;
+    match &experiment.report {
+        Some(path) => std::fs::write(path, &text)?,
+        None => println!("{text}"),
+    }
+    if let Some(path) = &experiment.plot {
+        plot::write(path, &report)?;
+    }
+    Ok(report.variants.iter().all(report::Variant::clean))
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/plan.rs
@@ -0,0 +1,70 @@
+//! The plan of an experiment: when each request starts and what it asks.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::settings::{Experiment, Source};
+
+/// One planned request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its number in the plan; makes its prompt unlike all others.
+    pub number: u64,
+    /// When it starts, after the start of the warm-up.
+    pub at: Duration,
+    /// Index of its source.
+    pub source: usize,
+    /// Which shared beginning its prompt has.
+    pub prefix: u64,
+    /// Whether it is measured.
+    pub measured: bool,
+}
+
+/// Makes the plan of an experiment, in order of time; the same for the same seed.
+pub fn make(experiment: &Experiment) -> Vec<Arrival> {
+    let sources = experiment.sources.iter().enumerate();
+    let mut plan: Vec<Arrival> = sources
+        .flat_map(|(index, source)| arrivals(experiment, index, source))
+        .collect();
+    plan.sort_by_key(|arrival| (arrival.at, arrival.source));
+    for (number, arrival) in (0..).zip(&mut plan) {
+        arrival.number = number;
+    }
+    plan
+}
+
+fn arrivals(experiment: &Experiment, index: usize, source: &Source) -> Vec<Arrival> {
+    let mut random = StdRng::seed_from_u64(experiment.seed ^ ((index as u64 + 1) << 32));
+    let end = experiment.warmup + experiment.duration;
+    let end = source.until.map_or(end, |until| until.min(end));
+    let mut at = source.from;
+    let mut arrivals = Vec::new();
+    if source.rate <= 0.0 {
+        return arrivals;
+    }
+    loop {
+        at += gap(source, &mut random);
+        if at >= end {
+            return arrivals;
+        }
+        arrivals.push(Arrival {
+            number: 0,
+            at,
+            source: index,
+            prefix: random.random_range(0..source.prefixes.max(1)),
+            measured: at >= experiment.warmup,
+        });
+    }
+}
+
+/// Returns the time to the next arrival: exponentially distributed for Poisson arrivals.
+fn gap(source: &Source, random: &mut StdRng) -> Duration {
+    let mean = 1.0 / source.rate;
+    if source.poisson {
+        let uniform: f64 = random.random();
+        Duration::from_secs_f64(-(1.0 - uniform).ln() * mean)
+    } else {
+        Duration::from_secs_f64(mean)
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/prompt.rs
@@ -0,0 +1,49 @@
+//! Prompts: a shared beginning and an end that no other prompt has.
+
+use serde_json::json;
+
+use crate::{plan::Arrival, settings::Source};
+
+/// The body of a request, and what a stand-in answers to it.
+#[derive(Debug, Clone)]
+pub struct Prompt {
+    /// Body.
+    pub body: String,
+    /// First part of every token of the answer.
+    pub mark: String,
+}
+
+/// Makes the prompt of an arrival.
+pub fn make(source: &Source, arrival: &Arrival, seed: u64) -> Prompt {
+    let mut text = String::new();
+    if source.prefixes > 0 {
+        fill(
+            &mut text,
+            &format!("{} {} ", source.model, arrival.prefix),
+            source.prefix_bytes,
+        );
+    }
+    let length = text.len() + source.suffix_bytes;
+    let own = format!("{seed}-{} ", arrival.number);
+    text += &own;
+    fill(&mut text, &own, length);
+    let body = json!({
+        "model": source.model,
+        "stream": source.stream,
+        "max_tokens": source.tokens,
+        "messages": [{"role": "user", "content": text}],
+    });
+    let digest = blake3::hash(text.as_bytes()).to_hex();
+    Prompt {
+        body: body.to_string(),
+        mark: digest[..8].to_owned(),
+    }
+}
+
+/// Repeats `part` until the text has a length; a longer text stays as it is.
+fn fill(text: &mut String, part: &str, length: usize) {
+    while text.len() < length {
+        let left = (length - text.len()).min(part.len());
+        text.push_str(&part[..left]);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/run.rs
@@ -0,0 +1,92 @@
+//! Runs an experiment: every variant meets the same plan.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::mpsc;
+
+use crate::{
+    audit,
+    plan::{self, Arrival},
+    report::{Report, Variant},
+    settings::{self, Experiment},
+    tally::Tally,
+    worker::{self, Due},
+};
+
+/// Why an experiment failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A sending thread ended early.
+    #[error("a sending thread failed")]
+    Worker,
+    /// A ledger cannot be read.
+    #[error(transparent)]
+    Audit(#[from] audit::Error),
+}
+
+/// Runs an experiment.
+///
+/// # Errors
+///
+/// Fails when a sending thread fails or a ledger cannot be read.
+pub fn run(experiment: &Experiment) -> Result<Report, Error> {
+    let experiment = Arc::new(experiment.clone());
+    let plan = plan::make(&experiment);
+    let mut report = Report::new(&experiment, plan.len());
+    for variant in &experiment.variants {
+        report.variants.push(measure(&experiment, variant, &plan)?);
+    }
+    Ok(report)
+}
+
+fn measure(
+    experiment: &Arc<Experiment>,
+    variant: &settings::Variant,
+    plan: &[Arrival],
+) -> Result<Variant, Error> {
+    let mut channels = Vec::new();
+    let mut threads = Vec::new();
+    for number in 0..experiment.threads as u64 {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let experiment = Arc::clone(experiment);
+        let variant = variant.clone();
+        threads.push(thread::spawn(move || {
+            let system = actix_rt::System::new();
+            system.block_on(worker::work(experiment, variant, number, receiver))
+        }));
+        channels.push(sender);
+    }
+    let latest = pace(plan, &channels)?;
+    drop(channels);
+    let mut tally = Tally::default();
+    for thread in threads {
+        tally.merge(thread.join().map_err(|_| Error::Worker)?);
+    }
+    let runs = actix_rt::System::new().block_on(audit::read(&variant.ledgers))?;
+    let audit = audit::compare(&tally.claims, &runs, variant.ledgers.len());
+    Ok(Variant::new(experiment, variant, &tally, audit, latest))
+}
+
+/// Hands each arrival over at its time; returns by how much the latest one was late.
+///
+/// This thread sleeps by the operating system's timer: the timers of the sending threads only tell
+/// milliseconds apart, which is more than the latencies to be measured.
+fn pace(plan: &[Arrival], channels: &[mpsc::UnboundedSender<Due>]) -> Result<Duration, Error> {
+    let start = Instant::now();
+    let mut latest = Duration::ZERO;
+    for (arrival, channel) in plan.iter().zip(channels.iter().cycle()) {
+        let due = start + arrival.at;
+        if let Some(left) = due.checked_duration_since(Instant::now()) {
+            thread::sleep(left);
+        }
+        latest = latest.max(due.elapsed());
+        channel
+            .send((arrival.clone(), due))
+            .map_err(|_| Error::Worker)?;
+    }
+    Ok(latest)
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/tally.rs
@@ -0,0 +1,169 @@
+//! Collects samples by client and class.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+
+use crate::{call::Sample, outcome::Outcome, settings::Source};
+
+/// Longest value kept, in microseconds: one hour.
+const LONGEST: u64 = 3_600_000_000;
+/// Significant digits kept.
+const DIGITS: u8 = 3;
+
+/// What one request met, as far as the ledgers must agree with it.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    /// BLAKE3 digest of the body, as hex.
+    pub digest: String,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+    /// Whether an answer counted as whole was the right one.
+    pub right: bool,
+}
+
+/// Samples of one client and class.
+#[derive(Debug, Clone)]
+pub struct Series {
+    /// Time to the first token, in microseconds.
+    pub first: Histogram<u64>,
+    /// Time between tokens, in microseconds.
+    pub between: Histogram<u64>,
+    /// Time to the end of whole answers, in microseconds.
+    pub whole: Histogram<u64>,
+    /// Requests.
+    pub requests: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Requests that did not run.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Whole answers within the deadline.
+    pub in_time: u64,
+    /// Whole answers from another region than the source's.
+    pub away: u64,
+    /// Errors by type.
+    pub errors: IndexMap<String, u64>,
+    /// Requests by receiving instance.
+    pub instances: IndexMap<String, u64>,
+}
+
+/// Samples by client and class, and the claims to compare with the ledgers.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    /// Measured samples.
+    pub series: IndexMap<(String, String), Series>,
+    /// All requests, also those of the warm-up.
+    pub claims: Vec<Claim>,
+}
+
+impl Series {
+    fn new() -> Self {
+        Self {
+            first: histogram(),
+            between: histogram(),
+            whole: histogram(),
+            requests: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            in_time: 0,
+            away: 0,
+            errors: IndexMap::new(),
+            instances: IndexMap::new(),
+        }
+    }
+
+    fn add(&mut self, source: &Source, sample: &Sample, deadline: Duration) {
+        self.requests += 1;
+        if !sample.error.is_empty() {
+            *self.errors.entry(sample.error.clone()).or_default() += 1;
+        }
+        if !sample.instance.is_empty() {
+            *self.instances.entry(sample.instance.clone()).or_default() += 1;
+        }
+        match sample.outcome {
+            Outcome::Answered => self.answer(source, sample, deadline),
+            Outcome::NotRun => self.not_run += 1,
+            Outcome::Unknown => self.unknown += 1,
+        }
+    }
+
+    fn answer(&mut self, source: &Source, sample: &Sample, deadline: Duration) {
+        self.answered += 1;
+        self.whole.saturating_record(micros(sample.whole));
+        if let Some(first) = sample.first {
+            self.first.saturating_record(micros(first));
+        }
+        for gap in &sample.between {
+            self.between.saturating_record(micros(*gap));
+        }
+        if sample.whole <= deadline {
+            self.in_time += 1;
+        }
+        let served = sample.place.split('/').next().unwrap_or_default();
+        let home = source.region.as_deref();
+        if !served.is_empty() && home.is_some_and(|home| home != served) {
+            self.away += 1;
+        }
+    }
+
+    /// Adds another series to this one.
+    pub fn merge(&mut self, other: &Self) {
+        // All histograms have the same bounds, so adding cannot fail.
+        let _ = self.first.add(&other.first);
+        let _ = self.between.add(&other.between);
+        let _ = self.whole.add(&other.whole);
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.in_time += other.in_time;
+        self.away += other.away;
+        for (error, count) in &other.errors {
+            *self.errors.entry(error.clone()).or_default() += count;
+        }
+        for (instance, count) in &other.instances {
+            *self.instances.entry(instance.clone()).or_default() += count;
+        }
+    }
+}
+
+impl Tally {
+    /// Adds a measured sample.
+    pub fn add(&mut self, source: &Source, sample: &Sample, deadline: Duration) {
+        let key = (source.client.clone(), source.class.clone());
+        let series = self.series.entry(key).or_insert_with(Series::new);
+        series.add(source, sample, deadline);
+    }
+
+    /// Adds another tally to this one.
+    pub fn merge(&mut self, other: Self) {
+        self.claims.extend(other.claims);
+        for (key, series) in other.series {
+            match self.series.get_mut(&key) {
+                Some(sum) => sum.merge(&series),
+                None => drop(self.series.insert(key, series)),
+            }
+        }
+    }
+
+    /// Returns all series as one.
+    pub fn sum(&self) -> Series {
+        let mut sum = Series::new();
+        self.series.values().for_each(|series| sum.merge(series));
+        sum
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST, DIGITS).expect("constant bounds are valid")
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(LONGEST)
+}
--- /dev/null
+++ b/crates/zinniastall-load/src/worker.rs
@@ -0,0 +1,122 @@
+//! A thread that sends requests when the pacing thread says so.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Instant};
+
+use awc::{Client, Connector};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::sync::mpsc;
+
+use crate::{
+    call::{Call, Sample},
+    locate::{Choice, Directory},
+    outcome::Outcome,
+    plan::Arrival,
+    prompt,
+    settings::{Experiment, Variant},
+    tally::{Claim, Tally},
+};
+
+/// A request that is due.
+pub(crate) type Due = (Arrival, Instant);
+
+/// What a worker knows.
+struct Worker {
+    experiment: Arc<Experiment>,
+    variant: Variant,
+    client: Client,
+    directories: Vec<RefCell<Directory>>,
+    random: RefCell<StdRng>,
+    tally: RefCell<Tally>,
+}
+
+/// Sends requests as they come until the channel is closed and all have ended.
+pub(crate) async fn work(
+    experiment: Arc<Experiment>,
+    variant: Variant,
+    number: u64,
+    mut due: mpsc::UnboundedReceiver<Due>,
+) -> Tally {
+    let connector = Connector::new().limit(0).timeout(experiment.patience);
+    let client = Client::builder()
+        .connector(connector)
+        .timeout(experiment.patience)
+        .disable_redirects()
+        .finish();
+    let sources = experiment.sources.len();
+    let worker = Rc::new(Worker {
+        random: RefCell::new(StdRng::seed_from_u64(experiment.seed ^ number)),
+        directories: (0..sources).map(|_| RefCell::default()).collect(),
+        tally: RefCell::default(),
+        client,
+        variant,
+        experiment,
+    });
+    let mut open = FuturesUnordered::new();
+    loop {
+        tokio::select! {
+            next = due.recv() => match next {
+                Some(next) => open.push(Rc::clone(&worker).serve(next)),
+                None => break,
+            },
+            Some(()) = open.next() => {}
+        }
+    }
+    while open.next().await.is_some() {}
+    worker.tally.take()
+}
+
+impl Worker {
+    async fn serve(self: Rc<Self>, (arrival, due): Due) {
+        let experiment = &self.experiment;
+        let source = &experiment.sources[arrival.source];
+        let prompt = prompt::make(source, &arrival, experiment.seed);
+        let digest = blake3::hash(prompt.body.as_bytes()).to_hex().to_string();
+        let sample = match self.choose(arrival.source).await {
+            None => Sample::unanswered(Outcome::NotRun, due, "no-instance"),
+            Some(choice) => {
+                let call = Call {
+                    url: format!("http://{}/v1/chat/completions", choice.address),
+                    source,
+                    prompt: &prompt,
+                    ticket: choice.ticket,
+                    deadline: experiment.deadline,
+                    due,
+                };
+                let sent = call.send(&self.client);
+                let timed = tokio::time::timeout(experiment.patience, sent).await;
+                timed.unwrap_or_else(|_| Sample::unanswered(Outcome::Unknown, due, "late"))
+            }
+        };
+        let mut tally = self.tally.borrow_mut();
+        if arrival.measured {
+            tally.add(source, &sample, experiment.deadline);
+        }
+        tally.claims.push(Claim {
+            digest,
+            outcome: sample.outcome,
+            idempotent: source.idempotent,
+            right: sample.right,
+        });
+    }
+
+    async fn choose(&self, source: usize) -> Option<Choice> {
+        if let Some(direct) = self.variant.direct {
+            let address = direct.to_string();
+            return Some(Choice {
+                address,
+                ticket: None,
+            });
+        }
+        // One directory serves one question at a time; those that ask meanwhile use their own.
+        let mut directory = self.directories[source].take();
+        let source_settings = &self.experiment.sources[source];
+        let mut random = StdRng::from_rng(&mut *self.random.borrow_mut());
+        let entries = &self.variant.entries;
+        let choice = directory
+            .choose(&self.client, entries, source_settings, &mut random)
+            .await;
+        self.directories[source].replace(directory);
+        choice
+    }
+}
