feat(entry): accept links and hand them to their owners

One listener serves every purpose; an owner is registered per purpose on links::Acceptors. An owner on a traffic thread takes the link off the control arbiter's event loop with Link::detach and registers it with Detached::attach.

--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of an entry instance and waits for its end.
 
-use std::{process::ExitCode, sync::Arc, time::SystemTime};
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::SystemTime};
 
 use actix::Actor;
 use actix_web::{App, HttpServer};
@@ -10,6 +10,7 @@
 
 use crate::{
     callers,
+    links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
     targets,
@@ -43,6 +44,14 @@
     listening("targets", targets.addrs()[0]);
     let links = link::listen(settings.listen.links).await?;
     listening("links", links.local_addr()?);
+    let bound = Bound {
+        callers: callers.addrs()[0],
+        targets: targets.addrs()[0],
+        links: links.local_addr()?,
+    };
+    let identity = identity(&settings, &board.view(), &bound);
+    let acceptors = Acceptors::new(identity);
+    actix::spawn(links::serve(links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
     let (callers_handle, targets_handle) = (callers.handle(), targets.handle());
@@ -59,10 +68,32 @@
 }
 
 /// Reports a bound address: with port 0 nobody could know it otherwise.
-fn listening(role: &str, address: std::net::SocketAddr) {
+fn listening(role: &str, address: SocketAddr) {
     tracing::info!(event = "listening", role, address = %address);
 }
 
+/// Addresses that were bound.
+struct Bound {
+    callers: SocketAddr,
+    targets: SocketAddr,
+    links: SocketAddr,
+}
+
+fn identity(settings: &Entry, view: &View, bound: &Bound) -> Identity {
+    let advertise = &settings.advertise;
+    let addresses = Addresses {
+        callers: advertise.callers.unwrap_or(bound.callers).to_string(),
+        targets: advertise.targets.unwrap_or(bound.targets).to_string(),
+        links: advertise.links.unwrap_or(bound.links).to_string(),
+    };
+    Identity::new(
+        view.instance.clone(),
+        view.incarnation,
+        view.place.clone(),
+        addresses,
+    )
+}
+
 fn first_view(settings: &Entry) -> View {
     View {
         instance: settings.instance.clone(),
--- a/crates/zinniastall-entry/src/lib.rs
+++ b/crates/zinniastall-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 pub mod daemon;
 pub mod follow;
+pub mod links;
 pub mod publish;
 pub mod settings;
 pub mod spread;
--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -4,7 +4,10 @@
 use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
 use tokio_tungstenite::{
     MaybeTlsStream, WebSocketStream,
-    tungstenite::{self, Message, protocol::WebSocketConfig},
+    tungstenite::{
+        self, Message,
+        protocol::{Role, WebSocketConfig},
+    },
 };
 
 use crate::{
@@ -48,6 +51,32 @@
     peer: Hello,
 }
 
+/// A taken link on its way to another thread.
+///
+/// A socket is served by the event loop of the thread that registered it. A link that stayed
+/// registered where it was accepted would wait for control work there.
+#[derive(Debug)]
+pub struct Detached {
+    stream: std::net::TcpStream,
+    peer: Hello,
+}
+
+impl Detached {
+    /// Registers the link with the calling thread's event loop.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket cannot be registered.
+    pub async fn attach(self) -> Result<Link, Error> {
+        let stream = MaybeTlsStream::Plain(TcpStream::from_std(self.stream)?);
+        let socket = WebSocketStream::from_raw_socket(stream, Role::Server, Some(config())).await;
+        Ok(Link {
+            socket,
+            peer: self.peer,
+        })
+    }
+}
+
 /// Half of a link that sends.
 pub type Sender = std::pin::Pin<Box<dyn Sink<Frame, Error = Error> + Send>>;
 /// Half of a link that receives.
@@ -119,6 +148,24 @@
         self.peer.purpose
     }
 
+    /// Takes an accepted link off this thread's event loop, right after the handshake.
+    ///
+    /// Nothing is lost: the dialling end sends nothing between its first frame and the answer to
+    /// it, and this end has read nothing since.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket cannot be taken off the event loop.
+    pub fn detach(self) -> Result<Detached, Error> {
+        let MaybeTlsStream::Plain(stream) = self.socket.into_inner() else {
+            return Err(Error::Handshake);
+        };
+        Ok(Detached {
+            stream: stream.into_std()?,
+            peer: self.peer,
+        })
+    }
+
     /// Splits the link into its two directions.
     pub fn split(self) -> (Sender, Receiver) {
         let (sink, stream) = self.socket.split();
