feat(entry): membership, targets' leases and their spread inside a zone

coord::membership judges a peer by evidence in both directions: heartbeats echo what their sender has heard. The zone's instances keep one gossip link a pair; a target's announcement at one instance goes whole to the others, renewals go as short loads. Targets, peers and the raised incarnation are published to the view.

--- /dev/null
+++ b/crates/zinniastall-coord/src/membership/roster.rs
@@ -0,0 +1,340 @@
+//! The peers of one instance and the evidence for each.
+
+use std::{
+    collections::VecDeque,
+    hash::Hash,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::Window;
+
+/// Number of a process run; later runs have higher numbers.
+pub type Incarnation = u64;
+/// Number of a heartbeat within a run.
+pub type Sequence = u64;
+
+/// Own heartbeats whose time of sending is remembered; an echo of an older one is no evidence.
+const SENT: usize = 128;
+/// Most departed peers remembered. The oldest goes first; what it guarded against, a frame of an
+/// old run that is still under way, is the less likely the older it is.
+const DEPARTED: usize = 1024;
+
+/// Times that a [`Roster`] works with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Config {
+    /// Time between two heartbeats.
+    pub period: Duration,
+    /// Shortest bound on staleness.
+    pub floor: Duration,
+    /// Longest bound on staleness.
+    pub ceiling: Duration,
+    /// Pause between two ticks after which this instance takes itself for frozen.
+    pub freeze: Duration,
+    /// Fresh evidences in a row that a lost peer has to show before it counts again.
+    pub probation: u32,
+    /// How long the run of a departed peer is remembered.
+    pub memory: Duration,
+}
+
+impl Default for Config {
+    /// Sized for one heartbeat a half second and links of up to some hundred milliseconds.
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(500),
+            floor: Duration::from_millis(1_500),
+            ceiling: Duration::from_secs(6),
+            freeze: Duration::from_millis(1_500),
+            probation: 3,
+            memory: Duration::from_mins(1),
+        }
+    }
+}
+
+/// Newest heartbeat that the sender has heard from the receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo(pub Incarnation, pub Sequence);
+
+/// One heartbeat, addressed to one peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Sender's run.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+    /// Counts the sender's heartbeats.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+    /// What the sender has heard from the receiver.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub echo: Option<Echo>,
+}
+
+/// What a heartbeat told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// The first one of a peer's run.
+    Run,
+    /// A new one of a known run.
+    Fresh,
+    /// A doubled or late one.
+    Old,
+    /// One of a run before the known one; the sender should raise its own above this.
+    Stale(Incarnation),
+}
+
+#[derive(Debug)]
+struct Member {
+    incarnation: Incarnation,
+    heard: Sequence,
+    /// When the newest own heartbeat that the peer has echoed was sent.
+    evidence: Option<Instant>,
+    window: Window,
+    /// Fresh evidences still to be shown before the peer counts.
+    owed: u32,
+    since: Instant,
+}
+
+/// The peers of one instance.
+///
+/// Only heartbeats that arrive from a peer itself count. What others say of it may lead to a
+/// connection attempt but never makes it alive: hearsay of a dead peer would otherwise circle.
+#[derive(Debug)]
+pub struct Roster<I> {
+    own: I,
+    incarnation: Incarnation,
+    config: Config,
+    sequence: Sequence,
+    sent: VecDeque<Instant>,
+    ticked: Instant,
+    members: IndexMap<I, Member>,
+    departed: IndexMap<I, (Incarnation, Instant)>,
+}
+
+impl<I: Clone + Eq + Hash> Roster<I> {
+    /// Creates the roster of an instance.
+    pub fn new(own: I, incarnation: Incarnation, config: Config, now: Instant) -> Self {
+        Self {
+            own,
+            incarnation,
+            config,
+            sequence: 0,
+            sent: VecDeque::new(),
+            ticked: now,
+            members: IndexMap::new(),
+            departed: IndexMap::new(),
+        }
+    }
+
+    /// Returns this instance's run.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Raises this instance's run above one that others remember.
+    ///
+    /// A process whose clock went back starts with a lower number than its former run. Its peers
+    /// would drop all that it says as late.
+    pub fn raise(&mut self, remembered: Incarnation) {
+        self.incarnation = self.incarnation.max(remembered.saturating_add(1));
+    }
+
+    /// Starts a heartbeat period. Returns whether this instance was frozen since the last one.
+    ///
+    /// What a frozen instance believes is as old as the freeze is long, and it can't tell from its
+    /// messages: its sockets held them back. All evidence is void after a freeze, so nobody counts
+    /// as alive until an echo of a heartbeat sent after it.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        let frozen = now.saturating_duration_since(self.ticked) > self.config.freeze;
+        self.ticked = now;
+        if frozen {
+            self.sent.clear();
+            for member in self.members.values_mut() {
+                member.evidence = None;
+                member.owed = 1;
+                member.since = now;
+            }
+        }
+        self.sequence += 1;
+        if self.sent.len() == SENT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+        self.note_losses(now);
+        frozen
+    }
+
+    /// Makes this period's heartbeat for one peer.
+    pub fn beat(&self, peer: &I) -> Beat {
+        let echo = self.members.get(peer);
+        Beat {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            echo: echo.map(|member| Echo(member.incarnation, member.heard)),
+        }
+    }
+
+    /// Takes in a heartbeat that arrived from a peer.
+    pub fn hear(&mut self, peer: &I, beat: Beat, now: Instant) -> Heard {
+        if *peer == self.own {
+            return Heard::Old;
+        }
+        let known = self.remembered(peer);
+        if known.is_some_and(|known| beat.incarnation < known) {
+            return Heard::Stale(known.unwrap_or_default());
+        }
+        let heard = self.enrol(peer, beat, now);
+        if heard == Heard::Old {
+            return heard;
+        }
+        let sent = beat.echo.and_then(|echo| self.sent_at(echo));
+        if let (Some(sent), Some(member)) = (sent, self.members.get_mut(peer)) {
+            member.believe(sent, now, &self.config);
+        }
+        heard
+    }
+
+    /// Tells whether a peer is alive.
+    pub fn is_alive(&self, peer: &I, now: Instant) -> bool {
+        let member = self.members.get(peer);
+        member.is_some_and(|member| member.owed == 0 && member.is_fresh(now))
+    }
+
+    /// Returns a peer's run, if one is known.
+    pub fn run(&self, peer: &I) -> Option<Incarnation> {
+        self.members.get(peer).map(|member| member.incarnation)
+    }
+
+    /// Returns the peers that are alive.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &I> {
+        let alive = move |member: &Member| member.owed == 0 && member.is_fresh(now);
+        self.members
+            .iter()
+            .filter(move |(_, member)| alive(member))
+            .map(|(peer, _)| peer)
+    }
+
+    /// Returns the longest staleness of a peer's evidence that is still believed.
+    pub fn bound(&self, peer: &I) -> Option<Duration> {
+        self.members.get(peer).map(|member| member.window.bound())
+    }
+
+    /// Forgets a peer that is gone or whose address has another owner; its run stays remembered
+    /// for a while, so that late frames of it are known as such.
+    pub fn forget(&mut self, peer: &I, now: Instant) {
+        let Some(member) = self.members.swap_remove(peer) else {
+            return;
+        };
+        if self.departed.len() == DEPARTED {
+            self.departed.shift_remove_index(0);
+        }
+        let until = now + self.config.memory;
+        self.departed
+            .insert(peer.clone(), (member.incarnation, until));
+    }
+
+    /// Forgets the peers that have shown nothing for the time of memory, and the departed whose
+    /// memory is over. Returns the peers.
+    pub fn sweep(&mut self, now: Instant) -> Vec<I> {
+        self.departed.retain(|_, (_, until)| *until > now);
+        let memory = self.config.memory;
+        let silent = |member: &Member| {
+            let last = member.evidence.unwrap_or(member.since).max(member.since);
+            now.saturating_duration_since(last) > memory
+        };
+        let gone: Vec<I> = self
+            .members
+            .iter()
+            .filter(|(_, member)| silent(member))
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        for peer in &gone {
+            self.forget(peer, now);
+        }
+        gone
+    }
+
+    /// Returns how many peers and how many departed ones are held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.members.len(), self.departed.len())
+    }
+
+    fn remembered(&self, peer: &I) -> Option<Incarnation> {
+        let departed = self.departed.get(peer).map(|(incarnation, _)| *incarnation);
+        self.run(peer).max(departed)
+    }
+
+    fn enrol(&mut self, peer: &I, beat: Beat, now: Instant) -> Heard {
+        if let Some(member) = self.members.get_mut(peer)
+            && member.incarnation == beat.incarnation
+        {
+            if beat.sequence <= member.heard {
+                return Heard::Old;
+            }
+            member.heard = beat.sequence;
+            return Heard::Fresh;
+        }
+        let member = Member::new(beat, &self.config, now);
+        self.members.insert(peer.clone(), member);
+        self.departed.shift_remove(peer);
+        Heard::Run
+    }
+
+    fn sent_at(&self, echo: Echo) -> Option<Instant> {
+        let Echo(incarnation, sequence) = echo;
+        if incarnation != self.incarnation {
+            return None;
+        }
+        let back = usize::try_from(self.sequence.checked_sub(sequence)?).ok()?;
+        let index = self.sent.len().checked_sub(back + 1)?;
+        self.sent.get(index).copied()
+    }
+
+    fn note_losses(&mut self, now: Instant) {
+        let probation = self.config.probation;
+        for member in self.members.values_mut() {
+            // One lost evidence on a bad link is followed by others. A peer that came back at
+            // once each time would flap in every view.
+            if member.owed == 0 && !member.is_fresh(now) {
+                member.owed = probation;
+            }
+        }
+    }
+}
+
+impl Member {
+    fn new(beat: Beat, config: &Config, now: Instant) -> Self {
+        Self {
+            incarnation: beat.incarnation,
+            heard: beat.sequence,
+            evidence: None,
+            window: Window::new(config.floor, config.ceiling),
+            owed: 1,
+            since: now,
+        }
+    }
+
+    fn believe(&mut self, sent: Instant, now: Instant, config: &Config) {
+        if self.evidence.is_some_and(|evidence| sent <= evidence) {
+            return;
+        }
+        let staleness = now.saturating_duration_since(self.evidence.unwrap_or(sent));
+        let fresh = now.saturating_duration_since(sent) <= self.window.bound();
+        self.window.record(staleness);
+        self.evidence = Some(sent);
+        if self.owed == 0 {
+            return;
+        }
+        self.owed = if fresh {
+            self.owed - 1
+        } else {
+            config.probation
+        };
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.evidence
+            .is_some_and(|evidence| now.saturating_duration_since(evidence) <= self.window.bound())
+    }
+}
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -4,16 +4,20 @@
 
 use actix::Actor;
 use actix_web::{App, HttpServer};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
 use zinniastall_settings::{cli, log};
-use zinniastall_wire::link;
+use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
     callers,
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
-    targets,
+    spread,
+    targets::{self, Desk},
     view::{Board, View},
 };
 
@@ -32,26 +36,24 @@
 async fn serve(settings: Entry) -> eyre::Result<()> {
     let board = Board::new(first_view(&settings));
     let publisher = Publisher::new(board.clone()).start();
+    let sockets = Sockets::bind(&settings).await?;
+    let identity = sockets.identity(&settings, &board.view())?;
+    let spread = spread::start(&settings, identity.clone(), board, publisher.clone());
+    let desk = Desk {
+        place: settings.place.clone(),
+        announced: spread.clone().recipient(),
+        left: spread.clone().recipient(),
+    };
     let callers = HttpServer::new(|| App::new().configure(callers::configure))
         .workers(settings.threads)
         .disable_signals()
-        .bind(settings.listen.callers)?;
-    listening("callers", callers.addrs()[0]);
-    let targets = HttpServer::new(|| App::new().configure(targets::configure))
+        .listen(sockets.callers.into_std()?)?;
+    let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
         .workers(1)
         .disable_signals()
-        .bind(settings.listen.targets)?;
-    listening("targets", targets.addrs()[0]);
-    let links = link::listen(settings.listen.links).await?;
-    listening("links", links.local_addr()?);
-    let bound = Bound {
-        callers: callers.addrs()[0],
-        targets: targets.addrs()[0],
-        links: links.local_addr()?,
-    };
-    let identity = identity(&settings, &board.view(), &bound);
-    let acceptors = Acceptors::new(identity);
-    actix::spawn(links::serve(links, acceptors));
+        .listen(sockets.targets.into_std()?)?;
+    let acceptors = Acceptors::new(identity).owner(Purpose::Gossip, spread::Gossip(spread.clone()));
+    actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
     let (callers_handle, targets_handle) = (callers.handle(), targets.handle());
@@ -63,6 +65,7 @@
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
+    spread.send(spread::actor::Stop).await?;
     tracing::info!(event = "stopped");
     Ok(())
 }
@@ -72,26 +75,40 @@
     tracing::info!(event = "listening", role, address = %address);
 }
 
-/// Addresses that were bound.
-struct Bound {
-    callers: SocketAddr,
-    targets: SocketAddr,
-    links: SocketAddr,
+/// Sockets of an instance, bound before anything is started: each part says its addresses to others.
+struct Sockets {
+    callers: TcpListener,
+    targets: TcpListener,
+    links: TcpListener,
 }
 
-fn identity(settings: &Entry, view: &View, bound: &Bound) -> Identity {
-    let advertise = &settings.advertise;
-    let addresses = Addresses {
-        callers: advertise.callers.unwrap_or(bound.callers).to_string(),
-        targets: advertise.targets.unwrap_or(bound.targets).to_string(),
-        links: advertise.links.unwrap_or(bound.links).to_string(),
-    };
-    Identity::new(
-        view.instance.clone(),
-        view.incarnation,
-        view.place.clone(),
-        addresses,
-    )
+impl Sockets {
+    async fn bind(settings: &Entry) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let sockets = Self {
+            callers: link::listen(listen.callers).await?,
+            targets: link::listen(listen.targets).await?,
+            links: link::listen(listen.links).await?,
+        };
+        listening("callers", sockets.callers.local_addr()?);
+        listening("targets", sockets.targets.local_addr()?);
+        listening("links", sockets.links.local_addr()?);
+        Ok(sockets)
+    }
+
+    fn identity(&self, settings: &Entry, view: &View) -> eyre::Result<Identity> {
+        let advertise = &settings.advertise;
+        let callers = advertise.callers.unwrap_or(self.callers.local_addr()?);
+        let targets = advertise.targets.unwrap_or(self.targets.local_addr()?);
+        let links = advertise.links.unwrap_or(self.links.local_addr()?);
+        let addresses = Addresses {
+            callers: callers.to_string(),
+            targets: targets.to_string(),
+            links: links.to_string(),
+        };
+        let (instance, place) = (view.instance.clone(), view.place.clone());
+        Ok(Identity::new(instance, view.incarnation, place, addresses))
+    }
 }
 
 fn first_view(settings: &Entry) -> View {
--- a/crates/zinniastall-entry/src/links.rs
+++ b/crates/zinniastall-entry/src/links.rs
@@ -19,6 +19,7 @@
 use zinniastall_wire::{
     hello::{Hello, Purpose, Refusal, VERSION},
     link::{self, Link},
+    meter::Meter,
 };
 
 /// Longest time that a handshake may take; an end that is silent must not hold a place forever.
@@ -36,6 +37,7 @@
     fixed: Arc<Fixed>,
     cluster: Arc<OnceLock<String>>,
     incarnation: Arc<Mutex<id::Incarnation>>,
+    meters: Arc<Mutex<IndexMap<Purpose, Arc<Meter>>>>,
 }
 
 /// The part of an identity that never changes.
@@ -73,9 +75,29 @@
             }),
             cluster: Arc::default(),
             incarnation: Arc::new(Mutex::new(incarnation)),
+            meters: Arc::default(),
         }
     }
 
+    /// Returns the meter of all links of a purpose.
+    pub fn meter(&self, purpose: Purpose) -> Arc<Meter> {
+        let mut meters = self.meters.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(meters.entry(purpose).or_default())
+    }
+
+    /// Dials an address, shakes hands and counts the link's frames.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be reached in time or the other end refuses.
+    pub async fn dial(&self, address: &str, purpose: Purpose) -> Result<Link, link::Error> {
+        let dial = Link::dial(address, self.hello(purpose));
+        let link = timeout(HANDSHAKE, dial)
+            .await
+            .map_err(|_| link::Error::Handshake)??;
+        Ok(link.meter(self.meter(purpose)))
+    }
+
     /// Returns the instance's name.
     pub fn instance(&self) -> &str {
         &self.fixed.instance
@@ -182,7 +204,8 @@
             Err(_) => return refused(&link::Error::Handshake),
         };
         if let Some(owner) = self.owners.get(&link.purpose()) {
-            owner.accept(link);
+            let meter = self.identity.meter(link.purpose());
+            owner.accept(link.meter(meter));
         }
     }
 }
--- a/crates/zinniastall-entry/src/publish.rs
+++ b/crates/zinniastall-entry/src/publish.rs
@@ -59,6 +59,11 @@
 #[rtype(result = "()")]
 pub struct Digests(pub Arc<Vec<Digest>>);
 
+/// This run was given a higher number, because others remember a later one.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Raised(pub id::Incarnation);
+
 /// The instance stops taking new requests.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -113,3 +118,12 @@
         self.publish();
     }
 }
+
+impl Handler<Raised> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, message: Raised, _: &mut Context<Self>) {
+        self.view.incarnation = message.0;
+        self.publish();
+    }
+}
--- a/crates/zinniastall-entry/src/targets/mod.rs
+++ b/crates/zinniastall-entry/src/targets/mod.rs
@@ -1,6 +1,78 @@
 //! Targets' HTTP interface: announce, renew, leave.
+//!
+//! A target announces itself and its load to any entry instance of its availability zone, and again
+//! before its lease runs out. The handlers check bodies and ask the owner of the zone's table, which
+//! lives on the control arbiter; see [`crate::spread`].
 
-use actix_web::web;
+pub mod body;
+pub mod problem;
+pub mod table;
+
+use actix::{MailboxError, Message, Recipient};
+use actix_web::{HttpResponse, error::JsonPayloadError, web};
+use zinniastall_model::place::Place;
+use zinniastall_wire::gossip;
+
+use self::{
+    body::{Announce, Lease, Leave},
+    problem::Problem,
+};
+
+/// A checked announcement on its way to the owner of the table.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Lease, Problem>")]
+pub struct Announced(pub gossip::Target);
+
+/// A checked leave on its way to the owner of the table.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<(), Problem>")]
+pub struct Left(pub Leave);
+
+/// Where the handlers find the owner of the table.
+#[derive(Debug, Clone)]
+pub struct Desk {
+    /// Place that announcements are for.
+    pub place: Place,
+    /// Takes announcements.
+    pub announced: Recipient<Announced>,
+    /// Takes leaves.
+    pub left: Recipient<Left>,
+}
 
 /// Adds the targets' paths to an application.
-pub fn configure(_: &mut web::ServiceConfig) {}
+pub fn configure(desk: Desk) -> impl FnOnce(&mut web::ServiceConfig) {
+    move |config| {
+        let json = web::JsonConfig::default()
+            .limit(body::BODY)
+            .content_type_required(false)
+            .error_handler(|error, _| malformed(&error).into());
+        config
+            .app_data(json)
+            .app_data(web::Data::new(desk))
+            .route("/v1/targets/announce", web::post().to(announce))
+            .route("/v1/targets/leave", web::post().to(leave));
+    }
+}
+
+async fn announce(
+    desk: web::Data<Desk>,
+    body: web::Json<Announce>,
+) -> Result<HttpResponse, Problem> {
+    let report = body.into_inner().check(&desk.place)?;
+    let lease = desk.announced.send(Announced(report)).await;
+    Ok(HttpResponse::Ok().json(lease.map_err(busy)??))
+}
+
+async fn leave(desk: web::Data<Desk>, body: web::Json<Leave>) -> Result<HttpResponse, Problem> {
+    let leave = body.into_inner().check()?;
+    desk.left.send(Left(leave)).await.map_err(busy)??;
+    Ok(HttpResponse::Ok().json(serde_json::json!({})))
+}
+
+fn busy(_: MailboxError) -> Problem {
+    Problem::Busy
+}
+
+fn malformed(error: &JsonPayloadError) -> Problem {
+    Problem::Body(error.to_string())
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/targets/problem.rs
@@ -0,0 +1,53 @@
+//! What the targets' interface refuses, and how it says so.
+
+use actix_web::{HttpResponse, ResponseError, http::StatusCode};
+use serde_json::json;
+use zinniastall_model::id;
+
+/// Why an announcement or a leave is refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Problem {
+    /// The body is not JSON of the right form.
+    #[error("body is malformed: {0}")]
+    Body(String),
+    /// A field is out of bounds.
+    #[error("field {0} is out of bounds")]
+    Field(&'static str),
+    /// A later run of the target is known.
+    #[error("incarnation {0} of this target is known; announce with a later one")]
+    Stale(id::Incarnation),
+    /// The zone holds as many targets as it may.
+    #[error("too many targets in this zone")]
+    Full,
+    /// The instance can't take announcements now.
+    #[error("not ready; announce to another instance")]
+    Busy,
+}
+
+impl Problem {
+    /// Returns the type that the answer names.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Body(_) => "malformed",
+            Self::Field(_) => "invalid",
+            Self::Stale(_) => "stale-incarnation",
+            Self::Full => "full",
+            Self::Busy => "busy",
+        }
+    }
+}
+
+impl ResponseError for Problem {
+    fn status_code(&self) -> StatusCode {
+        match self {
+            Self::Body(_) | Self::Field(_) => StatusCode::BAD_REQUEST,
+            Self::Stale(_) => StatusCode::CONFLICT,
+            Self::Full | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let error = json!({"error": {"type": self.kind(), "message": self.to_string()}});
+        HttpResponse::build(self.status_code()).json(error)
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/targets/table.rs
@@ -0,0 +1,215 @@
+//! The zone's targets: which run of each counts, and until when.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use zinniastall_model::id;
+use zinniastall_wire::gossip::{self, Load};
+
+use super::{body::PREFIXES, problem::Problem};
+use crate::view;
+
+/// Most targets held; a target that invents names must not make the process grow.
+const TARGETS: usize = 4096;
+/// How long the run of a target is remembered after its lease. A late report of it would otherwise
+/// bring it back.
+const MEMORY: Duration = Duration::from_secs(30);
+
+/// What a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Taken {
+    /// Nothing: it is doubled or late.
+    Old,
+    /// Load, lease or cached prefixes.
+    Load,
+    /// Which targets there are and what they serve.
+    Kept,
+}
+
+/// A target's newest report.
+#[derive(Debug, Clone)]
+struct Held {
+    report: gossip::Target,
+    tag: u64,
+    heard: Instant,
+    until: Instant,
+    /// Whether it left, or is leaving, in this run; holds until a later run.
+    left: bool,
+}
+
+/// Targets of a zone, by their newest run and announcement.
+///
+/// Leases are judged by this process's monotonic clock alone; reports carry the time left.
+#[derive(Debug)]
+pub struct Table {
+    lease: Duration,
+    held: IndexMap<id::Target, Held>,
+    tags: IndexMap<u64, id::Target>,
+}
+
+impl Table {
+    /// Creates an empty table; no lease in it is longer than `lease`.
+    pub fn new(lease: Duration) -> Self {
+        Self {
+            lease,
+            held: IndexMap::new(),
+            tags: IndexMap::new(),
+        }
+    }
+
+    /// Takes a report in, announced here or heard from another instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Stale`] for an earlier run, [`Problem::Full`] for a new target beyond the bound.
+    pub fn take(&mut self, report: gossip::Target, now: Instant) -> Result<Taken, Problem> {
+        let Some(held) = self.held.get(&report.target) else {
+            if self.held.len() >= TARGETS {
+                return Err(Problem::Full);
+            }
+            return Ok(self.put(report, now, false));
+        };
+        if report.incarnation < held.report.incarnation {
+            return Err(Problem::Stale(held.report.incarnation));
+        }
+        let same_run = report.incarnation == held.report.incarnation;
+        let late = report.sequence <= held.report.sequence;
+        let leaves = report.leaving && !held.left;
+        if same_run && late && !leaves {
+            return Ok(Taken::Old);
+        }
+        // Two instances may report one run out of order. Once it leaves it takes no new work, even
+        // if an announcement that was made before arrives by another way.
+        let left = same_run && held.left;
+        Ok(self.put(report, now, left))
+    }
+
+    /// Takes a renewal in; `None` when the whole report it renews isn't held.
+    pub fn renew(&mut self, load: &Load, now: Instant) -> Option<Taken> {
+        let target = self.tags.get(&load.tag)?;
+        let held = self
+            .held
+            .get_mut(target)
+            .filter(|held| held.tag == load.tag)?;
+        if load.sequence <= held.report.sequence {
+            return Some(Taken::Old);
+        }
+        let lapsed = held.until <= now;
+        held.report.sequence = load.sequence;
+        held.report.busy = load.busy;
+        append(&mut held.report.prefixes, &load.added);
+        held.heard = now;
+        held.until = now + self.lease.min(Duration::from_millis(load.left_ms));
+        Some(if lapsed { Taken::Kept } else { Taken::Load })
+    }
+
+    /// Notes that a target leaves; `None` when this run of it isn't known or has left before.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Stale`] for an earlier run.
+    pub fn leave(
+        &mut self,
+        target: &str,
+        incarnation: id::Incarnation,
+    ) -> Result<Option<gossip::Target>, Problem> {
+        let Some(held) = self.held.get_mut(target) else {
+            return Ok(None);
+        };
+        let known = held.report.incarnation;
+        if incarnation < known {
+            return Err(Problem::Stale(known));
+        }
+        if incarnation > known || held.left {
+            return Ok(None);
+        }
+        held.left = true;
+        held.report.leaving = true;
+        Ok(Some(held.report.clone()))
+    }
+
+    /// Returns the targets that may get work: their lease runs and they aren't leaving.
+    pub fn serving(&self, now: Instant) -> IndexMap<id::Target, view::Target> {
+        let serves = |held: &&Held| !held.left && held.until > now;
+        let entry = |held: &Held| {
+            let target = view::Target {
+                report: held.report.clone(),
+                heard: held.heard,
+                until: held.until,
+            };
+            (held.report.target.clone(), target)
+        };
+        self.held.values().filter(serves).map(entry).collect()
+    }
+
+    /// Returns every report with the time left of its lease, for an instance that has none.
+    pub fn reports(&self, now: Instant) -> Vec<gossip::Target> {
+        let left = |held: &Held| held.until.saturating_duration_since(now);
+        let report = |held: &Held| gossip::Target {
+            left_ms: millis(left(held)),
+            leaving: held.left,
+            ..held.report.clone()
+        };
+        let worth = |held: &&Held| held.left || !left(held).is_zero();
+        self.held.values().filter(worth).map(report).collect()
+    }
+
+    /// Returns one report with the time left of its lease.
+    pub fn report(&self, target: &str, now: Instant) -> Option<gossip::Target> {
+        let held = self.held.get(target)?;
+        Some(gossip::Target {
+            left_ms: millis(held.until.saturating_duration_since(now)),
+            leaving: held.left,
+            ..held.report.clone()
+        })
+    }
+
+    /// Drops what has been out of lease for long. Returns whether a lease ran out since `last`.
+    pub fn sweep(&mut self, last: Instant, now: Instant) -> bool {
+        self.held.retain(|_, held| held.until + MEMORY > now);
+        let held = &self.held;
+        self.tags
+            .retain(|tag, target| held.get(target).is_some_and(|held| held.tag == *tag));
+        let ran_out = |held: &Held| held.until > last && held.until <= now;
+        self.held.values().any(ran_out)
+    }
+
+    /// Returns how many targets are held, those remembered after their lease included.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Tells whether no target is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn put(&mut self, report: gossip::Target, now: Instant, left: bool) -> Taken {
+        let tag = report.tag();
+        let before = self.held.get(&report.target);
+        let same = before.is_some_and(|held| held.tag == tag && held.until > now);
+        let left = left || report.leaving;
+        self.tags.insert(tag, report.target.clone());
+        let held = Held {
+            tag,
+            heard: now,
+            until: now + self.lease.min(Duration::from_millis(report.left_ms)),
+            left,
+            report,
+        };
+        self.held.insert(held.report.target.clone(), held);
+        if same { Taken::Load } else { Taken::Kept }
+    }
+}
+
+/// Appends prefixes and keeps the newest.
+fn append(prefixes: &mut Vec<u64>, added: &[u64]) {
+    prefixes.extend_from_slice(added);
+    let over = prefixes.len().saturating_sub(PREFIXES);
+    prefixes.drain(..over);
+}
+
+/// Converts a duration for the wire.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -1,6 +1,12 @@
 //! What traffic threads know: an immutable view, replaced as a whole.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Instant,
+};
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
@@ -54,6 +60,7 @@
 #[derive(Debug, Clone)]
 pub struct Board {
     current: Arc<ArcSwap<View>>,
+    load: Arc<AtomicU32>,
 }
 
 impl Board {
@@ -61,6 +68,7 @@
     pub fn new(view: View) -> Self {
         Self {
             current: Arc::new(ArcSwap::from_pointee(view)),
+            load: Arc::default(),
         }
     }
 
@@ -73,4 +81,14 @@
     pub fn publish(&self, view: View) {
         self.current.store(Arc::new(view));
     }
+
+    /// Returns this instance's requests in progress over what it can take, in thousandths.
+    pub fn load(&self) -> u32 {
+        self.load.load(Ordering::Relaxed)
+    }
+
+    /// Sets this instance's requests in progress over what it can take, in thousandths.
+    pub fn set_load(&self, load: u32) {
+        self.load.store(load, Ordering::Relaxed);
+    }
 }
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -1,29 +1,45 @@
 //! Membership, targets and digests between entry instances.
+//!
+//! Messages that are sent all the time have one-letter field names on the wire: a node's budget for
+//! control is 17 KB a second.
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::membership;
 use zinniastall_model::{id, object::Subject, place::Place};
 
 /// A message of a gossip link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Message {
-    /// Heartbeat: what the sender knows of itself and of others.
+    /// Heartbeat, and what changes all the time at its sender.
     Heartbeat(Heartbeat),
-    /// Targets of the sender's zone; inside the zone only.
+    /// The receiver's run is lower than one that the sender remembers of it.
+    Stale(id::Incarnation),
+    /// Instances that are alive as far as the sender knows; first on a link and when one joins.
+    Peers(Vec<Peer>),
+    /// Targets of the sender's zone, whole; inside the zone only.
     Targets(Vec<Target>),
+    /// Renewals of targets that were sent whole before; inside the zone only.
+    Loads(Vec<Load>),
     /// Capacity of places; between zones and regions.
     Digests(Vec<Digest>),
 }
 
-/// Instances as the sender sees them.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// A heartbeat to one peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Counts the sender's heartbeats.
-    pub sequence: u64,
+    /// Evidence for the membership.
+    #[serde(rename = "b")]
+    pub beat: membership::Beat,
     /// Configuration revision that the sender holds.
+    #[serde(rename = "r")]
     pub revision: id::Revision,
-    /// The sender and the instances that it has heard of.
-    pub peers: Vec<Peer>,
+    /// Whether the sender takes no new requests.
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    pub draining: bool,
+    /// The sender's requests in progress over what it can take, in thousandths.
+    #[serde(rename = "l", default)]
+    pub load: u32,
 }
 
 /// An entry instance as another one sees it.
@@ -41,12 +57,35 @@
     pub callers: String,
     /// Address that targets announce to.
     pub targets: String,
-    /// Counts its own heartbeats; the highest is the news.
-    pub sequence: u64,
     /// Whether it takes no new requests.
     pub draining: bool,
     /// Requests in progress over what it can take, in thousandths.
     pub load: u32,
+    /// How long it has been up, in milliseconds, up to [`UP`].
+    pub up_ms: u64,
+}
+
+/// Greatest [`Peer::up_ms`]; whoever is up longer is no newcomer to anybody.
+pub const UP: u64 = 60_000;
+
+/// A renewal of a target whose other fields have not changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Names the target, its run and its unchanged fields: [`Target::tag`].
+    #[serde(rename = "t")]
+    pub tag: u64,
+    /// Announcement's number.
+    #[serde(rename = "s")]
+    pub sequence: u64,
+    /// Requests that it runs or queues.
+    #[serde(rename = "b")]
+    pub busy: u32,
+    /// Time left of its lease when sent, in milliseconds.
+    #[serde(rename = "m")]
+    pub left_ms: u64,
+    /// Digests of prompt prefixes that are new in its cache.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub added: Vec<u64>,
 }
 
 /// A target's announcement, as spread inside its zone.
@@ -84,6 +123,25 @@
     pub gap: bool,
 }
 
+impl Target {
+    /// Returns a number for the target, its run and the fields that rarely change.
+    ///
+    /// Two reports with the same tag differ in load, lease and cached prefixes only.
+    pub fn tag(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        let rare = (
+            (&self.target, self.incarnation, &self.place, &self.address),
+            (&self.kind, &self.role, &self.serves, self.slots),
+            (self.price.to_bits(), self.leaving, self.gap),
+        );
+        // Writing to a hasher cannot fail; a failure would only cost a whole report.
+        drop(ciborium::into_writer(&rare, &mut hasher));
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(first)
+    }
+}
+
 /// A model or service and its version.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Serving {
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod gossip;
 pub mod hello;
 pub mod link;
+pub mod meter;
 pub mod stream;
--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -1,5 +1,7 @@
 //! Links: WebSocket connections that carry frames.
 
+use std::sync::Arc;
+
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
 use tokio_tungstenite::{
@@ -13,6 +15,7 @@
 use crate::{
     frame::{self, Frame},
     hello::{Hello, Purpose, Refusal, VERSION},
+    meter::Meter,
 };
 
 /// Why a link could not be opened or broke.
@@ -49,6 +52,7 @@
 pub struct Link {
     socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
     peer: Hello,
+    meter: Arc<Meter>,
 }
 
 /// A taken link on its way to another thread.
@@ -59,6 +63,7 @@
 pub struct Detached {
     stream: std::net::TcpStream,
     peer: Hello,
+    meter: Arc<Meter>,
 }
 
 impl Detached {
@@ -73,6 +78,7 @@
         Ok(Link {
             socket,
             peer: self.peer,
+            meter: self.meter,
         })
     }
 }
@@ -104,7 +110,11 @@
             Frame::Refused(refusal) => return Err(refusal.into()),
             _ => return Err(Error::Handshake),
         };
-        Ok(Self { socket, peer })
+        Ok(Self {
+            socket,
+            peer,
+            meter: Arc::default(),
+        })
     }
 
     /// Takes a connection and shakes hands; `judge` decides on the other end's first frame.
@@ -135,7 +145,18 @@
                 return Err(refusal.into());
             }
         }
-        Ok(Self { socket, peer })
+        Ok(Self {
+            socket,
+            peer,
+            meter: Arc::default(),
+        })
+    }
+
+    /// Counts the link's frames on a meter from now on.
+    #[must_use]
+    pub fn meter(mut self, meter: Arc<Meter>) -> Self {
+        self.meter = meter;
+        self
     }
 
     /// Returns the other end's first frame.
@@ -163,24 +184,29 @@
         Ok(Detached {
             stream: stream.into_std()?,
             peer: self.peer,
+            meter: self.meter,
         })
     }
 
     /// Splits the link into its two directions.
     pub fn split(self) -> (Sender, Receiver) {
         let (sink, stream) = self.socket.split();
-        let sink =
-            sink.sink_map_err(Error::from)
-                .with(|frame: Frame| async move {
-                    Ok::<_, Error>(Message::Binary(frame.encode()?.into()))
-                });
-        let stream = stream.filter_map(|message| async move {
-            match message {
-                Ok(Message::Binary(bytes)) => Some(Frame::decode(&bytes).map_err(Error::from)),
+        let (sent, received) = (Arc::clone(&self.meter), self.meter);
+        let sink = sink.sink_map_err(Error::from).with(move |frame: Frame| {
+            let encoded = frame.encode().inspect(|bytes| sent.sent(bytes.len()));
+            async move { Ok::<_, Error>(Message::Binary(encoded?.into())) }
+        });
+        let stream = stream.filter_map(move |message| {
+            let frame = match message {
+                Ok(Message::Binary(bytes)) => {
+                    received.received(bytes.len());
+                    Some(Frame::decode(&bytes).map_err(Error::from))
+                }
                 Ok(Message::Close(_)) => Some(Err(Error::Closed)),
                 Ok(_) => None,
                 Err(error) => Some(Err(error.into())),
-            }
+            };
+            async move { frame }
         });
         (Box::pin(sink), Box::pin(stream))
     }
--- /dev/null
+++ b/crates/zinniastall-wire/src/meter.rs
@@ -0,0 +1,54 @@
+//! Counts what links carry.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Messages and bytes of the links that share it, both ways.
+///
+/// Bytes are those of the frames; the transport adds its headers, about 70 bytes a packet.
+#[derive(Debug, Default)]
+pub struct Meter {
+    sent_messages: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_messages: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+/// What a meter has counted since it was made.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Count {
+    /// Messages sent.
+    pub sent_messages: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Messages received.
+    pub received_messages: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
+impl Meter {
+    /// Counts a frame that was sent.
+    pub fn sent(&self, bytes: usize) {
+        add(&self.sent_messages, &self.sent_bytes, bytes);
+    }
+
+    /// Counts a frame that was received.
+    pub fn received(&self, bytes: usize) {
+        add(&self.received_messages, &self.received_bytes, bytes);
+    }
+
+    /// Returns what was counted.
+    pub fn count(&self) -> Count {
+        Count {
+            sent_messages: self.sent_messages.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            received_messages: self.received_messages.load(Ordering::Relaxed),
+            received_bytes: self.received_bytes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+fn add(messages: &AtomicU64, total: &AtomicU64, bytes: usize) {
+    messages.fetch_add(1, Ordering::Relaxed);
+    total.fetch_add(u64::try_from(bytes).unwrap_or(u64::MAX), Ordering::Relaxed);
+}
