--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -5,12 +5,13 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use zinniastall_model::{id, place::Place, state::State};
+use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
 
 /// Everything that a request's path decides on.
@@ -36,6 +37,21 @@
     pub digests: Arc<Vec<Digest>>,
 }
 
+impl View {
+    /// Returns the live instances as [`zinniastall_route::locate::locate`] wants them.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let candidate = |peer: &gossip::Peer| Candidate {
+            instance: peer.instance.clone(),
+            place: peer.place.clone(),
+            callers: peer.callers.clone(),
+            load: peer.load,
+            up: Duration::from_millis(peer.up_ms),
+            draining: peer.draining,
+        };
+        self.peers.values().map(candidate).collect()
+    }
+}
+
 /// A target and when this instance learned of it.
 #[derive(Debug, Clone)]
 pub struct Target {
