feat(coord): replica, log, voters, lease, fence and command table without I/O

The control log needs a consensus core that others can embed. It takes messages and the present instant and says what to store, send and apply; nothing in it opens a socket or reads a clock. Messages that promise something are held until the embedder says that their batch is synced.

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,1 +1,26 @@
-//! Coordination parts without I/O: consensus, leases, fences, command tables, tickets, membership and digests.
+//! Coordination parts without I/O: consensus, leases, fences, command tables, tickets, membership
+//! and digests.
+//!
+//! Nothing here opens a socket, reads a clock or starts a thread. Each part is a state machine that
+//! is given messages and the present [`Instant`](std::time::Instant) and hands back what the
+//! embedder has to store, send and apply. That makes every decision reproducible from a seed.
+//!
+//! | module | gives |
+//! |---|---|
+//! | [`replica`] | one member of a replicated log: [`Replica`] |
+//! | [`log`] | entries and the in-memory log |
+//! | [`voters`] | who votes, who learns, and single-server changes |
+//! | [`election`] | timings and the counting of votes |
+//! | [`lease`] | the time during which a leader may answer alone |
+//! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
+//! | [`command`] | recorded answers of commands, so that a resend never runs twice |
+
+pub mod command;
+pub mod election;
+pub mod fence;
+pub mod lease;
+pub mod log;
+pub mod replica;
+pub mod voters;
+
+pub use replica::{Cluster, Id, Index, Replica, Term};
--- /dev/null
+++ b/crates/zinniastall-coord/src/log.rs
@@ -0,0 +1,188 @@
+//! Entries of the replicated log and the part of it held in memory.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::replica::{Index, Term};
+use crate::voters::Voters;
+
+/// Bytes counted for an entry beside those of its command.
+const ENTRY_OVERHEAD: usize = 32;
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Term of the leader that appended it.
+    pub term: Term,
+    /// Place in the log, counted from 1.
+    pub index: Index,
+    /// What it carries.
+    pub payload: Payload,
+}
+
+/// What an entry carries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing: a new leader appends it to commit what came before.
+    Noop,
+    /// The set of voters and learners from here on.
+    Voters(Voters),
+    /// A command of the embedder.
+    Command(#[serde(with = "serde_bytes")] Vec<u8>),
+}
+
+impl Entry {
+    /// Returns about how many bytes the entry takes in a message.
+    pub fn size(&self) -> usize {
+        ENTRY_OVERHEAD
+            + match &self.payload {
+                Payload::Noop => 0,
+                Payload::Voters(voters) => voters
+                    .voters
+                    .values()
+                    .chain(voters.learners.values())
+                    .map(|address| address.len() + ENTRY_OVERHEAD)
+                    .sum(),
+                Payload::Command(command) => command.len(),
+            }
+    }
+
+    /// Returns the entry's place and term.
+    pub const fn position(&self) -> Position {
+        Position {
+            index: self.index,
+            term: self.term,
+        }
+    }
+}
+
+/// A place in the log and the term of the entry there; zero stands before the first entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// Place in the log.
+    pub index: Index,
+    /// Term of the entry at that place.
+    pub term: Term,
+}
+
+impl Position {
+    /// Tells whether a log that ends here holds at least what one that ends at `other` holds.
+    pub fn covers(&self, other: &Self) -> bool {
+        (self.term, self.index) >= (other.term, other.index)
+    }
+}
+
+/// The tail of the log behind the last compaction.
+#[derive(Debug, Clone, Default)]
+pub struct Log {
+    base: Position,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    /// Creates a log that begins behind `base`.
+    pub const fn new(base: Position) -> Self {
+        Self {
+            base,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Returns the place before the first entry held.
+    pub const fn base(&self) -> Position {
+        self.base
+    }
+
+    /// Returns the place of the last entry.
+    pub fn last(&self) -> Position {
+        self.entries.back().map_or(self.base, Entry::position)
+    }
+
+    /// Returns the term at a place, if it is held.
+    pub fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Returns the entry at a place, if it is held.
+    pub fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Tells whether the log holds an entry of this term at this place.
+    pub fn matches(&self, position: Position) -> bool {
+        self.term(position.index) == Some(position.term)
+    }
+
+    /// Appends an entry that follows the last one.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(
+            entry.index,
+            self.last().index + 1,
+            "entries follow each other"
+        );
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from a place on.
+    pub fn truncate(&mut self, from: Index) {
+        let keep = from.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops all entries up to and with a place that is held.
+    pub fn compact(&mut self, upto: Index) {
+        let Some(term) = self.term(upto) else { return };
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= upto)
+        {
+            self.entries.pop_front();
+        }
+        self.base = Position { index: upto, term };
+    }
+
+    /// Copies entries from one place to another, at least one if there is one, up to about `bytes`.
+    pub fn slice(&self, from: Index, upto: Index, bytes: usize) -> Vec<Entry> {
+        let mut total: usize = 0;
+        let mut slice = Vec::new();
+        let held = (from..=upto).map_while(|index| self.get(index));
+        for entry in held {
+            total = total.saturating_add(entry.size());
+            if total > bytes && !slice.is_empty() {
+                break;
+            }
+            slice.push(entry.clone());
+        }
+        slice
+    }
+
+    /// Returns the bytes that the entries from a place on take in messages.
+    pub fn bytes(&self, from: Index) -> usize {
+        (from..=self.last().index)
+            .filter_map(|index| self.get(index))
+            .map(Entry::size)
+            .sum()
+    }
+
+    /// Returns the last place at or before `index` whose term is no later than `term`.
+    ///
+    /// Two logs agree at no place with different terms, so a mismatch skips whole terms at once
+    /// instead of one entry a round trip.
+    pub fn last_within(&self, index: Index, term: Term) -> Position {
+        let mut index = index.min(self.last().index);
+        while index > self.base.index {
+            match self.term(index) {
+                Some(held) if held <= term => return Position { index, term: held },
+                _ => index -= 1,
+            }
+        }
+        self.base
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/replica.rs
@@ -0,0 +1,248 @@
+//! One replica of a replicated log.
+//!
+//! A [`Replica`] is a state machine without I/O. The embedder feeds it time with
+//! [`tick`](Replica::tick), messages with [`receive`](Replica::receive) and commands with
+//! [`propose`](Replica::propose), and after each of these empties it with
+//! [`ready`](Replica::ready), which says what to store, send and apply. See
+//! `examples/embed.rs` for a group of three in one thread.
+//!
+//! The protocol is leader-based majority replication in terms, as in Ongaro and Ousterhout, "In
+//! Search of an Understandable Consensus Algorithm" (2014), with the pre-vote, check-quorum, leader
+//! transfer and single-server membership changes of Ongaro's dissertation. `docs/design/consensus.md`
+//! gives the reasons and the points where this one differs.
+
+mod builder;
+mod campaign;
+mod durable;
+mod follower;
+mod history;
+mod inbox;
+mod leader;
+mod message;
+mod progress;
+mod proposal;
+mod quorum;
+mod ready;
+mod refusal;
+mod snapshot;
+mod status;
+
+use std::mem;
+use std::sync::Arc;
+use std::time::Instant;
+
+use rand::rngs::StdRng;
+
+pub use self::builder::{Builder, Limits};
+pub use self::message::{Append, Body, Chunk, Message, Outcome};
+pub use self::proposal::Barrier;
+pub use self::ready::{Hard, Ready, Restored};
+pub use self::refusal::Refusal;
+pub use self::snapshot::Snapshot;
+pub use self::status::{Part, Peer, Status};
+
+use self::durable::Durable;
+use self::follower::Follower;
+use self::history::History;
+use self::leader::Leader;
+use crate::election::{Ballot, Timing};
+use crate::log::{Log, Position};
+
+/// Identity of a replica: random, never zero, made with its data folder and lost with it.
+pub type Id = u64;
+
+/// Number of an election; at most one replica leads in a term.
+pub type Term = u64;
+
+/// Place in the log, counted from 1.
+pub type Index = u64;
+
+/// Identity of a cluster, random, made when it is founded.
+pub type Cluster = [u8; 16];
+
+/// Bytes of committed entries handed out at once, so that a long log is applied in steps.
+const COMMITTED_BYTES: usize = 4 << 20;
+
+/// One member of a replicated log.
+#[derive(Debug)]
+pub struct Replica {
+    id: Id,
+    cluster: Option<Cluster>,
+    timing: Timing,
+    limits: Limits,
+    rng: StdRng,
+    hard: Hard,
+    log: Log,
+    history: History,
+    snapshot: Option<Arc<Snapshot>>,
+    durable: Durable,
+    commit: Index,
+    applied: Index,
+    role: Role,
+    leader: Option<Id>,
+    heard: Instant,
+    campaign_at: Instant,
+    pending: Ready,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower(Follower),
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(Box<Leader>),
+}
+
+impl Replica {
+    /// Returns a builder for a replica with the id of its data folder.
+    pub fn builder(id: Id, timing: Timing) -> Builder {
+        Builder::new(id, timing)
+    }
+
+    /// Returns the id of this replica.
+    pub const fn id(&self) -> Id {
+        self.id
+    }
+
+    /// Lets time pass: sends heartbeats, campaigns, or steps down, as far as they are due.
+    ///
+    /// To be called a few times per heartbeat.
+    pub fn tick(&mut self, now: Instant) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.tick_leader(now);
+        } else if now >= self.campaign_at {
+            self.ask_pre_votes(now);
+        }
+    }
+
+    /// Returns the next batch of work, or nothing when all is done for now.
+    ///
+    /// Each batch has to be answered with [`synced`](Self::synced), in order.
+    pub fn ready(&mut self) -> Option<Ready> {
+        let upto = self.commit.min(self.durable.upto());
+        self.pending.committed = self.log.slice(self.applied + 1, upto, COMMITTED_BYTES);
+        if let Some(last) = self.pending.committed.last() {
+            self.applied = last.index;
+        }
+        if self.pending.is_empty() && !self.durable.is_waiting() {
+            return None;
+        }
+        let mut ready = mem::take(&mut self.pending);
+        let installed = ready.install.as_ref().map(|snapshot| snapshot.last.index);
+        let last = ready.append.last().map(|entry| entry.index).or(installed);
+        ready.batch = self.durable.close(last);
+        Some(ready)
+    }
+
+    /// Notes that everything up to a batch has been synced; releases the messages that waited.
+    pub fn synced(&mut self, batch: u64, now: Instant) {
+        for (to, message) in self.durable.synced(batch) {
+            if to == self.id {
+                self.receive(to, message, now);
+            } else {
+                self.pending.messages.push((to, message));
+            }
+        }
+        self.advance_commit(now);
+    }
+
+    /// Makes a snapshot of the state that the embedder reached by applying all entries handed out.
+    pub fn snapshot(&self, data: Vec<u8>) -> Snapshot {
+        let term = self.log.term(self.applied).unwrap_or_default();
+        let last = Position {
+            index: self.applied,
+            term,
+        };
+        Snapshot {
+            last,
+            voters: self.history.at(self.applied).clone(),
+            data,
+        }
+    }
+
+    /// Notes that a snapshot has been synced, and forgets most of the entries before it.
+    pub fn compacted(&mut self, snapshot: Snapshot) {
+        let last = snapshot.last.index;
+        if self
+            .snapshot
+            .as_ref()
+            .is_some_and(|held| held.last.index >= last)
+        {
+            return;
+        }
+        self.snapshot = Some(Arc::new(snapshot));
+        self.history.compact(last);
+        self.log.compact(last.saturating_sub(self.limits.retain));
+    }
+
+    /// Returns this replica's view of itself and its group.
+    pub fn status(&self, now: Instant) -> Status {
+        Status {
+            id: self.id,
+            cluster: self.cluster,
+            part: self.part(),
+            term: self.hard.term,
+            leader: self.leader,
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last().index,
+            voters: self.history.current().clone(),
+            voters_index: self.history.index(),
+            peers: self.peers(now),
+            lease_until: self.lease(now).map(|lease| lease.until),
+        }
+    }
+
+    const fn part(&self) -> Part {
+        match self.role {
+            Role::Follower(_) => Part::Follower,
+            Role::PreCandidate(_) => Part::PreCandidate,
+            Role::Candidate(_) => Part::Candidate,
+            Role::Leader(_) => Part::Leader,
+        }
+    }
+
+    fn send(&mut self, to: Id, body: Body) {
+        if let Some(message) = self.message(to, body) {
+            self.pending.messages.push((to, message));
+        }
+    }
+
+    /// Sends once everything stored so far has been synced.
+    fn send_synced(&mut self, to: Id, body: Body) {
+        if let Some(message) = self.message(to, body) {
+            self.durable.hold(to, message);
+        }
+    }
+
+    fn message(&self, to: Id, body: Body) -> Option<Message> {
+        Some(Message {
+            cluster: self.cluster?,
+            to,
+            term: self.hard.term,
+            body,
+        })
+    }
+
+    fn remember(&mut self, hard: Hard) {
+        self.hard = hard;
+        self.pending.hard = Some(hard);
+    }
+
+    /// Follows in a term, which forgets the vote if the term is new.
+    fn follow(&mut self, term: Term, leader: Option<Id>, now: Instant) {
+        if term > self.hard.term {
+            self.remember(Hard { term, vote: None });
+        }
+        if !matches!(self.role, Role::Follower(_)) {
+            self.role = Role::Follower(Follower::default());
+        }
+        self.leader = leader;
+        self.wait(now);
+    }
+
+    /// Starts to wait anew before the next campaign.
+    fn wait(&mut self, now: Instant) {
+        self.campaign_at = now + self.timing.campaign(&mut self.rng);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/replica/campaign.rs
@@ -0,0 +1,136 @@
+//! Campaigns: pre-votes, votes, and when they are refused.
+
+use std::time::Instant;
+
+use super::inbox::Vote;
+use super::message::Body;
+use super::{Hard, Id, Replica, Role, Term};
+use crate::election::{Ballot, Count};
+use crate::log::Position;
+
+impl Replica {
+    /// Asks whether a campaign would be granted, before the term grows.
+    ///
+    /// A replica that was cut off would otherwise raise its term again and again, and on its return
+    /// every other replica, the leader included, would have to follow into that term: operators
+    /// would see commands fail each time a link heals.
+    pub(super) fn ask_pre_votes(&mut self, now: Instant) {
+        self.wait(now);
+        if !self.history.current().is_voter(self.id) {
+            return;
+        }
+        self.leader = None;
+        let mut ballot = Ballot::default();
+        ballot.note(self.id, true);
+        self.role = Role::PreCandidate(ballot);
+        let last = self.log.last();
+        for id in self.other_voters() {
+            self.send(id, Body::PreVote { last });
+        }
+        self.count_pre_votes(now);
+    }
+
+    pub(super) fn pre_vote_asked(&mut self, from: Id, term: Term, last: Position, now: Instant) {
+        let granted =
+            term >= self.hard.term && !self.is_bound(now) && last.covers(&self.log.last());
+        self.send(
+            from,
+            Body::PreVoteAnswer {
+                proposed: term + 1,
+                granted,
+            },
+        );
+    }
+
+    pub(super) fn pre_vote_granted(&mut self, from: Id, proposed: Term, now: Instant) {
+        if proposed != self.hard.term + 1 {
+            return;
+        }
+        if let Role::PreCandidate(ballot) = &mut self.role {
+            ballot.note(from, true);
+            self.count_pre_votes(now);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Instant) {
+        let Role::PreCandidate(ballot) = &self.role else {
+            return;
+        };
+        if ballot.count(self.history.current()) == Count::Won {
+            self.ask_votes(false, now);
+        }
+    }
+
+    /// Campaigns in the next term.
+    ///
+    /// The requests and the vote for itself leave only once the vote is synced: a candidate that
+    /// restarted and had forgotten it could vote for another in the same term.
+    fn ask_votes(&mut self, transfer: bool, now: Instant) {
+        self.wait(now);
+        self.leader = None;
+        self.remember(Hard {
+            term: self.hard.term + 1,
+            vote: Some(self.id),
+        });
+        self.role = Role::Candidate(Ballot::default());
+        let last = self.log.last();
+        for id in self.other_voters() {
+            self.send_synced(id, Body::Vote { last, transfer });
+        }
+        self.send_synced(self.id, Body::VoteAnswer { granted: true });
+    }
+
+    pub(super) fn vote_asked(&mut self, from: Id, vote: Vote, now: Instant) {
+        if self.is_bound(now) && !vote.transfer {
+            return;
+        }
+        if vote.term > self.hard.term {
+            self.follow(vote.term, None, now);
+        }
+        let free = self.hard.vote.is_none_or(|id| id == from);
+        let granted = vote.term == self.hard.term && free && vote.last.covers(&self.log.last());
+        if granted {
+            self.remember(Hard {
+                term: vote.term,
+                vote: Some(from),
+            });
+            self.wait(now);
+        }
+        self.send_synced(from, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn vote_answered(&mut self, from: Id, granted: bool, now: Instant) {
+        let Role::Candidate(ballot) = &mut self.role else {
+            return;
+        };
+        ballot.note(from, granted);
+        match ballot.count(self.history.current()) {
+            Count::Won => self.lead(now),
+            Count::Lost => self.follow(self.hard.term, None, now),
+            Count::Open => {}
+        }
+    }
+
+    /// Campaigns at once because the leader has stopped for this replica.
+    pub(super) fn transfer_received(&mut self, from: Id, now: Instant) {
+        if self.leader == Some(from) && self.history.current().is_voter(self.id) {
+            self.ask_votes(true, now);
+        }
+    }
+
+    /// Tells whether this replica owes a leader its loyalty and refuses votes.
+    ///
+    /// A leader's lease counts on every follower that acknowledged its heartbeat to elect nobody
+    /// else for an election timeout. A restart forgets when a leader was heard, so a replica that
+    /// has just started is bound as if it had heard one; without that, a restarted follower could
+    /// help to elect a second leader whose lease overlaps the first.
+    fn is_bound(&self, now: Instant) -> bool {
+        let leads = matches!(self.role, Role::Leader(_));
+        leads || now < self.heard + self.timing.election
+    }
+
+    fn other_voters(&self) -> Vec<Id> {
+        let voters = self.history.current().voters.keys();
+        voters.copied().filter(|id| *id != self.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/replica/history.rs
@@ -0,0 +1,57 @@
+//! The sets of voters that the log holds.
+//!
+//! A set is in force from the moment it is appended, not once it is committed; a set that is cut
+//! from the log gives way to the one before it.
+
+use super::Index;
+use crate::log::{Entry, Payload};
+use crate::voters::Voters;
+
+#[derive(Debug)]
+pub(super) struct History {
+    sets: Vec<(Index, Voters)>,
+    none: Voters,
+}
+
+impl History {
+    pub(super) fn new(index: Index, voters: Voters) -> Self {
+        Self {
+            sets: vec![(index, voters)],
+            none: Voters::default(),
+        }
+    }
+
+    pub(super) fn current(&self) -> &Voters {
+        self.sets.last().map_or(&self.none, |(_, voters)| voters)
+    }
+
+    /// Returns the place of the current set.
+    pub(super) fn index(&self) -> Index {
+        self.sets.last().map_or(0, |(index, _)| *index)
+    }
+
+    pub(super) fn at(&self, index: Index) -> &Voters {
+        let held = self.sets.iter().rev().find(|(at, _)| *at <= index);
+        held.map_or(&self.none, |(_, voters)| voters)
+    }
+
+    pub(super) fn note(&mut self, entry: &Entry) {
+        if let Payload::Voters(voters) = &entry.payload {
+            self.sets.push((entry.index, voters.clone()));
+        }
+    }
+
+    pub(super) fn truncate(&mut self, from: Index) {
+        self.sets.retain(|(index, _)| *index < from);
+    }
+
+    /// Forgets the sets that a later one up to `upto` has replaced.
+    pub(super) fn compact(&mut self, upto: Index) {
+        let replaced = self
+            .sets
+            .iter()
+            .rposition(|(index, _)| *index <= upto)
+            .unwrap_or(0);
+        self.sets.drain(..replaced);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/replica/quorum.rs
@@ -0,0 +1,137 @@
+//! What a leader knows of its majority: commitment, quorum and lease.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::leader::Leader;
+use super::{Id, Index, Peer, Replica, Role};
+use crate::lease::Lease;
+use crate::voters::Voters;
+
+impl Replica {
+    /// Returns the lease of a leader that may answer alone.
+    ///
+    /// A new leader has none before it has applied an entry of its own term: until then it doesn't
+    /// know which of its predecessors' entries were committed, and could answer without one that
+    /// an operator was told of.
+    pub fn lease(&self, now: Instant) -> Option<Lease> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        if self.applied < leader.first || leader.handover.is_some() {
+            return None;
+        }
+        let gained = self.majority_acked(leader, now)?;
+        let lease = Lease {
+            term: self.hard.term,
+            until: gained + self.timing.lease(),
+        };
+        lease.holds(now).then_some(lease)
+    }
+
+    /// Tells whether a majority answered within an election timeout.
+    ///
+    /// A leader on the small side of a partition would otherwise go on taking commands that it can
+    /// never commit, and its callers would wait instead of being sent to the other side.
+    pub(super) fn has_quorum(&self, now: Instant) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let heard = self
+            .majority_acked(leader, now)
+            .unwrap_or(leader.since)
+            .max(leader.since);
+        now < heard + self.timing.election
+    }
+
+    /// Returns the latest instant such that a majority acknowledged messages sent after it.
+    fn majority_acked(&self, leader: &Leader, now: Instant) -> Option<Instant> {
+        self.majority(|id| {
+            if id == self.id {
+                Some(now)
+            } else {
+                leader.peers.get(&id)?.acked
+            }
+        })
+        .flatten()
+    }
+
+    /// Returns the last place that a majority has synced, on a leader.
+    pub(super) fn majority_matched(&self) -> Option<Index> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        self.majority(|id| {
+            if id == self.id {
+                self.durable.upto()
+            } else {
+                leader.peers.get(&id).map_or(0, |progress| progress.matched)
+            }
+        })
+    }
+
+    /// Returns the latest round that a majority answered, on a leader.
+    pub(super) fn majority_round(&self, leader: &Leader) -> Option<u64> {
+        self.majority(|id| {
+            if id == self.id {
+                leader.round
+            } else {
+                leader.peers.get(&id).map_or(0, |progress| progress.round)
+            }
+        })
+    }
+
+    /// Returns the highest value that a majority of voters reaches.
+    fn majority<T: Ord>(&self, value: impl FnMut(Id) -> T) -> Option<T> {
+        let voters = self.history.current();
+        let mut values: Vec<T> = voters.voters.keys().copied().map(value).collect();
+        values.sort_unstable_by(|one, other| other.cmp(one));
+        values.into_iter().nth(voters.majority() - 1)
+    }
+
+    /// Counts the voters of a set that answered within an election timeout.
+    pub(super) fn reachable(&self, voters: &Voters, now: Instant) -> usize {
+        let Role::Leader(leader) = &self.role else {
+            return 0;
+        };
+        let answers = |id: &Id| {
+            *id == self.id
+                || leader
+                    .peers
+                    .get(id)
+                    .is_some_and(|peer| peer.is_reachable(&self.timing, now))
+        };
+        voters.voters.keys().filter(|id| answers(id)).count()
+    }
+
+    /// Returns the voter that has most of the log among those that answer.
+    pub(super) fn successor(&self, now: Instant) -> Option<Id> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let voters = self.history.current();
+        let able = leader.peers.iter().filter(|(id, progress)| {
+            voters.is_voter(**id) && progress.is_reachable(&self.timing, now)
+        });
+        able.max_by_key(|(_, progress)| progress.matched)
+            .map(|(id, _)| *id)
+    }
+
+    pub(super) fn peers(&self, now: Instant) -> IndexMap<Id, Peer> {
+        let Role::Leader(leader) = &self.role else {
+            return IndexMap::new();
+        };
+        let view = leader.peers.iter().map(|(id, progress)| {
+            let peer = Peer {
+                matched: progress.matched,
+                silent: progress
+                    .heard
+                    .map(|heard| now.saturating_duration_since(heard)),
+                reachable: progress.is_reachable(&self.timing, now),
+            };
+            (*id, peer)
+        });
+        view.collect()
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/replica/snapshot.rs
@@ -0,0 +1,86 @@
+//! Snapshots: the state as of one entry, in place of all entries before it.
+
+use serde::{Deserialize, Serialize};
+
+use super::message::Chunk;
+use crate::log::Position;
+use crate::voters::Voters;
+
+/// The embedder's state as of one entry, opaque to the replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last entry that the state covers.
+    pub last: Position,
+    /// Voters as of that entry.
+    pub voters: Voters,
+    /// The embedder's state.
+    #[serde(with = "serde_bytes")]
+    pub data: Vec<u8>,
+}
+
+impl Snapshot {
+    pub(super) fn size(&self) -> u64 {
+        self.data.len() as u64
+    }
+
+    /// Cuts the part at an offset, shorter at the end and empty behind it.
+    pub(super) fn chunk(&self, round: u64, offset: u64, bytes: usize) -> Chunk {
+        let from = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(self.data.len());
+        let upto = from.saturating_add(bytes).min(self.data.len());
+        Chunk {
+            round,
+            last: self.last,
+            voters: self.voters.clone(),
+            total: self.size(),
+            offset: from as u64,
+            data: self.data[from..upto].to_vec(),
+        }
+    }
+}
+
+/// A snapshot of which parts are still to come.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    total: u64,
+    snapshot: Snapshot,
+}
+
+impl Incoming {
+    /// Begins with a first chunk; any other chunk begins nothing.
+    pub(super) fn begin(chunk: &Chunk) -> Option<Self> {
+        (chunk.offset == 0).then(|| Self {
+            total: chunk.total,
+            snapshot: Snapshot {
+                last: chunk.last,
+                voters: chunk.voters.clone(),
+                data: Vec::new(),
+            },
+        })
+    }
+
+    pub(super) fn is_of(&self, chunk: &Chunk) -> bool {
+        self.snapshot.last == chunk.last && self.total == chunk.total
+    }
+
+    /// Takes a chunk that continues what is there; doubled and early ones change nothing.
+    pub(super) fn take(&mut self, chunk: &Chunk) {
+        let fits = self.received() + chunk.data.len() as u64 <= self.total;
+        if chunk.offset == self.received() && fits {
+            self.snapshot.data.extend_from_slice(&chunk.data);
+        }
+    }
+
+    pub(super) fn received(&self) -> u64 {
+        self.snapshot.size()
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        self.received() == self.total
+    }
+
+    pub(super) fn into_snapshot(self) -> Snapshot {
+        self.snapshot
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/voters.rs
@@ -0,0 +1,155 @@
+//! Who votes and who learns, and how that changes.
+//!
+//! The set changes by one replica at a time. Any majority of the set before and any majority of the
+//! set after such a change share a replica, so two leaders can't be chosen by the two sets at once.
+//! A new replica is admitted as a learner, which receives the log and counts for nothing, and is
+//! promoted once it has caught up.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::replica::Id;
+
+/// Where a replica is reached, in the form in which the embedder dials it.
+pub type Address = String;
+
+/// The replicas of a group with their addresses.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Voters {
+    /// Replicas whose votes and acknowledgements count.
+    pub voters: IndexMap<Id, Address>,
+    /// Replicas that receive the log without counting.
+    pub learners: IndexMap<Id, Address>,
+}
+
+/// One step from one set to the next.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Adds a learner.
+    Admit {
+        /// Replica to add.
+        id: Id,
+        /// Where it is reached.
+        address: Address,
+    },
+    /// Makes a learner that has caught up a voter.
+    Promote {
+        /// Learner to promote.
+        id: Id,
+    },
+    /// Removes a voter or a learner.
+    Remove {
+        /// Replica to remove.
+        id: Id,
+    },
+    /// Changes the address of a member.
+    Move {
+        /// Member that moved.
+        id: Id,
+        /// Where it is reached now.
+        address: Address,
+    },
+}
+
+/// A change that doesn't fit the present set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// The replica is a member already.
+    #[error("replica {0} is a member already")]
+    Member(Id),
+    /// The replica is no member.
+    #[error("replica {0} is no member")]
+    Unknown(Id),
+    /// The replica is no learner.
+    #[error("replica {0} is no learner")]
+    Learner(Id),
+    /// Without this replica nobody could vote.
+    #[error("replica {0} is the last voter")]
+    Last(Id),
+}
+
+impl Voters {
+    /// Creates the set of a group that one replica founds.
+    pub fn founding(id: Id, address: impl Into<Address>) -> Self {
+        Self {
+            voters: IndexMap::from([(id, address.into())]),
+            learners: IndexMap::new(),
+        }
+    }
+
+    /// Returns the least number of voters that make a majority.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Tells whether the replica votes.
+    pub fn is_voter(&self, id: Id) -> bool {
+        self.voters.contains_key(&id)
+    }
+
+    /// Tells whether the replica votes or learns.
+    pub fn is_member(&self, id: Id) -> bool {
+        self.is_voter(id) || self.learners.contains_key(&id)
+    }
+
+    /// Returns the ids of voters and learners.
+    pub fn members(&self) -> impl Iterator<Item = Id> + '_ {
+        self.voters.keys().chain(self.learners.keys()).copied()
+    }
+
+    /// Returns where a member is reached.
+    pub fn address(&self, id: Id) -> Option<&Address> {
+        self.voters.get(&id).or_else(|| self.learners.get(&id))
+    }
+
+    /// Returns the set after one change.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] when the change names a replica that is in the wrong place for it.
+    pub fn after(&self, change: &Change) -> Result<Self, Fault> {
+        let mut next = self.clone();
+        match change {
+            Change::Admit { id, address } => next.admit(*id, address.clone())?,
+            Change::Promote { id } => next.promote(*id)?,
+            Change::Remove { id } => next.remove(*id)?,
+            Change::Move { id, address } => next.relocate(*id, address.clone())?,
+        }
+        Ok(next)
+    }
+
+    fn admit(&mut self, id: Id, address: Address) -> Result<(), Fault> {
+        if self.is_member(id) {
+            return Err(Fault::Member(id));
+        }
+        self.learners.insert(id, address);
+        Ok(())
+    }
+
+    fn promote(&mut self, id: Id) -> Result<(), Fault> {
+        let address = self.learners.shift_remove(&id).ok_or(Fault::Learner(id))?;
+        self.voters.insert(id, address);
+        Ok(())
+    }
+
+    fn remove(&mut self, id: Id) -> Result<(), Fault> {
+        if self.is_voter(id) && self.voters.len() == 1 {
+            return Err(Fault::Last(id));
+        }
+        let voter = self.voters.shift_remove(&id);
+        voter
+            .or_else(|| self.learners.shift_remove(&id))
+            .ok_or(Fault::Unknown(id))?;
+        Ok(())
+    }
+
+    fn relocate(&mut self, id: Id, address: Address) -> Result<(), Fault> {
+        let held = self
+            .voters
+            .get_mut(&id)
+            .or_else(|| self.learners.get_mut(&id));
+        *held.ok_or(Fault::Unknown(id))? = address;
+        Ok(())
+    }
+}
