--- /dev/null
+++ b/crates/zinniastall-store/src/identity.rs
@@ -0,0 +1,46 @@
+//! Who the folder's replica is.
+
+use serde::{Deserialize, Serialize};
+use zinniastall_coord::{Cluster, Id};
+
+use crate::fault::Fault;
+use crate::folder::Folder;
+use crate::record;
+
+pub(crate) const NAME: &str = "identity";
+const SALT: u64 = 0;
+
+/// Who the folder's replica is, random and made with the folder.
+///
+/// A disk that was lost comes back as another replica. If it kept its id, the others would count
+/// on votes and entries that it has forgotten, and a committed change could revert.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Identity {
+    pub(crate) id: Id,
+    pub(crate) cluster: Option<Cluster>,
+}
+
+impl Identity {
+    pub(crate) fn random() -> Self {
+        let id = std::iter::repeat_with(rand::random).find(|id| *id != 0);
+        Self {
+            id: id.unwrap_or(1),
+            cluster: None,
+        }
+    }
+
+    pub(crate) fn load(folder: &Folder) -> Result<Option<Self>, Fault> {
+        let Some(bytes) = folder.read(NAME)? else {
+            return Ok(None);
+        };
+        let found = record::read(&bytes, 0, SALT);
+        let found = found.map_err(|damage| Fault::corrupt(&folder.file(NAME), 0, damage))?;
+        Ok(Some(found.value))
+    }
+
+    pub(crate) fn save(&self, folder: &Folder) -> Result<(), Fault> {
+        let mut bytes = Vec::new();
+        record::write(&mut bytes, SALT, self);
+        folder.replace(NAME, &bytes)
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-store/src/record.rs
@@ -0,0 +1,69 @@
+//! Records: a length, a checksum and CBOR, one behind the other.
+//!
+//! The checksum covers the length too, so that a length that was torn or flipped is found before
+//! anything is read by it. Each file has a salt of its own in the checksum: bytes of a command that
+//! happen to look like a record, or were made to, are none.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::fault::Damage;
+
+const LENGTH: usize = 4;
+const HEAD: usize = 2 * LENGTH;
+
+/// A record found in a file.
+#[derive(Debug)]
+pub(crate) struct Found<T> {
+    pub(crate) value: T,
+    /// Byte behind the record.
+    pub(crate) end: usize,
+}
+
+/// Appends a record to a buffer.
+pub(crate) fn write(buffer: &mut Vec<u8>, salt: u64, value: &impl Serialize) {
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; HEAD]);
+    // Writing to memory can't fail, and none of the types stored refuses to be serialised.
+    let written = ciborium::into_writer(value, &mut *buffer);
+    debug_assert!(written.is_ok(), "records can be serialised");
+    let length = u32::try_from(buffer.len() - start - HEAD)
+        .unwrap_or(u32::MAX)
+        .to_le_bytes();
+    let checksum = checksum(salt, length, &buffer[start + HEAD..]).to_le_bytes();
+    buffer[start..start + LENGTH].copy_from_slice(&length);
+    buffer[start + LENGTH..start + HEAD].copy_from_slice(&checksum);
+}
+
+/// Reads the record at a place.
+pub(crate) fn read<T: DeserializeOwned>(
+    bytes: &[u8],
+    at: usize,
+    salt: u64,
+) -> Result<Found<T>, Damage> {
+    let (body, end) = frame(bytes, at, salt).ok_or(Damage::Checksum)?;
+    let value = ciborium::from_reader(body).map_err(|_| Damage::Content)?;
+    Ok(Found { value, end })
+}
+
+/// Tells whether a whole record starts anywhere behind a place.
+pub(crate) fn any_after(bytes: &[u8], at: usize, salt: u64) -> bool {
+    (at + 1..bytes.len()).any(|start| frame(bytes, start, salt).is_some())
+}
+
+fn frame(bytes: &[u8], at: usize, salt: u64) -> Option<(&[u8], usize)> {
+    let head = bytes.get(at..at + HEAD)?;
+    let (length, sum) = head.split_at(LENGTH);
+    let length: [u8; LENGTH] = length.try_into().ok()?;
+    let end = (at + HEAD).checked_add(usize::try_from(u32::from_le_bytes(length)).ok()?)?;
+    let body = bytes.get(at + HEAD..end)?;
+    (checksum(salt, length, body).to_le_bytes() == sum).then_some((body, end))
+}
+
+fn checksum(salt: u64, length: [u8; LENGTH], body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&salt.to_le_bytes());
+    hasher.update(&length);
+    hasher.update(body);
+    hasher.finalize()
+}
--- /dev/null
+++ b/crates/zinniastall-store/src/segment.rs
@@ -0,0 +1,138 @@
+//! One file of the log.
+
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+use zinniastall_coord::log::Position;
+use zinniastall_coord::replica::Hard;
+
+use crate::fault::{Context, Damage, Fault};
+use crate::folder::Folder;
+use crate::record;
+use crate::tail::Batch;
+
+const PREFIX: &str = "log-";
+const HEADER_SALT: u64 = 2;
+
+/// The first record of a segment: all that is needed of the segments before it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Header {
+    /// Salt of the records that follow, random.
+    pub(crate) salt: u64,
+    /// Last entry before the segment.
+    pub(crate) base: Position,
+    /// Term and vote when the segment began.
+    pub(crate) hard: Hard,
+}
+
+/// The segment that is written to.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    pub(crate) number: u64,
+    pub(crate) base: Position,
+    pub(crate) size: u64,
+    salt: u64,
+    path: PathBuf,
+    file: File,
+}
+
+/// What was read from a segment.
+#[derive(Debug)]
+pub(crate) struct Content {
+    pub(crate) header: Header,
+    /// Each batch with the byte at which its record starts.
+    pub(crate) batches: Vec<(u64, Batch)>,
+    /// Byte behind the last whole record.
+    pub(crate) end: u64,
+}
+
+impl Segment {
+    /// Creates a segment whose name and header are synced.
+    pub(crate) fn create(folder: &Folder, number: u64, header: Header) -> Result<Self, Fault> {
+        let mut bytes = Vec::new();
+        record::write(&mut bytes, HEADER_SALT, &header);
+        folder.replace(&name(number), &bytes)?;
+        Self::open(folder, number, &header, bytes.len() as u64)
+    }
+
+    /// Opens a segment to append behind `end`, cutting off what stands there.
+    pub(crate) fn open(
+        folder: &Folder,
+        number: u64,
+        header: &Header,
+        end: u64,
+    ) -> Result<Self, Fault> {
+        let path = folder.file(&name(number));
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&path)
+            .at("open", &path)?;
+        if file.metadata().at("look at", &path)?.len() != end {
+            file.set_len(end).at("cut", &path)?;
+            file.sync_all().at("sync", &path)?;
+        }
+        Ok(Self {
+            number,
+            base: header.base,
+            size: end,
+            salt: header.salt,
+            path,
+            file,
+        })
+    }
+
+    /// Appends a batch and syncs it.
+    pub(crate) fn append(&mut self, batch: &Batch) -> Result<(), Fault> {
+        let mut bytes = Vec::new();
+        record::write(&mut bytes, self.salt, batch);
+        self.file.write_all(&bytes).at("write", &self.path)?;
+        self.file.sync_data().at("sync", &self.path)?;
+        self.size += bytes.len() as u64;
+        Ok(())
+    }
+}
+
+/// Reads a segment up to its end or to where it is torn.
+///
+/// A record that can't be read is a torn end only in the last segment, and only if no whole record
+/// follows: batches are synced one after the other, so whatever stands before a whole record was
+/// synced once, and has been damaged since.
+pub(crate) fn read(path: &Path, bytes: &[u8], is_last: bool) -> Result<Content, Fault> {
+    let corrupt = |at: usize, damage| Fault::corrupt(path, at as u64, damage);
+    let head = record::read(bytes, 0, HEADER_SALT).map_err(|damage| corrupt(0, damage))?;
+    let header: Header = head.value;
+    let mut batches = Vec::new();
+    let mut at = head.end;
+    while at < bytes.len() {
+        match record::read(bytes, at, header.salt) {
+            Ok(found) => {
+                batches.push((at as u64, found.value));
+                at = found.end;
+            }
+            Err(Damage::Checksum) if is_last && !record::any_after(bytes, at, header.salt) => {
+                break;
+            }
+            Err(damage) => return Err(corrupt(at, damage)),
+        }
+    }
+    Ok(Content {
+        header,
+        batches,
+        end: at as u64,
+    })
+}
+
+pub(crate) fn name(number: u64) -> String {
+    format!("{PREFIX}{number:020}")
+}
+
+/// Returns the numbers of a folder's segments, in order.
+pub(crate) fn numbers(folder: &Folder) -> Result<Vec<u64>, Fault> {
+    let names = folder.names(PREFIX)?;
+    Ok(names
+        .iter()
+        .filter_map(|name| name.strip_prefix(PREFIX)?.parse().ok())
+        .collect())
+}
