fix(store): forget a founding that was cut short

The log is written before the identity names the cluster. A kill in between left entries without a cluster; a replica restored from them would lead alone and could reach nobody. Without a cluster the entries no longer count, and founding again replaces them.

--- a/crates/zinniastall-store/src/store.rs
+++ b/crates/zinniastall-store/src/store.rs
@@ -105,11 +105,15 @@
             )?;
             Vec::new()
         };
-        let restored = Restored {
-            cluster: identity.cluster,
-            hard,
-            snapshot,
-            entries,
+        // Without a cluster the entries are those of a founding that was cut short.
+        let restored = match identity.cluster {
+            Some(_) => Restored {
+                cluster: identity.cluster,
+                hard,
+                snapshot,
+                entries,
+            },
+            None => Restored::default(),
         };
         Ok((Self::new(folder, identity, journal), restored))
     }
--- a/crates/zinniastall-store/tests/store.rs
+++ b/crates/zinniastall-store/tests/store.rs
@@ -8,7 +8,7 @@
     Entry {
         term: 1,
         index,
-        payload: Payload::Command(vec![u8::try_from(index % 251).unwrap(); 9]),
+        payload: Payload::Command(index.to_le_bytes().to_vec()),
     }
 }
 
