--- /dev/null
+++ b/crates/zinniastall-coord/tests/group/net.rs
@@ -0,0 +1,349 @@
+//! A group on a network that loses, delays, doubles and reorders, and the checks after each step.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use zinniastall_coord::log::Entry;
+use zinniastall_coord::replica::{Barrier, Message, Part, Restored, Status};
+use zinniastall_coord::voters::Change;
+use zinniastall_coord::{Id, Term};
+
+use crate::node::Node;
+
+pub(crate) const STEP: Duration = Duration::from_millis(5);
+
+/// How bad the network and the disks are.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Weather {
+    pub(crate) loss: f64,
+    pub(crate) doubled: f64,
+    pub(crate) delay: u64,
+    pub(crate) sync: u64,
+}
+
+pub(crate) const CALM: Weather = Weather {
+    loss: 0.0,
+    doubled: 0.0,
+    delay: 10,
+    sync: 5,
+};
+
+#[derive(Debug)]
+struct Packet {
+    due: Duration,
+    from: Id,
+    place: usize,
+    message: Message,
+}
+
+/// Replicas by place; a lost disk puts a replica with another id at the same place.
+#[derive(Debug)]
+pub(crate) struct Net {
+    pub(crate) time: Duration,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) weather: Weather,
+    /// Directions in which nothing passes, by place.
+    pub(crate) cuts: IndexSet<(usize, usize)>,
+    /// Every entry that was ever handed out as committed.
+    pub(crate) committed: IndexMap<u64, Entry>,
+    pub(crate) leaders: IndexMap<Term, Id>,
+    places: IndexMap<Id, usize>,
+    packets: Vec<Packet>,
+    reads: Vec<(usize, Barrier, usize)>,
+    rng: StdRng,
+    sent: u32,
+}
+
+impl Net {
+    /// Founds a group at the first place; the others start fresh.
+    pub(crate) fn new(size: usize, weather: Weather, seed: u64) -> Self {
+        let mut net = Self {
+            time: Duration::ZERO,
+            nodes: Vec::new(),
+            weather,
+            cuts: IndexSet::new(),
+            committed: IndexMap::new(),
+            leaders: IndexMap::new(),
+            places: IndexMap::new(),
+            packets: Vec::new(),
+            reads: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            sent: 0,
+        };
+        for place in 0..size {
+            let node = net.fresh(place);
+            net.nodes.push(node);
+        }
+        let id = net.nodes[0].id;
+        net.nodes[0].disk = Restored::founding([1; 16], id, "0");
+        net
+    }
+
+    fn fresh(&mut self, place: usize) -> Node {
+        let id = self.places.len() as Id + 1;
+        self.places.insert(id, place);
+        Node::new(
+            id,
+            1.0 + self.rng.random_range(-0.04..0.04),
+            Restored::default(),
+        )
+    }
+
+    /// Loses a disk if the group can bear it; returns whether it did.
+    pub(crate) fn wipe(&mut self, place: usize) -> bool {
+        let Some(status) = self.leader_status() else {
+            return false;
+        };
+        let intact = |id: &Id| {
+            self.places
+                .get(id)
+                .is_some_and(|at| self.nodes[*at].id == *id)
+        };
+        if status.spare() == 0 || !status.voters.members().all(|id| intact(&id)) {
+            return false;
+        }
+        self.nodes[place] = self.fresh(place);
+        true
+    }
+
+    pub(crate) fn run(&mut self, span: Duration) {
+        let until = self.time + span;
+        while self.time < until {
+            self.step();
+        }
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.time += STEP;
+        for place in 0..self.nodes.len() {
+            let node = &mut self.nodes[place];
+            if node.replica.is_none() && self.time >= node.away_until {
+                node.start(self.time);
+            }
+            if node.is_up(self.time) {
+                node.sync(self.time);
+                let now = node.clock(self.time);
+                node.replica.as_mut().expect("it is up").tick(now);
+                self.drain(place);
+            }
+        }
+        self.deliver();
+        self.operate();
+        self.check();
+    }
+
+    fn drain(&mut self, place: usize) {
+        let delay = Duration::from_millis(self.rng.random_range(0..=self.weather.sync));
+        let node = &mut self.nodes[place];
+        let from = node.id;
+        let before = node.applied.len();
+        for (to, message) in node.drain(self.time, delay) {
+            let Some(at) = self.places.get(&to).copied() else {
+                continue;
+            };
+            let copies = 1 + usize::from(self.rng.random_bool(self.weather.doubled));
+            for _ in 0..copies {
+                let lost = self.rng.random_bool(self.weather.loss);
+                if lost || self.cuts.contains(&(place, at)) {
+                    continue;
+                }
+                let delay = Duration::from_millis(self.rng.random_range(0..=self.weather.delay));
+                let due = self.time + delay;
+                self.packets.push(Packet {
+                    due,
+                    from,
+                    place: at,
+                    message: message.clone(),
+                });
+            }
+        }
+        let node = &self.nodes[place];
+        let new = before.min(node.applied.len());
+        for (offset, entry) in node.applied.iter().enumerate().skip(new) {
+            assert_eq!(
+                entry.index,
+                offset as u64 + 1,
+                "entries are applied without gaps"
+            );
+            let first = self
+                .committed
+                .entry(entry.index)
+                .or_insert_with(|| entry.clone());
+            assert_eq!(first, entry, "a committed entry was replaced");
+        }
+    }
+
+    fn deliver(&mut self) {
+        let time = self.time;
+        let nodes = &self.nodes;
+        let due = |packet: &mut Packet| {
+            let frozen =
+                nodes[packet.place].replica.is_some() && time < nodes[packet.place].away_until;
+            packet.due <= time && !frozen
+        };
+        let packets: Vec<Packet> = self.packets.extract_if(.., due).collect();
+        for packet in packets {
+            let node = &mut self.nodes[packet.place];
+            let now = node.clock(time);
+            if let Some(replica) = &mut node.replica {
+                replica.receive(packet.from, packet.message, now);
+                self.drain(packet.place);
+            }
+        }
+    }
+
+    /// Does what operators do: sends commands, reads, and repairs the group after a lost disk.
+    fn operate(&mut self) {
+        let Some(place) = self.leader() else { return };
+        self.sent += 1;
+        let voters = self
+            .status(place)
+            .map(|status| status.voters)
+            .unwrap_or_default();
+        let gone = voters
+            .members()
+            .find(|id| self.nodes[self.places[id]].id != *id);
+        let fresh = self
+            .nodes
+            .iter()
+            .map(|node| node.id)
+            .find(|id| !voters.is_member(*id));
+        let learner = voters
+            .learners
+            .keys()
+            .find(|id| Some(**id) != gone)
+            .copied();
+        let change = match (learner, fresh, gone) {
+            (Some(id), _, _) => Some(Change::Promote { id }),
+            (None, Some(id), _) => Some(Change::Admit {
+                id,
+                address: self.places[&id].to_string(),
+            }),
+            (None, None, Some(id)) => Some(Change::Remove { id }),
+            (None, None, None) => None,
+        };
+        let now = self.nodes[place].clock(self.time);
+        let replica = self.nodes[place].replica.as_mut().expect("a leader is up");
+        if let Some(change) = change {
+            let _refused = replica.propose_voters(&change, now);
+        }
+        if self.sent.is_multiple_of(4) {
+            let _refused = replica.propose(self.sent.to_le_bytes().to_vec(), now);
+        }
+        if self.sent.is_multiple_of(7)
+            && let Ok(barrier) = replica.barrier(now)
+        {
+            self.reads.push((place, barrier, self.committed.len()));
+        }
+        self.drain(place);
+    }
+
+    fn check(&mut self) {
+        let mut holders = Vec::new();
+        for place in 0..self.nodes.len() {
+            let Some(status) = self.status(place) else {
+                continue;
+            };
+            if status.part == Part::Leader {
+                let first = *self.leaders.entry(status.term).or_insert(status.id);
+                assert_eq!(first, status.id, "two leaders in term {}", status.term);
+            }
+            if status.lease_until.is_some() {
+                holders.push(status.id);
+                let known = self.nodes[place].applied.len();
+                assert_eq!(
+                    known,
+                    self.committed.len(),
+                    "a lease holder would answer stale"
+                );
+            }
+        }
+        assert!(holders.len() <= 1, "{holders:?} hold leases at once");
+        let nodes = &self.nodes;
+        self.reads.retain(|(place, barrier, least)| {
+            let Some(replica) = &nodes[*place].replica else {
+                return false;
+            };
+            let passed = replica.passed(barrier).unwrap_or(false);
+            assert!(
+                !passed || nodes[*place].applied.len() >= *least,
+                "a read would be stale"
+            );
+            !passed && replica.passed(barrier).is_ok()
+        });
+    }
+
+    /// Checks that disks which agree on one entry agree on all before it.
+    pub(crate) fn check_logs(&self) {
+        for (one, other) in self
+            .nodes
+            .iter()
+            .flat_map(|one| self.nodes.iter().map(move |other| (one, other)))
+        {
+            let shared = one.disk.entries.iter().rev().find_map(|entry| {
+                let held = other
+                    .disk
+                    .entries
+                    .iter()
+                    .find(|held| held.position() == entry.position());
+                held.map(|_| entry.index)
+            });
+            let Some(last) = shared else { continue };
+            for entry in one.disk.entries.iter().filter(|entry| entry.index <= last) {
+                let held = other
+                    .disk
+                    .entries
+                    .iter()
+                    .find(|held| held.index == entry.index);
+                assert!(
+                    held.is_none_or(|held| held == entry),
+                    "logs differ before a shared entry"
+                );
+            }
+        }
+    }
+
+    pub(crate) fn status(&self, place: usize) -> Option<Status> {
+        let node = &self.nodes[place];
+        if !node.is_up(self.time) {
+            return None;
+        }
+        Some(node.replica.as_ref()?.status(node.clock(self.time)))
+    }
+
+    /// Returns the place of the leader with the latest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let statuses = (0..self.nodes.len()).filter_map(|place| Some((place, self.status(place)?)));
+        let leaders = statuses.filter(|(_, status)| status.part == Part::Leader);
+        leaders
+            .max_by_key(|(_, status)| status.term)
+            .map(|(place, _)| place)
+    }
+
+    pub(crate) fn leader_status(&self) -> Option<Status> {
+        self.status(self.leader()?)
+    }
+
+    /// Runs until a condition holds, for at most a minute of the group's time.
+    pub(crate) fn until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = self.time + Duration::from_secs(60);
+        while !condition(self) {
+            assert!(self.time < end, "not within a minute: {what}");
+            self.step();
+        }
+    }
+
+    /// Tells whether every place votes, all lost ids are removed, and a loss is safe.
+    pub(crate) fn is_whole(&self) -> bool {
+        let Some(status) = self.leader_status() else {
+            return false;
+        };
+        let all = self
+            .nodes
+            .iter()
+            .all(|node| status.voters.is_voter(node.id));
+        all && status.voters.voters.len() == self.nodes.len() && status.spare() > 0
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/tests/group/node.rs
@@ -0,0 +1,157 @@
+//! A replica with a disk that forgets what wasn't synced, and a state that is its whole history.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use zinniastall_coord::Id;
+use zinniastall_coord::election::Timing;
+use zinniastall_coord::log::Entry;
+use zinniastall_coord::replica::{Limits, Message, Ready, Replica, Restored};
+
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(50);
+pub(crate) const ELECTION: Duration = Duration::from_millis(500);
+
+/// Small bounds, so that a few entries already need windows, chunks and compaction.
+const LIMITS: Limits = Limits {
+    message: 300,
+    window: 900,
+    command: 200,
+    uncommitted: 4000,
+    retain: 3,
+    lag: 8,
+};
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) id: Id,
+    pub(crate) replica: Option<Replica>,
+    pub(crate) disk: Restored,
+    pub(crate) applied: Vec<Entry>,
+    /// Until when the node is down or frozen, in true time.
+    pub(crate) away_until: Duration,
+    /// Rate of its clock.
+    rate: f64,
+    epoch: Instant,
+    unsynced: VecDeque<(Duration, Ready)>,
+}
+
+impl Node {
+    pub(crate) fn new(id: Id, rate: f64, disk: Restored) -> Self {
+        Self {
+            id,
+            replica: None,
+            disk,
+            applied: Vec::new(),
+            away_until: Duration::ZERO,
+            rate,
+            epoch: Instant::now(),
+            unsynced: VecDeque::new(),
+        }
+    }
+
+    /// Returns the node's clock at a true time.
+    pub(crate) fn clock(&self, time: Duration) -> Instant {
+        self.epoch + time.mul_f64(self.rate)
+    }
+
+    pub(crate) fn is_up(&self, time: Duration) -> bool {
+        self.replica.is_some() && time >= self.away_until
+    }
+
+    /// Loses all that wasn't synced.
+    pub(crate) fn crash(&mut self, until: Duration) {
+        self.replica = None;
+        self.unsynced.clear();
+        self.away_until = until;
+    }
+
+    pub(crate) fn start(&mut self, time: Duration) {
+        self.applied = self
+            .disk
+            .snapshot
+            .as_ref()
+            .map_or(Vec::new(), |held| parse(&held.data));
+        let builder = Replica::builder(self.id, Timing::new(HEARTBEAT, ELECTION));
+        let builder = builder.limits(LIMITS).restored(self.disk.clone());
+        let seed = self.id ^ u64::try_from(time.as_millis()).unwrap_or(0);
+        self.replica = builder.seed(seed).build(self.clock(time)).ok();
+    }
+
+    /// Empties the replica; what it wants stored is synced `delay` later.
+    pub(crate) fn drain(&mut self, time: Duration, delay: Duration) -> Vec<(Id, Message)> {
+        let mut messages = Vec::new();
+        let Some(replica) = &mut self.replica else {
+            return messages;
+        };
+        while let Some(mut ready) = replica.ready() {
+            messages.append(&mut ready.messages);
+            if let Some(snapshot) = &ready.install {
+                self.applied = parse(&snapshot.data);
+            }
+            self.applied.append(&mut ready.committed);
+            let due = self
+                .unsynced
+                .back()
+                .map_or(time, |(due, _)| *due)
+                .max(time + delay);
+            self.unsynced.push_back((due, ready));
+        }
+        messages
+    }
+
+    /// Syncs what is due.
+    pub(crate) fn sync(&mut self, time: Duration) {
+        while let Some((_, ready)) = self.unsynced.pop_front_if(|(due, _)| *due <= time) {
+            store(&mut self.disk, &ready);
+            let now = self.clock(time);
+            if let Some(replica) = &mut self.replica {
+                replica.synced(ready.batch, now);
+            }
+        }
+    }
+
+    /// Stores a snapshot of all that was applied.
+    pub(crate) fn compact(&mut self) {
+        let Some(replica) = &mut self.replica else {
+            return;
+        };
+        let mut data = Vec::new();
+        ciborium::into_writer(&self.applied, &mut data).expect("memory can be written");
+        let snapshot = replica.snapshot(data);
+        let newer = self
+            .disk
+            .snapshot
+            .as_ref()
+            .is_none_or(|held| held.last.index < snapshot.last.index);
+        if newer
+            && self
+                .disk
+                .entries
+                .iter()
+                .any(|entry| entry.position() == snapshot.last)
+        {
+            self.disk
+                .entries
+                .retain(|entry| entry.index > snapshot.last.index);
+            self.disk.snapshot = Some(snapshot.clone());
+            replica.compacted(snapshot);
+        }
+    }
+}
+
+fn parse(data: &[u8]) -> Vec<Entry> {
+    ciborium::from_reader(data).expect("a snapshot holds what was put in")
+}
+
+fn store(disk: &mut Restored, ready: &Ready) {
+    disk.cluster = ready.cluster.or(disk.cluster);
+    disk.hard = ready.hard.unwrap_or(disk.hard);
+    if let Some(snapshot) = &ready.install {
+        disk.snapshot = Some(snapshot.as_ref().clone());
+        disk.entries.clear();
+    }
+    for entry in &ready.append {
+        disk.entries.retain(|held| held.index < entry.index);
+        disk.entries.push(entry.clone());
+    }
+}
