feat(route): serve requests by the zone's targets

Cause of the guard on connections: awc ends a body without an error when the connection closes early, for chunked bodies too, so a killed target left an answer that looked whole. Ruled out: checking only content-length, since chunked answers have none. Each cut answer is now retried when idempotent, or told as unknown; streams of events end with an error event and an aborted connection.

--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -0,0 +1,244 @@
+//! Start of the path: reads a request in, within bounds of size and time.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_web::{HttpRequest, http::header as http, web};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Deserialize;
+use zinniastall_model::{
+    header::{CLASS, DEADLINE, IDEMPOTENT, REQUEST, TICKET},
+    id,
+    object::Subject,
+};
+use zinniastall_route::{
+    identify::Index,
+    outcome::{Reason, Refusal},
+    prefix,
+    request::Request,
+    residency,
+};
+
+use super::parcel::{Parcel, passes};
+use crate::{settings::Limits, view::View};
+
+/// Class of a request that names none.
+pub const DEFAULT_CLASS: &str = "interactive";
+/// Longest class or request id.
+const NAME_LIMIT: usize = 64;
+/// Longest deadline that a caller may ask for, in milliseconds.
+const DEADLINE_LIMIT: u64 = 3_600_000;
+
+/// What the path needs to know of a body in the form of chat completions.
+#[derive(Debug, Deserialize)]
+struct Chat {
+    model: String,
+    #[serde(default)]
+    messages: Vec<Turn>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Turn {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Reads the body within its bounds.
+///
+/// # Errors
+///
+/// [`Reason::Large`], [`Reason::Slow`], and [`Reason::Body`] when the caller went away.
+pub async fn read_body(payload: web::Payload, limits: &Limits) -> Result<Bytes, Refusal> {
+    let reading = collect(payload, limits.body_bytes);
+    let body = tokio::time::timeout(limits.arrival, reading).await;
+    body.unwrap_or(Err(Reason::Slow)).map_err(Refusal::not_run)
+}
+
+async fn collect(mut payload: web::Payload, limit: usize) -> Result<Bytes, Reason> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| Reason::Body("it is incomplete".to_owned()))?;
+        if body.len() + part.len() > limit {
+            return Err(Reason::Large(limit));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+/// Identifies a request and makes the parcel that travels on.
+///
+/// # Errors
+///
+/// Every fault of the caller, and a rule that permits no region.
+pub fn parcel(
+    http: &HttpRequest,
+    body: Bytes,
+    view: &View,
+    index: &Index,
+    limits: &Limits,
+) -> Result<Parcel, Refusal> {
+    identify(http, body, view, index, limits).map_err(Refusal::not_run)
+}
+
+fn identify(
+    http: &HttpRequest,
+    body: Bytes,
+    view: &View,
+    index: &Index,
+    limits: &Limits,
+) -> Result<Parcel, Reason> {
+    let client = index.by_key(key(http)?)?;
+    let named = index.needs_model(http.path()).then(|| parse(&body));
+    let chat = named.transpose()?;
+    let route = index.route(http.path(), chat.as_ref().map(|chat| chat.model.as_str()))?;
+    let regions = residency::permitted(index.rules(&client.id), &route.subject, &view.place);
+    residency::check(&regions)?;
+    let ticket = text(http, TICKET)?.map(ToOwned::to_owned);
+    let idempotent = flag(http, IDEMPOTENT)?.unwrap_or(route.idempotent);
+    let request = Request {
+        id: request_id(http)?,
+        client: client.id.clone(),
+        weight: client.weight,
+        class: class(http)?,
+        events: matches!(route.subject, Subject::Model(_)),
+        subject: route.subject.clone(),
+        // A caller who sends a ticket wants the request to run at most once.
+        idempotent: idempotent && ticket.is_none(),
+        ticket,
+        deadline: Instant::now() + deadline(http, limits)?,
+        prefixes: chat.as_ref().map(prompt_prefixes).unwrap_or_default(),
+        regions,
+        hops: vec![view.place.clone()],
+        revision: index.revision(),
+    };
+    Ok(Parcel {
+        request,
+        method: http.method().to_string(),
+        path: path(http),
+        headers: headers(http),
+        body,
+    })
+}
+
+/// Returns the key that identifies the client.
+///
+/// # Errors
+///
+/// [`Reason::NoKey`].
+pub fn key(http: &HttpRequest) -> Result<&str, Reason> {
+    let value = http.headers().get(http::AUTHORIZATION);
+    let value = value.and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    key.map(str::trim).ok_or(Reason::NoKey)
+}
+
+/// Returns a header's text.
+///
+/// # Errors
+///
+/// [`Reason::Header`] when it is not plain text.
+pub fn text<'a>(http: &'a HttpRequest, name: &'static str) -> Result<Option<&'a str>, Reason> {
+    let Some(value) = http.headers().get(name) else {
+        return Ok(None);
+    };
+    let value = value.to_str().map_err(|_| Reason::Header(name))?;
+    Ok(Some(value.trim()))
+}
+
+/// Returns the id under which a request is logged, a new one if the caller sent none.
+///
+/// # Errors
+///
+/// [`Reason::Header`].
+pub fn request_id(http: &HttpRequest) -> Result<String, Reason> {
+    match text(http, REQUEST)? {
+        Some(id) if is_name(id) => Ok(id.to_owned()),
+        Some(_) => Err(Reason::Header(REQUEST)),
+        None => Ok(format!("{:016x}", rand::random::<u64>())),
+    }
+}
+
+fn parse(body: &[u8]) -> Result<Chat, Reason> {
+    serde_json::from_slice(body).map_err(|error| Reason::Body(error.to_string()))
+}
+
+fn prompt_prefixes(chat: &Chat) -> Vec<u64> {
+    let mut prompt = String::new();
+    for turn in &chat.messages {
+        prompt.push_str(&turn.role);
+        prompt.push('\n');
+        match turn.content.as_str() {
+            Some(text) => prompt.push_str(text),
+            None => prompt.push_str(&turn.content.to_string()),
+        }
+        prompt.push('\n');
+    }
+    prefix::chain(&prompt)
+}
+
+fn class(http: &HttpRequest) -> Result<id::Class, Reason> {
+    match text(http, CLASS)? {
+        Some(class) if is_name(class) => Ok(class.to_owned()),
+        Some(_) => Err(Reason::Header(CLASS)),
+        None => Ok(DEFAULT_CLASS.to_owned()),
+    }
+}
+
+fn deadline(http: &HttpRequest, limits: &Limits) -> Result<Duration, Reason> {
+    let Some(value) = text(http, DEADLINE)? else {
+        return Ok(limits.deadline);
+    };
+    match value.parse() {
+        Ok(millis @ 1..=DEADLINE_LIMIT) => Ok(Duration::from_millis(millis)),
+        _ => Err(Reason::Header(DEADLINE)),
+    }
+}
+
+fn flag(http: &HttpRequest, name: &'static str) -> Result<Option<bool>, Reason> {
+    match text(http, name)? {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => Err(Reason::Header(name)),
+    }
+}
+
+fn path(http: &HttpRequest) -> String {
+    let uri = http.uri();
+    uri.path_and_query()
+        .map_or_else(|| uri.path().to_owned(), ToString::to_string)
+}
+
+fn headers(http: &HttpRequest) -> Vec<(String, String)> {
+    let pairs = http.headers().iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        passes(name.as_str()).then(|| (name.as_str().to_owned(), value.to_owned()))
+    });
+    pairs.collect()
+}
+
+fn is_name(text: &str) -> bool {
+    let permitted = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+    (1..=NAME_LIMIT).contains(&text.len()) && text.chars().all(permitted)
+}
+
+/// Returns the configuration that requests are judged by.
+///
+/// # Errors
+///
+/// [`Reason::Unconfigured`] until one is found that lists this instance, and [`Reason::Draining`].
+pub fn configured(view: &View) -> Result<&Arc<zinniastall_model::state::State>, Refusal> {
+    let retry = Duration::from_secs(1);
+    if view.draining {
+        return Err(Refusal::not_run(Reason::Draining).retry(retry));
+    }
+    view.state
+        .as_ref()
+        .ok_or_else(|| Refusal::not_run(Reason::Unconfigured).retry(retry))
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/answer.rs
@@ -0,0 +1,133 @@
+//! Writes answers and refusals as HTTP.
+
+use actix_web::{
+    HttpResponse, HttpResponseBuilder,
+    body::SizedStream,
+    http::{StatusCode, header as http},
+};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use serde::Serialize;
+use zinniastall_model::{
+    header::{INSTANCE, OUTCOME, PLACE, REQUEST, RETRY, TARGET, TICKET},
+    id,
+};
+use zinniastall_route::outcome::{Outcome, Refusal};
+
+use super::reply::{Body, Reply};
+
+/// Longest answer that is gathered before it is sent, in bytes. A gathered answer can say
+/// "answered" in its head and can be asked for again if it breaks.
+pub const GATHER: usize = 256 * 1024;
+
+/// An error body.
+#[derive(Debug, Serialize)]
+struct Failure<'a> {
+    error: Detail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct Detail<'a> {
+    r#type: &'a str,
+    message: String,
+    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    ticket: Option<&'a str>,
+}
+
+/// Returns a refusal as the JSON of an error body.
+pub fn error_json(refusal: &Refusal) -> String {
+    let failure = Failure {
+        error: Detail {
+            r#type: refusal.reason.kind(),
+            message: refusal.reason.to_string(),
+            outcome: refusal.outcome.as_str(),
+            retry_after_ms: retry_ms(refusal),
+            ticket: refusal.ticket.as_deref(),
+        },
+    };
+    // Texts and numbers always encode.
+    serde_json::to_string(&failure).unwrap_or_default()
+}
+
+/// Answers a refusal.
+pub fn refuse(refusal: &Refusal, request: &str, instance: &id::Instance) -> HttpResponse {
+    let mut response = HttpResponse::build(status(refusal.status()));
+    response
+        .insert_header((REQUEST, request))
+        .insert_header((INSTANCE, instance.as_str()))
+        .insert_header((OUTCOME, refusal.outcome.as_str()));
+    if let Some(millis) = retry_ms(refusal) {
+        response
+            .insert_header((RETRY, millis.to_string()))
+            .insert_header((http::RETRY_AFTER, millis.div_ceil(1000).to_string()));
+    }
+    if let Some(ticket) = &refusal.ticket {
+        response.insert_header((TICKET, ticket.as_str()));
+    }
+    response
+        .content_type("application/json")
+        .body(error_json(refusal))
+}
+
+/// Answers with a reply; `whole` is its body when it has been gathered.
+pub fn answer(
+    reply: Reply,
+    whole: Option<Bytes>,
+    request: &str,
+    instance: &id::Instance,
+) -> HttpResponse {
+    let mut response = HttpResponse::build(status(reply.status));
+    for (name, value) in &reply.headers {
+        response.append_header((name.as_str(), value.as_str()));
+    }
+    response
+        .insert_header((REQUEST, request))
+        .insert_header((INSTANCE, instance.as_str()))
+        .insert_header((TARGET, reply.served.target.as_str()))
+        .insert_header((PLACE, reply.served.place.to_string()));
+    if let Some(bytes) = whole {
+        response.insert_header((OUTCOME, Outcome::Answered.as_str()));
+        return response.body(bytes);
+    }
+    stream_body(&mut response, reply)
+}
+
+fn stream_body(response: &mut HttpResponseBuilder, reply: Reply) -> HttpResponse {
+    match reply.length {
+        Some(length) => response.body(SizedStream::new(length, reply.body)),
+        None if reply.events => response.streaming(closing(reply.body)),
+        None => response.streaming(reply.body),
+    }
+}
+
+/// Ends a broken stream of events by an error event before the connection is aborted.
+///
+/// The error itself would abort at once and take what is not yet written with it, so the task
+/// yields once after the error event to let the connection be flushed.
+fn closing(body: Body) -> Body {
+    let parts = body.flat_map(|part| match part {
+        Ok(bytes) => stream::once(async { Ok(bytes) }).boxed_local(),
+        Err(refusal) => {
+            let event = format!("event: error\ndata: {}\n\n", error_json(&refusal));
+            let abort = async move {
+                tokio::task::yield_now().await;
+                Err(refusal)
+            };
+            stream::once(async { Ok(Bytes::from(event)) })
+                .chain(stream::once(abort))
+                .boxed_local()
+        }
+    });
+    parts.boxed_local()
+}
+
+fn status(code: u16) -> StatusCode {
+    StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+fn retry_ms(refusal: &Refusal) -> Option<u64> {
+    let retry = refusal.retry?;
+    Some(u64::try_from(retry.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/parcel.rs
@@ -0,0 +1,63 @@
+//! A request with its payload, as it goes to a target or to another instance.
+
+use bytes::Bytes;
+use zinniastall_model::header;
+use zinniastall_route::request::Request;
+
+/// A request with its payload.
+#[derive(Debug, Clone)]
+pub struct Parcel {
+    /// What the filters know of it.
+    pub request: Request,
+    /// HTTP method.
+    pub method: String,
+    /// HTTP path and query.
+    pub path: String,
+    /// HTTP headers for the target.
+    pub headers: Vec<(String, String)>,
+    /// HTTP body.
+    pub body: Bytes,
+}
+
+/// Headers that belong to one connection or that each hop sets anew. The key stays at the instance
+/// that received it: a target that saw it could act as the client.
+const OWN: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Prefix of the system's own headers. They are never passed on from outside: a forged one would
+/// be taken for the system's word.
+const SYSTEM: &str = "x-zinniastall-";
+
+/// Returns whether a header passes from one connection to the next. Names are in lower case.
+pub fn passes(name: &str) -> bool {
+    !name.starts_with(SYSTEM) && !OWN.contains(&name)
+}
+
+impl Parcel {
+    /// Returns the system's own headers for a target.
+    pub fn system_headers(&self, left_ms: u64, offset: u64) -> Vec<(&'static str, String)> {
+        let mut headers = vec![
+            (header::REQUEST, self.request.id.clone()),
+            (header::CLIENT, self.request.client.clone()),
+            (header::CLASS, self.request.class.clone()),
+            (header::DEADLINE, left_ms.to_string()),
+        ];
+        if offset > 0 {
+            headers.push((header::OFFSET, offset.to_string()));
+        }
+        headers
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -0,0 +1,166 @@
+//! Sends a request to a target by HTTP.
+//!
+//! "Not run" may be said only where that is certain. Once the HTTP library holds a connection the
+//! request's bytes may have left, so every fault from then on is "unknown"; only faults of
+//! establishing the connection, and a target's own typed refusal, are "not run". The library
+//! neither retries nor follows redirects here, since both could run a request twice.
+
+use std::time::Duration;
+
+use actix_service::ServiceExt;
+use actix_tls::connect::{Connection, Connector as Dialer};
+use awc::{
+    Client, ClientResponse, Connector,
+    error::{ConnectError, SendRequestError},
+    http::{StatusCode, Uri, header},
+};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use zinniastall_model::header::{OUTCOME, RETRY};
+use zinniastall_route::{
+    outcome::{Outcome, Reason, Refusal},
+    relay::Length,
+};
+use zinniastall_wire::gossip;
+
+use super::{
+    guard::Guard,
+    parcel::{Parcel, passes},
+    reply::{Body, Reply, Served, left_ms},
+};
+
+/// Longest time to establish a connection to a target of the zone.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Idle connections are closed after this time; shorter than what HTTP servers commonly keep, so
+/// that they are rarely found closed by the other end.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Creates the HTTP client of one thread.
+pub fn client() -> Client {
+    let dialer = Dialer::default().service().map(guarded);
+    let connector = Connector::new()
+        .connector(dialer)
+        .timeout(CONNECT)
+        .conn_keep_alive(IDLE)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .finish()
+}
+
+fn guarded(connection: Connection<Uri, actix_rt::net::TcpStream>) -> Connection<Uri, Guard> {
+    let (stream, rest) = connection.replace_io(());
+    // Without it small events would wait for acknowledgements; a failure only costs latency.
+    let _ = stream.set_nodelay(true);
+    rest.replace_io(Guard::new(stream)).1
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+///
+/// # Errors
+///
+/// A [`Refusal`] whose outcome says whether the target may have run the request.
+pub async fn send(
+    client: &Client,
+    target: &gossip::Target,
+    parcel: &Parcel,
+    offset: u64,
+) -> Result<Reply, Refusal> {
+    let url = format!("http://{}{}", target.address, parcel.path);
+    let method = awc::http::Method::from_bytes(parcel.method.as_bytes())
+        .map_err(|_| Refusal::not_run(Reason::Body("the method is not known".to_owned())))?;
+    let mut request = client.request(method, url);
+    for (name, value) in &parcel.headers {
+        request = request.insert_header((name.as_str(), value.as_str()));
+    }
+    let left = left_ms(parcel.request.deadline);
+    for (name, value) in parcel.system_headers(left, offset) {
+        request = request.insert_header((name, value));
+    }
+    if left == 0 {
+        return Err(Refusal::not_run(Reason::Late));
+    }
+    let response = request
+        .timeout(Duration::from_millis(left))
+        .send_body(parcel.body.clone())
+        .await
+        .map_err(|error| judge(&error))?;
+    if let Some(refusal) = refused(&response) {
+        return Err(refusal);
+    }
+    Ok(read_head(response, target))
+}
+
+/// Decides whether a failed send may have run.
+fn judge(error: &SendRequestError) -> Refusal {
+    match error {
+        // `Disconnected` is the one connection error that the library also gives for a connection
+        // that broke while it was in use.
+        SendRequestError::Connect(ConnectError::Disconnected) => Refusal::unknown(Reason::Broken),
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
+            Refusal::not_run(Reason::Unreachable)
+        }
+        SendRequestError::Timeout => Refusal::unknown(Reason::Deadline),
+        _ => Refusal::unknown(Reason::Broken),
+    }
+}
+
+fn read_head(response: ClientResponse, target: &gossip::Target) -> Reply {
+    let text = |name: header::HeaderName| response.headers().get(name)?.to_str().ok();
+    let length = text(header::CONTENT_LENGTH).and_then(|value| value.parse().ok());
+    let events =
+        text(header::CONTENT_TYPE).is_some_and(|value| value.starts_with("text/event-stream"));
+    let headers = response.headers().iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        passes(name.as_str()).then(|| (name.as_str().to_owned(), value.to_owned()))
+    });
+    Reply {
+        status: response.status().as_u16(),
+        headers: headers.collect(),
+        length: if events { None } else { length },
+        events,
+        served: Served {
+            target: target.target.clone(),
+            place: target.place.clone(),
+        },
+        body: read_body(response, Length::new(length)),
+    }
+}
+
+/// Recognises a target's word that it has not run the request.
+fn refused(response: &ClientResponse) -> Option<Refusal> {
+    let status = response.status();
+    let refusing = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    let said = response.headers().get(OUTCOME)?.to_str().ok()?;
+    if !refusing.contains(&status) || said != Outcome::NotRun.as_str() {
+        return None;
+    }
+    let refusal = Refusal::not_run(Reason::Refused);
+    let retry = response.headers().get(RETRY);
+    let millis = retry.and_then(|value| value.to_str().ok()?.parse().ok());
+    Some(match millis {
+        Some(millis) => refusal.retry(Duration::from_millis(millis)),
+        None => refusal,
+    })
+}
+
+fn read_body(response: ClientResponse, length: Length) -> Body {
+    let next = |state: Option<(ClientResponse, Length)>| async move {
+        let (mut response, mut length) = state?;
+        let part: Option<Result<Bytes, _>> = response.next().await;
+        match part {
+            Some(Ok(bytes)) if length.part(&bytes).is_ok() => {
+                Some((Ok(bytes), Some((response, length))))
+            }
+            None if length.end().is_ok() => None,
+            _ => Some((Err(Refusal::unknown(Reason::Broken)), None)),
+        }
+    };
+    stream::unfold(Some((response, length)), next).boxed_local()
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -0,0 +1,55 @@
+//! What one traffic thread keeps.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use awc::Client;
+use zinniastall_model::state::State;
+use zinniastall_route::identify::Index;
+use zinniastall_settings::metrics::Recorder;
+
+use super::{Service, target};
+use crate::view::View;
+
+/// What one traffic thread keeps.
+#[derive(Clone)]
+pub struct Worker {
+    /// What all traffic threads share.
+    pub service: Service,
+    /// Connections to targets.
+    pub client: Client,
+    /// Histograms of this thread.
+    pub recorder: Recorder,
+    index: RefCell<Rc<Index>>,
+}
+
+impl std::fmt::Debug for Worker {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Worker").finish_non_exhaustive()
+    }
+}
+
+impl Worker {
+    /// Creates the worker of the calling thread.
+    pub fn new(service: Service) -> Self {
+        Self {
+            client: target::client(),
+            recorder: service.hub.recorder(),
+            service,
+            index: RefCell::default(),
+        }
+    }
+
+    /// Returns the current view.
+    pub fn view(&self) -> Arc<View> {
+        self.service.board.view()
+    }
+
+    /// Returns a configuration arranged for look-ups; it is arranged once a revision.
+    pub fn index(&self, state: &Arc<State>) -> Rc<Index> {
+        let mut index = self.index.borrow_mut();
+        if index.revision() != state.revision {
+            *index = Rc::new(Index::new(state));
+        }
+        Rc::clone(&index)
+    }
+}
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -5,7 +5,7 @@
 use actix::Actor;
 use actix_web::{App, HttpServer};
 use tokio::signal::unix::{SignalKind, signal};
-use zinniastall_settings::{cli, log};
+use zinniastall_settings::{cli, log, metrics::Hub};
 use zinniastall_wire::link;
 
 use crate::{
@@ -31,8 +31,15 @@
 async fn serve(settings: Entry) -> eyre::Result<()> {
     let board = Board::new(first_view(&settings));
     let publisher = Publisher::new(board.clone()).start();
-    let callers = HttpServer::new(|| App::new().configure(callers::configure))
-        .workers(settings.threads)
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let threads = settings.threads;
+    let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
+        .workers(threads)
+        .max_connections((settings.limits.connections / threads).max(1))
+        .client_request_timeout(settings.limits.arrival)
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(settings.drain.as_secs())
         .disable_signals()
         .bind(settings.listen.callers)?;
     listening("callers", callers.addrs()[0]);
--- /dev/null
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -0,0 +1,281 @@
+//! An instance's callers' interface in this process, and targets that answer by script.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use actix_web::{App, HttpServer, dev::ServerHandle};
+use indexmap::IndexMap;
+use zinniastall_entry::{
+    callers::Service,
+    settings::{Entry, Limits},
+    view::{Board, Target, View},
+};
+use zinniastall_model::{
+    change::{Body, Change},
+    object::{Client, Object, Route, Subject},
+    place::Place,
+    state::State,
+};
+use zinniastall_settings::{load, metrics::Hub};
+use zinniastall_wire::gossip;
+
+/// Key of the client that every bench knows.
+pub const KEY: &str = "robot-key";
+/// Body of a chat completion.
+pub const CHAT: &str = r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
+/// Longest wait of a read in a test.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An instance's callers' interface.
+pub struct Bench {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    _board: Board,
+    handle: ServerHandle,
+}
+
+impl Bench {
+    /// Starts the interface before targets at these addresses.
+    pub async fn start(targets: &[SocketAddr]) -> Self {
+        let settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
+        let limits = Limits {
+            body_bytes: 4096,
+            arrival: Duration::from_millis(700),
+            ..settings.limits
+        };
+        let board = Board::new(view(targets));
+        let hub = Hub::start("test", None).unwrap();
+        let service = Service::new(board.clone(), hub, limits);
+        let server = HttpServer::new(move || App::new().configure(|c| service.configure(c)))
+            .workers(1)
+            .client_request_timeout(Duration::from_millis(700))
+            .h1_allow_half_closed(false)
+            .disable_signals()
+            .bind("127.0.0.1:0")
+            .unwrap();
+        let address = server.addrs()[0];
+        let server = server.run();
+        let handle = server.handle();
+        actix_web::rt::spawn(server);
+        Self {
+            address,
+            _board: board,
+            handle,
+        }
+    }
+
+    /// Sends raw bytes and reads until the connection closes or falls silent.
+    pub async fn raw(&self, bytes: Vec<u8>) -> String {
+        let address = self.address;
+        actix_web::rt::task::spawn_blocking(move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            // A refusal may close the connection before all is written.
+            let _ = stream.write_all(&bytes);
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer);
+            String::from_utf8_lossy(&answer).into_owned()
+        })
+        .await
+        .unwrap()
+    }
+
+    /// Posts a body to a path with further headers and returns the raw answer.
+    pub async fn post(&self, path: &str, headers: &str, body: &str) -> String {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
+             content-length: {}\r\n{headers}\r\n{body}",
+            body.len()
+        );
+        self.raw(request.into_bytes()).await
+    }
+
+    pub async fn stop(self) {
+        self.handle.stop(false).await;
+    }
+}
+
+fn view(targets: &[SocketAddr]) -> View {
+    let place = Place::new("patras", "a");
+    let names = targets.iter().enumerate();
+    let targets = names.map(|(number, address)| {
+        let name = format!("engine-{number}");
+        (name.clone(), target(&name, &place, *address))
+    });
+    View {
+        instance: "patras-a-1".into(),
+        incarnation: 1,
+        place: place.clone(),
+        state: Some(Arc::new(state())),
+        connected: true,
+        draining: false,
+        peers: Arc::default(),
+        targets: Arc::new(targets.collect::<IndexMap<_, _>>()),
+        digests: Arc::default(),
+    }
+}
+
+fn target(name: &str, place: &Place, address: SocketAddr) -> Target {
+    let serving = |subject| gossip::Serving {
+        subject,
+        version: "1".into(),
+        adapters: vec![],
+    };
+    let report = gossip::Target {
+        target: name.into(),
+        incarnation: 1,
+        sequence: 1,
+        place: place.clone(),
+        address: address.to_string(),
+        kind: "standin".into(),
+        role: "both".into(),
+        serves: vec![
+            serving(Subject::Model("map-labels".into())),
+            serving(Subject::Service("portal".into())),
+        ],
+        slots: 8,
+        busy: 0,
+        price: 1.0,
+        leaving: false,
+        left_ms: 60_000,
+        prefixes: vec![],
+        gap: false,
+    };
+    Target {
+        report,
+        heard: Instant::now(),
+        until: Instant::now() + Duration::from_secs(3600),
+    }
+}
+
+fn state() -> State {
+    let mut state = State::default();
+    let route = |id: &str, prefix: &str, subject, idempotent| {
+        Object::Route(Route {
+            id: id.into(),
+            prefix: prefix.into(),
+            subject,
+            idempotent,
+        })
+    };
+    let model = || Subject::Model("map-labels".into());
+    let service = || Subject::Service("portal".into());
+    let client = Client {
+        id: "chartotopos".into(),
+        keys: vec![blake3::hash(KEY.as_bytes()).to_hex().to_string()],
+        weight: 1,
+        withdrawn: false,
+    };
+    let objects = [
+        Object::Client(client),
+        route("chat", "/v1/chat/completions", model(), true),
+        route("proofs", "/proofs", service(), true),
+        route("orders", "/orders", service(), false),
+    ];
+    for object in objects {
+        state.apply(&Change {
+            origin: None,
+            expected: None,
+            body: Body::Apply(object),
+        });
+    }
+    state
+}
+
+/// What a scripted target does with a request once it has read it.
+#[derive(Debug, Clone)]
+pub enum Script {
+    /// Writes these bytes and closes the connection.
+    Write(&'static str),
+    /// Writes these bytes and keeps the connection open until the other end closes it.
+    Hold(&'static str),
+}
+
+/// A target that answers by script.
+pub struct Fake {
+    pub address: SocketAddr,
+    /// Requests that it has read.
+    pub ran: Arc<AtomicUsize>,
+    /// Connections that the other end closed while the script held them.
+    pub cancelled: Arc<AtomicUsize>,
+}
+
+impl Fake {
+    /// Starts a target; the last script repeats.
+    pub fn start(scripts: Vec<Script>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (ran, cancelled) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let fake = Self {
+            address,
+            ran: Arc::clone(&ran),
+            cancelled: Arc::clone(&cancelled),
+        };
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (scripts, ran, cancelled) =
+                    (scripts.clone(), Arc::clone(&ran), Arc::clone(&cancelled));
+                std::thread::spawn(move || play(stream.unwrap(), &scripts, &ran, &cancelled));
+            }
+        });
+        fake
+    }
+
+    pub fn ran(&self) -> usize {
+        self.ran.load(Ordering::SeqCst)
+    }
+}
+
+fn play(mut stream: TcpStream, scripts: &[Script], ran: &AtomicUsize, cancelled: &AtomicUsize) {
+    if !read_request(&mut stream) {
+        return;
+    }
+    let number = ran.fetch_add(1, Ordering::SeqCst);
+    match &scripts[number.min(scripts.len() - 1)] {
+        Script::Write(answer) => {
+            let _ = stream.write_all(answer.as_bytes());
+        }
+        Script::Hold(answer) => {
+            let _ = stream.write_all(answer.as_bytes());
+            let mut rest = [0; 16];
+            while matches!(stream.read(&mut rest), Ok(1..)) {}
+            cancelled.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+/// Reads a head and the announced length of body.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some(head) = text.find("\r\n\r\n") {
+            let length = text.split("content-length: ").nth(1);
+            let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
+            if bytes.len() >= head + 4 + length.unwrap_or(0) {
+                return true;
+            }
+        }
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return false,
+            Ok(read) => bytes.extend_from_slice(&part[..read]),
+        }
+    }
+}
+
+/// Waits until a condition holds; the bound is generous, since the machine may be busy.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
+        actix_web::rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/tests/callers/main.rs
@@ -0,0 +1,7 @@
+//! The callers' interface in one process, before small fakes of targets.
+
+#![expect(clippy::unwrap_used, reason = "a helper of a test fails its test")]
+
+mod bad_input;
+mod bench;
+mod outcomes;
--- /dev/null
+++ b/crates/zinniastall-entry/tests/callers/outcomes.rs
@@ -0,0 +1,84 @@
+//! How requests end when targets answer, break or refuse.
+
+use super::bench::{Bench, CHAT, Fake, Script, until};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+const SHORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}";
+const CHUNK: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n";
+const REFUSED: &str =
+    "HTTP/1.1 503 Busy\r\nx-zinniastall-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+const FAULT: &str = "HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops";
+const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    transfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+const UNCLOSED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    transfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n";
+const KILLED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    transfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n";
+
+/// Names a case: what the targets do in turn, how often they run the request in all, and what the
+/// caller's answer has and has not.
+macro_rules! ends {
+    ($($(#[$doc:meta])* $name:ident: $scripts:expr, $headers:literal => $ran:literal,
+        [$($part:expr),*], [$($absent:expr),*];)+) => {$(
+        $(#[$doc])*
+        #[actix_web::test]
+        async fn $name() {
+            let targets: Vec<Fake> = $scripts.into_iter().map(|script| Fake::start(vec![script])).collect();
+            let addresses: Vec<_> = targets.iter().map(|target| target.address).collect();
+            let bench = Bench::start(&addresses).await;
+            let answer = bench.post("/v1/chat/completions", $headers, CHAT).await;
+            $(assert!(answer.contains($part), "no {:?} in {answer}", $part);)*
+            $(assert!(!answer.contains($absent), "{:?} in {answer}", $absent);)*
+            let ran: usize = targets.iter().map(Fake::ran).sum();
+            assert_eq!(ran, $ran, "{answer}");
+            bench.stop().await;
+        }
+    )+};
+}
+
+ends! {
+    whole: [Script::Write(WHOLE)], "" => 1, ["HTTP/1.1 200", "outcome: answered", "engine-0"], [];
+    fault_is_an_answer: [Script::Write(FAULT)], "" => 1, ["HTTP/1.1 500", "oops", "answered"], [];
+    refusal_is_retried: [Script::Write(REFUSED), Script::Write(WHOLE)], ""
+        => 2, ["HTTP/1.1 200", "engine-1"], [];
+    refused_by_all: [Script::Write(REFUSED)], "" => 1, ["HTTP/1.1 503", "not-run"], [];
+    // The target dies after its head and a part of the body. A caller who takes what has arrived
+    // for the answer prints half a floor map.
+    cut_answer_is_retried: [Script::Write(SHORT), Script::Write(WHOLE)], ""
+        => 2, ["HTTP/1.1 200", "engine-1"], [];
+    // The same with a chunked body, whose lost end the HTTP library does not report.
+    cut_chunks_are_retried: [Script::Write(CHUNK), Script::Write(WHOLE)], ""
+        => 2, ["HTTP/1.1 200", "engine-1"], [];
+    cut_answer_is_unknown: [Script::Write(SHORT)], "" => 1, ["HTTP/1.1 502", "unknown"], ["200 OK"];
+    cut_chunks_are_unknown: [Script::Write(CHUNK)], "" => 1, ["HTTP/1.1 502", "unknown"], ["200 OK"];
+    silent_target: [Script::Hold("")], "x-zinniastall-deadline-ms: 300\r\n"
+        => 1, ["HTTP/1.1 504", "unknown"], [];
+    stream: [Script::Write(EVENTS)], "" => 1, ["data: a\n\n", "data: [DONE]", "0\r\n\r\n"], [];
+    // An engine that ends its stream without the closing event has lost a part of the answer.
+    // The caller must see an error event and an aborted connection, never a clean end.
+    unclosed_stream_is_aborted: [Script::Write(UNCLOSED)], ""
+        => 1, ["data: a\n\n", "event: error", "unknown"], ["\r\n0\r\n\r\n"];
+    killed_stream_is_aborted: [Script::Write(KILLED)], ""
+        => 1, ["data: a\n\n", "event: error", "unknown"], ["\r\n0\r\n\r\n"];
+}
+
+// A robot's owner closes the app while the engine works. Without a cancel the engine would go on
+// for nobody, and everybody else would wait behind it.
+#[actix_web::test]
+async fn caller_gone_cancels_at_the_target() {
+    let target = Fake::start(vec![Script::Hold("")]);
+    let bench = Bench::start(&[target.address]).await;
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{CHAT}",
+        super::bench::KEY,
+        CHAT.len()
+    );
+    let mut stream = std::net::TcpStream::connect(bench.address).unwrap();
+    std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+    until("the target has the request", || target.ran() == 1).await;
+    drop(stream);
+    let cancelled = || target.cancelled.load(std::sync::atomic::Ordering::SeqCst) == 1;
+    until("the target's connection is closed", cancelled).await;
+    bench.stop().await;
+}
--- /dev/null
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -0,0 +1,228 @@
+//! How requests end, and what a caller is told.
+
+use std::time::Duration;
+
+use zinniastall_model::id;
+
+/// How a request ended. Every request has exactly one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer arrived.
+    Answered,
+    /// No byte of it was written towards a target, or whoever had it refused it definitely before
+    /// running it.
+    NotRun,
+    /// Everything else: it may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the word that headers, error bodies and logs use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request got no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Reason {
+    /// The request carries no key.
+    #[error("the request carries no key; send 'Authorization: Bearer <key>'")]
+    NoKey,
+    /// No client has this key.
+    #[error("no client has this key")]
+    UnknownKey,
+    /// The client is withdrawn.
+    #[error("client {0} is withdrawn")]
+    Withdrawn(id::Client),
+    /// No route serves this path and model.
+    #[error("no route serves {0}")]
+    NoRoute(String),
+    /// A header has no valid value.
+    #[error("header {0} is malformed")]
+    Header(&'static str),
+    /// The body is not what the path asks for.
+    #[error("body: {0}")]
+    Body(String),
+    /// The body is longer than permitted.
+    #[error("the body is longer than {0} bytes")]
+    Large(usize),
+    /// The request did not arrive within the permitted time.
+    #[error("the request took too long to arrive")]
+    Slow,
+    /// The instance has no configuration that lists it yet.
+    #[error("the instance has no configuration yet")]
+    Unconfigured,
+    /// The instance takes no new requests.
+    #[error("the instance is shutting down")]
+    Draining,
+    /// The rules permit no region that can serve it.
+    #[error("residency rules permit none of the regions that can be reached")]
+    Residency,
+    /// A forwarded request has crossed as many borders as it may.
+    #[error("the request may not cross a further border")]
+    Hops,
+    /// A request that may not be repeated carries no ticket.
+    #[error("a request that may not be repeated needs a ticket; send the one given here")]
+    TicketRequired,
+    /// The ticket is malformed or was not made by this system.
+    #[error("the ticket is not valid")]
+    TicketInvalid,
+    /// The ticket has expired; whether it ran is no longer known.
+    #[error("the ticket has expired; whether its request ran is not known any more")]
+    TicketExpired,
+    /// The ticket was used with another body or by another client.
+    #[error("the ticket was used with another request")]
+    TicketReused,
+    /// The ticket's request ran, but its answer is not kept any more.
+    #[error("the request ran; its answer is not kept any more")]
+    NotKept,
+    /// The instance that issued the ticket cannot be asked.
+    #[error("the instance that issued the ticket cannot be reached")]
+    IssuerGone,
+    /// The table of used tickets is full.
+    #[error("too many tickets are in use")]
+    TicketsFull,
+    /// No target serves the subject at present.
+    #[error("no target serves {0} at present")]
+    NoTarget(String),
+    /// The deadline cannot be met.
+    #[error("the deadline cannot be met")]
+    Late,
+    /// The client has its full share and more work waits.
+    #[error("the client's share is used up")]
+    Share,
+    /// The queue is full.
+    #[error("the queue is full")]
+    Full,
+    /// Targets refused the request before running it.
+    #[error("the target refused the request before running it")]
+    Refused,
+    /// No connection to a target could be established.
+    #[error("no connection to a target could be established")]
+    Unreachable,
+    /// The connection broke after the request was sent.
+    #[error("the connection to the target broke before the whole answer arrived")]
+    Broken,
+    /// The deadline passed after the request was sent.
+    #[error("the deadline passed before the whole answer arrived")]
+    Deadline,
+    /// Another instance reported the end of a forwarded request.
+    #[error("{0}")]
+    Forwarded(String),
+}
+
+impl Reason {
+    /// Returns the type that error bodies carry.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::NoKey => "no-key",
+            Self::UnknownKey => "unknown-key",
+            Self::Withdrawn(_) => "client-withdrawn",
+            Self::NoRoute(_) => "no-route",
+            Self::Header(_) => "malformed-header",
+            Self::Body(_) => "malformed-body",
+            Self::Large(_) => "body-too-large",
+            Self::Slow => "too-slow",
+            Self::Unconfigured => "not-configured",
+            Self::Draining => "draining",
+            Self::Residency => "residency",
+            Self::Hops => "too-many-hops",
+            Self::TicketRequired => "ticket-required",
+            Self::TicketInvalid => "ticket-invalid",
+            Self::TicketExpired => "ticket-expired",
+            Self::TicketReused => "ticket-reused",
+            Self::NotKept => "answer-not-kept",
+            Self::IssuerGone => "issuer-gone",
+            Self::TicketsFull => "too-many-tickets",
+            Self::NoTarget(_) => "no-target",
+            Self::Late => "deadline-not-feasible",
+            Self::Share => "share-used-up",
+            Self::Full => "queue-full",
+            Self::Refused => "target-refused",
+            Self::Unreachable => "target-unreachable",
+            Self::Broken => "target-lost",
+            Self::Deadline => "deadline-passed",
+            Self::Forwarded(_) => "forwarded-failed",
+        }
+    }
+
+    /// Returns the HTTP status for an outcome.
+    pub const fn status(&self, outcome: Outcome) -> u16 {
+        match self {
+            Self::NoKey | Self::UnknownKey => 401,
+            Self::Withdrawn(_) | Self::Residency => 403,
+            Self::NoRoute(_) => 404,
+            Self::Header(_) | Self::Body(_) | Self::TicketInvalid => 400,
+            Self::Slow => 408,
+            Self::TicketReused => 409,
+            Self::Large(_) => 413,
+            Self::TicketRequired => 428,
+            Self::Share | Self::Full => 429,
+            Self::Deadline => 504,
+            _ => match outcome {
+                Outcome::Unknown => 502,
+                Outcome::NotRun | Outcome::Answered => 503,
+            },
+        }
+    }
+}
+
+/// The end of a request without a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{} ({reason})", outcome.as_str())]
+pub struct Refusal {
+    /// Whether it certainly did not run.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// When to come back; `None` where coming back with the same request is of no use.
+    pub retry: Option<Duration>,
+    /// A ticket for the next try of a request that may not be repeated.
+    pub ticket: Option<String>,
+}
+
+impl Refusal {
+    /// Creates the refusal of a request that certainly did not run.
+    pub const fn not_run(reason: Reason) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            retry: None,
+            ticket: None,
+        }
+    }
+
+    /// Creates the end of a request that may have run.
+    pub const fn unknown(reason: Reason) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            reason,
+            retry: None,
+            ticket: None,
+        }
+    }
+
+    /// Says when to come back.
+    #[must_use]
+    pub const fn retry(mut self, after: Duration) -> Self {
+        self.retry = Some(after);
+        self
+    }
+
+    /// Adds a ticket for the next try.
+    #[must_use]
+    pub fn ticket(mut self, ticket: String) -> Self {
+        self.ticket = Some(ticket);
+        self
+    }
+
+    /// Returns the HTTP status.
+    pub const fn status(&self) -> u16 {
+        self.reason.status(self.outcome)
+    }
+}
