--- a/crates/zinniastall-model/src/lib.rs
+++ b/crates/zinniastall-model/src/lib.rs
@@ -7,7 +7,11 @@
 pub mod change;
 pub mod header;
 pub mod id;
+pub mod machine;
 pub mod member;
+pub mod narrow;
 pub mod object;
 pub mod place;
+pub mod reference;
 pub mod state;
+pub mod valid;
--- /dev/null
+++ b/crates/zinniastall-model/src/narrow.rs
@@ -0,0 +1,145 @@
+//! Whether a change narrows what entry instances may do.
+//!
+//! A narrowing change is accepted only once every member has confirmed it. Without that, a region
+//! that is cut off would go on serving under the old rule after the operator was told that the new
+//! one holds.
+//!
+//! What may be done is compared before and after the change, for the regions in which members run:
+//! an instance that joins later holds at least the revision of its own joining, which comes after
+//! the change in the log.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+
+use crate::{
+    id,
+    object::{Client, Key, Object, Residency, Route},
+    state::State,
+};
+
+/// Tells whether replacing an object, or deleting it with `None`, narrows.
+pub fn by_object(state: &State, key: &Key, new: Option<&Object>) -> bool {
+    let old = state.objects.get(key).map(|record| Arc::clone(&record.object));
+    match (old.as_deref(), new) {
+        (Some(Object::Client(old)), new) => client(old, as_client(new)),
+        (Some(Object::Route(old)), new) => {
+            as_route(new).is_none_or(|new| route(old, new) || shadows(state, new))
+        }
+        (None, Some(Object::Route(new))) => shadows(state, new),
+        (Some(Object::Residency(old)), new) => residency(state, Some(old), as_residency(new)),
+        (None, Some(Object::Residency(new))) => residency(state, None, Some(new)),
+        _ => false,
+    }
+}
+
+/// A client loses something when a key that was good is not good any more.
+fn client(old: &Client, new: Option<&Client>) -> bool {
+    let Some(new) = new else {
+        return !old.withdrawn;
+    };
+    let lost = |key: &String| !new.keys.contains(key);
+    !old.withdrawn && (new.withdrawn || old.keys.iter().any(lost))
+}
+
+/// A route loses something when it leads elsewhere, or when its calls may no longer be repeated:
+/// an instance that has not heard would run them twice.
+fn route(old: &Route, new: &Route) -> bool {
+    let moved = old.prefix != new.prefix || old.subject != new.subject;
+    moved || (old.idempotent && !new.idempotent)
+}
+
+/// A route whose calls may not be repeated takes calls from a shorter one whose calls may.
+fn shadows(state: &State, new: &Route) -> bool {
+    let wider = |object: &Object| match object {
+        Object::Route(other) => {
+            let covers = other.id != new.id && new.prefix.starts_with(&other.prefix);
+            covers && other.idempotent
+        }
+        _ => false,
+    };
+    let mut objects = state.objects.values();
+    !new.idempotent && objects.any(|record| wider(&record.object))
+}
+
+fn residency(state: &State, old: Option<&Residency>, new: Option<&Residency>) -> bool {
+    let mut clients: IndexSet<&str> = IndexSet::new();
+    clients.extend([old, new].into_iter().flatten().map(|rule| rule.client.as_str()));
+    clients.into_iter().any(|client| {
+        let others = others_of(state, client, old.or(new));
+        let covers = |rule: &&Residency| rule.client == client;
+        let mut before = others.clone();
+        before.extend(old.filter(covers));
+        let mut after = others;
+        after.extend(new.filter(covers));
+        takes_away(state, &before, &after)
+    })
+}
+
+fn others_of<'a>(
+    state: &'a State,
+    client: &str,
+    changed: Option<&Residency>,
+) -> Vec<&'a Residency> {
+    let is_other = |rule: &&Residency| {
+        rule.client == client && changed.is_none_or(|changed| changed.id != rule.id)
+    };
+    state.rules().filter(is_other).collect()
+}
+
+fn takes_away(state: &State, before: &[&Residency], after: &[&Residency]) -> bool {
+    // A subject that no rule names stands for all such subjects.
+    let mut subjects = IndexSet::from([""]);
+    let named = before.iter().chain(after);
+    subjects.extend(named.filter_map(|rule| rule.subject.as_deref()));
+    let regions: IndexSet<&id::Region> =
+        state.members.values().map(|member| &member.place.region).collect();
+    let lost = |subject: &str, from: &id::Region, to: &id::Region| {
+        permits(before, subject, from, to) && !permits(after, subject, from, to)
+    };
+    subjects.iter().any(|subject| {
+        let from_any = |from: &&id::Region| regions.iter().any(|to| lost(subject, from, to));
+        regions.iter().any(from_any)
+    })
+}
+
+/// Tells whether rules permit a request that one region received to run in another.
+///
+/// Without a rule only the receiving region is permitted; otherwise all matching rules must permit.
+fn permits(rules: &[&Residency], subject: &str, from: &id::Region, to: &id::Region) -> bool {
+    let covers = |rule: &&&Residency| rule.subject.as_deref().is_none_or(|own| own == subject);
+    let mut matching = rules.iter().filter(covers).peekable();
+    if matching.peek().is_none() {
+        return from == to;
+    }
+    matching.all(|rule| rule.regions.contains(to))
+}
+
+const fn as_client(object: Option<&Object>) -> Option<&Client> {
+    match object {
+        Some(Object::Client(client)) => Some(client),
+        _ => None,
+    }
+}
+
+const fn as_route(object: Option<&Object>) -> Option<&Route> {
+    match object {
+        Some(Object::Route(route)) => Some(route),
+        _ => None,
+    }
+}
+
+const fn as_residency(object: Option<&Object>) -> Option<&Residency> {
+    match object {
+        Some(Object::Residency(rule)) => Some(rule),
+        _ => None,
+    }
+}
+
+impl State {
+    fn rules(&self) -> impl Iterator<Item = &Residency> {
+        self.objects
+            .values()
+            .filter_map(|record| as_residency(Some(&record.object)))
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-model/src/reference.rs
@@ -0,0 +1,64 @@
+//! References between objects.
+
+use crate::{
+    change::Invalid,
+    object::{Key, Kind, Object, Subject},
+    state::State,
+};
+
+/// Checks that everything an object refers to exists.
+///
+/// # Errors
+///
+/// [`Invalid::Missing`] names the first that does not.
+pub fn all_exist(state: &State, object: &Object) -> Result<(), Invalid> {
+    for key in of(object) {
+        if !state.objects.contains_key(&key) {
+            return Err(Invalid::Missing(describe(&key)));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that nothing refers to an object.
+///
+/// # Errors
+///
+/// [`Invalid::Used`] names the first that does.
+pub fn none_to(state: &State, key: &Key) -> Result<(), Invalid> {
+    let refers = |object: &Object| of(object).contains(key);
+    let mut objects = state.objects.iter();
+    match objects.find(|(_, record)| refers(&record.object)) {
+        Some((user, _)) => Err(Invalid::Used(describe(user))),
+        None => Ok(()),
+    }
+}
+
+fn of(object: &Object) -> Vec<Key> {
+    let models = |names: &[String]| names.iter().map(|name| key(Kind::Model, name)).collect();
+    match object {
+        Object::Client(_) | Object::Model(_) => Vec::new(),
+        Object::Route(route) => match &route.subject {
+            Subject::Model(model) => vec![key(Kind::Model, model)],
+            Subject::Service(_) => Vec::new(),
+        },
+        Object::Adapter(adapter) => vec![key(Kind::Model, &adapter.model)],
+        Object::Residency(rule) => vec![key(Kind::Client, &rule.client)],
+        Object::Role(role) => {
+            let mut keys: Vec<Key> = models(&role.models);
+            keys.extend(role.adapters.iter().map(|name| key(Kind::Adapter, name)));
+            keys
+        }
+    }
+}
+
+fn key(kind: Kind, name: &str) -> Key {
+    Key {
+        kind,
+        name: name.to_owned(),
+    }
+}
+
+fn describe(key: &Key) -> String {
+    format!("{:?} {}", key.kind, key.name).to_lowercase()
+}
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -6,12 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    change::{Answer, Body, Change},
+    change::{Answer, Body, Change, Invalid},
     id,
     member::Member,
+    narrow,
     object::{Key, Object},
+    reference, valid,
 };
 
+/// Deleted objects whose last revision is remembered; see [`State::floor`].
+const DELETED: usize = 4096;
+/// Most entry instances.
+const MEMBERS: usize = 4096;
+/// Bytes that all objects may take, so that a whole state always fits into one frame.
+const BYTES: usize = 2 << 20;
+
 /// An object and the revision of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -43,53 +52,124 @@
     pub objects: IndexMap<Key, Record>,
     /// Entry instances that may serve.
     pub members: IndexMap<id::Instance, Member>,
+    /// Revisions at which objects were deleted, oldest first.
+    #[serde(with = "indexmap::map::serde_seq")]
+    pub deleted: IndexMap<Key, id::Revision>,
+    /// Highest revision that was dropped from [`State::deleted`].
+    ///
+    /// An absent object counts as having this revision. Otherwise a creation whose command id has
+    /// been forgotten could be resent after the object was deleted, find it absent, and create it
+    /// a second time.
+    pub floor: id::Revision,
+    /// Bytes that the objects take, roughly.
+    pub bytes: usize,
 }
 
 impl State {
     /// Applies one committed change.
     ///
-    /// Only [`Answer::Done`] moves the revision; every other answer leaves the state as it was.
+    /// Only [`Answer::Done`] moves the revision, and not even that when an instance joins that is
+    /// listed already with the same addresses; every other answer leaves the state as it was.
     pub fn apply(&mut self, change: &Change) -> Answer {
-        match &change.body {
+        let done = match &change.body {
             Body::Apply(object) => self.put(object, change.expected),
             Body::Delete(key) => self.remove(key, change.expected),
-            Body::Join(member) => {
-                self.members.insert(member.instance.clone(), member.clone());
-                self.advance(false)
-            }
-            Body::Retire(instance) => {
-                self.members.shift_remove(instance);
-                self.advance(false)
-            }
+            Body::Join(member) => self.join(member),
+            Body::Retire(instance) => self.retire(instance),
+        };
+        done.unwrap_or_else(|refused| refused)
+    }
+
+    /// Returns the revision against which a change of this object is checked.
+    ///
+    /// It is that of the last change, also when that was a deletion, and 0 for an object that was
+    /// never there.
+    pub fn current(&self, key: &Key) -> id::Revision {
+        if let Some(record) = self.objects.get(key) {
+            return record.revision;
         }
+        self.deleted.get(key).copied().unwrap_or(self.floor)
     }
 
-    fn put(&mut self, object: &Object, expected: Option<id::Revision>) -> Answer {
+    fn put(&mut self, object: &Object, expected: Option<id::Revision>) -> Result<Answer, Answer> {
         let key = object.key();
-        let current = self.objects.get(&key).map_or(0, |record| record.revision);
-        if expected.is_some_and(|expected| expected != current) {
-            return Answer::Conflict { current };
+        self.check_revision(&key, expected)?;
+        valid::object(object).map_err(Answer::Invalid)?;
+        reference::all_exist(self, object).map_err(Answer::Invalid)?;
+        let old = self.objects.get(&key).map(|record| Arc::clone(&record.object));
+        let freed = old.as_ref().map_or(0, |old| valid::size(old));
+        let bytes = self.bytes - freed + valid::size(object);
+        if bytes > BYTES {
+            return Err(Answer::Invalid(Invalid::Full));
         }
-        let answer = self.advance(false);
+        let narrows = narrow::by_object(self, &key, Some(object));
+        self.bytes = bytes;
+        self.revision += 1;
+        self.deleted.shift_remove(&key);
         let record = Record {
             revision: self.revision,
             object: Arc::new(object.clone()),
         };
         self.objects.insert(key, record);
-        answer
+        Ok(self.done(narrows))
     }
 
-    fn remove(&mut self, key: &Key, expected: Option<id::Revision>) -> Answer {
-        let current = self.objects.get(key).map_or(0, |record| record.revision);
-        if expected.is_some_and(|expected| expected != current) {
-            return Answer::Conflict { current };
-        }
+    fn remove(&mut self, key: &Key, expected: Option<id::Revision>) -> Result<Answer, Answer> {
+        self.check_revision(key, expected)?;
+        let Some(record) = self.objects.get(key) else {
+            let name = format!("{:?} {}", key.kind, key.name);
+            return Err(Answer::Invalid(Invalid::Missing(name)));
+        };
+        reference::none_to(self, key).map_err(Answer::Invalid)?;
+        let freed = valid::size(&record.object);
+        let narrows = narrow::by_object(self, key, None);
+        self.bytes -= freed;
+        self.revision += 1;
         self.objects.shift_remove(key);
-        self.advance(false)
+        self.bury(key.clone());
+        Ok(self.done(narrows))
     }
 
-    const fn advance(&mut self, narrows: bool) -> Answer {
+    fn bury(&mut self, key: Key) {
+        self.deleted.insert(key, self.revision);
+        if self.deleted.len() <= DELETED {
+            return;
+        }
+        if let Some((_, revision)) = self.deleted.shift_remove_index(0) {
+            self.floor = self.floor.max(revision);
+        }
+    }
+
+    fn join(&mut self, member: &Member) -> Result<Answer, Answer> {
+        valid::member(member).map_err(Answer::Invalid)?;
+        if self.members.get(&member.instance) == Some(member) {
+            return Ok(self.done(false));
+        }
+        if self.members.len() >= MEMBERS && !self.members.contains_key(&member.instance) {
+            return Err(Answer::Invalid(Invalid::Full));
+        }
+        self.members.insert(member.instance.clone(), member.clone());
+        self.revision += 1;
+        Ok(self.done(false))
+    }
+
+    fn retire(&mut self, instance: &str) -> Result<Answer, Answer> {
+        let Some(_) = self.members.shift_remove(instance) else {
+            return Err(Answer::Invalid(Invalid::Missing(format!("instance {instance}"))));
+        };
         self.revision += 1;
+        Ok(self.done(false))
+    }
+
+    fn check_revision(&self, key: &Key, expected: Option<id::Revision>) -> Result<(), Answer> {
+        let current = self.current(key);
+        if expected.is_some_and(|expected| expected != current) {
+            return Err(Answer::Conflict { current });
+        }
+        Ok(())
+    }
+
+    const fn done(&self, narrows: bool) -> Answer {
         Answer::Done {
             revision: self.revision,
             narrows,
--- /dev/null
+++ b/crates/zinniastall-model/src/valid.rs
@@ -0,0 +1,194 @@
+//! Checks an object by itself: its fields' form and length.
+//!
+//! Everything that enters the log is held by every instance, so each field has a bound.
+
+use crate::{
+    change::{Invalid, Origin},
+    member::Member,
+    object::{Adapter, Client, Model, Object, Residency, Role, Route},
+};
+
+/// Longest name, in bytes.
+const NAME: usize = 64;
+/// Longest command id, version, address or name of weights, in bytes.
+const TEXT: usize = 256;
+/// Most items of a list.
+const ITEMS: usize = 64;
+/// Length of a hex BLAKE3 digest.
+const DIGEST: usize = 64;
+/// Bytes counted for an object beside its text.
+const OVERHEAD: usize = 128;
+/// Greatest weight of a client.
+const WEIGHT: u32 = 1_000_000;
+
+type Verdict = Result<(), Invalid>;
+
+/// Checks an object.
+///
+/// # Errors
+///
+/// The first fault, with the name of the field.
+pub fn object(object: &Object) -> Verdict {
+    match object {
+        Object::Client(object) => client(object),
+        Object::Route(object) => route(object),
+        Object::Model(object) => model(object),
+        Object::Adapter(object) => adapter(object),
+        Object::Residency(object) => residency(object),
+        Object::Role(object) => role(object),
+    }
+}
+
+/// Checks an entry instance.
+///
+/// # Errors
+///
+/// The first fault, with the name of the field.
+pub fn member(member: &Member) -> Verdict {
+    name("instance", &member.instance)?;
+    name("region", &member.place.region)?;
+    name("zone", &member.place.zone)?;
+    text("links", &member.links)?;
+    text("callers", &member.callers)
+}
+
+/// Checks who asks.
+///
+/// # Errors
+///
+/// The first fault, with the name of the field.
+pub fn origin(origin: &Origin) -> Verdict {
+    name("command.operator", &origin.operator)?;
+    filled("command.id", &origin.command)?;
+    text("command.id", &origin.command)
+}
+
+/// Returns roughly how many bytes an object takes in a state.
+pub fn size(object: &Object) -> usize {
+    let text: usize = match object {
+        Object::Client(client) => client.id.len() + client.keys.len() * DIGEST,
+        Object::Route(route) => route.id.len() + route.prefix.len() + route.subject.name().len(),
+        Object::Model(model) => model.id.len() + model.version.len() + model.weights.len(),
+        Object::Adapter(adapter) => {
+            let of_adapter = adapter.id.len() + adapter.model.len();
+            of_adapter + adapter.version.len() + adapter.weights.len()
+        }
+        Object::Residency(rule) => rule.id.len() + rule.client.len() + total(&rule.regions),
+        Object::Role(role) => {
+            role.id.len() + role.role.len() + total(&role.models) + total(&role.adapters)
+        }
+    };
+    // The key repeats the name.
+    OVERHEAD + object.name().len() + text
+}
+
+fn total(texts: &[String]) -> usize {
+    texts.iter().map(|text| text.len() + size_of::<u64>()).sum()
+}
+
+fn client(client: &Client) -> Verdict {
+    name("client.id", &client.id)?;
+    list("client.keys", &client.keys)?;
+    for key in &client.keys {
+        let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if key.len() != DIGEST || !key.bytes().all(is_hex) {
+            return Err(Invalid::Malformed("client.keys".to_owned()));
+        }
+    }
+    if !(1..=WEIGHT).contains(&client.weight) {
+        return Err(Invalid::Malformed("client.weight".to_owned()));
+    }
+    Ok(())
+}
+
+fn route(route: &Route) -> Verdict {
+    name("route.id", &route.id)?;
+    filled("route.prefix", &route.prefix)?;
+    text("route.prefix", &route.prefix)?;
+    if !route.prefix.starts_with('/') {
+        return Err(Invalid::Malformed("route.prefix".to_owned()));
+    }
+    name("route.serves", route.subject.name())
+}
+
+fn model(model: &Model) -> Verdict {
+    name("model.id", &model.id)?;
+    text("model.version", &model.version)?;
+    text("model.weights", &model.weights)
+}
+
+fn adapter(adapter: &Adapter) -> Verdict {
+    name("adapter.id", &adapter.id)?;
+    name("adapter.model", &adapter.model)?;
+    text("adapter.version", &adapter.version)?;
+    text("adapter.weights", &adapter.weights)
+}
+
+fn residency(rule: &Residency) -> Verdict {
+    name("residency.id", &rule.id)?;
+    name("residency.client", &rule.client)?;
+    if let Some(subject) = &rule.subject {
+        name("residency.subject", subject)?;
+    }
+    if rule.regions.is_empty() {
+        return Err(Invalid::Empty("residency.regions".to_owned()));
+    }
+    names("residency.regions", &rule.regions)
+}
+
+fn role(role: &Role) -> Verdict {
+    name("role.id", &role.id)?;
+    name("role.region", &role.region)?;
+    if let Some(zone) = &role.zone {
+        name("role.zone", zone)?;
+    }
+    if let Some(target) = &role.target {
+        name("role.target", target)?;
+    }
+    if !role.role.is_empty() {
+        name("role.role", &role.role)?;
+    }
+    names("role.models", &role.models)?;
+    names("role.adapters", &role.adapters)
+}
+
+fn names(field: &str, values: &[String]) -> Verdict {
+    list(field, values)?;
+    values.iter().try_for_each(|value| name(field, value))
+}
+
+fn list(field: &str, values: &[String]) -> Verdict {
+    if values.len() > ITEMS {
+        return Err(Invalid::Long(field.to_owned()));
+    }
+    Ok(())
+}
+
+fn name(field: &str, value: &str) -> Verdict {
+    filled(field, value)?;
+    if value.len() > NAME {
+        return Err(Invalid::Long(field.to_owned()));
+    }
+    let permitted = |c: char| c.is_ascii_alphanumeric() || "._-/:@+".contains(c);
+    if !value.chars().all(permitted) {
+        return Err(Invalid::Malformed(field.to_owned()));
+    }
+    Ok(())
+}
+
+fn filled(field: &str, value: &str) -> Verdict {
+    if value.is_empty() {
+        return Err(Invalid::Empty(field.to_owned()));
+    }
+    Ok(())
+}
+
+fn text(field: &str, value: &str) -> Verdict {
+    if value.len() > TEXT {
+        return Err(Invalid::Long(field.to_owned()));
+    }
+    if value.chars().any(char::is_control) {
+        return Err(Invalid::Malformed(field.to_owned()));
+    }
+    Ok(())
+}
