--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -1,18 +1,23 @@
 //! Starts the parts of an entry instance and waits for its end.
 
-use std::{process::ExitCode, sync::Arc, time::SystemTime};
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::SystemTime};
 
 use actix::Actor;
 use actix_web::{App, HttpServer};
-use tokio::signal::unix::{SignalKind, signal};
-use zinniastall_settings::{cli, log};
-use zinniastall_wire::link;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use zinniastall_settings::{cli, log, metrics::Hub};
+use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
     callers,
+    links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
-    targets,
+    spread,
+    targets::{self, Desk},
     view::{Board, View},
 };
 
@@ -31,18 +36,36 @@
 async fn serve(settings: Entry) -> eyre::Result<()> {
     let board = Board::new(first_view(&settings));
     let publisher = Publisher::new(board.clone()).start();
-    let callers = HttpServer::new(|| App::new().configure(callers::configure))
-        .workers(settings.threads)
+    let sockets = Sockets::bind(&settings).await?;
+    let identity = sockets.identity(&settings, &board.view())?;
+    let spread = spread::start(
+        &settings,
+        identity.clone(),
+        board.clone(),
+        publisher.clone(),
+    );
+    let desk = Desk {
+        place: settings.place.clone(),
+        announced: spread.clone().recipient(),
+        left: spread.clone().recipient(),
+    };
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let threads = settings.threads;
+    let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
+        .workers(threads)
+        .max_connections((settings.limits.connections / threads).max(1))
+        .client_request_timeout(settings.limits.arrival)
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(settings.drain.as_secs())
         .disable_signals()
-        .bind(settings.listen.callers)?;
-    listening("callers", callers.addrs()[0]);
-    let targets = HttpServer::new(|| App::new().configure(targets::configure))
+        .listen(sockets.callers.into_std()?)?;
+    let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
         .workers(1)
         .disable_signals()
-        .bind(settings.listen.targets)?;
-    listening("targets", targets.addrs()[0]);
-    let links = link::listen(settings.listen.links).await?;
-    listening("links", links.local_addr()?);
+        .listen(sockets.targets.into_std()?)?;
+    let acceptors = Acceptors::new(identity).owner(Purpose::Gossip, spread::Gossip(spread.clone()));
+    actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
     let (callers_handle, targets_handle) = (callers.handle(), targets.handle());
@@ -54,15 +77,52 @@
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
+    spread.send(spread::actor::Stop).await?;
     tracing::info!(event = "stopped");
     Ok(())
 }
 
 /// Reports a bound address: with port 0 nobody could know it otherwise.
-fn listening(role: &str, address: std::net::SocketAddr) {
+fn listening(role: &str, address: SocketAddr) {
     tracing::info!(event = "listening", role, address = %address);
 }
 
+/// Sockets of an instance, bound before anything is started: each part says its addresses to others.
+struct Sockets {
+    callers: TcpListener,
+    targets: TcpListener,
+    links: TcpListener,
+}
+
+impl Sockets {
+    async fn bind(settings: &Entry) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let sockets = Self {
+            callers: link::listen(listen.callers).await?,
+            targets: link::listen(listen.targets).await?,
+            links: link::listen(listen.links).await?,
+        };
+        listening("callers", sockets.callers.local_addr()?);
+        listening("targets", sockets.targets.local_addr()?);
+        listening("links", sockets.links.local_addr()?);
+        Ok(sockets)
+    }
+
+    fn identity(&self, settings: &Entry, view: &View) -> eyre::Result<Identity> {
+        let advertise = &settings.advertise;
+        let callers = advertise.callers.unwrap_or(self.callers.local_addr()?);
+        let targets = advertise.targets.unwrap_or(self.targets.local_addr()?);
+        let links = advertise.links.unwrap_or(self.links.local_addr()?);
+        let addresses = Addresses {
+            callers: callers.to_string(),
+            targets: targets.to_string(),
+            links: links.to_string(),
+        };
+        let (instance, place) = (view.instance.clone(), view.place.clone());
+        Ok(Identity::new(instance, view.incarnation, place, addresses))
+    }
+}
+
 fn first_view(settings: &Entry) -> View {
     View {
         instance: settings.instance.clone(),
--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -1,15 +1,21 @@
 //! Links: WebSocket connections that carry frames.
 
+use std::sync::Arc;
+
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
 use tokio_tungstenite::{
     MaybeTlsStream, WebSocketStream,
-    tungstenite::{self, Message, protocol::WebSocketConfig},
+    tungstenite::{
+        self, Message,
+        protocol::{Role, WebSocketConfig},
+    },
 };
 
 use crate::{
     frame::{self, Frame},
     hello::{Hello, Purpose, Refusal, VERSION},
+    meter::Meter,
 };
 
 /// Why a link could not be opened or broke.
@@ -46,6 +52,35 @@
 pub struct Link {
     socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
     peer: Hello,
+    meter: Arc<Meter>,
+}
+
+/// A taken link on its way to another thread.
+///
+/// A socket is served by the event loop of the thread that registered it. A link that stayed
+/// registered where it was accepted would wait for control work there.
+#[derive(Debug)]
+pub struct Detached {
+    stream: std::net::TcpStream,
+    peer: Hello,
+    meter: Arc<Meter>,
+}
+
+impl Detached {
+    /// Registers the link with the calling thread's event loop.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket cannot be registered.
+    pub async fn attach(self) -> Result<Link, Error> {
+        let stream = MaybeTlsStream::Plain(TcpStream::from_std(self.stream)?);
+        let socket = WebSocketStream::from_raw_socket(stream, Role::Server, Some(config())).await;
+        Ok(Link {
+            socket,
+            peer: self.peer,
+            meter: self.meter,
+        })
+    }
 }
 
 /// Half of a link that sends.
@@ -75,7 +110,11 @@
             Frame::Refused(refusal) => return Err(refusal.into()),
             _ => return Err(Error::Handshake),
         };
-        Ok(Self { socket, peer })
+        Ok(Self {
+            socket,
+            peer,
+            meter: Arc::default(),
+        })
     }
 
     /// Takes a connection and shakes hands; `judge` decides on the other end's first frame.
@@ -106,7 +145,18 @@
                 return Err(refusal.into());
             }
         }
-        Ok(Self { socket, peer })
+        Ok(Self {
+            socket,
+            peer,
+            meter: Arc::default(),
+        })
+    }
+
+    /// Counts the link's frames on a meter from now on.
+    #[must_use]
+    pub fn meter(mut self, meter: Arc<Meter>) -> Self {
+        self.meter = meter;
+        self
     }
 
     /// Returns the other end's first frame.
@@ -119,21 +169,44 @@
         self.peer.purpose
     }
 
+    /// Takes an accepted link off this thread's event loop, right after the handshake.
+    ///
+    /// Nothing is lost: the dialling end sends nothing between its first frame and the answer to
+    /// it, and this end has read nothing since.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket cannot be taken off the event loop.
+    pub fn detach(self) -> Result<Detached, Error> {
+        let MaybeTlsStream::Plain(stream) = self.socket.into_inner() else {
+            return Err(Error::Handshake);
+        };
+        Ok(Detached {
+            stream: stream.into_std()?,
+            peer: self.peer,
+            meter: self.meter,
+        })
+    }
+
     /// Splits the link into its two directions.
     pub fn split(self) -> (Sender, Receiver) {
         let (sink, stream) = self.socket.split();
-        let sink =
-            sink.sink_map_err(Error::from)
-                .with(|frame: Frame| async move {
-                    Ok::<_, Error>(Message::Binary(frame.encode()?.into()))
-                });
-        let stream = stream.filter_map(|message| async move {
-            match message {
-                Ok(Message::Binary(bytes)) => Some(Frame::decode(&bytes).map_err(Error::from)),
+        let (sent, received) = (Arc::clone(&self.meter), self.meter);
+        let sink = sink.sink_map_err(Error::from).with(move |frame: Frame| {
+            let encoded = frame.encode().inspect(|bytes| sent.sent(bytes.len()));
+            async move { Ok::<_, Error>(Message::Binary(encoded?.into())) }
+        });
+        let stream = stream.filter_map(move |message| {
+            let frame = match message {
+                Ok(Message::Binary(bytes)) => {
+                    received.received(bytes.len());
+                    Some(Frame::decode(&bytes).map_err(Error::from))
+                }
                 Ok(Message::Close(_)) => Some(Err(Error::Closed)),
                 Ok(_) => None,
                 Err(error) => Some(Err(error.into())),
-            }
+            };
+            async move { frame }
         });
         (Box::pin(sink), Box::pin(stream))
     }
