--- a/crates/zinniastall-entry/tests/callers/bad_input.rs
+++ b/crates/zinniastall-entry/tests/callers/bad_input.rs
@@ -11,7 +11,7 @@
         #[actix_web::test]
         async fn $name() {
             let target = Fake::start(vec![Script::Write(WHOLE)]);
-            let bench = Bench::start(&[target.address]).await;
+            let bench = Bench::start(&[target.address]);
             let answer = bench.raw($request.into()).await;
             $(assert!(answer.contains($part), "no {:?} in {answer}", $part);)+
             assert_eq!(target.ran(), 0);
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -27,23 +27,24 @@
 use zinniastall_wire::gossip;
 
 /// Key of the client that every bench knows.
-pub const KEY: &str = "robot-key";
+pub(crate) const KEY: &str = "robot-key";
 /// Body of a chat completion.
-pub const CHAT: &str = r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
+pub(crate) const CHAT: &str =
+    r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
 /// Longest wait of a read in a test.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// An instance's callers' interface.
-pub struct Bench {
+pub(crate) struct Bench {
     /// Where callers reach it.
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
     _board: Board,
     handle: ServerHandle,
 }
 
 impl Bench {
     /// Starts the interface before targets at these addresses.
-    pub async fn start(targets: &[SocketAddr]) -> Self {
+    pub(crate) fn start(targets: &[SocketAddr]) -> Self {
         let settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
         let limits = Limits {
             body_bytes: 4096,
@@ -72,7 +73,7 @@
     }
 
     /// Sends raw bytes and reads until the connection closes or falls silent.
-    pub async fn raw(&self, bytes: Vec<u8>) -> String {
+    pub(crate) async fn raw(&self, bytes: Vec<u8>) -> String {
         let address = self.address;
         actix_web::rt::task::spawn_blocking(move || {
             let mut stream = TcpStream::connect(address).unwrap();
@@ -88,7 +89,7 @@
     }
 
     /// Posts a body to a path with further headers and returns the raw answer.
-    pub async fn post(&self, path: &str, headers: &str, body: &str) -> String {
+    pub(crate) async fn post(&self, path: &str, headers: &str, body: &str) -> String {
         let request = format!(
             "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
              content-length: {}\r\n{headers}\r\n{body}",
@@ -97,7 +98,7 @@
         self.raw(request.into_bytes()).await
     }
 
-    pub async fn stop(self) {
+    pub(crate) async fn stop(self) {
         self.handle.stop(false).await;
     }
 }
@@ -151,7 +152,7 @@
     Target {
         report,
         heard: Instant::now(),
-        until: Instant::now() + Duration::from_secs(3600),
+        until: Instant::now() + Duration::from_hours(1),
     }
 }
 
@@ -191,7 +192,7 @@
 
 /// What a scripted target does with a request once it has read it.
 #[derive(Debug, Clone)]
-pub enum Script {
+pub(crate) enum Script {
     /// Writes these bytes and closes the connection.
     Write(&'static str),
     /// Writes these bytes and keeps the connection open until the other end closes it.
@@ -199,17 +200,17 @@
 }
 
 /// A target that answers by script.
-pub struct Fake {
-    pub address: SocketAddr,
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
     /// Requests that it has read.
-    pub ran: Arc<AtomicUsize>,
+    pub(crate) ran: Arc<AtomicUsize>,
     /// Connections that the other end closed while the script held them.
-    pub cancelled: Arc<AtomicUsize>,
+    pub(crate) cancelled: Arc<AtomicUsize>,
 }
 
 impl Fake {
     /// Starts a target; the last script repeats.
-    pub fn start(scripts: Vec<Script>) -> Self {
+    pub(crate) fn start(scripts: Vec<Script>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (ran, cancelled) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
@@ -228,7 +229,7 @@
         fake
     }
 
-    pub fn ran(&self) -> usize {
+    pub(crate) fn ran(&self) -> usize {
         self.ran.load(Ordering::SeqCst)
     }
 }
@@ -272,7 +273,7 @@
 }
 
 /// Waits until a condition holds; the bound is generous, since the machine may be busy.
-pub async fn until(what: &str, condition: impl Fn() -> bool) {
+pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
--- a/crates/zinniastall-entry/tests/callers/outcomes.rs
+++ b/crates/zinniastall-entry/tests/callers/outcomes.rs
@@ -25,7 +25,7 @@
         async fn $name() {
             let targets: Vec<Fake> = $scripts.into_iter().map(|script| Fake::start(vec![script])).collect();
             let addresses: Vec<_> = targets.iter().map(|target| target.address).collect();
-            let bench = Bench::start(&addresses).await;
+            let bench = Bench::start(&addresses);
             let answer = bench.post("/v1/chat/completions", $headers, CHAT).await;
             $(assert!(answer.contains($part), "no {:?} in {answer}", $part);)*
             $(assert!(!answer.contains($absent), "{:?} in {answer}", $absent);)*
@@ -67,7 +67,7 @@
 #[actix_web::test]
 async fn caller_gone_cancels_at_the_target() {
     let target = Fake::start(vec![Script::Hold("")]);
-    let bench = Bench::start(&[target.address]).await;
+    let bench = Bench::start(&[target.address]);
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
          content-length: {}\r\n\r\n{CHAT}",
