--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -217,6 +217,24 @@
         .await
     }
 
+    /// Waits until an entry instance answers a chat request whole; the body is sent as it is, so
+    /// each try is a run in a ledger.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not in time.
+    pub async fn serves(&self, address: SocketAddr, key: &str, body: &Value) -> Result<()> {
+        let what = format!("{address} answering");
+        wait::until(&what, async || {
+            let request = http::post(address, "/v1/chat/completions")
+                .key(key)
+                .json(body);
+            let answer = request.send().await.ok()?;
+            (answer.status() == 200).then_some(())
+        })
+        .await
+    }
+
     /// Sets rules for the connections between nodes, by their calling and their called end; `None`
     /// leaves a connection as it is.
     pub fn links(&self, rule: impl Fn(&Node, &Node) -> Option<Rule>) {
--- /dev/null
+++ b/xtask/src/build.rs
@@ -0,0 +1,32 @@
+//! Builds the binaries that chores start.
+
+use std::{path::Path, process::Command};
+
+use zinniastall_tests::binary;
+
+/// Profile of a build.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Profile {
+    /// For a look.
+    Debug,
+}
+
+/// Builds all binaries and has the scaffolding use them.
+///
+/// # Errors
+///
+/// Fails when the build fails.
+pub(crate) fn run(root: &Path, profile: Profile) -> eyre::Result<()> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.current_dir(root);
+    command.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
+    let status = command.status()?;
+    eyre::ensure!(status.success(), "the build failed: {status}");
+    let target = std::env::var_os("CARGO_TARGET_DIR");
+    let target = target.map_or_else(|| root.join("target"), Into::into);
+    binary::use_folder(match profile {
+        Profile::Debug => target.join("debug"),
+    });
+    Ok(())
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,15 @@
-//! Chores of the workspace: `cargo xtask codegen`, `cargo xtask demo`.
+//! Chores of the workspace; `cargo xtask` lists them.
 
 use std::{path::Path, process::ExitCode};
 
+mod build;
 mod codegen;
+mod demo;
+
+const USAGE: &str = "usage: cargo xtask CHORE
+
+  demo     run the whole path with real processes
+  codegen  generate the operators' calls from their schema file";
 
 fn main() -> eyre::Result<ExitCode> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -10,11 +17,12 @@
         .ok_or_else(|| eyre::eyre!("xtask has no parent folder"))?;
     let mut arguments = lexopt::Parser::from_env();
     let Some(lexopt::Arg::Value(chore)) = arguments.next()? else {
-        eyre::bail!("usage: cargo xtask codegen");
+        eyre::bail!(USAGE);
     };
     match chore.to_str() {
         Some("codegen") => codegen::run(root)?,
-        _ => eyre::bail!("unknown chore: {}", chore.display()),
+        Some("demo") => demo::run(root)?,
+        _ => eyre::bail!("unknown chore: {}\n{USAGE}", chore.display()),
     }
     Ok(ExitCode::SUCCESS)
 }
