--- a/crates/zinniastall-api/src/lib.rs
+++ b/crates/zinniastall-api/src/lib.rs
@@ -3,6 +3,7 @@
 //! The schema is `proto/operator.proto`; `cargo xtask codegen` turns it into [`operator`]. The
 //! generated code is committed, so that building needs no generator.
 
+pub mod metadata;
 pub mod names;
 
 /// Messages, client and server of the operators' calls, generated from the schema.
--- a/crates/zinniastall-api/src/names.rs
+++ b/crates/zinniastall-api/src/names.rs
@@ -59,9 +59,9 @@
             ) -> Result<i32, D::Error> {
                 let name = String::deserialize(deserializer)?;
                 let value = $type::parse(&name);
-                value.map(Into::into).ok_or_else(|| {
-                    D::Error::custom(concat!("no such ", stringify!($module)))
-                })
+                value
+                    .map(Into::into)
+                    .ok_or_else(|| D::Error::custom(concat!("no such ", stringify!($module))))
             }
         }
     };
--- /dev/null
+++ b/crates/zinniastall-control/src/control/apply.rs
@@ -0,0 +1,134 @@
+//! Applies what is committed and publishes it.
+
+use std::sync::Arc;
+
+use zinniastall_coord::{
+    log::{Entry, Payload},
+    replica::Snapshot,
+};
+use zinniastall_model::{
+    change::{Answer, Change},
+    machine::Machine,
+};
+
+use super::{
+    Control, Failure,
+    reply::{NotLeader, Reply},
+    waiting::answer,
+};
+use crate::disk::Work;
+
+impl Control {
+    /// Applies committed entries in order.
+    pub(super) fn apply(&mut self, committed: Vec<Entry>) {
+        let count = committed.len() as u64;
+        for entry in committed {
+            let reply = match &entry.payload {
+                Payload::Noop => None,
+                Payload::Voters(_) => {
+                    self.meet();
+                    Some(Answer::Done {
+                        revision: 0,
+                        narrows: false,
+                    })
+                }
+                Payload::Command(command) => self.run(command),
+            };
+            self.answer_write(&entry, reply);
+        }
+        self.fresh += count;
+        if self.fresh >= self.settings.limits.snapshot_entries {
+            self.fresh = 0;
+            self.save_snapshot();
+        }
+    }
+
+    /// Takes a leader's snapshot in place of the whole state.
+    pub(super) fn restore(&mut self, snapshot: &Snapshot) {
+        match ciborium::from_reader::<Machine, _>(snapshot.data.as_slice()) {
+            Ok(machine) => {
+                tracing::info!(event = "snapshot-installed", index = snapshot.last.index);
+                self.machine = machine;
+                let state = Arc::clone(self.machine.state());
+                self.feed.send_modify(|feed| feed.restore(state));
+                self.waiting.skip(snapshot.last.index);
+                self.fresh = 0;
+            }
+            Err(error) => {
+                // Going on would apply later entries to a state that lacks earlier ones.
+                self.fail(Failure::Snapshot(error));
+            }
+        }
+    }
+
+    /// Publishes the configuration, if it or the connection has changed.
+    pub(super) fn publish(&self) {
+        let state = Arc::clone(self.machine.state());
+        let connected = self.is_connected();
+        self.feed.send_if_modified(|feed| {
+            let news = feed.state().revision < state.revision;
+            let changed = news || feed.is_connected() != connected;
+            feed.connect(connected);
+            if news {
+                feed.reach(state);
+            }
+            changed
+        });
+    }
+
+    /// Tells whether a leader is known here and everything known to be committed is applied.
+    fn is_connected(&self) -> bool {
+        let status = self.replica.status(std::time::Instant::now());
+        status.leader.is_some() && status.commit > 0 && status.applied >= status.commit
+    }
+
+    fn run(&mut self, command: &[u8]) -> Option<Answer> {
+        let change: Change = match ciborium::from_reader(command) {
+            Ok(change) => change,
+            Err(error) => {
+                // Every replica finds the same bytes malformed, so skipping keeps them equal.
+                tracing::error!(event = "entry-malformed", error = %error);
+                return None;
+            }
+        };
+        let before = self.machine.state().revision;
+        let answer = self.machine.apply(&change);
+        let revision = self.machine.state().revision;
+        if revision > before {
+            tracing::info!(event = "change-committed", revision);
+            self.feed.send_if_modified(|feed| {
+                feed.push(revision, Arc::new(change));
+                false
+            });
+        }
+        Some(answer)
+    }
+
+    fn answer_write(&mut self, entry: &Entry, outcome: Option<Answer>) {
+        let Some(write) = self.waiting.take(entry.index) else {
+            return;
+        };
+        if write.term != entry.term {
+            // Another leader's entry stands where this write would have stood, so it never will.
+            let reply = Reply::NotLeader(NotLeader {
+                leader: self.leader_address(),
+            });
+            answer(write.reply, reply);
+            return;
+        }
+        match outcome {
+            Some(outcome) => self.conclude(&outcome, write.wait, write.reply),
+            None => answer(write.reply, Reply::Unknown),
+        }
+    }
+
+    fn save_snapshot(&self) {
+        let mut data = Vec::new();
+        if let Err(error) = ciborium::into_writer(&self.machine, &mut data) {
+            tracing::error!(event = "snapshot-failed", error = %error);
+            return;
+        }
+        let snapshot = self.replica.snapshot(data);
+        self.disk.hand(Work::Snapshot(Box::new(snapshot)));
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/entries.rs
@@ -0,0 +1,102 @@
+//! What entry instances say: that they are there, and what is in force.
+
+use std::time::{Duration, Instant};
+
+use actix::{Context, Handler, Message};
+use tokio::sync::oneshot;
+use zinniastall_coord::replica::Part;
+use zinniastall_model::{
+    change::{Body, Change},
+    member::Member,
+};
+use zinniastall_wire::follow::Confirmation;
+
+use super::Control;
+use crate::peers;
+
+/// Time within which a joining instance is not proposed a second time.
+const JOINING: Duration = Duration::from_secs(2);
+
+/// An entry instance was heard.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum Heard {
+    /// It presented itself.
+    Member(Member),
+    /// Revisions are in force.
+    Confirmed(Vec<Confirmation>),
+}
+
+impl Handler<Heard> for Control {
+    type Result = ();
+
+    fn handle(&mut self, heard: Heard, context: &mut Context<Self>) {
+        match heard {
+            Heard::Member(member) => self.join(member),
+            Heard::Confirmed(list) => self.note_confirmed(list),
+        }
+        self.schedule(context);
+    }
+}
+
+impl Control {
+    /// Adds an entry instance, or passes it on to the leader.
+    pub(super) fn join(&mut self, member: Member) {
+        if self.machine.state().members.get(&member.instance) == Some(&member) {
+            return;
+        }
+        let now = Instant::now();
+        self.joining.retain(|_, since| now < *since + JOINING);
+        if self.joining.contains_key(&member.instance) {
+            return;
+        }
+        self.joining.insert(member.instance.clone(), now);
+        if self.part != Part::Leader {
+            self.send_leader(&peers::Message::Join(member));
+            return;
+        }
+        tracing::info!(event = "instance-joins", instance = member.instance);
+        let change = Change {
+            origin: None,
+            expected: None,
+            body: Body::Join(member),
+        };
+        let (reply, _) = oneshot::channel();
+        self.write(&change, Duration::ZERO, reply);
+    }
+
+    pub(super) fn note_confirmed(&mut self, list: Vec<Confirmation>) {
+        let now = Instant::now();
+        for confirmation in list {
+            // Only members are counted; the table would grow with every name a peer invents.
+            if self
+                .machine
+                .state()
+                .members
+                .contains_key(&confirmation.instance)
+            {
+                self.confirmed.note(confirmation, now);
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Passes what was heard since the last time on to the leader.
+    pub(super) fn pass_on_confirmations(&mut self) {
+        let state = self.machine.state();
+        self.confirmed.retain(state);
+        let news = self.confirmed.take_news();
+        if self.part != Part::Leader && !news.is_empty() {
+            self.send_leader(&peers::Message::Confirmed(news));
+        }
+    }
+
+    fn send_leader(&self, message: &peers::Message) {
+        let status = self.replica.status(Instant::now());
+        let Some(leader) = status.leader.filter(|leader| *leader != status.id) else {
+            return;
+        };
+        let address = status.voters.address(leader);
+        self.peers.send(leader, address, message);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/group.rs
@@ -0,0 +1,69 @@
+//! Changes of the control group.
+
+use std::time::{Duration, Instant};
+
+use actix::{Context, Handler, Message, MessageResult};
+use tokio::sync::oneshot;
+use zinniastall_coord::{
+    replica::Refusal,
+    voters::{Change, Fault},
+};
+
+use super::{
+    Control, Later,
+    reply::Reply,
+    waiting::{self, answer},
+};
+
+/// A change of the control group.
+#[derive(Debug, Message)]
+#[rtype(result = "Later<Reply>")]
+pub struct Regroup(pub Change);
+
+impl Handler<Regroup> for Control {
+    type Result = MessageResult<Regroup>;
+
+    fn handle(&mut self, regroup: Regroup, context: &mut Context<Self>) -> Self::Result {
+        let (reply, later) = oneshot::channel();
+        let now = Instant::now();
+        self.replica.tick(now);
+        match self.replica.propose_voters(&regroup.0, now) {
+            Ok((term, index)) => {
+                let write = waiting::Write {
+                    term,
+                    wait: Duration::ZERO,
+                    deadline: now + self.settings.limits.answer,
+                    reply,
+                };
+                self.waiting.add(index, write);
+                self.meet();
+            }
+            Err(refusal) => answer(reply, self.regroup_refused(&regroup.0, refusal)),
+        }
+        self.schedule(context);
+        MessageResult(later)
+    }
+}
+
+impl Control {
+    /// Answers a change that is in place already as done: operators resend when an answer is lost.
+    fn regroup_refused(&self, change: &Change, refusal: Refusal) -> Reply {
+        let voters = self.replica.status(Instant::now()).voters;
+        let in_place = match (change, &refusal) {
+            (Change::Admit { id, address }, Refusal::Voters(Fault::Member(_))) => {
+                voters.address(*id) == Some(address)
+            }
+            (Change::Promote { id }, Refusal::Voters(Fault::Learner(_))) => voters.is_voter(*id),
+            (Change::Remove { id }, Refusal::Voters(Fault::Unknown(_))) => !voters.is_member(*id),
+            _ => false,
+        };
+        if !in_place {
+            return self.refused(refusal);
+        }
+        Reply::Done {
+            revision: 0,
+            narrows: false,
+            waiting: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/read.rs
@@ -0,0 +1,119 @@
+//! Reads that see every change acknowledged before them.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix::{Context, Handler, Message, MessageResult};
+use tokio::sync::oneshot;
+use zinniastall_coord::replica::{Barrier, Refusal};
+use zinniastall_model::{id, state::State};
+
+use super::{Control, Later, reply::NotLeader, waiting::answer};
+
+/// Most reads that wait for a barrier at once.
+const READS: usize = 4096;
+
+/// Asks for the configuration, as late as any change acknowledged before.
+#[derive(Debug, Message)]
+#[rtype(result = "Later<Result<Look, NotLeader>>")]
+pub struct Read {
+    /// Revision whose confirmations are wanted; 0 for none.
+    pub revision: id::Revision,
+}
+
+/// What a read saw.
+#[derive(Debug, Clone)]
+pub struct Look {
+    /// Configuration.
+    pub state: Arc<State>,
+    /// Whether the revision asked for narrows.
+    pub narrows: bool,
+    /// Members that have not confirmed the revision asked for.
+    pub waiting: Vec<id::Instance>,
+}
+
+/// Reads that wait.
+#[derive(Debug, Default)]
+pub(super) struct Reads {
+    waiting: Vec<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    read: Read,
+    barrier: Option<Barrier>,
+    deadline: Instant,
+    reply: oneshot::Sender<Result<Look, NotLeader>>,
+}
+
+impl Handler<Read> for Control {
+    type Result = MessageResult<Read>;
+
+    fn handle(&mut self, read: Read, context: &mut Context<Self>) -> Self::Result {
+        let (reply, later) = oneshot::channel();
+        // The clock is read here and not when the call arrived: a process that was frozen in
+        // between must find its lease run out before it answers.
+        let now = Instant::now();
+        if self.replica.lease(now).is_some() {
+            answer(reply, Ok(self.look(&read)));
+        } else if self.reads.waiting.len() < READS {
+            let deadline = now + self.longest_read();
+            self.reads.waiting.push(Waiting {
+                read,
+                barrier: None,
+                deadline,
+                reply,
+            });
+        } else {
+            answer(reply, Err(self.not_leader()));
+        }
+        self.schedule(context);
+        MessageResult(later)
+    }
+}
+
+impl Control {
+    /// Answers the reads whose barrier has passed, and those that cannot be answered here.
+    pub(super) fn check_reads(&mut self, now: Instant) {
+        for mut waiting in std::mem::take(&mut self.reads.waiting) {
+            match self.check(&mut waiting.barrier, now) {
+                Ok(true) => answer(waiting.reply, Ok(self.look(&waiting.read))),
+                Ok(false) if now < waiting.deadline => self.reads.waiting.push(waiting),
+                Ok(false) | Err(_) => answer(waiting.reply, Err(self.not_leader())),
+            }
+        }
+    }
+
+    fn check(&mut self, barrier: &mut Option<Barrier>, now: Instant) -> Result<bool, Refusal> {
+        let barrier = match barrier {
+            Some(barrier) => *barrier,
+            None => match self.replica.barrier(now) {
+                Ok(made) => *barrier.insert(made),
+                Err(Refusal::Unready) => return Ok(false),
+                Err(refusal) => return Err(refusal),
+            },
+        };
+        self.replica.passed(&barrier)
+    }
+
+    fn look(&self, read: &Read) -> Look {
+        let state = Arc::clone(self.machine.state());
+        Look {
+            narrows: self.machine.narrows(read.revision),
+            waiting: self.confirmed.missing(&state, read.revision),
+            state,
+        }
+    }
+
+    fn not_leader(&self) -> NotLeader {
+        NotLeader {
+            leader: self.leader_address(),
+        }
+    }
+
+    fn longest_read(&self) -> Duration {
+        self.settings.timing.election * 2
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/reply.rs
@@ -0,0 +1,45 @@
+//! Answers to operators.
+
+use tokio::sync::oneshot;
+use zinniastall_coord::replica::Refusal;
+use zinniastall_model::{change::Invalid, id};
+
+/// An answer that comes later.
+pub type Later<T> = oneshot::Receiver<T>;
+
+/// This replica does not lead, or cannot be sure that it does.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("this replica does not lead")]
+pub struct NotLeader {
+    /// Address of the leader's operator interface, if it is known.
+    pub leader: Option<String>,
+}
+
+/// How a write ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// It is committed.
+    Done {
+        /// Revision that it made; 0 for a change of the group.
+        revision: id::Revision,
+        /// Whether it is accepted only once all members have confirmed it.
+        narrows: bool,
+        /// Members that have not confirmed it yet.
+        waiting: Vec<id::Instance>,
+    },
+    /// Another write came first.
+    Conflict {
+        /// Revision that the object has.
+        current: id::Revision,
+    },
+    /// The command id was used with another body.
+    Reused,
+    /// The change is not valid.
+    Invalid(Invalid),
+    /// The group refused the change; it has no effect.
+    Refused(Refusal),
+    /// This replica does not lead; the write has no effect.
+    NotLeader(NotLeader),
+    /// The write may or may not take force.
+    Unknown,
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/stop.rs
@@ -0,0 +1,70 @@
+//! Ends gracefully: passes leadership on and finishes the commands that were taken.
+
+use std::time::{Duration, Instant};
+
+use actix::{AsyncContext, Context, Handler, Message, MessageResult};
+use tokio::sync::oneshot;
+use zinniastall_coord::replica::Part;
+
+use super::{Control, Later, waiting::answer};
+
+/// Time between two looks at what is still open.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Asks to pass leadership on and to finish; answered when nothing is open any more.
+#[derive(Debug, Message)]
+#[rtype(result = "Later<()>")]
+pub struct Stop;
+
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Look {
+    deadline: Instant,
+    done: oneshot::Sender<()>,
+}
+
+impl Handler<Stop> for Control {
+    type Result = MessageResult<Stop>;
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) -> Self::Result {
+        let (done, later) = oneshot::channel();
+        let now = Instant::now();
+        let deadline = now + self.settings.limits.drain;
+        self.hand_over(now);
+        self.drive();
+        context.notify(Look { deadline, done });
+        MessageResult(later)
+    }
+}
+
+impl Handler<Look> for Control {
+    type Result = ();
+
+    fn handle(&mut self, look: Look, context: &mut Context<Self>) {
+        let now = Instant::now();
+        let leads = self.part == Part::Leader;
+        let alone = self.replica.status(now).voters.voters.len() <= 1;
+        let finished = self.waiting.is_empty() && (alone || !leads);
+        if finished || now >= look.deadline {
+            answer(look.done, ());
+            return;
+        }
+        if leads {
+            self.hand_over(now);
+            self.drive();
+        }
+        context.notify_later(look, LOOK);
+    }
+}
+
+impl Control {
+    fn hand_over(&mut self, now: Instant) {
+        match self.replica.transfer(now) {
+            Ok(successor) => {
+                let successor = format!("{successor:016x}");
+                tracing::info!(event = "leadership-passed-on", successor);
+            }
+            Err(refusal) => tracing::debug!(event = "leadership-kept", reason = %refusal),
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/waiting.rs
@@ -0,0 +1,93 @@
+//! Writes that wait for their commit.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+use zinniastall_coord::{Index, Term};
+
+use super::reply::Reply;
+
+/// A write that waits for its commit.
+#[derive(Debug)]
+pub(super) struct Write {
+    /// Term in which it was proposed.
+    pub(super) term: Term,
+    /// How long its operator waits for confirmations.
+    pub(super) wait: Duration,
+    /// When its outcome is called unknown.
+    pub(super) deadline: Instant,
+    /// Where the answer goes.
+    pub(super) reply: oneshot::Sender<Reply>,
+}
+
+/// Writes that wait for their commit, by place in the log.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    limit: usize,
+    writes: IndexMap<Index, Write>,
+}
+
+impl Waiting {
+    pub(super) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            writes: IndexMap::new(),
+        }
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.writes.len() >= self.limit
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.writes.is_empty()
+    }
+
+    pub(super) fn add(&mut self, index: Index, write: Write) {
+        if let Some(before) = self.writes.insert(index, write) {
+            // The same place was given twice: the entry of an earlier term was overwritten here.
+            answer(before.reply, Reply::Unknown);
+        }
+    }
+
+    pub(super) fn take(&mut self, index: Index) -> Option<Write> {
+        self.writes.swap_remove(&index)
+    }
+
+    /// Calls everything unknown that a snapshot has jumped over.
+    pub(super) fn skip(&mut self, last: Index) {
+        self.forget(|index, _| index <= last);
+    }
+
+    /// Brings deadlines forward, after leadership was lost.
+    ///
+    /// The next leader may still commit what is under way, and then the true answer is known soon;
+    /// an operator should not wait for the whole deadline otherwise.
+    pub(super) fn hurry(&mut self, deadline: Instant) {
+        for write in self.writes.values_mut() {
+            write.deadline = write.deadline.min(deadline);
+        }
+    }
+
+    /// Calls everything unknown whose deadline has passed.
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.forget(|_, write| write.deadline <= now);
+    }
+
+    fn forget(&mut self, lost: impl Fn(Index, &Write) -> bool) {
+        let writes = std::mem::take(&mut self.writes);
+        for (index, write) in writes {
+            if lost(index, &write) {
+                answer(write.reply, Reply::Unknown);
+            } else {
+                self.writes.insert(index, write);
+            }
+        }
+    }
+}
+
+/// Answers; nobody may be listening any more, which is the listener's choice.
+pub(super) fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    drop(reply.send(value));
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/links.rs
@@ -0,0 +1,111 @@
+//! Takes links in: judges the handshake and hands the link to its owner.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use actix::Addr;
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
+use zinniastall_wire::{
+    feed::{self, Event, Feed},
+    hello::{Hello, Purpose, Refusal},
+    link::Link,
+};
+
+use crate::{
+    control::{Control, Heard},
+    peers,
+};
+
+/// Longest time a handshake may take.
+const HANDSHAKE: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// What this instance says of itself, shared between the actor that changes it and the acceptor.
+pub type Card = Rc<RefCell<Hello>>;
+
+/// Accepts links and serves them.
+#[derive(Debug, Clone)]
+pub struct Acceptor {
+    /// What this instance says of itself.
+    pub card: Card,
+    /// The actor that owns control state.
+    pub control: Addr<Control>,
+    /// Configuration for entry instances.
+    pub feed: watch::Receiver<Feed>,
+    /// Times of replica links.
+    pub timing: peers::Timing,
+}
+
+impl Acceptor {
+    /// Accepts links for ever, at most a number of them at once.
+    pub async fn run(self, listener: TcpListener, limit: usize) {
+        let places = Arc::new(Semaphore::new(limit));
+        loop {
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+                return;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let acceptor = self.clone();
+                    actix::spawn(async move {
+                        acceptor.serve(stream).await;
+                        drop(place);
+                    });
+                }
+                Err(error) => {
+                    // Out of descriptors, most likely; without a pause this loop would spin.
+                    tracing::error!(event = "accept-failed", error = %error);
+                    time::sleep(std::time::Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: tokio::net::TcpStream) {
+        let card = Rc::clone(&self.card);
+        let judge = |peer: &Hello| judge(&card.borrow(), peer);
+        let accepted = time::timeout(HANDSHAKE, Link::accept(stream, judge)).await;
+        let link = match accepted {
+            Ok(Ok(link)) => link,
+            Ok(Err(error)) => {
+                tracing::debug!(event = "link-refused", error = %error);
+                return;
+            }
+            Err(_) => return,
+        };
+        if link.purpose() == Purpose::Replica {
+            peers::serve(link, self.timing, self.control.recipient()).await;
+        } else {
+            self.serve_follower(link).await;
+        }
+    }
+
+    async fn serve_follower(self, link: Link) {
+        let peer = link.peer().instance.clone();
+        let control = self.control;
+        let notify = |event| match event {
+            Event::Member(member) => control.do_send(Heard::Member(member)),
+            Event::Confirmed(list) => control.do_send(Heard::Confirmed(list)),
+        };
+        let ended = feed::serve(link, self.feed, notify).await;
+        if let Err(error) = ended {
+            tracing::info!(event = "follower-gone", peer, error = %error);
+        }
+    }
+}
+
+fn judge(own: &Hello, peer: &Hello) -> Result<Hello, Refusal> {
+    let strangers = matches!((&own.cluster, &peer.cluster), (Some(own), Some(peer)) if own != peer);
+    if strangers {
+        return Err(Refusal::Cluster);
+    }
+    if !matches!(peer.purpose, Purpose::Replica | Purpose::Follow) {
+        return Err(Refusal::Purpose);
+    }
+    Ok(Hello {
+        purpose: peer.purpose,
+        ..own.clone()
+    })
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/peers/message.rs
@@ -0,0 +1,41 @@
+//! What control instances say to each other.
+
+use serde::{Deserialize, Serialize};
+use zinniastall_coord::replica;
+use zinniastall_model::member::Member;
+use zinniastall_wire::follow::Confirmation;
+
+/// A message between control instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// A message of the consensus.
+    Log(Box<replica::Message>),
+    /// Shows that the dialling end lives.
+    Ping,
+    /// Answers [`Message::Ping`] on the same link.
+    Pong,
+    /// To the leader: revisions in force at the sender's followers.
+    Confirmed(Vec<Confirmation>),
+    /// To the leader: an entry instance presented itself.
+    Join(Member),
+}
+
+impl Message {
+    /// Encodes the message.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        // Writing into a vector cannot fail; an empty message would be dropped by the receiver.
+        drop(ciborium::into_writer(self, &mut bytes));
+        bytes
+    }
+
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not CBOR of a message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ciborium::de::Error<std::io::Error>> {
+        ciborium::from_reader(bytes)
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/rpc/convert.rs
@@ -0,0 +1,259 @@
+//! Between the schema's types and the model's.
+
+use tonic::Status;
+use zinniastall_api::operator as api;
+use zinniastall_model::{
+    change::{Body, Change, Origin},
+    object::{self, Key, Kind, Object, Subject},
+    state,
+};
+
+use crate::control::Reply;
+
+/// A field without which a request makes no sense.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum Fault {
+    /// The field is missing.
+    #[error("field {0} is required")]
+    Missing(&'static str),
+    /// The field does not have the right form.
+    #[error("field {0} is malformed")]
+    Malformed(&'static str),
+}
+
+impl From<Fault> for Status {
+    fn from(fault: Fault) -> Self {
+        Self::invalid_argument(fault.to_string())
+    }
+}
+
+/// Makes a change of an operator's command.
+///
+/// The expected revision is required: it is what keeps a resend from running twice after its
+/// command id has been forgotten.
+pub(super) fn change(command: Option<api::Command>, body: Body) -> Result<Change, Fault> {
+    let command = command.ok_or(Fault::Missing("command"))?;
+    let expected = command.expected.ok_or(Fault::Missing("command.expected"))?;
+    Ok(Change {
+        expected: Some(expected),
+        ..unchecked(command, body)
+    })
+}
+
+/// Makes a change of a command that names no object, such as a retirement.
+pub(super) fn unchecked(command: api::Command, body: Body) -> Change {
+    Change {
+        origin: Some(Origin {
+            operator: command.operator,
+            command: command.id,
+        }),
+        expected: None,
+        body,
+    }
+}
+
+/// Reads the kind of an object.
+pub(super) fn kind(number: i32) -> Result<Kind, Fault> {
+    match api::Kind::try_from(number) {
+        Ok(api::Kind::Client) => Ok(Kind::Client),
+        Ok(api::Kind::Route) => Ok(Kind::Route),
+        Ok(api::Kind::Model) => Ok(Kind::Model),
+        Ok(api::Kind::Adapter) => Ok(Kind::Adapter),
+        Ok(api::Kind::Residency) => Ok(Kind::Residency),
+        Ok(api::Kind::Role) => Ok(Kind::Role),
+        Ok(api::Kind::Unspecified) | Err(_) => Err(Fault::Missing("kind")),
+    }
+}
+
+/// Reads the key of an object.
+pub(super) fn key(number: i32, id: String) -> Result<Key, Fault> {
+    Ok(Key {
+        kind: kind(number)?,
+        name: id,
+    })
+}
+
+/// Reads a replica id, given as hex.
+pub(super) fn replica(id: &str) -> Result<u64, Fault> {
+    u64::from_str_radix(id, 16).map_err(|_| Fault::Malformed("replica"))
+}
+
+/// Reads an object.
+pub(super) fn object(object: Option<api::Object>) -> Result<Object, Fault> {
+    use api::object::Object as Api;
+    let object = object.and_then(|object| object.object);
+    Ok(match object.ok_or(Fault::Missing("object"))? {
+        Api::Client(client) => Object::Client(object::Client {
+            id: client.id,
+            keys: client.keys,
+            weight: client.weight.max(1),
+            withdrawn: client.withdrawn,
+        }),
+        Api::Route(route) => Object::Route(read_route(route)?),
+        Api::Model(model) => Object::Model(object::Model {
+            id: model.id,
+            version: model.version,
+            weights: model.weights,
+        }),
+        Api::Adapter(adapter) => Object::Adapter(object::Adapter {
+            id: adapter.id,
+            model: adapter.model,
+            version: adapter.version,
+            weights: adapter.weights,
+        }),
+        Api::Residency(rule) => Object::Residency(object::Residency {
+            id: rule.id,
+            client: rule.client,
+            subject: some(rule.subject),
+            regions: rule.regions,
+        }),
+        Api::Role(role) => Object::Role(object::Role {
+            id: role.id,
+            region: role.region,
+            zone: some(role.zone),
+            target: some(role.target),
+            role: role.role,
+            models: role.models,
+            adapters: role.adapters,
+        }),
+    })
+}
+
+fn read_route(route: api::Route) -> Result<object::Route, Fault> {
+    let subject = match route.serves.ok_or(Fault::Missing("route.model"))? {
+        api::route::Serves::Model(model) => Subject::Model(model),
+        api::route::Serves::Service(service) => Subject::Service(service),
+    };
+    Ok(object::Route {
+        id: route.id,
+        prefix: route.prefix,
+        subject,
+        idempotent: route.idempotent,
+    })
+}
+
+fn some(text: String) -> Option<String> {
+    (!text.is_empty()).then_some(text)
+}
+
+/// Writes a record.
+pub(super) fn record(record: &state::Record) -> api::Record {
+    api::Record {
+        revision: record.revision,
+        object: Some(api::Object {
+            object: Some(write_object(&record.object)),
+        }),
+    }
+}
+
+fn write_object(object: &Object) -> api::object::Object {
+    use api::object::Object as Api;
+    match object.clone() {
+        Object::Client(client) => Api::Client(api::Client {
+            id: client.id,
+            keys: client.keys,
+            weight: client.weight,
+            withdrawn: client.withdrawn,
+        }),
+        Object::Route(route) => Api::Route(api::Route {
+            id: route.id,
+            prefix: route.prefix,
+            idempotent: route.idempotent,
+            serves: Some(match route.subject {
+                Subject::Model(model) => api::route::Serves::Model(model),
+                Subject::Service(service) => api::route::Serves::Service(service),
+            }),
+        }),
+        Object::Model(model) => Api::Model(api::Model {
+            id: model.id,
+            version: model.version,
+            weights: model.weights,
+        }),
+        Object::Adapter(adapter) => Api::Adapter(api::Adapter {
+            id: adapter.id,
+            model: adapter.model,
+            version: adapter.version,
+            weights: adapter.weights,
+        }),
+        Object::Residency(rule) => Api::Residency(api::Residency {
+            id: rule.id,
+            client: rule.client,
+            subject: rule.subject.unwrap_or_default(),
+            regions: rule.regions,
+        }),
+        Object::Role(role) => Api::Role(api::Role {
+            id: role.id,
+            region: role.region,
+            zone: role.zone.unwrap_or_default(),
+            target: role.target.unwrap_or_default(),
+            role: role.role,
+            models: role.models,
+            adapters: role.adapters,
+        }),
+    }
+}
+
+/// Writes a deletion.
+pub(super) fn removed(key: &Key) -> api::Removed {
+    let kind = match key.kind {
+        Kind::Client => api::Kind::Client,
+        Kind::Route => api::Kind::Route,
+        Kind::Model => api::Kind::Model,
+        Kind::Adapter => api::Kind::Adapter,
+        Kind::Residency => api::Kind::Residency,
+        Kind::Role => api::Kind::Role,
+    };
+    api::Removed {
+        kind: kind.into(),
+        id: key.name.clone(),
+    }
+}
+
+/// Says whether a committed change is accepted, or still waits for confirmations.
+pub(super) const fn acceptance(narrows: bool, waiting: &[String]) -> api::Outcome {
+    if narrows && !waiting.is_empty() {
+        api::Outcome::Pending
+    } else {
+        api::Outcome::Accepted
+    }
+}
+
+/// Writes how a change ended.
+pub(super) fn response(reply: Reply) -> api::ChangeResponse {
+    use api::Outcome;
+    let empty = api::ChangeResponse::default();
+    let with = |outcome: Outcome| api::ChangeResponse {
+        outcome: outcome.into(),
+        ..empty.clone()
+    };
+    match reply {
+        Reply::Done {
+            revision,
+            narrows,
+            waiting,
+        } => api::ChangeResponse {
+            revision,
+            current: revision,
+            waiting: waiting.clone(),
+            ..with(acceptance(narrows, &waiting))
+        },
+        Reply::Conflict { current } => api::ChangeResponse {
+            current,
+            ..with(Outcome::Conflict)
+        },
+        Reply::Reused => with(Outcome::Reused),
+        Reply::Invalid(fault) => api::ChangeResponse {
+            reason: fault.to_string(),
+            ..with(Outcome::Invalid)
+        },
+        Reply::Refused(refusal) => api::ChangeResponse {
+            reason: refusal.to_string(),
+            ..with(Outcome::Invalid)
+        },
+        Reply::NotLeader(not) => api::ChangeResponse {
+            leader: not.leader.unwrap_or_default(),
+            ..with(Outcome::NotLeader)
+        },
+        Reply::Unknown => with(Outcome::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/settings.rs
@@ -0,0 +1,124 @@
+//! Settings of a control instance.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use zinniastall_coord::election::Timing;
+use zinniastall_model::{id, place::Place};
+use zinniastall_settings::{load::Settings, problem::Fault, reader::Reader};
+
+/// Settings of a control instance.
+#[derive(Debug, Clone)]
+pub struct Control {
+    /// Name of the instance.
+    pub instance: id::Instance,
+    /// Where it runs.
+    pub place: Place,
+    /// Addresses that it binds; port 0 takes any free port.
+    pub listen: Listen,
+    /// Addresses under which others reach it; the bound ones where absent.
+    pub advertise: Advertise,
+    /// Links of the other control instances, asked before a cluster is founded.
+    pub peers: Vec<SocketAddr>,
+    /// Folder that holds the log.
+    pub data: PathBuf,
+    /// Where metrics are sent.
+    pub statsd: Option<SocketAddr>,
+    /// Log level.
+    pub log: String,
+    /// Times of the consensus; the same on all control instances.
+    pub timing: Timing,
+    /// Bounds on memory and waiting.
+    pub limits: Limits,
+}
+
+/// Addresses that a control instance binds.
+#[derive(Debug, Clone)]
+pub struct Listen {
+    /// For operators, gRPC.
+    pub operators: SocketAddr,
+    /// For the system's own links.
+    pub links: SocketAddr,
+}
+
+/// Addresses under which others reach a control instance.
+#[derive(Debug, Clone)]
+pub struct Advertise {
+    /// For operators.
+    pub operators: Option<SocketAddr>,
+    /// For links.
+    pub links: Option<SocketAddr>,
+}
+
+/// Bounds on memory and waiting.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Applied entries after which a snapshot is made.
+    pub snapshot_entries: u64,
+    /// Changes kept for followers that are a little behind.
+    pub tail: usize,
+    /// Most links that entry instances and other replicas may open.
+    pub links: usize,
+    /// Most watches that operators may hold open.
+    pub watches: usize,
+    /// Most operators' calls that wait at once.
+    pub calls: usize,
+    /// Longest time an operator waits for a commit before the outcome is called unknown.
+    pub answer: Duration,
+    /// Longest time a shutdown waits for commands in progress.
+    pub drain: Duration,
+}
+
+impl Settings for Control {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            instance: reader.name("instance"),
+            place: Place::new(reader.name("region"), reader.name("zone")),
+            listen: reader.nested("listen", |reader| Listen {
+                operators: reader.address("operators"),
+                links: reader.address("links"),
+            }),
+            advertise: reader.nested("advertise", |reader| Advertise {
+                operators: reader.optional_address("operators"),
+                links: reader.optional_address("links"),
+            }),
+            peers: reader.addresses("peers"),
+            data: PathBuf::from(reader.text("data")),
+            statsd: reader.optional_address("statsd"),
+            log: reader
+                .optional_name("log")
+                .unwrap_or_else(|| "info".to_owned()),
+            timing: reader.nested("timing", read_timing),
+            limits: reader.nested("limits", read_limits),
+        }
+    }
+}
+
+fn read_timing(reader: &mut Reader<'_>) -> Timing {
+    let heartbeat = reader.millis("heartbeat_ms", 5..=10_000, 100);
+    let election = reader.millis("election_ms", 20..=60_000, 1_000);
+    let timing = Timing::new(heartbeat, election);
+    if timing.check().is_err() {
+        reader.fault(
+            "election_ms",
+            Fault::Contradiction("heartbeat_ms: at least three heartbeats must fit"),
+        );
+    }
+    timing
+}
+
+fn read_limits(reader: &mut Reader<'_>) -> Limits {
+    Limits {
+        snapshot_entries: reader.number("snapshot_entries", 16..=1_000_000, 1_024),
+        tail: count(reader.number("tail", 1..=65_536, 1_024)),
+        links: count(reader.number("links", 8..=65_536, 2_048)),
+        watches: count(reader.number("watches", 1..=4_096, 64)),
+        calls: count(reader.number("calls", 1..=65_536, 1_024)),
+        answer: reader.millis("answer_ms", 100..=600_000, 10_000),
+        drain: reader.millis("drain_ms", 100..=600_000, 10_000),
+    }
+}
+
+/// Converts a checked number; its range keeps it within `usize`.
+fn count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/crates/zinniastall-model/src/narrow.rs
+++ b/crates/zinniastall-model/src/narrow.rs
@@ -20,7 +20,10 @@
 
 /// Tells whether replacing an object, or deleting it with `None`, narrows.
 pub fn by_object(state: &State, key: &Key, new: Option<&Object>) -> bool {
-    let old = state.objects.get(key).map(|record| Arc::clone(&record.object));
+    let old = state
+        .objects
+        .get(key)
+        .map(|record| Arc::clone(&record.object));
     match (old.as_deref(), new) {
         (Some(Object::Client(old)), new) => client(old, as_client(new)),
         (Some(Object::Route(old)), new) => {
@@ -64,7 +67,12 @@
 
 fn residency(state: &State, old: Option<&Residency>, new: Option<&Residency>) -> bool {
     let mut clients: IndexSet<&str> = IndexSet::new();
-    clients.extend([old, new].into_iter().flatten().map(|rule| rule.client.as_str()));
+    clients.extend(
+        [old, new]
+            .into_iter()
+            .flatten()
+            .map(|rule| rule.client.as_str()),
+    );
     clients.into_iter().any(|client| {
         let others = others_of(state, client, old.or(new));
         let covers = |rule: &&Residency| rule.client == client;
@@ -92,8 +100,11 @@
     let mut subjects = IndexSet::from([""]);
     let named = before.iter().chain(after);
     subjects.extend(named.filter_map(|rule| rule.subject.as_deref()));
-    let regions: IndexSet<&id::Region> =
-        state.members.values().map(|member| &member.place.region).collect();
+    let regions: IndexSet<&id::Region> = state
+        .members
+        .values()
+        .map(|member| &member.place.region)
+        .collect();
     let lost = |subject: &str, from: &id::Region, to: &id::Region| {
         permits(before, subject, from, to) && !permits(after, subject, from, to)
     };
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -96,7 +96,10 @@
         self.check_revision(&key, expected)?;
         valid::object(object).map_err(Answer::Invalid)?;
         reference::all_exist(self, object).map_err(Answer::Invalid)?;
-        let old = self.objects.get(&key).map(|record| Arc::clone(&record.object));
+        let old = self
+            .objects
+            .get(&key)
+            .map(|record| Arc::clone(&record.object));
         let freed = old.as_ref().map_or(0, |old| valid::size(old));
         let bytes = self.bytes - freed + valid::size(object);
         if bytes > BYTES {
@@ -155,7 +158,9 @@
 
     fn retire(&mut self, instance: &str) -> Result<Answer, Answer> {
         let Some(_) = self.members.shift_remove(instance) else {
-            return Err(Answer::Invalid(Invalid::Missing(format!("instance {instance}"))));
+            return Err(Answer::Invalid(Invalid::Missing(format!(
+                "instance {instance}"
+            ))));
         };
         self.revision += 1;
         Ok(self.done(false))
--- /dev/null
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -0,0 +1,186 @@
+//! The sending side of a follow link, used by control instances and by relays alike.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::{sync::watch, time};
+use zinniastall_model::{change::Change, id, member::Member, state::State};
+
+use crate::{
+    follow::{Confirmation, Message},
+    frame::Frame,
+    link::{Error, Link, Receiver, Sender},
+};
+
+/// Changes of one frame; each is bounded by the checks of the model.
+const BATCH: usize = 128;
+/// Time between two signs of life.
+pub const ALIVE: Duration = Duration::from_millis(500);
+/// Time without a frame after which a follow link counts as cut.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// A configuration and how it was reached.
+#[derive(Debug, Clone)]
+pub struct Feed {
+    state: Arc<State>,
+    tail: VecDeque<(id::Revision, Arc<Change>)>,
+    keep: usize,
+    connected: bool,
+}
+
+/// What a follower says.
+#[derive(Debug)]
+pub enum Event {
+    /// It presented itself.
+    Member(Member),
+    /// Revisions are in force.
+    Confirmed(Vec<Confirmation>),
+}
+
+impl Feed {
+    /// Creates a feed that keeps a number of changes for followers that are a little behind.
+    pub fn new(state: Arc<State>, keep: usize) -> Self {
+        Self {
+            state,
+            tail: VecDeque::new(),
+            keep,
+            connected: false,
+        }
+    }
+
+    /// Returns the configuration.
+    pub const fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Tells whether the control group is reachable from here.
+    pub const fn is_connected(&self) -> bool {
+        self.connected
+    }
+
+    /// Sets whether the control group is reachable from here.
+    pub const fn connect(&mut self, connected: bool) {
+        self.connected = connected;
+    }
+
+    /// Notes a change; its configuration is set by [`Feed::reach`].
+    pub fn push(&mut self, revision: id::Revision, change: Arc<Change>) {
+        self.tail.push_back((revision, change));
+        if self.tail.len() > self.keep {
+            self.tail.pop_front();
+        }
+    }
+
+    /// Sets the configuration that the changes pushed so far made.
+    pub fn reach(&mut self, state: Arc<State>) {
+        self.state = state;
+    }
+
+    /// Takes a whole configuration, to which no changes are known.
+    pub fn restore(&mut self, state: Arc<State>) {
+        self.tail.clear();
+        self.state = state;
+    }
+
+    /// Returns the changes after a revision, or `None` when not all of them are kept.
+    pub fn after(&self, revision: id::Revision) -> Option<Vec<(id::Revision, Arc<Change>)>> {
+        if revision >= self.state.revision {
+            return Some(Vec::new());
+        }
+        let first = self.tail.front()?.0;
+        if revision + 1 < first {
+            return None;
+        }
+        let missing = self.tail.iter().filter(|(made, _)| *made > revision);
+        Some(missing.cloned().collect())
+    }
+
+    /// Returns what brings a follower up to date, and the revision that it then holds.
+    pub fn messages(&self, held: id::Revision) -> (Vec<Message>, id::Revision) {
+        let reached = held.max(self.state.revision);
+        let Some(changes) = self.after(held) else {
+            let state = Box::new(State::clone(&self.state));
+            return (vec![Message::Snapshot(state)], reached);
+        };
+        let own =
+            |(revision, change): &(id::Revision, Arc<Change>)| (*revision, Change::clone(change));
+        let batch = |part: &[_]| Message::Changes(part.iter().map(own).collect());
+        (changes.chunks(BATCH).map(batch).collect(), reached)
+    }
+
+    fn alive(&self) -> Message {
+        Message::Alive {
+            revision: self.state.revision,
+            connected: self.connected,
+        }
+    }
+}
+
+/// Serves one follower until its link breaks or falls silent.
+///
+/// # Errors
+///
+/// Says why the link ended.
+pub async fn serve(
+    link: Link,
+    mut feed: watch::Receiver<Feed>,
+    notify: impl Fn(Event),
+) -> Result<(), Error> {
+    let (mut sender, mut receiver) = link.split();
+    let mut held = None;
+    let mut alive = time::interval(ALIVE);
+    let mut silent = time::Instant::now() + SILENCE;
+    loop {
+        tokio::select! {
+            frame = receiver.next() => {
+                silent = time::Instant::now() + SILENCE;
+                match frame.ok_or(Error::Closed)?? {
+                    Frame::Follow(Message::From { revision, member }) => {
+                        held = Some(revision);
+                        member.map(Event::Member).map(&notify);
+                    }
+                    Frame::Follow(Message::Confirm(list)) => notify(Event::Confirmed(list)),
+                    _ => return Err(Error::Handshake),
+                }
+            }
+            changed = feed.changed() => changed.map_err(|_| Error::Closed)?,
+            _ = alive.tick() => {
+                let message = feed.borrow().alive();
+                send(&mut sender, message).await?;
+            }
+            // A follower confirms every second; one that does not is gone, and a link that stays
+            // open after a silent cut would hold its place until TCP gives up much later.
+            () = time::sleep_until(silent) => return Err(Error::Closed),
+        }
+        if let Some(revision) = held {
+            let (messages, reached) = feed.borrow_and_update().messages(revision);
+            held = Some(reached);
+            for message in messages {
+                send(&mut sender, message).await?;
+            }
+        }
+    }
+}
+
+/// Sends one message, unless the other end takes nothing for too long.
+///
+/// # Errors
+///
+/// [`Error::Closed`] when it takes nothing.
+pub async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
+    let sent = time::timeout(SILENCE, sender.send(Frame::Follow(message))).await;
+    sent.map_err(|_| Error::Closed)?
+}
+
+/// Receives one message, unless the other end is silent for too long.
+///
+/// # Errors
+///
+/// [`Error::Closed`] when it is silent, [`Error::Handshake`] when it sends something else.
+pub async fn receive(receiver: &mut Receiver) -> Result<Message, Error> {
+    let frame = time::timeout(SILENCE, receiver.next()).await;
+    match frame.map_err(|_| Error::Closed)?.ok_or(Error::Closed)?? {
+        Frame::Follow(message) => Ok(message),
+        _ => Err(Error::Handshake),
+    }
+}
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -32,6 +32,31 @@
     },
     /// Follower: what is in force there, and at those that follow it.
     Confirm(Vec<Confirmation>),
+    /// Control, on a link that it dialled itself: send your figures.
+    Ask,
+    /// Entry instance: its histograms.
+    Figures(Vec<Figure>),
+}
+
+/// Summary of one histogram of an entry instance; values in microseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figure {
+    /// Name, such as `request.whole`.
+    pub name: String,
+    /// Client.
+    pub client: id::Client,
+    /// Class.
+    pub class: id::Class,
+    /// Values recorded.
+    pub count: u64,
+    /// Median.
+    pub p50: u64,
+    /// 95th percentile.
+    pub p95: u64,
+    /// 99th percentile.
+    pub p99: u64,
+    /// Greatest value.
+    pub max: u64,
 }
 
 /// One instance's word that a revision is in force there.
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! each binary message is one CBOR-encoded [`frame::Frame`]. Control state and requests travel on
 //! links of their own, so that a long answer never delays a heartbeat.
 
+pub mod feed;
 pub mod follow;
 pub mod frame;
 pub mod gossip;
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -39,7 +39,8 @@
         builder = builder.field_attribute(oneof, "#[serde(flatten)]");
     }
     for (field, names) in ENUMS {
-        builder = builder.field_attribute(field, format!("#[serde(with = \"crate::names::{names}\")]"));
+        builder =
+            builder.field_attribute(field, format!("#[serde(with = \"crate::names::{names}\")]"));
     }
     builder.compile_fds(descriptors)?;
     Ok(())
