--- /dev/null
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -0,0 +1,227 @@
+//! The command line.
+
+use std::{ffi::OsString, time::Duration};
+
+use lexopt::prelude::*;
+use zinniastall_api::{
+    names::Named,
+    operator::{Command, Kind, Step},
+};
+
+use crate::{
+    call::{Call, Order, Replica, Watch},
+    input,
+};
+
+/// The help text.
+pub const HELP: &str = "\
+Drives zinniastall by its operators' calls; JSON in and out.
+
+Usage: zinniastall-ctl --address IP:PORT[,IP:PORT...] [OPTIONS] CALL
+
+Calls:
+  bootstrap                     found a cluster, once
+  apply OBJECT                  create or replace an object; OBJECT is JSON, a file, or -
+  delete KIND ID                delete an object
+  get KIND ID                   print an object and its revision
+  list KIND                     print all objects of a kind
+  watch [KIND...]               print changes as they are committed, one a line
+  status                        print how the system is
+  instance NAME                 print how an entry instance is
+  change REVISION               print who has not confirmed a change yet
+  histograms [INSTANCE]         print histograms of an entry instance or of control
+  replica admit ID IP:PORT      add a replica as a learner; IP:PORT are its links
+  replica promote ID            make a learner that has caught up a voter
+  replica remove ID             remove a replica
+  retire INSTANCE               declare an entry instance gone for certain
+
+Kinds: client, route, model, adapter, residency, role.
+
+Options:
+  --address LIST    operators' addresses of control instances; all are tried
+  --operator NAME   who asks (default: ctl)
+  --command ID      command id; a fresh one is made and printed when absent
+  --expected N      revision that the object must have, 0 when it must not exist;
+                    required with --command, otherwise the present revision is read
+  --wait MS         wait that long for all instances to confirm the change
+  --after N         watch: print changes after this revision (default: 0)
+  --count N         watch: end after that many changes
+  --timeout MS      give up after that long (default: 15000)
+  -h, --help        print this text
+  -V, --version     print the version
+
+Exit codes: 0 done or accepted, 1 failed or unreachable, 2 usage, 3 conflict, 4 pending,
+5 command id reused, 6 invalid, 7 unknown outcome (resend under the same command id).";
+
+/// Time after which a run gives up by default.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Action {
+    /// Runs one call.
+    Run(Box<Order>),
+    /// Prints the help text.
+    Help,
+    /// Prints the version.
+    Version,
+}
+
+/// Why a command line is wrong.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An option or value is not known.
+    #[error(transparent)]
+    Arguments(#[from] lexopt::Error),
+    /// No address is given.
+    #[error("--address is required")]
+    Address,
+    /// No call is given, or there is no such call.
+    #[error("no such call: {0}")]
+    Call(String),
+    /// A call lacks an argument.
+    #[error("{0} is required")]
+    Argument(&'static str),
+    /// There is no such kind.
+    #[error("no such kind: {0}")]
+    Kind(String),
+    /// There is no such step.
+    #[error("no such step: {0}; expected admit, promote or remove")]
+    Step(String),
+    /// An argument is left over.
+    #[error("unexpected argument: {0}")]
+    Left(String),
+    /// A number is malformed.
+    #[error("not a number: {0}")]
+    Number(String),
+    /// A command id without an expected revision could run twice.
+    #[error("--command needs --expected, or a late resend could run twice")]
+    Expected,
+    /// The object is wrong.
+    #[error(transparent)]
+    Object(#[from] input::Fault),
+}
+
+#[derive(Debug, Default)]
+struct Options {
+    addresses: Vec<String>,
+    operator: Option<String>,
+    command: Option<String>,
+    expected: Option<u64>,
+    wait_ms: u64,
+    after: u64,
+    count: Option<usize>,
+    timeout: Option<Duration>,
+}
+
+impl Action {
+    /// Parses arguments without the program's name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] says what is wrong.
+    pub fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Self, Error> {
+        let mut parser = lexopt::Parser::from_args(arguments);
+        let mut options = Options::default();
+        let mut words = Vec::new();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Short('h') | Long("help") => return Ok(Self::Help),
+                Short('V') | Long("version") => return Ok(Self::Version),
+                Long("address") => {
+                    let list = parser.value()?.string()?;
+                    options.addresses.extend(list.split(',').map(str::to_owned));
+                }
+                Long("operator") => options.operator = Some(parser.value()?.string()?),
+                Long("command") => options.command = Some(parser.value()?.string()?),
+                Long("expected") => options.expected = Some(parser.value()?.parse()?),
+                Long("wait") => options.wait_ms = parser.value()?.parse()?,
+                Long("after") => options.after = parser.value()?.parse()?,
+                Long("count") => options.count = Some(parser.value()?.parse()?),
+                Long("timeout") => {
+                    options.timeout = Some(Duration::from_millis(parser.value()?.parse()?));
+                }
+                Value(word) => words.push(word.string()?),
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(Self::Run(Box::new(order(options, words)?)))
+    }
+}
+
+fn order(options: Options, words: Vec<String>) -> Result<Order, Error> {
+    let call = call(&options, words)?;
+    if options.addresses.is_empty() {
+        return Err(Error::Address);
+    }
+    let checked = matches!(call, Call::Apply(_) | Call::Delete(..));
+    if checked && options.command.is_some() && options.expected.is_none() {
+        return Err(Error::Expected);
+    }
+    Ok(Order {
+        addresses: options.addresses,
+        command: Command {
+            operator: options.operator.unwrap_or_else(|| "ctl".to_owned()),
+            id: options.command.unwrap_or_else(fresh),
+            expected: options.expected,
+        },
+        wait_ms: options.wait_ms,
+        timeout: options.timeout.unwrap_or(TIMEOUT),
+        call,
+    })
+}
+
+/// Makes a command id that no other run makes.
+fn fresh() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+fn call(options: &Options, words: Vec<String>) -> Result<Call, Error> {
+    let mut words = words.into_iter();
+    let name = words.next().ok_or(Error::Argument("a call"))?;
+    let mut word = |what| words.next().ok_or(Error::Argument(what));
+    let call = match name.as_str() {
+        "bootstrap" => Call::Bootstrap,
+        "apply" => Call::Apply(input::object(&word("an object")?)?),
+        "delete" => Call::Delete(kind(&word("a kind")?)?, word("an id")?),
+        "get" => Call::Get(kind(&word("a kind")?)?, word("an id")?),
+        "list" => Call::List(kind(&word("a kind")?)?),
+        "watch" => Call::Watch(Watch {
+            kinds: words
+                .by_ref()
+                .map(|word| kind(&word))
+                .collect::<Result<_, _>>()?,
+            after: options.after,
+            count: options.count,
+        }),
+        "status" => Call::Status,
+        "instance" => Call::Instance(word("an instance")?),
+        "change" => Call::Change(number(&word("a revision")?)?),
+        "histograms" => Call::Histograms(words.next().unwrap_or_default()),
+        "replica" => replica(&mut word)?,
+        "retire" => Call::Retire(word("an instance")?),
+        _ => return Err(Error::Call(name)),
+    };
+    words.next().map_or(Ok(call), |word| Err(Error::Left(word)))
+}
+
+fn replica(word: &mut impl FnMut(&'static str) -> Result<String, Error>) -> Result<Call, Error> {
+    let name = word("a step")?;
+    let step = Step::parse(&name).filter(|step| *step != Step::Unspecified);
+    let step = step.ok_or(Error::Step(name))?;
+    let id = word("a replica id")?;
+    let address = match step {
+        Step::Admit => word("the address of its links")?,
+        _ => String::new(),
+    };
+    Ok(Call::Replica(Replica { step, id, address }))
+}
+
+fn kind(name: &str) -> Result<Kind, Error> {
+    let kind = Kind::parse(name).filter(|kind| *kind != Kind::Unspecified);
+    kind.ok_or_else(|| Error::Kind(name.to_owned()))
+}
+
+fn number(text: &str) -> Result<u64, Error> {
+    text.parse().map_err(|_| Error::Number(text.to_owned()))
+}
--- /dev/null
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -0,0 +1,191 @@
+//! Finds the replica that can answer, and sends again what got lost.
+//!
+//! A write is sent again only under the same command id, which makes a resend safe: the group
+//! answers it with what it recorded the first time.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rand::Rng;
+use tokio::time::{self, Instant};
+use tonic::{
+    Code, Status,
+    transport::{Channel, Endpoint},
+};
+use zinniastall_api::{
+    metadata,
+    operator::{ChangeResponse, Outcome, operator_client::OperatorClient},
+};
+
+/// Longest time to connect.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time of one attempt, beside what the call itself waits.
+const ATTEMPT: Duration = Duration::from_secs(3);
+/// First wait after all addresses were tried in vain.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+/// Longest wait between rounds.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// A client of one replica.
+pub type Client = OperatorClient<Channel>;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// A replica answered with a refusal that asking another one would not change.
+    #[error("{}", .0.message())]
+    Refused(Box<Status>),
+    /// Nobody could be reached, or nobody led, until the time was up.
+    #[error("no replica answered in time: {last}")]
+    Unreachable {
+        /// What the last attempt said.
+        last: String,
+        /// Whether a write may have been received by a replica.
+        sent: bool,
+    },
+}
+
+/// The control group, as a client sees it.
+#[derive(Debug)]
+pub struct Group {
+    addresses: Vec<String>,
+    deadline: Instant,
+    attempt: Duration,
+}
+
+impl Group {
+    /// Creates a group; `wait` is what the call itself may take at the replica.
+    pub fn new(addresses: Vec<String>, timeout: Duration, wait: Duration) -> Self {
+        Self {
+            addresses,
+            deadline: Instant::now() + timeout.max(wait),
+            attempt: ATTEMPT + wait,
+        }
+    }
+
+    /// Calls one replica after the other until one answers, following the hint who leads.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] when a replica refuses or the time is up.
+    pub async fn call<T: Answer>(
+        &self,
+        call: impl AsyncFn(Client) -> Result<T, Status>,
+    ) -> Result<T, Fault> {
+        let mut wait = FIRST_WAIT;
+        let mut last = "not tried".to_owned();
+        let mut sent = false;
+        while Instant::now() < self.deadline {
+            let mut round: VecDeque<String> = self.addresses.iter().cloned().collect();
+            let mut hints = self.addresses.len();
+            while let Some(address) = round.pop_front() {
+                let Some(client) = self.connect(&address).await else {
+                    last = format!("{address} cannot be reached");
+                    continue;
+                };
+                let answer = time::timeout_at(self.deadline, call(client)).await;
+                let answer = answer.unwrap_or_else(|_| Err(Status::deadline_exceeded("timeout")));
+                match judge(answer)? {
+                    Step::Done(answer) => return Ok(answer),
+                    Step::Elsewhere(Some(leader)) if hints > 0 && leader != address => {
+                        hints -= 1;
+                        round.push_front(leader);
+                        "another replica leads".clone_into(&mut last);
+                    }
+                    Step::Elsewhere(_) => "no replica leads".clone_into(&mut last),
+                    Step::Lost(reason) => {
+                        sent = true;
+                        last = format!("{address}: {reason}");
+                    }
+                }
+            }
+            time::sleep(wait.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+            wait = (wait * 2).min(LONGEST_WAIT);
+        }
+        Err(Fault::Unreachable { last, sent })
+    }
+
+    /// Connects to one replica, or says that it can't be reached.
+    pub async fn connect(&self, address: &str) -> Option<Client> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let endpoint = endpoint.connect_timeout(CONNECT).timeout(self.attempt);
+        Some(OperatorClient::new(endpoint.connect().await.ok()?))
+    }
+
+    /// Returns the addresses.
+    pub fn addresses(&self) -> &[String] {
+        &self.addresses
+    }
+}
+
+#[derive(Debug)]
+enum Step<T> {
+    Done(T),
+    Elsewhere(Option<String>),
+    Lost(String),
+}
+
+/// An answer that may say that another replica has to be asked.
+pub trait Answer: Sized {
+    /// Tells whether the replica led, and if not, which one does.
+    fn elsewhere(&self) -> Option<Option<String>> {
+        None
+    }
+
+    /// Tells whether the outcome is unknown, so that the call is to be sent again.
+    fn is_unknown(&self) -> bool {
+        false
+    }
+}
+
+impl Answer for ChangeResponse {
+    fn elsewhere(&self) -> Option<Option<String>> {
+        let leader = (!self.leader.is_empty()).then(|| self.leader.clone());
+        (self.outcome() == Outcome::NotLeader).then_some(leader)
+    }
+
+    fn is_unknown(&self) -> bool {
+        self.outcome() == Outcome::Unknown
+    }
+}
+
+macro_rules! answers {
+    ($($type:ident),*) => {
+        $(impl Answer for zinniastall_api::operator::$type {})*
+    };
+}
+
+answers!(
+    BootstrapResponse,
+    Record,
+    ListResponse,
+    SystemStatus,
+    InstanceStatus,
+    ChangeStatus,
+    HistogramsResponse
+);
+
+impl<T> Answer for tonic::Streaming<T> {}
+
+fn judge<T: Answer>(answer: Result<T, Status>) -> Result<Step<T>, Fault> {
+    match answer {
+        Ok(answer) => Ok(match answer.elsewhere() {
+            Some(leader) => Step::Elsewhere(leader),
+            None if answer.is_unknown() => Step::Lost("unknown outcome".to_owned()),
+            None => Step::Done(answer),
+        }),
+        Err(status) => match status.code() {
+            Code::FailedPrecondition => {
+                let leader = status.metadata().get(metadata::LEADER);
+                let leader = leader.and_then(|leader| leader.to_str().ok());
+                Ok(Step::Elsewhere(leader.map(str::to_owned)))
+            }
+            // The connection broke or the replica is too slow: it may have taken the call.
+            Code::Unavailable
+            | Code::Unknown
+            | Code::Cancelled
+            | Code::DeadlineExceeded
+            | Code::Internal => Ok(Step::Lost(status.message().to_owned())),
+            _ => Err(Fault::Refused(Box::new(status))),
+        },
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-ctl/src/input.rs
@@ -0,0 +1,82 @@
+//! Reads an object: JSON from the command line, a file or standard input.
+
+use std::{fs, io};
+
+use serde_json::Value;
+use zinniastall_api::operator::Object;
+
+/// Why an object can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The file or standard input can't be read.
+    #[error("{path} cannot be read: {error}")]
+    Unreadable {
+        /// What was read.
+        path: String,
+        /// Why it can't be.
+        error: io::Error,
+    },
+    /// The text is not JSON of an object.
+    #[error("not an object: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// The JSON has fields that no object has.
+    #[error("unknown field {0}")]
+    Unknown(String),
+    /// The JSON names no kind of object.
+    #[error("expected one of client, route, model, adapter, residency, role")]
+    Kind,
+}
+
+/// Reads an object from inline JSON, a file name, or `-` for standard input.
+///
+/// # Errors
+///
+/// [`Fault`] says what is wrong.
+pub fn object(argument: &str) -> Result<Object, Fault> {
+    if argument.trim_start().starts_with('{') {
+        return parse(argument);
+    }
+    let text = if argument == "-" {
+        io::read_to_string(io::stdin())
+    } else {
+        fs::read_to_string(argument)
+    };
+    let text = text.map_err(|error| Fault::Unreadable {
+        path: argument.to_owned(),
+        error,
+    })?;
+    parse(&text)
+}
+
+/// Parses the JSON of an object.
+///
+/// # Errors
+///
+/// [`Fault`] says what is wrong; an unknown field is a fault, since it is a misspelt one as a rule.
+pub fn parse(text: &str) -> Result<Object, Fault> {
+    let given: Value = serde_json::from_str(text)?;
+    let object: Object = serde_json::from_value(given.clone())?;
+    let understood = serde_json::to_value(&object)?;
+    if let Some(field) = unknown(&given, &understood, "") {
+        return Err(Fault::Unknown(field));
+    }
+    if object.object.is_none() {
+        return Err(Fault::Kind);
+    }
+    Ok(object)
+}
+
+/// Finds a field that was given and not understood.
+fn unknown(given: &Value, understood: &Value, path: &str) -> Option<String> {
+    let given = given.as_object()?;
+    for (field, value) in given {
+        let path = format!("{path}.{field}");
+        let Some(own) = understood.get(field) else {
+            return Some(path.trim_start_matches('.').to_owned());
+        };
+        if let Some(inner) = unknown(value, own, &path) {
+            return Some(inner);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/zinniastall-ctl/src/lib.rs
@@ -0,0 +1,12 @@
+//! Operators' command line: one call a run, JSON in and out.
+//!
+//! [`arguments`] reads the command line into a [`call::Call`], [`group`] finds the replica that can
+//! answer and sends again what got lost, and [`verdict`] says what the answer means for the exit
+//! code.
+
+pub mod arguments;
+pub mod call;
+pub mod group;
+pub mod input;
+pub mod run;
+pub mod verdict;
--- a/crates/zinniastall-ctl/src/main.rs
+++ b/crates/zinniastall-ctl/src/main.rs
@@ -1,3 +1,27 @@
-//! Operators' command line over the remote procedure calls.
+//! The `zinniastall-ctl` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use zinniastall_ctl::{
+    arguments::{Action, HELP},
+    run,
+    verdict::Verdict,
+};
+
+fn main() -> ExitCode {
+    match Action::parse(std::env::args_os().skip(1)) {
+        Ok(Action::Help) => print(HELP),
+        Ok(Action::Version) => print(concat!("zinniastall-ctl ", env!("CARGO_PKG_VERSION"))),
+        Ok(Action::Run(order)) => run::run(&order).into(),
+        Err(error) => {
+            eprintln!("zinniastall-ctl: {error}");
+            eprintln!("Try 'zinniastall-ctl --help'.");
+            Verdict::Usage.into()
+        }
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    println!("{text}");
+    Verdict::Accepted.into()
+}
