--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`voters`] | who votes, who learns, and single-server changes |
 //! | [`election`] | timings and the counting of votes |
 //! | [`lease`] | the time during which a leader may answer alone |
+//! | [`membership`] | which peers are alive, by evidence in both directions |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
 
@@ -20,6 +21,7 @@
 pub mod fence;
 pub mod lease;
 pub mod log;
+pub mod membership;
 pub mod replica;
 pub mod voters;
 
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -1,10 +1,17 @@
 //! What traffic threads know: an immutable view, replaced as a whole.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use zinniastall_model::{id, place::Place, state::State};
+use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
 
 /// Everything that a request's path decides on.
@@ -30,6 +37,21 @@
     pub digests: Arc<Vec<Digest>>,
 }
 
+impl View {
+    /// Returns the live instances as [`zinniastall_route::locate::locate`] wants them.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let candidate = |peer: &gossip::Peer| Candidate {
+            instance: peer.instance.clone(),
+            place: peer.place.clone(),
+            callers: peer.callers.clone(),
+            load: peer.load,
+            up: Duration::from_millis(peer.up_ms),
+            draining: peer.draining,
+        };
+        self.peers.values().map(candidate).collect()
+    }
+}
+
 /// A target and when this instance learned of it.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -54,6 +76,7 @@
 #[derive(Debug, Clone)]
 pub struct Board {
     current: Arc<ArcSwap<View>>,
+    load: Arc<AtomicU32>,
 }
 
 impl Board {
@@ -61,6 +84,7 @@
     pub fn new(view: View) -> Self {
         Self {
             current: Arc::new(ArcSwap::from_pointee(view)),
+            load: Arc::default(),
         }
     }
 
@@ -73,4 +97,14 @@
     pub fn publish(&self, view: View) {
         self.current.store(Arc::new(view));
     }
+
+    /// Returns this instance's requests in progress over what it can take, in thousandths.
+    pub fn load(&self) -> u32 {
+        self.load.load(Ordering::Relaxed)
+    }
+
+    /// Sets this instance's requests in progress over what it can take, in thousandths.
+    pub fn set_load(&self, load: u32) {
+        self.load.store(load, Ordering::Relaxed);
+    }
 }
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod gossip;
 pub mod hello;
 pub mod link;
+pub mod meter;
 pub mod stream;
