feat(ticket): issue tickets and mark them used

A ticket is authenticated by BLAKE3's keyed hash with a key made per run, so issuing keeps no state. The table of marks refuses new work when full: dropping a mark before its ticket expires would let a late resend run a second time (property test over arrivals and table sizes).

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`lease`] | the time during which a leader may answer alone |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
+//! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
 pub mod election;
@@ -21,6 +22,7 @@
 pub mod lease;
 pub mod log;
 pub mod replica;
+pub mod ticket;
 pub mod voters;
 
 pub use replica::{Cluster, Id, Index, Replica, Term};
--- /dev/null
+++ b/crates/zinniastall-coord/src/ticket/issuer.rs
@@ -0,0 +1,174 @@
+//! Makes and checks tickets.
+
+use std::time::Duration;
+
+/// Separates a ticket's fields; names of places and instances never contain it.
+const SEPARATOR: char = '~';
+/// Fields of a ticket.
+const FIELDS: usize = 7;
+/// Longest text that is looked at as a ticket, in bytes.
+const LONGEST: usize = 512;
+
+/// Who issued a ticket, as other instances find it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Address {
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Instance.
+    pub instance: String,
+    /// Run of the instance's process.
+    pub incarnation: u64,
+}
+
+impl Address {
+    /// Creates an address.
+    pub fn new(
+        region: impl Into<String>,
+        zone: impl Into<String>,
+        instance: impl Into<String>,
+        incarnation: u64,
+    ) -> Self {
+        Self {
+            region: region.into(),
+            zone: zone.into(),
+            instance: instance.into(),
+            incarnation,
+        }
+    }
+}
+
+/// What a ticket says; its text form is what travels.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// Who issued it.
+    pub issuer: Address,
+    /// Random id.
+    pub id: u64,
+    /// When it expires, on the issuer's clock. Clocks of different instances are never compared.
+    pub expiry: Duration,
+    /// Text that the authentication code covers; it names the ticket in a [`super::Marks`].
+    pub name: String,
+    code: String,
+}
+
+/// Why a ticket cannot be used here.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Invalid {
+    /// The text is not a ticket.
+    #[error("not a ticket")]
+    Malformed,
+    /// The authentication code does not fit: this issuer never made it.
+    #[error("not made by this issuer")]
+    Forged,
+    /// Another instance, or an earlier run of this one, issued it.
+    #[error("issued by {} of {}/{}", .0.instance, .0.region, .0.zone)]
+    Elsewhere(Box<Address>),
+    /// It has expired.
+    #[error("expired")]
+    Expired,
+}
+
+impl Ticket {
+    /// Reads a ticket without checking its authentication code.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid::Malformed`].
+    pub fn parse(text: &str) -> Result<Self, Invalid> {
+        if text.len() > LONGEST {
+            return Err(Invalid::Malformed);
+        }
+        let (name, code) = text.rsplit_once(SEPARATOR).ok_or(Invalid::Malformed)?;
+        let fields: Vec<_> = name.split(SEPARATOR).collect();
+        let [region, zone, instance, incarnation, id, expiry] = fields[..] else {
+            return Err(Invalid::Malformed);
+        };
+        if [region, zone, instance].contains(&"") {
+            return Err(Invalid::Malformed);
+        }
+        Ok(Self {
+            issuer: Address::new(region, zone, instance, number(incarnation)?),
+            id: number(id)?,
+            expiry: Duration::from_millis(number(expiry)?),
+            name: name.to_owned(),
+            code: code.to_owned(),
+        })
+    }
+}
+
+/// Makes and checks the tickets of one run of an instance.
+#[derive(Debug, Clone)]
+pub struct Issuer {
+    address: Address,
+    key: [u8; 32],
+    validity: Duration,
+}
+
+impl Issuer {
+    /// Creates an issuer; the key must be random and made anew for each run of the process.
+    pub const fn new(address: Address, key: [u8; 32], validity: Duration) -> Self {
+        Self {
+            address,
+            key,
+            validity,
+        }
+    }
+
+    /// Returns how long a ticket is valid.
+    pub const fn validity(&self) -> Duration {
+        self.validity
+    }
+
+    /// Makes a ticket; `now` is the time since the process started and `id` is random.
+    pub fn issue(&self, now: Duration, id: u64) -> String {
+        let Address {
+            region,
+            zone,
+            instance,
+            incarnation,
+        } = &self.address;
+        let expiry = u64::try_from((now + self.validity).as_millis()).unwrap_or(u64::MAX);
+        let parts: [String; FIELDS - 1] = [
+            region.clone(),
+            zone.clone(),
+            instance.clone(),
+            format!("{incarnation:x}"),
+            format!("{id:x}"),
+            format!("{expiry:x}"),
+        ];
+        let name = parts.join(&SEPARATOR.to_string());
+        let code = self.code(&name);
+        format!("{name}{SEPARATOR}{}", code.to_hex())
+    }
+
+    /// Checks that a ticket was made by this issuer and is valid.
+    ///
+    /// # Errors
+    ///
+    /// See [`Invalid`].
+    pub fn check(&self, text: &str, now: Duration) -> Result<Ticket, Invalid> {
+        let ticket = Ticket::parse(text)?;
+        if ticket.issuer != self.address {
+            return Err(Invalid::Elsewhere(Box::new(ticket.issuer)));
+        }
+        // Comparing hashes of this type takes the same time wherever they differ.
+        let code = blake3::Hash::from_hex(&ticket.code).map_err(|_| Invalid::Malformed)?;
+        if code != self.code(&ticket.name) {
+            return Err(Invalid::Forged);
+        }
+        if ticket.expiry <= now {
+            return Err(Invalid::Expired);
+        }
+        Ok(ticket)
+    }
+
+    fn code(&self, name: &str) -> blake3::Hash {
+        blake3::keyed_hash(&self.key, name.as_bytes())
+    }
+}
+
+fn number(text: &str) -> Result<u64, Invalid> {
+    u64::from_str_radix(text, 16).map_err(|_| Invalid::Malformed)
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/ticket/marks.rs
@@ -0,0 +1,116 @@
+//! The table of used tickets.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+/// What a ticket is used for; a second use must be the same.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Use {
+    /// Who uses it.
+    pub client: String,
+    /// Digest of the request's method, path and body.
+    pub digest: [u8; 32],
+}
+
+/// A used ticket.
+#[derive(Debug)]
+pub struct Entry<T> {
+    usage: Use,
+    until: Duration,
+    /// What the owner keeps with it, such as the answer.
+    pub record: T,
+}
+
+/// What the table says to an arrival.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict<T> {
+    /// The first use: the mark is set and the request may run.
+    First(T),
+    /// The same use again: it must not run.
+    Again(T),
+    /// The ticket was used for something else: it must not run.
+    Different,
+    /// The table is full: the request must not run.
+    Full,
+}
+
+/// The table of used tickets, bounded by number.
+///
+/// A mark is kept until its ticket has expired, because an expired ticket is refused before this
+/// table is asked. Dropping one earlier would let a late resend run a second time; when the table is full it
+/// therefore refuses new work instead of forgetting old.
+#[derive(Debug)]
+pub struct Marks<T> {
+    entries: IndexMap<String, Entry<T>>,
+    limit: usize,
+}
+
+impl<T: Clone> Marks<T> {
+    /// Creates a table that holds at most `limit` marks.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            entries: IndexMap::new(),
+            limit,
+        }
+    }
+
+    /// Marks a ticket as used; `make` creates the record of a first use.
+    ///
+    /// `until` is when the ticket expires and `now` the present, both on this instance's clock.
+    pub fn mark(
+        &mut self,
+        name: &str,
+        usage: Use,
+        until: Duration,
+        now: Duration,
+        make: impl FnOnce() -> T,
+    ) -> Verdict<T> {
+        if let Some(entry) = self.entries.get(name) {
+            return if entry.usage == usage {
+                Verdict::Again(entry.record.clone())
+            } else {
+                Verdict::Different
+            };
+        }
+        if self.entries.len() >= self.limit {
+            self.expire(now);
+        }
+        if self.entries.len() >= self.limit {
+            return Verdict::Full;
+        }
+        let record = make();
+        let entry = Entry {
+            usage,
+            until,
+            record: record.clone(),
+        };
+        self.entries.insert(name.to_owned(), entry);
+        Verdict::First(record)
+    }
+
+    /// Returns whether a ticket is marked.
+    pub fn contains(&self, name: &str) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Drops the marks of expired tickets.
+    pub fn expire(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| entry.until > now);
+    }
+
+    /// Returns the records, oldest mark first.
+    pub fn records(&self) -> impl Iterator<Item = &T> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the number of marks.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no mark.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/tests/ticket.rs
@@ -0,0 +1,116 @@
+//! Tickets run at most once, whatever arrives.
+
+use std::time::Duration;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use zinniastall_coord::ticket::{Address, Invalid, Issuer, Marks, Ticket, Use, Verdict};
+
+const SEED: u64 = 0x7a69_6e6e;
+const VALIDITY: Duration = Duration::from_mins(1);
+
+fn issuer(incarnation: u64, key: u8) -> Issuer {
+    let address = Address::new("patras", "a", "patras-a-1", incarnation);
+    Issuer::new(address, [key; 32], VALIDITY)
+}
+
+fn usage(client: &str, digest: u8) -> Use {
+    Use {
+        client: client.into(),
+        digest: [digest; 32],
+    }
+}
+
+macro_rules! rejected {
+    ($($(#[$doc:meta])* $name:ident: $change:expr => $fault:pat,)+) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let ticket = issuer(1, 1).issue(Duration::ZERO, 9);
+            let change: fn(String) -> (Issuer, String, Duration) = $change;
+            let (issuer, ticket, now) = change(ticket);
+            let fault = issuer.check(&ticket, now).unwrap_err();
+            assert!(matches!(fault, $fault), "{fault:?}");
+        }
+    )+};
+}
+
+rejected! {
+    expired: |ticket| (issuer(1, 1), ticket, VALIDITY) => Invalid::Expired,
+    // A restarted issuer has lost its marks. Taking its old tickets would run a cleaning schedule
+    // twice.
+    issued_by_earlier_run: |ticket| (issuer(2, 2), ticket, Duration::ZERO) => Invalid::Elsewhere(_),
+    other_key: |ticket| (issuer(1, 2), ticket, Duration::ZERO) => Invalid::Forged,
+    // A caller who stretches the expiry could run its request after the mark is gone.
+    stretched: |ticket| (issuer(1, 1), ticket.replace("~ea60~", "~ffffff~"), Duration::ZERO)
+        => Invalid::Forged,
+    not_a_ticket: |_| (issuer(1, 1), "a~b".into(), Duration::ZERO) => Invalid::Malformed,
+    too_long: |ticket| (issuer(1, 1), ticket + &"0".repeat(1000), Duration::ZERO)
+        => Invalid::Malformed,
+}
+
+#[test]
+fn another_use_is_refused() {
+    let mut marks = Marks::new(4);
+    let mut mark = |usage| marks.mark("t", usage, VALIDITY, Duration::ZERO, || ());
+    assert_eq!(mark(usage("a", 1)), Verdict::First(()));
+    assert_eq!(mark(usage("a", 1)), Verdict::Again(()));
+    assert_eq!(mark(usage("a", 2)), Verdict::Different);
+    assert_eq!(mark(usage("b", 1)), Verdict::Different);
+}
+
+// A burst of tickets fills the table. Forgetting the oldest mark to make room would let its resend
+// run a second time, so new work is refused until marks have expired.
+#[test]
+fn full_table_refuses_instead_of_forgetting() {
+    let mut marks = Marks::new(1);
+    let mut mark = |name, now| {
+        let until = Duration::from_secs(1);
+        marks.mark(name, usage("a", 1), until, Duration::from_secs(now), || ())
+    };
+    assert_eq!(mark("first", 0), Verdict::First(()));
+    assert_eq!(mark("second", 0), Verdict::Full);
+    assert_eq!(mark("first", 0), Verdict::Again(()));
+    assert_eq!(mark("third", 2), Verdict::First(()));
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn parsing_never_panics(text in ".{0,600}") {
+        let _ = Ticket::parse(&text);
+        prop_assert!(issuer(1, 1).check(&text, Duration::ZERO).is_err());
+    }
+
+    /// Arrivals of a few tickets at any times, checked and then marked as an issuer does: each
+    /// ticket runs at most once, however small the table is.
+    #[test]
+    fn each_ticket_runs_at_most_once(
+        arrivals in prop::collection::vec((0_u64..6, 0_u64..200), 0..60),
+        limit in 1_usize..4,
+    ) {
+        let issuer = issuer(1, 1);
+        let mut marks = Marks::new(limit);
+        let mut ran = std::collections::HashMap::new();
+        let mut arrivals = arrivals;
+        arrivals.sort_by_key(|(_, at)| *at);
+        for (id, at) in arrivals {
+            let now = Duration::from_secs(at);
+            let text = issuer.issue(Duration::from_secs(id * 20), id);
+            let Ok(ticket) = issuer.check(&text, now) else { continue };
+            let verdict = marks.mark(&ticket.name, usage("a", 1), ticket.expiry, now, || ());
+            if verdict == Verdict::First(()) {
+                *ran.entry(id).or_insert(0) += 1;
+            }
+            prop_assert!(marks.len() <= limit);
+        }
+        prop_assert!(ran.values().all(|times| *times == 1), "seed {SEED}: {ran:?}");
+    }
+}
