--- a/crates/zinniastall-route/src/lib.rs
+++ b/crates/zinniastall-route/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod dispatch;
 pub mod identify;
+pub mod locate;
 pub mod outcome;
 pub mod prefix;
 pub mod relay;
