--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -20,7 +20,10 @@
     wait,
 };
 
-/// A running process; it is killed on drop, and its log is printed when a test fails.
+/// Lines of a log that are printed.
+const PRINTED: usize = 200;
+
+/// A running process; it is killed on drop, and its log is printed unless it had ended cleanly.
 #[derive(Debug)]
 pub struct Process {
     name: String,
@@ -163,6 +166,15 @@
         self.ends().await
     }
 
+    fn print(&self) {
+        let lines = self.log.lines();
+        let skipped = lines.len().saturating_sub(PRINTED);
+        eprintln!("--- log of {}, {skipped} lines before", self.name);
+        for line in &lines[skipped..] {
+            eprintln!("{line}");
+        }
+    }
+
     fn reported(&self, role: &str) -> Option<SocketAddr> {
         let lines = self.log.events("listening");
         let line = lines
@@ -186,14 +198,13 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        let ended = self.child.try_wait().ok().flatten();
         // An ended child cannot be killed; either way nothing of it must stay behind.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if std::thread::panicking() || std::env::var_os("ZINNIASTALL_TEST_LOGS").is_some() {
-            eprintln!("--- log of {}", self.name);
-            for line in self.log.lines() {
-                eprintln!("{line}");
-            }
+        // The test harness shows this only when the test fails, by a panic or by an error.
+        if !ended.is_some_and(|status| status.success()) {
+            self.print();
         }
     }
 }
