--- /dev/null
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -0,0 +1,405 @@
+//! The codec of frames: whatever is sent arrives the same, whatever else arrives is refused.
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use zinniastall_coord::membership::Beat;
+use zinniastall_model::{
+    change::{Body, Change, Origin},
+    member::Member,
+    object::{Client, Object, Residency, Route, Subject},
+    place::Place,
+    state::State,
+};
+use zinniastall_wire::{
+    follow::{self, Confirmation, Figure},
+    frame::{Error, Frame, LIMIT, Replica},
+    gossip,
+    hello::{Hello, Purpose, Refusal, VERSION},
+    stream::{self, Failure, Open},
+};
+
+const SEED: u64 = 7;
+
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Texts of every kind: names, other scripts, control characters.
+fn text() -> impl Strategy<Value = String> {
+    prop_oneof!["[a-z0-9.-]{0,12}", "\\PC{0,8}", any::<String>()]
+}
+
+fn bytes() -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..200)
+}
+
+fn headers() -> impl Strategy<Value = Vec<(String, String)>> {
+    prop::collection::vec((text(), text()), 0..4)
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    (text(), text()).prop_map(|(region, zone)| Place { region, zone })
+}
+
+fn subject() -> impl Strategy<Value = Subject> {
+    prop_oneof![
+        text().prop_map(Subject::Model),
+        text().prop_map(Subject::Service)
+    ]
+}
+
+fn member() -> impl Strategy<Value = Member> {
+    (text(), place(), text(), text()).prop_map(|(instance, place, links, callers)| Member {
+        instance,
+        place,
+        links,
+        callers,
+    })
+}
+
+fn object() -> impl Strategy<Value = Object> {
+    prop_oneof![
+        (text(), any::<u32>(), any::<bool>()).prop_map(|(id, weight, withdrawn)| {
+            Object::Client(Client {
+                keys: vec![id.clone()],
+                id,
+                weight,
+                withdrawn,
+            })
+        }),
+        (text(), subject(), any::<bool>()).prop_map(|(id, subject, idempotent)| {
+            Object::Route(Route {
+                prefix: format!("/{id}"),
+                id,
+                subject,
+                idempotent,
+            })
+        }),
+        (text(), prop::option::of(text())).prop_map(|(id, subject)| {
+            Object::Residency(Residency {
+                client: id.clone(),
+                regions: vec![id.clone()],
+                id,
+                subject,
+            })
+        }),
+    ]
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let body = prop_oneof![
+        object().prop_map(Body::Apply),
+        object().prop_map(|object| Body::Delete(object.key())),
+        member().prop_map(Body::Join),
+        text().prop_map(Body::Retire),
+    ];
+    let origin = prop::option::of((text(), text()));
+    (origin, any::<Option<u64>>(), body).prop_map(|(origin, expected, body)| Change {
+        origin: origin.map(|(operator, command)| Origin { operator, command }),
+        expected,
+        body,
+    })
+}
+
+fn state() -> impl Strategy<Value = State> {
+    prop::collection::vec(change(), 0..6).prop_map(|changes| {
+        let mut state = State::default();
+        for change in &changes {
+            state.apply(change);
+        }
+        state
+    })
+}
+
+fn hello() -> impl Strategy<Value = Hello> {
+    let purpose = prop_oneof![
+        Just(Purpose::Replica),
+        Just(Purpose::Follow),
+        Just(Purpose::Gossip),
+        Just(Purpose::Stream),
+    ];
+    let names = (prop::option::of(text()), text(), text(), text());
+    (purpose, names, any::<u64>(), place()).prop_map(|(purpose, names, incarnation, place)| Hello {
+        version: VERSION,
+        purpose,
+        cluster: names.0,
+        instance: names.1,
+        incarnation,
+        place,
+        links: names.2,
+        service: names.3,
+    })
+}
+
+fn follow() -> impl Strategy<Value = follow::Message> {
+    use follow::Message;
+    let confirmation = (text(), any::<u64>(), any::<u64>(), any::<bool>()).prop_map(
+        |(instance, incarnation, revision, draining)| Confirmation {
+            instance,
+            incarnation,
+            revision,
+            draining,
+        },
+    );
+    let figure = (text(), any::<[u64; 5]>()).prop_map(|(name, values)| Figure {
+        client: name.clone(),
+        class: name.clone(),
+        name,
+        count: values[0],
+        p50: values[1],
+        p95: values[2],
+        p99: values[3],
+        max: values[4],
+    });
+    prop_oneof![
+        (any::<u64>(), prop::option::of(member()))
+            .prop_map(|(revision, member)| Message::From { revision, member }),
+        state().prop_map(|state| Message::Snapshot(Box::new(state))),
+        prop::collection::vec((any::<u64>(), change()), 0..4).prop_map(Message::Changes),
+        (any::<u64>(), any::<bool>()).prop_map(|(revision, connected)| Message::Alive {
+            revision,
+            connected
+        }),
+        prop::collection::vec(confirmation, 0..4).prop_map(Message::Confirm),
+        Just(Message::Ask),
+        prop::collection::vec(figure, 0..4).prop_map(Message::Figures),
+    ]
+}
+
+fn target() -> impl Strategy<Value = gossip::Target> {
+    let numbers = (any::<u64>(), any::<u32>(), -1e9..1e9, any::<bool>());
+    let prefixes = prop::collection::vec(any::<u64>(), 0..8);
+    (text(), place(), subject(), numbers, prefixes).prop_map(
+        |(target, place, subject, (number, count, price, flag), prefixes)| gossip::Target {
+            incarnation: number,
+            sequence: number,
+            place,
+            address: target.clone(),
+            kind: target.clone(),
+            role: target.clone(),
+            serves: vec![gossip::Serving {
+                subject,
+                version: target.clone(),
+                adapters: vec![target.clone()],
+            }],
+            target,
+            slots: count,
+            busy: count,
+            price,
+            leaving: flag,
+            left_ms: number,
+            prefixes,
+            gap: flag,
+        },
+    )
+}
+
+fn digest() -> impl Strategy<Value = gossip::Digest> {
+    let numbers = (any::<u64>(), any::<u32>(), -1e9..1e9);
+    (place(), subject(), text(), numbers).prop_map(
+        |(place, subject, role, (number, count, price))| gossip::Digest {
+            place,
+            subject,
+            maker: (role.clone(), number, number),
+            role,
+            slots: count,
+            free: count,
+            wait_ms: number,
+            price,
+            age_ms: number,
+        },
+    )
+}
+
+fn gossip() -> impl Strategy<Value = gossip::Message> {
+    use gossip::Message;
+    let load = (any::<[u64; 3]>(), any::<u32>(), bytes()).prop_map(|(numbers, busy, added)| {
+        gossip::Load {
+            tag: numbers[0],
+            sequence: numbers[1],
+            busy,
+            left_ms: numbers[2],
+            added: added.into_iter().map(u64::from).collect(),
+        }
+    });
+    let heartbeat =
+        (any::<[u64; 3]>(), any::<bool>(), any::<u32>()).prop_map(|(numbers, draining, load)| {
+            gossip::Heartbeat {
+                beat: Beat {
+                    incarnation: numbers[0],
+                    sequence: numbers[1],
+                    echo: None,
+                },
+                revision: numbers[2],
+                draining,
+                load,
+            }
+        });
+    let peer = (text(), place(), any::<u64>(), any::<bool>()).prop_map(
+        |(instance, place, number, draining)| gossip::Peer {
+            incarnation: number,
+            place,
+            links: instance.clone(),
+            callers: instance.clone(),
+            targets: instance.clone(),
+            instance,
+            draining,
+            load: 0,
+            up_ms: number,
+        },
+    );
+    prop_oneof![
+        heartbeat.prop_map(Message::Heartbeat),
+        prop::collection::vec(peer, 0..4).prop_map(Message::Peers),
+        any::<u64>().prop_map(Message::Stale),
+        prop::collection::vec(target(), 0..4).prop_map(Message::Targets),
+        prop::collection::vec(load, 0..4).prop_map(Message::Loads),
+        prop::collection::vec(digest(), 0..4).prop_map(Message::Digests),
+    ]
+}
+
+fn open() -> impl Strategy<Value = Open> {
+    let names = (text(), text(), text(), prop::option::of(text()));
+    let lists = (prop::collection::vec(place(), 0..3), headers(), bytes());
+    (names, lists, subject(), any::<[u64; 3]>(), any::<bool>()).prop_map(
+        |(names, (hops, headers, body), subject, numbers, idempotent)| Open {
+            stream: numbers[0],
+            request: names.0.clone(),
+            hops,
+            revision: numbers[1],
+            client: names.1.clone(),
+            class: names.2.clone(),
+            subject,
+            regions: vec![names.0],
+            idempotent,
+            ticket: names.3,
+            left_ms: numbers[2],
+            method: names.1,
+            path: names.2,
+            headers,
+            body,
+        },
+    )
+}
+
+fn stream() -> impl Strategy<Value = stream::Message> {
+    use stream::Message;
+    let failure = prop_oneof![
+        (text(), any::<u64>()).prop_map(|(reason, retry_ms)| Failure::NotRun { reason, retry_ms }),
+        text().prop_map(|reason| Failure::Unknown { reason }),
+    ];
+    prop_oneof![
+        open().prop_map(|open| Message::Open(Box::new(open))),
+        (any::<u64>(), any::<u16>(), headers()).prop_map(|(stream, status, headers)| {
+            Message::Head {
+                stream,
+                status,
+                headers,
+            }
+        }),
+        (any::<u64>(), any::<u64>(), bytes()).prop_map(|(stream, offset, bytes)| Message::Data {
+            stream,
+            offset,
+            bytes,
+        }),
+        (any::<u64>(), any::<u64>()).prop_map(|(stream, length)| Message::End { stream, length }),
+        (any::<u64>(), failure).prop_map(|(stream, failure)| Message::Failed { stream, failure }),
+        any::<u64>().prop_map(|stream| Message::Cancel { stream }),
+        (any::<u64>(), any::<u64>()).prop_map(|(stream, bytes)| Message::Credit { stream, bytes }),
+    ]
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    let refusal = prop_oneof![
+        Just(Refusal::Version),
+        Just(Refusal::Cluster),
+        Just(Refusal::Stale),
+        Just(Refusal::Purpose),
+        Just(Refusal::Full),
+    ];
+    prop_oneof![
+        hello().prop_map(Frame::Hello),
+        refusal.prop_map(Frame::Refused),
+        (any::<u64>(), any::<u64>(), bytes())
+            .prop_map(|(from, to, message)| { Frame::Replica(Replica { from, to, message }) }),
+        follow().prop_map(Frame::Follow),
+        gossip().prop_map(Frame::Gossip),
+        stream().prop_map(Frame::Stream),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn every_frame_arrives_as_it_was_sent(frame in frame()) {
+        let bytes = frame.encode().unwrap();
+        prop_assert_eq!(Frame::decode(&bytes).unwrap(), frame);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in bytes()) {
+        let _ = Frame::decode(&bytes);
+    }
+
+    #[test]
+    fn cut_frames_are_refused(frame in frame(), cut in any::<prop::sample::Index>()) {
+        let bytes = frame.encode().unwrap();
+        let cut = &bytes[..cut.index(bytes.len())];
+        prop_assert!(matches!(Frame::decode(cut), Err(Error::Malformed(_))));
+    }
+
+    #[test]
+    fn changed_bytes_never_panic(
+        frame in frame(),
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = frame.encode().unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let _ = Frame::decode(&bytes);
+    }
+}
+
+#[test]
+fn frames_over_the_limit_are_refused_at_both_ends() {
+    let frame = Frame::Replica(Replica {
+        from: 1,
+        to: 2,
+        message: vec![0; LIMIT],
+    });
+    assert!(matches!(frame.encode(), Err(Error::Long(_))));
+    assert!(matches!(
+        Frame::decode(&vec![0; LIMIT + 1]),
+        Err(Error::Long(_))
+    ));
+}
+
+#[test]
+fn a_length_that_lies_takes_no_memory() {
+    // A byte string that claims to be 2^62 bytes long, inside a frame of a few bytes.
+    let mut bytes = Frame::Replica(Replica {
+        from: 1,
+        to: 2,
+        message: vec![],
+    })
+    .encode()
+    .unwrap();
+    bytes.pop();
+    bytes.extend([0x5b, 0x40, 0, 0, 0, 0, 0, 0, 0]);
+    assert!(matches!(Frame::decode(&bytes), Err(Error::Malformed(_))));
+}
+
+#[test]
+fn deep_nesting_is_refused() {
+    // Lists within lists, as many as a frame has room for: a decoder that recurses for each would
+    // run out of stack and take the process with it.
+    assert!(Frame::decode(&vec![0x81; LIMIT]).is_err());
+}
