--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`membership`] | which peers are alive, by evidence in both directions |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
+//! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
 pub mod election;
@@ -23,6 +24,7 @@
 pub mod log;
 pub mod membership;
 pub mod replica;
+pub mod ticket;
 pub mod voters;
 
 pub use replica::{Cluster, Id, Index, Replica, Term};
