--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -32,6 +32,7 @@
 use zinniastall_store::Store;
 use zinniastall_wire::feed::Feed;
 
+pub(crate) use self::found::FOUNDING;
 pub use self::{
     confirmed::Confirmed,
     entries::Heard,
--- a/crates/zinniastall-control/src/control/entries.rs
+++ b/crates/zinniastall-control/src/control/entries.rs
@@ -15,7 +15,7 @@
 use crate::peers;
 
 /// Time within which a joining instance is not proposed a second time.
-const JOINING: Duration = Duration::from_secs(2);
+const JOINING: Duration = Duration::from_millis(500);
 
 /// An entry instance was heard.
 #[derive(Debug, Message)]
@@ -50,11 +50,11 @@
         if self.joining.contains_key(&member.instance) {
             return;
         }
-        self.joining.insert(member.instance.clone(), now);
         if self.part != Part::Leader {
             self.send_leader(&peers::Message::Join(member));
             return;
         }
+        self.joining.insert(member.instance.clone(), now);
         tracing::info!(event = "instance-joins", instance = member.instance);
         let change = Change {
             origin: None,
--- a/crates/zinniastall-control/src/control/found.rs
+++ b/crates/zinniastall-control/src/control/found.rs
@@ -12,7 +12,7 @@
 
 /// What a founding instance says in place of its cluster, so that two that are told to found at
 /// the same time both refuse instead of founding two clusters.
-const FOUNDING: &str = "founding";
+pub(crate) const FOUNDING: &str = "founding";
 
 /// Founds a cluster on this replica.
 #[derive(Debug, Message)]
@@ -117,9 +117,13 @@
     fn rebuild(&mut self, restored: Restored) -> Founded {
         let cluster = restored.cluster.map(hex).unwrap_or_default();
         let id = self.replica.id();
-        let built = Replica::builder(id, self.settings.timing)
+        // Nobody else can lead a cluster of one, so there is nothing to wait for.
+        let timing = self.settings.timing;
+        let now = std::time::Instant::now();
+        let waited = now.checked_sub(timing.election * 2).unwrap_or(now);
+        let built = Replica::builder(id, timing)
             .restored(restored)
-            .build(std::time::Instant::now());
+            .build(waited);
         // The same timings built the replica before, so they fit.
         if let Ok(replica) = built {
             self.replica = replica;
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    control::{Control, Heard},
+    control::{Control, FOUNDING, Heard},
     peers,
 };
 
@@ -85,9 +85,14 @@
     async fn serve_follower(self, link: Link) {
         let peer = link.peer().instance.clone();
         let control = self.control;
-        let notify = |event| match event {
-            Event::Member(member) => control.do_send(Heard::Member(member)),
-            Event::Confirmed(list) => control.do_send(Heard::Confirmed(list)),
+        let notify = |event| {
+            match event {
+                Event::Member(member) => control.do_send(Heard::Member(member)),
+                Event::Confirmed(list) => control.do_send(Heard::Confirmed(list)),
+                // Operators ask control for its figures; on a link nobody does.
+                Event::Asked => {}
+            }
+            None
         };
         let ended = feed::serve(link, self.feed, notify).await;
         if let Err(error) = ended {
@@ -101,7 +106,16 @@
     if strangers {
         return Err(Refusal::Cluster);
     }
-    if !matches!(peer.purpose, Purpose::Replica | Purpose::Follow) {
+    // Before the founding there is nothing to follow, and a follower would not learn the cluster.
+    let serves = match peer.purpose {
+        Purpose::Replica => true,
+        Purpose::Follow => own
+            .cluster
+            .as_deref()
+            .is_some_and(|cluster| cluster != FOUNDING),
+        Purpose::Gossip | Purpose::Stream => false,
+    };
+    if !serves {
         return Err(Refusal::Purpose);
     }
     Ok(Hello {
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -12,7 +12,7 @@
 use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
-    callers,
+    callers, follow,
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
@@ -64,7 +64,16 @@
         .workers(1)
         .disable_signals()
         .listen(sockets.targets.into_std()?)?;
-    let acceptors = Acceptors::new(identity).owner(Purpose::Gossip, spread::Gossip(spread.clone()));
+    let follow = follow::start(
+        &settings,
+        identity.clone(),
+        board.clone(),
+        publisher.clone(),
+        hub.clone(),
+    );
+    let acceptors = Acceptors::new(identity)
+        .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
+        .owner(Purpose::Follow, follow);
     actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
--- /dev/null
+++ b/crates/zinniastall-entry/src/follow/choice.rs
@@ -0,0 +1,130 @@
+//! Which sources an instance follows, in which order.
+//!
+//! Two instances of each zone, its relays, follow control; the zone's others follow the relays.
+//! Every instance computes the same relays from the same set of live peers, so there is nothing to
+//! agree on, and when a relay is lost the next in rank takes its place. While views differ there
+//! may be a few relays more or fewer, which costs a link and nothing else.
+
+use indexmap::IndexMap;
+use zinniastall_model::{id, place::Place};
+use zinniastall_wire::gossip::Peer;
+
+/// Relays of a zone.
+const RELAYS: usize = 2;
+
+/// Somewhere to get configuration from.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// A control instance's links.
+    Control(String),
+    /// An entry instance's links.
+    Entry(String),
+}
+
+impl Source {
+    /// Returns the address to dial.
+    pub fn address(&self) -> &str {
+        match self {
+            Self::Control(address) | Self::Entry(address) => address,
+        }
+    }
+
+    /// Tells whether it is a control instance.
+    pub const fn is_control(&self) -> bool {
+        matches!(self, Self::Control(_))
+    }
+}
+
+/// What the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// This instance.
+    pub instance: &'a id::Instance,
+    /// Where it runs.
+    pub place: &'a Place,
+    /// Entry instances that are alive.
+    pub peers: &'a IndexMap<id::Instance, Peer>,
+    /// Links of control instances.
+    pub control: &'a [String],
+}
+
+impl Choice<'_> {
+    /// Tells whether this instance is one of its zone's relays.
+    pub fn is_relay(&self) -> bool {
+        self.relays(self.place).contains(&self.instance.as_str())
+    }
+
+    /// Returns the sources to try, best first.
+    ///
+    /// Whoever can't reach its best sources goes on to all others: relays of its own zone first,
+    /// then of other zones, so that a zone which is cut off from control still hears what a
+    /// neighbour has heard.
+    pub fn sources(&self) -> Vec<Source> {
+        let near = self.entries(|place| place == self.place);
+        let far = self.entries(|place| place != self.place);
+        let control = self.control();
+        if self.is_relay() {
+            [control, near, far].concat()
+        } else {
+            [near, control, far].concat()
+        }
+    }
+
+    /// Returns all live entry instances, for a start while control can't be reached.
+    pub fn everyone(&self) -> Vec<Source> {
+        let others = self
+            .peers
+            .values()
+            .filter(|peer| peer.instance != *self.instance);
+        others
+            .map(|peer| Source::Entry(peer.links.clone()))
+            .collect()
+    }
+
+    fn control(&self) -> Vec<Source> {
+        let mut control = self.control.to_vec();
+        // Each instance begins elsewhere, so that control instances share the links.
+        control.sort_by_key(|address| rank(&[self.instance, address]));
+        control.into_iter().map(Source::Control).collect()
+    }
+
+    fn entries(&self, wanted: impl Fn(&Place) -> bool) -> Vec<Source> {
+        let mut places: Vec<&Place> = self.peers.values().map(|peer| &peer.place).collect();
+        places.sort_unstable();
+        places.dedup();
+        let mut relays: Vec<&str> = places
+            .into_iter()
+            .filter(|place| wanted(place))
+            .flat_map(|place| self.relays(place))
+            .filter(|relay| relay != self.instance)
+            .collect();
+        relays.sort_by_key(|relay| rank(&[self.instance, relay]));
+        let address = |relay: &str| Some(Source::Entry(self.peers.get(relay)?.links.clone()));
+        relays.into_iter().filter_map(address).collect()
+    }
+
+    fn relays(&self, place: &Place) -> Vec<&str> {
+        let mut zone: Vec<&str> = self
+            .peers
+            .values()
+            .filter(|peer| peer.place == *place && !peer.draining)
+            .map(|peer| peer.instance.as_str())
+            .collect();
+        if place == self.place && !zone.contains(&self.instance.as_str()) {
+            zone.push(self.instance);
+        }
+        zone.sort_by_key(|instance| rank(&[&place.region, &place.zone, instance]));
+        zone.truncate(RELAYS);
+        zone
+    }
+}
+
+/// Ranks by highest random weight, which moves as little as possible when the set changes.
+fn rank(parts: &[&str]) -> [u8; blake3::OUT_LEN] {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.finalize().into()
+}
--- a/crates/zinniastall-entry/src/publish.rs
+++ b/crates/zinniastall-entry/src/publish.rs
@@ -44,6 +44,11 @@
     pub connected: bool,
 }
 
+/// The configuration no longer lists this instance, which therefore must not serve.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Unlisted;
+
 /// The set of live entry instances changed.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -83,6 +88,15 @@
     }
 }
 
+impl Handler<Unlisted> for Publisher {
+    type Result = ();
+
+    fn handle(&mut self, _: Unlisted, _: &mut Context<Self>) {
+        self.view.state = None;
+        self.publish();
+    }
+}
+
 impl Handler<Peers> for Publisher {
     type Result = ();
 
--- a/crates/zinniastall-entry/src/settings.rs
+++ b/crates/zinniastall-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use zinniastall_model::{id, place::Place};
 use zinniastall_settings::{load::Settings, reader::Reader};
 
-use crate::spread;
+use crate::{follow, spread};
 
 /// Settings of an entry instance.
 #[derive(Debug, Clone)]
@@ -32,6 +32,8 @@
     pub threads: usize,
     /// Bounds on what callers may send.
     pub limits: Limits,
+    /// Following of the control log.
+    pub follow: follow::settings::Follow,
     /// Membership, targets' leases and digests.
     pub spread: spread::settings::Spread,
     /// Longest time that a shutdown waits for requests in progress and for tickets.
@@ -97,6 +99,7 @@
                 .unwrap_or_else(|| "info".to_owned()),
             threads: count(reader.number("threads", 1..=256, 2)),
             limits: reader.nested("limits", read_limits),
+            follow: reader.nested("follow", follow::settings::read),
             spread: reader.nested("spread", spread::settings::Spread::read),
             drain: reader.millis("drain_ms", 100..=3_600_000, 300_000),
         }
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -35,6 +35,8 @@
     Member(Member),
     /// Revisions are in force.
     Confirmed(Vec<Confirmation>),
+    /// It asks for figures; the answer is [`Message::Figures`].
+    Asked,
 }
 
 impl Feed {
@@ -116,7 +118,7 @@
     }
 }
 
-/// Serves one follower until its link breaks or falls silent.
+/// Serves one follower until its link breaks or falls silent; `notify` may return an answer.
 ///
 /// # Errors
 ///
@@ -124,7 +126,7 @@
 pub async fn serve(
     link: Link,
     mut feed: watch::Receiver<Feed>,
-    notify: impl Fn(Event),
+    notify: impl Fn(Event) -> Option<Message>,
 ) -> Result<(), Error> {
     let (mut sender, mut receiver) = link.split();
     let mut held = None;
@@ -134,13 +136,14 @@
         tokio::select! {
             frame = receiver.next() => {
                 silent = time::Instant::now() + SILENCE;
-                match frame.ok_or(Error::Closed)?? {
-                    Frame::Follow(Message::From { revision, member }) => {
-                        held = Some(revision);
-                        member.map(Event::Member).map(&notify);
-                    }
-                    Frame::Follow(Message::Confirm(list)) => notify(Event::Confirmed(list)),
-                    _ => return Err(Error::Handshake),
+                let Frame::Follow(message) = frame.ok_or(Error::Closed)?? else {
+                    return Err(Error::Handshake);
+                };
+                if let Message::From { revision, .. } = &message {
+                    held = Some(*revision);
+                }
+                if let Some(answer) = event(message)?.and_then(&notify) {
+                    send(&mut sender, answer).await?;
                 }
             }
             changed = feed.changed() => changed.map_err(|_| Error::Closed)?,
@@ -162,6 +165,16 @@
     }
 }
 
+fn event(message: Message) -> Result<Option<Event>, Error> {
+    match message {
+        Message::From { member, .. } => Ok(member.map(Event::Member)),
+        Message::Present(member) => Ok(Some(Event::Member(member))),
+        Message::Confirm(list) => Ok(Some(Event::Confirmed(list))),
+        Message::Ask => Ok(Some(Event::Asked)),
+        _ => Err(Error::Handshake),
+    }
+}
+
 /// Sends one message, unless the other end takes nothing for too long.
 ///
 /// # Errors
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -32,6 +32,8 @@
     },
     /// Follower: what is in force there, and at those that follow it.
     Confirm(Vec<Confirmation>),
+    /// Relay: an instance presented itself that follows the relay.
+    Present(Member),
     /// Control, on a link that it dialled itself: send your figures.
     Ask,
     /// Entry instance: its histograms.
