--- a/crates/zinniastall-control/tests/settings.rs
+++ b/crates/zinniastall-control/tests/settings.rs
@@ -15,7 +15,15 @@
         "listen":{"operators":"localhost","links":"127.0.0.1:0"},
         "timing":{"heartbeat_ms":100,"election_ms":200}}"#;
     let problems = parse::<Control>(text).unwrap_err();
-    let paths: Vec<&str> = problems.iter().map(|problem| problem.path.as_str()).collect();
-    let expected = ["instance", "listen.operators", "timing.election_ms", "extra"];
+    let paths: Vec<&str> = problems
+        .iter()
+        .map(|problem| problem.path.as_str())
+        .collect();
+    let expected = [
+        "instance",
+        "listen.operators",
+        "timing.election_ms",
+        "extra",
+    ];
     assert_eq!(paths, expected);
 }
--- a/crates/zinniastall-ctl/src/arguments.rs
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -44,6 +44,7 @@
   --expected N      revision that the object must have, 0 when it must not exist;
                     required with --command, otherwise the present revision is read
   --wait MS         wait that long for all instances to confirm the change
+  --local           status: as the first replica that answers sees it, not the leader
   --after N         watch: print changes after this revision (default: 0)
   --count N         watch: end after that many changes
   --timeout MS      give up after that long (default: 15000)
@@ -110,6 +111,7 @@
     expected: Option<u64>,
     wait_ms: u64,
     after: u64,
+    local: bool,
     count: Option<usize>,
     timeout: Option<Duration>,
 }
@@ -136,6 +138,7 @@
                 Long("command") => options.command = Some(parser.value()?.string()?),
                 Long("expected") => options.expected = Some(parser.value()?.parse()?),
                 Long("wait") => options.wait_ms = parser.value()?.parse()?,
+                Long("local") => options.local = true,
                 Long("after") => options.after = parser.value()?.parse()?,
                 Long("count") => options.count = Some(parser.value()?.parse()?),
                 Long("timeout") => {
@@ -194,7 +197,9 @@
             after: options.after,
             count: options.count,
         }),
-        "status" => Call::Status,
+        "status" => Call::Status {
+            local: options.local,
+        },
         "instance" => Call::Instance(word("an instance")?),
         "change" => Call::Change(number(&word("a revision")?)?),
         "histograms" => Call::Histograms(words.next().unwrap_or_default()),
--- a/crates/zinniastall-ctl/src/call.rs
+++ b/crates/zinniastall-ctl/src/call.rs
@@ -18,7 +18,10 @@
     /// Prints changes as they are committed.
     Watch(Watch),
     /// Prints how the system is.
-    Status,
+    Status {
+        /// Whether the first replica that answers is asked, instead of the leader.
+        local: bool,
+    },
     /// Prints how an entry instance is.
     Instance(String),
     /// Prints where a change is in force.
--- a/crates/zinniastall-ctl/src/run.rs
+++ b/crates/zinniastall-ctl/src/run.rs
@@ -74,7 +74,7 @@
             Ok(show(&group.call(unwrapped(call)).await?))
         }
         Call::Watch(watch) => follow(&group, watch).await,
-        Call::Status => status(&group).await,
+        Call::Status { local } => status(&group, *local).await,
         Call::Instance(instance) => {
             let call = async |mut client: Client| {
                 let instance = instance.clone();
@@ -208,9 +208,12 @@
 }
 
 /// Prints the status as the leader sees it, or as the first that answers sees it.
-async fn status(group: &Group) -> Result<Verdict, Fault> {
+async fn status(group: &Group, local: bool) -> Result<Verdict, Fault> {
     let call = async |mut client: Client| client.status(StatusRequest {}).await;
     let first = group.call(unwrapped(call)).await?;
+    if local {
+        return Ok(show(&first));
+    }
     let leader = [first.leader.clone()];
     let others = group.addresses().iter().chain(&leader);
     for address in others.filter(|address| !address.is_empty()) {
--- a/tests/src/cluster/found.rs
+++ b/tests/src/cluster/found.rs
@@ -1,9 +1,11 @@
-//! Founds a cluster's control group.
+//! Founds a cluster's control group, and repairs it.
+
+use serde_json::Value;
 
 use super::Cluster;
-use crate::{ctl, error::Result};
+use crate::{ctl, error::Result, wait};
 
-/// Founds the group on the first replica.
+/// Founds the group on the first replica and takes the others in.
 ///
 /// # Errors
 ///
@@ -11,5 +13,93 @@
 pub(super) async fn found(cluster: &Cluster) -> Result<()> {
     let operators = cluster.operators();
     ctl::run(&operators[..1], &["bootstrap"]).await?.json()?;
+    let names: Vec<String> = cluster.controls.keys().skip(1).cloned().collect();
+    for name in names {
+        cluster.enlist(&name).await?;
+    }
     Ok(())
 }
+
+impl Cluster {
+    /// Takes a fresh control replica in: admits it, and promotes it once it has caught up. Returns
+    /// its id.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is refused, or does not catch up in time.
+    pub async fn enlist(&self, name: &str) -> Result<String> {
+        let id = self.replica_id(name).await?;
+        let links = self.controls[name].address("links")?.to_string();
+        self.ctl(&["replica", "admit", &id, &links]).await?.json()?;
+        let what = format!("{name} caught up");
+        wait::until(&what, async || {
+            let run = self.ctl(&["replica", "promote", &id]).await.ok()?;
+            run.json().ok()
+        })
+        .await?;
+        Ok(id)
+    }
+
+    /// Returns the replica id of a control replica, as it says itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn replica_id(&self, name: &str) -> Result<String> {
+        let links = self.controls[name].address("links")?.to_string();
+        let status = self.status_of(name).await?;
+        let replicas = status["replicas"].as_array().cloned().unwrap_or_default();
+        let own = |replica: &&Value| replica["address"] == links && replica["heard_ms"] == 0;
+        let own = replicas.iter().find(own).cloned().unwrap_or_default();
+        Ok(own["id"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// Returns the status as one control replica sees it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn status_of(&self, name: &str) -> Result<Value> {
+        let address = self.controls[name].address("operators")?;
+        let arguments = ["--local", "--timeout", "3000", "status"];
+        ctl::run(&[address], &arguments).await?.json()
+    }
+
+    /// Waits until one control replica leads, and returns its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none does in time.
+    pub async fn leader(&self) -> Result<String> {
+        wait::until("a leader", async || self.leader_now().await).await
+    }
+
+    /// Waits until a control replica other than these leads, and returns its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none does in time.
+    pub async fn leader_besides(&self, others: &[&str]) -> Result<String> {
+        wait::until("another leader", async || {
+            let leader = self.leader_now().await?;
+            (!others.contains(&leader.as_str())).then_some(leader)
+        })
+        .await
+    }
+
+    async fn leader_now(&self) -> Option<String> {
+        let status = self
+            .ctl(&["--timeout", "3000", "status"])
+            .await
+            .ok()?
+            .json()
+            .ok()?;
+        let leader = status["leader"].as_str()?;
+        let mut controls = self.controls.iter();
+        let leads = |(_, node): &(&String, &crate::node::Node)| {
+            node.address("operators")
+                .is_ok_and(|own| own.to_string() == leader)
+        };
+        controls.find(leads).map(|(name, _)| name.clone())
+    }
+}
