--- /dev/null
+++ b/crates/zinniastall-coord/src/digest.rs
@@ -0,0 +1,44 @@
+//! Digests: small facts about groups of instances, flooded to everybody and aged out when late.
+//!
+//! A *maker* speaks for a group, such as an availability zone. It numbers its items; an item holds
+//! until a later one of the same key. So that a fact that stays the same costs next to nothing, the
+//! maker sends only what changed, and from time to time one [`Renewal`]: "all that I have sent up
+//! to this number still holds". [`Table`] keeps the newest item of each key and stops believing it
+//! when neither it nor a renewal has come for a while. [`Outbox`] holds what a link still has to
+//! carry, newest only, so that a slow link or a spent [`Bucket`] delays facts but never queues old
+//! ones. [`overlay`] says who passes on to whom.
+//!
+//! A renewal must never vouch for an item that its receiver doesn't have. Therefore an outbox
+//! holds a renewal back until all items of its maker have gone out on that link, and links deliver
+//! in order.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use zinniastall_coord::digest::{Author, Table};
+//!
+//! let now = Instant::now();
+//! let mut author = Author::new("entry-1", 1);
+//! let mut table = Table::new(Duration::from_secs(10));
+//! let item = author.make("zone-a", Some(12)).expect("first value");
+//! assert!(author.make("zone-a", Some(12)).is_none(), "unchanged values cost nothing");
+//! assert!(table.take(item, now));
+//! assert_eq!(table.fresh(now).count(), 1);
+//!
+//! let later = now + Duration::from_secs(8);
+//! assert!(table.renew(&author.renewal(), later));
+//! assert_eq!(table.fresh(later + Duration::from_secs(8)).count(), 1);
+//! assert_eq!(table.fresh(later + Duration::from_secs(11)).count(), 0);
+//! ```
+
+mod author;
+mod bucket;
+mod outbox;
+pub mod overlay;
+mod table;
+
+pub use author::Author;
+pub use bucket::Bucket;
+pub use outbox::{Batch, Outbox};
+pub use table::{Fresh, Item, Renewal, Table};
--- /dev/null
+++ b/crates/zinniastall-coord/src/digest/bucket.rs
@@ -0,0 +1,53 @@
+//! A budget of bytes a second.
+
+use std::time::{Duration, Instant};
+
+/// Longest time for which an unspent budget is kept.
+const SAVED: Duration = Duration::from_secs(2);
+
+/// A token bucket that may go into debt.
+///
+/// What must be sent, such as heartbeats, is charged whatever the balance is. What can wait is sent
+/// only out of a positive balance, so that it gives way to what can't.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    balance: f64,
+    refilled: Instant,
+}
+
+impl Bucket {
+    /// Creates a full bucket.
+    pub fn new(bytes_per_second: u32, now: Instant) -> Self {
+        let rate = f64::from(bytes_per_second);
+        Self {
+            rate,
+            balance: rate * SAVED.as_secs_f64(),
+            refilled: now,
+        }
+    }
+
+    /// Charges bytes that were sent.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "bytes of one period are far below 2^52"
+    )]
+    pub fn charge(&mut self, bytes: u64) {
+        let debt = self.rate * SAVED.as_secs_f64();
+        self.balance = (self.balance - bytes as f64).max(-debt);
+    }
+
+    /// Returns the bytes that may be sent now.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the balance is between 0 and twice a rate that fits 32 bits"
+    )]
+    pub fn available(&mut self, now: Instant) -> u64 {
+        let gone = now.saturating_duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let most = self.rate * SAVED.as_secs_f64();
+        self.balance = (self.balance + self.rate * gone).min(most);
+        self.balance.max(0.0) as u64
+    }
+}
--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -13,10 +13,12 @@
 //! | [`election`] | timings and the counting of votes |
 //! | [`lease`] | the time during which a leader may answer alone |
 //! | [`membership`] | which peers are alive, by evidence in both directions |
+//! | [`digest`] | facts about groups, flooded, coalesced to a budget, aged out |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
 
 pub mod command;
+pub mod digest;
 pub mod election;
 pub mod fence;
 pub mod lease;
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/atlas.rs
@@ -0,0 +1,115 @@
+//! Which instances of other zones this one links to.
+//!
+//! The speakers of a region's zones talk to each other. Between regions only the speakers of each
+//! region's first zone talk, which carries every fact once over each slow link. A region that
+//! nothing is heard of is tried by the speakers of all zones, since the first zone may be the one
+//! that is cut off.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use zinniastall_coord::digest::overlay;
+use zinniastall_model::{id, place::Place};
+use zinniastall_wire::gossip::Peer;
+
+/// Most zones remembered.
+const ZONES: usize = 1_024;
+/// How long the doors of a zone that is cut off are remembered, for when it comes back.
+const MEMORY: Duration = Duration::from_hours(2);
+/// How long one door of a silent zone is tried before the next.
+const TURN: u64 = 4;
+
+#[derive(Debug)]
+struct Zone {
+    doors: Vec<Peer>,
+    seen: Instant,
+    fresh: bool,
+}
+
+/// Doors of other zones, also of those that are silent.
+#[derive(Debug)]
+pub struct Atlas {
+    own: Place,
+    started: Instant,
+    zones: IndexMap<Place, Zone>,
+}
+
+impl Atlas {
+    /// Creates an empty atlas.
+    pub fn new(own: Place, now: Instant) -> Self {
+        Self {
+            own,
+            started: now,
+            zones: IndexMap::new(),
+        }
+    }
+
+    /// Takes in the doors that are known now; the others are remembered as silent.
+    pub fn update(&mut self, known: Vec<(Place, Vec<Peer>)>, now: Instant) {
+        for zone in self.zones.values_mut() {
+            zone.fresh = false;
+        }
+        self.zones
+            .retain(|_, zone| now.saturating_duration_since(zone.seen) <= MEMORY);
+        for (place, doors) in known {
+            if self.zones.len() < ZONES || self.zones.contains_key(&place) {
+                let zone = Zone {
+                    doors,
+                    seen: now,
+                    fresh: true,
+                };
+                self.zones.insert(place, zone);
+            }
+        }
+    }
+
+    /// Tells whether something is heard of a zone.
+    pub fn hears(&self, place: &Place) -> bool {
+        self.zones.get(place).is_some_and(|zone| zone.fresh)
+    }
+
+    /// Returns the peers that a speaker of this rank links to.
+    pub fn wanted(&self, rank: usize, now: Instant) -> Vec<Peer> {
+        let places = self.places();
+        let turn = now.saturating_duration_since(self.started).as_secs() / TURN;
+        let pick = |place: &Place| self.pick(place, rank, turn);
+        places.iter().filter_map(pick).collect()
+    }
+
+    fn pick(&self, place: &Place, rank: usize, turn: u64) -> Option<Peer> {
+        let zone = self.zones.get(place)?;
+        if zone.fresh {
+            return overlay::counterpart(rank, &zone.doors).cloned();
+        }
+        let turns = usize::try_from(turn).unwrap_or_default();
+        let at = (rank + turns).checked_rem(zone.doors.len())?;
+        zone.doors.get(at).cloned()
+    }
+
+    fn places(&self) -> IndexSet<Place> {
+        let mut places = IndexSet::new();
+        let mut first: IndexMap<&id::Region, &Place> = IndexMap::new();
+        for (place, zone) in &self.zones {
+            if place.region == self.own.region {
+                places.insert(place.clone());
+            } else if zone.fresh {
+                let lowest = first.entry(&place.region).or_insert(place);
+                *lowest = (*lowest).min(place);
+            }
+        }
+        let silent =
+            |place: &&Place| place.region != self.own.region && !first.contains_key(&place.region);
+        places.extend(self.zones.keys().filter(silent).cloned());
+        if self.is_first() {
+            places.extend(first.into_values().cloned());
+        }
+        places
+    }
+
+    /// Tells whether the own zone is the first of its region's zones that are heard.
+    fn is_first(&self) -> bool {
+        let heard = self.zones.iter().filter(|(_, zone)| zone.fresh);
+        let mut near = heard.filter(|(place, _)| place.region == self.own.region);
+        near.all(|(place, _)| self.own < *place)
+    }
+}
--- a/crates/zinniastall-entry/src/spread/book.rs
+++ b/crates/zinniastall-entry/src/spread/book.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use rand::Rng;
-use zinniastall_model::id;
+use zinniastall_model::{id, place::Place};
 use zinniastall_wire::gossip::Peer;
 
 /// First pause after a failed attempt.
@@ -49,12 +49,29 @@
     }
 }
 
+impl Seed {
+    const fn from(at: Instant) -> Self {
+        Self {
+            retry: Retry::from(at),
+            place: None,
+        }
+    }
+}
+
 /// Peers and seeds of one instance.
 #[derive(Debug)]
 pub struct Book {
     own: id::Instance,
     entries: IndexMap<id::Instance, Entry>,
-    seeds: IndexMap<String, Retry>,
+    seeds: IndexMap<String, Seed>,
+}
+
+/// An address from the settings.
+#[derive(Debug)]
+struct Seed {
+    retry: Retry,
+    /// Place of the instance that answered there last.
+    place: Option<Place>,
 }
 
 impl Book {
@@ -63,7 +80,7 @@
         Self {
             own,
             entries: IndexMap::new(),
-            seeds: seeds.map(|seed| (seed, Retry::from(now))).collect(),
+            seeds: seeds.map(|seed| (seed, Seed::from(now))).collect(),
         }
     }
 
@@ -139,24 +156,46 @@
         self.seeds.shift_remove(address);
     }
 
-    /// Returns the addresses to dial now and notes the attempts; `linked` tells who needs none.
-    pub fn due(&mut self, linked: impl Fn(&str) -> bool, now: Instant) -> Vec<String> {
+    /// Notes where the instance runs that answers at a seed's address.
+    pub fn place_seed(&mut self, address: &str, place: &Place) {
+        if let Some(seed) = self.seeds.get_mut(address) {
+            seed.place = Some(place.clone());
+        }
+    }
+
+    /// Drops the peers that are neither linked nor named by anybody any more.
+    pub fn sweep(&mut self, linked: impl Fn(&str) -> bool, now: Instant) {
         self.entries.retain(|instance, entry| {
             linked(instance) || now.saturating_duration_since(entry.named) <= KEPT
         });
+    }
+
+    /// Returns the addresses of peers to dial now and notes the attempts; `wanted` tells who is to
+    /// be linked and isn't.
+    pub fn due(&mut self, wanted: impl Fn(&Peer) -> bool, now: Instant) -> Vec<String> {
         let mut due = Vec::new();
-        let mut known = Vec::new();
-        for (instance, entry) in &mut self.entries {
-            known.push(entry.peer.links.clone());
-            if !linked(instance) && entry.retry.at <= now {
+        for entry in self.entries.values_mut() {
+            if entry.retry.at <= now && wanted(&entry.peer) {
                 entry.retry.attempt(now);
                 due.push(entry.peer.links.clone());
             }
         }
-        for (seed, retry) in &mut self.seeds {
-            if !known.contains(seed) && retry.at <= now {
-                retry.attempt(now);
-                due.push(seed.clone());
+        due
+    }
+
+    /// Returns the seeds to dial now and notes the attempts; `heard` tells of which zones enough is
+    /// known.
+    pub fn due_seeds(&mut self, heard: impl Fn(&Place) -> bool, now: Instant) -> Vec<String> {
+        let mut due = Vec::new();
+        for (address, seed) in &mut self.seeds {
+            let known = self
+                .entries
+                .values()
+                .any(|entry| entry.peer.links == *address);
+            let heard = seed.place.as_ref().is_some_and(&heard);
+            if !known && !heard && seed.retry.at <= now {
+                seed.retry.attempt(now);
+                due.push(address.clone());
             }
         }
         due
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/capacity.rs
@@ -0,0 +1,59 @@
+//! Sums the zone's targets up into what other zones are told.
+
+use indexmap::IndexMap;
+use zinniastall_model::{id, object::Subject};
+use zinniastall_wire::gossip::Capacity;
+
+use crate::view::Target;
+
+/// Expected service time of one request in a queue, in milliseconds. A zone doesn't know what is
+/// asked of its targets; the figure only orders zones whose slots are all taken.
+const SERVICE: u64 = 1_000;
+/// A change of free slots by less than this share of all isn't worth telling everybody.
+const STEPS: u32 = 8;
+
+/// Capacity by subject and role.
+pub type Sums = IndexMap<(Subject, String), Capacity>;
+
+/// Sums targets up.
+pub fn sum(targets: &IndexMap<id::Target, Target>) -> Sums {
+    let mut sums = Sums::new();
+    let mut queued: IndexMap<(Subject, String), u32> = IndexMap::new();
+    for target in targets.values() {
+        let report = &target.report;
+        for serving in &report.serves {
+            let key = (serving.subject.clone(), report.role.clone());
+            let sum = sums.entry(key.clone()).or_insert(Capacity {
+                slots: 0,
+                free: 0,
+                wait_ms: 0,
+                price: 0.0,
+            });
+            let before = f64::from(sum.slots);
+            sum.slots += report.slots;
+            sum.free += report.slots.saturating_sub(report.busy);
+            let weighed = sum.price * before + report.price * f64::from(report.slots);
+            sum.price = weighed / f64::from(sum.slots.max(1));
+            *queued.entry(key).or_default() += report.busy.saturating_sub(report.slots);
+        }
+    }
+    for (key, sum) in &mut sums {
+        let queued = u64::from(queued.get(key).copied().unwrap_or_default());
+        sum.wait_ms = if sum.free > 0 {
+            0
+        } else {
+            (queued + 1) * SERVICE / u64::from(sum.slots.max(1))
+        };
+    }
+    sums
+}
+
+/// Tells whether a capacity is close enough to what was told last.
+pub fn near(told: &Capacity, now: &Capacity) -> bool {
+    let step = (now.slots / STEPS).max(1);
+    let same_slots = told.slots == now.slots;
+    let same_free = told.free.abs_diff(now.free) < step && (told.free == 0) == (now.free == 0);
+    let same_wait = told.wait_ms.abs_diff(now.wait_ms) <= told.wait_ms / 2;
+    let same_price = (told.price - now.price).abs() <= told.price * 0.05;
+    same_slots && same_free && same_wait && same_price
+}
--- a/crates/zinniastall-entry/src/spread/lines.rs
+++ b/crates/zinniastall-entry/src/spread/lines.rs
@@ -13,7 +13,10 @@
     link::{Link, Receiver, Sender},
 };
 
-use super::actor::{Closed, Received, Spread};
+use super::{
+    actor::Spread,
+    messages::{Closed, Received},
+};
 
 /// Number of an open link within this process.
 pub type Line = u64;
@@ -22,6 +25,9 @@
 /// instead of ever older news.
 const WAITING: usize = 64;
 
+/// How long a link stays that isn't wanted: a seed's answer has to arrive first.
+const GRACE: Duration = Duration::from_secs(5);
+
 /// An open link.
 #[derive(Debug)]
 struct Open {
@@ -29,6 +35,7 @@
     incarnation: id::Incarnation,
     place: Place,
     dialed: bool,
+    opened: Instant,
     heard: Instant,
     out: mpsc::Sender<Message>,
     tasks: [AbortHandle; 2],
@@ -89,6 +96,7 @@
             incarnation: peer.incarnation,
             place: peer.place,
             dialed,
+            opened: now,
             heard: now,
             out,
             tasks: [write.abort_handle(), read.abort_handle()],
@@ -138,6 +146,11 @@
         }
     }
 
+    /// Returns how many links are open.
+    pub fn count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Closes a link.
     pub fn close(&mut self, line: Line) {
         self.open.swap_remove(&line);
@@ -149,6 +162,16 @@
             .retain(|_, open| now.saturating_duration_since(open.heard) <= limit);
     }
 
+    /// Closes the links that were dialled from here and aren't wanted any more.
+    ///
+    /// The other end may want an accepted one; it closes that itself.
+    pub fn close_unwanted(&mut self, wanted: impl Fn(&str, &Place) -> bool, now: Instant) {
+        self.open.retain(|_, open| {
+            let young = now.saturating_duration_since(open.opened) < GRACE;
+            !open.dialed || young || wanted(&open.instance, &open.place)
+        });
+    }
+
     /// Closes every link.
     pub fn clear(&mut self) {
         self.open.clear();
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/messages.rs
@@ -0,0 +1,49 @@
+//! Messages of the actor.
+
+use actix::Message;
+use zinniastall_wire::{
+    gossip,
+    link::{self, Link},
+};
+
+use super::lines::Line;
+
+/// A link was accepted.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Linked(pub Link);
+
+/// An attempt to dial ended.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Dialed {
+    /// Address that was dialled.
+    pub address: String,
+    /// Link, or why there is none.
+    pub result: Result<Link, link::Error>,
+}
+
+/// A message arrived on a link.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Received(pub Line, pub gossip::Message);
+
+/// A link broke.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Closed(pub Line);
+
+/// Targets changed some time ago and are to be published.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct PublishTargets;
+
+/// Facts arrived some time ago and are to be passed on.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct PassOn;
+
+/// The instance stops: it closes its links.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -1,35 +1,37 @@
 //! Membership of entry instances, the zone's targets, and digests of other zones.
 //!
 //! [`actor::Spread`] owns it all on the control arbiter. [`lines`] holds the open links, [`book`]
-//! the addresses to dial, [`news`] what waits to be sent. What the actor decides on, evidence and
-//! leases, is in [`zinniastall_coord::membership`] and [`crate::targets::table`].
+//! the addresses to dial, [`atlas`] which instances of other zones to link to, [`renewals`] what
+//! waits to be sent about targets, [`digests`] the facts about zones. What the actor decides on
+//! comes from [`zinniastall_coord::membership`], [`zinniastall_coord::digest`] and
+//! [`crate::targets::table`].
 
 pub mod actor;
+pub mod atlas;
 pub mod book;
+pub mod capacity;
+pub mod digests;
 pub mod lines;
-pub mod news;
+pub mod messages;
+mod passing;
+mod peers;
+pub mod renewals;
 pub mod settings;
+mod zone;
 
 use actix::{Actor, Addr};
 use zinniastall_wire::link::Link;
 
-use self::actor::{Linked, Spread};
-use crate::{
-    links::{Acceptor, Identity},
-    publish::Publisher,
-    settings::Entry,
-    view::Board,
+use self::{
+    actor::{Spread, Surroundings},
+    messages::Linked,
 };
+use crate::{links::Acceptor, settings::Entry};
 
 /// Starts membership on the calling arbiter.
-pub fn start(
-    settings: &Entry,
-    identity: Identity,
-    board: Board,
-    publisher: Addr<Publisher>,
-) -> Addr<Spread> {
+pub fn start(settings: &Entry, around: Surroundings) -> Addr<Spread> {
     let seeds = settings.seeds.iter().map(ToString::to_string);
-    Spread::new(settings.spread, seeds, identity, board, publisher).start()
+    Spread::new(settings.spread, seeds, around).start()
 }
 
 /// Takes gossip links for the actor.
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/renewals.rs
@@ -0,0 +1,75 @@
+//! Renewals of targets that announced here, until the next period sends them on.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use zinniastall_model::id;
+use zinniastall_wire::gossip::{self, Load};
+
+use crate::targets::{body::PREFIXES, table::Table};
+
+/// Bytes of one prefix on the wire.
+const PREFIX: u64 = 9;
+
+/// Renewals that wait to be sent; a later one of the same target takes the place of the earlier.
+#[derive(Debug, Default)]
+pub struct Renewals {
+    waiting: IndexMap<id::Target, Waiting>,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    renewed: bool,
+    added: Vec<u64>,
+}
+
+impl Renewals {
+    /// Adds a renewal and the prefixes that are new in it.
+    pub fn add(&mut self, target: &str, added: &[u64]) {
+        let waiting = self.waiting.entry(target.to_owned()).or_default();
+        waiting.renewed = true;
+        waiting.added.extend_from_slice(added);
+        let over = waiting.added.len().saturating_sub(PREFIXES);
+        waiting.added.drain(..over);
+    }
+
+    /// Drops a target's renewal, because its whole report goes out.
+    pub fn drop(&mut self, target: &str) {
+        self.waiting.swap_remove(target);
+    }
+
+    /// Takes all renewals, with each lease's time left as of now. Prefixes go along as far as
+    /// `bytes` allows; the others wait, since a cache known late costs less than a lease.
+    pub fn take(&mut self, table: &Table, bytes: u64, now: Instant) -> Vec<Load> {
+        let mut left = bytes / PREFIX;
+        let mut loads = Vec::new();
+        for (target, waiting) in &mut self.waiting {
+            let count = waiting
+                .added
+                .len()
+                .min(usize::try_from(left).unwrap_or(usize::MAX));
+            left -= count as u64;
+            let added = waiting.added.drain(..count).collect();
+            let renewed = std::mem::take(&mut waiting.renewed);
+            if renewed || count > 0 {
+                loads.extend(table.load(target, added, now));
+            }
+        }
+        self.waiting.retain(|_, waiting| !waiting.added.is_empty());
+        loads
+    }
+}
+
+/// Returns the prefixes by which a target's list grew, or `None` when it changed in another way.
+///
+/// The list is bounded and has the newest last, so growth may push out the oldest.
+pub fn grown<'a>(before: &gossip::Target, after: &'a gossip::Target) -> Option<&'a [u64]> {
+    let (old, new) = (&before.prefixes, &after.prefixes);
+    if old.is_empty() {
+        return Some(new);
+    }
+    let shared = (1..=old.len().min(new.len()))
+        .rev()
+        .find(|shared| old.ends_with(&new[..*shared]))?;
+    Some(&new[shared..])
+}
--- a/crates/zinniastall-entry/src/spread/settings.rs
+++ b/crates/zinniastall-entry/src/spread/settings.rs
@@ -16,6 +16,11 @@
     pub ceiling: Duration,
     /// How long a target's announcement holds.
     pub lease: Duration,
+    /// Time between two words of a zone that its digests still hold; one that is late by five of
+    /// them counts as unknown.
+    pub digest: Duration,
+    /// Bytes a second that gossip may send; what can wait gives way to what can't.
+    pub bytes_per_second: u32,
 }
 
 impl Spread {
@@ -26,6 +31,8 @@
             floor: reader.millis("floor_ms", 150..=60_000, 1_500),
             ceiling: reader.millis("ceiling_ms", 500..=120_000, 6_000),
             lease: reader.millis("lease_ms", 500..=60_000, 3_000),
+            digest: reader.millis("digest_ms", 100..=60_000, 2_000),
+            bytes_per_second: bytes(reader.number("bytes_per_second", 1_000..=10_000_000, 17_000)),
         }
     }
 
@@ -45,3 +52,8 @@
         }
     }
 }
+
+/// Converts a checked number; its range keeps it within 32 bits.
+fn bytes(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- a/crates/zinniastall-entry/src/targets/table.rs
+++ b/crates/zinniastall-entry/src/targets/table.rs
@@ -91,13 +91,17 @@
             .held
             .get_mut(target)
             .filter(|held| held.tag == load.tag)?;
-        if load.sequence <= held.report.sequence {
+        let late = load.sequence <= held.report.sequence;
+        if late && load.added.is_empty() {
             return Some(Taken::Old);
         }
+        append(&mut held.report.prefixes, &load.added);
+        if late {
+            return Some(Taken::Load);
+        }
         let lapsed = held.until <= now;
         held.report.sequence = load.sequence;
         held.report.busy = load.busy;
-        append(&mut held.report.prefixes, &load.added);
         held.heard = now;
         held.until = now + self.lease.min(Duration::from_millis(load.left_ms));
         Some(if lapsed { Taken::Kept } else { Taken::Load })
@@ -164,6 +168,18 @@
         })
     }
 
+    /// Returns a renewal of a target with the prefixes that are new.
+    pub fn load(&self, target: &str, added: Vec<u64>, now: Instant) -> Option<Load> {
+        let held = self.held.get(target)?;
+        Some(Load {
+            tag: held.tag,
+            sequence: held.report.sequence,
+            busy: held.report.busy,
+            left_ms: millis(held.until.saturating_duration_since(now)),
+            added,
+        })
+    }
+
     /// Drops what has been out of lease for long. Returns whether a lease ran out since `last`.
     pub fn sweep(&mut self, last: Instant, now: Instant) -> bool {
         self.held.retain(|_, held| held.until + MEMORY > now);
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -4,7 +4,7 @@
 //! control is 17 KB a second.
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::membership;
+use zinniastall_coord::{digest, membership};
 use zinniastall_model::{id, object::Subject, place::Place};
 
 /// A message of a gossip link.
@@ -21,8 +21,8 @@
     Targets(Vec<Target>),
     /// Renewals of targets that were sent whole before; inside the zone only.
     Loads(Vec<Load>),
-    /// Capacity of places; between zones and regions.
-    Digests(Vec<Digest>),
+    /// What zones say of themselves; between zones and regions.
+    News(News),
 }
 
 /// A heartbeat to one peer.
@@ -153,6 +153,70 @@
     pub adapters: Vec<id::Adapter>,
 }
 
+/// What zones say of themselves, as made or passed on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Facts.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub items: Vec<Item>,
+    /// Words that facts still hold.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub renewals: Vec<Renewal>,
+}
+
+/// A fact about a zone.
+pub type Item = digest::Item<Topic, id::Instance, Fact>;
+/// A zone's word that its facts still hold.
+pub type Renewal = digest::Renewal<id::Instance>;
+
+/// What a fact is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Topic {
+    /// Instances through which a zone is reached.
+    #[serde(rename = "d")]
+    Doors(Place),
+    /// Capacity of a zone for a subject in a role.
+    #[serde(rename = "c")]
+    Capacity(Place, Subject, String),
+}
+
+impl Topic {
+    /// Returns the zone.
+    pub const fn place(&self) -> &Place {
+        match self {
+            Self::Doors(place) | Self::Capacity(place, _, _) => place,
+        }
+    }
+}
+
+/// A fact.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Fact {
+    /// Instances through which a zone is reached, its speakers first.
+    #[serde(rename = "d")]
+    Doors(Vec<Peer>),
+    /// Capacity.
+    #[serde(rename = "c")]
+    Capacity(Capacity),
+}
+
+/// Capacity for one subject in one role.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Slots in all.
+    #[serde(rename = "s")]
+    pub slots: u32,
+    /// Slots free.
+    #[serde(rename = "f")]
+    pub free: u32,
+    /// Expected wait for a slot, in milliseconds.
+    #[serde(rename = "w")]
+    pub wait_ms: u64,
+    /// Mean price of one busy second.
+    #[serde(rename = "p")]
+    pub price: f64,
+}
+
 /// Capacity of one zone for one subject.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
