--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`digest`] | facts about groups, flooded, coalesced to a budget, aged out |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
+//! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
 pub mod digest;
@@ -25,6 +26,7 @@
 pub mod log;
 pub mod membership;
 pub mod replica;
+pub mod ticket;
 pub mod voters;
 
 pub use replica::{Cluster, Id, Index, Replica, Term};
--- a/crates/zinniastall-coord/tests/group/net.rs
+++ b/crates/zinniastall-coord/tests/group/net.rs
@@ -328,7 +328,7 @@
 
     /// Runs until a condition holds, for at most a minute of the group's time.
     pub(crate) fn until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
-        let end = self.time + Duration::from_secs(60);
+        let end = self.time + Duration::from_mins(1);
         while !condition(self) {
             assert!(self.time < end, "not within a minute: {what}");
             self.step();
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -8,7 +8,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
 };
-use zinniastall_settings::{cli, log};
+use zinniastall_settings::{cli, log, metrics::Hub};
 use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
@@ -38,14 +38,26 @@
     let publisher = Publisher::new(board.clone()).start();
     let sockets = Sockets::bind(&settings).await?;
     let identity = sockets.identity(&settings, &board.view())?;
-    let spread = spread::start(&settings, identity.clone(), board, publisher.clone());
+    let spread = spread::start(
+        &settings,
+        identity.clone(),
+        board.clone(),
+        publisher.clone(),
+    );
     let desk = Desk {
         place: settings.place.clone(),
         announced: spread.clone().recipient(),
         left: spread.clone().recipient(),
     };
-    let callers = HttpServer::new(|| App::new().configure(callers::configure))
-        .workers(settings.threads)
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let threads = settings.threads;
+    let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
+        .workers(threads)
+        .max_connections((settings.limits.connections / threads).max(1))
+        .client_request_timeout(settings.limits.arrival)
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(settings.drain.as_secs())
         .disable_signals()
         .listen(sockets.callers.into_std()?)?;
     let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
