--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -16,7 +16,7 @@
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
-    spread,
+    spread::{self, actor::Surroundings},
     targets::{self, Desk},
     view::{Board, View},
 };
@@ -38,18 +38,19 @@
     let publisher = Publisher::new(board.clone()).start();
     let sockets = Sockets::bind(&settings).await?;
     let identity = sockets.identity(&settings, &board.view())?;
-    let spread = spread::start(
-        &settings,
-        identity.clone(),
-        board.clone(),
-        publisher.clone(),
-    );
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let around = Surroundings {
+        identity: identity.clone(),
+        board: board.clone(),
+        publisher: publisher.clone(),
+        recorder: hub.recorder(),
+    };
+    let spread = spread::start(&settings, around);
     let desk = Desk {
         place: settings.place.clone(),
         announced: spread.clone().recipient(),
         left: spread.clone().recipient(),
     };
-    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
     let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
     let threads = settings.threads;
     let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
@@ -77,7 +78,7 @@
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
-    spread.send(spread::actor::Stop).await?;
+    spread.send(spread::messages::Stop).await?;
     tracing::info!(event = "stopped");
     Ok(())
 }
--- a/crates/zinniastall-entry/src/spread/atlas.rs
+++ b/crates/zinniastall-entry/src/spread/atlas.rs
@@ -46,12 +46,19 @@
 
     /// Takes in the doors that are known now; the others are remembered as silent.
     pub fn update(&mut self, known: Vec<(Place, Vec<Peer>)>, now: Instant) {
-        for zone in self.zones.values_mut() {
-            zone.fresh = false;
+        let known: IndexMap<Place, Vec<Peer>> = known.into_iter().collect();
+        for (place, zone) in &mut self.zones {
+            if zone.fresh && !known.contains_key(place) {
+                tracing::info!(event = "zone-lost", place = %place);
+                zone.fresh = false;
+            }
         }
         self.zones
             .retain(|_, zone| now.saturating_duration_since(zone.seen) <= MEMORY);
         for (place, doors) in known {
+            if !self.hears(&place) {
+                tracing::info!(event = "zone-heard", place = %place);
+            }
             if self.zones.len() < ZONES || self.zones.contains_key(&place) {
                 let zone = Zone {
                     doors,
