--- a/crates/zinniastall-entry/src/callers/accept.rs
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -42,8 +42,6 @@
 
 #[derive(Debug, Deserialize)]
 struct Turn {
-    #[serde(default)]
-    role: String,
     #[serde(default)]
     content: serde_json::Value,
 }
@@ -169,17 +167,12 @@
 }
 
 fn prompt_prefixes(chat: &Chat) -> Vec<u64> {
-    let mut prompt = String::new();
-    for turn in &chat.messages {
-        prompt.push_str(&turn.role);
-        prompt.push('\n');
-        match turn.content.as_str() {
-            Some(text) => prompt.push_str(text),
-            None => prompt.push_str(&turn.content.to_string()),
-        }
-        prompt.push('\n');
-    }
-    prefix::chain(&prompt)
+    let texts: Vec<&str> = chat
+        .messages
+        .iter()
+        .filter_map(|turn| turn.content.as_str())
+        .collect();
+    prefix::chain(&texts.join("\n"))
 }
 
 fn class(http: &HttpRequest) -> Result<id::Class, Reason> {
--- /dev/null
+++ b/crates/zinniastall-route/src/admit.rs
@@ -0,0 +1,263 @@
+//! Fourth filter: whether a request may wait, and who goes next.
+//!
+//! Requests wait at the instance while all targets are at their limits. Classes go by priority,
+//! clients of a class by their weights, so that one client's burst does not starve the others
+//! (start-time fair queueing; Goyal, Vin and Cheng, 1996). A request that cannot meet its deadline
+//! is refused on arrival: refusing late would spend the caller's deadline in a queue and leave no
+//! time to try again elsewhere.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use zinniastall_model::id;
+
+use crate::outcome::{Reason, Refusal};
+
+/// Every so many starts the last class with waiting requests goes first, so that a long peak of a
+/// higher class cannot stop it altogether.
+const LAST_GOES: u64 = 8;
+/// Share of the queue from which on no client may hold more than its own share of it.
+const CROWDED: f64 = 0.5;
+
+/// Number of a waiting request.
+pub type Id = u64;
+
+/// A request that wants to wait.
+#[derive(Debug, Clone)]
+pub struct Waiter {
+    /// Its number.
+    pub id: Id,
+    /// Client.
+    pub client: id::Client,
+    /// Weight of the client's share.
+    pub weight: u32,
+    /// Place of its class in the order of priority.
+    pub rank: usize,
+    /// When its answer is due.
+    pub deadline: Instant,
+    /// Time that it will take once it starts.
+    pub service: Duration,
+}
+
+/// Requests that wait for one model or service.
+#[derive(Debug)]
+pub struct Queue {
+    lanes: BTreeMap<usize, Lane>,
+    limit: usize,
+    length: usize,
+    starts: u64,
+}
+
+/// Waiting requests of one class.
+#[derive(Debug, Default)]
+struct Lane {
+    shares: IndexMap<id::Client, Share>,
+    clock: f64,
+    length: usize,
+}
+
+/// Waiting requests of one client.
+#[derive(Debug)]
+struct Share {
+    weight: f64,
+    next: f64,
+    waiting: VecDeque<Id>,
+}
+
+impl Queue {
+    /// Creates a queue of at most `limit` requests.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            limit,
+            length: 0,
+            starts: 0,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub const fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether none waits.
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Lets a request wait or refuses it at once; `pace` is the mean time from start to start.
+    ///
+    /// Returns the wait that it has to expect.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that says when to come back: [`Reason::Full`], [`Reason::Share`] and
+    /// [`Reason::Late`].
+    pub fn arrive(
+        &mut self,
+        waiter: &Waiter,
+        pace: Duration,
+        now: Instant,
+    ) -> Result<Duration, Refusal> {
+        let all = pace.saturating_mul(count(self.length));
+        if self.length >= self.limit {
+            return Err(Refusal::not_run(Reason::Full).retry(all));
+        }
+        let wait = pace.saturating_mul(count(self.ahead(waiter)));
+        if self.exceeds_share(waiter) {
+            return Err(Refusal::not_run(Reason::Share).retry(wait.max(pace)));
+        }
+        if now + wait + waiter.service > waiter.deadline {
+            return Err(Refusal::not_run(Reason::Late).retry(wait.max(pace)));
+        }
+        self.push(waiter);
+        Ok(wait)
+    }
+
+    /// Lets a request wait again that had its turn in vain; it goes first in its client's share.
+    pub fn put_back(&mut self, waiter: &Waiter) {
+        let lane = self.lanes.entry(waiter.rank).or_default();
+        let share = lane.share(waiter);
+        share.waiting.push_front(waiter.id);
+        lane.length += 1;
+        self.length += 1;
+    }
+
+    /// Takes the request out that goes next.
+    pub fn pop(&mut self) -> Option<Id> {
+        let mut waiting = self.lanes.iter_mut().filter(|(_, lane)| lane.length > 0);
+        let last = (self.starts + 1).is_multiple_of(LAST_GOES);
+        let (_, lane) = if last {
+            waiting.next_back()?
+        } else {
+            waiting.next()?
+        };
+        let id = lane.next()?;
+        self.starts += 1;
+        self.length -= 1;
+        Some(id)
+    }
+
+    /// Takes a request out that does not want to wait any longer.
+    pub fn remove(&mut self, id: Id) -> bool {
+        let removed = self.lanes.values_mut().any(|lane| lane.remove(id));
+        self.length -= usize::from(removed);
+        removed
+    }
+
+    /// Returns how many waiting requests go before a new one.
+    fn ahead(&self, waiter: &Waiter) -> usize {
+        let higher = self.lanes.range(..waiter.rank);
+        let higher: usize = higher.map(|(_, lane)| lane.length).sum();
+        let lane = self.lanes.get(&waiter.rank);
+        higher + lane.map_or(0, |lane| lane.ahead(waiter))
+    }
+
+    /// Returns whether a client has its share of a crowded queue.
+    #[expect(clippy::cast_precision_loss, reason = "counts of requests")]
+    fn exceeds_share(&self, waiter: &Waiter) -> bool {
+        if (self.length as f64) < self.limit as f64 * CROWDED {
+            return false;
+        }
+        let waiting = |client: &str| {
+            let lanes = self.lanes.values();
+            let shares = lanes.filter_map(|lane| lane.shares.get(client));
+            shares.map(|share| share.waiting.len()).sum::<usize>()
+        };
+        let mut weights: IndexMap<&str, f64> = IndexMap::new();
+        let lanes = self.lanes.values();
+        for (client, share) in lanes.flat_map(|lane| &lane.shares) {
+            if !share.waiting.is_empty() {
+                weights.insert(client, share.weight);
+            }
+        }
+        let own = f64::from(waiter.weight.max(1));
+        weights.insert(&waiter.client, own);
+        let permitted = self.limit as f64 * own / weights.values().sum::<f64>();
+        waiting(&waiter.client) as f64 >= permitted
+    }
+
+    fn push(&mut self, waiter: &Waiter) {
+        let lane = self.lanes.entry(waiter.rank).or_default();
+        lane.share(waiter).waiting.push_back(waiter.id);
+        lane.length += 1;
+        self.length += 1;
+    }
+}
+
+impl Lane {
+    fn share(&mut self, waiter: &Waiter) -> &mut Share {
+        let clock = self.clock;
+        let share = self
+            .shares
+            .entry(waiter.client.clone())
+            .or_insert_with(|| Share {
+                weight: 1.0,
+                next: clock,
+                waiting: VecDeque::new(),
+            });
+        share.weight = f64::from(waiter.weight.max(1));
+        if share.waiting.is_empty() {
+            // A client that was away has no claim to the time it did not use.
+            share.next = share.next.max(clock);
+        }
+        share
+    }
+
+    fn next(&mut self) -> Option<Id> {
+        let waiting = self.shares.values_mut();
+        let waiting = waiting.filter(|share| !share.waiting.is_empty());
+        let share = waiting.min_by(|a, b| a.next.total_cmp(&b.next))?;
+        let id = share.waiting.pop_front()?;
+        self.clock = share.next;
+        share.next += 1.0 / share.weight;
+        self.length -= 1;
+        self.forget_idle();
+        Some(id)
+    }
+
+    /// Forgets clients that have caught up, so that the table is bounded by who waits.
+    fn forget_idle(&mut self) {
+        let clock = self.clock;
+        self.shares
+            .retain(|_, share| !share.waiting.is_empty() || share.next > clock);
+    }
+
+    fn remove(&mut self, id: Id) -> bool {
+        for share in self.shares.values_mut() {
+            if let Some(index) = share.waiting.iter().position(|waiting| *waiting == id) {
+                share.waiting.remove(index);
+                self.length -= 1;
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns how many go before a new request of a client, when all shares are served by weight.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "counts of requests"
+    )]
+    fn ahead(&self, waiter: &Waiter) -> usize {
+        let own = self.shares.get(&waiter.client);
+        let own = own.map_or(0, |share| share.waiting.len());
+        let weight = f64::from(waiter.weight.max(1));
+        let rounds = (own as f64 + 1.0) / weight;
+        let others = self.shares.iter().filter(|(id, _)| **id != waiter.client);
+        let before = others.map(|(_, share)| {
+            let turns = (rounds * share.weight).floor() as usize;
+            turns.min(share.waiting.len())
+        });
+        own + before.sum::<usize>()
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/zinniastall-route/src/choose.rs
@@ -0,0 +1,156 @@
+//! Fifth filter: the target that serves a request.
+//!
+//! Looking at every target and taking the cheapest would send all instances to the same one until
+//! the next reports. The choice by cost therefore compares a few: two drawn at random (Mitzenmacher,
+//! 2001), the one that has most of the prompt cached, and the one that the prompt's first block
+//! hashes to, so that instances agree on a home for a prefix before its cache is reported. The last
+//! two count only while their load is within a bound of the mean (Mirrokni et al., 2018).
+
+use std::time::Instant;
+
+use rand::{Rng, seq::IndexedRandom};
+use zinniastall_model::id;
+
+use crate::{
+    load::Load,
+    policy::{Choice, Policy},
+};
+
+/// Load over the mean up to which a target keeps its affinity.
+const BOUND: f64 = 1.25;
+/// Share of a request's time by which a full batch slows it down.
+const BATCH: f64 = 0.25;
+
+/// A target that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Name.
+    pub target: &'a str,
+    /// What is known of it.
+    pub load: &'a Load,
+}
+
+/// The choice of one instance; it remembers its turn.
+#[derive(Debug, Default)]
+pub struct Chooser {
+    turn: usize,
+}
+
+impl Chooser {
+    /// Chooses one of the candidates, which are in a fixed order; `None` when there is none.
+    pub fn choose(
+        &mut self,
+        policy: &Policy,
+        prefixes: &[u64],
+        candidates: &[Candidate<'_>],
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<id::Target> {
+        let chosen = match policy.choice {
+            Choice::Random => candidates.choose(random),
+            Choice::RoundRobin => self.round(candidates),
+            Choice::LeastInFlight => least(candidates, random),
+            Choice::PrefixHash => match prefixes.first() {
+                Some(first) => home(candidates, *first),
+                None => candidates.choose(random),
+            },
+            Choice::Cost => cheapest(policy, prefixes, candidates, now, random),
+        };
+        chosen.map(|candidate| candidate.target.to_owned())
+    }
+
+    fn round<'a, 'b>(&mut self, candidates: &'a [Candidate<'b>]) -> Option<&'a Candidate<'b>> {
+        self.turn = self.turn.wrapping_add(1);
+        candidates.get(self.turn.checked_rem(candidates.len())?)
+    }
+}
+
+/// Returns the cost of a target for a prompt, in milliseconds.
+#[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
+pub fn cost(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
+    let service = millis(load.service());
+    let wait = millis(load.wait(now)) + service * BATCH * load.fill(now).min(1.0);
+    let uncached = prefixes.len() as f64 - load.cached(prefixes);
+    let weights = &policy.weights;
+    weights.wait * wait
+        + weights.cache * uncached * millis(policy.block)
+        + weights.price * load.price() * service
+}
+
+fn cheapest<'a, 'b>(
+    policy: &Policy,
+    prefixes: &[u64],
+    candidates: &'a [Candidate<'b>],
+    now: Instant,
+    random: &mut impl Rng,
+) -> Option<&'a Candidate<'b>> {
+    let mut few: Vec<_> = candidates.choose_multiple(random, 2).collect();
+    few.extend(affine(prefixes, candidates, now));
+    let by_cost = |candidate: &&Candidate<'_>| cost(policy, prefixes, candidate.load, now);
+    few.into_iter()
+        .min_by(|a, b| by_cost(a).total_cmp(&by_cost(b)))
+}
+
+/// Returns the targets that a prompt's prefix belongs to, unless they have too much to do.
+fn affine<'a, 'b>(
+    prefixes: &[u64],
+    candidates: &'a [Candidate<'b>],
+    now: Instant,
+) -> Vec<&'a Candidate<'b>> {
+    let Some(first) = prefixes.first() else {
+        return Vec::new();
+    };
+    let warm = candidates.iter().max_by(|a, b| {
+        let (a, b) = (a.load.cached(prefixes), b.load.cached(prefixes));
+        a.total_cmp(&b)
+    });
+    let bound = bound(candidates, now);
+    let fits = |candidate: &&Candidate<'_>| candidate.load.fill(now) <= bound;
+    let both = [warm, home(candidates, *first)];
+    both.into_iter().flatten().filter(fits).collect()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of targets")]
+fn bound(candidates: &[Candidate<'_>], now: Instant) -> f64 {
+    let fills = candidates.iter().map(|candidate| candidate.load.fill(now));
+    let mean = fills.sum::<f64>() / candidates.len() as f64;
+    // Below a full batch there is no wait to avoid.
+    (mean * BOUND).max(1.0)
+}
+
+fn least<'a, 'b>(
+    candidates: &'a [Candidate<'b>],
+    random: &mut impl Rng,
+) -> Option<&'a Candidate<'b>> {
+    let fewest = candidates
+        .iter()
+        .map(|candidate| candidate.load.in_flight())
+        .min()?;
+    let ties: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| candidate.load.in_flight() == fewest)
+        .collect();
+    ties.choose(random).copied()
+}
+
+/// Returns the target that a digest hashes to (highest random weight; Thaler and Ravishankar,
+/// 1998). When targets come and go, only the prefixes of these move.
+fn home<'a, 'b>(candidates: &'a [Candidate<'b>], digest: u64) -> Option<&'a Candidate<'b>> {
+    candidates
+        .iter()
+        .max_by_key(|candidate| weight(candidate.target, digest))
+}
+
+fn weight(target: &str, digest: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(&digest.to_le_bytes())
+        .update(target.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+pub(crate) fn millis(duration: std::time::Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- a/crates/zinniastall-route/src/lib.rs
+++ b/crates/zinniastall-route/src/lib.rs
@@ -7,11 +7,20 @@
 //!
 //! Every request ends in exactly one [`outcome::Outcome`].
 
+pub mod admit;
+pub mod budget;
+pub mod choose;
 pub mod dispatch;
+pub mod eject;
+pub mod hops;
 pub mod identify;
+pub mod limit;
+pub mod load;
 pub mod locate;
 pub mod outcome;
+pub mod policy;
 pub mod prefix;
 pub mod relay;
 pub mod request;
 pub mod residency;
+pub mod spill;
--- /dev/null
+++ b/crates/zinniastall-route/src/limit.rs
@@ -0,0 +1,85 @@
+//! How many requests one instance keeps at one target.
+//!
+//! Targets announce their slots, but several instances share a target and none knows the others'
+//! requests in time. Each instance therefore finds its own limit: it grows by one for a limit's
+//! worth of answers while it is used, and shrinks by a share when the target refuses or reports a
+//! queue (additive increase, multiplicative decrease; Chiu and Jain, 1989). Work that a target
+//! would queue waits at the instance instead, where priorities, shares and deadlines still count.
+
+use std::time::{Duration, Instant};
+
+/// Factor after a refusal.
+const REFUSED: f64 = 0.7;
+/// Factor after a report of more work than slots.
+const QUEUED: f64 = 0.9;
+/// A limit shrinks at most once in this time: all requests of one overload tell the same news.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Share of the slots at which a target that is new here starts. Its cache and connections are
+/// cold, and every instance discovers it at the same moment.
+const START: f64 = 0.5;
+/// Share of the limit that must be in use for it to grow.
+const USED: f64 = 0.75;
+
+/// How many requests one instance keeps at one target.
+#[derive(Debug, Clone)]
+pub struct Limit {
+    value: f64,
+    most: f64,
+    shrunk: Option<Instant>,
+}
+
+impl Limit {
+    /// Creates the limit for a target with these slots.
+    pub fn new(slots: u32) -> Self {
+        let most = f64::from(slots.max(1));
+        Self {
+            value: (most * START).max(1.0),
+            most,
+            shrunk: None,
+        }
+    }
+
+    /// Returns the limit in requests, at least 1.
+    pub fn requests(&self) -> u32 {
+        // Between 1 and the slots, which fit.
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value lies between 1 and a u32"
+        )]
+        let requests = self.value as u32;
+        requests.max(1)
+    }
+
+    /// Takes note of the announced slots.
+    pub fn slots(&mut self, slots: u32) {
+        self.most = f64::from(slots.max(1));
+        self.value = self.value.min(self.most);
+    }
+
+    /// Takes note of an answer that came while this many requests were in progress.
+    pub fn answered(&mut self, in_flight: u32) {
+        if f64::from(in_flight) >= self.value * USED {
+            self.value = (self.value + 1.0 / self.value).min(self.most);
+        }
+    }
+
+    /// Takes note of a refusal.
+    pub fn refused(&mut self, now: Instant) {
+        self.shrink(REFUSED, now);
+    }
+
+    /// Takes note of a report of more work than slots.
+    pub fn queued(&mut self, now: Instant) {
+        self.shrink(QUEUED, now);
+    }
+
+    fn shrink(&mut self, factor: f64, now: Instant) {
+        let recent = |shrunk: Instant| now.saturating_duration_since(shrunk) < PAUSE;
+        if self.shrunk.is_some_and(recent) {
+            return;
+        }
+        self.shrunk = Some(now);
+        self.value = (self.value * factor).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-route/src/load.rs
@@ -0,0 +1,259 @@
+//! What an instance knows of the load and the caches of its zone's targets.
+//!
+//! Reports lag. The table therefore counts the instance's own requests exactly, takes from a report
+//! only what others had in progress then, and discounts that by the report's age. Cache events come
+//! late too: prompts that were sent to a target lately count as cached there before it says so.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use indexmap::{IndexMap, IndexSet};
+use zinniastall_model::id;
+
+use crate::{eject::Outlier, limit::Limit};
+
+/// Age at which half of what others had in progress counts as finished.
+const HALF_LIFE: f64 = 2.0;
+/// Blocks of own requests that are remembered for each target.
+const RECENT: usize = 4096;
+/// Weight of the newest value in a mean.
+const NEWEST: f64 = 0.1;
+/// Time of a request at a target of which nothing is known yet.
+const UNKNOWN: Duration = Duration::from_millis(200);
+/// Worth of a cached block while cache events are missing.
+const UNSURE: f64 = 0.5;
+
+/// What a target announced.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// Run of its process.
+    pub incarnation: id::Incarnation,
+    /// Number of its announcement.
+    pub sequence: u64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests that it ran or queued.
+    pub busy: u32,
+    /// Price of one busy second.
+    pub price: f64,
+    /// Digests of cached prefixes.
+    pub prefixes: Vec<u64>,
+    /// Whether cache events were missed.
+    pub gap: bool,
+    /// When it arrived.
+    pub heard: Instant,
+}
+
+/// What is known of one target.
+#[derive(Debug, Clone)]
+pub struct Load {
+    incarnation: id::Incarnation,
+    sequence: u64,
+    slots: u32,
+    others: f64,
+    heard: Instant,
+    price: f64,
+    cached: HashSet<u64>,
+    gap: bool,
+    recent: IndexSet<u64>,
+    in_flight: u32,
+    limit: Limit,
+    outlier: Outlier,
+    service: Option<f64>,
+}
+
+/// How one request at a target ended, as its load is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer after this time.
+    Answered(Duration),
+    /// Refused before it ran.
+    Refused,
+    /// Lost, unreachable or late.
+    Failed,
+    /// The caller went away; it says nothing of the target.
+    Cancelled,
+}
+
+/// What is known of all targets.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    loads: IndexMap<id::Target, Load>,
+}
+
+impl Table {
+    /// Takes note of a report; an old one changes nothing.
+    pub fn observe(&mut self, target: &str, report: &Report, now: Instant) {
+        let load = match self.loads.get_mut(target) {
+            Some(load) if load.incarnation == report.incarnation => load,
+            Some(load) if load.incarnation > report.incarnation => return,
+            _ => {
+                let load = Load::new(report);
+                self.loads.insert(target.to_owned(), load);
+                return;
+            }
+        };
+        if load.sequence < report.sequence {
+            load.update(report, now);
+        }
+    }
+
+    /// Forgets targets that are gone.
+    pub fn retain(&mut self, live: impl Fn(&str) -> bool) {
+        self.loads
+            .retain(|target, load| load.in_flight > 0 || live(target));
+    }
+
+    /// Returns what is known of a target.
+    pub fn get(&self, target: &str) -> Option<&Load> {
+        self.loads.get(target)
+    }
+
+    /// Counts a request with these prefixes at a target and returns the target's run.
+    pub fn start(&mut self, target: &str, prefixes: &[u64]) -> id::Incarnation {
+        let Some(load) = self.loads.get_mut(target) else {
+            return 0;
+        };
+        load.in_flight += 1;
+        load.remember(prefixes);
+        load.incarnation
+    }
+
+    /// Ends the count of a request at a run of a target.
+    pub fn end(&mut self, target: &str, run: id::Incarnation, end: End, now: Instant) {
+        let Some(load) = self.loads.get_mut(target) else {
+            return;
+        };
+        // Requests at an earlier run are gone with its counts.
+        if load.incarnation != run {
+            return;
+        }
+        let before = load.in_flight;
+        load.in_flight = before.saturating_sub(1);
+        match end {
+            End::Answered(took) => {
+                load.limit.answered(before);
+                load.outlier.answered();
+                load.took(took);
+            }
+            End::Refused => load.limit.refused(now),
+            End::Failed => load.outlier.failed(now),
+            End::Cancelled => {}
+        }
+    }
+}
+
+impl Load {
+    fn new(report: &Report) -> Self {
+        Self {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            slots: report.slots.max(1),
+            others: f64::from(report.busy),
+            heard: report.heard,
+            price: report.price,
+            cached: report.prefixes.iter().copied().collect(),
+            gap: report.gap,
+            recent: IndexSet::new(),
+            in_flight: 0,
+            limit: Limit::new(report.slots),
+            outlier: Outlier::default(),
+            service: None,
+        }
+    }
+
+    fn update(&mut self, report: &Report, now: Instant) {
+        self.sequence = report.sequence;
+        self.slots = report.slots.max(1);
+        self.others = f64::from(report.busy.saturating_sub(self.in_flight));
+        self.heard = report.heard;
+        self.price = report.price;
+        self.cached = report.prefixes.iter().copied().collect();
+        self.gap = report.gap;
+        self.limit.slots(report.slots);
+        if report.busy > report.slots {
+            self.limit.queued(now);
+        }
+    }
+
+    fn remember(&mut self, prefixes: &[u64]) {
+        // The first blocks are the ones that others share, so they become the newest.
+        for digest in prefixes.iter().rev() {
+            self.recent.shift_remove(digest);
+            self.recent.insert(*digest);
+        }
+        let surplus = self.recent.len().saturating_sub(RECENT);
+        self.recent.drain(..surplus);
+    }
+
+    fn took(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let mean = self.service.unwrap_or(took);
+        self.service = Some(mean + (took - mean) * NEWEST);
+    }
+
+    /// Returns the requests of this instance in progress.
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns whether this instance may send it one more.
+    pub fn has_room(&self) -> bool {
+        self.in_flight < self.limit.requests()
+    }
+
+    /// Returns how many requests this instance may keep there.
+    pub fn limit(&self) -> u32 {
+        self.limit.requests()
+    }
+
+    /// Returns when an ejected target may be used again.
+    pub fn ejected(&self, now: Instant) -> Option<Instant> {
+        self.outlier.until(now)
+    }
+
+    /// Returns the price of one busy second.
+    pub const fn price(&self) -> f64 {
+        self.price
+    }
+
+    /// Returns the mean time of a request.
+    pub fn service(&self) -> Duration {
+        self.service.map_or(UNKNOWN, Duration::from_secs_f64)
+    }
+
+    /// Returns the requests in progress there, those of others estimated.
+    pub fn busy(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.heard).as_secs_f64();
+        f64::from(self.in_flight) + self.others * 0.5_f64.powf(age / HALF_LIFE)
+    }
+
+    /// Returns its requests in progress over its slots.
+    pub fn fill(&self, now: Instant) -> f64 {
+        self.busy(now) / f64::from(self.slots)
+    }
+
+    /// Returns the expected time until one more request starts to run.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let slots = f64::from(self.slots);
+        let ahead = (self.busy(now) + 1.0 - slots).max(0.0);
+        self.service().mul_f64(ahead / slots)
+    }
+
+    /// Returns how many leading blocks of a prompt are cached; a fraction where that is unsure.
+    #[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
+    pub fn cached(&self, chain: &[u64]) -> f64 {
+        let known = |digest: &&u64| {
+            self.recent.contains(*digest) || (!self.gap && self.cached.contains(*digest))
+        };
+        let known = chain.iter().take_while(known).count();
+        if !self.gap {
+            return known as f64;
+        }
+        let unsure = chain[known..].iter();
+        let unsure = unsure.take_while(|digest| self.cached.contains(*digest));
+        unsure.count() as f64 * UNSURE + known as f64
+    }
+}
