--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -205,12 +205,18 @@
     /// # Errors
     ///
     /// Fails when it does not in time.
-    pub async fn located(&mut self, entry: &str, subject: &str, instances: usize) -> Result<Value> {
+    pub async fn located(
+        &mut self,
+        entry: &str,
+        key: &str,
+        subject: &str,
+        instances: usize,
+    ) -> Result<Value> {
         let address = self.entry(entry)?.address("callers")?;
         let path = format!("/v1/locate?subject={subject}");
         let what = format!("{entry} listing {instances} instances for {subject}");
         wait::until(&what, async || {
-            let answer = http::get(address, &path).send().await.ok()?;
+            let answer = http::get(address, &path).key(key).send().await.ok()?;
             let answer = answer.json().ok()?;
             (answer["instances"].as_array()?.len() >= instances).then_some(answer)
         })
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -20,7 +20,7 @@
     }
     cluster.client("chartotopos", KEY).await?;
     cluster.model(MODEL).await?;
-    cluster.located("patras-a-1", MODEL, 2).await?;
+    cluster.located("patras-a-1", KEY, MODEL, 2).await?;
     let body = json!({
         "model": MODEL, "stream": true, "max_tokens": 8,
         "messages": [{"role": "user", "content": "Why was the kitchen skipped?"}],
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -61,7 +61,7 @@
 
 /// Asks an entry instance which to use.
 async fn locate(cluster: &mut Cluster) -> eyre::Result<SocketAddr> {
-    let answer = cluster.located("patras-b-1", MODEL, 4).await?;
+    let answer = cluster.located("patras-b-1", KEY, MODEL, 4).await?;
     println!("instances to use, by the word of patras-b-1:");
     let instances = answer["instances"].as_array().cloned().unwrap_or_default();
     for instance in &instances {
