test(entry): configure the callers' bench through the checked state machine

Cause: the state machine now refuses a route to a model that does not exist, so the bench ran without routes and all its cases answered 404. Ruled out: a fault of the request path. Change: the bench applies the model first and asserts that every change is done.

--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -18,8 +18,8 @@
     view::{Board, Target, View},
 };
 use zinniastall_model::{
-    change::{Body, Change},
-    object::{Client, Object, Route, Subject},
+    change::{Answer, Body, Change},
+    object::{Client, Model, Object, Route, Subject},
     place::Place,
     state::State,
 };
@@ -174,18 +174,25 @@
         weight: 1,
         withdrawn: false,
     };
+    let map_labels = Model {
+        id: "map-labels".into(),
+        version: "1".into(),
+        weights: "map-labels-1".into(),
+    };
     let objects = [
         Object::Client(client),
+        Object::Model(map_labels),
         route("chat", "/v1/chat/completions", model(), true),
         route("proofs", "/proofs", service(), true),
         route("orders", "/orders", service(), false),
     ];
     for object in objects {
-        state.apply(&Change {
+        let answer = state.apply(&Change {
             origin: None,
             expected: None,
             body: Body::Apply(object),
         });
+        assert!(matches!(answer, Answer::Done { .. }), "{answer:?}");
     }
     state
 }
