--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use zinniastall_coord::replica::Part;
+use zinniastall_coord::replica::{Part, Replica};
 
 use crate::net::Net;
 use crate::node::ELECTION;
@@ -140,7 +140,7 @@
         net.status(leader).is_some_and(|s| s.commit == s.last)
     });
     net.operated = false;
-    let _successor = net.call(leader, |replica, now| replica.transfer(now));
+    let _successor = net.call(leader, Replica::transfer);
     net.cuts.extend(others.iter().map(|other| (*other, leader)));
     net.run(ELECTION * 2);
     net.operated = true;
