--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -68,6 +68,8 @@
     pub(super) digests: Digests,
     pub(super) bucket: Bucket,
     pub(super) published: Arc<IndexMap<id::Instance, Peer>>,
+    /// Targets that were published last, with their runs.
+    pub(super) serving: IndexMap<id::Target, id::Incarnation>,
     pub(super) publishing: bool,
     pub(super) passing: bool,
     pub(super) raises: u32,
@@ -98,6 +100,7 @@
             digests: Digests::new(own, run, place, settings.digest, now),
             bucket: Bucket::new(settings.bytes_per_second, now),
             published: Arc::default(),
+            serving: IndexMap::new(),
             publishing: false,
             passing: false,
             raises: 0,
--- a/crates/zinniastall-entry/src/spread/zone.rs
+++ b/crates/zinniastall-entry/src/spread/zone.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Instant};
 
-use zinniastall_model::place::Place;
+use indexmap::IndexMap;
+use zinniastall_model::{id, place::Place};
 use zinniastall_wire::gossip::{self, Load, Peer};
 
 use super::{actor::Spread, renewals::grown};
@@ -13,6 +14,7 @@
         problem::Problem,
         table::{Taken, millis},
     },
+    view,
 };
 
 impl Spread {
@@ -114,7 +116,22 @@
     /// Publishes the targets that may get work.
     pub(super) fn publish_targets(&mut self, now: Instant) {
         self.publishing = false;
-        let targets = Arc::new(self.targets.serving(now));
-        self.around.publisher.do_send(Targets(targets));
+        let targets = self.targets.serving(now);
+        let run = |(name, target): (&id::Target, &view::Target)| {
+            (name.clone(), target.report.incarnation)
+        };
+        let serving: IndexMap<_, _> = targets.iter().map(run).collect();
+        for (target, incarnation) in &serving {
+            if self.serving.get(target) != Some(incarnation) {
+                tracing::info!(event = "target-serving", target, incarnation);
+            }
+        }
+        for (target, incarnation) in &self.serving {
+            if !serving.contains_key(target) {
+                tracing::info!(event = "target-gone", target, incarnation);
+            }
+        }
+        self.serving = serving;
+        self.around.publisher.do_send(Targets(Arc::new(targets)));
     }
 }
