fix(coord): let slow disks depose no leader

Cause: two whole-system tests failed while other builds kept the disk busy: a follower held its answer to every heartbeat back until its last write was synced, so a sync longer than an election timeout cost the leader its quorum and the group its leader. Ruled out: a longer election timeout (hides it, and lengthens the time without a leader after a kill). Change: a follower answers at once with what is synced and once more when the rest is. The vote and every entry still count only when synced. Result: failures::slow_disks_depose_nobody failed before (no leader after 12 election timeouts, syncs of 3) and passes after; the crate's other tests pass.

--- a/crates/zinniastall-coord/src/replica/follower.rs
+++ b/crates/zinniastall-coord/src/replica/follower.rs
@@ -124,10 +124,22 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// Acknowledges, once synced, that the log equals the leader's up to a place.
+    /// Acknowledges that the log equals the leader's up to a place: at once what is synced, the rest
+    /// once it is.
+    ///
+    /// The answer at once says that the leader was heard. Were it held back behind a slow disk, a
+    /// leader that everybody hears would lose its quorum and its lease whenever syncs take longer
+    /// than an election timeout, and operators would be told that nobody leads.
     fn accept(&mut self, to: Id, round: u64, matched: Index) {
-        let outcome = Outcome::Accepted { matched };
-        self.send_synced(to, Body::AppendAnswer { round, outcome });
+        let synced = matched.min(self.durable.upto());
+        let accepted = |matched| Body::AppendAnswer {
+            round,
+            outcome: Outcome::Accepted { matched },
+        };
+        self.send(to, accepted(synced));
+        if synced < matched {
+            self.send_synced(to, accepted(matched));
+        }
     }
 
     /// Notes that the leader of this term was heard.
--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -190,3 +190,18 @@
     net.status(place)
         .is_some_and(|status| status.part == Part::PreCandidate)
 }
+
+// The followers' disks are so busy that a sync takes several election timeouts. Commands wait, but
+// the leader can be heard all the time; were it deposed, the next one would fare no better, and
+// operators would be told again and again that nobody leads.
+case!(slow_disks_depose_nobody, 3, |net| {
+    let (leader, others) = net.parts();
+    let term = net.leader_status().map(|status| status.term);
+    for other in &others {
+        net.slow_disks.insert(*other, ELECTION * 3);
+    }
+    net.run(ELECTION * 12);
+    assert_eq!(net.leader(), Some(leader));
+    assert_eq!(net.leader_status().map(|status| status.term), term);
+    net.slow_disks.clear();
+});
