fix(control): say that a refusal will pass, and let the command line wait for it

Cause: a group that had just chosen a leader refused a change of its voters as 'invalid', exit code 6, although the same command would be taken a moment later; two whole-system tests failed on it. Change: outcome 'unavailable' for refusals that pass; zinniastall-ctl tries again under the same id.

--- a/crates/zinniastall-control/src/rpc/convert.rs
+++ b/crates/zinniastall-control/src/rpc/convert.rs
@@ -248,7 +248,11 @@
         },
         Reply::Refused(refusal) => api::ChangeResponse {
             reason: refusal.to_string(),
-            ..with(Outcome::Invalid)
+            ..with(if refusal.is_passing() {
+                Outcome::Unavailable
+            } else {
+                Outcome::Invalid
+            })
         },
         Reply::NotLeader(not) => api::ChangeResponse {
             leader: not.leader.unwrap_or_default(),
--- a/crates/zinniastall-coord/src/replica/refusal.rs
+++ b/crates/zinniastall-coord/src/replica/refusal.rs
@@ -65,3 +65,10 @@
     #[error("no other voter can take over")]
     NoSuccessor,
 }
+
+impl Refusal {
+    /// Tells whether the same proposal may be taken later without any change to it.
+    pub const fn is_passing(&self) -> bool {
+        !matches!(self, Self::TooLarge { .. } | Self::Voters(_))
+    }
+}
--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -92,6 +92,7 @@
                         "another replica leads".clone_into(&mut last);
                     }
                     Step::Elsewhere(_) => "no replica leads".clone_into(&mut last),
+                    Step::Later(reason) => last = reason,
                     Step::Lost(reason) => {
                         sent = true;
                         last = format!("{address}: {reason}");
@@ -121,6 +122,7 @@
 enum Step<T> {
     Done(T),
     Elsewhere(Option<String>),
+    Later(String),
     Lost(String),
 }
 
@@ -131,6 +133,11 @@
         None
     }
 
+    /// Tells why nothing was done, if the reason will pass.
+    fn unavailable(&self) -> Option<String> {
+        None
+    }
+
     /// Tells whether the outcome is unknown, so that the call is to be sent again.
     fn is_unknown(&self) -> bool {
         false
@@ -143,6 +150,10 @@
         (self.outcome() == Outcome::NotLeader).then_some(leader)
     }
 
+    fn unavailable(&self) -> Option<String> {
+        (self.outcome() == Outcome::Unavailable).then(|| self.reason.clone())
+    }
+
     fn is_unknown(&self) -> bool {
         self.outcome() == Outcome::Unknown
     }
@@ -168,10 +179,14 @@
 
 fn judge<T: Answer>(answer: Result<T, Status>) -> Result<Step<T>, Fault> {
     match answer {
-        Ok(answer) => Ok(match answer.elsewhere() {
-            Some(leader) => Step::Elsewhere(leader),
-            None if answer.is_unknown() => Step::Lost("unknown outcome".to_owned()),
-            None => Step::Done(answer),
+        Ok(answer) => Ok(if let Some(leader) = answer.elsewhere() {
+            Step::Elsewhere(leader)
+        } else if let Some(reason) = answer.unavailable() {
+            Step::Later(reason)
+        } else if answer.is_unknown() {
+            Step::Lost("unknown outcome".to_owned())
+        } else {
+            Step::Done(answer)
         }),
         Err(status) => match status.code() {
             Code::FailedPrecondition => {
--- a/crates/zinniastall-ctl/src/verdict.rs
+++ b/crates/zinniastall-ctl/src/verdict.rs
@@ -41,7 +41,7 @@
             Outcome::Reused => Self::Reused,
             Outcome::Invalid => Self::Invalid,
             Outcome::Unknown => Self::Unknown,
-            Outcome::NotLeader | Outcome::Unspecified => Self::Failed,
+            Outcome::NotLeader | Outcome::Unavailable | Outcome::Unspecified => Self::Failed,
         }
     }
 }
