--- a/tests/src/cluster/builder.rs
+++ b/tests/src/cluster/builder.rs
@@ -23,6 +23,7 @@
     zones: Vec<(String, String, usize)>,
     control: Value,
     entry: Value,
+    direct: bool,
 }
 
 impl Default for Builder {
@@ -32,6 +33,7 @@
             zones: Vec::new(),
             control: json!({}),
             entry: json!({}),
+            direct: false,
         }
     }
 }
@@ -66,6 +68,14 @@
         self
     }
 
+    /// Leaves the proxies before callers', targets' and entry instances' links out, so that they are
+    /// not measured along; control stays behind its own.
+    #[must_use]
+    pub const fn direct(mut self) -> Self {
+        self.direct = true;
+        self
+    }
+
     /// Starts control, founds the cluster, and starts the entry instances.
     ///
     /// # Errors
@@ -81,6 +91,7 @@
             controls,
             entries: IndexMap::new(),
             targets: IndexMap::new(),
+            direct: self.direct,
             _folder: folder,
         };
         super::found::found(&cluster).await?;
@@ -157,6 +168,9 @@
             let name = plan.name().to_owned();
             let mut settings = common(&plan);
             settings::merge(&mut settings, json!({"control": control, "seeds": seeds}));
+            if self.direct {
+                settings["advertise"] = json!({});
+            }
             settings::merge(&mut settings, self.entry.clone());
             entries.insert(name, plan.start(settings).await?);
         }
--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -32,6 +32,8 @@
     controls: IndexMap<String, Node>,
     entries: IndexMap<String, Node>,
     targets: IndexMap<String, Node>,
+    /// Whether callers, targets and entry instances reach each other without proxies.
+    direct: bool,
     /// Data folders; they go when the processes have gone.
     _folder: tempfile::TempDir,
 }
@@ -147,12 +149,11 @@
             .collect::<Result<_>>()?;
         let mut settings = json!({
             "listen": ANY,
-            "announce": {
-                "instances": instances,
-                "target": name,
-                "advertise": plan.address("http")?.to_string(),
-            },
+            "announce": {"instances": instances, "target": name},
         });
+        if !self.direct {
+            settings["announce"]["advertise"] = plan.address("http")?.to_string().into();
+        }
         settings::merge(&mut settings, change);
         let node = plan.start(settings).await?;
         self.targets.insert(name.to_owned(), node);
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod proxy;
 pub use zinniastall_load::sse;
 pub mod settings;
+pub mod usage;
 pub mod wait;
 
 pub use error::{Error, Result};
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -4,6 +4,7 @@
     net::SocketAddr,
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
 };
 
 use nix::{
@@ -152,8 +153,17 @@
     ///
     /// Fails when it does not end in time.
     pub async fn ends(&mut self) -> Result<ExitStatus> {
+        self.ends_within(wait::BOUND).await
+    }
+
+    /// Waits until the process has ended, for a time that its work needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not end in time.
+    pub async fn ends_within(&mut self, bound: Duration) -> Result<ExitStatus> {
         let what = format!("end of {}", self.name);
-        wait::until(&what, async || self.child.try_wait().ok().flatten()).await
+        wait::within(bound, &what, async || self.child.try_wait().ok().flatten()).await
     }
 
     /// Asks the process to end and waits until it has.
--- /dev/null
+++ b/xtask/src/bench/load.rs
@@ -0,0 +1,29 @@
+//! Runs the load tool as a process of its own.
+
+use std::{path::Path, time::Duration};
+
+use serde_json::Value;
+use zinniastall_tests::settings;
+
+/// Time beyond the measured one within which the load tool must end.
+const GRACE: Duration = Duration::from_mins(2);
+
+/// Runs an experiment and returns its report, which stays at `report`.
+///
+/// # Errors
+///
+/// Fails when the tool does not end or writes no report.
+pub(super) async fn run(mut experiment: Value, report: &Path) -> eyre::Result<Value> {
+    // The report of an earlier run must not be taken for this one's.
+    let _ = std::fs::remove_file(report);
+    experiment["report"] = report.display().to_string().into();
+    let time = |field: &str| experiment[field].as_u64().unwrap_or_default();
+    let variants = experiment["variants"].as_array().map_or(1, Vec::len) as u64;
+    let millis = (time("warmup_ms") + time("duration_ms")) * variants;
+    let bound = Duration::from_millis(millis) + GRACE;
+    let mut tool = settings::start("load", "zinniastall-load", &experiment)?;
+    let status = tool.ends_within(bound).await?;
+    let text = std::fs::read_to_string(report);
+    let text = text.map_err(|error| eyre::eyre!("no report ({status}): {error}"))?;
+    Ok(serde_json::from_str(&text)?)
+}
--- /dev/null
+++ b/xtask/src/bench/speed.rs
@@ -0,0 +1,252 @@
+//! What an entry instance costs: added latency, requests a second per core, memory.
+//!
+//! One entry instance with one thread, one stand-in engine that answers at once, the load tool; the
+//! same engine called directly is the comparison, in the same run with the same arrivals.
+
+use std::{path::Path, time::Duration};
+
+use serde_json::{Value, json};
+use zinniastall_tests::{cluster::Cluster, usage, wait};
+
+use super::{
+    load,
+    table::{Table, millis},
+};
+
+const MODEL: &str = "map-labels";
+const CLIENT: &str = "chartotopos";
+const KEY: &str = "bench-key";
+const ENTRY: &str = "patras-a-1";
+const ENGINE: &str = "engine-1";
+/// First rate tried, in requests a second, and the factor from one to the next.
+const RATE: (f64, f64) = (1_000.0, 1.25);
+/// Share of the requests that must be answered in time for a rate to count as carried.
+const CARRIED: f64 = 0.99;
+/// Open streams at which memory is read.
+const STREAMS: [u64; 3] = [0, 1_000, 3_000];
+
+pub(super) async fn run(reports: &Path) -> eyre::Result<()> {
+    let mut bench = Bench::start().await?;
+    let (highest, cost) = bench.highest(reports).await?;
+    println!("\nhighest rate carried by one thread: {highest:.0} requests a second");
+    println!(
+        "processor time of the entry instance: {} us a request",
+        cost.as_micros()
+    );
+    println!(
+        "requests a second per core: {:.0}\n",
+        1.0 / cost.as_secs_f64()
+    );
+    bench.added(reports, highest / 2.0).await?;
+    bench.memory(reports).await?;
+    Ok(bench.cluster.stop().await?)
+}
+
+struct Bench {
+    cluster: Cluster,
+    entry: std::net::SocketAddr,
+    engine: std::net::SocketAddr,
+}
+
+impl Bench {
+    async fn start() -> eyre::Result<Self> {
+        let mut cluster = Cluster::builder()
+            .direct()
+            .zone("patras", "a", 1)
+            .entry(json!({"threads": 1, "log": "warn,zinniastall_entry=info"}))
+            .start()
+            .await?;
+        let settings = json!({
+            "threads": 3, "slots": 10_000, "ledger": 1,
+            "engine": {"token_us": 0, "first_ms": 0},
+        });
+        cluster
+            .engine(ENGINE, ("patras", "a"), MODEL, settings)
+            .await?;
+        cluster.client(CLIENT, KEY).await?;
+        cluster.model(MODEL).await?;
+        let entry = cluster.entry(ENTRY)?.process().address("callers").await?;
+        let engine = cluster.target(ENGINE)?.process().address("http").await?;
+        let body = json!({"model": MODEL, "messages": [{"role": "user", "content": "hello"}]});
+        cluster.serves(entry, KEY, &body).await?;
+        Ok(Self {
+            cluster,
+            entry,
+            engine,
+        })
+    }
+
+    /// Raises the rate until it is no longer carried; returns it and the processor time a request.
+    async fn highest(&mut self, reports: &Path) -> eyre::Result<(f64, Duration)> {
+        let mut rate = RATE.0;
+        let mut best = (0.0, Duration::ZERO);
+        let mut table = Table::new(&[
+            "requests a second",
+            "in time",
+            "p50 ms",
+            "p99 ms",
+            "CPU us a request",
+        ]);
+        loop {
+            let before = self.processor()?;
+            let variants = json!([{"name": "system", "entries": [self.entry]}]);
+            let experiment = experiment(&variants, rate, false, 4_000);
+            let report = load::run(experiment, &reports.join("speed-rate.json")).await?;
+            let spent = self.processor()?.saturating_sub(before);
+            let all = &report["variants"][0]["all"];
+            let planned = report["planned"].as_u64().unwrap_or(1).max(1);
+            let cost = spent / u32::try_from(planned).unwrap_or(u32::MAX);
+            let share = ratio(&all["goodput"]) * 4.0 / ratio(&all["requests"]).max(1.0);
+            table.row(vec![
+                format!("{rate:.0}"),
+                format!("{:.1} %", share * 100.0),
+                millis(&all["whole"]["p50"]),
+                millis(&all["whole"]["p99"]),
+                cost.as_micros().to_string(),
+            ]);
+            if share < CARRIED {
+                break;
+            }
+            best = (rate, cost);
+            rate *= RATE.1;
+        }
+        table.print();
+        Ok(best)
+    }
+
+    /// Compares the entry instance with the engine called directly, whole and streamed.
+    async fn added(&self, reports: &Path, rate: f64) -> eyre::Result<()> {
+        println!("added latency at {rate:.0} requests a second, in milliseconds\n");
+        let head = [
+            "answer",
+            "direct p50",
+            "system p50",
+            "added p50",
+            "direct p99",
+            "system p99",
+            "added p99",
+        ];
+        let mut table = Table::new(&head);
+        for (name, stream) in [("whole", false), ("streamed", true)] {
+            let variants = json!([
+                {"name": "direct", "direct": self.engine},
+                {"name": "system", "entries": [self.entry]},
+            ]);
+            let experiment = experiment(&variants, rate, stream, 10_000);
+            let report = load::run(experiment, &reports.join(format!("speed-{name}.json"))).await?;
+            let measure = if stream { "first" } else { "whole" };
+            let at = |variant: usize, quantile: &str| {
+                report["variants"][variant]["all"][measure][quantile].clone()
+            };
+            let added = |quantile: &str| {
+                format!(
+                    "{:.2}",
+                    (ratio(&at(1, quantile)) - ratio(&at(0, quantile))) / 1000.0
+                )
+            };
+            let mut row = vec![name.to_owned()];
+            for quantile in ["p50", "p99"] {
+                row.extend([
+                    millis(&at(0, quantile)),
+                    millis(&at(1, quantile)),
+                    added(quantile),
+                ]);
+            }
+            table.row(row);
+        }
+        table.print();
+        Ok(())
+    }
+
+    /// Reads the memory of the entry instance at rest and with many open streams.
+    async fn memory(&mut self, reports: &Path) -> eyre::Result<()> {
+        let mut table = Table::new(&["open streams", "memory MB", "KB a stream"]);
+        let id = self.cluster.entry(ENTRY)?.process().id();
+        let rest = usage::memory(id)?;
+        for streams in STREAMS {
+            let used = if streams == 0 {
+                rest
+            } else {
+                self.open(reports, streams, id).await?
+            };
+            let each = used.saturating_sub(rest) / 1024 / streams.max(1);
+            table.row(vec![
+                streams.to_string(),
+                format!("{:.1}", ratio(&used.into()) / 1e6),
+                each.to_string(),
+            ]);
+        }
+        println!();
+        table.print();
+        Ok(())
+    }
+
+    /// Holds some streams open at a slow engine and returns the memory then.
+    async fn open(&mut self, reports: &Path, streams: u64, id: u32) -> eyre::Result<u64> {
+        let name = format!("slow-{streams}");
+        let model = format!("slow-{streams}");
+        let settings = json!({
+            "threads": 2, "slots": 10_000,
+            "engine": {"token_us": 500_000, "first_ms": 100},
+        });
+        self.cluster
+            .engine(&name, ("patras", "a"), &model, settings)
+            .await?;
+        self.cluster.model(&model).await?;
+        let slow = self
+            .cluster
+            .target(&name)?
+            .process()
+            .address("http")
+            .await?;
+        let mut experiment = experiment(
+            &json!([{"name": "open", "entries": [self.entry]}]),
+            500.0,
+            true,
+            0,
+        );
+        experiment["duration_ms"] = (streams * 2).into();
+        experiment["warmup_ms"] = 0.into();
+        experiment["sources"][0]["model"] = model.into();
+        experiment["sources"][0]["arrivals"] = "fixed".into();
+        // Long enough that the first stream is still open when the last one starts.
+        experiment["sources"][0]["tokens"] = (streams / 250 + 20).into();
+        experiment["deadline_ms"] = 600_000.into();
+        let report = reports.join("speed-open.json");
+        let running = actix_rt::spawn(async move { load::run(experiment, &report).await });
+        let what = format!("{streams} open streams");
+        wait::within(Duration::from_mins(1), &what, async || {
+            let ledger = zinniastall_tests::http::get(slow, "/ledger")
+                .send()
+                .await
+                .ok()?;
+            let open = ledger.json().ok()?.as_array()?.len() as u64;
+            (open + 1 >= streams).then_some(())
+        })
+        .await?;
+        let used = usage::memory(id)?;
+        running.await??;
+        Ok(used)
+    }
+
+    fn processor(&mut self) -> eyre::Result<Duration> {
+        let id = self.cluster.entry(ENTRY)?.process().id();
+        Ok(usage::processor(id)?)
+    }
+}
+
+fn experiment(variants: &Value, rate: f64, stream: bool, duration_ms: u64) -> Value {
+    json!({
+        "seed": 3, "threads": 3, "warmup_ms": 1_000, "duration_ms": duration_ms,
+        "deadline_ms": 1_000, "patience_ms": 60_000,
+        "variants": variants,
+        "sources": [{
+            "client": CLIENT, "key": KEY, "model": MODEL, "rate": rate,
+            "stream": stream, "tokens": 16, "suffix_bytes": 400,
+        }],
+    })
+}
+
+fn ratio(value: &Value) -> f64 {
+    value.as_f64().unwrap_or_default()
+}
--- a/xtask/src/build.rs
+++ b/xtask/src/build.rs
@@ -9,6 +9,8 @@
 pub(crate) enum Profile {
     /// For a look.
     Debug,
+    /// For measurements.
+    Release,
 }
 
 /// Builds all binaries and has the scaffolding use them.
@@ -21,12 +23,16 @@
     let mut command = Command::new(cargo);
     command.current_dir(root);
     command.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
+    if profile == Profile::Release {
+        command.arg("--release");
+    }
     let status = command.status()?;
     eyre::ensure!(status.success(), "the build failed: {status}");
     let target = std::env::var_os("CARGO_TARGET_DIR");
     let target = target.map_or_else(|| root.join("target"), Into::into);
     binary::use_folder(match profile {
         Profile::Debug => target.join("debug"),
+        Profile::Release => target.join("release"),
     });
     Ok(())
 }
