--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -45,7 +45,10 @@
 
 async fn serve(settings: Standin) -> eyre::Result<()> {
     let slots = Slots::new(settings.slots, settings.queue);
-    let ledger = Ledger::new(settings.ledger);
+    let ledger = match &settings.ledger_file {
+        Some(path) => Ledger::open(settings.ledger, path)?,
+        None => Ledger::new(settings.ledger),
+    };
     let failure = Switch::new(settings.failure);
     let base = Base {
         ledger: ledger.clone(),
--- a/crates/zinniastall-standin/src/ledger.rs
+++ b/crates/zinniastall-standin/src/ledger.rs
@@ -1,7 +1,13 @@
 //! The ledger: every request that a stand-in ran, and how it ended there.
+//!
+//! With a file it outlives the process: each change is one line, written before the request goes
+//! on, so that a killed stand-in still accounts for what it ran.
 
 use std::{
     collections::VecDeque,
+    fs::File,
+    io::{BufRead, BufReader, Write},
+    path::Path,
     sync::{Arc, Mutex, PoisonError},
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -47,6 +53,15 @@
     /// Entries dropped from the front.
     dropped: usize,
     limit: usize,
+    file: Option<File>,
+}
+
+/// One line of a ledger's file.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Line {
+    Started(Entry),
+    Finished(usize, u64),
 }
 
 /// A run in progress; dropping it unfinished marks it as cancelled.
@@ -64,21 +79,49 @@
             entries: VecDeque::new(),
             dropped: 0,
             limit,
+            file: None,
         };
         Self {
             book: Arc::new(Mutex::new(book)),
         }
     }
 
+    /// Opens a ledger that is kept in a file; what an earlier process left unfinished counts as
+    /// cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or written.
+    pub fn open(limit: usize, path: &Path) -> std::io::Result<Self> {
+        let ledger = Self::new(limit);
+        let options = File::options().create(true).append(true).read(true).clone();
+        let file = options.open(path)?;
+        for line in BufReader::new(&file).lines() {
+            // A line that the end of the process cut short is the last one and tells nothing.
+            match serde_json::from_str(&line?) {
+                Ok(Line::Started(entry)) => {
+                    ledger.lock().add(entry);
+                }
+                Ok(Line::Finished(number, at)) => ledger.change(number, |entry| {
+                    entry.finished = Some(at);
+                }),
+                Err(_) => {}
+            }
+        }
+        let mut book = ledger.lock();
+        for entry in &mut book.entries {
+            entry.cancelled = entry.finished.is_none();
+        }
+        book.file = Some(file);
+        drop(book);
+        Ok(ledger)
+    }
+
     /// Notes that a request starts to run.
     pub fn start(&self, entry: Entry) -> Run {
         let mut book = self.lock();
-        if book.entries.len() == book.limit {
-            book.entries.pop_front();
-            book.dropped += 1;
-        }
-        book.entries.push_back(entry);
-        let number = book.dropped + book.entries.len() - 1;
+        book.write(&Line::Started(entry.clone()));
+        let number = book.add(entry);
         drop(book);
         Run {
             ledger: self.clone(),
@@ -105,12 +148,38 @@
     }
 }
 
+impl Book {
+    /// Adds an entry and returns its number.
+    fn add(&mut self, entry: Entry) -> usize {
+        if self.entries.len() == self.limit {
+            self.entries.pop_front();
+            self.dropped += 1;
+        }
+        self.entries.push_back(entry);
+        self.dropped + self.entries.len() - 1
+    }
+
+    fn write(&mut self, line: &Line) {
+        let Some(file) = &mut self.file else {
+            return;
+        };
+        let text = serde_json::to_string(line).unwrap_or_default() + "\n";
+        if let Err(error) = file.write_all(text.as_bytes()) {
+            // A ledger that misses runs would prove promises that were not kept.
+            tracing::error!(event = "ledger-failed", error = %error);
+            std::process::exit(1);
+        }
+    }
+}
+
 impl Run {
     /// Notes that the whole answer was handed over.
     pub fn finish(&mut self) {
         self.finished = true;
+        let at = now();
+        self.ledger.lock().write(&Line::Finished(self.number, at));
         self.ledger
-            .change(self.number, |entry| entry.finished = Some(now()));
+            .change(self.number, |entry| entry.finished = Some(at));
     }
 }
 
--- a/crates/zinniastall-standin/src/settings.rs
+++ b/crates/zinniastall-standin/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a stand-in.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use zinniastall_model::id;
 use zinniastall_settings::{load::Settings, reader::Reader};
@@ -33,6 +33,8 @@
     pub threads: usize,
     /// Most entries of its ledger; the oldest go first.
     pub ledger: usize,
+    /// File that keeps its ledger over restarts; none is kept where absent.
+    pub ledger_file: Option<PathBuf>,
     /// Requests that it runs at once.
     pub slots: usize,
     /// Requests that wait for a slot; more are refused as not run.
@@ -135,6 +137,7 @@
                 .unwrap_or_else(|| "info".to_owned()),
             threads: count(reader.number("threads", 1..=64, 1)),
             ledger: count(reader.number("ledger", 1..=10_000_000, 100_000)),
+            ledger_file: reader.optional_text("ledger_file").map(PathBuf::from),
             slots: count(reader.number("slots", 1..=100_000, 8)),
             queue: count(reader.number("queue", 0..=100_000, 64)),
             failure: reader.nested("failure", failure::read),
--- a/tests/tests/standin.rs
+++ b/tests/tests/standin.rs
@@ -118,3 +118,22 @@
     }
     Ok(())
 }
+
+/// A target is killed and started again. What it ran before must still be in its ledger, or a test
+/// would take a request that ran for one that did not.
+#[actix_rt::test]
+async fn ledgers_in_files_outlive_their_process() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let file = json!({"ledger_file": folder.path().join("ledger")});
+    let (mut process, address) = engine(file.clone()).await?;
+    read(address, 0).await?;
+    let request = http::post(address, "/v1/chat/completions").json(&chat("room 2", true));
+    let (_, mut events) = request.stream().await?;
+    events.next().await?;
+    process.kill()?;
+    let (_process, address) = engine(file).await?;
+    let entries = ledger(address).await?;
+    let cancelled: Vec<&Value> = entries.iter().map(|entry| &entry["cancelled"]).collect();
+    assert_eq!(cancelled, [&json!(false), &json!(true)]);
+    Ok(())
+}
