--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -77,6 +77,22 @@
         nodes.chain(self.targets.values())
     }
 
+    /// Returns all nodes, to change them.
+    pub fn nodes_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        let nodes = self.controls.values_mut().chain(self.entries.values_mut());
+        nodes.chain(self.targets.values_mut())
+    }
+
+    /// Returns a node of any kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of this name.
+    pub fn node(&mut self, name: &str) -> Result<&mut Node> {
+        let found = self.nodes_mut().find(|node| node.name() == name);
+        found.ok_or_else(|| Error::Unknown(name.to_owned()))
+    }
+
     /// Returns all entry instances.
     pub fn entries(&self) -> impl Iterator<Item = &Node> {
         self.entries.values()
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -94,7 +94,9 @@
             if let Some(address) = self.reported(role) {
                 return Some(Ok(address));
             }
-            self.ended().map(Err)
+            let name = self.name.clone();
+            self.ended()
+                .map(|status| Err(Error::Ended { name, status }))
         });
         found.await?
     }
@@ -166,6 +168,11 @@
         wait::within(bound, &what, async || self.child.try_wait().ok().flatten()).await
     }
 
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Asks the process to end and waits until it has.
     ///
     /// # Errors
@@ -193,12 +200,6 @@
         field(line, "address")?.parse().ok()
     }
 
-    fn ended(&mut self) -> Option<Error> {
-        let status = self.child.try_wait().ok().flatten()?;
-        let name = self.name.clone();
-        Some(Error::Ended { name, status })
-    }
-
     fn signal(&self, signal: Signal) -> Result<()> {
         let id = i32::try_from(self.child.id()).map_err(|_| nix::Error::ESRCH)?;
         kill(Pid::from_raw(id), signal)?;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,17 +3,21 @@
 use std::{ffi::OsStr, path::Path, process::ExitCode};
 
 use bench::Bench;
+use lexopt::ValueExt;
 
 mod bench;
 mod build;
 mod codegen;
 mod demo;
+mod soak;
 
 const USAGE: &str = "usage: cargo xtask CHORE
 
   demo          run the whole path with real processes
   bench speed   measure what an entry instance costs
   bench path    measure how policies choose
+  soak [--seconds N] [--seed S]
+                break things at random and count broken promises
   codegen       generate the operators' calls from their schema file";
 
 fn main() -> eyre::Result<ExitCode> {
@@ -35,7 +39,23 @@
                 .and_then(Bench::parse);
             bench::run(root, what.ok_or_else(|| eyre::eyre!(USAGE))?)?;
         }
+        Some("soak") => {
+            let (seconds, seed) = soak_options(&mut arguments)?;
+            soak::run(root, seconds, seed)?;
+        }
         _ => eyre::bail!("unknown chore: {}\n{USAGE}", chore.display()),
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn soak_options(arguments: &mut lexopt::Parser) -> eyre::Result<(u64, u64)> {
+    let (mut seconds, mut seed) = (60, 1);
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            lexopt::Arg::Long("seconds") => seconds = arguments.value()?.parse()?,
+            lexopt::Arg::Long("seed") => seed = arguments.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok((seconds, seed))
+}
