--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -32,6 +32,8 @@
     controls: IndexMap<String, Node>,
     entries: IndexMap<String, Node>,
     targets: IndexMap<String, Node>,
+    /// Whether callers, targets and entry instances reach each other without proxies.
+    direct: bool,
     /// Data folders; they go when the processes have gone.
     _folder: tempfile::TempDir,
 }
@@ -75,6 +77,22 @@
         nodes.chain(self.targets.values())
     }
 
+    /// Returns all nodes, to change them.
+    pub fn nodes_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        let nodes = self.controls.values_mut().chain(self.entries.values_mut());
+        nodes.chain(self.targets.values_mut())
+    }
+
+    /// Returns a node of any kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of this name.
+    pub fn node(&mut self, name: &str) -> Result<&mut Node> {
+        let found = self.nodes_mut().find(|node| node.name() == name);
+        found.ok_or_else(|| Error::Unknown(name.to_owned()))
+    }
+
     /// Returns all entry instances.
     pub fn entries(&self) -> impl Iterator<Item = &Node> {
         self.entries.values()
@@ -147,12 +165,11 @@
             .collect::<Result<_>>()?;
         let mut settings = json!({
             "listen": ANY,
-            "announce": {
-                "instances": instances,
-                "target": name,
-                "advertise": plan.address("http")?.to_string(),
-            },
+            "announce": {"instances": instances, "target": name},
         });
+        if !self.direct {
+            settings["announce"]["advertise"] = plan.address("http")?.to_string().into();
+        }
         settings::merge(&mut settings, change);
         let node = plan.start(settings).await?;
         self.targets.insert(name.to_owned(), node);
