fix(tests): tell callers apart by both ends of a connection

A proxy found its caller by the near address alone. Under load a port stands in the kernel's table several times, also for connections that only wait to be forgotten (inode 0), so the caller stayed unknown and rules by caller, such as a partition, did not hold for that connection.

--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -25,27 +25,35 @@
             .insert(id, name.to_owned());
     }
 
-    /// Returns the name of the process that holds the far end of a connection.
-    pub fn find(&self, peer: SocketAddr) -> Option<String> {
-        let link = format!("socket:[{}]", inode(peer)?);
+    /// Returns the name of the process that holds the far end of a connection, given the addresses
+    /// of that end and of this one.
+    pub fn find(&self, peer: SocketAddr, own: SocketAddr) -> Option<String> {
+        let link = format!("socket:[{}]", inode(peer, own)?);
         let names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
         let holder = names.iter().find(|(id, _)| holds(**id, &link))?;
         Some(holder.1.clone())
     }
 }
 
-/// Finds the socket whose own address is `address` in the kernel's table.
-fn inode(address: SocketAddr) -> Option<String> {
+/// Finds the socket of a connection in the kernel's table, by the addresses of both its ends: one
+/// port may serve several connections, some of which only wait to be forgotten.
+fn inode(near: SocketAddr, far: SocketAddr) -> Option<String> {
+    let (near, far) = (column(near)?, column(far)?);
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    table.lines().find_map(|line| {
+        let mut columns = line.split_ascii_whitespace().skip(1);
+        let ends = (columns.next()?, columns.next()?);
+        (ends == (&near, &far)).then(|| columns.nth(6).map(str::to_owned))?
+    })
+}
+
+/// Writes an address as the kernel's table does.
+fn column(address: SocketAddr) -> Option<String> {
     let SocketAddr::V4(address) = address else {
         return None;
     };
     let ip = u32::from_ne_bytes(address.ip().octets());
-    let wanted = format!("{ip:08X}:{:04X}", address.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().find_map(|line| {
-        let mut columns = line.split_ascii_whitespace();
-        (columns.nth(1)? == wanted).then(|| columns.nth(7).map(str::to_owned))?
-    })
+    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
 
 fn holds(id: u32, link: &str) -> bool {
--- a/tests/src/proxy/mod.rs
+++ b/tests/src/proxy/mod.rs
@@ -201,7 +201,8 @@
         let rules = rules.clone();
         let callers = callers.clone();
         tokio::spawn(async move {
-            let caller = callers.find(peer);
+            let own = stream.local_addr();
+            let caller = own.ok().and_then(|own| callers.find(peer, own));
             let upstream = rules.borrow().upstream;
             connection::serve(stream, Watch { rules, caller }, upstream).await;
         });
