--- /dev/null
+++ b/tests/tests/spread/cuts.rs
@@ -0,0 +1,68 @@
+//! Zones and regions cut off, one way and both.
+
+use zinniastall_tests::{Result, node::Node};
+
+use crate::system::{ask, cut_one_way, lists, start};
+
+macro_rules! cut_off {
+    ($($name:ident: $zones:expr, $inside:expr, $within:expr, $without:expr;)*) => {$(
+        #[actix_rt::test]
+        async fn $name() -> Result<()> {
+            let (zones, within, without): (&[(&str, &str)], [&str; 2], [&str; 2]) =
+                ($zones, $within, $without);
+            let mut cluster = start(zones, 2).await?;
+            let inside: fn(&Node) -> bool = $inside;
+            cluster.partition(inside);
+            let answer = lists(&cluster, within[0], &within).await?;
+            assert!(answer["valid_ms"].as_u64().is_some_and(|valid| valid <= 10_000));
+            lists(&cluster, without[0], &without).await?;
+            for entry in within.iter().chain(&without) {
+                let target = ask(&mut cluster, entry).await?.unwrap_or_default();
+                let place = entry.rsplit_once('-').map(|(place, _)| place).unwrap_or_default();
+                assert_eq!(target, format!("engine-{place}"), "{entry} did not serve its own");
+            }
+            cluster.heal();
+            let all = [within, without].concat();
+            for entry in &all {
+                lists(&cluster, entry, &all).await?;
+            }
+            cluster.stop().await
+        }
+    )*};
+}
+
+// The links of an availability zone to all others go silent. Its callers must not be sent to
+// instances beyond the cut, where they would wait in vain; each side serves with what it has, and
+// afterwards both see each other again.
+cut_off! {
+    zone_cut_from_its_region:
+        &[("athens", "a"), ("athens", "b")],
+        |node| node.zone() == "b" && !node.name().starts_with("control"),
+        ["athens-b-1", "athens-b-2"], ["athens-a-1", "athens-a-2"];
+    region_cut_from_the_rest:
+        &[("athens", "a"), ("patras", "a")],
+        |node| node.region() == "patras" && !node.name().starts_with("control"),
+        ["patras-a-1", "patras-a-2"], ["athens-a-1", "athens-a-2"];
+}
+
+// What one instance sends to another gets lost while the way back works. Judged by hearing alone,
+// the other stays alive for the one that isn't heard, and callers and requests go on being sent
+// there.
+#[actix_rt::test]
+async fn one_way_cut_between_two_instances() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 3).await?;
+    cut_one_way(
+        &cluster,
+        |node| node.name() == "athens-a-1",
+        |node| node.name() == "athens-a-2",
+    );
+    lists(&cluster, "athens-a-1", &["athens-a-1", "athens-a-3"]).await?;
+    lists(&cluster, "athens-a-2", &["athens-a-2", "athens-a-3"]).await?;
+    let all = ["athens-a-1", "athens-a-2", "athens-a-3"];
+    lists(&cluster, "athens-a-3", &all).await?;
+    cluster.heal();
+    for entry in all {
+        lists(&cluster, entry, &all).await?;
+    }
+    cluster.stop().await
+}
--- /dev/null
+++ b/tests/tests/spread/main.rs
@@ -0,0 +1,6 @@
+//! Membership, spread and locate over real processes and broken links.
+
+mod cuts;
+mod instances;
+mod system;
+mod targets;
--- /dev/null
+++ b/tests/tests/spread/targets.rs
@@ -0,0 +1,244 @@
+//! Targets' announcements: leases, runs, leaving, healing under load.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use zinniastall_tests::{Result, cluster::Cluster, http, log::field, wait};
+
+use crate::system::{KEY, MODEL, ask, chat, lists, logged, start, times};
+
+/// Within this time what is known of a target at one instance is in force in its zone.
+const SPREAD: Duration = Duration::from_secs(2);
+
+/// Callers at once for each instance under load.
+const CALLERS: usize = 4;
+
+/// Announces a target by hand to an entry instance; returns the status.
+async fn announce(cluster: &mut Cluster, entry: &str, run: u64, sequence: u64) -> Result<u16> {
+    let body = json!({
+        "target": "by-hand", "incarnation": run, "sequence": sequence,
+        "address": "127.0.0.1:9", "kind": "standin", "role": "both",
+        "serves": [{"model": "other", "version": "1"}],
+        "slots": 8, "busy": 0, "price": 1.0,
+    });
+    post(cluster, entry, "/v1/targets/announce", &body).await
+}
+
+async fn post(cluster: &mut Cluster, entry: &str, path: &str, body: &Value) -> Result<u16> {
+    let address = cluster.entry(entry)?.process().address("targets").await?;
+    Ok(http::post(address, path).json(body).send().await?.status())
+}
+
+// A target loses its instance for a moment and announces to another one; then both carry it. If the
+// two reports fought, the target would flicker in the zone's view; if a late one counted after the
+// leave, a leaving target would get new work.
+#[actix_rt::test]
+async fn target_announcing_to_two_instances() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 3).await?;
+    let serving = ("target-serving", "target", "by-hand");
+    let gone = ("target-gone", "target", "by-hand");
+    for sequence in 1..=6 {
+        let entry = if sequence % 2 == 1 {
+            "athens-a-1"
+        } else {
+            "athens-a-2"
+        };
+        assert_eq!(announce(&mut cluster, entry, 7, sequence).await?, 200);
+    }
+    logged(&cluster, "athens-a-3", serving, 1, SPREAD).await?;
+    let leave = json!({"target": "by-hand", "incarnation": 7});
+    assert_eq!(
+        post(&mut cluster, "athens-a-1", "/v1/targets/leave", &leave).await?,
+        200
+    );
+    for entry in ["athens-a-1", "athens-a-2", "athens-a-3"] {
+        logged(&cluster, entry, gone, 1, SPREAD).await?;
+    }
+    assert_eq!(announce(&mut cluster, "athens-a-2", 7, 7).await?, 200);
+    assert_eq!(announce(&mut cluster, "athens-a-2", 8, 1).await?, 200);
+    for entry in ["athens-a-1", "athens-a-2", "athens-a-3"] {
+        logged(&cluster, entry, serving, 2, SPREAD).await?;
+        assert_eq!(
+            times(&cluster, entry, serving),
+            2,
+            "{entry}: the left run came back"
+        );
+    }
+    cluster.stop().await
+}
+
+// A target restarts while the lease of its former run still runs. The new run has other models and
+// empty caches; requests that go by the old report would fail. A late announcement of the old run
+// must not take the new one's place.
+#[actix_rt::test]
+async fn new_run_while_the_old_lease_runs() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 3).await?;
+    assert_eq!(announce(&mut cluster, "athens-a-1", 7, 40).await?, 200);
+    let old = ("target-serving", "incarnation", "7");
+    let new = ("target-serving", "incarnation", "8");
+    for entry in ["athens-a-1", "athens-a-2", "athens-a-3"] {
+        logged(&cluster, entry, old, 1, SPREAD).await?;
+    }
+    assert_eq!(announce(&mut cluster, "athens-a-2", 8, 1).await?, 200);
+    for entry in ["athens-a-1", "athens-a-2", "athens-a-3"] {
+        logged(&cluster, entry, new, 1, SPREAD).await?;
+        assert_eq!(announce(&mut cluster, entry, 7, 41).await?, 409, "{entry}");
+    }
+    assert_eq!(
+        times(&cluster, "athens-a-3", old),
+        1,
+        "the old run came back"
+    );
+    cluster.stop().await
+}
+
+// A target leaves while both instances of its zone are under load. Work sent after the leave would
+// be cut when the target goes; a zone that goes by leases alone sends for seconds.
+#[actix_rt::test]
+async fn leaving_target_gets_no_new_work() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 2).await?;
+    cluster
+        .engine("engine-leaving", ("athens", "a"), MODEL, json!({}))
+        .await?;
+    let serving = ("target-serving", "target", "engine-leaving");
+    for entry in ["athens-a-1", "athens-a-2"] {
+        logged(&cluster, entry, serving, 1, wait::BOUND).await?;
+    }
+    let load = Load::start(&mut cluster, &["athens-a-1", "athens-a-2"]).await?;
+    load.answered(40).await?;
+    let line = cluster
+        .entry("athens-a-1")?
+        .running()
+        .log()
+        .events("target-serving");
+    let line = line
+        .iter()
+        .find(|line| field(line, "target") == Some("engine-leaving"));
+    let run = line
+        .and_then(|line| field(line, "incarnation"))
+        .unwrap_or_default()
+        .to_owned();
+    let leave = json!({"target": "engine-leaving", "incarnation": run.parse::<u64>().unwrap()});
+    assert_eq!(
+        post(&mut cluster, "athens-a-1", "/v1/targets/leave", &leave).await?,
+        200
+    );
+    let left = Instant::now();
+    while left.elapsed() < SPREAD {
+        load.answered(load.count() + 1).await?;
+    }
+    let before = cluster.ledger("engine-leaving").await?.len();
+    assert!(before > 0, "the target had no work before it left");
+    load.answered(load.count() + 100).await?;
+    assert_eq!(
+        cluster.ledger("engine-leaving").await?.len(),
+        before,
+        "new work after the leave"
+    );
+    assert_eq!(load.failed(), 0);
+    load.stop();
+    cluster.stop().await
+}
+
+// A zone is cut off and comes back while callers keep asking both sides. The cut must not fail
+// requests that need nothing from the other side, and the healing must not drown the instances in
+// new connections.
+#[actix_rt::test]
+async fn healing_under_load() -> Result<()> {
+    let mut cluster = start(&[("athens", "a"), ("athens", "b")], 2).await?;
+    let all = ["athens-a-1", "athens-a-2", "athens-b-1", "athens-b-2"];
+    let load = Load::start(&mut cluster, &all).await?;
+    load.answered(40).await?;
+    cluster.partition(|node| node.zone() == "b" && !node.name().starts_with("control"));
+    lists(&cluster, all[0], &all[..2]).await?;
+    lists(&cluster, all[2], &all[2..]).await?;
+    load.answered(load.count() + 100).await?;
+    let opened = |cluster: &Cluster| -> Result<u64> {
+        cluster
+            .entries()
+            .map(|node| Ok(node.proxy("links")?.opened()))
+            .sum()
+    };
+    let before = opened(&cluster)?;
+    let healed = Instant::now();
+    cluster.heal();
+    for entry in all {
+        lists(&cluster, entry, &all).await?;
+    }
+    let took = healed.elapsed();
+    load.answered(load.count() + 100).await?;
+    let dials = opened(&cluster)? - before;
+    println!(
+        "healed after {took:?} with {dials} dials to 4 instances, {} failed",
+        load.failed()
+    );
+    assert!(dials <= 40, "{dials} dials");
+    assert_eq!(load.failed(), 0);
+    load.stop();
+    assert!(ask(&mut cluster, all[3]).await?.is_some());
+    cluster.stop().await
+}
+
+/// Callers that ask instances one request after the other.
+struct Load {
+    answered: Rc<Cell<usize>>,
+    failed: Rc<Cell<usize>>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Load {
+    async fn start(cluster: &mut Cluster, entries: &[&str]) -> Result<Self> {
+        let (answered, failed) = (Rc::<Cell<usize>>::default(), Rc::<Cell<usize>>::default());
+        let mut tasks = Vec::new();
+        for entry in entries {
+            let address = cluster.entry(entry)?.process().address("callers").await?;
+            for caller in 0..CALLERS {
+                let counts = (Rc::clone(&answered), Rc::clone(&failed));
+                tasks.push(actix_rt::spawn(call(address, caller, counts)));
+            }
+        }
+        Ok(Self {
+            answered,
+            failed,
+            tasks,
+        })
+    }
+
+    fn count(&self) -> usize {
+        self.answered.get()
+    }
+
+    fn failed(&self) -> usize {
+        self.failed.get()
+    }
+
+    async fn answered(&self, count: usize) -> Result<()> {
+        let what = format!("{count} answers");
+        wait::until(&what, async || (self.count() >= count).then_some(())).await
+    }
+
+    fn stop(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+type Counts = (Rc<Cell<usize>>, Rc<Cell<usize>>);
+
+/// Asks one instance for ever and counts what is answered and what fails.
+async fn call(address: SocketAddr, caller: usize, (answered, failed): Counts) {
+    for count in 0.. {
+        let body = chat(&format!("Question {count} of caller {caller}."));
+        let request = http::post(address, "/v1/chat/completions").key(KEY);
+        let answer = request.json(&body).send().await;
+        let whole = answer.is_ok_and(|answer| answer.status() == 200);
+        let counter = if whole { &answered } else { &failed };
+        counter.set(counter.get() + 1);
+    }
+}
