perf(control): answer operators without delayed acknowledgements

Cause: tonic's tcp_nodelay setting does not reach a listener that is handed in, so a small answer waited for the acknowledgement of the frame before it. Ruled out: the fault proxy, which sets it on both sides. Test an_instance_that_missed_hundreds_catches_up (200 applies, debug build, shared machine): 25.85 s before, 11.38 s after.

--- a/crates/zinniastall-control/src/rpc/server.rs
+++ b/crates/zinniastall-control/src/rpc/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, thread};
 
+use futures_util::StreamExt;
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport;
@@ -73,6 +74,13 @@
     stopping: oneshot::Receiver<()>,
 ) -> Result<(), ServeFault> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    // The builder's own setting does not reach a listener that is handed in; without this, small
+    // answers wait for the delayed acknowledgement of the frame before them, some 40 ms.
+    let incoming = TcpListenerStream::new(listener).inspect(|stream| {
+        if let Ok(stream) = stream {
+            drop(stream.set_nodelay(true));
+        }
+    });
     let service = OperatorServer::new(operators).max_decoding_message_size(REQUEST);
     let stopped = async {
         // An error means that the sender is gone, which is the end as well.
@@ -80,9 +88,8 @@
     };
     transport::Server::builder()
         .concurrency_limit_per_connection(CALLS)
-        .tcp_nodelay(true)
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopped)
+        .serve_with_incoming_shutdown(incoming, stopped)
         .await?;
     Ok(())
 }
