--- a/crates/zinniastall-entry/src/follow/upstream.rs
+++ b/crates/zinniastall-entry/src/follow/upstream.rs
@@ -71,9 +71,10 @@
                 continue;
             };
             let since = Instant::now();
+            let (address, control) = (source.address(), source.is_control());
+            tracing::info!(event = "source-found", address, control);
             let ended = self.follow(link, &source).await;
             self.follower.do_send(Lost);
-            let address = source.address();
             match ended {
                 Ended::Broken(error) => {
                     tracing::info!(event = "source-lost", address, error = %error);
--- /dev/null
+++ b/tests/tests/control_force.rs
@@ -0,0 +1,255 @@
+//! Accepted changes come into force at every entry instance and never revert, with real processes.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use zinniastall_tests::{
+    Result,
+    cluster::{Builder, Cluster},
+    log::field,
+    wait,
+};
+
+/// Exit code of a change that is accepted.
+const ACCEPTED: Option<i32> = Some(0);
+/// Exit code of a change that waits for confirmations.
+const PENDING: Option<i32> = Some(4);
+
+fn builder(replicas: usize) -> Builder {
+    Cluster::builder()
+        .replicas(replicas)
+        .control(json!({"timing": {"heartbeat_ms": 50, "election_ms": 500}}))
+        .entry(json!({"follow": {"cut_off_ms": 3_000}}))
+}
+
+fn rule(regions: &[&str]) -> String {
+    json!({"residency": {"id": "home", "client": "korrigan", "regions": regions}}).to_string()
+}
+
+async fn code(cluster: &Cluster, revision: u64) -> Option<i32> {
+    let run = cluster.ctl(&["change", &revision.to_string()]).await.ok()?;
+    run.code
+}
+
+async fn becomes(cluster: &Cluster, revision: u64, wanted: Option<i32>) -> Result<()> {
+    let what = format!("exit code {wanted:?} for revision {revision}");
+    wait::until(&what, async || {
+        (code(cluster, revision).await == wanted).then_some(())
+    })
+    .await
+}
+
+async fn change(cluster: &Cluster, name: &str) -> Result<u64> {
+    let answer = cluster
+        .apply(&json!({"model": {"id": name, "version": "1"}}))
+        .await?;
+    Ok(answer["revision"].as_u64().unwrap_or_default())
+}
+
+/// Waits until members are known and have everything in force, and returns the revision.
+async fn settled(cluster: &Cluster, members: usize) -> Result<u64> {
+    wait::until("all members up to date", async || {
+        let status = cluster.ctl(&["status"]).await.ok()?.json().ok()?;
+        let instances = status["instances"].as_array()?;
+        let current = |instance: &&Value| instance["revision"] == status["revision"];
+        let up = instances.iter().filter(current).count();
+        (instances.len() == members && up == members).then(|| status["revision"].as_u64())?
+    })
+    .await
+}
+
+/// Returns the revisions that an instance has had in force, in order.
+fn in_force(cluster: &mut Cluster, name: &str) -> Result<Vec<u64>> {
+    let lines = cluster.entry(name)?.process().log().events("in-force");
+    let revision = |line: &String| field(line, "revision")?.parse().ok();
+    Ok(lines.iter().filter_map(revision).collect())
+}
+
+/// A region is cut off when an operator forbids it to run a client's requests. It has not heard,
+/// so the operator must not be told that the rule holds; the answer names the instance. Once the
+/// region is back, or its instance was declared gone for certain, the change is accepted.
+#[actix_rt::test]
+async fn a_narrower_rule_waits_for_everyone() -> Result<()> {
+    let mut cluster = builder(1)
+        .zone("patras", "a", 1)
+        .zone("athens", "a", 1)
+        .start()
+        .await?;
+    settled(&cluster, 2).await?;
+    cluster.client("korrigan", "key").await?;
+    let wide = rule(&["patras", "athens"]);
+    cluster
+        .ctl(&["--wait", "10000", "apply", &wide])
+        .await?
+        .json()?;
+    cluster.partition(|node| node.name() == "athens-a-1");
+    let narrow = rule(&["patras"]);
+    let run = cluster.ctl(&["--wait", "500", "apply", &narrow]).await?;
+    assert_eq!(run.code, PENDING, "{run:?}");
+    let answer: Value = serde_json::from_str(&run.output)?;
+    assert_eq!(answer["waiting"], json!(["athens-a-1"]));
+    let revision = answer["revision"].as_u64().unwrap_or_default();
+    assert_eq!(code(&cluster, revision).await, PENDING);
+    cluster.heal();
+    becomes(&cluster, revision, ACCEPTED).await?;
+    cluster.entry("athens-a-1")?.process().kill()?;
+    let run = cluster.ctl(&["delete", "residency", "home"]).await?;
+    assert_eq!(run.code, PENDING, "{run:?}");
+    let answer: Value = serde_json::from_str(&run.output)?;
+    cluster.ctl(&["retire", "athens-a-1"]).await?.json()?;
+    becomes(
+        &cluster,
+        answer["revision"].as_u64().unwrap_or_default(),
+        ACCEPTED,
+    )
+    .await
+}
+
+/// An instance misses hundreds of changes, more than control keeps one by one. On its return it
+/// must have all of them in force, without ever going back to an earlier revision on the way.
+#[actix_rt::test]
+async fn an_instance_that_missed_hundreds_catches_up() -> Result<()> {
+    let mut cluster = builder(1)
+        .control(json!({"limits": {"tail": 16}}))
+        .zone("patras", "a", 2)
+        .start()
+        .await?;
+    settled(&cluster, 2).await?;
+    let slow = "patras-a-2";
+    cluster.entry(slow)?.process().freeze()?;
+    for batch in 0..25 {
+        let names: Vec<String> = (0..8).map(|number| format!("m{batch}-{number}")).collect();
+        let changes = names.iter().map(|name| change(&cluster, name));
+        futures_util::future::try_join_all(changes).await?;
+    }
+    cluster.entry(slow)?.process().thaw()?;
+    let revision = settled(&cluster, 2).await?;
+    let revisions = in_force(&mut cluster, slow)?;
+    assert!(revisions.is_sorted(), "{revisions:?}");
+    assert_eq!(revisions.last(), Some(&revision));
+    Ok(())
+}
+
+/// A control replica is cut off from the others and lags behind. An instance of its zone restarts
+/// and reaches only that replica and a neighbour. The replica's configuration is older than what
+/// the instance had in force before; it must take the neighbour's.
+#[actix_rt::test]
+async fn a_restarted_instance_does_not_step_back() -> Result<()> {
+    let mut cluster = builder(3)
+        .zone("patras", "a", 2)
+        .zone("athens", "a", 0)
+        .zone("nantes", "a", 0)
+        .start()
+        .await?;
+    settled(&cluster, 2).await?;
+    let behind = ["control-1", "patras-a-1", "patras-a-2"];
+    cluster.partition(|node| node.name() == "control-1");
+    cluster.leader_besides(&["control-1"]).await?;
+    change(&cluster, "m").await?;
+    let newest = settled(&cluster, 2).await?;
+    cluster.heal();
+    cluster.partition(|node| behind.contains(&node.name()));
+    cluster.entry("patras-a-1")?.restart().await?;
+    let first = wait::until("a configuration in force", async || {
+        in_force(&mut cluster, "patras-a-1").ok()?.first().copied()
+    })
+    .await?;
+    assert!(first >= newest, "{first} < {newest}");
+    Ok(())
+}
+
+/// A zone's instances get their configuration through relays. Those that follow control directly
+/// are killed; the one that is left must find another way, within seconds and by itself.
+#[actix_rt::test]
+async fn a_zone_outlives_its_relays() -> Result<()> {
+    let mut cluster = builder(1).zone("patras", "a", 3).start().await?;
+    settled(&cluster, 3).await?;
+    let links = cluster.control("control-1")?.address("links")?.to_string();
+    let names: Vec<String> = cluster
+        .entries()
+        .map(|node| node.name().to_owned())
+        .collect();
+    let direct = |cluster: &mut Cluster, name: &str| -> Result<bool> {
+        let found = cluster.entry(name)?.process().log().events("source-found");
+        let last = found.last().cloned().unwrap_or_default();
+        Ok(field(&last, "address") == Some(links.as_str()))
+    };
+    let relays = wait::until("two relays", async || {
+        let mut relays = names.clone();
+        relays.retain(|name| direct(&mut cluster, name).unwrap_or_default());
+        (relays.len() == 2).then_some(relays)
+    })
+    .await?;
+    change(&cluster, "before").await?;
+    settled(&cluster, 3).await?;
+    for relay in &relays {
+        cluster.entry(relay)?.process().kill()?;
+    }
+    let left = names.iter().find(|name| !relays.contains(name));
+    let left = left.cloned().unwrap_or_default();
+    let revision = change(&cluster, "after").await?;
+    wait::until("the change in force at the last instance", async || {
+        let status = cluster.ctl(&["instance", &left]).await.ok()?.json().ok()?;
+        (status["revision"] == revision).then_some(())
+    })
+    .await
+}
+
+/// All instances of a zone restart while it is cut off from everything else. They must serve under
+/// the last configuration that was in force there, and say that they are cut off.
+#[actix_rt::test]
+async fn a_zone_restarted_while_cut_off_serves_on() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let mut cluster = builder(1)
+        .zone("athens", "a", 0)
+        .zone("patras", "a", 2)
+        .start()
+        .await?;
+    let zone = ["patras-a-1", "patras-a-2"];
+    for name in zone {
+        let data = folder.path().join(name);
+        cluster.entry(name)?.settings()["data"] = json!(data);
+        cluster.entry(name)?.restart().await?;
+    }
+    change(&cluster, "m").await?;
+    let revision = settled(&cluster, 2).await?;
+    cluster.partition(|node| zone.contains(&node.name()));
+    for name in zone {
+        cluster.entry(name)?.process().kill()?;
+    }
+    for name in zone {
+        cluster.entry(name)?.restart().await?;
+    }
+    for name in zone {
+        let line = cluster.entry(name)?.process().event("in-force").await?;
+        assert_eq!(
+            field(&line, "revision"),
+            Some(revision.to_string().as_str())
+        );
+        assert_eq!(field(&line, "connected"), Some("false"));
+    }
+    Ok(())
+}
+
+/// The control leader is killed while changes are under way: every change that was answered as
+/// accepted is in force everywhere within seconds of the answer, whoever leads.
+#[actix_rt::test]
+async fn changes_reach_everyone_past_a_lost_leader() -> Result<()> {
+    let mut cluster = builder(3)
+        .zone("patras", "a", 2)
+        .zone("athens", "a", 2)
+        .zone("nantes", "a", 2)
+        .start()
+        .await?;
+    settled(&cluster, 6).await?;
+    let leader = cluster.leader().await?;
+    change(&cluster, "m0").await?;
+    cluster.control(&leader)?.process().kill()?;
+    let revision = change(&cluster, "m1").await?;
+    let bound = Duration::from_secs(10);
+    wait::within(bound, "in force everywhere", async || {
+        let run = cluster.ctl(&["change", &revision.to_string()]).await.ok()?;
+        (run.json().ok()?["waiting"] == json!([])).then_some(())
+    })
+    .await
+}
