--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -10,6 +10,9 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
+/// Reads of the kernel's table before a socket counts as gone.
+const READS: usize = 10;
+
 /// Processes whose connections are told apart, by process id.
 #[derive(Debug, Clone, Default)]
 pub struct Callers {
@@ -28,13 +31,21 @@
     /// Returns the name of the process that holds the far end of a connection, given the addresses
     /// of that end and of this one.
     pub fn find(&self, peer: SocketAddr, own: SocketAddr) -> Option<String> {
-        let link = format!("socket:[{}]", inode(peer, own)?);
+        let link = format!("socket:[{}]", listed(peer, own)?);
         let names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
         let holder = names.iter().find(|(id, _)| holds(**id, &link))?;
         Some(holder.1.clone())
     }
 }
 
+/// Finds a connection's socket, which must be in the kernel's table.
+///
+/// The table is read in pieces, and a line can be skipped when others come and go meanwhile. The
+/// connection would then pass as one of nobody's, past the rule of its caller.
+fn listed(near: SocketAddr, far: SocketAddr) -> Option<String> {
+    (0..READS).find_map(|_| inode(near, far))
+}
+
 /// Finds the socket of a connection in the kernel's table, by the addresses of both its ends: one
 /// port may serve several connections, some of which only wait to be forgotten.
 fn inode(near: SocketAddr, far: SocketAddr) -> Option<String> {
