--- a/crates/zinniastall-entry/src/callers/accept.rs
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -13,6 +13,7 @@
     header::{CLASS, DEADLINE, IDEMPOTENT, REQUEST, TICKET},
     id,
     object::Subject,
+    state::State,
 };
 use zinniastall_route::{
     identify::Index,
@@ -111,6 +112,7 @@
         ticket,
         deadline: Instant::now() + deadline(http, limits)?,
         prefixes: chat.as_ref().map(prompt_prefixes).unwrap_or_default(),
+        version: index.version(&route.subject).map(ToOwned::to_owned),
         regions,
         hops: vec![view.place.clone()],
         revision: index.revision(),
@@ -166,6 +168,17 @@
     serde_json::from_slice(body).map_err(|error| Reason::Body(error.to_string()))
 }
 
+/// Returns the digests of a body's prompt, as another instance sent it.
+pub fn prefixes(subject: &Subject, body: &[u8]) -> Vec<u64> {
+    if matches!(subject, Subject::Service(_)) {
+        return Vec::new();
+    }
+    parse(body)
+        .as_ref()
+        .map(prompt_prefixes)
+        .unwrap_or_default()
+}
+
 fn prompt_prefixes(chat: &Chat) -> Vec<u64> {
     let texts: Vec<&str> = chat
         .messages
@@ -225,12 +238,9 @@
 ///
 /// # Errors
 ///
-/// [`Reason::Unconfigured`] until one is found that lists this instance, and [`Reason::Draining`].
-pub fn configured(view: &View) -> Result<&Arc<zinniastall_model::state::State>, Refusal> {
+/// [`Reason::Unconfigured`] until one is found that lists this instance.
+pub fn configured(view: &View) -> Result<&Arc<State>, Refusal> {
     let retry = Duration::from_secs(1);
-    if view.draining {
-        return Err(Refusal::not_run(Reason::Draining).retry(retry));
-    }
     view.state
         .as_ref()
         .ok_or_else(|| Refusal::not_run(Reason::Unconfigured).retry(retry))
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -0,0 +1,217 @@
+//! Targets and places that a request may go to, out of the view.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use zinniastall_model::{id, object::Subject, place::Place};
+use zinniastall_route::{
+    admit,
+    choose::{self, Candidate},
+    eject,
+    load::{Report, Table},
+    policy::Policy,
+    request::Request,
+    spill::Remote,
+};
+use zinniastall_wire::gossip;
+
+use crate::view::{Target, View};
+
+/// Role of targets that only prepare work for others.
+const PREFILL: &str = "prefill";
+/// Age from which a digest says nothing any more.
+const STALE: Duration = Duration::from_secs(5);
+
+/// Targets of this zone that can serve a request, ejected ones left out.
+#[derive(Debug)]
+pub(super) struct Candidates<'a> {
+    all: Vec<Candidate<'a>>,
+}
+
+impl<'a> Candidates<'a> {
+    /// Finds them in the view and in what is known of their load.
+    pub(super) fn find(
+        view: &'a View,
+        request: &Request,
+        tried: &[id::Target],
+        policy: &Policy,
+        table: &'a Table,
+        now: Instant,
+    ) -> Self {
+        let mut all = serving(view, &request.subject, table, now);
+        all.retain(|candidate| !tried.iter().any(|target| target == candidate.target));
+        prefer_version(view, request, &mut all);
+        Self {
+            all: without_ejected(all, policy, now),
+        }
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    pub(super) fn have_room(&self) -> bool {
+        self.all.iter().any(|candidate| candidate.load.has_room())
+    }
+
+    pub(super) fn with_room(&self) -> Vec<Candidate<'a>> {
+        let open = self
+            .all
+            .iter()
+            .filter(|candidate| candidate.load.has_room());
+        open.copied().collect()
+    }
+
+    /// Returns the mean time of a request.
+    pub(super) fn service(&self) -> Duration {
+        let sum: Duration = self
+            .all
+            .iter()
+            .map(|candidate| candidate.load.service())
+            .sum();
+        let count = u32::try_from(self.all.len()).unwrap_or(u32::MAX);
+        sum / count.max(1)
+    }
+
+    /// Returns the mean time from one start to the next while all are at their limits.
+    pub(super) fn pace(&self) -> Duration {
+        let limits: u32 = self
+            .all
+            .iter()
+            .map(|candidate| candidate.load.limit())
+            .sum();
+        self.service() / limits.max(1)
+    }
+
+    /// Returns what the queue needs to know of a request; its number is given there.
+    pub(super) fn waiter(&self, policy: &Policy, request: &Request) -> admit::Waiter {
+        admit::Waiter {
+            id: 0,
+            client: request.client.clone(),
+            weight: request.weight,
+            rank: policy.rank(&request.class),
+            deadline: request.deadline,
+            // How long a stream takes is for its caller to decide.
+            service: if request.events {
+                Duration::ZERO
+            } else {
+                self.service() / 2
+            },
+        }
+    }
+
+    /// Returns the least cost of serving here once there is room, in milliseconds.
+    pub(super) fn cheapest(&self, policy: &Policy, prefixes: &[u64], now: Instant) -> Option<f64> {
+        let costs = self.all.iter();
+        let costs = costs.map(|candidate| choose::cost(policy, prefixes, candidate.load, now));
+        costs.min_by(f64::total_cmp)
+    }
+}
+
+/// Returns whether any target of a subject has room.
+pub(super) fn any_room(
+    view: &View,
+    subject: &Subject,
+    policy: &Policy,
+    table: &Table,
+    now: Instant,
+) -> bool {
+    let all = without_ejected(serving(view, subject, table, now), policy, now);
+    all.iter().any(|candidate| candidate.load.has_room())
+}
+
+/// Returns what an announcement says of a target's load.
+pub(super) fn report(target: &Target) -> Report {
+    let report = &target.report;
+    Report {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        slots: report.slots,
+        busy: report.busy,
+        price: report.price,
+        prefixes: report.prefixes.clone(),
+        gap: report.gap,
+        heard: target.heard,
+    }
+}
+
+/// Returns the other places that serve a subject, as fresh digests tell.
+pub(super) fn remotes(
+    view: &View,
+    subject: &Subject,
+    away: &IndexMap<Place, u32>,
+    now: Instant,
+) -> Vec<Remote> {
+    let fits = |report: &gossip::Digest| report.subject == *subject && report.role != PREFILL;
+    let fresh = view.digests.iter().filter(|digest| {
+        now.saturating_duration_since(digest.made) < STALE && fits(&digest.report)
+    });
+    let remote = |report: &gossip::Digest| Remote {
+        place: report.place.clone(),
+        free: report
+            .free
+            .saturating_sub(away.get(&report.place).copied().unwrap_or(0)),
+        wait: Duration::from_millis(report.wait_ms),
+        price: report.price,
+    };
+    fresh.map(|digest| remote(&digest.report)).collect()
+}
+
+/// Returns the live targets that serve a subject. A lease is judged by the clock too: a view that
+/// was published before this process froze lists targets that have left since.
+fn serving<'a>(
+    view: &'a View,
+    subject: &Subject,
+    table: &'a Table,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
+    let serves = |report: &gossip::Target| {
+        let mut servings = report.serves.iter();
+        servings.any(|serving| serving.subject == *subject)
+    };
+    let live = view.targets.iter().filter(|(_, target)| {
+        let report = &target.report;
+        !report.leaving && target.until > now && report.role != PREFILL && serves(report)
+    });
+    let known = live.filter_map(|(name, _)| {
+        let load = table.get(name)?;
+        Some(Candidate { target: name, load })
+    });
+    known.collect()
+}
+
+/// Keeps to targets with the configured version, while there are any: during a change of versions
+/// the old one serves until the first target has the new one.
+fn prefer_version(view: &View, request: &Request, all: &mut Vec<Candidate<'_>>) {
+    let Some(version) = &request.version else {
+        return;
+    };
+    let current = |candidate: &Candidate<'_>| {
+        let report = view
+            .targets
+            .get(candidate.target)
+            .map(|target| &target.report);
+        report.is_some_and(|report| {
+            let mut servings = report.serves.iter();
+            servings
+                .any(|serving| serving.subject == request.subject && serving.version == *version)
+        })
+    };
+    if all.iter().any(current) {
+        all.retain(current);
+    }
+}
+
+fn without_ejected<'a>(
+    all: Vec<Candidate<'a>>,
+    policy: &Policy,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
+    let ejected: Vec<_> = all
+        .iter()
+        .map(|candidate| candidate.load.ejected(now))
+        .collect();
+    let usable = eject::usable(&ejected, policy.floor());
+    let kept = all.into_iter().zip(usable).filter(|(_, usable)| *usable);
+    kept.map(|(candidate, _)| candidate).collect()
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/admission/flight.rs
@@ -0,0 +1,116 @@
+//! Requests in progress: their counts end with them.
+
+use std::time::{Duration, Instant};
+
+use zinniastall_model::{id, place::Place};
+use zinniastall_route::{
+    load::End,
+    outcome::{Outcome, Reason, Refusal},
+};
+use zinniastall_wire::gossip;
+
+use super::Admission;
+
+/// One request at one target; dropping it ends the count and lets the next one start.
+#[derive(Debug)]
+pub struct Flight {
+    admission: Admission,
+    target: id::Target,
+    run: id::Incarnation,
+    report: Option<gossip::Target>,
+    started: Instant,
+    end: End,
+}
+
+impl Flight {
+    pub(super) fn new(
+        admission: Admission,
+        target: &str,
+        run: id::Incarnation,
+        report: Option<gossip::Target>,
+        started: Instant,
+    ) -> Self {
+        Self {
+            admission,
+            target: target.to_owned(),
+            run,
+            report,
+            started,
+            end: End::Cancelled,
+        }
+    }
+
+    /// Returns the target's name.
+    pub fn target(&self) -> &id::Target {
+        &self.target
+    }
+
+    /// Returns the target's announcement.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::NoTarget`] when the target is gone since it was chosen.
+    pub fn report(&self) -> Result<gossip::Target, Refusal> {
+        let gone = || Refusal::not_run(Reason::NoTarget(self.target.clone()));
+        self.report.clone().ok_or_else(gone)
+    }
+
+    /// Takes note of a whole answer.
+    pub fn answered(&mut self) {
+        self.end = End::Answered(self.started.elapsed());
+    }
+
+    /// Takes note of the end without a whole answer.
+    pub const fn failed(&mut self, refusal: &Refusal) {
+        self.end = match (refusal.outcome, &refusal.reason) {
+            (_, Reason::Late) => End::Cancelled,
+            (Outcome::NotRun, Reason::Refused) => End::Refused,
+            _ => End::Failed,
+        };
+    }
+
+    /// Returns how long the request has been there.
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.admission.end(&self.target, self.run, self.end);
+    }
+}
+
+/// One request that was sent to another place; dropping it ends the count.
+#[derive(Debug)]
+pub struct Away {
+    admission: Admission,
+    place: Place,
+    hops: Vec<Place>,
+}
+
+impl Away {
+    pub(super) const fn new(admission: Admission, place: Place, hops: Vec<Place>) -> Self {
+        Self {
+            admission,
+            place,
+            hops,
+        }
+    }
+
+    /// Returns where it goes.
+    pub const fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns the places that it will have passed.
+    pub fn hops(&self) -> &[Place] {
+        &self.hops
+    }
+}
+
+impl Drop for Away {
+    fn drop(&mut self) {
+        self.admission.lock().queues.back(&self.place);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/admission/line.rs
@@ -0,0 +1,124 @@
+//! Waiting requests of one model or service, with what is needed to start them.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+use zinniastall_model::id;
+use zinniastall_route::{
+    admit::{Id, Queue, Waiter},
+    outcome::Refusal,
+    policy::Policy,
+    request::Request,
+    spill::Gate,
+};
+
+use super::Flight;
+
+/// Waiting requests of one model or service.
+#[derive(Debug, Default)]
+pub(super) struct Line {
+    /// Share of requests that goes elsewhere.
+    pub(super) gate: Gate,
+    queue: Option<Queue>,
+    turns: IndexMap<Id, Turn>,
+}
+
+/// A waiting request.
+#[derive(Debug)]
+pub(super) struct Turn {
+    waiter: Waiter,
+    /// The request.
+    pub(super) request: Request,
+    /// Targets that have failed it already.
+    pub(super) tried: Vec<id::Target>,
+    /// Where its grant goes.
+    pub(super) sender: oneshot::Sender<Flight>,
+}
+
+/// A start that is to be told to a waiting request.
+#[derive(Debug)]
+pub(super) struct Grant {
+    /// Where it goes.
+    pub(super) sender: oneshot::Sender<Flight>,
+    /// The start.
+    pub(super) flight: Flight,
+}
+
+impl Line {
+    pub(super) fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Returns the expected wait of a further request.
+    pub(super) fn wait(&self, pace: Duration) -> Duration {
+        pace.saturating_mul(count(self.turns.len()))
+    }
+
+    /// Lets a request wait.
+    ///
+    /// # Errors
+    ///
+    /// See [`Queue::arrive`].
+    pub(super) fn arrive(
+        &mut self,
+        policy: &Policy,
+        waiter: Waiter,
+        request: &Request,
+        tried: &[id::Target],
+        pace: Duration,
+        now: Instant,
+    ) -> Result<oneshot::Receiver<Flight>, Refusal> {
+        let queue = self
+            .queue
+            .get_or_insert_with(|| Queue::new(policy.longest_queue()));
+        queue.arrive(&waiter, pace, now)?;
+        let (sender, receiver) = oneshot::channel();
+        let turn = Turn {
+            waiter,
+            request: request.clone(),
+            tried: tried.to_vec(),
+            sender,
+        };
+        self.turns.insert(turn.waiter.id, turn);
+        Ok(receiver)
+    }
+
+    /// Takes out the request that goes next.
+    pub(super) fn pop(&mut self) -> Option<Turn> {
+        let id = self.queue.as_mut()?.pop()?;
+        self.turns.swap_remove(&id)
+    }
+
+    /// Lets a request wait again whose turn came in vain.
+    pub(super) fn put_back(&mut self, turn: Turn) {
+        if let Some(queue) = &mut self.queue {
+            queue.put_back(&turn.waiter);
+            self.turns.insert(turn.waiter.id, turn);
+        }
+    }
+
+    /// Takes out a request that does not want to wait any longer.
+    pub(super) fn remove(&mut self, id: Id) {
+        if let Some(queue) = &mut self.queue {
+            queue.remove(id);
+        }
+        self.turns.swap_remove(&id);
+    }
+
+    /// Returns a waiting request.
+    pub(super) fn turn(&self, id: Id) -> Option<&Turn> {
+        self.turns.get(&id)
+    }
+
+    /// Returns how many waiting requests go before one.
+    pub(super) fn ahead(&self, id: Id) -> u32 {
+        let waiter = self.turns.get(&id).map(|turn| &turn.waiter);
+        let ahead = self.queue.as_ref().zip(waiter);
+        count(ahead.map_or(0, |(queue, waiter)| queue.ahead_of(waiter)))
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -0,0 +1,154 @@
+//! Requests that cross from one entry instance to another, over stream links.
+//!
+//! [`mux`] is the sender's end: it carries many streams over one link to an instance. [`serve`] is
+//! the receiver's end. A traffic thread keeps its own links, so that no request waits for another
+//! thread.
+
+mod credit;
+mod mux;
+mod open;
+mod serve;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use rand::seq::IndexedRandom;
+use tokio::time::timeout_at;
+use zinniastall_model::{id, place::Place};
+use zinniastall_route::outcome::{Reason, Refusal};
+use zinniastall_wire::{
+    gossip::Peer,
+    hello::Purpose,
+    link::Link,
+    stream::{Failure, Message},
+};
+
+use super::{parcel::Parcel, reply::Reply, worker::Worker};
+use crate::{links::Identity, view::View};
+
+pub use serve::Receiver;
+
+use mux::Mux;
+
+/// Bytes of an answer that may be on their way without having been taken by the reader.
+const WINDOW: u64 = 256 * 1024;
+/// Longest time to open a link. Regions are a slow link apart.
+const DIAL: Duration = Duration::from_secs(3);
+
+/// One thread's links to other instances.
+#[derive(Debug)]
+pub struct Links {
+    identity: Option<Identity>,
+    open: RefCell<IndexMap<id::Instance, Rc<Mux>>>,
+}
+
+impl Links {
+    /// Creates the links of one thread; none is open yet.
+    pub fn new(identity: Option<Identity>) -> Self {
+        Self {
+            identity,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Returns a link to a run of an instance, opening it if there is none.
+    async fn to(&self, peer: &Peer) -> Result<Rc<Mux>, Refusal> {
+        let unreachable = || Refusal::not_run(Reason::Unreachable);
+        if let Some(mux) = self.find(peer) {
+            return Ok(mux);
+        }
+        let identity = self.identity.as_ref().ok_or_else(unreachable)?;
+        let dialled = identity.dial(&peer.links, Purpose::Stream).await;
+        let link: Link = dialled.map_err(|_| unreachable())?;
+        // The address may have been taken over by another run or another instance.
+        let hello = link.peer();
+        if hello.instance != peer.instance || hello.incarnation != peer.incarnation {
+            return Err(unreachable());
+        }
+        let mux = Mux::start(link);
+        let mut open = self.open.borrow_mut();
+        open.insert(peer.instance.clone(), Rc::clone(&mux));
+        Ok(mux)
+    }
+
+    fn find(&self, peer: &Peer) -> Option<Rc<Mux>> {
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, mux| mux.is_alive());
+        let mux = open.get(&peer.instance)?;
+        (mux.incarnation() == peer.incarnation).then(|| Rc::clone(mux))
+    }
+}
+
+/// Chooses an instance of a place, a less loaded one with a higher probability.
+pub fn peer_of<'a>(view: &'a View, place: &Place) -> Option<&'a Peer> {
+    let peers = view.peers.values();
+    let usable: Vec<_> = peers
+        .filter(|peer| peer.place == *place && !peer.draining && peer.instance != view.instance)
+        .collect();
+    let weight = |peer: &&Peer| 1.0 / (1.0 + f64::from(peer.load));
+    usable
+        .choose_weighted(&mut rand::rng(), weight)
+        .ok()
+        .copied()
+}
+
+/// Sends a request to another instance and waits for the head of its answer.
+///
+/// # Errors
+///
+/// "Not run" if no link could be opened or the other instance says so, "unknown" otherwise.
+pub async fn send(
+    worker: &Rc<Worker>,
+    parcel: &Parcel,
+    peer: &Peer,
+    hops: Vec<Place>,
+) -> Result<Reply, Refusal> {
+    let deadline = parcel.request.deadline;
+    let until = deadline.min(Instant::now() + DIAL);
+    let mux = timeout_at(until.into(), worker.links.to(peer)).await;
+    let mux = mux.map_err(|_| Refusal::not_run(Reason::Unreachable))??;
+    let asked = mux.ask(open::pack(parcel, hops));
+    let reply = timeout_at(deadline.into(), asked).await;
+    reply.map_err(|_| Refusal::unknown(Reason::Deadline))?
+}
+
+/// Returns what a failure that another instance reported means here.
+fn refusal(failure: Failure) -> Refusal {
+    match failure {
+        Failure::NotRun { reason, retry_ms } => {
+            let refusal = Refusal::not_run(Reason::Forwarded(reason));
+            refusal.retry(Duration::from_millis(retry_ms))
+        }
+        Failure::Unknown { reason } => Refusal::unknown(Reason::Forwarded(reason)),
+    }
+}
+
+/// Returns a refusal as the failure that another instance is told.
+fn failure(refusal: &Refusal) -> Failure {
+    let reason = refusal.reason.to_string();
+    if refusal.outcome == zinniastall_route::outcome::Outcome::NotRun {
+        let retry = refusal.retry.unwrap_or_default();
+        return Failure::NotRun {
+            reason,
+            retry_ms: u64::try_from(retry.as_millis()).unwrap_or(u64::MAX),
+        };
+    }
+    Failure::Unknown { reason }
+}
+
+/// Returns the stream that a message belongs to.
+const fn stream_of(message: &Message) -> u64 {
+    match message {
+        Message::Open(open) => open.stream,
+        Message::Head { stream, .. }
+        | Message::Data { stream, .. }
+        | Message::End { stream, .. }
+        | Message::Failed { stream, .. }
+        | Message::Cancel { stream }
+        | Message::Credit { stream, .. } => *stream,
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -0,0 +1,246 @@
+//! The sender's end of a link: many streams over one connection.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt, stream};
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use zinniastall_model::{
+    header::{PLACE, TARGET},
+    id,
+    place::Place,
+};
+use zinniastall_route::outcome::{Reason, Refusal};
+use zinniastall_wire::{
+    frame::Frame,
+    link::{self, Link},
+    stream::{Message, Open, Stream},
+};
+
+use super::{WINDOW, refusal, stream_of};
+use crate::callers::reply::{Body, Reply, Served};
+
+/// The sender's end of a link.
+///
+/// Frames of one run of the other instance arrive on this link only, and each names its stream; one
+/// for a stream that is not open any more is dropped.
+#[derive(Debug)]
+pub(super) struct Mux {
+    incarnation: id::Incarnation,
+    /// Holds at most the requests in progress and their credits.
+    out: mpsc::UnboundedSender<Message>,
+    streams: RefCell<IndexMap<Stream, mpsc::UnboundedSender<Message>>>,
+    last: Cell<Stream>,
+    alive: Cell<bool>,
+}
+
+impl Mux {
+    /// Starts the tasks that write and read a link.
+    pub(super) fn start(link: Link) -> Rc<Self> {
+        let incarnation = link.peer().incarnation;
+        let (sender, receiver) = link.split();
+        let (out, queued) = mpsc::unbounded_channel();
+        let mux = Rc::new(Self {
+            incarnation,
+            out,
+            streams: RefCell::default(),
+            last: Cell::new(0),
+            alive: Cell::new(true),
+        });
+        let reading = read(Rc::downgrade(&mux), receiver);
+        let writing = write(queued, sender);
+        let ended = Rc::downgrade(&mux);
+        actix::spawn(async move {
+            tokio::select! {
+                () = reading => {}
+                () = writing => {}
+            }
+            if let Some(mux) = ended.upgrade() {
+                mux.close();
+            }
+        });
+        mux
+    }
+
+    /// Returns the run of the other instance.
+    pub(super) const fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+
+    /// Returns whether the link still works.
+    pub(super) fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Opens a stream and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// What the other instance says; "unknown" if the link breaks.
+    pub(super) async fn ask(self: &Rc<Self>, mut open: Open) -> Result<Reply, Refusal> {
+        let stream = self.last.get() + 1;
+        self.last.set(stream);
+        open.stream = stream;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.streams.borrow_mut().insert(stream, sender);
+        let mut answer = Answer {
+            mux: Rc::clone(self),
+            stream,
+            receiver,
+            offset: 0,
+            ended: false,
+        };
+        // From here on the request may have left, whatever the link does.
+        self.send(Message::Open(Box::new(open)));
+        match answer.receiver.recv().await {
+            Some(Message::Head {
+                status, headers, ..
+            }) => Ok(reply(status, headers, answer)),
+            Some(Message::Failed { failure, .. }) => {
+                answer.ended = true;
+                Err(refusal(failure))
+            }
+            _ => Err(Refusal::unknown(Reason::Broken)),
+        }
+    }
+
+    fn send(&self, message: Message) {
+        // A closed link ends all streams by itself.
+        drop(self.out.send(message));
+    }
+
+    fn close(&self) {
+        self.alive.set(false);
+        self.streams.borrow_mut().clear();
+    }
+}
+
+async fn read(mux: std::rc::Weak<Mux>, mut receiver: link::Receiver) {
+    while let Some(Ok(frame)) = receiver.next().await {
+        let Some(mux) = mux.upgrade() else { return };
+        let Frame::Stream(message) = frame else {
+            return;
+        };
+        let streams = mux.streams.borrow();
+        if let Some(stream) = streams.get(&stream_of(&message)) {
+            drop(stream.send(message));
+        }
+    }
+}
+
+async fn write(mut queued: mpsc::UnboundedReceiver<Message>, mut sender: link::Sender) {
+    while let Some(message) = queued.recv().await {
+        if sender.send(Frame::Stream(message)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The answer of one stream; dropping it before its end cancels the request over there.
+struct Answer {
+    mux: Rc<Mux>,
+    stream: Stream,
+    receiver: mpsc::UnboundedReceiver<Message>,
+    offset: u64,
+    ended: bool,
+}
+
+impl Answer {
+    async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let broken = || Refusal::unknown(Reason::Broken);
+        match self.receiver.recv().await.ok_or_else(broken)? {
+            // A part that is lost, doubled or out of order shows in its offset.
+            Message::Data { offset, bytes, .. } if offset == self.offset => {
+                let length = bytes.len() as u64;
+                self.offset += length;
+                self.mux.send(Message::Credit {
+                    stream: self.stream,
+                    bytes: length,
+                });
+                Ok(Some(bytes.into()))
+            }
+            Message::End { length, .. } if length == self.offset => {
+                self.ended = true;
+                Ok(None)
+            }
+            Message::Failed { failure, .. } => {
+                self.ended = true;
+                let refusal = refusal(failure);
+                // Once parts have arrived it has run, whatever the other end says.
+                Err(Refusal::unknown(refusal.reason))
+            }
+            _ => Err(broken()),
+        }
+    }
+
+    fn body(self) -> Body {
+        let next = |state: Option<Self>| async move {
+            let mut answer = state?;
+            match answer.part().await {
+                Ok(Some(part)) => Some((Ok(part), Some(answer))),
+                Ok(None) => None,
+                Err(refusal) => Some((Err(refusal), None)),
+            }
+        };
+        stream::unfold(Some(self), next).boxed_local()
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.mux.streams.borrow_mut().swap_remove(&self.stream);
+        if !self.ended {
+            let stream = self.stream;
+            self.mux.send(Message::Cancel { stream });
+        }
+    }
+}
+
+fn reply(status: u16, headers: Vec<(String, String)>, answer: Answer) -> Reply {
+    let find = |name: &str| {
+        let mut pairs = headers.iter();
+        let pair = pairs.find(|(key, _)| key == name)?;
+        Some(pair.1.clone())
+    };
+    let length = find("content-length").and_then(|length| length.parse().ok());
+    let events = find("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let place = find(PLACE).unwrap_or_default();
+    let (region, zone) = place.split_once('/').unwrap_or_default();
+    let served = Served {
+        target: find(TARGET).unwrap_or_default(),
+        place: Place::new(region, zone),
+    };
+    let own = ["content-length", PLACE, TARGET];
+    let mut headers = headers;
+    headers.retain(|(name, _)| !own.contains(&name.as_str()));
+    Reply {
+        status,
+        headers,
+        length,
+        events,
+        offset: 0,
+        served,
+        body: answer.body(),
+    }
+}
+
+/// Returns the headers that carry what a reply is besides its own headers.
+pub(super) fn headers(reply: &Reply, whole: Option<usize>) -> Vec<(String, String)> {
+    let mut headers = reply.headers.clone();
+    let length = whole.map(|length| length as u64).or(reply.length);
+    if let Some(length) = length {
+        headers.push(("content-length".to_owned(), length.to_string()));
+    }
+    headers.push((TARGET.to_owned(), reply.served.target.clone()));
+    headers.push((PLACE.to_owned(), reply.served.place.to_string()));
+    headers
+}
+
+/// Bytes that the sender of an answer may send before the first credit arrives.
+pub(super) const fn window() -> u64 {
+    WINDOW
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/forward/open.rs
@@ -0,0 +1,89 @@
+//! Requests as they travel between instances.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use zinniastall_model::{object::Subject, place::Place};
+use zinniastall_route::{
+    hops,
+    outcome::{Reason, Refusal},
+    request::Request,
+    residency,
+};
+use zinniastall_wire::stream::Open;
+
+use crate::callers::{accept, parcel::Parcel, reply::left_ms, worker::Worker};
+
+/// Makes the message that opens a stream; the link gives it its number.
+pub(super) fn pack(parcel: &Parcel, hops: Vec<Place>) -> Open {
+    let request = &parcel.request;
+    Open {
+        stream: 0,
+        request: request.id.clone(),
+        hops,
+        revision: request.revision,
+        client: request.client.clone(),
+        class: request.class.clone(),
+        subject: request.subject.clone(),
+        regions: request.regions.clone(),
+        idempotent: request.idempotent,
+        ticket: request.ticket.clone(),
+        left_ms: left_ms(request.deadline),
+        method: parcel.method.clone(),
+        path: parcel.path.clone(),
+        headers: parcel.headers.clone(),
+        body: parcel.body.to_vec(),
+    }
+}
+
+/// Judges a request that arrived and makes the parcel that is served here.
+///
+/// The sender may hold an older or a newer configuration. What it permits and what this instance
+/// permits must both hold, so a rule that has reached either of them is kept.
+///
+/// # Errors
+///
+/// A refusal of a request that has not run.
+pub(super) fn unpack(worker: &Rc<Worker>, open: Open) -> Result<Parcel, Refusal> {
+    judge(worker, open).map_err(|reason| {
+        let retry = Duration::from_millis(500);
+        Refusal::not_run(reason).retry(retry)
+    })
+}
+
+fn judge(worker: &Rc<Worker>, open: Open) -> Result<Parcel, Reason> {
+    let view = worker.view();
+    hops::check_arrived(&open.hops, &view.place)?;
+    let state = view.state.as_ref().ok_or(Reason::Unconfigured)?;
+    let index = worker.index(state);
+    let client = index.client(&open.client)?;
+    let received = open.hops.first().ok_or(Reason::Hops)?;
+    let own = residency::permitted(index.rules(&client.id), &open.subject, received);
+    let regions = residency::stricter(&open.regions, &own);
+    residency::check_place(&regions, &view.place)?;
+    let request = Request {
+        id: open.request,
+        client: client.id.clone(),
+        weight: client.weight,
+        class: open.class,
+        version: index.version(&open.subject).map(ToOwned::to_owned),
+        events: matches!(open.subject, Subject::Model(_)),
+        prefixes: accept::prefixes(&open.subject, &open.body),
+        subject: open.subject,
+        idempotent: open.idempotent && open.ticket.is_none(),
+        ticket: open.ticket,
+        deadline: Instant::now() + Duration::from_millis(open.left_ms),
+        regions,
+        hops: open.hops,
+        revision: index.revision(),
+    };
+    Ok(Parcel {
+        request,
+        method: open.method,
+        path: open.path,
+        headers: open.headers,
+        body: open.body.into(),
+    })
+}
--- a/crates/zinniastall-entry/src/callers/locate.rs
+++ b/crates/zinniastall-entry/src/callers/locate.rs
@@ -1,24 +1,38 @@
-//! Tells callers which instances to use.
+//! Tells callers which instances to use, and issues tickets.
+
+use std::{rc::Rc, time::Duration};
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use serde::{Deserialize, Serialize};
-use zinniastall_model::id;
-use zinniastall_route::outcome::{Reason, Refusal};
+use zinniastall_model::{id, place::Place};
+use zinniastall_route::{
+    locate::{self, Located},
+    outcome::{Reason, Refusal},
+};
 
 use super::{accept, answer, worker::Worker};
 use crate::view::View;
 
-/// How long an answer may be used, in milliseconds.
-const VALID_MS: u64 = 2_000;
+/// Most tickets that one answer carries.
+const TICKETS: usize = 100;
 
 /// What a caller asks for.
 #[derive(Debug, Deserialize)]
-pub struct Query {
+#[serde(deny_unknown_fields)]
+struct Query {
+    /// Model or service.
     subject: String,
+    /// Region of the caller; that of this instance where absent.
+    region: Option<id::Region>,
+    /// Availability zone of the caller.
+    zone: Option<id::Zone>,
+    /// Tickets wanted.
+    #[serde(default)]
+    tickets: usize,
 }
 
 #[derive(Debug, Serialize)]
-struct Located {
+struct Answer {
     instances: Vec<Choice>,
     valid_ms: u64,
     connected: bool,
@@ -31,53 +45,60 @@
     region: id::Region,
     zone: id::Zone,
     callers: String,
-    weight: f64,
+    weight: u32,
 }
 
 /// Answers which instances to use for a model or service.
-pub async fn locate(
-    http: HttpRequest,
-    query: web::Query<Query>,
-    worker: web::Data<Worker>,
-) -> HttpResponse {
+pub async fn locate(http: HttpRequest, worker: web::Data<Rc<Worker>>) -> HttpResponse {
     let view = worker.view();
-    match instances(&http, &query, &worker, &view) {
-        Ok(located) => HttpResponse::Ok().json(located),
+    match find(&http, &worker, &view) {
+        Ok(answer) => HttpResponse::Ok().json(answer),
         Err(refusal) => answer::refuse(&refusal, "", &view.instance),
     }
 }
 
-fn instances(
-    http: &HttpRequest,
-    query: &Query,
-    worker: &Worker,
-    view: &View,
-) -> Result<Located, Refusal> {
+fn find(http: &HttpRequest, worker: &Worker, view: &View) -> Result<Answer, Refusal> {
     let state = accept::configured(view)?;
     let index = worker.index(state);
     let key = accept::key(http).map_err(Refusal::not_run)?;
     index.by_key(key).map_err(Refusal::not_run)?;
+    let query = web::Query::<Query>::from_query(http.query_string())
+        .map_err(|error| Refusal::not_run(Reason::Query(error.to_string())))?;
     if index.subject(&query.subject).is_none() {
-        return Err(Refusal::not_run(Reason::NoRoute(query.subject.clone())));
+        let name: String = query.subject.chars().take(80).collect();
+        return Err(Refusal::not_run(Reason::NoRoute(name)));
     }
-    let mut peers: Vec<_> = view.peers.values().filter(|peer| !peer.draining).collect();
-    let distance = |peer: &zinniastall_wire::gossip::Peer| {
-        let zone = peer.place != view.place;
-        let region = peer.place.region != view.place.region;
-        (region, zone, peer.load)
-    };
-    peers.sort_by_key(|peer| distance(peer));
-    let instances = peers.into_iter().map(|peer| Choice {
-        instance: peer.instance.clone(),
-        region: peer.place.region.clone(),
-        zone: peer.place.zone.clone(),
-        callers: peer.callers.clone(),
-        weight: 1.0,
-    });
-    Ok(Located {
-        instances: instances.collect(),
-        valid_ms: VALID_MS,
-        connected: view.connected,
-        tickets: Vec::new(),
+    let caller = Place::new(
+        query.region.as_ref().unwrap_or(&view.place.region),
+        query.zone.as_ref().unwrap_or(&view.place.zone),
+    );
+    let located = locate::locate(
+        &view.candidates(),
+        &caller,
+        view.connected,
+        &mut rand::rng(),
+    );
+    // A ticket of an instance that is about to leave would soon have nobody to answer for it.
+    let tickets = if view.draining { 0 } else { query.tickets };
+    let tickets = (0..tickets.min(TICKETS)).map(|_| worker.service.tickets.issue());
+    Ok(Answer {
+        instances: located.instances.into_iter().map(choice).collect(),
+        valid_ms: millis(located.valid),
+        connected: located.connected,
+        tickets: tickets.collect(),
     })
 }
+
+fn choice(located: Located) -> Choice {
+    Choice {
+        instance: located.instance,
+        region: located.place.region,
+        zone: located.place.zone,
+        callers: located.callers,
+        weight: located.weight,
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -4,58 +4,39 @@
 //! decisions are in `zinniastall-route`, this module does what they say.
 
 pub mod accept;
+pub mod admission;
 pub mod answer;
+pub mod forward;
 pub mod guard;
 pub mod locate;
 pub mod parcel;
 pub mod path;
+pub mod progress;
 pub mod relay;
 pub mod reply;
+mod service;
+pub mod settings;
 pub mod settle;
 pub mod target;
-pub mod traffic;
+pub mod ticket;
 pub mod worker;
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use zinniastall_route::outcome::Refusal;
-use zinniastall_settings::metrics::Hub;
 
-use crate::{
-    settings::Limits,
-    view::{Board, View},
-};
-use parcel::Parcel;
+pub use service::Service;
+
 use settle::Settle;
-use traffic::Traffic;
 use worker::Worker;
 
-/// What all traffic threads share.
-#[derive(Debug, Clone)]
-pub struct Service {
-    board: Board,
-    hub: Hub,
-    limits: Arc<Limits>,
-    traffic: Traffic,
-}
-
 impl Service {
-    /// Creates the service of an instance.
-    pub fn new(board: Board, hub: Hub, limits: Limits) -> Self {
-        Self {
-            board,
-            hub,
-            limits: Arc::new(limits),
-            traffic: Traffic::default(),
-        }
-    }
-
     /// Adds the callers' paths to one traffic thread's application.
     pub fn configure(&self, config: &mut web::ServiceConfig) {
-        let worker = web::Data::new(Worker::new(self.clone()));
+        let worker = Rc::new(Worker::new(self.clone()));
         config
-            .app_data(worker)
+            .app_data(web::Data::new(worker))
             .route("/v1/locate", web::get().to(locate::locate))
             .default_service(web::to(serve));
     }
@@ -64,24 +45,26 @@
 async fn serve(
     http: HttpRequest,
     payload: web::Payload,
-    worker: web::Data<Worker>,
+    worker: web::Data<Rc<Worker>>,
 ) -> HttpResponse {
-    let view = worker.view();
+    let instance = worker.view().instance.clone();
+    let started = worker.service.progress.start();
     let id = accept::request_id(&http).unwrap_or_default();
-    let mut settle = Settle::new(worker.recorder.clone(), id.clone());
-    match run(&http, payload, &worker, &view, &mut settle).await {
+    let mut settle = Settle::new(worker.recorder.clone(), started, id);
+    match run(&http, payload, &worker, &mut settle).await {
         Ok((mut reply, whole)) => {
             settle.served(&reply.served.target);
+            let id = settle.request().to_owned();
             if whole.is_some() {
                 settle.answered();
             } else {
                 reply.body = settle.follow(reply.body);
             }
-            answer::answer(reply, whole, &id, &view.instance)
+            answer::answer(reply, whole, &id, &instance)
         }
         Err(refusal) => {
             settle.refused(&refusal);
-            answer::refuse(&refusal, &id, &view.instance)
+            answer::refuse(&refusal, settle.request(), &instance)
         }
     }
 }
@@ -89,14 +72,15 @@
 async fn run(
     http: &HttpRequest,
     payload: web::Payload,
-    worker: &Worker,
-    view: &View,
+    worker: &Rc<Worker>,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
-    let state = accept::configured(view)?;
-    let index = worker.index(state);
-    let body = accept::read_body(payload, &worker.service.limits).await?;
-    let parcel: Parcel = accept::parcel(http, body, view, &index, &worker.service.limits)?;
+    let limits = &worker.service.limits;
+    let body = accept::read_body(payload, limits).await?;
+    // The view is read after the body: a slow body must not bring an old configuration along.
+    let view = worker.view();
+    let index = worker.index(accept::configured(&view)?);
+    let parcel = accept::parcel(http, body, &view, &index, limits)?;
     settle.identified(&parcel.request);
-    path::serve(worker, &parcel).await
+    path::serve(worker, parcel).await
 }
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -1,36 +1,158 @@
 //! Relays answers and sees to it that a cut one never looks whole.
 
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use tokio::time::timeout_at;
 use zinniastall_route::{
+    dispatch::{self, Next, Progress},
     outcome::{Reason, Refusal},
     relay::Events,
 };
 
 use super::{
+    admission::Flight,
     answer::GATHER,
+    parcel::Parcel,
     reply::{Body, Reply},
+    target,
+    worker::Worker,
 };
 
-/// Passes on whole events only and fails when the closing one is missing.
-pub fn events(body: Body) -> Body {
-    let next = |state: Option<(Body, Events)>| async move {
-        let (mut body, mut events) = state?;
-        loop {
-            let broken = Refusal::unknown(Reason::Broken);
-            match body.next().await {
-                Some(Ok(bytes)) => match events.part(&bytes) {
-                    Ok(whole) if whole.is_empty() => {}
-                    Ok(whole) => return Some((Ok(Bytes::from(whole)), Some((body, events)))),
-                    Err(_) => return Some((Err(broken), None)),
-                },
-                Some(Err(refusal)) => return Some((Err(refusal), None)),
-                None if events.end().is_ok() => return None,
-                None => return Some((Err(broken), None)),
+/// Ends a body that falls silent: whole answers at the request's deadline, streams after a pause.
+///
+/// A stream may last longer than any deadline, as long as it moves; its deadline is that of its
+/// first part.
+pub fn bounded(body: Body, events: bool, deadline: Instant, stall: Duration) -> Body {
+    let next = move |state: Option<(Body, Instant)>| async move {
+        let (mut body, until) = state?;
+        let late = Err(Refusal::unknown(Reason::Deadline));
+        match timeout_at(until.into(), body.next()).await {
+            Ok(Some(Ok(bytes))) => {
+                let until = if events {
+                    Instant::now() + stall
+                } else {
+                    until
+                };
+                Some((Ok(bytes), Some((body, until))))
             }
+            Ok(Some(Err(refusal))) => Some((Err(refusal), None)),
+            Ok(None) => None,
+            Err(_) => Some((late, None)),
+        }
+    };
+    stream::unfold(Some((body, deadline)), next).boxed_local()
+}
+
+/// A stream of events that may be resumed at its target.
+struct Stream {
+    worker: Rc<Worker>,
+    parcel: Rc<Parcel>,
+    flight: Rc<std::cell::RefCell<Flight>>,
+    body: Body,
+    events: Events,
+    attempts: u32,
+}
+
+/// Passes on whole events only, and fails when the closing one is missing.
+///
+/// When the connection breaks in between, an idempotent stream continues at its offset on the same
+/// target, if that resumes it and the budget of retries permits.
+pub fn events(
+    worker: &Rc<Worker>,
+    parcel: &Rc<Parcel>,
+    flight: &Rc<std::cell::RefCell<Flight>>,
+    body: Body,
+) -> Body {
+    let stream = Stream {
+        worker: Rc::clone(worker),
+        parcel: Rc::clone(parcel),
+        flight: Rc::clone(flight),
+        body,
+        events: Events::default(),
+        attempts: 1,
+    };
+    let next = |state: Option<Stream>| async move {
+        let mut stream = state?;
+        match stream.part().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
+            Ok(None) => None,
+            Err(refusal) => Some((Err(refusal), None)),
+        }
+    };
+    stream::unfold(Some(stream), next).boxed_local()
+}
+
+impl Stream {
+    async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
+        loop {
+            let broken = match self.body.next().await {
+                Some(Ok(bytes)) => {
+                    let whole = self.events.part(&bytes);
+                    let whole = whole.map_err(|_| Refusal::unknown(Reason::Broken))?;
+                    if !whole.is_empty() {
+                        return Ok(Some(whole.into()));
+                    }
+                    continue;
+                }
+                None if self.events.end().is_ok() => return Ok(None),
+                None => Refusal::unknown(Reason::Broken),
+                Some(Err(refusal)) => refusal,
+            };
+            self.resume(broken).await?;
+        }
+    }
+
+    async fn resume(&mut self, broken: Refusal) -> Result<(), Refusal> {
+        let request = &self.parcel.request;
+        let progress = Progress {
+            attempts: self.attempts,
+            relayed: false,
+            budget: true,
+        };
+        let next = dispatch::next(request, &broken, progress, Instant::now());
+        let offset = self.events.count();
+        // Before its first event the stream can start afresh at any target; that is a retry.
+        if next == Next::End || offset == 0 || !request.idempotent {
+            return Err(broken);
+        }
+        if !self.worker.service.admission.retry() {
+            return Err(broken);
         }
+        self.attempts += 1;
+        let report = self.flight.borrow().report()?;
+        let reply = target::send(&self.worker.client, &report, &self.parcel, offset)
+            .await
+            .map_err(|_| broken.clone())?;
+        // A target that ignores the offset starts again; relaying that would double events.
+        if !reply.events || reply.offset != offset {
+            return Err(broken);
+        }
+        let stall = self.worker.service.stall;
+        self.events.resume();
+        self.body = bounded(reply.body, true, Instant::now() + stall, stall);
+        Ok(())
+    }
+}
+
+/// Waits for the first part of a stream, so that a target lost before it can still be replaced.
+///
+/// # Errors
+///
+/// The refusal that cut the stream.
+pub async fn first(reply: &mut Reply) -> Result<(), Refusal> {
+    let mut rest = std::mem::replace(&mut reply.body, stream::empty().boxed_local());
+    let first = match rest.next().await {
+        Some(part) => Some(part?),
+        None => None,
     };
-    stream::unfold(Some((body, Events::default())), next).boxed_local()
+    let first = stream::iter(first.map(Ok));
+    reply.body = first.chain(rest).boxed_local();
+    Ok(())
 }
 
 /// Gathers a short answer, so that its end is known before its head is sent.
--- a/crates/zinniastall-entry/src/callers/reply.rs
+++ b/crates/zinniastall-entry/src/callers/reply.rs
@@ -20,6 +20,8 @@
     pub length: Option<u64>,
     /// Whether the body is a stream of events.
     pub events: bool,
+    /// Event at which a resumed stream starts, as its target says.
+    pub offset: u64,
     /// Who serves it.
     pub served: Served,
     /// Body; dropping it cancels the request at the target.
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/settings.rs
@@ -0,0 +1,92 @@
+//! Settings of the callers' interface: the deployment's policy, and tickets.
+
+use std::{sync::Arc, time::Duration};
+
+use zinniastall_route::policy::{Choice, Policy, Weights};
+use zinniastall_settings::reader::Reader;
+
+/// Settings of the callers' interface.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// How targets are chosen.
+    pub policy: Arc<Policy>,
+    /// Longest silence within a stream before it counts as broken.
+    pub stall: Duration,
+    /// Work that runs at most once.
+    pub tickets: Tickets,
+}
+
+/// Settings of work that runs at most once.
+#[derive(Debug, Clone)]
+pub struct Tickets {
+    /// How long a ticket is valid.
+    pub validity: Duration,
+    /// Most used tickets that are remembered.
+    pub marks: usize,
+    /// Longest answer that is kept for a resend, in bytes.
+    pub answer_bytes: usize,
+    /// Most bytes of answers that are kept in all.
+    pub kept_bytes: usize,
+    /// How long a shutdown keeps answering for tickets after its last request has ended.
+    pub linger: Duration,
+}
+
+impl Callers {
+    /// Reads the sections of an entry instance's settings.
+    pub fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            policy: Arc::new(reader.nested("policy", policy)),
+            stall: reader.millis("stall_ms", 100..=3_600_000, 30_000),
+            tickets: reader.nested("tickets", tickets),
+        }
+    }
+}
+
+fn policy(reader: &mut Reader<'_>) -> Policy {
+    let choice = reader.word("choice", Choice::WORDS, Choice::parse, Choice::Cost);
+    let weights = reader.nested("weights", weights);
+    let classes = reader.names("classes");
+    let policy = Policy::default()
+        .choice(choice)
+        .weights(weights)
+        .block(reader.millis("block_ms", 0..=60_000, 4))
+        .queue(count(reader.number("queue", 0..=1_000_000, 1024)))
+        .retry_share(reader.fraction("retry_share", 1.0, 0.1))
+        .eject_floor(reader.fraction("eject_floor", 1.0, 0.5))
+        .borders(
+            reader.millis("zone_border_ms", 0..=60_000, 5),
+            reader.millis("region_border_ms", 0..=60_000, 60),
+        )
+        .spill(reader.flag("spill", true));
+    if classes.is_empty() {
+        policy
+    } else {
+        policy.classes(classes)
+    }
+}
+
+fn weights(reader: &mut Reader<'_>) -> Weights {
+    const MOST: f64 = 1_000_000.0;
+    let default = Weights::default();
+    Weights {
+        wait: reader.fraction("wait", MOST, default.wait),
+        cache: reader.fraction("cache", MOST, default.cache),
+        border: reader.fraction("border", MOST, default.border),
+        price: reader.fraction("price", MOST, default.price),
+    }
+}
+
+fn tickets(reader: &mut Reader<'_>) -> Tickets {
+    Tickets {
+        validity: reader.millis("validity_ms", 100..=3_600_000, 120_000),
+        marks: count(reader.number("marks", 1..=10_000_000, 100_000)),
+        answer_bytes: count(reader.number("answer_bytes", 0..=64 << 20, 1 << 20)),
+        kept_bytes: count(reader.number("kept_bytes", 0..=8 << 30, 64 << 20)),
+        linger: reader.millis("linger_ms", 0..=3_600_000, 10_000),
+    }
+}
+
+/// Converts a checked number; its range keeps it within `usize`.
+fn count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/crates/zinniastall-entry/src/callers/settle.rs
+++ b/crates/zinniastall-entry/src/callers/settle.rs
@@ -6,7 +6,7 @@
 use zinniastall_route::outcome::{Outcome, Refusal};
 use zinniastall_settings::metrics::Recorder;
 
-use super::reply::Body;
+use super::{progress::Started, reply::Body};
 
 /// Records how one request ends; dropping it unsettled records that the caller went away.
 #[derive(Debug)]
@@ -20,15 +20,27 @@
     target: String,
     started: Instant,
     first: Option<Duration>,
+    /// Instance that sent the request; empty for one that came from a caller.
+    sender: String,
     settled: bool,
+    progress: Option<Started>,
 }
 
 impl Settle {
-    /// Starts the clock of a request that is not identified yet.
-    pub fn new(recorder: Recorder, request: String) -> Self {
+    /// Starts the clock of a caller's request that is not identified yet.
+    pub fn new(recorder: Recorder, progress: Started, request: String) -> Self {
+        let mut settle = Self::forwarded(recorder, "");
+        settle.request = request;
+        settle.progress = Some(progress);
+        settle
+    }
+
+    /// Starts the clock of a request that another instance sent. Its caller's instance records the
+    /// histograms that callers see; here it is recorded apart.
+    pub fn forwarded(recorder: Recorder, sender: &str) -> Self {
         Self {
             recorder,
-            request,
+            request: String::new(),
             client: String::new(),
             class: String::new(),
             subject: String::new(),
@@ -36,10 +48,17 @@
             target: String::new(),
             started: Instant::now(),
             first: None,
+            sender: sender.to_owned(),
             settled: false,
+            progress: None,
         }
     }
 
+    /// Returns the id under which the request is logged.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Notes who asks for what.
     pub fn identified(&mut self, request: &zinniastall_route::request::Request) {
         self.request.clone_from(&request.id);
@@ -59,8 +78,8 @@
         if self.first.is_none() {
             let first = self.started.elapsed();
             self.first = Some(first);
-            self.recorder
-                .time("request.first", &self.client, &self.class, first);
+            let name = self.name("request.first", "forwarded.first");
+            self.recorder.time(name, &self.client, &self.class, first);
         }
     }
 
@@ -73,11 +92,20 @@
     pub fn answered(&mut self) {
         self.first();
         let whole = self.started.elapsed();
-        self.recorder
-            .time("request.whole", &self.client, &self.class, whole);
+        let name = self.name("request.whole", "forwarded.whole");
+        self.recorder.time(name, &self.client, &self.class, whole);
         self.end(Outcome::Answered, "");
     }
 
+    /// Chooses between the names for callers' and for other instances' requests.
+    const fn name(&self, caller: &'static str, sender: &'static str) -> &'static str {
+        if self.sender.is_empty() {
+            caller
+        } else {
+            sender
+        }
+    }
+
     fn end(&mut self, outcome: Outcome, reason: &str) {
         if std::mem::replace(&mut self.settled, true) {
             return;
@@ -85,13 +113,13 @@
         let took = self.started.elapsed();
         if outcome != Outcome::Answered {
             let name = match outcome {
-                Outcome::NotRun => "request.not_run",
-                _ => "request.unknown",
+                Outcome::NotRun => self.name("request.not_run", "forwarded.not_run"),
+                _ => self.name("request.unknown", "forwarded.unknown"),
             };
             self.recorder.time(name, &self.client, &self.class, took);
         }
         tracing::info!(
-            event = "request",
+            event = self.name("request", "forwarded"),
             request = self.request,
             outcome = outcome.as_str(),
             reason,
@@ -99,6 +127,7 @@
             class = self.class,
             subject = self.subject,
             target = self.target,
+            sender = self.sender,
             revision = self.revision,
             first_us = self.first.map_or(0, micros),
             whole_us = micros(took),
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -16,7 +16,7 @@
 };
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use zinniastall_model::header::{OUTCOME, RETRY};
+use zinniastall_model::header::{OFFSET, OUTCOME, RETRY};
 use zinniastall_route::{
     outcome::{Outcome, Reason, Refusal},
     relay::Length,
@@ -113,6 +113,9 @@
     let length = text(header::CONTENT_LENGTH).and_then(|value| value.parse().ok());
     let events =
         text(header::CONTENT_TYPE).is_some_and(|value| value.starts_with("text/event-stream"));
+    let offset = response.headers().get(OFFSET);
+    let offset = offset.and_then(|value| value.to_str().ok()?.parse().ok());
+    let offset = offset.unwrap_or_default();
     let headers = response.headers().iter().filter_map(|(name, value)| {
         let value = value.to_str().ok()?;
         passes(name.as_str()).then(|| (name.as_str().to_owned(), value.to_owned()))
@@ -122,6 +125,7 @@
         headers: headers.collect(),
         length: if events { None } else { length },
         events,
+        offset,
         served: Served {
             target: target.target.clone(),
             place: target.place.clone(),
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/ticket/ledger.rs
@@ -0,0 +1,187 @@
+//! The tickets of one run of an instance.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use zinniastall_coord::ticket::{Address, Invalid, Issuer, Marks, Ticket, Use, Verdict};
+use zinniastall_route::{
+    outcome::{Reason, Refusal},
+    request::Request,
+};
+
+use super::Record;
+use crate::{
+    callers::{parcel::Parcel, settings::Tickets},
+    view::View,
+};
+
+/// When to come back if the table of used tickets is full.
+const FULL: Duration = Duration::from_secs(1);
+
+/// What a request with a ticket may do here.
+#[derive(Debug)]
+pub enum Pass {
+    /// It runs, and its answer is recorded.
+    Run(Arc<Record>),
+    /// It runs or has run already; its recorded answer is read.
+    Join(Arc<Record>),
+    /// The issuer decides.
+    Issuer(Address),
+}
+
+/// The tickets of one run of an instance.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    issuer: Arc<Issuer>,
+    started: Instant,
+    marks: Arc<Mutex<Marks<Arc<Record>>>>,
+    settings: Arc<Tickets>,
+}
+
+impl Ledger {
+    /// Creates the tickets of a run with a key of its own.
+    pub fn new(view: &View, settings: Tickets) -> Self {
+        let address = Address::new(
+            view.place.region.clone(),
+            view.place.zone.clone(),
+            view.instance.clone(),
+            view.incarnation,
+        );
+        let issuer = Issuer::new(address, rand::random(), settings.validity);
+        Self {
+            issuer: Arc::new(issuer),
+            started: Instant::now(),
+            marks: Arc::new(Mutex::new(Marks::new(settings.marks))),
+            settings: Arc::new(settings),
+        }
+    }
+
+    /// Makes a ticket.
+    pub fn issue(&self) -> String {
+        self.issuer.issue(self.now(), rand::random())
+    }
+
+    /// Decides on a request that may not be repeated and came from a caller.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; one that says "not run" carries a fresh ticket where that helps.
+    pub fn admit(&self, parcel: &Parcel, draining: bool) -> Result<Pass, Refusal> {
+        let Some(text) = &parcel.request.ticket else {
+            let refusal = Refusal::not_run(Reason::TicketRequired).retry(Duration::ZERO);
+            return Err(refusal.ticket(self.issue()));
+        };
+        match self.issuer.check(text, self.now()) {
+            Ok(ticket) => self.mark(&ticket.name, ticket.expiry, parcel, draining),
+            Err(Invalid::Elsewhere(address)) => Ok(Pass::Issuer(*address)),
+            Err(Invalid::Expired) => Err(Refusal::unknown(Reason::TicketExpired)),
+            Err(Invalid::Malformed | Invalid::Forged) => {
+                Err(Refusal::not_run(Reason::TicketInvalid))
+            }
+        }
+    }
+
+    /// Decides on a request that may not be repeated and came from another instance.
+    ///
+    /// The sender is trusted to have checked a ticket of its own, since only it can; the mark here
+    /// still refuses a second arrival. A ticket of a third instance is refused: a request is not
+    /// sent on.
+    ///
+    /// # Errors
+    ///
+    /// See [`Ledger::admit`].
+    pub fn admit_forwarded(
+        &self,
+        parcel: &Parcel,
+        sender: &Address,
+        draining: bool,
+    ) -> Result<Pass, Refusal> {
+        match self.admit(parcel, draining)? {
+            Pass::Issuer(issuer) if issuer == *sender => {
+                let text = parcel.request.ticket.as_deref().unwrap_or_default();
+                let ticket = Ticket::parse(text);
+                let ticket = ticket.map_err(|_| Refusal::not_run(Reason::TicketInvalid))?;
+                // The expiry is on the sender's clock. The sender has checked it; from here on the
+                // ticket cannot be valid for longer than a whole validity.
+                let until = self.now() + self.issuer.validity();
+                self.mark(&ticket.name, until, parcel, draining)
+            }
+            Pass::Issuer(_) => Err(Refusal::unknown(Reason::IssuerGone)),
+            pass => Ok(pass),
+        }
+    }
+
+    /// Takes note that a record has ended, and bounds what is kept in all.
+    pub fn ended(&self) {
+        let marks = self.lock();
+        let kept: usize = marks.records().filter_map(|record| record.kept()).sum();
+        let mut surplus = kept.saturating_sub(self.settings.kept_bytes);
+        for record in marks.records() {
+            if surplus == 0 {
+                break;
+            }
+            let bytes = record.kept().unwrap_or(0);
+            if bytes > 0 {
+                record.drop_answer();
+                surplus = surplus.saturating_sub(bytes);
+            }
+        }
+    }
+
+    /// Returns whether answers are kept that a caller may still ask for.
+    pub fn keeps_answers(&self) -> bool {
+        let now = self.now();
+        let mut marks = self.lock();
+        marks.expire(now);
+        !marks.is_empty()
+    }
+
+    fn mark(
+        &self,
+        name: &str,
+        until: Duration,
+        parcel: &Parcel,
+        draining: bool,
+    ) -> Result<Pass, Refusal> {
+        let limit = self.settings.answer_bytes;
+        let mut marks = self.lock();
+        // A draining instance starts nothing, and never will again: "not run" stays true.
+        if draining && !marks.contains(name) {
+            return Err(Refusal::not_run(Reason::Draining));
+        }
+        let make = || Arc::new(Record::new(limit));
+        let verdict = marks.mark(name, usage(parcel), until, self.now(), make);
+        match verdict {
+            Verdict::First(record) => Ok(Pass::Run(record)),
+            Verdict::Again(record) => Ok(Pass::Join(record)),
+            Verdict::Different => Err(Refusal::not_run(Reason::TicketReused)),
+            Verdict::Full => Err(Refusal::not_run(Reason::TicketsFull).retry(FULL)),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Marks<Arc<Record>>> {
+        // A mark is inserted in one step, so the table is usable after a panic elsewhere.
+        self.marks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns what a ticket is used for: the same client with the same call and body.
+fn usage(parcel: &Parcel) -> Use {
+    let Request { client, .. } = &parcel.request;
+    let mut hasher = blake3::Hasher::new();
+    for field in [parcel.method.as_bytes(), parcel.path.as_bytes()] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.update(&parcel.body);
+    Use {
+        client: client.clone(),
+        digest: *hasher.finalize().as_bytes(),
+    }
+}
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -7,16 +7,17 @@
 use zinniastall_route::identify::Index;
 use zinniastall_settings::metrics::Recorder;
 
-use super::{Service, target};
+use super::{Service, forward::Links, target};
 use crate::view::View;
 
 /// What one traffic thread keeps.
-#[derive(Clone)]
 pub struct Worker {
     /// What all traffic threads share.
     pub service: Service,
     /// Connections to targets.
     pub client: Client,
+    /// Links to other instances.
+    pub links: Links,
     /// Histograms of this thread.
     pub recorder: Recorder,
     index: RefCell<Rc<Index>>,
@@ -33,6 +34,7 @@
     pub fn new(service: Service) -> Self {
         Self {
             client: target::client(),
+            links: Links::new(service.identity.clone()),
             recorder: service.hub.recorder(),
             service,
             index: RefCell::default(),
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -50,7 +50,12 @@
         left: spread.clone().recipient(),
     };
     let hub = Hub::start("zinniastall.entry", settings.statsd)?;
-    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let limits = settings.limits.clone();
+    let service = callers::Service::new(board.clone(), hub.clone(), limits, &settings.callers)
+        .identity(identity.clone());
+    let streams = callers::forward::Receiver::start(service.clone());
+    let forwarding = streams.arbiter();
+    let drained = service.clone();
     let threads = settings.threads;
     let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
         .workers(threads)
@@ -64,7 +69,9 @@
         .workers(1)
         .disable_signals()
         .listen(sockets.targets.into_std()?)?;
-    let acceptors = Acceptors::new(identity).owner(Purpose::Gossip, spread::Gossip(spread.clone()));
+    let acceptors = Acceptors::new(identity)
+        .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
+        .owner(Purpose::Stream, streams);
     actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
@@ -73,11 +80,20 @@
     signal(SignalKind::terminate())?.recv().await;
     tracing::info!(event = "draining");
     publisher.send(crate::publish::Draining).await?;
+    // The listeners stay open until nothing is in progress: a caller who comes meanwhile is told
+    // where to go instead of finding a closed port.
+    if tokio::time::timeout(settings.drain, drained.drained())
+        .await
+        .is_err()
+    {
+        tracing::warn!(event = "drain-cut", requests = drained.progress.count());
+    }
     callers_handle.stop(true).await;
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
     spread.send(spread::actor::Stop).await?;
+    forwarding.stop();
     tracing::info!(event = "stopped");
     Ok(())
 }
--- a/crates/zinniastall-entry/src/settings.rs
+++ b/crates/zinniastall-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use zinniastall_model::{id, place::Place};
 use zinniastall_settings::{load::Settings, reader::Reader};
 
-use crate::spread;
+use crate::{callers, spread};
 
 /// Settings of an entry instance.
 #[derive(Debug, Clone)]
@@ -34,6 +34,8 @@
     pub limits: Limits,
     /// Membership, targets' leases and digests.
     pub spread: spread::settings::Spread,
+    /// The deployment's policy, and tickets.
+    pub callers: callers::settings::Callers,
     /// Longest time that a shutdown waits for requests in progress and for tickets.
     pub drain: Duration,
 }
@@ -98,6 +100,7 @@
             threads: count(reader.number("threads", 1..=256, 2)),
             limits: reader.nested("limits", read_limits),
             spread: reader.nested("spread", spread::settings::Spread::read),
+            callers: callers::settings::Callers::read(reader),
             drain: reader.millis("drain_ms", 100..=3_600_000, 300_000),
         }
     }
--- a/crates/zinniastall-route/src/admit.rs
+++ b/crates/zinniastall-route/src/admit.rs
@@ -106,7 +106,7 @@
         if self.length >= self.limit {
             return Err(Refusal::not_run(Reason::Full).retry(all));
         }
-        let wait = pace.saturating_mul(count(self.ahead(waiter)));
+        let wait = pace.saturating_mul(count(self.ahead_of(waiter)));
         if self.exceeds_share(waiter) {
             return Err(Refusal::not_run(Reason::Share).retry(wait.max(pace)));
         }
@@ -148,8 +148,8 @@
         removed
     }
 
-    /// Returns how many waiting requests go before a new one.
-    fn ahead(&self, waiter: &Waiter) -> usize {
+    /// Returns how many waiting requests go before one, which may be a new one.
+    pub fn ahead_of(&self, waiter: &Waiter) -> usize {
         let higher = self.lanes.range(..waiter.rank);
         let higher: usize = higher.map(|(_, lane)| lane.length).sum();
         let lane = self.lanes.get(&waiter.rank);
@@ -237,7 +237,7 @@
         false
     }
 
-    /// Returns how many go before a new request of a client, when all shares are served by weight.
+    /// Returns how many go before a request of a client, when all shares are served by weight.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -246,7 +246,10 @@
     )]
     fn ahead(&self, waiter: &Waiter) -> usize {
         let own = self.shares.get(&waiter.client);
-        let own = own.map_or(0, |share| share.waiting.len());
+        let own = own.map_or(0, |share| {
+            let place = share.waiting.iter().position(|id| *id == waiter.id);
+            place.unwrap_or(share.waiting.len())
+        });
         let weight = f64::from(waiter.weight.max(1));
         let rounds = (own as f64 + 1.0) / weight;
         let others = self.shares.iter().filter(|(id, _)| **id != waiter.client);
--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -60,8 +60,9 @@
     }
 
     fn round<'a, 'b>(&mut self, candidates: &'a [Candidate<'b>]) -> Option<&'a Candidate<'b>> {
+        let turn = self.turn.checked_rem(candidates.len())?;
         self.turn = self.turn.wrapping_add(1);
-        candidates.get(self.turn.checked_rem(candidates.len())?)
+        candidates.get(turn)
     }
 }
 
--- a/crates/zinniastall-route/src/identify.rs
+++ b/crates/zinniastall-route/src/identify.rs
@@ -18,6 +18,7 @@
     clients: IndexMap<id::Client, Client>,
     routes: Vec<Route>,
     rules: IndexMap<id::Client, Vec<Residency>>,
+    versions: IndexMap<id::Model, String>,
     revision: id::Revision,
 }
 
@@ -100,6 +101,14 @@
         subjects.into_iter().find(|subject| subject.name() == name)
     }
 
+    /// Returns the configured version of a subject.
+    pub fn version(&self, subject: &Subject) -> Option<&str> {
+        match subject {
+            Subject::Model(model) => self.versions.get(model).map(String::as_str),
+            Subject::Service(_) => None,
+        }
+    }
+
     fn add(&mut self, object: &Object) {
         match object {
             Object::Client(client) => {
@@ -113,7 +122,11 @@
                 let rules = self.rules.entry(rule.client.clone()).or_default();
                 rules.push(rule.clone());
             }
-            Object::Model(_) | Object::Adapter(_) | Object::Role(_) => {}
+            Object::Model(model) => {
+                let version = model.version.clone();
+                self.versions.insert(model.id.clone(), version);
+            }
+            Object::Adapter(_) | Object::Role(_) => {}
         }
     }
 }
--- a/crates/zinniastall-route/src/outcome.rs
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -45,6 +45,9 @@
     /// A header has no valid value.
     #[error("header {0} is malformed")]
     Header(&'static str),
+    /// The query of a path is malformed.
+    #[error("query: {0}")]
+    Query(String),
     /// The body is not what the path asks for.
     #[error("body: {0}")]
     Body(String),
@@ -125,6 +128,7 @@
             Self::Withdrawn(_) => "client-withdrawn",
             Self::NoRoute(_) => "no-route",
             Self::Header(_) => "malformed-header",
+            Self::Query(_) => "malformed-query",
             Self::Body(_) => "malformed-body",
             Self::Large(_) => "body-too-large",
             Self::Slow => "too-slow",
@@ -157,7 +161,7 @@
             Self::NoKey | Self::UnknownKey => 401,
             Self::Withdrawn(_) | Self::Residency => 403,
             Self::NoRoute(_) => 404,
-            Self::Header(_) | Self::Body(_) | Self::TicketInvalid => 400,
+            Self::Header(_) | Self::Query(_) | Self::Body(_) | Self::TicketInvalid => 400,
             Self::Slow => 408,
             Self::TicketReused => 409,
             Self::Large(_) => 413,
--- a/crates/zinniastall-route/src/policy.rs
+++ b/crates/zinniastall-route/src/policy.rs
@@ -177,6 +177,27 @@
         self.queue
     }
 
+    /// Returns whether requests may be sent to other zones and regions.
+    pub const fn spills(&self) -> bool {
+        self.spill
+    }
+
+    /// Returns the share of targets that is never ejected.
+    pub const fn floor(&self) -> f64 {
+        self.eject_floor
+    }
+
+    /// Returns the time of a prefill of this many blocks without any cache.
+    pub fn prefill(&self, blocks: usize) -> Duration {
+        let blocks = u32::try_from(blocks).unwrap_or(u32::MAX);
+        self.block.saturating_mul(blocks)
+    }
+
+    /// Returns the cost of a wait, in milliseconds.
+    pub fn wait_cost(&self, wait: Duration) -> f64 {
+        self.weights.wait * wait.as_secs_f64() * 1000.0
+    }
+
     /// Returns a class's place in the order of priority, 0 first.
     pub fn rank(&self, class: &str) -> usize {
         let named = self.classes.iter().position(|name| name == class);
--- a/crates/zinniastall-route/src/request.rs
+++ b/crates/zinniastall-route/src/request.rs
@@ -17,6 +17,8 @@
     pub class: id::Class,
     /// What is to serve it.
     pub subject: Subject,
+    /// Configured version of the model; targets that hold it are preferred.
+    pub version: Option<String>,
     /// Whether it may be repeated.
     pub idempotent: bool,
     /// Ticket of a request that may not be repeated, as the caller sent it.
