--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -12,11 +12,11 @@
 use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
-    callers,
+    callers, follow,
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
-    spread,
+    spread::{self, actor::Surroundings},
     targets::{self, Desk},
     view::{Board, View},
 };
@@ -38,18 +38,19 @@
     let publisher = Publisher::new(board.clone()).start();
     let sockets = Sockets::bind(&settings).await?;
     let identity = sockets.identity(&settings, &board.view())?;
-    let spread = spread::start(
-        &settings,
-        identity.clone(),
-        board.clone(),
-        publisher.clone(),
-    );
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let around = Surroundings {
+        identity: identity.clone(),
+        board: board.clone(),
+        publisher: publisher.clone(),
+        recorder: hub.recorder(),
+    };
+    let spread = spread::start(&settings, around);
     let desk = Desk {
         place: settings.place.clone(),
         announced: spread.clone().recipient(),
         left: spread.clone().recipient(),
     };
-    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
     let limits = settings.limits.clone();
     let service = callers::Service::new(board.clone(), hub.clone(), limits, &settings.callers)
         .identity(identity.clone());
@@ -69,8 +70,16 @@
         .workers(1)
         .disable_signals()
         .listen(sockets.targets.into_std()?)?;
+    let follow = follow::start(
+        &settings,
+        identity.clone(),
+        board.clone(),
+        publisher.clone(),
+        hub.clone(),
+    );
     let acceptors = Acceptors::new(identity)
         .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
+        .owner(Purpose::Follow, follow)
         .owner(Purpose::Stream, streams);
     actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
@@ -92,7 +101,7 @@
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
-    spread.send(spread::actor::Stop).await?;
+    spread.send(spread::messages::Stop).await?;
     forwarding.stop();
     tracing::info!(event = "stopped");
     Ok(())
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -180,14 +180,14 @@
         weight: 1,
         withdrawn: false,
     };
-    let model_object = Model {
+    let map_labels = Model {
         id: "map-labels".into(),
         version: "1".into(),
         weights: "map-labels-1".into(),
     };
     let objects = [
         Object::Client(client),
-        Object::Model(model_object),
+        Object::Model(map_labels),
         route("chat", "/v1/chat/completions", model(), true),
         route("proofs", "/proofs", service(), true),
         route("orders", "/orders", service(), false),
