--- a/crates/zinniastall-standin/src/engine/stream.rs
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -5,6 +5,7 @@
 use actix_web::{HttpResponse, body::SizedStream, http::header::CONTENT_TYPE};
 use bytes::Bytes;
 use futures_util::stream;
+use zinniastall_model::header::OFFSET;
 
 use super::chat::Job;
 use crate::failure::{Action, Point};
@@ -27,6 +28,7 @@
 /// Answers with the events of a job, from its offset on.
 pub(super) fn answer(job: Job) -> HttpResponse {
     let first = Step::Event(job.offset);
+    let offset = job.offset.to_string();
     let events = stream::unfold((job, first), |(mut job, step)| async move {
         match step {
             Step::Event(index) => Some(event(job, index).await),
@@ -42,6 +44,7 @@
     });
     HttpResponse::Ok()
         .insert_header((CONTENT_TYPE, "text/event-stream"))
+        .insert_header((OFFSET, offset))
         .streaming(events)
 }
 
