--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -20,6 +20,10 @@
 const BOUND: f64 = 1.25;
 /// Share of a request's time by which a full batch slows it down.
 const BATCH: f64 = 0.25;
+/// Costs within this factor and this many milliseconds of the least count as equal: means are not
+/// known better than that, and always taking the least would use one target only.
+const TIE: f64 = 1.05;
+const TIE_MILLIS: f64 = 1.0;
 
 /// A target that may be chosen.
 #[derive(Debug, Clone, Copy)]
@@ -87,9 +91,15 @@
 ) -> Option<&'a Candidate<'b>> {
     let mut few: Vec<_> = candidates.choose_multiple(random, 2).collect();
     few.extend(affine(prefixes, candidates, now));
-    let by_cost = |candidate: &&Candidate<'_>| cost(policy, prefixes, candidate.load, now);
-    few.into_iter()
-        .min_by(|a, b| by_cost(a).total_cmp(&by_cost(b)))
+    let costs = few
+        .iter()
+        .map(|candidate| cost(policy, prefixes, candidate.load, now));
+    let costs: Vec<f64> = costs.collect();
+    let least = costs.iter().copied().min_by(f64::total_cmp)?;
+    let equal = few.into_iter().zip(costs);
+    let equal = equal.filter(|(_, cost)| *cost <= least * TIE + TIE_MILLIS);
+    let equal: Vec<_> = equal.map(|(candidate, _)| candidate).collect();
+    equal.choose(random).copied()
 }
 
 /// Returns the targets that a prompt's prefix belongs to, unless they have too much to do.
--- a/crates/zinniastall-route/src/load.rs
+++ b/crates/zinniastall-route/src/load.rs
@@ -20,8 +20,11 @@
 const RECENT: usize = 4096;
 /// Weight of the newest value in a mean.
 const NEWEST: f64 = 0.1;
-/// Time of a request at a target of which nothing is known yet.
-const UNKNOWN: Duration = Duration::from_millis(200);
+/// Time of a request while nothing at all is known.
+const UNKNOWN: f64 = 0.2;
+/// Share by which each answer of another target moves a target's mean towards the common one. A
+/// target that was slow once and gets no requests for it would otherwise never be tried again.
+const DRIFT: f64 = 0.01;
 /// Worth of a cached block while cache events are missing.
 const UNSURE: f64 = 0.5;
 
@@ -61,7 +64,7 @@
     in_flight: u32,
     limit: Limit,
     outlier: Outlier,
-    service: Option<f64>,
+    service: f64,
 }
 
 /// How one request at a target ended, as its load is concerned.
@@ -81,6 +84,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     loads: IndexMap<id::Target, Load>,
+    /// Mean time of a request over all targets, in seconds.
+    common: Option<f64>,
 }
 
 impl Table {
@@ -90,7 +95,7 @@
             Some(load) if load.incarnation == report.incarnation => load,
             Some(load) if load.incarnation > report.incarnation => return,
             _ => {
-                let load = Load::new(report);
+                let load = Load::new(report, self.common.unwrap_or(UNKNOWN));
                 self.loads.insert(target.to_owned(), load);
                 return;
             }
@@ -136,7 +141,7 @@
             End::Answered(took) => {
                 load.limit.answered(before);
                 load.outlier.answered();
-                load.took(took);
+                self.took(target, took);
             }
             End::Refused => load.limit.refused(now),
             End::Failed => load.outlier.failed(now),
@@ -145,8 +150,28 @@
     }
 }
 
+impl Table {
+    /// Takes note of the time of a request; all other means drift a little towards the common one.
+    fn took(&mut self, target: &str, took: Duration) {
+        let took = took.as_secs_f64();
+        // What the first answer says of one target is the best guess for all.
+        let common = *self.common.get_or_insert_with(|| {
+            self.loads.values_mut().for_each(|load| load.service = took);
+            took
+        });
+        self.common = Some(common + (took - common) * NEWEST);
+        for (name, load) in &mut self.loads {
+            if name == target {
+                load.service += (took - load.service) * NEWEST;
+            } else {
+                load.service += (common - load.service) * DRIFT;
+            }
+        }
+    }
+}
+
 impl Load {
-    fn new(report: &Report) -> Self {
+    fn new(report: &Report, service: f64) -> Self {
         Self {
             incarnation: report.incarnation,
             sequence: report.sequence,
@@ -160,7 +185,7 @@
             in_flight: 0,
             limit: Limit::new(report.slots),
             outlier: Outlier::default(),
-            service: None,
+            service,
         }
     }
 
@@ -188,12 +213,6 @@
         self.recent.drain(..surplus);
     }
 
-    fn took(&mut self, took: Duration) {
-        let took = took.as_secs_f64();
-        let mean = self.service.unwrap_or(took);
-        self.service = Some(mean + (took - mean) * NEWEST);
-    }
-
     /// Returns the requests of this instance in progress.
     pub const fn in_flight(&self) -> u32 {
         self.in_flight
@@ -221,7 +240,7 @@
 
     /// Returns the mean time of a request.
     pub fn service(&self) -> Duration {
-        self.service.map_or(UNKNOWN, Duration::from_secs_f64)
+        Duration::from_secs_f64(self.service)
     }
 
     /// Returns the requests in progress there, those of others estimated.
--- /dev/null
+++ b/tests/tests/path/drain.rs
@@ -0,0 +1,110 @@
+//! Instances and targets leave without cutting anything.
+
+use futures_util::future::join_all;
+use serde_json::json;
+use zinniastall_tests::{Result, http, wait};
+
+use super::support::{ask, ask_once, chat, error, expected, ticket, zone, zone_with};
+
+// An operator restarts an instance while a long answer streams through it. The stream must arrive
+// whole; whoever comes meanwhile is told at once that nothing ran and goes elsewhere.
+#[actix_rt::test]
+async fn terminated_instance_cuts_no_stream() -> Result<()> {
+    let mut cluster = zone(&[json!({"engine": {"token_us": 50_000}})]).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let body = chat("a long brief", 40, true);
+    let (_, events) = ask(address, &body).stream().await?;
+    let reading = actix_rt::spawn(http::content(events));
+    let ticket = ticket(address).await?;
+    cluster.entry("patras-a-1")?.process().terminate()?;
+    cluster
+        .entry("patras-a-1")?
+        .process()
+        .event("draining")
+        .await?;
+    let late = chat("a late scan", 1, false);
+    let answer = wait::until("a refusal", async || {
+        let answer = ask(address, &late).send().await.ok()?;
+        (answer.status() == 503).then_some(answer)
+    })
+    .await?;
+    assert_eq!(error(&answer), ("not-run".into(), "draining".into()));
+    let answer = ask_once(address, &ticket, &late).send().await?;
+    assert_eq!(error(&answer).0, "not-run");
+    let answer = reading.await.expect("the reader ends")?;
+    assert_eq!(answer, (expected("a long brief", 40), true));
+    assert!(
+        cluster
+            .entry("patras-a-1")?
+            .process()
+            .ends()
+            .await?
+            .success()
+    );
+    Ok(())
+}
+
+// An instance is told to stop right after it has run a billed proposal whose answer was lost. The
+// resend must still get that answer while the instance lingers.
+#[actix_rt::test]
+async fn terminated_issuer_still_answers_for_its_tickets() -> Result<()> {
+    let mut cluster = zone(&[json!({"engine": {"token_us": 1000}})]).await?;
+    let first = cluster.entry("patras-a-1")?.address("callers")?;
+    let second = cluster.entry("patras-a-2")?.address("callers")?;
+    let (ticket, body) = (ticket(first).await?, chat("a billed proposal", 4, false));
+    let answer = ask_once(first, &ticket, &body).send().await?;
+    assert_eq!(answer.status(), 200);
+    cluster.entry("patras-a-1")?.process().terminate()?;
+    cluster
+        .entry("patras-a-1")?
+        .process()
+        .event("draining")
+        .await?;
+    for address in [first, second] {
+        let again = ask_once(address, &ticket, &body).send().await?;
+        assert_eq!(again.text(), answer.text());
+    }
+    assert!(
+        cluster
+            .entry("patras-a-1")?
+            .process()
+            .ends()
+            .await?
+            .success()
+    );
+    Ok(())
+}
+
+// Engines are replaced while robots keep asking. No request may fail for it, and an engine that
+// has said it leaves gets no new work after two seconds.
+#[actix_rt::test]
+async fn leaving_target_under_load_fails_nobody() -> Result<()> {
+    let engine = json!({"engine": {"token_us": 2000}, "slots": 16});
+    let mut cluster = zone_with(&[engine.clone(), engine], json!({})).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let robots = (0..8).map(|robot| async move {
+        let mut statuses = Vec::new();
+        for number in 0..40 {
+            let body = chat(&format!("robot {robot} scan {number}"), 5, false);
+            let answer = ask(address, &body).send().await?;
+            statuses.push((answer.status(), answer.text()));
+        }
+        Ok::<_, zinniastall_tests::Error>(statuses)
+    });
+    let load = actix_rt::spawn(join_all(robots));
+    cluster.target("engine-1")?.process().terminate()?;
+    assert!(
+        cluster
+            .target("engine-1")?
+            .process()
+            .ends()
+            .await?
+            .success()
+    );
+    for statuses in load.await.expect("the load ends") {
+        for (status, text) in statuses? {
+            assert_eq!(status, 200, "{text}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/tests/path/forward.rs
@@ -0,0 +1,136 @@
+//! Requests that cross borders.
+
+use serde_json::{Value, json};
+use zinniastall_tests::{Result, cluster::Cluster, http, wait};
+
+use super::support::{
+    CLIENT, KEY, MODEL, ask, ask_once, chat, configure, error, expected, runs, ticket,
+};
+
+/// Starts two regions; only the far one has an engine.
+async fn regions() -> Result<Cluster> {
+    let mut cluster = Cluster::builder()
+        .zone("patras", "a", 1)
+        .zone("athens", "a", 1)
+        .start()
+        .await?;
+    let engine = json!({"engine": {"token_us": 20_000}});
+    cluster
+        .engine("engine-1", ("athens", "a"), MODEL, engine)
+        .await?;
+    configure(&mut cluster).await?;
+    cluster.residency(CLIENT, &["patras", "athens"]).await?;
+    cluster.located("patras-a-1", KEY, MODEL, 2).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    cluster
+        .serves(address, KEY, &chat("probe", 1, false))
+        .await?;
+    Ok(cluster)
+}
+
+// The home region has lost its engines. A client whose rules permit another region is served there,
+// whole and as a stream, and work that runs at most once does so there too.
+#[actix_rt::test]
+async fn other_region_serves_when_home_cannot() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let (head, events) = ask(address, &chat("a scan", 6, true)).stream().await?;
+    assert_eq!(head.header("x-zinniastall-place"), "athens/a");
+    assert_eq!(head.header("x-zinniastall-target"), "engine-1");
+    assert_eq!(http::content(events).await?, (expected("a scan", 6), true));
+    let (ticket, body) = (ticket(address).await?, chat("a schedule", 2, false));
+    for _ in 0..3 {
+        let answer = ask_once(address, &ticket, &body).send().await?;
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+    }
+    assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 1);
+    cluster.stop().await
+}
+
+// The far instance is killed in the middle of an answer. Half of an answer must not look whole, and
+// work that runs at most once must not run again.
+#[actix_rt::test]
+async fn far_instance_killed_within_an_answer() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let body = chat("a long brief", 100, true);
+    let ticket = ticket(address).await?;
+    let (_, events) = ask_once(address, &ticket, &body).stream().await?;
+    cluster.entry("athens-a-1")?.process().kill()?;
+    let (text, done) = http::content(events).await?;
+    assert!(!done, "a cut answer looked whole: {text}");
+    let answer = ask_once(address, &ticket, &body).send().await?;
+    assert_eq!(error(&answer).0, "unknown", "{}", answer.text());
+    assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 1);
+    Ok(())
+}
+
+// An operator withdraws a region from a client while its requests fly there. Once the change is
+// accepted, no further request runs in that region, and callers are told that theirs did not.
+#[actix_rt::test]
+async fn narrowed_residency_holds_while_requests_fly() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let flying = actix_rt::spawn(async move {
+        let mut refused = 0;
+        for number in 0..400 {
+            let body = chat(&format!("flying {number}"), 1, false);
+            let answer = ask(address, &body).send().await?;
+            if answer.status() != 200 {
+                assert_eq!(error(&answer).0, "not-run", "{}", answer.text());
+                refused += 1;
+            }
+        }
+        Ok::<_, zinniastall_tests::Error>(refused)
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let rule = json!({"residency": {"id": CLIENT, "client": CLIENT, "regions": ["patras"]}});
+    let rule = rule.to_string();
+    cluster
+        .ctl(&["--wait", "10000", "apply", &rule])
+        .await?
+        .json()?;
+    wait::until("the change in force", async || {
+        let body = chat("probe", 1, false);
+        let answer = ask(address, &body).send().await.ok()?;
+        (answer.status() != 200).then_some(())
+    })
+    .await?;
+    let accepted = now();
+    assert!(
+        flying.await.expect("the load ends")? > 0,
+        "none was refused"
+    );
+    let late: Vec<Value> = cluster.ledger("engine-1").await?;
+    let late = late
+        .iter()
+        .filter(|run| run["started"].as_u64() > Some(accepted));
+    assert_eq!(late.count(), 0);
+    cluster.stop().await
+}
+
+// A caller sends the system's own headers, as if an instance had passed the request on: another
+// client's name, an offset, an order's number. None of it may reach a target.
+#[actix_rt::test]
+async fn forged_headers_are_dropped() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let body = chat("a forged scan", 3, true);
+    let request = ask(address, &body)
+        .header("x-zinniastall-client", "korrigan")
+        .header("x-zinniastall-offset", "2")
+        .header("x-zinniastall-hops", "athens/a")
+        .header("x-zinniastall-fence", "999");
+    let (_, events) = request.stream().await?;
+    let answer = http::content(events).await?;
+    assert_eq!(answer, (expected("a forged scan", 3), true));
+    let runs = runs(&mut cluster, "engine-1", &body).await?;
+    assert_eq!(runs[0]["client"], CLIENT);
+    assert_eq!(runs[0]["offset"], 0);
+    cluster.stop().await
+}
+
+fn now() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/tests/tests/path/main.rs
@@ -0,0 +1,11 @@
+//! The request path keeps its promises when processes and connections fail.
+//!
+//! Every stand-in target keeps a ledger of what it ran. The tests compare it with what callers were
+//! told, so that "not run", "at most once" and "whole" are counted instead of assumed.
+
+mod drain;
+mod forward;
+mod loss;
+mod once;
+mod storm;
+mod support;
--- /dev/null
+++ b/tests/tests/path/support.rs
@@ -0,0 +1,116 @@
+//! Small systems, requests and counts.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+use zinniastall_tests::{
+    Result,
+    cluster::Cluster,
+    http::{self, Answer, Request},
+    wait,
+};
+
+pub(crate) const MODEL: &str = "map-labels";
+pub(crate) const KEY: &str = "robot-key";
+pub(crate) const CLIENT: &str = "chartotopos";
+pub(crate) const CHAT: &str = "/v1/chat/completions";
+pub(crate) const TICKET: &str = "x-zinniastall-ticket";
+pub(crate) const ONCE: (&str, &str) = ("x-zinniastall-idempotent", "false");
+
+/// Starts one zone with two entry instances and engines that have these settings.
+pub(crate) async fn zone(engines: &[Value]) -> Result<Cluster> {
+    zone_with(engines, json!({})).await
+}
+
+/// The same, with settings put over those of the entry instances.
+pub(crate) async fn zone_with(engines: &[Value], entry: Value) -> Result<Cluster> {
+    let builder = Cluster::builder().zone("patras", "a", 2).entry(entry);
+    let mut cluster = builder.start().await?;
+    for (number, settings) in engines.iter().enumerate() {
+        let name = format!("engine-{}", number + 1);
+        let place = ("patras", "a");
+        cluster
+            .engine(&name, place, MODEL, settings.clone())
+            .await?;
+    }
+    configure(&mut cluster).await?;
+    for entry in ["patras-a-1", "patras-a-2"] {
+        cluster.located(entry, KEY, MODEL, 2).await?;
+        knows(&mut cluster, entry, engines.len()).await?;
+    }
+    Ok(cluster)
+}
+
+/// Applies a client, a model and its route.
+pub(crate) async fn configure(cluster: &mut Cluster) -> Result<()> {
+    cluster.client(CLIENT, KEY).await?;
+    cluster.model(MODEL).await?;
+    Ok(())
+}
+
+/// Waits until an entry instance sends requests to this many targets.
+pub(crate) async fn knows(cluster: &mut Cluster, entry: &str, targets: usize) -> Result<()> {
+    let address = cluster.entry(entry)?.address("callers")?;
+    let mut seen = indexmap::IndexSet::new();
+    wait::until(&format!("{entry} using {targets} targets"), async || {
+        let prompt = format!("probe {}", seen.len());
+        let answer = ask(address, &chat(&prompt, 1, false)).send().await.ok()?;
+        if answer.status() == 200 {
+            seen.insert(answer.header("x-zinniastall-target").to_owned());
+        }
+        (seen.len() >= targets).then_some(())
+    })
+    .await
+}
+
+/// Makes a body; equal prompts have equal answers.
+pub(crate) fn chat(prompt: &str, tokens: usize, stream: bool) -> Value {
+    json!({
+        "model": MODEL, "stream": stream, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+/// Starts a chat request.
+pub(crate) fn ask(address: SocketAddr, body: &Value) -> Request {
+    http::post(address, CHAT).key(KEY).json(body)
+}
+
+/// Starts a chat request that runs at most once.
+pub(crate) fn ask_once(address: SocketAddr, ticket: &str, body: &Value) -> Request {
+    ask(address, body)
+        .header(ONCE.0, ONCE.1)
+        .header(TICKET, ticket)
+}
+
+/// Gets a ticket from an entry instance.
+pub(crate) async fn ticket(address: SocketAddr) -> Result<String> {
+    let path = format!("/v1/locate?subject={MODEL}&tickets=1");
+    let answer = http::get(address, &path).key(KEY).send().await?.json()?;
+    Ok(text(&answer["tickets"][0]))
+}
+
+/// Returns the entries of a target's ledger with this body.
+pub(crate) async fn runs(cluster: &mut Cluster, target: &str, body: &Value) -> Result<Vec<Value>> {
+    let digest = blake3::hash(body.to_string().as_bytes()).to_hex();
+    let mut runs = cluster.ledger(target).await?;
+    runs.retain(|run| run["body_digest"] == digest.as_str());
+    Ok(runs)
+}
+
+/// Returns the outcome and type of an error answer.
+pub(crate) fn error(answer: &Answer) -> (String, String) {
+    let error = &answer.json().unwrap_or_default()["error"];
+    (text(&error["outcome"]), text(&error["type"]))
+}
+
+pub(crate) fn text(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+/// Returns the text that an engine answers to a prompt.
+pub(crate) fn expected(prompt: &str, tokens: usize) -> String {
+    let digest = blake3::hash(prompt.as_bytes()).to_hex();
+    let token = |index| format!("{}-{index} ", &digest[..8]);
+    (0..tokens).map(token).collect()
+}
