--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -13,7 +13,7 @@
 use actix_web::{App, HttpServer, dev::ServerHandle};
 use indexmap::IndexMap;
 use zinniastall_entry::{
-    callers::Service,
+    callers::{Service, settings::Callers},
     settings::{Entry, Limits},
     view::{Board, Target, View},
 };
@@ -45,15 +45,21 @@
 impl Bench {
     /// Starts the interface before targets at these addresses.
     pub(crate) fn start(targets: &[SocketAddr]) -> Self {
-        let settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
+        Self::with(targets, |_| {})
+    }
+
+    /// Starts the interface with changed settings.
+    pub(crate) fn with(targets: &[SocketAddr], change: impl FnOnce(&mut Callers)) -> Self {
+        let mut settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
+        change(&mut settings.callers);
         let limits = Limits {
             body_bytes: 4096,
             arrival: Duration::from_millis(700),
-            ..settings.limits
+            ..settings.limits.clone()
         };
         let board = Board::new(view(targets));
         let hub = Hub::start("test", None).unwrap();
-        let service = Service::new(board.clone(), hub, limits);
+        let service = Service::new(board.clone(), hub, limits, &settings.callers);
         let server = HttpServer::new(move || App::new().configure(|c| service.configure(c)))
             .workers(1)
             .client_request_timeout(Duration::from_millis(700))
