test: proxies look callers up only when a rule asks

Cause: every connection read the kernel's lists of all processes; under soak load (90 requests a second, 25 proxies) connections piled up unserved until files ran out, and the accept loop ended: the load tool hung on a connection that nobody took. Change: one reading for many connections, off the proxies' threads; an accept loop that outlives errors; a caller that gave up during a stall is not heard after it.

--- a/crates/zinniastall-load/src/audit.rs
+++ b/crates/zinniastall-load/src/audit.rs
@@ -82,14 +82,20 @@
             target: *target,
             cause,
         };
-        let sent = client.get(format!("http://{target}/ledger")).send().await;
-        let mut response = sent.map_err(|error| fail(error.to_string()))?;
-        let ledger: Result<Vec<Run>, _> = response.json().limit(LIMIT).await;
-        runs.extend(ledger.map_err(|error| fail(error.to_string()))?);
+        let reading = tokio::time::timeout(BOUND, ledger(&client, *target));
+        let ledger = reading.await.unwrap_or_else(|late| Err(late.to_string()));
+        runs.extend(ledger.map_err(fail)?);
     }
     Ok(runs)
 }
 
+async fn ledger(client: &Client, target: SocketAddr) -> Result<Vec<Run>, String> {
+    let sent = client.get(format!("http://{target}/ledger")).send().await;
+    let response = sent.map_err(|error| error.to_string())?;
+    let ledger = response.timeout(BOUND).json().limit(LIMIT).await;
+    ledger.map_err(|error| error.to_string())
+}
+
 /// Compares claims and runs; without ledgers only the answers themselves are judged.
 pub fn compare(claims: &[Claim], runs: &[Run], ledgers: usize) -> Audit {
     let mut by_digest: HashMap<&str, u64> = HashMap::new();
--- a/crates/zinniastall-load/src/locate.rs
+++ b/crates/zinniastall-load/src/locate.rs
@@ -16,6 +16,9 @@
 /// Least time for which an answer is kept, so that a wrong one is not asked for without end.
 const KEPT: Duration = Duration::from_millis(100);
 
+/// Longest wait for one instance's answer.
+const BOUND: Duration = Duration::from_secs(1);
+
 /// What the system answered to one source.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -73,11 +76,9 @@
     async fn ask(&mut self, client: &Client, entries: &[SocketAddr], source: &Source) {
         for entry in entries {
             let url = format!("http://{entry}/v1/locate?{}", query(source));
-            let request = client.get(url).bearer_auth(&source.key);
-            let Ok(mut response) = request.send().await else {
-                continue;
-            };
-            let Ok(answer) = response.json::<Answer>().await else {
+            let asking = question(client, &url, &source.key);
+            // An instance that is frozen or cut off must not hold up the question to the next one.
+            let Ok(Some(answer)) = tokio::time::timeout(BOUND, asking).await else {
                 continue;
             };
             let valid = Duration::from_millis(answer.valid_ms).max(KEPT);
@@ -101,6 +102,12 @@
     }
 }
 
+async fn question(client: &Client, url: &str, key: &str) -> Option<Answer> {
+    let request = client.get(url).bearer_auth(key);
+    let mut response = request.send().await.ok()?;
+    response.json::<Answer>().await.ok()
+}
+
 fn query(source: &Source) -> String {
     let mut parts = vec![format!("subject={}", source.model)];
     let place = [("region", &source.region), ("zone", &source.zone)];
--- a/tests/src/cluster/builder.rs
+++ b/tests/src/cluster/builder.rs
@@ -13,9 +13,6 @@
     settings,
 };
 
-/// Name under which proxies know the test itself.
-const TEST: &str = "test";
-
 /// Describes a cluster.
 #[derive(Debug, Clone)]
 pub struct Builder {
@@ -84,7 +81,6 @@
     pub async fn start(self) -> Result<Cluster> {
         let folder = tempfile::tempdir()?;
         let callers = Callers::default();
-        callers.add(std::process::id(), TEST);
         let controls = self.start_controls(&callers, folder.path()).await?;
         let mut cluster = Cluster {
             callers,
--- a/tests/src/cluster/objects.rs
+++ b/tests/src/cluster/objects.rs
@@ -5,6 +5,9 @@
 use super::Cluster;
 use crate::error::Result;
 
+/// Longest wait for confirmations, in milliseconds.
+const CONFIRMED_MS: &str = "10000";
+
 impl Cluster {
     /// Applies one object through the command line.
     ///
@@ -40,13 +43,15 @@
         .await
     }
 
-    /// Applies a residency rule over all of a client's requests.
+    /// Applies a residency rule over all of a client's requests and waits until every entry
+    /// instance has confirmed it.
     ///
     /// # Errors
     ///
     /// Fails when it is not accepted.
     pub async fn residency(&self, client: &str, regions: &[&str]) -> Result<Value> {
-        self.apply(&json!({"residency": {"id": client, "client": client, "regions": regions}}))
-            .await
+        let rule = json!({"residency": {"id": client, "client": client, "regions": regions}});
+        let arguments = ["--wait", CONFIRMED_MS, "apply", &rule.to_string()];
+        self.ctl(&arguments).await?.json()
     }
 }
--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -2,58 +2,86 @@
 //!
 //! All processes of a test share one loopback address, so a proxy cannot see from the address
 //! which instance calls. The kernel lists the socket of every connection and the sockets that
-//! every process holds; together they name the caller.
+//! every process holds; together they name the caller. Reading both lists takes milliseconds, so
+//! it is done only for connections that a rule asks about, and once for many of them.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Instant,
 };
 
-/// Processes whose connections are told apart, by process id.
+/// Processes whose connections are told apart.
 #[derive(Debug, Clone, Default)]
 pub struct Callers {
-    names: Arc<Mutex<HashMap<u32, String>>>,
+    table: Arc<Mutex<Table>>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    /// Names by process id.
+    names: HashMap<u32, String>,
+    /// Names by a connection's own end, as the kernel writes it.
+    holders: HashMap<String, String>,
+    /// When `holders` was read.
+    read: Option<Instant>,
 }
 
 impl Callers {
     /// Adds a process.
     pub fn add(&self, id: u32, name: &str) {
-        self.names
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(id, name.to_owned());
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.names.insert(id, name.to_owned());
+        table.read = None;
     }
 
-    /// Returns the name of the process that holds the far end of a connection.
+    /// Returns the name of the process that holds the far end of an open connection; it blocks
+    /// while the kernel's lists are read.
     pub fn find(&self, peer: SocketAddr) -> Option<String> {
-        let link = format!("socket:[{}]", inode(peer)?);
-        let names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
-        let holder = names.iter().find(|(id, _)| holds(**id, &link))?;
-        Some(holder.1.clone())
+        let SocketAddr::V4(address) = peer else {
+            return None;
+        };
+        let ip = u32::from_ne_bytes(address.ip().octets());
+        let end = format!("{ip:08X}:{:04X}", address.port());
+        let asked = Instant::now();
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        // Lists that were read after the question was asked have the connection if they ever will;
+        // those who waited for the lock meanwhile share them.
+        if table.read.is_none_or(|read| read < asked) {
+            table.holders = holders(&table.names);
+            table.read = Some(Instant::now());
+        }
+        table.holders.get(&end).cloned()
     }
 }
 
-/// Finds the socket whose own address is `address` in the kernel's table.
-fn inode(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
-    let ip = u32::from_ne_bytes(address.ip().octets());
-    let wanted = format!("{ip:08X}:{:04X}", address.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().find_map(|line| {
+/// Reads who holds which end of a connection.
+fn holders(names: &HashMap<u32, String>) -> HashMap<String, String> {
+    let sockets: HashMap<String, &String> = names
+        .iter()
+        .flat_map(|(id, name)| sockets(*id).into_iter().map(move |socket| (socket, name)))
+        .collect();
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let holder = |line: &str| {
         let mut columns = line.split_ascii_whitespace();
-        (columns.nth(1)? == wanted).then(|| columns.nth(7).map(str::to_owned))?
-    })
+        let end = columns.nth(1)?;
+        let inode = columns.nth(7)?;
+        let name = sockets.get(&format!("socket:[{inode}]"))?;
+        Some((end.to_owned(), (*name).clone()))
+    };
+    table.lines().filter_map(holder).collect()
 }
 
-fn holds(id: u32, link: &str) -> bool {
+fn sockets(id: u32) -> Vec<String> {
     let Ok(files) = std::fs::read_dir(format!("/proc/{id}/fd")) else {
-        return false;
+        return Vec::new();
     };
-    files
+    let links = files
         .flatten()
-        .filter_map(|file| std::fs::read_link(file.path()).ok())
-        .any(|target| target.as_os_str() == link)
+        .filter_map(|file| std::fs::read_link(file.path()).ok());
+    links
+        .filter_map(|link| link.into_os_string().into_string().ok())
+        .filter(|link| link.starts_with("socket:"))
+        .collect()
 }
--- a/tests/src/proxy/connection.rs
+++ b/tests/src/proxy/connection.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest, Ready},
     net::{
         TcpStream,
         tcp::{ReadHalf, WriteHalf},
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    Rules,
+    judge::{Judge, Watch},
     rule::{Lane, Rule, Way},
 };
 
@@ -23,53 +23,41 @@
 /// Longest chunk.
 const CHUNK: usize = 16 * 1024;
 
-/// The rule of one connection, as it changes.
-#[derive(Debug, Clone)]
-pub(super) struct Watch {
-    pub(super) rules: watch::Receiver<Rules>,
-    pub(super) caller: Option<String>,
-}
-
-impl Watch {
-    fn rule(&self) -> Rule {
-        self.rules.borrow().rule(self.caller.as_deref())
-    }
-
-    fn lane(&self, way: Way) -> Lane {
-        let rule = self.rule();
-        if way == Way::Up { rule.up } else { rule.down }
-    }
-
-    async fn until(&mut self, wanted: impl Fn(&Rule) -> bool) {
-        let caller = self.caller.clone();
-        let wanted = |rules: &Rules| wanted(&rules.rule(caller.as_deref()));
-        if self.rules.wait_for(wanted).await.is_err() {
-            // The proxy is gone, and with it every change of its rules.
-            std::future::pending::<()>().await;
-        }
-    }
-}
-
 /// Serves one connection until it ends or its rule breaks it.
-pub(super) async fn serve(mut caller: TcpStream, mut watch: Watch, upstream: Option<SocketAddr>) {
+pub(super) async fn serve(caller: TcpStream, mut judge: Judge, upstream: Option<SocketAddr>) {
     // An end that is dropped without an orderly end of both ways is reset, as a cut looks.
     let _ = (caller.set_zero_linger(), caller.set_nodelay(true));
-    let epoch = watch.rules.borrow().epoch;
+    let (sender, rule) = watch::channel(judge.rule().await);
+    tokio::select! {
+        () = judge.run(sender) => {}
+        () = connect(caller, rule, upstream) => {}
+    }
+}
+
+async fn connect(mut caller: TcpStream, mut rule: Watch, upstream: Option<SocketAddr>) {
+    let late = rule.borrow().up.stalled;
     // Until a stalled connection may pass, its upstream must not even see it opened.
-    watch.until(|rule| rule.refused || !rule.up.stalled).await;
-    let Some(upstream) = upstream.filter(|_| !watch.rule().refused) else {
+    until(&mut rule, |rule| rule.refused || !rule.up.stalled).await;
+    // A caller that gave up meanwhile never had a connection; what it wrote must not arrive now.
+    let gone = late && gave_up(&caller).await;
+    let Some(upstream) = upstream.filter(|_| !rule.borrow().refused && !gone) else {
         return;
     };
     let Ok(mut server) = TcpStream::connect(upstream).await else {
         return;
     };
     let _ = (server.set_zero_linger(), server.set_nodelay(true));
-    if relay(&mut caller, &mut server, &watch, epoch).await == Fate::HalfOpen {
+    if relay(&mut caller, &mut server, &rule).await == Fate::HalfOpen {
         drop(server);
-        ended(&watch, epoch).await;
+        until(&mut rule, |rule| rule.refused).await;
     }
 }
 
+async fn gave_up(caller: &TcpStream) -> bool {
+    let ready = caller.ready(Interest::READABLE | Interest::WRITABLE).await;
+    ready.is_ok_and(Ready::is_read_closed)
+}
+
 /// How a connection ended.
 #[derive(Debug, PartialEq, Eq)]
 enum Fate {
@@ -77,26 +65,25 @@
     HalfOpen,
 }
 
-async fn relay(caller: &mut TcpStream, server: &mut TcpStream, watch: &Watch, epoch: u64) -> Fate {
+async fn relay(caller: &mut TcpStream, server: &mut TcpStream, rule: &Watch) -> Fate {
     let (caller_in, caller_out) = caller.split();
     let (server_in, server_out) = server.split();
-    let up = pass(caller_in, server_out, watch.clone(), Way::Up);
-    let down = pass(server_in, caller_out, watch.clone(), Way::Down);
-    let mut halves = watch.clone();
+    let up = pass(caller_in, server_out, rule.clone(), Way::Up);
+    let down = pass(server_in, caller_out, rule.clone(), Way::Down);
+    let (mut refused, mut halved) = (rule.clone(), rule.clone());
     tokio::select! {
         _ = async { tokio::try_join!(up, down) } => Fate::Ended,
-        () = ended(watch, epoch) => Fate::Ended,
-        () = halves.until(|rule| rule.half_open) => Fate::HalfOpen,
+        () = until(&mut refused, |rule| rule.refused) => Fate::Ended,
+        () = until(&mut halved, |rule| rule.half_open) => Fate::HalfOpen,
     }
 }
 
-/// Waits until the proxy resets the connection.
-async fn ended(watch: &Watch, epoch: u64) {
-    let mut rules = watch.rules.clone();
-    let caller = watch.caller.as_deref();
-    let over = |rules: &Rules| rules.epoch != epoch || rules.rule(caller).refused;
-    // An error means that the proxy is gone, which ends its connections as well.
-    let _ = rules.wait_for(over).await;
+/// Waits until the rule of the connection is as wanted.
+async fn until(rule: &mut Watch, wanted: impl Fn(&Rule) -> bool) {
+    if rule.wait_for(wanted).await.is_err() {
+        // The proxy is gone, which ends the connection from outside.
+        std::future::pending::<()>().await;
+    }
 }
 
 /// Why a direction ended before the other.
@@ -106,12 +93,12 @@
 async fn pass(
     input: ReadHalf<'_>,
     output: WriteHalf<'_>,
-    watch: Watch,
+    rule: Watch,
     way: Way,
 ) -> Result<(), Cut> {
     let (sender, receiver) = mpsc::channel(CHUNKS);
     let reading = read(input, sender);
-    let writing = write(output, receiver, watch, way);
+    let writing = write(output, receiver, rule, way);
     tokio::try_join!(reading, writing).map(drop)
 }
 
@@ -130,20 +117,19 @@
 async fn write(
     mut output: WriteHalf<'_>,
     mut receiver: mpsc::Receiver<(Instant, Bytes)>,
-    mut watch: Watch,
+    mut rule: Watch,
     way: Way,
 ) -> Result<(), Cut> {
     let mut written = 0;
     while let Some((arrived, mut chunk)) = receiver.recv().await {
-        unstalled(&mut watch, way).await;
-        let lane = watch.lane(way);
-        tokio::time::sleep_until(arrived + lane.delay).await;
-        if let Some(rate) = lane.rate {
+        unstalled(&mut rule, way).await;
+        let now = lane(&rule, way);
+        tokio::time::sleep_until(arrived + now.delay).await;
+        if let Some(rate) = now.rate {
             tokio::time::sleep(time_for(chunk.len(), rate)).await;
         }
-        unstalled(&mut watch, way).await;
-        let left = watch
-            .lane(way)
+        unstalled(&mut rule, way).await;
+        let left = lane(&rule, way)
             .cut_after
             .map(|limit| limit.saturating_sub(written));
         if let Some(left) = left.and_then(|left| usize::try_from(left).ok()) {
@@ -155,16 +141,16 @@
             return Err(Cut);
         }
     }
-    unstalled(&mut watch, way).await;
+    unstalled(&mut rule, way).await;
     output.shutdown().await.map_err(|_| Cut)
 }
 
-async fn unstalled(watch: &mut Watch, way: Way) {
-    let stalled = |rule: &Rule| match way {
-        Way::Up => rule.up.stalled,
-        _ => rule.down.stalled,
-    };
-    watch.until(|rule| !stalled(rule)).await;
+async fn unstalled(rule: &mut Watch, way: Way) {
+    until(rule, |rule| !rule.lane(way).stalled).await;
+}
+
+fn lane(rule: &Watch, way: Way) -> Lane {
+    rule.borrow().lane(way)
 }
 
 fn time_for(bytes: usize, rate: u64) -> Duration {
--- a/tests/src/proxy/mod.rs
+++ b/tests/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod callers;
 mod connection;
+mod judge;
 pub mod rule;
 
 use std::{
@@ -26,9 +27,12 @@
 
 use crate::error::Result;
 use callers::Callers;
-use connection::Watch;
+use judge::Judge;
 use rule::{Rule, Way};
 
+/// Pause after a connection could not be taken.
+const PAUSE: Duration = Duration::from_millis(10);
+
 static RUNTIME: LazyLock<Runtime> = LazyLock::new(|| {
     Builder::new_multi_thread()
         .worker_threads(2)
@@ -196,14 +200,15 @@
     callers: Callers,
     opened: std::sync::Arc<Mutex<u64>>,
 ) {
-    while let Ok((stream, peer)) = listener.accept().await {
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Out of files for a moment; an end here would look like a fault of the system.
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
         *opened.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-        let rules = rules.clone();
-        let callers = callers.clone();
-        tokio::spawn(async move {
-            let caller = callers.find(peer);
-            let upstream = rules.borrow().upstream;
-            connection::serve(stream, Watch { rules, caller }, upstream).await;
-        });
+        let upstream = rules.borrow().upstream;
+        let judge = Judge::new(rules.clone(), callers.clone(), peer);
+        tokio::spawn(connection::serve(stream, judge, upstream));
     }
 }
--- a/tests/src/proxy/rule.rs
+++ b/tests/src/proxy/rule.rs
@@ -41,6 +41,14 @@
 }
 
 impl Rule {
+    /// Returns what happens to one direction; that from the caller when both are meant.
+    pub const fn lane(&self, way: Way) -> Lane {
+        match way {
+            Way::Down => self.down,
+            Way::Up | Way::Both => self.up,
+        }
+    }
+
     /// Changes the lanes of a way.
     #[must_use]
     pub fn with(mut self, way: Way, change: impl Fn(&mut Lane)) -> Self {
--- a/tests/tests/proxy.rs
+++ b/tests/tests/proxy.rs
@@ -172,3 +172,25 @@
     .await
     .unwrap();
 }
+
+/// A caller dials while the way is cut, writes, and gives up. Without the cut it would have had a
+/// connection; with it nobody must hear of it when the way opens, or a request that its caller has
+/// written off would run.
+#[test]
+fn who_gave_up_during_a_cut_is_not_heard_after_it() {
+    let proxy = Proxy::bind().unwrap();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    proxy.upstream(listener.local_addr().unwrap());
+    proxy.stall(Way::Both);
+    let mut first = TcpStream::connect(proxy.address()).unwrap();
+    first.write_all(b"first").unwrap();
+    drop(first);
+    let mut second = TcpStream::connect(proxy.address()).unwrap();
+    second.write_all(b"second").unwrap();
+    proxy.heal();
+    let (mut arrived, _) = listener.accept().unwrap();
+    arrived.set_read_timeout(Some(BOUND)).unwrap();
+    let mut text = [0; 5];
+    arrived.read_exact(&mut text).unwrap();
+    assert_eq!(&text, b"secon");
+}
