--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -7,6 +7,7 @@
     Result,
     cluster::{Builder, Cluster},
     log::field,
+    proxy::rule::Rule,
     wait,
 };
 
@@ -147,8 +148,9 @@
     cluster.leader_besides(&["control-1"]).await?;
     change(&cluster, "m").await?;
     let newest = settled(&cluster, 2).await?;
-    cluster.heal();
-    cluster.partition(|node| behind.contains(&node.name()));
+    let inside = |name: &str| behind.contains(&name);
+    cluster.partition(|node| inside(node.name()));
+    cluster.links(|from, to| (inside(from.name()) && inside(to.name())).then(Rule::default));
     cluster.entry("patras-a-1")?.restart().await?;
     let first = wait::until("a configuration in force", async || {
         in_force(&mut cluster, "patras-a-1").ok()?.first().copied()
