--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -16,7 +16,7 @@
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
     settings::Entry,
-    spread,
+    spread::{self, actor::Surroundings},
     targets::{self, Desk},
     view::{Board, View},
 };
@@ -38,19 +38,25 @@
     let publisher = Publisher::new(board.clone()).start();
     let sockets = Sockets::bind(&settings).await?;
     let identity = sockets.identity(&settings, &board.view())?;
-    let spread = spread::start(
-        &settings,
-        identity.clone(),
-        board.clone(),
-        publisher.clone(),
-    );
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let around = Surroundings {
+        identity: identity.clone(),
+        board: board.clone(),
+        publisher: publisher.clone(),
+        recorder: hub.recorder(),
+    };
+    let spread = spread::start(&settings, around);
     let desk = Desk {
         place: settings.place.clone(),
         announced: spread.clone().recipient(),
         left: spread.clone().recipient(),
     };
-    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
-    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let limits = settings.limits.clone();
+    let service = callers::Service::new(board.clone(), hub.clone(), limits, &settings.callers)
+        .identity(identity.clone());
+    let streams = callers::forward::Receiver::start(service.clone());
+    let forwarding = streams.arbiter();
+    let drained = service.clone();
     let threads = settings.threads;
     let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
         .workers(threads)
@@ -73,7 +79,8 @@
     );
     let acceptors = Acceptors::new(identity)
         .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
-        .owner(Purpose::Follow, follow);
+        .owner(Purpose::Follow, follow)
+        .owner(Purpose::Stream, streams);
     actix::spawn(links::serve(sockets.links, acceptors));
     let callers = callers.run();
     let targets = targets.run();
@@ -82,11 +89,20 @@
     signal(SignalKind::terminate())?.recv().await;
     tracing::info!(event = "draining");
     publisher.send(crate::publish::Draining).await?;
+    // The listeners stay open until nothing is in progress: a caller who comes meanwhile is told
+    // where to go instead of finding a closed port.
+    if tokio::time::timeout(settings.drain, drained.drained())
+        .await
+        .is_err()
+    {
+        tracing::warn!(event = "drain-cut", requests = drained.progress.count());
+    }
     callers_handle.stop(true).await;
     targets_handle.stop(true).await;
     tasks.0.await??;
     tasks.1.await??;
-    spread.send(spread::actor::Stop).await?;
+    spread.send(spread::messages::Stop).await?;
+    forwarding.stop();
     tracing::info!(event = "stopped");
     Ok(())
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -4,6 +4,7 @@
     net::SocketAddr,
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
 };
 
 use nix::{
@@ -20,7 +21,10 @@
     wait,
 };
 
-/// A running process; it is killed on drop, and its log is printed when a test fails.
+/// Lines of a log that are printed.
+const PRINTED: usize = 200;
+
+/// A running process; it is killed on drop, and its log is printed unless it had ended cleanly.
 #[derive(Debug)]
 pub struct Process {
     name: String,
@@ -90,7 +94,9 @@
             if let Some(address) = self.reported(role) {
                 return Some(Ok(address));
             }
-            self.ended().map(Err)
+            let name = self.name.clone();
+            self.ended()
+                .map(|status| Err(Error::Ended { name, status }))
         });
         found.await?
     }
@@ -149,8 +155,22 @@
     ///
     /// Fails when it does not end in time.
     pub async fn ends(&mut self) -> Result<ExitStatus> {
+        self.ends_within(wait::BOUND).await
+    }
+
+    /// Waits until the process has ended, for a time that its work needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not end in time.
+    pub async fn ends_within(&mut self, bound: Duration) -> Result<ExitStatus> {
         let what = format!("end of {}", self.name);
-        wait::until(&what, async || self.child.try_wait().ok().flatten()).await
+        wait::within(bound, &what, async || self.child.try_wait().ok().flatten()).await
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
     }
 
     /// Asks the process to end and waits until it has.
@@ -163,6 +183,15 @@
         self.ends().await
     }
 
+    fn print(&self) {
+        let lines = self.log.lines();
+        let skipped = lines.len().saturating_sub(PRINTED);
+        eprintln!("--- log of {}, {skipped} lines before", self.name);
+        for line in &lines[skipped..] {
+            eprintln!("{line}");
+        }
+    }
+
     fn reported(&self, role: &str) -> Option<SocketAddr> {
         let lines = self.log.events("listening");
         let line = lines
@@ -171,12 +200,6 @@
         field(line, "address")?.parse().ok()
     }
 
-    fn ended(&mut self) -> Option<Error> {
-        let status = self.child.try_wait().ok().flatten()?;
-        let name = self.name.clone();
-        Some(Error::Ended { name, status })
-    }
-
     fn signal(&self, signal: Signal) -> Result<()> {
         let id = i32::try_from(self.child.id()).map_err(|_| nix::Error::ESRCH)?;
         kill(Pid::from_raw(id), signal)?;
@@ -186,14 +209,13 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        let ended = self.child.try_wait().ok().flatten();
         // An ended child cannot be killed; either way nothing of it must stay behind.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if std::thread::panicking() || std::env::var_os("ZINNIASTALL_TEST_LOGS").is_some() {
-            eprintln!("--- log of {}", self.name);
-            for line in self.log.lines() {
-                eprintln!("{line}");
-            }
+        // The test harness shows this only when the test fails, by a panic or by an error.
+        if !ended.is_some_and(|status| status.success()) {
+            self.print();
         }
     }
 }
