--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -4,16 +4,15 @@
 use zinniastall_tests::{Result, cluster::Cluster, http, wait};
 
 use super::support::{
-    CLIENT, KEY, MODEL, ask, ask_once, chat, configure, error, expected, runs, ticket,
+    CLIENT, KEY, MODEL, System, ask, ask_once, chat, configure, error, expected, runs, ticket,
 };
 
 /// Starts two regions; only the far one has an engine.
-async fn regions() -> Result<Cluster> {
-    let mut cluster = Cluster::builder()
+async fn regions() -> Result<System> {
+    let builder = Cluster::builder()
         .zone("patras", "a", 1)
-        .zone("athens", "a", 1)
-        .start()
-        .await?;
+        .zone("athens", "a", 1);
+    let mut cluster = System::start(builder).await?;
     let engine = json!({"engine": {"token_us": 20_000}});
     cluster
         .engine("engine-1", ("athens", "a"), MODEL, engine)
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -1,11 +1,15 @@
 //! Small systems, requests and counts.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    ops::{Deref, DerefMut},
+};
 
 use serde_json::{Value, json};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use zinniastall_tests::{
     Result,
-    cluster::Cluster,
+    cluster::{Builder, Cluster},
     http::{self, Answer, Request},
     wait,
 };
@@ -17,15 +21,50 @@
 pub(crate) const TICKET: &str = "x-zinniastall-ticket";
 pub(crate) const ONCE: (&str, &str) = ("x-zinniastall-idempotent", "false");
 
+/// Systems that run at once. Each has half a dozen processes; many more than the machine has cores
+/// for would only measure how busy it is.
+static PLACES: Semaphore = Semaphore::const_new(4);
+
+/// A system that holds its place among those that run at once.
+pub(crate) struct System {
+    cluster: Cluster,
+    _place: SemaphorePermit<'static>,
+}
+
+impl System {
+    /// Waits for a place and starts a system.
+    pub(crate) async fn start(builder: Builder) -> Result<Self> {
+        let place = PLACES.acquire().await.expect("never closed");
+        Ok(Self {
+            cluster: builder.start().await?,
+            _place: place,
+        })
+    }
+}
+
+impl Deref for System {
+    type Target = Cluster;
+
+    fn deref(&self) -> &Cluster {
+        &self.cluster
+    }
+}
+
+impl DerefMut for System {
+    fn deref_mut(&mut self) -> &mut Cluster {
+        &mut self.cluster
+    }
+}
+
 /// Starts one zone with two entry instances and engines that have these settings.
-pub(crate) async fn zone(engines: &[Value]) -> Result<Cluster> {
+pub(crate) async fn zone(engines: &[Value]) -> Result<System> {
     zone_with(engines, json!({})).await
 }
 
 /// The same, with settings put over those of the entry instances.
-pub(crate) async fn zone_with(engines: &[Value], entry: Value) -> Result<Cluster> {
+pub(crate) async fn zone_with(engines: &[Value], entry: Value) -> Result<System> {
     let builder = Cluster::builder().zone("patras", "a", 2).entry(entry);
-    let mut cluster = builder.start().await?;
+    let mut cluster = System::start(builder).await?;
     for (number, settings) in engines.iter().enumerate() {
         let name = format!("engine-{}", number + 1);
         let place = ("patras", "a");
