--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -63,6 +63,10 @@
     chooser: Chooser,
     budget: Budget,
     queues: Queues,
+    /// Requests of this instance in progress at targets.
+    running: u32,
+    /// Requests that this instance can keep at targets: its part of the zone's slots.
+    capacity: u32,
     seen: Arc<IndexMap<id::Target, view::Target>>,
 }
 
@@ -74,6 +78,8 @@
             chooser: Chooser::default(),
             budget: Budget::new(policy.retries()),
             queues: Queues::default(),
+            running: 0,
+            capacity: 1,
             seen: Arc::default(),
         };
         Self {
@@ -142,6 +148,8 @@
             let now = Instant::now();
             let mut inner = self.lock();
             inner.table.end(target, run, end, now);
+            inner.running = inner.running.saturating_sub(1);
+            inner.tell_load(&self.board);
             inner.grant(self, now)
         };
         send(grants);
@@ -177,6 +185,13 @@
             self.table.observe(name, &candidates::report(target), now);
         }
         self.table.retain(|name| view.targets.contains_key(name));
+        self.capacity = candidates::capacity(view);
+    }
+
+    /// Tells callers' directory and other zones how busy this instance is.
+    fn tell_load(&self, board: &Board) {
+        let load = u64::from(self.running) * 1000 / u64::from(self.capacity);
+        board.set_load(u32::try_from(load).unwrap_or(u32::MAX));
     }
 
     fn start(
@@ -187,6 +202,8 @@
         now: Instant,
     ) -> Flight {
         let run = self.table.start(target, &request.prefixes);
+        self.running += 1;
+        self.tell_load(&admission.board);
         let report = self.seen.get(target).map(|target| target.report.clone());
         Flight::new(admission.clone(), target, run, report, now)
     }
--- /dev/null
+++ b/crates/zinniastall-route/tests/filters/admission.rs
@@ -0,0 +1,213 @@
+//! Who waits, who is refused, and who goes next.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use proptest::prelude::*;
+use zinniastall_route::{
+    admit::{Queue, Waiter},
+    budget::Budget,
+    eject::{self, Outlier},
+    limit::Limit,
+    outcome::Reason,
+};
+
+use super::config;
+
+const PACE: Duration = Duration::from_millis(100);
+
+fn waiter(id: u64, client: &str, rank: usize, deadline: Instant) -> Waiter {
+    Waiter {
+        id,
+        client: client.into(),
+        weight: if client == "heavy" { 3 } else { 1 },
+        rank,
+        deadline,
+        service: Duration::ZERO,
+    }
+}
+
+fn far(now: Instant) -> Instant {
+    now + Duration::from_hours(1)
+}
+
+// One client's script sends a thousand requests. Those of another client that come later must not
+// wait behind all of them.
+#[test]
+fn burst_of_one_client_does_not_starve_another() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10_000);
+    for id in 0..1000 {
+        let waiter = waiter(id, "burst", 0, far(now));
+        queue.arrive(&waiter, PACE, now).unwrap();
+    }
+    let wait = queue.arrive(&waiter(1000, "other", 0, far(now)), PACE, now);
+    assert!(wait.unwrap() <= PACE * 2);
+    let starts: Vec<_> = (0..3).filter_map(|_| queue.pop()).collect();
+    assert!(starts.contains(&1000), "{starts:?}");
+}
+
+#[test]
+fn shares_follow_weights() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..300 {
+        let client = if id % 2 == 0 { "heavy" } else { "light" };
+        let waiter = waiter(id, client, 0, far(now));
+        queue.arrive(&waiter, PACE, now).unwrap();
+    }
+    let starts = (0..120).filter_map(|_| queue.pop());
+    let heavy = starts.filter(|id| id % 2 == 0).count();
+    assert!((85..=95).contains(&heavy), "{heavy} of 120");
+}
+
+#[test]
+fn classes_go_by_rank_but_none_stops() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..200 {
+        let waiter = waiter(id, "a", usize::from(id % 2 == 0), far(now));
+        queue.arrive(&waiter, PACE, now).unwrap();
+    }
+    let starts = (0..80).filter_map(|_| queue.pop());
+    let low = starts.filter(|id| id % 2 == 0).count();
+    assert_eq!(low, 10);
+}
+
+// A crew's scan is due in a second, and ten seconds of work wait. It must hear "not now, come back
+// in ten seconds" at once; hearing it after a second would leave no time to go elsewhere.
+#[test]
+fn hopeless_deadlines_are_refused_on_arrival() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..100 {
+        queue
+            .arrive(&waiter(id, "a", 0, far(now)), PACE, now)
+            .unwrap();
+    }
+    let due = now + Duration::from_secs(1);
+    let refusal = queue
+        .arrive(&waiter(100, "a", 0, due), PACE, now)
+        .unwrap_err();
+    assert_eq!(refusal.reason, Reason::Late);
+    let retry = refusal.retry.unwrap();
+    assert!((PACE * 90..=PACE * 110).contains(&retry), "{retry:?}");
+}
+
+#[test]
+fn crowded_queues_keep_room_for_others() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    let mut arrive = |id, client| queue.arrive(&waiter(id, client, 0, far(now)), PACE, now);
+    arrive(0, "other").unwrap();
+    let refused = (1..100).find_map(|id| arrive(id, "burst").err()).unwrap();
+    assert_eq!(refused.reason, Reason::Share);
+    assert!(arrive(200, "other").is_ok());
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever arrives, goes and gives up: each waiting request is started once or removed once,
+    /// and the queue stays within its limit.
+    #[test]
+    fn nobody_is_lost_or_started_twice(
+        steps in prop::collection::vec((0_u8..4, 0_usize..3, 0_u64..40), 0..200),
+    ) {
+        let now = Instant::now();
+        let mut queue = Queue::new(20);
+        let mut waiting = HashMap::new();
+        for (id, (step, rank, pick)) in (100..).zip(steps) {
+            match step {
+                0 | 1 => {
+                    let client = ["a", "b", "heavy"][rank];
+                    let waiter = waiter(id, client, rank, far(now));
+                    if queue.arrive(&waiter, PACE, now).is_ok() {
+                        waiting.insert(id, waiter);
+                    }
+                }
+                2 => {
+                    if let Some(id) = queue.pop() {
+                        prop_assert!(waiting.remove(&id).is_some());
+                    }
+                }
+                _ => {
+                    let removed = queue.remove(100 + pick);
+                    prop_assert_eq!(removed, waiting.remove(&(100 + pick)).is_some());
+                }
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert!(queue.len() <= 20);
+        }
+        while let Some(id) = queue.pop() {
+            prop_assert!(waiting.remove(&id).is_some());
+        }
+        prop_assert!(waiting.is_empty());
+    }
+
+    /// Over any sequence, retries stay within the share of requests and what may be saved up.
+    #[test]
+    fn retries_stay_within_budget(steps in prop::collection::vec(any::<bool>(), 0..500)) {
+        let mut budget = Budget::new(0.1);
+        let (mut requests, mut retries) = (0_u32, 0_u32);
+        for request in steps {
+            if request {
+                requests += 1;
+                budget.request();
+            } else if budget.retry() {
+                retries += 1;
+            }
+        }
+        prop_assert!(f64::from(retries) <= 10.0 + f64::from(requests) * 0.1 + 1e-6);
+    }
+
+    /// Ejection never takes more targets than the floor permits, and never one that works while a
+    /// failing one is kept.
+    #[test]
+    fn ejection_has_a_floor(failing in prop::collection::vec(any::<bool>(), 0..20)) {
+        let now = Instant::now();
+        let ejected: Vec<_> = failing.iter().map(|failing| {
+            let mut outlier = Outlier::default();
+            if *failing {
+                (0..3).for_each(|_| outlier.failed(now));
+            }
+            outlier.until(now)
+        }).collect();
+        let usable = eject::usable(&ejected, 0.5);
+        prop_assert!(usable.iter().filter(|usable| **usable).count() * 2 >= failing.len());
+        for (failing, usable) in failing.iter().zip(&usable) {
+            prop_assert!(*failing || *usable);
+        }
+    }
+
+    /// A limit stays between one request and the target's slots.
+    #[test]
+    fn limits_have_bounds(slots in 0_u32..64, steps in prop::collection::vec(0_u8..3, 0..200)) {
+        let mut limit = Limit::new(slots);
+        let mut now = Instant::now();
+        for step in steps {
+            now += PACE;
+            match step {
+                0 => limit.answered(limit.requests()),
+                1 => limit.refused(now),
+                _ => limit.queued(now),
+            }
+            prop_assert!((1..=slots.max(1)).contains(&limit.requests()));
+        }
+    }
+}
+
+#[test]
+fn an_answer_ends_an_ejection() {
+    let now = Instant::now();
+    let mut outlier = Outlier::default();
+    (0..3).for_each(|_| outlier.failed(now));
+    let until = outlier.until(now).unwrap();
+    assert_eq!(outlier.until(until), None);
+    outlier.failed(until);
+    assert!(outlier.until(until).unwrap() - until > until - now);
+    outlier.answered();
+    assert_eq!(outlier.until(now), None);
+}
--- /dev/null
+++ b/crates/zinniastall-route/tests/filters/choice.rs
@@ -0,0 +1,226 @@
+//! Which target serves a request, and when it goes elsewhere.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use rand::{SeedableRng, rngs::StdRng};
+use zinniastall_model::place::Place;
+use zinniastall_route::{
+    choose::{Candidate, Chooser},
+    load::{End, Report, Table},
+    policy::{Choice, Policy},
+    prefix,
+    spill::{self, Gate, Local, Remote},
+};
+
+use super::SEED;
+
+fn report(sequence: u64, busy: u32, prefixes: Vec<u64>, now: Instant) -> Report {
+    Report {
+        incarnation: 1,
+        sequence,
+        slots: 8,
+        busy,
+        price: 1.0,
+        prefixes,
+        gap: false,
+        heard: now,
+    }
+}
+
+fn table(targets: &[&str], now: Instant) -> Table {
+    let mut table = Table::default();
+    for target in targets {
+        table.observe(target, &report(1, 0, vec![], now), now);
+    }
+    table
+}
+
+/// Chooses many times and counts.
+fn counts(
+    policy: &Policy,
+    table: &Table,
+    targets: &[&str],
+    prefixes: &[u64],
+    now: Instant,
+) -> IndexMap<String, u32> {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut chooser = Chooser::default();
+    let mut counts = IndexMap::new();
+    let candidates: Vec<_> = targets
+        .iter()
+        .map(|target| Candidate {
+            target,
+            load: table.get(target).unwrap(),
+        })
+        .collect();
+    for _ in 0..200 {
+        let chosen = chooser.choose(policy, prefixes, &candidates, now, &mut random);
+        *counts.entry(chosen.unwrap()).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Names a policy: it spreads requests without a prompt over idle targets.
+macro_rules! spreads {
+    ($($name:ident: $choice:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let targets = ["a", "b", "c"];
+            let policy = Policy::default().choice($choice);
+            let counts = counts(&policy, &table(&targets, now), &targets, &[], now);
+            assert!(counts.len() == 3 && counts.values().all(|count| *count > 30), "{counts:?}");
+        }
+    )+};
+}
+
+spreads! {
+    random_spreads: Choice::Random;
+    round_robin_spreads: Choice::RoundRobin;
+    least_in_flight_spreads: Choice::LeastInFlight;
+    cost_spreads: Choice::Cost;
+}
+
+#[test]
+fn cached_prompts_go_where_they_are_cached() {
+    let now = Instant::now();
+    let targets = ["a", "b", "c"];
+    let mut table = table(&targets, now);
+    let chain = prefix::chain(&"style guide ".repeat(200));
+    table.observe("b", &report(2, 0, chain.clone(), now), now);
+    let counts = counts(&Policy::default(), &table, &targets, &chain, now);
+    assert_eq!(counts.get("b"), Some(&200), "{counts:?}");
+}
+
+// A style guide is cached on one engine, and everybody's briefs carry it. Sending them all there
+// would make the designers wait for a warm cache longer than a cold one takes.
+#[test]
+fn busy_caches_are_left_alone() {
+    let now = Instant::now();
+    let targets = ["a", "b", "c"];
+    let mut table = table(&targets, now);
+    let chain = prefix::chain(&"style guide ".repeat(200));
+    table.observe("b", &report(2, 40, chain.clone(), now), now);
+    let counts = counts(&Policy::default(), &table, &targets, &chain, now);
+    assert_eq!(counts.get("b"), None, "{counts:?}");
+}
+
+// A target that was slow once, while it started, is never asked again if its mean stays as it was.
+#[test]
+fn slow_start_is_forgotten() {
+    let now = Instant::now();
+    let targets = ["a", "b"];
+    let mut table = table(&targets, now);
+    let mut answer = |target: &str, millis| {
+        let run = table.start(target, &[]);
+        table.end(
+            target,
+            run,
+            End::Answered(Duration::from_millis(millis)),
+            now,
+        );
+    };
+    answer("a", 20);
+    answer("b", 20_000);
+    (0..800).for_each(|_| answer("a", 20));
+    let counts = counts(&Policy::default(), &table, &targets, &[], now);
+    assert!(
+        counts.get("b").is_some_and(|count| *count > 30),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn requests_of_an_earlier_run_do_not_count() {
+    let now = Instant::now();
+    let mut table = table(&["a"], now);
+    let run = table.start("a", &[]);
+    let mut next = report(1, 0, vec![], now);
+    next.incarnation = 2;
+    table.observe("a", &next, now);
+    table.start("a", &[]);
+    table.end("a", run, End::Failed, now);
+    assert_eq!(table.get("a").unwrap().in_flight(), 1);
+    // A late report of the earlier run changes nothing.
+    table.observe("a", &report(9, 8, vec![], now), now);
+    assert_eq!(table.get("a").unwrap().in_flight(), 1);
+}
+
+fn remote(place: &str, free: u32, wait: u64) -> Remote {
+    let (region, zone) = place.split_once('/').unwrap();
+    Remote {
+        place: Place::new(region, zone),
+        free,
+        wait: Duration::from_millis(wait),
+        price: 1.0,
+    }
+}
+
+#[test]
+fn nearest_permitted_place_with_room_is_taken() {
+    let here = Place::new("patras", "a");
+    let remotes = [
+        remote("athens/a", 4, 0),
+        remote("patras/b", 0, 0),
+        remote("patras/c", 4, 0),
+        remote("nantes/a", 4, 0),
+    ];
+    let cheapest = |regions: &[&str]| {
+        let regions: Vec<String> = regions.iter().map(|region| (*region).to_owned()).collect();
+        let (service, cold) = (Duration::from_millis(100), Duration::ZERO);
+        let policy = Policy::default();
+        let found = spill::cheapest(&policy, &here, &remotes, &regions, service, cold);
+        found.map(|(remote, _)| remote.place.to_string())
+    };
+    assert_eq!(cheapest(&["patras", "athens"]).as_deref(), Some("patras/c"));
+    assert_eq!(cheapest(&["athens"]).as_deref(), Some("athens/a"));
+    assert_eq!(cheapest(&[]), None);
+}
+
+// A region recovers. If all traffic came back at the moment when its wait falls below the other
+// side's, it would find cold caches, its wait would rise and everything would leave again.
+#[test]
+fn traffic_leaves_and_returns_step_by_step() {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut gate = Gate::default();
+    let away = remote("athens/a", 100, 0);
+    let mut now = Instant::now();
+    let mut share = |here: f64, now| {
+        let gone = (0..400).filter(|_| {
+            let local = Local::Cost(here);
+            gate.decide(local, Some((&away, 100.0)), now, &mut random)
+                .is_some()
+        });
+        gone.count()
+    };
+    let mut last = 0;
+    for _ in 0..10 {
+        let gone = share(200.0, now);
+        assert!(gone + 60 > last && gone < last + 100, "{gone} after {last}");
+        last = gone;
+        now += Duration::from_millis(100);
+    }
+    assert!(last > 360, "{last}");
+    // Just cheaper here: nothing is sent away, but the gate stays open until the margin is passed.
+    assert_eq!(share(95.0, now), 0);
+    now += Duration::from_millis(100);
+    assert!(share(101.0, now) > 360);
+    for _ in 0..10 {
+        now += Duration::from_millis(100);
+        share(10.0, now);
+    }
+    now += Duration::from_millis(100);
+    assert!(share(101.0, now) < 100);
+}
+
+#[test]
+fn without_targets_everything_leaves_at_once() {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let away = remote("athens/a", 4, 0);
+    let mut gate = Gate::default();
+    let now = Instant::now();
+    let place = gate.decide(Local::None, Some((&away, 1e9)), now, &mut random);
+    assert_eq!(place, Some(&away.place));
+    assert_eq!(gate.decide(Local::None, None, now, &mut random), None);
+}
--- /dev/null
+++ b/crates/zinniastall-route/tests/filters/rules.rs
@@ -0,0 +1,160 @@
+//! Residency, hops and what may follow a failed attempt.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use zinniastall_model::{
+    object::{Residency, Subject},
+    place::Place,
+};
+use zinniastall_route::{
+    dispatch::{self, ATTEMPTS, Next, Progress},
+    hops,
+    outcome::{Outcome, Reason, Refusal},
+    request::Request,
+    residency,
+};
+
+use super::config;
+
+fn place(text: &str) -> Place {
+    let (region, zone) = text.split_once('/').unwrap();
+    Place::new(region, zone)
+}
+
+macro_rules! hops {
+    ($($name:ident: [$($hop:literal),*] => $fits:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            let places: Vec<Place> = [$($hop),*].into_iter().map(place).collect();
+            assert_eq!(hops::check(&places).is_ok(), $fits);
+        }
+    )+};
+}
+
+hops! {
+    stays: ["patras/a"] => true;
+    crosses_a_zone: ["patras/a", "patras/b"] => true;
+    crosses_a_region: ["patras/a", "athens/a"] => true;
+    crosses_a_zone_in_each_region: ["patras/a", "patras/b", "athens/a", "athens/b"] => true;
+    crosses_two_zones_of_a_region: ["patras/a", "patras/b", "patras/c"] => false;
+    crosses_two_regions: ["patras/a", "athens/a", "nantes/a"] => false;
+    comes_back: ["patras/a", "athens/a", "patras/a"] => false;
+    has_passed_nothing: [] => false;
+}
+
+#[test]
+fn forwarded_requests_never_go_on() {
+    let here = [place("patras/a")];
+    let there = hops::check_next(&here, &place("athens/a")).unwrap();
+    assert!(hops::check_arrived(&there, &place("athens/a")).is_ok());
+    assert!(hops::check_next(&there, &place("athens/b")).is_err());
+    // A forged or misled list does not end where it arrived.
+    assert!(hops::check_arrived(&there, &place("patras/a")).is_err());
+    assert!(hops::check_arrived(&[], &place("patras/a")).is_err());
+}
+
+fn rule(subject: Option<&str>, regions: &[String]) -> Residency {
+    Residency {
+        id: "rule".into(),
+        client: "korrigan".into(),
+        subject: subject.map(ToOwned::to_owned),
+        regions: regions.to_vec(),
+    }
+}
+
+fn regions() -> impl Strategy<Value = Vec<String>> {
+    let names = ["brittany", "nantes", "paris", "athens"];
+    prop::sample::subsequence(names.to_vec(), 0..=4)
+        .prop_map(|names| names.into_iter().map(ToOwned::to_owned).collect())
+}
+
+fn request(idempotent: bool, deadline: Instant) -> Request {
+    Request {
+        id: "r".into(),
+        client: "korrigan".into(),
+        weight: 1,
+        class: "interactive".into(),
+        subject: Subject::Model("names".into()),
+        version: None,
+        idempotent,
+        ticket: None,
+        deadline,
+        events: false,
+        prefixes: vec![],
+        regions: vec![],
+        hops: vec![],
+        revision: 1,
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whichever of two instances holds the newer rules, only regions that both permit are left.
+    #[test]
+    fn stricter_revision_wins(old in regions(), new in regions()) {
+        let subject = Subject::Model("names".into());
+        let here = place("paris/a");
+        let permitted = |regions: &[String]| {
+            residency::permitted(&[rule(None, regions)], &subject, &here)
+        };
+        let (old, new) = (permitted(&old), permitted(&new));
+        let both = residency::stricter(&old, &new);
+        prop_assert!(both.iter().all(|region| old.contains(region) && new.contains(region)));
+        prop_assert_eq!(both.len(), old.iter().filter(|region| new.contains(region)).count());
+    }
+
+    /// All matching rules must permit; a rule for another model changes nothing.
+    #[test]
+    fn all_matching_rules_hold(all in regions(), one in regions(), other in regions()) {
+        let subject = Subject::Model("names".into());
+        let rules = [rule(None, &all), rule(Some("names"), &one), rule(Some("logos"), &other)];
+        let permitted = residency::permitted(&rules, &subject, &place("paris/a"));
+        for region in ["brittany", "nantes", "paris", "athens"].map(ToOwned::to_owned) {
+            let expected = all.contains(&region) && one.contains(&region);
+            prop_assert_eq!(permitted.contains(&region), expected);
+        }
+    }
+
+    /// A retry never risks a second run of work that may not be repeated, and ends in time.
+    #[test]
+    fn retries_are_safe(
+        idempotent: bool, not_run: bool, relayed: bool, budget: bool, attempts in 0_u32..6, late: bool,
+    ) {
+        let now = Instant::now();
+        let deadline = if late { now } else { now + Duration::from_secs(1) };
+        let failure = if not_run {
+            Refusal::not_run(Reason::Refused)
+        } else {
+            Refusal::unknown(Reason::Broken)
+        };
+        let progress = Progress { attempts, relayed, budget };
+        let next = dispatch::next(&request(idempotent, deadline), &failure, progress, now);
+        if next == Next::Retry {
+            prop_assert!(not_run || idempotent);
+            prop_assert!(budget && !relayed && !late && attempts < ATTEMPTS);
+        }
+    }
+
+    /// Once an attempt may have run, the request is never said not to have run.
+    #[test]
+    fn unknown_is_never_taken_back(outcomes in prop::collection::vec(any::<bool>(), 1..6)) {
+        let refusal = |unknown: &bool| match unknown {
+            true => Refusal::unknown(Reason::Broken),
+            false => Refusal::not_run(Reason::Refused),
+        };
+        let merge = |earlier, later| Some(dispatch::merge(earlier, later));
+        let merged = outcomes.iter().map(refusal).fold(None, merge).unwrap();
+        prop_assert_eq!(merged.outcome == Outcome::Unknown, outcomes.contains(&true));
+    }
+}
+
+#[test]
+fn without_a_rule_requests_stay() {
+    let subject = Subject::Service("portal".into());
+    let permitted = residency::permitted(&[], &subject, &place("paris/a"));
+    assert_eq!(permitted, ["paris"]);
+    assert!(residency::check_place(&permitted, &place("nantes/a")).is_err());
+    assert!(residency::check(&[]).is_err());
+}
