--- /dev/null
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -0,0 +1,155 @@
+//! Starts the parts of an entry instance and waits for its end.
+
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::SystemTime};
+
+use actix::Actor;
+use actix_web::{App, HttpServer};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use zinniastall_settings::{cli, log, metrics::Hub};
+use zinniastall_wire::{hello::Purpose, link};
+
+use crate::{
+    callers, follow,
+    links::{self, Acceptors, Addresses, Identity},
+    publish::Publisher,
+    settings::Entry,
+    spread::{self, actor::Surroundings},
+    targets::{self, Desk},
+    view::{Board, View},
+};
+
+/// Runs an entry instance until it is told to stop.
+pub fn run(settings: Entry) -> ExitCode {
+    log::start(&settings.log);
+    match actix::System::new().block_on(serve(settings)) {
+        Ok(()) => ExitCode::from(cli::EXIT_OK),
+        Err(error) => {
+            tracing::error!(event = "failed", error = format!("{error:#}"));
+            ExitCode::from(cli::EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: Entry) -> eyre::Result<()> {
+    let board = Board::new(first_view(&settings));
+    let publisher = Publisher::new(board.clone()).start();
+    let sockets = Sockets::bind(&settings).await?;
+    let identity = sockets.identity(&settings, &board.view())?;
+    let hub = Hub::start("zinniastall.entry", settings.statsd)?;
+    let around = Surroundings {
+        identity: identity.clone(),
+        board: board.clone(),
+        publisher: publisher.clone(),
+        recorder: hub.recorder(),
+    };
+    let spread = spread::start(&settings, around);
+    let desk = Desk {
+        place: settings.place.clone(),
+        announced: spread.clone().recipient(),
+        left: spread.clone().recipient(),
+    };
+    let service = callers::Service::new(board.clone(), hub.clone(), settings.limits.clone());
+    let threads = settings.threads;
+    let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
+        .workers(threads)
+        .max_connections((settings.limits.connections / threads).max(1))
+        .client_request_timeout(settings.limits.arrival)
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(settings.drain.as_secs())
+        .disable_signals()
+        .listen(sockets.callers.into_std()?)?;
+    let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
+        .workers(1)
+        .disable_signals()
+        .listen(sockets.targets.into_std()?)?;
+    let follow = follow::start(
+        &settings,
+        identity.clone(),
+        board.clone(),
+        publisher.clone(),
+        hub.clone(),
+    );
+    let acceptors = Acceptors::new(identity)
+        .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
+        .owner(Purpose::Follow, follow);
+    actix::spawn(links::serve(sockets.links, acceptors));
+    let callers = callers.run();
+    let targets = targets.run();
+    let (callers_handle, targets_handle) = (callers.handle(), targets.handle());
+    let tasks = (actix::spawn(callers), actix::spawn(targets));
+    signal(SignalKind::terminate())?.recv().await;
+    tracing::info!(event = "draining");
+    publisher.send(crate::publish::Draining).await?;
+    callers_handle.stop(true).await;
+    targets_handle.stop(true).await;
+    tasks.0.await??;
+    tasks.1.await??;
+    spread.send(spread::messages::Stop).await?;
+    tracing::info!(event = "stopped");
+    Ok(())
+}
+
+/// Reports a bound address: with port 0 nobody could know it otherwise.
+fn listening(role: &str, address: SocketAddr) {
+    tracing::info!(event = "listening", role, address = %address);
+}
+
+/// Sockets of an instance, bound before anything is started: each part says its addresses to others.
+struct Sockets {
+    callers: TcpListener,
+    targets: TcpListener,
+    links: TcpListener,
+}
+
+impl Sockets {
+    async fn bind(settings: &Entry) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let sockets = Self {
+            callers: link::listen(listen.callers).await?,
+            targets: link::listen(listen.targets).await?,
+            links: link::listen(listen.links).await?,
+        };
+        listening("callers", sockets.callers.local_addr()?);
+        listening("targets", sockets.targets.local_addr()?);
+        listening("links", sockets.links.local_addr()?);
+        Ok(sockets)
+    }
+
+    fn identity(&self, settings: &Entry, view: &View) -> eyre::Result<Identity> {
+        let advertise = &settings.advertise;
+        let callers = advertise.callers.unwrap_or(self.callers.local_addr()?);
+        let targets = advertise.targets.unwrap_or(self.targets.local_addr()?);
+        let links = advertise.links.unwrap_or(self.links.local_addr()?);
+        let addresses = Addresses {
+            callers: callers.to_string(),
+            targets: targets.to_string(),
+            links: links.to_string(),
+        };
+        let (instance, place) = (view.instance.clone(), view.place.clone());
+        Ok(Identity::new(instance, view.incarnation, place, addresses))
+    }
+}
+
+fn first_view(settings: &Entry) -> View {
+    View {
+        instance: settings.instance.clone(),
+        incarnation: incarnation(),
+        place: settings.place.clone(),
+        state: None,
+        connected: false,
+        draining: false,
+        peers: Arc::default(),
+        targets: Arc::default(),
+        digests: Arc::default(),
+    }
+}
+
+/// Makes a number for this run that is higher than earlier ones as long as the clock was not set
+/// back; in milliseconds since the epoch.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -0,0 +1,325 @@
+//! The actor that owns membership, the zone's targets and digests.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
+use indexmap::IndexMap;
+use zinniastall_coord::{digest::Bucket, membership::Roster};
+use zinniastall_model::id;
+use zinniastall_settings::metrics::Recorder;
+use zinniastall_wire::{
+    gossip::{self, Heartbeat, Peer},
+    hello::Purpose,
+    link::Link,
+    meter::Count,
+};
+
+use super::{
+    atlas::Atlas,
+    book::Book,
+    digests::Digests,
+    lines::{Line, Lines},
+    messages::{Closed, Dialed, Linked, PassOn, PublishTargets, Received, Stop},
+    renewals::Renewals,
+    settings,
+};
+use crate::{
+    links::Identity,
+    publish::Publisher,
+    targets::{
+        Announced, Left,
+        body::Lease,
+        problem::Problem,
+        table::{Table, millis},
+    },
+    view::Board,
+};
+
+/// Changes that come in quick succession are published or passed on together after this pause.
+const COALESCE: Duration = Duration::from_millis(50);
+
+/// What the actor is connected to.
+#[derive(Debug)]
+pub struct Surroundings {
+    /// What this instance says of itself.
+    pub identity: Identity,
+    /// Where the view is read.
+    pub board: Board,
+    /// Where changes of the view go.
+    pub publisher: Addr<Publisher>,
+    /// Where figures are recorded.
+    pub recorder: Recorder,
+}
+
+/// Actor of the control arbiter that owns membership, the zone's targets and digests.
+#[derive(Debug)]
+pub struct Spread {
+    pub(super) settings: settings::Spread,
+    pub(super) around: Surroundings,
+    pub(super) roster: Roster<id::Instance>,
+    pub(super) lines: Lines,
+    pub(super) book: Book,
+    pub(super) atlas: Atlas,
+    pub(super) targets: Table,
+    pub(super) renewals: Renewals,
+    pub(super) digests: Digests,
+    pub(super) bucket: Bucket,
+    pub(super) published: Arc<IndexMap<id::Instance, Peer>>,
+    /// Targets that were published last, with their runs.
+    pub(super) serving: IndexMap<id::Target, id::Incarnation>,
+    pub(super) publishing: bool,
+    pub(super) passing: bool,
+    pub(super) raises: u32,
+    pub(super) started: Instant,
+    swept: Instant,
+    counted: Count,
+}
+
+impl Spread {
+    /// Creates the actor of an instance.
+    pub fn new(
+        settings: settings::Spread,
+        seeds: impl Iterator<Item = String>,
+        around: Surroundings,
+    ) -> Self {
+        let now = Instant::now();
+        let identity = &around.identity;
+        let own = identity.instance().to_owned();
+        let (run, place) = (identity.incarnation(), identity.place().clone());
+        let membership = settings.membership();
+        Self {
+            roster: Roster::new(own.clone(), run, membership, now),
+            lines: Lines::new(own.clone(), membership.floor),
+            book: Book::new(own.clone(), seeds, now),
+            atlas: Atlas::new(place.clone(), now),
+            targets: Table::new(settings.lease),
+            renewals: Renewals::default(),
+            digests: Digests::new(own, run, place, settings.digest, now),
+            bucket: Bucket::new(settings.bytes_per_second, now),
+            published: Arc::default(),
+            serving: IndexMap::new(),
+            publishing: false,
+            passing: false,
+            raises: 0,
+            started: now,
+            swept: now,
+            counted: Count::default(),
+            settings,
+            around,
+        }
+    }
+
+    fn tick(&mut self, context: &Context<Self>) {
+        let now = Instant::now();
+        self.begin(now);
+        self.beat();
+        self.send_loads(now);
+        self.sweep(now);
+        self.publish_peers(now);
+        self.speak(now);
+        self.dial(context, now);
+    }
+
+    /// Starts a period. After a freeze all links are dropped: what waits in their sockets was sent
+    /// during the freeze, and a lease in it would count from now instead of from then.
+    fn begin(&mut self, now: Instant) {
+        self.charge();
+        if !self.roster.tick(now) {
+            return;
+        }
+        let since = now.saturating_duration_since(self.swept);
+        tracing::warn!(event = "frozen", millis = millis(since));
+        self.lines.clear();
+        self.publish_targets(now);
+        self.publish_peers(now);
+    }
+
+    /// Charges what was sent since the last period to the budget and records it.
+    fn charge(&mut self) {
+        let count = self.around.identity.meter(Purpose::Gossip).count();
+        let before = std::mem::replace(&mut self.counted, count);
+        let bytes = count.sent_bytes - before.sent_bytes;
+        let messages = count.sent_messages - before.sent_messages;
+        let received = count.received_bytes - before.received_bytes;
+        self.bucket.charge(bytes + messages * OVERHEAD);
+        let count = |name, amount: u64| {
+            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+            self.around.recorder.count(name, amount);
+        };
+        count("gossip.sent.bytes", bytes);
+        count("gossip.sent.messages", messages);
+        count("gossip.received.bytes", received);
+        count("gossip.waiting.facts", self.digests.waiting() as u64);
+    }
+
+    fn beat(&mut self) {
+        let view = self.around.board.view();
+        for (line, instance, _) in self.lines.peers() {
+            let heartbeat = Heartbeat {
+                beat: self.roster.beat(&instance),
+                revision: view.state.as_ref().map_or(0, |state| state.revision),
+                draining: view.draining,
+                load: self.around.board.load(),
+            };
+            self.lines.send(line, gossip::Message::Heartbeat(heartbeat));
+        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        for gone in self.roster.sweep(now) {
+            tracing::info!(event = "peer-forgotten", peer = gone);
+        }
+        self.lines.close_silent(self.settings.ceiling, now);
+        let lines = &self.lines;
+        self.book.sweep(|peer| lines.of(peer).is_some(), now);
+        self.digests.sweep(now);
+        if self.targets.sweep(self.swept, now) {
+            self.publish_targets(now);
+        }
+        self.swept = now;
+    }
+
+    fn link(&mut self, link: Link, dialed: bool, context: &Context<Self>) {
+        let now = Instant::now();
+        let peer = link.peer().instance.clone();
+        let Some(number) = self.lines.add(link, dialed, &context.address(), now) else {
+            return;
+        };
+        self.book.linked(&peer, now);
+        let mut peers = vec![self.own_word(now)];
+        peers.extend(self.published.values().skip(1).cloned());
+        self.lines.send(number, gossip::Message::Peers(peers));
+        let zone = self.lines.heard(number, now).map(|(_, place)| place);
+        if zone.as_ref() == Some(self.around.identity.place()) {
+            let reports = self.targets.reports(now);
+            self.lines.send(number, gossip::Message::Targets(reports));
+        }
+    }
+
+    fn receive(&mut self, line: Line, message: gossip::Message, now: Instant) {
+        let Some((peer, place)) = self.lines.heard(line, now) else {
+            return;
+        };
+        match message {
+            gossip::Message::Heartbeat(heartbeat) => self.hear(line, &peer, &heartbeat, now),
+            gossip::Message::Stale(remembered) => self.raise(remembered),
+            gossip::Message::Peers(peers) => self.meet(&peer, peers, now),
+            gossip::Message::Targets(reports) => self.take(&place, reports, now),
+            gossip::Message::Loads(loads) => self.renew(&place, &loads, now),
+            gossip::Message::News(news) => self.passing |= self.digests.take(line, news, now),
+        }
+    }
+}
+
+/// Bytes that the transport adds to a message: WebSocket, TCP and IP headers, and its share of an
+/// acknowledgement.
+const OVERHEAD: u64 = 70;
+
+impl Actor for Spread {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.tick(context);
+        context.run_interval(self.settings.period, |spread, context| spread.tick(context));
+    }
+}
+
+impl Handler<Linked> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, message: Linked, context: &mut Context<Self>) {
+        self.link(message.0, false, context);
+    }
+}
+
+impl Handler<Dialed> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, message: Dialed, context: &mut Context<Self>) {
+        match message.result {
+            Ok(link) => {
+                if self.answers(&message.address, link.peer(), Instant::now()) {
+                    self.link(link, true, context);
+                }
+            }
+            Err(error) => {
+                tracing::debug!(event = "dial-failed", address = message.address, error = %error);
+            }
+        }
+    }
+}
+
+impl Handler<Received> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, message: Received, context: &mut Context<Self>) {
+        let Received(line, message) = message;
+        let (published, passed) = (self.publishing, self.passing);
+        self.receive(line, message, Instant::now());
+        if self.publishing && !published {
+            context.notify_later(PublishTargets, COALESCE);
+        }
+        if self.passing && !passed {
+            context.notify_later(PassOn, COALESCE);
+        }
+    }
+}
+
+impl Handler<Closed> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, message: Closed, _: &mut Context<Self>) {
+        self.lines.close(message.0);
+    }
+}
+
+impl Handler<PublishTargets> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, _: PublishTargets, _: &mut Context<Self>) {
+        if self.publishing {
+            self.publish_targets(Instant::now());
+        }
+    }
+}
+
+impl Handler<PassOn> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, _: PassOn, _: &mut Context<Self>) {
+        self.pass_on(Instant::now());
+    }
+}
+
+impl Handler<Announced> for Spread {
+    type Result = Result<Lease, Problem>;
+
+    fn handle(&mut self, message: Announced, context: &mut Context<Self>) -> Self::Result {
+        let published = self.publishing;
+        let lease = self.announce(message.0, Instant::now())?;
+        if self.publishing && !published {
+            context.notify_later(PublishTargets, COALESCE);
+        }
+        Ok(lease)
+    }
+}
+
+impl Handler<Left> for Spread {
+    type Result = Result<(), Problem>;
+
+    fn handle(&mut self, message: Left, _: &mut Context<Self>) -> Self::Result {
+        self.leave(&message.0, Instant::now())
+    }
+}
+
+impl Handler<Stop> for Spread {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) {
+        self.lines.clear();
+        context.stop();
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -0,0 +1,45 @@
+//! Membership of entry instances, the zone's targets, and digests of other zones.
+//!
+//! [`actor::Spread`] owns it all on the control arbiter. [`lines`] holds the open links, [`book`]
+//! the addresses to dial, [`atlas`] which instances of other zones to link to, [`renewals`] what
+//! waits to be sent about targets, [`digests`] the facts about zones. What the actor decides on
+//! comes from [`zinniastall_coord::membership`], [`zinniastall_coord::digest`] and
+//! [`crate::targets::table`].
+
+pub mod actor;
+pub mod atlas;
+pub mod book;
+pub mod capacity;
+pub mod digests;
+pub mod lines;
+pub mod messages;
+mod passing;
+mod peers;
+pub mod renewals;
+pub mod settings;
+mod zone;
+
+use actix::{Actor, Addr};
+use zinniastall_wire::link::Link;
+
+use self::{
+    actor::{Spread, Surroundings},
+    messages::Linked,
+};
+use crate::{links::Acceptor, settings::Entry};
+
+/// Starts membership on the calling arbiter.
+pub fn start(settings: &Entry, around: Surroundings) -> Addr<Spread> {
+    let seeds = settings.seeds.iter().map(ToString::to_string);
+    Spread::new(settings.spread, seeds, around).start()
+}
+
+/// Takes gossip links for the actor.
+#[derive(Debug)]
+pub struct Gossip(pub Addr<Spread>);
+
+impl Acceptor for Gossip {
+    fn accept(&self, link: Link) {
+        self.0.do_send(Linked(link));
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-entry/src/spread/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of membership, targets' leases and digests.
+
+use std::time::Duration;
+
+use zinniastall_coord::membership;
+use zinniastall_settings::reader::Reader;
+
+/// Settings of membership, targets' leases and digests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spread {
+    /// Time between two heartbeats.
+    pub period: Duration,
+    /// Shortest silence after which a peer is taken for lost.
+    pub floor: Duration,
+    /// Longest silence after which a peer is taken for lost, on the slowest link.
+    pub ceiling: Duration,
+    /// How long a target's announcement holds.
+    pub lease: Duration,
+    /// Time between two words of a zone that its digests still hold; one that is late by five of
+    /// them counts as unknown.
+    pub digest: Duration,
+    /// Bytes a second that gossip may send; what can wait gives way to what can't.
+    pub bytes_per_second: u32,
+}
+
+impl Spread {
+    /// Reads the section.
+    pub fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            period: reader.millis("period_ms", 50..=10_000, 500),
+            floor: reader.millis("floor_ms", 150..=60_000, 1_500),
+            ceiling: reader.millis("ceiling_ms", 500..=120_000, 6_000),
+            lease: reader.millis("lease_ms", 500..=60_000, 3_000),
+            digest: reader.millis("digest_ms", 100..=60_000, 2_000),
+            bytes_per_second: bytes(reader.number("bytes_per_second", 1_000..=10_000_000, 17_000)),
+        }
+    }
+
+    /// Returns when a target is to announce again: in time for two lost attempts.
+    pub fn renew(&self) -> Duration {
+        self.lease / 3
+    }
+
+    /// Returns the times of the membership.
+    pub fn membership(&self) -> membership::Config {
+        membership::Config {
+            period: self.period,
+            floor: self.floor.max(self.period * 3),
+            ceiling: self.ceiling.max(self.floor).max(self.period * 3),
+            freeze: self.period * 3,
+            ..membership::Config::default()
+        }
+    }
+}
+
+/// Converts a checked number; its range keeps it within 32 bits.
+fn bytes(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
