fix(store): keep a segment that the next one reaches into

The next segment then began with an entry before its own base, and an intact folder was refused as damaged after the restart. Segments now know how far down they reach, and a log begins only with one from which on nothing reaches below its base.

--- a/crates/zinniastall-store/src/journal.rs
+++ b/crates/zinniastall-store/src/journal.rs
@@ -12,11 +12,18 @@
 use crate::segment::{self, Content, Header, Segment};
 use crate::tail::{Batch, Tail};
 
+/// A segment that is only read.
+#[derive(Debug, Clone, Copy)]
+struct Closed {
+    number: u64,
+    base: Position,
+    floor: Index,
+}
+
 /// The segments of a log, the last one open for appending.
 #[derive(Debug)]
 pub(crate) struct Journal {
-    /// Number and base of the segments that are only read.
-    closed: VecDeque<(u64, Position)>,
+    closed: VecDeque<Closed>,
     open: Segment,
     last: Position,
     hard: Hard,
@@ -51,55 +58,43 @@
 
     /// Returns the file with which the log begins.
     pub(crate) fn first(&self, folder: &Folder) -> PathBuf {
-        let number = self
-            .closed
-            .front()
-            .map_or(self.open.number, |(number, _)| *number);
+        let oldest = self.closed.front();
+        let number = oldest.map_or(self.open.number, |closed| closed.number);
         folder.file(&segment::name(number))
     }
 
     /// Reads all segments and opens the last one.
     pub(crate) fn load(folder: &Folder, limit: u64) -> Result<(Self, Tail), Fault> {
         let numbers = segment::numbers(folder)?;
-        let Some(newest) = numbers.last().copied() else {
+        let (Some(oldest), Some(newest)) = (numbers.first(), numbers.last()) else {
             return Err(Fault::Missing {
                 path: folder.file(&segment::name(1)),
             });
         };
-        let mut tail: Option<Tail> = None;
         let mut closed = VecDeque::new();
-        let mut expected = numbers.first().copied().unwrap_or(newest);
-        loop {
-            let path = folder.file(&segment::name(expected));
-            let Some(bytes) = folder.read(&segment::name(expected))? else {
-                return Err(Fault::Missing { path });
-            };
-            let content = segment::read(&path, &bytes, expected == newest)?;
-            let header = content.header;
-            let end = content.end;
-            let so_far = tail
-                .take()
-                .unwrap_or_else(|| Tail::new(header.base, header.hard));
-            let replayed = replay(so_far, content);
-            let replayed = replayed.map_err(|(at, damage)| Fault::corrupt(&path, at, damage))?;
-            if expected == newest {
-                let open = Segment::open(folder, newest, &header, end)?;
-                let (last, hard) = (replayed.last(), replayed.hard);
-                return Ok((
-                    Self {
-                        closed,
-                        open,
-                        last,
-                        hard,
-                        limit,
-                    },
-                    replayed,
-                ));
-            }
-            closed.push_back((expected, header.base));
-            tail = Some(replayed);
-            expected += 1;
+        let mut before = None;
+        for number in *oldest..*newest {
+            let (tail, content) = read(folder, number, before, false)?;
+            closed.push_back(Closed {
+                number,
+                base: content.header.base,
+                floor: content.floor,
+            });
+            before = Some(tail);
         }
+        let (tail, content) = read(folder, *newest, before, true)?;
+        let open = Segment::open(folder, *newest, &content)?;
+        let (last, hard) = (tail.last(), tail.hard);
+        Ok((
+            Self {
+                closed,
+                open,
+                last,
+                hard,
+                limit,
+            },
+            tail,
+        ))
     }
 
     /// Appends a batch and syncs it, in a new segment if the present one is full.
@@ -121,19 +116,34 @@
         if self.open.base.index < covered && self.last.index <= covered {
             self.rotate(folder)?;
         }
-        while self.next_base().is_some_and(|base| base.index <= covered) {
-            let Some((number, _)) = self.closed.pop_front() else {
-                break;
-            };
-            folder.remove(&segment::name(number))?;
+        let Some(first) = self.first_needed(covered) else {
+            return Ok(());
+        };
+        while let Some(covered) = self.closed.pop_front_if(|closed| closed.number < first) {
+            folder.remove(&segment::name(covered.number))?;
         }
         Ok(())
     }
 
-    /// Returns the last entry before the second segment.
-    fn next_base(&self) -> Option<Position> {
-        self.closed.front()?;
-        Some(self.closed.get(1).map_or(self.open.base, |(_, base)| *base))
+    /// Returns the latest segment with which the log may begin.
+    ///
+    /// Entries of an old leader may stand at the end of one segment and be replaced in the next.
+    /// The next one then reaches below its own base, and without the segment before it the folder
+    /// would be refused as damaged. So a log may begin only with a segment from which on nothing
+    /// reaches below its base.
+    fn first_needed(&self, covered: Index) -> Option<u64> {
+        let open = Closed {
+            number: self.open.number,
+            base: self.open.base,
+            floor: self.open.floor,
+        };
+        let mut floor = Index::MAX;
+        let mut newest_first = std::iter::once(&open).chain(self.closed.iter().rev());
+        let first = newest_first.find(|segment| {
+            floor = floor.min(segment.floor);
+            segment.base.index <= covered && segment.base.index <= floor
+        });
+        first.map(|segment| segment.number)
     }
 
     fn rotate(&mut self, folder: &Folder) -> Result<(), Fault> {
@@ -144,18 +154,35 @@
         };
         let next = Segment::create(folder, self.open.number + 1, header)?;
         let full = std::mem::replace(&mut self.open, next);
-        self.closed.push_back((full.number, full.base));
+        self.closed.push_back(Closed {
+            number: full.number,
+            base: full.base,
+            floor: full.floor,
+        });
         Ok(())
     }
 }
 
-/// Applies a segment's batches to what came before it.
-fn replay(mut tail: Tail, content: Content) -> Result<Tail, (u64, Damage)> {
-    if tail.last() != content.header.base {
-        return Err((0, Damage::Gap));
+/// Reads a segment and applies its batches to what came before it.
+fn read(
+    folder: &Folder,
+    number: u64,
+    before: Option<Tail>,
+    is_last: bool,
+) -> Result<(Tail, Content), Fault> {
+    let path = folder.file(&segment::name(number));
+    let Some(bytes) = folder.read(&segment::name(number))? else {
+        return Err(Fault::Missing { path });
+    };
+    let mut content = segment::read(&path, &bytes, is_last)?;
+    let Header { base, hard, .. } = content.header;
+    let mut tail = before.unwrap_or_else(|| Tail::new(base, hard));
+    if tail.last() != base {
+        return Err(Fault::corrupt(&path, 0, Damage::Gap));
     }
-    for (at, batch) in content.batches {
-        tail.apply(batch).map_err(|damage| (at, damage))?;
+    for (at, batch) in content.batches.drain(..) {
+        let applied = tail.apply(batch);
+        applied.map_err(|damage| Fault::corrupt(&path, at, damage))?;
     }
-    Ok(tail)
+    Ok((tail, content))
 }
--- a/crates/zinniastall-store/src/segment.rs
+++ b/crates/zinniastall-store/src/segment.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::Index;
 use zinniastall_coord::log::Position;
 use zinniastall_coord::replica::Hard;
 
@@ -32,6 +33,8 @@
 pub(crate) struct Segment {
     pub(crate) number: u64,
     pub(crate) base: Position,
+    /// Lowest place behind which the segment puts anything, which may be before `base`.
+    pub(crate) floor: Index,
     pub(crate) size: u64,
     salt: u64,
     path: PathBuf,
@@ -44,6 +47,8 @@
     pub(crate) header: Header,
     /// Each batch with the byte at which its record starts.
     pub(crate) batches: Vec<(u64, Batch)>,
+    /// Lowest place behind which the segment puts anything.
+    pub(crate) floor: Index,
     /// Byte behind the last whole record.
     pub(crate) end: u64,
 }
@@ -54,30 +59,37 @@
         let mut bytes = Vec::new();
         record::write(&mut bytes, HEADER_SALT, &header);
         folder.replace(&name(number), &bytes)?;
-        Self::open(folder, number, &header, bytes.len() as u64)
+        let end = bytes.len() as u64;
+        let content = Content {
+            header,
+            batches: Vec::new(),
+            floor: header.base.index,
+            end,
+        };
+        Self::open(folder, number, &content)
     }
 
-    /// Opens a segment to append behind `end`, cutting off what stands there.
-    pub(crate) fn open(
-        folder: &Folder,
-        number: u64,
-        header: &Header,
-        end: u64,
-    ) -> Result<Self, Fault> {
+    /// Opens a segment to append behind what was read, cutting off what stands there.
+    pub(crate) fn open(folder: &Folder, number: u64, content: &Content) -> Result<Self, Fault> {
         let path = folder.file(&name(number));
         let file = OpenOptions::new()
             .append(true)
             .open(&path)
             .at("open", &path)?;
+        let Content {
+            header, floor, end, ..
+        } = *content;
         if file.metadata().at("look at", &path)?.len() != end {
             file.set_len(end).at("cut", &path)?;
             file.sync_all().at("sync", &path)?;
         }
+        let Header { base, salt, .. } = header;
         Ok(Self {
             number,
-            base: header.base,
+            base,
+            floor,
             size: end,
-            salt: header.salt,
+            salt,
             path,
             file,
         })
@@ -90,6 +102,7 @@
         self.file.write_all(&bytes).at("write", &self.path)?;
         self.file.sync_data().at("sync", &self.path)?;
         self.size += bytes.len() as u64;
+        self.floor = self.floor.min(batch.floor());
         Ok(())
     }
 }
@@ -103,7 +116,7 @@
     let corrupt = |at: usize, damage| Fault::corrupt(path, at as u64, damage);
     let head = record::read(bytes, 0, HEADER_SALT).map_err(|damage| corrupt(0, damage))?;
     let header: Header = head.value;
-    let mut batches = Vec::new();
+    let mut batches: Vec<(u64, Batch)> = Vec::new();
     let mut at = head.end;
     while at < bytes.len() {
         match record::read(bytes, at, header.salt) {
@@ -117,9 +130,12 @@
             Err(damage) => return Err(corrupt(at, damage)),
         }
     }
+    let floors = batches.iter().map(|(_, batch)| batch.floor());
+    let floor = floors.min().unwrap_or(Index::MAX).min(header.base.index);
     Ok(Content {
         header,
         batches,
+        floor,
         end: at as u64,
     })
 }
--- a/crates/zinniastall-store/src/tail.rs
+++ b/crates/zinniastall-store/src/tail.rs
@@ -23,6 +23,13 @@
     pub(crate) fn is_empty(&self) -> bool {
         self.hard.is_none() && self.reset.is_none() && self.entries.is_empty()
     }
+
+    /// Returns the lowest place behind which the batch puts anything.
+    pub(crate) fn floor(&self) -> Index {
+        let reset = self.reset.map(|base| base.index);
+        let first = self.entries.first().map(|entry| entry.index - 1);
+        reset.into_iter().chain(first).min().unwrap_or(Index::MAX)
+    }
 }
 
 /// The log and the hard state, built up batch by batch.
