test(history): a linearizability checker for operators' concurrent histories

So a small checker of Wing and Gong's with Lowe's memory, for an object with expected revisions; calls without an answer may take effect late or never. It is tested against wrong histories: both of two racing writes accepted, stale reads, reverted and lost changes, an unanswered write taking effect twice.

--- /dev/null
+++ b/tests/src/history/check.rs
@@ -0,0 +1,152 @@
+//! The search for an order that explains a history.
+
+use std::collections::HashSet;
+use std::hash::Hash;
+
+use thiserror::Error;
+
+use super::recorder::Call;
+
+/// What one object would do if calls came one by one.
+pub trait Model {
+    /// What the object remembers.
+    type State: Clone + Eq + Hash;
+    /// What it is asked.
+    type Request;
+    /// What it answers.
+    type Answer;
+
+    /// Returns the state before the first call.
+    fn initial(&self) -> Self::State;
+
+    /// Returns the state after a call, if the answer fits the state before.
+    ///
+    /// Without an answer, any answer fits.
+    fn step(
+        &self,
+        state: &Self::State,
+        request: &Self::Request,
+        answer: Option<&Self::Answer>,
+    ) -> Option<Self::State>;
+}
+
+/// A history that no order of the calls explains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("no order explains the {calls} calls; the longest prefix found explains {explained}")]
+pub struct Violation {
+    /// Calls in the history.
+    pub calls: usize,
+    /// Most calls that any order tried could explain.
+    pub explained: usize,
+}
+
+/// Checks that a history is linearizable.
+///
+/// # Errors
+///
+/// [`Violation`] when it isn't.
+pub fn check<M: Model>(model: &M, calls: &[Call<M::Request, M::Answer>]) -> Result<(), Violation> {
+    let mut sorted: Vec<_> = calls.iter().collect();
+    sorted.sort_by_key(|call| call.began);
+    let start = Configuration {
+        taken: Taken::new(sorted.len()),
+        state: model.initial(),
+    };
+    let mut seen = HashSet::from([start.clone()]);
+    let mut open = vec![start];
+    let mut explained = 0;
+    while let Some(configuration) = open.pop() {
+        if configuration.taken.holds_all_answered(&sorted) {
+            return Ok(());
+        }
+        explained = explained.max(configuration.taken.count());
+        for next in configuration.successors(model, &sorted) {
+            if seen.insert(next.clone()) {
+                open.push(next);
+            }
+        }
+    }
+    Err(Violation {
+        calls: sorted.len(),
+        explained,
+    })
+}
+
+/// The calls ordered so far and the state that they lead to.
+///
+/// Two orders of the same calls that lead to the same state have the same continuations, so each
+/// such pair is looked at once.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Configuration<State> {
+    taken: Taken,
+    state: State,
+}
+
+impl<State: Clone + Eq + Hash> Configuration<State> {
+    /// Returns the configurations after one more call.
+    ///
+    /// A call may come next if it began before every other open call ended.
+    fn successors<M: Model<State = State>>(
+        &self,
+        model: &M,
+        calls: &[&Call<M::Request, M::Answer>],
+    ) -> Vec<Self> {
+        let open = || (0..calls.len()).filter(|call| !self.taken.holds(*call));
+        let first_end = open()
+            .map(|call| calls[call].ended)
+            .min()
+            .unwrap_or(u64::MAX);
+        let mut successors = Vec::new();
+        for call in open().take_while(|call| calls[*call].began < first_end) {
+            let answer = calls[call].answer.as_ref();
+            let Some(state) = model.step(&self.state, &calls[call].request, answer) else {
+                continue;
+            };
+            // An unanswered call that changes nothing might as well never take effect.
+            if answer.is_none() && state == self.state {
+                continue;
+            }
+            successors.push(Self {
+                taken: self.taken.with(call),
+                state,
+            });
+        }
+        successors
+    }
+}
+
+/// A set of calls, by place.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Taken {
+    bits: Vec<u64>,
+}
+
+impl Taken {
+    fn new(calls: usize) -> Self {
+        Self {
+            bits: vec![0; calls.div_ceil(64)],
+        }
+    }
+
+    fn holds(&self, call: usize) -> bool {
+        self.bits[call / 64] >> (call % 64) & 1 == 1
+    }
+
+    fn with(&self, call: usize) -> Self {
+        let mut next = self.clone();
+        next.bits[call / 64] |= 1 << (call % 64);
+        next
+    }
+
+    fn count(&self) -> usize {
+        self.bits
+            .iter()
+            .map(|bits| bits.count_ones() as usize)
+            .sum()
+    }
+
+    fn holds_all_answered<Request, Answer>(&self, calls: &[&Call<Request, Answer>]) -> bool {
+        let mut answered = (0..calls.len()).filter(|call| calls[*call].answer.is_some());
+        answered.all(|call| self.holds(call))
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,12 +3,15 @@
 //! [`process::Process`] starts one of the workspace's binaries, captures its log and ends it on
 //! drop. [`proxy::Proxy`] stands before an address and breaks what passes it. [`cluster::Cluster`]
 //! puts both together: control replicas, entry instances in availability zones, stand-in targets,
-//! every address behind a proxy. Waiting is always for a condition, see [`wait`].
+//! every address behind a proxy. Waiting is always for a condition, see [`wait`]. [`history`] records
+//! concurrent calls and checks that one object could have answered them one by one.
 
 pub mod binary;
 pub mod cluster;
 pub mod ctl;
 pub mod error;
+pub mod history;
+pub mod history;
 pub mod http;
 pub mod log;
 pub mod node;
--- /dev/null
+++ b/tests/tests/history.rs
@@ -0,0 +1,240 @@
+//! Tests of the history checker: it must pass what could have happened and refuse what couldn't.
+
+use std::sync::Mutex;
+use std::thread;
+
+use zinniastall_tests::history::{Answer, Call, Recorder, Register, Request, check};
+
+type Entry = Call<Request, Answer>;
+
+fn write(expected: u64, value: &str) -> Request {
+    Request::Write {
+        expected,
+        value: Some(value.to_owned()),
+    }
+}
+
+fn accepted(revision: u64) -> Option<Answer> {
+    Some(Answer::Accepted { revision })
+}
+
+fn conflict(revision: u64) -> Option<Answer> {
+    Some(Answer::Conflict { revision })
+}
+
+fn found(revision: u64, value: &str) -> Option<Answer> {
+    let value = (!value.is_empty()).then(|| value.to_owned());
+    Some(Answer::Found { revision, value })
+}
+
+fn call(began: u64, ended: u64, request: Request, answer: Option<Answer>) -> Entry {
+    Call {
+        request,
+        answer,
+        began,
+        ended,
+    }
+}
+
+const NEVER: u64 = u64::MAX;
+
+/// Names a history and says whether it could have happened.
+macro_rules! case {
+    ($name:ident, $expected:expr, [$($call:expr),* $(,)?]) => {
+        #[test]
+        fn $name() {
+            assert_eq!(check(&Register, &[$($call),*]).is_ok(), $expected);
+        }
+    };
+}
+
+case!(
+    one_after_the_other,
+    true,
+    [
+        call(1, 2, write(0, "a"), accepted(5)),
+        call(3, 4, Request::Read, found(5, "a")),
+        call(5, 6, write(5, "b"), accepted(9)),
+        call(7, 8, write(5, "c"), conflict(9)),
+    ]
+);
+case!(
+    racing_scripts_of_which_one_wins,
+    true,
+    [
+        call(1, 8, write(0, "a"), conflict(3)),
+        call(2, 7, write(0, "b"), accepted(3)),
+        call(3, 9, Request::Read, found(0, "")),
+    ]
+);
+case!(
+    racing_scripts_that_both_win,
+    false,
+    [
+        call(1, 8, write(0, "a"), accepted(4)),
+        call(2, 7, write(0, "b"), accepted(3)),
+    ]
+);
+case!(
+    a_stale_read,
+    false,
+    [
+        call(1, 2, write(0, "a"), accepted(1)),
+        call(3, 4, Request::Read, found(0, "")),
+    ]
+);
+case!(
+    a_change_that_reverts,
+    false,
+    [
+        call(1, 2, write(0, "a"), accepted(1)),
+        call(3, 4, write(1, "b"), accepted(2)),
+        call(5, 6, Request::Read, found(2, "b")),
+        call(7, 8, Request::Read, found(1, "a")),
+    ]
+);
+case!(
+    a_change_that_is_lost,
+    false,
+    [
+        call(1, 2, write(0, "a"), accepted(1)),
+        call(3, 4, write(0, "b"), accepted(2)),
+    ]
+);
+case!(
+    a_conflict_with_the_expected_revision,
+    false,
+    [
+        call(1, 2, write(0, "a"), accepted(1)),
+        call(3, 4, write(1, "b"), conflict(1)),
+    ]
+);
+case!(
+    a_revision_that_goes_back,
+    false,
+    [
+        call(1, 2, write(0, "a"), accepted(5)),
+        call(3, 4, write(5, "b"), accepted(4)),
+    ]
+);
+case!(
+    an_unanswered_write_took_effect_late,
+    true,
+    [
+        call(1, NEVER, write(0, "a"), None),
+        call(2, 3, Request::Read, found(0, "")),
+        call(4, 5, Request::Read, found(7, "a")),
+        call(6, 7, write(7, "b"), accepted(8)),
+    ]
+);
+case!(
+    an_unanswered_write_never_took_effect,
+    true,
+    [
+        call(1, NEVER, write(0, "a"), None),
+        call(2, 3, write(0, "b"), accepted(1)),
+        call(4, 5, Request::Read, found(1, "b")),
+    ]
+);
+case!(
+    an_unanswered_write_took_effect_unseen,
+    true,
+    [
+        call(1, NEVER, write(0, "a"), None),
+        call(2, 3, write(0, "b"), conflict(6)),
+        call(4, 5, write(6, "c"), accepted(7)),
+    ]
+);
+case!(
+    an_unanswered_write_takes_effect_twice,
+    false,
+    [
+        call(1, NEVER, write(0, "a"), None),
+        call(2, 3, Request::Read, found(1, "a")),
+        call(4, 5, write(1, "b"), accepted(2)),
+        call(6, 7, Request::Read, found(3, "a")),
+    ]
+);
+case!(
+    a_write_that_nobody_sent,
+    false,
+    [call(1, 2, Request::Read, found(1, "x"))]
+);
+case!(
+    a_write_seen_before_it_was_sent,
+    false,
+    [
+        call(1, 2, Request::Read, found(1, "a")),
+        call(3, 4, write(0, "a"), accepted(1)),
+    ]
+);
+
+// Threads race on a real object and some answers are lost. The recorded history must pass, and must
+// not any more once one answer is changed to what couldn't have been said.
+#[test]
+fn a_recorded_race_passes_and_a_forged_answer_does_not() {
+    let object = Mutex::new((0_u64, None));
+    let recorder = Recorder::default();
+    thread::scope(|scope| {
+        for client in 0..6_u64 {
+            let (object, recorder) = (&object, &recorder);
+            scope.spawn(move || {
+                let mut seen = 0;
+                for round in 0..60_u64 {
+                    let request = if round % 3 == 0 {
+                        Request::Read
+                    } else {
+                        write(seen, &format!("{client}-{round}"))
+                    };
+                    let number = recorder.begin(request.clone());
+                    let answer = serve(&mut object.lock().expect("nobody panicked"), request);
+                    let (Answer::Found { revision, .. }
+                    | Answer::Accepted { revision }
+                    | Answer::Conflict { revision }) = &answer;
+                    seen = *revision;
+                    if round % 20 != 7 {
+                        recorder.end(number, answer);
+                    }
+                }
+            });
+        }
+    });
+    let mut calls = recorder.into_calls();
+    assert_eq!(check(&Register, &calls), Ok(()));
+    let forged = calls
+        .iter_mut()
+        .rev()
+        .find_map(|call| match &mut call.answer {
+            Some(Answer::Accepted { revision }) => Some(revision),
+            _ => None,
+        });
+    *forged.expect("somebody won") += 1000;
+    let end = calls.len() as u64 * 3;
+    let (revision, value) = object.into_inner().expect("nobody panicked");
+    calls.push(call(
+        end,
+        end + 1,
+        Request::Read,
+        Some(Answer::Found { revision, value }),
+    ));
+    assert!(check(&Register, &calls).is_err());
+}
+
+fn serve((revision, value): &mut (u64, Option<String>), request: Request) -> Answer {
+    match request {
+        Request::Read => Answer::Found {
+            revision: *revision,
+            value: value.clone(),
+        },
+        Request::Write { expected, .. } if expected != *revision => Answer::Conflict {
+            revision: *revision,
+        },
+        Request::Write { value: new, .. } => {
+            *revision += 2;
+            *value = new;
+            Answer::Accepted {
+                revision: *revision,
+            }
+        }
+    }
+}
