--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod ctl;
 pub mod error;
 pub mod history;
-pub mod history;
 pub mod http;
 pub mod log;
 pub mod node;
