--- a/tests/tests/history.rs
+++ b/tests/tests/history.rs
@@ -14,23 +14,23 @@
     }
 }
 
-fn accepted(revision: u64) -> Option<Answer> {
-    Some(Answer::Accepted { revision })
+fn accepted(revision: u64) -> Answer {
+    Answer::Accepted { revision }
 }
 
-fn conflict(revision: u64) -> Option<Answer> {
-    Some(Answer::Conflict { revision })
+fn conflict(revision: u64) -> Answer {
+    Answer::Conflict { revision }
 }
 
-fn found(revision: u64, value: &str) -> Option<Answer> {
+fn found(revision: u64, value: &str) -> Answer {
     let value = (!value.is_empty()).then(|| value.to_owned());
-    Some(Answer::Found { revision, value })
+    Answer::Found { revision, value }
 }
 
-fn call(began: u64, ended: u64, request: Request, answer: Option<Answer>) -> Entry {
+fn call(began: u64, ended: u64, request: Request, answer: impl Into<Option<Answer>>) -> Entry {
     Call {
         request,
-        answer,
+        answer: answer.into(),
         began,
         ended,
     }
@@ -215,7 +215,7 @@
         end,
         end + 1,
         Request::Read,
-        Some(Answer::Found { revision, value }),
+        Answer::Found { revision, value },
     ));
     assert!(check(&Register, &calls).is_err());
 }
