--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use zinniastall_coord::replica::{Body, Part, Replica};
+use zinniastall_coord::Replica;
+use zinniastall_coord::replica::{Body, Part};
 
 use crate::net::Net;
 use crate::node::ELECTION;
--- a/crates/zinniastall-entry/src/settings.rs
+++ b/crates/zinniastall-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use zinniastall_model::{id, place::Place};
 use zinniastall_settings::{load::Settings, reader::Reader};
 
-use crate::{follow, spread};
+use crate::{callers, follow, spread};
 
 /// Settings of an entry instance.
 #[derive(Debug, Clone)]
@@ -36,6 +36,8 @@
     pub follow: follow::settings::Follow,
     /// Membership, targets' leases and digests.
     pub spread: spread::settings::Spread,
+    /// The deployment's policy, and tickets.
+    pub callers: callers::settings::Callers,
     /// Longest time that a shutdown waits for requests in progress and for tickets.
     pub drain: Duration,
 }
@@ -101,6 +103,7 @@
             limits: reader.nested("limits", read_limits),
             follow: reader.nested("follow", follow::settings::read),
             spread: reader.nested("spread", spread::settings::Spread::read),
+            callers: callers::settings::Callers::read(reader),
             drain: reader.millis("drain_ms", 100..=3_600_000, 300_000),
         }
     }
