--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -25,12 +25,16 @@
 /// serve several connections, some of which only wait to be forgotten.
 type Ends = (String, String);
 
+/// Name of a process; `None` for one that was not added.
+#[derive(Debug, Clone)]
+struct Holder(Option<String>);
+
 #[derive(Debug, Default)]
 struct Table {
     /// Names by process id.
     names: HashMap<u32, String>,
-    /// Who holds the first end; `None` for a process that was not added.
-    holders: HashMap<Ends, Option<String>>,
+    /// Who holds the first end.
+    holders: HashMap<Ends, Holder>,
     /// When `holders` was read.
     read: Option<Instant>,
 }
@@ -51,10 +55,10 @@
     /// read again until they have it.
     pub fn find(&self, peer: SocketAddr, own: SocketAddr) -> Option<String> {
         let ends = (column(peer)?, column(own)?);
-        (0..READS).find_map(|_| self.holder(&ends))?
+        (0..READS).find_map(|_| self.holder(&ends))?.0
     }
 
-    fn holder(&self, ends: &Ends) -> Option<Option<String>> {
+    fn holder(&self, ends: &Ends) -> Option<Holder> {
         let asked = Instant::now();
         let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
         // Lists that were read after the question was asked have the connection if they ever will;
@@ -77,7 +81,7 @@
 }
 
 /// Reads who holds which end of a connection.
-fn holders(names: &HashMap<u32, String>) -> HashMap<Ends, Option<String>> {
+fn holders(names: &HashMap<u32, String>) -> HashMap<Ends, Holder> {
     let sockets: HashMap<String, &String> = names
         .iter()
         .flat_map(|(id, name)| sockets(*id).into_iter().map(move |socket| (socket, name)))
@@ -88,7 +92,7 @@
         let ends = (columns.next()?.to_owned(), columns.next()?.to_owned());
         let inode = columns.nth(6)?;
         let name = sockets.get(&format!("socket:[{inode}]"));
-        Some((ends, name.map(|name| (*name).clone())))
+        Some((ends, Holder(name.map(|name| (*name).clone()))))
     };
     table.lines().filter_map(holder).collect()
 }
