fix(tests): share only lists whose reading began after the question

Cause: partitions of whole-system tests leaked when many connections opened at once. The kernel's lists were stamped when their reading ended, so that a question asked while they were read trusted lists that could lack its connection; and holders were read before connections, so that one opened in between had none. Six tests failed on it, all on connections that passed a cut. Change: stamp at the beginning; connections first, holders after.

--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -35,7 +35,7 @@
     names: HashMap<u32, String>,
     /// Who holds the first end.
     holders: HashMap<Ends, Holder>,
-    /// When `holders` was read.
+    /// When the reading of `holders` began.
     read: Option<Instant>,
 }
 
@@ -61,11 +61,11 @@
     fn holder(&self, ends: &Ends) -> Option<Holder> {
         let asked = Instant::now();
         let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        // Lists that were read after the question was asked have the connection if they ever will;
-        // those who waited for the lock meanwhile share them.
+        // Lists whose reading began after the question was asked have the connection if they ever
+        // will; those who waited for the lock meanwhile share them.
         if table.read.is_none_or(|read| read < asked) {
-            table.holders = holders(&table.names);
             table.read = Some(Instant::now());
+            table.holders = holders(&table.names);
         }
         table.holders.get(ends).cloned()
     }
@@ -81,12 +81,15 @@
 }
 
 /// Reads who holds which end of a connection.
+///
+/// The connections come first: the other way round, one opened between the two readings would have
+/// no holder.
 fn holders(names: &HashMap<u32, String>) -> HashMap<Ends, Holder> {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let sockets: HashMap<String, &String> = names
         .iter()
         .flat_map(|(id, name)| sockets(*id).into_iter().map(move |socket| (socket, name)))
         .collect();
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let holder = |line: &str| {
         let mut columns = line.split_ascii_whitespace().skip(1);
         let ends = (columns.next()?.to_owned(), columns.next()?.to_owned());
