fix(entry): ask everyone before serving while cut off

Cause: a starting instance tried its sources one after the other; behind a silent partition the dial of each control address took seconds, so it counted as cut off before it had asked a neighbour, and served under a lagging control replica's configuration. Change: a survey asks all control instances and live neighbours at once, and only a survey that began after membership had time to find them lets a cut-off instance settle.

--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{
+    choice::Source,
     confirm::Gathered,
     kept::{self, Kept},
 };
@@ -48,7 +49,9 @@
     held: Arc<State>,
     source: Option<Alive>,
     settled: bool,
-    cut_off_at: Instant,
+    started: Instant,
+    cut_off: Duration,
+    surveyed: bool,
     force: Force,
     gathered: Gathered,
     presented: Vec<Member>,
@@ -95,7 +98,9 @@
             held,
             source: None,
             settled: false,
-            cut_off_at: Instant::now() + settings.follow.cut_off,
+            started: Instant::now(),
+            cut_off: settings.follow.cut_off,
+            surveyed: false,
             force: Force {
                 kept,
                 ..Force::default()
@@ -110,7 +115,7 @@
         self.feed.subscribe()
     }
 
-    fn take(&mut self, message: follow::Message, control: bool) -> Taken {
+    fn take(&mut self, message: follow::Message, source: Option<Source>) -> Taken {
         match message {
             follow::Message::Snapshot(state) => {
                 if state.revision > self.held.revision {
@@ -125,8 +130,8 @@
                 revision,
                 connected,
             } => {
-                self.source = Some(Alive {
-                    control,
+                self.source = source.map(|source| Alive {
+                    control: source.is_control(),
                     revision,
                     connected,
                 });
@@ -169,11 +174,17 @@
         self.source.as_ref().is_some_and(current)
     }
 
-    /// Puts the configuration in force, once it is safe to do so.
+    /// Tells whether this instance may serve under what it holds.
     ///
-    /// A restarted instance may hold less than its last run had in force. It asks control, or when
-    /// that can't be reached everyone else, before it serves; otherwise what was accepted would
-    /// revert here.
+    /// A restarted instance may hold less than its last run had in force. It waits until it is
+    /// connected to control, or until it counts as cut off and everyone has been asked; otherwise
+    /// what was accepted would revert here.
+    fn settles(&self, connected: bool) -> bool {
+        let cut_off = self.started.elapsed() >= self.cut_off && self.surveyed;
+        connected || (cut_off && self.held.revision > 0)
+    }
+
+    /// Puts the configuration in force, once it is safe to do so.
     fn enforce(&mut self, context: &mut Context<Self>) {
         let connected = self.is_connected();
         let direct = self.source.is_some_and(|source| source.control);
@@ -184,7 +195,7 @@
             feed.connect(connected && direct);
             changed
         });
-        if !self.settled && (connected || Instant::now() >= self.cut_off_at) {
+        if !self.settled && self.settles(connected) {
             self.settled = true;
             tracing::info!(event = "settled", revision = self.held.revision, connected);
         }
@@ -294,8 +305,8 @@
 pub struct Took {
     /// The message.
     pub message: follow::Message,
-    /// Whether the source is a control instance.
-    pub control: bool,
+    /// Whom this instance follows and who sent it; `None` for an answer to a survey.
+    pub source: Option<Source>,
 }
 
 /// What came of a message.
@@ -313,7 +324,7 @@
     type Result = MessageResult<Took>;
 
     fn handle(&mut self, took: Took, context: &mut Context<Self>) -> Self::Result {
-        let taken = self.take(took.message, took.control);
+        let taken = self.take(took.message, took.source);
         if taken == Taken::Misfit {
             self.held = Arc::default();
         }
@@ -322,6 +333,39 @@
     }
 }
 
+/// Asks for the revision that is held.
+#[derive(Debug, Message)]
+#[rtype(result = "id::Revision")]
+pub struct Held;
+
+impl Handler<Held> for Follower {
+    type Result = MessageResult<Held>;
+
+    fn handle(&mut self, _: Held, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.held.revision)
+    }
+}
+
+/// Everyone who was known to be alive has been asked; the answer tells whether that is enough.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub struct Surveyed {
+    /// When the survey began.
+    pub began: Instant,
+}
+
+impl Handler<Surveyed> for Follower {
+    type Result = bool;
+
+    fn handle(&mut self, survey: Surveyed, context: &mut Context<Self>) -> bool {
+        // Membership needs some heartbeats to find the neighbours; a survey from before that has
+        // asked nobody.
+        self.surveyed |= survey.began >= self.started + self.cut_off / 2;
+        self.enforce(context);
+        self.settled
+    }
+}
+
 /// The link to the source is gone.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/crates/zinniastall-entry/src/follow/choice.rs
+++ b/crates/zinniastall-entry/src/follow/choice.rs
@@ -70,15 +70,14 @@
         }
     }
 
-    /// Returns all live entry instances, for a start while control can't be reached.
-    pub fn everyone(&self) -> Vec<Source> {
+    /// Returns all control instances and all live entry instances.
+    pub fn all(&self) -> Vec<Source> {
         let others = self
             .peers
             .values()
             .filter(|peer| peer.instance != *self.instance);
-        others
-            .map(|peer| Source::Entry(peer.links.clone()))
-            .collect()
+        let entries = others.map(|peer| Source::Entry(peer.links.clone()));
+        self.control().into_iter().chain(entries).collect()
     }
 
     fn control(&self) -> Vec<Source> {
--- a/crates/zinniastall-entry/src/follow/mod.rs
+++ b/crates/zinniastall-entry/src/follow/mod.rs
@@ -1,8 +1,9 @@
 //! Follows the control log: takes configuration in, confirms it, passes it on as a relay.
 //!
 //! [`upstream`] keeps one link to a source open: a control instance, a relay of the zone, or
-//! whoever else can be reached when these can't. [`choice`] decides the order. [`actor`] takes in
-//! what arrives, never stepping back, and puts it in force; [`kept`] holds the last configuration
+//! whoever else can be reached when these can't. [`choice`] decides the order. At the start
+//! [`survey`] asks everyone, so that nothing older is put in force than what can be found.
+//! [`actor`] takes in what arrives, never stepping back, and puts it in force; [`kept`] holds the last configuration
 //! on disk for a restart while cut off; [`confirm`] gathers confirmations for the way back.
 
 pub mod actor;
@@ -10,6 +11,7 @@
 pub mod confirm;
 pub mod kept;
 pub mod settings;
+mod survey;
 mod upstream;
 
 use actix::{Actor, Addr};
@@ -40,10 +42,18 @@
     let follower = Follower::new(settings, identity.clone(), board.clone(), publisher);
     let feed = follower.feed();
     let follower = follower.start();
+    let control: Vec<String> = settings.control.iter().map(ToString::to_string).collect();
+    let survey = survey::Survey {
+        identity: identity.clone(),
+        board: board.clone(),
+        control: control.clone(),
+        follower: follower.clone(),
+    };
+    actix::spawn(survey.run());
     let upstream = upstream::Upstream {
         identity,
         board,
-        control: settings.control.iter().map(ToString::to_string).collect(),
+        control,
         follower: follower.clone(),
     };
     actix::spawn(upstream.run());
--- /dev/null
+++ b/crates/zinniastall-entry/src/follow/survey.rs
@@ -0,0 +1,122 @@
+//! Asks everyone for configuration, while a starting instance does not know what is in force.
+//!
+//! An instance that starts while control cannot be reached could find a lagging control replica, or
+//! its own old file, and serve under it although a neighbour holds later changes: what was accepted
+//! would revert here. So everyone who is alive is asked, all at once, since those behind a silent
+//! partition take long to be given up.
+
+use std::time::Duration;
+
+use actix::Addr;
+use futures_util::future::join_all;
+use tokio::time;
+use zinniastall_wire::{
+    feed,
+    follow::Message,
+    hello::Purpose,
+    link::{Error, Link},
+};
+
+use super::{
+    actor::{Follower, Held, Surveyed, Took},
+    choice::{Choice, Source},
+};
+use crate::{links::Identity, view::Board};
+
+/// Longest time that one instance is given to answer.
+const ANSWER: Duration = Duration::from_secs(2);
+/// Time between two surveys.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Asks everyone until the instance has settled.
+#[derive(Debug)]
+pub(super) struct Survey {
+    pub(super) identity: Identity,
+    pub(super) board: Board,
+    pub(super) control: Vec<String>,
+    pub(super) follower: Addr<Follower>,
+}
+
+impl Survey {
+    pub(super) async fn run(self) {
+        loop {
+            let began = std::time::Instant::now();
+            join_all(self.sources().iter().map(|source| self.ask(source))).await;
+            let settled = self.follower.send(Surveyed { began }).await;
+            if settled.unwrap_or(true) {
+                return;
+            }
+            time::sleep(PAUSE).await;
+        }
+    }
+
+    fn sources(&self) -> Vec<Source> {
+        let view = self.board.view();
+        let choice = Choice {
+            instance: &view.instance,
+            place: &view.place,
+            peers: &view.peers,
+            control: &self.control,
+        };
+        choice.all()
+    }
+
+    async fn ask(&self, source: &Source) {
+        // Who does not answer in time has been asked as well as can be.
+        let asked = time::timeout(ANSWER, self.fetch(source)).await;
+        if let Ok(Err(error)) = asked {
+            let address = source.address();
+            tracing::debug!(event = "survey-failed", address, error = %error);
+        }
+    }
+
+    async fn fetch(&self, source: &Source) -> Result<(), Error> {
+        let link = self
+            .identity
+            .dial(source.address(), Purpose::Follow)
+            .await?;
+        let Some(link) = same_cluster(&self.identity, link) else {
+            return Err(Error::Handshake);
+        };
+        let (mut sender, mut receiver) = link.split();
+        let from = Message::From {
+            revision: self.held().await?,
+            member: None,
+        };
+        feed::send(&mut sender, from).await?;
+        loop {
+            let message = feed::receive(&mut receiver).await?;
+            if let Message::Alive { revision, .. } = message {
+                if revision <= self.held().await? {
+                    return Ok(());
+                }
+                continue;
+            }
+            let took = Took {
+                message,
+                source: None,
+            };
+            self.follower.send(took).await.map_err(|_| Error::Closed)?;
+        }
+    }
+
+    async fn held(&self) -> Result<u64, Error> {
+        self.follower.send(Held).await.map_err(|_| Error::Closed)
+    }
+}
+
+/// Takes note of the cluster, or refuses a link into another one.
+pub(super) fn same_cluster(identity: &Identity, link: Link) -> Option<Link> {
+    let cluster = link.peer().cluster.clone();
+    match (identity.cluster(), cluster) {
+        (Some(own), Some(other)) if own != other => {
+            tracing::error!(event = "cluster-differs", peer = link.peer().instance);
+            None
+        }
+        (None, Some(cluster)) => {
+            identity.join(cluster);
+            Some(link)
+        }
+        _ => Some(link),
+    }
+}
--- a/crates/zinniastall-entry/src/follow/upstream.rs
+++ b/crates/zinniastall-entry/src/follow/upstream.rs
@@ -15,6 +15,7 @@
 use super::{
     actor::{Follower, Lost, Report, Taken, Took},
     choice::{Choice, Source},
+    survey::same_cluster,
 };
 use crate::{links::Identity, view::Board};
 
@@ -91,7 +92,7 @@
         let choice = self.choice(&view);
         let mut sources = choice.sources();
         if !view.connected {
-            sources.extend(choice.everyone());
+            sources.extend(choice.all());
         }
         let unique: indexmap::IndexSet<Source> = sources.into_iter().collect();
         unique.into_iter().collect()
@@ -111,16 +112,7 @@
         let link = time::timeout(feed::SILENCE, dialled)
             .await
             .map_err(|_| Error::Closed)??;
-        let cluster = link.peer().cluster.clone();
-        match (self.identity.cluster(), cluster) {
-            (Some(own), Some(other)) if own != other => {
-                tracing::error!(event = "cluster-differs", address = source.address());
-                return Err(Error::Handshake);
-            }
-            (None, Some(cluster)) => self.identity.join(cluster),
-            _ => {}
-        }
-        Ok(link)
+        same_cluster(&self.identity, link).ok_or(Error::Handshake)
     }
 
     async fn follow(&self, link: Link, source: &Source) -> Ended {
@@ -145,8 +137,11 @@
                 }
             };
             pace.hear(&message);
-            let control = source.is_control();
-            let taken = self.follower.send(Took { message, control }).await;
+            let took = Took {
+                message,
+                source: Some(source.clone()),
+            };
+            let taken = self.follower.send(took).await;
             match taken {
                 Ok(Taken::Fine) => {}
                 Ok(Taken::Gap | Taken::Misfit) => pace.fresh = true,
