--- /dev/null
+++ b/crates/zinniastall-ctl/tests/command_line.rs
@@ -0,0 +1,55 @@
+//! The command line: what it understands and what it refuses.
+
+use zinniastall_ctl::{
+    arguments::{Action, Error},
+    call::Call,
+    input,
+};
+
+fn parse(line: &str) -> Result<Action, Error> {
+    Action::parse(line.split(' ').map(Into::into))
+}
+
+macro_rules! understood {
+    ($($name:ident: $line:literal => $call:pat,)*) => {
+        $(#[test]
+        fn $name() {
+            let Ok(Action::Run(order)) = parse(concat!("--address 127.0.0.1:1 ", $line)) else {
+                panic!("not understood: {}", $line);
+            };
+            assert!(matches!(order.call, $call), "{order:?}");
+            assert!(!order.command.id.is_empty());
+        })*
+    };
+}
+
+understood! {
+    bootstrap: "bootstrap" => Call::Bootstrap,
+    apply: r#"apply {"client":{"id":"korrigan"}}"# => Call::Apply(_),
+    get: "get model m" => Call::Get(..),
+    watch: "watch client route --after 3 --count 1" => Call::Watch(_),
+    local_status: "--local status" => Call::Status { local: true },
+    admit: "replica admit 00ff 127.0.0.1:2" => Call::Replica(_),
+    retire: "retire patras-a-1" => Call::Retire(_),
+}
+
+macro_rules! refused {
+    ($($name:ident: $line:literal => $error:pat,)*) => {
+        $(#[test]
+        fn $name() {
+            let error = parse($line).unwrap_err();
+            assert!(matches!(error, $error), "{error:?}");
+        })*
+    };
+}
+
+refused! {
+    no_address: "status" => Error::Address,
+    no_such_call: "--address a:1 frobnicate" => Error::Call(_),
+    no_such_kind: "--address a:1 list cats" => Error::Kind(_),
+    left_over: "--address a:1 status now" => Error::Left(_),
+    resend_without_revision: "--address a:1 --command c1 delete model m" => Error::Expected,
+    admit_without_address: "--address a:1 replica admit 00ff" => Error::Argument(_),
+    misspelt_field: r#"--address a:1 apply {"client":{"idd":"x"}}"# => Error::Object(input::Fault::Unknown(_)),
+    no_object: r#"--address a:1 apply {}"# => Error::Object(input::Fault::Kind),
+}
