--- /dev/null
+++ b/crates/zinniastall-entry/examples/slopes/case.rs
@@ -0,0 +1,232 @@
+//! One case: so many zones, instances, targets and models, and what they cost.
+
+use std::{
+    str::FromStr,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use zinniastall_entry::spread::settings::Spread;
+use zinniastall_model::place::Place;
+
+use crate::{node::Node, usage};
+
+/// Zones in a region, as at the target size: 67 in 23.
+const ZONES_A_REGION: usize = 3;
+/// Longest wait for all instances to know each other.
+const PATIENCE: Duration = Duration::from_mins(1);
+/// Time after that until figures are taken, and over which they are taken.
+const SETTLE: Duration = Duration::from_secs(4);
+const SPAN: Duration = Duration::from_secs(10);
+
+/// The cases of a whole measurement.
+pub(crate) const ALL: [&str; 15] = [
+    "zone=3",
+    "zone=9",
+    "zone=25",
+    "zone=50",
+    "zone=5,targets=50",
+    "zone=5,targets=150",
+    "zone=5,targets=300",
+    "zone=5,targets=150,prefixes=2",
+    "zones=3,zone=3,targets=3,models=4",
+    "zones=9,zone=3,targets=3,models=4",
+    "zones=30,zone=3,targets=3,models=4",
+    "zones=9,zone=3,targets=3,models=28",
+    "zones=30,zone=3,targets=3,models=28",
+    "zone=25,targets=150,prefixes=2,models=4,budget=17000",
+    "zones=6,zone=25,targets=150,prefixes=2,models=4,budget=17000",
+];
+
+/// What runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Case {
+    /// Zones.
+    pub(crate) zones: usize,
+    /// Instances a zone.
+    pub(crate) zone: usize,
+    /// Targets a zone; each announces once a second.
+    pub(crate) targets: usize,
+    /// Models that each target serves.
+    pub(crate) models: usize,
+    /// New prefixes a target and second.
+    pub(crate) prefixes: u64,
+    /// Bytes a second that an instance may send.
+    pub(crate) budget: u32,
+}
+
+/// What it costs, a node.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Figures {
+    /// Bytes of frames sent a second, mean over the instances.
+    pub(crate) sent: f64,
+    /// The same of the instance that sends most.
+    pub(crate) most: f64,
+    /// Frames sent a second.
+    pub(crate) messages: f64,
+    /// Share of a core, in per cent.
+    pub(crate) processor: f64,
+    /// Resident memory, in kilobytes.
+    pub(crate) memory: f64,
+    /// Time until all knew all, in seconds.
+    pub(crate) converged: f64,
+}
+
+impl FromStr for Case {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<Self> {
+        let mut case = Self {
+            zones: 1,
+            zone: 3,
+            targets: 0,
+            models: 1,
+            prefixes: 0,
+            budget: 10_000_000,
+        };
+        for part in text.split(',') {
+            match part.split_once('=') {
+                Some(("zones", number)) => case.zones = number.parse()?,
+                Some(("zone", number)) => case.zone = number.parse()?,
+                Some(("targets", number)) => case.targets = number.parse()?,
+                Some(("models", number)) => case.models = number.parse()?,
+                Some(("prefixes", number)) => case.prefixes = number.parse()?,
+                Some(("budget", number)) => case.budget = number.parse()?,
+                _ => eyre::bail!("{part} is no part of a case"),
+            }
+        }
+        Ok(case)
+    }
+}
+
+impl Case {
+    /// Runs the case.
+    pub(crate) fn run(self) -> eyre::Result<Figures> {
+        actix::System::new().block_on(self.measure())
+    }
+
+    async fn measure(self) -> eyre::Result<Figures> {
+        let empty = usage::memory();
+        let nodes = self.start().await?;
+        let started = Instant::now();
+        let mut round = 0;
+        while !self.converged(&nodes) {
+            eyre::ensure!(started.elapsed() < PATIENCE, "not converged");
+            self.announce(&nodes, &mut round).await;
+        }
+        let converged = started.elapsed();
+        self.go_on(&nodes, &mut round, SETTLE).await;
+        let (counts, processor, at) = (counts(&nodes), usage::processor(), Instant::now());
+        self.go_on(&nodes, &mut round, SPAN).await;
+        let span = at.elapsed().as_secs_f64();
+        let used = usage::processor().saturating_sub(processor).as_secs_f64();
+        let after = self::counts(&nodes);
+        let sent = |index: usize| after[index].0 - counts[index].0;
+        let messages: f64 = (0..nodes.len())
+            .map(|index| after[index].1 - counts[index].1)
+            .sum();
+        let number = float(nodes.len());
+        Ok(Figures {
+            sent: (0..nodes.len()).map(sent).sum::<f64>() / span / number,
+            most: (0..nodes.len()).map(sent).fold(0.0, f64::max) / span,
+            messages: messages / span / number,
+            processor: used / span / number * 100.0,
+            memory: float64(usage::memory().saturating_sub(empty)) / number / 1_024.0,
+            converged: converged.as_secs_f64(),
+        })
+    }
+
+    async fn start(self) -> eyre::Result<Vec<Node>> {
+        let mut nodes: Vec<Node> = Vec::new();
+        let mut firsts: Vec<String> = Vec::new();
+        for zone in 0..self.zones {
+            let region = format!("region-{}", zone / ZONES_A_REGION);
+            let place = Place::new(region, format!("zone-{zone}"));
+            let mut own: Vec<String> = Vec::new();
+            for number in 0..self.zone {
+                let name = format!("entry-{zone}-{number}");
+                let seeds = own.iter().chain(firsts.first()).cloned().collect();
+                let node = Node::start(&name, place.clone(), seeds, self.settings()).await?;
+                if own.len() < 2 {
+                    own.push(node.links());
+                }
+                nodes.push(node);
+            }
+            firsts.extend(own.into_iter().next());
+        }
+        Ok(nodes)
+    }
+
+    const fn settings(self) -> Spread {
+        Spread {
+            period: Duration::from_millis(500),
+            floor: Duration::from_millis(1_500),
+            ceiling: Duration::from_secs(6),
+            lease: Duration::from_secs(3),
+            digest: Duration::from_secs(2),
+            bytes_per_second: self.budget,
+        }
+    }
+
+    fn converged(self, nodes: &[Node]) -> bool {
+        let facts = if self.targets == 0 {
+            0
+        } else {
+            self.models * (self.zones - 1)
+        };
+        nodes.iter().all(|node| {
+            let view = node.board.view();
+            let near = view.peers.values().filter(|peer| peer.place == node.place);
+            near.count() == self.zone
+                && view.targets.len() == self.targets
+                && view.digests.len() == facts
+        })
+    }
+
+    /// Announces all targets once, spread over a second.
+    async fn announce(self, nodes: &[Node], round: &mut u64) {
+        const STEPS: usize = 10;
+        *round += 1;
+        for step in 0..STEPS {
+            for zone in nodes.chunks(self.zone) {
+                for target in (step..self.targets).step_by(STEPS) {
+                    let node = &zone[target % self.zone];
+                    node.announce(target, *round, self.models, self.prefixes);
+                }
+            }
+            tokio::time::sleep(Duration::from_secs(1) / 10).await;
+        }
+    }
+
+    async fn go_on(self, nodes: &[Node], round: &mut u64, time: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < time {
+            self.announce(nodes, round).await;
+        }
+    }
+}
+
+/// Returns bytes and messages sent so far, by node.
+fn counts(nodes: &[Node]) -> Vec<(f64, f64)> {
+    let count = |node: &Node| {
+        let count = node.count();
+        (float64(count.sent_bytes), float64(count.sent_messages))
+    };
+    nodes.iter().map(count).collect()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of one run are far below 2^52"
+)]
+const fn float64(number: u64) -> f64 {
+    number as f64
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of one run are far below 2^52"
+)]
+const fn float(number: usize) -> f64 {
+    number as f64
+}
--- /dev/null
+++ b/crates/zinniastall-entry/examples/slopes/main.rs
@@ -0,0 +1,71 @@
+//! Measures what membership, spread and configuration cost, and writes the tables of
+//! `docs/CAPACITY.md`.
+//!
+//! `cargo run --release -p zinniastall-entry --example slopes` runs every case in a process of its
+//! own, so that one case's memory does not count for the next, and prints the tables;
+//! `-- --write docs/CAPACITY.md` puts them into the page. `-- --case zone=25,targets=150` runs one
+//! case and prints its figures as JSON.
+
+mod case;
+mod node;
+mod page;
+mod state;
+mod usage;
+
+use std::{path::PathBuf, process::Command};
+
+use lexopt::prelude::*;
+
+use case::{Case, Figures};
+
+fn main() -> eyre::Result<()> {
+    let mut arguments = lexopt::Parser::from_env();
+    let mut write = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("case") => {
+                let case: Case = arguments.value()?.parse()?;
+                println!("{}", serde_json::to_string(&case.run()?)?);
+                return Ok(());
+            }
+            Long("state") => {
+                println!("{}", serde_json::to_string(&state::measure())?);
+                return Ok(());
+            }
+            Long("write") => write = Some(PathBuf::from(arguments.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let measured = page::Measured {
+        state: serde_json::from_str(&own(&["--state"])?)?,
+        rows: case::ALL
+            .iter()
+            .map(|case| measure(case))
+            .collect::<eyre::Result<_>>()?,
+    };
+    let tables = page::tables(&measured);
+    println!("{tables}");
+    if let Some(path) = write {
+        page::replace(&path, &tables)?;
+    }
+    Ok(())
+}
+
+fn measure(case: &str) -> eyre::Result<(Case, Figures)> {
+    let output = own(&["--case", case])?;
+    eprintln!("{case}: {}", output.trim());
+    Ok((case.parse()?, serde_json::from_str(&output)?))
+}
+
+/// Runs this program in a process of its own and returns what it prints.
+fn own(arguments: &[&str]) -> eyre::Result<String> {
+    let output = Command::new(std::env::current_exe()?)
+        .args(arguments)
+        .output()?;
+    eyre::ensure!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    Ok(String::from_utf8(output.stdout)?)
+}
