--- a/crates/zinniastall-store/src/store.rs
+++ b/crates/zinniastall-store/src/store.rs
@@ -171,6 +171,8 @@
             self.join(ready.cluster)?;
         }
         if let Some(snapshot) = &ready.install {
+            // Entries staged before belong to the log that ends here, not to the one behind it.
+            self.sync()?;
             self.install(snapshot)?;
         }
         self.append(ready.append.iter().cloned());
@@ -207,12 +209,14 @@
         Ok(())
     }
 
-    /// Stores a snapshot of applied state, then drops segments that it covers.
+    /// Syncs what is staged, stores a snapshot of applied state, and drops segments that it covers.
     ///
     /// # Errors
     ///
     /// As [`save`](Self::save).
     pub fn snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Fault> {
+        // The snapshot may cover staged entries that replace others, which it must not outrun.
+        self.sync()?;
         self.guarded(|store| {
             snapshot::save(&store.folder, snapshot)?;
             store.journal.compact(&store.folder, snapshot.last.index)
--- a/crates/zinniastall-store/src/tail.rs
+++ b/crates/zinniastall-store/src/tail.rs
@@ -27,8 +27,8 @@
     /// Returns the lowest place behind which the batch puts anything.
     pub(crate) fn floor(&self) -> Index {
         let reset = self.reset.map(|base| base.index);
-        let first = self.entries.first().map(|entry| entry.index - 1);
-        reset.into_iter().chain(first).min().unwrap_or(Index::MAX)
+        let before = self.entries.iter().map(|entry| entry.index - 1);
+        before.chain(reset).min().unwrap_or(Index::MAX)
     }
 }
 
--- a/crates/zinniastall-store/tests/store.rs
+++ b/crates/zinniastall-store/tests/store.rs
@@ -308,6 +308,7 @@
     |folder| {
         let (mut store, _) = Store::open_with(folder.path(), SMALL).unwrap();
         for index in 21..=60 {
+            store.append([entry_in(1, index)]);
             store.append((15..=index).map(|index| entry_in(index, index)));
             store.sync().unwrap();
             store
@@ -420,10 +421,10 @@
                     .collect();
                 self.entries.retain(|entry| entry.index < from);
                 self.entries.extend(append.iter().cloned());
-                store.save(&Ready {
-                    append,
-                    ..Ready::default()
-                })
+                {
+                    store.append(append);
+                    Ok(())
+                }
             }
             Step::Hard(term) => {
                 self.hard = Hard {
@@ -489,6 +490,7 @@
         for step in steps {
             model.take(&step, &mut store).unwrap();
             if matches!(step, Step::Reopen) {
+                store.sync().unwrap();
                 drop(store);
                 let opened = Store::open_with(folder.path(), SMALL).unwrap();
                 store = opened.0;
