--- a/crates/zinniastall-coord/tests/group/main.rs
+++ b/crates/zinniastall-coord/tests/group/main.rs
@@ -30,6 +30,8 @@
     Cut(usize, usize),
     Isolate(usize),
     Mute(usize),
+    SlowLink(usize, usize, u64),
+    SlowDisk(usize, u64),
     Heal,
     Compact(usize),
     Transfer,
@@ -44,6 +46,9 @@
         (place.clone(), 0..5_usize).prop_map(|(from, to)| Fault::Cut(from, to)),
         place.clone().prop_map(Fault::Isolate),
         place.clone().prop_map(Fault::Mute),
+        (place.clone(), 0..5_usize, 0..800_u64)
+            .prop_map(|(from, to, span)| Fault::SlowLink(from, to, span)),
+        (place.clone(), 0..800_u64).prop_map(|(place, span)| Fault::SlowDisk(place, span)),
         Just(Fault::Heal),
         Just(Fault::Heal),
         place.prop_map(Fault::Compact),
@@ -75,7 +80,15 @@
         Fault::Mute(place) => net
             .cuts
             .extend((0..size).map(|other| (place % size, other))),
-        Fault::Heal => net.cuts.clear(),
+        Fault::SlowLink(from, to, span) => {
+            let span = Duration::from_millis(span);
+            net.slow.insert((from % size, to % size), span);
+        }
+        Fault::SlowDisk(place, span) => {
+            net.slow_disks
+                .insert(place % size, Duration::from_millis(span));
+        }
+        Fault::Heal => net.mend(),
         Fault::Compact(place) => net.nodes[place % size].compact(),
         Fault::Transfer => {
             if let Some(place) = net.leader() {
@@ -86,7 +99,7 @@
 }
 
 fn heal(net: &mut Net) {
-    net.cuts.clear();
+    net.mend();
     net.weather = CALM;
     net.until("the group is whole", Net::is_whole);
     let goal = net.committed.len();
--- a/crates/zinniastall-coord/tests/group/net.rs
+++ b/crates/zinniastall-coord/tests/group/net.rs
@@ -218,6 +218,13 @@
         }
     }
 
+    /// Mends all links and disks.
+    pub(crate) fn mend(&mut self) {
+        self.cuts.clear();
+        self.slow.clear();
+        self.slow_disks.clear();
+    }
+
     pub(crate) fn isolate(&mut self, place: usize) {
         for other in 0..self.nodes.len() {
             self.cuts.extend([(place, other), (other, place)]);
