--- a/crates/zinniastall-store/tests/store.rs
+++ b/crates/zinniastall-store/tests/store.rs
@@ -308,6 +308,7 @@
     |folder| {
         let (mut store, _) = Store::open_with(folder.path(), SMALL).unwrap();
         for index in 21..=60 {
+            store.append([entry_in(1, index)]);
             store.append((15..=index).map(|index| entry_in(index, index)));
             store.sync().unwrap();
             store
@@ -371,6 +372,17 @@
     assert_eq!(store.syncs(), 1);
 });
 
+// The disk refuses a write. What it holds is not known any more, and a later success must not be
+// taken for a promise that the earlier bytes are there.
+case!(a_failed_write_is_the_last, SMALL, |folder| {
+    let (mut store, _) = Store::open_with(folder.path(), SMALL).unwrap();
+    fs::remove_dir_all(folder.path()).unwrap();
+    let failed = store.snapshot(&snapshot(10));
+    assert!(matches!(failed, Err(Fault::Io { .. })), "{failed:?}");
+    store.append([entry(21)]);
+    assert!(matches!(store.sync(), Err(Fault::Failed)));
+});
+
 #[derive(Debug, Clone)]
 enum Step {
     Append(u64, u64),
@@ -420,10 +432,10 @@
                     .collect();
                 self.entries.retain(|entry| entry.index < from);
                 self.entries.extend(append.iter().cloned());
-                store.save(&Ready {
-                    append,
-                    ..Ready::default()
-                })
+                {
+                    store.append(append);
+                    Ok(())
+                }
             }
             Step::Hard(term) => {
                 self.hard = Hard {
@@ -489,6 +501,7 @@
         for step in steps {
             model.take(&step, &mut store).unwrap();
             if matches!(step, Step::Reopen) {
+                store.sync().unwrap();
                 drop(store);
                 let opened = Store::open_with(folder.path(), SMALL).unwrap();
                 store = opened.0;
