--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -83,6 +83,7 @@
         let count = audit[name].as_u64().unwrap_or_default();
         usize::try_from(count).unwrap_or(usize::MAX)
     };
+    println!("soak: errors {}", all["errors"]);
     let ledger: usize = ["wrong", "invented", "ran_anyway", "doubled"]
         .map(of)
         .iter()
