--- a/crates/zinniastall-ctl/tests/command_line.rs
+++ b/crates/zinniastall-ctl/tests/command_line.rs
@@ -51,5 +51,5 @@
     resend_without_revision: "--address a:1 --command c1 delete model m" => Error::Expected,
     admit_without_address: "--address a:1 replica admit 00ff" => Error::Argument(_),
     misspelt_field: r#"--address a:1 apply {"client":{"idd":"x"}}"# => Error::Object(input::Fault::Unknown(_)),
-    no_object: r#"--address a:1 apply {}"# => Error::Object(input::Fault::Kind),
+    no_object: "--address a:1 apply {}" => Error::Object(input::Fault::Kind),
 }
