--- a/crates/zinniastall-coord/src/replica/progress.rs
+++ b/crates/zinniastall-coord/src/replica/progress.rs
@@ -65,6 +65,8 @@
     offset: u64,
     wait: Duration,
     again_at: Instant,
+    /// Whether the chunk was sent again.
+    again: bool,
 }
 
 impl Progress {
@@ -169,8 +171,8 @@
         let Mode::Install(install) = &mut self.mode else {
             return None;
         };
-        let moved = install.snapshot.last.index == last && received != install.offset;
-        moved.then(|| install.at(received, source))
+        let current = install.snapshot.last.index == last && install.is_news(received);
+        current.then(|| install.at(received, source))
     }
 
     fn previous(&self, source: &Source<'_>) -> Option<Position> {
@@ -204,6 +206,7 @@
             offset: 0,
             wait,
             again_at: source.now,
+            again: false,
         };
         let body = install.at(0, source);
         self.mode = Mode::Install(install);
@@ -234,9 +237,19 @@
         self.offset = offset;
         self.wait = source.timing.election;
         self.again_at = source.now + self.wait;
+        self.again = false;
         self.chunk(source)
     }
 
+    /// Tells whether an answer calls for another chunk.
+    ///
+    /// A doubled or late answer names a place that was passed. It counts only after the chunk was
+    /// sent again, as when the follower restarted and lost what it had; otherwise each doubled
+    /// answer would bring about a chunk, whose answer is doubled in turn, without end.
+    const fn is_news(&self, received: u64) -> bool {
+        received > self.offset || (self.again && received < self.offset)
+    }
+
     /// Returns the same chunk again when it is overdue, else an empty message.
     ///
     /// The wait doubles each time: a follower on a slow link that can't keep up would otherwise be
@@ -247,6 +260,7 @@
         }
         self.wait = (self.wait * 2).min(source.timing.election * LONGEST_WAIT);
         self.again_at = source.now + self.wait;
+        self.again = true;
         self.chunk(source)
     }
 
--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -226,6 +226,22 @@
     net.run(ELECTION * 4);
 });
 
+// The same on a link that doubles most messages. Each doubled answer must not bring about a chunk of
+// its own, whose answer is doubled again: the link would carry nothing else.
+case!(doubled_answers_start_no_storm, 3, |net| {
+    let (leader, others) = net.parts();
+    net.crash(others[0], ELECTION * 20);
+    net.run(ELECTION * 19);
+    net.nodes[leader].compact();
+    net.weather.doubled = 0.9;
+    net.weather.delay = 200;
+    for _ in 0..800 {
+        net.step();
+        let messages = net.packets.len();
+        assert!(messages < 400, "{messages} messages on their way");
+    }
+});
+
 // The leader's disk is slower than the followers' disks, which make a majority without it. They
 // apply a change before the leader does, and a read from the leader would miss it.
 case!(a_leader_with_a_slow_disk_answers_nothing_stale, 3, |net| {
