--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -139,6 +139,7 @@
 // The power fails everywhere at once, a moment after operators were told that their changes are
 // accepted. What was promised before it was synced would be gone on all disks.
 case!(a_power_cut_everywhere_loses_nothing_accepted, 3, |net| {
+    net.weather.sync = 100;
     for _ in 0..5 {
         net.run(ELECTION * 2);
         for place in 0..3 {
