feat(coord): tell a replica that it was removed while it was away

It asked for pre-votes for ever and its operator saw a follower waiting for a leader. Whoever holds a committed set without it says so when it asks; it stops asking, and its status says removed. A later set that admits it again outranks that.

--- a/crates/zinniastall-coord/src/replica.rs
+++ b/crates/zinniastall-coord/src/replica.rs
@@ -81,6 +81,7 @@
     role: Role,
     leader: Option<Id>,
     heard: Instant,
+    removed_at: Index,
     campaign_at: Instant,
     pending: Ready,
 }
@@ -193,6 +194,7 @@
             voters: self.history.current().clone(),
             voters_index: self.history.index(),
             peers: self.peers(now),
+            removed: self.is_removed(),
             lease_until: self.lease(now).map(|lease| lease.until),
         }
     }
--- a/crates/zinniastall-coord/src/replica/builder.rs
+++ b/crates/zinniastall-coord/src/replica/builder.rs
@@ -126,6 +126,7 @@
             role: Role::Follower(Follower::default()),
             leader: None,
             heard: now,
+            removed_at: 0,
             campaign_at: now + self.timing.campaign(&mut rng),
             rng,
             pending: Ready::default(),
--- a/crates/zinniastall-coord/src/replica/campaign.rs
+++ b/crates/zinniastall-coord/src/replica/campaign.rs
@@ -4,7 +4,7 @@
 
 use super::inbox::Vote;
 use super::message::Body;
-use super::{Hard, Id, Replica, Role, Term};
+use super::{Hard, Id, Index, Replica, Role, Term};
 use crate::election::{Ballot, Count};
 use crate::log::Position;
 
@@ -16,7 +16,7 @@
     /// would see commands fail each time a link heals.
     pub(super) fn ask_pre_votes(&mut self, now: Instant) {
         self.wait(now);
-        if !self.history.current().is_voter(self.id) {
+        if !self.history.current().is_voter(self.id) || self.is_removed() {
             return;
         }
         self.leader = None;
@@ -31,6 +31,10 @@
     }
 
     pub(super) fn pre_vote_asked(&mut self, from: Id, term: Term, last: Position, now: Instant) {
+        if let Some(index) = self.history.removed(from, self.commit) {
+            self.send(from, Body::Removed { index });
+            return;
+        }
         let granted =
             term >= self.hard.term && !self.is_bound(now) && last.covers(&self.log.last());
         self.send(
@@ -129,6 +133,19 @@
         leads || now < self.heard + self.timing.election
     }
 
+    /// Notes that a committed set has removed this replica.
+    ///
+    /// A replica that was away when it was removed is sent nothing more. It would ask for pre-votes
+    /// for ever, and its operator would see a follower that waits for a leader.
+    pub(super) fn removal_told(&mut self, index: Index) {
+        self.removed_at = self.removed_at.max(index);
+    }
+
+    /// Tells whether this replica was removed after the latest set that it holds.
+    pub(super) fn is_removed(&self) -> bool {
+        self.removed_at > self.history.index()
+    }
+
     fn other_voters(&self) -> Vec<Id> {
         let voters = self.history.current().voters.keys();
         voters.copied().filter(|id| *id != self.id).collect()
--- a/crates/zinniastall-coord/src/replica/history.rs
+++ b/crates/zinniastall-coord/src/replica/history.rs
@@ -3,7 +3,7 @@
 //! A set is in force from the moment it is appended, not once it is committed; a set that is cut
 //! from the log gives way to the one before it.
 
-use super::Index;
+use super::{Id, Index};
 use crate::log::{Entry, Payload};
 use crate::voters::Voters;
 
@@ -35,6 +35,12 @@
         held.map_or(&self.none, |(_, voters)| voters)
     }
 
+    /// Returns the place of the committed set if it has members and a replica is none of them.
+    pub(super) fn removed(&self, id: Id, commit: Index) -> Option<Index> {
+        let (index, voters) = self.sets.iter().rev().find(|(at, _)| *at <= commit)?;
+        (!voters.voters.is_empty() && !voters.is_member(id)).then_some(*index)
+    }
+
     pub(super) fn note(&mut self, entry: &Entry) {
         if let Payload::Voters(voters) = &entry.payload {
             self.sets.push((entry.index, voters.clone()));
--- a/crates/zinniastall-coord/src/replica/inbox.rs
+++ b/crates/zinniastall-coord/src/replica/inbox.rs
@@ -35,6 +35,7 @@
                     now,
                 );
             }
+            Body::Removed { index } => self.removal_told(index),
             body => self.receive_in_term(from, term, body, now),
         }
     }
@@ -75,7 +76,10 @@
             }
             Body::VoteAnswer { granted } => self.vote_answered(from, granted, now),
             Body::Transfer => self.transfer_received(from, now),
-            Body::PreVote { .. } | Body::PreVoteAnswer { .. } | Body::Vote { .. } => {}
+            Body::PreVote { .. }
+            | Body::PreVoteAnswer { .. }
+            | Body::Vote { .. }
+            | Body::Removed { .. } => {}
         }
     }
 
--- a/crates/zinniastall-coord/src/replica/message.rs
+++ b/crates/zinniastall-coord/src/replica/message.rs
@@ -72,6 +72,11 @@
     },
     /// Asks the receiver to campaign at once; the sender has stopped leading.
     Transfer,
+    /// Answers [`Body::PreVote`] of a replica that a committed set of voters has removed.
+    Removed {
+        /// Place of that set.
+        index: Index,
+    },
 }
 
 /// Entries that follow a place in the log.
--- a/crates/zinniastall-coord/src/replica/status.rs
+++ b/crates/zinniastall-coord/src/replica/status.rs
@@ -56,6 +56,8 @@
     pub voters_index: Index,
     /// The other members, on a leader only.
     pub peers: IndexMap<Id, Peer>,
+    /// Whether this replica was told that it has been removed: its folder may be cleared.
+    pub removed: bool,
     /// First instant at which a leader's lease no longer holds.
     pub lease_until: Option<Instant>,
 }
--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -4,6 +4,7 @@
 
 use zinniastall_coord::Replica;
 use zinniastall_coord::replica::{Body, Part};
+use zinniastall_coord::voters::Change;
 
 use crate::net::Net;
 use crate::node::ELECTION;
@@ -206,6 +207,29 @@
     assert_eq!(net.leader(), None);
 });
 
+// A replica is removed while it is away and returns. Nobody sends to it any more; its operator must
+// be able to see that it was removed, and it must stop asking for votes. Admitted again, it serves.
+case!(a_replica_removed_while_away_is_told, 3, |net| {
+    let (leader, others) = net.parts();
+    let id = net.nodes[others[0]].id;
+    net.operated = false;
+    net.isolate(others[0]);
+    net.run(ELECTION * 2);
+    let removed = net.call(leader, |replica, now| {
+        replica.propose_voters(&Change::Remove { id }, now)
+    });
+    assert!(removed.is_ok(), "{removed:?}");
+    net.run(ELECTION);
+    net.cuts.clear();
+    net.run(ELECTION * 4);
+    assert!(net.status(others[0]).is_some_and(|status| status.removed));
+    for _ in 0..400 {
+        net.step();
+        assert!(!asks(&net, others[0]));
+    }
+    net.operated = true;
+});
+
 // The leader's own disk is lost. The instance comes back as another replica that nobody counts on
 // until it has caught up.
 case!(the_leaders_disk_is_lost, 5, |net| {
