feat(coord): promote no learner that has fallen silent

It only raised the majority: after the promotion one more voter had to answer for each commit. Without the check a_silent_learner_is_not_promoted gets Ok((3, 5)).

--- a/crates/zinniastall-coord/src/replica/proposal.rs
+++ b/crates/zinniastall-coord/src/replica/proposal.rs
@@ -75,7 +75,7 @@
         }
         let voters = self.history.current().after(change)?;
         if let Change::Promote { id } = change {
-            self.check_caught_up(*id)?;
+            self.check_caught_up(*id, now)?;
         }
         self.check_reachable(change, &voters, now)?;
         self.meet(&voters);
@@ -155,7 +155,8 @@
         }
     }
 
-    fn check_caught_up(&self, id: Id) -> Result<(), Refusal> {
+    /// Checks that a learner would make the group safer as a voter, and not only larger.
+    fn check_caught_up(&self, id: Id, now: Instant) -> Result<(), Refusal> {
         let progress = self.leading()?.peers.get(&id);
         let matched = progress.map_or(0, |progress| progress.matched);
         if matched + self.limits.lag < self.commit || matched == 0 {
@@ -164,6 +165,9 @@
                 commit: self.commit,
             });
         }
+        if !progress.is_some_and(|progress| progress.is_reachable(&self.timing, now)) {
+            return Err(Refusal::Silent { id });
+        }
         Ok(())
     }
 
--- a/crates/zinniastall-coord/src/replica/refusal.rs
+++ b/crates/zinniastall-coord/src/replica/refusal.rs
@@ -53,6 +53,12 @@
         /// Last committed entry.
         commit: Index,
     },
+    /// The learner has not been heard for an election timeout.
+    #[error("learner {id} does not answer")]
+    Silent {
+        /// The learner.
+        id: Id,
+    },
     /// The set after the change would have no majority that answers.
     #[error("only {reachable} voters of the new set answer, {needed} are needed")]
     Unreachable {
--- a/crates/zinniastall-coord/tests/replica.rs
+++ b/crates/zinniastall-coord/tests/replica.rs
@@ -267,6 +267,34 @@
     }
 );
 
+// A learner caught up and then fell silent. As a voter it would only raise the majority.
+case!(
+    a_silent_learner_is_not_promoted,
+    Bench::elected(),
+    |bench| {
+        bench.acknowledge(3);
+        bench
+            .change(&Change::Admit {
+                id: 4,
+                address: "4".into(),
+            })
+            .unwrap();
+        bench.acknowledge(4);
+        let outcome = Outcome::Accepted { matched: 4 };
+        bench.hear(4, 3, Body::AppendAnswer { round: 1, outcome });
+        for _ in 0..2 {
+            bench.wait(Duration::from_millis(300));
+            bench.acknowledge(4);
+        }
+        assert_eq!(
+            bench.change(&Change::Promote { id: 4 }),
+            Err(Refusal::Silent { id: 4 })
+        );
+        bench.hear(4, 3, Body::AppendAnswer { round: 1, outcome });
+        assert_eq!(bench.change(&Change::Promote { id: 4 }), Ok((3, 5)));
+    }
+);
+
 case!(proposals_are_bounded, Bench::elected(), |bench| {
     let large = bench.replica.propose(vec![0; 101], bench.now);
     assert_eq!(
