--- a/crates/zinniastall-coord/tests/replica.rs
+++ b/crates/zinniastall-coord/tests/replica.rs
@@ -285,6 +285,7 @@
         for _ in 0..2 {
             bench.wait(Duration::from_millis(300));
             bench.acknowledge(4);
+            bench.hear(3, 3, Body::AppendAnswer { round: 1, outcome });
         }
         assert_eq!(
             bench.change(&Change::Promote { id: 4 }),
