--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -115,8 +115,7 @@
     fn tick(&mut self, context: &Context<Self>) {
         let now = Instant::now();
         self.begin(now);
-        self.beat();
-        self.send_loads(now);
+        self.beat(now);
         self.sweep(now);
         self.publish_peers(now);
         self.speak(now);
@@ -155,14 +154,21 @@
         count("gossip.waiting.facts", self.digests.waiting() as u64);
     }
 
-    fn beat(&mut self) {
+    fn beat(&mut self, now: Instant) {
         let view = self.around.board.view();
-        for (line, instance, _) in self.lines.peers() {
+        let loads = self.loads(now);
+        let zone = self.around.identity.place().clone();
+        for (line, instance, place) in self.lines.peers() {
             let heartbeat = Heartbeat {
                 beat: self.roster.beat(&instance),
                 revision: view.state.as_ref().map_or(0, |state| state.revision),
                 draining: view.draining,
                 load: self.around.board.load(),
+                loads: if place == zone {
+                    loads.clone()
+                } else {
+                    Vec::new()
+                },
             };
             self.lines.send(line, gossip::Message::Heartbeat(heartbeat));
         }
@@ -204,11 +210,13 @@
             return;
         };
         match message {
-            gossip::Message::Heartbeat(heartbeat) => self.hear(line, &peer, &heartbeat, now),
+            gossip::Message::Heartbeat(heartbeat) => {
+                self.hear(line, &peer, &heartbeat, now);
+                self.renew(&place, &heartbeat.loads, now);
+            }
             gossip::Message::Stale(remembered) => self.raise(remembered),
             gossip::Message::Peers(peers) => self.meet(&peer, peers, now),
             gossip::Message::Targets(reports) => self.take(&place, reports, now),
-            gossip::Message::Loads(loads) => self.renew(&place, &loads, now),
             gossip::Message::News(news) => self.passing |= self.digests.take(line, news, now),
         }
     }
--- a/crates/zinniastall-entry/src/spread/zone.rs
+++ b/crates/zinniastall-entry/src/spread/zone.rs
@@ -78,13 +78,10 @@
         }
     }
 
-    /// Sends the renewals of the last period to the zone.
-    pub(super) fn send_loads(&mut self, now: Instant) {
+    /// Takes the renewals of the last period, for all of the zone.
+    pub(super) fn loads(&mut self, now: Instant) -> Vec<Load> {
         let bytes = self.bucket.available(now) / (self.lines.count().max(1) as u64);
-        let loads = self.renewals.take(&self.targets, bytes, now);
-        if !loads.is_empty() {
-            self.tell_zone(&gossip::Message::Loads(loads));
-        }
+        self.renewals.take(&self.targets, bytes, now)
     }
 
     /// Spreads a target's whole report at once and publishes it.
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -19,8 +19,6 @@
     Peers(Vec<Peer>),
     /// Targets of the sender's zone, whole; inside the zone only.
     Targets(Vec<Target>),
-    /// Renewals of targets that were sent whole before; inside the zone only.
-    Loads(Vec<Load>),
     /// What zones say of themselves; between zones and regions.
     News(News),
 }
@@ -40,6 +38,10 @@
     /// The sender's requests in progress over what it can take, in thousandths.
     #[serde(rename = "l", default)]
     pub load: u32,
+    /// Renewals of targets that were sent whole before; inside the zone only. They travel with the
+    /// heartbeat because a message of its own costs more in headers than in content.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<Load>,
 }
 
 /// An entry instance as another one sees it.
