--- /dev/null
+++ b/crates/zinniastall-entry/tests/spread.rs
@@ -0,0 +1,368 @@
+//! Targets' table, address book, atlas and bounds; and a restart with the clock set back.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix::{Actor, Addr};
+use indexmap::IndexMap;
+use serde_json::json;
+use zinniastall_entry::{
+    links::{self, Acceptors, Addresses, Identity},
+    publish::Publisher,
+    spread::{
+        Gossip,
+        actor::{Spread, Surroundings},
+        atlas::Atlas,
+        book::Book,
+        messages::Stop,
+        renewals::{Renewals, grown},
+        settings,
+    },
+    targets::{
+        body::Announce,
+        problem::Problem,
+        table::{Table, Taken},
+    },
+    view::{Board, View},
+};
+use zinniastall_model::{object::Subject, place::Place};
+use zinniastall_settings::metrics::Hub;
+use zinniastall_wire::{
+    gossip::{Peer, Serving, Target},
+    hello::Purpose,
+    link,
+};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn target(name: &str, incarnation: u64, sequence: u64) -> Target {
+    Target {
+        target: name.to_owned(),
+        incarnation,
+        sequence,
+        place: Place::new("athens", "a"),
+        address: "127.0.0.1:9".to_owned(),
+        kind: "standin".to_owned(),
+        role: "both".to_owned(),
+        serves: vec![Serving {
+            subject: Subject::Model("map-labels".to_owned()),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+        }],
+        slots: 8,
+        busy: 0,
+        price: 1.0,
+        leaving: false,
+        left_ms: 3_000,
+        prefixes: Vec::new(),
+        gap: false,
+    }
+}
+
+fn peer(name: &str, region: &str, zone: &str) -> Peer {
+    Peer {
+        instance: name.to_owned(),
+        incarnation: 1,
+        place: Place::new(region, zone),
+        links: format!("{name}:1"),
+        callers: format!("{name}:2"),
+        targets: format!("{name}:3"),
+        draining: false,
+        load: 0,
+        up_ms: 0,
+    }
+}
+
+// A target dies without a word. Its lease is all that tells, and it is judged by the clock of
+// whoever holds the report.
+#[test]
+fn lease_runs_out_on_the_holders_clock() {
+    let now = Instant::now();
+    let mut table = Table::new(LEASE);
+    let report = Target {
+        left_ms: 1_200,
+        ..target("engine", 1, 1)
+    };
+    assert_eq!(table.take(report, now), Ok(Taken::Kept));
+    assert_eq!(table.serving(now + seconds(1)).len(), 1);
+    assert_eq!(table.serving(now + seconds(2)).len(), 0);
+    assert!(
+        table.sweep(now, now + seconds(2)),
+        "the end of the lease went unnoticed"
+    );
+    table.sweep(now, now + seconds(60));
+    assert!(table.is_empty(), "residue");
+}
+
+// A report that claims a lease of an hour would keep a dead target for an hour.
+#[test]
+fn no_lease_is_longer_than_the_zones() {
+    let now = Instant::now();
+    let mut table = Table::new(LEASE);
+    let report = Target {
+        left_ms: 3_600_000,
+        ..target("engine", 1, 1)
+    };
+    assert_eq!(table.take(report, now), Ok(Taken::Kept));
+    assert_eq!(table.serving(now + seconds(4)).len(), 0);
+}
+
+// A renewal names its target by a tag. One that renews a report that isn't held, because the target
+// changed or has a new run, must not renew what is held instead.
+#[test]
+fn renewal_of_another_report_is_ignored() {
+    let now = Instant::now();
+    let (mut near, mut far) = (Table::new(LEASE), Table::new(LEASE));
+    assert_eq!(near.take(target("engine", 1, 1), now), Ok(Taken::Kept));
+    assert_eq!(far.take(target("engine", 2, 1), now), Ok(Taken::Kept));
+    assert_eq!(near.take(target("engine", 1, 2), now), Ok(Taken::Load));
+    let load = near.load("engine", Vec::new(), now).unwrap();
+    assert_eq!(far.renew(&load, now + seconds(2)), None);
+    assert_eq!(far.serving(now + seconds(4)).len(), 0);
+}
+
+// Whoever may announce could invent names without end.
+#[test]
+fn table_is_bounded() {
+    let now = Instant::now();
+    let mut table = Table::new(LEASE);
+    for number in 0..4_096 {
+        assert_eq!(
+            table.take(target(&format!("engine-{number}"), 1, 1), now),
+            Ok(Taken::Kept)
+        );
+    }
+    assert_eq!(
+        table.take(target("one-more", 1, 1), now),
+        Err(Problem::Full)
+    );
+    assert_eq!(table.take(target("engine-7", 1, 2), now), Ok(Taken::Load));
+}
+
+// The byte budget is spent. Leases are still renewed; prefixes wait and go along later.
+#[test]
+fn prefixes_wait_for_the_budget_and_leases_do_not() {
+    let now = Instant::now();
+    let mut table = Table::new(LEASE);
+    let mut renewals = Renewals::default();
+    assert_eq!(table.take(target("engine", 1, 1), now), Ok(Taken::Kept));
+    renewals.add("engine", &[1, 2, 3]);
+    let loads = renewals.take(&table, 0, now);
+    assert_eq!((loads.len(), loads[0].added.len()), (1, 0));
+    let loads = renewals.take(&table, 18, now);
+    assert_eq!(loads[0].added, [1, 2]);
+    assert_eq!(renewals.take(&table, 1_000, now)[0].added, [3]);
+    assert!(renewals.take(&table, 1_000, now).is_empty());
+}
+
+macro_rules! growth {
+    ($($name:ident: $before:expr, $after:expr => $grown:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let with = |prefixes: &[u64]| Target { prefixes: prefixes.to_vec(), ..target("e", 1, 1) };
+            let expected: Option<&[u64]> = $grown;
+            assert_eq!(grown(&with(&$before), &with(&$after)), expected);
+        }
+    )*};
+}
+
+growth! {
+    nothing_new: [1, 2], [1, 2] => Some(&[]);
+    appended: [1, 2], [1, 2, 3] => Some(&[3]);
+    oldest_pushed_out: [1, 2, 3], [2, 3, 4] => Some(&[4]);
+    first_prefixes: [], [1, 2] => Some(&[1, 2]);
+    replaced: [1, 2], [3, 4] => None;
+    emptied: [1, 2], [] => None;
+}
+
+// An instance is gone for good. Dialled without pauses, its address would get an attempt from each
+// instance of the zone each half second, and after a partition all would dial at the same moment.
+#[test]
+fn attempts_to_dial_pause_longer_and_longer() {
+    let start = Instant::now();
+    let mut book = Book::new(
+        "entry-1".to_owned(),
+        ["seed:1".to_owned()].into_iter(),
+        start,
+    );
+    book.hearsay(peer("entry-2", "athens", "a"), start);
+    let (mut peers, mut seeds) = (0, 0);
+    for step in 0..60 {
+        let now = start + Duration::from_millis(500) * step;
+        peers += book.due(|_| true, now).len();
+        seeds += book.due_seeds(|_| false, now).len();
+    }
+    println!("in 30 s: {peers} attempts for a peer, {seeds} for a seed");
+    assert!(
+        (5..=20).contains(&peers) && (5..=20).contains(&seeds),
+        "{peers}, {seeds}"
+    );
+}
+
+// What a peer says of another may be old. It serves for an attempt to dial, and never for what is
+// told to callers.
+#[test]
+fn hearsay_is_no_word_of_the_peer_itself() {
+    let now = Instant::now();
+    let mut book = Book::new("entry-1".to_owned(), std::iter::empty(), now);
+    book.hearsay(peer("entry-2", "athens", "a"), now);
+    assert!(book.sworn("entry-2").is_none());
+    assert!(book.swear(peer("entry-2", "athens", "a"), now).is_none());
+    assert!(book.sworn("entry-2").is_some());
+    let heir = Peer {
+        links: "entry-2:1".to_owned(),
+        ..peer("entry-3", "athens", "a")
+    };
+    assert_eq!(book.swear(heir, now).as_deref(), Some("entry-2"));
+    assert!(book.sworn("entry-2").is_none(), "two owners of one address");
+}
+
+#[test]
+fn first_zone_of_a_region_speaks_to_other_regions() {
+    let now = Instant::now();
+    let doors = |zones: &[(&str, &str)]| -> Vec<(Place, Vec<Peer>)> {
+        let door = |(region, zone): &(&str, &str)| {
+            let name = |number| format!("{region}-{zone}-{number}");
+            let doors = [1, 2].map(|number| peer(&name(number), region, zone));
+            (Place::new(*region, *zone), doors.to_vec())
+        };
+        zones.iter().map(door).collect()
+    };
+    let wanted = |atlas: &Atlas, rank| -> Vec<String> {
+        let peers = atlas.wanted(rank, now);
+        peers.into_iter().map(|peer| peer.instance).collect()
+    };
+    let mut first = Atlas::new(Place::new("athens", "a"), now);
+    first.update(
+        doors(&[("athens", "b"), ("patras", "a"), ("patras", "b")]),
+        now,
+    );
+    assert_eq!(wanted(&first, 0), ["athens-b-1", "patras-a-1"]);
+    assert_eq!(wanted(&first, 1), ["athens-b-2", "patras-a-2"]);
+    let mut second = Atlas::new(Place::new("athens", "b"), now);
+    second.update(doors(&[("athens", "a"), ("patras", "a")]), now);
+    assert_eq!(wanted(&second, 0), ["athens-a-1"]);
+    // A region that nothing is heard of any more is tried by all speakers, at every zone of it.
+    second.update(doors(&[("athens", "a")]), now);
+    assert_eq!(wanted(&second, 0), ["athens-a-1", "patras-a-1"]);
+}
+
+macro_rules! refused {
+    ($($name:ident: $field:expr, $value:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut body = json!({
+                "target": "engine", "incarnation": 1, "sequence": 1, "address": "127.0.0.1:9",
+                "kind": "standin", "role": "both", "slots": 8, "busy": 0, "price": 1.0,
+                "serves": [{"model": "map-labels"}],
+            });
+            body[$field] = $value;
+            let announce: Announce = serde_json::from_value(body).unwrap();
+            let refused = announce.check(&Place::new("athens", "a"));
+            assert!(matches!(refused, Err(Problem::Field(_))), "{refused:?}");
+        }
+    )*};
+}
+
+refused! {
+    empty_name: "target", json!("");
+    long_name: "target", json!("x".repeat(65));
+    control_characters: "role", json!("a\nb");
+    no_slots: "slots", json!(0);
+    too_many_slots: "slots", json!(70_000);
+    negative_price: "price", json!(-1.0);
+    nothing_served: "serves", json!([]);
+    model_and_service: "serves", json!([{"model": "a", "service": "b"}]);
+    too_many_models: "serves", json!(vec![json!({"model": "a"}); 65]);
+    malformed_prefix: "cache", json!({"prefixes": ["xyz"]});
+}
+
+/// Starts an instance's membership on the calling arbiter.
+async fn instance(
+    name: &str,
+    incarnation: u64,
+    seeds: Vec<String>,
+) -> (Board, Identity, Addr<Spread>) {
+    let place = Place::new("athens", "a");
+    let listener = link::listen("127.0.0.1:0").await.unwrap();
+    let links = listener.local_addr().unwrap().to_string();
+    let addresses = Addresses {
+        callers: links.clone(),
+        targets: links.clone(),
+        links,
+    };
+    let identity = Identity::new(name.to_owned(), incarnation, place.clone(), addresses);
+    let board = Board::new(View {
+        instance: name.to_owned(),
+        incarnation,
+        place,
+        state: None,
+        connected: false,
+        draining: false,
+        peers: Arc::default(),
+        targets: Arc::default(),
+        digests: Arc::default(),
+    });
+    let around = Surroundings {
+        identity: identity.clone(),
+        board: board.clone(),
+        publisher: Publisher::new(board.clone()).start(),
+        recorder: Hub::start("test", None).unwrap().recorder(),
+    };
+    let settings = settings::Spread {
+        period: Duration::from_millis(50),
+        floor: Duration::from_millis(500),
+        ceiling: Duration::from_secs(2),
+        lease: LEASE,
+        digest: Duration::from_millis(500),
+        bytes_per_second: 100_000,
+    };
+    let spread = Spread::new(settings, seeds.into_iter(), around).start();
+    let acceptors = Acceptors::new(identity.clone());
+    let acceptors = acceptors.owner(Purpose::Gossip, Gossip(spread.clone()));
+    actix::spawn(links::serve(listener, acceptors));
+    (board, identity, spread)
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < seconds(20), "{what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn run(board: &Board, name: &str) -> Option<u64> {
+    let view = board.view();
+    let peers: &IndexMap<_, _> = &view.peers;
+    peers.get(name).map(|peer| peer.incarnation)
+}
+
+// An instance restarts on a machine whose clock went back. Its run has a lower number than the one
+// that its peers remember, so they take all that it says for late: it would never serve again.
+#[actix_rt::test]
+async fn restart_with_an_earlier_clock_takes_a_higher_run() {
+    let (peer, identity, _) = instance("entry-1", 5, Vec::new()).await;
+    let seeds = vec![identity.addresses().links.clone()];
+    let (_, _, former) = instance("entry-2", 100, seeds.clone()).await;
+    until("the former run is seen", || {
+        run(&peer, "entry-2") == Some(100)
+    })
+    .await;
+    former.send(Stop).await.unwrap();
+    let (restarted, _, _) = instance("entry-2", 40, seeds).await;
+    until("the restarted one is seen", || {
+        run(&peer, "entry-2") == Some(101)
+    })
+    .await;
+    until("its own view has the run", || {
+        restarted.view().incarnation == 101
+    })
+    .await;
+}
