--- a/crates/zinniastall-entry/tests/spread.rs
+++ b/crates/zinniastall-entry/tests/spread.rs
@@ -290,8 +290,8 @@
     seeds: Vec<String>,
 ) -> (Board, Identity, Addr<Spread>) {
     let place = Place::new("athens", "a");
-    let listener = link::listen("127.0.0.1:0").await.unwrap();
-    let links = listener.local_addr().unwrap().to_string();
+    let listener = link::listen("127.0.0.1:0").await.expect("a free port");
+    let links = listener.local_addr().expect("a bound socket").to_string();
     let addresses = Addresses {
         callers: links.clone(),
         targets: links.clone(),
@@ -313,7 +313,9 @@
         identity: identity.clone(),
         board: board.clone(),
         publisher: Publisher::new(board.clone()).start(),
-        recorder: Hub::start("test", None).unwrap().recorder(),
+        recorder: Hub::start("test", None)
+            .expect("no socket is needed")
+            .recorder(),
     };
     let settings = settings::Spread {
         period: Duration::from_millis(50),
