--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -18,8 +18,8 @@
 
 /// Longest time to connect.
 const CONNECT: Duration = Duration::from_secs(1);
-/// Longest time of one attempt, beside what the call itself waits.
-const ATTEMPT: Duration = Duration::from_secs(3);
+/// Shortest and longest time of one attempt, beside what the call itself waits.
+const ATTEMPT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(3));
 /// First wait after all addresses were tried in vain.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 /// Longest wait between rounds.
@@ -55,10 +55,14 @@
 impl Group {
     /// Creates a group; `wait` is what the call itself may take at the replica.
     pub fn new(addresses: Vec<String>, timeout: Duration, wait: Duration) -> Self {
+        // A frozen replica takes the connection and never answers. Each address gets its turn twice
+        // within the time, so that one such replica does not use all of it up.
+        let turns = u32::try_from(2 * addresses.len()).unwrap_or(u32::MAX);
+        let attempt = (timeout / turns.max(1)).clamp(ATTEMPT.0, ATTEMPT.1);
         Self {
             addresses,
             deadline: Instant::now() + timeout.max(wait),
-            attempt: ATTEMPT + wait,
+            attempt: attempt + wait,
         }
     }
 
