feat(control): orders to targets under lease, number and budget

Targets that do not hold what role objects say are reported by their zone's relays and ordered by the leader: always under its lease, to targets that ignore numbers only after the last lease and the longest send are over, each order once per report. Loads are paced by a budget that each leader starts empty.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -9,6 +9,7 @@
 mod entries;
 mod found;
 mod group;
+mod order;
 mod read;
 mod reply;
 mod status;
@@ -48,6 +49,7 @@
 use crate::{
     disk::{Disk, Done, Work},
     links::Card,
+    orders::Orders,
     peers::{self, Peers, Received},
     settings,
 };
@@ -74,6 +76,7 @@
     reads: Reads,
     confirmed: Confirmed,
     joining: IndexMap<String, Instant>,
+    orders: Option<Orders>,
     founding: bool,
     scheduled: bool,
     part: Part,
@@ -159,6 +162,7 @@
             reads: Reads::default(),
             confirmed: Confirmed::default(),
             joining: IndexMap::new(),
+            orders: None,
             founding: false,
             scheduled: false,
             part: Part::Follower,
@@ -251,13 +255,14 @@
         self.part = status.part;
     }
 
-    fn tick(&mut self, _: &mut Context<Self>) {
+    fn tick(&mut self, context: &mut Context<Self>) {
         let now = Instant::now();
         self.replica.tick(now);
         self.drive();
         self.waiting.expire(now);
         self.settle(now);
         self.pass_on_confirmations();
+        self.send_orders(now, context);
     }
 
     fn heartbeat(&self) -> Duration {
@@ -333,6 +338,7 @@
             peers::Message::Ping => drop(back.try_send(pong(own, frame.from))),
             peers::Message::Confirmed(list) => self.note_confirmed(list),
             peers::Message::Join(member) => self.join(member),
+            peers::Message::Astray(list) => self.note_astray(list),
             peers::Message::Log(message) if !self.founding => {
                 self.replica.receive(frame.from, *message, Instant::now());
             }
--- a/crates/zinniastall-control/src/control/entries.rs
+++ b/crates/zinniastall-control/src/control/entries.rs
@@ -9,7 +9,7 @@
     change::{Body, Change},
     member::Member,
 };
-use zinniastall_wire::follow::Confirmation;
+use zinniastall_wire::follow::{Astray, Confirmation};
 
 use super::Control;
 use crate::peers;
@@ -25,6 +25,8 @@
     Member(Member),
     /// Revisions are in force.
     Confirmed(Vec<Confirmation>),
+    /// Targets of its zone do not hold what the configuration says.
+    Astray(Vec<Astray>),
 }
 
 impl Handler<Heard> for Control {
@@ -34,6 +36,7 @@
         match heard {
             Heard::Member(member) => self.join(member),
             Heard::Confirmed(list) => self.note_confirmed(list),
+            Heard::Astray(list) => self.note_astray(list),
         }
         self.schedule(context);
     }
@@ -91,7 +94,7 @@
         }
     }
 
-    fn send_leader(&self, message: &peers::Message) {
+    pub(super) fn send_leader(&self, message: &peers::Message) {
         let status = self.replica.status(Instant::now());
         let Some(leader) = status.leader.filter(|leader| *leader != status.id) else {
             return;
--- /dev/null
+++ b/crates/zinniastall-control/src/control/order.rs
@@ -0,0 +1,145 @@
+//! Sends orders to targets while this replica leads.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use actix::{AsyncContext, Context, Handler, Message};
+use zinniastall_coord::replica::Part;
+use zinniastall_model::{header, id};
+use zinniastall_wire::follow::Astray;
+
+use super::Control;
+use crate::{
+    orders::{Dispatch, Orders},
+    peers,
+};
+
+/// Path of a target's interface for orders.
+const PATH: &str = "/v1/orders";
+/// Longest wait for an answer; a target may load weights before it answers.
+const ANSWER: Duration = Duration::from_mins(10);
+
+/// An order was answered, or no answer will come.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Ordered(id::Target);
+
+impl Handler<Ordered> for Control {
+    type Result = ();
+
+    fn handle(&mut self, ordered: Ordered, _: &mut Context<Self>) {
+        if let Some(orders) = &mut self.orders {
+            orders.answered(&ordered.0, Instant::now());
+        }
+    }
+}
+
+impl Control {
+    /// Notes targets that do not hold what they should, or passes them on to the leader.
+    pub(super) fn note_astray(&mut self, list: Vec<Astray>) {
+        if self.part != Part::Leader {
+            self.send_leader(&peers::Message::Astray(list));
+            return;
+        }
+        let now = Instant::now();
+        let rules = &self.settings.targets;
+        let orders = self
+            .orders
+            .get_or_insert_with(|| Orders::new(rules.clone(), now));
+        for astray in list {
+            orders.note(astray, now);
+        }
+    }
+
+    /// Sends what is due, or forgets all orders when this replica does not lead.
+    pub(super) fn send_orders(&mut self, now: Instant, context: &Context<Self>) {
+        if self.part != Part::Leader {
+            self.orders = None;
+            return;
+        }
+        let Some(lease) = self.replica.lease(now) else {
+            return;
+        };
+        let window = self.settings.timing.lease();
+        let state = self.machine.state();
+        let Some(orders) = &mut self.orders else {
+            return;
+        };
+        for dispatch in orders.due(state, lease, window, now) {
+            let (send, data) = (self.settings.targets.send, self.settings.data.clone());
+            let target = dispatch.astray.target.clone();
+            let control = context.address();
+            actix::spawn(async move {
+                post(dispatch, send, &data).await;
+                control.do_send(Ordered(target));
+            });
+        }
+    }
+}
+
+/// Sends one order. Nothing is done about a failure: the target is reported again if it still
+/// disagrees, and ordered again under a new number.
+async fn post(dispatch: Dispatch, send: Duration, data: &Path) {
+    let Dispatch {
+        astray,
+        order,
+        fence,
+        until,
+    } = dispatch;
+    // The last look before the write. A freeze after it cannot be noticed here: the target's own
+    // check of the number, or the repair that follows from its next report, mends what it does.
+    if Instant::now() >= until {
+        tracing::warn!(
+            event = "order-dropped",
+            target = astray.target,
+            reason = "lease"
+        );
+        return;
+    }
+    pause(data);
+    let connector = awc::Connector::new().timeout(send);
+    let client = awc::Client::builder()
+        .connector(connector)
+        .timeout(ANSWER)
+        .finish();
+    let number = fence.to_u64();
+    let answered = client
+        .post(format!("http://{}{PATH}", astray.address))
+        .insert_header((header::FENCE, number.to_string()))
+        .send_json(&order)
+        .await;
+    match answered {
+        Ok(answer) => {
+            let status = answer.status().as_u16();
+            tracing::info!(
+                event = "ordered",
+                target = astray.target,
+                fence = number,
+                status
+            );
+        }
+        Err(error) => {
+            let target = astray.target;
+            tracing::warn!(event = "order-failed", target, fence = number, error = %error);
+        }
+    }
+}
+
+/// Stops here while a file says so, in test builds only: a test freezes the process exactly
+/// between the look at the lease and the write, where a freeze does most harm.
+#[cfg(debug_assertions)]
+fn pause(data: &Path) {
+    let file = data.join("pause-order");
+    if !file.exists() {
+        return;
+    }
+    tracing::info!(event = "paused", point = "order");
+    while file.exists() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[cfg(not(debug_assertions))]
+const fn pause(_: &Path) {}
--- a/crates/zinniastall-control/src/lib.rs
+++ b/crates/zinniastall-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod disk;
 pub mod links;
+pub mod orders;
 pub mod peers;
 pub mod rpc;
 pub mod settings;
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -89,6 +89,7 @@
             match event {
                 Event::Member(member) => control.do_send(Heard::Member(member)),
                 Event::Confirmed(list) => control.do_send(Heard::Confirmed(list)),
+                Event::Astray(list) => control.do_send(Heard::Astray(list)),
                 // Operators ask control for its figures; on a link nobody does.
                 Event::Asked => {}
             }
--- a/crates/zinniastall-control/src/peers/message.rs
+++ b/crates/zinniastall-control/src/peers/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use zinniastall_coord::replica;
 use zinniastall_model::member::Member;
-use zinniastall_wire::follow::Confirmation;
+use zinniastall_wire::follow::{Astray, Confirmation};
 
 /// A message between control instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     Pong,
     /// To the leader: revisions in force at the sender's followers.
     Confirmed(Vec<Confirmation>),
+    /// To the leader: targets that do not hold what the configuration says.
+    Astray(Vec<Astray>),
     /// To the leader: an entry instance presented itself.
     Join(Member),
 }
--- a/crates/zinniastall-control/src/settings.rs
+++ b/crates/zinniastall-control/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use crate::orders::Rules;
 use zinniastall_coord::election::Timing;
 use zinniastall_model::{id, place::Place};
 use zinniastall_settings::{load::Settings, problem::Fault, reader::Reader};
@@ -27,6 +28,8 @@
     pub log: String,
     /// Times of the consensus; the same on all control instances.
     pub timing: Timing,
+    /// How targets are ordered.
+    pub targets: Rules,
     /// Bounds on memory and waiting.
     pub limits: Limits,
 }
@@ -88,6 +91,7 @@
                 .optional_name("log")
                 .unwrap_or_else(|| "info".to_owned()),
             timing: reader.nested("timing", read_timing),
+            targets: reader.nested("targets", read_targets),
             limits: reader.nested("limits", read_limits),
         }
     }
@@ -106,6 +110,15 @@
     timing
 }
 
+fn read_targets(reader: &mut Reader<'_>) -> Rules {
+    Rules {
+        checks: reader.names("checks"),
+        send: reader.millis("send_ms", 100..=60_000, 2_000),
+        loads_per_minute: reader.number("loads_per_minute", 1..=1_000_000, 60),
+        burst: reader.number("burst", 1..=100_000, 4),
+    }
+}
+
 fn read_limits(reader: &mut Reader<'_>) -> Limits {
     Limits {
         snapshot_entries: reader.number("snapshot_entries", 16..=1_000_000, 1_024),
--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{
+    astray,
     choice::Source,
     confirm::Gathered,
     kept::{self, Kept},
@@ -448,6 +449,12 @@
         if !list.is_empty() {
             messages.push(follow::Message::Confirm(list));
         }
+        if report.due && self.source.is_some_and(|source| source.control) {
+            let astray = astray::find(&self.held, &self.board.view());
+            if !astray.is_empty() {
+                messages.push(follow::Message::Astray(astray));
+            }
+        }
         MessageResult(messages)
     }
 }
--- /dev/null
+++ b/crates/zinniastall-entry/src/follow/astray.rs
@@ -0,0 +1,62 @@
+//! Targets of the zone that do not hold what the configuration says.
+
+use zinniastall_model::{
+    object::Subject,
+    order::{Holding, Order, Version},
+    state::State,
+};
+use zinniastall_wire::{follow::Astray, gossip};
+
+use crate::view::View;
+
+/// Most targets of one report; the others follow once these agree.
+const REPORTED: usize = 64;
+
+/// Compares what the zone's targets announce with what they should hold.
+pub(super) fn find(state: &State, view: &View) -> Vec<Astray> {
+    let astray = view.targets.values().filter_map(|target| {
+        let report = &target.report;
+        if !is_engine(report) {
+            return None;
+        }
+        let order = Order::of(state, &report.place, &report.target)?;
+        let holding = holding(report);
+        (!order.agrees(&holding)).then(|| Astray {
+            target: report.target.clone(),
+            incarnation: report.incarnation,
+            place: report.place.clone(),
+            address: report.address.clone(),
+            kind: report.kind.clone(),
+            holding,
+        })
+    });
+    astray.take(REPORTED).collect()
+}
+
+/// Plain services take no orders.
+fn is_engine(report: &gossip::Target) -> bool {
+    let service = |serving: &gossip::Serving| matches!(serving.subject, Subject::Service(_));
+    report.serves.is_empty() || !report.serves.iter().all(service)
+}
+
+fn holding(report: &gossip::Target) -> Holding {
+    let model = |serving: &gossip::Serving| match &serving.subject {
+        Subject::Model(id) => Some(Version {
+            id: id.clone(),
+            version: serving.version.clone(),
+        }),
+        Subject::Service(_) => None,
+    };
+    let mut adapters: Vec<String> = report
+        .serves
+        .iter()
+        .flat_map(|serving| serving.adapters.clone())
+        .collect();
+    adapters.sort_unstable();
+    adapters.dedup();
+    Holding {
+        role: report.role.clone(),
+        models: report.serves.iter().filter_map(model).collect(),
+        adapters,
+    }
+}
--- a/crates/zinniastall-entry/src/follow/mod.rs
+++ b/crates/zinniastall-entry/src/follow/mod.rs
@@ -7,6 +7,7 @@
 //! on disk for a restart while cut off; [`confirm`] gathers confirmations for the way back.
 
 pub mod actor;
+mod astray;
 pub mod choice;
 pub mod confirm;
 pub mod kept;
@@ -87,6 +88,8 @@
                 follower.do_send(Heard::Confirmed(list));
                 None
             }
+            // A relay's follower reports to the relay; only relays report to control.
+            Event::Astray(_) => None,
             Event::Asked => Some(Message::Figures(figures(&metrics))),
         };
         actix::spawn(async move {
--- a/crates/zinniastall-model/src/lib.rs
+++ b/crates/zinniastall-model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod member;
 pub mod narrow;
 pub mod object;
+pub mod order;
 pub mod place;
 pub mod reference;
 pub mod state;
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -7,7 +7,7 @@
 use zinniastall_model::{change::Change, id, member::Member, state::State};
 
 use crate::{
-    follow::{Confirmation, Message},
+    follow::{Astray, Confirmation, Message},
     frame::Frame,
     link::{Error, Link, Receiver, Sender},
 };
@@ -35,6 +35,8 @@
     Member(Member),
     /// Revisions are in force.
     Confirmed(Vec<Confirmation>),
+    /// Targets of its zone do not hold what the configuration says.
+    Astray(Vec<Astray>),
     /// It asks for figures; the answer is [`Message::Figures`].
     Asked,
 }
@@ -170,6 +172,7 @@
         Message::From { member, .. } => Ok(member.map(Event::Member)),
         Message::Present(member) => Ok(Some(Event::Member(member))),
         Message::Confirm(list) => Ok(Some(Event::Confirmed(list))),
+        Message::Astray(list) => Ok(Some(Event::Astray(list))),
         Message::Ask => Ok(Some(Event::Asked)),
         _ => Err(Error::Handshake),
     }
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -5,7 +5,9 @@
 //! one is recognised and dropped.
 
 use serde::{Deserialize, Serialize};
-use zinniastall_model::{change::Change, id, member::Member, state::State};
+use zinniastall_model::{
+    change::Change, id, member::Member, order::Holding, place::Place, state::State,
+};
 
 /// A message of a follow link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -34,12 +36,31 @@
     Confirm(Vec<Confirmation>),
     /// Relay: an instance presented itself that follows the relay.
     Present(Member),
+    /// Relay: targets of its zone that do not hold what the configuration says.
+    Astray(Vec<Astray>),
     /// Control, on a link that it dialled itself: send your figures.
     Ask,
     /// Entry instance: its histograms.
     Figures(Vec<Figure>),
 }
 
+/// A target that does not hold what the configuration says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Astray {
+    /// Target.
+    pub target: id::Target,
+    /// Its run.
+    pub incarnation: id::Incarnation,
+    /// Where it runs.
+    pub place: Place,
+    /// Address of its HTTP interface.
+    pub address: String,
+    /// Kind of target, which decides whether it checks fencing numbers.
+    pub kind: String,
+    /// What it says that it holds.
+    pub holding: Holding,
+}
+
 /// Summary of one histogram of an entry instance; values in microseconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Figure {
