--- a/crates/zinniastall-control/src/control/confirmed.rs
+++ b/crates/zinniastall-control/src/control/confirmed.rs
@@ -51,11 +51,12 @@
             .retain(|instance| state.members.contains_key(instance));
     }
 
-    /// Returns the members that have not confirmed a revision.
+    /// Returns the members that have not confirmed a revision; for revision 0, which is in force
+    /// everywhere from the start, there are none.
     pub fn missing(&self, state: &State, revision: id::Revision) -> Vec<id::Instance> {
         let confirmed = |instance: &id::Instance| {
             let word = self.words.get(instance);
-            word.is_some_and(|word| word.confirmation.revision >= revision)
+            revision == 0 || word.is_some_and(|word| word.confirmation.revision >= revision)
         };
         let mut members = state.members.keys();
         members
