--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of a control instance and waits for its end.
 
-use std::{cell::RefCell, process::ExitCode, rc::Rc, sync::Arc, time::SystemTime};
+use std::{cell::RefCell, process::ExitCode, rc::Rc, sync::Arc};
 
 use actix::{Addr, Context};
 use tokio::{
@@ -8,7 +8,11 @@
     sync::{oneshot, watch},
 };
 use zinniastall_model::state::State;
-use zinniastall_settings::{cli, log, metrics::Hub};
+use zinniastall_settings::{
+    cli, log,
+    metrics::Hub,
+    process::{incarnation, listening},
+};
 use zinniastall_store::Store;
 use zinniastall_wire::{
     feed::Feed,
@@ -115,15 +119,3 @@
             .to_string(),
     }))
 }
-
-/// Reports a bound address: with port 0 nobody could know it otherwise.
-fn listening(role: &str, address: std::net::SocketAddr) {
-    tracing::info!(event = "listening", role, address = %address);
-}
-
-/// Makes a number for this run that is higher than earlier ones as long as the clock was not set
-/// back; in milliseconds since the epoch.
-fn incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of an entry instance and waits for its end.
 
-use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::SystemTime};
+use std::{process::ExitCode, sync::Arc};
 
 use actix::Actor;
 use actix_web::{App, HttpServer};
@@ -8,7 +8,11 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
 };
-use zinniastall_settings::{cli, log, metrics::Hub};
+use zinniastall_settings::{
+    cli, log,
+    metrics::Hub,
+    process::{incarnation, listening},
+};
 use zinniastall_wire::{hello::Purpose, link};
 
 use crate::{
@@ -107,11 +111,6 @@
     Ok(())
 }
 
-/// Reports a bound address: with port 0 nobody could know it otherwise.
-fn listening(role: &str, address: SocketAddr) {
-    tracing::info!(event = "listening", role, address = %address);
-}
-
 /// Sockets of an instance, bound before anything is started: each part says its addresses to others.
 struct Sockets {
     callers: TcpListener,
@@ -161,10 +160,3 @@
         digests: Arc::default(),
     }
 }
-
-/// Makes a number for this run that is higher than earlier ones as long as the clock was not set
-/// back; in milliseconds since the epoch.
-fn incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/zinniastall-settings/src/lib.rs
+++ b/crates/zinniastall-settings/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod log;
 pub mod metrics;
 pub mod problem;
+pub mod process;
 pub mod reader;
