fix(coord): serve a follower again that lost what it had acknowledged

A bit flipped in the last record looks like a torn end, and the store cuts it. The leader went on from the place it believed in and took each refusal for a stale one: the new test failed with the follower standing still. A refusal of the very place acknowledged last, with nothing on its way, is believed now. What is committed doesn't move back by it.

--- a/crates/zinniastall-coord/src/replica/progress.rs
+++ b/crates/zinniastall-coord/src/replica/progress.rs
@@ -147,17 +147,28 @@
     }
 
     /// Notes a rejection; returns whether another probe is worth sending at once.
+    ///
+    /// A rejection of the very place that was acknowledged last means that the follower has lost
+    /// what it acknowledged, if nothing is on its way. It is then looked for again: a follower that
+    /// is believed to hold it would refuse every message from here on.
     pub(super) fn rejected(&mut self, previous: Index, hint: Position, log: &Log) -> bool {
+        let answers_last = previous + 1 == self.next;
         let current = match self.mode {
-            Mode::Probe => previous + 1 == self.next,
-            Mode::Stream(_) => previous > self.matched,
+            Mode::Probe => answers_last,
+            Mode::Stream(_) => answers_last || previous > self.matched,
             Mode::Install(_) => false,
         };
-        if !current || previous <= self.matched {
+        if !current || previous < self.matched || previous == 0 {
             return false;
         }
-        let equal = log.last_within(hint.index, hint.term).index;
-        self.probe(equal.min(previous - 1).max(self.matched) + 1);
+        let equal = log
+            .last_within(hint.index, hint.term)
+            .index
+            .min(previous - 1);
+        if previous == self.matched {
+            self.matched = equal;
+        }
+        self.probe(equal.max(self.matched) + 1);
         true
     }
 
--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -289,6 +289,25 @@
     }
 });
 
+// A bit flips in the last record of a follower's log, which looks like the torn end of a write, and
+// the store cuts what had been acknowledged. The leader believes that the follower holds it; unless it
+// looks again, the follower refuses every heartbeat and never catches up.
+case!(a_follower_that_lost_its_end_is_served_again, 3, |net| {
+    let (leader, others) = net.parts();
+    let term = net.leader_status().map(|status| status.term);
+    net.operated = false;
+    net.run(ELECTION);
+    net.crash(others[0], Duration::ZERO);
+    let entries = &mut net.nodes[others[0]].disk.entries;
+    entries.truncate(entries.len() - 2);
+    net.run(ELECTION * 4);
+    net.operated = true;
+    net.run(ELECTION);
+    assert_eq!(net.leader_status().map(|status| status.term), term);
+    let applied = |place: usize| net.nodes[place].applied.len();
+    assert!(applied(others[0]) + 20 > applied(leader));
+});
+
 // The leader's disk is slower than the followers' disks, which make a majority without it. They
 // apply a change before the leader does, and a read from the leader would miss it.
 case!(a_leader_with_a_slow_disk_answers_nothing_stale, 3, |net| {
