--- a/crates/zinniastall-coord/src/replica/leader.rs
+++ b/crates/zinniastall-coord/src/replica/leader.rs
@@ -212,12 +212,8 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let committed = self.log.slice(self.commit + 1, index, usize::MAX);
-        leader.waiting -= committed
-            .iter()
-            .map(Entry::size)
-            .sum::<usize>()
-            .min(leader.waiting);
+        let committed = self.log.bytes(self.commit + 1, index);
+        leader.waiting = leader.waiting.saturating_sub(committed);
         self.commit = index;
         self.beat(now);
         if self.history.index() <= index {
