fix(coord): remember rounds by time, so that a busy leader keeps its quorum

Each commit and each barrier opens a round, and the last 1,024 were remembered. Over a slow link more are opened than that before an answer is back; the answer then counted for nothing, and a leader that everybody follows stepped down: thousands_of_reads_cost_no_quorum failed with Follower for Leader. Rounds are remembered a sixteenth of a heartbeat apart now and dropped after an election timeout; one that isn't remembered counts as the one before it.

--- a/crates/zinniastall-coord/src/replica/leader.rs
+++ b/crates/zinniastall-coord/src/replica/leader.rs
@@ -6,10 +6,11 @@
 use super::message::{Body, Message, Outcome};
 use super::progress::{Peers, Progress, Source};
 use super::{Id, Index, Replica, Role};
+use crate::election::Timing;
 use crate::log::{Entry, Payload};
 
-/// Heartbeat rounds remembered; more than that are open only if barriers come without end.
-const ROUNDS: usize = 1024;
+/// Rounds remembered in the time of a heartbeat.
+const ROUNDS_PER_HEARTBEAT: u32 = 16;
 
 /// What a leader keeps beside the log.
 #[derive(Debug)]
@@ -31,12 +32,27 @@
 
 impl Leader {
     /// Opens a round: answers to messages sent from now on carry its number.
-    fn open_round(&mut self, now: Instant) {
+    ///
+    /// Each commit and each barrier opens one, thousands on a busy leader. Only so many are
+    /// remembered; one that isn't counts as opened with the last remembered before it, which makes a
+    /// lease shorter by a part of a heartbeat and never longer.
+    fn open_round(&mut self, timing: &Timing, now: Instant) {
         self.round += 1;
-        self.rounds.push_back((self.round, now));
-        if self.rounds.len() > ROUNDS {
+        let apart = timing.heartbeat / ROUNDS_PER_HEARTBEAT;
+        while self
+            .rounds
+            .front()
+            .is_some_and(|(_, opened)| *opened + timing.election < now)
+        {
             self.rounds.pop_front();
         }
+        if self
+            .rounds
+            .back()
+            .is_none_or(|(_, opened)| *opened + apart <= now)
+        {
+            self.rounds.push_back((self.round, now));
+        }
     }
 
     /// Notes that a member was heard, and from which round on it follows.
@@ -50,7 +66,7 @@
                 .rev()
                 .find(|(number, _)| *number <= round);
             progress.round = round;
-            progress.acked = opened.map(|(_, opened)| *opened);
+            progress.acked = opened.map(|(_, opened)| *opened).or(progress.acked);
         }
         Some(progress)
     }
@@ -95,7 +111,7 @@
     /// Opens a heartbeat round and sends to every member.
     pub(super) fn beat(&mut self, now: Instant) {
         if let Role::Leader(leader) = &mut self.role {
-            leader.open_round(now);
+            leader.open_round(&self.timing, now);
             leader.beat_at = now + self.timing.heartbeat;
         }
         self.send_next(None, now, Progress::heartbeat);
--- a/crates/zinniastall-coord/tests/replica.rs
+++ b/crates/zinniastall-coord/tests/replica.rs
@@ -296,6 +296,25 @@
     }
 );
 
+// Reads come by the thousand while a heartbeat is on its way over a slow link. The answer to it must
+// still count, or a busy leader that everybody follows would lose its quorum.
+case!(
+    thousands_of_reads_cost_no_quorum,
+    Bench::elected(),
+    |bench| {
+        bench.acknowledge(3);
+        bench.wait(Duration::from_millis(300));
+        let round = bench.round;
+        for _ in 0..3000 {
+            bench.replica.barrier(bench.now).unwrap();
+        }
+        let outcome = Outcome::Accepted { matched: 3 };
+        bench.hear(2, 3, Body::AppendAnswer { round, outcome });
+        bench.wait(Duration::from_millis(300));
+        assert_eq!(bench.replica.status(bench.now).part, Part::Leader);
+    }
+);
+
 case!(proposals_are_bounded, Bench::elected(), |bench| {
     let large = bench.replica.propose(vec![0; 101], bench.now);
     assert_eq!(
