--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -68,6 +68,8 @@
         .listen(sockets.callers.into_std()?)?;
     let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
         .workers(1)
+        .max_connections(targets::CONNECTIONS)
+        .client_request_timeout(settings.limits.arrival)
         .disable_signals()
         .listen(sockets.targets.into_std()?)?;
     let follow = follow::start(
--- a/crates/zinniastall-entry/src/targets/mod.rs
+++ b/crates/zinniastall-entry/src/targets/mod.rs
@@ -18,6 +18,9 @@
     problem::Problem,
 };
 
+/// Most connections of targets at once; a zone has a few hundred targets.
+pub const CONNECTIONS: usize = 4_096;
+
 /// A checked announcement on its way to the owner of the table.
 #[derive(Debug, Message)]
 #[rtype(result = "Result<Lease, Problem>")]
@@ -50,7 +53,8 @@
             .app_data(json)
             .app_data(web::Data::new(desk))
             .route("/v1/targets/announce", web::post().to(announce))
-            .route("/v1/targets/leave", web::post().to(leave));
+            .route("/v1/targets/leave", web::post().to(leave))
+            .default_service(web::to(unknown));
     }
 }
 
@@ -69,6 +73,10 @@
     Ok(HttpResponse::Ok().json(serde_json::json!({})))
 }
 
+async fn unknown() -> Result<HttpResponse, Problem> {
+    Err(Problem::Path)
+}
+
 fn busy(_: MailboxError) -> Problem {
     Problem::Busy
 }
--- a/crates/zinniastall-entry/src/targets/problem.rs
+++ b/crates/zinniastall-entry/src/targets/problem.rs
@@ -19,6 +19,9 @@
     /// The zone holds as many targets as it may.
     #[error("too many targets in this zone")]
     Full,
+    /// There is no such path.
+    #[error("no such path; see /v1/targets/announce and /v1/targets/leave, both POST")]
+    Path,
     /// The instance can't take announcements now.
     #[error("not ready; announce to another instance")]
     Busy,
@@ -32,6 +35,7 @@
             Self::Field(_) => "invalid",
             Self::Stale(_) => "stale-incarnation",
             Self::Full => "full",
+            Self::Path => "no-path",
             Self::Busy => "busy",
         }
     }
@@ -41,6 +45,7 @@
     fn status_code(&self) -> StatusCode {
         match self {
             Self::Body(_) | Self::Field(_) => StatusCode::BAD_REQUEST,
+            Self::Path => StatusCode::NOT_FOUND,
             Self::Stale(_) => StatusCode::CONFLICT,
             Self::Full | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
         }
