--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -4,6 +4,7 @@
 
 use zinniastall_coord::Replica;
 use zinniastall_coord::replica::{Body, Part};
+use zinniastall_coord::voters::Change;
 
 use crate::net::Net;
 use crate::node::ELECTION;
@@ -139,6 +140,7 @@
 // The power fails everywhere at once, a moment after operators were told that their changes are
 // accepted. What was promised before it was synced would be gone on all disks.
 case!(a_power_cut_everywhere_loses_nothing_accepted, 3, |net| {
+    net.weather.sync = 100;
     for _ in 0..5 {
         net.run(ELECTION * 2);
         for place in 0..3 {
@@ -205,6 +207,29 @@
     assert_eq!(net.leader(), None);
 });
 
+// A replica is removed while it is away and returns. Nobody sends to it any more; its operator must
+// be able to see that it was removed, and it must stop asking for votes. Admitted again, it serves.
+case!(a_replica_removed_while_away_is_told, 3, |net| {
+    let (leader, others) = net.parts();
+    let id = net.nodes[others[0]].id;
+    net.operated = false;
+    net.isolate(others[0]);
+    net.run(ELECTION * 2);
+    let removed = net.call(leader, |replica, now| {
+        replica.propose_voters(&Change::Remove { id }, now)
+    });
+    assert!(removed.is_ok(), "{removed:?}");
+    net.run(ELECTION);
+    net.cuts.clear();
+    net.run(ELECTION * 4);
+    assert!(net.status(others[0]).is_some_and(|status| status.removed));
+    for _ in 0..400 {
+        net.step();
+        assert!(!asks(&net, others[0]));
+    }
+    net.operated = true;
+});
+
 // The leader's own disk is lost. The instance comes back as another replica that nobody counts on
 // until it has caught up.
 case!(the_leaders_disk_is_lost, 5, |net| {
@@ -226,6 +251,44 @@
     net.run(ELECTION * 4);
 });
 
+// The leader is lost while it sends a snapshot, and its successor sends one of the same state, in
+// other bytes. A snapshot put together from both would be garbage that passes for the state.
+case!(a_snapshot_comes_from_one_leader, 3, |net| {
+    let (leader, others) = net.parts();
+    net.crash(others[0], ELECTION * 30);
+    net.run(ELECTION * 19);
+    net.operated = false;
+    net.run(ELECTION);
+    net.nodes[leader].compact();
+    net.nodes[others[1]].compact();
+    net.nodes[others[0]].away_until = net.time;
+    net.until("half of it has arrived", |net| {
+        net.is_on_its_way(
+            leader,
+            |body| matches!(body, Body::Chunk(chunk) if chunk.offset > chunk.total / 2),
+        )
+    });
+    net.crash(leader, ELECTION * 6);
+    net.run(ELECTION * 8);
+    net.operated = true;
+});
+
+// The same on a link that doubles most messages. Each doubled answer must not bring about a chunk of
+// its own, whose answer is doubled again: the link would carry nothing else.
+case!(doubled_answers_start_no_storm, 3, |net| {
+    let (leader, others) = net.parts();
+    net.crash(others[0], ELECTION * 20);
+    net.run(ELECTION * 19);
+    net.nodes[leader].compact();
+    net.weather.doubled = 0.9;
+    net.weather.delay = 200;
+    for _ in 0..800 {
+        net.step();
+        let messages = net.packets.len();
+        assert!(messages < 400, "{messages} messages on their way");
+    }
+});
+
 // The leader's disk is slower than the followers' disks, which make a majority without it. They
 // apply a change before the leader does, and a read from the leader would miss it.
 case!(a_leader_with_a_slow_disk_answers_nothing_stale, 3, |net| {
