--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -12,9 +12,7 @@
 use zinniastall_settings::metrics::Recorder;
 use zinniastall_wire::{
     gossip::{self, Heartbeat, Peer},
-    hello::Purpose,
     link::Link,
-    meter::Count,
 };
 
 use super::{
@@ -25,6 +23,7 @@
     messages::{Closed, Dialed, Linked, PassOn, PublishTargets, Received, Stop},
     renewals::Renewals,
     settings,
+    traffic::Traffic,
 };
 use crate::{
     links::Identity,
@@ -75,7 +74,7 @@
     pub(super) raises: u32,
     pub(super) started: Instant,
     swept: Instant,
-    counted: Count,
+    traffic: Traffic,
 }
 
 impl Spread {
@@ -106,7 +105,7 @@
             raises: 0,
             started: now,
             swept: now,
-            counted: Count::default(),
+            traffic: Traffic::default(),
             settings,
             around,
         }
@@ -138,20 +137,13 @@
 
     /// Charges what was sent since the last period to the budget and records it.
     fn charge(&mut self) {
-        let count = self.around.identity.meter(Purpose::Gossip).count();
-        let before = std::mem::replace(&mut self.counted, count);
-        let bytes = count.sent_bytes - before.sent_bytes;
-        let messages = count.sent_messages - before.sent_messages;
-        let received = count.received_bytes - before.received_bytes;
-        self.bucket.charge(bytes + messages * OVERHEAD);
-        let count = |name, amount: u64| {
-            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
-            self.around.recorder.count(name, amount);
-        };
-        count("gossip.sent.bytes", bytes);
-        count("gossip.sent.messages", messages);
-        count("gossip.received.bytes", received);
-        count("gossip.waiting.facts", self.digests.waiting() as u64);
+        let around = &self.around;
+        let sent = self.traffic.record(&around.identity, &around.recorder);
+        self.bucket.charge(sent);
+        let waiting = i64::try_from(self.digests.waiting()).unwrap_or(i64::MAX);
+        if waiting > 0 {
+            around.recorder.count("gossip.waiting.facts", waiting);
+        }
     }
 
     fn beat(&mut self, now: Instant) {
@@ -222,10 +214,6 @@
     }
 }
 
-/// Bytes that the transport adds to a message: WebSocket, TCP and IP headers, and its share of an
-/// acknowledgement.
-const OVERHEAD: u64 = 70;
-
 impl Actor for Spread {
     type Context = Context<Self>;
 
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 pub mod renewals;
 pub mod settings;
+pub mod traffic;
 mod zone;
 
 use actix::{Actor, Addr};
--- a/crates/zinniastall-wire/src/meter.rs
+++ b/crates/zinniastall-wire/src/meter.rs
@@ -48,6 +48,21 @@
     }
 }
 
+impl Count {
+    /// Returns what was counted after an earlier count of the same meter.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self {
+            sent_messages: self.sent_messages.saturating_sub(earlier.sent_messages),
+            sent_bytes: self.sent_bytes.saturating_sub(earlier.sent_bytes),
+            received_messages: self
+                .received_messages
+                .saturating_sub(earlier.received_messages),
+            received_bytes: self.received_bytes.saturating_sub(earlier.received_bytes),
+        }
+    }
+}
+
 fn add(messages: &AtomicU64, total: &AtomicU64, bytes: usize) {
     messages.fetch_add(1, Ordering::Relaxed);
     total.fetch_add(u64::try_from(bytes).unwrap_or(u64::MAX), Ordering::Relaxed);
