--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use zinniastall_coord::digest::{Author, Outbox, Table};
 use zinniastall_model::{id, place::Place};
-use zinniastall_wire::gossip::{self, Fact, Item, News, Peer, Topic};
+use zinniastall_wire::gossip::{self, Capacity, Fact, Item, News, Peer, Topic};
 
 use super::{
     capacity::{near, sum},
@@ -20,6 +20,9 @@
 /// Steps in which a zone tells how long its instances have been up, in milliseconds.
 const UP_STEP: u64 = 5_000;
 
+/// Intervals that a capacity stays as told, unless its last free slot goes or its first comes.
+const QUIET: u32 = 2;
+
 /// Facts about zones.
 #[derive(Debug)]
 pub struct Digests {
@@ -27,6 +30,8 @@
     author: Author<Topic, id::Instance, Fact>,
     table: Table<Topic, id::Instance, Fact>,
     boxes: IndexMap<Line, Outbox<Topic, id::Instance>>,
+    /// When each capacity was told last.
+    told: IndexMap<Topic, Instant>,
     leading: bool,
     interval: Duration,
     renewed: Instant,
@@ -46,6 +51,7 @@
             author: Author::new(own, incarnation),
             table: Table::new(interval * 5),
             boxes: IndexMap::new(),
+            told: IndexMap::new(),
             leading: false,
             interval,
             renewed: now,
@@ -87,8 +93,8 @@
         for ((subject, role), capacity) in sum(targets) {
             let topic = Topic::Capacity(self.place.clone(), subject, role);
             said.insert(topic.clone());
-            let told = self.author.value(&topic);
-            if !matches!(told, Some(Fact::Capacity(told)) if near(told, &capacity)) {
+            if self.worth(&topic, &capacity, now) {
+                self.told.insert(topic.clone(), now);
                 self.say(topic, Some(Fact::Capacity(capacity)), now);
             }
         }
@@ -96,10 +102,23 @@
         let gone = |topic: &&Topic| !said.contains(*topic);
         let made = self.author.keys().filter(capacity);
         for topic in made.filter(gone).cloned().collect::<Vec<_>>() {
+            self.told.swap_remove(&topic);
             self.say(topic, None, now);
         }
     }
 
+    /// Tells whether a capacity is to be told: it differs enough from what was told last, and that
+    /// is not just now. Whether anything is free at all is told at once.
+    fn worth(&self, topic: &Topic, capacity: &Capacity, now: Instant) -> bool {
+        let Some(Fact::Capacity(told)) = self.author.value(topic) else {
+            return true;
+        };
+        let since = self.told.get(topic);
+        let young = since.is_some_and(|told| *told + self.interval * QUIET > now);
+        let turned = (told.free == 0) != (capacity.free == 0);
+        !near(told, capacity) && (turned || !young)
+    }
+
     fn say(&mut self, topic: Topic, fact: Option<Fact>, now: Instant) {
         if let Some(item) = self.author.make(topic, fact) {
             self.learn(None, item, now);
@@ -242,8 +261,8 @@
 /// Estimates an item's bytes on the wire; the budget is charged with the real ones afterwards.
 fn size(item: &Item) -> u64 {
     match &item.value {
-        Some(Fact::Doors(doors)) => 80 + 180 * doors.len() as u64,
-        Some(Fact::Capacity(_)) => 140,
-        None => 90,
+        Some(Fact::Doors(doors)) => 60 + 180 * doors.len() as u64,
+        Some(Fact::Capacity(_)) => 60,
+        None => 40,
     }
 }
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -3,6 +3,8 @@
 //! Messages that are sent all the time have one-letter field names on the wire: a node's budget for
 //! control is 17 KB a second.
 
+mod pack;
+
 use serde::{Deserialize, Serialize};
 use zinniastall_coord::{digest, membership};
 use zinniastall_model::{id, object::Subject, place::Place};
@@ -157,12 +159,11 @@
 
 /// What zones say of themselves, as made or passed on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "pack::News", into = "pack::News")]
 pub struct News {
     /// Facts.
-    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
     pub items: Vec<Item>,
     /// Words that facts still hold.
-    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub renewals: Vec<Renewal>,
 }
 
@@ -172,13 +173,11 @@
 pub type Renewal = digest::Renewal<id::Instance>;
 
 /// What a fact is about.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Topic {
     /// Instances through which a zone is reached.
-    #[serde(rename = "d")]
     Doors(Place),
     /// Capacity of a zone for a subject in a role.
-    #[serde(rename = "c")]
     Capacity(Place, Subject, String),
 }
 
@@ -192,30 +191,24 @@
 }
 
 /// A fact.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Fact {
     /// Instances through which a zone is reached, its speakers first.
-    #[serde(rename = "d")]
     Doors(Vec<Peer>),
     /// Capacity.
-    #[serde(rename = "c")]
     Capacity(Capacity),
 }
 
 /// Capacity for one subject in one role.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Capacity {
     /// Slots in all.
-    #[serde(rename = "s")]
     pub slots: u32,
     /// Slots free.
-    #[serde(rename = "f")]
     pub free: u32,
     /// Expected wait for a slot, in milliseconds.
-    #[serde(rename = "w")]
     pub wait_ms: u64,
     /// Mean price of one busy second.
-    #[serde(rename = "p")]
     pub price: f64,
 }
 
