--- a/tests/src/cluster/builder.rs
+++ b/tests/src/cluster/builder.rs
@@ -65,8 +65,8 @@
         self
     }
 
-    /// Leaves the proxies before callers', targets' and entry instances' links out, so that they are
-    /// not measured along; control stays behind its own.
+    /// Leaves out the proxies between callers, entry instances and targets, so that they are not
+    /// measured along; links stay behind theirs.
     #[must_use]
     pub const fn direct(mut self) -> Self {
         self.direct = true;
@@ -162,10 +162,11 @@
         let mut entries = IndexMap::new();
         for plan in plans {
             let name = plan.name().to_owned();
+            let links = plan.address("links")?.to_string();
             let mut settings = common(&plan);
             settings::merge(&mut settings, json!({"control": control, "seeds": seeds}));
             if self.direct {
-                settings["advertise"] = json!({});
+                settings["advertise"] = json!({"links": links});
             }
             settings::merge(&mut settings, self.entry.clone());
             entries.insert(name, plan.start(settings).await?);
--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -32,7 +32,7 @@
     controls: IndexMap<String, Node>,
     entries: IndexMap<String, Node>,
     targets: IndexMap<String, Node>,
-    /// Whether callers, targets and entry instances reach each other without proxies.
+    /// Whether callers, entry instances and targets reach each other without proxies.
     direct: bool,
     /// Data folders; they go when the processes have gone.
     _folder: tempfile::TempDir,
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 
 use crate::build::{self, Profile};
+use path::Scenario;
 
 /// Folder of the reports.
 const REPORTS: &str = "docs/measurements";
@@ -18,15 +19,16 @@
     /// What an entry instance costs.
     Speed,
     /// How policies choose.
-    Path,
+    Path(Scenario),
 }
 
 impl Bench {
-    /// Reads the word of the command line.
-    pub(crate) fn parse(word: &str) -> Option<Self> {
-        match word {
-            "speed" => Some(Self::Speed),
-            "path" => Some(Self::Path),
+    /// Reads the words of the command line.
+    pub(crate) fn parse(word: &str, scenario: Option<&str>) -> Option<Self> {
+        match (word, scenario) {
+            ("speed", None) => Some(Self::Speed),
+            ("path", None) => Some(Self::Path(Scenario::Steady)),
+            ("path", Some(scenario)) => Some(Self::Path(Scenario::parse(scenario)?)),
             _ => None,
         }
     }
@@ -45,7 +47,7 @@
     actix_rt::System::new().block_on(async {
         match bench {
             Bench::Speed => speed::run(&reports).await,
-            Bench::Path => path::run(&reports).await,
+            Bench::Path(scenario) => path::run(&reports, scenario).await,
         }
     })
 }
--- /dev/null
+++ b/xtask/src/bench/path/system.rs
@@ -0,0 +1,149 @@
+//! The system that a policy is measured in.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde_json::{Value, json};
+use zinniastall_tests::{
+    cluster::Cluster,
+    proxy::rule::{Rule, Way},
+};
+
+use super::{
+    CLIENT, KEY, MODEL,
+    scenario::{Scenario, Zone},
+};
+
+/// Engines of a zone at full capacity, and slots of each.
+const ENGINES: u32 = 3;
+const SLOTS: u32 = 4;
+/// Times of an engine: to the first token, a block of uncached prompt, from token to token.
+const FIRST_MS: u32 = 10;
+const BLOCK_MS: u32 = 1;
+const TOKEN_MS: u32 = 2;
+pub(super) const TOKENS: u32 = 16;
+/// Shared beginnings, their length in blocks of 256 bytes, and blocks that an engine caches: half of
+/// what all beginnings take, so that a choice that forgets where one is cached pays in prefill.
+pub(super) const PREFIXES: u32 = 96;
+pub(super) const PREFIX_BLOCKS: u32 = 16;
+pub(super) const SUFFIX_BLOCKS: u32 = 2;
+const CACHE: u32 = PREFIXES * PREFIX_BLOCKS / 2;
+/// Time one way between regions.
+const FAR: Duration = Duration::from_millis(20);
+pub(super) const WARMUP_MS: u64 = 4_000;
+pub(super) const DURATION_MS: u64 = 10_000;
+
+/// Returns the requests a second at which all slots of two full zones are busy, every shared
+/// beginning cached.
+pub(super) fn capacity() -> f64 {
+    let service = FIRST_MS + SUFFIX_BLOCKS * BLOCK_MS + TOKENS * TOKEN_MS;
+    f64::from(2 * ENGINES * SLOTS) * 1000.0 / f64::from(service)
+}
+
+/// A cluster under one policy.
+pub(super) struct System {
+    pub(super) cluster: Cluster,
+    pub(super) entries: Vec<SocketAddr>,
+    pub(super) ledgers: Vec<SocketAddr>,
+    targets: Vec<String>,
+    files: tempfile::TempDir,
+}
+
+impl System {
+    pub(super) async fn start(scenario: Scenario, policy: &str) -> eyre::Result<Self> {
+        let zones = scenario.zones();
+        let mut builder = Cluster::builder()
+            .direct()
+            .entry(json!({"policy": {"choice": policy, "block_ms": BLOCK_MS}}));
+        for (region, zone, _, _) in zones {
+            builder = builder.zone(region, zone, 2);
+        }
+        let mut system = Self {
+            cluster: builder.start().await?,
+            entries: Vec::new(),
+            ledgers: Vec::new(),
+            targets: Vec::new(),
+            files: tempfile::tempdir()?,
+        };
+        system.apart();
+        for zone in zones {
+            system.engines(&zone).await?;
+        }
+        system.cluster.client(CLIENT, KEY).await?;
+        system
+            .cluster
+            .residency(CLIENT, &["patras", "athens"])
+            .await?;
+        system.cluster.model(MODEL).await?;
+        system.ready().await?;
+        Ok(system)
+    }
+
+    /// Puts regions at a distance.
+    fn apart(&self) {
+        let far = Rule::default().with(Way::Both, |lane| lane.delay = FAR);
+        self.cluster
+            .links(|from, to| (from.region() != to.region()).then_some(far));
+    }
+
+    async fn engines(&mut self, zone: &Zone) -> eyre::Result<()> {
+        let (region, zone, engines, slots) = *zone;
+        for number in 1..=engines {
+            let name = format!("engine-{region}-{zone}-{number}");
+            let settings = json!({
+                "slots": slots, "queue": 64, "announce": {"lag_ms": 500},
+                "ledger_file": self.files.path().join(&name),
+                "engine": {
+                    "first_ms": FIRST_MS, "block_us": BLOCK_MS * 1000,
+                    "token_us": TOKEN_MS * 1000, "cache_blocks": CACHE,
+                },
+            });
+            self.cluster
+                .engine(&name, (region, zone), MODEL, settings)
+                .await?;
+            // The proxy's address stays when the engine is lost and comes back.
+            self.ledgers
+                .push(self.cluster.target(&name)?.address("http")?);
+            self.targets.push(name);
+        }
+        Ok(())
+    }
+
+    async fn ready(&mut self) -> eyre::Result<()> {
+        let names: Vec<String> = self
+            .cluster
+            .entries()
+            .map(|node| node.name().to_owned())
+            .collect();
+        let body = json!({"model": MODEL, "messages": [{"role": "user", "content": "hello"}]});
+        for name in &names {
+            self.cluster.located(name, KEY, MODEL, names.len()).await?;
+            let entry = self
+                .cluster
+                .entry(name)?
+                .process()
+                .address("callers")
+                .await?;
+            self.cluster.serves(entry, KEY, &body).await?;
+            self.entries.push(entry);
+        }
+        Ok(())
+    }
+
+    /// Kills every second engine after a while, and brings them back cold after another.
+    pub(super) async fn lose(&mut self, after: Duration, away: Duration) -> eyre::Result<()> {
+        tokio::time::sleep(after).await;
+        let lost: Vec<String> = self.targets.iter().step_by(2).cloned().collect();
+        for target in &lost {
+            self.cluster.target(target)?.process().kill()?;
+        }
+        tokio::time::sleep(away).await;
+        for target in &lost {
+            self.cluster.target(target)?.restart().await?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn variant(&self, policy: &str) -> Value {
+        json!([{"name": policy, "entries": self.entries, "ledgers": self.ledgers}])
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,6 @@
 //! Chores of the workspace; `cargo xtask` lists them.
 
-use std::{ffi::OsStr, path::Path, process::ExitCode};
+use std::{ffi::OsString, path::Path, process::ExitCode};
 
 use bench::Bench;
 use lexopt::ValueExt;
@@ -15,7 +15,8 @@
 
   demo          run the whole path with real processes
   bench speed   measure what an entry instance costs
-  bench path    measure how policies choose
+  bench path [steady|peaks|tenth|loss]
+                measure how policies choose
   soak [--seconds N] [--seed S]
                 break things at random and count broken promises
   codegen       generate the operators' calls from their schema file";
@@ -32,11 +33,9 @@
         Some("codegen") => codegen::run(root)?,
         Some("demo") => demo::run(root)?,
         Some("bench") => {
-            let what = arguments.value().ok();
-            let what = what
-                .as_deref()
-                .and_then(OsStr::to_str)
-                .and_then(Bench::parse);
+            let words: Vec<OsString> = arguments.raw_args()?.collect();
+            let word = |index: usize| words.get(index).and_then(|word| word.to_str());
+            let what = Bench::parse(word(0).unwrap_or_default(), word(1));
             bench::run(root, what.ok_or_else(|| eyre::eyre!(USAGE))?)?;
         }
         Some("soak") => {
