fix(route): keep an answer until its first reader has it; fresh connections for work that runs once

Found by test: with no room for kept answers the first caller lost its own answer, because it was dropped at its end and not once read (tickets::none_kept: 'answer-not-kept' on the first request). A pooled connection that the target closes in the moment of its use ends work that may not be repeated as unknown, so such work gets a connection of its own; idempotent work is asked for again, at the same target when there is no other.

--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -13,7 +13,7 @@
 use zinniastall_model::id;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
-    outcome::{Reason, Refusal},
+    outcome::{Outcome, Reason, Refusal},
     residency,
 };
 
@@ -170,6 +170,12 @@
     loop {
         let verdict = match admission.admit(request, &tried) {
             Ok(verdict) => verdict,
+            // The budget has paid for one more attempt. Where no other target is left, the one that
+            // lost a connection may have lost just that.
+            Err(refusal) if nobody_else(&refusal, earlier.as_ref(), &tried) => {
+                tried.clear();
+                continue;
+            }
             Err(refusal) => return Err(last(earlier, refusal)),
         };
         let attempt = match verdict {
@@ -199,6 +205,12 @@
     }
 }
 
+/// Returns whether only targets are left that have lost this request already.
+fn nobody_else(refusal: &Refusal, earlier: Option<&Refusal>, tried: &[id::Target]) -> bool {
+    let lost = earlier.is_some_and(|earlier| earlier.outcome == Outcome::Unknown);
+    lost && !tried.is_empty() && matches!(refusal.reason, Reason::NoTarget(_))
+}
+
 /// Merges the end of a request that found nowhere else to go with that of its attempts.
 fn last(earlier: Option<Refusal>, refusal: Refusal) -> Refusal {
     let retry = refusal.retry;
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -34,14 +34,53 @@
 /// Idle connections are closed after this time; shorter than what HTTP servers commonly keep, so
 /// that they are rarely found closed by the other end.
 const IDLE: Duration = Duration::from_secs(4);
+/// Idle times after which a connection is replaced even if it is in use all the time.
+const LIVES: u32 = 15;
 
-/// Creates the HTTP client of one thread.
-pub fn client() -> Client {
+/// One thread's connections to targets.
+#[derive(Clone)]
+pub struct Clients {
+    pooled: Client,
+    fresh: Client,
+}
+
+impl std::fmt::Debug for Clients {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Clients").finish_non_exhaustive()
+    }
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self {
+            pooled: client(IDLE),
+            fresh: client(Duration::ZERO),
+        }
+    }
+}
+
+impl Clients {
+    /// Returns the client for a request.
+    ///
+    /// A pooled connection may have been closed by the target in the moment in which it is used,
+    /// and nobody can tell then whether the request was read. Work that may not be repeated would
+    /// end as "unknown" for that, so it gets a connection of its own.
+    const fn client(&self, idempotent: bool) -> &Client {
+        if idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        }
+    }
+}
+
+fn client(lifetime: Duration) -> Client {
     let dialer = Dialer::default().service().map(guarded);
     let connector = Connector::new()
         .connector(dialer)
         .timeout(CONNECT)
-        .conn_keep_alive(IDLE)
+        .conn_keep_alive(lifetime)
+        .conn_lifetime(lifetime.saturating_mul(LIVES))
         .limit(0);
     Client::builder()
         .connector(connector)
@@ -64,7 +103,7 @@
 ///
 /// A [`Refusal`] whose outcome says whether the target may have run the request.
 pub async fn send(
-    client: &Client,
+    clients: &Clients,
     target: &gossip::Target,
     parcel: &Parcel,
     offset: u64,
@@ -72,6 +111,7 @@
     let url = format!("http://{}{}", target.address, parcel.path);
     let method = awc::http::Method::from_bytes(parcel.method.as_bytes())
         .map_err(|_| Refusal::not_run(Reason::Body("the method is not known".to_owned())))?;
+    let client = clients.client(parcel.request.idempotent);
     let mut request = client.request(method, url);
     for (name, value) in &parcel.headers {
         request = request.insert_header((name.as_str(), value.as_str()));
--- a/crates/zinniastall-entry/src/callers/ticket/record.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/record.rs
@@ -119,11 +119,11 @@
         state.end.as_ref().map(|_| state.bytes)
     }
 
-    /// Drops the answer of a request that has ended; its end is kept.
+    /// Drops the answer of a request that has ended, as far as its first reader has taken it; its
+    /// end is kept.
     pub fn drop_answer(&self) {
         let mut state = self.lock();
         state.whole = false;
-        state.owner = None;
         state.trim();
         drop(state);
         self.tell();
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -2,12 +2,11 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use awc::Client;
 use zinniastall_model::state::State;
 use zinniastall_route::identify::Index;
 use zinniastall_settings::metrics::Recorder;
 
-use super::{Service, forward::Links, target};
+use super::{Service, forward::Links, target::Clients};
 use crate::view::View;
 
 /// What one traffic thread keeps.
@@ -15,7 +14,7 @@
     /// What all traffic threads share.
     pub service: Service,
     /// Connections to targets.
-    pub client: Client,
+    pub client: Clients,
     /// Links to other instances.
     pub links: Links,
     /// Histograms of this thread.
@@ -33,7 +32,7 @@
     /// Creates the worker of the calling thread.
     pub fn new(service: Service) -> Self {
         Self {
-            client: target::client(),
+            client: Clients::default(),
             links: Links::new(service.identity.clone()),
             recorder: service.hub.recorder(),
             service,
--- /dev/null
+++ b/crates/zinniastall-entry/tests/callers/load.rs
@@ -0,0 +1,99 @@
+//! More requests than targets can take, and readers that do not read.
+
+use std::{
+    io::{Read, Write},
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join_all;
+
+use super::bench::{Bench, CHAT, Fake, KEY, Script, until};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+const CHATS: &str = "/v1/chat/completions";
+
+// A target takes one request at a time. The others wait at the instance for their turn and are all
+// answered.
+#[actix_web::test]
+async fn requests_wait_for_their_turn() {
+    let late = Script::Late(Duration::from_millis(30), WHOLE);
+    let target = Fake::start(vec![late]);
+    let bench = Bench::narrow(target.address);
+    let answers = join_all((0..10).map(|_| bench.post(CHATS, "", CHAT))).await;
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(target.ran(), 10);
+    bench.stop().await;
+}
+
+// The target is busy for long, and a request has less time than its turn will take. It must be told
+// at once, with the time to come back, instead of being held until its deadline has passed.
+#[actix_web::test]
+async fn late_requests_are_refused_on_arrival() {
+    let late = Script::Late(Duration::from_millis(400), WHOLE);
+    let target = Fake::start(vec![late]);
+    let bench = Bench::narrow(target.address);
+    // The first answer tells how long a request takes.
+    bench.post(CHATS, "", CHAT).await;
+    let early = async { join_all((0..6).map(|_| bench.post(CHATS, "", CHAT))).await };
+    let late = async {
+        until("the queue is long", || target.ran() == 2).await;
+        actix_web::rt::time::sleep(Duration::from_millis(50)).await;
+        let asked = Instant::now();
+        let deadline = "x-zinniastall-deadline-ms: 700\r\n";
+        let answer = bench.post(CHATS, deadline, CHAT).await;
+        (answer, asked.elapsed())
+    };
+    let (early, (answer, took)) = futures_util::future::join(early, late).await;
+    assert!(
+        early
+            .iter()
+            .all(|answer| answer.starts_with("HTTP/1.1 200"))
+    );
+    assert!(answer.contains("deadline-not-feasible"), "{answer}");
+    assert!(
+        answer.contains("not-run") && answer.contains("retry-after:"),
+        "{answer}"
+    );
+    assert!(took < Duration::from_millis(600), "refused after {took:?}");
+    bench.stop().await;
+}
+
+// A caller asks for a huge answer and does not read it. Its bytes must stay with the target instead
+// of filling the instance's memory.
+#[actix_web::test]
+async fn slow_reader_holds_the_target_back() {
+    let target = Fake::start(vec![Script::Endless]);
+    let bench = Bench::start(&[target.address]);
+    let request =
+        format!("GET /proofs/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    let mut stream = std::net::TcpStream::connect(bench.address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    until("the target has the request", || target.ran() == 1).await;
+    let mut start = [0; 16];
+    stream.read_exact(&mut start).unwrap();
+    let sent = || target.sent.load(Ordering::SeqCst);
+    let mut last = (sent(), Instant::now());
+    let still = async || {
+        loop {
+            actix_web::rt::time::sleep(Duration::from_millis(20)).await;
+            if sent() != last.0 {
+                last = (sent(), Instant::now());
+            } else if last.1.elapsed() > Duration::from_millis(500) {
+                return;
+            }
+        }
+    };
+    let bound = Duration::from_secs(20);
+    let stopped = actix_web::rt::time::timeout(bound, { still }()).await;
+    assert!(
+        stopped.is_ok(),
+        "the target still writes after {} bytes",
+        sent()
+    );
+    // What the kernel's buffers of two connections hold, and little more.
+    assert!(sent() < 32 << 20, "{} bytes", sent());
+    bench.stop().await;
+}
--- a/crates/zinniastall-entry/tests/callers/main.rs
+++ b/crates/zinniastall-entry/tests/callers/main.rs
@@ -4,4 +4,6 @@
 
 mod bad_input;
 mod bench;
+mod load;
 mod outcomes;
+mod tickets;
--- /dev/null
+++ b/crates/zinniastall-entry/tests/callers/tickets.rs
@@ -0,0 +1,99 @@
+//! Work that runs at most once, before one instance.
+
+use std::time::Duration;
+
+use super::bench::{Bench, Fake, KEY, Script, until};
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nbilled";
+
+fn header(ticket: &str) -> String {
+    format!("x-zinniastall-ticket: {ticket}\r\n")
+}
+
+// The app's connection breaks while a proposal is being billed. The run goes on, its answer is
+// kept, and the resend gets it; billing again would charge the grant twice.
+#[actix_web::test]
+async fn run_outlives_its_caller() {
+    let late = Script::Late(Duration::from_millis(300), ANSWER);
+    let target = Fake::start(vec![late]);
+    let bench = Bench::start(&[target.address]);
+    let ticket = bench.tickets(1).await.remove(0);
+    let request = format!(
+        "POST /orders/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 0\r\n{}\r\n",
+        header(&ticket)
+    );
+    let mut stream = std::net::TcpStream::connect(bench.address).unwrap();
+    std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+    until("the target has the request", || target.ran() == 1).await;
+    drop(stream);
+    for _ in 0..2 {
+        let answer = bench.post("/orders/1", &header(&ticket), "").await;
+        assert!(answer.ends_with("billed"), "{answer}");
+    }
+    assert_eq!(target.ran(), 1);
+    bench.stop().await;
+}
+
+/// Names a case: settings, and what a resend of the same ticket says after the first answer.
+macro_rules! again {
+    ($($(#[$doc:meta])* $name:ident: $change:expr, $pause:literal => [$($part:literal),+];)+) => {$(
+        $(#[$doc])*
+        #[actix_web::test]
+        async fn $name() {
+            let target = Fake::start(vec![Script::Write(ANSWER)]);
+            let bench = Bench::with(&[target.address], $change);
+            let ticket = bench.tickets(1).await.remove(0);
+            let answer = bench.post("/orders/1", &header(&ticket), "").await;
+            assert!(answer.ends_with("billed"), "{answer}");
+            actix_web::rt::time::sleep(Duration::from_millis($pause)).await;
+            let answer = bench.post("/orders/1", &header(&ticket), "").await;
+            $(assert!(answer.contains($part), "no {:?} in {answer}", $part);)+
+            assert_eq!(target.ran(), 1);
+            bench.stop().await;
+        }
+    )+};
+}
+
+again! {
+    recorded: |_| {}, 0 => ["200 OK", "billed"];
+    // Kept answers have a bound. A resend past it must hear that the request ran, not run again.
+    not_kept: |callers| callers.tickets.answer_bytes = 0, 0 => ["502", "unknown", "answer-not-kept"];
+    none_kept: |callers| callers.tickets.kept_bytes = 0, 0 => ["502", "unknown", "answer-not-kept"];
+    // After its expiry the mark is gone, so nobody can say whether the ticket's request ran.
+    expired: |callers| callers.tickets.validity = Duration::from_millis(400), 500
+        => ["502", "unknown", "ticket-expired"];
+}
+
+#[actix_web::test]
+async fn full_table_refuses_new_work() {
+    let target = Fake::start(vec![Script::Write(ANSWER)]);
+    let bench = Bench::with(&[target.address], |callers| callers.tickets.marks = 1);
+    let tickets = bench.tickets(2).await;
+    let answer = bench.post("/orders/1", &header(&tickets[0]), "").await;
+    assert!(answer.ends_with("billed"), "{answer}");
+    let answer = bench.post("/orders/2", &header(&tickets[1]), "").await;
+    assert!(
+        answer.contains("503") && answer.contains("too-many-tickets"),
+        "{answer}"
+    );
+    assert!(answer.contains("not-run"), "{answer}");
+    assert_eq!(target.ran(), 1);
+    bench.stop().await;
+}
+
+#[actix_web::test]
+async fn forged_ticket_is_refused() {
+    let target = Fake::start(vec![Script::Write(ANSWER)]);
+    let bench = Bench::start(&[target.address]);
+    let mut ticket = bench.tickets(1).await.remove(0);
+    let last = if ticket.pop() == Some('0') { '1' } else { '0' };
+    ticket.push(last);
+    let answer = bench.post("/orders/1", &header(&ticket), "").await;
+    assert!(
+        answer.contains("400") && answer.contains("ticket-invalid"),
+        "{answer}"
+    );
+    assert_eq!(target.ran(), 0);
+    bench.stop().await;
+}
