--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use zinniastall_coord::replica::{Part, Replica};
+use zinniastall_coord::Replica;
+use zinniastall_coord::replica::{Body, Part};
+use zinniastall_coord::voters::Change;
 
 use crate::net::Net;
 use crate::node::ELECTION;
@@ -30,10 +32,12 @@
 case!(a_replica_that_returns_disturbs_nobody, 3, |net| {
     let (leader, others) = net.parts();
     let term = net.leader_status().map(|status| status.term);
-    net.cuts.insert((leader, others[0]));
+    deafen(&mut net, leader, others[0]);
     net.cuts.insert((others[1], others[0]));
     net.run(ELECTION * 12);
+    net.until("the deaf follower asks", |net| asks(net, others[0]));
     net.cuts.clear();
+    net.operated = true;
     net.run(ELECTION * 4);
     assert_eq!(net.leader(), Some(leader));
     assert_eq!(net.leader_status().map(|status| status.term), term);
@@ -44,21 +48,21 @@
 // if it votes now, two leaders answer operators at once.
 case!(a_vote_waits_until_the_lease_has_run_out, 3, |net| {
     let (leader, others) = net.parts();
-    net.cuts.insert((leader, others[0]));
-    net.until("the deaf follower asks", |net| asks(net, others[0]));
+    deafen(&mut net, leader, others[0]);
     net.isolate(leader);
     net.run(ELECTION * 4);
+    net.operated = true;
 });
 
 // The same, and the other follower restarts just then. It no longer knows that it heard the leader
 // and could vote at once, while the lease still counts on it.
 case!(a_restart_forgets_no_loyalty, 3, |net| {
     let (leader, others) = net.parts();
-    net.cuts.insert((leader, others[0]));
-    net.until("the deaf follower asks", |net| asks(net, others[0]));
+    deafen(&mut net, leader, others[0]);
     net.isolate(leader);
     net.crash(others[1], Duration::ZERO);
     net.run(ELECTION * 4);
+    net.operated = true;
 });
 
 // Acknowledgements take most of an election timeout on their way to the leader. A lease measured
@@ -80,6 +84,8 @@
 // allows together. The lease must still end before the followers vote for another.
 case!(clocks_that_differ_by_the_margin_share_no_lease, 3, |net| {
     let (leader, _) = net.parts();
+    net.weather.delay = 0;
+    net.weather.sync = 0;
     net.nodes
         .iter_mut()
         .for_each(|node| node.set_rate(net.time, 1.045));
@@ -101,9 +107,40 @@
     );
 });
 
+// A link fails in one direction: the leader is heard and hears nobody. Its heartbeats must not keep
+// the others from choosing a leader that can commit, and it must not come between them later.
+case!(a_leader_that_hears_nobody_makes_way, 3, |net| {
+    let (leader, others) = net.parts();
+    net.cuts.extend(others.iter().map(|other| (*other, leader)));
+    stay_cut(&mut net, leader);
+});
+
+// The other direction: the leader hears all and nobody hears it.
+case!(a_leader_that_nobody_hears_makes_way, 3, |net| {
+    let (leader, others) = net.parts();
+    net.cuts.extend(others.iter().map(|other| (leader, *other)));
+    stay_cut(&mut net, leader);
+});
+
+/// Runs for long with a leader cut off, and checks that one successor leads during and after it.
+fn stay_cut(net: &mut Net, leader: usize) {
+    net.run(ELECTION * 6);
+    let successor = net.leader_status().map(|status| (status.id, status.term));
+    assert_ne!(net.leader(), Some(leader));
+    assert!(successor.is_some());
+    net.run(ELECTION * 20);
+    net.cuts.clear();
+    net.run(ELECTION * 4);
+    assert_eq!(
+        net.leader_status().map(|status| (status.id, status.term)),
+        successor
+    );
+}
+
 // The power fails everywhere at once, a moment after operators were told that their changes are
 // accepted. What was promised before it was synced would be gone on all disks.
 case!(a_power_cut_everywhere_loses_nothing_accepted, 3, |net| {
+    net.weather.sync = 100;
     for _ in 0..5 {
         net.run(ELECTION * 2);
         for place in 0..3 {
@@ -156,6 +193,43 @@
     net.until("repaired again", Net::is_whole);
 });
 
+// A change is accepted by the leader and one follower; the other is cut off. Then the follower's
+// disk is lost and the leader is cut off in turn. If the empty disk could vote with the one that
+// missed the change, the two would go on without it, and it would have reverted.
+case!(an_empty_disk_helps_nobody_to_revert_a_change, 3, |net| {
+    let (leader, others) = net.parts();
+    net.isolate(others[1]);
+    net.run(ELECTION * 3);
+    net.replace_disk(others[0]);
+    net.cuts.clear();
+    net.isolate(leader);
+    net.run(ELECTION * 6);
+    assert_eq!(net.leader(), None);
+});
+
+// A replica is removed while it is away and returns. Nobody sends to it any more; its operator must
+// be able to see that it was removed, and it must stop asking for votes. Admitted again, it serves.
+case!(a_replica_removed_while_away_is_told, 3, |net| {
+    let (leader, others) = net.parts();
+    let id = net.nodes[others[0]].id;
+    net.operated = false;
+    net.isolate(others[0]);
+    net.run(ELECTION * 2);
+    let removed = net.call(leader, |replica, now| {
+        replica.propose_voters(&Change::Remove { id }, now)
+    });
+    assert!(removed.is_ok(), "{removed:?}");
+    net.run(ELECTION);
+    net.cuts.clear();
+    net.run(ELECTION * 4);
+    assert!(net.status(others[0]).is_some_and(|status| status.removed));
+    for _ in 0..400 {
+        net.step();
+        assert!(!asks(&net, others[0]));
+    }
+    net.operated = true;
+});
+
 // The leader's own disk is lost. The instance comes back as another replica that nobody counts on
 // until it has caught up.
 case!(the_leaders_disk_is_lost, 5, |net| {
@@ -177,6 +251,44 @@
     net.run(ELECTION * 4);
 });
 
+// The leader is lost while it sends a snapshot, and its successor sends one of the same state, in
+// other bytes. A snapshot put together from both would be garbage that passes for the state.
+case!(a_snapshot_comes_from_one_leader, 3, |net| {
+    let (leader, others) = net.parts();
+    net.crash(others[0], ELECTION * 30);
+    net.run(ELECTION * 19);
+    net.operated = false;
+    net.run(ELECTION);
+    net.nodes[leader].compact();
+    net.nodes[others[1]].compact();
+    net.nodes[others[0]].away_until = net.time;
+    net.until("half of it has arrived", |net| {
+        net.is_on_its_way(
+            leader,
+            |body| matches!(body, Body::Chunk(chunk) if chunk.offset > chunk.total / 2),
+        )
+    });
+    net.crash(leader, ELECTION * 6);
+    net.run(ELECTION * 8);
+    net.operated = true;
+});
+
+// The same on a link that doubles most messages. Each doubled answer must not bring about a chunk of
+// its own, whose answer is doubled again: the link would carry nothing else.
+case!(doubled_answers_start_no_storm, 3, |net| {
+    let (leader, others) = net.parts();
+    net.crash(others[0], ELECTION * 20);
+    net.run(ELECTION * 19);
+    net.nodes[leader].compact();
+    net.weather.doubled = 0.9;
+    net.weather.delay = 200;
+    for _ in 0..800 {
+        net.step();
+        let messages = net.packets.len();
+        assert!(messages < 400, "{messages} messages on their way");
+    }
+});
+
 // The leader's disk is slower than the followers' disks, which make a majority without it. They
 // apply a change before the leader does, and a read from the leader would miss it.
 case!(a_leader_with_a_slow_disk_answers_nothing_stale, 3, |net| {
@@ -186,9 +298,16 @@
     net.slow_disks.clear();
 });
 
+/// Lets a follower that holds everything hear the leader no more until it is about to campaign.
+fn deafen(net: &mut Net, leader: usize, follower: usize) {
+    net.operated = false;
+    net.run(ELECTION);
+    net.cuts.insert((leader, follower));
+    net.until("the deaf follower asks", |net| asks(net, follower));
+}
+
 fn asks(net: &Net, place: usize) -> bool {
-    net.status(place)
-        .is_some_and(|status| status.part == Part::PreCandidate)
+    net.is_on_its_way(place, |body| matches!(body, Body::PreVote { .. }))
 }
 
 // The followers' disks are so busy that a sync takes several election timeouts. Commands wait, but
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,15 +1,24 @@
 //! Chores of the workspace; `cargo xtask` lists them.
 
-use std::{path::Path, process::ExitCode};
+use std::{ffi::OsStr, path::Path, process::ExitCode};
 
+use bench::Bench;
+use lexopt::ValueExt;
+
+mod bench;
 mod build;
 mod codegen;
 mod demo;
+mod soak;
 
 const USAGE: &str = "usage: cargo xtask CHORE
 
-  demo     run the whole path with real processes
-  codegen  generate the operators' calls from their schema file";
+  demo          run the whole path with real processes
+  bench speed   measure what an entry instance costs
+  bench path    measure how policies choose
+  soak [--seconds N] [--seed S]
+                break things at random and count broken promises
+  codegen       generate the operators' calls from their schema file";
 
 fn main() -> eyre::Result<ExitCode> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -22,7 +31,31 @@
     match chore.to_str() {
         Some("codegen") => codegen::run(root)?,
         Some("demo") => demo::run(root)?,
+        Some("bench") => {
+            let what = arguments.value().ok();
+            let what = what
+                .as_deref()
+                .and_then(OsStr::to_str)
+                .and_then(Bench::parse);
+            bench::run(root, what.ok_or_else(|| eyre::eyre!(USAGE))?)?;
+        }
+        Some("soak") => {
+            let (seconds, seed) = soak_options(&mut arguments)?;
+            soak::run(root, seconds, seed)?;
+        }
         _ => eyre::bail!("unknown chore: {}\n{USAGE}", chore.display()),
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn soak_options(arguments: &mut lexopt::Parser) -> eyre::Result<(u64, u64)> {
+    let (mut seconds, mut seed) = (60, 1);
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            lexopt::Arg::Long("seconds") => seconds = arguments.value()?.parse()?,
+            lexopt::Arg::Long("seed") => seed = arguments.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok((seconds, seed))
+}
