test: take only the asked line of the kernel's list apart

Cause: with a hundred thousand closed connections listed, looking up one caller took over a second in a partition, so that targets' announcements timed out and lost their lease: healing_under_load failed with 45 to 5,780 refusals 'no target' in 5 of 6 runs. Ruled out: the size of announcements (64 KB bound not reached, no refusal logged). Change: the list stays text; one line is searched and taken apart.

--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -14,6 +14,8 @@
 
 /// Reads of the kernel's lists before a connection counts as gone.
 const READS: usize = 10;
+/// State of an open connection in the kernel's table.
+const ESTABLISHED: &str = "01";
 
 /// Processes whose connections are told apart.
 #[derive(Debug, Clone, Default)]
@@ -21,24 +23,31 @@
     table: Arc<Mutex<Table>>,
 }
 
-/// Both ends of a connection as the kernel writes them, the asked process's own first. One port may
-/// serve several connections, some of which only wait to be forgotten.
-type Ends = (String, String);
-
-/// Name of a process; `None` for one that was not added.
-#[derive(Debug, Clone)]
-struct Holder(Option<String>);
-
 #[derive(Debug, Default)]
 struct Table {
     /// Names by process id.
     names: HashMap<u32, String>,
-    /// Who holds the first end.
-    holders: HashMap<Ends, Holder>,
-    /// When the reading of `holders` began.
+    lists: Lists,
+    /// When the reading of `lists` began.
     read: Option<Instant>,
 }
 
+/// The kernel's lists.
+///
+/// Under load most connections only wait to be forgotten, tens of thousands of them; taking their
+/// lines apart would hold up the connection that is asked about for seconds. So the list stays text
+/// and only the line that is asked for is taken apart.
+#[derive(Debug, Default)]
+struct Lists {
+    connections: String,
+    /// Names by socket.
+    holders: HashMap<String, String>,
+}
+
+/// Name of a process; `None` for one that was not added.
+#[derive(Debug, Clone)]
+struct Holder(Option<String>);
+
 impl Callers {
     /// Adds a process.
     pub fn add(&self, id: u32, name: &str) {
@@ -54,20 +63,44 @@
     /// The connection would then pass as one of nobody's, past the rule of its caller, so they are
     /// read again until they have it.
     pub fn find(&self, peer: SocketAddr, own: SocketAddr) -> Option<String> {
-        let ends = (column(peer)?, column(own)?);
-        (0..READS).find_map(|_| self.holder(&ends))?.0
+        // One port may serve several connections, so both ends must agree.
+        let line = format!("{} {} {ESTABLISHED} ", column(peer)?, column(own)?);
+        (0..READS).find_map(|_| self.holder(&line))?.0
     }
 
-    fn holder(&self, ends: &Ends) -> Option<Holder> {
+    fn holder(&self, line: &str) -> Option<Holder> {
         let asked = Instant::now();
         let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
         // Lists whose reading began after the question was asked have the connection if they ever
         // will; those who waited for the lock meanwhile share them.
         if table.read.is_none_or(|read| read < asked) {
             table.read = Some(Instant::now());
-            table.holders = holders(&table.names);
+            table.lists = Lists::read(&table.names);
         }
-        table.holders.get(ends).cloned()
+        table.lists.holder(line)
+    }
+}
+
+impl Lists {
+    /// Reads the lists, connections first: the other way round, one opened between the two readings
+    /// would have no holder.
+    fn read(names: &HashMap<u32, String>) -> Self {
+        let connections = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let holders = names
+            .iter()
+            .flat_map(|(id, name)| sockets(*id).into_iter().map(|link| (link, name.clone())))
+            .collect();
+        Self {
+            connections,
+            holders,
+        }
+    }
+
+    fn holder(&self, line: &str) -> Option<Holder> {
+        let after = self.connections.find(line)? + line.len();
+        let inode = self.connections[after..].split_ascii_whitespace().nth(5)?;
+        let name = self.holders.get(&format!("socket:[{inode}]"));
+        Some(Holder(name.cloned()))
     }
 }
 
@@ -80,26 +113,6 @@
     Some(format!("{ip:08X}:{:04X}", address.port()))
 }
 
-/// Reads who holds which end of a connection.
-///
-/// The connections come first: the other way round, one opened between the two readings would have
-/// no holder.
-fn holders(names: &HashMap<u32, String>) -> HashMap<Ends, Holder> {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let sockets: HashMap<String, &String> = names
-        .iter()
-        .flat_map(|(id, name)| sockets(*id).into_iter().map(move |socket| (socket, name)))
-        .collect();
-    let holder = |line: &str| {
-        let mut columns = line.split_ascii_whitespace().skip(1);
-        let ends = (columns.next()?.to_owned(), columns.next()?.to_owned());
-        let inode = columns.nth(6)?;
-        let name = sockets.get(&format!("socket:[{inode}]"));
-        Some((ends, Holder(name.map(|name| (*name).clone()))))
-    };
-    table.lines().filter_map(holder).collect()
-}
-
 fn sockets(id: u32) -> Vec<String> {
     let Ok(files) = std::fs::read_dir(format!("/proc/{id}/fd")) else {
         return Vec::new();
