fix(coord): answer a pre-vote also of a replica that seems removed

The set that the answering replica holds may be behind: after two losses the only replica that can lead may be one admitted since, and it got 'removed' instead of a vote; the group stood still. The new test failed with Removed { index: 1 } as the only answer. Removed is told beside the answer now; whoever holds a later set passes over it.

--- a/crates/zinniastall-coord/src/replica/campaign.rs
+++ b/crates/zinniastall-coord/src/replica/campaign.rs
@@ -32,8 +32,9 @@
 
     pub(super) fn pre_vote_asked(&mut self, from: Id, term: Term, last: Position, now: Instant) {
         if let Some(index) = self.history.removed(from, self.commit) {
+            // The answer follows all the same: this set may be behind, and the asking replica may
+            // have been admitted since and be the only one that can lead.
             self.send(from, Body::Removed { index });
-            return;
         }
         let granted =
             term >= self.hard.term && !self.is_bound(now) && last.covers(&self.log.last());
--- a/crates/zinniastall-coord/tests/replica.rs
+++ b/crates/zinniastall-coord/tests/replica.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use zinniastall_coord::election::Timing;
-use zinniastall_coord::log::{Entry, Payload};
+use zinniastall_coord::log::{Entry, Payload, Position};
 use zinniastall_coord::replica::{
     Append, Body, Cluster, Hard, Limits, Message, Outcome, Part, Refusal, Replica, Restored,
 };
@@ -25,6 +25,7 @@
     replica: Replica,
     now: Instant,
     commands: Vec<Vec<u8>>,
+    sent: Vec<(u64, Message)>,
     round: u64,
 }
 
@@ -40,6 +41,7 @@
             replica,
             now,
             commands: Vec::new(),
+            sent: Vec::new(),
             round: 0,
         }
     }
@@ -126,6 +128,7 @@
                     self.round = self.round.max(append.round);
                 }
             }
+            self.sent.extend(ready.messages);
             self.commands
                 .extend(ready.committed.into_iter().filter_map(command));
             self.replica.synced(ready.batch, self.now);
@@ -185,7 +188,7 @@
     bench.wait(Duration::from_mins(1));
     let body = Body::Append(Append {
         round: 1,
-        previous: zinniastall_coord::log::Position::default(),
+        previous: Position::default(),
         entries: Vec::new(),
         commit: 0,
     });
@@ -200,7 +203,7 @@
         2,
         5,
         Body::Vote {
-            last: zinniastall_coord::log::Position::default(),
+            last: Position::default(),
             transfer: true,
         },
     );
@@ -296,6 +299,25 @@
     }
 );
 
+// A replica was admitted and promoted while this one was behind, and then the others were lost. Only
+// the new one holds everything, and it needs the vote of this one, which has never heard of it.
+case!(
+    a_replica_that_is_behind_votes_for_one_it_does_not_know,
+    Bench::elected(),
+    |bench| {
+        bench.acknowledge(3);
+        bench.wait(Duration::from_secs(2));
+        let last = Position { index: 9, term: 4 };
+        bench.hear(9, 4, Body::PreVote { last });
+        let granted = Body::PreVoteAnswer {
+            proposed: 5,
+            granted: true,
+        };
+        let answered = |(to, message): &(u64, Message)| *to == 9 && message.body == granted;
+        assert!(bench.sent.iter().any(answered), "{:?}", bench.sent.last());
+    }
+);
+
 // Reads come by the thousand while a heartbeat is on its way over a slow link. The answer to it must
 // still count, or a busy leader that everybody follows would lose its quorum.
 case!(
