--- /dev/null
+++ b/tests/tests/spread/locate.rs
@@ -0,0 +1,67 @@
+//! How callers spread over a zone's instances by what they are told.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+use zinniastall_tests::{Result, cluster::Cluster, wait};
+
+use crate::system::{lists, locate, start};
+
+const ALL: [&str; 3] = ["athens-a-1", "athens-a-2", "athens-a-3"];
+/// Callers that ask, a third of them each instance.
+const CALLERS: usize = 300;
+
+/// Asks once for each caller and counts the instances that are named first.
+async fn firsts(cluster: &Cluster) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for caller in 0..CALLERS {
+        let answer = locate(cluster, ALL[caller % ALL.len()])
+            .await
+            .unwrap_or_default();
+        let first = answer["instances"][0]["instance"]
+            .as_str()
+            .unwrap_or_default();
+        *counts.entry(first.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
+fn weight(answer: &Value, name: &str) -> u64 {
+    let instances = answer["instances"].as_array().into_iter().flatten();
+    let mut named = instances.filter(|instance| instance["instance"] == name);
+    named
+        .next()
+        .and_then(|instance| instance["weight"].as_u64())
+        .unwrap_or_default()
+}
+
+/// Waits until an instance has been up for long enough to have its whole weight.
+async fn whole(cluster: &Cluster, name: &str) -> Result<()> {
+    wait::until(&format!("whole weight of {name}"), async || {
+        let answer = locate(cluster, ALL[0]).await?;
+        (weight(&answer, name) == 1_000).then_some(())
+    })
+    .await
+}
+
+// There is no balancer. If all callers were told the same first instance, it would be overrun while
+// the others idle; and an instance that has just started would get a third of all callers at once,
+// with everything cold.
+#[actix_rt::test]
+async fn callers_spread_and_a_newcomer_ramps() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 3).await?;
+    whole(&cluster, ALL[2]).await?;
+    let counts = firsts(&cluster).await;
+    let busiest = counts.values().max().copied().unwrap_or_default();
+    let mean = CALLERS / ALL.len();
+    println!("{CALLERS} callers: {counts:?}, busiest to mean {busiest}/{mean}");
+    assert!(counts.len() == 3 && busiest < mean * 3 / 2, "{counts:?}");
+    cluster.entry(ALL[2])?.process().kill()?;
+    lists(&cluster, ALL[0], &ALL[..2]).await?;
+    cluster.entry(ALL[2])?.restart().await?;
+    let answer = lists(&cluster, ALL[0], &ALL).await?;
+    let (newcomer, old) = (weight(&answer, ALL[2]), weight(&answer, ALL[1]));
+    println!("weights: newcomer {newcomer}, old {old}");
+    assert!(newcomer < 500 && old == 1_000, "{answer}");
+    cluster.stop().await
+}
--- a/tests/tests/spread/main.rs
+++ b/tests/tests/spread/main.rs
@@ -2,5 +2,6 @@
 
 mod cuts;
 mod instances;
+mod locate;
 mod system;
 mod targets;
