--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -130,11 +130,20 @@
         }
         let since = now.saturating_duration_since(self.swept);
         tracing::warn!(event = "frozen", millis = millis(since));
+        self.swept = now;
         self.lines.clear();
         self.publish_targets(now);
         self.publish_peers(now);
     }
 
+    /// Notices a freeze before the next period does: the messages that waited for its end may be
+    /// handled before the timer.
+    fn wake(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.swept) > self.settings.membership().freeze {
+            self.begin(now);
+        }
+    }
+
     /// Charges what was sent since the last period to the budget and records it.
     fn charge(&mut self) {
         let around = &self.around;
@@ -187,10 +196,9 @@
             return;
         };
         self.book.linked(&peer, now);
-        let mut peers = vec![self.own_word(now)];
-        peers.extend(self.published.values().skip(1).cloned());
-        self.lines.send(number, gossip::Message::Peers(peers));
         let zone = self.lines.heard(number, now).map(|(_, place)| place);
+        let peers = self.introduction(zone.as_ref(), now);
+        self.lines.send(number, gossip::Message::Peers(peers));
         if zone.as_ref() == Some(self.around.identity.place()) {
             let reports = self.targets.reports(now);
             self.lines.send(number, gossip::Message::Targets(reports));
@@ -198,6 +206,7 @@
     }
 
     fn receive(&mut self, line: Line, message: gossip::Message, now: Instant) {
+        self.wake(now);
         let Some((peer, place)) = self.lines.heard(line, now) else {
             return;
         };
--- a/crates/zinniastall-entry/src/spread/peers.rs
+++ b/crates/zinniastall-entry/src/spread/peers.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use zinniastall_coord::membership::Heard;
-use zinniastall_model::id;
+use zinniastall_model::{id, place::Place};
 use zinniastall_wire::{
     gossip::{self, Heartbeat, Peer},
     hello::Hello,
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Returns what a new link's other end is told: this instance's own word, and the instances of
+    /// both zones. It learns of other zones by digests, which have a budget.
+    pub(super) fn introduction(&self, zone: Option<&Place>, now: Instant) -> Vec<Peer> {
+        let own = self.around.identity.place();
+        let near = |peer: &&Peer| peer.place == *own || Some(&peer.place) == zone;
+        let others = self.published.values().skip(1).filter(near).cloned();
+        std::iter::once(self.own_word(now)).chain(others).collect()
+    }
+
     /// Judges who answered at an address that was dialled. Whoever answers there owns it; a peer
     /// that was known there is gone.
     pub(super) fn answers(&mut self, address: &str, peer: &Hello, now: Instant) -> bool {
