--- a/crates/zinniastall-standin/src/engine/chat.rs
+++ b/crates/zinniastall-standin/src/engine/chat.rs
@@ -5,6 +5,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use serde_json::json;
+use tokio::time::Instant;
 use zinniastall_model::header;
 
 use super::{Engine, stream};
@@ -26,6 +27,8 @@
     pub(super) request: String,
     pub(super) offset: usize,
     pub(super) uncached: usize,
+    /// When the last token was due.
+    pub(super) due: Instant,
     pub(super) run: Run,
     pub(super) _slot: Slot,
 }
@@ -73,6 +76,7 @@
         chat,
         offset,
         uncached: blocks - cached,
+        due: Instant::now(),
         run,
         _slot: slot,
     };
--- a/crates/zinniastall-standin/src/engine/stream.rs
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -48,14 +48,15 @@
         .streaming(events)
 }
 
-async fn event(job: Job, index: usize) -> (Result<Bytes, Cut>, (Job, Step)) {
-    let engine = &job.engine.settings.engine;
+async fn event(mut job: Job, index: usize) -> (Result<Bytes, Cut>, (Job, Step)) {
     let wait = match index {
         _ if index == job.offset => job.engine.first(job.uncached),
-        _ => engine.token,
+        _ => job.engine.settings.engine.token,
     };
     if !wait.is_zero() && index < job.chat.tokens.max(1) {
-        tokio::time::sleep(wait).await;
+        // Timers end up to a millisecond late; waiting from token to token would add that up.
+        job.due += wait;
+        tokio::time::sleep_until(job.due).await;
     }
     if job.engine.failure.armed() {
         // A failing body takes what the server has not yet sent with it; the events before the
