test: an engine is lost under load; refuse stale binaries

Cause: the new test failed with no-instance for all work that may run once; the entry instance beside it was an old build that issued no tickets.

--- a/tests/src/binary.rs
+++ b/tests/src/binary.rs
@@ -4,7 +4,10 @@
 //! before any test runs, and all of ours have one. They lie in the folder above `deps`, where test
 //! executables lie; chores lie beside them.
 
-use std::{path::PathBuf, sync::OnceLock};
+use std::{
+    path::{Path, PathBuf},
+    sync::OnceLock,
+};
 
 use crate::error::{Error, Result};
 
@@ -19,17 +22,34 @@
 ///
 /// # Errors
 ///
-/// [`Error::Binary`] when it is not built.
+/// [`Error::Binary`] when it is not built, [`Error::Stale`] when a source is newer than it: a test
+/// would pass or fail by code that nobody has any more.
 pub fn path(name: &str) -> Result<PathBuf> {
     let path = match FOLDER.get() {
         Some(folder) => folder.join(name),
         None => beside()?.join(name),
     };
-    if path.is_file() {
-        Ok(path)
-    } else {
-        Err(Error::Binary(path))
+    if !path.is_file() {
+        return Err(Error::Binary(path));
     }
+    match newer(&path)? {
+        Some(changed) => Err(Error::Stale { path, changed }),
+        None => Ok(path),
+    }
+}
+
+/// Returns a source that is newer than its binary, by the list that the build leaves beside it.
+fn newer(path: &Path) -> Result<Option<PathBuf>> {
+    let built = path.metadata()?.modified()?;
+    let Ok(list) = std::fs::read_to_string(path.with_extension("d")) else {
+        return Ok(None);
+    };
+    let sources = list.split_whitespace().skip(1).map(PathBuf::from);
+    let changed = |source: &PathBuf| {
+        let modified = source.metadata().and_then(|metadata| metadata.modified());
+        modified.is_ok_and(|modified| modified > built)
+    };
+    Ok(sources.into_iter().find(changed))
 }
 
 fn beside() -> Result<PathBuf> {
--- a/tests/src/error.rs
+++ b/tests/src/error.rs
@@ -11,6 +11,14 @@
     /// A binary is not where the build puts it.
     #[error("{0} is not built; run `cargo build --workspace --bins` or `cargo test --workspace`")]
     Binary(PathBuf),
+    /// A binary is older than one of its sources.
+    #[error("{path} is older than {changed}; run `cargo build --workspace --bins`")]
+    Stale {
+        /// Binary.
+        path: PathBuf,
+        /// Source.
+        changed: PathBuf,
+    },
     /// A file, socket or process cannot be had.
     #[error(transparent)]
     Io(#[from] std::io::Error),
--- a/tests/tests/load.rs
+++ b/tests/tests/load.rs
@@ -1,7 +1,13 @@
 //! The load tool measures what it says.
 
+use std::{net::SocketAddr, path::Path};
+
 use serde_json::{Value, json};
-use zinniastall_tests::{Result, node::ANY, settings};
+use zinniastall_tests::{
+    Result, cluster::Cluster, http, node::ANY, process::Process, settings, wait,
+};
+
+const MODEL: &str = "map-labels";
 
 /// Runs the load tool against one stand-in engine without the system between.
 async fn direct(engine: Value, change: Value) -> Result<Value> {
@@ -58,3 +64,68 @@
     assert!(all["whole"]["max"].as_u64() > Some(1_500_000), "{all}");
     Ok(())
 }
+
+/// Callers of two clients ask two availability zones at once, some for work that may run once, while
+/// an engine is killed and comes back. Whoever was told "answered" must have a run in a ledger and
+/// the right text, whoever was told "not run" none, and no work that may run once may have run twice:
+/// a cleaning schedule that ran twice has the robot out at naptime.
+#[actix_rt::test]
+async fn the_system_keeps_its_word_while_an_engine_is_lost() -> Result<()> {
+    let files = tempfile::tempdir()?;
+    let mut cluster = Cluster::builder()
+        .zone("patras", "a", 2)
+        .zone("patras", "b", 1)
+        .start()
+        .await?;
+    for (name, zone) in [("engine-1", "a"), ("engine-2", "a"), ("engine-3", "b")] {
+        let file = files.path().join(name);
+        let slow = json!({"ledger_file": file, "engine": {"first_ms": 5, "token_us": 3_000}});
+        cluster.engine(name, ("patras", zone), MODEL, slow).await?;
+    }
+    cluster.client("chartotopos", "key-1").await?;
+    cluster.client("korrigan", "key-2").await?;
+    cluster.model(MODEL).await?;
+    cluster.located("patras-a-1", "key-1", MODEL, 3).await?;
+    let mut load = under_load(&cluster, &files.path().join("report.json"))?;
+    let engine = cluster.target("engine-1")?.address("http")?;
+    wait::until("a run at the engine", async || {
+        let ledger = http::get(engine, "/ledger")
+            .send()
+            .await
+            .ok()?
+            .json()
+            .ok()?;
+        (ledger.as_array()?.len() > 20).then_some(())
+    })
+    .await?;
+    cluster.target("engine-1")?.process().kill()?;
+    cluster.target("engine-1")?.restart().await?;
+    let status = load.ends().await?;
+    let report = std::fs::read_to_string(files.path().join("report.json"))?;
+    assert!(status.success(), "{status}: {report}");
+    let report: Value = serde_json::from_str(&report)?;
+    let all = &report["variants"][0]["all"];
+    let share = all["answered"].as_f64().unwrap_or(0.0) / all["requests"].as_f64().unwrap_or(1.0);
+    assert!(share > 0.8, "{all}");
+    Ok(())
+}
+
+fn under_load(cluster: &Cluster, report: &Path) -> Result<Process> {
+    let of = |role: &str| -> Vec<SocketAddr> {
+        let nodes = cluster.nodes();
+        nodes.filter_map(|node| node.address(role).ok()).collect()
+    };
+    let source = |client: &str, key: &str, idempotent: bool| {
+        json!({
+            "client": client, "key": key, "model": MODEL, "rate": 25, "tokens": 8,
+            "region": "patras", "stream": idempotent, "idempotent": idempotent,
+        })
+    };
+    let experiment = json!({
+        "warmup_ms": 0, "duration_ms": 4_000, "deadline_ms": 10_000, "patience_ms": 15_000,
+        "report": report,
+        "variants": [{"name": "system", "entries": of("callers"), "ledgers": of("http")}],
+        "sources": [source("chartotopos", "key-1", true), source("korrigan", "key-2", false)],
+    });
+    settings::start("load", "zinniastall-load", &experiment)
+}
