feat(route): notice silent links between instances

A pulse a second and three seconds of silence end the link; its requests are unknown, idempotent ones are served elsewhere, and the place is left out for two seconds.

--- a/crates/zinniastall-entry/src/callers/admission/flight.rs
+++ b/crates/zinniastall-entry/src/callers/admission/flight.rs
@@ -87,6 +87,7 @@
     admission: Admission,
     place: Place,
     hops: Vec<Place>,
+    lost: bool,
 }
 
 impl Away {
@@ -95,6 +96,7 @@
             admission,
             place,
             hops,
+            lost: false,
         }
     }
 
@@ -103,6 +105,11 @@
         &self.place
     }
 
+    /// Takes note of the end without a whole answer.
+    pub const fn failed(&mut self, refusal: &Refusal) {
+        self.lost = matches!(refusal.reason, Reason::Unreachable | Reason::Broken);
+    }
+
     /// Returns the places that it will have passed.
     pub fn hops(&self) -> &[Place] {
         &self.hops
@@ -111,6 +118,7 @@
 
 impl Drop for Away {
     fn drop(&mut self) {
-        self.admission.lock().queues.back(&self.place);
+        let mut inner = self.admission.lock();
+        inner.queues.back(&self.place, self.lost);
     }
 }
--- a/crates/zinniastall-entry/src/callers/admission/queues.rs
+++ b/crates/zinniastall-entry/src/callers/admission/queues.rs
@@ -1,6 +1,6 @@
 //! Who waits, and what has been sent to other places.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -20,6 +20,10 @@
 };
 use crate::view::View;
 
+/// How long a place gets no requests after one was lost on its way there. Its digest may be fresh
+/// enough to look usable for some time after a partition.
+const LOST: Duration = Duration::from_secs(2);
+
 /// Who waits, and what has been sent to other places.
 #[derive(Debug, Default)]
 pub(super) struct Queues {
@@ -27,6 +31,8 @@
     pub(super) lines: IndexMap<Subject, Line>,
     /// Requests in progress at other places.
     pub(super) away: IndexMap<Place, u32>,
+    /// Places that a request did not come back from, and when.
+    lost: IndexMap<Place, Instant>,
     last: admit::Id,
 }
 
@@ -56,7 +62,10 @@
         if !policy.spills() || request.hops.len() != 1 {
             return None;
         }
-        let remotes = candidates::remotes(view, &request.subject, &self.away, now);
+        self.lost
+            .retain(|_, lost| now.saturating_duration_since(*lost) < LOST);
+        let mut remotes = candidates::remotes(view, &request.subject, &self.away, now);
+        remotes.retain(|remote| !self.lost.contains_key(&remote.place));
         let cold = policy.prefill(request.prefixes.len());
         let (here, regions) = (&view.place, &request.regions);
         let cheapest = spill::cheapest(policy, here, &remotes, regions, found.service(), cold);
@@ -91,8 +100,11 @@
         Ok((id, receiver))
     }
 
-    /// Ends the count of a request at another place.
-    pub(super) fn back(&mut self, place: &Place) {
+    /// Ends the count of a request at another place, which may have been lost there.
+    pub(super) fn back(&mut self, place: &Place, lost: bool) {
+        if lost {
+            self.lost.insert(place.clone(), Instant::now());
+        }
         if let Some(count) = self.away.get_mut(place) {
             *count -= 1;
             if *count == 0 {
--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -36,6 +36,15 @@
 
 /// Bytes of an answer that may be on their way without having been taken by the reader.
 const WINDOW: u64 = 256 * 1024;
+/// Time between two pulses on a link that has nothing else to send.
+const PULSE: Duration = Duration::from_secs(1);
+/// Silence after which a link counts as lost.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Asks the other end for a sign of life; it answers the same. No stream has this number.
+const PULSE_MESSAGE: Message = Message::Credit {
+    stream: 0,
+    bytes: 0,
+};
 /// Longest time to open a link. Regions are a slow link apart.
 const DIAL: Duration = Duration::from_secs(3);
 
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, stream};
 use indexmap::IndexMap;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 use zinniastall_model::{
     header::{PLACE, TARGET},
     id,
@@ -21,7 +21,7 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{WINDOW, refusal, stream_of};
+use super::{PULSE, SILENCE, WINDOW, refusal, stream_of};
 use crate::callers::reply::{Body, Reply, Served};
 
 /// The sender's end of a link.
@@ -119,8 +119,12 @@
     }
 }
 
+/// Reads until the link breaks or falls silent.
+///
+/// A network partition closes nothing: without the pulse each request on the link would wait for its
+/// own deadline, and so would every further one that is sent after it.
 async fn read(mux: std::rc::Weak<Mux>, mut receiver: link::Receiver) {
-    while let Some(Ok(frame)) = receiver.next().await {
+    while let Ok(Some(Ok(frame))) = timeout(SILENCE, receiver.next()).await {
         let Some(mux) = mux.upgrade() else { return };
         let Frame::Stream(message) = frame else {
             return;
@@ -133,7 +137,12 @@
 }
 
 async fn write(mut queued: mpsc::UnboundedReceiver<Message>, mut sender: link::Sender) {
-    while let Some(message) = queued.recv().await {
+    loop {
+        let message = match timeout(PULSE, queued.recv()).await {
+            Ok(Some(message)) => message,
+            Ok(None) => return,
+            Err(_) => super::PULSE_MESSAGE,
+        };
         if sender.send(Frame::Stream(message)).await.is_err() {
             return;
         }
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -15,7 +15,7 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{credit::Credit, failure, mux, open};
+use super::{PULSE_MESSAGE, credit::Credit, failure, mux, open};
 use crate::{
     callers::{Service, path, settle::Settle, worker::Worker},
     links::Acceptor,
@@ -105,6 +105,8 @@
         match message {
             Message::Open(open) => start(&worker, &running, &sender, *open, out.clone()),
             Message::Cancel { stream } => cancel(&running, stream),
+            // A full channel has enough to say.
+            Message::Credit { stream: 0, .. } => drop(out.try_send(PULSE_MESSAGE)),
             Message::Credit { stream, bytes } => {
                 if let Some(run) = running.streams.borrow().get(&stream) {
                     run.credit.add(bytes);
--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -256,7 +256,11 @@
     Ok((reply, whole))
 }
 
-async fn send_away(worker: &Rc<Worker>, parcel: &Parcel, away: Away) -> Result<Answer, Refusal> {
+async fn send_away(
+    worker: &Rc<Worker>,
+    parcel: &Parcel,
+    mut away: Away,
+) -> Result<Answer, Refusal> {
     let refused = |reason| Err(Refusal::not_run(reason).retry(UNREACHABLE));
     if residency::check_place(&parcel.request.regions, away.place()).is_err() {
         return refused(Reason::Residency);
@@ -266,7 +270,8 @@
         return refused(Reason::Unreachable);
     };
     let hops = away.hops().to_vec();
-    let mut reply = forward::send(worker, parcel, peer, hops).await?;
+    let sent = forward::send(worker, parcel, peer, hops).await;
+    let mut reply = sent.inspect_err(|refusal| away.failed(refusal))?;
     let stall = worker.service.stall;
     let events = reply.events;
     reply.body = relay::bounded(reply.body, events, parcel.request.deadline, stall);
@@ -298,8 +303,11 @@
 
 /// Keeps a request counted at its place until its body has ended or is dropped.
 fn keeping(body: Body, away: Away) -> Body {
-    let next = |(mut body, away): (Body, Away)| async move {
+    let next = |(mut body, mut away): (Body, Away)| async move {
         let part = body.next().await?;
+        if let Err(refusal) = &part {
+            away.failed(refusal);
+        }
         Some((part, (body, away)))
     };
     stream::unfold((body, away), next).boxed_local()
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -1,7 +1,14 @@
 //! Requests that cross borders.
 
 use serde_json::{Value, json};
-use zinniastall_tests::{Result, cluster::Cluster, http, wait};
+use zinniastall_tests::{
+    Result,
+    cluster::Cluster,
+    http,
+    log::field,
+    proxy::rule::{Rule, Way},
+    wait,
+};
 
 use super::support::{
     CLIENT, KEY, MODEL, System, ask, ask_once, chat, configure, error, expected, runs, ticket,
@@ -108,6 +115,74 @@
     cluster.stop().await
 }
 
+// The home instance is cut off from control and still permits the far region; the far instance has
+// the newer rules. The stricter of the two wins: the request is refused there and runs nowhere.
+#[actix_rt::test]
+async fn stricter_of_two_revisions_wins() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let stalled = Rule::default().with(Way::Both, |lane| lane.stalled = true);
+    cluster.links(|from, to| {
+        let ends = [from.name(), to.name()];
+        let cut = ends.contains(&"control-1") && ends.contains(&"patras-a-1");
+        cut.then_some(stalled)
+    });
+    let rule = json!({"residency": {"id": CLIENT, "client": CLIENT, "regions": ["patras"]}});
+    let run = cluster.ctl(&["apply", &rule.to_string()]).await?;
+    let run: Value = serde_json::from_str(&run.output)?;
+    let revision = run["revision"].to_string();
+    wait::until("the far instance having the rule", async || {
+        let lines = cluster
+            .entry("athens-a-1")
+            .ok()?
+            .process()
+            .log()
+            .events("in-force");
+        let newest = lines.last()?;
+        (field(newest, "revision")? == revision).then_some(())
+    })
+    .await?;
+    let body = chat("a scan that has to stay", 2, false);
+    let answer = ask(address, &body).send().await?;
+    assert_eq!(error(&answer).0, "not-run", "{}", answer.text());
+    assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 0);
+    Ok(())
+}
+
+// The link between two regions goes silent while a request is on its way. Its caller is told in time
+// that the outcome is unknown; both regions go on serving their own callers.
+#[actix_rt::test]
+async fn cut_regions_serve_their_own() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let far = cluster.entry("athens-a-1")?.address("callers")?;
+    let body = chat("a long brief", 150, false);
+    let request = ask(address, &body).header("x-zinniastall-deadline-ms", "4000");
+    let flying = actix_rt::spawn(request.send());
+    wait::until("the request running", async || {
+        let runs = runs(&mut cluster, "engine-1", &body).await.ok()?;
+        (runs.len() == 1).then_some(())
+    })
+    .await?;
+    for entry in ["athens-a-1", "patras-a-1"] {
+        cluster.entry(entry)?.proxy("links")?.stall(Way::Both);
+    }
+    cluster.partition(|node| node.region() == "athens");
+    let answer = flying.await.expect("the request ends")?;
+    assert_eq!(error(&answer).0, "unknown", "{}", answer.text());
+    cluster
+        .engine("engine-2", ("patras", "a"), MODEL, json!({}))
+        .await?;
+    for address in [far, address] {
+        cluster.serves(address, KEY, &chat("own", 2, false)).await?;
+        for number in 0..5 {
+            let answer = ask(address, &chat(&format!("scan {number}"), 2, false));
+            assert_eq!(answer.send().await?.status(), 200);
+        }
+    }
+    Ok(())
+}
+
 // A caller sends the system's own headers, as if an instance had passed the request on: another
 // client's name, an offset, an order's number. None of it may reach a target.
 #[actix_rt::test]
