perf(route): keep affinity under load and admit only what can be in time

Blocks sent now count for 2 s unless a report has them, a target may have a second batch waiting, and a request may use four fifths of its time at the pace that was seen.

--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -84,19 +84,16 @@
     }
 
     /// Returns what the queue needs to know of a request; its number is given there.
-    pub(super) fn waiter(&self, policy: &Policy, request: &Request) -> admit::Waiter {
+    pub(super) fn waiter(&self, policy: &Policy, request: &Request, now: Instant) -> admit::Waiter {
+        let left = request.deadline.saturating_duration_since(now);
         admit::Waiter {
             id: 0,
             client: request.client.clone(),
             weight: request.weight,
             rank: policy.rank(&request.class),
             deadline: request.deadline,
-            // How long a stream takes is for its caller to decide.
-            service: if request.events {
-                Duration::ZERO
-            } else {
-                self.service() / 2
-            },
+            // A stream may go on after its deadline, so its length alone refuses nothing.
+            service: self.service().min(left / 2),
         }
     }
 
--- a/crates/zinniastall-entry/src/callers/admission/line.rs
+++ b/crates/zinniastall-entry/src/callers/admission/line.rs
@@ -15,6 +15,9 @@
 
 use super::Flight;
 
+/// Weight of the newest value in the mean time from start to start.
+const NEWEST: f64 = 0.05;
+
 /// Waiting requests of one model or service.
 #[derive(Debug, Default)]
 pub(super) struct Line {
@@ -22,6 +25,10 @@
     pub(super) gate: Gate,
     queue: Option<Queue>,
     turns: IndexMap<Id, Turn>,
+    /// Last start out of the queue, while it is not empty.
+    started: Option<Instant>,
+    /// Mean time from start to start, in seconds.
+    pace: Option<f64>,
 }
 
 /// A waiting request.
@@ -36,6 +43,13 @@
     pub(super) sender: oneshot::Sender<Flight>,
 }
 
+impl Turn {
+    /// Returns the time that the request will take once it starts.
+    pub(super) const fn service(&self) -> Duration {
+        self.waiter.service
+    }
+}
+
 /// A start that is to be told to a waiting request.
 #[derive(Debug)]
 pub(super) struct Grant {
@@ -51,8 +65,8 @@
     }
 
     /// Returns the expected wait of a further request.
-    pub(super) fn wait(&self, pace: Duration) -> Duration {
-        pace.saturating_mul(count(self.turns.len()))
+    pub(super) fn wait(&self, expected: Duration) -> Duration {
+        self.pace(expected).saturating_mul(count(self.turns.len()))
     }
 
     /// Lets a request wait.
@@ -66,9 +80,10 @@
         waiter: Waiter,
         request: &Request,
         tried: &[id::Target],
-        pace: Duration,
+        expected: Duration,
         now: Instant,
     ) -> Result<oneshot::Receiver<Flight>, Refusal> {
+        let pace = self.pace(expected);
         let queue = self
             .queue
             .get_or_insert_with(|| Queue::new(policy.longest_queue()));
@@ -85,9 +100,23 @@
     }
 
     /// Takes out the request that goes next.
-    pub(super) fn pop(&mut self) -> Option<Turn> {
+    pub(super) fn pop(&mut self, now: Instant) -> Option<Turn> {
         let id = self.queue.as_mut()?.pop()?;
-        self.turns.swap_remove(&id)
+        let turn = self.turns.swap_remove(&id)?;
+        if let Some(started) = self.started {
+            let took = now.saturating_duration_since(started).as_secs_f64();
+            let mean = self.pace.unwrap_or(took);
+            self.pace = Some(mean + (took - mean) * NEWEST);
+        }
+        self.started = (!self.turns.is_empty()).then_some(now);
+        Some(turn)
+    }
+
+    /// Returns the time from start to start as it was seen, or else as it is expected. Other
+    /// instances use the same targets, so what was seen counts.
+    pub(super) fn pace(&self, expected: Duration) -> Duration {
+        self.pace
+            .map_or(expected, |pace| Duration::from_secs_f64(pace).max(expected))
     }
 
     /// Lets a request wait again whose turn came in vain.
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -118,7 +118,7 @@
                 inner.start(self, request, &target, now),
             )));
         }
-        let waiter = found.waiter(&self.policy, request);
+        let waiter = found.waiter(&self.policy, request, now);
         let (id, receiver) = queues.wait(&self.policy, waiter, request, tried, &found, now)?;
         let subject = request.subject.clone();
         let waiting = Waiting::new(self.clone(), subject, id, receiver);
@@ -201,7 +201,7 @@
         target: &str,
         now: Instant,
     ) -> Flight {
-        let run = self.table.start(target, &request.prefixes);
+        let run = self.table.start(target, &request.prefixes, now);
         self.running += 1;
         self.tell_load(&admission.board);
         let report = self.seen.get(target).map(|target| target.report.clone());
@@ -233,7 +233,7 @@
         if !candidates::any_room(view, subject, policy, &self.table, now) {
             return None;
         }
-        let turn = line.pop()?;
+        let turn = line.pop(now)?;
         let found = Candidates::find(view, &turn.request, &turn.tried, policy, &self.table, now);
         let Some(target) = admission.choose(&mut self.chooser, &turn.request, &found, now) else {
             line.put_back(turn);
@@ -269,8 +269,9 @@
             let reason = Reason::NoTarget(subject.name().to_owned());
             return Some(Refusal::not_run(reason).retry(ABSENT));
         }
-        let wait = found.pace().saturating_mul(line.ahead(id));
-        let late = now + wait > turn.request.deadline;
-        late.then(|| Refusal::not_run(Reason::Late).retry(wait.max(found.pace())))
+        let pace = line.pace(found.pace());
+        let wait = pace.saturating_mul(line.ahead(id));
+        let late = now + wait + turn.service() > turn.request.deadline;
+        late.then(|| Refusal::not_run(Reason::Late).retry(wait.max(pace)))
     }
 }
--- a/crates/zinniastall-route/src/admit.rs
+++ b/crates/zinniastall-route/src/admit.rs
@@ -22,6 +22,10 @@
 /// Share of the queue from which on no client may hold more than its own share of it.
 const CROWDED: f64 = 0.5;
 
+/// Part of the time left that wait and work may take. Expected times are means: a request that just
+/// fits is late half of the time, and then it has cost a target work for nothing.
+const SAFE: f64 = 0.8;
+
 /// Number of a waiting request.
 pub type Id = u64;
 
@@ -110,7 +114,8 @@
         if self.exceeds_share(waiter) {
             return Err(Refusal::not_run(Reason::Share).retry(wait.max(pace)));
         }
-        if now + wait + waiter.service > waiter.deadline {
+        let left = waiter.deadline.saturating_duration_since(now);
+        if wait + waiter.service > left.mul_f64(SAFE) {
             return Err(Refusal::not_run(Reason::Late).retry(wait.max(pace)));
         }
         self.push(waiter);
--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -19,7 +19,7 @@
 /// Load over the mean up to which a target keeps its affinity.
 const BOUND: f64 = 1.25;
 /// Share of a request's time by which a full batch slows it down.
-const BATCH: f64 = 0.25;
+const BATCH: f64 = 0.05;
 /// Costs within this factor and this many milliseconds of the least count as equal: means are not
 /// known better than that, and always taking the least would use one target only.
 const TIE: f64 = 1.05;
@@ -75,7 +75,7 @@
 pub fn cost(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
     let service = millis(load.service());
     let wait = millis(load.wait(now)) + service * BATCH * load.fill(now).min(1.0);
-    let uncached = prefixes.len() as f64 - load.cached(prefixes);
+    let uncached = prefixes.len() as f64 - load.cached(prefixes, now);
     let weights = &policy.weights;
     weights.wait * wait
         + weights.cache * uncached * millis(policy.block)
@@ -112,7 +112,7 @@
         return Vec::new();
     };
     let warm = candidates.iter().max_by(|a, b| {
-        let (a, b) = (a.load.cached(prefixes), b.load.cached(prefixes));
+        let (a, b) = (a.load.cached(prefixes, now), b.load.cached(prefixes, now));
         a.total_cmp(&b)
     });
     let bound = bound(candidates, now);
--- a/crates/zinniastall-route/src/dispatch.rs
+++ b/crates/zinniastall-route/src/dispatch.rs
@@ -46,13 +46,19 @@
 }
 
 /// Merges the ends of two attempts: a request is "not run" only if no attempt may have run.
+///
+/// The caller is told why the attempt ended that decides on the outcome.
 #[must_use]
 pub fn merge(earlier: Option<Refusal>, later: Refusal) -> Refusal {
     match earlier {
-        Some(earlier) if earlier.outcome == Outcome::Unknown => Refusal {
-            outcome: Outcome::Unknown,
-            ..later
-        },
+        Some(earlier)
+            if earlier.outcome == Outcome::Unknown && later.outcome == Outcome::NotRun =>
+        {
+            Refusal {
+                retry: later.retry.or(earlier.retry),
+                ..earlier
+            }
+        }
         _ => later,
     }
 }
--- a/crates/zinniastall-route/src/limit.rs
+++ b/crates/zinniastall-route/src/limit.rs
@@ -10,13 +10,17 @@
 
 /// Factor after a refusal.
 const REFUSED: f64 = 0.7;
-/// Factor after a report of more work than slots.
+/// Factor after a report of more work than a target should queue.
 const QUEUED: f64 = 0.9;
 /// A limit shrinks at most once in this time: all requests of one overload tell the same news.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Share of the slots at which a target that is new here starts. Its cache and connections are
 /// cold, and every instance discovers it at the same moment.
 const START: f64 = 0.5;
+/// Most requests over the slots. A target whose queue is empty whenever one ends stands idle until the
+/// next one arrives; with a second batch waiting it never does. Without room to wait for a warm
+/// target, requests would also go to whichever has a slot, and prefixes would end up everywhere.
+const MOST: f64 = 2.0;
 /// Share of the limit that must be in use for it to grow.
 const USED: f64 = 0.75;
 
@@ -31,10 +35,10 @@
 impl Limit {
     /// Creates the limit for a target with these slots.
     pub fn new(slots: u32) -> Self {
-        let most = f64::from(slots.max(1));
+        let slots = f64::from(slots.max(1));
         Self {
-            value: (most * START).max(1.0),
-            most,
+            value: (slots * START).max(1.0),
+            most: slots * MOST,
             shrunk: None,
         }
     }
@@ -53,7 +57,7 @@
 
     /// Takes note of the announced slots.
     pub fn slots(&mut self, slots: u32) {
-        self.most = f64::from(slots.max(1));
+        self.most = f64::from(slots.max(1)) * MOST;
         self.value = self.value.min(self.most);
     }
 
@@ -69,9 +73,12 @@
         self.shrink(REFUSED, now);
     }
 
-    /// Takes note of a report of more work than slots.
-    pub fn queued(&mut self, now: Instant) {
-        self.shrink(QUEUED, now);
+    /// Takes note of a report of the requests that a target runs and queues; a second batch in its
+    /// queue is as much as it needs.
+    pub fn reported(&mut self, busy: u32, now: Instant) {
+        if f64::from(busy) > self.most {
+            self.shrink(QUEUED, now);
+        }
     }
 
     fn shrink(&mut self, factor: f64, now: Instant) {
--- a/crates/zinniastall-route/src/load.rs
+++ b/crates/zinniastall-route/src/load.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use zinniastall_model::id;
 
 use crate::{eject::Outlier, limit::Limit};
@@ -18,6 +18,10 @@
 const HALF_LIFE: f64 = 2.0;
 /// Blocks of own requests that are remembered for each target.
 const RECENT: usize = 4096;
+/// Time for which a block that was sent to a target counts as cached there before it says so. By
+/// then a report has it, or the target has dropped it again: remembering it for longer makes every
+/// target look warm for every prompt.
+const LATE: Duration = Duration::from_secs(2);
 /// Weight of the newest value in a mean.
 const NEWEST: f64 = 0.1;
 /// Time of a request while nothing at all is known.
@@ -60,7 +64,7 @@
     price: f64,
     cached: HashSet<u64>,
     gap: bool,
-    recent: IndexSet<u64>,
+    recent: IndexMap<u64, Instant>,
     in_flight: u32,
     limit: Limit,
     outlier: Outlier,
@@ -117,12 +121,12 @@
     }
 
     /// Counts a request with these prefixes at a target and returns the target's run.
-    pub fn start(&mut self, target: &str, prefixes: &[u64]) -> id::Incarnation {
+    pub fn start(&mut self, target: &str, prefixes: &[u64], now: Instant) -> id::Incarnation {
         let Some(load) = self.loads.get_mut(target) else {
             return 0;
         };
         load.in_flight += 1;
-        load.remember(prefixes);
+        load.remember(prefixes, now);
         load.incarnation
     }
 
@@ -181,7 +185,7 @@
             price: report.price,
             cached: report.prefixes.iter().copied().collect(),
             gap: report.gap,
-            recent: IndexSet::new(),
+            recent: IndexMap::new(),
             in_flight: 0,
             limit: Limit::new(report.slots),
             outlier: Outlier::default(),
@@ -198,19 +202,19 @@
         self.cached = report.prefixes.iter().copied().collect();
         self.gap = report.gap;
         self.limit.slots(report.slots);
-        if report.busy > report.slots {
-            self.limit.queued(now);
-        }
+        self.limit.reported(report.busy, now);
     }
 
-    fn remember(&mut self, prefixes: &[u64]) {
+    fn remember(&mut self, prefixes: &[u64], now: Instant) {
         // The first blocks are the ones that others share, so they become the newest.
         for digest in prefixes.iter().rev() {
             self.recent.shift_remove(digest);
-            self.recent.insert(*digest);
+            self.recent.insert(*digest, now);
         }
+        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
+        let old = self.recent.values().take_while(|sent| !fresh(sent)).count();
         let surplus = self.recent.len().saturating_sub(RECENT);
-        self.recent.drain(..surplus);
+        self.recent.drain(..surplus.max(old));
     }
 
     /// Returns the requests of this instance in progress.
@@ -263,9 +267,11 @@
 
     /// Returns how many leading blocks of a prompt are cached; a fraction where that is unsure.
     #[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
-    pub fn cached(&self, chain: &[u64]) -> f64 {
+    pub fn cached(&self, chain: &[u64], now: Instant) -> f64 {
+        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
         let known = |digest: &&u64| {
-            self.recent.contains(*digest) || (!self.gap && self.cached.contains(*digest))
+            let recent = self.recent.get(*digest).is_some_and(fresh);
+            recent || (!self.gap && self.cached.contains(*digest))
         };
         let known = chain.iter().take_while(known).count();
         if !self.gap {
