--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -13,7 +13,7 @@
 use zinniastall_model::id;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
-    outcome::{Reason, Refusal},
+    outcome::{Outcome, Reason, Refusal},
     residency,
 };
 
@@ -170,6 +170,12 @@
     loop {
         let verdict = match admission.admit(request, &tried) {
             Ok(verdict) => verdict,
+            // The budget has paid for one more attempt. Where no other target is left, the one that
+            // lost a connection may have lost just that.
+            Err(refusal) if nobody_else(&refusal, earlier.as_ref(), &tried) => {
+                tried.clear();
+                continue;
+            }
             Err(refusal) => return Err(last(earlier, refusal)),
         };
         let attempt = match verdict {
@@ -199,6 +205,12 @@
     }
 }
 
+/// Returns whether only targets are left that have lost this request already.
+fn nobody_else(refusal: &Refusal, earlier: Option<&Refusal>, tried: &[id::Target]) -> bool {
+    let lost = earlier.is_some_and(|earlier| earlier.outcome == Outcome::Unknown);
+    lost && !tried.is_empty() && matches!(refusal.reason, Reason::NoTarget(_))
+}
+
 /// Merges the end of a request that found nowhere else to go with that of its attempts.
 fn last(earlier: Option<Refusal>, refusal: Refusal) -> Refusal {
     let retry = refusal.retry;
@@ -244,7 +256,11 @@
     Ok((reply, whole))
 }
 
-async fn send_away(worker: &Rc<Worker>, parcel: &Parcel, away: Away) -> Result<Answer, Refusal> {
+async fn send_away(
+    worker: &Rc<Worker>,
+    parcel: &Parcel,
+    mut away: Away,
+) -> Result<Answer, Refusal> {
     let refused = |reason| Err(Refusal::not_run(reason).retry(UNREACHABLE));
     if residency::check_place(&parcel.request.regions, away.place()).is_err() {
         return refused(Reason::Residency);
@@ -254,7 +270,8 @@
         return refused(Reason::Unreachable);
     };
     let hops = away.hops().to_vec();
-    let mut reply = forward::send(worker, parcel, peer, hops).await?;
+    let sent = forward::send(worker, parcel, peer, hops).await;
+    let mut reply = sent.inspect_err(|refusal| away.failed(refusal))?;
     let stall = worker.service.stall;
     let events = reply.events;
     reply.body = relay::bounded(reply.body, events, parcel.request.deadline, stall);
@@ -286,8 +303,11 @@
 
 /// Keeps a request counted at its place until its body has ended or is dropped.
 fn keeping(body: Body, away: Away) -> Body {
-    let next = |(mut body, away): (Body, Away)| async move {
+    let next = |(mut body, mut away): (Body, Away)| async move {
         let part = body.next().await?;
+        if let Err(refusal) = &part {
+            away.failed(refusal);
+        }
         Some((part, (body, away)))
     };
     stream::unfold((body, away), next).boxed_local()
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -12,9 +12,7 @@
 use zinniastall_settings::metrics::Recorder;
 use zinniastall_wire::{
     gossip::{self, Heartbeat, Peer},
-    hello::Purpose,
     link::Link,
-    meter::Count,
 };
 
 use super::{
@@ -25,6 +23,7 @@
     messages::{Closed, Dialed, Linked, PassOn, PublishTargets, Received, Stop},
     renewals::Renewals,
     settings,
+    traffic::Traffic,
 };
 use crate::{
     links::Identity,
@@ -75,7 +74,7 @@
     pub(super) raises: u32,
     pub(super) started: Instant,
     swept: Instant,
-    counted: Count,
+    traffic: Traffic,
 }
 
 impl Spread {
@@ -106,7 +105,7 @@
             raises: 0,
             started: now,
             swept: now,
-            counted: Count::default(),
+            traffic: Traffic::default(),
             settings,
             around,
         }
@@ -131,27 +130,29 @@
         }
         let since = now.saturating_duration_since(self.swept);
         tracing::warn!(event = "frozen", millis = millis(since));
+        self.swept = now;
         self.lines.clear();
         self.publish_targets(now);
         self.publish_peers(now);
     }
 
+    /// Notices a freeze before the next period does: the messages that waited for its end may be
+    /// handled before the timer.
+    fn wake(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.swept) > self.settings.membership().freeze {
+            self.begin(now);
+        }
+    }
+
     /// Charges what was sent since the last period to the budget and records it.
     fn charge(&mut self) {
-        let count = self.around.identity.meter(Purpose::Gossip).count();
-        let before = std::mem::replace(&mut self.counted, count);
-        let bytes = count.sent_bytes - before.sent_bytes;
-        let messages = count.sent_messages - before.sent_messages;
-        let received = count.received_bytes - before.received_bytes;
-        self.bucket.charge(bytes + messages * OVERHEAD);
-        let count = |name, amount: u64| {
-            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
-            self.around.recorder.count(name, amount);
-        };
-        count("gossip.sent.bytes", bytes);
-        count("gossip.sent.messages", messages);
-        count("gossip.received.bytes", received);
-        count("gossip.waiting.facts", self.digests.waiting() as u64);
+        let around = &self.around;
+        let sent = self.traffic.record(&around.identity, &around.recorder);
+        self.bucket.charge(sent);
+        let waiting = i64::try_from(self.digests.waiting()).unwrap_or(i64::MAX);
+        if waiting > 0 {
+            around.recorder.count("gossip.waiting.facts", waiting);
+        }
     }
 
     fn beat(&mut self, now: Instant) {
@@ -195,10 +196,9 @@
             return;
         };
         self.book.linked(&peer, now);
-        let mut peers = vec![self.own_word(now)];
-        peers.extend(self.published.values().skip(1).cloned());
-        self.lines.send(number, gossip::Message::Peers(peers));
         let zone = self.lines.heard(number, now).map(|(_, place)| place);
+        let peers = self.introduction(zone.as_ref(), now);
+        self.lines.send(number, gossip::Message::Peers(peers));
         if zone.as_ref() == Some(self.around.identity.place()) {
             let reports = self.targets.reports(now);
             self.lines.send(number, gossip::Message::Targets(reports));
@@ -206,6 +206,7 @@
     }
 
     fn receive(&mut self, line: Line, message: gossip::Message, now: Instant) {
+        self.wake(now);
         let Some((peer, place)) = self.lines.heard(line, now) else {
             return;
         };
@@ -222,10 +223,6 @@
     }
 }
 
-/// Bytes that the transport adds to a message: WebSocket, TCP and IP headers, and its share of an
-/// acknowledgement.
-const OVERHEAD: u64 = 70;
-
 impl Actor for Spread {
     type Context = Context<Self>;
 
