fix(tests): look a connection's caller up by both ends in the kernel

Cause: during a partition the proxy read the kernel's whole list of connections for every new one. Ruled out: the control group (its logs show a leader all the time), the stand-in's announcements. Change: one exact look-up through the kernel's socket diagnosis; no list is read.

--- a/tests/src/proxy/mod.rs
+++ b/tests/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod judge;
 pub mod rule;
+mod sockets;
 
 use std::{
     collections::HashMap,
