--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -13,6 +13,8 @@
 
 /// Exit code of a change that is accepted.
 const ACCEPTED: Option<i32> = Some(0);
+/// Exit code of a conflict.
+const CONFLICT: Option<i32> = Some(3);
 /// Exit code of a change that waits for confirmations.
 const PENDING: Option<i32> = Some(4);
 
@@ -255,3 +257,51 @@
     })
     .await
 }
+
+/// Three faults at once: a region is cut off, the control leader is killed, and operators' scripts
+/// race to narrow the same rule. One script must win; it must not be told that its rule holds while
+/// the cut-off region has not heard; and after healing the winner's rule is in force everywhere.
+#[actix_rt::test]
+async fn racing_to_narrow_while_a_region_is_cut_off_and_the_leader_dies() -> Result<()> {
+    let mut cluster = builder(5)
+        .zone("patras", "a", 1)
+        .zone("athens", "a", 1)
+        .zone("thessaloniki", "a", 1)
+        .start()
+        .await?;
+    cluster.client("korrigan", "key").await?;
+    let wide = rule(&["patras", "athens", "thessaloniki"]);
+    let answer = cluster.ctl(&["apply", &wide]).await?.json()?;
+    let held = answer["revision"].to_string();
+    settled(&cluster, 3).await?;
+    let leader = cluster.leader().await?;
+    // One of the five replicas is in that region, so three are left whichever one leads.
+    let cut = "thessaloniki";
+    cluster.partition(|node| node.region() == cut);
+    cluster.control(&leader)?.process().kill()?;
+    let racers = ["patras", "athens", "thessaloniki"].map(|region| {
+        let (cluster, held) = (&cluster, held.clone());
+        async move {
+            let narrow = rule(&[region]);
+            let command = format!("racer-{region}");
+            let arguments = ["--command", &command, "--expected", &held, "apply", &narrow];
+            cluster.ctl(&arguments).await
+        }
+    });
+    let runs = futures_util::future::try_join_all(racers).await?;
+    let winners: Vec<_> = runs.iter().filter(|run| run.code == PENDING).collect();
+    assert_eq!(winners.len(), 1, "{runs:?}");
+    let others = runs.iter().filter(|run| run.code != PENDING);
+    others.for_each(|run| assert_eq!(run.code, CONFLICT, "{run:?}"));
+    let answer: Value = serde_json::from_str(&winners[0].output)?;
+    let revision = answer["revision"].as_u64().unwrap_or_default();
+    let missing = json!([format!("{cut}-a-1")]);
+    wait::until("only the cut-off instance missing", async || {
+        let run = cluster.ctl(&["change", &revision.to_string()]).await.ok()?;
+        let status: Value = serde_json::from_str(&run.output).ok()?;
+        (run.code == PENDING && status["waiting"] == missing).then_some(())
+    })
+    .await?;
+    cluster.heal();
+    becomes(&cluster, revision, ACCEPTED).await
+}
