--- a/crates/zinniastall-entry/src/callers/admission/line.rs
+++ b/crates/zinniastall-entry/src/callers/admission/line.rs
@@ -15,6 +15,8 @@
 
 use super::Flight;
 
+/// Times that a request may be passed over for one that a target has cached.
+const PASSED: u32 = 8;
 /// Weight of the newest value in the mean time from start to start.
 const NEWEST: f64 = 0.05;
 
@@ -35,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct Turn {
     waiter: Waiter,
+    /// How often another one went in its turn.
+    passed: u32,
     /// The request.
     pub(super) request: Request,
     /// Targets that have failed it already.
@@ -91,6 +95,7 @@
         let (sender, receiver) = oneshot::channel();
         let turn = Turn {
             waiter,
+            passed: 0,
             request: request.clone(),
             tried: tried.to_vec(),
             sender,
@@ -99,9 +104,28 @@
         Ok(receiver)
     }
 
-    /// Takes out the request that goes next.
-    pub(super) fn pop(&mut self, now: Instant) -> Option<Turn> {
-        let id = self.queue.as_mut()?.pop()?;
+    /// Returns requests that may go next, the one whose turn it is first; only that one if it has
+    /// been passed over often enough.
+    pub(super) fn first(&self, count: usize) -> Vec<(Id, &Turn)> {
+        let first = self.queue.as_ref().map(|queue| queue.first(count));
+        let first = first.unwrap_or_default().into_iter();
+        let mut first: Vec<_> = first
+            .filter_map(|id| Some((id, self.turns.get(&id)?)))
+            .collect();
+        if first.first().is_some_and(|(_, turn)| turn.passed >= PASSED) {
+            first.truncate(1);
+        }
+        first
+    }
+
+    /// Takes out a request that goes now.
+    pub(super) fn take(&mut self, id: Id, now: Instant) -> Option<Turn> {
+        let queue = self.queue.as_mut()?;
+        let head = queue.first(1).first().copied();
+        if let Some(passed) = head.filter(|head| *head != id) {
+            self.turns[&passed].passed += 1;
+        }
+        queue.take(id);
         let turn = self.turns.swap_remove(&id)?;
         if let Some(started) = self.started {
             let took = now.saturating_duration_since(started).as_secs_f64();
@@ -119,14 +143,6 @@
             .map_or(expected, |pace| Duration::from_secs_f64(pace).max(expected))
     }
 
-    /// Lets a request wait again whose turn came in vain.
-    pub(super) fn put_back(&mut self, turn: Turn) {
-        if let Some(queue) = &mut self.queue {
-            queue.put_back(&turn.waiter);
-            self.turns.insert(turn.waiter.id, turn);
-        }
-    }
-
     /// Takes out a request that does not want to wait any longer.
     pub(super) fn remove(&mut self, id: Id) {
         if let Some(queue) = &mut self.queue {
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -19,7 +19,7 @@
 use zinniastall_route::{
     admit,
     budget::Budget,
-    choose::Chooser,
+    choose::{self, Chooser},
     load::{End, Table},
     outcome::{Reason, Refusal},
     policy::Policy,
@@ -233,12 +233,24 @@
         if !candidates::any_room(view, subject, policy, &self.table, now) {
             return None;
         }
-        let turn = line.pop(now)?;
-        let found = Candidates::find(view, &turn.request, &turn.tried, policy, &self.table, now);
-        let Some(target) = admission.choose(&mut self.chooser, &turn.request, &found, now) else {
-            line.put_back(turn);
-            return None;
-        };
+        let mut best: Option<(f64, admit::Id, id::Target)> = None;
+        for (id, turn) in line.first(policy.window()) {
+            let (request, tried) = (&turn.request, &turn.tried);
+            let found = Candidates::find(view, request, tried, policy, &self.table, now);
+            let target = admission.choose(&mut self.chooser, request, &found, now);
+            let Some((target, load)) = target.and_then(|name| {
+                let load = self.table.get(&name)?;
+                Some((name, load))
+            }) else {
+                continue;
+            };
+            let miss = choose::miss(policy, &request.prefixes, load, now);
+            if best.as_ref().is_none_or(|(least, ..)| miss < *least) {
+                best = Some((miss, id, target));
+            }
+        }
+        let (_, id, target) = best?;
+        let turn = line.take(id, now)?;
         let flight = self.start(admission, &turn.request, &target, now);
         Some(Grant {
             sender: turn.sender,
--- a/crates/zinniastall-route/src/admit.rs
+++ b/crates/zinniastall-route/src/admit.rs
@@ -122,28 +122,24 @@
         Ok(wait)
     }
 
-    /// Lets a request wait again that had its turn in vain; it goes first in its client's share.
-    pub fn put_back(&mut self, waiter: &Waiter) {
-        let lane = self.lanes.entry(waiter.rank).or_default();
-        let share = lane.share(waiter);
-        share.waiting.push_front(waiter.id);
-        lane.length += 1;
-        self.length += 1;
-    }
-
     /// Takes the request out that goes next.
     pub fn pop(&mut self) -> Option<Id> {
-        let mut waiting = self.lanes.iter_mut().filter(|(_, lane)| lane.length > 0);
-        let last = (self.starts + 1).is_multiple_of(LAST_GOES);
-        let (_, lane) = if last {
-            waiting.next_back()?
-        } else {
-            waiting.next()?
-        };
-        let id = lane.next()?;
-        self.starts += 1;
-        self.length -= 1;
-        Some(id)
+        let id = *self.first(1).first()?;
+        self.take(id).then_some(id)
+    }
+
+    /// Returns up to `count` requests out of those that go next, the one whose turn it is first.
+    pub fn first(&self, count: usize) -> Vec<Id> {
+        self.lane().map_or_else(Vec::new, |lane| lane.first(count))
+    }
+
+    /// Takes one of the requests out that [`Queue::first`] named, in place of the one whose turn it
+    /// is; it counts against its own client's share.
+    pub fn take(&mut self, id: Id) -> bool {
+        let taken = self.lanes.values_mut().any(|lane| lane.take(id));
+        self.starts += u64::from(taken);
+        self.length -= usize::from(taken);
+        taken
     }
 
     /// Takes a request out that does not want to wait any longer.
@@ -161,6 +157,16 @@
         higher + lane.map_or(0, |lane| lane.ahead(waiter))
     }
 
+    /// Returns the class whose turn it is.
+    fn lane(&self) -> Option<&Lane> {
+        let mut waiting = self.lanes.values().filter(|lane| lane.length > 0);
+        if (self.starts + 1).is_multiple_of(LAST_GOES) {
+            waiting.next_back()
+        } else {
+            waiting.next()
+        }
+    }
+
     /// Returns whether a client has its share of a crowded queue.
     #[expect(clippy::cast_precision_loss, reason = "counts of requests")]
     fn exceeds_share(&self, waiter: &Waiter) -> bool {
@@ -212,16 +218,26 @@
         share
     }
 
-    fn next(&mut self) -> Option<Id> {
-        let waiting = self.shares.values_mut();
-        let waiting = waiting.filter(|share| !share.waiting.is_empty());
-        let share = waiting.min_by(|a, b| a.next.total_cmp(&b.next))?;
-        let id = share.waiting.pop_front()?;
-        self.clock = share.next;
+    /// Returns requests in the order of shares, several of a client one after the other.
+    fn first(&self, count: usize) -> Vec<Id> {
+        let waiting = self.shares.values();
+        let mut waiting: Vec<_> = waiting.filter(|share| !share.waiting.is_empty()).collect();
+        waiting.sort_by(|a, b| a.next.total_cmp(&b.next));
+        let requests = waiting.iter().flat_map(|share| &share.waiting);
+        requests.take(count).copied().collect()
+    }
+
+    fn take(&mut self, id: Id) -> bool {
+        let mut shares = self.shares.values_mut();
+        let Some(share) = shares.find(|share| share.waiting.contains(&id)) else {
+            return false;
+        };
+        share.waiting.retain(|waiting| *waiting != id);
+        self.clock = self.clock.max(share.next);
         share.next += 1.0 / share.weight;
         self.length -= 1;
         self.forget_idle();
-        Some(id)
+        true
     }
 
     /// Forgets clients that have caught up, so that the table is bounded by who waits.
--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -71,15 +71,18 @@
 }
 
 /// Returns the cost of a target for a prompt, in milliseconds.
-#[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
 pub fn cost(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
     let service = millis(load.service());
     let wait = millis(load.wait(now)) + service * BATCH * load.fill(now).min(1.0);
-    let uncached = prefixes.len() as f64 - load.cached(prefixes, now);
     let weights = &policy.weights;
-    weights.wait * wait
-        + weights.cache * uncached * millis(policy.block)
-        + weights.price * load.price() * service
+    weights.wait * wait + miss(policy, prefixes, load, now) + weights.price * load.price() * service
+}
+
+/// Returns the part of the cost that is due to blocks which the target has not cached.
+#[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
+pub fn miss(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
+    let uncached = prefixes.len() as f64 - load.cached(prefixes, now);
+    policy.weights.cache * uncached * millis(policy.block)
 }
 
 fn cheapest<'a, 'b>(
--- a/crates/zinniastall-route/src/policy.rs
+++ b/crates/zinniastall-route/src/policy.rs
@@ -167,6 +167,18 @@
         self
     }
 
+    /// Returns how many waiting requests are looked at when a target has room.
+    ///
+    /// While all targets are full, whichever ends a request first would get the next one in turn,
+    /// and prefixes would end up everywhere: full targets would make cold caches, and cold caches
+    /// full targets. The baselines keep strictly to turns.
+    pub const fn window(&self) -> usize {
+        match self.choice {
+            Choice::Cost => 16,
+            _ => 1,
+        }
+    }
+
     /// Returns the retries permitted for each request.
     pub const fn retries(&self) -> f64 {
         self.retry_share
--- a/crates/zinniastall-route/tests/filters/admission.rs
+++ b/crates/zinniastall-route/tests/filters/admission.rs
@@ -129,7 +129,11 @@
                     }
                 }
                 2 => {
-                    if let Some(id) = queue.pop() {
+                    let first = queue.first(4);
+                    prop_assert_eq!(first.is_empty(), queue.is_empty());
+                    let picked = first.get(rank).or(first.first()).copied();
+                    if let Some(id) = picked {
+                        prop_assert!(queue.take(id) && !queue.take(id));
                         prop_assert!(waiting.remove(&id).is_some());
                     }
                 }
