--- a/xtask/src/bench/speed.rs
+++ b/xtask/src/bench/speed.rs
@@ -19,7 +19,9 @@
 const ENTRY: &str = "patras-a-1";
 const ENGINE: &str = "engine-1";
 /// First rate tried, in requests a second, and the factor from one to the next.
-const RATE: (f64, f64) = (1_000.0, 1.25);
+const RATE: (f64, f64) = (1_000.0, 1.4);
+/// Kinds of answers, and whether they are streamed.
+const ANSWERS: [(&str, bool); 2] = [("whole", false), ("streamed", true)];
 /// Share of the requests that must be answered in time for a rate to count as carried.
 const CARRIED: f64 = 0.99;
 /// Open streams at which memory is read.
@@ -29,17 +31,20 @@
     let mut bench = Bench::start().await?;
     // First of all: later the process also holds what its busiest time has left behind.
     bench.memory(reports).await?;
-    let (highest, cost) = bench.highest(reports).await?;
-    println!("\nhighest rate carried by one thread: {highest:.0} requests a second");
-    println!(
-        "processor time of the entry instance: {} us a request",
-        cost.as_micros()
-    );
-    println!(
-        "requests a second per core: {:.0}\n",
-        1.0 / cost.as_secs_f64()
-    );
-    bench.added(reports, highest / 2.0).await?;
+    for (name, stream) in ANSWERS {
+        println!("\n{name} answers\n");
+        let (highest, cost) = bench.highest(reports, stream).await?;
+        println!("\nhighest rate carried by one thread: {highest:.0} requests a second");
+        println!(
+            "processor time of the entry instance: {} us a request",
+            cost.as_micros()
+        );
+        println!(
+            "requests a second per core: {:.0}\n",
+            1.0 / cost.as_secs_f64()
+        );
+        bench.added(reports, name, stream, highest / 2.0).await?;
+    }
     Ok(bench.cluster.stop().await?)
 }
 
@@ -78,7 +83,7 @@
     }
 
     /// Raises the rate until it is no longer carried; returns it and the processor time a request.
-    async fn highest(&mut self, reports: &Path) -> eyre::Result<(f64, Duration)> {
+    async fn highest(&mut self, reports: &Path, stream: bool) -> eyre::Result<(f64, Duration)> {
         let mut rate = RATE.0;
         let mut best = (0.0, Duration::ZERO);
         let mut table = Table::new(&[
@@ -91,7 +96,7 @@
         loop {
             let before = self.processor()?;
             let variants = json!([{"name": "system", "entries": [self.entry]}]);
-            let experiment = experiment(&variants, rate, false, 4_000);
+            let experiment = experiment(&variants, rate, stream, 4_000);
             let report = load::run(experiment, &reports.join("speed-rate.json")).await?;
             let spent = self.processor()?.saturating_sub(before);
             let all = &report["variants"][0]["all"];
@@ -115,45 +120,28 @@
         Ok(best)
     }
 
-    /// Compares the entry instance with the engine called directly, whole and streamed.
-    async fn added(&self, reports: &Path, rate: f64) -> eyre::Result<()> {
+    /// Compares the entry instance with the engine called directly: time to the end of whole answers,
+    /// to the first token of streamed ones.
+    async fn added(&self, reports: &Path, name: &str, stream: bool, rate: f64) -> eyre::Result<()> {
         println!("added latency at {rate:.0} requests a second, in milliseconds\n");
-        let head = [
-            "answer",
-            "direct p50",
-            "system p50",
-            "added p50",
-            "direct p99",
-            "system p99",
-            "added p99",
-        ];
-        let mut table = Table::new(&head);
-        for (name, stream) in [("whole", false), ("streamed", true)] {
-            let variants = json!([
-                {"name": "direct", "direct": self.engine},
-                {"name": "system", "entries": [self.entry]},
-            ]);
-            let experiment = experiment(&variants, rate, stream, 10_000);
-            let report = load::run(experiment, &reports.join(format!("speed-{name}.json"))).await?;
-            let measure = if stream { "first" } else { "whole" };
-            let at = |variant: usize, quantile: &str| {
-                report["variants"][variant]["all"][measure][quantile].clone()
-            };
-            let added = |quantile: &str| {
-                format!(
-                    "{:.2}",
-                    (ratio(&at(1, quantile)) - ratio(&at(0, quantile))) / 1000.0
-                )
-            };
-            let mut row = vec![name.to_owned()];
-            for quantile in ["p50", "p99"] {
-                row.extend([
-                    millis(&at(0, quantile)),
-                    millis(&at(1, quantile)),
-                    added(quantile),
-                ]);
-            }
-            table.row(row);
+        let variants = json!([
+            {"name": "direct", "direct": self.engine},
+            {"name": "system", "entries": [self.entry]},
+        ]);
+        let experiment = experiment(&variants, rate, stream, 10_000);
+        let report = load::run(experiment, &reports.join(format!("speed-{name}.json"))).await?;
+        let measure = if stream { "first" } else { "whole" };
+        let mut table = Table::new(&["quantile", "direct", "system", "added"]);
+        for quantile in ["p50", "p95", "p99"] {
+            let at = |variant: usize| &report["variants"][variant]["all"][measure][quantile];
+            let added = (ratio(at(1)) - ratio(at(0))) / 1000.0;
+            let cells = [
+                quantile.to_owned(),
+                millis(at(0)),
+                millis(at(1)),
+                format!("{added:.2}"),
+            ];
+            table.row(cells.into());
         }
         table.print();
         Ok(())
