--- /dev/null
+++ b/tests/tests/pages.rs
@@ -0,0 +1,105 @@
+//! The pages keep their word: what they name exists.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .parent()
+        .expect("the tests crate stands in the workspace")
+        .to_path_buf()
+}
+
+/// Files below a folder whose name ends with `ending`, build results left out.
+fn files(folder: &Path, ending: &str, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("folder is readable").flatten() {
+        let path = entry.path();
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if path.is_dir() && name != "target" && !name.starts_with('.') {
+            files(&path, ending, found);
+        } else if name.ends_with(ending) {
+            found.push(path);
+        }
+    }
+}
+
+/// Names in backquotes of the form `file::name`, as the fourth or third column of a row has them.
+fn named_tests(page: &str) -> BTreeSet<(String, String)> {
+    let rows = page.lines().filter(|line| line.starts_with('|'));
+    let words = rows.flat_map(|row| row.split('`').skip(1).step_by(2));
+    words
+        .filter(|word| !word.contains(' '))
+        .filter_map(|word| word.split_once("::"))
+        .map(|(file, name)| (file.to_owned(), name.to_owned()))
+        .collect()
+}
+
+/// Finds the lines of a test file that name a test, as a function or as a case of a macro.
+fn holds(file: &str, name: &str, sources: &[PathBuf]) -> bool {
+    let last = name.rsplit("::").next().unwrap_or(name);
+    sources
+        .iter()
+        .filter(|path| path.file_stem().is_some_and(|stem| stem == file))
+        .filter(|path| path.components().any(|part| part.as_os_str() == "tests"))
+        .filter_map(|path| fs::read_to_string(path).ok())
+        .any(|text| {
+            text.split(|c: char| !c.is_ascii_alphanumeric() && c != '_')
+                .any(|word| word == last)
+        })
+}
+
+#[test]
+fn every_test_named_in_proofs_exists() {
+    // A row that names a test which was renamed or removed claims a proof nobody can rerun.
+    let page = fs::read_to_string(root().join("docs/PROOFS.md")).expect("docs/PROOFS.md");
+    let mut sources = Vec::new();
+    files(&root(), ".rs", &mut sources);
+    let missing: Vec<_> = named_tests(&page)
+        .into_iter()
+        .filter(|(file, name)| !holds(file, name, &sources))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "docs/PROOFS.md names tests that do not exist: {missing:?}"
+    );
+}
+
+#[test]
+fn every_row_of_proofs_has_a_test_or_says_why_not() {
+    // An empty cell reads as proved to a hurried reader.
+    let page = fs::read_to_string(root().join("docs/PROOFS.md")).expect("docs/PROOFS.md");
+    let silent: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| ") && !line.contains("| test |"))
+        .filter(|line| !line.contains("::") && !line.contains("not proved: "))
+        .collect();
+    assert!(
+        silent.is_empty(),
+        "rows without a test or a reason: {silent:?}"
+    );
+}
+
+#[test]
+fn every_link_between_pages_leads_somewhere() {
+    let mut pages = Vec::new();
+    files(&root(), ".md", &mut pages);
+    let mut broken = Vec::new();
+    for page in &pages {
+        let text = fs::read_to_string(page).expect("page is readable");
+        let folder = page.parent().expect("a page stands in a folder");
+        for link in text
+            .split("](")
+            .skip(1)
+            .filter_map(|rest| rest.split(')').next())
+        {
+            let path = link.split('#').next().unwrap_or_default();
+            if !path.is_empty() && !link.contains("://") && !folder.join(path).exists() {
+                broken.push(format!("{} -> {link}", page.display()));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "links that lead nowhere: {broken:#?}");
+}
