feat(entry): wait for the revision under which a forwarded request was judged

Cause: a request that overtakes the change that permits it was refused by the far region although the change had been accepted. Ruled out: fetching the change from the sender (one more way for configuration to spread, one more round trip); judging at once (below). Change: a receiver that is behind waits for the sender's revision, at most behind_ms (500) and half of the time left; then the stricter of both decides as before. An example measures it. Test: a_request_waits_for_the_change_that_permits_it fails with behind_ms 0 (503 for 200), passes now.

--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -1,11 +1,15 @@
 //! The receiver's end of stream links: serves what other instances send.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::{sync::mpsc, task::JoinHandle, time::timeout};
 use zinniastall_coord::ticket::Address;
 use zinniastall_route::outcome::Refusal;
 use zinniastall_wire::{
@@ -194,14 +198,42 @@
 async fn run(
     worker: &Rc<Worker>,
     sender: &Address,
-    open: Open,
+    mut open: Open,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
+    settle.sent_under(open.revision);
+    catch_up(worker, &mut open).await;
     let parcel = open::unpack(worker, open)?;
     settle.identified(&parcel.request);
     path::serve_forwarded(worker, parcel, sender).await
 }
 
+/// Waits, within bounds, for the configuration under which the sender judged a request.
+///
+/// A request may arrive before the change that permits it: judged at once, a client that was added a
+/// moment ago would be told that it is unknown, although its own region has accepted it. The change
+/// is on its way here already, so waiting costs less than fetching. If it does not come in time, the
+/// request is judged by what is held, and the stricter of both revisions wins.
+async fn catch_up(worker: &Worker, open: &mut Open) {
+    let board = &worker.service.board;
+    if board.view().revision() >= open.revision {
+        return;
+    }
+    let started = Instant::now();
+    let left = Duration::from_millis(open.left_ms);
+    let bound = worker.service.behind.min(left / 2);
+    // Reached or not, the request is judged now.
+    let _ = timeout(bound, board.reach(open.revision)).await;
+    let waited = started.elapsed();
+    open.left_ms = millis(left.saturating_sub(waited));
+    let recorder = &worker.recorder;
+    recorder.time("forwarded.behind", &open.client, &open.class, waited);
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 async fn relay(
     stream: Stream,
     (mut reply, whole): path::Answer,
--- a/crates/zinniastall-entry/src/callers/service.rs
+++ b/crates/zinniastall-entry/src/callers/service.rs
@@ -22,6 +22,8 @@
     pub limits: Arc<Limits>,
     /// Longest silence within a stream.
     pub stall: Duration,
+    /// Longest wait of a forwarded request for its sender's configuration.
+    pub behind: Duration,
     /// Admission and choice.
     pub admission: Admission,
     /// Work that runs at most once.
@@ -44,6 +46,7 @@
             hub,
             limits: Arc::new(limits),
             stall: settings.stall,
+            behind: settings.behind,
             progress: Progress::default(),
             identity: None,
             linger: settings.tickets.linger,
--- a/crates/zinniastall-entry/src/callers/settings.rs
+++ b/crates/zinniastall-entry/src/callers/settings.rs
@@ -12,6 +12,9 @@
     pub policy: Arc<Policy>,
     /// Longest silence within a stream before it counts as broken.
     pub stall: Duration,
+    /// Longest time that a forwarded request waits for the configuration under which its sender
+    /// judged it; zero judges at once.
+    pub behind: Duration,
     /// Work that runs at most once.
     pub tickets: Tickets,
 }
@@ -37,6 +40,7 @@
         Self {
             policy: Arc::new(reader.nested("policy", policy)),
             stall: reader.millis("stall_ms", 100..=3_600_000, 30_000),
+            behind: reader.millis("behind_ms", 0..=10_000, 500),
             tickets: reader.nested("tickets", tickets),
         }
     }
--- a/crates/zinniastall-entry/src/callers/settle.rs
+++ b/crates/zinniastall-entry/src/callers/settle.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt, stream};
+use zinniastall_model::id;
 use zinniastall_route::outcome::{Outcome, Refusal};
 use zinniastall_settings::metrics::Recorder;
 
@@ -16,7 +17,9 @@
     client: String,
     class: String,
     subject: String,
-    revision: u64,
+    revision: id::Revision,
+    /// Revision under which the sender judged it; 0 for a caller's request.
+    sent_under: id::Revision,
     target: String,
     started: Instant,
     first: Option<Duration>,
@@ -45,6 +48,7 @@
             class: String::new(),
             subject: String::new(),
             revision: 0,
+            sent_under: 0,
             target: String::new(),
             started: Instant::now(),
             first: None,
@@ -68,6 +72,11 @@
         self.revision = request.revision;
     }
 
+    /// Notes the revision under which the sender judged it.
+    pub const fn sent_under(&mut self, revision: id::Revision) {
+        self.sent_under = revision;
+    }
+
     /// Notes who serves it.
     pub fn served(&mut self, target: &str) {
         target.clone_into(&mut self.target);
@@ -129,6 +138,7 @@
             target = self.target,
             sender = self.sender,
             revision = self.revision,
+            sent_under = self.sent_under,
             first_us = self.first.map_or(0, micros),
             whole_us = micros(took),
         );
--- a/crates/zinniastall-entry/src/publish.rs
+++ b/crates/zinniastall-entry/src/publish.rs
@@ -78,7 +78,7 @@
     type Result = ();
 
     fn handle(&mut self, message: Configured, _: &mut Context<Self>) {
-        let held = self.view.state.as_ref().map_or(0, |state| state.revision);
+        let held = self.view.revision();
         // A late message must not take the configuration back: an accepted change never reverts.
         if message.state.revision >= held {
             self.view.state = Some(message.state);
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
+use tokio::sync::watch;
 use zinniastall_model::{id, place::Place, state::State};
 use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
@@ -38,6 +39,11 @@
 }
 
 impl View {
+    /// Returns the revision of the configuration in force; 0 for none.
+    pub fn revision(&self) -> id::Revision {
+        self.state.as_ref().map_or(0, |state| state.revision)
+    }
+
     /// Returns the live instances as [`zinniastall_route::locate::locate`] wants them.
     pub fn candidates(&self) -> Vec<Candidate> {
         let candidate = |peer: &gossip::Peer| Candidate {
@@ -77,14 +83,17 @@
 pub struct Board {
     current: Arc<ArcSwap<View>>,
     load: Arc<AtomicU32>,
+    revision: Arc<watch::Sender<id::Revision>>,
 }
 
 impl Board {
     /// Creates a board with a first view.
     pub fn new(view: View) -> Self {
+        let revision = Arc::new(watch::Sender::new(view.revision()));
         Self {
             current: Arc::new(ArcSwap::from_pointee(view)),
             load: Arc::default(),
+            revision,
         }
     }
 
@@ -95,7 +104,20 @@
 
     /// Replaces the view.
     pub fn publish(&self, view: View) {
+        let revision = view.revision();
         self.current.store(Arc::new(view));
+        self.revision.send_if_modified(|held| {
+            let newer = revision > *held;
+            *held = revision.max(*held);
+            newer
+        });
+    }
+
+    /// Waits until the view has a configuration of at least this revision.
+    pub async fn reach(&self, revision: id::Revision) {
+        let mut held = self.revision.subscribe();
+        // The sender lives as long as this board, so the wait cannot fail.
+        let _ = held.wait_for(|held| *held >= revision).await;
     }
 
     /// Returns this instance's requests in progress over what it can take, in thousandths.
--- /dev/null
+++ b/tests/examples/revisions.rs
@@ -0,0 +1,137 @@
+//! Measures requests that overtake the change that permits them, between two regions over a slow
+//! link, judged at once and judged after waiting for the sender's revision.
+//!
+//! `cargo build --release --bins && cargo run --release -p zinniastall-tests --example revisions`
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use zinniastall_tests::{
+    Result,
+    cluster::Cluster,
+    http,
+    log::field,
+    proxy::rule::{Rule, Way},
+};
+
+/// Changes, each followed by a request that needs it.
+const ROUNDS: usize = 150;
+/// Time that each way between the regions takes.
+const SLOW: Duration = Duration::from_millis(40);
+/// How much longer configuration takes than requests, in turn.
+const LAGS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(100)];
+const MODEL: &str = "map-labels";
+
+#[actix_rt::main]
+async fn main() -> Result<()> {
+    zinniastall_tests::binary::use_folder("target/release".into());
+    println!("| configuration later by | wait | refused | judged behind | p50 | p99 |");
+    println!("|---|---|---|---|---|---|");
+    for lag in LAGS {
+        for behind_ms in [0, 500] {
+            run(lag, behind_ms).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn run(lag: Duration, behind_ms: u64) -> Result<()> {
+    let mut cluster = start(lag, behind_ms).await?;
+    let home = cluster
+        .entry("home-a-1")?
+        .process()
+        .address("callers")
+        .await?;
+    let mut refused = 0;
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        let (client, key) = (format!("client-{round}"), format!("key-{round}"));
+        let digest = blake3::hash(key.as_bytes()).to_hex().to_string();
+        let object =
+            |withdrawn| json!({"client": {"id": client, "keys": [digest], "withdrawn": withdrawn}});
+        cluster.apply(&object(true)).await?;
+        cluster.residency(&client, &["home", "far"]).await?;
+        cluster.apply(&object(false)).await?;
+        let (status, took) = first(home, &key).await?;
+        refused += usize::from(status != 200);
+        times.push(took);
+    }
+    times.sort_unstable();
+    let log = cluster
+        .entry("far-a-1")?
+        .process()
+        .log()
+        .events("forwarded");
+    let behind = log
+        .iter()
+        .filter(|line| number(line, "revision") < number(line, "sent_under"));
+    println!(
+        "| {} ms | {behind_ms} ms | {refused} of {ROUNDS} | {} | {:.1} ms | {:.1} ms |",
+        lag.as_millis(),
+        behind.count(),
+        millis(times[ROUNDS / 2]),
+        millis(times[ROUNDS * 99 / 100]),
+    );
+    cluster.stop().await
+}
+
+/// Starts two regions, the far one with the engine, over a link that delays.
+async fn start(lag: Duration, behind_ms: u64) -> Result<Cluster> {
+    let mut cluster = Cluster::builder()
+        .zone("home", "a", 1)
+        .zone("far", "a", 1)
+        .entry(json!({"behind_ms": behind_ms}))
+        .start()
+        .await?;
+    let engine = json!({"engine": {"first_ms": 1, "token_us": 1_000}});
+    cluster
+        .engine("engine", ("far", "a"), MODEL, engine)
+        .await?;
+    cluster.model(MODEL).await?;
+    cluster.client("probe", "probe").await?;
+    cluster.residency("probe", &["home", "far"]).await?;
+    let home = cluster
+        .entry("home-a-1")?
+        .process()
+        .address("callers")
+        .await?;
+    cluster.serves(home, "probe", &body("probe")).await?;
+    let rule = |delay| Rule::default().with(Way::Both, |lane| lane.delay = delay);
+    cluster.links(|from, to| {
+        let control = to.name().starts_with("control");
+        match (from.name(), control) {
+            ("far-a-1", true) => Some(rule(SLOW + lag)),
+            ("far-a-1" | "home-a-1", false) => Some(rule(SLOW)),
+            _ => None,
+        }
+    });
+    Ok(cluster)
+}
+
+/// Asks until the home instance has the change, and returns how the first request that it sent away
+/// ended.
+async fn first(home: std::net::SocketAddr, key: &str) -> Result<(u16, Duration)> {
+    loop {
+        let started = Instant::now();
+        let request = http::post(home, "/v1/chat/completions").key(key);
+        let answer = request.json(&body(key)).send().await?;
+        if !answer.text().contains("\"client-withdrawn\"") {
+            return Ok((answer.status(), started.elapsed()));
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn body(prompt: &str) -> Value {
+    json!({"model": MODEL, "max_tokens": 2, "messages": [{"role": "user", "content": prompt}]})
+}
+
+fn number(line: &str, name: &str) -> u64 {
+    field(line, name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default()
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -15,7 +15,7 @@
 };
 
 /// Starts two regions; only the far one has an engine.
-async fn regions() -> Result<System> {
+pub(crate) async fn regions() -> Result<System> {
     let builder = Cluster::builder()
         .zone("patras", "a", 1)
         .zone("athens", "a", 1);
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -8,5 +8,6 @@
 mod forward;
 mod loss;
 mod once;
+mod overtake;
 mod storm;
 mod support;
