--- a/tests/tests/control_group.rs
+++ b/tests/tests/control_group.rs
@@ -213,14 +213,7 @@
     safe(&cluster, true).await?;
     let lost = cluster.leader().await?;
     let forgotten = cluster.replica_id(&lost).await?;
-    let control = cluster.control(&lost)?;
-    control.process().kill()?;
-    let folder = control.settings()["data"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned();
-    std::fs::remove_dir_all(folder)?;
-    control.restart().await?;
+    wipe(&mut cluster, &lost).await?;
     let address = cluster.control(&lost)?.address("operators")?;
     cluster.leader_besides(&[&lost]).await?;
     let refused = ctl::run(&[address], &["bootstrap"]).await?;
@@ -244,6 +237,59 @@
     Ok(())
 }
 
+/// A control instance is cut off for a while, and meanwhile the leader's disk is lost and replaced.
+/// When the cut-off one returns, it holds an old list of the group and old entries; it must take the
+/// new ones, and the replaced disk's former self must count for nothing.
+#[actix_rt::test]
+async fn a_wiped_disk_is_replaced_during_a_partition() -> Result<()> {
+    let mut cluster = group(5).start().await?;
+    cluster
+        .apply(&serde_json::from_str(&model("m", "1"))?)
+        .await?;
+    let lost = cluster.leader().await?;
+    let cut = if lost == "control-5" {
+        "control-4"
+    } else {
+        "control-5"
+    };
+    cluster.partition(|node| node.name() == cut);
+    let forgotten = cluster.replica_id(&lost).await?;
+    wipe(&mut cluster, &lost).await?;
+    cluster.leader_besides(&[&lost]).await?;
+    cluster.enlist(&lost).await?;
+    cluster
+        .ctl(&["replica", "remove", &forgotten])
+        .await?
+        .json()?;
+    cluster
+        .apply(&serde_json::from_str(&model("m", "2"))?)
+        .await?;
+    cluster.heal();
+    let leader = cluster.leader().await?;
+    let news = cluster.status_of(&leader).await?["commit"].clone();
+    wait::until("the returned replica up to date", async || {
+        let status = cluster.status_of(cut).await.ok()?;
+        let replicas = status["replicas"].as_array()?.len();
+        (status["commit"] == news && replicas == 5).then_some(())
+    })
+    .await?;
+    safe(&cluster, true).await?;
+    assert_eq!(version(&cluster, "m").await.as_deref(), Some("2"));
+    Ok(())
+}
+
+/// Kills a control replica, empties its data folder and starts it again.
+async fn wipe(cluster: &mut Cluster, name: &str) -> Result<()> {
+    let control = cluster.control(name)?;
+    control.process().kill()?;
+    let folder = control.settings()["data"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    std::fs::remove_dir_all(folder)?;
+    control.restart().await
+}
+
 /// Operators' scripts race each other under equal numbers: all have read the same revision and
 /// send different changes at once. Exactly one may win, and the others must be told the revision
 /// that it made; otherwise one operator's change would silently undo another's.
