--- /dev/null
+++ b/crates/zinniastall-entry/src/follow/force.rs
@@ -0,0 +1,130 @@
+//! Puts the configuration in force, once that is safe.
+
+use std::sync::Arc;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use zinniastall_model::id;
+
+use super::{
+    actor::{Alive, Follower},
+    kept::{self, Kept},
+};
+use crate::publish::{Configured, Unlisted};
+
+/// What has been done about the configuration that is held.
+#[derive(Debug, Default)]
+pub(super) struct Force {
+    published: Option<(id::Revision, bool)>,
+    kept: id::Revision,
+    confirmed: id::Revision,
+}
+
+impl Force {
+    /// Starts with what is on disk already.
+    pub(super) fn new(kept: id::Revision) -> Self {
+        Self {
+            kept,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the revision that may be confirmed.
+    pub(super) const fn confirmed(&self) -> id::Revision {
+        self.confirmed
+    }
+}
+
+impl Follower {
+    /// Tells whether a source that reaches the control group has nothing that is not held here.
+    fn is_connected(&self) -> bool {
+        let current = |source: &Alive| source.connected && source.revision <= self.held.revision;
+        self.source.as_ref().is_some_and(current)
+    }
+
+    /// Tells whether this instance may serve under what it holds.
+    ///
+    /// A restarted instance may hold less than its last run had in force. It waits until it is
+    /// connected to control, or until it counts as cut off and everyone has been asked; otherwise
+    /// what was accepted would revert here.
+    fn settles(&self, connected: bool) -> bool {
+        let cut_off = self.started.elapsed() >= self.cut_off && self.surveyed;
+        connected || (cut_off && self.held.revision > 0)
+    }
+
+    /// Puts the configuration in force, once it is safe to do so.
+    pub(super) fn enforce(&mut self, context: &mut Context<Self>) {
+        let connected = self.is_connected();
+        let direct = self.source.is_some_and(|source| source.control);
+        self.feed.send_if_modified(|feed| {
+            let changed = feed.is_connected() != (connected && direct);
+            // Only who hears control itself vouches for it: two relays that follow each other
+            // could otherwise keep telling one another that control is there.
+            feed.connect(connected && direct);
+            changed
+        });
+        if !self.settled && self.settles(connected) {
+            self.settled = true;
+            tracing::info!(event = "settled", revision = self.held.revision, connected);
+        }
+        if !self.settled || self.force.published == Some((self.held.revision, connected)) {
+            return;
+        }
+        self.force.published = Some((self.held.revision, connected));
+        if self.held.members.contains_key(self.identity.instance()) {
+            self.put_in_force(connected, context);
+        } else {
+            self.publisher.do_send(Unlisted);
+        }
+    }
+
+    fn put_in_force(&mut self, connected: bool, context: &mut Context<Self>) {
+        let state = Arc::clone(&self.held);
+        let revision = state.revision;
+        let save = self.saving();
+        let publisher = self.publisher.clone();
+        let enforced = async move {
+            let kept = match save {
+                Some(save) => tokio::task::spawn_blocking(save).await.unwrap_or(false),
+                None => true,
+            };
+            let configured = Configured { state, connected };
+            let in_view = publisher.send(configured).await.is_ok();
+            (kept, in_view)
+        };
+        // Nothing else is taken meanwhile: a confirmation must not pass by what it confirms.
+        context.wait(
+            enforced
+                .into_actor(self)
+                .map(move |(kept, in_view), follower, _| {
+                    if kept {
+                        follower.force.kept = revision;
+                    }
+                    if kept && in_view {
+                        follower.force.confirmed = revision;
+                        tracing::info!(event = "in-force", revision, connected);
+                    }
+                }),
+        );
+    }
+
+    /// Returns what keeps the configuration on disk, unless that is done or not wanted.
+    fn saving(&self) -> Option<impl FnOnce() -> bool + Send + 'static> {
+        let folder = self.data.clone()?;
+        let cluster = self.identity.cluster()?.to_owned();
+        if self.held.revision <= self.force.kept {
+            return None;
+        }
+        let state = Arc::clone(&self.held);
+        Some(
+            move || match kept::save(&folder, &Kept { cluster, state }) {
+                Ok(()) => true,
+                Err(error) => {
+                    // It is in force, but a restart while cut off would lose it, so it is not
+                    // confirmed: an accepted change must not revert.
+                    tracing::error!(event = "configuration-not-kept", error = %error);
+                    false
+                }
+            },
+        )
+    }
+}
--- a/crates/zinniastall-entry/src/follow/mod.rs
+++ b/crates/zinniastall-entry/src/follow/mod.rs
@@ -10,7 +10,9 @@
 mod astray;
 pub mod choice;
 pub mod confirm;
+mod force;
 pub mod kept;
+pub mod report;
 pub mod settings;
 mod survey;
 mod upstream;
@@ -24,7 +26,7 @@
     link::Link,
 };
 
-use self::actor::{Follower, Heard};
+use self::{actor::Follower, report::Heard};
 use crate::{
     links::{Acceptor, Identity},
     publish::Publisher,
--- a/crates/zinniastall-entry/src/follow/upstream.rs
+++ b/crates/zinniastall-entry/src/follow/upstream.rs
@@ -13,8 +13,9 @@
 };
 
 use super::{
-    actor::{Follower, Lost, Report, Taken, Took},
+    actor::{Follower, Lost, Taken, Took},
     choice::{Choice, Source},
+    report::Report,
     survey::same_cluster,
 };
 use crate::{links::Identity, view::Board};
--- a/tests/src/cluster/found.rs
+++ b/tests/src/cluster/found.rs
@@ -1,10 +1,23 @@
 //! Founds a cluster's control group, and repairs it.
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use super::Cluster;
+use super::{Builder, Cluster};
 use crate::{ctl, error::Result, wait};
 
+/// Election timeout of [`group`], in milliseconds: soon enough for a test, on a busy machine too.
+pub const ELECTION: u64 = 500;
+
+/// Describes control replicas without entry instances, spread over three regions.
+pub fn group(replicas: usize) -> Builder {
+    Cluster::builder()
+        .replicas(replicas)
+        .control(json!({"timing": {"heartbeat_ms": 50, "election_ms": ELECTION}}))
+        .zone("patras", "a", 0)
+        .zone("athens", "a", 0)
+        .zone("thessaloniki", "a", 0)
+}
+
 /// Founds the group on the first replica and takes the others in.
 ///
 /// # Errors
--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -24,6 +24,8 @@
     settings, wait,
 };
 pub use builder::Builder;
+pub use found::{ELECTION, group};
+pub use objects::model;
 
 /// A running system.
 #[derive(Debug)]
--- a/tests/src/cluster/objects.rs
+++ b/tests/src/cluster/objects.rs
@@ -8,6 +8,11 @@
 /// Longest wait for confirmations, in milliseconds.
 const CONFIRMED_MS: &str = "10000";
 
+/// Returns a model object as the command line takes it.
+pub fn model(name: &str, version: &str) -> String {
+    json!({"model": {"id": name, "version": version}}).to_string()
+}
+
 impl Cluster {
     /// Applies one object through the command line.
     ///
--- a/tests/src/ctl.rs
+++ b/tests/src/ctl.rs
@@ -21,6 +21,11 @@
 }
 
 impl Run {
+    /// Returns the JSON on standard output, whatever the exit code; null when there is none.
+    pub fn answer(&self) -> Value {
+        serde_json::from_str(&self.output).unwrap_or_default()
+    }
+
     /// Returns the JSON on standard output.
     ///
     /// # Errors
