fix(wire): show a change with its state only, and take changes in as one

A watch runs on another thread and could look at the feed between the push of a change and its state: it sent the change twice. An entry instance now copies its state once a frame of changes instead of once a change.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -223,6 +223,7 @@
         let addresses: Vec<String> = others
             .filter_map(|id| status.voters.address(id).cloned())
             .collect();
+        self.operators.retain(|id, _| status.voters.is_member(*id));
         self.peers.dial(&hello, &addresses);
     }
 
--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -121,14 +121,16 @@
 
     /// Applies changes that continue what is held; doubled and late ones change nothing.
     fn take_changes(&mut self, changes: Vec<(id::Revision, Change)>) -> Taken {
+        let mut next = State::clone(&self.held);
+        let mut taken = Taken::Fine;
         for (revision, change) in changes {
-            if revision <= self.held.revision {
+            if revision <= next.revision {
                 continue;
             }
-            if revision != self.held.revision + 1 {
-                return Taken::Gap;
+            if revision != next.revision + 1 {
+                taken = Taken::Gap;
+                break;
             }
-            let mut next = State::clone(&self.held);
             let answer = next.apply(&change);
             let fits = matches!(answer, Answer::Done { revision: made, .. } if made == revision);
             if !fits {
@@ -136,14 +138,17 @@
                 tracing::error!(event = "change-misfit", revision);
                 return Taken::Misfit;
             }
-            self.held = Arc::new(next);
-            let state = Arc::clone(&self.held);
-            self.feed.send_modify(|feed| {
+            self.feed.send_if_modified(|feed| {
                 feed.push(revision, Arc::new(change));
-                feed.reach(state);
+                false
             });
         }
-        Taken::Fine
+        if next.revision > self.held.revision {
+            self.held = Arc::new(next);
+            let state = Arc::clone(&self.held);
+            self.feed.send_modify(|feed| feed.reach(state));
+        }
+        taken
     }
 }
 
--- /dev/null
+++ b/crates/zinniastall-entry/tests/follow.rs
@@ -0,0 +1,130 @@
+//! Following: whom an instance follows, and what it says of its own followers.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use zinniastall_entry::follow::{
+    choice::{Choice, Source},
+    confirm::Gathered,
+    kept::{self, Fault, Kept},
+};
+use zinniastall_model::place::Place;
+use zinniastall_wire::{follow::Confirmation, gossip::Peer};
+
+fn peers(names: &[&str]) -> IndexMap<String, Peer> {
+    let peer = |name: &&str| {
+        let peer = Peer {
+            instance: (*name).to_owned(),
+            incarnation: 1,
+            place: Place::new("patras", &name[..1]),
+            links: format!("links-of-{name}"),
+            callers: String::new(),
+            targets: String::new(),
+            up_ms: 1,
+            draining: false,
+            load: 0,
+        };
+        ((*name).to_owned(), peer)
+    };
+    names.iter().map(peer).collect()
+}
+
+fn sources(instance: &str, peers: &IndexMap<String, Peer>) -> (bool, Vec<Source>) {
+    let (instance, place) = (instance.to_owned(), Place::new("patras", &instance[..1]));
+    let choice = Choice {
+        instance: &instance,
+        place: &place,
+        peers,
+        control: &["control".to_owned()],
+    };
+    (choice.is_relay(), choice.sources())
+}
+
+fn relays<'a>(names: &[&'a str]) -> Vec<&'a str> {
+    let peers = peers(names);
+    let is_relay = |name: &&&str| sources(name, &peers).0;
+    names.iter().filter(is_relay).copied().collect()
+}
+
+#[test]
+fn each_zone_has_two_relays_and_the_others_follow_them() {
+    let names = ["a1", "a2", "a3", "a4", "b1"];
+    let peers = peers(&names);
+    let relays = relays(&names);
+    assert_eq!(relays.len(), 3, "{relays:?}");
+    for name in names {
+        let (is_relay, sources) = sources(name, &peers);
+        assert_eq!(sources[0].is_control(), is_relay, "{name}: {sources:?}");
+        assert!(sources.contains(&Source::Control("control".to_owned())));
+        assert!(!sources.contains(&Source::Entry(format!("links-of-{name}"))));
+    }
+}
+
+#[test]
+fn a_lost_relay_is_replaced_by_one_instance() {
+    let names = ["a1", "a2", "a3", "a4"];
+    let before = relays(&names);
+    let left: Vec<&str> = names
+        .into_iter()
+        .filter(|name| *name != before[0])
+        .collect();
+    let after = relays(&left);
+    assert_eq!(after.len(), 2);
+    assert!(after.contains(&before[1]), "{before:?} became {after:?}");
+}
+
+fn word(instance: &str, revision: u64) -> Confirmation {
+    Confirmation {
+        instance: instance.to_owned(),
+        incarnation: 1,
+        revision,
+        draining: false,
+    }
+}
+
+/// A relay speaks for its followers. One that has died must not be spoken for any longer, or
+/// operators would see it as heard for as long as the relay lives.
+#[test]
+fn a_silent_follower_is_not_spoken_for() {
+    let now = Instant::now();
+    let mut gathered = Gathered::default();
+    gathered.note(word("a1", 3), now);
+    assert_eq!(gathered.take(now, true), [word("a1", 3)]);
+    assert_eq!(gathered.take(now, false), []);
+    gathered.note(word("a1", 4), now);
+    gathered.note(word("a1", 2), now);
+    assert_eq!(gathered.take(now, false), [word("a1", 4)]);
+    let later = now + Duration::from_mins(1);
+    assert_eq!(gathered.take(later, true), []);
+}
+
+/// The disk returns something else than was written. Half another configuration could permit what
+/// none ever permitted, so it must not be used.
+#[test]
+fn a_damaged_configuration_is_refused() -> Result<(), Fault> {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let held = Kept {
+        cluster: "c".to_owned(),
+        state: std::sync::Arc::default(),
+    };
+    assert_eq!(kept::load(folder.path())?, None);
+    kept::save(folder.path(), &held)?;
+    assert_eq!(kept::load(folder.path())?, Some(held));
+    let file = folder.path().join("configuration");
+    let whole = std::fs::read(&file).expect("the file");
+    for at in 0..whole.len() {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 1;
+        std::fs::write(&file, &damaged).expect("a write");
+        assert!(matches!(
+            kept::load(folder.path()),
+            Err(Fault::Damaged { .. })
+        ));
+        std::fs::write(&file, &whole[..at]).expect("a write");
+        assert!(matches!(
+            kept::load(folder.path()),
+            Err(Fault::Damaged { .. })
+        ));
+    }
+    Ok(())
+}
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -95,7 +95,10 @@
         if revision + 1 < first {
             return None;
         }
-        let missing = self.tail.iter().filter(|(made, _)| *made > revision);
+        // A change is pushed before its state is set; a reader on another thread that sent it in
+        // between would send it a second time after.
+        let due = revision + 1..=self.state.revision;
+        let missing = self.tail.iter().filter(|(made, _)| due.contains(made));
         Some(missing.cloned().collect())
     }
 
