--- a/crates/zinniastall-route/tests/filters/choice.rs
+++ b/crates/zinniastall-route/tests/filters/choice.rs
@@ -101,7 +101,9 @@
     let targets = ["a", "b", "c"];
     let mut table = table(&targets, now);
     let chain = prefix::chain(&"style guide ".repeat(200));
-    table.observe("b", &report(2, 40, chain.clone(), now), now);
+    for sequence in 2..20 {
+        table.observe("b", &report(sequence, 40, chain.clone(), now), now);
+    }
     let counts = counts(&Policy::default(), &table, &targets, &chain, now);
     assert_eq!(counts.get("b"), None, "{counts:?}");
 }
@@ -131,6 +133,19 @@
     );
 }
 
+// Every prompt has once been sent to every target. If that counted as cached for ever, all caches
+// would look alike, and prompts would go where they are long forgotten.
+#[test]
+fn sent_prompts_count_as_cached_for_a_while_only() {
+    let now = Instant::now();
+    let mut table = table(&["a"], now);
+    let chain = prefix::chain(&"style guide ".repeat(200));
+    table.start("a", &chain, now);
+    let cached = |after| table.get("a").unwrap().cached(&chain, now + after) > 0.0;
+    assert!(cached(Duration::from_secs(1)));
+    assert!(!cached(Duration::from_secs(3)));
+}
+
 #[test]
 fn requests_of_an_earlier_run_do_not_count() {
     let now = Instant::now();
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -1,5 +1,7 @@
 //! Requests that cross borders.
 
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
 use zinniastall_tests::{
     Result,
@@ -89,7 +91,7 @@
         }
         Ok::<_, zinniastall_tests::Error>(refused)
     });
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     let rule = json!({"residency": {"id": CLIENT, "client": CLIENT, "regions": ["patras"]}});
     let rule = rule.to_string();
     cluster
@@ -157,7 +159,7 @@
     let address = cluster.entry("patras-a-1")?.address("callers")?;
     let far = cluster.entry("athens-a-1")?.address("callers")?;
     let body = chat("a long brief", 150, false);
-    let request = ask(address, &body).header("x-zinniastall-deadline-ms", "4000");
+    let request = ask(address, &body).header("x-zinniastall-deadline-ms", "30000");
     let flying = actix_rt::spawn(request.send());
     wait::until("the request running", async || {
         let runs = runs(&mut cluster, "engine-1", &body).await.ok()?;
@@ -168,8 +170,15 @@
         cluster.entry(entry)?.proxy("links")?.stall(Way::Both);
     }
     cluster.partition(|node| node.region() == "athens");
+    let cut = Instant::now();
     let answer = flying.await.expect("the request ends")?;
     assert_eq!(error(&answer).0, "unknown", "{}", answer.text());
+    // Long before its deadline: the link was found silent.
+    assert!(
+        cut.elapsed() < Duration::from_secs(15),
+        "{:?}",
+        cut.elapsed()
+    );
     cluster
         .engine("engine-2", ("patras", "a"), MODEL, json!({}))
         .await?;
