perf(entry): facts cross each border once on each speaker's path

Now a region's facts go abroad from that region only, and foreign ones go to a region's other zones from where they come in. Zones find each other by being named once to others, since facts no longer come by a third.

--- a/crates/zinniastall-coord/src/digest/outbox.rs
+++ b/crates/zinniastall-coord/src/digest/outbox.rs
@@ -34,12 +34,16 @@
 }
 
 impl<K: Clone + Eq + Hash, M: Clone + Eq + Hash> Outbox<K, M> {
-    /// Creates an outbox for a new link, with all that the table holds.
-    pub fn whole<V: Clone>(table: &Table<K, M, V>) -> Self {
+    /// Creates an outbox for a new link, with all that the table holds and the filters let pass.
+    pub fn whole<V: Clone>(
+        table: &Table<K, M, V>,
+        key: impl Fn(&K) -> bool,
+        maker: impl Fn(&M) -> bool,
+    ) -> Self {
         let (keys, makers) = table.contents();
         Self {
-            keys: keys.into_iter().collect(),
-            makers: makers.into_iter().collect(),
+            keys: keys.into_iter().filter(key).collect(),
+            makers: makers.into_iter().filter(maker).collect(),
         }
     }
 
--- a/crates/zinniastall-coord/src/digest/overlay.rs
+++ b/crates/zinniastall-coord/src/digest/overlay.rs
@@ -1,10 +1,15 @@
 //! Who passes digests on to whom.
 //!
+//! A group lies in a region: groups of a region are close, regions are far apart.
+//!
 //! Inside a group, members are ordered in a ring, and each passes on to the next one and to one
 //! about a square root of the group further: two messages a member whatever the size, and at most
 //! about two square roots of hops. Between groups, one or two *speakers* of each group talk. All of
 //! it follows from the members that an instance sees alive, so that nothing has to be agreed on: two
 //! that see different members for a moment send a message too many or too few.
+//!
+//! A fact crosses each border once on each speaker's path: [`passes`] says where to. Passed on by
+//! everybody to everybody, each fact would cross each link between regions.
 
 /// Most speakers of a group. The second one keeps the group heard while the first is lost and not
 /// yet found out, and gives a second path when one link between groups is cut.
@@ -39,3 +44,30 @@
     let speakers = members.len().min(SPEAKERS);
     (speakers > 0).then(|| &members[rank % speakers])
 }
+
+/// Where a group lies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Site<'a> {
+    /// Region.
+    pub region: &'a str,
+    /// Group within the region.
+    pub group: &'a str,
+}
+
+/// Tells whether an instance passes a fact on.
+///
+/// `own` is where the instance is, `about` the group that the fact is about, `from` where it came
+/// from (`own` when it was made there) and `to` the other end of the link.
+///
+/// Facts of the own region go out to other regions, and facts from abroad go to the region's other
+/// groups from where they came in. Two groups that can't reach each other don't hear of each other
+/// by a third, which would invite requests that can't be forwarded.
+pub fn passes(own: Site<'_>, about: Site<'_>, from: Site<'_>, to: Site<'_>) -> bool {
+    if to == own {
+        return true;
+    }
+    if to.region != own.region {
+        return about.region == own.region;
+    }
+    about == own || (about.region != own.region && from.region != own.region)
+}
--- a/crates/zinniastall-coord/tests/digest.rs
+++ b/crates/zinniastall-coord/tests/digest.rs
@@ -186,7 +186,7 @@
         for ((from, to), outbox) in &mut self.boxes {
             let table = &self.tables[*from as usize];
             if lost(*from, *to) {
-                *outbox = Outbox::whole(table);
+                *outbox = Outbox::whole(table, |_| true, |_| true);
             } else {
                 under_way.push((*to, outbox.take(table, bytes, |_| 100, now)));
             }
@@ -293,3 +293,32 @@
     });
     outcome.unwrap();
 }
+
+macro_rules! passing {
+    ($($name:ident: about $about:expr, from $from:expr, to $to:expr => $passes:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let site = |(region, group)| overlay::Site { region, group };
+            let own = site(("athens", "a"));
+            let passes = overlay::passes(own, site($about), site($from), site($to));
+            assert_eq!(passes, $passes);
+        }
+    )*};
+}
+
+// An instance of athens/a. Passed on by everybody to everybody, each fact would cross each link
+// between regions, and the cost of a speaker would grow with the square of the regions.
+passing! {
+    own_facts_go_to_the_region: about ("athens", "a"), from ("athens", "a"), to ("athens", "b") => true;
+    own_facts_go_abroad: about ("athens", "a"), from ("athens", "a"), to ("patras", "a") => true;
+    the_regions_facts_go_abroad: about ("athens", "b"), from ("athens", "b"), to ("patras", "a") => true;
+    the_regions_facts_stay_with_their_zone:
+        about ("athens", "b"), from ("athens", "b"), to ("athens", "c") => false;
+    all_facts_go_to_the_own_zone: about ("patras", "a"), from ("athens", "b"), to ("athens", "a") => true;
+    foreign_facts_go_to_the_region_where_they_come_in:
+        about ("patras", "a"), from ("patras", "a"), to ("athens", "b") => true;
+    foreign_facts_go_no_further_in_the_region:
+        about ("patras", "a"), from ("athens", "b"), to ("athens", "c") => false;
+    foreign_facts_go_to_no_third_region:
+        about ("patras", "a"), from ("patras", "a"), to ("nantes", "a") => false;
+}
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -191,15 +191,14 @@
 
     fn link(&mut self, link: Link, dialed: bool, context: &Context<Self>) {
         let now = Instant::now();
-        let peer = link.peer().instance.clone();
+        let (peer, place) = (link.peer().instance.clone(), link.peer().place.clone());
         let Some(number) = self.lines.add(link, dialed, &context.address(), now) else {
             return;
         };
         self.book.linked(&peer, now);
-        let zone = self.lines.heard(number, now).map(|(_, place)| place);
-        let peers = self.introduction(zone.as_ref(), now);
+        let peers = self.introduction(&place, now);
         self.lines.send(number, gossip::Message::Peers(peers));
-        if zone.as_ref() == Some(self.around.identity.place()) {
+        if place == *self.around.identity.place() {
             let reports = self.targets.reports(now);
             self.lines.send(number, gossip::Message::Targets(reports));
         }
@@ -218,7 +217,9 @@
             gossip::Message::Stale(remembered) => self.raise(remembered),
             gossip::Message::Peers(peers) => self.meet(&peer, peers, now),
             gossip::Message::Targets(reports) => self.take(&place, reports, now),
-            gossip::Message::News(news) => self.passing |= self.digests.take(line, news, now),
+            gossip::Message::News(news) => {
+                self.passing |= self.digests.take(line, &place, news, now);
+            }
         }
     }
 }
--- a/crates/zinniastall-entry/src/spread/atlas.rs
+++ b/crates/zinniastall-entry/src/spread/atlas.rs
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Takes note of a zone that another one has named; it is tried as a silent one is.
+    pub fn hearsay(&mut self, peer: &Peer, now: Instant) {
+        let known = self.zones.contains_key(&peer.place) || peer.place == self.own;
+        if !known && self.zones.len() < ZONES {
+            let zone = Zone {
+                doors: vec![peer.clone()],
+                seen: now,
+                fresh: false,
+            };
+            self.zones.insert(peer.place.clone(), zone);
+        }
+    }
+
     /// Tells whether something is heard of a zone.
     pub fn hears(&self, place: &Place) -> bool {
         self.zones.get(place).is_some_and(|zone| zone.fresh)
--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use zinniastall_coord::digest::{Author, Outbox, Table};
+use zinniastall_coord::digest::{Author, Outbox, Table, overlay};
 use zinniastall_model::{id, place::Place};
 use zinniastall_wire::gossip::{self, Capacity, Fact, Item, News, Peer, Topic};
 
@@ -23,13 +23,24 @@
 /// Intervals that a capacity stays as told, unless its last free slot goes or its first comes.
 const QUIET: u32 = 2;
 
+/// A link on which facts are passed on.
+#[derive(Debug)]
+struct Path {
+    to: Place,
+    outbox: Outbox<Topic, id::Instance>,
+}
+
 /// Facts about zones.
 #[derive(Debug)]
 pub struct Digests {
     place: Place,
     author: Author<Topic, id::Instance, Fact>,
     table: Table<Topic, id::Instance, Fact>,
-    boxes: IndexMap<Line, Outbox<Topic, id::Instance>>,
+    boxes: IndexMap<Line, Path>,
+    /// Where each topic last came from.
+    origins: IndexMap<Topic, Place>,
+    /// The doors of each maker's zone; its renewals go where they go.
+    zones: IndexMap<id::Instance, Topic>,
     /// When each capacity was told last.
     told: IndexMap<Topic, Instant>,
     leading: bool,
@@ -51,6 +62,8 @@
             author: Author::new(own, incarnation),
             table: Table::new(interval * 5),
             boxes: IndexMap::new(),
+            origins: IndexMap::new(),
+            zones: IndexMap::new(),
             told: IndexMap::new(),
             leading: false,
             interval,
@@ -125,34 +138,60 @@
         }
     }
 
-    /// Sets the links on which facts are passed on; one that is new gets all facts.
-    pub fn paths(&mut self, lines: &IndexSet<Line>) {
-        self.boxes.retain(|line, _| lines.contains(line));
-        for line in lines {
-            let whole = || Outbox::whole(&self.table);
-            self.boxes.entry(*line).or_insert_with(whole);
+    /// Sets the links on which facts are passed on, with the places of their other ends; one that is
+    /// new gets all facts that go there.
+    pub fn paths(&mut self, lines: &IndexMap<Line, Place>) {
+        self.boxes.retain(|line, _| lines.contains_key(line));
+        for (line, to) in lines {
+            if self.boxes.contains_key(line) {
+                continue;
+            }
+            let outbox = Outbox::whole(
+                &self.table,
+                |topic| self.passes(topic, to),
+                |maker| {
+                    self.zones
+                        .get(maker)
+                        .is_some_and(|topic| self.passes(topic, to))
+                },
+            );
+            let path = Path {
+                to: to.clone(),
+                outbox,
+            };
+            self.boxes.insert(*line, path);
         }
     }
 
+    /// Tells whether facts of a topic go to a place.
+    fn passes(&self, topic: &Topic, to: &Place) -> bool {
+        let from = self.origins.get(topic).unwrap_or(&self.place);
+        let about = topic.place();
+        overlay::passes(site(&self.place), site(about), site(from), site(to))
+    }
+
     /// Takes facts in that came on a link. Returns whether there was news.
-    pub fn take(&mut self, from: Line, news: News, now: Instant) -> bool {
+    pub fn take(&mut self, line: Line, from: &Place, news: News, now: Instant) -> bool {
         let mut any = false;
         for item in news.items {
-            any |= self.learn(Some(from), item, now);
+            // A zone's own facts don't come back from outside.
+            if *item.key.place() != self.place || *from == self.place {
+                any |= self.learn(Some((line, from)), item, now);
+            }
         }
         for renewal in &news.renewals {
-            any |= self.vouch(Some(from), renewal, now);
+            any |= self.vouch(Some(line), renewal, now);
         }
         any
     }
 
     /// Returns what fits into a number of bytes, by link.
     pub fn flush(&mut self, bytes: u64, now: Instant) -> Vec<(Line, News)> {
-        let waiting = self.boxes.values().filter(|outbox| !outbox.is_empty());
+        let waiting = self.boxes.values().filter(|path| !path.outbox.is_empty());
         let share = bytes / (waiting.count().max(1) as u64);
         let mut out = Vec::new();
-        for (line, outbox) in &mut self.boxes {
-            let batch = outbox.take(&self.table, share, size, now);
+        for (line, path) in &mut self.boxes {
+            let batch = path.outbox.take(&self.table, share, size, now);
             if !batch.items.is_empty() || !batch.renewals.is_empty() {
                 let news = News {
                     items: batch.items,
@@ -166,7 +205,7 @@
 
     /// Returns how many facts wait to be sent, over all links.
     pub fn waiting(&self) -> usize {
-        self.boxes.values().map(Outbox::len).sum()
+        self.boxes.values().map(|path| path.outbox.len()).sum()
     }
 
     /// Returns the doors of other zones that are known.
@@ -213,35 +252,69 @@
     /// Drops what has been unknown for long.
     pub fn sweep(&mut self, now: Instant) {
         self.table.sweep(now);
+        let table = &self.table;
+        self.origins.retain(|topic, _| table.maker(topic).is_some());
+        self.zones
+            .retain(|maker, doors| table.maker(doors) == Some(maker));
     }
 
-    fn learn(&mut self, from: Option<Line>, item: Item, now: Instant) -> bool {
+    fn learn(&mut self, from: Option<(Line, &Place)>, item: Item, now: Instant) -> bool {
         let topic = item.key.clone();
-        // Only this zone's own instances speak for it; its facts don't come back from outside.
+        let maker = item.maker.clone();
+        // While this instance leads its zone, nobody else speaks for it.
         if from.is_some() && *topic.place() == self.place && self.leading {
             return false;
         }
         if !self.table.take(item, now) {
             return false;
         }
-        for (line, outbox) in &mut self.boxes {
-            if Some(*line) != from {
-                outbox.push(topic.clone());
-            }
-        }
+        let place = from.map_or(&self.place, |(_, place)| place);
+        self.origins.insert(topic.clone(), place.clone());
+        let doors = Topic::Doors(topic.place().clone());
+        self.zones.insert(maker, doors);
+        let line = from.map(|(line, _)| line);
+        self.pass(line, &topic, |outbox| outbox.push(topic.clone()));
         true
     }
 
     fn vouch(&mut self, from: Option<Line>, renewal: &gossip::Renewal, now: Instant) -> bool {
+        let Some(topic) = self.zones.get(&renewal.maker).cloned() else {
+            return false;
+        };
         if !self.table.renew(renewal, now) {
             return false;
         }
-        for (line, outbox) in &mut self.boxes {
-            if Some(*line) != from {
-                outbox.renew(renewal.maker.clone());
+        self.pass(from, &topic, |outbox| outbox.renew(renewal.maker.clone()));
+        true
+    }
+
+    /// Puts something about a topic into the outboxes of the links where it goes, other than the
+    /// one that it came on.
+    fn pass(
+        &mut self,
+        from: Option<Line>,
+        topic: &Topic,
+        put: impl Fn(&mut Outbox<Topic, id::Instance>),
+    ) {
+        let goes = |line: &Line, path: &Path| Some(*line) != from && self.passes(topic, &path.to);
+        let lines: Vec<Line> = self
+            .boxes
+            .iter()
+            .filter(|(line, path)| goes(line, path))
+            .map(|(line, _)| *line)
+            .collect();
+        for line in lines {
+            if let Some(path) = self.boxes.get_mut(&line) {
+                put(&mut path.outbox);
             }
         }
-        true
+    }
+}
+
+fn site(place: &Place) -> overlay::Site<'_> {
+    overlay::Site {
+        region: &place.region,
+        group: &place.zone,
     }
 }
 
--- a/crates/zinniastall-entry/src/spread/passing.rs
+++ b/crates/zinniastall-entry/src/spread/passing.rs
@@ -92,7 +92,7 @@
     /// Returns the links on which facts are passed on: to two of the zone, and to all peers of other
     /// zones. A peer that doesn't hear this instance is left out, since what it has to offer can't
     /// be asked for.
-    fn paths(&self, now: Instant) -> IndexSet<Line> {
+    fn paths(&self, now: Instant) -> IndexMap<Line, Place> {
         let identity = &self.around.identity;
         let peers = self.lines.peers();
         let mut members = vec![identity.instance().to_owned()];
@@ -112,7 +112,7 @@
         peers
             .iter()
             .filter(|(_, peer, place)| passes(peer, place))
-            .map(|(line, _, _)| *line)
+            .map(|(line, _, place)| (*line, place.clone()))
             .collect()
     }
 }
--- a/crates/zinniastall-entry/src/spread/peers.rs
+++ b/crates/zinniastall-entry/src/spread/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use zinniastall_coord::membership::Heard;
 use zinniastall_model::{id, place::Place};
 use zinniastall_wire::{
@@ -39,12 +39,18 @@
         }
     }
 
-    /// Returns what a new link's other end is told: this instance's own word, and the instances of
-    /// both zones. It learns of other zones by digests, which have a budget.
-    pub(super) fn introduction(&self, zone: Option<&Place>, now: Instant) -> Vec<Peer> {
+    /// Returns what a new link's other end is told: this instance's own word, the instances of both
+    /// zones, and one of each other zone if the end is in another one. A zone's facts don't reach a
+    /// second by a third, so that is how zones find each other.
+    pub(super) fn introduction(&self, to: &Place, now: Instant) -> Vec<Peer> {
         let own = self.around.identity.place();
-        let near = |peer: &&Peer| peer.place == *own || Some(&peer.place) == zone;
-        let others = self.published.values().skip(1).filter(near).cloned();
+        let other = to != own;
+        let mut zones = IndexSet::new();
+        let told = |peer: &&Peer| {
+            let near = peer.place == *own || peer.place == *to;
+            near || (other && zones.insert(peer.place.clone()))
+        };
+        let others = self.published.values().skip(1).filter(told).cloned();
         std::iter::once(self.own_word(now)).chain(others).collect()
     }
 
@@ -114,6 +120,7 @@
     pub(super) fn meet(&mut self, from: &str, peers: Vec<Peer>, now: Instant) {
         for peer in peers {
             if peer.instance != from {
+                self.atlas.hearsay(&peer, now);
                 self.book.hearsay(peer, now);
                 continue;
             }
@@ -164,9 +171,25 @@
         let identity = &self.around.identity;
         let place = identity.place().clone();
         let near = |peer: &&Peer| peer.place == place && peer.instance != identity.instance();
-        let new: Vec<Peer> = peers.values().filter(new).filter(near).cloned().collect();
-        if !new.is_empty() {
-            self.lines.send_within(&place, &gossip::Message::Peers(new));
+        let met: Vec<Peer> = peers.values().filter(new).filter(near).cloned().collect();
+        let known = self.published.values().map(|peer| peer.place.clone());
+        let mut known: IndexSet<Place> = known.collect();
+        let first = |peer: &&Peer| known.insert(peer.place.clone());
+        let zones: Vec<Peer> = peers.values().filter(first).cloned().collect();
+        if !met.is_empty() {
+            self.lines.send_within(&place, &gossip::Message::Peers(met));
+        }
+        self.introduce_zones(&place, &zones);
+    }
+
+    /// Tells other zones of zones that are newly heard of, so that they look for each other.
+    fn introduce_zones(&mut self, own: &Place, zones: &[Peer]) {
+        for (line, _, place) in self.lines.peers() {
+            if place == *own || zones.is_empty() {
+                continue;
+            }
+            let zones = zones.to_vec();
+            self.lines.send(line, gossip::Message::Peers(zones));
         }
     }
 }
