--- a/crates/zinniastall-entry/tests/spread.rs
+++ b/crates/zinniastall-entry/tests/spread.rs
@@ -283,13 +283,21 @@
     malformed_prefix: "cache", json!({"prefixes": ["xyz"]});
 }
 
-/// Starts an instance's membership on the calling arbiter.
+/// Starts an instance's membership in athens/a on the calling arbiter.
 async fn instance(
     name: &str,
     incarnation: u64,
     seeds: Vec<String>,
 ) -> (Board, Identity, Addr<Spread>) {
-    let place = Place::new("athens", "a");
+    instance_at(Place::new("athens", "a"), name, incarnation, seeds).await
+}
+
+async fn instance_at(
+    place: Place,
+    name: &str,
+    incarnation: u64,
+    seeds: Vec<String>,
+) -> (Board, Identity, Addr<Spread>) {
     let listener = link::listen("127.0.0.1:0").await.expect("a free port");
     let links = listener.local_addr().expect("a bound socket").to_string();
     let addresses = Addresses {
@@ -368,3 +376,30 @@
     })
     .await;
 }
+
+// All zones have the same one in their settings. Facts about a zone don't pass through a third, so
+// zones that are never named to each other would never spill to each other, though nothing is cut.
+#[actix_rt::test]
+async fn zones_find_each_other_by_a_third() {
+    let places = [
+        ("athens", "a"),
+        ("athens", "b"),
+        ("athens", "c"),
+        ("patras", "a"),
+        ("nantes", "a"),
+    ];
+    let mut seeds = Vec::new();
+    let mut boards = Vec::new();
+    for (number, (region, zone)) in places.into_iter().enumerate() {
+        let name = format!("entry-{number}");
+        let started = instance_at(Place::new(region, zone), &name, 1, seeds.clone()).await;
+        if seeds.is_empty() {
+            seeds.push(started.1.addresses().links.clone());
+        }
+        boards.push(started.0);
+    }
+    for (board, place) in boards.iter().zip(places) {
+        let what = format!("{place:?} sees all zones");
+        until(&what, || board.view().peers.len() == places.len()).await;
+    }
+}
