--- a/crates/zinniastall-entry/src/callers/admission/line.rs
+++ b/crates/zinniastall-entry/src/callers/admission/line.rs
@@ -15,6 +15,11 @@
 
 use super::Flight;
 
+/// Times that a request may be passed over for one that a target has cached.
+const PASSED: u32 = 8;
+/// Weight of the newest value in the mean time from start to start.
+const NEWEST: f64 = 0.05;
+
 /// Waiting requests of one model or service.
 #[derive(Debug, Default)]
 pub(super) struct Line {
@@ -22,12 +27,18 @@
     pub(super) gate: Gate,
     queue: Option<Queue>,
     turns: IndexMap<Id, Turn>,
+    /// Last start out of the queue, while it is not empty.
+    started: Option<Instant>,
+    /// Mean time from start to start, in seconds.
+    pace: Option<f64>,
 }
 
 /// A waiting request.
 #[derive(Debug)]
 pub(super) struct Turn {
     waiter: Waiter,
+    /// How often another one went in its turn.
+    passed: u32,
     /// The request.
     pub(super) request: Request,
     /// Targets that have failed it already.
@@ -36,6 +47,13 @@
     pub(super) sender: oneshot::Sender<Flight>,
 }
 
+impl Turn {
+    /// Returns the time that the request will take once it starts.
+    pub(super) const fn service(&self) -> Duration {
+        self.waiter.service
+    }
+}
+
 /// A start that is to be told to a waiting request.
 #[derive(Debug)]
 pub(super) struct Grant {
@@ -51,8 +69,8 @@
     }
 
     /// Returns the expected wait of a further request.
-    pub(super) fn wait(&self, pace: Duration) -> Duration {
-        pace.saturating_mul(count(self.turns.len()))
+    pub(super) fn wait(&self, expected: Duration) -> Duration {
+        self.pace(expected).saturating_mul(count(self.turns.len()))
     }
 
     /// Lets a request wait.
@@ -66,9 +84,10 @@
         waiter: Waiter,
         request: &Request,
         tried: &[id::Target],
-        pace: Duration,
+        expected: Duration,
         now: Instant,
     ) -> Result<oneshot::Receiver<Flight>, Refusal> {
+        let pace = self.pace(expected);
         let queue = self
             .queue
             .get_or_insert_with(|| Queue::new(policy.longest_queue()));
@@ -76,6 +95,7 @@
         let (sender, receiver) = oneshot::channel();
         let turn = Turn {
             waiter,
+            passed: 0,
             request: request.clone(),
             tried: tried.to_vec(),
             sender,
@@ -84,18 +104,43 @@
         Ok(receiver)
     }
 
-    /// Takes out the request that goes next.
-    pub(super) fn pop(&mut self) -> Option<Turn> {
-        let id = self.queue.as_mut()?.pop()?;
-        self.turns.swap_remove(&id)
+    /// Returns requests that may go next, the one whose turn it is first; only that one if it has
+    /// been passed over often enough.
+    pub(super) fn first(&self, count: usize) -> Vec<(Id, &Turn)> {
+        let first = self.queue.as_ref().map(|queue| queue.first(count));
+        let first = first.unwrap_or_default().into_iter();
+        let mut first: Vec<_> = first
+            .filter_map(|id| Some((id, self.turns.get(&id)?)))
+            .collect();
+        if first.first().is_some_and(|(_, turn)| turn.passed >= PASSED) {
+            first.truncate(1);
+        }
+        first
     }
 
-    /// Lets a request wait again whose turn came in vain.
-    pub(super) fn put_back(&mut self, turn: Turn) {
-        if let Some(queue) = &mut self.queue {
-            queue.put_back(&turn.waiter);
-            self.turns.insert(turn.waiter.id, turn);
+    /// Takes out a request that goes now.
+    pub(super) fn take(&mut self, id: Id, now: Instant) -> Option<Turn> {
+        let queue = self.queue.as_mut()?;
+        let head = queue.first(1).first().copied();
+        if let Some(passed) = head.filter(|head| *head != id) {
+            self.turns[&passed].passed += 1;
+        }
+        queue.take(id);
+        let turn = self.turns.swap_remove(&id)?;
+        if let Some(started) = self.started {
+            let took = now.saturating_duration_since(started).as_secs_f64();
+            let mean = self.pace.unwrap_or(took);
+            self.pace = Some(mean + (took - mean) * NEWEST);
         }
+        self.started = (!self.turns.is_empty()).then_some(now);
+        Some(turn)
+    }
+
+    /// Returns the time from start to start as it was seen, or else as it is expected. Other
+    /// instances use the same targets, so what was seen counts.
+    pub(super) fn pace(&self, expected: Duration) -> Duration {
+        self.pace
+            .map_or(expected, |pace| Duration::from_secs_f64(pace).max(expected))
     }
 
     /// Takes out a request that does not want to wait any longer.
--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -19,7 +19,7 @@
 /// Load over the mean up to which a target keeps its affinity.
 const BOUND: f64 = 1.25;
 /// Share of a request's time by which a full batch slows it down.
-const BATCH: f64 = 0.25;
+const BATCH: f64 = 0.05;
 /// Costs within this factor and this many milliseconds of the least count as equal: means are not
 /// known better than that, and always taking the least would use one target only.
 const TIE: f64 = 1.05;
@@ -71,15 +71,18 @@
 }
 
 /// Returns the cost of a target for a prompt, in milliseconds.
-#[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
 pub fn cost(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
     let service = millis(load.service());
     let wait = millis(load.wait(now)) + service * BATCH * load.fill(now).min(1.0);
-    let uncached = prefixes.len() as f64 - load.cached(prefixes);
     let weights = &policy.weights;
-    weights.wait * wait
-        + weights.cache * uncached * millis(policy.block)
-        + weights.price * load.price() * service
+    weights.wait * wait + miss(policy, prefixes, load, now) + weights.price * load.price() * service
+}
+
+/// Returns the part of the cost that is due to blocks which the target has not cached.
+#[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
+pub fn miss(policy: &Policy, prefixes: &[u64], load: &Load, now: Instant) -> f64 {
+    let uncached = prefixes.len() as f64 - load.cached(prefixes, now);
+    policy.weights.cache * uncached * millis(policy.block)
 }
 
 fn cheapest<'a, 'b>(
@@ -112,7 +115,7 @@
         return Vec::new();
     };
     let warm = candidates.iter().max_by(|a, b| {
-        let (a, b) = (a.load.cached(prefixes), b.load.cached(prefixes));
+        let (a, b) = (a.load.cached(prefixes, now), b.load.cached(prefixes, now));
         a.total_cmp(&b)
     });
     let bound = bound(candidates, now);
