--- a/crates/zinniastall-load/src/locate.rs
+++ b/crates/zinniastall-load/src/locate.rs
@@ -29,6 +29,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Instance {
+    region: String,
     callers: String,
     weight: f64,
 }
@@ -73,14 +74,27 @@
         Some(Choice { address, ticket })
     }
 
+    /// Asks the instances of the last answer, then those of the settings.
     async fn ask(&mut self, client: &Client, entries: &[SocketAddr], source: &Source) {
-        for entry in entries {
-            let url = format!("http://{entry}/v1/locate?{}", query(source));
-            let asking = question(client, &url, &source.key);
-            // An instance that is frozen or cut off must not hold up the question to the next one.
-            let Ok(Some(answer)) = tokio::time::timeout(BOUND, asking).await else {
+        let known = self
+            .instances
+            .iter()
+            .map(|instance| instance.callers.clone());
+        let entries = entries.iter().map(SocketAddr::to_string);
+        for address in known.chain(entries).collect::<Vec<_>>() {
+            let Some(mut answer) = question(client, &address, source).await else {
                 continue;
             };
+            // A ticket is good at its issuer; one from another region would have to travel there
+            // and back, where the request may not go.
+            let home = answer
+                .instances
+                .iter()
+                .find(|instance| source.at_home(&instance.region));
+            if let Some(home) = home.filter(|home| !source.idempotent && home.callers != address) {
+                let issued = question(client, &home.callers, source).await;
+                answer.tickets = issued.map(|answer| answer.tickets).unwrap_or_default();
+            }
             let valid = Duration::from_millis(answer.valid_ms).max(KEPT);
             self.until = Some(Instant::now() + valid);
             self.instances = answer.instances;
@@ -102,10 +116,14 @@
     }
 }
 
-async fn question(client: &Client, url: &str, key: &str) -> Option<Answer> {
-    let request = client.get(url).bearer_auth(key);
-    let mut response = request.send().await.ok()?;
-    response.json::<Answer>().await.ok()
+async fn question(client: &Client, address: &str, source: &Source) -> Option<Answer> {
+    let url = format!("http://{address}/v1/locate?{}", query(source));
+    let asking = async {
+        let mut response = client.get(url).bearer_auth(&source.key).send().await.ok()?;
+        response.json::<Answer>().await.ok()
+    };
+    // An instance that is frozen or cut off must not hold up the question to the next one.
+    tokio::time::timeout(BOUND, asking).await.ok()?
 }
 
 fn query(source: &Source) -> String {
--- a/crates/zinniastall-load/src/settings.rs
+++ b/crates/zinniastall-load/src/settings.rs
@@ -82,6 +82,13 @@
     pub suffix_bytes: usize,
 }
 
+impl Source {
+    /// Returns whether its callers are in this region, as far as it says where they are.
+    pub fn at_home(&self, region: &str) -> bool {
+        self.region.as_deref().is_none_or(|home| home == region)
+    }
+}
+
 impl Settings for Experiment {
     fn read(reader: &mut Reader<'_>) -> Self {
         let experiment = Self {
