--- a/crates/zinniastall-load/src/locate.rs
+++ b/crates/zinniastall-load/src/locate.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Deserialize)]
 struct Instance {
     region: String,
+    zone: String,
     callers: String,
     weight: f64,
 }
@@ -103,16 +104,21 @@
         }
     }
 
+    /// Draws by weight among the nearest instances: the answer names them first, and its weights
+    /// compare instances of one zone only.
     fn pick(&self, random: &mut StdRng) -> Option<String> {
-        let sum: f64 = self.instances.iter().map(|instance| instance.weight).sum();
+        let first = self.instances.first()?;
+        let near = |other: &&Instance| (&other.region, &other.zone) == (&first.region, &first.zone);
+        let nearest = || self.instances.iter().filter(near);
+        let sum: f64 = nearest().map(|instance| instance.weight).sum();
         let mut point = random.random::<f64>() * sum;
-        for instance in &self.instances {
+        for instance in nearest() {
             point -= instance.weight;
             if point <= 0.0 {
                 return Some(instance.callers.clone());
             }
         }
-        Some(self.instances.last()?.callers.clone())
+        Some(first.callers.clone())
     }
 }
 
