fix(route): judge a waiting request again before it is sent

Cause: a request that waits for a target was sent by the regions it was admitted under. A rule that was narrowed meanwhile, and accepted by every instance, did not hold for it: it ran in a region its client no longer permits. Found by reading path.rs, whose comment claimed the opposite. Ruled out: refusing all that waits when a rule narrows (drops requests that are still permitted). Change: before each send, at the first attempt, elsewhere and on resumption, the request is judged by the configuration in force then; what it was admitted under still bounds it.

--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -230,8 +230,9 @@
     tried: &mut Vec<id::Target>,
 ) -> Result<Answer, Refusal> {
     tried.push(flight.target().clone());
-    // The view may be newer than at admission: a rule that has narrowed meanwhile holds now.
-    residency::check_place(&parcel.request.regions, &worker.view().place)
+    let here = worker.view().place.clone();
+    worker
+        .check_again(&parcel.request, &here)
         .map_err(Refusal::not_run)?;
     let report = flight.report()?;
     let flight = Rc::new(RefCell::new(flight));
@@ -262,9 +263,9 @@
     mut away: Away,
 ) -> Result<Answer, Refusal> {
     let refused = |reason| Err(Refusal::not_run(reason).retry(UNREACHABLE));
-    if residency::check_place(&parcel.request.regions, away.place()).is_err() {
-        return refused(Reason::Residency);
-    }
+    worker
+        .check_again(&parcel.request, away.place())
+        .map_err(Refusal::not_run)?;
     let view = worker.view();
     let Some(peer) = forward::peer_of(&view, away.place()) else {
         return refused(Reason::Unreachable);
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -120,6 +120,10 @@
         if next == Next::End || offset == 0 || !request.idempotent {
             return Err(broken);
         }
+        let here = &self.worker.view().place;
+        if self.worker.check_again(request, here).is_err() {
+            return Err(broken);
+        }
         if !self.worker.service.admission.retry() {
             return Err(broken);
         }
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -2,8 +2,8 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use zinniastall_model::state::State;
-use zinniastall_route::identify::Index;
+use zinniastall_model::{place::Place, state::State};
+use zinniastall_route::{identify::Index, outcome::Reason, request::Request, residency};
 use zinniastall_settings::metrics::Recorder;
 
 use super::{Service, forward::Links, target::Clients};
@@ -53,4 +53,15 @@
         }
         Rc::clone(&index)
     }
+
+    /// Judges a request by the configuration in force now, before it is sent to a place.
+    ///
+    /// # Errors
+    ///
+    /// See [`residency::check_again`].
+    pub fn check_again(&self, request: &Request, place: &Place) -> Result<(), Reason> {
+        let view = self.view();
+        let state = view.state.as_ref().ok_or(Reason::Unconfigured)?;
+        residency::check_again(&self.index(state), request, place)
+    }
 }
--- a/crates/zinniastall-route/src/residency.rs
+++ b/crates/zinniastall-route/src/residency.rs
@@ -6,7 +6,7 @@
 
 use zinniastall_model::{id, object::Residency, object::Subject, place::Place};
 
-use crate::outcome::Reason;
+use crate::{identify::Index, outcome::Reason, request::Request};
 
 /// Returns the regions that a client's rules permit, seen from the region that received the request.
 ///
@@ -56,3 +56,19 @@
     }
     Err(Reason::Residency)
 }
+
+/// Judges a request again that is about to be sent, by the configuration in force by then.
+///
+/// A request may have waited for a target while a rule was narrowed or its client was withdrawn.
+/// Sent on by what it was admitted under, it would run where it may not, after the operator was
+/// told that the new rule holds everywhere. What it was admitted under still bounds it as well.
+///
+/// # Errors
+///
+/// [`Reason::Residency`], [`Reason::Withdrawn`] and [`Reason::UnknownKey`].
+pub fn check_again(index: &Index, request: &Request, place: &Place) -> Result<(), Reason> {
+    let client = index.client(&request.client)?;
+    let received = request.hops.first().ok_or(Reason::Hops)?;
+    let own = permitted(index.rules(&client.id), &request.subject, received);
+    check_place(&stricter(&request.regions, &own), place)
+}
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -117,6 +117,55 @@
     cluster.stop().await
 }
 
+// An engine is full and a request waits for it at the instance. Meanwhile the operator withdraws the
+// region from the client and is told that the change is accepted. The request must not run there
+// afterwards, although it was admitted when that was permitted.
+#[actix_rt::test]
+async fn waiting_request_obeys_a_narrower_rule() -> Result<()> {
+    let builder = Cluster::builder()
+        .zone("patras", "a", 1)
+        .zone("athens", "a", 1);
+    let mut cluster = System::start(builder).await?;
+    let engine = json!({"slots": 1, "engine": {"token_us": 20_000}});
+    cluster
+        .engine("engine-1", ("patras", "a"), MODEL, engine)
+        .await?;
+    configure(&mut cluster).await?;
+    cluster.residency(CLIENT, &["patras", "athens"]).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    cluster
+        .serves(address, KEY, &chat("probe", 1, false))
+        .await?;
+    let long = |number| chat(&format!("long {number}"), 150, false);
+    let flying: Vec<_> = (0..4)
+        .map(|number| actix_rt::spawn(ask(address, &long(number)).send()))
+        .collect();
+    wait::until("the engine busy", async || {
+        let runs = cluster.ledger("engine-1").await.ok()?;
+        // The probe is the first.
+        (runs.len() > 1).then_some(())
+    })
+    .await?;
+    let rule = json!({"residency": {"id": CLIENT, "client": CLIENT, "regions": ["athens"]}});
+    let run = cluster
+        .ctl(&["--wait", "10000", "apply", &rule.to_string()])
+        .await?;
+    assert_eq!(run.json()?["outcome"], "accepted");
+    let mut refused = 0;
+    for flying in flying {
+        let answer = flying.await.map_err(std::io::Error::other)??;
+        if answer.status() != 200 {
+            assert_eq!(error(&answer).0, "not-run", "{}", answer.text());
+            refused += 1;
+        }
+    }
+    // One runs, and one at most is in the engine's own queue; the others waited at the instance.
+    assert!(refused >= 2, "{refused} refused");
+    let ran = cluster.ledger("engine-1").await?.len() - 1;
+    assert_eq!(ran + refused, 4, "what was refused ran");
+    cluster.stop().await
+}
+
 // The home instance is cut off from control and still permits the far region; the far instance has
 // the newer rules. The stricter of the two wins: the request is refused there and runs nowhere.
 #[actix_rt::test]
