--- a/crates/zinniastall-coord/tests/ticket.rs
+++ b/crates/zinniastall-coord/tests/ticket.rs
@@ -39,7 +39,7 @@
 
 rejected! {
     expired: |ticket| (issuer(1, 1), ticket, VALIDITY) => Invalid::Expired,
-    // A restarted issuer has lost its marks. Taking its old tickets would run a cleaning schedule
+    // A restarted issuer has lost its marks. Taking its old tickets would run billed work
     // twice.
     issued_by_earlier_run: |ticket| (issuer(2, 2), ticket, Duration::ZERO) => Invalid::Elsewhere(_),
     other_key: |ticket| (issuer(1, 2), ticket, Duration::ZERO) => Invalid::Forged,
--- a/crates/zinniastall-ctl/tests/command_line.rs
+++ b/crates/zinniastall-ctl/tests/command_line.rs
@@ -25,7 +25,7 @@
 
 understood! {
     bootstrap: "bootstrap" => Call::Bootstrap,
-    apply: r#"apply {"client":{"id":"korrigan"}}"# => Call::Apply(_),
+    apply: r#"apply {"client":{"id":"studio"}}"# => Call::Apply(_),
     get: "get model m" => Call::Get(..),
     watch: "watch client route --after 3 --count 1" => Call::Watch(_),
     local_status: "--local status" => Call::Status { local: true },
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -27,7 +27,7 @@
 use zinniastall_wire::gossip;
 
 /// Key of the client that every bench knows.
-pub(crate) const KEY: &str = "robot-key";
+pub(crate) const KEY: &str = "maps-key";
 /// Body of a chat completion.
 pub(crate) const CHAT: &str =
     r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
@@ -203,7 +203,7 @@
     let model = || Subject::Model("map-labels".into());
     let service = || Subject::Service("portal".into());
     let client = Client {
-        id: "chartotopos".into(),
+        id: "maps".into(),
         keys: vec![blake3::hash(KEY.as_bytes()).to_hex().to_string()],
         weight: 1,
         withdrawn: false,
--- a/crates/zinniastall-entry/tests/callers/outcomes.rs
+++ b/crates/zinniastall-entry/tests/callers/outcomes.rs
@@ -73,7 +73,7 @@
         => 1..=2, ["data: a\n\n", "event: error", "unknown"], ["\r\n0\r\n\r\n"];
 }
 
-// A robot's owner closes the app while the engine works. Without a cancel the engine would go on
+// A caller goes away while the engine works. Without a cancel the engine would go on
 // for nobody, and everybody else would wait behind it.
 #[actix_web::test]
 async fn caller_gone_cancels_at_the_target() {
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -38,7 +38,7 @@
 /// use zinniastall_model::{change::{Answer, Body, Change}, object::{Client, Object}, state::State};
 ///
 /// let mut state = State::default();
-/// let client = Client { id: "korrigan".into(), keys: vec![], weight: 1, withdrawn: false };
+/// let client = Client { id: "studio".into(), keys: vec![], weight: 1, withdrawn: false };
 /// let change = Change { origin: None, expected: Some(0), body: Body::Apply(Object::Client(client)) };
 /// assert_eq!(state.apply(&change), Answer::Done { revision: 1, narrows: false });
 /// assert_eq!(state.apply(&change), Answer::Conflict { current: 1 });
--- a/crates/zinniastall-model/tests/state.rs
+++ b/crates/zinniastall-model/tests/state.rs
@@ -56,7 +56,7 @@
 fn client(withdrawn: bool, keys: &[char]) -> Object {
     let key = |digit: &char| String::from_iter([*digit; 64]);
     Object::Client(Client {
-        id: "korrigan".into(),
+        id: "studio".into(),
         keys: keys.iter().map(key).collect(),
         weight: 1,
         withdrawn,
@@ -83,7 +83,7 @@
 fn rule(id: &str, subject: Option<&str>, regions: &[&str]) -> Residency {
     Residency {
         id: id.into(),
-        client: "korrigan".into(),
+        client: "studio".into(),
         subject: subject.map(str::to_owned),
         regions: regions.iter().map(|region| (*region).to_owned()).collect(),
     }
@@ -134,8 +134,8 @@
     restored: [client(true, &[])], apply(client(false, &['a']), None) => false;
     key_revoked: [client(false, &['a', 'b'])], apply(client(false, &['a']), None) => true;
     key_added: [client(false, &['a'])], apply(client(false, &['a', 'b']), None) => false;
-    deleted: [client(false, &[])], delete(Kind::Client, "korrigan", 4) => true;
-    withdrawn_deleted: [client(true, &[])], delete(Kind::Client, "korrigan", 4) => false;
+    deleted: [client(false, &[])], delete(Kind::Client, "studio", 4) => true;
+    withdrawn_deleted: [client(true, &[])], delete(Kind::Client, "studio", 4) => false;
     not_repeatable_any_more: [route("/a", true)], apply(route("/a", false), None) => true;
     repeatable: [route("/a", false)], apply(route("/a", true), None) => false;
     shadowing: [route("/a", true)], apply(route("/a/b", false), None) => true;
--- a/crates/zinniastall-route/tests/filters/admission.rs
+++ b/crates/zinniastall-route/tests/filters/admission.rs
@@ -76,7 +76,7 @@
     assert_eq!(low, 10);
 }
 
-// A crew's scan is due in a second, and ten seconds of work wait. It must hear "not now, come back
+// A request is due in a second, and ten seconds of work wait. It must hear "not now, come back
 // in ten seconds" at once; hearing it after a second would leave no time to go elsewhere.
 #[test]
 fn hopeless_deadlines_are_refused_on_arrival() {
--- a/crates/zinniastall-route/tests/filters/rules.rs
+++ b/crates/zinniastall-route/tests/filters/rules.rs
@@ -57,7 +57,7 @@
 fn rule(subject: Option<&str>, regions: &[String]) -> Residency {
     Residency {
         id: "rule".into(),
-        client: "korrigan".into(),
+        client: "studio".into(),
         subject: subject.map(ToOwned::to_owned),
         regions: regions.to_vec(),
     }
@@ -72,7 +72,7 @@
 fn request(idempotent: bool, deadline: Instant) -> Request {
     Request {
         id: "r".into(),
-        client: "korrigan".into(),
+        client: "studio".into(),
         weight: 1,
         class: "interactive".into(),
         subject: Subject::Model("names".into()),
--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -26,7 +26,7 @@
 }
 
 fn rule(regions: &[&str]) -> String {
-    json!({"residency": {"id": "home", "client": "korrigan", "regions": regions}}).to_string()
+    json!({"residency": {"id": "home", "client": "studio", "regions": regions}}).to_string()
 }
 
 async fn code(cluster: &Cluster, revision: u64) -> Option<i32> {
@@ -79,7 +79,7 @@
         .start()
         .await?;
     settled(&cluster, 2).await?;
-    cluster.client("korrigan", "key").await?;
+    cluster.client("studio", "key").await?;
     let wide = rule(&["patras", "athens"]);
     cluster
         .ctl(&["--wait", "10000", "apply", &wide])
@@ -269,7 +269,7 @@
         .zone("thessaloniki", "a", 1)
         .start()
         .await?;
-    cluster.client("korrigan", "key").await?;
+    cluster.client("studio", "key").await?;
     let wide = rule(&["patras", "athens", "thessaloniki"]);
     let answer = cluster.ctl(&["apply", &wide]).await?.json()?;
     let held = answer["revision"].to_string();
--- a/tests/tests/load.rs
+++ b/tests/tests/load.rs
@@ -24,7 +24,7 @@
     let mut experiment = json!({
         "warmup_ms": 0, "duration_ms": 500, "report": report, "plot": plot,
         "variants": [{"name": "direct", "direct": address, "ledgers": [address]}],
-        "sources": [{"client": "chartotopos", "model": "map-labels", "rate": 100}],
+        "sources": [{"client": "maps", "model": "map-labels", "rate": 100}],
     });
     settings::merge(&mut experiment, change);
     let mut load = settings::start("load", "zinniastall-load", &experiment)?;
@@ -55,7 +55,7 @@
 async fn waiting_is_measured_from_the_planned_start() -> Result<()> {
     let slow = json!({"slots": 1, "engine": {"first_ms": 50}});
     let fixed = json!({"sources": [
-        {"client": "chartotopos", "model": "map-labels", "rate": 200, "arrivals": "fixed",
+        {"client": "maps", "model": "map-labels", "rate": 200, "arrivals": "fixed",
          "until_ms": 200, "tokens": 1},
     ]});
     let variant = direct(slow, fixed).await?;
@@ -68,7 +68,7 @@
 /// Callers of two clients ask two availability zones at once, some for work that may run once, while
 /// an engine is killed and comes back. Whoever was told "answered" must have a run in a ledger and
 /// the right text, whoever was told "not run" none, and no work that may run once may have run twice:
-/// a cleaning schedule that ran twice has the robot out at naptime.
+/// work that ran twice is billed twice.
 #[actix_rt::test]
 async fn the_system_keeps_its_word_while_an_engine_is_lost() -> Result<()> {
     let files = tempfile::tempdir()?;
@@ -82,8 +82,8 @@
         let slow = json!({"ledger_file": file, "engine": {"first_ms": 5, "token_us": 3_000}});
         cluster.engine(name, ("patras", zone), MODEL, slow).await?;
     }
-    cluster.client("chartotopos", "key-1").await?;
-    cluster.client("korrigan", "key-2").await?;
+    cluster.client("maps", "key-1").await?;
+    cluster.client("studio", "key-2").await?;
     cluster.model(MODEL).await?;
     cluster.located("patras-a-1", "key-1", MODEL, 3).await?;
     let mut load = under_load(&cluster, &files.path().join("report.json"))?;
@@ -125,7 +125,7 @@
         "warmup_ms": 0, "duration_ms": 4_000, "deadline_ms": 10_000, "patience_ms": 15_000,
         "report": report,
         "variants": [{"name": "system", "entries": of("callers"), "ledgers": of("http")}],
-        "sources": [source("chartotopos", "key-1", true), source("korrigan", "key-2", false)],
+        "sources": [source("maps", "key-1", true), source("studio", "key-2", false)],
     });
     settings::start("load", "zinniastall-load", &experiment)
 }
--- a/tests/tests/path/drain.rs
+++ b/tests/tests/path/drain.rs
@@ -77,23 +77,23 @@
     Ok(())
 }
 
-// Engines are replaced while robots keep asking. No request may fail for it, and an engine that
+// Engines are replaced while callers keep asking. No request may fail for it, and an engine that
 // has said it leaves gets no new work after two seconds.
 #[actix_rt::test]
 async fn leaving_target_under_load_fails_nobody() -> Result<()> {
     let engine = json!({"engine": {"token_us": 2000}, "slots": 16});
     let mut cluster = zone_with(&[engine.clone(), engine], json!({})).await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
-    let robots = (0..8).map(|robot| async move {
+    let callers = (0..8).map(|caller| async move {
         let mut statuses = Vec::new();
         for number in 0..40 {
-            let body = chat(&format!("robot {robot} scan {number}"), 5, false);
+            let body = chat(&format!("caller {caller} request {number}"), 5, false);
             let answer = ask(address, &body).send().await?;
             statuses.push((answer.status(), answer.text()));
         }
         Ok::<_, zinniastall_tests::Error>(statuses)
     });
-    let load = actix_rt::spawn(join_all(robots));
+    let load = actix_rt::spawn(join_all(callers));
     cluster.target("engine-1")?.process().terminate()?;
     assert!(
         cluster
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -42,11 +42,14 @@
 async fn other_region_serves_when_home_cannot() -> Result<()> {
     let mut cluster = regions().await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
-    let (head, events) = ask(address, &chat("a scan", 6, true)).stream().await?;
+    let (head, events) = ask(address, &chat("a request", 6, true)).stream().await?;
     assert_eq!(head.header("x-zinniastall-place"), "athens/a");
     assert_eq!(head.header("x-zinniastall-target"), "engine-1");
-    assert_eq!(http::content(events).await?, (expected("a scan", 6), true));
-    let (ticket, body) = (ticket(address).await?, chat("a schedule", 2, false));
+    assert_eq!(
+        http::content(events).await?,
+        (expected("a request", 6), true)
+    );
+    let (ticket, body) = (ticket(address).await?, chat("billed work", 2, false));
     for _ in 0..3 {
         let answer = ask_once(address, &ticket, &body).send().await?;
         assert_eq!(answer.status(), 200, "{}", answer.text());
@@ -61,7 +64,7 @@
 async fn far_instance_killed_within_an_answer() -> Result<()> {
     let mut cluster = regions().await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
-    let body = chat("a long brief", 100, true);
+    let body = chat("a long request", 100, true);
     let ticket = ticket(address).await?;
     let (_, events) = ask_once(address, &ticket, &body).stream().await?;
     cluster.entry("athens-a-1")?.process().kill()?;
@@ -193,7 +196,7 @@
         (field(newest, "revision")? == revision).then_some(())
     })
     .await?;
-    let body = chat("a scan that has to stay", 2, false);
+    let body = chat("a request that has to stay", 2, false);
     let answer = ask(address, &body).send().await?;
     assert_eq!(error(&answer).0, "not-run", "{}", answer.text());
     assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 0);
@@ -207,7 +210,7 @@
     let mut cluster = regions().await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
     let far = cluster.entry("athens-a-1")?.address("callers")?;
-    let body = chat("a long brief", 150, false);
+    let body = chat("a long request", 150, false);
     let request = ask(address, &body).header("x-zinniastall-deadline-ms", "30000");
     let flying = actix_rt::spawn(request.send());
     wait::until("the request running", async || {
@@ -234,7 +237,7 @@
     for address in [far, address] {
         cluster.serves(address, KEY, &chat("own", 2, false)).await?;
         for number in 0..5 {
-            let answer = ask(address, &chat(&format!("scan {number}"), 2, false));
+            let answer = ask(address, &chat(&format!("request {number}"), 2, false));
             assert_eq!(answer.send().await?.status(), 200);
         }
     }
@@ -249,7 +252,7 @@
     let address = cluster.entry("patras-a-1")?.address("callers")?;
     let body = chat("a forged scan", 3, true);
     let request = ask(address, &body)
-        .header("x-zinniastall-client", "korrigan")
+        .header("x-zinniastall-client", "studio")
         .header("x-zinniastall-offset", "2")
         .header("x-zinniastall-hops", "athens/a")
         .header("x-zinniastall-fence", "999");
--- a/tests/tests/path/loss.rs
+++ b/tests/tests/path/loss.rs
@@ -16,7 +16,7 @@
     json!({"point": point, "action": action, "events": events, "times": 1})
 }
 
-// An engine dies after it has taken a scan and before it has said anything. The robot's owner must
+// An engine dies after it has taken a request and before it has said anything. The caller must
 // get the labels all the same, from another engine.
 #[actix_rt::test]
 async fn lost_before_first_byte_is_answered_by_another() -> Result<()> {
@@ -49,10 +49,10 @@
             let mut cluster = zone(&[engine("none", "cut", 0)]).await?;
             cluster.fail("engine-1", &failure($point, "cut", $events)).await?;
             let address = cluster.entry("patras-a-1")?.address("callers")?;
-            let body = chat("why was the kitchen skipped", 8, true);
+            let body = chat("which rooms are there", 8, true);
             let (_, events) = ask(address, &body).stream().await?;
             let answer = http::content(events).await?;
-            assert_eq!(answer, (expected("why was the kitchen skipped", 8), true));
+            assert_eq!(answer, (expected("which rooms are there", 8), true));
             let runs = runs(&mut cluster, "engine-1", &body).await?;
             let offsets: Vec<_> = runs.iter().map(|run| run["offset"].as_u64()).collect();
             assert_eq!(offsets, [Some(0), Some($offset)]);
--- a/tests/tests/path/once.rs
+++ b/tests/tests/path/once.rs
@@ -43,15 +43,15 @@
     cluster.stop().await
 }
 
-// The answer to a cleaning schedule is lost on its way back, and the app sends the same again, to
-// the same instance or to another one. The robot must clean the nursery once, and the app must get
+// The answer to work that runs once is lost on its way back, and the caller sends the same again, to
+// the same instance or to another one. It must run once, and the caller gets
 // the answer of that one run.
 #[actix_rt::test]
 async fn lost_answer_is_read_again_anywhere() -> Result<()> {
     let mut cluster = zone(&engines()).await?;
     let first = cluster.entry("patras-a-1")?.address("callers")?;
     let second = cluster.entry("patras-a-2")?.address("callers")?;
-    let (ticket, body) = (ticket(first).await?, chat("clean the nursery", 4, false));
+    let (ticket, body) = (ticket(first).await?, chat("a billed proposal", 4, false));
     let proxy = cluster.entry("patras-a-1")?.proxy("callers")?;
     proxy.cut_after(Way::Down, 20);
     let lost = ask_once(first, &ticket, &body).send().await;
@@ -61,7 +61,7 @@
         let answer = ask_once(address, &ticket, &body).send().await?;
         assert_eq!(answer.status(), 200, "{}", answer.text());
         let answer = text(&answer.json()?["choices"][0]["message"]["content"]);
-        assert_eq!(answer, expected("clean the nursery", 4));
+        assert_eq!(answer, expected("a billed proposal", 4));
     }
     assert_eq!(ran(&mut cluster, &body).await?, 1);
     cluster.stop().await
--- a/tests/tests/path/storm.rs
+++ b/tests/tests/path/storm.rs
@@ -35,7 +35,7 @@
         broken_before += cluster.ledger(engine).await?.len();
     }
     let requests = (0..REQUESTS).map(|number| async move {
-        let body = chat(&format!("scan {number}"), 2, false);
+        let body = chat(&format!("request {number}"), 2, false);
         ask(address, &body)
             .send()
             .await
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -15,8 +15,8 @@
 };
 
 pub(crate) const MODEL: &str = "map-labels";
-pub(crate) const KEY: &str = "robot-key";
-pub(crate) const CLIENT: &str = "chartotopos";
+pub(crate) const KEY: &str = "maps-key";
+pub(crate) const CLIENT: &str = "maps";
 pub(crate) const CHAT: &str = "/v1/chat/completions";
 pub(crate) const TICKET: &str = "x-zinniastall-ticket";
 pub(crate) const ONCE: (&str, &str) = ("x-zinniastall-idempotent", "false");
--- a/tests/tests/spread/system.rs
+++ b/tests/tests/spread/system.rs
@@ -39,7 +39,7 @@
             .engine(&name, (region, zone), MODEL, json!({}))
             .await?;
     }
-    cluster.client("chartotopos", KEY).await?;
+    cluster.client("maps", KEY).await?;
     cluster.model(MODEL).await?;
     let all: Vec<String> = cluster
         .entries()
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -18,12 +18,12 @@
             .engine(name, ("patras", zone), MODEL, json!({}))
             .await?;
     }
-    cluster.client("chartotopos", KEY).await?;
+    cluster.client("maps", KEY).await?;
     cluster.model(MODEL).await?;
     cluster.located("patras-a-1", KEY, MODEL, 2).await?;
     let body = json!({
         "model": MODEL, "stream": true, "max_tokens": 8,
-        "messages": [{"role": "user", "content": "Why was the kitchen skipped?"}],
+        "messages": [{"role": "user", "content": "Which rooms are there?"}],
     });
     for entry in ["patras-a-1", "patras-b-1"] {
         let address = cluster.entry(entry)?.address("callers")?;
--- a/xtask/src/bench/path/mod.rs
+++ b/xtask/src/bench/path/mod.rs
@@ -15,7 +15,7 @@
 use system::{DURATION_MS, System, WARMUP_MS, capacity};
 
 const MODEL: &str = "map-labels";
-const CLIENT: &str = "chartotopos";
+const CLIENT: &str = "maps";
 const KEY: &str = "bench-key";
 const POLICIES: [&str; 5] = [
     "random",
--- a/xtask/src/bench/speed.rs
+++ b/xtask/src/bench/speed.rs
@@ -14,7 +14,7 @@
 };
 
 const MODEL: &str = "map-labels";
-const CLIENT: &str = "chartotopos";
+const CLIENT: &str = "maps";
 const KEY: &str = "bench-key";
 const ENTRY: &str = "patras-a-1";
 const ENGINE: &str = "engine-1";
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -12,7 +12,7 @@
 use crate::build::{self, Profile};
 
 const MODEL: &str = "map-labels";
-const CLIENT: &str = "chartotopos";
+const CLIENT: &str = "maps";
 const KEY: &str = "demo-key";
 
 /// Runs the demo.
@@ -79,7 +79,7 @@
 async fn ask(cluster: &mut Cluster, address: SocketAddr) -> eyre::Result<String> {
     let body = json!({
         "model": MODEL, "stream": true, "max_tokens": 8,
-        "messages": [{"role": "user", "content": "Why was the kitchen skipped?"}],
+        "messages": [{"role": "user", "content": "Which rooms are there?"}],
     });
     cluster.serves(address, KEY, &body).await?;
     let request = http::post(address, "/v1/chat/completions").key(KEY);
--- a/xtask/src/soak/system.rs
+++ b/xtask/src/soak/system.rs
@@ -7,7 +7,7 @@
 
 pub(super) const MODEL: &str = "map-labels";
 const PLACES: [(&str, &str); 3] = [("patras", "a"), ("patras", "b"), ("athens", "a")];
-const CLIENTS: [(&str, &str); 2] = [("chartotopos", "key-1"), ("korrigan", "key-2")];
+const CLIENTS: [(&str, &str); 2] = [("maps", "key-1"), ("studio", "key-2")];
 /// The client that is bound to a region, and that region.
 const BOUND: &str = CLIENTS[0].0;
 const HOME: &str = "patras";
