--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -1,12 +1,17 @@
 //! Starts the parts of an entry instance and waits for its end.
 
-use std::{process::ExitCode, sync::Arc};
+use std::{process::ExitCode, sync::Arc, time::Duration};
 
 use actix::Actor;
-use actix_web::{App, HttpServer};
+use actix_web::{
+    App, HttpServer,
+    dev::{Server, ServerHandle},
+};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+    time::timeout,
 };
 use zinniastall_settings::{
     cli, log,
@@ -18,7 +23,7 @@
 use crate::{
     callers, follow,
     links::{self, Acceptors, Addresses, Identity},
-    publish::Publisher,
+    publish::{Draining, Publisher},
     settings::Entry,
     spread::{self, actor::Surroundings},
     targets::{self, Desk},
@@ -60,57 +65,93 @@
         .identity(identity.clone());
     let streams = callers::forward::Receiver::start(service.clone());
     let forwarding = streams.arbiter();
-    let drained = service.clone();
+    let servers = Servers {
+        callers: serve_callers(&settings, service.clone(), sockets.callers)?,
+        targets: serve_targets(&settings, desk, sockets.targets)?,
+    };
+    let follow = follow::start(&settings, identity.clone(), board, publisher.clone(), hub);
+    let acceptors = Acceptors::new(identity)
+        .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
+        .owner(Purpose::Follow, follow)
+        .owner(Purpose::Stream, streams);
+    actix::spawn(links::serve(sockets.links, acceptors));
+    let ended = servers.start();
+    signal(SignalKind::terminate())?.recv().await;
+    tracing::info!(event = "draining");
+    publisher.send(Draining).await?;
+    drain(&service, settings.drain).await;
+    ended.stop().await?;
+    spread.send(spread::messages::Stop).await?;
+    forwarding.stop();
+    tracing::info!(event = "stopped");
+    Ok(())
+}
+
+/// Serves callers on traffic threads.
+fn serve_callers(
+    settings: &Entry,
+    service: callers::Service,
+    listener: TcpListener,
+) -> eyre::Result<Server> {
     let threads = settings.threads;
-    let callers = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
+    let server = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
         .workers(threads)
         .max_connections((settings.limits.connections / threads).max(1))
         .client_request_timeout(settings.limits.arrival)
         .h1_allow_half_closed(false)
         .shutdown_timeout(settings.drain.as_secs())
         .disable_signals()
-        .listen(sockets.callers.into_std()?)?;
-    let targets = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
+        .listen(listener.into_std()?)?;
+    Ok(server.run())
+}
+
+/// Serves targets on a thread of their own.
+fn serve_targets(settings: &Entry, desk: Desk, listener: TcpListener) -> eyre::Result<Server> {
+    let server = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
         .workers(1)
         .max_connections(targets::CONNECTIONS)
         .client_request_timeout(settings.limits.arrival)
         .disable_signals()
-        .listen(sockets.targets.into_std()?)?;
-    let follow = follow::start(
-        &settings,
-        identity.clone(),
-        board.clone(),
-        publisher.clone(),
-        hub.clone(),
-    );
-    let acceptors = Acceptors::new(identity)
-        .owner(Purpose::Gossip, spread::Gossip(spread.clone()))
-        .owner(Purpose::Follow, follow)
-        .owner(Purpose::Stream, streams);
-    actix::spawn(links::serve(sockets.links, acceptors));
-    let callers = callers.run();
-    let targets = targets.run();
-    let (callers_handle, targets_handle) = (callers.handle(), targets.handle());
-    let tasks = (actix::spawn(callers), actix::spawn(targets));
-    signal(SignalKind::terminate())?.recv().await;
-    tracing::info!(event = "draining");
-    publisher.send(crate::publish::Draining).await?;
-    // The listeners stay open until nothing is in progress: a caller who comes meanwhile is told
-    // where to go instead of finding a closed port.
-    if tokio::time::timeout(settings.drain, drained.drained())
-        .await
-        .is_err()
-    {
-        tracing::warn!(event = "drain-cut", requests = drained.progress.count());
+        .listen(listener.into_std()?)?;
+    Ok(server.run())
+}
+
+/// Waits until nothing is in progress, up to a limit.
+///
+/// The listeners stay open until then: a caller who comes meanwhile is told where to go instead of
+/// finding a closed port.
+async fn drain(service: &callers::Service, limit: Duration) {
+    if timeout(limit, service.drained()).await.is_err() {
+        tracing::warn!(event = "drain-cut", requests = service.progress.count());
+    }
+}
+
+/// HTTP servers of an instance.
+struct Servers {
+    callers: Server,
+    targets: Server,
+}
+
+/// HTTP servers that run, callers' first.
+struct Running(Vec<(ServerHandle, JoinHandle<std::io::Result<()>>)>);
+
+impl Servers {
+    fn start(self) -> Running {
+        let servers = [self.callers, self.targets];
+        let start = |server: Server| (server.handle(), actix::spawn(server));
+        Running(servers.into_iter().map(start).collect())
+    }
+}
+
+impl Running {
+    /// Stops the servers one after the other; each ends its requests first.
+    async fn stop(self) -> eyre::Result<()> {
+        for (handle, task) in self.0 {
+            handle.stop(true).await;
+            task.await??;
+        }
+        Ok(())
     }
-    callers_handle.stop(true).await;
-    targets_handle.stop(true).await;
-    tasks.0.await??;
-    tasks.1.await??;
-    spread.send(spread::messages::Stop).await?;
-    forwarding.stop();
-    tracing::info!(event = "stopped");
-    Ok(())
 }
 
 /// Sockets of an instance, bound before anything is started: each part says its addresses to others.
