--- a/xtask/src/build.rs
+++ b/xtask/src/build.rs
@@ -13,15 +13,21 @@
     Release,
 }
 
+/// Returns the cargo that runs this chore, to be called in the workspace.
+pub(crate) fn cargo(root: &Path) -> Command {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.current_dir(root);
+    command
+}
+
 /// Builds all binaries and has the scaffolding use them.
 ///
 /// # Errors
 ///
 /// Fails when the build fails.
 pub(crate) fn run(root: &Path, profile: Profile) -> eyre::Result<()> {
-    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-    let mut command = Command::new(cargo);
-    command.current_dir(root);
+    let mut command = cargo(root);
     command.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
     if profile == Profile::Release {
         command.arg("--release");
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 mod build;
 mod codegen;
 mod demo;
+mod measure;
 mod soak;
 
 const USAGE: &str = "usage: cargo xtask CHORE
@@ -19,6 +20,9 @@
                 measure how policies choose
   soak [--seconds N] [--seed S]
                 break things at random and count broken promises
+  explore [--runs N] [--seed S]
+                drive the consensus core through random schedules of faults
+  capacity      measure slopes and rewrite the tables of docs/CAPACITY.md
   codegen       generate the operators' calls from their schema file";
 
 fn main() -> eyre::Result<ExitCode> {
@@ -39,22 +43,28 @@
             bench::run(root, what.ok_or_else(|| eyre::eyre!(USAGE))?)?;
         }
         Some("soak") => {
-            let (seconds, seed) = soak_options(&mut arguments)?;
+            let (seconds, seed) = options(&mut arguments, ("seconds", 60))?;
             soak::run(root, seconds, seed)?;
         }
+        Some("explore") => {
+            let (runs, seed) = options(&mut arguments, ("runs", 1_000))?;
+            measure::explore(root, runs, seed)?;
+        }
+        Some("capacity") => measure::capacity(root)?,
         _ => eyre::bail!("unknown chore: {}\n{USAGE}", chore.display()),
     }
     Ok(ExitCode::SUCCESS)
 }
 
-fn soak_options(arguments: &mut lexopt::Parser) -> eyre::Result<(u64, u64)> {
-    let (mut seconds, mut seed) = (60, 1);
+/// Reads how much is to be done, under the option's name or by default, and the seed.
+fn options(arguments: &mut lexopt::Parser, (name, most): (&str, u64)) -> eyre::Result<(u64, u64)> {
+    let (mut amount, mut seed) = (most, 1);
     while let Some(argument) = arguments.next()? {
         match argument {
-            lexopt::Arg::Long("seconds") => seconds = arguments.value()?.parse()?,
             lexopt::Arg::Long("seed") => seed = arguments.value()?.parse()?,
+            lexopt::Arg::Long(option) if option == name => amount = arguments.value()?.parse()?,
             other => return Err(other.unexpected().into()),
         }
     }
-    Ok((seconds, seed))
+    Ok((amount, seed))
 }
