--- a/crates/zinniastall-load/src/call.rs
+++ b/crates/zinniastall-load/src/call.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use awc::{Client, error::SendRequestError};
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use serde_json::Value;
@@ -90,6 +93,11 @@
         let body = Bytes::copy_from_slice(self.prompt.body.as_bytes());
         let mut response = match request.send_body(body).await {
             Ok(response) => response,
+            // The library also says this of a connection that broke while it was in use, so the
+            // request may have run.
+            Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+                return Sample::unanswered(Outcome::Unknown, self.due, "broken");
+            }
             // Without a connection no byte was sent.
             Err(SendRequestError::Connect(_)) => {
                 return Sample::unanswered(Outcome::NotRun, self.due, "connect");
