feat(entry): refusals of the HTTP library say their type and outcome

Cause: actix-http refuses heads that are malformed, too long or too slow before any handler runs, with a bare status. Ruled out: a middleware or error handler (the library has no hook there), parsing heads before the library does (twice the work, and the end of each body must be known); weighed in request-path.md. Change: the callers' server is put together from the parts of actix_web::HttpServer, around connections that give a bare 400, 408 or 431 the usual body. Whatever is written while an answer is open or not flushed passes unchanged. Tests: existing cases of bad_input made stricter (431 and type for endless_headers, which asked for any 4xx), three added; shown failing: with the defence out five of 42 fail (no "malformed-head" in HTTP/1.1 400 Bad Request, likewise 408, 431); without the count of answers answer_like_a_refusal_is_not_changed fails (307728 bytes). 200 endless heads of 4 MiB cost 348160 bytes in whole_path::endless_heads_cost_bounded_memory. wrong_method passed before the change too.

--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -6,6 +6,7 @@
 pub mod accept;
 pub mod admission;
 pub mod answer;
+pub mod connection;
 pub mod forward;
 pub mod guard;
 pub mod locate;
@@ -14,6 +15,7 @@
 pub mod progress;
 pub mod relay;
 pub mod reply;
+pub mod server;
 mod service;
 pub mod settings;
 pub mod settle;
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/server.rs
@@ -0,0 +1,80 @@
+//! The server of the callers' interface.
+//!
+//! `actix-web` has no hook for what the HTTP library refuses by itself, so the server is put
+//! together from the parts that `actix_web::HttpServer` consists of, around connections that give
+//! these refusals a body.
+
+use std::{io, net::TcpListener, time::Duration};
+
+use actix_http::{HttpService, Protocol};
+use actix_rt::net::TcpStream;
+use actix_server::Server;
+use actix_service::{IntoServiceFactory, Service as _, ServiceFactoryExt, fn_service, map_config};
+use actix_web::{
+    App, Error,
+    dev::{AppConfig, ServiceRequest},
+};
+
+use super::{
+    Service,
+    connection::{Answers, Connection, Held},
+};
+
+/// Starts to serve callers on traffic threads; the server runs once it is awaited.
+///
+/// # Errors
+///
+/// Faults of the listener.
+pub fn start(
+    service: &Service,
+    listener: TcpListener,
+    threads: usize,
+    drain: Duration,
+) -> io::Result<Server> {
+    let connections = (service.limits.connections / threads).max(1);
+    let builder = Server::build();
+    let stopping = builder.graceful_shutdown_signal();
+    let service = service.clone();
+    let serving = move || {
+        let stopping = stopping.clone();
+        let instance = service.board.view().instance.clone();
+        let opened = fn_service(move |stream: TcpStream| {
+            let peer = stream.peer_addr().ok();
+            let connection = Connection::new(stream, instance.clone());
+            async move { Ok((connection, Protocol::Http1, peer)) }
+        });
+        let app = App::new()
+            .wrap_fn(|request: ServiceRequest, next| {
+                let answers = request.request().conn_data::<Answers>().cloned();
+                let answering = answers.unwrap_or_default().start();
+                let call = next.call(request);
+                async move {
+                    let response = call.await?;
+                    Ok(response.map_body(|_, body| Held::new(body, answering)))
+                }
+            })
+            .configure(|config| service.configure(config));
+        let answering = app
+            .into_factory()
+            .map_err(|error: Error| error.error_response());
+        let http = HttpService::build()
+            .graceful_shutdown_signal(move || {
+                let stopping = stopping.clone();
+                async move { stopping.notified().await }
+            })
+            .client_request_timeout(service.limits.arrival)
+            .h1_allow_half_closed(false)
+            .on_connect_ext(|connection: &Connection, data| {
+                data.insert(connection.answers());
+            })
+            .finish(map_config(answering, |()| AppConfig::default()));
+        opened.and_then(http)
+    };
+    let server = builder
+        .workers(threads)
+        .max_concurrent_connections(connections)
+        .shutdown_timeout(drain.as_secs())
+        .disable_signals()
+        .listen("callers", listener, serving)?;
+    Ok(server.run())
+}
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -66,7 +66,12 @@
     let streams = callers::forward::Receiver::start(service.clone());
     let forwarding = streams.arbiter();
     let servers = Servers {
-        callers: serve_callers(&settings, service.clone(), sockets.callers)?,
+        callers: callers::server::start(
+            &service,
+            sockets.callers.into_std()?,
+            settings.threads,
+            settings.drain,
+        )?,
         targets: serve_targets(&settings, desk, sockets.targets)?,
     };
     let follow = follow::start(&settings, identity.clone(), board, publisher.clone(), hub);
@@ -87,24 +92,6 @@
     Ok(())
 }
 
-/// Serves callers on traffic threads.
-fn serve_callers(
-    settings: &Entry,
-    service: callers::Service,
-    listener: TcpListener,
-) -> eyre::Result<Server> {
-    let threads = settings.threads;
-    let server = HttpServer::new(move || App::new().configure(|config| service.configure(config)))
-        .workers(threads)
-        .max_connections((settings.limits.connections / threads).max(1))
-        .client_request_timeout(settings.limits.arrival)
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(settings.drain.as_secs())
-        .disable_signals()
-        .listen(listener.into_std()?)?;
-    Ok(server.run())
-}
-
 /// Serves targets on a thread of their own.
 fn serve_targets(settings: &Entry, desk: Desk, listener: TcpListener) -> eyre::Result<Server> {
     let server = HttpServer::new(move || App::new().configure(targets::configure(desk.clone())))
--- a/crates/zinniastall-entry/tests/callers/bad_input.rs
+++ b/crates/zinniastall-entry/tests/callers/bad_input.rs
@@ -56,11 +56,33 @@
         => "400", "malformed-header", "not-run";
     malformed_class: chat("x-zinniastall-class: a b\r\n", CHAT)
         => "400", "malformed-header", "not-run";
-    endless_headers: chat(&"x-a: b\r\n".repeat(400), CHAT) => "HTTP/1.1 4";
-    not_http: "\u{1}\u{2}\u{3}\r\n\r\n" => "HTTP/1.1 400";
-    slow_head: "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n" => "408";
+    endless_headers: chat(&"x-a: b\r\n".repeat(400), CHAT)
+        => "HTTP/1.1 431", "head-too-large", "not-run";
+    long_header: chat(&format!("x-a: {}\r\n", "b".repeat(160_000)), CHAT)
+        => "HTTP/1.1 431", "head-too-large", "not-run";
+    not_http: "\u{1}\u{2}\u{3}\r\n\r\n" => "HTTP/1.1 400", "malformed-head", "not-run";
+    malformed_length: post("/v1/chat/completions", "content-length: x\r\n", CHAT)
+        => "HTTP/1.1 400", "malformed-head", "not-run";
+    slow_head: "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+        => "HTTP/1.1 408", "too-slow", "not-run";
+    wrong_method: keyed("/v1/locate", "", "") => "404", "no-route", "not-run";
     slow_body: format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
          content-length: 100\r\n\r\nhalf"
     ) => "408", "too-slow", "not-run";
 }
+
+// A service whose whole answer happens to be what the HTTP library writes when it refuses a head, as
+// a page about HTTP may be. The caller must get it as it is.
+#[actix_web::test]
+async fn answer_like_a_refusal_is_not_changed() {
+    let bare = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    let long = "x".repeat(300 * 1024);
+    let length = long.len() + bare.len();
+    let first = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{long}");
+    let target = Fake::start(vec![Script::Parts(vec![first, bare.to_owned()])]);
+    let bench = Bench::start(&[target.address]);
+    let answer = bench.post("/proofs/7", "", "").await;
+    assert!(answer.ends_with(bare), "{} bytes", answer.len());
+    bench.stop().await;
+}
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -10,10 +10,10 @@
     time::{Duration, Instant},
 };
 
-use actix_web::{App, HttpServer, dev::ServerHandle};
+use actix_web::dev::ServerHandle;
 use indexmap::IndexMap;
 use zinniastall_entry::{
-    callers::{Service, settings::Callers},
+    callers::{Service, server, settings::Callers},
     settings::{Entry, Limits},
     view::{Board, Target, View},
 };
@@ -33,6 +33,8 @@
     r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
 /// Longest wait of a read in a test.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between the parts of an answer, so that each is likely to be relayed by itself.
+const PAUSE: Duration = Duration::from_millis(200);
 
 /// An instance's callers' interface.
 pub(crate) struct Bench {
@@ -73,15 +75,9 @@
         let board = Board::new(view(targets));
         let hub = Hub::start("test", None).unwrap();
         let service = Service::new(board.clone(), hub, limits, &settings.callers);
-        let server = HttpServer::new(move || App::new().configure(|c| service.configure(c)))
-            .workers(1)
-            .client_request_timeout(Duration::from_millis(700))
-            .h1_allow_half_closed(false)
-            .disable_signals()
-            .bind("127.0.0.1:0")
-            .unwrap();
-        let address = server.addrs()[0];
-        let server = server.run();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = server::start(&service, listener, 1, Duration::from_secs(30)).unwrap();
         let handle = server.handle();
         actix_web::rt::spawn(server);
         Self {
@@ -236,6 +232,8 @@
 pub(crate) enum Script {
     /// Writes these bytes and closes the connection.
     Write(&'static str),
+    /// Writes these parts with a pause between them and closes the connection.
+    Parts(Vec<String>),
     /// Writes these bytes after a while and closes the connection.
     Late(Duration, &'static str),
     /// Writes an answer without end, as fast as it is taken, and counts its bytes.
@@ -288,6 +286,12 @@
     }
     let number = ran.fetch_add(1, Ordering::SeqCst);
     match &scripts[number.min(scripts.len() - 1)] {
+        Script::Parts(parts) => {
+            for part in parts {
+                let _ = stream.write_all(part.as_bytes());
+                std::thread::sleep(PAUSE);
+            }
+        }
         Script::Late(pause, answer) => {
             std::thread::sleep(*pause);
             let _ = stream.write_all(answer.as_bytes());
--- a/crates/zinniastall-route/src/outcome.rs
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -117,6 +117,12 @@
     /// Another instance reported the end of a forwarded request.
     #[error("{0}")]
     Forwarded(String),
+    /// What arrived is not the head of an HTTP request.
+    #[error("this is not the head of an HTTP request")]
+    Head,
+    /// The head of the request is too long or has too many fields.
+    #[error("the head of the request is too long or has too many fields")]
+    LongHead,
 }
 
 impl Reason {
@@ -152,6 +158,8 @@
             Self::Broken => "target-lost",
             Self::Deadline => "deadline-passed",
             Self::Forwarded(_) => "forwarded-failed",
+            Self::Head => "malformed-head",
+            Self::LongHead => "head-too-large",
         }
     }
 
@@ -161,12 +169,15 @@
             Self::NoKey | Self::UnknownKey => 401,
             Self::Withdrawn(_) | Self::Residency => 403,
             Self::NoRoute(_) => 404,
-            Self::Header(_) | Self::Query(_) | Self::Body(_) | Self::TicketInvalid => 400,
+            Self::Header(_) | Self::Query(_) | Self::Body(_) | Self::TicketInvalid | Self::Head => {
+                400
+            }
             Self::Slow => 408,
             Self::TicketReused => 409,
             Self::Large(_) => 413,
             Self::TicketRequired => 428,
             Self::Share | Self::Full => 429,
+            Self::LongHead => 431,
             Self::Deadline => 504,
             _ => match outcome {
                 Outcome::Unknown => 502,
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -1,7 +1,8 @@
 //! The whole path: an operator's change, a caller's question, a streamed answer, a clean end.
 
 use serde_json::json;
-use zinniastall_tests::{Result, cluster::Cluster, http};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+use zinniastall_tests::{Result, cluster::Cluster, http, usage};
 
 const MODEL: &str = "map-labels";
 const KEY: &str = "a-key";
@@ -39,3 +40,39 @@
     }
     cluster.stop().await
 }
+
+/// Callers that send heads without end, and the most memory that each may cost, in bytes: a head's
+/// buffer, which the HTTP library bounds by 128 KiB, and as much again while it grows.
+const FLOOD: (usize, u64) = (200, 256 * 1024);
+
+// A broken client writes header after header and never ends its request, on many connections at
+// once. If heads were not bounded the instance would be killed for lack of memory, and all of its
+// callers would lose their answers.
+#[actix_rt::test]
+async fn endless_heads_cost_bounded_memory() -> Result<()> {
+    let mut cluster = Cluster::builder().zone("patras", "a", 1).start().await?;
+    cluster
+        .engine("engine-a", ("patras", "a"), MODEL, json!({}))
+        .await?;
+    cluster.client("maps", KEY).await?;
+    cluster.model(MODEL).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let body = json!({"model": MODEL, "messages": [{"role": "user", "content": "room"}]});
+    cluster.serves(address, KEY, &body).await?;
+    let id = cluster.entry("patras-a-1")?.process().id();
+    let rest = usage::memory(id)?;
+    let (callers, each) = FLOOD;
+    let mut open = Vec::new();
+    for _ in 0..callers {
+        let mut stream = TcpStream::connect(address).await?;
+        let head = format!("GET / HTTP/1.1\r\nx-a: {}", "b".repeat(4 << 20));
+        // The refusal closes the connection before all is written.
+        let _ = stream.write_all(head.as_bytes()).await;
+        open.push(stream);
+    }
+    let used = usage::memory(id)?.saturating_sub(rest);
+    println!("{callers} endless heads: {used} bytes");
+    assert!(used < each * callers as u64, "{used} bytes");
+    cluster.serves(address, KEY, &body).await?;
+    cluster.stop().await
+}
