fix(load): streams share connections

Cause: the load tool left a stream at its closing event, a few bytes before the end of the body, so the HTTP library closed the connection: 19 connections for 19 streams, while whole answers shared theirs. A profile of the entry instance under streams showed accept4 (4 %) and shutdown (5 %) for every request. Ruled out: connections to targets (no connect in the profile), TCP_NODELAY (head and first event leave in one write), timers of each part (never registered when a part is there). Change: a stream is read to its end after its sample is taken; idle connections are closed after 4 s, before the 5 s of actix servers, since more of them idle now. Test: load::streams_share_connections, shown failing without the change: 19 connections for 19 streams; 2 now.

--- a/crates/zinniastall-load/src/call.rs
+++ b/crates/zinniastall-load/src/call.rs
@@ -175,12 +175,16 @@
             }
             last = now;
         }
-        Sample {
+        let sample = Sample {
             right: end.0 == Outcome::Answered && self.matches(&content),
             first,
             between,
             ..Sample::unanswered(end.0, self.due, &end.1)
-        }
+        };
+        // The HTTP library closes a connection whose body was not read to its end. Each stream would
+        // then pay for a connection of its own, and that would be measured as time of the system.
+        while let Ok(Some(_)) = events.next().await {}
+        sample
     }
 
     /// Returns whether a text is the stand-in's whole answer to this prompt.
--- a/crates/zinniastall-load/src/worker.rs
+++ b/crates/zinniastall-load/src/worker.rs
@@ -1,6 +1,11 @@
 //! A thread that sends requests when the pacing thread says so.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use awc::{Client, Connector};
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -17,6 +22,10 @@
     tally::{Claim, Tally},
 };
 
+/// Idle connections are closed after this time; shorter than what HTTP servers commonly keep, so that
+/// a request rarely meets one that the other end is closing.
+const IDLE: Duration = Duration::from_secs(4);
+
 /// A request that is due.
 pub(crate) type Due = (Arrival, Instant);
 
@@ -37,7 +46,10 @@
     number: u64,
     mut due: mpsc::UnboundedReceiver<Due>,
 ) -> Tally {
-    let connector = Connector::new().limit(0).timeout(experiment.patience);
+    let connector = Connector::new()
+        .limit(0)
+        .timeout(experiment.patience)
+        .conn_keep_alive(IDLE);
     let client = Client::builder()
         .connector(connector)
         .timeout(experiment.patience)
--- a/tests/tests/load.rs
+++ b/tests/tests/load.rs
@@ -4,13 +4,18 @@
 
 use serde_json::{Value, json};
 use zinniastall_tests::{
-    Result, cluster::Cluster, http, node::ANY, process::Process, settings, wait,
+    Result, cluster::Cluster, http, node::ANY, process::Process, proxy::Proxy, settings, wait,
 };
 
 const MODEL: &str = "map-labels";
 
 /// Runs the load tool against one stand-in engine without the system between.
 async fn direct(engine: Value, change: Value) -> Result<Value> {
+    Ok(connecting(engine, change).await?.0)
+}
+
+/// As [`direct`]; returns also how many connections the load tool opened.
+async fn connecting(engine: Value, change: Value) -> Result<(Value, u64)> {
     let mut engine_settings = json!({
         "kind": "engine", "listen": ANY,
         "engine": {"models": [{"model": "map-labels", "version": "1"}]},
@@ -18,12 +23,14 @@
     settings::merge(&mut engine_settings, engine);
     let mut engine = settings::start("engine", "zinniastall-standin", &engine_settings)?;
     let address = engine.address("http").await?;
+    let proxy = Proxy::bind()?;
+    proxy.upstream(address);
     let folder = tempfile::tempdir()?;
     let report = folder.path().join("report.json");
     let plot = folder.path().join("report.svg");
     let mut experiment = json!({
         "warmup_ms": 0, "duration_ms": 500, "report": report, "plot": plot,
-        "variants": [{"name": "direct", "direct": address, "ledgers": [address]}],
+        "variants": [{"name": "direct", "direct": proxy.address(), "ledgers": [address]}],
         "sources": [{"client": "maps", "model": "map-labels", "rate": 100}],
     });
     settings::merge(&mut experiment, change);
@@ -32,7 +39,24 @@
     assert!(status.success(), "{status}");
     assert!(std::fs::read_to_string(plot)?.contains("<svg"));
     let report: Value = serde_json::from_str(&std::fs::read_to_string(report)?)?;
-    Ok(report["variants"][0].clone())
+    Ok((report["variants"][0].clone(), proxy.opened()))
+}
+
+// A stream is over at its closing event, a few bytes before the end of its body. A tool that leaves
+// these unread opens a connection for each stream, and the time of opening counts as latency of the
+// system.
+#[actix_rt::test]
+async fn streams_share_connections() -> Result<()> {
+    let few = json!({"duration_ms": 2_000, "sources": [
+        {"client": "maps", "model": "map-labels", "rate": 10, "arrivals": "fixed", "tokens": 2,
+         "stream": true},
+    ]});
+    let (variant, opened) = connecting(json!({}), few).await?;
+    let answered = variant["all"]["answered"].as_u64();
+    println!("{answered:?} streams, {opened} connections");
+    assert!(answered > Some(10), "{variant}");
+    assert!(Some(opened) < answered, "{opened} connections");
+    Ok(())
 }
 
 #[actix_rt::test]
