--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod log;
 pub mod node;
+pub mod page;
 pub mod process;
 pub mod proxy;
 pub use zinniastall_load::sse;
--- /dev/null
+++ b/tests/src/page.rs
@@ -0,0 +1,83 @@
+//! Examples on pages, so that a test can try what a page claims.
+
+use std::path::Path;
+
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+
+/// Returns the code blocks of a page under `docs`.
+///
+/// # Errors
+///
+/// Fails when the page cannot be read.
+pub fn blocks(page: &str) -> Result<Vec<String>> {
+    Ok(text(page)?
+        .split("```")
+        .skip(1)
+        .step_by(2)
+        .map(|block| block.split_once('\n').map_or("", |(_, code)| code))
+        .map(str::to_owned)
+        .collect())
+}
+
+/// Returns the text of a page under `docs`.
+///
+/// # Errors
+///
+/// Fails when the page cannot be read.
+pub fn text(page: &str) -> Result<String> {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs");
+    Ok(std::fs::read_to_string(docs.join(page))?)
+}
+
+/// Checks that an answer has exactly the fields that a page shows, with values of the same kinds.
+///
+/// Lists are compared by their first elements.
+///
+/// # Errors
+///
+/// [`Error::Unknown`] names the place at which they differ.
+pub fn fits(shown: &Value, got: &Value, place: &str) -> Result<()> {
+    let differs = || Error::Unknown(format!("{place}: the page shows {shown}, got {got}"));
+    match (shown, got) {
+        (Value::Object(fields), Value::Object(answer)) => {
+            if fields.len() != answer.len() {
+                return Err(differs());
+            }
+            for (name, field) in fields {
+                let value = answer.get(name).ok_or_else(differs)?;
+                fits(field, value, &format!("{place}.{name}"))?;
+            }
+            Ok(())
+        }
+        (Value::Array(shown), Value::Array(got)) => match (shown.first(), got.first()) {
+            (Some(shown), Some(got)) => fits(shown, got, &format!("{place}[0]")),
+            (None, None) => Ok(()),
+            _ => Err(differs()),
+        },
+        (Value::String(_), Value::String(_))
+        | (Value::Number(_), Value::Number(_))
+        | (Value::Bool(_), Value::Bool(_))
+        | (Value::Null, Value::Null) => Ok(()),
+        _ => Err(differs()),
+    }
+}
+
+/// Splits a shell command as far as the pages need it: at blanks, but not within single quotes.
+pub fn words(command: &str) -> Vec<String> {
+    let mut words = vec![String::new()];
+    let mut quoted = false;
+    for sign in command.chars() {
+        match sign {
+            '\'' => quoted = !quoted,
+            ' ' if !quoted => words.push(String::new()),
+            _ => words
+                .iter_mut()
+                .next_back()
+                .map_or((), |word| word.push(sign)),
+        }
+    }
+    words.retain(|word| !word.is_empty());
+    words
+}
