fix(entry): say "not run" of a resend only if its ticket was never used

Cause: found by reading. A request is refused for its key, client, regions, body or a missing configuration before its ticket is looked at, always as "not run". When the change came between a ticket's run and its resend, that was false, and a caller that trusts it has the work run again under a new ticket. The same held for a resend passed to its issuer and for a link that gave out before the issuer had answered.

Ruled out: marking the ticket at the refusal (a refused request may use its ticket later, by design); answering from the record (a withdrawn client has no claim to answers).

Change: a refusal before the ticket filter is judged by the marks: "not run" stands where this instance issued the ticket and holds no mark, or where nobody issued it; otherwise "unknown". ask_issuer believes "not run" only from the issuer itself. Every unknown outcome has status 502 or 504: 401 and 403 would promise a refusal.

Conclusion: "not run" is said of a ticket only by who can know.

--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -203,7 +203,11 @@
 ) -> Result<path::Answer, Refusal> {
     settle.sent_under(open.revision);
     catch_up(worker, &mut open).await;
-    let parcel = open::unpack(worker, open)?;
+    let ticket = open.ticket.clone();
+    let parcel = open::unpack(worker, open).map_err(|refusal| {
+        let tickets = &worker.service.tickets;
+        tickets.doubt_forwarded(ticket.as_deref(), sender, refusal)
+    })?;
     settle.identified(&parcel.request);
     path::serve_forwarded(worker, parcel, sender).await
 }
--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -145,9 +145,11 @@
     let hops = hops.map_err(Refusal::unknown)?;
     let asked = forward::send(worker, parcel, peer, hops).await;
     let mut reply = asked.map_err(|refusal| match refusal.reason {
+        // The issuer has looked at its marks.
+        Reason::Forwarded(_) => refusal,
+        _ if refusal.outcome == Outcome::Unknown => refusal,
         // It may have run there earlier, although this time nothing got through.
-        Reason::Unreachable => gone(),
-        _ => refusal,
+        _ => gone(),
     })?;
     let whole = relay::gather(&mut reply).await?;
     Ok((reply, whole))
--- a/crates/zinniastall-entry/src/callers/ticket/ledger.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/ledger.rs
@@ -7,7 +7,7 @@
 
 use zinniastall_coord::ticket::{Address, Invalid, Issuer, Marks, Ticket, Use, Verdict};
 use zinniastall_route::{
-    outcome::{Reason, Refusal},
+    outcome::{Outcome, Reason, Refusal},
     request::Request,
 };
 
@@ -113,6 +113,40 @@
         }
     }
 
+    /// Judges the refusal of a request that was refused before its ticket was looked at.
+    ///
+    /// A resend may be refused for a change that came after its ticket's first use: the client was
+    /// withdrawn, a key replaced, a region forbidden. "Not run" would let the caller use a new ticket
+    /// and run the work twice, so it stands only where the ticket certainly was never used.
+    pub fn doubt(&self, ticket: Option<&str>, refusal: Refusal) -> Refusal {
+        let unused = ticket.is_none_or(|ticket| self.is_unused(ticket));
+        doubted(refusal, unused)
+    }
+
+    /// The same for a request that another instance sent; its own tickets may be used here.
+    pub fn doubt_forwarded(
+        &self,
+        ticket: Option<&str>,
+        sender: &Address,
+        refusal: Refusal,
+    ) -> Refusal {
+        let unused = ticket.is_none_or(|ticket| match Ticket::parse(ticket) {
+            Ok(ticket) if ticket.issuer == *sender => !self.lock().contains(&ticket.name),
+            _ => self.is_unused(ticket),
+        });
+        doubted(refusal, unused)
+    }
+
+    /// Returns whether a ticket certainly was never used, as far as only its issuer can tell.
+    fn is_unused(&self, text: &str) -> bool {
+        match self.issuer.check(text, self.now()) {
+            Ok(ticket) => !self.lock().contains(&ticket.name),
+            // Nobody made it, so nobody has used it.
+            Err(Invalid::Malformed | Invalid::Forged) => true,
+            Err(Invalid::Elsewhere(_) | Invalid::Expired) => false,
+        }
+    }
+
     /// Takes note that a record has ended, and bounds what is kept in all.
     pub fn ended(&self) {
         let marks = self.lock();
@@ -171,6 +205,13 @@
     }
 }
 
+fn doubted(refusal: Refusal, unused: bool) -> Refusal {
+    match refusal.outcome {
+        Outcome::NotRun if !unused => Refusal::unknown(refusal.reason),
+        _ => refusal,
+    }
+}
+
 /// Returns what a ticket is used for: the same client with the same call and body.
 fn usage(parcel: &Parcel) -> Use {
     let Request { client, .. } = &parcel.request;
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -91,6 +91,22 @@
         }
     }
 
+    /// Puts a changed configuration in force.
+    pub(crate) fn apply(&self, object: Object) {
+        let mut view = (*self.board.view()).clone();
+        let mut state = view.state.as_deref().cloned().unwrap_or_default();
+        apply(&mut state, object);
+        view.state = Some(Arc::new(state));
+        self.board.publish(view);
+    }
+
+    /// Takes the configuration away, as an instance is without one that isn't listed any more.
+    pub(crate) fn unlist(&self) {
+        let mut view = (*self.board.view()).clone();
+        view.state = None;
+        self.board.publish(view);
+    }
+
     /// Sends raw bytes and reads until the connection closes or falls silent.
     pub(crate) async fn raw(&self, bytes: Vec<u8>) -> String {
         let address = self.address;
@@ -137,7 +153,7 @@
     }
 }
 
-fn view(targets: &[SocketAddr]) -> View {
+pub(crate) fn view(targets: &[SocketAddr]) -> View {
     let place = Place::new("patras", "a");
     let names = targets.iter().enumerate();
     let targets = names.map(|(number, address)| {
@@ -202,35 +218,43 @@
     };
     let model = || Subject::Model("map-labels".into());
     let service = || Subject::Service("portal".into());
-    let client = Client {
-        id: "maps".into(),
-        keys: vec![blake3::hash(KEY.as_bytes()).to_hex().to_string()],
-        weight: 1,
-        withdrawn: false,
-    };
     let map_labels = Model {
         id: "map-labels".into(),
         version: "1".into(),
         weights: "map-labels-1".into(),
     };
     let objects = [
-        Object::Client(client),
+        Object::Client(client(KEY)),
         Object::Model(map_labels),
         route("chat", "/v1/chat/completions", model(), true),
         route("proofs", "/proofs", service(), true),
         route("orders", "/orders", service(), false),
     ];
     for object in objects {
-        let answer = state.apply(&Change {
-            origin: None,
-            expected: None,
-            body: Body::Apply(object),
-        });
-        assert!(matches!(answer, Answer::Done { .. }), "{answer:?}");
+        apply(&mut state, object);
     }
     state
 }
 
+/// The client that every bench knows, with this key.
+pub(crate) fn client(key: &str) -> Client {
+    Client {
+        id: "maps".into(),
+        keys: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
+        weight: 1,
+        withdrawn: false,
+    }
+}
+
+fn apply(state: &mut State, object: Object) {
+    let answer = state.apply(&Change {
+        origin: None,
+        expected: None,
+        body: Body::Apply(object),
+    });
+    assert!(matches!(answer, Answer::Done { .. }), "{answer:?}");
+}
+
 /// What a scripted target does with a request once it has read it.
 #[derive(Debug, Clone)]
 pub(crate) enum Script {
--- a/crates/zinniastall-entry/tests/callers/tickets.rs
+++ b/crates/zinniastall-entry/tests/callers/tickets.rs
@@ -1,8 +1,24 @@
 //! Work that runs at most once, before one instance.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::bench::{Bench, Fake, KEY, Script, until};
+use bytes::Bytes;
+use zinniastall_coord::ticket::Address;
+use zinniastall_entry::{
+    callers::{
+        parcel::Parcel,
+        ticket::{Ledger, Pass},
+    },
+    settings::Entry,
+};
+use zinniastall_model::object::{Client, Object, Residency, Subject};
+use zinniastall_route::{
+    outcome::{Outcome, Reason, Refusal},
+    request::Request,
+};
+use zinniastall_settings::load;
+
+use super::bench::{Bench, Fake, KEY, Script, client, until, view};
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nbilled";
 
@@ -97,3 +113,111 @@
     assert_eq!(target.ran(), 0);
     bench.stop().await;
 }
+
+fn only(rule: &str, region: &str) -> Object {
+    Object::Residency(Residency {
+        id: rule.into(),
+        client: "maps".into(),
+        subject: None,
+        regions: vec![region.into()],
+    })
+}
+
+/// Names a case: what changes between a ticket's run and the resend of the same ticket.
+macro_rules! changed {
+    ($($(#[$doc:meta])* $name:ident: $change:expr;)+) => {$(
+        $(#[$doc])*
+        #[actix_web::test]
+        async fn $name() {
+            let target = Fake::start(vec![Script::Write(ANSWER)]);
+            let bench = Bench::start(&[target.address]);
+            let tickets = bench.tickets(2).await;
+            let answer = bench.post("/orders/1", &header(&tickets[0]), "").await;
+            assert!(answer.ends_with("billed"), "{answer}");
+            let change: fn(&Bench) = $change;
+            change(&bench);
+            let answer = bench.post("/orders/1", &header(&tickets[0]), "").await;
+            assert!(answer.contains("502") && answer.contains("unknown"), "{answer}");
+            // A ticket that was never used has certainly not run.
+            let answer = bench.post("/orders/1", &header(&tickets[1]), "").await;
+            assert!(answer.contains("not-run"), "{answer}");
+            assert_eq!(target.ran(), 1);
+            bench.stop().await;
+        }
+    )+};
+}
+
+// A proposal was billed and its answer lost. Before the caller sends it again, the configuration
+// changes so that the instance refuses the request before it looks at the ticket. Told "not run", the
+// caller would have it billed a second time under a new ticket.
+changed! {
+    client_withdrawn_since: |bench| {
+        bench.apply(Object::Client(Client { withdrawn: true, ..client(KEY) }));
+    };
+    key_replaced_since: |bench| bench.apply(Object::Client(client("another-key")));
+    regions_forbidden_since: |bench| {
+        // No region satisfies both rules.
+        bench.apply(only("one", "patras"));
+        bench.apply(only("another", "athens"));
+    };
+    unlisted_since: |bench| bench.unlist();
+}
+
+fn ledger(instance: &str) -> (Ledger, Address) {
+    let mut view = view(&[]);
+    view.instance = instance.into();
+    let address = Address::new("patras", "a", instance, view.incarnation);
+    let settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
+    (Ledger::new(&view, settings.callers.tickets), address)
+}
+
+fn parcel(ticket: &str) -> Parcel {
+    let request = Request {
+        id: "1".into(),
+        client: "maps".into(),
+        weight: 1,
+        class: "interactive".into(),
+        subject: Subject::Service("portal".into()),
+        version: None,
+        events: false,
+        prefixes: vec![],
+        idempotent: false,
+        ticket: Some(ticket.into()),
+        deadline: Instant::now() + Duration::from_secs(1),
+        regions: vec!["patras".into()],
+        hops: vec![],
+        revision: 1,
+    };
+    Parcel {
+        request,
+        method: "POST".into(),
+        path: "/orders/1".into(),
+        headers: vec![],
+        body: Bytes::new(),
+    }
+}
+
+// A proposal was forwarded and ran here; its sender sends the same again after this instance has heard
+// that the client is withdrawn. The sender would pass "not run" on to the caller.
+#[test]
+fn forwarded_resend_refused_here_may_have_run() {
+    let (own, _) = ledger("patras-a-1");
+    let (other, sender) = ledger("patras-a-2");
+    let third = Address::new("patras", "a", "patras-a-3", 1);
+    let refusal = || Refusal::not_run(Reason::Withdrawn("maps".into()));
+    let outcome = |ticket: &str, sender| {
+        let refusal = own.doubt_forwarded(Some(ticket), sender, refusal());
+        refusal.outcome
+    };
+    let (used, fresh) = (other.issue(), other.issue());
+    let pass = own.admit_forwarded(&parcel(&used), &sender, false).unwrap();
+    assert!(matches!(pass, Pass::Run(_)), "{pass:?}");
+    assert_eq!(outcome(&used, &sender), Outcome::Unknown);
+    assert_eq!(outcome(&fresh, &sender), Outcome::NotRun);
+    // Only the issuer and whom it sends work to can know.
+    assert_eq!(outcome(&fresh, &third), Outcome::Unknown);
+    let own_ticket = own.issue();
+    assert_eq!(outcome(&own_ticket, &third), Outcome::NotRun);
+    own.admit(&parcel(&own_ticket), false).unwrap();
+    assert_eq!(outcome(&own_ticket, &third), Outcome::Unknown);
+}
--- a/crates/zinniastall-route/src/outcome.rs
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -158,6 +158,9 @@
     /// Returns the HTTP status for an outcome.
     pub const fn status(&self, outcome: Outcome) -> u16 {
         match self {
+            Self::Deadline => 504,
+            // Whatever the reason: a status that callers take for a refusal would promise "not run".
+            _ if matches!(outcome, Outcome::Unknown) => 502,
             Self::NoKey | Self::UnknownKey => 401,
             Self::Withdrawn(_) | Self::Residency => 403,
             Self::NoRoute(_) => 404,
@@ -167,11 +170,7 @@
             Self::Large(_) => 413,
             Self::TicketRequired => 428,
             Self::Share | Self::Full => 429,
-            Self::Deadline => 504,
-            _ => match outcome {
-                Outcome::Unknown => 502,
-                Outcome::NotRun | Outcome::Answered => 503,
-            },
+            _ => 503,
         }
     }
 }
