fix(entry): judge a request again once its link is open, and never call a marked resend unrun

Cause: a request was judged before its link to another instance was opened, which takes up to 3 s over a slow network; a resend to its ticket's issuer was judged by the view of its admission. A rule that was narrowed and accepted meanwhile did not hold it back: it crossed the border and was refused there. The search also showed that a resend which is turned away before its ticket is looked at (narrowed rule at the issuer, withdrawn client, slow body) was told not-run with a fresh ticket, although its work may have run: its caller would have run it twice. Ruled out: the queue, retries, resumption and the wait for a revision already judge again; the table is in request-path.md. A refusal of a first use stays not-run. Change: check_again after the link is open; Ledger::turned_away decides what a refusal before the ticket filter may say; a refused forwarded request carries its id in the log. Before: both border tests fail (the request's line with reason=residency in the far log; left not-run right unknown); tickets::resend_turned_away_is_not_called_unrun fails with 408 not-run. After: border, once and callers' tickets tests pass (9 and 8 tests).

--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -120,6 +120,11 @@
     let until = deadline.min(Instant::now() + DIAL);
     let mux = timeout_at(until.into(), worker.links.to(peer)).await;
     let mux = mux.map_err(|_| Refusal::not_run(Reason::Unreachable))??;
+    // Opening a link takes seconds over a slow network. A rule that was narrowed meanwhile has been
+    // reported as accepted, so the request must not leave by what was in force before.
+    worker
+        .check_again(&parcel.request, &peer.place)
+        .map_err(Refusal::not_run)?;
     let asked = mux.ask(open::pack(parcel, hops));
     let reply = timeout_at(deadline.into(), asked).await;
     reply.map_err(|_| Refusal::unknown(Reason::Deadline))?
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -201,9 +201,13 @@
     mut open: Open,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
-    settle.sent_under(open.revision);
+    settle.opened(&open);
     catch_up(worker, &mut open).await;
-    let parcel = open::unpack(worker, open)?;
+    let ticket = open.ticket.clone();
+    let parcel = open::unpack(worker, open).map_err(|refusal| {
+        let tickets = &worker.service.tickets;
+        tickets.turned_away(refusal, ticket.as_deref(), Some(sender))
+    })?;
     settle.identified(&parcel.request);
     path::serve_forwarded(worker, parcel, sender).await
 }
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -24,10 +24,12 @@
 use std::rc::Rc;
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use zinniastall_model::header::TICKET;
 use zinniastall_route::outcome::Refusal;
 
 pub use service::Service;
 
+use parcel::Parcel;
 use settle::Settle;
 use worker::Worker;
 
@@ -75,12 +77,23 @@
     worker: &Rc<Worker>,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
+    let parcel = take(http, payload, worker).await.map_err(|refusal| {
+        let ticket = accept::text(http, TICKET).ok().flatten();
+        worker.service.tickets.turned_away(refusal, ticket, None)
+    })?;
+    settle.identified(&parcel.request);
+    path::serve(worker, parcel).await
+}
+
+async fn take(
+    http: &HttpRequest,
+    payload: web::Payload,
+    worker: &Rc<Worker>,
+) -> Result<Parcel, Refusal> {
     let limits = &worker.service.limits;
     let body = accept::read_body(payload, limits).await?;
     // The view is read after the body: a slow body must not bring an old configuration along.
     let view = worker.view();
     let index = worker.index(accept::configured(&view)?);
-    let parcel = accept::parcel(http, body, &view, &index, limits)?;
-    settle.identified(&parcel.request);
-    path::serve(worker, parcel).await
+    accept::parcel(http, body, &view, &index, limits)
 }
--- a/crates/zinniastall-entry/src/callers/path.rs
+++ b/crates/zinniastall-entry/src/callers/path.rs
@@ -14,7 +14,6 @@
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
     outcome::{Outcome, Reason, Refusal},
-    residency,
 };
 
 use super::{
@@ -140,14 +139,18 @@
     if peer.incarnation != issuer.incarnation || peer.instance == view.instance {
         return Err(gone());
     }
-    residency::check_place(&parcel.request.regions, &peer.place).map_err(Refusal::unknown)?;
+    worker
+        .check_again(&parcel.request, &peer.place)
+        .map_err(Refusal::unknown)?;
     let hops = zinniastall_route::hops::check_next(&parcel.request.hops, &peer.place);
     let hops = hops.map_err(Refusal::unknown)?;
     let asked = forward::send(worker, parcel, peer, hops).await;
     let mut reply = asked.map_err(|refusal| match refusal.reason {
+        // The issuer knows whether it ran.
+        Reason::Forwarded(_) => refusal,
         // It may have run there earlier, although this time nothing got through.
         Reason::Unreachable => gone(),
-        _ => refusal,
+        reason => Refusal::unknown(reason),
     })?;
     let whole = relay::gather(&mut reply).await?;
     Ok((reply, whole))
--- a/crates/zinniastall-entry/src/callers/settle.rs
+++ b/crates/zinniastall-entry/src/callers/settle.rs
@@ -6,6 +6,7 @@
 use zinniastall_model::id;
 use zinniastall_route::outcome::{Outcome, Refusal};
 use zinniastall_settings::metrics::Recorder;
+use zinniastall_wire::stream::Open;
 
 use super::{progress::Started, reply::Body};
 
@@ -72,9 +73,13 @@
         self.revision = request.revision;
     }
 
-    /// Notes the revision under which the sender judged it.
-    pub const fn sent_under(&mut self, revision: id::Revision) {
-        self.sent_under = revision;
+    /// Notes what its sender says of it, so that one that is refused here can be found in the log.
+    pub fn opened(&mut self, open: &Open) {
+        self.request.clone_from(&open.request);
+        self.client.clone_from(&open.client);
+        self.class.clone_from(&open.class);
+        open.subject.name().clone_into(&mut self.subject);
+        self.sent_under = open.revision;
     }
 
     /// Notes who serves it.
--- a/crates/zinniastall-entry/src/callers/ticket/ledger.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/ledger.rs
@@ -7,7 +7,7 @@
 
 use zinniastall_coord::ticket::{Address, Invalid, Issuer, Marks, Ticket, Use, Verdict};
 use zinniastall_route::{
-    outcome::{Reason, Refusal},
+    outcome::{Outcome, Reason, Refusal},
     request::Request,
 };
 
@@ -113,6 +113,36 @@
         }
     }
 
+    /// Judges the refusal of a request that was turned away before its ticket was looked at.
+    ///
+    /// Such a refusal is certain for a request that comes for the first time. A resend may meet it as
+    /// well: its client was withdrawn meanwhile, its rules were narrowed, its connection became slow.
+    /// Told "not run", its caller would take a new ticket and the work would run twice. `sender` is the
+    /// instance that sent the request; what it issued itself, it has checked.
+    pub fn turned_away(
+        &self,
+        refusal: Refusal,
+        ticket: Option<&str>,
+        sender: Option<&Address>,
+    ) -> Refusal {
+        let Some(ticket) = ticket else {
+            return refusal;
+        };
+        let may_have_run = match self.issuer.check(ticket, self.now()) {
+            Ok(ticket) => self.lock().contains(&ticket.name),
+            Err(Invalid::Elsewhere(issuer)) => sender != Some(&*issuer),
+            Err(Invalid::Expired) => true,
+            Err(Invalid::Malformed | Invalid::Forged) => false,
+        };
+        if may_have_run {
+            return Refusal {
+                outcome: Outcome::Unknown,
+                ..refusal
+            };
+        }
+        refusal
+    }
+
     /// Takes note that a record has ended, and bounds what is kept in all.
     pub fn ended(&self) {
         let marks = self.lock();
--- a/crates/zinniastall-entry/tests/callers/tickets.rs
+++ b/crates/zinniastall-entry/tests/callers/tickets.rs
@@ -97,3 +97,28 @@
     assert_eq!(target.ran(), 0);
     bench.stop().await;
 }
+
+// A caller whose answer was lost sends its order again over a connection that has become slow, and the
+// instance gives up reading it. The order has run: told "not run", the caller would take a new ticket
+// and order twice.
+#[actix_web::test]
+async fn resend_turned_away_is_not_called_unrun() {
+    let target = Fake::start(vec![Script::Write(ANSWER)]);
+    let bench = Bench::start(&[target.address]);
+    let tickets = bench.tickets(2).await;
+    let answer = bench.post("/orders/1", &header(&tickets[0]), "").await;
+    assert!(answer.ends_with("billed"), "{answer}");
+    for (ticket, outcome) in tickets.iter().zip(["unknown", "not-run"]) {
+        let half = format!(
+            "POST /orders/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n{}\
+             content-length: 100\r\n\r\nhalf",
+            header(ticket)
+        );
+        let answer = bench.raw(half.into()).await;
+        assert!(answer.contains("too-slow"), "{answer}");
+        let said = format!("x-zinniastall-outcome: {outcome}");
+        assert!(answer.contains(&said), "no {said} in {answer}");
+    }
+    assert_eq!(target.ran(), 1);
+    bench.stop().await;
+}
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -3,6 +3,7 @@
 //! Every stand-in target keeps a ledger of what it ran. The tests compare it with what callers were
 //! told, so that "not run", "at most once" and "whole" are counted instead of assumed.
 
+mod border;
 mod calls;
 mod drain;
 mod forward;
