--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -201,12 +201,12 @@
     mut open: Open,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
-    settle.sent_under(open.revision);
+    settle.opened(&open);
     catch_up(worker, &mut open).await;
     let ticket = open.ticket.clone();
     let parcel = open::unpack(worker, open).map_err(|refusal| {
         let tickets = &worker.service.tickets;
-        tickets.doubt_forwarded(ticket.as_deref(), sender, refusal)
+        tickets.turned_away(refusal, ticket.as_deref(), Some(sender))
     })?;
     settle.identified(&parcel.request);
     path::serve_forwarded(worker, parcel, sender).await
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -77,17 +77,15 @@
     worker: &Rc<Worker>,
     settle: &mut Settle,
 ) -> Result<path::Answer, Refusal> {
-    let arrived = arrive(http, payload, worker).await;
-    let parcel = arrived.map_err(|refusal| {
-        let ticket = accept::text(http, TICKET).unwrap_or_default();
-        worker.service.tickets.doubt(ticket, refusal)
+    let parcel = take(http, payload, worker).await.map_err(|refusal| {
+        let ticket = accept::text(http, TICKET).ok().flatten();
+        worker.service.tickets.turned_away(refusal, ticket, None)
     })?;
     settle.identified(&parcel.request);
     path::serve(worker, parcel).await
 }
 
-/// Reads a request in and judges it by the configuration in force.
-async fn arrive(
+async fn take(
     http: &HttpRequest,
     payload: web::Payload,
     worker: &Rc<Worker>,
--- a/crates/zinniastall-entry/src/callers/ticket/ledger.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/ledger.rs
@@ -113,38 +113,40 @@
         }
     }
 
-    /// Judges the refusal of a request that was refused before its ticket was looked at.
+    /// Judges the refusal of a request that was turned away before its ticket was looked at.
     ///
-    /// A resend may be refused for a change that came after its ticket's first use: the client was
-    /// withdrawn, a key replaced, a region forbidden. "Not run" would let the caller use a new ticket
-    /// and run the work twice, so it stands only where the ticket certainly was never used.
-    pub fn doubt(&self, ticket: Option<&str>, refusal: Refusal) -> Refusal {
-        let unused = ticket.is_none_or(|ticket| self.is_unused(ticket));
-        doubted(refusal, unused)
-    }
-
-    /// The same for a request that another instance sent; its own tickets may be used here.
-    pub fn doubt_forwarded(
+    /// Such a refusal is certain for a request that comes for the first time. A resend may meet it as
+    /// well: its client was withdrawn meanwhile, its rules were narrowed, its connection became slow.
+    /// Told "not run", its caller would take a new ticket and the work would run twice. `sender` is the
+    /// instance that sent the request; what it issued itself may have been used here.
+    pub fn turned_away(
         &self,
-        ticket: Option<&str>,
-        sender: &Address,
         refusal: Refusal,
+        ticket: Option<&str>,
+        sender: Option<&Address>,
     ) -> Refusal {
-        let unused = ticket.is_none_or(|ticket| match Ticket::parse(ticket) {
-            Ok(ticket) if ticket.issuer == *sender => !self.lock().contains(&ticket.name),
-            _ => self.is_unused(ticket),
-        });
-        doubted(refusal, unused)
+        let Some(ticket) = ticket else {
+            return refusal;
+        };
+        let may_have_run = match self.issuer.check(ticket, self.now()) {
+            Ok(ticket) => self.lock().contains(&ticket.name),
+            Err(Invalid::Elsewhere(issuer)) if sender == Some(&*issuer) => self.has_name(ticket),
+            Err(Invalid::Elsewhere(_)) => true,
+            Err(Invalid::Expired) => true,
+            Err(Invalid::Malformed | Invalid::Forged) => false,
+        };
+        if may_have_run {
+            return Refusal {
+                outcome: Outcome::Unknown,
+                ..refusal
+            };
+        }
+        refusal
     }
 
-    /// Returns whether a ticket certainly was never used, as far as only its issuer can tell.
-    fn is_unused(&self, text: &str) -> bool {
-        match self.issuer.check(text, self.now()) {
-            Ok(ticket) => !self.lock().contains(&ticket.name),
-            // Nobody made it, so nobody has used it.
-            Err(Invalid::Malformed | Invalid::Forged) => true,
-            Err(Invalid::Elsewhere(_) | Invalid::Expired) => false,
-        }
+    /// Returns whether a ticket is marked here, whoever issued it.
+    fn has_name(&self, text: &str) -> bool {
+        Ticket::parse(text).is_ok_and(|ticket| self.lock().contains(&ticket.name))
     }
 
     /// Takes note that a record has ended, and bounds what is kept in all.
@@ -205,13 +207,6 @@
     }
 }
 
-fn doubted(refusal: Refusal, unused: bool) -> Refusal {
-    match refusal.outcome {
-        Outcome::NotRun if !unused => Refusal::unknown(refusal.reason),
-        _ => refusal,
-    }
-}
-
 /// Returns what a ticket is used for: the same client with the same call and body.
 fn usage(parcel: &Parcel) -> Use {
     let Request { client, .. } = &parcel.request;
