--- a/crates/zinniastall-entry/src/callers/ticket/ledger.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/ledger.rs
@@ -131,8 +131,7 @@
         let may_have_run = match self.issuer.check(ticket, self.now()) {
             Ok(ticket) => self.lock().contains(&ticket.name),
             Err(Invalid::Elsewhere(issuer)) if sender == Some(&*issuer) => self.has_name(ticket),
-            Err(Invalid::Elsewhere(_)) => true,
-            Err(Invalid::Expired) => true,
+            Err(Invalid::Elsewhere(_) | Invalid::Expired) => true,
             Err(Invalid::Malformed | Invalid::Forged) => false,
         };
         if may_have_run {
