fix(follow): a starting instance serves only what a majority vouches for

Cause: docs/design/in-force.md named it as a known limit. A control replica that was cut off a moment ago counts as connected until its election timeout, and an instance that restarts beside it took its configuration for the newest: an accepted change reverted there.

Ruled out: a lease for following replicas (each heartbeat and every follower's clock would have to carry it); trusting the neighbour's relay instead (its word about control is as old).

Change: the survey of a starting instance asks control replicas to vouch; a replica asks the leader, who answers after the lease or barrier of an operator's read. An instance settles when it is connected and holds what was vouched for, else after cut_off_ms and a survey, as before. Follow links can owe an answer.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -14,6 +14,7 @@
 mod reply;
 mod status;
 mod stop;
+mod vouch;
 mod waiting;
 mod write;
 
@@ -31,7 +32,10 @@
 };
 use zinniastall_model::machine::Machine;
 use zinniastall_store::Store;
-use zinniastall_wire::feed::Feed;
+use zinniastall_wire::{
+    feed::Feed,
+    frame::{self, Frame},
+};
 
 pub(crate) use self::found::FOUNDING;
 pub use self::{
@@ -43,9 +47,10 @@
     reply::{Later, NotLeader, Reply},
     status::{Health, Inspect},
     stop::Stop,
+    vouch::Vouch,
     write::Write,
 };
-use self::{read::Reads, waiting::Waiting, write::Settling};
+use self::{read::Reads, vouch::Vouches, waiting::Waiting, write::Settling};
 use crate::{
     disk::{Disk, Done, Work},
     links::Card,
@@ -74,6 +79,7 @@
     waiting: Waiting,
     settling: Vec<Settling>,
     reads: Reads,
+    vouches: Vouches,
     confirmed: Confirmed,
     joining: IndexMap<String, Instant>,
     orders: Option<Orders>,
@@ -160,6 +166,7 @@
             waiting: Waiting::new(settings.limits.calls),
             settling: Vec::new(),
             reads: Reads::default(),
+            vouches: Vouches::new(settings.timing.election),
             confirmed: Confirmed::default(),
             joining: IndexMap::new(),
             orders: None,
@@ -336,9 +343,13 @@
             self.peers.note(frame.from, back.clone());
         }
         match message {
-            peers::Message::Ping => drop(back.try_send(pong(own, frame.from))),
+            peers::Message::Ping => {
+                drop(back.try_send(addressed(own, frame.from, &peers::Message::Pong)));
+            }
             peers::Message::Confirmed(list) => self.note_confirmed(list),
             peers::Message::Join(member) => self.join(member),
+            peers::Message::Vouch { ask } => self.vouch_for_peer(ask, frame.from, back),
+            peers::Message::Vouched { ask, revision } => self.vouches.answered(ask, revision),
             peers::Message::Astray(list) => self.note_astray(list),
             peers::Message::Log(message) if !self.founding => {
                 self.replica.receive(frame.from, *message, Instant::now());
@@ -349,11 +360,12 @@
     }
 }
 
-fn pong(from: Id, to: Id) -> zinniastall_wire::frame::Frame {
-    zinniastall_wire::frame::Frame::Replica(zinniastall_wire::frame::Replica {
+/// Addresses a message to another replica.
+fn addressed(from: Id, to: Id, message: &peers::Message) -> Frame {
+    Frame::Replica(frame::Replica {
         from,
         to,
-        message: peers::Message::Pong.encode(),
+        message: message.encode(),
     })
 }
 
--- a/crates/zinniastall-control/src/control/read.rs
+++ b/crates/zinniastall-control/src/control/read.rs
@@ -52,6 +52,15 @@
     type Result = MessageResult<Read>;
 
     fn handle(&mut self, read: Read, context: &mut Context<Self>) -> Self::Result {
+        let later = self.read(read);
+        self.schedule(context);
+        MessageResult(later)
+    }
+}
+
+impl Control {
+    /// Reads now under a lease, or once a barrier has passed.
+    pub(super) fn read(&mut self, read: Read) -> Later<Result<Look, NotLeader>> {
         let (reply, later) = oneshot::channel();
         // The clock is read here and not when the call arrived: a process that was frozen in
         // between must find its lease run out before it answers.
@@ -69,12 +78,9 @@
         } else {
             answer(reply, Err(self.not_leader()));
         }
-        self.schedule(context);
-        MessageResult(later)
+        later
     }
-}
 
-impl Control {
     /// Answers the reads whose barrier has passed, and those that cannot be answered here.
     pub(super) fn check_reads(&mut self, now: Instant) {
         for mut waiting in std::mem::take(&mut self.reads.waiting) {
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -3,19 +3,21 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use actix::Addr;
+use futures_util::FutureExt;
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, watch},
     time,
 };
 use zinniastall_wire::{
-    feed::{self, Event, Feed},
+    feed::{self, Answer, Event, Feed},
+    follow::Message,
     hello::{Hello, Purpose, Refusal},
     link::Link,
 };
 
 use crate::{
-    control::{Control, FOUNDING, Heard},
+    control::{Control, FOUNDING, Heard, Vouch},
     peers,
 };
 
@@ -92,6 +94,7 @@
                 Event::Astray(list) => control.do_send(Heard::Astray(list)),
                 // Operators ask control for its figures; on a link nobody does.
                 Event::Asked => {}
+                Event::Vouch(ask) => return Some(vouch(control.clone(), ask)),
             }
             None
         };
@@ -102,6 +105,15 @@
     }
 }
 
+/// Answers once the group has confirmed what it has reached; else the follower asks again.
+fn vouch(control: Addr<Control>, ask: u64) -> Answer {
+    async move {
+        let revision = control.send(Vouch).await.ok()?.await.ok()?;
+        Some(Message::Vouched { ask, revision })
+    }
+    .boxed_local()
+}
+
 fn judge(own: &Hello, peer: &Hello) -> Result<Hello, Refusal> {
     let strangers = matches!((&own.cluster, &peer.cluster), (Some(own), Some(peer)) if own != peer);
     if strangers {
--- a/crates/zinniastall-control/src/peers/message.rs
+++ b/crates/zinniastall-control/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use zinniastall_coord::replica;
-use zinniastall_model::member::Member;
+use zinniastall_model::{id, member::Member};
 use zinniastall_wire::follow::{Astray, Confirmation};
 
 /// A message between control instances.
@@ -21,6 +21,18 @@
     Astray(Vec<Astray>),
     /// To the leader: an entry instance presented itself.
     Join(Member),
+    /// To the leader: which revision has been reached by now?
+    Vouch {
+        /// Number that the answer repeats.
+        ask: u64,
+    },
+    /// Leader: a majority has confirmed that nothing later had been accepted before it was asked.
+    Vouched {
+        /// Number of the question.
+        ask: u64,
+        /// Revision reached.
+        revision: id::Revision,
+    },
 }
 
 impl Message {
--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -41,6 +41,8 @@
     pub(super) started: Instant,
     pub(super) cut_off: Duration,
     pub(super) surveyed: bool,
+    /// Revision that the control group had reached at some time since the start.
+    pub(super) vouched: Option<id::Revision>,
     pub(super) force: Force,
     pub(super) gathered: Gathered,
     pub(super) presented: Vec<Member>,
@@ -82,6 +84,7 @@
             started: Instant::now(),
             cut_off: settings.follow.cut_off,
             surveyed: false,
+            vouched: None,
             force: Force::new(kept),
             gathered: Gathered::default(),
             presented: Vec::new(),
@@ -237,6 +240,23 @@
     }
 }
 
+/// The control group has confirmed, since this instance started, what it had reached.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Vouched {
+    /// Revision reached.
+    pub revision: id::Revision,
+}
+
+impl Handler<Vouched> for Follower {
+    type Result = ();
+
+    fn handle(&mut self, vouched: Vouched, context: &mut Context<Self>) {
+        self.vouched = self.vouched.max(Some(vouched.revision));
+        self.enforce(context);
+    }
+}
+
 /// The link to the source is gone.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/crates/zinniastall-entry/src/follow/force.rs
+++ b/crates/zinniastall-entry/src/follow/force.rs
@@ -44,11 +44,15 @@
     /// Tells whether this instance may serve under what it holds.
     ///
     /// A restarted instance may hold less than its last run had in force. It waits until it is
-    /// connected to control, or until it counts as cut off and everyone has been asked; otherwise
-    /// what was accepted would revert here.
+    /// connected and holds what the control group vouches for, or until it counts as cut off and
+    /// everyone has been asked; otherwise what was accepted would revert here. Being connected is
+    /// not enough: a replica that was cut off a moment ago doesn't know it yet.
     fn settles(&self, connected: bool) -> bool {
+        let vouched = self
+            .vouched
+            .is_some_and(|reached| reached <= self.held.revision);
         let cut_off = self.started.elapsed() >= self.cut_off && self.surveyed;
-        connected || (cut_off && self.held.revision > 0)
+        (connected && vouched) || (cut_off && self.held.revision > 0)
     }
 
     /// Puts the configuration in force, once it is safe to do so.
--- a/crates/zinniastall-entry/src/follow/mod.rs
+++ b/crates/zinniastall-entry/src/follow/mod.rs
@@ -91,8 +91,9 @@
                 None
             }
             // A relay's follower reports to the relay; only relays report to control.
-            Event::Astray(_) => None,
-            Event::Asked => Some(Message::Figures(figures(&metrics))),
+            // Only control can vouch, since only it can ask a majority.
+            Event::Astray(_) | Event::Vouch(_) => None,
+            Event::Asked => Some(feed::at_once(Message::Figures(figures(&metrics)))),
         };
         actix::spawn(async move {
             if let Err(error) = feed::serve(link, feed, notify).await {
--- a/crates/zinniastall-entry/src/follow/survey.rs
+++ b/crates/zinniastall-entry/src/follow/survey.rs
@@ -18,13 +18,15 @@
 };
 
 use super::{
-    actor::{Follower, Held, Surveyed, Took},
+    actor::{Follower, Held, Surveyed, Took, Vouched},
     choice::{Choice, Source},
 };
 use crate::{links::Identity, view::Board};
 
 /// Longest time that one instance is given to answer.
 const ANSWER: Duration = Duration::from_secs(2);
+/// Number of the one question on a link.
+const ASK: u64 = 1;
 /// Time between two surveys.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -84,13 +86,26 @@
             member: None,
         };
         feed::send(&mut sender, from).await?;
+        let mut awaits_word = source.is_control();
+        if awaits_word {
+            feed::send(&mut sender, Message::Vouch { ask: ASK }).await?;
+        }
         loop {
             let message = feed::receive(&mut receiver).await?;
-            if let Message::Alive { revision, .. } = message {
-                if revision <= self.held().await? {
-                    return Ok(());
+            match message {
+                Message::Alive { revision, .. } => {
+                    if !awaits_word && revision <= self.held().await? {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                Message::Vouched { ask: ASK, revision } => {
+                    awaits_word = false;
+                    let vouched = self.follower.send(Vouched { revision }).await;
+                    vouched.map_err(|_| Error::Closed)?;
+                    continue;
                 }
-                continue;
+                _ => {}
             }
             let took = Took {
                 message,
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{
+    FutureExt, SinkExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered,
+};
 use tokio::{sync::watch, time};
 use zinniastall_model::{change::Change, id, member::Member, state::State};
 
@@ -16,6 +18,8 @@
 const BATCH: usize = 128;
 /// Time between two signs of life.
 pub const ALIVE: Duration = Duration::from_millis(500);
+/// Most answers that one follower may wait for; it needs one at a time.
+const OWED: usize = 4;
 /// Time without a frame after which a follow link counts as cut.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
@@ -39,8 +43,13 @@
     Astray(Vec<Astray>),
     /// It asks for figures; the answer is [`Message::Figures`].
     Asked,
+    /// It asks what the group has reached; the answer is [`Message::Vouched`].
+    Vouch(u64),
 }
 
+/// An answer to what a follower says, as soon as there is one; `None` leaves it unanswered.
+pub type Answer = LocalBoxFuture<'static, Option<Message>>;
+
 impl Feed {
     /// Creates a feed that keeps a number of changes for followers that are a little behind.
     pub fn new(state: Arc<State>, keep: usize) -> Self {
@@ -131,9 +140,10 @@
 pub async fn serve(
     link: Link,
     mut feed: watch::Receiver<Feed>,
-    notify: impl Fn(Event) -> Option<Message>,
+    notify: impl Fn(Event) -> Option<Answer>,
 ) -> Result<(), Error> {
     let (mut sender, mut receiver) = link.split();
+    let mut owed: FuturesUnordered<Answer> = FuturesUnordered::new();
     let mut held = None;
     let mut alive = time::interval(ALIVE);
     let mut silent = time::Instant::now() + SILENCE;
@@ -147,8 +157,12 @@
                 if let Message::From { revision, .. } = &message {
                     held = Some(*revision);
                 }
-                if let Some(answer) = event(message)?.and_then(&notify) {
-                    send(&mut sender, answer).await?;
+                let answer = event(message)?.and_then(&notify);
+                owed.extend(answer.filter(|_| owed.len() < OWED));
+            }
+            Some(answer) = owed.next(), if !owed.is_empty() => {
+                if let Some(message) = answer {
+                    send(&mut sender, message).await?;
                 }
             }
             changed = feed.changed() => changed.map_err(|_| Error::Closed)?,
@@ -177,10 +191,16 @@
         Message::Confirm(list) => Ok(Some(Event::Confirmed(list))),
         Message::Astray(list) => Ok(Some(Event::Astray(list))),
         Message::Ask => Ok(Some(Event::Asked)),
+        Message::Vouch { ask } => Ok(Some(Event::Vouch(ask))),
         _ => Err(Error::Handshake),
     }
 }
 
+/// Returns an answer that is there already.
+pub fn at_once(message: Message) -> Answer {
+    std::future::ready(Some(message)).boxed_local()
+}
+
 /// Sends one message, unless the other end takes nothing for too long.
 ///
 /// # Errors
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -32,6 +32,19 @@
         /// Whether the sender reaches the control group.
         connected: bool,
     },
+    /// Follower that starts, to a control instance: which revision has been reached by now?
+    Vouch {
+        /// Number that the answer repeats.
+        ask: u64,
+    },
+    /// Control instance: the group has confirmed, after it was asked, that nothing later than this
+    /// had been accepted before.
+    Vouched {
+        /// Number of the question.
+        ask: u64,
+        /// Revision that the group had reached.
+        revision: id::Revision,
+    },
     /// Follower: what is in force there, and at those that follow it.
     Confirm(Vec<Confirmation>),
     /// Relay: an instance presented itself that follows the relay.
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -182,6 +182,8 @@
         }),
         prop::collection::vec(confirmation, 0..4).prop_map(Message::Confirm),
         Just(Message::Ask),
+        any::<u64>().prop_map(|ask| Message::Vouch { ask }),
+        any::<[u64; 2]>().prop_map(|[ask, revision]| Message::Vouched { ask, revision }),
         prop::collection::vec(figure, 0..4).prop_map(Message::Figures),
     ]
     .boxed()
--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -18,6 +18,10 @@
 /// Exit code of a change that waits for confirmations.
 const PENDING: Option<i32> = Some(4);
 
+/// An election timeout within which a test can cut off a replica and restart an instance, in
+/// milliseconds; a busy machine that takes longer brings nothing about.
+const LONG_ELECTION: u64 = 8_000;
+
 fn builder(replicas: usize) -> Builder {
     Cluster::builder()
         .replicas(replicas)
@@ -162,6 +166,45 @@
     Ok(())
 }
 
+/// A control replica has been cut off from the others a moment ago: it has heard its leader within
+/// the election timeout and knows of nothing that it lacks. Meanwhile a change was accepted and is in
+/// force at an instance of its zone, which restarts and reaches only that replica and a neighbour. The
+/// replica believes that it is up to date; the instance must not go back with it.
+#[actix_rt::test]
+async fn a_replica_cut_off_a_moment_ago_takes_nobody_back() -> Result<()> {
+    let mut cluster = builder(3)
+        .control(json!({"timing": {"heartbeat_ms": 200, "election_ms": LONG_ELECTION}}))
+        .zone("patras", "a", 2)
+        .zone("athens", "a", 0)
+        .zone("nantes", "a", 0)
+        .start()
+        .await?;
+    settled(&cluster, 2).await?;
+    // SIGTERM passes leadership on at once; a kill would cost an election timeout.
+    cluster.control("control-1")?.process().stop().await?;
+    cluster.control("control-1")?.restart().await?;
+    cluster.leader_besides(&["control-1"]).await?;
+    change(&cluster, "before").await?;
+    settled(&cluster, 2).await?;
+    let behind = ["control-1", "patras-a-1", "patras-a-2"];
+    cluster.partition(|node| node.name() == "control-1");
+    change(&cluster, "after").await?;
+    let newest = settled(&cluster, 2).await?;
+    let inside = |name: &str| behind.contains(&name);
+    cluster.partition(|node| inside(node.name()));
+    cluster.links(|from, to| (inside(from.name()) && inside(to.name())).then(Rule::default));
+    // Those behind the cut are not dialled first, which would take time that the others use.
+    let near = cluster.control("control-1")?.address("links")?;
+    cluster.entry("patras-a-1")?.settings()["control"] = json!([near]);
+    cluster.entry("patras-a-1")?.restart().await?;
+    let first = wait::until("a configuration in force", async || {
+        in_force(&mut cluster, "patras-a-1").ok()?.first().copied()
+    })
+    .await?;
+    assert!(first >= newest, "{first} < {newest}");
+    Ok(())
+}
+
 /// A zone's instances get their configuration through relays. Those that follow control directly
 /// are killed; the one that is left must find another way, within seconds and by itself.
 #[actix_rt::test]
