fix(entry): refuse strangers and forged first places on stream links, and doubled requests for good

Cause: the tests with a relay that changes frames, and with a peer that dials by itself, showed three faults. A dialling end that names no cluster was served under any client's name; a hop list whose first place is not the sender's own passed, and that place decides what a client without a rule may use; the frame of an idempotent request that came again after the end of its answer ran it a second time. Ruled out: doubled, lost, swapped and late parts and an early end were noticed already, by offset and length (trial without them: shown as whole with a token twice; 'not its own'). Change: Receiver::accept drops links without a cluster; check_arrived takes the sender's place (the pure test is stricter for it); a link remembers its highest stream number. Message::stream moves to wire. The test crate gains proxy::frames on tokio-tungstenite, which the workspace has already. Before: forged_hop_lists_are_refused 'a stranger was answered', then ["athens/a"] served; doubled_request_after_its_answer_runs_once left 2 right 1. After: 20 tests of frames, hops, forward and border pass, 40 of filters, 39 of callers.

--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -153,16 +153,3 @@
     }
     Failure::Unknown { reason }
 }
-
-/// Returns the stream that a message belongs to.
-const fn stream_of(message: &Message) -> u64 {
-    match message {
-        Message::Open(open) => open.stream,
-        Message::Head { stream, .. }
-        | Message::Data { stream, .. }
-        | Message::End { stream, .. }
-        | Message::Failed { stream, .. }
-        | Message::Cancel { stream }
-        | Message::Credit { stream, .. } => *stream,
-    }
-}
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -21,7 +21,7 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{PULSE, SILENCE, WINDOW, refusal, stream_of};
+use super::{PULSE, SILENCE, WINDOW, refusal};
 use crate::callers::reply::{Body, Reply, Served};
 
 /// The sender's end of a link.
@@ -130,7 +130,7 @@
             return;
         };
         let streams = mux.streams.borrow();
-        if let Some(stream) = streams.get(&stream_of(&message)) {
+        if let Some(stream) = streams.get(&message.stream()) {
             drop(stream.send(message));
         }
     }
--- a/crates/zinniastall-entry/src/callers/forward/open.rs
+++ b/crates/zinniastall-entry/src/callers/forward/open.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use zinniastall_coord::ticket::Address;
 use zinniastall_model::{object::Subject, place::Place};
 use zinniastall_route::{
     hops,
@@ -46,16 +47,17 @@
 /// # Errors
 ///
 /// A refusal of a request that has not run.
-pub(super) fn unpack(worker: &Rc<Worker>, open: Open) -> Result<Parcel, Refusal> {
-    judge(worker, open).map_err(|reason| {
+pub(super) fn unpack(worker: &Rc<Worker>, sender: &Address, open: Open) -> Result<Parcel, Refusal> {
+    judge(worker, sender, open).map_err(|reason| {
         let retry = Duration::from_millis(500);
         Refusal::not_run(reason).retry(retry)
     })
 }
 
-fn judge(worker: &Rc<Worker>, open: Open) -> Result<Parcel, Reason> {
+fn judge(worker: &Rc<Worker>, sender: &Address, open: Open) -> Result<Parcel, Reason> {
     let view = worker.view();
-    hops::check_arrived(&open.hops, &view.place)?;
+    let from = Place::new(sender.region.clone(), sender.zone.clone());
+    hops::check_arrived(&open.hops, &from, &view.place)?;
     let state = view.state.as_ref().ok_or(Reason::Unconfigured)?;
     let index = worker.index(state);
     let client = index.client(&open.client)?;
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -1,7 +1,7 @@
 //! The receiver's end of stream links: serves what other instances send.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -64,6 +64,12 @@
 
 impl Acceptor for Receiver {
     fn accept(&self, link: Link) {
+        // An instance that sends requests has a configuration, and so knows its cluster. Whoever
+        // names none is a stranger, whose requests would run under any client's name.
+        if link.peer().cluster.is_none() {
+            tracing::warn!(event = "link-refused", peer = link.peer().instance);
+            return;
+        }
         match link.detach() {
             Ok(detached) => drop(self.links.send(detached)),
             Err(error) => tracing::warn!(event = "link-lost", error = %error),
@@ -75,6 +81,8 @@
 #[derive(Debug, Default)]
 struct Running {
     streams: RefCell<IndexMap<Stream, Run>>,
+    /// Highest number so far. A sender counts up, so what comes later with a lower one is doubled.
+    last: Cell<Stream>,
 }
 
 #[derive(Debug)]
@@ -138,10 +146,11 @@
 ) {
     let stream = open.stream;
     let mut streams = running.streams.borrow_mut();
-    // A doubled frame must not run the request again.
-    if streams.contains_key(&stream) || streams.len() >= STREAMS {
+    // A doubled frame must not run the request again, not even after the end of its answer.
+    if stream <= running.last.get() || streams.len() >= STREAMS {
         return;
     }
+    running.last.set(stream);
     let credit = Rc::new(Credit::new(mux::window()));
     let answer = answer(
         Rc::clone(worker),
@@ -204,7 +213,7 @@
     settle.opened(&open);
     catch_up(worker, &mut open).await;
     let ticket = open.ticket.clone();
-    let parcel = open::unpack(worker, open).map_err(|refusal| {
+    let parcel = open::unpack(worker, sender, open).map_err(|refusal| {
         let tickets = &worker.service.tickets;
         tickets.turned_away(refusal, ticket.as_deref(), Some(sender))
     })?;
--- a/crates/zinniastall-route/src/hops.rs
+++ b/crates/zinniastall-route/src/hops.rs
@@ -44,14 +44,17 @@
     Ok(longer)
 }
 
-/// Checks the places of a request that arrived at a place, as its receiver does.
+/// Checks the places of a request that arrived from a sender's place, as its receiver does.
+///
+/// The first place decides what a client without a rule may use, so a sender that names another than
+/// its own would choose the region for it.
 ///
 /// # Errors
 ///
 /// [`Reason::Hops`].
-pub fn check_arrived(hops: &[Place], here: &Place) -> Result<(), Reason> {
+pub fn check_arrived(hops: &[Place], sender: &Place, here: &Place) -> Result<(), Reason> {
     check(hops)?;
-    if hops.len() > 2 || hops.last() != Some(here) {
+    if hops.len() > 2 || hops.first() != Some(sender) || hops.last() != Some(here) {
         return Err(Reason::Hops);
     }
     Ok(())
--- a/crates/zinniastall-route/tests/filters/rules.rs
+++ b/crates/zinniastall-route/tests/filters/rules.rs
@@ -47,11 +47,13 @@
 fn forwarded_requests_never_go_on() {
     let here = [place("patras/a")];
     let there = hops::check_next(&here, &place("athens/a")).unwrap();
-    assert!(hops::check_arrived(&there, &place("athens/a")).is_ok());
+    assert!(hops::check_arrived(&there, &place("patras/a"), &place("athens/a")).is_ok());
     assert!(hops::check_next(&there, &place("athens/b")).is_err());
     // A forged or misled list does not end where it arrived.
-    assert!(hops::check_arrived(&there, &place("patras/a")).is_err());
-    assert!(hops::check_arrived(&[], &place("patras/a")).is_err());
+    assert!(hops::check_arrived(&there, &place("patras/a"), &place("patras/a")).is_err());
+    // Its sender names another place than its own as the first.
+    assert!(hops::check_arrived(&there, &place("nantes/a"), &place("athens/a")).is_err());
+    assert!(hops::check_arrived(&[], &place("patras/a"), &place("patras/a")).is_err());
 }
 
 fn rule(subject: Option<&str>, regions: &[String]) -> Residency {
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -63,6 +63,22 @@
     },
 }
 
+impl Message {
+    /// Returns the stream that it belongs to.
+    #[must_use]
+    pub const fn stream(&self) -> Stream {
+        match self {
+            Self::Open(open) => open.stream,
+            Self::Head { stream, .. }
+            | Self::Data { stream, .. }
+            | Self::End { stream, .. }
+            | Self::Failed { stream, .. }
+            | Self::Cancel { stream }
+            | Self::Credit { stream, .. } => *stream,
+        }
+    }
+}
+
 /// A whole request on its way to another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
--- /dev/null
+++ b/tests/src/proxy/frames.rs
@@ -0,0 +1,115 @@
+//! A relay that knows the frames of stream links and can double, hold, swap or drop them.
+//!
+//! It stands behind a [`super::Proxy`], between a dialling instance and the one that is dialled.
+//! Handshakes and the frames of other links pass unchanged.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use futures_util::{Sink, SinkExt, Stream, StreamExt};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+use tokio_tungstenite::{accept_async, client_async, tungstenite};
+use zinniastall_wire::{frame::Frame, stream::Message};
+
+use super::{RUNTIME, rule::Way};
+use crate::error::Result;
+
+/// Says what passes in place of a message.
+type Change = Arc<Mutex<dyn FnMut(Way, Message) -> Vec<Message> + Send>>;
+
+/// A relay before one address; all its links end with it.
+#[derive(Debug)]
+pub struct Frames {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Frames {
+    /// Starts a relay; `change` sees the messages of all its stream links.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn start(
+        upstream: SocketAddr,
+        change: impl FnMut(Way, Message) -> Vec<Message> + Send + 'static,
+    ) -> Result<Self> {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = RUNTIME.enter();
+        let listener = TcpListener::from_std(listener)?;
+        drop(runtime);
+        let change: Change = Arc::new(Mutex::new(change));
+        let task = RUNTIME.spawn(accept(listener, upstream, change));
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address to call instead of the upstream's.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Frames {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, upstream: SocketAddr, change: Change) {
+    let mut links = tokio::task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        links.spawn(relay(stream, upstream, Arc::clone(&change)));
+    }
+}
+
+async fn relay(stream: TcpStream, upstream: SocketAddr, change: Change) -> Option<()> {
+    let near = accept_async(stream).await.ok()?;
+    let stream = TcpStream::connect(upstream).await.ok()?;
+    let url = format!("ws://{upstream}/link");
+    let (far, _) = client_async(url, stream).await.ok()?;
+    let (to_near, from_near) = near.split();
+    let (to_far, from_far) = far.split();
+    tokio::select! {
+        () = pass(Way::Up, from_near, to_far, &change) => {}
+        () = pass(Way::Down, from_far, to_near, &change) => {}
+    }
+    Some(())
+}
+
+async fn pass(
+    way: Way,
+    mut from: impl Stream<Item = tungstenite::Result<tungstenite::Message>> + Unpin,
+    mut to: impl Sink<tungstenite::Message> + Unpin,
+    change: &Change,
+) {
+    while let Some(Ok(message)) = from.next().await {
+        for message in changed(way, message, change) {
+            if to.send(message).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn changed(way: Way, message: tungstenite::Message, change: &Change) -> Vec<tungstenite::Message> {
+    let frame = match &message {
+        tungstenite::Message::Binary(bytes) => Frame::decode(bytes).ok(),
+        _ => None,
+    };
+    let Some(Frame::Stream(inner)) = frame else {
+        return vec![message];
+    };
+    let mut change = change.lock().unwrap_or_else(PoisonError::into_inner);
+    let encoded = change(way, inner).into_iter().map(|message| {
+        let bytes = Frame::Stream(message).encode().unwrap_or_default();
+        tungstenite::Message::Binary(bytes.into())
+    });
+    encoded.collect()
+}
--- a/tests/src/proxy/mod.rs
+++ b/tests/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 mod connection;
 mod counter;
+pub mod frames;
 mod judge;
 pub mod rule;
 mod sockets;
--- /dev/null
+++ b/tests/tests/path/frames.rs
@@ -0,0 +1,182 @@
+//! Frames of a stream link come doubled, late and out of order.
+
+use std::net::SocketAddr;
+
+use zinniastall_tests::{
+    Result, http,
+    proxy::{frames::Frames, rule::Way},
+};
+use zinniastall_wire::stream::Message;
+
+use super::{
+    forward::regions,
+    support::{KEY, System, ask, ask_once, chat, error, expected, runs, ticket},
+};
+
+/// Request whose frames are changed.
+const ID: &str = "changed-on-its-way";
+const TOKENS: usize = 8;
+const PROMPT: &str = "a billed proposal";
+
+/// Puts a relay before Athens that changes the frames of the request [`ID`].
+async fn changing(
+    mut change: impl FnMut(Way, Message) -> Vec<Message> + Send + 'static,
+) -> Result<(System, Frames)> {
+    let mut cluster = regions().await?;
+    let mut marked = None;
+    let change = move |way, message: Message| {
+        if let Message::Open(open) = &message
+            && open.request == ID
+        {
+            marked = Some(open.stream);
+        }
+        // The pulse of an idle link, which is stream 0, tells that time goes on.
+        if marked.is_some_and(|marked| [marked, 0].contains(&message.stream())) {
+            return change(way, message);
+        }
+        vec![message]
+    };
+    let node = cluster.entry("athens-a-1")?;
+    let upstream = node.process().address("links").await?;
+    let frames = Frames::start(upstream, change)?;
+    let proxy = node.proxy("links")?;
+    proxy.upstream(frames.address());
+    proxy.reset();
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let probe = chat("probe through the relay", 1, false);
+    cluster.serves(address, KEY, &probe).await?;
+    Ok((cluster, frames))
+}
+
+/// Asks again over the same link. A region that has broken an answer is left alone for a while.
+async fn next_is_whole(cluster: &System, address: SocketAddr) -> Result<()> {
+    cluster
+        .serves(address, KEY, &chat("probe", 1, false))
+        .await?;
+    let (_, events) = ask(address, &chat("the next", 3, true)).stream().await?;
+    let answer = http::content(events).await?;
+    assert_eq!(answer, (expected("the next", 3), true));
+    Ok(())
+}
+
+/// Names a case: what becomes of the parts of an answer. The caller gets the whole answer, or its
+/// beginning and no end; a resend of the ticket is told the same answer or that the outcome is
+/// unknown; the work has run once; the next answer on the link is whole and its own.
+macro_rules! parts {
+    ($($name:ident: $whole:literal, $change:expr;)+) => {$(
+        #[actix_rt::test]
+        async fn $name() -> Result<()> {
+            let (mut cluster, _frames) = changing($change).await?;
+            let address = cluster.entry("patras-a-1")?.address("callers")?;
+            let (ticket, body) = (ticket(address).await?, chat(PROMPT, TOKENS, true));
+            let request = ask_once(address, &ticket, &body).header("x-zinniastall-request", ID);
+            let (_, events) = request.stream().await?;
+            let (text, done) = http::content(events).await?;
+            assert_eq!(done, $whole, "{text}");
+            assert!(expected(PROMPT, TOKENS).starts_with(&text), "not its own: {text}");
+            assert!(!done || text == expected(PROMPT, TOKENS), "a cut answer looked whole: {text}");
+            let again = ask_once(address, &ticket, &body).send().await?;
+            let outcome = if done { String::new() } else { "unknown".to_owned() };
+            assert_eq!(error(&again).0, outcome, "{}", again.text());
+            assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 1);
+            next_is_whole(&cluster, address).await?;
+            cluster.stop().await
+        }
+    )+};
+}
+
+// A link between regions is re-established by devices that buffer and repeat. An answer's part that
+// comes twice, late or not at all must not be shown as the answer: a robot would take half a map, or
+// one with a room in it twice, for the whole.
+parts! {
+    doubled_part_never_looks_whole: false, |_, message| match message {
+        Message::Data { offset: 1.., .. } => vec![message.clone(), message],
+        _ => vec![message],
+    };
+    lost_part_never_looks_whole: false, {
+        let mut parts = 0;
+        move |_, message| {
+            parts += u32::from(matches!(message, Message::Data { .. }));
+            let lost = parts == 3 && matches!(message, Message::Data { .. });
+            if lost { Vec::new() } else { vec![message] }
+        }
+    };
+    swapped_parts_never_look_whole: false, {
+        let (mut parts, mut held) = (0, None);
+        move |_, message| {
+            parts += u32::from(matches!(message, Message::Data { .. }));
+            match (parts, &message) {
+                (3, Message::Data { .. }) => {
+                    held = Some(message);
+                    Vec::new()
+                }
+                _ => std::iter::once(message).chain(held.take()).collect(),
+            }
+        }
+    };
+    end_before_the_last_part_never_looks_whole: false, {
+        let mut held = None;
+        move |way, message| match message {
+            Message::Data { .. } => held.replace(message).into_iter().collect(),
+            Message::End { .. } => std::iter::once(message).chain(held.take()).collect(),
+            _ if way == Way::Up => vec![message],
+            _ => held.take().into_iter().chain([message]).collect(),
+        }
+    };
+    parts_of_an_ended_stream_are_dropped: true, {
+        let mut sent = Vec::new();
+        move |_, message| match &message {
+            Message::Data { .. } => {
+                sent.push(message.clone());
+                vec![message]
+            }
+            Message::End { .. } => [message.clone()].into_iter().chain(sent.drain(..)).chain([message]).collect(),
+            _ => vec![message],
+        }
+    };
+}
+
+/// Names a case: whether the request may run once only, and whether its doubled frame comes at once
+/// or after the end of its answer. It runs once, and the answer is whole.
+macro_rules! doubled_open {
+    ($($name:ident: $once:literal, $late:literal;)+) => {$(
+        #[actix_rt::test]
+        async fn $name() -> Result<()> {
+            let (mut opened, mut ended) = (None, false);
+            let (again, mut repeated) = tokio::sync::mpsc::unbounded_channel();
+            let (mut cluster, _frames) = changing(move |way, message| {
+                if let Message::Open(open) = &message {
+                    opened = Some(Message::Open(open.clone()));
+                }
+                ended |= matches!(message, Message::End { .. });
+                let due = way == Way::Up && (ended || !$late);
+                let double = due.then(|| opened.take()).flatten();
+                if double.is_some() {
+                    let _ = again.send(());
+                }
+                std::iter::once(message).chain(double).collect()
+            })
+            .await?;
+            let address = cluster.entry("patras-a-1")?.address("callers")?;
+            let ticket = ticket(address).await?;
+            let body = chat(PROMPT, TOKENS, true);
+            let request = if $once { ask_once(address, &ticket, &body) } else { ask(address, &body) };
+            let (_, events) = request.header("x-zinniastall-request", ID).stream().await?;
+            assert_eq!(http::content(events).await?, (expected(PROMPT, TOKENS), true));
+            assert_eq!(repeated.recv().await, Some(()));
+            // Whatever the doubled frame has started would be in the ledger before this one.
+            next_is_whole(&cluster, address).await?;
+            assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 1);
+            cluster.stop().await
+        }
+    )+};
+}
+
+// The frame that brings a request to another region comes twice, the second time perhaps when the
+// first has been answered. Run again, the work would be billed twice.
+doubled_open! {
+    doubled_request_runs_once: false, false;
+    doubled_request_after_its_answer_runs_once: false, true;
+    doubled_ticket_runs_once: true, false;
+    doubled_ticket_after_its_answer_runs_once: true, true;
+}
--- /dev/null
+++ b/tests/tests/path/hops.rs
@@ -0,0 +1,181 @@
+//! No request goes round.
+
+use futures_util::{SinkExt, StreamExt, future::join_all};
+use serde_json::json;
+use zinniastall_model::{object::Subject, place::Place};
+use zinniastall_tests::{Result, cluster::Cluster, log::field};
+use zinniastall_wire::{
+    frame::Frame,
+    hello::{Hello, Purpose, VERSION},
+    link::Link,
+    stream::{Failure, Message, Open},
+};
+
+use super::{
+    forward::regions,
+    support::{CHAT, CLIENT, KEY, MODEL, System, ask, chat, configure, runs},
+};
+
+fn place(text: &str) -> Place {
+    let (region, zone) = text.split_once('/').unwrap_or_default();
+    Place::new(region, zone)
+}
+
+/// Returns what an instance of Patras says of itself.
+fn hello(cluster: Option<String>) -> Hello {
+    Hello {
+        version: VERSION,
+        purpose: Purpose::Stream,
+        cluster,
+        instance: "patras-a-9".to_owned(),
+        incarnation: 1,
+        place: place("patras/a"),
+        links: String::new(),
+        service: String::new(),
+    }
+}
+
+fn open(stream: u64, hops: &[&str]) -> Open {
+    Open {
+        stream,
+        request: format!("forged-{stream}"),
+        hops: hops.iter().copied().map(place).collect(),
+        revision: 0,
+        client: CLIENT.to_owned(),
+        class: "interactive".to_owned(),
+        subject: Subject::Model(MODEL.to_owned()),
+        regions: vec!["patras".to_owned(), "athens".to_owned()],
+        idempotent: true,
+        ticket: None,
+        left_ms: 10_000,
+        method: "POST".to_owned(),
+        path: CHAT.to_owned(),
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body: chat("forged", 1, false).to_string().into_bytes(),
+    }
+}
+
+/// Returns the first message of the answer, or nothing if the link ends.
+async fn answer(link: Link, open: Open) -> Option<Message> {
+    let (mut sender, mut receiver) = link.split();
+    let frame = Frame::Stream(Message::Open(Box::new(open)));
+    sender.send(frame).await.ok()?;
+    match receiver.next().await? {
+        Ok(Frame::Stream(message)) => Some(message),
+        _ => None,
+    }
+}
+
+// Somebody who is no instance of the system, or a broken one, sends requests over a stream link and
+// says of them that they have passed other places than they have. None of them is served; nobody is
+// billed for them. One that tells the truth is.
+#[actix_rt::test]
+async fn forged_hop_lists_are_refused() -> Result<()> {
+    let mut cluster = regions().await?;
+    let address = cluster
+        .entry("athens-a-1")?
+        .process()
+        .address("links")
+        .await?;
+    let address = address.to_string();
+    let dial = async |cluster| Link::dial(&address, hello(cluster)).await;
+    // A stranger either gets no link or no answer on it.
+    let name = match dial(None).await {
+        Ok(link) => {
+            let name = link.peer().cluster.clone();
+            let told = answer(link, open(1, &["patras/a", "athens/a"])).await;
+            assert_eq!(told, None, "a stranger was answered");
+            name
+        }
+        Err(error) => panic!("{error}"),
+    };
+    assert!(
+        dial(Some("00".to_owned())).await.is_err(),
+        "another cluster's instance was let in"
+    );
+    let forged: [&[&str]; 7] = [
+        &[],
+        &["athens/a"],
+        &["patras/a"],
+        &["patras/b", "athens/a"],
+        &["athens/a", "patras/a"],
+        &["patras/a", "patras/b", "athens/a"],
+        &["patras/a", "athens/b", "athens/a"],
+    ];
+    for hops in forged {
+        let link = dial(name.clone()).await.map_err(std::io::Error::other)?;
+        let told = answer(link, open(1, hops)).await;
+        let Some(Message::Failed {
+            failure: Failure::NotRun { reason, .. },
+            ..
+        }) = told
+        else {
+            panic!("{hops:?} was not refused: {told:?}");
+        };
+        assert!(reason.contains("border"), "{hops:?}: {reason}");
+    }
+    let body = chat("forged", 1, false);
+    assert_eq!(runs(&mut cluster, "engine-1", &body).await?.len(), 0);
+    let link = dial(name).await.map_err(std::io::Error::other)?;
+    let told = answer(link, open(1, &["patras/a", "athens/a"])).await;
+    assert!(
+        matches!(told, Some(Message::Head { status: 200, .. })),
+        "{told:?}"
+    );
+    cluster.stop().await
+}
+
+// Both regions lose their engine at the same moment, and each still believes that the other has one.
+// A request that is sent on by one must not be sent back by the other: it would go round until its
+// deadline, and so would all others, over the slow link.
+#[actix_rt::test]
+async fn two_regions_without_engines_never_send_a_request_back() -> Result<()> {
+    let places = ["patras", "athens"];
+    let builder = Cluster::builder()
+        .zone("patras", "a", 1)
+        .zone("athens", "a", 1);
+    let mut cluster = System::start(builder).await?;
+    for region in places {
+        cluster
+            .engine(region, (region, "a"), MODEL, json!({}))
+            .await?;
+    }
+    configure(&mut cluster).await?;
+    cluster.residency(CLIENT, &places).await?;
+    let mut addresses = Vec::new();
+    for region in places {
+        let entry = format!("{region}-a-1");
+        cluster.entry(&entry)?.process().event("zone-heard").await?;
+        let address = cluster.entry(&entry)?.address("callers")?;
+        cluster
+            .serves(address, KEY, &chat("probe", 1, false))
+            .await?;
+        addresses.push(address);
+    }
+    for region in places {
+        cluster.target(region)?.process().kill()?;
+    }
+    let asking = (0..6).map(|number| {
+        let body = chat(&format!("request {number}"), 1, false);
+        let request = ask(addresses[number % 2], &body);
+        request
+            .header("x-zinniastall-request", &format!("round-{number}"))
+            .send()
+    });
+    for answer in join_all(asking).await {
+        let answer = answer?;
+        assert_ne!(answer.status(), 200, "{}", answer.text());
+    }
+    for (side, region) in places.iter().enumerate() {
+        let process = cluster.entry(&format!("{region}-a-1"))?.process();
+        process.stop().await?;
+        let came = process.log().events("forwarded");
+        let round = |line: &String| field(line, "request")?.strip_prefix("round-")?.parse().ok();
+        let came: Vec<usize> = came.iter().filter_map(round).collect();
+        assert!(!came.is_empty(), "nothing was sent to {region}");
+        // Even numbers were received in the first region, odd ones in the second.
+        let back: Vec<_> = came.iter().filter(|number| *number % 2 == side).collect();
+        assert!(back.is_empty(), "sent back to {region}: {back:?}");
+    }
+    Ok(())
+}
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -7,6 +7,8 @@
 mod calls;
 mod drain;
 mod forward;
+mod frames;
+mod hops;
 mod loss;
 mod once;
 mod overtake;
