test(control): show the defences behind wiped disks, lost leaders and one-way cuts

The checks of the isolated leader (refused, same term, same leader) now hold for the deaf one as well. The set-up that stood twice in control_group.rs is one function.

--- a/tests/src/cluster/found.rs
+++ b/tests/src/cluster/found.rs
@@ -78,6 +78,47 @@
         ctl::run(&[address], &arguments).await?.json()
     }
 
+    /// Takes a wiped control replica in as a new one, removes its former self, and waits until the
+    /// next loss is safe. Returns the new id.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a step is refused, or takes too long.
+    pub async fn replace(&self, name: &str, forgotten: &str) -> Result<String> {
+        let fresh = self.enlist(name).await?;
+        let removed = self.ctl(&["replica", "remove", forgotten]).await?;
+        removed.json()?;
+        self.next_loss_safe(true).await?;
+        Ok(fresh)
+    }
+
+    /// Kills a control replica, empties its data folder and starts it again at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder cannot be emptied or the process does not start.
+    pub async fn wipe(&mut self, name: &str) -> Result<()> {
+        let control = self.control(name)?;
+        control.process().kill()?;
+        let folder = control.settings()["data"].clone();
+        std::fs::remove_dir_all(folder.as_str().unwrap_or_default())?;
+        control.restart().await
+    }
+
+    /// Waits until the status says that the next loss of a control replica is safe, or isn't.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not in time.
+    pub async fn next_loss_safe(&self, wanted: bool) -> Result<()> {
+        let what = format!("next_loss_safe = {wanted}");
+        wait::until(&what, async || {
+            let status = self.ctl(&["status"]).await.ok()?.json().ok()?;
+            (status["next_loss_safe"] == wanted).then_some(())
+        })
+        .await
+    }
+
     /// Waits until one control replica leads, and returns its name.
     ///
     /// # Errors
--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -7,7 +7,8 @@
     Result,
     cluster::{Builder, Cluster},
     log::field,
-    proxy::rule::Rule,
+    node::Node,
+    proxy::rule::{Rule, Way},
     wait,
 };
 
@@ -235,8 +236,9 @@
     Ok(())
 }
 
-/// The control leader is killed while changes are under way: every change that was answered as
-/// accepted is in force everywhere within seconds of the answer, whoever leads.
+/// The control leader is killed between two changes, and entry instances hear nothing of each
+/// other, so nobody can help its neighbours out. Each must find another control replica by itself:
+/// otherwise callers of the lost leader's zone would be judged by an old configuration for ever.
 #[actix_rt::test]
 async fn changes_reach_everyone_past_a_lost_leader() -> Result<()> {
     let mut cluster = builder(3)
@@ -246,8 +248,14 @@
         .start()
         .await?;
     settled(&cluster, 6).await?;
+    let entries: Vec<String> = cluster.entries().map(|node| node.name().into()).collect();
+    let is_entry = |node: &Node| entries.iter().any(|name| name == node.name());
+    let stalled = Rule::default().with(Way::Both, |lane| lane.stalled = true);
+    cluster.links(|from, to| (is_entry(from) && is_entry(to)).then_some(stalled));
     let leader = cluster.leader().await?;
     change(&cluster, "m0").await?;
+    // Whoever followed a neighbour has found control by now.
+    settled(&cluster, 6).await?;
     cluster.control(&leader)?.process().kill()?;
     let revision = change(&cluster, "m1").await?;
     let bound = Duration::from_secs(10);
--- a/tests/tests/control_group.rs
+++ b/tests/tests/control_group.rs
@@ -7,6 +7,7 @@
     Result,
     cluster::{Cluster, ELECTION, group, model},
     ctl::{self, Run},
+    node::Node,
     proxy::rule::{Rule, Way},
     wait,
 };
@@ -49,13 +50,11 @@
     run.answer()["revision"].as_u64().unwrap_or_default()
 }
 
-async fn safe(cluster: &Cluster, wanted: bool) -> Result<()> {
-    let what = format!("next_loss_safe = {wanted}");
-    wait::until(&what, async || {
-        let status = cluster.ctl(&["status"]).await.ok()?.json().ok()?;
-        (status["next_loss_safe"] == wanted).then_some(())
-    })
-    .await
+/// Applies a model's version, whatever revision it is at.
+async fn change(cluster: &Cluster, name: &str, version: &str) -> Result<Value> {
+    cluster
+        .apply(&serde_json::from_str(&model(name, version))?)
+        .await
 }
 
 fn term(status: &Value) -> u64 {
@@ -87,9 +86,7 @@
 #[actix_rt::test]
 async fn a_thawed_leader_gives_no_stale_answer() -> Result<()> {
     let mut cluster = group(3).start().await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "old"))?)
-        .await?;
+    change(&cluster, "m", "old").await?;
     let leader = cluster.leader().await?;
     let old = cluster.control(&leader)?.address("operators")?;
     cluster.control(&leader)?.process().freeze()?;
@@ -117,24 +114,20 @@
     Ok(())
 }
 
-/// A silent partition isolates the leader for a long time, and then heals. The others must go on
-/// under a new leader, the isolated one must stop answering, and its return must not cost the
-/// others their leader: operators would see commands fail each time a link heals.
-#[actix_rt::test]
-async fn an_isolated_leader_returns_without_disturbance() -> Result<()> {
+/// Cuts the leader off as `cut` says for a long time, lets the others go on, and heals. The others
+/// must keep the leader that they chose meanwhile, and nobody may be told the old state: who hears
+/// the others can name their leader, and who hears nobody has nothing to say.
+async fn returns_without_disturbance(hears: bool, cut: impl Fn(&Cluster, &str)) -> Result<()> {
     let mut cluster = group(3).start().await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "old"))?)
-        .await?;
+    change(&cluster, "m", "old").await?;
     let leader = cluster.leader().await?;
     let old = cluster.control(&leader)?.address("operators")?;
-    cluster.partition(|node| node.name() == leader);
+    cut(&cluster, &leader);
     let successor = cluster.leader_besides(&[&leader]).await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "new"))?)
-        .await?;
-    let isolated = ctl::run(&[old], &["--timeout", "1000", "get", "model", "m"]).await?;
-    assert_eq!(isolated.code, FAILED, "{isolated:?}");
+    change(&cluster, "m", "new").await?;
+    let asked = ctl::run(&[old], &["--timeout", "1000", "get", "model", "m"]).await?;
+    assert!(!asked.output.contains("old"), "{asked:?}");
+    assert!(hears || asked.code == FAILED, "{asked:?}");
     // Long enough for an isolated replica without pre-votes to raise its term several times.
     actix_rt::time::sleep(Duration::from_millis(ELECTION * 6)).await;
     let before = term(&cluster.status_of(&successor).await?);
@@ -147,30 +140,51 @@
     .await?;
     assert_eq!(term(&cluster.status_of(&successor).await?), before);
     assert_eq!(cluster.leader().await?, successor);
+    assert_eq!(version(&cluster, "m").await.as_deref(), Some("new"));
     Ok(())
 }
 
+/// A silent partition isolates the leader for a long time, and then heals. The others must go on
+/// under a new leader, the isolated one must stop answering, and its return must not cost the
+/// others their leader: operators would see commands fail each time a link heals.
+#[actix_rt::test]
+async fn an_isolated_leader_returns_without_disturbance() -> Result<()> {
+    returns_without_disturbance(false, |cluster, leader| {
+        cluster.partition(|node| node.name() == leader);
+    })
+    .await
+}
+
+/// Stalls silently one way between a replica and all others: what `away` goes from it, or else what
+/// comes to it.
+fn one_way(cluster: &Cluster, name: &str, away: bool) {
+    let lane = |way| Rule::default().with(way, |lane| lane.stalled = true);
+    let (own, theirs) = if away {
+        (Way::Up, Way::Down)
+    } else {
+        (Way::Down, Way::Up)
+    };
+    cluster.links(|from, to| match (from.name() == name, to.name() == name) {
+        (true, false) => Some(lane(own)),
+        (false, true) => Some(lane(theirs)),
+        _ => None,
+    });
+}
+
 /// A one-way partition: the leader's messages still arrive, but nothing reaches it. Its heartbeats
-/// would keep the others from choosing another leader, and no command could ever commit.
+/// would keep the others from choosing another leader, and no command could ever commit. After a
+/// long time the link heals, and its return must cost the others nothing.
 #[actix_rt::test]
 async fn a_deaf_leader_makes_way() -> Result<()> {
-    let cluster = group(3).start().await?;
-    let leader = cluster.leader().await?;
-    let lane = |way| Rule::default().with(way, |lane| lane.stalled = true);
-    cluster.links(
-        |from, to| match (from.name() == leader, to.name() == leader) {
-            (true, false) => Some(lane(Way::Down)),
-            (false, true) => Some(lane(Way::Up)),
-            _ => None,
-        },
-    );
-    cluster.leader_besides(&[&leader]).await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "1"))?)
-        .await?;
-    cluster.heal();
-    assert_eq!(version(&cluster, "m").await.as_deref(), Some("1"));
-    Ok(())
+    returns_without_disturbance(false, |cluster, leader| one_way(cluster, leader, false)).await
+}
+
+/// The other way round: the leader hears everyone, and nothing that it sends arrives. The others
+/// must choose another leader soon, or every operator's command would wait for the link; after a
+/// long time the link heals, and the former leader's return must cost the others nothing.
+#[actix_rt::test]
+async fn a_mute_leader_makes_way() -> Result<()> {
+    returns_without_disturbance(true, |cluster, leader| one_way(cluster, leader, true)).await
 }
 
 /// The leader's disk is lost, and it comes back empty at the same address. It must not vote with
@@ -182,63 +196,67 @@
     let snapshots = json!({"limits": {"snapshot_entries": 16}});
     let mut cluster = group(3).control(snapshots).start().await?;
     for number in 0..40 {
-        let object = model(&format!("m{number}"), "1");
-        cluster.apply(&serde_json::from_str(&object)?).await?;
+        change(&cluster, &format!("m{number}"), "1").await?;
     }
-    safe(&cluster, true).await?;
+    cluster.next_loss_safe(true).await?;
     let lost = cluster.leader().await?;
     let forgotten = cluster.replica_id(&lost).await?;
-    wipe(&mut cluster, &lost).await?;
+    cluster.wipe(&lost).await?;
     let address = cluster.control(&lost)?.address("operators")?;
     cluster.leader_besides(&[&lost]).await?;
     let refused = ctl::run(&[address], &["bootstrap"]).await?;
     assert_eq!(refused.code, FAILED, "{refused:?}");
-    safe(&cluster, false).await?;
-    let fresh = cluster.enlist(&lost).await?;
+    cluster.next_loss_safe(false).await?;
+    let fresh = cluster.replace(&lost, &forgotten).await?;
     assert_ne!(fresh, forgotten);
-    cluster
-        .ctl(&["replica", "remove", &forgotten])
-        .await?
-        .json()?;
-    safe(&cluster, true).await?;
     let next = cluster.leader().await?;
     cluster.control(&next)?.process().kill()?;
     cluster.leader_besides(&[&next]).await?;
     let models = cluster.ctl(&["list", "model"]).await?.json()?;
     assert_eq!(models["records"].as_array().map(Vec::len), Some(40));
-    cluster
-        .apply(&serde_json::from_str(&model("m40", "1"))?)
-        .await?;
+    change(&cluster, "m40", "1").await?;
     Ok(())
 }
 
-/// A control instance is cut off for a while, and meanwhile the leader's disk is lost and replaced.
-/// When the cut-off one returns, it holds an old list of the group and old entries; it must take the
-/// new ones, and the replaced disk's former self must count for nothing.
+/// Two of five control instances are cut off, a change is accepted by the other three, and the
+/// leader's disk is lost. Then the sides change: the empty disk sees only the two that never heard of
+/// the change. If it counted as the replica that it was, these three would be a majority and the
+/// operator's change would be gone. Later the disk is replaced while one instance is still cut off;
+/// that one returns with an old list of the group and must take the new one.
 #[actix_rt::test]
 async fn a_wiped_disk_is_replaced_during_a_partition() -> Result<()> {
     let mut cluster = group(5).start().await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "1"))?)
-        .await?;
+    change(&cluster, "m", "1").await?;
     let lost = cluster.leader().await?;
-    let cut = if lost == "control-5" {
-        "control-4"
-    } else {
-        "control-5"
-    };
-    cluster.partition(|node| node.name() == cut);
+    let names: Vec<String> = cluster.controls().map(|node| node.name().into()).collect();
+    let others: Vec<&String> = names.iter().filter(|name| **name != lost).collect();
+    let (unaware, aware) = others.split_at(2);
+    cluster.partition(|node| unaware.iter().any(|name| *name == node.name()));
+    // What is sent on a link before it is given up would arrive once the sides change.
+    wait::until("both links given up", async || {
+        let log = cluster.control(&lost).ok()?.process().log();
+        (log.events("replica-link-lost").len() >= 2).then_some(())
+    })
+    .await?;
+    change(&cluster, "m", "2").await?;
     let forgotten = cluster.replica_id(&lost).await?;
-    wipe(&mut cluster, &lost).await?;
+    cluster.partition(|node| aware.iter().any(|name| *name == node.name()));
+    cluster.wipe(&lost).await?;
+    let knows = |node: &Node| aware.iter().any(|name| *name == node.name());
+    cluster.links(|from, to| (!knows(from) && !knows(to)).then(Rule::default));
+    // Long enough for three that count each other as voters to elect a leader several times.
+    actix_rt::time::sleep(Duration::from_millis(ELECTION * 6)).await;
+    let cut = unaware[1];
+    cluster.heal();
+    cluster.partition(|node| node.name() == cut);
     cluster.leader_besides(&[&lost]).await?;
+    assert_eq!(version(&cluster, "m").await.as_deref(), Some("2"));
     cluster.enlist(&lost).await?;
     cluster
         .ctl(&["replica", "remove", &forgotten])
         .await?
         .json()?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "2"))?)
-        .await?;
+    change(&cluster, "m", "3").await?;
     cluster.heal();
     let leader = cluster.leader().await?;
     let news = cluster.status_of(&leader).await?["commit"].clone();
@@ -248,23 +266,11 @@
         (status["commit"] == news && replicas == 5).then_some(())
     })
     .await?;
-    safe(&cluster, true).await?;
-    assert_eq!(version(&cluster, "m").await.as_deref(), Some("2"));
+    cluster.next_loss_safe(true).await?;
+    assert_eq!(version(&cluster, "m").await.as_deref(), Some("3"));
     Ok(())
 }
 
-/// Kills a control replica, empties its data folder and starts it again.
-async fn wipe(cluster: &mut Cluster, name: &str) -> Result<()> {
-    let control = cluster.control(name)?;
-    control.process().kill()?;
-    let folder = control.settings()["data"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned();
-    std::fs::remove_dir_all(folder)?;
-    control.restart().await
-}
-
 /// Operators' scripts race each other under equal numbers: all have read the same revision and
 /// send different changes at once. Exactly one may win, and the others must be told the revision
 /// that it made; otherwise one operator's change would silently undo another's.
@@ -335,9 +341,7 @@
     let stopped = cluster.control(&leader)?.process().stop().await?;
     let start = Instant::now();
     assert!(stopped.success(), "{stopped:?}");
-    cluster
-        .apply(&serde_json::from_str(&model("m", "1"))?)
-        .await?;
+    change(&cluster, "m", "1").await?;
     assert!(start.elapsed() < election, "{:?}", start.elapsed());
     Ok(())
 }
@@ -347,9 +351,7 @@
 #[actix_rt::test]
 async fn five_replicas_outlive_two() -> Result<()> {
     let mut cluster = group(5).start().await?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "1"))?)
-        .await?;
+    change(&cluster, "m", "1").await?;
     let leader = cluster.leader().await?;
     let other = if leader == "control-5" {
         "control-4"
@@ -358,9 +360,7 @@
     };
     cluster.control(&leader)?.process().kill()?;
     cluster.control(other)?.process().kill()?;
-    cluster
-        .apply(&serde_json::from_str(&model("m", "2"))?)
-        .await?;
+    change(&cluster, "m", "2").await?;
     assert_eq!(version(&cluster, "m").await.as_deref(), Some("2"));
     Ok(())
 }
