feat(control): call the next loss safe only by answers to a fresh round

Cause: next_loss_safe counted voters heard within the last election timeout. A replica lost a moment before was among them, and an operator who took another one down on that word stopped the group.

Ruled out: saying "as of" beside the old answer (the operator would still have to wait and ask again); a round for every status (a group that shows no spare voter anyway would make each status wait).

Change: Replica::spare_since counts the voters that answered a barrier's round and hold what was committed when it was made. The status waits for these answers for a quarter of the election timeout at most, only if the answer can be yes; 256 such questions at once.

Conclusion: a yes is true as of the call.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -45,7 +45,7 @@
     stop::Stop,
     write::Write,
 };
-use self::{read::Reads, waiting::Waiting, write::Settling};
+use self::{read::Reads, status::Questions, waiting::Waiting, write::Settling};
 use crate::{
     disk::{Disk, Done, Work},
     links::Card,
@@ -74,6 +74,7 @@
     waiting: Waiting,
     settling: Vec<Settling>,
     reads: Reads,
+    questions: Questions,
     confirmed: Confirmed,
     joining: IndexMap<String, Instant>,
     orders: Option<Orders>,
@@ -160,6 +161,7 @@
             waiting: Waiting::new(settings.limits.calls),
             settling: Vec::new(),
             reads: Reads::default(),
+            questions: Questions::default(),
             confirmed: Confirmed::default(),
             joining: IndexMap::new(),
             orders: None,
@@ -185,6 +187,7 @@
         self.publish();
         self.check_part(now);
         self.check_reads(now);
+        self.check_questions(now);
     }
 
     fn perform(&mut self, mut ready: Ready, now: Instant) {
--- a/crates/zinniastall-control/src/control/status.rs
+++ b/crates/zinniastall-control/src/control/status.rs
@@ -3,18 +3,24 @@
 use std::time::{Duration, Instant};
 
 use actix::{Context, Handler, Message, MessageResult};
+use tokio::sync::oneshot;
 use zinniastall_api::operator::{InstanceStatus, ReplicaStatus, SystemStatus};
 use zinniastall_coord::{
     Id,
-    replica::{Part, Status},
+    replica::{Barrier, Part, Status},
 };
 use zinniastall_model::member::Member;
 
-use super::{Control, hex};
+use super::{Control, Later, hex, waiting::answer};
+
+/// Part of the election timeout for which the others' answers are waited for.
+const ANSWERS: u32 = 4;
+/// Most questions that wait at once.
+const QUESTIONS: usize = 256;
 
 /// Asks how the system is, as seen from this replica.
 #[derive(Debug, Message)]
-#[rtype(result = "SystemStatus")]
+#[rtype(result = "Later<SystemStatus>")]
 pub struct Health;
 
 /// Asks how one entry instance is, as seen from this replica.
@@ -22,25 +28,39 @@
 #[rtype(result = "Option<InstanceStatus>")]
 pub struct Inspect(pub String);
 
+/// Questions that wait for the others' answers.
+#[derive(Debug, Default)]
+pub(super) struct Questions {
+    waiting: Vec<Question>,
+}
+
+#[derive(Debug)]
+struct Question {
+    barrier: Barrier,
+    deadline: Instant,
+    reply: oneshot::Sender<SystemStatus>,
+}
+
 impl Handler<Health> for Control {
     type Result = MessageResult<Health>;
 
-    fn handle(&mut self, _: Health, _: &mut Context<Self>) -> Self::Result {
+    fn handle(&mut self, _: Health, context: &mut Context<Self>) -> Self::Result {
+        let (reply, later) = oneshot::channel();
         let now = Instant::now();
         self.replica.tick(now);
-        let status = self.replica.status(now);
-        let state = self.machine.state();
-        let members = state.members.values();
-        MessageResult(SystemStatus {
-            cluster: status.cluster.map(hex).unwrap_or_default(),
-            revision: state.revision,
-            leader: self.leader_address().unwrap_or_default(),
-            term: status.term,
-            commit: status.commit,
-            replicas: self.replicas(&status),
-            next_loss_safe: status.lease_until.is_some() && status.spare() > 0,
-            instances: members.map(|member| self.instance(member, now)).collect(),
-        })
+        match self.replica.barrier(now) {
+            Ok(barrier) if self.may_be_safe(now) => {
+                let deadline = now + self.settings.timing.election / ANSWERS;
+                self.questions.waiting.push(Question {
+                    barrier,
+                    deadline,
+                    reply,
+                });
+            }
+            _ => answer(reply, self.system(false, now)),
+        }
+        self.schedule(context);
+        MessageResult(later)
     }
 }
 
@@ -54,6 +74,50 @@
 }
 
 impl Control {
+    /// Answers the questions that enough voters have answered since, and those whose time is up.
+    ///
+    /// A voter that was lost a moment ago was still heard lately, so what was heard before the question
+    /// says nothing: an operator who took another one down on that word would stop the group.
+    pub(super) fn check_questions(&mut self, now: Instant) {
+        for question in std::mem::take(&mut self.questions.waiting) {
+            match self.replica.spare_since(&question.barrier) {
+                Ok(0) if now < question.deadline => self.questions.waiting.push(question),
+                spare => {
+                    let safe = spare.is_ok_and(|spare| spare > 0);
+                    let safe = safe && self.replica.lease(now).is_some();
+                    answer(question.reply, self.system(safe, now));
+                }
+            }
+        }
+    }
+
+    /// Tells whether asking the others can show that the next loss is safe.
+    fn may_be_safe(&self, now: Instant) -> bool {
+        let status = self.replica.status(now);
+        let answers = |id: &Id| {
+            let peer = status.peers.get(id);
+            *id == status.id || peer.is_some_and(|peer| peer.reachable)
+        };
+        let answering = status.voters.voters.keys().filter(|id| answers(id)).count();
+        answering > status.voters.majority() && self.questions.waiting.len() < QUESTIONS
+    }
+
+    fn system(&self, next_loss_safe: bool, now: Instant) -> SystemStatus {
+        let status = self.replica.status(now);
+        let state = self.machine.state();
+        let members = state.members.values();
+        SystemStatus {
+            cluster: status.cluster.map(hex).unwrap_or_default(),
+            revision: state.revision,
+            leader: self.leader_address().unwrap_or_default(),
+            term: status.term,
+            commit: status.commit,
+            replicas: self.replicas(&status),
+            next_loss_safe,
+            instances: members.map(|member| self.instance(member, now)).collect(),
+        }
+    }
+
     fn instance(&self, member: &Member, now: Instant) -> InstanceStatus {
         let mut status = InstanceStatus {
             instance: member.instance.clone(),
--- a/crates/zinniastall-control/src/rpc/operators.rs
+++ b/crates/zinniastall-control/src/rpc/operators.rs
@@ -153,9 +153,11 @@
     }
 
     async fn status(&self, _: Request<api::StatusRequest>) -> Answer<api::SystemStatus> {
-        Ok(Response::new(
-            self.control.send(Health).await.map_err(gone)?,
-        ))
+        let later = self.control.send(Health).await.map_err(gone)?;
+        let status = later
+            .await
+            .map_err(|_| Status::unavailable("the replica stops"))?;
+        Ok(Response::new(status))
     }
 
     async fn instance(
--- a/crates/zinniastall-coord/src/replica/proposal.rs
+++ b/crates/zinniastall-coord/src/replica/proposal.rs
@@ -141,6 +141,38 @@
         Ok(confirmed && self.applied >= barrier.index)
     }
 
+    /// Returns how many voters may be lost at once without stopping the group or losing a change, by
+    /// what they answered since a barrier was made.
+    ///
+    /// [`Status::spare`](super::Status::spare) counts voters that were heard within an election
+    /// timeout. One that was lost a moment ago is among them, and an operator who took another one
+    /// down on that word would stop the group. Zero here may mean that answers are still on their way:
+    /// ask again while there is time.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NotLeader`] when the leader that made the barrier leads no more.
+    pub fn spare_since(&self, barrier: &Barrier) -> Result<usize, Refusal> {
+        let Role::Leader(leader) = &self.role else {
+            return Err(self.not_leader());
+        };
+        if self.hard.term != barrier.term {
+            return Err(self.not_leader());
+        }
+        if self.history.index() > self.commit {
+            return Ok(0);
+        }
+        let voters = self.history.current();
+        let is_whole = |id: &Id| {
+            let answered = |progress: &Progress| {
+                progress.round >= barrier.round && progress.matched >= barrier.index
+            };
+            *id == self.id || leader.peers.get(id).is_some_and(answered)
+        };
+        let whole = voters.voters.keys().filter(|id| is_whole(id)).count();
+        Ok(whole.saturating_sub(voters.majority()))
+    }
+
     fn leading(&self) -> Result<&Leader, Refusal> {
         match &self.role {
             Role::Leader(leader) if leader.handover.is_some() => Err(Refusal::Transferring),
--- a/crates/zinniastall-coord/src/replica/status.rs
+++ b/crates/zinniastall-coord/src/replica/status.rs
@@ -65,7 +65,8 @@
 impl Status {
     /// Returns how many voters may be lost at once without stopping the group or losing a change.
     ///
-    /// Counts the voters that answer and hold every committed entry, less a majority. It is known
+    /// Counts the voters that were heard within an election timeout and hold every committed entry, less
+    /// a majority; [`Replica::spare_since`](super::Replica::spare_since) asks anew. It is known
     /// on a leader only, and zero while a change of voters isn't committed: an operator who repairs
     /// a group waits until it is above zero before the next loss is safe.
     pub fn spare(&self) -> usize {
--- a/crates/zinniastall-coord/tests/replica.rs
+++ b/crates/zinniastall-coord/tests/replica.rs
@@ -337,6 +337,27 @@
     }
 );
 
+// Both others answered a moment ago, and one of them is lost now. Who asks whether another one may
+// be taken down must be told no, although the lost one was heard within the election timeout.
+case!(
+    a_spare_voter_has_answered_since,
+    Bench::elected(),
+    |bench| {
+        let outcome = Outcome::Accepted { matched: 3 };
+        let round = bench.round;
+        bench.hear(3, 3, Body::AppendAnswer { round, outcome });
+        bench.acknowledge(3);
+        assert_eq!(bench.replica.status(bench.now).spare(), 1);
+        let barrier = bench.replica.barrier(bench.now).unwrap();
+        bench.drain();
+        bench.acknowledge(3);
+        assert_eq!(bench.replica.spare_since(&barrier), Ok(0));
+        let (round, outcome) = (bench.round, Outcome::Accepted { matched: 3 });
+        bench.hear(3, 3, Body::AppendAnswer { round, outcome });
+        assert_eq!(bench.replica.spare_since(&barrier), Ok(1));
+    }
+);
+
 case!(proposals_are_bounded, Bench::elected(), |bench| {
     let large = bench.replica.propose(vec![0; 101], bench.now);
     assert_eq!(
--- a/tests/tests/control_group.rs
+++ b/tests/tests/control_group.rs
@@ -218,6 +218,24 @@
     Ok(())
 }
 
+/// A control instance stops answering, and a moment later an operator asks whether the next one may
+/// be taken down. Told yes, the operator would stop the group: the answer must come from what
+/// the others say after the question, and not from what they said before.
+#[actix_rt::test]
+async fn the_next_loss_is_not_safe_right_after_one() -> Result<()> {
+    let mut cluster = group(3).start().await?;
+    let leader = cluster.leader().await?;
+    let names: Vec<String> = cluster.controls().map(|node| node.name().into()).collect();
+    for name in names.iter().filter(|name| **name != leader) {
+        cluster.next_loss_safe(true).await?;
+        cluster.control(name)?.process().freeze()?;
+        let status = cluster.ctl(&["status"]).await?.json()?;
+        cluster.control(name)?.process().thaw()?;
+        assert_eq!(status["next_loss_safe"], false, "{status}");
+    }
+    cluster.next_loss_safe(true).await
+}
+
 /// Two of five control instances are cut off, a change is accepted by the other three, and the
 /// leader's disk is lost. Then the sides change: the empty disk sees only the two that never heard of
 /// the change. If it counted as the replica that it was, these three would be a majority and the
