--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -50,7 +50,7 @@
     vouch::Vouch,
     write::Write,
 };
-use self::{read::Reads, vouch::Vouches, waiting::Waiting, write::Settling};
+use self::{read::Reads, status::Questions, vouch::Vouches, waiting::Waiting, write::Settling};
 use crate::{
     disk::{Disk, Done, Work},
     links::Card,
@@ -80,6 +80,7 @@
     settling: Vec<Settling>,
     reads: Reads,
     vouches: Vouches,
+    questions: Questions,
     confirmed: Confirmed,
     joining: IndexMap<String, Instant>,
     orders: Option<Orders>,
@@ -167,6 +168,7 @@
             settling: Vec::new(),
             reads: Reads::default(),
             vouches: Vouches::new(settings.timing.election),
+            questions: Questions::default(),
             confirmed: Confirmed::default(),
             joining: IndexMap::new(),
             orders: None,
@@ -192,6 +194,7 @@
         self.publish();
         self.check_part(now);
         self.check_reads(now);
+        self.check_questions(now);
     }
 
     fn perform(&mut self, mut ready: Ready, now: Instant) {
