fix(route): bring traffic back step by step after a time without targets

Cause: the gate moved only while both sides had a cost. When a zone's targets were killed everything left without it, so it was still shut when they came back, idle, cheap and cold, and everything returned with the next request. A pure test of the gate's steps could not see that.

Ruled out: opening the gate also when a request has failed at the only target here: one lost connection would have sent a zone's traffic away for a second. That case is told apart now.

Change: a request that finds no target here opens the gate wholly, and from then on its share goes elsewhere whatever it costs here, until the gate has closed by steps.

Tests: cold::traffic_returns_to_a_cold_zone_step_by_step with real processes, passes in 5.4 s; without the change "0 went elsewhere". choice::traffic_returns_to_targets_that_were_away_step_by_step; without it "0 with 9 steps left".

--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -11,7 +11,7 @@
     load::{Report, Table},
     policy::Policy,
     request::Request,
-    spill::Remote,
+    spill::{Local, Remote},
 };
 use zinniastall_wire::gossip;
 
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(super) struct Candidates<'a> {
     all: Vec<Candidate<'a>>,
+    /// Whether any target serves, also those that have failed the request.
+    any: bool,
 }
 
 impl<'a> Candidates<'a> {
@@ -39,10 +41,12 @@
         now: Instant,
     ) -> Self {
         let mut all = serving(view, &request.subject, table, now);
+        let any = !all.is_empty();
         all.retain(|candidate| !tried.iter().any(|target| target == candidate.target));
         prefer_version(view, request, &mut all);
         Self {
             all: without_ejected(all, policy, now),
+            any,
         }
     }
 
@@ -97,11 +101,15 @@
         }
     }
 
-    /// Returns the least cost of serving here once there is room, in milliseconds.
-    pub(super) fn cheapest(&self, policy: &Policy, prefixes: &[u64], now: Instant) -> Option<f64> {
+    /// Returns the least cost of serving here once there is room.
+    pub(super) fn cheapest(&self, policy: &Policy, prefixes: &[u64], now: Instant) -> Local {
         let costs = self.all.iter();
         let costs = costs.map(|candidate| choose::cost(policy, prefixes, candidate.load, now));
-        costs.min_by(f64::total_cmp)
+        match costs.min_by(f64::total_cmp) {
+            Some(cost) => Local::Cost(cost),
+            None if self.any => Local::Tried,
+            None => Local::None,
+        }
     }
 }
 
--- a/crates/zinniastall-entry/src/callers/admission/queues.rs
+++ b/crates/zinniastall-entry/src/callers/admission/queues.rs
@@ -71,9 +71,10 @@
         let cheapest = spill::cheapest(policy, here, &remotes, regions, found.service(), cold);
         let line = self.lines.entry(request.subject.clone()).or_default();
         let local = match found.cheapest(policy, &request.prefixes, now) {
-            None => Local::None,
-            Some(cost) if direct => Local::Cost(cost),
-            Some(cost) => Local::Cost(cost + policy.wait_cost(line.wait(found.pace()))),
+            Local::Cost(cost) if !direct => {
+                Local::Cost(cost + policy.wait_cost(line.wait(found.pace())))
+            }
+            local => local,
         };
         let random = &mut rand::rng();
         let place = line.gate.decide(local, cheapest, now, random)?.clone();
--- a/crates/zinniastall-route/src/spill.rs
+++ b/crates/zinniastall-route/src/spill.rs
@@ -5,6 +5,8 @@
 //! everything away the moment the balance tips, the other side would be flooded, the balance would
 //! tip back, and the traffic would return to caches that have gone cold meanwhile. A [`Gate`]
 //! therefore opens and closes step by step, and closes only once this side is cheaper by a margin.
+//! After a time without any target here it is wide open: what comes back is cold, looks idle and
+//! cheap, and would else get everything at once.
 
 use std::time::{Duration, Instant};
 
@@ -36,8 +38,10 @@
 /// What serving a request here would cost.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Local {
-    /// Nothing here can serve it.
+    /// Nothing here serves.
     None,
+    /// What serves here has failed this request already, which says nothing of others.
+    Tried,
     /// This much, in milliseconds.
     Cost(f64),
 }
@@ -47,6 +51,8 @@
 pub struct Gate {
     share: f64,
     moved: Option<Instant>,
+    /// Whether targets here are back after a time without any.
+    returning: bool,
 }
 
 impl Gate {
@@ -62,13 +68,26 @@
     ) -> Option<&'a Place> {
         let Some((remote, away)) = remote else {
             self.share = 0.0;
+            self.returning = false;
             return None;
         };
-        let Local::Cost(here) = local else {
-            return Some(&remote.place);
+        let here = match local {
+            Local::Cost(here) => here,
+            Local::Tried => return Some(&remote.place),
+            Local::None => {
+                self.leave(now);
+                return Some(&remote.place);
+            }
         };
         self.step(here, away, now);
-        (random.random::<f64>() < self.share && here > away).then_some(&remote.place)
+        let cheaper = here > away || self.returning;
+        (cheaper && random.random::<f64>() < self.share).then_some(&remote.place)
+    }
+
+    fn leave(&mut self, now: Instant) {
+        self.share = 1.0;
+        self.returning = true;
+        self.moved = Some(now);
     }
 
     fn step(&mut self, here: f64, away: f64, now: Instant) {
@@ -76,15 +95,19 @@
         if !self.moved.is_none_or(due) {
             return;
         }
+        // Between the two costs a gate of targets that are back would stay open for no reason.
+        let margin = if self.returning { 1.0 } else { MARGIN };
         let step = if here > away {
             STEP
-        } else if here < away * MARGIN {
+        } else if here < away * margin {
             -STEP
         } else {
             return;
         };
         self.moved = Some(now);
         self.share = (self.share + step).clamp(0.0, 1.0);
+        // Ten steps of a tenth leave a rest of rounding.
+        self.returning &= self.share >= STEP / 2.0;
     }
 }
 
--- a/crates/zinniastall-route/tests/filters/choice.rs
+++ b/crates/zinniastall-route/tests/filters/choice.rs
@@ -229,6 +229,33 @@
     assert!(share(101.0, now) < 100);
 }
 
+// A zone's targets were killed and come back. They are idle and look cheaper than any other place,
+// and their caches are empty: with all requests at once every prompt would be prefilled in full.
+#[test]
+fn traffic_returns_to_targets_that_were_away_step_by_step() {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut gate = Gate::default();
+    let away = remote("athens/a", 100, 0);
+    let mut now = Instant::now();
+    gate.decide(Local::None, Some((&away, 100.0)), now, &mut random);
+    for left in (0..10).rev() {
+        now += Duration::from_millis(100);
+        let decisions = (0..400).map(|_| {
+            let local = Local::Cost(10.0);
+            gate.decide(local, Some((&away, 100.0)), now, &mut random)
+        });
+        let gone = decisions.flatten().count();
+        assert!(
+            gone.abs_diff(left * 40) < 40,
+            "{gone} with {left} steps left"
+        );
+    }
+    // One request that has failed at what is here does not open the gate for others.
+    gate.decide(Local::Tried, Some((&away, 100.0)), now, &mut random);
+    let next = gate.decide(Local::Cost(10.0), Some((&away, 100.0)), now, &mut random);
+    assert_eq!(next, None);
+}
+
 #[test]
 fn without_targets_everything_leaves_at_once() {
     let mut random = StdRng::seed_from_u64(SEED);
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -4,6 +4,7 @@
 //! told, so that "not run", "at most once" and "whole" are counted instead of assumed.
 
 mod calls;
+mod cold;
 mod drain;
 mod forward;
 mod loss;
