perf(route): keep prefixes at their home where costs tie, and price what a miss evicts

Equal costs were drawn at random, so that a prompt that was cached nowhere made a copy wherever it fell; a miss was priced at its own prefill although it evicts blocks that will have to be prefilled again; and what others had in progress was one late report less the own requests of now, which is mostly noise.

Change: among equal costs the prompt's home wins; a cached block weighs twice its prefill by default (`policy.weights.cache`, as before a setting); requests of others are a mean over reports.

--- a/crates/zinniastall-route/src/choose.rs
+++ b/crates/zinniastall-route/src/choose.rs
@@ -102,7 +102,12 @@
     let equal = few.into_iter().zip(costs);
     let equal = equal.filter(|(_, cost)| *cost <= least * TIE + TIE_MILLIS);
     let equal: Vec<_> = equal.map(|(candidate, _)| candidate).collect();
-    equal.choose(random).copied()
+    // Where no target is better, all instances agree on one, and the others' caches stay as they are.
+    let home = prefixes.first().and_then(|first| home(candidates, *first));
+    let at_home =
+        |candidate: &&&Candidate<'_>| home.is_some_and(|home| home.target == candidate.target);
+    let chosen = equal.iter().find(at_home);
+    chosen.or_else(|| equal.choose(random)).copied()
 }
 
 /// Returns the targets that a prompt's prefix belongs to, unless they have too much to do.
--- a/crates/zinniastall-route/src/load.rs
+++ b/crates/zinniastall-route/src/load.rs
@@ -24,6 +24,9 @@
 const LATE: Duration = Duration::from_secs(2);
 /// Weight of the newest value in a mean.
 const NEWEST: f64 = 0.1;
+/// Weight of the newest report in the mean of what others have in progress. A report is late and own
+/// requests are counted to the moment, so that a single difference of the two is mostly noise.
+const REPORTED: f64 = 0.3;
 /// Time of a request while nothing at all is known.
 const UNKNOWN: f64 = 0.2;
 /// Share by which each answer of another target moves a target's mean towards the common one. A
@@ -196,7 +199,8 @@
     fn update(&mut self, report: &Report, now: Instant) {
         self.sequence = report.sequence;
         self.slots = report.slots.max(1);
-        self.others = f64::from(report.busy.saturating_sub(self.in_flight));
+        let others = f64::from(report.busy.saturating_sub(self.in_flight));
+        self.others += (others - self.others) * REPORTED;
         self.heard = report.heard;
         self.price = report.price;
         self.cached = report.prefixes.iter().copied().collect();
--- a/crates/zinniastall-route/src/policy.rs
+++ b/crates/zinniastall-route/src/policy.rs
@@ -41,7 +41,8 @@
 pub struct Weights {
     /// A millisecond of expected wait.
     pub wait: f64,
-    /// A millisecond of prefill for blocks that the target has not cached.
+    /// A millisecond of prefill for blocks that the target has not cached. They also take the place
+    /// of others in its cache, whose next request pays for that.
     pub cache: f64,
     /// A millisecond of the cost of crossing a border.
     pub border: f64,
@@ -53,7 +54,7 @@
     fn default() -> Self {
         Self {
             wait: 1.0,
-            cache: 1.0,
+            cache: 2.0,
             border: 1.0,
             price: 0.1,
         }
