--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -10,10 +10,10 @@
     time::{Duration, Instant},
 };
 
-use actix_web::{App, HttpServer, dev::ServerHandle};
+use actix_web::dev::ServerHandle;
 use indexmap::IndexMap;
 use zinniastall_entry::{
-    callers::{Service, settings::Callers},
+    callers::{Service, server, settings::Callers},
     settings::{Entry, Limits},
     view::{Board, Target, View},
 };
@@ -33,6 +33,8 @@
     r#"{"model":"map-labels","messages":[{"role":"user","content":"room"}]}"#;
 /// Longest wait of a read in a test.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between the parts of an answer, so that each is likely to be relayed by itself.
+const PAUSE: Duration = Duration::from_millis(200);
 
 /// An instance's callers' interface.
 pub(crate) struct Bench {
@@ -73,15 +75,9 @@
         let board = Board::new(view(targets));
         let hub = Hub::start("test", None).unwrap();
         let service = Service::new(board.clone(), hub, limits, &settings.callers);
-        let server = HttpServer::new(move || App::new().configure(|c| service.configure(c)))
-            .workers(1)
-            .client_request_timeout(Duration::from_millis(700))
-            .h1_allow_half_closed(false)
-            .disable_signals()
-            .bind("127.0.0.1:0")
-            .unwrap();
-        let address = server.addrs()[0];
-        let server = server.run();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = server::start(&service, listener, 1, Duration::from_secs(30)).unwrap();
         let handle = server.handle();
         actix_web::rt::spawn(server);
         Self {
@@ -91,6 +87,22 @@
         }
     }
 
+    /// Puts a changed configuration in force.
+    pub(crate) fn apply(&self, object: Object) {
+        let mut view = (*self.board.view()).clone();
+        let mut state = view.state.as_deref().cloned().unwrap_or_default();
+        apply(&mut state, object);
+        view.state = Some(Arc::new(state));
+        self.board.publish(view);
+    }
+
+    /// Takes the configuration away, as an instance is without one that isn't listed any more.
+    pub(crate) fn unlist(&self) {
+        let mut view = (*self.board.view()).clone();
+        view.state = None;
+        self.board.publish(view);
+    }
+
     /// Sends raw bytes and reads until the connection closes or falls silent.
     pub(crate) async fn raw(&self, bytes: Vec<u8>) -> String {
         let address = self.address;
@@ -137,7 +149,7 @@
     }
 }
 
-fn view(targets: &[SocketAddr]) -> View {
+pub(crate) fn view(targets: &[SocketAddr]) -> View {
     let place = Place::new("patras", "a");
     let names = targets.iter().enumerate();
     let targets = names.map(|(number, address)| {
@@ -202,40 +214,50 @@
     };
     let model = || Subject::Model("map-labels".into());
     let service = || Subject::Service("portal".into());
-    let client = Client {
-        id: "maps".into(),
-        keys: vec![blake3::hash(KEY.as_bytes()).to_hex().to_string()],
-        weight: 1,
-        withdrawn: false,
-    };
     let map_labels = Model {
         id: "map-labels".into(),
         version: "1".into(),
         weights: "map-labels-1".into(),
     };
     let objects = [
-        Object::Client(client),
+        Object::Client(client(KEY)),
         Object::Model(map_labels),
         route("chat", "/v1/chat/completions", model(), true),
         route("proofs", "/proofs", service(), true),
         route("orders", "/orders", service(), false),
     ];
     for object in objects {
-        let answer = state.apply(&Change {
-            origin: None,
-            expected: None,
-            body: Body::Apply(object),
-        });
-        assert!(matches!(answer, Answer::Done { .. }), "{answer:?}");
+        apply(&mut state, object);
     }
     state
 }
 
+/// The client that every bench knows, with this key.
+pub(crate) fn client(key: &str) -> Client {
+    Client {
+        id: "maps".into(),
+        keys: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
+        weight: 1,
+        withdrawn: false,
+    }
+}
+
+fn apply(state: &mut State, object: Object) {
+    let answer = state.apply(&Change {
+        origin: None,
+        expected: None,
+        body: Body::Apply(object),
+    });
+    assert!(matches!(answer, Answer::Done { .. }), "{answer:?}");
+}
+
 /// What a scripted target does with a request once it has read it.
 #[derive(Debug, Clone)]
 pub(crate) enum Script {
     /// Writes these bytes and closes the connection.
     Write(&'static str),
+    /// Writes these parts with a pause between them and closes the connection.
+    Parts(Vec<String>),
     /// Writes these bytes after a while and closes the connection.
     Late(Duration, &'static str),
     /// Writes an answer without end, as fast as it is taken, and counts its bytes.
@@ -288,6 +310,12 @@
     }
     let number = ran.fetch_add(1, Ordering::SeqCst);
     match &scripts[number.min(scripts.len() - 1)] {
+        Script::Parts(parts) => {
+            for part in parts {
+                let _ = stream.write_all(part.as_bytes());
+                std::thread::sleep(PAUSE);
+            }
+        }
         Script::Late(pause, answer) => {
             std::thread::sleep(*pause);
             let _ = stream.write_all(answer.as_bytes());
