--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -5,6 +5,7 @@
 
 mod border;
 mod calls;
+mod cold;
 mod drain;
 mod forward;
 mod frames;
