fix(entry): a shutdown waits until forwarded answers have arrived

Cause: a forwarded request counted as ended once its last frame was handed to the link. An instance that was asked to end then closed the link, and what was still on its way over a slow network was lost: a request in progress was cut by a graceful shutdown. Found by a test with a link of 48 KiB/s. Ruled out: counting itself (the receiver's count carries terminated_receiver_cuts_no_answer: without it tokens and end are missing); at the sender the server's graceful stop holds the answer even without the count, so that test is not shown failing by one trial. Change: the sender acknowledges End and Failed with a Credit of 0 bytes as soon as it has read them; the receiver's count ends then, or after three seconds without any credit. Before: terminated_receiver_waits_for_a_slow_link 'cut after 158 bytes'. The systems of two regions linger 200 ms like those of one zone, so that a test with tickets does not wait 10 s for it.

--- a/crates/zinniastall-entry/src/callers/forward/credit.rs
+++ b/crates/zinniastall-entry/src/callers/forward/credit.rs
@@ -2,7 +2,9 @@
 
 use std::cell::Cell;
 
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
+
+use super::SILENCE;
 
 /// How much of an answer its sender may still send.
 ///
@@ -11,6 +13,8 @@
 #[derive(Debug)]
 pub(super) struct Credit {
     bytes: Cell<u64>,
+    /// Whether the other end has read the end of the answer.
+    delivered: Cell<bool>,
     more: Notify,
 }
 
@@ -18,16 +22,27 @@
     pub(super) fn new(bytes: u64) -> Self {
         Self {
             bytes: Cell::new(bytes),
+            delivered: Cell::new(false),
             more: Notify::new(),
         }
     }
 
-    /// Adds what the reader has taken.
+    /// Adds what the reader has taken; nothing means that the end of the answer has arrived.
     pub(super) fn add(&self, bytes: u64) {
+        self.delivered.set(self.delivered.get() || bytes == 0);
         self.bytes.set(self.bytes.get().saturating_add(bytes));
         self.more.notify_one();
     }
 
+    /// Waits until the end of the answer has arrived, as long as the other end shows life.
+    pub(super) async fn delivered(&self) {
+        while !self.delivered.get() {
+            if timeout(SILENCE, self.more.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Takes up to `wanted` bytes, and waits until there is at least one.
     pub(super) async fn take(&self, wanted: u64) -> u64 {
         while self.bytes.get() == 0 {
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -129,8 +129,11 @@
         let Frame::Stream(message) = frame else {
             return;
         };
-        let streams = mux.streams.borrow();
-        if let Some(stream) = streams.get(&message.stream()) {
+        let stream = message.stream();
+        if matches!(message, Message::End { .. } | Message::Failed { .. }) {
+            mux.send(Message::Credit { stream, bytes: 0 });
+        }
+        if let Some(stream) = mux.streams.borrow().get(&stream) {
             drop(stream.send(message));
         }
     }
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -202,6 +202,9 @@
     };
     // A broken link tells its other end by itself.
     drop(out.send(last).await);
+    // The rest of the answer may be on its way over a slow link for seconds. A shutdown that did not
+    // wait for it would close the link under it, and a request in progress would be cut after all.
+    credit.delivered().await;
 }
 
 async fn run(
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -54,11 +54,11 @@
         /// Stream.
         stream: Stream,
     },
-    /// The receiver of the answer can take more.
+    /// The receiver of the answer can take more; without bytes, its end has arrived.
     Credit {
         /// Stream.
         stream: Stream,
-        /// Further bytes.
+        /// Further bytes; 0 acknowledges [`Message::End`] or [`Message::Failed`].
         bytes: u64,
     },
 }
--- a/tests/tests/path/forward.rs
+++ b/tests/tests/path/forward.rs
@@ -13,16 +13,23 @@
 };
 
 use super::support::{
-    CLIENT, KEY, MODEL, System, ask, ask_once, chat, configure, error, expected, runs, ticket,
+    CLIENT, KEY, MODEL, System, ask, ask_once, chat, configure, error, expected, linger, runs,
+    ticket,
 };
 
 /// Starts two regions; only the far one has an engine.
 pub(crate) async fn regions() -> Result<System> {
+    regions_with(json!({"engine": {"token_us": 20_000}}), json!({})).await
+}
+
+/// The same, with settings of the engine and settings put over those of the entry instances.
+pub(crate) async fn regions_with(engine: Value, entry: Value) -> Result<System> {
     let builder = Cluster::builder()
         .zone("patras", "a", 1)
-        .zone("athens", "a", 1);
+        .zone("athens", "a", 1)
+        .entry(linger())
+        .entry(entry);
     let mut cluster = System::start(builder).await?;
-    let engine = json!({"engine": {"token_us": 20_000}});
     cluster
         .engine("engine-1", ("athens", "a"), MODEL, engine)
         .await?;
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod drain;
 mod forward;
+mod forwarded;
 mod frames;
 mod hops;
 mod loss;
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -58,8 +58,13 @@
 
 /// Starts one zone with two entry instances and engines that have these settings.
 pub(crate) async fn zone(engines: &[Value]) -> Result<System> {
-    // Instances that have used tickets linger when they stop; a test need not wait for that.
-    zone_with(engines, json!({"tickets": {"linger_ms": 200}})).await
+    zone_with(engines, linger()).await
+}
+
+/// Returns settings of entry instances that have used tickets and linger for a moment only when they
+/// stop; a test need not wait for that.
+pub(crate) fn linger() -> Value {
+    json!({"tickets": {"linger_ms": 200}})
 }
 
 /// The same, with settings put over those of the entry instances.
