--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod drain;
 mod forward;
+mod forwarded;
 mod frames;
 mod hops;
 mod loss;
