feat(spread): regions tell each other one fact a model and role

Cause: at the target size facts that all change each second would cost a node 97.9 KB/s of a budget of 17 KB/s, since every zone told every other one its capacity for every model.

Ways weighed: the sum over a region's zones (a request could not be sent by it, since none goes on from where it arrived); all zones of the region in one fact (saves names only); the zone that has most, by name (chosen). Longer quiet times alone would have cut the cost by the same factor everywhere, also in the own region, where spill pays most.

Change: a zone's capacity stays in its region. The first zone's speaker names the region's best zone for each model and role abroad; it rests for five intervals unless the named zone fills up or is lost, which is told at once. What is summed up must be younger than half of the horizon, so that the new maker doesn't vouch for a lost zone, and a zone without doors isn't offered, so that its own word bounds the spill. A region's facts have a maker of their own: renewals of the zone's facts go by other zones, and in a first try (one maker) vouched for a region's word that had been withdrawn.

Conclusion: the cost no longer grows with zones times models, but with regions times models.

--- a/crates/zinniastall-coord/src/digest/overlay.rs
+++ b/crates/zinniastall-coord/src/digest/overlay.rs
@@ -54,7 +54,30 @@
     pub group: &'a str,
 }
 
-/// Tells whether an instance passes a fact on.
+/// Where a fact matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Everywhere.
+    Everywhere,
+    /// In the region of the group that it is about.
+    Region,
+    /// In other regions; the group that it is about hands it out for its region.
+    Abroad,
+}
+
+impl Scope {
+    /// Tells whether a fact matters to the group at the other end of a link.
+    pub fn admits(self, own: Site<'_>, about: Site<'_>, to: Site<'_>) -> bool {
+        match self {
+            Self::Everywhere => true,
+            Self::Region => to.region == about.region,
+            // The second speaker of the group that hands it out needs it as well.
+            Self::Abroad => to.region != about.region || (to == own && own == about),
+        }
+    }
+}
+
+/// Tells whether an instance passes a fact on, wherever it matters.
 ///
 /// `own` is where the instance is, `about` the group that the fact is about, `from` where it came
 /// from (`own` when it was made there) and `to` the other end of the link.
--- a/crates/zinniastall-coord/tests/digest.rs
+++ b/crates/zinniastall-coord/tests/digest.rs
@@ -322,3 +322,28 @@
     foreign_facts_go_to_no_third_region:
         about ("patras", "a"), from ("patras", "a"), to ("nantes", "a") => false;
 }
+
+macro_rules! admitting {
+    ($($name:ident: $scope:ident of $about:expr, to $to:expr => $admits:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let site = |(region, group)| overlay::Site { region, group };
+            let own = site(("athens", "a"));
+            let admits = overlay::Scope::$scope.admits(own, site($about), site($to));
+            assert_eq!(admits, $admits);
+        }
+    )*};
+}
+
+// An instance of athens/a. A group's own facts would cost every region zones times models; what the
+// region sums up is of no use to the region itself, which knows its groups one by one.
+admitting! {
+    summed_up_goes_abroad: Abroad of ("athens", "a"), to ("patras", "a") => true;
+    summed_up_goes_to_the_second_speaker: Abroad of ("athens", "a"), to ("athens", "a") => true;
+    summed_up_stays_out_of_its_region: Abroad of ("athens", "a"), to ("athens", "b") => false;
+    summed_up_reaches_foreign_groups: Abroad of ("patras", "a"), to ("athens", "b") => true;
+    single_goes_to_the_region: Region of ("athens", "b"), to ("athens", "a") => true;
+    single_stays_in_its_region: Region of ("athens", "a"), to ("patras", "a") => false;
+    single_is_of_no_use_abroad: Region of ("patras", "a"), to ("athens", "b") => false;
+    doors_go_everywhere: Everywhere of ("athens", "a"), to ("patras", "a") => true;
+}
--- a/crates/zinniastall-entry/examples/slopes/case.rs
+++ b/crates/zinniastall-entry/examples/slopes/case.rs
@@ -70,6 +70,10 @@
     pub(crate) memory: f64,
     /// Time until all knew all, in seconds.
     pub(crate) converged: f64,
+    /// Age of the facts about other zones that are held, in seconds: median, and 99 in 100.
+    pub(crate) age: [f64; 2],
+    /// Share of the facts that are expected and known, the least over the time.
+    pub(crate) known: f64,
 }
 
 impl FromStr for Case {
@@ -117,7 +121,11 @@
         let converged = started.elapsed();
         self.go_on(&nodes, &mut round, SETTLE).await;
         let (counts, processor, at) = (counts(&nodes), usage::processor(), Instant::now());
-        self.go_on(&nodes, &mut round, SPAN).await;
+        let mut ages = Ages::default();
+        while at.elapsed() < SPAN {
+            self.announce(&nodes, &mut round).await;
+            ages.note(&nodes, self.facts());
+        }
         let span = at.elapsed().as_secs_f64();
         let used = usage::processor().saturating_sub(processor).as_secs_f64();
         let after = self::counts(&nodes);
@@ -133,6 +141,8 @@
             processor: used / span / number * 100.0,
             memory: float64(usage::memory().saturating_sub(empty)) / number / 1_024.0,
             converged: converged.as_secs_f64(),
+            age: [ages.quantile(0.5), ages.quantile(0.99)],
+            known: ages.known,
         })
     }
 
@@ -169,11 +179,7 @@
     }
 
     fn converged(self, nodes: &[Node]) -> bool {
-        let facts = if self.targets == 0 {
-            0
-        } else {
-            self.models * (self.zones - 1)
-        };
+        let facts = self.facts();
         nodes.iter().all(|node| {
             let view = node.board.view();
             let near = view.peers.values().filter(|peer| peer.place == node.place);
@@ -183,6 +189,21 @@
         })
     }
 
+    /// Returns how many facts about other zones an instance is to know.
+    const fn facts(self) -> usize {
+        if self.targets == 0 {
+            return 0;
+        }
+        // Its own region's other zones one by one, and each other region.
+        let near = if self.zones < ZONES_A_REGION {
+            self.zones
+        } else {
+            ZONES_A_REGION
+        };
+        let regions = self.zones.div_ceil(ZONES_A_REGION);
+        self.models * (near - 1 + regions - 1)
+    }
+
     /// Announces all targets once, spread over a second.
     async fn announce(self, nodes: &[Node], round: &mut u64) {
         const STEPS: usize = 10;
@@ -206,6 +227,49 @@
     }
 }
 
+/// How old the facts are that instances hold, in seconds.
+#[derive(Debug)]
+struct Ages {
+    seen: Vec<f64>,
+    known: f64,
+}
+
+impl Default for Ages {
+    fn default() -> Self {
+        Self {
+            seen: Vec::new(),
+            known: 1.0,
+        }
+    }
+}
+
+impl Ages {
+    fn note(&mut self, nodes: &[Node], expected: usize) {
+        let now = Instant::now();
+        for digests in nodes.iter().map(|node| node.board.view().digests.clone()) {
+            let age = |made: Instant| now.saturating_duration_since(made).as_secs_f64();
+            self.seen
+                .extend(digests.iter().map(|digest| age(digest.made)));
+            let share = float(digests.len()) / float(expected.max(1));
+            if expected > 0 {
+                self.known = self.known.min(share);
+            }
+        }
+    }
+
+    fn quantile(&mut self, share: f64) -> f64 {
+        self.seen.sort_by(f64::total_cmp);
+        let last = self.seen.len().saturating_sub(1);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share of a length is an index"
+        )]
+        let at = (float(last) * share) as usize;
+        self.seen.get(at).copied().unwrap_or_default()
+    }
+}
+
 /// Returns bytes and messages sent so far, by node.
 fn counts(nodes: &[Node]) -> Vec<(f64, f64)> {
     let count = |node: &Node| {
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -96,7 +96,7 @@
             atlas: Atlas::new(place.clone(), now),
             targets: Table::new(settings.lease),
             renewals: Renewals::default(),
-            digests: Digests::new(own, run, place, settings.digest, now),
+            digests: Digests::new(&own, run, place, settings.digest, now),
             bucket: Bucket::new(settings.bytes_per_second, now),
             published: Arc::default(),
             serving: IndexMap::new(),
--- a/crates/zinniastall-entry/src/spread/atlas.rs
+++ b/crates/zinniastall-entry/src/spread/atlas.rs
@@ -127,7 +127,7 @@
     }
 
     /// Tells whether the own zone is the first of its region's zones that are heard.
-    fn is_first(&self) -> bool {
+    pub fn is_first(&self) -> bool {
         let heard = self.zones.iter().filter(|(_, zone)| zone.fresh);
         let mut near = heard.filter(|(place, _)| place.region == self.own.region);
         near.all(|(place, _)| self.own < *place)
--- a/crates/zinniastall-entry/src/spread/capacity.rs
+++ b/crates/zinniastall-entry/src/spread/capacity.rs
@@ -1,5 +1,7 @@
 //! Sums the zone's targets up into what other zones are told.
 
+use std::cmp::Reverse;
+
 use indexmap::IndexMap;
 use zinniastall_model::{id, object::Subject};
 use zinniastall_wire::gossip::Capacity;
@@ -15,6 +17,9 @@
 /// Capacity by subject and role.
 pub type Sums = IndexMap<(Subject, String), Capacity>;
 
+/// Capacities of a region's zones by subject and role.
+pub type Zones = IndexMap<(Subject, String), Vec<(id::Zone, Capacity)>>;
+
 /// Sums targets up.
 pub fn sum(targets: &IndexMap<id::Target, Target>) -> Sums {
     let mut sums = Sums::new();
@@ -48,11 +53,35 @@
     sums
 }
 
+/// Chooses the zone that a region names: the one with most slots free, or the shortest wait.
+///
+/// The one named before stays while it has a free slot and, once `settled`, isn't behind by a step.
+/// The name would otherwise change with every request, and each change is told to all regions.
+pub fn best(
+    named: Option<&id::Zone>,
+    settled: bool,
+    zones: Vec<(id::Zone, Capacity)>,
+) -> Option<(id::Zone, Capacity)> {
+    let order = |(_, capacity): &(id::Zone, Capacity)| (capacity.free, Reverse(capacity.wait_ms));
+    let top = zones.iter().max_by_key(|zone| order(zone))?.clone();
+    let named = zones.into_iter().find(|(zone, _)| named == Some(zone));
+    let stays = |(_, held): &(id::Zone, Capacity)| {
+        let usable = held.free > 0 || top.1.free == 0;
+        let behind = top.1.free.saturating_sub(held.free);
+        usable && (!settled || behind < step(&top.1))
+    };
+    Some(named.filter(stays).unwrap_or(top))
+}
+
+const fn step(capacity: &Capacity) -> u32 {
+    let step = capacity.slots / STEPS;
+    if step == 0 { 1 } else { step }
+}
+
 /// Tells whether a capacity is close enough to what was told last.
 pub fn near(told: &Capacity, now: &Capacity) -> bool {
-    let step = (now.slots / STEPS).max(1);
     let same_slots = told.slots == now.slots;
-    let same_free = told.free.abs_diff(now.free) < step && (told.free == 0) == (now.free == 0);
+    let same_free = told.free.abs_diff(now.free) < step(now) && (told.free == 0) == (now.free == 0);
     let same_wait = told.wait_ms.abs_diff(now.wait_ms) <= told.wait_ms / 2;
     let same_price = (told.price - now.price).abs() <= told.price * 0.05;
     same_slots && same_free && same_wait && same_price
--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -1,141 +1,106 @@
-//! What zones say of themselves: made here when this instance speaks for its zone, passed on, read.
+//! What zones and regions say of themselves: taken in, passed on, read.
 
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use zinniastall_coord::digest::{Author, Outbox, Table, overlay};
-use zinniastall_model::{id, place::Place};
-use zinniastall_wire::gossip::{self, Capacity, Fact, Item, News, Peer, Topic};
+use zinniastall_coord::digest::{Fresh, Outbox, Table, overlay};
+use zinniastall_model::{id, object::Subject, place::Place};
+use zinniastall_wire::gossip::{self, Fact, Item, Maker, News, Peer, Topic};
 
 use super::{
-    capacity::{near, sum},
+    capacity::{Zones, sum},
     lines::Line,
+    speaker::{Knowledge, Speaker, Voice},
 };
 use crate::view;
 
-/// Most instances by which a zone says it is reached.
-const DOORS: usize = 6;
-/// Steps in which a zone tells the load of its instances, in thousandths.
-const LOAD_STEP: u32 = 250;
-/// Steps in which a zone tells how long its instances have been up, in milliseconds.
-const UP_STEP: u64 = 5_000;
-
-/// Intervals that a capacity stays as told, unless its last free slot goes or its first comes.
-const QUIET: u32 = 2;
-
 /// A link on which facts are passed on.
 #[derive(Debug)]
 struct Path {
     to: Place,
-    outbox: Outbox<Topic, id::Instance>,
+    outbox: Outbox<Topic, Maker>,
+}
+
+/// Where a maker is, and whether its facts come over a border between regions, and not by the own
+/// region.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Source {
+    about: Place,
+    direct: bool,
 }
 
 /// Facts about zones.
 #[derive(Debug)]
 pub struct Digests {
     place: Place,
-    author: Author<Topic, id::Instance, Fact>,
-    table: Table<Topic, id::Instance, Fact>,
+    speaker: Speaker,
+    table: Table<Topic, Maker, Fact>,
     boxes: IndexMap<Line, Path>,
-    /// Where each topic last came from.
-    origins: IndexMap<Topic, Place>,
-    /// The doors of each maker's zone; its renewals go where they go.
-    zones: IndexMap<id::Instance, Topic>,
-    /// When each capacity was told last.
-    told: IndexMap<Topic, Instant>,
-    leading: bool,
-    interval: Duration,
-    renewed: Instant,
+    /// Where each maker is and how its word comes: its facts and renewals go the same ways, or a renewal would vouch for a fact that has been replaced on another way.
+    sources: IndexMap<Maker, Source>,
+    horizon: Duration,
 }
 
 impl Digests {
     /// Creates an empty collection; a leader vouches for its zone's facts once an interval.
     pub fn new(
-        own: id::Instance,
+        own: &id::Instance,
         incarnation: id::Incarnation,
         place: Place,
         interval: Duration,
         now: Instant,
     ) -> Self {
+        let horizon = interval * 5;
         Self {
+            speaker: Speaker::new(own, incarnation, place.clone(), interval, now),
             place,
-            author: Author::new(own, incarnation),
-            table: Table::new(interval * 5),
+            table: Table::new(horizon),
             boxes: IndexMap::new(),
-            origins: IndexMap::new(),
-            zones: IndexMap::new(),
-            told: IndexMap::new(),
-            leading: false,
-            interval,
-            renewed: now,
+            sources: IndexMap::new(),
+            horizon,
         }
     }
 
-    /// Says what there is to say of the own zone, if this instance leads it.
+    /// Says what there is to say, if this instance speaks for anybody.
     pub fn speak(
         &mut self,
-        leading: bool,
-        zone: Vec<Peer>,
+        voice: Voice,
+        doors: Vec<Peer>,
         targets: &IndexMap<id::Target, view::Target>,
         now: Instant,
     ) {
-        if leading && !self.leading {
-            self.author.forget();
-        }
-        self.leading = leading;
-        if !leading {
-            return;
+        let knowledge = Knowledge {
+            doors,
+            own: sum(targets),
+            others: self.region(now),
+        };
+        let word = self.speaker.speak(voice, &knowledge, now);
+        for item in word.items {
+            self.learn(None, item, now);
         }
-        self.speak_doors(zone, now);
-        self.speak_capacity(targets, now);
-        if now.saturating_duration_since(self.renewed) >= self.interval {
-            self.renewed = now;
-            let renewal = self.author.renewal();
-            self.vouch(None, &renewal, now);
+        for renewal in &word.renewals {
+            self.vouch(None, renewal, now);
         }
     }
 
-    fn speak_doors(&mut self, zone: Vec<Peer>, now: Instant) {
-        let doors = zone.into_iter().take(DOORS).map(coarse).collect();
-        let topic = Topic::Doors(self.place.clone());
-        self.say(topic, Some(Fact::Doors(doors)), now);
-    }
-
-    fn speak_capacity(&mut self, targets: &IndexMap<id::Target, view::Target>, now: Instant) {
-        let mut said = IndexSet::new();
-        for ((subject, role), capacity) in sum(targets) {
-            let topic = Topic::Capacity(self.place.clone(), subject, role);
-            said.insert(topic.clone());
-            if self.worth(&topic, &capacity, now) {
-                self.told.insert(topic.clone(), now);
-                self.say(topic, Some(Fact::Capacity(capacity)), now);
+    /// Returns the capacities of the region's other zones. What is summed up gets a new maker who
+    /// vouches for it, so it has to be younger here than what is only passed on.
+    fn region(&self, now: Instant) -> Zones {
+        let mut zones = Zones::new();
+        for fresh in self.table.fresh(now) {
+            let (Topic::Capacity(place, subject, role), Fact::Capacity(capacity)) =
+                (fresh.key, fresh.value)
+            else {
+                continue;
+            };
+            let near = place.region == self.place.region && *place != self.place;
+            if near && now.saturating_duration_since(fresh.made) <= self.horizon / 2 {
+                let key = (subject.clone(), role.clone());
+                let zone = (place.zone.clone(), *capacity);
+                zones.entry(key).or_default().push(zone);
             }
         }
-        let capacity = |topic: &&Topic| matches!(topic, Topic::Capacity(..));
-        let gone = |topic: &&Topic| !said.contains(*topic);
-        let made = self.author.keys().filter(capacity);
-        for topic in made.filter(gone).cloned().collect::<Vec<_>>() {
-            self.told.swap_remove(&topic);
-            self.say(topic, None, now);
-        }
-    }
-
-    /// Tells whether a capacity is to be told: it differs enough from what was told last, and that
-    /// is not just now. Whether anything is free at all is told at once.
-    fn worth(&self, topic: &Topic, capacity: &Capacity, now: Instant) -> bool {
-        let Some(Fact::Capacity(told)) = self.author.value(topic) else {
-            return true;
-        };
-        let since = self.told.get(topic);
-        let young = since.is_some_and(|told| *told + self.interval * QUIET > now);
-        let turned = (told.free == 0) != (capacity.free == 0);
-        !near(told, capacity) && (turned || !young)
-    }
-
-    fn say(&mut self, topic: Topic, fact: Option<Fact>, now: Instant) {
-        if let Some(item) = self.author.make(topic, fact) {
-            self.learn(None, item, now);
-        }
+        zones
     }
 
     /// Sets the links on which facts are passed on, with the places of their other ends; one that is
@@ -149,11 +114,7 @@
             let outbox = Outbox::whole(
                 &self.table,
                 |topic| self.passes(topic, to),
-                |maker| {
-                    self.zones
-                        .get(maker)
-                        .is_some_and(|topic| self.passes(topic, to))
-                },
+                |maker| self.passes_renewal(maker, to),
             );
             let path = Path {
                 to: to.clone(),
@@ -163,11 +124,30 @@
         }
     }
 
-    /// Tells whether facts of a topic go to a place.
+    /// Tells whether a fact goes to a place.
     fn passes(&self, topic: &Topic, to: &Place) -> bool {
-        let from = self.origins.get(topic).unwrap_or(&self.place);
-        let about = topic.place();
-        overlay::passes(site(&self.place), site(about), site(from), site(to))
+        let maker = self.table.maker(topic);
+        maker.is_some_and(|maker| self.goes(scope(topic), maker, to))
+    }
+
+    /// Tells whether a maker's renewals go to a place.
+    fn passes_renewal(&self, maker: &Maker, to: &Place) -> bool {
+        let scope = if maker.region {
+            overlay::Scope::Abroad
+        } else {
+            overlay::Scope::Everywhere
+        };
+        self.goes(scope, maker, to)
+    }
+
+    fn goes(&self, scope: overlay::Scope, maker: &Maker, to: &Place) -> bool {
+        let Some(source) = self.sources.get(maker) else {
+            return false;
+        };
+        let (own, to) = (site(&self.place), site(to));
+        let about = site(&source.about);
+        let from = if source.direct { about } else { own };
+        scope.admits(own, about, to) && overlay::passes(own, about, from, to)
     }
 
     /// Takes facts in that came on a link. Returns whether there was news.
@@ -180,7 +160,7 @@
             }
         }
         for renewal in &news.renewals {
-            any |= self.vouch(Some(line), renewal, now);
+            any |= self.vouch(Some((line, from)), renewal, now);
         }
         any
     }
@@ -220,90 +200,135 @@
         doors.collect()
     }
 
-    /// Returns the capacities of other zones that are known.
+    /// Returns the capacities of other zones that are known, of those that can be reached: without
+    /// a door a zone is worth nothing, and the doors are vouched for by the zone itself.
     pub fn capacities(&self, now: Instant) -> Vec<view::Digest> {
-        let fresh = self.table.fresh(now);
-        let digests = fresh.filter_map(|fresh| {
-            let (Topic::Capacity(place, subject, role), Fact::Capacity(capacity)) =
-                (fresh.key, fresh.value)
-            else {
-                return None;
-            };
-            let (maker, incarnation, sequence) = fresh.maker;
-            let report = gossip::Digest {
-                place: place.clone(),
-                subject: subject.clone(),
-                role: role.clone(),
-                slots: capacity.slots,
-                free: capacity.free,
-                wait_ms: capacity.wait_ms,
-                price: capacity.price,
-                maker: (maker.clone(), incarnation, sequence),
-                age_ms: 0,
-            };
-            (*place != self.place).then_some(view::Digest {
-                report,
-                made: fresh.made,
-            })
-        });
-        digests.collect()
+        let doors: IndexSet<Place> = self
+            .doors(now)
+            .into_iter()
+            .map(|(place, _)| place)
+            .collect();
+        let mut digests: IndexMap<(Place, Subject, String), view::Digest> = IndexMap::new();
+        for digest in self.table.fresh(now).filter_map(|fresh| read(&fresh)) {
+            let report = &digest.report;
+            let key = (
+                report.place.clone(),
+                report.subject.clone(),
+                report.role.clone(),
+            );
+            // While one zone takes over from another, both have spoken for the region.
+            let known = digests.get(&key);
+            let younger = known.is_none_or(|known| known.made < digest.made);
+            if younger && doors.contains(&report.place) {
+                digests.insert(key, digest);
+            }
+        }
+        digests.into_values().collect()
     }
 
     /// Drops what has been unknown for long.
     pub fn sweep(&mut self, now: Instant) {
         self.table.sweep(now);
         let table = &self.table;
-        self.origins.retain(|topic, _| table.maker(topic).is_some());
-        self.zones
-            .retain(|maker, doors| table.maker(doors) == Some(maker));
+        let (keys, _) = table.contents();
+        let makers: IndexSet<&Maker> = keys.iter().filter_map(|key| table.maker(key)).collect();
+        self.sources.retain(|maker, _| makers.contains(maker));
     }
 
     fn learn(&mut self, from: Option<(Line, &Place)>, item: Item, now: Instant) -> bool {
         let topic = item.key.clone();
         let maker = item.maker.clone();
         // While this instance leads its zone, nobody else speaks for it.
-        if from.is_some() && *topic.place() == self.place && self.leading {
+        let leading = self.speaker.voice() > Voice::None;
+        if from.is_some() && *topic.place() == self.place && leading {
             return false;
         }
         if !self.table.take(item, now) {
             return false;
         }
-        let place = from.map_or(&self.place, |(_, place)| place);
-        self.origins.insert(topic.clone(), place.clone());
-        let doors = Topic::Doors(topic.place().clone());
-        self.zones.insert(maker, doors);
         let line = from.map(|(line, _)| line);
-        self.pass(line, &topic, |outbox| outbox.push(topic.clone()));
+        self.trace(from, &maker, topic.place());
+        self.pass(
+            line,
+            |digests, to| digests.passes(&topic, to),
+            |outbox| {
+                outbox.push(topic.clone());
+            },
+        );
         true
     }
 
-    fn vouch(&mut self, from: Option<Line>, renewal: &gossip::Renewal, now: Instant) -> bool {
-        let Some(topic) = self.zones.get(&renewal.maker).cloned() else {
+    /// Notes how a maker's word came. A speaker gets most of it twice, over the border and by its
+    /// zone; while it has a link over the border that counts, or the ways would change all the time.
+    fn trace(&mut self, from: Option<(Line, &Place)>, maker: &Maker, about: &Place) {
+        let abroad = |place: &Place| place.region != self.place.region;
+        let open = || {
+            let mut paths = self.boxes.values();
+            paths.any(|path| path.to.region == about.region && abroad(&path.to))
+        };
+        let known = self.sources.get(maker);
+        let held = known.is_some_and(|known| known.direct) && open();
+        let source = Source {
+            about: about.clone(),
+            direct: held || from.is_some_and(|(_, place)| abroad(place)),
+        };
+        let known = self.sources.insert(maker.clone(), source.clone());
+        if known.is_some_and(|known| known != source) {
+            self.pass_all(from.map(|(line, _)| line), maker);
+        }
+    }
+
+    /// Passes a maker's facts on once more, since they now go other ways than before.
+    fn pass_all(&mut self, from: Option<Line>, maker: &Maker) {
+        let (keys, _) = self.table.contents();
+        let made = |key: &Topic| self.table.maker(key) == Some(maker);
+        for topic in keys.into_iter().filter(made).collect::<Vec<_>>() {
+            self.pass(
+                from,
+                |digests, to| digests.passes(&topic, to),
+                |outbox| {
+                    outbox.push(topic.clone());
+                },
+            );
+        }
+    }
+
+    fn vouch(
+        &mut self,
+        from: Option<(Line, &Place)>,
+        renewal: &gossip::Renewal,
+        now: Instant,
+    ) -> bool {
+        let maker = &renewal.maker;
+        let Some(about) = self.sources.get(maker).map(|known| known.about.clone()) else {
             return false;
         };
         if !self.table.renew(renewal, now) {
             return false;
         }
-        self.pass(from, &topic, |outbox| outbox.renew(renewal.maker.clone()));
+        self.trace(from, maker, &about);
+        let line = from.map(|(line, _)| line);
+        self.pass(
+            line,
+            |digests, to| digests.passes_renewal(maker, to),
+            |outbox| {
+                outbox.renew(maker.clone());
+            },
+        );
         true
     }
 
-    /// Puts something about a topic into the outboxes of the links where it goes, other than the
-    /// one that it came on.
+    /// Puts something into the outboxes of the links where it goes, other than the one that it came
+    /// on.
     fn pass(
         &mut self,
         from: Option<Line>,
-        topic: &Topic,
-        put: impl Fn(&mut Outbox<Topic, id::Instance>),
+        goes: impl Fn(&Self, &Place) -> bool,
+        put: impl Fn(&mut Outbox<Topic, Maker>),
     ) {
-        let goes = |line: &Line, path: &Path| Some(*line) != from && self.passes(topic, &path.to);
-        let lines: Vec<Line> = self
-            .boxes
-            .iter()
-            .filter(|(line, path)| goes(line, path))
-            .map(|(line, _)| *line)
-            .collect();
-        for line in lines {
+        let open = self.boxes.iter().filter(|(line, _)| Some(**line) != from);
+        let lines = open.filter(|(_, path)| goes(self, &path.to));
+        for line in lines.map(|(line, _)| *line).collect::<Vec<_>>() {
             if let Some(path) = self.boxes.get_mut(&line) {
                 put(&mut path.outbox);
             }
@@ -318,24 +343,50 @@
     }
 }
 
-/// Rounds what changes all the time, so that a zone's doors are told anew seldom.
-fn coarse(peer: Peer) -> Peer {
-    Peer {
-        load: peer.load / LOAD_STEP * LOAD_STEP,
-        up_ms: if peer.up_ms >= UP_STEP * 2 {
-            gossip::UP
-        } else {
-            peer.up_ms / UP_STEP * UP_STEP
-        },
-        ..peer
+/// Returns where facts of a topic matter.
+const fn scope(topic: &Topic) -> overlay::Scope {
+    match topic {
+        Topic::Doors(_) => overlay::Scope::Everywhere,
+        Topic::Capacity(..) => overlay::Scope::Region,
+        Topic::Region(..) => overlay::Scope::Abroad,
     }
 }
 
+/// Reads a capacity.
+fn read(fresh: &Fresh<'_, Topic, Maker, Fact>) -> Option<view::Digest> {
+    let (place, subject, role, capacity) = match (fresh.key, fresh.value) {
+        (Topic::Capacity(place, subject, role), Fact::Capacity(capacity)) => {
+            (place.clone(), subject, role, capacity)
+        }
+        (Topic::Region(by, subject, role), Fact::Region(zone, capacity)) => {
+            let place = Place::new(by.region.clone(), zone.clone());
+            (place, subject, role, capacity)
+        }
+        _ => return None,
+    };
+    let (maker, incarnation, sequence) = fresh.maker;
+    let report = gossip::Digest {
+        place,
+        subject: subject.clone(),
+        role: role.clone(),
+        slots: capacity.slots,
+        free: capacity.free,
+        wait_ms: capacity.wait_ms,
+        price: capacity.price,
+        maker: (maker.instance.clone(), incarnation, sequence),
+        age_ms: 0,
+    };
+    Some(view::Digest {
+        report,
+        made: fresh.made,
+    })
+}
+
 /// Estimates an item's bytes on the wire; the budget is charged with the real ones afterwards.
 fn size(item: &Item) -> u64 {
     match &item.value {
         Some(Fact::Doors(doors)) => 60 + 180 * doors.len() as u64,
-        Some(Fact::Capacity(_)) => 60,
+        Some(Fact::Capacity(_) | Fact::Region(..)) => 60,
         None => 40,
     }
 }
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`actor::Spread`] owns it all on the control arbiter. [`lines`] holds the open links, [`book`]
 //! the addresses to dial, [`atlas`] which instances of other zones to link to, [`renewals`] what
-//! waits to be sent about targets, [`digests`] the facts about zones. What the actor decides on
+//! waits to be sent about targets, [`digests`] the facts about zones, [`speaker`] those that are made here. What the actor decides on
 //! comes from [`zinniastall_coord::membership`], [`zinniastall_coord::digest`] and
 //! [`crate::targets::table`].
 
@@ -17,6 +17,7 @@
 mod peers;
 pub mod renewals;
 pub mod settings;
+pub mod speaker;
 pub mod traffic;
 mod zone;
 
--- a/crates/zinniastall-entry/src/spread/passing.rs
+++ b/crates/zinniastall-entry/src/spread/passing.rs
@@ -11,17 +11,21 @@
     hello::Purpose,
 };
 
-use super::{actor::Spread, lines::Line, messages::Dialed};
+use super::{actor::Spread, lines::Line, messages::Dialed, speaker::Voice};
 use crate::publish::Digests;
 
 impl Spread {
     /// Speaks for the zone if it is this instance's turn, passes facts on, publishes them.
     pub(super) fn speak(&mut self, now: Instant) {
         let zone = self.zone();
-        let leading = self.rank(&zone) == Some(0);
+        let voice = match self.rank(&zone) {
+            Some(0) if self.atlas.is_first() => Voice::Region,
+            Some(0) => Voice::Zone,
+            _ => Voice::None,
+        };
         let targets = self.targets.serving(now);
         let speakers = zone.into_values().collect();
-        self.digests.speak(leading, speakers, &targets, now);
+        self.digests.speak(voice, speakers, &targets, now);
         let paths = self.paths(now);
         self.digests.paths(&paths);
         self.pass_on(now);
--- /dev/null
+++ b/crates/zinniastall-entry/tests/speaker.rs
@@ -0,0 +1,331 @@
+//! What zones and regions say of themselves: who is named abroad, how often, until when.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use zinniastall_entry::{
+    spread::{
+        digests::Digests,
+        lines::Line,
+        speaker::{Knowledge, Speaker, Voice},
+    },
+    view,
+};
+use zinniastall_model::{object::Subject, place::Place};
+use zinniastall_wire::gossip::{Capacity, Fact, Item, News, Peer, Serving, Target, Topic};
+
+const SEED: [u8; 32] = *b"zinniastall speaker test seed 01";
+const INTERVAL: Duration = Duration::from_secs(2);
+const HORIZON: Duration = Duration::from_secs(10);
+const TICK: Duration = Duration::from_millis(500);
+/// The links of the tests: from athens/a to athens/b, and from athens/a to patras/a.
+const TO_B: Line = 1;
+const ABROAD: Line = 2;
+
+fn capacity(slots: u32, free: u32) -> Capacity {
+    Capacity {
+        slots,
+        free,
+        wait_ms: if free > 0 { 0 } else { 1_000 },
+        price: 1.0,
+    }
+}
+
+fn subject() -> Subject {
+    Subject::Model("map-labels".to_owned())
+}
+
+/// Returns what athens/a knows: its own free slots of 24, and those of other zones.
+fn knowledge(own: u32, others: &[(&str, u32)]) -> Knowledge {
+    let key = (subject(), "both".to_owned());
+    let zone = |(zone, free): &(&str, u32)| ((*zone).to_owned(), capacity(24, *free));
+    Knowledge {
+        doors: Vec::new(),
+        own: [(key.clone(), capacity(24, own))].into(),
+        others: [(key, others.iter().map(zone).collect())].into(),
+    }
+}
+
+fn speaker(now: Instant) -> Speaker {
+    let place = Place::new("athens", "a");
+    Speaker::new(&"entry-a".to_owned(), 1, place, INTERVAL, now)
+}
+
+fn abroad(items: &[Item]) -> Option<(&str, u32)> {
+    items.iter().rev().find_map(|item| match &item.value {
+        Some(Fact::Region(zone, capacity)) => Some((zone.as_str(), capacity.free)),
+        _ => None,
+    })
+}
+
+// The zone that a region names fills up while others have slots. Told late, all other regions would
+// send their requests to the one zone that has to refuse them.
+#[test]
+fn full_zone_is_no_longer_named() {
+    let now = Instant::now();
+    let mut speaker = speaker(now);
+    let mut say = |own, others: &[(&str, u32)], after| {
+        let knowledge = knowledge(own, others);
+        let word = speaker.speak(Voice::Region, &knowledge, now + TICK * after);
+        abroad(&word.items).map(|(zone, free)| (zone.to_owned(), free))
+    };
+    assert_eq!(say(4, &[("b", 20)], 0), Some(("b".to_owned(), 20)));
+    assert_eq!(say(24, &[("b", 10)], 1), None, "not urgent");
+    assert_eq!(say(24, &[("b", 0)], 2), Some(("a".to_owned(), 24)));
+    assert_eq!(say(0, &[("b", 0)], 3), Some(("a".to_owned(), 0)));
+}
+
+// Whoever speaks for its region stops when another zone does, and for its zone when another instance
+// does. What it goes on saying would hold off the other's word.
+#[test]
+fn region_is_withdrawn_with_the_voice() {
+    let now = Instant::now();
+    let mut speaker = speaker(now);
+    speaker.speak(Voice::Region, &knowledge(4, &[]), now);
+    let word = speaker.speak(Voice::Zone, &knowledge(4, &[]), now + TICK);
+    let [withdrawn] = &word.items[..] else {
+        panic!("{:?}", word.items);
+    };
+    assert!(matches!(withdrawn.key, Topic::Region(..)) && withdrawn.value.is_none());
+}
+
+// Loads change all the time. Each fact crosses every border to every region, so a fact that isn't
+// urgent must rest; one that is must never wait, or requests go where nothing is free.
+#[test]
+fn facts_rest_and_never_mislead() {
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    println!("seed {:?}", std::str::from_utf8(&SEED));
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let step = (0..=24_u32, prop::option::of(0..=24_u32), 0..=24_u32);
+    let outcome = runner.run(&prop::collection::vec(step, 1..80), |steps| {
+        let mut now = Instant::now();
+        let mut speaker = speaker(now);
+        let mut told: Option<(String, u32, Instant)> = None;
+        for (own, b, c) in steps {
+            now += TICK;
+            let b = b.map(|free| ("b", free));
+            let zones: Vec<(&str, u32)> = b.into_iter().chain([("c", c)]).collect();
+            let word = speaker.speak(Voice::Region, &knowledge(own, &zones), now);
+            let free: IndexMap<&str, u32> = zones.into_iter().chain([("a", own)]).collect();
+            if let Some((zone, now_free)) = abroad(&word.items) {
+                if let Some((before, was_free, at)) = &told
+                    && before == zone
+                    && (*was_free == 0) == (now_free == 0)
+                {
+                    prop_assert!(now >= *at + INTERVAL * 5, "{before} told again too soon");
+                }
+                told = Some((zone.to_owned(), now_free, now));
+            }
+            let (zone, said, _) = told.as_ref().expect("something is told");
+            let known = free.get(zone.as_str());
+            prop_assert!(
+                known.is_some(),
+                "{zone} is named and nothing is heard of it"
+            );
+            let any = free.values().any(|free| *free > 0);
+            prop_assert_eq!(known.is_some_and(|free| *free > 0), any);
+            prop_assert_eq!(*said > 0, any);
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// An instance of a zone that speaks for it, with one target.
+struct Zone {
+    place: Place,
+    digests: Digests,
+}
+
+impl Zone {
+    fn new(region: &str, zone: &str, lines: &[(Line, Place)], now: Instant) -> Self {
+        let place = Place::new(region, zone);
+        let name = format!("entry-{region}-{zone}");
+        let mut digests = Digests::new(&name, 1, place.clone(), INTERVAL, now);
+        digests.paths(&lines.iter().cloned().collect());
+        Self { place, digests }
+    }
+
+    fn speak(&mut self, voice: Voice, busy: u32, now: Instant) {
+        let door = Peer {
+            instance: format!("entry-{}", self.place.zone),
+            incarnation: 1,
+            place: self.place.clone(),
+            links: String::new(),
+            callers: String::new(),
+            targets: String::new(),
+            draining: false,
+            load: 0,
+            up_ms: 60_000,
+        };
+        let targets = [("engine".to_owned(), target(&self.place, busy, now))].into();
+        self.digests.speak(voice, vec![door], &targets, now);
+    }
+
+    fn flush(&mut self, now: Instant) -> IndexMap<Line, News> {
+        self.digests.flush(1_000_000, now).into_iter().collect()
+    }
+
+    fn take(&mut self, from: &Place, news: Option<&News>, now: Instant) {
+        if let Some(news) = news {
+            self.digests.take(TO_B, from, news.clone(), now);
+        }
+    }
+
+    /// Returns the places that this zone may send requests to.
+    fn known(&self, now: Instant) -> Vec<String> {
+        let digests = self.digests.capacities(now);
+        digests
+            .iter()
+            .map(|digest| digest.report.place.to_string())
+            .collect()
+    }
+}
+
+fn target(place: &Place, busy: u32, now: Instant) -> view::Target {
+    view::Target {
+        report: Target {
+            target: "engine".to_owned(),
+            incarnation: 1,
+            sequence: 1,
+            place: place.clone(),
+            address: String::new(),
+            kind: "standin".to_owned(),
+            role: "both".to_owned(),
+            serves: vec![Serving {
+                subject: subject(),
+                version: String::new(),
+                adapters: Vec::new(),
+            }],
+            slots: 8,
+            busy,
+            price: 1.0,
+            leaving: false,
+            left_ms: 3_000,
+            prefixes: Vec::new(),
+            gap: false,
+        },
+        heard: now,
+        until: now + HORIZON,
+    }
+}
+
+/// Returns athens/a, athens/b and patras/a; facts go from b to a and from a to patras.
+fn three(now: Instant) -> [Zone; 3] {
+    let [a, b, patras] = [("athens", "a"), ("athens", "b"), ("patras", "a")]
+        .map(|(region, zone)| Place::new(region, zone));
+    [
+        Zone::new("athens", "a", &[(TO_B, b), (ABROAD, patras)], now),
+        Zone::new("athens", "b", &[(TO_B, a)], now),
+        Zone::new("patras", "a", &[], now),
+    ]
+}
+
+// Two zones of a region serve the same model. Told one by one to every other region, zones times
+// models would pass a node's budget fivefold at the target size.
+#[test]
+fn regions_tell_each_other_one_fact_a_model() {
+    let now = Instant::now();
+    let [mut a, mut b, mut patras] = three(now);
+    b.speak(Voice::Zone, 0, now);
+    a.take(&b.place.clone(), b.flush(now).get(&TO_B), now);
+    a.speak(Voice::Region, 6, now);
+    let out = a.flush(now);
+    let told = |line| -> Vec<&Item> {
+        let items = &out[&line].items;
+        items
+            .iter()
+            .filter(|item| !matches!(item.key, Topic::Doors(_)))
+            .collect()
+    };
+    let [one] = &told(ABROAD)[..] else {
+        panic!("{:?}", told(ABROAD));
+    };
+    assert!(matches!(one.key, Topic::Region(..)), "{one:?}");
+    let [near] = &told(TO_B)[..] else {
+        panic!("{:?}", told(TO_B));
+    };
+    assert!(matches!(near.key, Topic::Capacity(..)), "{near:?}");
+    patras.take(&a.place.clone(), out.get(&ABROAD), now);
+    assert_eq!(patras.known(now), ["athens/b"], "b has more free slots");
+}
+
+// A zone is lost while the zone that speaks for its region goes on vouching for what it says. Nobody
+// abroad may send requests to the lost one for longer than to one that speaks for itself.
+#[test]
+fn lost_zone_is_not_vouched_for_by_its_region() {
+    let start = Instant::now();
+    let [mut a, mut b, mut patras] = three(start);
+    b.speak(Voice::Zone, 0, start);
+    let news = b.flush(start);
+    a.take(&b.place.clone(), news.get(&TO_B), start);
+    for tick in 0..40 {
+        let now = start + TICK * tick;
+        a.speak(Voice::Region, 6, now);
+        patras.take(&a.place.clone(), a.flush(now).get(&ABROAD), now);
+        let named = patras.known(now) == ["athens/b"];
+        assert!(
+            !named || now <= start + HORIZON / 2 + TICK,
+            "named after {tick} ticks"
+        );
+    }
+    assert_eq!(patras.known(start + TICK * 40), ["athens/a"]);
+}
+
+// The link from the speaking zone breaks just after it has named another zone whose doors were heard
+// long ago. Without its doors a zone can't be reached, whatever its region says.
+#[test]
+fn zone_without_doors_is_not_offered() {
+    let start = Instant::now();
+    let [mut a, mut b, mut patras] = three(start);
+    b.speak(Voice::Zone, 0, start);
+    a.take(&b.place.clone(), b.flush(start).get(&TO_B), start);
+    let later = start + HORIZON / 2;
+    a.speak(Voice::Region, 6, later);
+    patras.take(&a.place.clone(), a.flush(later).get(&ABROAD), later);
+    assert_eq!(patras.known(later), ["athens/b"]);
+    let over = start + HORIZON + TICK;
+    assert!(
+        patras.known(over).is_empty(),
+        "offered without a door: {:?}",
+        patras.known(over)
+    );
+}
+
+// A zone that spoke for its region loses its way abroad and stops. Its word for its own zone goes on
+// by another zone. If that vouched for the old word of the region as well, other regions would go on
+// sending requests by it for ever.
+#[test]
+fn word_for_the_zone_does_not_vouch_for_the_region() {
+    let start = Instant::now();
+    let [mut a, mut b, mut patras] = three(start);
+    let abroad: IndexMap<Line, Place> = [(ABROAD, patras.place.clone())].into();
+    b.digests.paths(&abroad);
+    b.speak(Voice::Region, 0, start);
+    patras.take(&b.place.clone(), b.flush(start).get(&ABROAD), start);
+    assert_eq!(patras.known(start), ["athens/b"]);
+    let by_a: IndexMap<Line, Place> = [(TO_B, a.place.clone())].into();
+    b.digests.paths(&by_a);
+    for tick in 1..60 {
+        let now = start + TICK * tick;
+        b.speak(Voice::Zone, 8, now);
+        a.take(&b.place.clone(), b.flush(now).get(&TO_B), now);
+        patras.take(&a.place.clone(), a.flush(now).get(&ABROAD), now);
+        let offered = patras.known(now);
+        assert!(
+            offered.is_empty() || now <= start + HORIZON,
+            "{offered:?} after {tick} ticks"
+        );
+    }
+    let doors = patras.digests.doors(start + TICK * 60);
+    assert_eq!(doors.len(), 1, "the zone's own word is still vouched for");
+}
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -167,25 +167,41 @@
     pub renewals: Vec<Renewal>,
 }
 
+/// Who makes facts.
+///
+/// What an instance says for its region goes other ways than what it says for its zone. As two
+/// makers they are vouched for apart, each on the way of its own facts: a word that overtook a fact
+/// would vouch for what that fact replaces.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Maker {
+    /// Instance.
+    pub instance: id::Instance,
+    /// Whether it speaks for its region here, and not for its zone.
+    pub region: bool,
+}
+
 /// A fact about a zone.
-pub type Item = digest::Item<Topic, id::Instance, Fact>;
-/// A zone's word that its facts still hold.
-pub type Renewal = digest::Renewal<id::Instance>;
+pub type Item = digest::Item<Topic, Maker, Fact>;
+/// A zone's or region's word that its facts still hold.
+pub type Renewal = digest::Renewal<Maker>;
 
 /// What a fact is about.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Topic {
     /// Instances through which a zone is reached.
     Doors(Place),
-    /// Capacity of a zone for a subject in a role.
+    /// Capacity of a zone for a subject in a role; for the zone's own region.
     Capacity(Place, Subject, String),
+    /// What a region has for a subject in a role, as the zone says that speaks for it; for other
+    /// regions.
+    Region(Place, Subject, String),
 }
 
 impl Topic {
-    /// Returns the zone.
+    /// Returns the zone that says it.
     pub const fn place(&self) -> &Place {
         match self {
-            Self::Doors(place) | Self::Capacity(place, _, _) => place,
+            Self::Doors(place) | Self::Capacity(place, _, _) | Self::Region(place, _, _) => place,
         }
     }
 }
@@ -197,6 +213,8 @@
     Doors(Vec<Peer>),
     /// Capacity.
     Capacity(Capacity),
+    /// The region's zone that has most, and its capacity.
+    Region(id::Zone, Capacity),
 }
 
 /// Capacity for one subject in one role.
--- a/crates/zinniastall-wire/src/gossip/pack.rs
+++ b/crates/zinniastall-wire/src/gossip/pack.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use zinniastall_model::{id, object::Subject, place::Place};
 
-use super::{Capacity, Fact, Item, Peer, Renewal, Topic};
+use super::{Capacity, Fact, Item, Maker, Peer, Renewal, Topic};
 
 /// News, as it travels.
 #[derive(Debug, Serialize, Deserialize)]
@@ -23,9 +23,10 @@
     Vec<Packed>,
 );
 
-/// Maker, its run, the number of its last item, and the age in milliseconds.
+/// Maker, its run, the number of its last item, the age in milliseconds, and whether it is a
+/// region's.
 #[derive(Debug, Serialize, Deserialize)]
-struct Word(id::Instance, id::Incarnation, u64, u64);
+struct Word(id::Instance, id::Incarnation, u64, u64, bool);
 
 /// Number, age in milliseconds, what it is about, and the fact.
 #[derive(Debug, Serialize, Deserialize)]
@@ -39,6 +40,11 @@
     Model(String, String),
     #[serde(rename = "s")]
     Service(String, String),
+    /// A region's.
+    #[serde(rename = "n")]
+    RegionModel(String, String),
+    #[serde(rename = "t")]
+    RegionService(String, String),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -48,6 +54,9 @@
     /// Slots, free ones, wait in milliseconds, price.
     #[serde(rename = "c")]
     Capacity(u32, u32, u64, f64),
+    /// Zone, then the same.
+    #[serde(rename = "r")]
+    Region(id::Zone, u32, u32, u64, f64),
 }
 
 impl From<super::News> for News {
@@ -59,7 +68,7 @@
             let about = About::from(item.key);
             let value = item.value.map(Value::from);
             let packed = Packed(item.sequence, item.age_ms, about, value);
-            let group = (item.maker, item.incarnation, place);
+            let group = (item.maker.instance, item.incarnation, place);
             groups.entry(group).or_default().push(packed);
         }
         let group = |((maker, run, place), facts): ((id::Instance, id::Incarnation, Place), _)| {
@@ -67,10 +76,11 @@
         };
         let word = |renewal: Renewal| {
             Word(
-                renewal.maker,
+                renewal.maker.instance,
                 renewal.incarnation,
                 renewal.sequence,
                 renewal.age_ms,
+                renewal.maker.region,
             )
         };
         Self(
@@ -83,8 +93,8 @@
 impl From<News> for super::News {
     fn from(packed: News) -> Self {
         let News(groups, words) = packed;
-        let renewal = |Word(maker, incarnation, sequence, age_ms)| Renewal {
-            maker,
+        let renewal = |Word(instance, incarnation, sequence, age_ms, region)| Renewal {
+            maker: Maker { instance, region },
             incarnation,
             sequence,
             age_ms,
@@ -98,11 +108,14 @@
 
 impl Group {
     fn unpack(self) -> Vec<Item> {
-        let Self(maker, incarnation, region, zone, facts) = self;
+        let Self(instance, incarnation, region, zone, facts) = self;
         let place = Place::new(region, zone);
         let item = |Packed(sequence, age_ms, about, value)| Item {
+            maker: Maker {
+                instance: instance.clone(),
+                region: about.is_region(),
+            },
             key: about.topic(place.clone()),
-            maker: maker.clone(),
             incarnation,
             sequence,
             age_ms,
@@ -118,16 +131,24 @@
             Topic::Doors(_) => Self::Doors,
             Topic::Capacity(_, Subject::Model(name), role) => Self::Model(name, role),
             Topic::Capacity(_, Subject::Service(name), role) => Self::Service(name, role),
+            Topic::Region(_, Subject::Model(name), role) => Self::RegionModel(name, role),
+            Topic::Region(_, Subject::Service(name), role) => Self::RegionService(name, role),
         }
     }
 }
 
 impl About {
+    const fn is_region(&self) -> bool {
+        matches!(self, Self::RegionModel(..) | Self::RegionService(..))
+    }
+
     fn topic(self, place: Place) -> Topic {
         match self {
             Self::Doors => Topic::Doors(place),
             Self::Model(name, role) => Topic::Capacity(place, Subject::Model(name), role),
             Self::Service(name, role) => Topic::Capacity(place, Subject::Service(name), role),
+            Self::RegionModel(name, role) => Topic::Region(place, Subject::Model(name), role),
+            Self::RegionService(name, role) => Topic::Region(place, Subject::Service(name), role),
         }
     }
 }
@@ -142,6 +163,13 @@
                 wait_ms,
                 price,
             }) => Self::Capacity(slots, free, wait_ms, price),
+            Fact::Region(zone, capacity) => Self::Region(
+                zone,
+                capacity.slots,
+                capacity.free,
+                capacity.wait_ms,
+                capacity.price,
+            ),
         }
     }
 }
@@ -156,6 +184,15 @@
                 wait_ms,
                 price,
             }),
+            Value::Region(zone, slots, free, wait_ms, price) => {
+                let capacity = Capacity {
+                    slots,
+                    free,
+                    wait_ms,
+                    price,
+                };
+                Self::Region(zone, capacity)
+            }
         }
     }
 }
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -255,16 +255,18 @@
             up_ms: number,
         },
     );
+    let capacity = (any::<u32>(), any::<u64>(), -1e9..1e9).prop_map(|(slots, wait_ms, price)| {
+        gossip::Capacity {
+            slots,
+            free: slots,
+            wait_ms,
+            price,
+        }
+    });
     let fact = prop_oneof![
         prop::collection::vec(peer.clone(), 0..3).prop_map(gossip::Fact::Doors),
-        (any::<u32>(), any::<u64>(), -1e9..1e9).prop_map(|(slots, wait_ms, price)| {
-            gossip::Fact::Capacity(gossip::Capacity {
-                slots,
-                free: slots,
-                wait_ms,
-                price,
-            })
-        }),
+        capacity.clone().prop_map(gossip::Fact::Capacity),
+        (text(), capacity).prop_map(|(zone, capacity)| gossip::Fact::Region(zone, capacity)),
     ];
     let item = (
         place(),
@@ -276,9 +278,15 @@
         .prop_map(|(place, subject, maker, numbers, value)| gossip::Item {
             key: match value {
                 Some(gossip::Fact::Doors(_)) => gossip::Topic::Doors(place),
+                Some(gossip::Fact::Region(..)) => {
+                    gossip::Topic::Region(place, subject, maker.clone())
+                }
                 _ => gossip::Topic::Capacity(place, subject, maker.clone()),
             },
-            maker,
+            maker: gossip::Maker {
+                instance: maker,
+                region: matches!(value, Some(gossip::Fact::Region(..))),
+            },
             incarnation: numbers[0],
             sequence: numbers[1],
             age_ms: numbers[2],
