refactor(spread): the ways of facts apart from what is known

Cause: digests.rs had grown to 392 lines and two jobs: what is believed of zones, and which facts go out on which links.

Change: `ways` holds links, outboxes and where makers' words come from; `digests` takes in and reads; `speaker` makes. No behaviour changes. Ruled out: passing the table's news as events, since all callers hold the table already.

Conclusion: each file has one job.

--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use zinniastall_coord::digest::{Fresh, Outbox, Table, overlay};
+use zinniastall_coord::digest::Fresh;
 use zinniastall_model::{id, object::Subject, place::Place};
 use zinniastall_wire::gossip::{self, Fact, Item, Maker, News, Peer, Topic};
 
@@ -11,33 +11,17 @@
     capacity::{Zones, sum},
     lines::Line,
     speaker::{Knowledge, Speaker, Voice},
+    ways::{Facts, Ways},
 };
 use crate::view;
 
-/// A link on which facts are passed on.
-#[derive(Debug)]
-struct Path {
-    to: Place,
-    outbox: Outbox<Topic, Maker>,
-}
-
-/// Where a maker is, and whether its facts come over a border between regions, and not by the own
-/// region.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Source {
-    about: Place,
-    direct: bool,
-}
-
 /// Facts about zones.
 #[derive(Debug)]
 pub struct Digests {
     place: Place,
     speaker: Speaker,
-    table: Table<Topic, Maker, Fact>,
-    boxes: IndexMap<Line, Path>,
-    /// Where each maker is and how its word comes: its facts and renewals go the same ways, or a renewal would vouch for a fact that has been replaced on another way.
-    sources: IndexMap<Maker, Source>,
+    table: Facts,
+    ways: Ways,
     horizon: Duration,
 }
 
@@ -53,10 +37,9 @@
         let horizon = interval * 5;
         Self {
             speaker: Speaker::new(own, incarnation, place.clone(), interval, now),
+            ways: Ways::new(place.clone()),
             place,
-            table: Table::new(horizon),
-            boxes: IndexMap::new(),
-            sources: IndexMap::new(),
+            table: Facts::new(horizon),
             horizon,
         }
     }
@@ -103,51 +86,19 @@
         zones
     }
 
-    /// Sets the links on which facts are passed on, with the places of their other ends; one that is
-    /// new gets all facts that go there.
+    /// Sets the links on which facts are passed on, with the places of their other ends.
     pub fn paths(&mut self, lines: &IndexMap<Line, Place>) {
-        self.boxes.retain(|line, _| lines.contains_key(line));
-        for (line, to) in lines {
-            if self.boxes.contains_key(line) {
-                continue;
-            }
-            let outbox = Outbox::whole(
-                &self.table,
-                |topic| self.passes(topic, to),
-                |maker| self.passes_renewal(maker, to),
-            );
-            let path = Path {
-                to: to.clone(),
-                outbox,
-            };
-            self.boxes.insert(*line, path);
-        }
+        self.ways.set(&self.table, lines);
     }
 
-    /// Tells whether a fact goes to a place.
-    fn passes(&self, topic: &Topic, to: &Place) -> bool {
-        let maker = self.table.maker(topic);
-        maker.is_some_and(|maker| self.goes(scope(topic), maker, to))
-    }
-
-    /// Tells whether a maker's renewals go to a place.
-    fn passes_renewal(&self, maker: &Maker, to: &Place) -> bool {
-        let scope = if maker.region {
-            overlay::Scope::Abroad
-        } else {
-            overlay::Scope::Everywhere
-        };
-        self.goes(scope, maker, to)
+    /// Returns what fits into a number of bytes, by link.
+    pub fn flush(&mut self, bytes: u64, now: Instant) -> Vec<(Line, News)> {
+        self.ways.flush(&self.table, bytes, now)
     }
 
-    fn goes(&self, scope: overlay::Scope, maker: &Maker, to: &Place) -> bool {
-        let Some(source) = self.sources.get(maker) else {
-            return false;
-        };
-        let (own, to) = (site(&self.place), site(to));
-        let about = site(&source.about);
-        let from = if source.direct { about } else { own };
-        scope.admits(own, about, to) && overlay::passes(own, about, from, to)
+    /// Returns how many facts wait to be sent, over all links.
+    pub fn waiting(&self) -> usize {
+        self.ways.waiting()
     }
 
     /// Takes facts in that came on a link. Returns whether there was news.
@@ -165,29 +116,6 @@
         any
     }
 
-    /// Returns what fits into a number of bytes, by link.
-    pub fn flush(&mut self, bytes: u64, now: Instant) -> Vec<(Line, News)> {
-        let waiting = self.boxes.values().filter(|path| !path.outbox.is_empty());
-        let share = bytes / (waiting.count().max(1) as u64);
-        let mut out = Vec::new();
-        for (line, path) in &mut self.boxes {
-            let batch = path.outbox.take(&self.table, share, size, now);
-            if !batch.items.is_empty() || !batch.renewals.is_empty() {
-                let news = News {
-                    items: batch.items,
-                    renewals: batch.renewals,
-                };
-                out.push((*line, news));
-            }
-        }
-        out
-    }
-
-    /// Returns how many facts wait to be sent, over all links.
-    pub fn waiting(&self) -> usize {
-        self.boxes.values().map(|path| path.outbox.len()).sum()
-    }
-
     /// Returns the doors of other zones that are known.
     pub fn doors(&self, now: Instant) -> Vec<(Place, Vec<Peer>)> {
         let fresh = self.table.fresh(now);
@@ -229,15 +157,11 @@
     /// Drops what has been unknown for long.
     pub fn sweep(&mut self, now: Instant) {
         self.table.sweep(now);
-        let table = &self.table;
-        let (keys, _) = table.contents();
-        let makers: IndexSet<&Maker> = keys.iter().filter_map(|key| table.maker(key)).collect();
-        self.sources.retain(|maker, _| makers.contains(maker));
+        self.ways.sweep(&self.table);
     }
 
     fn learn(&mut self, from: Option<(Line, &Place)>, item: Item, now: Instant) -> bool {
         let topic = item.key.clone();
-        let maker = item.maker.clone();
         // While this instance leads its zone, nobody else speaks for it.
         let leading = self.speaker.voice() > Voice::None;
         if from.is_some() && *topic.place() == self.place && leading {
@@ -246,110 +170,23 @@
         if !self.table.take(item, now) {
             return false;
         }
-        let line = from.map(|(line, _)| line);
-        self.trace(from, &maker, topic.place());
-        self.pass(
-            line,
-            |digests, to| digests.passes(&topic, to),
-            |outbox| {
-                outbox.push(topic.clone());
-            },
-        );
+        self.ways.learned(&self.table, from, &topic);
         true
     }
 
-    /// Notes how a maker's word came. A speaker gets most of it twice, over the border and by its
-    /// zone; while it has a link over the border that counts, or the ways would change all the time.
-    fn trace(&mut self, from: Option<(Line, &Place)>, maker: &Maker, about: &Place) {
-        let abroad = |place: &Place| place.region != self.place.region;
-        let open = || {
-            let mut paths = self.boxes.values();
-            paths.any(|path| path.to.region == about.region && abroad(&path.to))
-        };
-        let known = self.sources.get(maker);
-        let held = known.is_some_and(|known| known.direct) && open();
-        let source = Source {
-            about: about.clone(),
-            direct: held || from.is_some_and(|(_, place)| abroad(place)),
-        };
-        let known = self.sources.insert(maker.clone(), source.clone());
-        if known.is_some_and(|known| known != source) {
-            self.pass_all(from.map(|(line, _)| line), maker);
-        }
-    }
-
-    /// Passes a maker's facts on once more, since they now go other ways than before.
-    fn pass_all(&mut self, from: Option<Line>, maker: &Maker) {
-        let (keys, _) = self.table.contents();
-        let made = |key: &Topic| self.table.maker(key) == Some(maker);
-        for topic in keys.into_iter().filter(made).collect::<Vec<_>>() {
-            self.pass(
-                from,
-                |digests, to| digests.passes(&topic, to),
-                |outbox| {
-                    outbox.push(topic.clone());
-                },
-            );
-        }
-    }
-
     fn vouch(
         &mut self,
         from: Option<(Line, &Place)>,
         renewal: &gossip::Renewal,
         now: Instant,
     ) -> bool {
-        let maker = &renewal.maker;
-        let Some(about) = self.sources.get(maker).map(|known| known.about.clone()) else {
-            return false;
-        };
-        if !self.table.renew(renewal, now) {
+        let known = self.ways.knows(&renewal.maker);
+        if !known || !self.table.renew(renewal, now) {
             return false;
         }
-        self.trace(from, maker, &about);
-        let line = from.map(|(line, _)| line);
-        self.pass(
-            line,
-            |digests, to| digests.passes_renewal(maker, to),
-            |outbox| {
-                outbox.renew(maker.clone());
-            },
-        );
+        self.ways.renewed(&self.table, from, &renewal.maker);
         true
     }
-
-    /// Puts something into the outboxes of the links where it goes, other than the one that it came
-    /// on.
-    fn pass(
-        &mut self,
-        from: Option<Line>,
-        goes: impl Fn(&Self, &Place) -> bool,
-        put: impl Fn(&mut Outbox<Topic, Maker>),
-    ) {
-        let open = self.boxes.iter().filter(|(line, _)| Some(**line) != from);
-        let lines = open.filter(|(_, path)| goes(self, &path.to));
-        for line in lines.map(|(line, _)| *line).collect::<Vec<_>>() {
-            if let Some(path) = self.boxes.get_mut(&line) {
-                put(&mut path.outbox);
-            }
-        }
-    }
-}
-
-fn site(place: &Place) -> overlay::Site<'_> {
-    overlay::Site {
-        region: &place.region,
-        group: &place.zone,
-    }
-}
-
-/// Returns where facts of a topic matter.
-const fn scope(topic: &Topic) -> overlay::Scope {
-    match topic {
-        Topic::Doors(_) => overlay::Scope::Everywhere,
-        Topic::Capacity(..) => overlay::Scope::Region,
-        Topic::Region(..) => overlay::Scope::Abroad,
-    }
 }
 
 /// Reads a capacity.
@@ -381,12 +218,3 @@
         made: fresh.made,
     })
 }
-
-/// Estimates an item's bytes on the wire; the budget is charged with the real ones afterwards.
-fn size(item: &Item) -> u64 {
-    match &item.value {
-        Some(Fact::Doors(doors)) => 60 + 180 * doors.len() as u64,
-        Some(Fact::Capacity(_) | Fact::Region(..)) => 60,
-        None => 40,
-    }
-}
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`actor::Spread`] owns it all on the control arbiter. [`lines`] holds the open links, [`book`]
 //! the addresses to dial, [`atlas`] which instances of other zones to link to, [`renewals`] what
-//! waits to be sent about targets, [`digests`] the facts about zones, [`speaker`] those that are made here. What the actor decides on
+//! waits to be sent about targets, [`digests`] the facts about zones, [`speaker`] makes those of this zone, [`ways`] knows
+//! where each goes. What the actor decides on
 //! comes from [`zinniastall_coord::membership`], [`zinniastall_coord::digest`] and
 //! [`crate::targets::table`].
 
@@ -19,6 +20,7 @@
 pub mod settings;
 pub mod speaker;
 pub mod traffic;
+pub mod ways;
 mod zone;
 
 use actix::{Actor, Addr};
