--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -21,7 +21,7 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{PULSE, SILENCE, WINDOW, refusal, stream_of};
+use super::{PULSE, SILENCE, WINDOW, refusal};
 use crate::callers::reply::{Body, Reply, Served};
 
 /// The sender's end of a link.
@@ -129,8 +129,11 @@
         let Frame::Stream(message) = frame else {
             return;
         };
-        let streams = mux.streams.borrow();
-        if let Some(stream) = streams.get(&stream_of(&message)) {
+        let stream = message.stream();
+        if matches!(message, Message::End { .. } | Message::Failed { .. }) {
+            mux.send(Message::Credit { stream, bytes: 0 });
+        }
+        if let Some(stream) = mux.streams.borrow().get(&stream) {
             drop(stream.send(message));
         }
     }
