revert: pass on all events that have arrived in one part

Ruled out: that writes are saved, since the server gathers ready parts before it writes. Change: taken back whole. Conclusion: the simpler relay stays.

--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -2,12 +2,11 @@
 
 use std::{
     rc::Rc,
-    task::Poll,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use futures_util::{StreamExt, poll, stream};
+use futures_util::{StreamExt, stream};
 use tokio::time::timeout_at;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
@@ -24,9 +23,6 @@
     worker::Worker,
 };
 
-/// Length from which on events are passed on without looking for further ones, in bytes.
-const BATCH: usize = 16 * 1024;
-
 /// Ends a body that falls silent: whole answers at the request's deadline, streams after a pause.
 ///
 /// A stream may last longer than any deadline, as long as it moves; its deadline is that of its
@@ -60,16 +56,6 @@
     body: Body,
     events: Events,
     attempts: u32,
-    /// Part that arrived behind events that had to be passed on first.
-    ahead: Option<Ahead>,
-}
-
-/// What follows on the events that were passed on last.
-enum Ahead {
-    /// The body ended or failed.
-    Ended(Option<Refusal>),
-    /// It is not a stream of events, which no resumption mends.
-    Malformed,
 }
 
 /// Passes on whole events only, and fails when the closing one is missing.
@@ -89,7 +75,6 @@
         body,
         events: Events::default(),
         attempts: 1,
-        ahead: None,
     };
     let next = |state: Option<Stream>| async move {
         let mut stream = state?;
@@ -105,53 +90,23 @@
 impl Stream {
     async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
-            let ended = match self.ahead.take() {
-                Some(Ahead::Malformed) => return Err(Refusal::unknown(Reason::Broken)),
-                Some(Ahead::Ended(ended)) => ended,
-                None => {
-                    let whole = self.gather().await;
+            let broken = match self.body.next().await {
+                Some(Ok(bytes)) => {
+                    let whole = self.events.part(&bytes);
+                    let whole = whole.map_err(|_| Refusal::unknown(Reason::Broken))?;
                     if !whole.is_empty() {
                         return Ok(Some(whole.into()));
                     }
                     continue;
                 }
-            };
-            let broken = match ended {
                 None if self.events.end().is_ok() => return Ok(None),
                 None => Refusal::unknown(Reason::Broken),
-                Some(refusal) => refusal,
+                Some(Err(refusal)) => refusal,
             };
             self.resume(broken).await?;
         }
     }
 
-    /// Waits for a part and returns the whole events in it and in those that have arrived by then.
-    ///
-    /// Engines write many events at a time, and each part passed on by itself costs its way through
-    /// all layers up to the connection. Nothing waits: the parts are in the connection's buffer.
-    async fn gather(&mut self) -> Vec<u8> {
-        let mut part = self.body.next().await;
-        let mut whole = Vec::new();
-        loop {
-            match part {
-                Some(Ok(bytes)) => match self.events.part(&bytes) {
-                    Ok(events) if whole.is_empty() => whole = events,
-                    Ok(events) => whole.extend_from_slice(&events),
-                    Err(_) => self.ahead = Some(Ahead::Malformed),
-                },
-                Some(Err(refusal)) => self.ahead = Some(Ahead::Ended(Some(refusal))),
-                None => self.ahead = Some(Ahead::Ended(None)),
-            }
-            if self.ahead.is_some() || whole.len() >= BATCH {
-                return whole;
-            }
-            part = match poll!(self.body.next()) {
-                Poll::Ready(part) => part,
-                Poll::Pending => return whole,
-            };
-        }
-    }
-
     async fn resume(&mut self, broken: Refusal) -> Result<(), Refusal> {
         let request = &self.parcel.request;
         let progress = Progress {
