refactor(entry): one constructor for a view that knows nothing

Cause: four places spelled out an empty view, two tests of control_force set up the same cut twice (duplicates).

Change: View::new; cut_off and restarts_at in control_force. No check changed.

--- a/crates/zinniastall-entry/examples/slopes/node.rs
+++ b/crates/zinniastall-entry/examples/slopes/node.rs
@@ -1,7 +1,5 @@
 //! A small entry instance within this process: its actors and links, without callers.
 
-use std::sync::Arc;
-
 use actix::{Actor, Addr};
 use zinniastall_entry::{
     links::{self, Acceptors, Addresses, Identity},
@@ -111,15 +109,5 @@
 }
 
 fn view(name: &str, place: &Place) -> View {
-    View {
-        instance: name.to_owned(),
-        incarnation: 1,
-        place: place.clone(),
-        state: None,
-        connected: false,
-        draining: false,
-        peers: Arc::default(),
-        targets: Arc::default(),
-        digests: Arc::default(),
-    }
+    View::new(name.to_owned(), 1, place.clone())
 }
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of an entry instance and waits for its end.
 
-use std::{process::ExitCode, sync::Arc, time::Duration};
+use std::{process::ExitCode, time::Duration};
 
 use actix::Actor;
 use actix_web::{
@@ -178,15 +178,9 @@
 }
 
 fn first_view(settings: &Entry) -> View {
-    View {
-        instance: settings.instance.clone(),
-        incarnation: incarnation(),
-        place: settings.place.clone(),
-        state: None,
-        connected: false,
-        draining: false,
-        peers: Arc::default(),
-        targets: Arc::default(),
-        digests: Arc::default(),
-    }
+    View::new(
+        settings.instance.clone(),
+        incarnation(),
+        settings.place.clone(),
+    )
 }
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -39,6 +39,21 @@
 }
 
 impl View {
+    /// Creates the view of a run that knows of nobody and has no configuration yet.
+    pub fn new(instance: id::Instance, incarnation: id::Incarnation, place: Place) -> Self {
+        Self {
+            instance,
+            incarnation,
+            place,
+            state: None,
+            connected: false,
+            draining: false,
+            peers: Arc::default(),
+            targets: Arc::default(),
+            digests: Arc::default(),
+        }
+    }
+
     /// Returns the revision of the configuration in force; 0 for none.
     pub fn revision(&self) -> id::Revision {
         self.state.as_ref().map_or(0, |state| state.revision)
--- a/crates/zinniastall-entry/tests/callers/bench.rs
+++ b/crates/zinniastall-entry/tests/callers/bench.rs
@@ -11,7 +11,6 @@
 };
 
 use actix_web::dev::ServerHandle;
-use indexmap::IndexMap;
 use zinniastall_entry::{
     callers::{Service, server, settings::Callers},
     settings::{Entry, Limits},
@@ -156,17 +155,11 @@
         let name = format!("engine-{number}");
         (name.clone(), target(&name, &place, *address))
     });
-    View {
-        instance: "patras-a-1".into(),
-        incarnation: 1,
-        place: place.clone(),
-        state: Some(Arc::new(state())),
-        connected: true,
-        draining: false,
-        peers: Arc::default(),
-        targets: Arc::new(targets.collect::<IndexMap<_, _>>()),
-        digests: Arc::default(),
-    }
+    let mut view = View::new("patras-a-1".into(), 1, place.clone());
+    view.state = Some(Arc::new(state()));
+    view.connected = true;
+    view.targets = Arc::new(targets.collect());
+    view
 }
 
 fn target(name: &str, place: &Place, address: SocketAddr) -> Target {
--- a/crates/zinniastall-entry/tests/spread.rs
+++ b/crates/zinniastall-entry/tests/spread.rs
@@ -1,9 +1,6 @@
 //! Targets' table, address book, atlas and bounds; and a restart with the clock set back.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use actix::{Actor, Addr};
 use indexmap::IndexMap;
@@ -306,17 +303,7 @@
         links,
     };
     let identity = Identity::new(name.to_owned(), incarnation, place.clone(), addresses);
-    let board = Board::new(View {
-        instance: name.to_owned(),
-        incarnation,
-        place,
-        state: None,
-        connected: false,
-        draining: false,
-        peers: Arc::default(),
-        targets: Arc::default(),
-        digests: Arc::default(),
-    });
+    let board = Board::new(View::new(name.to_owned(), incarnation, place));
     let around = Surroundings {
         identity: identity.clone(),
         board: board.clone(),
--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -23,6 +23,9 @@
 /// milliseconds; a busy machine that takes longer brings nothing about.
 const LONG_ELECTION: u64 = 8_000;
 
+/// A zone's instances and the control replica beside them.
+const BEHIND: [&str; 3] = ["control-1", "patras-a-1", "patras-a-2"];
+
 fn builder(replicas: usize) -> Builder {
     Cluster::builder()
         .replicas(replicas)
@@ -73,6 +76,24 @@
     Ok(lines.iter().filter_map(revision).collect())
 }
 
+/// Cuts these nodes off from all others; among themselves everything passes.
+fn cut_off(cluster: &Cluster, inside: &[&str]) {
+    let inside = |node: &Node| inside.contains(&node.name());
+    cluster.partition(inside);
+    cluster.links(|from, to| (inside(from) && inside(to)).then(Rule::default));
+}
+
+/// Restarts an instance, and checks that it puts nothing older in force than a revision.
+async fn restarts_at(cluster: &mut Cluster, name: &str, revision: u64) -> Result<()> {
+    cluster.entry(name)?.restart().await?;
+    let first = wait::until("a configuration in force", async || {
+        in_force(cluster, name).ok()?.first().copied()
+    })
+    .await?;
+    assert!(first >= revision, "{first} < {revision}");
+    Ok(())
+}
+
 /// A region is cut off when an operator forbids it to run a client's requests. It has not heard,
 /// so the operator must not be told that the rule holds; the answer names the instance. Once the
 /// region is back, or its instance was declared gone for certain, the change is accepted.
@@ -150,21 +171,12 @@
         .start()
         .await?;
     settled(&cluster, 2).await?;
-    let behind = ["control-1", "patras-a-1", "patras-a-2"];
     cluster.partition(|node| node.name() == "control-1");
     cluster.leader_besides(&["control-1"]).await?;
     change(&cluster, "m").await?;
     let newest = settled(&cluster, 2).await?;
-    let inside = |name: &str| behind.contains(&name);
-    cluster.partition(|node| inside(node.name()));
-    cluster.links(|from, to| (inside(from.name()) && inside(to.name())).then(Rule::default));
-    cluster.entry("patras-a-1")?.restart().await?;
-    let first = wait::until("a configuration in force", async || {
-        in_force(&mut cluster, "patras-a-1").ok()?.first().copied()
-    })
-    .await?;
-    assert!(first >= newest, "{first} < {newest}");
-    Ok(())
+    cut_off(&cluster, &BEHIND);
+    restarts_at(&mut cluster, "patras-a-1", newest).await
 }
 
 /// A control replica has been cut off from the others a moment ago: it has heard its leader within
@@ -187,23 +199,14 @@
     cluster.leader_besides(&["control-1"]).await?;
     change(&cluster, "before").await?;
     settled(&cluster, 2).await?;
-    let behind = ["control-1", "patras-a-1", "patras-a-2"];
     cluster.partition(|node| node.name() == "control-1");
     change(&cluster, "after").await?;
     let newest = settled(&cluster, 2).await?;
-    let inside = |name: &str| behind.contains(&name);
-    cluster.partition(|node| inside(node.name()));
-    cluster.links(|from, to| (inside(from.name()) && inside(to.name())).then(Rule::default));
+    cut_off(&cluster, &BEHIND);
     // Those behind the cut are not dialled first, which would take time that the others use.
     let near = cluster.control("control-1")?.address("links")?;
     cluster.entry("patras-a-1")?.settings()["control"] = json!([near]);
-    cluster.entry("patras-a-1")?.restart().await?;
-    let first = wait::until("a configuration in force", async || {
-        in_force(&mut cluster, "patras-a-1").ok()?.first().copied()
-    })
-    .await?;
-    assert!(first >= newest, "{first} < {newest}");
-    Ok(())
+    restarts_at(&mut cluster, "patras-a-1", newest).await
 }
 
 /// A zone's instances get their configuration through relays. Those that follow control directly
