refactor(control): one job a file in control.rs and convert.rs

Cause: control.rs (364 lines) held the actor's state, its start and what drives the replica; convert.rs wrote the fields of each object twice, once a direction.

Ruled out: From impls between the schema's and the model's types (both are foreign here).

Change: control/start.rs and control/drive.rs; rpc/convert/object.rs makes both conversions of a type from one list of its fields. Nothing that a user sees changes.

--- /dev/null
+++ b/crates/zinniastall-control/src/control/drive.rs
@@ -0,0 +1,102 @@
+//! Does what the replica asks for: stores, sends, applies and publishes.
+
+use std::time::Instant;
+
+use actix::{AsyncContext, Context, Handler, Message};
+use zinniastall_coord::replica::{Part, Ready};
+
+use super::{Control, hex};
+use crate::{disk::Work, peers};
+
+impl Control {
+    /// Does what the replica asks for, until it asks for nothing more.
+    pub(super) fn drive(&mut self) {
+        if self.failed.is_none() {
+            return;
+        }
+        let now = Instant::now();
+        while let Some(ready) = self.replica.ready() {
+            self.perform(ready, now);
+        }
+        self.publish();
+        self.check_part(now);
+        self.check_reads(now);
+        self.check_questions(now);
+    }
+
+    fn perform(&mut self, mut ready: Ready, now: Instant) {
+        let messages = std::mem::take(&mut ready.messages);
+        let committed = std::mem::take(&mut ready.committed);
+        let meets = ready.cluster.is_some();
+        if let Some(snapshot) = ready.install.clone() {
+            self.restore(&snapshot);
+        }
+        if ready.needs_sync() || self.handed > self.synced {
+            self.handed = ready.batch;
+            self.disk.hand(Work::Save(Box::new(ready)));
+        } else {
+            self.handed = ready.batch;
+            self.synced = ready.batch;
+            self.replica.synced(ready.batch, now);
+        }
+        if meets {
+            self.meet();
+        }
+        let voters = self.replica.status(now).voters;
+        for (to, message) in messages {
+            let message = peers::Message::Log(Box::new(message));
+            self.peers.send(to, voters.address(to), &message);
+        }
+        self.apply(committed);
+    }
+
+    /// Dials the group as it is now, under the cluster that is known now.
+    pub(super) fn meet(&mut self) {
+        let status = self.replica.status(Instant::now());
+        let cluster = status.cluster.map(hex);
+        self.card.borrow_mut().cluster = cluster;
+        let hello = self.card.borrow().clone();
+        let others = status.voters.members().filter(|id| *id != status.id);
+        let addresses: Vec<String> = others
+            .filter_map(|id| status.voters.address(id).cloned())
+            .collect();
+        self.operators.retain(|id, _| status.voters.is_member(*id));
+        self.peers.dial(&hello, &addresses);
+    }
+
+    /// Runs [`Control::drive`] once the messages that wait already have been handled, so that all
+    /// their commands share one sync.
+    pub(super) fn schedule(&mut self, context: &mut Context<Self>) {
+        if !self.scheduled {
+            self.scheduled = true;
+            context.notify(Drive);
+        }
+    }
+
+    fn check_part(&mut self, now: Instant) {
+        let status = self.replica.status(now);
+        if status.part == self.part {
+            return;
+        }
+        let (part, term) = (format!("{:?}", status.part).to_lowercase(), status.term);
+        tracing::info!(event = "part-changed", part, term);
+        if self.part == Part::Leader {
+            self.waiting.hurry(now + self.settings.timing.election * 2);
+        }
+        self.part = status.part;
+    }
+}
+
+/// Drives the replica.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Drive;
+
+impl Handler<Drive> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Drive, _: &mut Context<Self>) {
+        self.scheduled = false;
+        self.drive();
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-control/src/control/start.rs
@@ -0,0 +1,114 @@
+//! How a control instance starts, and why it cannot or ends.
+
+use std::{sync::Arc, time::Instant};
+
+use actix::{AsyncContext, Context};
+use indexmap::IndexMap;
+use tokio::sync::{oneshot, watch};
+use zinniastall_coord::{
+    Replica,
+    replica::{Part, Restored},
+};
+use zinniastall_model::machine::Machine;
+use zinniastall_store::Store;
+use zinniastall_wire::feed::Feed;
+
+use super::{Confirmed, Control, read::Reads, status::Questions, waiting::Waiting};
+use crate::{
+    disk::Disk,
+    links::Card,
+    peers::{self, Peers},
+    settings,
+};
+
+/// What a control instance starts from.
+#[derive(Debug)]
+pub struct Start {
+    /// Checked settings.
+    pub settings: Arc<settings::Control>,
+    /// What this instance says of itself.
+    pub card: Card,
+    /// The opened data folder.
+    pub store: Store,
+    /// What the folder held.
+    pub restored: Restored,
+    /// Where configuration is published.
+    pub feed: watch::Sender<Feed>,
+    /// Where a failure that ends the process is reported.
+    pub failed: oneshot::Sender<Failure>,
+}
+
+/// Why a running control instance cannot go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The disk failed.
+    #[error("the disk failed: {0}")]
+    Disk(zinniastall_store::Fault),
+    /// A leader's snapshot cannot be read; it may come from a later version of this program.
+    #[error("a snapshot cannot be read: {0}")]
+    Snapshot(ciborium::de::Error<std::io::Error>),
+}
+
+/// Why a control instance cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartFault {
+    /// The timings can't keep a group safe.
+    #[error(transparent)]
+    Timing(#[from] zinniastall_coord::election::Fault),
+    /// The snapshot in the data folder is not one of this program's.
+    #[error("the snapshot cannot be read: {0}")]
+    Snapshot(#[from] ciborium::de::Error<std::io::Error>),
+    /// The disk's thread cannot be started.
+    #[error("the disk thread cannot be started: {0}")]
+    Disk(#[from] std::io::Error),
+}
+
+impl Control {
+    /// Creates the actor's state in its context.
+    ///
+    /// # Errors
+    ///
+    /// [`StartFault`] says what stands against it.
+    pub fn create(start: Start, context: &mut Context<Self>) -> Result<Self, StartFault> {
+        let settings = start.settings;
+        let machine = match &start.restored.snapshot {
+            Some(snapshot) => ciborium::from_reader(snapshot.data.as_slice())?,
+            None => Machine::default(),
+        };
+        let replica = Replica::builder(start.store.id(), settings.timing)
+            .restored(start.restored)
+            .build(Instant::now())?;
+        let address = context.address();
+        let timing = peers::Timing::new(settings.timing.election);
+        let hello = start.card.borrow().clone();
+        start
+            .feed
+            .send_modify(|feed| feed.restore(Arc::clone(machine.state())));
+        let mut control = Self {
+            peers: Peers::new(start.store.id(), hello, timing, address.clone().recipient()),
+            disk: Disk::start(start.store, address.recipient())?,
+            card: start.card,
+            replica,
+            handed: 0,
+            synced: 0,
+            machine,
+            fresh: 0,
+            feed: start.feed,
+            operators: IndexMap::new(),
+            waiting: Waiting::new(settings.limits.calls),
+            settling: Vec::new(),
+            reads: Reads::default(),
+            questions: Questions::default(),
+            confirmed: Confirmed::default(),
+            joining: IndexMap::new(),
+            orders: None,
+            founding: false,
+            scheduled: false,
+            part: Part::Follower,
+            failed: Some(start.failed),
+            settings,
+        };
+        control.meet();
+        Ok(control)
+    }
+}
--- a/crates/zinniastall-control/src/rpc/convert.rs
+++ b/crates/zinniastall-control/src/rpc/convert.rs
@@ -1,13 +1,15 @@
 //! Between the schema's types and the model's.
 
+mod object;
+
 use tonic::Status;
 use zinniastall_api::operator as api;
 use zinniastall_model::{
     change::{Body, Change, Origin},
-    object::{self, Key, Kind, Object, Subject},
-    state,
+    object::{Key, Kind},
 };
 
+pub(super) use self::object::{object, record};
 use crate::control::Reply;
 
 /// A field without which a request makes no sense.
@@ -78,121 +80,6 @@
     u64::from_str_radix(id, 16).map_err(|_| Fault::Malformed("replica"))
 }
 
-/// Reads an object.
-pub(super) fn object(object: Option<api::Object>) -> Result<Object, Fault> {
-    use api::object::Object as Api;
-    let object = object.and_then(|object| object.object);
-    Ok(match object.ok_or(Fault::Missing("object"))? {
-        Api::Client(client) => Object::Client(object::Client {
-            id: client.id,
-            keys: client.keys,
-            weight: client.weight.max(1),
-            withdrawn: client.withdrawn,
-        }),
-        Api::Route(route) => Object::Route(read_route(route)?),
-        Api::Model(model) => Object::Model(object::Model {
-            id: model.id,
-            version: model.version,
-            weights: model.weights,
-        }),
-        Api::Adapter(adapter) => Object::Adapter(object::Adapter {
-            id: adapter.id,
-            model: adapter.model,
-            version: adapter.version,
-            weights: adapter.weights,
-        }),
-        Api::Residency(rule) => Object::Residency(object::Residency {
-            id: rule.id,
-            client: rule.client,
-            subject: some(rule.subject),
-            regions: rule.regions,
-        }),
-        Api::Role(role) => Object::Role(object::Role {
-            id: role.id,
-            region: role.region,
-            zone: some(role.zone),
-            target: some(role.target),
-            role: role.role,
-            models: role.models,
-            adapters: role.adapters,
-        }),
-    })
-}
-
-fn read_route(route: api::Route) -> Result<object::Route, Fault> {
-    let subject = match route.serves.ok_or(Fault::Missing("route.model"))? {
-        api::route::Serves::Model(model) => Subject::Model(model),
-        api::route::Serves::Service(service) => Subject::Service(service),
-    };
-    Ok(object::Route {
-        id: route.id,
-        prefix: route.prefix,
-        subject,
-        idempotent: route.idempotent,
-    })
-}
-
-fn some(text: String) -> Option<String> {
-    (!text.is_empty()).then_some(text)
-}
-
-/// Writes a record.
-pub(super) fn record(record: &state::Record) -> api::Record {
-    api::Record {
-        revision: record.revision,
-        object: Some(api::Object {
-            object: Some(write_object(&record.object)),
-        }),
-    }
-}
-
-fn write_object(object: &Object) -> api::object::Object {
-    use api::object::Object as Api;
-    match object.clone() {
-        Object::Client(client) => Api::Client(api::Client {
-            id: client.id,
-            keys: client.keys,
-            weight: client.weight,
-            withdrawn: client.withdrawn,
-        }),
-        Object::Route(route) => Api::Route(api::Route {
-            id: route.id,
-            prefix: route.prefix,
-            idempotent: route.idempotent,
-            serves: Some(match route.subject {
-                Subject::Model(model) => api::route::Serves::Model(model),
-                Subject::Service(service) => api::route::Serves::Service(service),
-            }),
-        }),
-        Object::Model(model) => Api::Model(api::Model {
-            id: model.id,
-            version: model.version,
-            weights: model.weights,
-        }),
-        Object::Adapter(adapter) => Api::Adapter(api::Adapter {
-            id: adapter.id,
-            model: adapter.model,
-            version: adapter.version,
-            weights: adapter.weights,
-        }),
-        Object::Residency(rule) => Api::Residency(api::Residency {
-            id: rule.id,
-            client: rule.client,
-            subject: rule.subject.unwrap_or_default(),
-            regions: rule.regions,
-        }),
-        Object::Role(role) => Api::Role(api::Role {
-            id: role.id,
-            region: role.region,
-            zone: role.zone.unwrap_or_default(),
-            target: role.target.unwrap_or_default(),
-            role: role.role,
-            models: role.models,
-            adapters: role.adapters,
-        }),
-    }
-}
-
 /// Writes a deletion.
 pub(super) fn removed(key: &Key) -> api::Removed {
     let kind = match key.kind {
