feat(xtask): measure what relays and calls cost the control group

Cause: the rows of CAPACITY.md on control leader, follower and ctl were "not measured" at the target size.

Ruled out: counting frames on the links (the transport's segments are what the budget counts); the kernel's peak memory of ended children (it holds the parent's, 37 MB for a call of 5).

Change: tests/examples/control_capacity and `cargo xtask control`.

--- /dev/null
+++ b/tests/examples/control_capacity/relay.rs
@@ -0,0 +1,142 @@
+//! A relay as control sees it: a follow link that speaks for its own instance and its followers.
+
+use std::{rc::Rc, time::Duration};
+
+use indexmap::IndexSet;
+use tokio::time;
+use zinniastall_model::{change::Body, member::Member, place::Place};
+use zinniastall_wire::{
+    feed,
+    follow::{Confirmation, Message},
+    hello::{Hello, Purpose, VERSION},
+    link::{Error, Link, Sender},
+};
+
+/// Time between two looks at what is new, as in a real relay.
+const NEWS: Duration = Duration::from_millis(50);
+/// Looks between two signs of life, and between two repetitions of everything.
+const LIFE: u32 = 20;
+const EVERYTHING: u32 = 200;
+/// Looks between two presentations of instances that aren't members yet.
+const JOIN: u32 = 10;
+
+/// A relay with the instances that it speaks for.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    /// Its own instance first.
+    members: Vec<Member>,
+    known: IndexSet<String>,
+    revision: u64,
+}
+
+impl Relay {
+    /// Creates a relay of a zone of its own.
+    pub(crate) fn new(number: usize, instances: usize) -> Self {
+        let place = Place {
+            region: format!("region-{}", number / 6),
+            zone: format!("zone-{number}"),
+        };
+        let member = |instance: usize| Member {
+            instance: format!("region-{}-zone-{number}-{instance}", number / 6),
+            place: place.clone(),
+            links: format!("10.{}.{}.{instance}:7000", number / 250, number % 250),
+            callers: format!("10.{}.{}.{instance}:8000", number / 250, number % 250),
+        };
+        Self {
+            members: (0..instances).map(member).collect(),
+            known: IndexSet::new(),
+            revision: 0,
+        }
+    }
+
+    /// Follows a control instance until the link breaks.
+    ///
+    /// # Errors
+    ///
+    /// Says why it broke.
+    pub(crate) async fn follow(mut self, address: Rc<str>) -> Result<(), Error> {
+        let own = self.members[0].clone();
+        let hello = Hello {
+            version: VERSION,
+            purpose: Purpose::Follow,
+            cluster: None,
+            instance: own.instance.clone(),
+            incarnation: 1,
+            place: own.place.clone(),
+            links: own.links.clone(),
+            service: own.callers.clone(),
+        };
+        let (mut sender, mut receiver) = Link::dial(&address, hello).await?.split();
+        let member = Some(own);
+        let from = Message::From {
+            revision: 0,
+            member,
+        };
+        feed::send(&mut sender, from).await?;
+        let mut looks = time::interval(NEWS);
+        let mut told = 0;
+        for look in 0_u32.. {
+            loop {
+                tokio::select! {
+                    message = feed::receive(&mut receiver) => self.take(message?),
+                    _ = looks.tick() => break,
+                }
+            }
+            if look % JOIN == 0 {
+                self.present(&mut sender).await?;
+            }
+            if self.revision > told || look % EVERYTHING == 0 {
+                told = self.revision;
+                self.confirm(&mut sender, self.members.len()).await?;
+            } else if look % LIFE == 0 {
+                self.confirm(&mut sender, 1).await?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Snapshot(state) => {
+                self.revision = state.revision;
+                for name in state.members.keys() {
+                    self.note(name);
+                }
+            }
+            Message::Changes(changes) => {
+                for (revision, change) in changes {
+                    self.revision = revision;
+                    if let Body::Join(member) = change.body {
+                        self.note(&member.instance);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, name: &str) {
+        if self.members.iter().any(|member| member.instance == name) {
+            self.known.insert(name.to_owned());
+        }
+    }
+
+    async fn present(&self, sender: &mut Sender) -> Result<(), Error> {
+        let unknown = |member: &&Member| !self.known.contains(&member.instance);
+        for member in self.members.iter().filter(unknown) {
+            feed::send(sender, Message::Present(member.clone())).await?;
+        }
+        Ok(())
+    }
+
+    async fn confirm(&self, sender: &mut Sender, words: usize) -> Result<(), Error> {
+        let members = self.members.iter().take(words);
+        let word = |member: &Member| Confirmation {
+            instance: member.instance.clone(),
+            incarnation: 1,
+            revision: self.revision,
+            draining: false,
+        };
+        feed::send(sender, Message::Confirm(members.map(word).collect())).await
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -23,6 +23,7 @@
   explore [--runs N] [--seed S]
                 drive the consensus core through random schedules of faults
   capacity      measure slopes and rewrite the tables of docs/CAPACITY.md
+  control       measure what relays and calls cost the control group
   codegen       generate the operators' calls from their schema file";
 
 fn main() -> eyre::Result<ExitCode> {
@@ -51,6 +52,7 @@
             measure::explore(root, runs, seed)?;
         }
         Some("capacity") => measure::capacity(root)?,
+        Some("control") => measure::control(root)?,
         _ => eyre::bail!("unknown chore: {}\n{USAGE}", chore.display()),
     }
     Ok(ExitCode::SUCCESS)
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -45,6 +45,23 @@
     run(command)
 }
 
+/// Measures what relays cost the control group, and what an operator's call costs.
+///
+/// # Errors
+///
+/// Fails when a build or a case does.
+pub(crate) fn control(root: &Path) -> eyre::Result<()> {
+    let mut binaries = cargo(root);
+    binaries.args(["build", "--release", "--locked", "--bins"]);
+    run(binaries)?;
+    let mut command = cargo(root);
+    command
+        .args(["run", "--release", "--locked"])
+        .args(["--package", "zinniastall-tests"])
+        .args(["--example", "control_capacity"]);
+    run(command)
+}
+
 fn run(mut command: Command) -> eyre::Result<()> {
     let status = command.status()?;
     eyre::ensure!(status.success(), "ended with {status}");
