test(path): entry instance killed and frozen at each point of an answer; histories of tickets

Change: entry_lost with 12 cases (three points, killed or frozen, idempotent or once), engine stopped at the point, outcomes compared with the ledger; history::ticket, a model of work that runs at most once, and 15 histories that it must pass or refuse.

--- a/tests/src/history.rs
+++ b/tests/src/history.rs
@@ -12,6 +12,7 @@
 mod check;
 mod recorder;
 mod register;
+pub mod ticket;
 
 pub use check::{Model, Violation, check};
 pub use recorder::{Call, Recorder};
--- a/tests/tests/history.rs
+++ b/tests/tests/history.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::thread;
 
-use zinniastall_tests::history::{Answer, Call, Recorder, Register, Request, check};
+use zinniastall_tests::history::{Answer, Call, Recorder, Register, Request, check, ticket};
 
 type Entry = Call<Request, Answer>;
 
@@ -169,6 +169,59 @@
     ]
 );
 
+/// Names what the askers for one ticket were told, one after the other, and how often it ran, and
+/// says whether that keeps the promises.
+macro_rules! ticket {
+    ($($name:ident: [$($answer:expr),*], $runs:literal => $expected:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            let answers: &[Option<ticket::Answer>] = &[$($answer),*];
+            let mut calls = Vec::new();
+            for (answer, began) in answers.iter().zip((1..).step_by(2)) {
+                calls.push(Call {
+                    request: ticket::Request::Ask,
+                    answer: answer.clone(),
+                    began,
+                    ended: if answer.is_some() { began + 1 } else { NEVER },
+                });
+            }
+            calls.push(Call {
+                request: ticket::Request::Count,
+                answer: Some(ticket::Answer::Ran($runs)),
+                began: 100,
+                ended: 101,
+            });
+            let model = ticket::Ticket { expected: "map".to_owned() };
+            assert_eq!(check(&model, &calls).is_ok(), $expected);
+        }
+    )+};
+}
+
+fn whole(text: &str) -> Option<ticket::Answer> {
+    Some(ticket::Answer::Whole(text.to_owned()))
+}
+
+const UNKNOWN: Option<ticket::Answer> = None;
+const NOT_RUN: Option<ticket::Answer> = Some(ticket::Answer::NotRun);
+
+ticket! {
+    ticket_answered: [whole("map"), whole("map")], 1 => true;
+    ticket_answered_after_a_loss: [UNKNOWN, whole("map")], 1 => true;
+    ticket_lost_and_run: [UNKNOWN, UNKNOWN], 1 => true;
+    ticket_lost_and_not_run: [UNKNOWN], 0 => true;
+    ticket_refused: [NOT_RUN, NOT_RUN], 0 => true;
+    ticket_refused_after_a_loss: [UNKNOWN, NOT_RUN], 0 => true;
+    ticket_run_twice: [whole("map")], 2 => false;
+    ticket_lost_and_run_twice: [UNKNOWN, UNKNOWN], 2 => false;
+    ticket_refused_but_run: [NOT_RUN], 1 => false;
+    ticket_refused_after_its_answer: [whole("map"), NOT_RUN], 1 => false;
+    ticket_refused_after_a_loss_but_run: [UNKNOWN, NOT_RUN], 1 => false;
+    ticket_run_after_its_refusal: [NOT_RUN, whole("map")], 1 => false;
+    ticket_answered_but_not_run: [whole("map")], 0 => false;
+    ticket_answered_with_half: [whole("ma")], 1 => false;
+    ticket_answered_with_anothers: [whole("bill")], 1 => false;
+}
+
 // Threads race on a real object and some answers are lost. The recorded history must pass, and must
 // not any more once one answer is changed to what couldn't have been said.
 #[test]
--- a/tests/tests/path/loss.rs
+++ b/tests/tests/path/loss.rs
@@ -5,14 +5,14 @@
 
 use super::support::{ask, ask_once, chat, error, expected, runs, ticket, zone};
 
-fn engine(point: &str, action: &str, events: usize) -> Value {
+pub(crate) fn engine(point: &str, action: &str, events: usize) -> Value {
     json!({
         "engine": {"token_us": 2000},
         "failure": {"point": point, "action": action, "events": events, "times": 0},
     })
 }
 
-fn failure(point: &str, action: &str, events: usize) -> Value {
+pub(crate) fn failure(point: &str, action: &str, events: usize) -> Value {
     json!({"point": point, "action": action, "events": events, "times": 1})
 }
 
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -6,6 +6,7 @@
 mod border;
 mod calls;
 mod drain;
+mod entry_lost;
 mod forward;
 mod forwarded;
 mod frames;
