test(path): racing callers with tickets checked as histories, and two faults at once

Change: races: 8 callers, 48 tickets sent to two instances at once and again, while both are killed and frozen by turns from a fixed seed; each ticket's history ends with the ledgers' count and is checked by history::ticket. together: a target lost while its instance drains (idempotent resumes, once stays unknown), and a region cut off while the issuer is frozen and its ticket is resent in the other region.

--- a/tests/tests/path/forwarded.rs
+++ b/tests/tests/path/forwarded.rs
@@ -11,14 +11,14 @@
 };
 
 /// Asks an instance to end and waits until it takes no more work.
-async fn terminate(cluster: &mut System, entry: &str) -> Result<()> {
+pub(crate) async fn terminate(cluster: &mut System, entry: &str) -> Result<()> {
     let process = cluster.entry(entry)?.process();
     process.terminate()?;
     process.event("draining").await?;
     Ok(())
 }
 
-async fn ends_well(cluster: &mut System, entry: &str) -> Result<()> {
+pub(crate) async fn ends_well(cluster: &mut System, entry: &str) -> Result<()> {
     let status = cluster.entry(entry)?.process().ends().await?;
     assert!(status.success(), "{entry}: {status}");
     let cut = cluster.entry(entry)?.process().log().events("drain-cut");
@@ -71,7 +71,7 @@
 // The same over a slow link: the engine has finished and the instance has written the whole answer,
 // but most of it is still on its way. If the instance ended now, the rest would be lost with it.
 #[actix_rt::test]
-async fn terminated_receiver_waits_for_a_slow_link() -> Result<()> {
+pub(crate) async fn terminated_receiver_waits_for_a_slow_link() -> Result<()> {
     let mut cluster = regions_with(json!({"engine": {"token_us": 1}}), json!({})).await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
     let proxy = cluster.entry("athens-a-1")?.proxy("links")?;
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -14,5 +14,7 @@
 mod loss;
 mod once;
 mod overtake;
+mod races;
 mod storm;
 mod support;
+mod together;
--- /dev/null
+++ b/tests/tests/path/races.rs
@@ -0,0 +1,150 @@
+//! Many callers with tickets at once, while instances are killed and frozen.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_util::future::{join, join_all};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use serde_json::json;
+use zinniastall_tests::{
+    Error, Result,
+    history::{
+        Recorder, check,
+        ticket::{Answer, Request, Ticket},
+    },
+};
+
+use super::support::{System, ask_once, chat, error, expected, runs, text, ticket, zone_with};
+
+const SEED: u64 = 20_261_202;
+const CALLERS: usize = 8;
+/// Pieces of work of a caller.
+const WORK: usize = 6;
+const TOKENS: usize = 6;
+/// Most times that a piece of work is asked for, two at a time.
+const ASKED: usize = 4;
+/// Instances lost, by turns killed and frozen.
+const LOSSES: usize = 6;
+
+/// One piece of work and what its caller was told.
+struct Work {
+    prompt: String,
+    calls: Recorder<Request, Answer>,
+}
+
+/// Sends the work once and notes the answer.
+async fn send(work: &Work, address: SocketAddr, ticket: &str) -> Option<Answer> {
+    let call = work.calls.begin(Request::Ask);
+    let body = chat(&work.prompt, TOKENS, false);
+    let request = ask_once(address, ticket, &body).header("x-zinniastall-deadline-ms", "2000");
+    let answer = request.send().await.ok()?;
+    let told = if answer.status() == 200 {
+        let chosen = &answer.json().ok()?["choices"][0];
+        Answer::Whole(text(&chosen["message"]["content"]))
+    } else if error(&answer).0 == "not-run" {
+        Answer::NotRun
+    } else {
+        return None;
+    };
+    work.calls.end(call, told.clone());
+    Some(told)
+}
+
+/// Asks for work until its end is known, at random instances, often at two at once.
+async fn caller(
+    number: usize,
+    addresses: [SocketAddr; 2],
+    random: Rc<RefCell<StdRng>>,
+) -> Vec<Work> {
+    let any = || *addresses.choose(&mut *random.borrow_mut()).expect("two");
+    let mut done = Vec::new();
+    for piece in 0..WORK {
+        let work = Work {
+            prompt: format!("bill {number}-{piece} of {SEED}"),
+            calls: Recorder::default(),
+        };
+        let ticket = loop {
+            match ticket(any()).await {
+                Ok(ticket) if !ticket.is_empty() => break ticket,
+                // The instance is away for a moment.
+                _ => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        };
+        for _ in 0..ASKED {
+            let (one, other) = (any(), any());
+            let pause = Duration::from_millis(random.borrow_mut().random_range(0..100));
+            let again = async {
+                tokio::time::sleep(pause).await;
+                send(&work, other, &ticket).await
+            };
+            let told = join(send(&work, one, &ticket), again).await;
+            if told.0.or(told.1).is_some() {
+                break;
+            }
+        }
+        done.push(work);
+    }
+    done
+}
+
+/// Kills and freezes the instances by turns; each returns before the next is lost.
+async fn lose(cluster: &mut System, random: &RefCell<StdRng>) -> Result<()> {
+    for loss in 0..LOSSES {
+        let pause = random.borrow_mut().random_range(200..600);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let node = cluster.entry(["patras-a-1", "patras-a-2"][loss / 2 % 2])?;
+        if loss % 2 == 0 {
+            node.restart().await?;
+        } else {
+            node.process().freeze()?;
+            tokio::time::sleep(Duration::from_millis(pause * 4)).await;
+            node.process().thaw()?;
+        }
+    }
+    Ok(())
+}
+
+// Eight robots have their work billed, each ticket often sent to two instances at once and again
+// after a loss, while the instances are killed and stand still. Each piece of work must have run once
+// at most, and nobody may have been told something about it that another answer or the engines'
+// ledgers belie.
+#[actix_rt::test]
+async fn racing_callers_are_told_one_truth_for_each_ticket() -> Result<()> {
+    println!("seed {SEED}");
+    let engine = json!({"engine": {"token_us": 20_000}, "slots": 4});
+    let entry = json!({"tickets": {"linger_ms": 200}});
+    let mut cluster = zone_with(&[engine.clone(), engine], entry).await?;
+    let addresses = [
+        cluster.entry("patras-a-1")?.address("callers")?,
+        cluster.entry("patras-a-2")?.address("callers")?,
+    ];
+    let random = Rc::new(RefCell::new(StdRng::seed_from_u64(SEED)));
+    let callers = (0..CALLERS).map(|number| caller(number, addresses, Rc::clone(&random)));
+    let (done, lost) = join(join_all(callers), lose(&mut cluster, &random)).await;
+    lost?;
+    let (mut whole, mut refused, mut unknown) = (0, 0, 0);
+    for work in done.into_iter().flatten() {
+        let body = chat(&work.prompt, TOKENS, false);
+        let first = runs(&mut cluster, "engine-1", &body).await?.len();
+        let ran = first + runs(&mut cluster, "engine-2", &body).await?.len();
+        let count = work.calls.begin(Request::Count);
+        work.calls.end(count, Answer::Ran(ran));
+        let calls = work.calls.into_calls();
+        for call in &calls {
+            match call.answer {
+                Some(Answer::Whole(_)) => whole += 1,
+                Some(Answer::NotRun) => refused += 1,
+                Some(Answer::Ran(_)) => {}
+                None => unknown += 1,
+            }
+        }
+        let model = Ticket {
+            expected: expected(&work.prompt, TOKENS),
+        };
+        check(&model, &calls).map_err(|violation| {
+            Error::Unknown(format!("{violation} for {:?}: {calls:#?}", work.prompt))
+        })?;
+    }
+    println!("{whole} whole, {refused} not run, {unknown} unknown");
+    assert!(whole > 0 && unknown > 0, "nothing was lost, or everything");
+    cluster.stop().await
+}
