--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -116,9 +116,21 @@
 ///
 /// Fails when an event is no chat event; a broken connection only leaves out the end mark.
 pub async fn content(
+    events: Events<impl Stream<Item = Result<Bytes>> + Unpin>,
+) -> Result<(String, bool)> {
+    content_by(events, |_| {}).await
+}
+
+/// The same; `seen` is told how many chat events have arrived, at each of them.
+///
+/// # Errors
+///
+/// See [`content`].
+pub async fn content_by(
     mut events: Events<impl Stream<Item = Result<Bytes>> + Unpin>,
+    seen: impl Fn(usize),
 ) -> Result<(String, bool)> {
-    let mut text = String::new();
+    let (mut text, mut count) = (String::new(), 0);
     while let Ok(Some(event)) = events.next().await {
         if event.data == DONE {
             return Ok((text, true));
@@ -127,6 +139,8 @@
         text += chunk["choices"][0]["delta"]["content"]
             .as_str()
             .unwrap_or_default();
+        count += 1;
+        seen(count);
     }
     Ok((text, false))
 }
--- a/tests/tests/path/drain.rs
+++ b/tests/tests/path/drain.rs
@@ -4,7 +4,9 @@
 use serde_json::json;
 use zinniastall_tests::{Result, http, wait};
 
-use super::support::{ask, ask_once, chat, error, expected, ticket, zone, zone_with};
+use super::support::{
+    ask, ask_once, chat, ends_well, error, expected, terminate, ticket, zone, zone_with,
+};
 
 // An operator restarts an instance while a long answer streams through it. The stream must arrive
 // whole; whoever comes meanwhile is told at once that nothing ran and goes elsewhere.
@@ -16,12 +18,7 @@
     let (_, events) = ask(address, &body).stream().await?;
     let reading = actix_rt::spawn(http::content(events));
     let ticket = ticket(address).await?;
-    cluster.entry("patras-a-1")?.process().terminate()?;
-    cluster
-        .entry("patras-a-1")?
-        .process()
-        .event("draining")
-        .await?;
+    terminate(&mut cluster, "patras-a-1").await?;
     let late = chat("a late scan", 1, false);
     let answer = wait::until("a refusal", async || {
         let answer = ask(address, &late).send().await.ok()?;
@@ -33,15 +30,7 @@
     assert_eq!(error(&answer).0, "not-run");
     let answer = reading.await.expect("the reader ends")?;
     assert_eq!(answer, (expected("a long brief", 40), true));
-    assert!(
-        cluster
-            .entry("patras-a-1")?
-            .process()
-            .ends()
-            .await?
-            .success()
-    );
-    Ok(())
+    ends_well(&mut cluster, "patras-a-1").await
 }
 
 // An instance is told to stop right after it has run a billed proposal whose answer was lost. The
@@ -56,25 +45,12 @@
     let (ticket, body) = (ticket(first).await?, chat("a billed proposal", 4, false));
     let answer = ask_once(first, &ticket, &body).send().await?;
     assert_eq!(answer.status(), 200);
-    cluster.entry("patras-a-1")?.process().terminate()?;
-    cluster
-        .entry("patras-a-1")?
-        .process()
-        .event("draining")
-        .await?;
+    terminate(&mut cluster, "patras-a-1").await?;
     for address in [first, second] {
         let again = ask_once(address, &ticket, &body).send().await?;
         assert_eq!(again.text(), answer.text());
     }
-    assert!(
-        cluster
-            .entry("patras-a-1")?
-            .process()
-            .ends()
-            .await?
-            .success()
-    );
-    Ok(())
+    ends_well(&mut cluster, "patras-a-1").await
 }
 
 // Engines are replaced while callers keep asking. No request may fail for it, and an engine that
--- a/tests/tests/path/entry_lost.rs
+++ b/tests/tests/path/entry_lost.rs
@@ -2,9 +2,13 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use zinniastall_tests::{Result, http::Request, sse::DONE, wait};
+use zinniastall_tests::{
+    Result,
+    http::{self, Request},
+    wait,
+};
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::{
     loss::{engine, failure},
@@ -16,19 +20,8 @@
 
 /// Reads a stream and counts its events; returns its text and whether it ended.
 async fn read(request: Request, seen: Rc<Cell<usize>>) -> Result<(String, bool)> {
-    let (_, mut events) = request.stream().await?;
-    let mut text = String::new();
-    while let Ok(Some(event)) = events.next().await {
-        if event.data == DONE {
-            return Ok((text, true));
-        }
-        let chunk: Value = serde_json::from_str(&event.data)?;
-        text += chunk["choices"][0]["delta"]["content"]
-            .as_str()
-            .unwrap_or_default();
-        seen.set(seen.get() + 1);
-    }
-    Ok((text, false))
+    let (_, events) = request.stream().await?;
+    http::content_by(events, |count| seen.set(count)).await
 }
 
 /// Loses an instance when the engine has stopped at a point of a stream, and asks again at the other
--- a/tests/tests/path/forwarded.rs
+++ b/tests/tests/path/forwarded.rs
@@ -7,25 +7,9 @@
 
 use super::{
     forward::{regions, regions_with},
-    support::{System, ask, ask_once, chat, expected, runs, ticket},
+    support::{ask, ask_once, chat, ends_well, expected, runs, terminate, ticket},
 };
 
-/// Asks an instance to end and waits until it takes no more work.
-pub(crate) async fn terminate(cluster: &mut System, entry: &str) -> Result<()> {
-    let process = cluster.entry(entry)?.process();
-    process.terminate()?;
-    process.event("draining").await?;
-    Ok(())
-}
-
-pub(crate) async fn ends_well(cluster: &mut System, entry: &str) -> Result<()> {
-    let status = cluster.entry(entry)?.process().ends().await?;
-    assert!(status.success(), "{entry}: {status}");
-    let cut = cluster.entry(entry)?.process().log().events("drain-cut");
-    assert!(cut.is_empty(), "{cut:?}");
-    Ok(())
-}
-
 /// Names a case: an instance that is asked to end while requests cross from Patras to Athens, as a
 /// stream, whole, and as work that runs once. All arrive whole, and each has run once.
 macro_rules! survives {
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -135,6 +135,23 @@
     Ok(text(&answer["tickets"][0]))
 }
 
+/// Asks an instance to end and waits until it takes no more work.
+pub(crate) async fn terminate(cluster: &mut System, entry: &str) -> Result<()> {
+    let process = cluster.entry(entry)?.process();
+    process.terminate()?;
+    process.event("draining").await?;
+    Ok(())
+}
+
+/// Waits until an instance has ended by itself, without having cut a request.
+pub(crate) async fn ends_well(cluster: &mut System, entry: &str) -> Result<()> {
+    let status = cluster.entry(entry)?.process().ends().await?;
+    assert!(status.success(), "{entry}: {status}");
+    let cut = cluster.entry(entry)?.process().log().events("drain-cut");
+    assert!(cut.is_empty(), "{cut:?}");
+    Ok(())
+}
+
 /// Returns the entries of a target's ledger with this body.
 pub(crate) async fn runs(cluster: &mut Cluster, target: &str, body: &Value) -> Result<Vec<Value>> {
     let digest = blake3::hash(body.to_string().as_bytes()).to_hex();
--- a/tests/tests/path/together.rs
+++ b/tests/tests/path/together.rs
@@ -5,9 +5,10 @@
 
 use super::{
     forward::regions,
-    forwarded::{ends_well, terminate},
     loss::{engine, failure},
-    support::{ask, ask_once, chat, error, expected, runs, ticket, zone_with},
+    support::{
+        ask, ask_once, chat, ends_well, error, expected, runs, terminate, ticket, zone_with,
+    },
 };
 
 const TOKENS: usize = 60;
