--- a/tests/tests/path/forwarded.rs
+++ b/tests/tests/path/forwarded.rs
@@ -55,7 +55,7 @@
 // The same over a slow link: the engine has finished and the instance has written the whole answer,
 // but most of it is still on its way. If the instance ended now, the rest would be lost with it.
 #[actix_rt::test]
-pub(crate) async fn terminated_receiver_waits_for_a_slow_link() -> Result<()> {
+async fn terminated_receiver_waits_for_a_slow_link() -> Result<()> {
     let mut cluster = regions_with(json!({"engine": {"token_us": 1}}), json!({})).await?;
     let address = cluster.entry("patras-a-1")?.address("callers")?;
     let proxy = cluster.entry("athens-a-1")?.proxy("links")?;
