--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -16,6 +16,7 @@
 mod start;
 mod status;
 mod stop;
+mod vouch;
 mod waiting;
 mod write;
 
@@ -29,7 +30,10 @@
 use tokio::sync::{oneshot, watch};
 use zinniastall_coord::{Id, Replica, replica::Part};
 use zinniastall_model::machine::Machine;
-use zinniastall_wire::feed::Feed;
+use zinniastall_wire::{
+    feed::Feed,
+    frame::{self, Frame},
+};
 
 pub(crate) use self::found::FOUNDING;
 pub use self::{
@@ -42,9 +46,10 @@
     start::{Failure, Start, StartFault},
     status::{Health, Inspect},
     stop::Stop,
+    vouch::Vouch,
     write::Write,
 };
-use self::{read::Reads, status::Questions, waiting::Waiting, write::Settling};
+use self::{read::Reads, status::Questions, vouch::Vouches, waiting::Waiting, write::Settling};
 use crate::{
     disk::{Disk, Done},
     links::Card,
@@ -73,6 +78,7 @@
     waiting: Waiting,
     settling: Vec<Settling>,
     reads: Reads,
+    vouches: Vouches,
     questions: Questions,
     confirmed: Confirmed,
     joining: IndexMap<String, Instant>,
@@ -157,9 +163,13 @@
             self.peers.note(frame.from, back.clone());
         }
         match message {
-            peers::Message::Ping => drop(back.try_send(pong(own, frame.from))),
+            peers::Message::Ping => {
+                drop(back.try_send(addressed(own, frame.from, &peers::Message::Pong)));
+            }
             peers::Message::Confirmed(list) => self.note_confirmed(list),
             peers::Message::Join(member) => self.join(member),
+            peers::Message::Vouch { ask } => self.vouch_for_peer(ask, frame.from, back),
+            peers::Message::Vouched { ask, revision } => self.vouches.answered(ask, revision),
             peers::Message::Astray(list) => self.note_astray(list),
             peers::Message::Log(message) if !self.founding => {
                 self.replica.receive(frame.from, *message, Instant::now());
@@ -170,11 +180,12 @@
     }
 }
 
-fn pong(from: Id, to: Id) -> zinniastall_wire::frame::Frame {
-    zinniastall_wire::frame::Frame::Replica(zinniastall_wire::frame::Replica {
+/// Addresses a message to another replica.
+fn addressed(from: Id, to: Id, message: &peers::Message) -> Frame {
+    Frame::Replica(frame::Replica {
         from,
         to,
-        message: peers::Message::Pong.encode(),
+        message: message.encode(),
     })
 }
 
--- a/crates/zinniastall-control/src/control/start.rs
+++ b/crates/zinniastall-control/src/control/start.rs
@@ -13,7 +13,7 @@
 use zinniastall_store::Store;
 use zinniastall_wire::feed::Feed;
 
-use super::{Confirmed, Control, read::Reads, status::Questions, waiting::Waiting};
+use super::{Confirmed, Control, read::Reads, status::Questions, vouch::Vouches, waiting::Waiting};
 use crate::{
     disk::Disk,
     links::Card,
@@ -98,6 +98,7 @@
             waiting: Waiting::new(settings.limits.calls),
             settling: Vec::new(),
             reads: Reads::default(),
+            vouches: Vouches::new(settings.timing.election),
             questions: Questions::default(),
             confirmed: Confirmed::default(),
             joining: IndexMap::new(),
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -54,15 +54,31 @@
         /// Stream.
         stream: Stream,
     },
-    /// The receiver of the answer can take more.
+    /// The receiver of the answer can take more; without bytes, its end has arrived.
     Credit {
         /// Stream.
         stream: Stream,
-        /// Further bytes.
+        /// Further bytes; 0 acknowledges [`Message::End`] or [`Message::Failed`].
         bytes: u64,
     },
 }
 
+impl Message {
+    /// Returns the stream that it belongs to.
+    #[must_use]
+    pub const fn stream(&self) -> Stream {
+        match self {
+            Self::Open(open) => open.stream,
+            Self::Head { stream, .. }
+            | Self::Data { stream, .. }
+            | Self::End { stream, .. }
+            | Self::Failed { stream, .. }
+            | Self::Cancel { stream }
+            | Self::Credit { stream, .. } => *stream,
+        }
+    }
+}
+
 /// A whole request on its way to another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
