refactor(entry): one job a file on the request path

Cause: path.rs did tickets and attempts, forward/serve.rs took links and answered requests, mux.rs also read and wrote heads, ticket/record.rs also read records; the pulled body stood twice. Moved, not changed, but for the check of draining, which stood twice in path.rs.

--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/forward/head.rs
@@ -0,0 +1,49 @@
+//! Heads of answers as they travel between instances.
+
+use zinniastall_model::{
+    header::{PLACE, TARGET},
+    place::Place,
+};
+
+use crate::callers::reply::{Body, Reply, Served};
+
+/// Returns the reply that a head announces; its body is still to come.
+pub(super) fn reply(status: u16, headers: Vec<(String, String)>, body: Body) -> Reply {
+    let find = |name: &str| {
+        let mut pairs = headers.iter();
+        let pair = pairs.find(|(key, _)| key == name)?;
+        Some(pair.1.clone())
+    };
+    let length = find("content-length").and_then(|length| length.parse().ok());
+    let events = find("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let place = find(PLACE).unwrap_or_default();
+    let (region, zone) = place.split_once('/').unwrap_or_default();
+    let served = Served {
+        target: find(TARGET).unwrap_or_default(),
+        place: Place::new(region, zone),
+    };
+    let own = ["content-length", PLACE, TARGET];
+    let mut headers = headers;
+    headers.retain(|(name, _)| !own.contains(&name.as_str()));
+    Reply {
+        status,
+        headers,
+        length,
+        events,
+        offset: 0,
+        served,
+        body,
+    }
+}
+
+/// Returns the headers that carry what a reply is besides its own headers.
+pub(super) fn headers(reply: &Reply, whole: Option<usize>) -> Vec<(String, String)> {
+    let mut headers = reply.headers.clone();
+    let length = whole.map(|length| length as u64).or(reply.length);
+    if let Some(length) = length {
+        headers.push(("content-length".to_owned(), length.to_string()));
+    }
+    headers.push((TARGET.to_owned(), reply.served.target.clone()));
+    headers.push((PLACE.to_owned(), reply.served.place.to_string()));
+    headers
+}
--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -4,7 +4,9 @@
 //! the receiver's end. A traffic thread keeps its own links, so that no request waits for another
 //! thread.
 
+mod answer;
 mod credit;
+mod head;
 mod mux;
 mod open;
 mod serve;
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -6,14 +6,10 @@
 };
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt, stream};
+use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, time::timeout};
-use zinniastall_model::{
-    header::{PLACE, TARGET},
-    id,
-    place::Place,
-};
+use zinniastall_model::id;
 use zinniastall_route::outcome::{Reason, Refusal};
 use zinniastall_wire::{
     frame::Frame,
@@ -21,8 +17,8 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{PULSE, SILENCE, WINDOW, refusal};
-use crate::callers::reply::{Body, Reply, Served};
+use super::{PULSE, SILENCE, head::reply, refusal};
+use crate::callers::reply::{Parts, Reply, pull};
 
 /// The sender's end of a link.
 ///
@@ -99,7 +95,7 @@
         match answer.receiver.recv().await {
             Some(Message::Head {
                 status, headers, ..
-            }) => Ok(reply(status, headers, answer)),
+            }) => Ok(reply(status, headers, pull(answer))),
             Some(Message::Failed { failure, .. }) => {
                 answer.ended = true;
                 Err(refusal(failure))
@@ -161,7 +157,7 @@
     ended: bool,
 }
 
-impl Answer {
+impl Parts for Answer {
     async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
         let broken = || Refusal::unknown(Reason::Broken);
         match self.receiver.recv().await.ok_or_else(broken)? {
@@ -188,18 +184,6 @@
             _ => Err(broken()),
         }
     }
-
-    fn body(self) -> Body {
-        let next = |state: Option<Self>| async move {
-            let mut answer = state?;
-            match answer.part().await {
-                Ok(Some(part)) => Some((Ok(part), Some(answer))),
-                Ok(None) => None,
-                Err(refusal) => Some((Err(refusal), None)),
-            }
-        };
-        stream::unfold(Some(self), next).boxed_local()
-    }
 }
 
 impl Drop for Answer {
@@ -211,48 +195,3 @@
         }
     }
 }
-
-fn reply(status: u16, headers: Vec<(String, String)>, answer: Answer) -> Reply {
-    let find = |name: &str| {
-        let mut pairs = headers.iter();
-        let pair = pairs.find(|(key, _)| key == name)?;
-        Some(pair.1.clone())
-    };
-    let length = find("content-length").and_then(|length| length.parse().ok());
-    let events = find("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
-    let place = find(PLACE).unwrap_or_default();
-    let (region, zone) = place.split_once('/').unwrap_or_default();
-    let served = Served {
-        target: find(TARGET).unwrap_or_default(),
-        place: Place::new(region, zone),
-    };
-    let own = ["content-length", PLACE, TARGET];
-    let mut headers = headers;
-    headers.retain(|(name, _)| !own.contains(&name.as_str()));
-    Reply {
-        status,
-        headers,
-        length,
-        events,
-        offset: 0,
-        served,
-        body: answer.body(),
-    }
-}
-
-/// Returns the headers that carry what a reply is besides its own headers.
-pub(super) fn headers(reply: &Reply, whole: Option<usize>) -> Vec<(String, String)> {
-    let mut headers = reply.headers.clone();
-    let length = whole.map(|length| length as u64).or(reply.length);
-    if let Some(length) = length {
-        headers.push(("content-length".to_owned(), length.to_string()));
-    }
-    headers.push((TARGET.to_owned(), reply.served.target.clone()));
-    headers.push((PLACE.to_owned(), reply.served.place.to_string()));
-    headers
-}
-
-/// Bytes that the sender of an answer may send before the first credit arrives.
-pub(super) const fn window() -> u64 {
-    WINDOW
-}
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -3,15 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
-use tokio::{sync::mpsc, task::JoinHandle, time::timeout};
+use tokio::{sync::mpsc, task::JoinHandle};
 use zinniastall_coord::ticket::Address;
-use zinniastall_route::outcome::Refusal;
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -19,14 +16,12 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{PULSE_MESSAGE, credit::Credit, failure, mux, open};
+use super::{PULSE_MESSAGE, WINDOW, answer::answer, credit::Credit};
 use crate::{
-    callers::{Service, path, settle::Settle, worker::Worker},
+    callers::{Service, worker::Worker},
     links::Acceptor,
 };
 
-/// Longest part of an answer in one message, in bytes.
-const PART: usize = 32 * 1024;
 /// Most requests of one link in progress; a sender that opens more is wrong.
 const STREAMS: usize = 10_000;
 
@@ -151,7 +146,7 @@
         return;
     }
     running.last.set(stream);
-    let credit = Rc::new(Credit::new(mux::window()));
+    let credit = Rc::new(Credit::new(WINDOW));
     let answer = answer(
         Rc::clone(worker),
         sender.clone(),
@@ -175,129 +170,6 @@
     }
 }
 
-async fn answer(
-    worker: Rc<Worker>,
-    sender: Address,
-    open: Open,
-    credit: Rc<Credit>,
-    out: mpsc::Sender<Message>,
-) {
-    let _progress = worker.service.progress.start();
-    let stream = open.stream;
-    let mut settle = Settle::forwarded(worker.recorder.clone(), &sender.instance);
-    let end = match run(&worker, &sender, open, &mut settle).await {
-        Ok(answer) => relay(stream, answer, &credit, &out, &mut settle).await,
-        Err(refusal) => Err(refusal),
-    };
-    let last = match end {
-        Ok(length) => {
-            settle.answered();
-            Message::End { stream, length }
-        }
-        Err(refusal) => {
-            settle.refused(&refusal);
-            let failure = failure(&refusal);
-            Message::Failed { stream, failure }
-        }
-    };
-    // A broken link tells its other end by itself.
-    drop(out.send(last).await);
-    // The rest of the answer may be on its way over a slow link for seconds. A shutdown that did not
-    // wait for it would close the link under it, and a request in progress would be cut after all.
-    credit.delivered().await;
-}
-
-async fn run(
-    worker: &Rc<Worker>,
-    sender: &Address,
-    mut open: Open,
-    settle: &mut Settle,
-) -> Result<path::Answer, Refusal> {
-    settle.opened(&open);
-    catch_up(worker, &mut open).await;
-    let ticket = open.ticket.clone();
-    let parcel = open::unpack(worker, sender, open).map_err(|refusal| {
-        let tickets = &worker.service.tickets;
-        tickets.turned_away(refusal, ticket.as_deref(), Some(sender))
-    })?;
-    settle.identified(&parcel.request);
-    path::serve_forwarded(worker, parcel, sender).await
-}
-
-/// Waits, within bounds, for the configuration under which the sender judged a request.
-///
-/// A request may arrive before the change that permits it: judged at once, a client that was added a
-/// moment ago would be told that it is unknown, although its own region has accepted it. The change
-/// is on its way here already, so waiting costs less than fetching. If it does not come in time, the
-/// request is judged by what is held, and the stricter of both revisions wins.
-async fn catch_up(worker: &Worker, open: &mut Open) {
-    let board = &worker.service.board;
-    if board.view().revision() >= open.revision {
-        return;
-    }
-    let started = Instant::now();
-    let left = Duration::from_millis(open.left_ms);
-    let bound = worker.service.behind.min(left / 2);
-    // Reached or not, the request is judged now.
-    let _ = timeout(bound, board.reach(open.revision)).await;
-    let waited = started.elapsed();
-    open.left_ms = millis(left.saturating_sub(waited));
-    let recorder = &worker.recorder;
-    recorder.time("forwarded.behind", &open.client, &open.class, waited);
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-async fn relay(
-    stream: Stream,
-    (mut reply, whole): path::Answer,
-    credit: &Credit,
-    out: &mpsc::Sender<Message>,
-    settle: &mut Settle,
-) -> Result<u64, Refusal> {
-    settle.served(&reply.served.target);
-    let head = Message::Head {
-        stream,
-        status: reply.status,
-        headers: mux::headers(&reply, whole.as_ref().map(Bytes::len)),
-    };
-    drop(out.send(head).await);
-    let mut offset = 0;
-    if let Some(bytes) = whole {
-        return Ok(send(stream, offset, bytes, credit, out).await);
-    }
-    while let Some(part) = reply.body.next().await {
-        settle.first();
-        offset = send(stream, offset, part?, credit, out).await;
-    }
-    Ok(offset)
-}
-
-/// Sends a part as far as credit permits, and returns the offset after it.
-async fn send(
-    stream: Stream,
-    mut offset: u64,
-    mut bytes: Bytes,
-    credit: &Credit,
-    out: &mpsc::Sender<Message>,
-) -> u64 {
-    while !bytes.is_empty() {
-        let wanted = bytes.len().min(PART) as u64;
-        let taken = credit.take(wanted).await;
-        let part = bytes.split_to(usize::try_from(taken).unwrap_or(bytes.len()));
-        let message = Message::Data {
-            stream,
-            offset,
-            bytes: part.to_vec(),
-        };
-        offset += taken;
-        drop(out.send(message).await);
-    }
-    offset
-}
-
 fn address(peer: &Hello) -> Address {
     Address::new(
         peer.place.region.clone(),
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -6,6 +6,7 @@
 pub mod accept;
 pub mod admission;
 pub mod answer;
+mod attempts;
 pub mod connection;
 pub mod forward;
 pub mod guard;
--- a/crates/zinniastall-entry/src/callers/reply.rs
+++ b/crates/zinniastall-entry/src/callers/reply.rs
@@ -3,7 +3,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::stream::LocalBoxStream;
+use futures_util::{
+    StreamExt,
+    stream::{self, LocalBoxStream},
+};
 use zinniastall_model::{id, place::Place};
 use zinniastall_route::outcome::Refusal;
 
@@ -51,3 +54,26 @@
     let left = until.saturating_duration_since(Instant::now());
     u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// What a body is pulled from.
+pub(super) trait Parts: 'static {
+    /// Returns the next part, or nothing at the end of the whole body.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that cuts the body; nothing is pulled after it.
+    async fn part(&mut self) -> Result<Option<Bytes>, Refusal>;
+}
+
+/// Makes a body that asks for a part only when its reader does.
+pub(super) fn pull(parts: impl Parts) -> Body {
+    let next = |state: Option<_>| async move {
+        let mut parts = state?;
+        match Parts::part(&mut parts).await {
+            Ok(Some(part)) => Some((Ok(part), Some(parts))),
+            Ok(None) => None,
+            Err(refusal) => Some((Err(refusal), None)),
+        }
+    };
+    stream::unfold(Some(parts), next).boxed_local()
+}
--- a/crates/zinniastall-entry/src/callers/ticket/mod.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/mod.rs
@@ -6,6 +6,7 @@
 //! issuer; if that cannot be asked, the outcome is unknown.
 
 mod ledger;
+mod reader;
 mod record;
 
 pub use ledger::{Ledger, Pass};
--- /dev/null
+++ b/crates/zinniastall-entry/src/callers/ticket/reader.rs
@@ -0,0 +1,68 @@
+//! Reading a recorded answer, while it is written or later.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use zinniastall_route::outcome::{Reason, Refusal};
+
+use super::record::{Record, State, Step};
+use crate::callers::reply::Parts;
+
+/// One reader of a record.
+pub(super) struct Reader {
+    record: Arc<Record>,
+    owner: bool,
+    next: usize,
+}
+
+impl Reader {
+    /// Creates a reader at the start; the owner is the one for whom the request runs.
+    pub(super) const fn new(record: Arc<Record>, owner: bool) -> Self {
+        Self {
+            record,
+            owner,
+            next: 0,
+        }
+    }
+
+    fn step(&mut self) -> Step {
+        let mut state = self.record.lock();
+        let step = state.step(self.next);
+        if matches!(step, Step::Part(_)) {
+            self.next += 1;
+            self.release(&mut state, Some(self.next));
+        }
+        step
+    }
+
+    fn release(&self, state: &mut State, taken: Option<usize>) {
+        if self.owner {
+            state.owner = taken;
+            state.trim();
+            self.record.tell();
+        }
+    }
+}
+
+impl Parts for Reader {
+    async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let mut changed = self.record.changed.subscribe();
+        loop {
+            match self.step() {
+                Step::Part(part) => return Ok(Some(part)),
+                Step::End(end) => return end.map(|()| None),
+                Step::Wait => {}
+            }
+            if changed.changed().await.is_err() {
+                return Err(Refusal::unknown(Reason::Broken));
+            }
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let mut state = self.record.lock();
+        self.release(&mut state, None);
+    }
+}
--- a/crates/zinniastall-entry/src/callers/ticket/record.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/record.rs
@@ -6,11 +6,11 @@
 };
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
 use tokio::sync::watch;
 use zinniastall_route::outcome::{Reason, Refusal};
 
-use crate::callers::reply::{Body, Reply, Served};
+use super::reader::Reader;
+use crate::callers::reply::{self, Reply, Served};
 
 /// The recorded answer of a ticket's request: one task writes it, any number read it.
 ///
@@ -20,12 +20,12 @@
 #[derive(Debug)]
 pub struct Record {
     state: Mutex<State>,
-    changed: watch::Sender<()>,
+    pub(super) changed: watch::Sender<()>,
     limit: usize,
 }
 
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     head: Option<Head>,
     parts: VecDeque<Bytes>,
     /// Number of the first part that is still held.
@@ -33,7 +33,7 @@
     bytes: usize,
     whole: bool,
     /// Part that the first reader takes next; `None` once it is gone.
-    owner: Option<usize>,
+    pub(super) owner: Option<usize>,
     end: Option<Result<(), Refusal>>,
 }
 
@@ -47,7 +47,7 @@
 }
 
 /// What a reader finds at its place.
-enum Step {
+pub(super) enum Step {
     Part(Bytes),
     Wait,
     End(Result<(), Refusal>),
@@ -135,11 +135,7 @@
     ///
     /// The recorded refusal, or [`Reason::NotKept`].
     pub async fn read(self: Arc<Self>, owner: bool) -> Result<Reply, Refusal> {
-        let reader = Reader {
-            record: Arc::clone(&self),
-            owner,
-            next: 0,
-        };
+        let reader = Reader::new(Arc::clone(&self), owner);
         let head = self.wait_head().await?;
         Ok(Reply {
             status: head.status,
@@ -148,7 +144,7 @@
             events: head.events,
             offset: 0,
             served: head.served,
-            body: reader.body(),
+            body: reply::pull(reader),
         })
     }
 
@@ -176,19 +172,19 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         // Each change is made in one step, so the state is usable after a panic elsewhere.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn tell(&self) {
+    pub(super) fn tell(&self) {
         self.changed.send_replace(());
     }
 }
 
 impl State {
     /// Drops parts that may not be kept and that the first reader has taken.
-    fn trim(&mut self) {
+    pub(super) fn trim(&mut self) {
         let end = self.base + self.parts.len();
         let taken = self.owner.unwrap_or(end);
         while !self.whole && self.base < taken {
@@ -200,7 +196,7 @@
         }
     }
 
-    fn step(&self, next: usize) -> Step {
+    pub(super) fn step(&self, next: usize) -> Step {
         if next < self.base {
             return Step::End(Err(Refusal::unknown(Reason::NotKept)));
         }
@@ -212,66 +208,6 @@
     }
 }
 
-/// One reader of a record.
-struct Reader {
-    record: Arc<Record>,
-    owner: bool,
-    next: usize,
-}
-
-impl Reader {
-    fn body(self) -> Body {
-        let next = |state: Option<Self>| async move {
-            let mut reader = state?;
-            match reader.part().await {
-                Ok(Some(part)) => Some((Ok(part), Some(reader))),
-                Ok(None) => None,
-                Err(refusal) => Some((Err(refusal), None)),
-            }
-        };
-        stream::unfold(Some(self), next).boxed_local()
-    }
-
-    async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
-        let mut changed = self.record.changed.subscribe();
-        loop {
-            match self.step() {
-                Step::Part(part) => return Ok(Some(part)),
-                Step::End(end) => return end.map(|()| None),
-                Step::Wait => {}
-            }
-            if changed.changed().await.is_err() {
-                return Err(Refusal::unknown(Reason::Broken));
-            }
-        }
-    }
-
-    fn step(&mut self) -> Step {
-        let mut state = self.record.lock();
-        let step = state.step(self.next);
-        if matches!(step, Step::Part(_)) {
-            self.next += 1;
-            self.release(&mut state, Some(self.next));
-        }
-        step
-    }
-
-    fn release(&self, state: &mut State, taken: Option<usize>) {
-        if self.owner {
-            state.owner = taken;
-            state.trim();
-            self.record.tell();
-        }
-    }
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        let mut state = self.record.lock();
-        self.release(&mut state, None);
-    }
-}
-
 /// Ends a record as unknown if the task that writes it ends without having done so.
 #[derive(Debug)]
 pub struct Writer(pub Arc<Record>);
