fix(entry): take no slot of another place off twice

A digest's free slots were lowered by this instance's requests there, which the place counts as taken already.

Change: only requests since the digest was first seen are taken off.

--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -15,7 +15,8 @@
 };
 use zinniastall_wire::gossip;
 
-use crate::view::{Target, View};
+use super::sent::Sent;
+use crate::view::{Digest, Target, View};
 
 /// Role of targets that only prepare work for others.
 const PREFILL: &str = "prefill";
@@ -156,22 +157,25 @@
 pub(super) fn remotes(
     view: &View,
     subject: &Subject,
-    away: &IndexMap<Place, u32>,
+    away: &mut IndexMap<Place, Sent>,
     now: Instant,
 ) -> Vec<Remote> {
     let fits = |report: &gossip::Digest| report.subject == *subject && report.role != PREFILL;
     let fresh = view.digests.iter().filter(|digest| {
         now.saturating_duration_since(digest.made) < STALE && fits(&digest.report)
     });
-    let remote = |report: &gossip::Digest| Remote {
-        place: report.place.clone(),
-        free: report
-            .free
-            .saturating_sub(away.get(&report.place).copied().unwrap_or(0)),
-        wait: Duration::from_millis(report.wait_ms),
-        price: report.price,
+    let remote = |digest: &Digest| {
+        let report = &digest.report;
+        let sent = away.entry(report.place.clone()).or_default();
+        sent.heard(digest.made);
+        Remote {
+            place: report.place.clone(),
+            free: sent.left(report.free),
+            wait: Duration::from_millis(report.wait_ms),
+            price: report.price,
+        }
     };
-    fresh.map(|digest| remote(&digest.report)).collect()
+    fresh.map(remote).collect()
 }
 
 /// Returns the live targets that serve a subject. A lease is judged by the clock too: a view that
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -7,6 +7,7 @@
 mod flight;
 mod line;
 mod queues;
+mod sent;
 mod waiting;
 
 use std::{
--- a/crates/zinniastall-entry/src/callers/admission/queues.rs
+++ b/crates/zinniastall-entry/src/callers/admission/queues.rs
@@ -17,6 +17,7 @@
     Flight,
     candidates::{self, Candidates},
     line::Line,
+    sent::Sent,
 };
 use crate::view::View;
 
@@ -30,7 +31,7 @@
     /// Waiting requests by model or service.
     pub(super) lines: IndexMap<Subject, Line>,
     /// Requests in progress at other places.
-    pub(super) away: IndexMap<Place, u32>,
+    away: IndexMap<Place, Sent>,
     /// Places that a request did not come back from, and when.
     lost: IndexMap<Place, Instant>,
     last: admit::Id,
@@ -64,7 +65,7 @@
         }
         self.lost
             .retain(|_, lost| now.saturating_duration_since(*lost) < LOST);
-        let mut remotes = candidates::remotes(view, &request.subject, &self.away, now);
+        let mut remotes = candidates::remotes(view, &request.subject, &mut self.away, now);
         remotes.retain(|remote| !self.lost.contains_key(&remote.place));
         let cold = policy.prefill(request.prefixes.len());
         let (here, regions) = (&view.place, &request.regions);
@@ -79,7 +80,7 @@
         let random = &mut rand::rng();
         let place = line.gate.decide(local, cheapest, now, random)?.clone();
         let hops = hops::check_next(&request.hops, &place).ok()?;
-        *self.away.entry(place.clone()).or_default() += 1;
+        self.away.entry(place.clone()).or_default().start();
         Some((place, hops))
     }
 
@@ -106,11 +107,8 @@
         if lost {
             self.lost.insert(place.clone(), Instant::now());
         }
-        if let Some(count) = self.away.get_mut(place) {
-            *count -= 1;
-            if *count == 0 {
-                self.away.swap_remove(place);
-            }
+        if let Some(sent) = self.away.get_mut(place) {
+            sent.end();
         }
     }
 }
