--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -8,6 +8,7 @@
 mod line;
 mod queues;
 mod sent;
+mod state;
 mod waiting;
 
 use std::{
@@ -15,26 +16,23 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
-use zinniastall_model::{id, object::Subject};
+use zinniastall_model::id;
 use zinniastall_route::{
-    admit,
-    budget::Budget,
-    choose::{self, Chooser},
-    load::{End, Table},
+    choose::Chooser,
+    load::End,
     outcome::{Reason, Refusal},
     policy::Policy,
     request::Request,
 };
 
-use crate::view::{self, Board, View};
+use crate::view::Board;
 
 pub use flight::{Away, Flight};
 pub use waiting::Waiting;
 
 use candidates::Candidates;
 use line::Grant;
-use queues::Queues;
+use state::State;
 
 /// When to come back if nothing serves a subject: targets renew their leases about this often.
 const ABSENT: Duration = Duration::from_secs(1);
@@ -55,38 +53,16 @@
 pub struct Admission {
     board: Board,
     policy: Arc<Policy>,
-    inner: Arc<Mutex<Inner>>,
-}
-
-#[derive(Debug)]
-struct Inner {
-    table: Table,
-    chooser: Chooser,
-    budget: Budget,
-    queues: Queues,
-    /// Requests of this instance in progress at targets.
-    running: u32,
-    /// Requests that this instance can keep at targets: the slots of its zone.
-    capacity: u32,
-    seen: Arc<IndexMap<id::Target, view::Target>>,
+    state: Arc<Mutex<State>>,
 }
 
 impl Admission {
     /// Creates the admission of an instance.
     pub fn new(board: Board, policy: Arc<Policy>) -> Self {
-        let inner = Inner {
-            table: Table::default(),
-            chooser: Chooser::default(),
-            budget: Budget::new(policy.retries()),
-            queues: Queues::default(),
-            running: 0,
-            capacity: 1,
-            seen: Arc::default(),
-        };
         Self {
             board,
+            state: Arc::new(Mutex::new(State::new(policy.retries()))),
             policy,
-            inner: Arc::new(Mutex::new(inner)),
         }
     }
 
@@ -98,14 +74,14 @@
     pub fn admit(&self, request: &Request, tried: &[id::Target]) -> Result<Verdict, Refusal> {
         let (view, now) = (self.board.view(), Instant::now());
         let mut guard = self.lock();
-        let inner = &mut *guard;
-        inner.refresh(&view, now);
+        let state = &mut *guard;
+        state.refresh(&view, now);
         if tried.is_empty() {
-            inner.budget.request();
+            state.budget.request();
         }
-        let found = Candidates::find(&view, request, tried, &self.policy, &inner.table, now);
-        let direct = found.have_room() && !inner.queues.anyone_waits(&request.subject);
-        let queues = &mut inner.queues;
+        let found = Candidates::find(&view, request, tried, &self.policy, &state.table, now);
+        let direct = found.have_room() && !state.queues.anyone_waits(&request.subject);
+        let queues = &mut state.queues;
         if let Some((place, hops)) = queues.spill(&self.policy, &view, request, &found, direct, now)
         {
             return Ok(Verdict::Away(Away::new(self.clone(), place, hops)));
@@ -114,9 +90,9 @@
             let subject = request.subject.name().to_owned();
             return Err(Refusal::not_run(Reason::NoTarget(subject)).retry(ABSENT));
         }
-        if direct && let Some(target) = self.choose(&mut inner.chooser, request, &found, now) {
+        if direct && let Some(target) = self.choose(&mut state.chooser, request, &found, now) {
             return Ok(Verdict::Here(Box::new(
-                inner.start(self, request, &target, now),
+                state.start(self, request, &target, now),
             )));
         }
         let waiter = found.waiter(&self.policy, request, now);
@@ -147,11 +123,9 @@
     fn end(&self, target: &str, run: id::Incarnation, end: End) {
         let grants = {
             let now = Instant::now();
-            let mut inner = self.lock();
-            inner.table.end(target, run, end, now);
-            inner.running = inner.running.saturating_sub(1);
-            inner.tell_load(&self.board);
-            inner.grant(self, now)
+            let mut state = self.lock();
+            state.end(&self.board, (target, run), end, now);
+            state.grant(self, now)
         };
         send(grants);
     }
@@ -162,9 +136,9 @@
         send(grants);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         // Counts and queues are consistent between statements, so they stay usable after a panic.
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -174,117 +148,3 @@
         drop(grant.sender.send(grant.flight));
     }
 }
-
-impl Inner {
-    /// Takes in what changed in the view.
-    fn refresh(&mut self, view: &View, now: Instant) {
-        if Arc::ptr_eq(&self.seen, &view.targets) {
-            return;
-        }
-        self.seen = Arc::clone(&view.targets);
-        for (name, target) in &*view.targets {
-            self.table.observe(name, &candidates::report(target), now);
-        }
-        self.table.retain(|name| view.targets.contains_key(name));
-        self.capacity = candidates::capacity(view);
-    }
-
-    /// Tells callers' directory and other zones how busy this instance is.
-    fn tell_load(&self, board: &Board) {
-        let load = u64::from(self.running) * 1000 / u64::from(self.capacity);
-        board.set_load(u32::try_from(load).unwrap_or(u32::MAX));
-    }
-
-    fn start(
-        &mut self,
-        admission: &Admission,
-        request: &Request,
-        target: &str,
-        now: Instant,
-    ) -> Flight {
-        let run = self.table.start(target, &request.prefixes, now);
-        self.running += 1;
-        self.tell_load(&admission.board);
-        let report = self.seen.get(target).map(|target| target.report.clone());
-        Flight::new(admission.clone(), target, run, report, now)
-    }
-
-    /// Starts waiting requests as far as there is room, and returns what to send to them.
-    fn grant(&mut self, admission: &Admission, now: Instant) -> Vec<Grant> {
-        let view = admission.board.view();
-        self.refresh(&view, now);
-        let mut grants = Vec::new();
-        for subject in self.queues.waiting() {
-            while let Some(grant) = self.grant_one(admission, &view, &subject, now) {
-                grants.push(grant);
-            }
-        }
-        grants
-    }
-
-    fn grant_one(
-        &mut self,
-        admission: &Admission,
-        view: &View,
-        subject: &Subject,
-        now: Instant,
-    ) -> Option<Grant> {
-        let policy = &admission.policy;
-        let line = self.queues.lines.get_mut(subject)?;
-        if !candidates::any_room(view, subject, policy, &self.table, now) {
-            return None;
-        }
-        let mut best: Option<(f64, admit::Id, id::Target)> = None;
-        for (id, turn) in line.first(policy.window()) {
-            let (request, tried) = (&turn.request, &turn.tried);
-            let found = Candidates::find(view, request, tried, policy, &self.table, now);
-            let target = admission.choose(&mut self.chooser, request, &found, now);
-            let Some((target, load)) = target.and_then(|name| {
-                let load = self.table.get(&name)?;
-                Some((name, load))
-            }) else {
-                continue;
-            };
-            let miss = choose::miss(policy, &request.prefixes, load, now);
-            if best.as_ref().is_none_or(|(least, ..)| miss < *least) {
-                best = Some((miss, id, target));
-            }
-        }
-        let (_, id, target) = best?;
-        let turn = line.take(id, now)?;
-        let flight = self.start(admission, &turn.request, &target, now);
-        Some(Grant {
-            sender: turn.sender,
-            flight,
-        })
-    }
-
-    /// Returns whether a waiting request can no longer be served in time, and why.
-    fn hopeless(
-        &mut self,
-        admission: &Admission,
-        subject: &Subject,
-        id: admit::Id,
-    ) -> Option<Refusal> {
-        let (view, now) = (admission.board.view(), Instant::now());
-        self.refresh(&view, now);
-        let line = self.queues.lines.get(subject)?;
-        let turn = line.turn(id)?;
-        let found = Candidates::find(
-            &view,
-            &turn.request,
-            &turn.tried,
-            &admission.policy,
-            &self.table,
-            now,
-        );
-        if found.is_empty() {
-            let reason = Reason::NoTarget(subject.name().to_owned());
-            return Some(Refusal::not_run(reason).retry(ABSENT));
-        }
-        let pace = line.pace(found.pace());
-        let wait = pace.saturating_mul(line.ahead(id));
-        let late = now + wait + turn.service() > turn.request.deadline;
-        late.then(|| Refusal::not_run(Reason::Late).retry(wait.max(pace)))
-    }
-}
--- /dev/null
+++ b/crates/zinniastall-route/src/cache.rs
@@ -0,0 +1,72 @@
+//! What an instance knows of a target's cache.
+//!
+//! Cache events come late: prompts that were sent to a target lately count as cached there before it
+//! says so.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+/// Blocks of own requests that are remembered for each target.
+const RECENT: usize = 4096;
+/// Time for which a block that was sent to a target counts as cached there before it says so. By
+/// then a report has it, or the target has dropped it again: remembering it for longer makes every
+/// target look warm for every prompt.
+const LATE: Duration = Duration::from_secs(2);
+/// Worth of a cached block while cache events are missing.
+const UNSURE: f64 = 0.5;
+
+/// What is known of a target's cache.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Cache {
+    reported: HashSet<u64>,
+    gap: bool,
+    recent: IndexMap<u64, Instant>,
+}
+
+impl Cache {
+    pub(crate) fn new(prefixes: &[u64], gap: bool) -> Self {
+        let mut cache = Self::default();
+        cache.report(prefixes, gap);
+        cache
+    }
+
+    /// Takes note of the prefixes that a report names, and whether cache events were missed.
+    pub(crate) fn report(&mut self, prefixes: &[u64], gap: bool) {
+        self.reported = prefixes.iter().copied().collect();
+        self.gap = gap;
+    }
+
+    /// Takes note of a prompt that is sent there.
+    pub(crate) fn remember(&mut self, prefixes: &[u64], now: Instant) {
+        // The first blocks are the ones that others share, so they become the newest.
+        for digest in prefixes.iter().rev() {
+            self.recent.shift_remove(digest);
+            self.recent.insert(*digest, now);
+        }
+        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
+        let old = self.recent.values().take_while(|sent| !fresh(sent)).count();
+        let surplus = self.recent.len().saturating_sub(RECENT);
+        self.recent.drain(..surplus.max(old));
+    }
+
+    /// Returns how many leading blocks of a prompt are cached; a fraction where that is unsure.
+    #[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
+    pub(crate) fn leading(&self, chain: &[u64], now: Instant) -> f64 {
+        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
+        let known = |digest: &&u64| {
+            let recent = self.recent.get(*digest).is_some_and(fresh);
+            recent || (!self.gap && self.reported.contains(*digest))
+        };
+        let known = chain.iter().take_while(known).count();
+        if !self.gap {
+            return known as f64;
+        }
+        let unsure = chain[known..].iter();
+        let unsure = unsure.take_while(|digest| self.reported.contains(*digest));
+        unsure.count() as f64 * UNSURE + known as f64
+    }
+}
--- a/crates/zinniastall-route/src/lib.rs
+++ b/crates/zinniastall-route/src/lib.rs
@@ -9,11 +9,13 @@
 
 pub mod admit;
 pub mod budget;
+mod cache;
 pub mod choose;
 pub mod dispatch;
 pub mod eject;
 pub mod hops;
 pub mod identify;
+mod lane;
 pub mod limit;
 pub mod load;
 pub mod locate;
--- a/crates/zinniastall-route/src/load.rs
+++ b/crates/zinniastall-route/src/load.rs
@@ -1,27 +1,17 @@
 //! What an instance knows of the load and the caches of its zone's targets.
 //!
 //! Reports lag. The table therefore counts the instance's own requests exactly, takes from a report
-//! only what others had in progress then, and discounts that by the report's age. Cache events come
-//! late too: prompts that were sent to a target lately count as cached there before it says so.
+//! only what others had in progress then, and discounts that by the report's age.
 
-use std::{
-    collections::HashSet,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use zinniastall_model::id;
 
-use crate::{eject::Outlier, limit::Limit};
+use crate::{cache::Cache, eject::Outlier, limit::Limit};
 
 /// Age at which half of what others had in progress counts as finished.
 const HALF_LIFE: f64 = 2.0;
-/// Blocks of own requests that are remembered for each target.
-const RECENT: usize = 4096;
-/// Time for which a block that was sent to a target counts as cached there before it says so. By
-/// then a report has it, or the target has dropped it again: remembering it for longer makes every
-/// target look warm for every prompt.
-const LATE: Duration = Duration::from_secs(2);
 /// Weight of the newest value in a mean.
 const NEWEST: f64 = 0.1;
 /// Weight of the newest report in the mean of what others have in progress. A report is late and own
@@ -32,8 +22,6 @@
 /// Share by which each answer of another target moves a target's mean towards the common one. A
 /// target that was slow once and gets no requests for it would otherwise never be tried again.
 const DRIFT: f64 = 0.01;
-/// Worth of a cached block while cache events are missing.
-const UNSURE: f64 = 0.5;
 
 /// What a target announced.
 #[derive(Debug, Clone)]
@@ -65,9 +53,7 @@
     others: f64,
     heard: Instant,
     price: f64,
-    cached: HashSet<u64>,
-    gap: bool,
-    recent: IndexMap<u64, Instant>,
+    cache: Cache,
     in_flight: u32,
     limit: Limit,
     outlier: Outlier,
@@ -129,7 +115,7 @@
             return 0;
         };
         load.in_flight += 1;
-        load.remember(prefixes, now);
+        load.cache.remember(prefixes, now);
         load.incarnation
     }
 
@@ -186,9 +172,7 @@
             others: f64::from(report.busy),
             heard: report.heard,
             price: report.price,
-            cached: report.prefixes.iter().copied().collect(),
-            gap: report.gap,
-            recent: IndexMap::new(),
+            cache: Cache::new(&report.prefixes, report.gap),
             in_flight: 0,
             limit: Limit::new(report.slots),
             outlier: Outlier::default(),
@@ -203,24 +187,11 @@
         self.others += (others - self.others) * REPORTED;
         self.heard = report.heard;
         self.price = report.price;
-        self.cached = report.prefixes.iter().copied().collect();
-        self.gap = report.gap;
+        self.cache.report(&report.prefixes, report.gap);
         self.limit.slots(report.slots);
         self.limit.reported(report.busy, now);
     }
 
-    fn remember(&mut self, prefixes: &[u64], now: Instant) {
-        // The first blocks are the ones that others share, so they become the newest.
-        for digest in prefixes.iter().rev() {
-            self.recent.shift_remove(digest);
-            self.recent.insert(*digest, now);
-        }
-        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
-        let old = self.recent.values().take_while(|sent| !fresh(sent)).count();
-        let surplus = self.recent.len().saturating_sub(RECENT);
-        self.recent.drain(..surplus.max(old));
-    }
-
     /// Returns the requests of this instance in progress.
     pub const fn in_flight(&self) -> u32 {
         self.in_flight
@@ -270,19 +241,7 @@
     }
 
     /// Returns how many leading blocks of a prompt are cached; a fraction where that is unsure.
-    #[expect(clippy::cast_precision_loss, reason = "at most a few hundred blocks")]
     pub fn cached(&self, chain: &[u64], now: Instant) -> f64 {
-        let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
-        let known = |digest: &&u64| {
-            let recent = self.recent.get(*digest).is_some_and(fresh);
-            recent || (!self.gap && self.cached.contains(*digest))
-        };
-        let known = chain.iter().take_while(known).count();
-        if !self.gap {
-            return known as f64;
-        }
-        let unsure = chain[known..].iter();
-        let unsure = unsure.take_while(|digest| self.cached.contains(*digest));
-        unsure.count() as f64 * UNSURE + known as f64
+        self.cache.leading(chain, now)
     }
 }
--- a/xtask/src/bench/path/mod.rs
+++ b/xtask/src/bench/path/mod.rs
@@ -83,6 +83,7 @@
         "deadline_ms": DEADLINE_MS, "patience_ms": 20_000,
         "variants": system.variant(policy),
         "sources": scenario.sources(rate),
+        "plot": report.with_extension("svg").display().to_string(),
     });
     let path = report.to_owned();
     let running = actix_rt::spawn(async move { load::run(experiment, &path).await });
