feat(spread): heartbeats between regions at a third of the pace

Cause: a speaker of a region's first zone holds 22 links to other regions, on which heartbeats went at the pace of its own zone: 22 x (87.6 bytes + 2 messages x 70 bytes of headers) = 5 KB/s of 17.

Ruled out: the same bounds with fewer heartbeats (the lossy link changed 32 times in 600 s); a longer period for everybody, which finds a dead neighbour late.

Change: every third heartbeat to another region once the peer is alive, floor three times the zone's, ceiling that of the facts. Silent links to other regions are kept and replaced by the same bounds. A region's own summary is no longer read by its own first zone, which knows the zones one by one.

--- a/crates/zinniastall-coord/src/membership.rs
+++ b/crates/zinniastall-coord/src/membership.rs
@@ -35,5 +35,5 @@
 mod roster;
 mod window;
 
-pub use roster::{Beat, Config, Echo, Heard, Incarnation, Roster, Sequence};
+pub use roster::{Beat, Bounds, Config, Echo, Heard, Incarnation, Roster, Sequence};
 pub use window::Window;
--- a/crates/zinniastall-coord/src/membership/roster.rs
+++ b/crates/zinniastall-coord/src/membership/roster.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Shortest and longest bound on the staleness of a peer's evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Shortest.
+    pub floor: Duration,
+    /// Longest.
+    pub ceiling: Duration,
+}
+
 /// Newest heartbeat that the sender has heard from the receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo(pub Incarnation, pub Sequence);
@@ -177,6 +186,15 @@
 
     /// Takes in a heartbeat that arrived from a peer.
     pub fn hear(&mut self, peer: &I, beat: Beat, now: Instant) -> Heard {
+        let Config { floor, ceiling, .. } = self.config;
+        self.hear_within(peer, beat, Bounds { floor, ceiling }, now)
+    }
+
+    /// Takes in a heartbeat that arrived from a peer to which heartbeats go at a pace of its own,
+    /// with bounds that fit it.
+    ///
+    /// The bounds are those of the peer's run; the first heartbeat of a run sets them.
+    pub fn hear_within(&mut self, peer: &I, beat: Beat, bounds: Bounds, now: Instant) -> Heard {
         if *peer == self.own {
             return Heard::Old;
         }
@@ -184,7 +202,7 @@
         if known.is_some_and(|known| beat.incarnation < known) {
             return Heard::Stale(known.unwrap_or_default());
         }
-        let heard = self.enrol(peer, beat, now);
+        let heard = self.enrol(peer, beat, bounds, now);
         if heard == Heard::Old {
             return heard;
         }
@@ -262,7 +280,7 @@
         self.run(peer).max(departed)
     }
 
-    fn enrol(&mut self, peer: &I, beat: Beat, now: Instant) -> Heard {
+    fn enrol(&mut self, peer: &I, beat: Beat, bounds: Bounds, now: Instant) -> Heard {
         if let Some(member) = self.members.get_mut(peer)
             && member.incarnation == beat.incarnation
         {
@@ -273,7 +291,7 @@
             member.seen = now;
             return Heard::Fresh;
         }
-        let member = Member::new(beat, &self.config, now);
+        let member = Member::new(beat, bounds, now);
         self.members.insert(peer.clone(), member);
         self.departed.shift_remove(peer);
         Heard::Run
@@ -302,12 +320,12 @@
 }
 
 impl Member {
-    fn new(beat: Beat, config: &Config, now: Instant) -> Self {
+    fn new(beat: Beat, bounds: Bounds, now: Instant) -> Self {
         Self {
             incarnation: beat.incarnation,
             heard: beat.sequence,
             evidence: None,
-            window: Window::new(config.floor, config.ceiling),
+            window: Window::new(bounds.floor, bounds.ceiling),
             owed: 1,
             seen: now,
         }
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -8,7 +8,7 @@
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
 use indexmap::IndexMap;
 use zinniastall_coord::{digest::Bucket, membership::Roster};
-use zinniastall_model::id;
+use zinniastall_model::{id, place::Place};
 use zinniastall_settings::metrics::Recorder;
 use zinniastall_wire::{
     gossip::{self, Heartbeat, Peer},
@@ -22,7 +22,7 @@
     lines::{Line, Lines},
     messages::{Closed, Dialed, Linked, PassOn, PublishTargets, Received, Stop},
     renewals::Renewals,
-    settings,
+    settings::{self, FAR},
     traffic::Traffic,
 };
 use crate::{
@@ -74,6 +74,8 @@
     pub(super) raises: u32,
     pub(super) started: Instant,
     swept: Instant,
+    /// Periods so far.
+    beats: u64,
     traffic: Traffic,
 }
 
@@ -91,7 +93,7 @@
         let membership = settings.membership();
         Self {
             roster: Roster::new(own.clone(), run, membership, now),
-            lines: Lines::new(own.clone(), membership.floor),
+            lines: Lines::new(own.clone(), place.region.clone(), settings),
             book: Book::new(own.clone(), seeds, now),
             atlas: Atlas::new(place.clone(), now),
             targets: Table::new(settings.lease),
@@ -105,6 +107,7 @@
             raises: 0,
             started: now,
             swept: now,
+            beats: 0,
             traffic: Traffic::default(),
             settings,
             around,
@@ -159,7 +162,11 @@
         let view = self.around.board.view();
         let loads = self.loads(now);
         let zone = self.around.identity.place().clone();
+        self.beats += 1;
         for (line, instance, place) in self.lines.peers() {
+            if self.rests(line, &instance, &place, now) {
+                continue;
+            }
             let heartbeat = Heartbeat {
                 beat: self.roster.beat(&instance),
                 revision: view.state.as_ref().map_or(0, |state| state.revision),
@@ -175,11 +182,18 @@
         }
     }
 
+    /// Tells whether a peer gets no heartbeat this period. One of another region gets fewer, once it
+    /// is known to be alive.
+    fn rests(&self, line: Line, instance: &id::Instance, place: &Place, now: Instant) -> bool {
+        let turn = (self.beats + line).is_multiple_of(u64::from(FAR));
+        self.lines.is_far(place) && !turn && self.roster.is_alive(instance, now)
+    }
+
     fn sweep(&mut self, now: Instant) {
         for gone in self.roster.sweep(now) {
             tracing::info!(event = "peer-forgotten", peer = gone);
         }
-        self.lines.close_silent(self.settings.ceiling, now);
+        self.lines.close_silent(now);
         let lines = &self.lines;
         self.book.sweep(|peer| lines.of(peer).is_some(), now);
         self.digests.sweep(now);
@@ -211,7 +225,7 @@
         };
         match message {
             gossip::Message::Heartbeat(heartbeat) => {
-                self.hear(line, &peer, &heartbeat, now);
+                self.hear(line, (&peer, &place), &heartbeat, now);
                 self.renew(&place, &heartbeat.loads, now);
             }
             gossip::Message::Stale(remembered) => self.raise(remembered),
--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -137,7 +137,10 @@
             .map(|(place, _)| place)
             .collect();
         let mut digests: IndexMap<(Place, Subject, String), view::Digest> = IndexMap::new();
-        for digest in self.table.fresh(now).filter_map(|fresh| read(&fresh)) {
+        // The own region's zones are known one by one.
+        let summed = |fresh: &Fresh<'_, Topic, Maker, Fact>| matches!(fresh.key, Topic::Region(by, ..) if by.region == self.place.region);
+        let single = self.table.fresh(now).filter(|fresh| !summed(fresh));
+        for digest in single.filter_map(|fresh| read(&fresh)) {
             let report = &digest.report;
             let key = (
                 report.place.clone(),
--- a/crates/zinniastall-entry/src/spread/lines.rs
+++ b/crates/zinniastall-entry/src/spread/lines.rs
@@ -6,6 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, task::AbortHandle};
+use zinniastall_coord::membership::Bounds;
 use zinniastall_model::{id, place::Place};
 use zinniastall_wire::{
     frame::Frame,
@@ -16,6 +17,7 @@
 use super::{
     actor::Spread,
     messages::{Closed, Received},
+    settings,
 };
 
 /// Number of an open link within this process.
@@ -53,18 +55,19 @@
 #[derive(Debug)]
 pub struct Lines {
     own: id::Instance,
-    patience: Duration,
+    region: id::Region,
+    settings: settings::Spread,
     next: Line,
     open: IndexMap<Line, Open>,
 }
 
 impl Lines {
-    /// Creates an empty table; a link that is silent for longer than `patience` gives way to a new
-    /// one.
-    pub fn new(own: id::Instance, patience: Duration) -> Self {
+    /// Creates an empty table for an instance of a region.
+    pub fn new(own: id::Instance, region: id::Region, settings: settings::Spread) -> Self {
         Self {
             own,
-            patience,
+            region,
+            settings,
             next: 0,
             open: IndexMap::new(),
         }
@@ -156,10 +159,27 @@
         self.open.swap_remove(&line);
     }
 
-    /// Closes the links that have been silent for longer than `limit`.
-    pub fn close_silent(&mut self, limit: Duration, now: Instant) {
-        self.open
-            .retain(|_, open| now.saturating_duration_since(open.heard) <= limit);
+    /// Returns the bounds on silence of an instance at a place.
+    pub fn bounds(&self, place: &Place) -> Bounds {
+        self.settings.bounds(self.is_far(place))
+    }
+
+    /// Tells whether a place is in another region.
+    pub fn is_far(&self, place: &Place) -> bool {
+        place.region != self.region
+    }
+
+    /// Closes the links that have been silent for longer than anything can explain.
+    pub fn close_silent(&mut self, now: Instant) {
+        let silent = |open: &Open| {
+            let limit = self.bounds(&open.place).ceiling;
+            now.saturating_duration_since(open.heard) > limit
+        };
+        let open = self.open.iter();
+        let silent = open.filter(|(_, open)| silent(open));
+        for line in silent.map(|(line, _)| *line).collect::<Vec<_>>() {
+            self.open.swap_remove(&line);
+        }
     }
 
     /// Closes the links that were dialled from here and aren't wanted any more.
@@ -189,7 +209,8 @@
         let Some(open) = self.open.get(&old) else {
             return true;
         };
-        let silent = now.saturating_duration_since(open.heard) > self.patience;
+        let patience = self.bounds(&open.place).floor;
+        let silent = now.saturating_duration_since(open.heard) > patience;
         if silent || open.incarnation != incarnation || open.dialed == dialed {
             return true;
         }
--- a/crates/zinniastall-entry/src/spread/peers.rs
+++ b/crates/zinniastall-entry/src/spread/peers.rs
@@ -10,7 +10,7 @@
     hello::Hello,
 };
 
-use super::{actor::Spread, lines::Line};
+use super::{actor::Spread, lines::Line, settings::FAR};
 use crate::{
     publish::{Peers, Raised},
     targets::table::millis,
@@ -75,25 +75,33 @@
     pub(super) fn hear(
         &mut self,
         line: Line,
-        peer: &id::Instance,
+        (peer, place): (&id::Instance, &Place),
         heartbeat: &Heartbeat,
         now: Instant,
     ) {
-        match self.roster.hear(peer, heartbeat.beat, now) {
+        let bounds = self.lines.bounds(place);
+        let heard = self.roster.hear_within(peer, heartbeat.beat, bounds, now);
+        match heard {
             Heard::Stale(known) => self.lines.send(line, gossip::Message::Stale(known)),
             Heard::Old => {}
-            Heard::Run | Heard::Fresh => self.update(peer, heartbeat, now),
+            Heard::Run | Heard::Fresh => self.update((peer, place), heartbeat, now),
         }
     }
 
-    fn update(&mut self, instance: &str, heartbeat: &Heartbeat, now: Instant) {
+    fn update(
+        &mut self,
+        (instance, place): (&id::Instance, &Place),
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) {
+        let periods = if self.lines.is_far(place) { FAR } else { 1 };
         self.book.linked(instance, now);
         let Some(peer) = self.book.sworn(instance) else {
             return;
         };
         peer.incarnation = heartbeat.beat.incarnation;
         peer.load = heartbeat.load;
-        let up = peer.up_ms + millis(self.settings.period);
+        let up = peer.up_ms + millis(self.settings.period * periods);
         peer.up_ms = up.min(gossip::UP);
         if peer.draining != heartbeat.draining {
             peer.draining = heartbeat.draining;
--- a/crates/zinniastall-entry/src/spread/settings.rs
+++ b/crates/zinniastall-entry/src/spread/settings.rs
@@ -5,6 +5,12 @@
 use zinniastall_coord::membership;
 use zinniastall_settings::reader::Reader;
 
+/// Periods between two heartbeats to an instance of another region.
+///
+/// A link between regions is slow and few things hang on it: what is known of another region by its
+/// facts ages out after five intervals anyway.
+pub const FAR: u32 = 3;
+
 /// Settings of membership, targets' leases and digests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Spread {
@@ -41,6 +47,23 @@
         self.lease / 3
     }
 
+    /// Returns the bounds on silence of an instance of the own region, or of another one.
+    pub fn bounds(&self, far: bool) -> membership::Bounds {
+        let own = self.membership();
+        if !far {
+            return membership::Bounds {
+                floor: own.floor,
+                ceiling: own.ceiling,
+            };
+        }
+        // Facts are believed for five intervals; the peer that carries them needn't be lost sooner.
+        let floor = own.floor.max(own.period * 3) * FAR;
+        membership::Bounds {
+            floor,
+            ceiling: own.ceiling.max(self.digest * 5).max(floor),
+        }
+    }
+
     /// Returns the times of the membership.
     pub fn membership(&self) -> membership::Config {
         membership::Config {
