test(spread): one-way cuts between zones and between regions

Ruled out: cutting the control replicas' links as well, since whoever can't reach control is another matter. Change: two tests with real processes, all entry links from one zone or region to the other stalled, the way back open; each side names and serves its own, and after healing all.

Not yet shown failing without the defence.

--- a/tests/tests/spread/cuts.rs
+++ b/tests/tests/spread/cuts.rs
@@ -66,3 +66,47 @@
     }
     cluster.stop().await
 }
+
+macro_rules! one_way {
+    ($($name:ident: $zones:expr, $deaf:expr, $within:expr, $without:expr;)*) => {$(
+        #[actix_rt::test]
+        async fn $name() -> Result<()> {
+            let (zones, within, without): (&[(&str, &str)], [&str; 2], [&str; 2]) =
+                ($zones, $within, $without);
+            let mut cluster = start_patient(zones, 2).await?;
+            let entry = |node: &Node| !node.name().starts_with("control");
+            let deaf: fn(&Node) -> bool = $deaf;
+            cut_one_way(
+                &cluster,
+                |node| entry(node) && !deaf(node),
+                |node| entry(node) && deaf(node),
+            );
+            lists(&cluster, within[0], &within).await?;
+            lists(&cluster, without[0], &without).await?;
+            for entry in within.iter().chain(&without) {
+                let target = ask(&mut cluster, entry).await?.unwrap_or_default();
+                let place = entry.rsplit_once('-').map(|(place, _)| place).unwrap_or_default();
+                assert_eq!(target, format!("engine-{place}"), "{entry} did not serve its own");
+            }
+            cluster.heal();
+            let all = [within, without].concat();
+            for entry in &all {
+                lists(&cluster, entry, &all).await?;
+            }
+            cluster.stop().await
+        }
+    )*};
+}
+
+// What one zone sends to another gets lost while the way back works, as behind a broken route. The
+// zone that still hears must not count on the other: what it forwards there never arrives, and what
+// it tells its callers of the other's doors sends them where they can't be answered. The same
+// between regions, where heartbeats are fewer.
+one_way! {
+    one_way_cut_between_zones:
+        &[("athens", "a"), ("athens", "b")], |node| node.zone() == "b",
+        ["athens-b-1", "athens-b-2"], ["athens-a-1", "athens-a-2"];
+    one_way_cut_between_regions:
+        &[("athens", "a"), ("patras", "a")], |node| node.region() == "patras",
+        ["patras-a-1", "patras-a-2"], ["athens-a-1", "athens-a-2"];
+}
