--- a/tests/tests/history.rs
+++ b/tests/tests/history.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::thread;
 
-use zinniastall_tests::history::{Answer, Call, Recorder, Register, Request, check};
+use zinniastall_tests::history::{Answer, Call, Recorder, Register, Request, check, ticket};
 
 type Entry = Call<Request, Answer>;
 
@@ -169,6 +169,60 @@
     ]
 );
 
+/// Names what the askers for one ticket were told, one after the other, and how often it ran, and
+/// says whether that keeps the promises.
+macro_rules! ticket {
+    ($($name:ident: [$($answer:expr),*], $runs:literal => $expected:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            let answers = [$($answer),*].map(told);
+            let mut calls = Vec::new();
+            for (answer, began) in answers.into_iter().zip((1..).step_by(2)) {
+                calls.push(Call {
+                    request: ticket::Request::Ask,
+                    began,
+                    ended: if answer.is_some() { began + 1 } else { NEVER },
+                    answer,
+                });
+            }
+            calls.push(Call {
+                request: ticket::Request::Count,
+                answer: Some(ticket::Answer::Ran($runs)),
+                began: 100,
+                ended: 101,
+            });
+            let model = ticket::Ticket { expected: "map".to_owned() };
+            assert_eq!(check(&model, &calls).is_ok(), $expected);
+        }
+    )+};
+}
+
+fn told(answer: &str) -> Option<ticket::Answer> {
+    match answer {
+        "unknown" => None,
+        "not run" => Some(ticket::Answer::NotRun),
+        text => Some(ticket::Answer::Whole(text.to_owned())),
+    }
+}
+
+ticket! {
+    ticket_answered: ["map", "map"], 1 => true;
+    ticket_answered_after_a_loss: ["unknown", "map"], 1 => true;
+    ticket_lost_and_run: ["unknown", "unknown"], 1 => true;
+    ticket_lost_and_not_run: ["unknown"], 0 => true;
+    ticket_refused: ["not run", "not run"], 0 => true;
+    ticket_refused_after_a_loss: ["unknown", "not run"], 0 => true;
+    ticket_run_twice: ["map"], 2 => false;
+    ticket_lost_and_run_twice: ["unknown", "unknown"], 2 => false;
+    ticket_refused_but_run: ["not run"], 1 => false;
+    ticket_refused_after_its_answer: ["map", "not run"], 1 => false;
+    ticket_refused_after_a_loss_but_run: ["unknown", "not run"], 1 => false;
+    ticket_run_after_its_refusal: ["not run", "map"], 1 => false;
+    ticket_answered_but_not_run: ["map"], 0 => false;
+    ticket_answered_with_half: ["ma"], 1 => false;
+    ticket_answered_with_anothers: ["bill"], 1 => false;
+}
+
 // Threads race on a real object and some answers are lost. The recorded history must pass, and must
 // not any more once one answer is changed to what couldn't have been said.
 #[test]
