fix(follow): confirm a narrower revision once what was judged before has left

The instance confirmed a narrower revision at once, so a change could be accepted 40 ms after it came into force, and such a request run in the forbidden region after that.

--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -29,8 +29,8 @@
     reply::{Body, Reply, Served, left_ms},
 };
 
-/// Longest time to establish a connection to a target of the zone.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time to establish a connection to a target of the zone; the request is judged before it.
+pub const CONNECT: Duration = Duration::from_secs(1);
 /// Idle connections are closed after this time; shorter than what HTTP servers commonly keep, so
 /// that they are rarely found closed by the other end.
 const IDLE: Duration = Duration::from_secs(4);
--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -43,6 +43,8 @@
     pub(super) surveyed: bool,
     /// Revision that the control group had reached at some time since the start.
     pub(super) vouched: Option<id::Revision>,
+    /// Whether what is held may permit less than what was in force before.
+    pub(super) narrowed: bool,
     pub(super) force: Force,
     pub(super) gathered: Gathered,
     pub(super) presented: Vec<Member>,
@@ -85,6 +87,7 @@
             cut_off: settings.follow.cut_off,
             surveyed: false,
             vouched: None,
+            narrowed: false,
             force: Force::new(kept),
             gathered: Gathered::default(),
             presented: Vec::new(),
@@ -101,6 +104,8 @@
             follow::Message::Snapshot(state) => {
                 if state.revision > self.held.revision {
                     self.held = Arc::new(*state);
+                    // What lies between is not known.
+                    self.narrowed = true;
                     let state = Arc::clone(&self.held);
                     self.feed.send_modify(|feed| feed.restore(state));
                 }
@@ -135,12 +140,12 @@
                 break;
             }
             let answer = next.apply(&change);
-            let fits = matches!(answer, Answer::Done { revision: made, .. } if made == revision);
-            if !fits {
+            let Some(narrows) = made(&answer, revision) else {
                 // The states have parted, by a fault of this program; a whole one repairs it.
                 tracing::error!(event = "change-misfit", revision);
                 return Taken::Misfit;
-            }
+            };
+            self.narrowed |= narrows;
             self.feed.send_if_modified(|feed| {
                 feed.push(revision, Arc::new(change));
                 false
@@ -155,6 +160,14 @@
     }
 }
 
+/// Tells whether a change that made a revision narrows; `None` when it made another one.
+const fn made(answer: &Answer, wanted: id::Revision) -> Option<bool> {
+    match answer {
+        Answer::Done { revision, narrows } if *revision == wanted => Some(*narrows),
+        _ => None,
+    }
+}
+
 fn found(folder: &std::path::Path) -> Option<Kept> {
     match kept::load(folder) {
         Ok(kept) => kept,
--- a/crates/zinniastall-entry/src/follow/force.rs
+++ b/crates/zinniastall-entry/src/follow/force.rs
@@ -1,6 +1,6 @@
 //! Puts the configuration in force, once that is safe.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use zinniastall_model::id;
@@ -9,7 +9,10 @@
     actor::{Alive, Follower},
     kept::{self, Kept},
 };
-use crate::publish::{Configured, Unlisted};
+use crate::{
+    callers::target::CONNECT,
+    publish::{Configured, Unlisted},
+};
 
 /// What has been done about the configuration that is held.
 #[derive(Debug, Default)]
@@ -17,6 +20,8 @@
     published: Option<(id::Revision, bool)>,
     kept: id::Revision,
     confirmed: id::Revision,
+    /// When the last request that was judged before the last narrower revision has left or failed.
+    left: Option<Instant>,
 }
 
 impl Force {
@@ -28,6 +33,11 @@
         }
     }
 
+    /// Lets a revision be confirmed; later ones may have been already.
+    fn reach(&mut self, revision: id::Revision) {
+        self.confirmed = self.confirmed.max(revision);
+    }
+
     /// Returns the revision that may be confirmed.
     pub(super) const fn confirmed(&self) -> id::Revision {
         self.confirmed
@@ -99,18 +109,37 @@
         context.wait(
             enforced
                 .into_actor(self)
-                .map(move |(kept, in_view), follower, _| {
+                .map(move |(kept, in_view), follower, context| {
                     if kept {
                         follower.force.kept = revision;
                     }
                     if kept && in_view {
-                        follower.force.confirmed = revision;
                         tracing::info!(event = "in-force", revision, connected);
+                        follower.confirm(revision, context);
                     }
                 }),
         );
     }
 
+    /// Confirms a revision, a narrower one once what was judged before it is on its way or lost.
+    ///
+    /// A request is judged right before it connects to its target. Confirmed at once, a change that
+    /// forbids this region could be accepted while such a request still waits for its connection, and
+    /// the target would run it after the operator was told that none does.
+    fn confirm(&mut self, revision: id::Revision, context: &mut Context<Self>) {
+        let now = Instant::now();
+        if std::mem::take(&mut self.narrowed) && self.force.confirmed > 0 {
+            self.force.left = Some(now + CONNECT);
+        }
+        let left = self.force.left;
+        let wait = left.map_or_else(Default::default, |left| left.saturating_duration_since(now));
+        if wait.is_zero() {
+            self.force.reach(revision);
+        } else {
+            context.run_later(wait, move |follower, _| follower.force.reach(revision));
+        }
+    }
+
     /// Returns what keeps the configuration on disk, unless that is done or not wanted.
     fn saving(&self) -> Option<impl FnOnce() -> bool + Send + 'static> {
         let folder = self.data.clone()?;
