fix(entry): refuse a stream beyond a link's bound instead of dropping it

Ruled out: ending the link (all its requests would become unknown).

The bound itself isn't brought about by a test: not proved.

--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -3,12 +3,14 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    time::Duration,
 };
 
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, task::JoinHandle};
 use zinniastall_coord::ticket::Address;
+use zinniastall_route::outcome::{Reason, Refusal};
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -16,7 +18,7 @@
     stream::{Message, Open, Stream},
 };
 
-use super::{PULSE_MESSAGE, WINDOW, answer::answer, credit::Credit};
+use super::{PULSE_MESSAGE, WINDOW, answer::answer, credit::Credit, failure};
 use crate::{
     callers::{Service, worker::Worker},
     links::Acceptor,
@@ -24,6 +26,8 @@
 
 /// Most requests of one link in progress; a sender that opens more is wrong.
 const STREAMS: usize = 10_000;
+/// When to come back to a link that carries that many.
+const FULL: Duration = Duration::from_secs(1);
 
 /// Takes stream links to a traffic thread of their own.
 #[derive(Debug)]
@@ -142,10 +146,19 @@
     let stream = open.stream;
     let mut streams = running.streams.borrow_mut();
     // A doubled frame must not run the request again, not even after the end of its answer.
-    if stream <= running.last.get() || streams.len() >= STREAMS {
+    if stream <= running.last.get() {
         return;
     }
     running.last.set(stream);
+    if streams.len() >= STREAMS {
+        // Dropped without a word, its caller would wait for the whole deadline.
+        let refusal = Refusal::not_run(Reason::Full).retry(FULL);
+        let tickets = &worker.service.tickets;
+        let refusal = tickets.turned_away(refusal, open.ticket.as_deref(), Some(sender));
+        let failure = failure(&refusal);
+        // A channel that is full as well has answers enough to send.
+        return drop(out.try_send(Message::Failed { stream, failure }));
+    }
     let credit = Rc::new(Credit::new(WINDOW));
     let answer = answer(
         Rc::clone(worker),
