perf(wire): send signs of life on follow links once a second

Ruled out: passing confirmations on in fewer messages (they also tell a new leader who is there).

Change: ALIVE is 1 s. A link still counts as cut after 3 s of silence, and a follower still loses patience after 3 s. Relays send half as many to their own followers, too.

--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -17,7 +17,7 @@
 /// Changes of one frame; each is bounded by the checks of the model.
 const BATCH: usize = 128;
 /// Time between two signs of life.
-pub const ALIVE: Duration = Duration::from_millis(500);
+pub const ALIVE: Duration = Duration::from_secs(1);
 /// Most answers that one follower may wait for; it needs one at a time.
 const OWED: usize = 4;
 /// Time without a frame after which a follow link counts as cut.
