--- a/crates/zinniastall-route/src/cache.rs
+++ b/crates/zinniastall-route/src/cache.rs
@@ -12,6 +12,8 @@
 
 /// Blocks of own requests that are remembered for each target.
 const RECENT: usize = 4096;
+/// Prefixes that are forgotten at once.
+const SURPLUS: usize = 512;
 /// Time for which a block that was sent to a target counts as cached there before it says so. By
 /// then a report has it, or the target has dropped it again: remembering it for longer makes every
 /// target look warm for every prompt.
@@ -50,7 +52,12 @@
         let fresh = |sent: &Instant| now.saturating_duration_since(*sent) < LATE;
         let old = self.recent.values().take_while(|sent| !fresh(sent)).count();
         let surplus = self.recent.len().saturating_sub(RECENT);
-        self.recent.drain(..surplus.max(old));
+        let gone = surplus.max(old);
+        // Taking some from the front moves all that stay, as much work for one as for hundreds, and
+        // all traffic threads wait for it. What is old meanwhile counts for nothing, see `leading`.
+        if gone >= SURPLUS {
+            self.recent.drain(..gone);
+        }
     }
 
     /// Returns how many leading blocks of a prompt are cached; a fraction where that is unsure.
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -58,8 +58,13 @@
 
 /// Starts one zone with two entry instances and engines that have these settings.
 pub(crate) async fn zone(engines: &[Value]) -> Result<System> {
-    // Instances that have used tickets linger when they stop; a test need not wait for that.
-    zone_with(engines, json!({"tickets": {"linger_ms": 200}})).await
+    zone_with(engines, linger()).await
+}
+
+/// Returns settings of entry instances that have used tickets and linger for a moment only when they
+/// stop; a test need not wait for that.
+pub(crate) fn linger() -> Value {
+    json!({"tickets": {"linger_ms": 200}})
 }
 
 /// The same, with settings put over those of the entry instances.
@@ -130,6 +135,23 @@
     Ok(text(&answer["tickets"][0]))
 }
 
+/// Asks an instance to end and waits until it takes no more work.
+pub(crate) async fn terminate(cluster: &mut System, entry: &str) -> Result<()> {
+    let process = cluster.entry(entry)?.process();
+    process.terminate()?;
+    process.event("draining").await?;
+    Ok(())
+}
+
+/// Waits until an instance has ended by itself, without having cut a request.
+pub(crate) async fn ends_well(cluster: &mut System, entry: &str) -> Result<()> {
+    let status = cluster.entry(entry)?.process().ends().await?;
+    assert!(status.success(), "{entry}: {status}");
+    let cut = cluster.entry(entry)?.process().log().events("drain-cut");
+    assert!(cut.is_empty(), "{cut:?}");
+    Ok(())
+}
+
 /// Returns the entries of a target's ledger with this body.
 pub(crate) async fn runs(cluster: &mut Cluster, target: &str, body: &Value) -> Result<Vec<Value>> {
     let digest = blake3::hash(body.to_string().as_bytes()).to_hex();
