feat(entry): slopes tells facts of the region and of other regions apart

Cause: the arithmetic of CAPACITY multiplied zones by models; since regions sum up, the cost is zones of the region times models plus other regions times models. Headers of the messages that carry facts were left out of it altogether, and so was a speaker's whole demand.

Change: cases for the region's slope (one and three zones with 28 models) and for 30 zones under the budget; age of facts at receivers and the least share known; rows for facts of the region and of other regions, their headers, a first-zone speaker's heartbeats (every third) and its demand. More than 60 instances run on more than one thread, since one thread's instances take themselves for frozen.

--- a/crates/zinniastall-entry/examples/slopes/case.rs
+++ b/crates/zinniastall-entry/examples/slopes/case.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
+use actix::Arbiter;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 use zinniastall_entry::spread::settings::Spread;
 use zinniastall_model::place::Place;
 
@@ -13,6 +15,8 @@
 
 /// Zones in a region, as at the target size: 67 in 23.
 const ZONES_A_REGION: usize = 3;
+/// Instances that one thread carries.
+const A_THREAD: usize = 60;
 /// Longest wait for all instances to know each other.
 const PATIENCE: Duration = Duration::from_mins(2);
 /// Time after that until figures are taken, and over which they are taken.
@@ -20,7 +24,7 @@
 const SPAN: Duration = Duration::from_secs(10);
 
 /// The cases of a whole measurement.
-pub(crate) const ALL: [&str; 15] = [
+pub(crate) const ALL: [&str; 18] = [
     "zone=3",
     "zone=9",
     "zone=25",
@@ -32,10 +36,13 @@
     "zones=3,zone=3,targets=3,models=4",
     "zones=9,zone=3,targets=3,models=4",
     "zones=30,zone=3,targets=3,models=4",
+    "zone=3,targets=3,models=28",
+    "zones=3,zone=3,targets=3,models=28",
     "zones=9,zone=3,targets=3,models=28",
     "zones=30,zone=3,targets=3,models=28",
     "zone=25,targets=150,prefixes=2,models=4,budget=17000",
     "zones=3,zone=25,targets=150,prefixes=2,models=4,budget=17000",
+    "zones=30,zone=3,targets=3,models=28,budget=17000",
 ];
 
 /// What runs.
@@ -148,6 +155,9 @@
 
     async fn start(self) -> eyre::Result<Vec<Node>> {
         let mut nodes: Vec<Node> = Vec::new();
+        // One thread can't carry all: instances that wait for it take themselves for frozen.
+        let threads = self.zones * self.zone / A_THREAD + 1;
+        let threads: Vec<Arbiter> = (0..threads).map(|_| Arbiter::new()).collect();
         let mut firsts: Vec<String> = Vec::new();
         for zone in 0..self.zones {
             let region = format!("region-{}", zone / ZONES_A_REGION);
@@ -156,7 +166,13 @@
             for number in 0..self.zone {
                 let name = format!("entry-{zone}-{number}");
                 let seeds = own.iter().chain(firsts.first()).cloned().collect();
-                let node = Node::start(&name, place.clone(), seeds, self.settings()).await?;
+                let (place, settings) = (place.clone(), self.settings());
+                let (done, started) = oneshot::channel();
+                threads[zone % threads.len()].spawn(async move {
+                    // Nobody waits any more when the case has failed meanwhile.
+                    let _ = done.send(Node::start(&name, place, seeds, settings).await);
+                });
+                let node = started.await??;
                 if own.len() < 2 {
                     own.push(node.links());
                 }
--- a/crates/zinniastall-entry/examples/slopes/page.rs
+++ b/crates/zinniastall-entry/examples/slopes/page.rs
@@ -19,8 +19,6 @@
     pub(super) const ZONE: f64 = 25.0;
     /// Targets an entry instance: 10,000 before 1,700.
     pub(super) const OWN: f64 = 6.0;
-    /// Zones.
-    pub(super) const ZONES: f64 = 67.0;
     /// Regions.
     pub(super) const REGIONS: f64 = 23.0;
     /// Zones a region.
@@ -76,10 +74,15 @@
     }
 
     fn slopes(&self) -> Slopes {
-        let wide = self.slope(
+        let near = self.slope(
+            "zone=3,targets=3,models=28",
+            "zones=3,zone=3,targets=3,models=28",
+            2.0 * 28.0,
+        );
+        let abroad = self.slope(
             "zones=9,zone=3,targets=3,models=28",
             "zones=30,zone=3,targets=3,models=28",
-            21.0 * 28.0,
+            7.0 * 28.0,
         );
         Slopes {
             base: self.find("zone=3"),
@@ -92,7 +95,8 @@
                 "zone=5,targets=150,prefixes=2",
                 150.0 / 5.0 * 4.0 * 2.0,
             ),
-            fact: wide,
+            near,
+            abroad,
         }
     }
 }
@@ -104,7 +108,8 @@
     renewal: Slope,
     held: Slope,
     prefix: Slope,
-    fact: Slope,
+    near: Slope,
+    abroad: Slope,
 }
 
 /// Returns the tables.
@@ -122,12 +127,15 @@
     line(out, "### Cases measured\n");
     line(
         out,
-        "| zones | instances a zone | targets a zone | models | new prefixes a target and s | budget B/s | sent B/s a node | busiest node B/s | messages/s | % of a core | memory KB | all known after s |",
+        "| zones | instances a zone | targets a zone | models | new prefixes a target and s | budget B/s | sent B/s a node | busiest node B/s | messages/s | % of a core | memory KB | all known after s | age of facts, p50 / p99, s | least share known |",
+    );
+    line(
+        out,
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
     );
-    line(out, "|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (case, figures) in &measured.rows {
         let row = format!(
-            "| {} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.1} | {:.3} | {:.0} | {:.1} |",
+            "| {} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.1} | {:.3} | {:.0} | {:.1} | {:.1} / {:.1} | {:.2} |",
             case.zones,
             case.zone,
             case.targets,
@@ -140,6 +148,9 @@
             figures.processor,
             figures.memory,
             figures.converged,
+            figures.age[0],
+            figures.age[1],
+            figures.known,
         );
         line(out, &row);
     }
@@ -185,7 +196,14 @@
             "new prefix of an own target a second, and peer",
             slopes.prefix,
         ),
-        ("zone and model, all changing each second", slopes.fact),
+        (
+            "zone of the region and model, all changing each second",
+            slopes.near,
+        ),
+        (
+            "other region of three zones and model, all changing each second",
+            slopes.abroad,
+        ),
     ] {
         let row = format!(
             "| {name} | {:.2} | {:.4} | {:.5} | {:.2} |",
@@ -196,15 +214,14 @@
 }
 
 fn entry(out: &mut String, slopes: &Slopes, state: &Weights) {
-    use target::{
-        BYTES, CLIENTS, MEMORY, MODELS, NEAR, NODES, OWN, PROCESSOR, REGIONS, ZONE, ZONES,
-    };
+    use target::{BYTES, MODELS, NEAR, OWN, REGIONS, ZONE};
     line(out, "\n### An entry instance at the target size\n");
     line(out, "| cost | arithmetic | value | budget | verdict |");
     line(out, "|---|---|---|---|---|");
     let peers = ZONE - 1.0;
     let renewals = OWN * peers;
-    let facts = ZONES * MODELS;
+    let near_facts = (NEAR - 1.0) * MODELS;
+    let far_facts = (REGIONS - 1.0) * MODELS;
     let beats = peers * slopes.peer.sent;
     row(
         out,
@@ -225,20 +242,30 @@
         slopes.prefix.sent
     );
     row(out, "prefixes, B/s", &sum, prefixes, BYTES);
-    let digests = facts * slopes.fact.sent;
-    let sum = format!("{ZONES} zones × {MODELS} models × {:.2}", slopes.fact.sent);
-    row(
-        out,
-        "facts, all changing each second, B/s",
-        &sum,
-        digests,
-        BYTES,
+    let near = near_facts * slopes.near.sent;
+    let sum = format!(
+        "{} other zones × {MODELS} models × {:.2}",
+        NEAR - 1.0,
+        slopes.near.sent
+    );
+    row(out, "facts of the region, B/s", &sum, near, BYTES);
+    let far = far_facts * slopes.abroad.sent;
+    let sum = format!(
+        "{} other regions × {MODELS} models × {:.2}",
+        REGIONS - 1.0,
+        slopes.abroad.sent
     );
+    row(out, "facts of other regions, B/s", &sum, far, BYTES);
+    let digests = near + far;
     // Renewals travel inside heartbeats.
     let messages = peers * slopes.peer.messages;
     let headers = messages * OVERHEAD;
     let sum = format!("{messages:.0} messages/s × {OVERHEAD} bytes of headers");
-    row(out, "transport, B/s", &sum, headers, BYTES);
+    row(out, "transport of heartbeats, B/s", &sum, headers, BYTES);
+    let messages = near_facts * slopes.near.messages + far_facts * slopes.abroad.messages;
+    let fact_headers = messages.max(0.0) * OVERHEAD;
+    let sum = format!("{messages:.0} messages/s × {OVERHEAD} bytes of headers");
+    row(out, "transport of facts, B/s", &sum, fact_headers, BYTES);
     let must = beats + loads + headers;
     row(
         out,
@@ -247,7 +274,7 @@
         must,
         BYTES,
     );
-    let all = must + prefixes + digests;
+    let all = must + prefixes + digests + fact_headers;
     row(
         out,
         "demand without the budget, B/s",
@@ -255,23 +282,41 @@
         all,
         BYTES,
     );
-    let links = (NEAR - 1.0 + REGIONS - 1.0) * (slopes.peer.sent + slopes.peer.messages * OVERHEAD);
+    // Every third heartbeat crosses to another region.
+    let links = NEAR - 1.0 + (REGIONS - 1.0) / 3.0;
     let sum = format!(
-        "{} more links × ({:.1} + headers)",
-        NEAR + REGIONS - 2.0,
+        "({} + {} / 3) more links × ({:.1} + headers)",
+        NEAR - 1.0,
+        REGIONS - 1.0,
         slopes.peer.sent
     );
+    let links = links * (slopes.peer.sent + slopes.peer.messages * OVERHEAD);
+    let name = "heartbeats of a speaker of a region's first zone besides, B/s";
+    row(out, name, &sum, links, BYTES);
+    let sum =
+        "demand + these heartbeats; its facts are in the slopes, two of three instances speak";
     row(
         out,
-        "a speaker of a region's first zone besides, B/s",
-        &sum,
-        links,
+        "demand of such a speaker, B/s",
+        sum,
+        all + links,
         BYTES,
     );
+    held(out, slopes, state);
+}
+
+/// Writes what an instance at the target size uses of a processor and of memory.
+fn held(out: &mut String, slopes: &Slopes, state: &Weights) {
+    use target::{CLIENTS, MEMORY, MODELS, NEAR, NODES, OWN, PROCESSOR, REGIONS, ZONE};
+    let peers = ZONE - 1.0;
+    let renewals = OWN * peers;
+    let near_facts = (NEAR - 1.0) * MODELS;
+    let far_facts = (REGIONS - 1.0) * MODELS;
     let processor = slopes.base.processor
         + peers * slopes.peer.processor
         + renewals * slopes.renewal.processor
-        + facts * slopes.fact.processor;
+        + near_facts * slopes.near.processor
+        + far_facts * slopes.abroad.processor;
     let sum = "base + peers + renewals + facts, each × its slope";
     row(out, "processor, % of a core", sum, processor, PROCESSOR);
     let configuration =
@@ -282,7 +327,8 @@
     let memory = slopes.base.memory
         + peers * slopes.peer.memory
         + OWN * ZONE * slopes.held.memory
-        + facts * slopes.fact.memory
+        + near_facts * slopes.near.memory
+        + far_facts * slopes.abroad.memory
         + 2.0 * configuration;
     let sum = "base + peers + the zone's targets + facts, each × its slope, + 2 × configuration";
     row(out, "memory for control, KB", sum, memory, MEMORY);
