--- a/crates/zinniastall-entry/examples/slopes/case.rs
+++ b/crates/zinniastall-entry/examples/slopes/case.rs
@@ -19,8 +19,11 @@
 const A_THREAD: usize = 60;
 /// Longest wait for all instances to know each other.
 const PATIENCE: Duration = Duration::from_mins(2);
-/// Time after that until figures are taken, and over which they are taken.
+/// Time after that until figures are taken, in one zone and in several. At a start several zones of a
+/// region speak for it, and what they have said ages out after ten seconds.
 const SETTLE: Duration = Duration::from_secs(4);
+const SETTLE_ZONES: Duration = Duration::from_secs(20);
+/// Time over which figures are taken.
 const SPAN: Duration = Duration::from_secs(10);
 
 /// The cases of a whole measurement.
@@ -126,7 +129,7 @@
             self.announce(&nodes, &mut round).await;
         }
         let converged = started.elapsed();
-        self.go_on(&nodes, &mut round, SETTLE).await;
+        self.go_on(&nodes, &mut round, self.settle()).await;
         let (counts, processor, at) = (counts(&nodes), usage::processor(), Instant::now());
         let mut ages = Ages::default();
         while at.elapsed() < SPAN {
@@ -205,6 +208,10 @@
         })
     }
 
+    const fn settle(self) -> Duration {
+        if self.zones > 1 { SETTLE_ZONES } else { SETTLE }
+    }
+
     /// Tells how far instances are from knowing all.
     fn missing(self, nodes: &[Node]) -> String {
         let views = nodes.iter().map(|node| node.board.view());
