refactor(xtask): measurements are chores, not tests

Ruled out: a crate of their own (they need nothing that xtask lacks but development dependencies).

Change: control_cost, control_capacity and revisions are examples of xtask; commands on the pages follow.

--- a/tests/examples/control_cost.rs
+++ b/xtask/examples/control_cost.rs
@@ -1,7 +1,7 @@
 //! Measures the control group with real processes: commits, time to force, time without a leader,
 //! and what a change costs a follower.
 //!
-//! `cargo build --release --bins && cargo run --release -p zinniastall-tests --example control_cost`
+//! `cargo build --release --bins && cargo run --release -p xtask --example control_cost`
 
 use std::{
     cell::Cell,
--- a/tests/examples/revisions.rs
+++ b/xtask/examples/revisions.rs
@@ -1,7 +1,7 @@
 //! Measures requests that overtake the change that permits them, between two regions over a slow
 //! link, judged at once and judged after waiting for the sender's revision.
 //!
-//! `cargo build --release --bins && cargo run --release -p zinniastall-tests --example revisions`
+//! `cargo build --release --bins && cargo run --release -p xtask --example revisions`
 
 use std::time::{Duration, Instant};
 
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -57,7 +57,7 @@
     let mut command = cargo(root);
     command
         .args(["run", "--release", "--locked"])
-        .args(["--package", "zinniastall-tests"])
+        .args(["--package", "xtask"])
         .args(["--example", "control_capacity"]);
     run(command)
 }
