fix(spread): links take turns with the budget for facts

Reading flush: each link got an equal share of what was left, so short facts used up every budget and a long one, the doors of a zone on a new link, never went out. Besides, a period's budget was offered anew at each turn, since it is charged once a period.

Ruled out: a larger share (only moves the point); saving up for each link (the balance would be promised many times).

Change: links take turns; the first whose next fact doesn't fit comes first the next time and no other gets more until then. Bytes promised since the last charge are taken off.

--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -66,6 +66,9 @@
     pub(super) renewals: Renewals,
     pub(super) digests: Digests,
     pub(super) bucket: Bucket,
+    /// Bytes of facts since the last charge. Without them each turn of a period would find the whole
+    /// budget again.
+    pub(super) promised: u64,
     pub(super) published: Arc<IndexMap<id::Instance, Peer>>,
     /// Targets that were published last, with their runs.
     pub(super) serving: IndexMap<id::Target, id::Incarnation>,
@@ -100,6 +103,7 @@
             renewals: Renewals::default(),
             digests: Digests::new(&own, run, place, settings.digest, now),
             bucket: Bucket::new(settings.bytes_per_second, now),
+            promised: 0,
             published: Arc::default(),
             serving: IndexMap::new(),
             publishing: false,
@@ -152,6 +156,7 @@
         let around = &self.around;
         let sent = self.traffic.record(&around.identity, &around.recorder);
         self.bucket.charge(sent);
+        self.promised = 0;
         let waiting = i64::try_from(self.digests.waiting()).unwrap_or(i64::MAX);
         if waiting > 0 {
             around.recorder.count("gossip.waiting.facts", waiting);
--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -91,8 +91,8 @@
         self.ways.set(&self.table, lines);
     }
 
-    /// Returns what fits into a number of bytes, by link.
-    pub fn flush(&mut self, bytes: u64, now: Instant) -> Vec<(Line, News)> {
+    /// Returns what fits into a number of bytes, by link, and the bytes that it takes.
+    pub fn flush(&mut self, bytes: u64, now: Instant) -> (Vec<(Line, News)>, u64) {
         self.ways.flush(&self.table, bytes, now)
     }
 
--- a/crates/zinniastall-entry/src/spread/passing.rs
+++ b/crates/zinniastall-entry/src/spread/passing.rs
@@ -36,8 +36,10 @@
     /// Passes on what waits, as far as the budget goes.
     pub(super) fn pass_on(&mut self, now: Instant) {
         self.passing = false;
-        let bytes = self.bucket.available(now);
-        for (line, news) in self.digests.flush(bytes, now) {
+        let bytes = self.bucket.available(now).saturating_sub(self.promised);
+        let (news, spent) = self.digests.flush(bytes, now);
+        self.promised += spent;
+        for (line, news) in news {
             self.lines.send(line, gossip::Message::News(news));
         }
     }
--- a/crates/zinniastall-entry/src/spread/ways.rs
+++ b/crates/zinniastall-entry/src/spread/ways.rs
@@ -9,6 +9,9 @@
 
 use super::lines::Line;
 
+/// Most bytes of facts on one link in a turn; more than the longest fact has.
+const TURN: u64 = 2_000;
+
 /// All facts that are held.
 pub type Facts = Table<Topic, Maker, Fact>;
 
@@ -35,6 +38,8 @@
 pub struct Ways {
     place: Place,
     boxes: IndexMap<Line, Path>,
+    /// Link whose next fact did not fit into what was left of the budget.
+    held: Option<Line>,
     /// Where each maker is and how its word comes: its facts and renewals go the same ways, or a
     /// renewal would vouch for a fact that has been replaced on another way.
     sources: IndexMap<Maker, Source>,
@@ -46,6 +51,7 @@
         Self {
             place,
             boxes: IndexMap::new(),
+            held: None,
             sources: IndexMap::new(),
         }
     }
@@ -121,13 +127,32 @@
         self.pass(from, goes, |outbox| outbox.renew(maker.clone()));
     }
 
-    /// Returns what fits into a number of bytes, by link.
-    pub fn flush(&mut self, table: &Facts, bytes: u64, now: Instant) -> Vec<(Line, News)> {
-        let waiting = self.boxes.values().filter(|path| !path.outbox.is_empty());
-        let share = bytes / (waiting.count().max(1) as u64);
+    /// Returns what fits into a number of bytes, by link, and the bytes that it takes.
+    ///
+    /// Links take turns. The first one whose next fact is longer than what is left of the budget comes
+    /// first the next time, and until then no other gets more: with an equal share for each link, short facts
+    /// on the others would use up every budget, and a long one would never go out.
+    pub fn flush(&mut self, table: &Facts, bytes: u64, now: Instant) -> (Vec<(Line, News)>, u64) {
+        let first = self.held.take();
+        let first = first.and_then(|line| self.boxes.get_index_of(&line));
+        let count = self.boxes.len();
+        let mut left = bytes;
         let mut out = Vec::new();
-        for (line, path) in &mut self.boxes {
+        for turn in 0..count {
+            let index = (first.unwrap_or(0) + turn) % count;
+            let Some((line, path)) = self.boxes.get_index_mut(index) else {
+                continue;
+            };
+            let share = if self.held.is_some() {
+                0
+            } else {
+                left.min(TURN)
+            };
             let batch = path.outbox.take(table, share, size, now);
+            left -= batch.items.iter().map(size).sum::<u64>();
+            if self.held.is_none() && batch.items.is_empty() && !path.outbox.is_empty() {
+                self.held = Some(*line);
+            }
             if !batch.items.is_empty() || !batch.renewals.is_empty() {
                 let news = News {
                     items: batch.items,
@@ -136,7 +161,7 @@
                 out.push((*line, news));
             }
         }
-        out
+        (out, bytes - left)
     }
 
     /// Returns how many facts wait to be sent, over all links.
--- a/crates/zinniastall-entry/tests/speaker.rs
+++ b/crates/zinniastall-entry/tests/speaker.rs
@@ -172,7 +172,7 @@
     }
 
     fn flush(&mut self, now: Instant) -> IndexMap<Line, News> {
-        self.digests.flush(1_000_000, now).into_iter().collect()
+        self.digests.flush(1_000_000, now).0.into_iter().collect()
     }
 
     fn take(&mut self, from: &Place, news: Option<&News>, now: Instant) {
@@ -259,6 +259,40 @@
     assert_eq!(patras.known(now), ["athens/b"], "b has more free slots");
 }
 
+// A speaker gets a new link while its loads change all the time and the budget is short. What is short
+// fits in on the other links at each turn; if they took the budget every time, the longer fact by which
+// the new peer learns where to send requests would never go out, and the zone would stay unknown to it.
+#[test]
+fn long_fact_on_a_new_link_gets_its_turn() {
+    let mut now = Instant::now();
+    let [mut a, _, _] = three(now);
+    let place = |line: Line| Place::new(format!("region-{line}"), "a");
+    let mut lines: IndexMap<Line, Place> = (1..20).map(|line| (line, place(line))).collect();
+    a.digests.paths(&lines);
+    a.speak(Voice::Region, 0, now);
+    a.flush(now);
+    lines.insert(20, place(20));
+    a.digests.paths(&lines);
+    let mut balance = 0;
+    for turn in 0..200 {
+        now += TICK;
+        balance += 400;
+        a.speak(Voice::Region, if turn % 2 == 0 { 8 } else { 0 }, now);
+        let (out, spent) = a.digests.flush(balance, now);
+        let items = || {
+            out.iter()
+                .flat_map(|(line, news)| news.items.iter().map(move |item| (line, item)))
+        };
+        let is_door = |item: &Item| matches!(item.key, Topic::Doors(_));
+        if items().any(|(line, item)| *line == 20 && is_door(item)) {
+            return;
+        }
+        assert!(spent <= balance, "{spent} of {balance}");
+        balance -= spent;
+    }
+    panic!("nothing of the doors after 200 turns");
+}
+
 // A zone is lost while the zone that speaks for its region goes on vouching for what it says. Nobody
 // abroad may send requests to the lost one for longer than to one that speaks for itself.
 #[test]
