perf(wire): read links into 16 KiB at a time

Cause: looking for what keeps a start of many zones from settling, stacks of the busy process showed memset in the WebSocket library: it keeps a buffer of 128 KiB for each link and clears as much at every read. The slope of 144.6 KB for one more instance in the zone was this buffer.

Ruled out: the digests (not in the stacks); a smaller buffer still (parts of answers have up to 32 KiB).

Change: 16 KiB.

--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -18,6 +18,10 @@
     meter::Meter,
 };
 
+/// Bytes read at once. The library keeps and clears a buffer of this size for every read of every link;
+/// its default of 128 KiB was nearly all the memory of a link, and frames of gossip are far shorter.
+const READ: usize = 16 * 1024;
+
 /// Why a link could not be opened or broke.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -223,6 +227,7 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ)
         .max_message_size(Some(frame::LIMIT))
         .max_frame_size(Some(frame::LIMIT))
 }
