test(spread): one set of checks for all cuts between zones and regions

Change: serve_their_own; no check is looser (each side is still listed alone, served by its own target, healed).

--- a/tests/tests/spread/cuts.rs
+++ b/tests/tests/spread/cuts.rs
@@ -1,32 +1,43 @@
 //! Zones and regions cut off, one way and both.
 
-use zinniastall_tests::{Result, node::Node};
+use zinniastall_tests::{Result, cluster::Cluster, node::Node};
 
 use crate::system::{ask, cut_one_way, lists, start, start_patient};
 
+/// Checks that each side of a cut names itself alone and serves with its own target, and that after
+/// healing all name all.
+async fn serve_their_own(mut cluster: Cluster, sides: [[&str; 2]; 2]) -> Result<()> {
+    for side in &sides {
+        lists(&cluster, side[0], side).await?;
+    }
+    for entry in sides.as_flattened() {
+        let target = ask(&mut cluster, entry).await?.unwrap_or_default();
+        let (place, _) = entry.rsplit_once('-').unwrap_or_default();
+        assert_eq!(
+            target,
+            format!("engine-{place}"),
+            "{entry} did not serve its own"
+        );
+    }
+    cluster.heal();
+    for entry in sides.as_flattened() {
+        lists(&cluster, entry, sides.as_flattened()).await?;
+    }
+    cluster.stop().await
+}
+
 macro_rules! cut_off {
     ($($name:ident: $zones:expr, $inside:expr, $within:expr, $without:expr;)*) => {$(
         #[actix_rt::test]
         async fn $name() -> Result<()> {
             let (zones, within, without): (&[(&str, &str)], [&str; 2], [&str; 2]) =
                 ($zones, $within, $without);
-            let mut cluster = start(zones, 2).await?;
+            let cluster = start(zones, 2).await?;
             let inside: fn(&Node) -> bool = $inside;
             cluster.partition(inside);
             let answer = lists(&cluster, within[0], &within).await?;
             assert!(answer["valid_ms"].as_u64().is_some_and(|valid| valid <= 10_000));
-            lists(&cluster, without[0], &without).await?;
-            for entry in within.iter().chain(&without) {
-                let target = ask(&mut cluster, entry).await?.unwrap_or_default();
-                let place = entry.rsplit_once('-').map(|(place, _)| place).unwrap_or_default();
-                assert_eq!(target, format!("engine-{place}"), "{entry} did not serve its own");
-            }
-            cluster.heal();
-            let all = [within, without].concat();
-            for entry in &all {
-                lists(&cluster, entry, &all).await?;
-            }
-            cluster.stop().await
+            serve_their_own(cluster, [within, without]).await
         }
     )*};
 }
@@ -73,7 +84,7 @@
         async fn $name() -> Result<()> {
             let (zones, within, without): (&[(&str, &str)], [&str; 2], [&str; 2]) =
                 ($zones, $within, $without);
-            let mut cluster = start_patient(zones, 2).await?;
+            let cluster = start_patient(zones, 2).await?;
             let entry = |node: &Node| !node.name().starts_with("control");
             let deaf: fn(&Node) -> bool = $deaf;
             cut_one_way(
@@ -81,19 +92,7 @@
                 |node| entry(node) && !deaf(node),
                 |node| entry(node) && deaf(node),
             );
-            lists(&cluster, within[0], &within).await?;
-            lists(&cluster, without[0], &without).await?;
-            for entry in within.iter().chain(&without) {
-                let target = ask(&mut cluster, entry).await?.unwrap_or_default();
-                let place = entry.rsplit_once('-').map(|(place, _)| place).unwrap_or_default();
-                assert_eq!(target, format!("engine-{place}"), "{entry} did not serve its own");
-            }
-            cluster.heal();
-            let all = [within, without].concat();
-            for entry in &all {
-                lists(&cluster, entry, &all).await?;
-            }
-            cluster.stop().await
+            serve_their_own(cluster, [within, without]).await
         }
     )*};
 }
