fix(follow): hold a narrower revision back also where none was confirmed before

The second that a narrower revision waits was left out while nothing had been confirmed, taken to mean that nothing had been in force. An instance that can't keep its configuration serves without confirming; once its disk was mended, a narrower rule was accepted at once.

Ruled out: the first configuration of a run (nothing was judged before it, so it needs no wait).

Change: what counts is whether a configuration has been in force. The checks of the test before are shared by both.

--- a/crates/zinniastall-entry/src/follow/force.rs
+++ b/crates/zinniastall-entry/src/follow/force.rs
@@ -20,6 +20,8 @@
     published: Option<(id::Revision, bool)>,
     kept: id::Revision,
     confirmed: id::Revision,
+    /// Whether a configuration has been in force, confirmed or not.
+    served: bool,
     /// When the last request that was judged before the last narrower revision has left or failed.
     left: Option<Instant>,
 }
@@ -110,12 +112,13 @@
             enforced
                 .into_actor(self)
                 .map(move |(kept, in_view), follower, context| {
+                    let served = std::mem::replace(&mut follower.force.served, true);
                     if kept {
                         follower.force.kept = revision;
                     }
                     if kept && in_view {
                         tracing::info!(event = "in-force", revision, connected);
-                        follower.confirm(revision, context);
+                        follower.confirm(revision, served, context);
                     }
                 }),
         );
@@ -126,9 +129,9 @@
     /// A request is judged right before it connects to its target. Confirmed at once, a change that
     /// forbids this region could be accepted while such a request still waits for its connection, and
     /// the target would run it after the operator was told that none does.
-    fn confirm(&mut self, revision: id::Revision, context: &mut Context<Self>) {
+    fn confirm(&mut self, revision: id::Revision, served: bool, context: &mut Context<Self>) {
         let now = Instant::now();
-        if std::mem::take(&mut self.narrowed) && self.force.confirmed > 0 {
+        if std::mem::take(&mut self.narrowed) && served {
             self.force.left = Some(now + CONNECT);
         }
         let left = self.force.left;
--- a/tests/tests/control_force.rs
+++ b/tests/tests/control_force.rs
@@ -160,7 +160,33 @@
         .await?;
     settled(&cluster, 2).await?;
     cluster.client("studio", "key").await?;
+    narrows_in_time(&mut cluster, || Ok(())).await
+}
+
+/// The same where the instance could not keep its first configuration, so that it serves but has
+/// confirmed nothing yet; then its disk is mended.
+#[actix_rt::test]
+async fn a_narrower_rule_waits_at_an_instance_that_confirmed_nothing() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let data = folder.path().join("data");
+    std::fs::write(&data, "no folder")?;
+    // Another instance's confirmation would hold the change back as long.
+    let mut cluster = builder(1).zone("athens", "a", 1).start().await?;
+    settled(&cluster, 1).await?;
+    cluster.client("studio", "key").await?;
+    cluster.entry("athens-a-1")?.settings()["data"] = json!(data);
+    cluster.entry("athens-a-1")?.restart().await?;
+    let process = cluster.entry("athens-a-1")?.process();
+    process.event("configuration-not-kept").await?;
+    narrows_in_time(&mut cluster, || Ok(std::fs::remove_file(&data)?)).await
+}
+
+/// Widens and narrows a rule, and checks how long after it came into force each was accepted.
+async fn narrows_in_time(cluster: &mut Cluster, mend: impl Fn() -> Result<()>) -> Result<()> {
     for (regions, least) in [(&["patras", "athens"][..], 0.0), (&["patras"], CONNECT)] {
+        if least > 0.0 {
+            mend()?;
+        }
         let rule = rule(regions);
         let run = cluster.ctl(&["--wait", "10000", "apply", &rule]).await?;
         let answer = run.json()?;
