--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -10,6 +10,7 @@
 mod entries;
 mod found;
 mod group;
+mod heal;
 mod order;
 mod read;
 mod reply;
@@ -41,6 +42,7 @@
     entries::Heard,
     found::{Bootstrap, Founded, Refused},
     group::Regroup,
+    heal::{Members, Reseed, next_step},
     read::{Look, Read},
     reply::{Later, NotLeader, Reply},
     start::{Failure, Start, StartFault},
@@ -72,6 +74,7 @@
     synced: u64,
     machine: Machine,
     fresh: u64,
+    fresh_bytes: usize,
     feed: watch::Sender<Feed>,
     peers: Peers,
     operators: IndexMap<Id, String>,
@@ -84,6 +87,7 @@
     joining: IndexMap<String, Instant>,
     orders: Option<Orders>,
     founding: bool,
+    heal: heal::Heal,
     scheduled: bool,
     part: Part,
     failed: Option<oneshot::Sender<Failure>>,
@@ -105,6 +109,7 @@
         self.settle(now);
         self.pass_on_confirmations();
         self.send_orders(now, context);
+        self.heal(now, context);
     }
 
     fn heartbeat(&self) -> Duration {
@@ -174,6 +179,7 @@
             peers::Message::Log(message) if !self.founding => {
                 self.replica.receive(frame.from, *message, Instant::now());
             }
+            peers::Message::Admit { id, address } => self.note_asking(id, address),
             peers::Message::Log(_) | peers::Message::Pong => {}
         }
         self.schedule(context);
--- a/crates/zinniastall-control/src/control/apply.rs
+++ b/crates/zinniastall-control/src/control/apply.rs
@@ -18,6 +18,10 @@
 };
 use crate::disk::Work;
 
+/// Bytes of applied commands after which a snapshot is made even before its entries are due. Tables of
+/// hundreds of routes are some 100 KB each; a thousand of them would be held in memory and on disk.
+const SNAPSHOT_BYTES: usize = 2 << 20;
+
 impl Control {
     /// Applies committed entries in order.
     pub(super) fn apply(&mut self, committed: Vec<Entry>) {
@@ -32,13 +36,17 @@
                         narrows: false,
                     })
                 }
-                Payload::Command(command) => self.run(command),
+                Payload::Command(command) => {
+                    self.fresh_bytes += command.len();
+                    self.run(command)
+                }
             };
             self.answer_write(&entry, reply);
         }
         self.fresh += count;
-        if self.fresh >= self.settings.limits.snapshot_entries {
-            self.fresh = 0;
+        if self.fresh >= self.settings.limits.snapshot_entries || self.fresh_bytes >= SNAPSHOT_BYTES
+        {
+            (self.fresh, self.fresh_bytes) = (0, 0);
             self.save_snapshot();
         }
     }
@@ -49,7 +57,7 @@
             Ok(machine) => {
                 tracing::info!(event = "snapshot-installed", index = snapshot.last.index);
                 self.machine = machine;
-                let state = Arc::clone(self.machine.state());
+                let state = Arc::clone(self.machine.state()).stripped();
                 self.feed.send_modify(|feed| feed.restore(state));
                 self.waiting.skip(snapshot.last.index);
                 self.fresh = 0;
@@ -63,14 +71,14 @@
 
     /// Publishes the configuration, if it or the connection has changed.
     pub(super) fn publish(&self) {
-        let state = Arc::clone(self.machine.state());
+        let state = self.machine.state();
         let connected = self.is_connected();
         self.feed.send_if_modified(|feed| {
             let news = feed.state().revision < state.revision;
             let changed = news || feed.is_connected() != connected;
             feed.connect(connected);
             if news {
-                feed.reach(state);
+                feed.reach(Arc::clone(state).stripped());
             }
             changed
         });
@@ -97,7 +105,7 @@
         if revision > before {
             tracing::info!(event = "change-committed", revision);
             self.feed.send_if_modified(|feed| {
-                feed.push(revision, Arc::new(change));
+                feed.push(revision, Arc::new(change.stripped()));
                 false
             });
         }
--- a/crates/zinniastall-control/src/control/drive.rs
+++ b/crates/zinniastall-control/src/control/drive.rs
@@ -57,9 +57,16 @@
         self.card.borrow_mut().cluster = cluster;
         let hello = self.card.borrow().clone();
         let others = status.voters.members().filter(|id| *id != status.id);
-        let addresses: Vec<String> = others
+        let mut addresses: Vec<String> = others
             .filter_map(|id| status.voters.address(id).cloned())
             .collect();
+        // A replica outside the group knows it from its settings only, and has to ask to be taken in.
+        let outside = self.settings.group.heals && !status.voters.is_member(status.id);
+        if outside {
+            let seeds = self.heal.seeds().iter();
+            let fresh = seeds.filter(|seed| **seed != hello.links && !addresses.contains(*seed));
+            addresses.extend(fresh.cloned().collect::<Vec<_>>());
+        }
         self.operators.retain(|id, _| status.voters.is_member(*id));
         self.peers.dial(&hello, &addresses);
     }
--- a/crates/zinniastall-control/src/control/found.rs
+++ b/crates/zinniastall-control/src/control/found.rs
@@ -3,7 +3,10 @@
 use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, MessageResult, WrapFuture};
 use futures_util::future::join_all;
 use tokio::sync::oneshot;
-use zinniastall_coord::{Replica, replica::Restored};
+use zinniastall_coord::{
+    Replica,
+    replica::{Limits, Restored},
+};
 use zinniastall_store::Fault;
 use zinniastall_wire::{hello::Hello, link};
 
@@ -123,6 +126,10 @@
         let waited = now.checked_sub(timing.election * 2).unwrap_or(now);
         let built = Replica::builder(id, timing)
             .restored(restored)
+            .limits(Limits {
+                retain: self.settings.limits.retain,
+                ..Limits::default()
+            })
             .build(waited);
         // The same timings built the replica before, so they fit.
         if let Ok(replica) = built {
--- a/crates/zinniastall-control/src/control/read.rs
+++ b/crates/zinniastall-control/src/control/read.rs
@@ -65,7 +65,8 @@
         // The clock is read here and not when the call arrived: a process that was frozen in
         // between must find its lease run out before it answers.
         let now = Instant::now();
-        if self.replica.lease(now).is_some() {
+        let leased = !self.settings.clock_stops && self.replica.lease(now).is_some();
+        if leased {
             answer(reply, Ok(self.look(&read)));
         } else if self.reads.waiting.len() < READS {
             let deadline = now + self.longest_read();
--- a/crates/zinniastall-control/src/control/start.rs
+++ b/crates/zinniastall-control/src/control/start.rs
@@ -7,13 +7,16 @@
 use tokio::sync::{oneshot, watch};
 use zinniastall_coord::{
     Replica,
-    replica::{Part, Restored},
+    replica::{Limits, Part, Restored},
 };
 use zinniastall_model::machine::Machine;
 use zinniastall_store::Store;
 use zinniastall_wire::feed::Feed;
 
-use super::{Confirmed, Control, read::Reads, status::Questions, vouch::Vouches, waiting::Waiting};
+use super::{
+    Confirmed, Control, heal::Heal, read::Reads, status::Questions, vouch::Vouches,
+    waiting::Waiting,
+};
 use crate::{
     disk::Disk,
     links::Card,
@@ -77,13 +80,17 @@
         };
         let replica = Replica::builder(start.store.id(), settings.timing)
             .restored(start.restored)
+            .limits(Limits {
+                retain: settings.limits.retain,
+                ..Limits::default()
+            })
             .build(Instant::now())?;
         let address = context.address();
         let timing = peers::Timing::new(settings.timing.election);
         let hello = start.card.borrow().clone();
         start
             .feed
-            .send_modify(|feed| feed.restore(Arc::clone(machine.state())));
+            .send_modify(|feed| feed.restore(Arc::clone(machine.state()).stripped()));
         let mut control = Self {
             peers: Peers::new(start.store.id(), hello, timing, address.clone().recipient()),
             disk: Disk::start(start.store, address.recipient())?,
@@ -93,6 +100,8 @@
             synced: 0,
             machine,
             fresh: 0,
+            fresh_bytes: 0,
+            heal: Heal::new(settings.peers.iter().map(ToString::to_string).collect()),
             feed: start.feed,
             operators: IndexMap::new(),
             waiting: Waiting::new(settings.limits.calls),
--- a/crates/zinniastall-control/src/control/stop.rs
+++ b/crates/zinniastall-control/src/control/stop.rs
@@ -58,7 +58,7 @@
 }
 
 impl Control {
-    fn hand_over(&mut self, now: Instant) {
+    pub(super) fn hand_over(&mut self, now: Instant) {
         match self.replica.transfer(now) {
             Ok(successor) => {
                 let successor = format!("{successor:016x}");
--- a/crates/zinniastall-control/src/control/write.rs
+++ b/crates/zinniastall-control/src/control/write.rs
@@ -60,6 +60,10 @@
             self.conclude(&recorded, wait, reply);
             return;
         }
+        if !self.is_formed(now) {
+            answer(reply, Reply::Refused(Refusal::Unready));
+            return;
+        }
         if self.waiting.is_full() {
             let refusal = Refusal::Busy { bytes: 0, limit: 0 };
             answer(reply, Reply::Refused(refusal));
--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -1,16 +1,16 @@
 //! Starts the parts of a control instance and waits for its end.
 
-use std::{cell::RefCell, process::ExitCode, rc::Rc, sync::Arc};
+use std::{cell::RefCell, net::SocketAddr, process::ExitCode, rc::Rc, sync::Arc, time::Duration};
 
 use actix::{Addr, Context};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::{oneshot, watch},
+    time,
 };
 use zinniastall_model::state::State;
 use zinniastall_settings::{
-    cli, log,
-    metrics::Hub,
+    cli, log, metrics,
     process::{incarnation, listening},
 };
 use zinniastall_store::Store;
@@ -21,7 +21,8 @@
 };
 
 use crate::{
-    control::{Control, Start, Stop},
+    control::{Control, Failure, Members, Start, Stop},
+    hub::Hub,
     links::{Acceptor, Card},
     peers,
     rpc::{self, Operators},
@@ -30,6 +31,8 @@
 
 /// Prefix of the metrics' names.
 const METRICS: &str = "zinniastall.control";
+/// Time between two looks at the group's members, for those that are linked with this replica.
+const MEMBERS: Duration = Duration::from_secs(1);
 
 /// Runs a control instance until it is told to stop.
 pub fn run(settings: settings::Control) -> ExitCode {
@@ -45,36 +48,84 @@
     }
 }
 
-async fn serve(settings: Arc<settings::Control>) -> eyre::Result<()> {
+/// A running replica, without an interface for operators.
+#[derive(Debug)]
+pub struct Running {
+    /// The actor that owns control state.
+    pub control: Addr<Control>,
+    /// Links to gateway instances.
+    pub hub: Hub,
+    /// Configuration as it is committed.
+    pub feed: watch::Receiver<Feed>,
+    /// Says why the replica cannot go on.
+    pub failure: oneshot::Receiver<Failure>,
+    /// What the replica says of itself on links.
+    pub card: Card,
+}
+
+/// Opens the data folder and starts a replica on this thread; `service` is the address of the
+/// interface for operators, to which other replicas send them.
+///
+/// # Errors
+///
+/// Fails when the folder cannot be opened or the address for links cannot be bound.
+pub async fn start(
+    settings: &Arc<settings::Control>,
+    service: SocketAddr,
+) -> eyre::Result<Running> {
     let (store, restored) = Store::open(&settings.data)?;
-    let metrics = Hub::start(METRICS, settings.statsd)?;
     let links = link::listen(settings.listen.links).await?;
-    let operators = rpc::bind(settings.listen.operators)?;
-    let card = card(&settings, links.local_addr()?, operators.local_addr()?);
+    let card = card(settings, links.local_addr()?, service);
     listening("links", links.local_addr()?);
-    listening("operators", operators.local_addr()?);
     let (feed, news) = watch::channel(Feed::new(Arc::new(State::default()), settings.limits.tail));
     let (failed, failure) = oneshot::channel();
-    let start = Start {
-        settings: Arc::clone(&settings),
+    let control = start_actor(Start {
+        settings: Arc::clone(settings),
         card: Rc::clone(&card),
         store,
         restored,
         feed,
         failed,
-    };
-    let control = start_actor(start)?;
+    })?;
+    let hub = Hub::new(news.clone());
+    actix::spawn(hub.clone().run());
+    actix::spawn(list_members(control.clone(), hub.clone()));
     let acceptor = Acceptor {
         card: Rc::clone(&card),
         control: control.clone(),
         feed: news.clone(),
+        hub: hub.clone(),
         timing: peers::Timing::new(settings.timing.election),
     };
     actix::spawn(acceptor.run(links, settings.limits.links));
-    let hello = card.borrow().clone();
+    Ok(Running {
+        control,
+        hub,
+        feed: news,
+        failure,
+        card,
+    })
+}
+
+/// Keeps the hub's list of replicas up to date.
+async fn list_members(control: Addr<Control>, hub: Hub) {
+    loop {
+        if let Ok(members) = control.send(Members).await {
+            hub.set_replicas(members);
+        }
+        time::sleep(MEMBERS).await;
+    }
+}
+
+async fn serve(settings: Arc<settings::Control>) -> eyre::Result<()> {
+    let metrics = metrics::Hub::start(METRICS, settings.statsd)?;
+    let operators = rpc::bind(settings.listen.operators)?;
+    let running = start(&settings, operators.local_addr()?).await?;
+    listening("operators", operators.local_addr()?);
+    let hello = running.card.borrow().clone();
     let service = Operators::new(
-        control.clone(),
-        news,
+        running.control.clone(),
+        running.feed,
         metrics,
         hello,
         settings.limits.watches,
@@ -83,11 +134,11 @@
     let mut terminated = signal(SignalKind::terminate())?;
     tokio::select! {
         _ = terminated.recv() => {}
-        Ok(failure) = failure => return Err(failure.into()),
+        Ok(failure) = running.failure => return Err(failure.into()),
     }
     tracing::info!(event = "draining");
     // Operators' calls are still taken while leadership passes on, and told who leads.
-    control.send(Stop).await?.await?;
+    running.control.send(Stop).await?.await?;
     server.stop().await;
     tracing::info!(event = "stopped");
     Ok(())
@@ -99,11 +150,7 @@
     Ok(context.run(control))
 }
 
-fn card(
-    settings: &settings::Control,
-    links: std::net::SocketAddr,
-    operators: std::net::SocketAddr,
-) -> Card {
+fn card(settings: &settings::Control, links: SocketAddr, operators: SocketAddr) -> Card {
     Rc::new(RefCell::new(Hello {
         version: VERSION,
         purpose: Purpose::Replica,
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     control::{Control, FOUNDING, Heard, Vouch},
+    hub::Hub,
     peers,
 };
 
@@ -36,6 +37,8 @@
     pub control: Addr<Control>,
     /// Configuration for entry instances.
     pub feed: watch::Receiver<Feed>,
+    /// Links to gateway instances.
+    pub hub: Hub,
     /// Times of replica links.
     pub timing: peers::Timing,
 }
@@ -77,10 +80,10 @@
             }
             Err(_) => return,
         };
-        if link.purpose() == Purpose::Replica {
-            peers::serve(link, self.timing, self.control.recipient()).await;
-        } else {
-            self.serve_follower(link).await;
+        match link.purpose() {
+            Purpose::Replica => peers::serve(link, self.timing, self.control.recipient()).await,
+            Purpose::Hub => self.hub.serve(link).await,
+            _ => self.serve_follower(link).await,
         }
     }
 
@@ -121,7 +124,7 @@
     }
     // Before the founding there is nothing to follow, and a follower would not learn the cluster.
     let serves = match peer.purpose {
-        Purpose::Replica => true,
+        Purpose::Replica | Purpose::Hub => true,
         Purpose::Follow => own
             .cluster
             .as_deref()
--- a/crates/zinniastall-control/src/peers.rs
+++ b/crates/zinniastall-control/src/peers.rs
@@ -154,6 +154,18 @@
         }
     }
 
+    /// Sends a message on every dialled link, whoever is behind it.
+    pub fn broadcast(&self, message: &Message) {
+        let frame = Frame::Replica(Replica {
+            from: self.dialling.id,
+            to: 0,
+            message: message.encode(),
+        });
+        for dialled in self.dialled.values() {
+            dialled.try_send(&frame);
+        }
+    }
+
     fn start(&self, address: String) -> Dialled {
         let (queue, frames) = mpsc::channel(QUEUE);
         let open = Arc::new(AtomicBool::new(false));
--- a/crates/zinniastall-control/src/peers/message.rs
+++ b/crates/zinniastall-control/src/peers/message.rs
@@ -1,7 +1,7 @@
 //! What control instances say to each other.
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::replica;
+use zinniastall_coord::{Id, replica};
 use zinniastall_model::{id, member::Member};
 use zinniastall_wire::follow::{Astray, Confirmation};
 
@@ -21,6 +21,13 @@
     Astray(Vec<Astray>),
     /// To the leader: an entry instance presented itself.
     Join(Member),
+    /// To any replica, which passes it on to the leader: this replica asks to be taken in.
+    Admit {
+        /// The replica.
+        id: Id,
+        /// Where its links are reached.
+        address: String,
+    },
     /// To the leader: which revision has been reached by now?
     Vouch {
         /// Number that the answer repeats.
--- a/crates/zinniastall-control/src/rpc/watch.rs
+++ b/crates/zinniastall-control/src/rpc/watch.rs
@@ -80,7 +80,11 @@
             (object.key(), applied)
         }
         Body::Delete(key) => (key.clone(), event::Change::Deleted(convert::removed(key))),
-        Body::Join(_) | Body::Retire(_) => return None,
+        Body::Join(_)
+        | Body::Retire(_)
+        | Body::Publish(_)
+        | Body::Evacuate(_)
+        | Body::Reopen(_) => return None,
     };
     Some((
         key,
--- a/crates/zinniastall-control/src/settings.rs
+++ b/crates/zinniastall-control/src/settings.rs
@@ -32,6 +32,22 @@
     pub targets: Rules,
     /// Bounds on memory and waiting.
     pub limits: Limits,
+    /// How the group forms and repairs itself.
+    pub group: Group,
+    /// Whether the machine may be suspended without its steady clock noticing. A lease is worth nothing
+    /// then, and every read is confirmed by a majority.
+    pub clock_stops: bool,
+}
+
+/// How a group forms and repairs itself.
+#[derive(Debug, Clone, Default)]
+pub struct Group {
+    /// Whether replicas that lost their disk, and new ones, are taken in and out without an operator.
+    pub heals: bool,
+    /// Whether this replica founds the cluster, once all of its peers answer that they have none.
+    pub founds: bool,
+    /// Voters that the group needs before it takes its first change.
+    pub size: usize,
 }
 
 /// Addresses that a control instance binds.
@@ -57,6 +73,8 @@
 pub struct Limits {
     /// Applied entries after which a snapshot is made.
     pub snapshot_entries: u64,
+    /// Entries kept in memory behind a snapshot for replicas that are a little late.
+    pub retain: u64,
     /// Changes kept for followers that are a little behind.
     pub tail: usize,
     /// Most links that entry instances and other replicas may open.
@@ -93,6 +111,8 @@
             timing: reader.nested("timing", read_timing),
             targets: reader.nested("targets", read_targets),
             limits: reader.nested("limits", read_limits),
+            group: reader.nested("group", read_group),
+            clock_stops: reader.flag("clock_stops", false),
         }
     }
 }
@@ -119,9 +139,18 @@
     }
 }
 
+fn read_group(reader: &mut Reader<'_>) -> Group {
+    Group {
+        heals: reader.flag("heals", false),
+        founds: reader.flag("founds", false),
+        size: count(reader.number("size", 1..=15, 1)),
+    }
+}
+
 fn read_limits(reader: &mut Reader<'_>) -> Limits {
     Limits {
         snapshot_entries: reader.number("snapshot_entries", 16..=1_000_000, 1_024),
+        retain: reader.number("retain", 1..=65_536, 512),
         tail: count(reader.number("tail", 1..=65_536, 1_024)),
         links: count(reader.number("links", 8..=65_536, 2_048)),
         watches: count(reader.number("watches", 1..=4_096, 64)),
--- /dev/null
+++ b/crates/zinniastall-gateway/src/books.rs
@@ -0,0 +1,179 @@
+//! What one instance counts about its own requests: at targets, of services, in prompts.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use zinniastall_model::{id, presence::Load};
+
+use crate::decide::{
+    budget::{Bound, Budget},
+    outlier::Record,
+    warm::Pace,
+};
+
+/// Prompt parts remembered for one target. An engine holds about 250,000 tokens, which are some
+/// hundred parts of the usual size.
+const PARTS: usize = 256;
+/// Time after which a target's books are closed when nothing was sent to it.
+const IDLE: Duration = Duration::from_mins(1);
+
+/// Books of one instance.
+#[derive(Debug)]
+pub struct Books {
+    bound: Bound,
+    targets: IndexMap<id::Target, Account>,
+    services: IndexMap<id::Service, Budget>,
+}
+
+/// What is known of one target.
+#[derive(Debug)]
+pub struct Account {
+    /// Service that it belongs to.
+    pub service: id::Service,
+    /// Requests at it.
+    pub flights: u32,
+    /// Prompt tokens at it whose answers have not begun.
+    pub unread: u64,
+    /// How its requests ended.
+    pub record: Record,
+    /// Pace while it is cold.
+    pub pace: Pace,
+    parts: IndexMap<String, Instant>,
+    used: Instant,
+}
+
+/// Takes a request out of the books when it ends, however it ends.
+#[derive(Debug)]
+pub struct Flight {
+    books: Rc<RefCell<Books>>,
+    target: id::Target,
+    unread: u64,
+}
+
+impl Books {
+    /// Creates empty books.
+    pub fn new(bound: Bound) -> Self {
+        Self {
+            bound,
+            targets: IndexMap::new(),
+            services: IndexMap::new(),
+        }
+    }
+
+    /// Returns the account of a target, opened if need be.
+    pub fn target(&mut self, target: &str, service: &str, now: Instant) -> &mut Account {
+        if !self.targets.contains_key(target) {
+            self.close_idle(now);
+        }
+        let account = self.targets.entry(target.to_owned());
+        account.or_insert_with(|| Account {
+            service: service.to_owned(),
+            flights: 0,
+            unread: 0,
+            record: Record::default(),
+            pace: Pace::default(),
+            parts: IndexMap::new(),
+            used: now,
+        })
+    }
+
+    /// Returns the account of a target, if it has one.
+    pub fn known(&mut self, target: &str) -> Option<&mut Account> {
+        self.targets.get_mut(target)
+    }
+
+    /// Returns the account for repeats of a service.
+    pub fn budget(&mut self, service: &str) -> &mut Budget {
+        let bound = self.bound;
+        self.services
+            .entry(service.to_owned())
+            .or_insert_with(|| Budget::new(bound))
+    }
+
+    /// Returns the requests at targets, by service.
+    pub fn load(&self) -> Vec<Load> {
+        let mut loads: IndexMap<&str, Load> = IndexMap::new();
+        for account in self
+            .targets
+            .values()
+            .filter(|account| account.flights > 0 && !account.service.is_empty())
+        {
+            let load = loads.entry(&account.service).or_insert_with(|| Load {
+                service: account.service.clone(),
+                flights: 0,
+                unread: 0,
+            });
+            load.flights += account.flights;
+            load.unread += account.unread;
+        }
+        loads.into_values().collect()
+    }
+
+    fn close_idle(&mut self, now: Instant) {
+        self.targets.retain(|_, account| {
+            account.flights > 0 || now.saturating_duration_since(account.used) < IDLE
+        });
+    }
+}
+
+impl Account {
+    /// Tells whether a prompt part was sent to this target since a time.
+    pub fn holds(&self, part: &str, since: Instant) -> bool {
+        self.parts.get(part).is_some_and(|sent| *sent >= since)
+    }
+
+    /// Notes prompt parts that were sent to this target.
+    pub fn send_parts<'a>(&mut self, parts: impl Iterator<Item = &'a str>, now: Instant) {
+        for part in parts {
+            // The newest stand last, so that the oldest are the first to go.
+            self.parts.shift_remove(part);
+            self.parts.insert(part.to_owned(), now);
+        }
+        let surplus = self.parts.len().saturating_sub(PARTS);
+        self.parts.drain(..surplus);
+    }
+}
+
+impl Flight {
+    /// Books a request at a target.
+    pub fn start(
+        books: &Rc<RefCell<Books>>,
+        target: &str,
+        service: &str,
+        unread: u64,
+        now: Instant,
+    ) -> Self {
+        let mut open = books.borrow_mut();
+        let account = open.target(target, service, now);
+        account.flights += 1;
+        account.unread += unread;
+        account.used = now;
+        drop(open);
+        Self {
+            books: Rc::clone(books),
+            target: target.to_owned(),
+            unread,
+        }
+    }
+
+    /// Notes that the answer has begun, so that the prompt is read.
+    pub fn begun(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(account) = self.books.borrow_mut().known(&self.target) {
+            account.unread = account.unread.saturating_sub(unread);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.begun();
+        if let Some(account) = self.books.borrow_mut().known(&self.target) {
+            account.flights = account.flights.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -0,0 +1,200 @@
+//! Starts the parts of a gateway instance.
+
+use std::{
+    net::{SocketAddr, TcpListener as Listener},
+    rc::Rc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use actix::Arbiter;
+use tokio::{net::TcpListener, time};
+use zinniastall_model::{
+    id,
+    place::Place,
+    presence::{Load, Presence},
+};
+use zinniastall_wire::hello::{Hello, Purpose, VERSION};
+
+use crate::{
+    knowledge::{Knowledge, Replica},
+    names::Names,
+    path::{Traffic, serve},
+    policy::Policy,
+    uplink::Uplinks,
+    view::{Board, View},
+};
+
+/// Time between two rounds of housekeeping on the traffic thread.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Time between two looks at whether nothing is in progress any more.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a gateway instance starts from.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the instance; it survives restarts.
+    pub instance: id::Instance,
+    /// Number of this run.
+    pub incarnation: id::Incarnation,
+    /// Where it runs.
+    pub place: Place,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for instances that pass requests on.
+    pub forward: SocketAddr,
+    /// Links of control replicas.
+    pub seeds: Vec<Replica>,
+    /// Names of header fields.
+    pub names: Names,
+    /// Times and weights of the deployment.
+    pub policy: Policy,
+}
+
+/// A running gateway instance.
+#[derive(Debug)]
+pub struct Gateway {
+    /// What it knows of the rest of the system.
+    pub board: Board,
+    /// Links to control replicas.
+    pub uplinks: Rc<Uplinks>,
+    figures: Arc<Figures>,
+}
+
+/// What the traffic thread tells the control thread.
+#[derive(Debug, Default)]
+struct Figures {
+    load: Mutex<Vec<Load>>,
+    requests: AtomicUsize,
+    connections: AtomicUsize,
+}
+
+impl Gateway {
+    /// Binds the addresses and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub fn start(settings: &Settings) -> std::io::Result<Self> {
+        let view = View::new(settings.instance.clone(), settings.place.clone());
+        let board = Board::new(view);
+        let figures = Arc::new(Figures::default());
+        let callers = bind(settings.callers)?;
+        let forward = bind(settings.forward)?;
+        let addresses = (callers.local_addr()?, forward.local_addr()?);
+        tracing::info!(event = "listening", callers = %addresses.0, forward = %addresses.1);
+        let traffic = (board.clone(), settings.names.clone(), settings.policy);
+        let shared = Arc::clone(&figures);
+        Arbiter::new().spawn_fn(move || {
+            let (board, names, policy) = traffic;
+            let traffic = Rc::new(Traffic::new(board, names, policy));
+            actix::spawn(run(traffic, callers, forward, shared));
+        });
+        let uplinks = link(settings, addresses, &board, &figures);
+        Ok(Self {
+            board,
+            uplinks,
+            figures,
+        })
+    }
+
+    /// Takes no more requests: says so to all, and waits until none is in progress and callers have
+    /// had time to turn elsewhere, `longest` at most.
+    pub async fn drain(&self, least: Duration, longest: Duration) {
+        let since = Instant::now();
+        self.board.drain();
+        self.uplinks.announce();
+        loop {
+            time::sleep(LOOK).await;
+            let requests = self.figures.requests.load(Ordering::Relaxed);
+            let connections = self.figures.connections.load(Ordering::Relaxed);
+            let is_empty = requests == 0 && connections == 0;
+            let passed = since.elapsed();
+            if passed >= longest || (passed >= least && is_empty) {
+                tracing::info!(event = "drained", requests, connections);
+                return;
+            }
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<Listener> {
+    let listener = Listener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn link(
+    settings: &Settings,
+    addresses: (SocketAddr, SocketAddr),
+    board: &Board,
+    figures: &Arc<Figures>,
+) -> Rc<Uplinks> {
+    let hello = Hello {
+        version: VERSION,
+        purpose: Purpose::Hub,
+        cluster: None,
+        instance: settings.instance.clone(),
+        incarnation: settings.incarnation,
+        place: settings.place.clone(),
+        links: addresses.1.to_string(),
+        service: addresses.0.to_string(),
+    };
+    let knowledge = Knowledge::new(settings.instance.clone(), settings.place.clone());
+    let present = present(hello.clone(), board.clone(), Arc::clone(figures));
+    let seeds = settings.seeds.clone();
+    Uplinks::start(hello, present, knowledge, board.clone(), seeds)
+}
+
+fn present(hello: Hello, board: Board, figures: Arc<Figures>) -> Rc<dyn Fn() -> Presence> {
+    Rc::new(move || Presence {
+        instance: hello.instance.clone(),
+        incarnation: hello.incarnation,
+        place: hello.place.clone(),
+        callers: hello.service.clone(),
+        forward: hello.links.clone(),
+        ready: board.is_ready(),
+        load: figures
+            .load
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone(),
+    })
+}
+
+/// Serves callers and instances on the traffic thread.
+async fn run(traffic: Rc<Traffic>, callers: Listener, forward: Listener, figures: Arc<Figures>) {
+    let listeners = (
+        TcpListener::from_std(callers),
+        TcpListener::from_std(forward),
+    );
+    let (Ok(callers), Ok(forward)) = listeners else {
+        tracing::error!(event = "failed", error = "a listener cannot be registered");
+        actix::System::current().stop_with_code(1);
+        return;
+    };
+    actix::spawn(serve::accept(Rc::clone(&traffic), callers, false));
+    actix::spawn(serve::accept(Rc::clone(&traffic), forward, true));
+    let mut tick = time::interval(HOUSEKEEPING);
+    let mut look = time::interval(LOOK);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                traffic.pool.sweep(Instant::now());
+                let load = traffic.books.borrow().load();
+                *figures.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
+            }
+            _ = look.tick(), if traffic.board.is_draining() => {}
+        }
+        let connections = &traffic.connections;
+        figures
+            .requests
+            .store(connections.requests(), Ordering::Relaxed);
+        figures
+            .connections
+            .store(connections.open(), Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions of the request path, without I/O: functions of what is known and the present time.
+
+pub mod budget;
+pub mod outlier;
+pub mod place;
+pub mod warm;
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/answer.rs
@@ -0,0 +1,178 @@
+//! Answers that the gateway gives itself, in place of a target.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{
+    HeaderMap, HeaderValue, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
+};
+use zinniastall_http::head;
+
+use crate::names::{OUTCOME, RETRY_MS};
+
+/// Why a request has no answer of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its head can't be read.
+    Malformed,
+    /// Its head is too long.
+    LongHead,
+    /// Its body is too long.
+    LongBody,
+    /// It did not arrive in time.
+    Slow,
+    /// No configuration has reached this instance yet.
+    Unconfigured,
+    /// No route serves its path.
+    Unknown,
+    /// It was never sent; it may come back after a time.
+    Busy(Duration),
+    /// A target refused it before it ran; it may come back after a time.
+    Refused(Duration),
+    /// It was sent, and nobody can tell whether it ran.
+    Lost,
+    /// It was sent, and its time is over.
+    Late,
+}
+
+/// What a refused request may rely on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// No byte of it reached a target.
+    NotSent,
+    /// A target refused it before it ran.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields without those of the framing.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Time after which a request should come back to an instance that has no configuration yet. Most have
+/// it half a second after their start.
+const UNCONFIGURED: Duration = Duration::from_millis(500);
+
+impl Outcome {
+    /// Returns the word that stands for it between instances.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads the word that stands for it between instances.
+    pub fn parse(word: &str) -> Option<Self> {
+        let all = [Self::NotSent, Self::NotRun, Self::Unknown];
+        all.into_iter().find(|outcome| outcome.word() == word)
+    }
+}
+
+impl Refusal {
+    /// Returns the status that callers see. 408, 421, 429 and 503 promise that the request has not run
+    /// and never will.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::LongHead => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+            Self::Unconfigured | Self::Busy(_) | Self::Refused(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Unknown => StatusCode::NOT_FOUND,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns what the caller may rely on.
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::Lost | Self::Late => Outcome::Unknown,
+            Self::Refused(_) => Outcome::NotRun,
+            _ => Outcome::NotSent,
+        }
+    }
+
+    /// Returns the time after which the request may come back.
+    pub const fn after(self) -> Option<Duration> {
+        match self {
+            Self::Unconfigured => Some(UNCONFIGURED),
+            Self::Busy(after) | Self::Refused(after) => Some(after),
+            _ => None,
+        }
+    }
+
+    /// Returns a word for logs and bodies.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::LongHead => "head-too-long",
+            Self::LongBody => "body-too-long",
+            Self::Slow => "arrived-too-slowly",
+            Self::Unconfigured => "no-configuration-yet",
+            Self::Unknown => "no-such-route",
+            Self::Busy(_) => "busy",
+            Self::Refused(_) => "refused-by-target",
+            Self::Lost => "answer-lost",
+            Self::Late => "out-of-time",
+        }
+    }
+
+    /// Makes the answer for a caller.
+    pub fn answer(self) -> Answer {
+        let (word, outcome) = (self.word(), self.outcome().word());
+        let body = format!("{{\"error\":\"{word}\",\"outcome\":\"{outcome}\"}}");
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(after) = self.after() {
+            let seconds = format!("{:.2}", after.as_secs_f64());
+            headers.extend(HeaderValue::try_from(seconds).map(|value| (RETRY_AFTER, value)));
+        }
+        Answer {
+            status: self.status(),
+            headers,
+            body: Bytes::from(body),
+        }
+    }
+
+    /// Makes the answer for the instance that passed the request on.
+    pub fn answer_instance(self) -> Answer {
+        let mut answer = self.answer();
+        let word = HeaderValue::from_static(self.outcome().word());
+        answer.headers.insert(OUTCOME, word);
+        if let Some(after) = self.after() {
+            let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+            answer.headers.insert(RETRY_MS, HeaderValue::from(millis));
+        }
+        answer
+    }
+}
+
+impl Answer {
+    /// Encodes the answer with its framing; `keep` tells whether the connection stays open.
+    pub fn encode(mut self, keep: bool) -> BytesMut {
+        let length = HeaderValue::from(self.body.len());
+        self.headers.insert(CONTENT_LENGTH, length);
+        if !keep {
+            let close = HeaderValue::from_static("close");
+            self.headers.insert(CONNECTION, close);
+        }
+        let mut output = BytesMut::with_capacity(512 + self.body.len());
+        head::write_response(&mut output, self.status, &self.headers);
+        output.extend_from_slice(&self.body);
+        output
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -0,0 +1,426 @@
+//! One attempt: a request is sent to one target or instance, and its answer is handed over.
+
+use std::{
+    cell::Cell,
+    io,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{
+    HeaderMap, HeaderValue, Method, StatusCode,
+    header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
+};
+use zinniastall_http::{
+    body::Decoder,
+    connection::{RESPONSE_HEAD, Reader, Writer},
+    head::{self, Response},
+};
+use zinniastall_model::id;
+
+use super::{
+    Traffic,
+    answer::{Answer, Outcome},
+    client::Client,
+    events::Events,
+    job::{Job, number, text},
+    pool::{CONNECT, CONNECT_FAR, Connection},
+};
+use crate::{
+    books::Flight,
+    names::{LAST_EVENT, OUTCOME, OWN_PREFIX, RETRY_MS, REVISION},
+};
+
+/// Longest whole answer, in bytes; answers of streams have no bound.
+const LONGEST: usize = 32 << 20;
+/// Answers to other requests that are skipped on a connection before it counts as broken.
+const STRAYS: usize = 2;
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Place {
+    /// A target of this region.
+    Target {
+        /// Target.
+        target: id::Target,
+        /// Its address.
+        address: String,
+    },
+    /// An instance of another region, which chooses one of its targets.
+    Instance {
+        /// Instance.
+        instance: id::Instance,
+        /// Its region.
+        region: id::Region,
+        /// Its address for requests that are passed on.
+        address: String,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// The answer was handed over whole.
+    Delivered,
+    /// Nothing was sent.
+    NotSent(Why),
+    /// It was sent and has not run; worth asking again after a time, if one was named.
+    NotRun(Option<Duration>),
+    /// The target answered with a failure of its own.
+    Failing(Answer),
+    /// It was sent, and nobody can tell whether it ran.
+    Unknown(Why),
+    /// A part of the answer was handed over, and no more comes.
+    Broken(Why),
+    /// Nobody takes the answer any more.
+    Gone(io::Error),
+}
+
+/// Why an attempt failed; for logs.
+pub type Why = String;
+
+/// What an attempt needs beside the request.
+#[derive(Debug)]
+pub struct Attempt<'a> {
+    /// Request.
+    pub job: &'a Job,
+    /// Where it goes.
+    pub place: &'a Place,
+    /// Prompt tokens that are read anew there.
+    pub unread: u64,
+    /// Whether the request may have run.
+    pub may_have_run: &'a Cell<bool>,
+}
+
+impl Place {
+    fn address(&self) -> &str {
+        match self {
+            Self::Target { address, .. } | Self::Instance { address, .. } => address,
+        }
+    }
+
+    /// Returns the name of the target or instance.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Target { target, .. } => target,
+            Self::Instance { instance, .. } => instance,
+        }
+    }
+}
+
+impl Traffic {
+    /// Sends a request to one place and hands its answer over.
+    pub async fn attempt(
+        &self,
+        attempt: &Attempt<'_>,
+        events: &mut Events,
+        client: &mut Client,
+    ) -> Ended {
+        let (job, place) = (attempt.job, attempt.place);
+        let longest = match place {
+            Place::Target { .. } => CONNECT,
+            Place::Instance { .. } => CONNECT_FAR,
+        };
+        let repeats = job.route().repeats();
+        let connected = self.pool.connect(place.address(), repeats, longest).await;
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(error) => return Ended::NotSent(format!("connect: {error}")),
+        };
+        let name = place.name();
+        let now = Instant::now();
+        let service = match place {
+            Place::Target { .. } => job.service.as_str(),
+            // What runs in another region is that region's load.
+            Place::Instance { .. } => "",
+        };
+        let mut flight = Flight::start(&self.books, name, service, attempt.unread, now);
+        let output = self.encode(attempt, events.last());
+        attempt.may_have_run.set(true);
+        let received = self.exchange(job, &mut connection, &output).await;
+        let (response, is_clean) = match received {
+            Ok(received) => received,
+            Err(why) => return Ended::Unknown(why),
+        };
+        if let Some(ended) = self.refused(attempt, &response, connection.is_used) {
+            let rest = Decoder::new(
+                response
+                    .framing(false)
+                    .unwrap_or(zinniastall_http::body::Framing::Close),
+            );
+            if is_clean && drained(&mut connection.reader, rest).await {
+                self.pool.rest(place.address(), connection, &response);
+            }
+            return ended;
+        }
+        let stream = job.is_stream() && response.status.is_success();
+        let ended = if stream {
+            self.relay(job, &response, &mut connection, &mut flight, events, client)
+                .await
+        } else {
+            flight.begun();
+            self.whole(job, &response, &mut connection, client).await
+        };
+        if is_clean && matches!(ended, Ended::Delivered | Ended::Failing(_)) {
+            self.pool.rest(place.address(), connection, &response);
+        }
+        ended
+    }
+
+    /// Writes the request and reads the head of its answer.
+    ///
+    /// A target may answer before it has read a long body. The answer counts, and the connection is
+    /// not used again, because the target would take what comes next for the rest of that body.
+    async fn exchange(
+        &self,
+        job: &Job,
+        connection: &mut Connection,
+        output: &[u8],
+    ) -> Result<(Response, bool), Why> {
+        let Connection { reader, writer, .. } = connection;
+        let mut is_written = false;
+        let mut strays = 0;
+        let mut writing = std::pin::pin!(write(writer, output));
+        let response = loop {
+            let response = if is_written {
+                next_head(reader).await?
+            } else {
+                tokio::select! {
+                    biased;
+                    written = &mut writing => {
+                        is_written = true;
+                        if written.is_err() {
+                            // The answer may be there all the same.
+                            strays = STRAYS;
+                        }
+                        continue;
+                    }
+                    response = next_head(reader) => response?,
+                }
+            };
+            if response.status.is_informational() {
+                continue;
+            }
+            let echoed = text(&response.headers, &self.names.request_id);
+            if echoed.is_none_or(|echoed| echoed == job.id) {
+                break response;
+            }
+            // An answer to an earlier request came late; this request's own one is behind it.
+            strays += 1;
+            tracing::info!(event = "stray-answer", id = job.id, other = echoed);
+            let framing = response.framing(false).map_err(|fault| fault.to_string())?;
+            let length_known = framing != zinniastall_http::body::Framing::Close;
+            if strays > STRAYS || !length_known || !drained(reader, Decoder::new(framing)).await {
+                return Err("answers of other requests".to_owned());
+            }
+        };
+        Ok((response, is_written && strays == 0))
+    }
+
+    /// Tells whether an answer says that the request has not run.
+    fn refused(&self, attempt: &Attempt<'_>, response: &Response, is_used: bool) -> Option<Ended> {
+        let headers = &response.headers;
+        if matches!(attempt.place, Place::Instance { .. }) {
+            let outcome = text(headers, &OUTCOME).and_then(Outcome::parse)?;
+            let after = number(headers, &RETRY_MS).map(Duration::from_millis);
+            if outcome == Outcome::Unknown {
+                return Some(Ended::Unknown("unknown there".to_owned()));
+            }
+            attempt.may_have_run.set(false);
+            return Some(match outcome {
+                Outcome::NotSent => Ended::NotSent("not sent there".to_owned()),
+                _ => Ended::NotRun(after),
+            });
+        }
+        let says_so = headers.contains_key(&self.names.not_run)
+            || response.status == StatusCode::MISDIRECTED_REQUEST;
+        if !says_so {
+            return None;
+        }
+        // Without an echo it may be a late word on an earlier request of the same connection.
+        let is_ours = headers.contains_key(&self.names.request_id) || !is_used;
+        if !is_ours && !attempt.job.route().repeats() {
+            return Some(Ended::Unknown("a refusal without an id".to_owned()));
+        }
+        attempt.may_have_run.set(false);
+        Some(Ended::NotRun(None))
+    }
+
+    /// Hands a whole answer over, once all of it is here: a cut one can still become a refusal.
+    async fn whole(
+        &self,
+        job: &Job,
+        response: &Response,
+        connection: &mut Connection,
+        client: &mut Client,
+    ) -> Ended {
+        let body = match collect(job, response, &mut connection.reader).await {
+            Ok(body) => body,
+            Err(why) => return Ended::Unknown(why),
+        };
+        let answer = Answer {
+            status: response.status,
+            headers: returned(&response.headers),
+            body,
+        };
+        if response.status.is_server_error() && job.route().repeats() {
+            return Ended::Failing(answer);
+        }
+        match client.answer(answer).await {
+            Ok(()) => Ended::Delivered,
+            Err(error) => Ended::Gone(error),
+        }
+    }
+
+    /// Hands a stream over, event by event.
+    async fn relay(
+        &self,
+        job: &Job,
+        response: &Response,
+        connection: &mut Connection,
+        flight: &mut Flight,
+        events: &mut Events,
+        client: &mut Client,
+    ) -> Ended {
+        let framing = match response.framing(job.head.method == Method::HEAD) {
+            Ok(framing) => framing,
+            Err(fault) => return Ended::Unknown(fault.to_string()),
+        };
+        let mut decoder = Decoder::new(framing);
+        events.resume();
+        loop {
+            let piece = match connection.reader.piece(&mut decoder).await {
+                Ok(piece) => piece,
+                Err(error) if client.has_begun() => return Ended::Broken(error.to_string()),
+                Err(error) => return Ended::Unknown(error.to_string()),
+            };
+            let is_end = piece.is_none();
+            let whole = match piece {
+                Some(piece) => events.take(&piece),
+                None => events.rest(),
+            };
+            if !whole.is_empty() {
+                flight.begun();
+            }
+            if let Err(error) = hand_over(response, whole, is_end, client).await {
+                return Ended::Gone(error);
+            }
+            if is_end {
+                return Ended::Delivered;
+            }
+        }
+    }
+
+    /// Encodes a request for a place.
+    fn encode(&self, attempt: &Attempt<'_>, last_event: Option<&str>) -> BytesMut {
+        let job = attempt.job;
+        let mut headers = job.head.headers.clone();
+        let has_body =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        head::strip_hop_by_hop(&mut headers);
+        self.strip_reserved(&mut headers);
+        headers.remove(EXPECT);
+        if has_body {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(job.body.len()));
+        }
+        let left = job.left(Instant::now()).as_millis();
+        let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
+        headers.insert(&self.names.deadline_ms, HeaderValue::from(left));
+        if let Some(last) = last_event.and_then(|last| HeaderValue::try_from(last).ok()) {
+            headers.insert(LAST_EVENT, last);
+        }
+        match attempt.place {
+            Place::Target { target, .. } => {
+                if let Ok(target) = HeaderValue::try_from(target.as_str()) {
+                    headers.insert(&self.names.expected_target, target);
+                }
+            }
+            Place::Instance { .. } => {
+                headers.insert(REVISION, HeaderValue::from(job.revision()));
+            }
+        }
+        let mut output = BytesMut::with_capacity(1024 + job.body.len());
+        head::write_request(&mut output, &job.head.method, &job.head.target, &headers);
+        output.extend_from_slice(&job.body);
+        output
+    }
+
+    /// Removes what only the gateway may set.
+    fn strip_reserved(&self, headers: &mut HeaderMap) {
+        for name in &self.names.reserved {
+            headers.remove(name);
+        }
+        headers.remove(&self.names.expected_target);
+        let own: Vec<_> = headers
+            .keys()
+            .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+            .cloned()
+            .collect();
+        for name in own {
+            headers.remove(name);
+        }
+    }
+}
+
+async fn write(writer: &mut Writer, output: &[u8]) -> io::Result<()> {
+    writer.write(output).await
+}
+
+async fn next_head(reader: &mut Reader) -> Result<Response, Why> {
+    match reader.head::<Response>(RESPONSE_HEAD).await {
+        Ok(Some(response)) => Ok(response),
+        Ok(None) => Err("closed without an answer".to_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Reads the rest of a body that nobody needs; tells whether it ended in order.
+async fn drained(reader: &mut Reader, mut decoder: Decoder) -> bool {
+    loop {
+        match reader.piece(&mut decoder).await {
+            Ok(Some(_)) => {}
+            Ok(None) => return true,
+            Err(_) => return false,
+        }
+    }
+}
+
+async fn collect(job: &Job, response: &Response, reader: &mut Reader) -> Result<Bytes, Why> {
+    let framing = response.framing(job.head.method == Method::HEAD);
+    let mut decoder = Decoder::new(framing.map_err(|fault| fault.to_string())?);
+    let mut body = BytesMut::new();
+    loop {
+        let piece = reader.piece(&mut decoder).await;
+        match piece.map_err(|error| error.to_string())? {
+            Some(piece) if body.len() + piece.len() > LONGEST => {
+                return Err("the answer is too long".to_owned());
+            }
+            Some(piece) => body.extend_from_slice(&piece),
+            None => return Ok(body.freeze()),
+        }
+    }
+}
+
+async fn hand_over(
+    response: &Response,
+    events: Bytes,
+    is_end: bool,
+    client: &mut Client,
+) -> io::Result<()> {
+    if !client.has_begun() && (is_end || !events.is_empty()) {
+        let headers = returned(&response.headers);
+        client.begin(response.status, headers).await?;
+    }
+    client.piece(events).await?;
+    if is_end {
+        client.end().await?;
+    }
+    Ok(())
+}
+
+/// Returns the fields of a target's answer that are passed on.
+fn returned(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    head::strip_hop_by_hop(&mut headers);
+    headers
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -0,0 +1,48 @@
+//! The path of a request: read, judged, placed, sent, handed over.
+
+pub mod answer;
+pub mod attempt;
+pub mod client;
+pub mod events;
+pub mod job;
+pub mod placing;
+pub mod pool;
+pub mod run;
+pub mod serve;
+
+use std::{cell::RefCell, rc::Rc};
+
+use crate::{books::Books, names::Names, policy::Policy, view::Board};
+
+use self::{pool::Pool, serve::Connections};
+
+/// What the request path of one traffic thread holds.
+#[derive(Debug)]
+pub struct Traffic {
+    /// What is known of the rest of the system.
+    pub board: Board,
+    /// Names of header fields.
+    pub names: Names,
+    /// Times and weights of the deployment.
+    pub policy: Policy,
+    /// What this thread counts.
+    pub books: Rc<RefCell<Books>>,
+    /// Connections at rest.
+    pub pool: Pool,
+    /// Connections of callers and instances.
+    pub connections: Connections,
+}
+
+impl Traffic {
+    /// Creates the request path of a thread.
+    pub fn new(board: Board, names: Names, policy: Policy) -> Self {
+        Self {
+            books: Rc::new(RefCell::new(Books::new(policy.repeats))),
+            pool: Pool::default(),
+            connections: Connections::default(),
+            board,
+            names,
+            policy,
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -0,0 +1,322 @@
+//! Gathers what the decision on a place needs, and turns it into an address.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use rand::Rng;
+use zinniastall_model::{id, presence::Presence, routing::Service};
+
+use super::{Traffic, attempt::Place, job::Job};
+use crate::{
+    decide::{
+        place::{Candidate, Choice, Patience, Region, choose},
+        warm,
+    },
+    view::{Target, View},
+};
+
+/// Wait that is added for each request beyond an engine's slots. It is the time between two ends of
+/// requests in a full batch.
+const BEYOND_SLOTS: Duration = Duration::from_millis(100);
+/// Wait that each running request adds at an engine: its tokens share the batch.
+const RUNNING: Duration = Duration::from_millis(2);
+/// Time that a target which is going away must have left to get a request.
+const LEFT: Duration = Duration::from_millis(1_500);
+/// Time for which an engine is expected to keep a prompt part after it was sent there.
+const KEPT: Duration = Duration::from_secs(20);
+/// Silence after which a target counts as failing unless its own answers speak for it: three
+/// heartbeats were lost.
+const SILENT: Duration = Duration::from_secs(5);
+
+/// What was tried for a request and is not tried again.
+#[derive(Debug, Default)]
+pub struct Tried {
+    names: IndexSet<String>,
+}
+
+/// Where a request goes next.
+#[derive(Debug)]
+pub enum Next {
+    /// To a place, where so many prompt tokens have to be read.
+    Go(Place, u64),
+    /// Nowhere; worth asking again after a time.
+    Refuse(Duration),
+}
+
+impl Tried {
+    /// Notes that a target or instance was tried.
+    pub fn add(&mut self, name: &str) {
+        self.names.insert(name.to_owned());
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+}
+
+/// Targets of this region that may get a request, side by side with what the decision sees.
+#[derive(Debug, Default)]
+struct Here<'a> {
+    targets: Vec<&'a Target>,
+    candidates: Vec<Candidate>,
+    unread: Vec<u64>,
+}
+
+/// Another region.
+#[derive(Debug)]
+struct There<'a> {
+    instances: Vec<&'a Presence>,
+    region: Region,
+}
+
+impl Traffic {
+    /// Chooses where a request goes next.
+    pub fn place(&self, job: &Job, tried: &Tried) -> Next {
+        let (view, now) = (self.board.view(), Instant::now());
+        let here = self.here(job, tried, &view, now);
+        let there = if job.is_passed_on {
+            Vec::new()
+        } else {
+            self.there(job, tried, &view)
+        };
+        let regions: Vec<Region> = there.iter().map(|there| there.region).collect();
+        let patience = Patience {
+            left: job.left(now),
+        };
+        match choose(&here.candidates, &regions, patience) {
+            Choice::Here(at) => self.take(job, here.targets[at], here.unread[at], now),
+            Choice::There(at) => instance(&there[at]),
+            Choice::Refuse(after) => Next::Refuse(after),
+        }
+    }
+
+    fn take(&self, job: &Job, target: &Target, unread: u64, now: Instant) -> Next {
+        let report = &target.report;
+        let mut books = self.books.borrow_mut();
+        let account = books.target(&report.target, &job.service, now);
+        account.send_parts(job.prompt.shared(), now);
+        if target.cold_until.is_some_and(|until| until > now) {
+            account.pace.take(cold_rate(job), now);
+        }
+        let place = Place::Target {
+            target: report.target.clone(),
+            address: report.address.clone(),
+        };
+        Next::Go(place, unread)
+    }
+
+    fn here<'a>(&self, job: &Job, tried: &Tried, view: &'a View, now: Instant) -> Here<'a> {
+        let mut here = Here::default();
+        if !job.route().permits(&view.place.region) {
+            return here;
+        }
+        let fits = |target: &&Target| {
+            let report = &target.report;
+            report.service == job.service && report.place.region == view.place.region
+        };
+        let targets: Vec<&Target> = view.targets.values().filter(fits).collect();
+        let others = Self::others(job, view, targets.len());
+        let home = home(job, &targets);
+        for target in targets {
+            if !tried.has(&target.report.target) && self.is_open(job, target, view, now) {
+                let (candidate, unread) = self.candidate(job, target, home, others, now);
+                here.targets.push(target);
+                here.candidates.push(candidate);
+                here.unread.push(unread);
+            }
+        }
+        here
+    }
+
+    /// Tells whether a target may get a request at all.
+    fn is_open(&self, job: &Job, target: &Target, view: &View, now: Instant) -> bool {
+        let report = &target.report;
+        let leaves = target.gone_at.is_some_and(|gone| gone < now + LEFT);
+        if leaves || view.is_evacuated(&report.place.zone) {
+            return false;
+        }
+        let is_cold = target.cold_until.is_some_and(|until| until > now);
+        let rate = cold_rate(job);
+        if !is_cold || rate == 0 {
+            return true;
+        }
+        let names = view.ready_in(&report.place.region);
+        let sender = warm::sender(&report.target, names.map(|held| held.instance.as_str()));
+        if sender != Some(&view.instance) {
+            return false;
+        }
+        let mut books = self.books.borrow_mut();
+        let account = books.target(&report.target, &job.service, now);
+        account.pace.is_open(rate, now)
+    }
+
+    fn candidate(
+        &self,
+        job: &Job,
+        target: &Target,
+        home: Option<&str>,
+        others: Others,
+        now: Instant,
+    ) -> (Candidate, u64) {
+        let report = &target.report;
+        let mut books = self.books.borrow_mut();
+        let account = books.target(&report.target, &job.service, now);
+        let is_silent = now.saturating_duration_since(target.heard) > SILENT;
+        let flights = account.flights + others.flights;
+        let unread = account.unread + others.unread;
+        let (wait, read) = match engine(job) {
+            Some(slots) => {
+                let held = |part: &str| {
+                    now.checked_sub(KEPT)
+                        .is_some_and(|since| account.holds(part, since))
+                };
+                let read = Self::to_read(job, home == Some(report.target.as_str()), held);
+                let beyond = BEYOND_SLOTS * flights.saturating_sub(slots);
+                let wait = self.reading(unread) + beyond + RUNNING * flights;
+                (wait, read)
+            }
+            None => (self.policy.work * flights / report.slots.max(1), 0),
+        };
+        let candidate = Candidate {
+            wait,
+            read: self.reading(read),
+            is_out: account.record.is_out(now) || is_silent,
+            tie: rand::rng().random(),
+        };
+        (candidate, read)
+    }
+
+    /// Returns the prompt tokens that a target would have to read.
+    ///
+    /// Parts that this instance sent there are held, and so are parts whose home the target is: all
+    /// instances send them there by the same hash. A part is only held together with all before it.
+    fn to_read(job: &Job, is_home: bool, held: impl Fn(&str) -> bool) -> u64 {
+        let shared = job.prompt.parts.len().saturating_sub(1);
+        let mut kept = 0;
+        for (part, tokens) in job.prompt.parts.iter().take(shared) {
+            if !is_home && !held(part) {
+                break;
+            }
+            kept += tokens;
+        }
+        job.prompt.tokens.saturating_sub(kept)
+    }
+
+    fn reading(&self, tokens: u64) -> Duration {
+        #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+        let millis = tokens as f64 / self.policy.read_rate;
+        Duration::from_secs_f64(millis / 1_000.0)
+    }
+
+    /// Returns what the other instances of this region have at each target, on average.
+    fn others(job: &Job, view: &View, targets: usize) -> Others {
+        let others = view.ready_in(&view.place.region);
+        let others = others.filter(|presence| presence.instance != view.instance);
+        sum(others, &job.service).each(targets)
+    }
+
+    fn there<'a>(&self, job: &Job, tried: &Tried, view: &'a View) -> Vec<There<'a>> {
+        let mut regions: IndexMap<&id::Region, Vec<&Presence>> = IndexMap::new();
+        for presence in view.instances.values() {
+            let region = &presence.place.region;
+            let is_far = *region != view.place.region && job.route().permits(region);
+            if is_far && presence.ready && !tried.has(&presence.instance) {
+                regions.entry(region).or_default().push(presence);
+            }
+        }
+        let there = regions.into_iter().filter_map(|(region, instances)| {
+            let wait = self.wait_there(job, region, &instances, view)?;
+            let trip = self.policy.trip;
+            Some(There {
+                instances,
+                region: Region { wait, trip },
+            })
+        });
+        there.collect()
+    }
+
+    /// Returns the expected wait in another region, or nothing where no target would take the request.
+    fn wait_there(
+        &self,
+        job: &Job,
+        region: &str,
+        instances: &[&Presence],
+        view: &View,
+    ) -> Option<Duration> {
+        let now = Instant::now();
+        let serves = |target: &&Target| {
+            let report = &target.report;
+            let in_place = report.service == job.service && report.place.region == region;
+            let is_cold = target.cold_until.is_some_and(|until| until > now);
+            let bears = !is_cold || cold_rate(job) == 0;
+            in_place && bears && !view.is_evacuated(&report.place.zone) && target.gone_at.is_none()
+        };
+        let targets: Vec<&Target> = view.targets.values().filter(serves).collect();
+        let each = sum(instances.iter().copied(), &job.service).each(targets.len());
+        let slots = targets.first()?.report.slots.max(1);
+        Some(match engine(job) {
+            Some(slots) => {
+                let beyond = each.flights.saturating_sub(slots);
+                self.reading(each.unread) + BEYOND_SLOTS * beyond + RUNNING * each.flights
+            }
+            None => self.policy.work * each.flights / slots,
+        })
+    }
+}
+
+/// Requests at targets.
+#[derive(Debug, Clone, Copy, Default)]
+struct Others {
+    flights: u32,
+    unread: u64,
+}
+
+impl Others {
+    fn each(self, targets: usize) -> Self {
+        let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
+        Self {
+            flights: self.flights / targets,
+            unread: self.unread / u64::from(targets),
+        }
+    }
+}
+
+fn sum<'a>(instances: impl Iterator<Item = &'a Presence>, service: &str) -> Others {
+    let loads = instances.flat_map(|presence| &presence.load);
+    let loads = loads.filter(|load| load.service == service);
+    loads.fold(Others::default(), |sum, load| Others {
+        flights: sum.flights + load.flights,
+        unread: sum.unread + load.unread,
+    })
+}
+
+/// Returns the target at which all instances of the region expect a request's shared parts.
+fn home<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
+    let key = job.prompt.shared().last()?;
+    let names = targets.iter().map(|target| target.report.target.as_str());
+    names.max_by_key(|name| warm::weight(key, name))
+}
+
+fn instance(there: &There<'_>) -> Next {
+    let at = rand::rng().random_range(0..there.instances.len());
+    let presence = there.instances[at];
+    let place = Place::Instance {
+        instance: presence.instance.clone(),
+        region: presence.place.region.clone(),
+        address: presence.forward.clone(),
+    };
+    Next::Go(place, 0)
+}
+
+fn service(job: &Job) -> Option<&Service> {
+    job.table().service(&job.service)
+}
+
+fn cold_rate(job: &Job) -> u64 {
+    service(job).map_or(0, |service| service.cold_rate_milli)
+}
+
+/// Returns the slots of the service's engines, if it has engines.
+fn engine(job: &Job) -> Option<u32> {
+    Some(service(job)?.engine.as_ref()?.slots)
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -0,0 +1,266 @@
+//! The attempts of one request, until it has its one final answer.
+
+use std::{
+    cell::Cell,
+    io,
+    time::{Duration, Instant},
+};
+
+use tokio::time;
+
+use super::{
+    Traffic,
+    answer::{Answer, Refusal},
+    attempt::{Attempt, Ended, Place},
+    client::Client,
+    events::Events,
+    job::{Job, text},
+    placing::{Next, Tried},
+};
+use crate::names::LAST_EVENT;
+
+/// Places that can't be reached before a request is given up: each costs a time-out of connecting.
+const UNREACHABLE: usize = 4;
+/// Time after which a request comes back that a target refused: about what a place at a full one takes
+/// to come free.
+const AFTER_REFUSAL: Duration = Duration::from_millis(300);
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum End {
+    /// A target's answer was handed over whole.
+    Answered,
+    /// The gateway gave an answer of its own.
+    Refused(Refusal),
+    /// The answer was broken off, so that it doesn't look whole.
+    Aborted(String),
+}
+
+/// What is known of a request between two attempts.
+struct Course<'a> {
+    job: &'a Job,
+    tried: Tried,
+    sent: u32,
+    unreachable: usize,
+    is_lost: bool,
+    failing: Option<Answer>,
+    may_have_run: &'a Cell<bool>,
+}
+
+/// What follows from an attempt.
+enum Step {
+    Again,
+    End(End),
+    /// Ends with this refusal, or with a target's own failure if one is at hand.
+    Give(Refusal),
+}
+
+impl Traffic {
+    /// Serves a request until it has its final answer, within its time.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nobody takes the answer any more.
+    pub async fn run(&self, job: &Job, client: &mut Client) -> io::Result<End> {
+        let may_have_run = Cell::new(false);
+        let attempts = self.attempts(job, client, &may_have_run);
+        let ended = time::timeout_at(job.deadline.into(), attempts).await;
+        if let Ok(ended) = ended {
+            return ended;
+        }
+        if client.has_begun() {
+            return Ok(End::Aborted("out of time".to_owned()));
+        }
+        let refusal = if may_have_run.get() {
+            Refusal::Late
+        } else {
+            Refusal::Busy(AFTER_REFUSAL)
+        };
+        client.refuse(refusal).await?;
+        Ok(End::Refused(refusal))
+    }
+
+    async fn attempts(
+        &self,
+        job: &Job,
+        client: &mut Client,
+        may_have_run: &Cell<bool>,
+    ) -> io::Result<End> {
+        let first = text(&job.head.headers, &LAST_EVENT).map(str::to_owned);
+        let mut events = Events::after(first);
+        let mut course = Course {
+            job,
+            tried: Tried::default(),
+            sent: 0,
+            unreachable: 0,
+            is_lost: false,
+            failing: None,
+            may_have_run,
+        };
+        loop {
+            let step = match self.place(job, &course.tried) {
+                Next::Refuse(after) => course.nowhere(client, after),
+                Next::Go(place, unread) => {
+                    let attempt = Attempt {
+                        job,
+                        place: &place,
+                        unread,
+                        may_have_run,
+                    };
+                    let ended = self.attempt(&attempt, &mut events, client).await;
+                    self.note(job, &place, &ended);
+                    self.follow_up(&mut course, &place, ended, client)?
+                }
+            };
+            match step {
+                Step::Again => {}
+                Step::End(end) => return Ok(end),
+                Step::Give(refusal) => return give(course, refusal, client).await,
+            }
+        }
+    }
+
+    /// Decides what follows from an attempt.
+    fn follow_up(
+        &self,
+        course: &mut Course<'_>,
+        place: &Place,
+        ended: Ended,
+        client: &Client,
+    ) -> io::Result<Step> {
+        course.tried.add(place.name());
+        let job = course.job;
+        Ok(match ended {
+            Ended::Delivered => Step::End(End::Answered),
+            Ended::Gone(error) => return Err(error),
+            Ended::NotSent(_) => {
+                course.unreachable += 1;
+                if course.unreachable < UNREACHABLE {
+                    Step::Again
+                } else {
+                    course.nowhere(client, AFTER_REFUSAL)
+                }
+            }
+            Ended::NotRun(after) => {
+                course.sent += 1;
+                if self.may_repeat(course) {
+                    Step::Again
+                } else {
+                    course.nowhere(client, after.unwrap_or(AFTER_REFUSAL))
+                }
+            }
+            Ended::Failing(answer) => {
+                course.sent += 1;
+                course.failing = Some(answer);
+                if self.may_repeat(course) {
+                    Step::Again
+                } else {
+                    Step::Give(Refusal::Lost)
+                }
+            }
+            Ended::Unknown(_) => {
+                course.sent += 1;
+                course.is_lost = true;
+                if job.route().repeats() && self.may_repeat(course) {
+                    Step::Again
+                } else {
+                    Step::Give(Refusal::Lost)
+                }
+            }
+            Ended::Broken(why) => {
+                course.sent += 1;
+                if job.route().resumable && self.may_repeat(course) {
+                    Step::Again
+                } else {
+                    Step::End(End::Aborted(why))
+                }
+            }
+        })
+    }
+
+    /// Tells whether a request may be sent once more, and takes that out of the budget.
+    fn may_repeat(&self, course: &Course<'_>) -> bool {
+        let job = course.job;
+        if job.is_passed_on || course.sent >= job.route().attempts {
+            return false;
+        }
+        let instances = self.board.view().instances.len();
+        let mut books = self.books.borrow_mut();
+        books.budget(&job.service).repeat(Instant::now(), instances)
+    }
+
+    /// Notes what an attempt says of its target, and logs it unless all is well.
+    fn note(&self, job: &Job, place: &Place, ended: &Ended) {
+        let now = Instant::now();
+        let mut books = self.books.borrow_mut();
+        let Some(account) = books.known(place.name()) else {
+            if let Ended::NotSent(why) = ended {
+                log_attempt(job, place, "not-sent", why);
+                let account = books.target(place.name(), &job.service, now);
+                account.record.unreachable(now);
+            }
+            return;
+        };
+        match ended {
+            Ended::Delivered => account.record.success(),
+            Ended::NotSent(why) => {
+                account.record.unreachable(now);
+                log_attempt(job, place, "not-sent", why);
+            }
+            Ended::Unknown(why) | Ended::Broken(why) => {
+                let out = account.record.failure(now);
+                log_attempt(job, place, "failed", why);
+                if let Some(out) = out {
+                    let out_ms = u64::try_from(out.as_millis()).unwrap_or(u64::MAX);
+                    tracing::info!(event = "target-out", target = place.name(), out_ms);
+                }
+            }
+            Ended::Failing(answer) => {
+                account.record.failure(now);
+                log_attempt(job, place, "failing", answer.status.as_str());
+            }
+            Ended::NotRun(_) => log_attempt(job, place, "not-run", "refused"),
+            Ended::Gone(_) => {}
+        }
+    }
+}
+
+fn log_attempt(job: &Job, place: &Place, outcome: &str, why: &str) {
+    tracing::info!(
+        event = "attempt",
+        id = job.id,
+        route = job.route().name,
+        place = place.name(),
+        outcome,
+        why,
+        left_ms = u64::try_from(job.left(Instant::now()).as_millis()).unwrap_or(u64::MAX),
+    );
+}
+
+impl Course<'_> {
+    /// Ends a request for which there is no place now.
+    fn nowhere(&self, client: &Client, after: Duration) -> Step {
+        if client.has_begun() {
+            return Step::End(End::Aborted("no place to go on".to_owned()));
+        }
+        if self.is_lost && self.may_have_run.get() || self.failing.is_some() {
+            return Step::Give(Refusal::Lost);
+        }
+        if self.is_lost {
+            return Step::Give(Refusal::Lost);
+        }
+        if self.sent > 0 {
+            return Step::Give(Refusal::Refused(after));
+        }
+        Step::Give(Refusal::Busy(after))
+    }
+}
+
+async fn give(course: Course<'_>, refusal: Refusal, client: &mut Client) -> io::Result<End> {
+    if let Some(answer) = course.failing {
+        client.answer(answer).await?;
+        return Ok(End::Answered);
+    }
+    client.refuse(refusal).await?;
+    Ok(End::Refused(refusal))
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -0,0 +1,291 @@
+//! Connections of callers, and of instances that pass requests on.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use http::header::EXPECT;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+use zinniastall_http::{
+    body::Decoder,
+    connection::{self, Error, Reader},
+    head::{self, Request},
+};
+use zinniastall_model::routing::Limits;
+
+use super::{
+    Traffic,
+    answer::Refusal,
+    client::Client,
+    job::{Job, Judged},
+    run::End,
+};
+
+/// Pause after a failed accept: out of descriptors, most likely, and a loop would spin.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a connection is still read after its last answer. Closing it with unread bytes
+/// resets it, and the reset can overtake the answer.
+const LINGER: Duration = Duration::from_secs(1);
+/// Time that a caller's connection may rest while this instance drains. Requests already on their way
+/// arrive within it.
+const DRAINING_REST: Duration = Duration::from_millis(1_500);
+/// Time between two looks at whether this instance drains.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Counts of open connections and of requests in progress.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: Cell<usize>,
+    requests: Cell<usize>,
+}
+
+impl Connections {
+    /// Returns the connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Returns the requests in progress.
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+}
+
+/// Adds one to a count for as long as it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Accepts connections for ever; `from_instances` tells that instances pass requests on here.
+pub async fn accept(traffic: Rc<Traffic>, listener: TcpListener, from_instances: bool) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let traffic = Rc::clone(&traffic);
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = traffic.attend(stream, from_instances).await {
+                        tracing::debug!(event = "caller-gone", error = %error);
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::error!(event = "accept-failed", error = %error);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Traffic {
+    async fn attend(&self, stream: TcpStream, from_instances: bool) -> Result<(), Error> {
+        let _counted = Counted::new(&self.connections.open);
+        let (mut reader, writer) = connection::split(stream)?;
+        let mut client = Client::new(writer, from_instances);
+        while self.next(&mut reader, &mut client, from_instances).await? {
+            reader.rest();
+        }
+        client.finish().await?;
+        let rest =
+            async { while reader.first_byte().await.is_ok_and(|any| any) && reader.skip() {} };
+        // Whoever goes on sending is cut off after that.
+        let _ = time::timeout(LINGER, rest).await;
+        Ok(())
+    }
+
+    /// Serves the next request of a connection; tells whether another one may follow.
+    async fn next(
+        &self,
+        reader: &mut Reader,
+        client: &mut Client,
+        from_instances: bool,
+    ) -> Result<bool, Error> {
+        client.next(true, true);
+        let limits = self.limits();
+        if !self.wait_for_first(reader, &limits).await? {
+            return Ok(false);
+        }
+        let _counted = Counted::new(&self.connections.requests);
+        let arriving = Duration::from_millis(limits.head_ms);
+        let read = time::timeout(arriving, reader.head::<Request>(limits.head_bytes)).await;
+        let head = match read {
+            Ok(Ok(Some(head))) => head,
+            Ok(Ok(None)) => return Ok(false),
+            Ok(Err(error)) => return refuse(client, unreadable(&error)).await,
+            Err(_) => return refuse(client, Refusal::Slow).await,
+        };
+        let arrived = Instant::now();
+        client.next(
+            head.is_modern,
+            head.keeps_open() && !self.board.is_draining(),
+        );
+        let judged = Judged::new(&self.board.view(), &head, from_instances);
+        let body = match self.body(&head, reader, client, &limits).await {
+            Ok(body) => body,
+            Err(Stop::Refused(refusal)) => return refuse(client, refusal).await,
+            Err(Stop::Failed(error)) => return Err(error),
+        };
+        let job = judged.and_then(|judged| judged.job(&self.names, head, body, arrived));
+        match job {
+            Ok(job) => self.serve(&job, reader, client).await,
+            Err(refusal) => {
+                log_refusal(refusal);
+                client.refuse(refusal).await?;
+                Ok(client.keeps_open())
+            }
+        }
+    }
+
+    /// Serves a request, unless its sender leaves meanwhile.
+    async fn serve(
+        &self,
+        job: &Job,
+        reader: &mut Reader,
+        client: &mut Client,
+    ) -> Result<bool, Error> {
+        if !job.is_passed_on {
+            let mut books = self.books.borrow_mut();
+            books.budget(&job.service).request(job.arrived);
+        }
+        let ended = tokio::select! {
+            biased;
+            ended = self.run(job, client) => ended?,
+            // Dropping the attempt closes its connection, which is how the target learns of it.
+            () = reader.closed() => {
+                log_end(job, "left", "the caller closed the connection");
+                return Ok(false);
+            }
+        };
+        match ended {
+            End::Answered => {}
+            End::Refused(refusal) => log_end(job, refusal.outcome().word(), refusal.word()),
+            End::Aborted(why) => {
+                log_end(job, "aborted", &why);
+                return Err(Error::Ended);
+            }
+        }
+        if self.board.is_draining() {
+            client.close_after();
+        }
+        Ok(client.keeps_open())
+    }
+
+    /// Waits for the first byte of a request; a connection that rests while this instance drains is
+    /// let go.
+    async fn wait_for_first(&self, reader: &mut Reader, limits: &Limits) -> Result<bool, Error> {
+        let since = Instant::now();
+        let idle = Duration::from_millis(limits.idle_ms);
+        loop {
+            let looked = time::timeout(LOOK, reader.first_byte()).await;
+            if let Ok(any) = looked {
+                return Ok(any?);
+            }
+            let rest = if self.board.is_draining() {
+                DRAINING_REST
+            } else {
+                idle
+            };
+            if since.elapsed() >= rest {
+                return Ok(false);
+            }
+        }
+    }
+
+    async fn body(
+        &self,
+        head: &Request,
+        reader: &mut Reader,
+        client: &mut Client,
+        limits: &Limits,
+    ) -> Result<Bytes, Stop> {
+        let framing = head
+            .framing()
+            .map_err(|_| Stop::Refused(Refusal::Malformed))?;
+        let mut decoder = Decoder::new(framing);
+        if decoder.is_done() {
+            return Ok(Bytes::new());
+        }
+        if head.headers.contains_key(EXPECT) {
+            client
+                .go_on()
+                .await
+                .map_err(|error| Stop::Failed(error.into()))?;
+        }
+        let mut body = BytesMut::new();
+        let idle = Duration::from_millis(limits.idle_ms);
+        loop {
+            let piece = time::timeout(idle, reader.piece(&mut decoder)).await;
+            let piece = piece.map_err(|_| Stop::Refused(Refusal::Slow))?;
+            match piece {
+                Ok(Some(piece)) if body.len() + piece.len() > limits.body_bytes => {
+                    return Err(Stop::Refused(Refusal::LongBody));
+                }
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => return Ok(body.freeze()),
+                Err(Error::Body(zinniastall_http::body::Fault::Chunk)) => {
+                    return Err(Stop::Refused(Refusal::Malformed));
+                }
+                Err(error) => return Err(Stop::Failed(error)),
+            }
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        let view = self.board.view();
+        let limits = view.table().map(|table| table.limits.clone());
+        limits.unwrap_or_default()
+    }
+}
+
+/// Why a body was not read.
+enum Stop {
+    Refused(Refusal),
+    Failed(Error),
+}
+
+/// Refuses a request that can't be read; what follows on its connection can't be trusted either.
+async fn refuse(client: &mut Client, refusal: Refusal) -> Result<bool, Error> {
+    log_refusal(refusal);
+    client.next(true, false);
+    client.refuse(refusal).await?;
+    Ok(false)
+}
+
+const fn unreadable(error: &Error) -> Refusal {
+    match error {
+        Error::Head(head::Fault::Long) => Refusal::LongHead,
+        _ => Refusal::Malformed,
+    }
+}
+
+fn log_refusal(refusal: Refusal) {
+    tracing::info!(event = "request-refused", reason = refusal.word());
+}
+
+fn log_end(job: &Job, outcome: &str, why: &str) {
+    tracing::info!(
+        event = "request-ended",
+        id = job.id,
+        route = job.route().name,
+        outcome,
+        why,
+        took_ms = u64::try_from(job.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+        revision = job.revision(),
+    );
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -0,0 +1,250 @@
+//! Links to control replicas, and the one place where what they say becomes the published view.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{SinkExt, StreamExt};
+use indexmap::IndexMap;
+use rand::Rng;
+use tokio::{sync::Notify, task::JoinHandle, time};
+use zinniastall_model::{id, presence::Presence};
+use zinniastall_wire::{
+    frame::Frame,
+    hello::Hello,
+    hub::Message,
+    link::{Error, Link, Sender},
+};
+
+use crate::{
+    knowledge::{Knowledge, Replica},
+    view::Board,
+};
+
+/// Time between two signs of life, in which the load is told anew.
+const PRESENT: Duration = Duration::from_millis(500);
+/// Time without a frame after which a link counts as cut: two signs of life of a replica were lost.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Longest time for a link to open.
+const DIAL: Duration = Duration::from_secs(1);
+/// First and longest wait after a failed dial. A replica that restarts is back within half a second.
+const WAIT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+/// Head start of the nearest replica when a configuration is fetched; a farther one is asked only if
+/// the nearest hasn't answered by then, which keeps large tables off the links between regions.
+const HEAD_START: Duration = Duration::from_millis(150);
+/// Time between two views made for what comes about by time alone, such as the end of a cold start.
+const REFRESH: Duration = Duration::from_millis(250);
+
+/// What this instance says of itself now.
+pub type Present = Rc<dyn Fn() -> Presence>;
+
+/// Links to all control replicas that are known.
+pub struct Uplinks {
+    hello: Hello,
+    present: Present,
+    knowledge: RefCell<Knowledge>,
+    board: Board,
+    tasks: RefCell<IndexMap<Replica, JoinHandle<()>>>,
+    seeds: RefCell<Vec<Replica>>,
+    listed: RefCell<IndexMap<Replica, Vec<Replica>>>,
+    reached: RefCell<IndexMap<Replica, id::Revision>>,
+    changed: Notify,
+}
+
+impl std::fmt::Debug for Uplinks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Uplinks")
+            .field("seeds", &self.seeds)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Uplinks {
+    /// Starts links to the seeds.
+    pub fn start(
+        hello: Hello,
+        present: Present,
+        knowledge: Knowledge,
+        board: Board,
+        seeds: Vec<Replica>,
+    ) -> Rc<Self> {
+        let uplinks = Rc::new(Self {
+            hello,
+            present,
+            knowledge: RefCell::new(knowledge),
+            board,
+            tasks: RefCell::default(),
+            seeds: RefCell::new(seeds),
+            listed: RefCell::default(),
+            reached: RefCell::default(),
+            changed: Notify::new(),
+        });
+        uplinks.dial();
+        actix::spawn(Rc::clone(&uplinks).refresh());
+        uplinks
+    }
+
+    /// Takes other seeds, as the settings name them now.
+    pub fn reseed(self: &Rc<Self>, seeds: Vec<Replica>) {
+        if *self.seeds.borrow() == seeds {
+            return;
+        }
+        tracing::info!(event = "seeds-changed", seeds = seeds.join(","));
+        self.seeds.replace(seeds);
+        self.dial();
+    }
+
+    /// Tells all replicas at once how this instance is.
+    pub fn announce(&self) {
+        self.changed.notify_waiters();
+    }
+
+    async fn refresh(self: Rc<Self>) {
+        let mut tick = time::interval(REFRESH);
+        loop {
+            tick.tick().await;
+            self.publish();
+        }
+    }
+
+    fn publish(&self) {
+        let view = self.knowledge.borrow_mut().view(Instant::now());
+        self.board.publish(view);
+    }
+
+    /// Keeps a link to each seed and to each replica that any replica lists.
+    fn dial(self: &Rc<Self>) {
+        let mut wanted: Vec<Replica> = self.seeds.borrow().clone();
+        for list in self.listed.borrow().values() {
+            wanted.extend(list.iter().cloned());
+        }
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|replica, task| {
+            let keep = wanted.contains(replica);
+            if !keep {
+                task.abort();
+                self.knowledge.borrow_mut().lose(replica, Instant::now());
+            }
+            keep
+        });
+        for replica in wanted {
+            if !tasks.contains_key(&replica) {
+                let task = actix::spawn(Rc::clone(self).keep(replica.clone()));
+                tasks.insert(replica, task);
+            }
+        }
+    }
+
+    async fn keep(self: Rc<Self>, replica: Replica) {
+        let mut wait = WAIT.0;
+        loop {
+            let dialled = time::timeout(DIAL, Link::dial(&replica, self.hello.clone())).await;
+            match dialled.unwrap_or(Err(Error::Closed)) {
+                Ok(link) => {
+                    tracing::info!(event = "control-linked", replica);
+                    wait = WAIT.0;
+                    let error = self.attend(link, &replica).await;
+                    tracing::warn!(event = "control-lost", replica, error = %error);
+                    self.knowledge.borrow_mut().lose(&replica, Instant::now());
+                }
+                Err(error) => {
+                    tracing::debug!(event = "control-unreachable", replica, error = %error);
+                }
+            }
+            time::sleep(wait.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+            wait = (wait * 2).min(WAIT.1);
+        }
+    }
+
+    async fn attend(self: &Rc<Self>, link: Link, replica: &str) -> Error {
+        let is_near = link.peer().place.region == self.hello.place.region;
+        let head_start = if is_near { Duration::ZERO } else { HEAD_START };
+        let (mut sender, mut receiver) = link.split();
+        let mut present = time::interval(PRESENT);
+        let mut silent = time::Instant::now() + SILENCE;
+        let mut fetch_at: Option<time::Instant> = None;
+        loop {
+            let due = fetch_at.unwrap_or(silent);
+            let message = tokio::select! {
+                frame = receiver.next() => {
+                    silent = time::Instant::now() + SILENCE;
+                    match frame {
+                        Some(Ok(Frame::Hub(message))) => {
+                            if self.heard(replica, message) {
+                                fetch_at.get_or_insert(time::Instant::now() + head_start);
+                            }
+                        }
+                        Some(Ok(_)) => return Error::Handshake,
+                        Some(Err(error)) => return error,
+                        None => return Error::Closed,
+                    }
+                    continue;
+                }
+                _ = present.tick() => Message::Present((self.present)()),
+                () = self.changed.notified() => Message::Present((self.present)()),
+                () = time::sleep_until(due), if fetch_at.is_some() => {
+                    fetch_at = None;
+                    if !self.is_behind(replica) {
+                        continue;
+                    }
+                    Message::Fetch
+                }
+                () = time::sleep_until(silent) => return Error::Closed,
+            };
+            if let Err(error) = send(&mut sender, message).await {
+                return error;
+            }
+        }
+    }
+
+    /// Takes a message in; tells whether the replica has a configuration to fetch.
+    fn heard(self: &Rc<Self>, replica: &str, message: Message) -> bool {
+        let now = Instant::now();
+        match message {
+            Message::Reached(revision) => {
+                self.reached
+                    .borrow_mut()
+                    .insert(replica.to_owned(), revision);
+                return self.is_behind(replica);
+            }
+            Message::Configuration(configuration) => {
+                let revision = configuration.revision;
+                let number = configuration.table.as_ref().map_or(0, |table| table.number);
+                let evacuated = configuration.evacuated.join(",");
+                if self.knowledge.borrow_mut().configure(*configuration, now) {
+                    tracing::info!(event = "configured", revision, number, evacuated, replica);
+                    self.publish();
+                }
+            }
+            Message::Targets(reports) => {
+                if self.knowledge.borrow_mut().hear(reports, now) {
+                    self.publish();
+                }
+            }
+            Message::Instances(instances) => {
+                self.knowledge
+                    .borrow_mut()
+                    .hear_instances(replica, instances);
+                self.publish();
+            }
+            Message::Replicas(list) => {
+                self.listed.borrow_mut().insert(replica.to_owned(), list);
+                self.dial();
+            }
+            Message::Present(_) | Message::Fetch => {}
+        }
+        false
+    }
+
+    fn is_behind(&self, replica: &str) -> bool {
+        let reached = self.reached.borrow().get(replica).copied().unwrap_or(0);
+        reached > self.knowledge.borrow().revision()
+    }
+}
+
+async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
+    let sent = time::timeout(SILENCE, sender.send(Frame::Hub(message))).await;
+    sent.map_err(|_| Error::Closed)?
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -0,0 +1,119 @@
+//! What the request path decides on: an immutable view, replaced as a whole.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use zinniastall_model::{id, place::Place, presence::Presence, routing::Table, target::Report};
+use zinniastall_wire::hub::Configuration;
+
+/// A target and what follows from its last report.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Its last report.
+    pub report: Report,
+    /// When it said so.
+    pub heard: Instant,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// When it will be gone, if it said so.
+    pub gone_at: Option<Instant>,
+}
+
+/// Everything that the request path knows of the rest of the system.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// This instance.
+    pub instance: id::Instance,
+    /// Where it runs.
+    pub place: Place,
+    /// Configuration in force; `None` until one has been received.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Targets that take requests.
+    pub targets: Arc<IndexMap<id::Target, Target>>,
+    /// Gateway instances that are alive, this one included once it is known to the others.
+    pub instances: Arc<IndexMap<id::Instance, Presence>>,
+}
+
+impl View {
+    /// Creates the view of an instance that knows nothing yet.
+    pub fn new(instance: id::Instance, place: Place) -> Self {
+        Self {
+            instance,
+            place,
+            configuration: None,
+            targets: Arc::default(),
+            instances: Arc::default(),
+        }
+    }
+
+    /// Returns the routing table in force.
+    pub fn table(&self) -> Option<&Table> {
+        self.configuration.as_ref()?.table.as_ref()
+    }
+
+    /// Returns the revision of the configuration in force; 0 for none.
+    pub fn revision(&self) -> id::Revision {
+        self.configuration.as_ref().map_or(0, |held| held.revision)
+    }
+
+    /// Tells whether the targets of a zone get no new requests.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        let zones = self.configuration.as_ref().map(|held| &held.evacuated);
+        zones.is_some_and(|zones| zones.iter().any(|evacuated| evacuated == zone))
+    }
+
+    /// Returns the instances of a region that take requests, by name.
+    pub fn ready_in<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Presence> {
+        let fits = move |presence: &&Presence| presence.ready && presence.place.region == region;
+        self.instances.values().filter(fits)
+    }
+}
+
+/// Where knowledge is published and the request path reads it.
+#[derive(Debug, Clone)]
+pub struct Board {
+    view: Arc<ArcSwap<View>>,
+    draining: Arc<AtomicBool>,
+}
+
+impl Board {
+    /// Creates a board with a first view.
+    pub fn new(view: View) -> Self {
+        Self {
+            view: Arc::new(ArcSwap::from_pointee(view)),
+            draining: Arc::default(),
+        }
+    }
+
+    /// Returns the current view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+    }
+
+    /// Notes that the instance takes no new requests.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the instance takes no new requests.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view.load().table().is_some()
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/answers.rs
@@ -0,0 +1,268 @@
+//! Answers of targets that fail in all the ways that are known.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use zinniastall_model::routing::Kind;
+use zinniastall_wire::hub::Configuration;
+
+use crate::{
+    cases,
+    stage::{Act, Seen, Stage, Target, answer, get, post, route, view},
+};
+
+fn routes() -> Vec<zinniastall_model::routing::Route> {
+    vec![
+        route("/plans/", Kind::Idempotent, 3),
+        route("/pay/", Kind::Once, 1),
+    ]
+}
+
+type Fail = Rc<dyn Fn(&Seen) -> Vec<Act>>;
+
+fn failing_first(first: &Rc<Cell<bool>>, fail: &Fail) -> impl Fn(&Seen) -> Vec<Act> + 'static {
+    let (first, fail) = (Rc::clone(first), Rc::clone(fail));
+    move |seen| {
+        if first.replace(false) {
+            return fail(seen);
+        }
+        vec![Act::Send(seen.answer("fine"))]
+    }
+}
+
+/// Fails the first request that any target of a pair sees, in the way given.
+async fn pair(fail: impl Fn(&Seen) -> Vec<Act> + 'static) -> (Stage, Target, Target) {
+    let first = Rc::new(Cell::new(true));
+    let fail: Fail = Rc::new(fail);
+    let one = Target::start(failing_first(&first, &fail)).await;
+    let two = Target::start(failing_first(&first, &fail)).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    (stage, one, two)
+}
+
+fn runs(one: &Target, two: &Target) -> usize {
+    one.seen().len() + two.seen().len()
+}
+
+/// A request that may be repeated survives whatever its first target does; one that may not is told
+/// that nobody knows, and has been sent once.
+async fn survives(fail: impl Fn(&Seen) -> Vec<Act> + Copy + 'static) {
+    let (stage, one, two) = pair(fail).await;
+    let got = stage.connect().await.call(&get("/plans/1", "a1", "")).await;
+    assert_eq!((got.status, got.body.as_str()), (200, "fine"));
+    assert_eq!(runs(&one, &two), 2);
+    let (stage, one, two) = pair(fail).await;
+    let got = stage.connect().await.call(&post("/pay/1", "a2", "x")).await;
+    assert_eq!(got.status, 502, "{}", got.body);
+    assert!(got.body.contains("unknown"), "{}", got.body);
+    assert_eq!(runs(&one, &two), 1);
+}
+
+fn with_length(length: usize, body: &str, id: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}").into()
+}
+
+async fn passes_unchanged() {
+    let target = Target::answering("the plan").await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let mut caller = stage.connect().await;
+    let got = caller.call(&post("/plans/a?b=%20c", "id-1", "body")).await;
+    assert_eq!((got.status, got.body.as_str()), (200, "the plan"));
+    assert_eq!(got.header("signed"), "yes");
+    assert_eq!(got.header("request-id"), "id-1");
+    let seen = target.seen().remove(0);
+    assert!(seen.head.starts_with("POST /plans/a?b=%20c HTTP/1.1"));
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("expected-target"), "target-0");
+}
+
+async fn skips_a_stray_answer() {
+    let target = Target::start(|seen| {
+        let mut acts = Vec::new();
+        if seen.before == 1 {
+            acts.push(Act::Send(answer(200, "another-one", "stray")));
+        }
+        acts.push(Act::Send(seen.answer("own")));
+        acts
+    })
+    .await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let mut caller = stage.connect().await;
+    for id in ["a", "b", "c"] {
+        let got = caller.call(&post("/pay/1", id, "x")).await;
+        assert_eq!(
+            (got.status, got.body.as_str(), got.header("request-id")),
+            (200, "own", id)
+        );
+    }
+    let connections: Vec<usize> = target.seen().iter().map(|seen| seen.connection).collect();
+    assert_eq!(
+        connections,
+        [0, 0, 1],
+        "a connection with a stray answer is not used again"
+    );
+}
+
+async fn closes_after_extra_bytes() {
+    let target = Target::start(|seen| {
+        let mut bytes = seen.answer("own");
+        bytes.extend(seen.answer("again"));
+        vec![Act::Send(bytes)]
+    })
+    .await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let mut caller = stage.connect().await;
+    for id in ["a", "b"] {
+        let got = caller.call(&post("/pay/1", id, "x")).await;
+        assert_eq!((got.status, got.body.as_str()), (200, "own"));
+    }
+    assert_eq!(target.seen()[1].connection, 1);
+}
+
+async fn refused_before_it_ran() {
+    let target = Target::start(|seen| {
+        let id = seen.id();
+        let text = format!(
+            "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        vec![Act::Send(text.into_bytes())]
+    })
+    .await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let got = stage.connect().await.call(&post("/pay/1", "a", "x")).await;
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    assert!(got.body.contains("not-run"), "{}", got.body);
+}
+
+async fn stray_refusal_is_no_promise() {
+    let target = Target::start(|seen| match seen.before {
+        0 => vec![Act::Send(seen.answer("fine"))],
+        _ => {
+            let late = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+            vec![Act::Send(late.into())]
+        }
+    })
+    .await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let mut caller = stage.connect().await;
+    assert_eq!(caller.call(&post("/pay/1", "a", "x")).await.status, 200);
+    let got = caller.call(&post("/pay/1", "b", "x")).await;
+    assert_eq!(got.status, 502, "{}", got.body);
+}
+
+async fn passes_own_failures_on() {
+    let target = Target::start(|seen| vec![Act::Send(answer(500, seen.id(), "broke"))]).await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let got = stage.connect().await.call(&post("/pay/1", "a", "x")).await;
+    assert_eq!(
+        (got.status, got.body.as_str(), got.header("signed")),
+        (500, "broke", "yes")
+    );
+    let got = stage.connect().await.call(&get("/plans/1", "b", "")).await;
+    assert_eq!(
+        (got.status, got.body.as_str(), got.header("signed")),
+        (500, "broke", "yes")
+    );
+}
+
+async fn early_answer_ends_the_connection() {
+    // The answer comes before the body is read; what is sent next on that connection would be taken
+    // for the rest of the body.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let taken = Rc::new(Cell::new(0));
+    let count = taken.clone();
+    tokio::task::spawn_local(async move {
+        let mut held = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            use tokio::io::{AsyncReadExt, AsyncWriteExt};
+            count.set(count.get() + 1);
+            let mut buffer = [0; 512];
+            let _ = stream.read(&mut buffer).await;
+            let text =
+                "HTTP/1.1 429 Later\r\nrequest-id: a\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(text.as_bytes()).await.unwrap();
+            held.push(stream);
+        }
+    });
+    let target = Target::answering("unused").await;
+    let mut shown = view(routes(), &[&target]);
+    let known = crate::stage::known("target-0", address);
+    shown.targets = std::sync::Arc::new([("target-0".to_owned(), known)].into_iter().collect());
+    // Longer than what the kernel takes for a connection that nobody reads.
+    let body = "x".repeat(24 << 20);
+    let mut table = shown.table().cloned().unwrap();
+    table.limits.body_bytes = 32 << 20;
+    shown.configuration = Some(std::sync::Arc::new(Configuration {
+        revision: 2,
+        table: Some(table),
+        evacuated: Vec::new(),
+    }));
+    let stage = Stage::start(shown).await;
+    for _ in 0..2 {
+        let got = stage
+            .connect()
+            .await
+            .call(&post("/pay/1", "a", &body))
+            .await;
+        assert_eq!(got.status, 503, "{}", got.body);
+    }
+    assert_eq!(taken.get(), 2, "the connection was used again");
+}
+
+async fn leaving_is_felt_at_the_target() {
+    let target = Target::start(|_| vec![Act::Wait(Duration::from_secs(15))]).await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let mut caller = stage.connect().await;
+    caller.send(&post("/pay/1", "a", "x")).await;
+    crate::stage::until("the target sees the request", || target.seen().len() == 1).await;
+    let since = std::time::Instant::now();
+    drop(caller);
+    crate::stage::until("the target's connection closes", || target.closed() == 1).await;
+    assert!(since.elapsed() < Duration::from_millis(500));
+}
+
+cases! {
+    /// What passes through is what was sent: path, query, body, status and the target's own fields.
+    a_whole_answer_passes_unchanged => passes_unchanged(),
+    /// A target sends an answer that belongs to an earlier request of another caller. Were it taken, a
+    /// caller would read a stranger's answer.
+    a_stray_answer_is_skipped => skips_a_stray_answer(),
+    /// A target answers twice. The second answer must not meet the next request on that connection.
+    bytes_behind_an_answer_end_the_connection => closes_after_extra_bytes(),
+    /// A full target says that it has not run the request. The caller is told so, and when to return.
+    a_refusal_before_the_run_is_told => refused_before_it_ran(),
+    /// A late refusal of an earlier request arrives without an id. Taken for this request's, it would
+    /// promise that a request never runs that is running.
+    a_refusal_without_an_id_promises_nothing => stray_refusal_is_no_promise(),
+    /// A target's own failure is its answer, signature and all, also after a repeat.
+    a_targets_own_failure_is_passed_on => passes_own_failures_on(),
+    /// A target answers before it has read a long body, and reads on later.
+    a_connection_with_an_unread_body_is_not_used_again => early_answer_ends_the_connection(),
+    /// A caller closes its connection while its request runs. The work would go on for nobody.
+    a_caller_that_leaves_is_felt_at_the_target => leaving_is_felt_at_the_target(),
+    /// A target closes without an answer; the request may have run.
+    a_closed_connection_is_survived => survives(|_| vec![Act::Close]),
+    /// A target's answer is cut in the middle of its body.
+    a_cut_answer_is_survived => survives(|seen| {
+        vec![Act::Send(with_length(100, "half", seen.id())), Act::Close]
+    }),
+    /// A target sends bytes that are no answer.
+    garbage_is_survived => survives(|_| vec![Act::Send(b"\0\x01garbage\r\n\r\n".to_vec())]),
+    /// A target's chunk is malformed.
+    a_malformed_chunk_is_survived => survives(|seen| {
+        let id = seen.id();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"
+        );
+        vec![Act::Send(text.into_bytes())]
+    }),
+    /// A target names two lengths for one body.
+    two_lengths_are_survived => survives(|seen| {
+        let id = seen.id();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab"
+        );
+        vec![Act::Send(text.into_bytes())]
+    }),
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/heads.rs
@@ -0,0 +1,143 @@
+//! Heads that callers send: smuggled, oversized, forged.
+
+use zinniastall_model::routing::Kind;
+
+use crate::{
+    cases,
+    stage::{HOST, Stage, Target, get, route, view},
+};
+
+async fn stage() -> (Stage, Target) {
+    let target = Target::answering("fine").await;
+    let routes = vec![route("/plans/", Kind::Idempotent, 1)];
+    let stage = Stage::start(view(routes, &[&target])).await;
+    (stage, target)
+}
+
+/// Sends bytes that must be refused with a status, and a request behind them that must not be read.
+async fn refused(text: String, status: u16) {
+    let (stage, target) = stage().await;
+    let mut caller = stage.connect().await;
+    let behind = get("/plans/smuggled", "evil", "");
+    let got = caller.call(&format!("{text}{behind}")).await;
+    assert_eq!(got.status, status, "{}", got.body);
+    assert_eq!(got.header("connection"), "close");
+    assert!(caller.ends().await);
+    assert_eq!(target.seen().len(), 0);
+}
+
+fn with(fields: &str) -> String {
+    format!("POST /plans/1 HTTP/1.1\r\nHost: {HOST}\r\nrequest-id: a\r\n{fields}\r\n\r\n")
+}
+
+async fn strips_reserved_fields() {
+    let (stage, target) = stage().await;
+    let fields = "secret: 1\r\nzs-revision: 9\r\nexpected-target: other\r\ndeadline-ms: 900\r\n\
+                  x-own: kept\r\nConnection: x-hop\r\nx-hop: 1\r\n";
+    let got = stage
+        .connect()
+        .await
+        .call(&get("/plans/1", "a", fields))
+        .await;
+    assert_eq!(got.status, 200);
+    let seen = target.seen().remove(0);
+    for gone in ["secret", "zs-revision", "x-hop", "connection"] {
+        assert_eq!(seen.header(gone), "", "{gone} was passed on");
+    }
+    assert_eq!(seen.header("x-own"), "kept");
+    assert_eq!(seen.header("expected-target"), "target-0");
+    let left: u64 = seen.header("deadline-ms").parse().unwrap();
+    assert!((1..=900).contains(&left), "{left}");
+}
+
+async fn bounds_the_head() {
+    let long = format!("x-long: {}", "x".repeat(20_000));
+    refused(with(&long), 431).await;
+}
+
+async fn bounds_the_body() {
+    let (stage, target) = stage().await;
+    let mut caller = stage.connect().await;
+    let head = with("Transfer-Encoding: chunked");
+    caller.send(&head).await;
+    // Five chunks of a megabyte are more than the four that a body may have.
+    let chunk = format!("100000\r\n{}\r\n", "x".repeat(1 << 20));
+    for _ in 0..5 {
+        caller.send(&chunk).await;
+    }
+    let got = caller.answer().await.unwrap();
+    assert_eq!(got.status, 413);
+    assert_eq!(target.seen().len(), 0);
+}
+
+async fn takes_chunks() {
+    let (stage, target) = stage().await;
+    let mut caller = stage.connect().await;
+    let head = with("Transfer-Encoding: chunked");
+    let got = caller
+        .call(&format!("{head}3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"))
+        .await;
+    assert_eq!(got.status, 200);
+    let seen = target.seen().remove(0);
+    assert_eq!(seen.body, b"abcde");
+    assert_eq!(seen.header("transfer-encoding"), "");
+}
+
+async fn half_a_body_runs_nothing() {
+    let (stage, target) = stage().await;
+    let mut caller = stage.connect().await;
+    caller.send(&with("Content-Length: 10")).await;
+    caller.send("half").await;
+    drop(caller);
+    let got = stage.connect().await.call(&get("/plans/1", "b", "")).await;
+    assert_eq!(got.status, 200);
+    assert_eq!(target.seen().len(), 1);
+}
+
+async fn serves_requests_sent_ahead() {
+    let (stage, _target) = stage().await;
+    let mut caller = stage.connect().await;
+    let text = get("/plans/1", "a", "") + &get("/plans/2", "b", "");
+    caller.send(&text).await;
+    for id in ["a", "b"] {
+        let got = caller.answer().await.unwrap();
+        assert_eq!((got.status, got.header("request-id")), (200, id));
+    }
+}
+
+cases! {
+    /// A caller sets fields that only the gateway may set, to reach what isn't its own.
+    reserved_fields_are_dropped => strips_reserved_fields(),
+    /// A head without an end would fill the memory.
+    a_long_head_is_refused => bounds_the_head(),
+    /// A body without an end would fill the memory.
+    a_long_body_is_refused => bounds_the_body(),
+    /// A body in chunks is passed on whole, with its length.
+    a_body_in_chunks_is_passed_on => takes_chunks(),
+    /// A caller vanishes in the middle of its body: nothing must run.
+    half_a_body_is_never_sent => half_a_body_runs_nothing(),
+    /// Callers may send the next request before the answer is there.
+    requests_sent_ahead_are_answered_in_order => serves_requests_sent_ahead(),
+    /// Two lengths: a target that believes the other one would find a request inside the body.
+    two_lengths_are_refused => refused(with("Content-Length: 4\r\nContent-Length: 90"), 400),
+    /// A length beside chunks, which two readers may rank in two ways.
+    a_length_beside_chunks_is_refused =>
+        refused(with("Content-Length: 4\r\nTransfer-Encoding: chunked"), 400),
+    /// A transfer coding that only one of two readers knows.
+    an_unknown_coding_is_refused => refused(with("Transfer-Encoding: xchunked"), 400),
+    /// A list of codings.
+    two_codings_are_refused => refused(with("Transfer-Encoding: gzip, chunked"), 400),
+    /// A length with a sign.
+    a_signed_length_is_refused => refused(with("Content-Length: +4"), 400),
+    /// A line that ends without a carriage return.
+    a_bare_line_end_is_refused => refused(with("x-a: 1\nx-b: 2"), 400),
+    /// A space before the colon hides a field from some readers.
+    a_space_before_the_colon_is_refused => refused(with("Content-Length : 4"), 400),
+    /// A continued line.
+    a_folded_line_is_refused => refused(with("x-a: 1\r\n Content-Length: 4"), 400),
+    /// Two hosts lead to two routes.
+    two_hosts_are_refused => refused(with("Host: other.example"), 400),
+    /// A size of a chunk that isn't hexadecimal.
+    a_malformed_chunk_is_refused =>
+        refused(with("Transfer-Encoding: chunked") + "+3\r\nabc\r\n0\r\n\r\n", 400),
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -0,0 +1,15 @@
+//! The request path between scripted targets and raw callers.
+
+mod answers;
+mod bounds;
+mod heads;
+mod stage;
+mod streams;
+
+/// Names tests that run on one thread: `cases! { name => async function, ... }`.
+macro_rules! cases {
+    ($($(#[$about:meta])* $name:ident => $test:expr,)*) => {
+        $($(#[$about])* #[test] fn $name() { crate::stage::run($test); })*
+    };
+}
+pub(crate) use cases;
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/stage.rs
@@ -0,0 +1,477 @@
+//! A gateway's request path between scripted targets and raw callers, in one thread.
+
+use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::LocalSet,
+    time,
+};
+use zinniastall_gateway::{
+    names::Names,
+    path::{Traffic, serve},
+    policy::Policy,
+    view::{Board, Target as Known, View},
+};
+use zinniastall_model::{
+    place::Place,
+    presence::Presence,
+    routing::{Kind, Route, Service, Share, Table},
+    target::{Report, State},
+};
+use zinniastall_wire::hub::Configuration;
+
+/// Longest time that any step of a test may take.
+const LONGEST: Duration = Duration::from_secs(20);
+/// Host of all routes.
+pub const HOST: &str = "maps.example";
+/// Service behind all routes.
+pub const SERVICE: &str = "api";
+/// Region and zone of the gateway.
+pub const PLACE: (&str, &str) = ("patras", "patras-a");
+
+/// What a target saw of one request.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Requests that this target saw before.
+    pub before: usize,
+    /// Connection on which it came.
+    pub connection: usize,
+    /// Head as text.
+    pub head: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What a scripted target does next.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+impl Seen {
+    /// Returns a header field, empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = lines.filter(|(field, _)| field.eq_ignore_ascii_case(name));
+        values.next().map_or("", |(_, value)| value)
+    }
+
+    /// Returns the request's id.
+    pub fn id(&self) -> &str {
+        self.header("request-id")
+    }
+
+    /// Makes a whole answer to this request.
+    pub fn answer(&self, body: &str) -> Vec<u8> {
+        answer(200, self.id(), body)
+    }
+}
+
+/// Makes a whole answer.
+pub fn answer(status: u16, id: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status} Some\r\nrequest-id: {id}\r\nsigned: yes\r\ncontent-length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+/// A scripted target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its address.
+    pub address: SocketAddr,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    closed: Rc<RefCell<usize>>,
+}
+
+type Script = dyn Fn(&Seen) -> Vec<Act>;
+
+impl Target {
+    /// Starts a target that acts on each request as a script says.
+    pub async fn start(script: impl Fn(&Seen) -> Vec<Act> + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let target = Self {
+            address,
+            seen: Rc::default(),
+            closed: Rc::default(),
+        };
+        let (seen, closed) = (Rc::clone(&target.seen), Rc::clone(&target.closed));
+        let script: Rc<Script> = Rc::new(script);
+        tokio::task::spawn_local(async move {
+            let mut connection = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, seen) = (Rc::clone(&script), Rc::clone(&seen));
+                let closed = Rc::clone(&closed);
+                tokio::task::spawn_local(async move {
+                    attend(stream, connection, &*script, &seen).await;
+                    *closed.borrow_mut() += 1;
+                });
+                connection += 1;
+            }
+        });
+        target
+    }
+
+    /// Starts a target that answers everything with its body.
+    pub async fn answering(body: &'static str) -> Self {
+        Self::start(move |seen| vec![Act::Send(seen.answer(body))]).await
+    }
+
+    /// Returns the requests seen so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.borrow().clone()
+    }
+
+    /// Returns how many connections have ended.
+    pub fn closed(&self) -> usize {
+        *self.closed.borrow()
+    }
+}
+
+async fn attend(
+    mut stream: TcpStream,
+    connection: usize,
+    script: &Script,
+    seen: &RefCell<Vec<Seen>>,
+) {
+    let mut input = Vec::new();
+    loop {
+        let Some(request) = read(&mut stream, &mut input, connection, seen).await else {
+            return;
+        };
+        seen.borrow_mut().push(request.clone());
+        for act in script(&request) {
+            match act {
+                Act::Send(bytes) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        return;
+                    }
+                }
+                Act::Wait(time) => {
+                    // The other end may leave meanwhile, which ends the connection.
+                    let mut byte = [0; 1];
+                    tokio::select! {
+                        () = time::sleep(time) => {}
+                        read = stream.read(&mut byte) => match read {
+                            Ok(0) | Err(_) => return,
+                            Ok(_) => input.push(byte[0]),
+                        }
+                    }
+                }
+                Act::Close => return,
+            }
+        }
+    }
+}
+
+async fn read(
+    stream: &mut TcpStream,
+    input: &mut Vec<u8>,
+    connection: usize,
+    seen: &RefCell<Vec<Seen>>,
+) -> Option<Seen> {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        let end = input.windows(4).position(|four| four == b"\r\n\r\n");
+        if let Some(end) = end {
+            let head = String::from_utf8(input[..end].to_vec()).unwrap();
+            let request = Seen {
+                before: seen.borrow().len(),
+                connection,
+                head,
+                body: Vec::new(),
+            };
+            let length = request.header("content-length").parse().unwrap_or(0);
+            if input.len() >= end + 4 + length {
+                let rest = input.split_off(end + 4 + length);
+                let body = input.split_off(end + 4);
+                *input = rest;
+                return Some(Seen { body, ..request });
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => input.extend_from_slice(&buffer[..read]),
+        }
+    }
+}
+
+/// A gateway's request path.
+pub struct Stage {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other instances.
+    pub forward: SocketAddr,
+    /// The path itself.
+    pub traffic: Rc<Traffic>,
+}
+
+/// Makes a route to the one service.
+pub fn route(prefix: &str, kind: Kind, attempts: u32) -> Route {
+    let mut route = Route::new(prefix.trim_matches('/'), HOST, prefix, kind).to(Share {
+        service: SERVICE.to_owned(),
+        weight: 1,
+    });
+    route.attempts = attempts;
+    route.timeout_ms = 5_000;
+    route
+}
+
+/// Makes a view of a place with routes and targets.
+pub fn view(routes: Vec<Route>, targets: &[&Target]) -> View {
+    let table = Table::new(1, routes, vec![Service::new(SERVICE)]);
+    let mut view = View::new("edge-1".to_owned(), Place::new(PLACE.0, PLACE.1));
+    view.configuration = Some(Arc::new(Configuration {
+        revision: 1,
+        table: Some(table),
+        evacuated: Vec::new(),
+    }));
+    let known = targets.iter().enumerate().map(|(at, target)| {
+        let name = format!("target-{at}");
+        (name.clone(), known(&name, target.address))
+    });
+    view.targets = Arc::new(known.collect());
+    view.instances = Arc::new(IndexMap::from([instance("edge-1", PLACE, "127.0.0.1:1")]));
+    view
+}
+
+/// Makes a gateway instance as others see it.
+pub fn instance(name: &str, place: (&str, &str), forward: &str) -> (String, Presence) {
+    let presence = Presence {
+        instance: name.to_owned(),
+        incarnation: 1,
+        place: Place::new(place.0, place.1),
+        callers: "127.0.0.1:1".to_owned(),
+        forward: forward.to_owned(),
+        ready: true,
+        load: Vec::new(),
+    };
+    (name.to_owned(), presence)
+}
+
+/// Makes a target as the gateway knows it.
+pub fn known(name: &str, address: SocketAddr) -> Known {
+    Known {
+        report: Report {
+            target: name.to_owned(),
+            incarnation: 1,
+            sequence: 1,
+            service: SERVICE.to_owned(),
+            address: address.to_string(),
+            place: Place::new(PLACE.0, PLACE.1),
+            slots: 4,
+            state: State::Ready,
+            cold_ms: 0,
+            left_ms: None,
+            age_ms: 0,
+        },
+        heard: std::time::Instant::now(),
+        cold_until: None,
+        gone_at: None,
+    }
+}
+
+impl Stage {
+    /// Starts the path of an instance that sees this view.
+    pub async fn start(view: View) -> Self {
+        let board = Board::new(view);
+        let names = Names {
+            reserved: vec![http::HeaderName::from_static("secret")],
+            ..Names::default()
+        };
+        let mut policy = Policy::default();
+        policy.repeats.slack = 100;
+        let traffic = Rc::new(Traffic::new(board, names, policy));
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let forward = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stage = Self {
+            callers: callers.local_addr().unwrap(),
+            forward: forward.local_addr().unwrap(),
+            traffic: Rc::clone(&traffic),
+        };
+        let instances = serve::accept(Rc::clone(&traffic), forward, true);
+        tokio::task::spawn_local(serve::accept(traffic, callers, false));
+        tokio::task::spawn_local(instances);
+        stage
+    }
+
+    /// Opens a caller's connection.
+    pub async fn connect(&self) -> Caller {
+        Caller::connect(self.callers).await
+    }
+}
+
+/// A caller's connection.
+pub struct Caller {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+/// An answer as a caller reads it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Got {
+    /// Status.
+    pub status: u16,
+    /// Head as text.
+    pub head: String,
+    /// Body without framing.
+    pub body: String,
+    /// Whether the body ended as its framing says.
+    pub is_whole: bool,
+}
+
+impl Got {
+    /// Returns a header field, empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = lines.filter(|(field, _)| field.eq_ignore_ascii_case(name));
+        values.next().map_or("", |(_, value)| value)
+    }
+}
+
+/// Writes a request without a body.
+pub fn get(path: &str, id: &str, fields: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\nrequest-id: {id}\r\n{fields}\r\n")
+}
+
+/// Writes a request with a body.
+pub fn post(path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nrequest-id: {id}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+impl Caller {
+    /// Connects to an address.
+    pub async fn connect(address: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(address).await.unwrap(),
+            input: Vec::new(),
+        }
+    }
+
+    /// Sends bytes.
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads one answer, or nothing where the connection ends before one.
+    pub async fn answer(&mut self) -> Option<Got> {
+        loop {
+            if let Some(got) = parse(&mut self.input, false) {
+                return Some(got);
+            }
+            if !self.read().await {
+                return parse(&mut self.input, true);
+            }
+        }
+    }
+
+    /// Sends a request and reads its answer.
+    pub async fn call(&mut self, text: &str) -> Got {
+        self.send(text).await;
+        self.answer()
+            .await
+            .expect("the connection ended without an answer")
+    }
+
+    /// Waits until a text has arrived; what arrived stays to be read as an answer.
+    pub async fn until_text(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.input).contains(text) {
+            assert!(self.read().await, "the connection ended before {text:?}");
+        }
+    }
+
+    /// Tells whether the connection ends without further bytes.
+    pub async fn ends(&mut self) -> bool {
+        !self.read().await && self.input.is_empty()
+    }
+
+    async fn read(&mut self) -> bool {
+        let mut buffer = vec![0; 16 << 10];
+        match self.stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => false,
+            Ok(read) => {
+                self.input.extend_from_slice(&buffer[..read]);
+                true
+            }
+        }
+    }
+}
+
+/// Takes an answer off the front of bytes, a cut one only where the connection has ended.
+fn parse(input: &mut Vec<u8>, ended: bool) -> Option<Got> {
+    let end = input.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let head = String::from_utf8(input[..end].to_vec()).unwrap();
+    let mut got = Got {
+        status: head.split(' ').nth(1)?.parse().unwrap(),
+        head,
+        body: String::new(),
+        is_whole: false,
+    };
+    let body = &input[end + 4..];
+    let (text, used, whole) = if got.header("transfer-encoding") == "chunked" {
+        chunks(body)
+    } else {
+        let length: usize = got.header("content-length").parse().unwrap_or(0);
+        let used = length.min(body.len());
+        (body[..used].to_vec(), used, body.len() >= length)
+    };
+    if !whole && !ended {
+        return None;
+    }
+    got.body = String::from_utf8(text).unwrap();
+    got.is_whole = whole;
+    input.drain(..end + 4 + used);
+    Some(got)
+}
+
+/// Decodes chunks; returns the text, the bytes used and whether the last chunk was there.
+fn chunks(body: &[u8]) -> (Vec<u8>, usize, bool) {
+    let (mut text, mut at) = (Vec::new(), 0);
+    loop {
+        let Some(line) = body[at..].windows(2).position(|two| two == b"\r\n") else {
+            return (text, at, false);
+        };
+        let size = std::str::from_utf8(&body[at..at + line]).unwrap();
+        let size = usize::from_str_radix(size, 16).unwrap();
+        let (start, end) = (at + line + 2, at + line + 2 + size + 2);
+        if body.len() < end {
+            return (text, at, false);
+        }
+        text.extend_from_slice(&body[start..end - 2]);
+        at = end;
+        if size == 0 {
+            return (text, at, true);
+        }
+    }
+}
+
+/// Runs a test on one thread, within a generous time.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = LocalSet::new();
+    let bounded = async { time::timeout(LONGEST, test).await.expect("the test hangs") };
+    local.block_on(&runtime, bounded);
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let since = time::Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < LONGEST, "waited too long until {what}");
+        time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-http/src/body.rs
@@ -0,0 +1,192 @@
+//! Bodies: where they end, and their bytes without the framing.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest line of a chunked body, in bytes; a size needs 16 digits, extensions are ignored.
+const LINE: usize = 256;
+/// Largest chunk, in bytes; no body that this gateway takes is longer.
+const CHUNK: u64 = 1 << 32;
+
+/// How a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// After a number of bytes.
+    Length(u64),
+    /// With a chunk of size 0.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+/// Why bytes are not a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// A chunk is not framed as the protocol says.
+    #[error("a chunk is malformed")]
+    Chunk,
+    /// The connection ended before the body did.
+    #[error("the body was cut")]
+    Cut,
+}
+
+/// What a decoder found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Bytes of the body.
+    Piece(Bytes),
+    /// More input is needed.
+    More,
+    /// The body is whole.
+    End,
+}
+
+/// Decodes one body.
+#[derive(Debug, Clone)]
+pub struct Decoder {
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Left(u64),
+    Size,
+    Chunk(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+impl Decoder {
+    /// Creates the decoder of a body with a framing.
+    pub const fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Left(length),
+            Framing::Chunked => State::Size,
+            Framing::Close => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Tells whether the body is whole.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Takes the next piece of the body off the front of a buffer.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Chunk`] when a chunk is not framed as the protocol says.
+    pub fn decode(&mut self, input: &mut BytesMut) -> Result<Step, Fault> {
+        loop {
+            match self.state {
+                State::Done => return Ok(Step::End),
+                State::Left(left) => return Ok(self.piece(input, left, State::Done, State::Left)),
+                State::Chunk(left) => {
+                    return Ok(self.piece(input, left, State::ChunkEnd, State::Chunk));
+                }
+                State::UntilClose if input.is_empty() => return Ok(Step::More),
+                State::UntilClose => return Ok(Step::Piece(input.split().freeze())),
+                State::Size => {
+                    let Some(line) = line(input)? else {
+                        return Ok(Step::More);
+                    };
+                    self.state = match size(&line)? {
+                        0 => State::Trailer,
+                        size => State::Chunk(size),
+                    };
+                }
+                State::ChunkEnd => match line(input)? {
+                    Some(line) if line.is_empty() => self.state = State::Size,
+                    Some(_) => return Err(Fault::Chunk),
+                    None => return Ok(Step::More),
+                },
+                State::Trailer => match line(input)? {
+                    Some(line) if line.is_empty() => self.state = State::Done,
+                    Some(_) => {}
+                    None => return Ok(Step::More),
+                },
+            }
+        }
+    }
+
+    /// Notes that the connection has ended in order.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Cut`] when the body is not whole by that.
+    pub fn finish(&mut self) -> Result<(), Fault> {
+        match self.state {
+            State::Done => Ok(()),
+            State::UntilClose => {
+                self.state = State::Done;
+                Ok(())
+            }
+            _ => Err(Fault::Cut),
+        }
+    }
+
+    fn piece(
+        &mut self,
+        input: &mut BytesMut,
+        left: u64,
+        end: State,
+        more: impl FnOnce(u64) -> State,
+    ) -> Step {
+        if input.is_empty() {
+            return Step::More;
+        }
+        let available = u64::try_from(input.len()).unwrap_or(u64::MAX);
+        let take = available.min(left);
+        self.state = if take == left { end } else { more(left - take) };
+        // `take` is at most the length of the buffer.
+        let bytes = input.split_to(usize::try_from(take).unwrap_or(usize::MAX));
+        Step::Piece(bytes.freeze())
+    }
+}
+
+/// Takes a line without its end off the front of a buffer.
+fn line(input: &mut BytesMut) -> Result<Option<Bytes>, Fault> {
+    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+        if input.len() > LINE {
+            return Err(Fault::Chunk);
+        }
+        return Ok(None);
+    };
+    if end == 0 || end > LINE || input[end - 1] != b'\r' {
+        return Err(Fault::Chunk);
+    }
+    let line = input.split_to(end - 1).freeze();
+    input.advance(2);
+    Ok(Some(line))
+}
+
+fn size(line: &[u8]) -> Result<u64, Fault> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).map_err(|_| Fault::Chunk)?;
+    let text = text.trim_end_matches([' ', '\t']);
+    // `from_str_radix` would take a sign.
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(Fault::Chunk);
+    }
+    let size = u64::from_str_radix(text, 16).map_err(|_| Fault::Chunk)?;
+    if size > CHUNK {
+        return Err(Fault::Chunk);
+    }
+    Ok(size)
+}
+
+/// Writes one chunk.
+pub fn write_chunk(output: &mut BytesMut, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    output.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+    output.extend_from_slice(bytes);
+    output.extend_from_slice(b"\r\n");
+}
+
+/// The chunk that ends a body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/crates/zinniastall-http/src/head.rs
@@ -0,0 +1,324 @@
+//! Heads of requests and responses.
+
+use bytes::{Buf, BytesMut};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+};
+
+use crate::body::Framing;
+
+/// Most header fields of one head; callers of this gateway send about ten.
+const FIELDS: usize = 96;
+
+/// Why bytes are not a head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The head has more bytes than allowed.
+    #[error("the head is too long")]
+    Long,
+    /// The bytes are not HTTP/1.
+    #[error("the head is malformed: {0}")]
+    Malformed(&'static str),
+    /// The end of the message could be read in two ways.
+    #[error("the end of the message is ambiguous: {0}")]
+    Ambiguous(&'static str),
+}
+
+/// Head of a request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query, exactly as sent.
+    pub target: String,
+    /// Whether the sender speaks HTTP/1.1; a 1.0 sender's connection ends with its answer.
+    pub is_modern: bool,
+    /// Header fields.
+    pub headers: HeaderMap,
+}
+
+/// Head of a response.
+#[derive(Debug, Clone)]
+pub struct Response {
+    /// Status.
+    pub status: StatusCode,
+    /// Whether the sender speaks HTTP/1.1.
+    pub is_modern: bool,
+    /// Header fields.
+    pub headers: HeaderMap,
+}
+
+/// A head that can be parsed from the front of a buffer.
+pub trait Parse: Sized {
+    /// Takes a head off the front of a buffer, or `None` while it is incomplete.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] when the bytes can never become a head.
+    fn parse(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Fault>;
+}
+
+impl Request {
+    /// Returns the path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Returns the query without its question mark, empty if there is none.
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+
+    /// Returns the host without its port, empty if there is none.
+    pub fn host(&self) -> &str {
+        let value = self.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = value.unwrap_or_default();
+        host.rsplit_once(':').map_or(host, |(name, _)| name)
+    }
+
+    /// Returns how the body ends.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Ambiguous`] when the head names more than one end.
+    pub fn framing(&self) -> Result<Framing, Fault> {
+        Ok(declared(&self.headers)?.unwrap_or(Framing::Length(0)))
+    }
+
+    /// Tells whether the sender lets the connection stay open.
+    pub fn keeps_open(&self) -> bool {
+        self.is_modern && !has_token(&self.headers, "close")
+    }
+}
+
+impl Response {
+    /// Returns how the body ends; `head_only` tells that the request asked for no body.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Ambiguous`] when the head names more than one end.
+    pub fn framing(&self, head_only: bool) -> Result<Framing, Fault> {
+        let declared = declared(&self.headers)?;
+        let bodiless = head_only
+            || self.status.is_informational()
+            || self.status == StatusCode::NO_CONTENT
+            || self.status == StatusCode::NOT_MODIFIED;
+        if bodiless {
+            return Ok(Framing::Length(0));
+        }
+        Ok(declared.unwrap_or(Framing::Close))
+    }
+
+    /// Tells whether the sender lets the connection stay open.
+    pub fn keeps_open(&self) -> bool {
+        self.is_modern && !has_token(&self.headers, "close")
+    }
+}
+
+impl Parse for Request {
+    fn parse(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Fault> {
+        let Some(length) = head_length(input, limit)? else {
+            return Ok(None);
+        };
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+        let mut parsed = httparse::Request::new(&mut fields);
+        let status = parsed.parse(&input[..length]).map_err(malformed)?;
+        if !status.is_complete() {
+            return Err(Fault::Malformed("incomplete"));
+        }
+        let method = parsed.method.unwrap_or_default().parse();
+        let target = parsed.path.unwrap_or_default().to_owned();
+        if !target.starts_with('/') && target != "*" {
+            return Err(Fault::Malformed("the target is no path"));
+        }
+        let request = Self {
+            method: method.map_err(|_| Fault::Malformed("method"))?,
+            target,
+            is_modern: parsed.version == Some(1),
+            headers: headers(parsed.headers)?,
+        };
+        if request.headers.get_all(HOST).iter().count() > 1 {
+            return Err(Fault::Ambiguous("two hosts"));
+        }
+        request.framing()?;
+        input.advance(length);
+        Ok(Some(request))
+    }
+}
+
+impl Parse for Response {
+    fn parse(input: &mut BytesMut, limit: usize) -> Result<Option<Self>, Fault> {
+        if !b"HTTP/1.".starts_with(&input[..input.len().min(7)]) {
+            return Err(Fault::Malformed("no status line"));
+        }
+        let Some(length) = head_length(input, limit)? else {
+            return Ok(None);
+        };
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+        let mut parsed = httparse::Response::new(&mut fields);
+        let status = parsed.parse(&input[..length]).map_err(malformed)?;
+        if !status.is_complete() {
+            return Err(Fault::Malformed("incomplete"));
+        }
+        let code = StatusCode::from_u16(parsed.code.unwrap_or_default());
+        let response = Self {
+            status: code.map_err(|_| Fault::Malformed("status"))?,
+            is_modern: parsed.version == Some(1),
+            headers: headers(parsed.headers)?,
+        };
+        declared(&response.headers)?;
+        input.advance(length);
+        Ok(Some(response))
+    }
+}
+
+/// Returns the length of the head at the front of a buffer, once it is whole.
+///
+/// A line that ends without a carriage return is refused: a peer that takes it for a line end and
+/// one that doesn't would see different messages.
+fn head_length(input: &[u8], limit: usize) -> Result<Option<usize>, Fault> {
+    let mut line = 0;
+    for (at, byte) in input.iter().enumerate().take(limit) {
+        if *byte != b'\n' {
+            continue;
+        }
+        if at == 0 || input[at - 1] != b'\r' {
+            return Err(Fault::Ambiguous("bare line end"));
+        }
+        let is_empty = at - line == 1;
+        if is_empty && line == 0 {
+            return Err(Fault::Malformed("empty first line"));
+        }
+        if is_empty {
+            return Ok(Some(at + 1));
+        }
+        line = at + 1;
+    }
+    if input.len() >= limit {
+        return Err(Fault::Long);
+    }
+    Ok(None)
+}
+
+fn malformed(error: httparse::Error) -> Fault {
+    match error {
+        httparse::Error::TooManyHeaders => Fault::Long,
+        httparse::Error::HeaderName => Fault::Malformed("header name"),
+        httparse::Error::HeaderValue => Fault::Malformed("header value"),
+        httparse::Error::NewLine => Fault::Malformed("line end"),
+        httparse::Error::Status => Fault::Malformed("status"),
+        httparse::Error::Token => Fault::Malformed("token"),
+        httparse::Error::Version => Fault::Malformed("version"),
+    }
+}
+
+fn headers(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, Fault> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let name = name.map_err(|_| Fault::Malformed("header name"))?;
+        let value = HeaderValue::from_bytes(field.value);
+        let value = value.map_err(|_| Fault::Malformed("header value"))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// Returns the end that a head declares, if it declares one.
+fn declared(headers: &HeaderMap) -> Result<Option<Framing>, Fault> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), lengths) {
+        (None, 0) => Ok(None),
+        (None, 1) => Ok(Some(Framing::Length(length(headers)?))),
+        (None, _) => Err(Fault::Ambiguous("two lengths")),
+        (Some(_), 1..) => Err(Fault::Ambiguous("a length beside a transfer coding")),
+        (Some(coding), 0) => {
+            let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+            if !is_chunked || codings.next().is_some() {
+                return Err(Fault::Ambiguous("transfer coding"));
+            }
+            Ok(Some(Framing::Chunked))
+        }
+    }
+}
+
+fn length(headers: &HeaderMap) -> Result<u64, Fault> {
+    let value = headers.get(CONTENT_LENGTH).map(HeaderValue::as_bytes);
+    let digits = value.unwrap_or_default();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Fault::Ambiguous("length"));
+    }
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    text.parse().map_err(|_| Fault::Ambiguous("length"))
+}
+
+fn has_token(headers: &HeaderMap, token: &str) -> bool {
+    let mut values = headers.get_all(CONNECTION).iter();
+    values.any(|value| {
+        let text = value.to_str().unwrap_or_default();
+        let mut parts = text.split(',');
+        parts.any(|part| part.trim().eq_ignore_ascii_case(token))
+    })
+}
+
+/// Header fields that concern one connection only and are never passed on.
+pub const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the fields that concern one connection only, those that `Connection` names included.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|part| part.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+}
+
+/// Writes the head of a request.
+pub fn write_request(output: &mut BytesMut, method: &Method, target: &str, headers: &HeaderMap) {
+    output.extend_from_slice(method.as_str().as_bytes());
+    output.extend_from_slice(b" ");
+    output.extend_from_slice(target.as_bytes());
+    output.extend_from_slice(b" HTTP/1.1\r\n");
+    write_headers(output, headers);
+}
+
+/// Writes the head of a response.
+pub fn write_response(output: &mut BytesMut, status: StatusCode, headers: &HeaderMap) {
+    output.extend_from_slice(b"HTTP/1.1 ");
+    output.extend_from_slice(status.as_str().as_bytes());
+    output.extend_from_slice(b" ");
+    output.extend_from_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
+    output.extend_from_slice(b"\r\n");
+    write_headers(output, headers);
+}
+
+fn write_headers(output: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        output.extend_from_slice(name.as_str().as_bytes());
+        output.extend_from_slice(b": ");
+        output.extend_from_slice(value.as_bytes());
+        output.extend_from_slice(b"\r\n");
+    }
+    output.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/zinniastall-http/src/server.rs
@@ -0,0 +1,195 @@
+//! A small server for pages that answer whole bodies.
+//!
+//! It serves what instances say about themselves and what operators and targets say to them; the
+//! request path has a server of its own, which streams.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use http::{
+    HeaderMap, HeaderValue, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+use crate::{
+    body::Decoder,
+    connection::{self, Error, Reader, Writer},
+    head::{self, Request},
+};
+
+/// Longest head, in bytes.
+const HEAD: usize = 16 << 10;
+/// Pause after a failed accept: out of descriptors, most likely, and a loop would spin.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A request with its whole body.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Head.
+    pub head: Request,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields beside those of the framing.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What answers the requests of a server.
+pub trait Handler {
+    /// Answers one request.
+    fn call(&self, call: Call) -> LocalBoxFuture<'static, Reply>;
+}
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Longest time that a connection may stay idle or take for one request's bytes.
+    pub idle: Duration,
+}
+
+impl Reply {
+    /// Creates an answer without a body.
+    pub fn new(status: StatusCode) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Creates an answer with a JSON body.
+    pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        let mut reply = Self::new(status);
+        let json = HeaderValue::from_static("application/json");
+        reply.headers.insert(CONTENT_TYPE, json);
+        reply.body = body.into();
+        reply
+    }
+
+    /// Adds a header field.
+    #[must_use]
+    pub fn header(mut self, name: http::HeaderName, value: HeaderValue) -> Self {
+        self.headers.insert(name, value);
+        self
+    }
+}
+
+/// Accepts connections for ever and serves each on this thread.
+pub async fn serve(listener: TcpListener, limits: Limits, handler: Rc<dyn Handler>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = Rc::clone(&handler);
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = attend(stream, limits, &*handler).await {
+                        tracing::debug!(event = "connection-failed", error = %error);
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::error!(event = "accept-failed", error = %error);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn attend(stream: TcpStream, limits: Limits, handler: &dyn Handler) -> Result<(), Error> {
+    let (mut reader, mut writer) = connection::split(stream)?;
+    loop {
+        let call = match time::timeout(limits.idle, read(&mut reader, limits)).await {
+            Ok(Ok(Some(call))) => call,
+            Ok(Ok(None)) | Err(_) => return Ok(()),
+            Ok(Err(refusal)) => {
+                let status = refusal.status();
+                write(&mut writer, Reply::new(status), false).await?;
+                return Err(refusal.error);
+            }
+        };
+        let keep = call.head.keeps_open();
+        let reply = handler.call(call).await;
+        write(&mut writer, reply, keep).await?;
+        if !keep {
+            return Ok(());
+        }
+        reader.rest();
+    }
+}
+
+/// Why a request was not read.
+struct Refusal {
+    error: Error,
+    is_long: bool,
+}
+
+impl Refusal {
+    const fn status(&self) -> StatusCode {
+        match &self.error {
+            _ if self.is_long => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::Head(head::Fault::Long) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl<T: Into<Error>> From<T> for Refusal {
+    fn from(error: T) -> Self {
+        Self {
+            error: error.into(),
+            is_long: false,
+        }
+    }
+}
+
+async fn read(reader: &mut Reader, limits: Limits) -> Result<Option<Call>, Refusal> {
+    let Some(head) = reader.head::<Request>(HEAD).await? else {
+        return Ok(None);
+    };
+    let mut decoder = Decoder::new(head.framing()?);
+    let mut body = BytesMut::new();
+    while let Some(piece) = reader.piece(&mut decoder).await? {
+        body.extend_from_slice(&piece);
+        if body.len() > limits.body {
+            return Err(Refusal {
+                error: Error::Ended,
+                is_long: true,
+            });
+        }
+    }
+    let body = body.freeze();
+    Ok(Some(Call { head, body }))
+}
+
+async fn write(writer: &mut Writer, mut reply: Reply, keep: bool) -> Result<(), Error> {
+    reply
+        .headers
+        .insert(CONTENT_LENGTH, HeaderValue::from(reply.body.len()));
+    if !keep {
+        reply
+            .headers
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let mut output = BytesMut::with_capacity(256 + reply.body.len());
+    head::write_response(&mut output, reply.status, &reply.headers);
+    output.extend_from_slice(&reply.body);
+    writer.write(&output).await?;
+    if !keep {
+        writer.finish().await?;
+    }
+    Ok(())
+}
--- a/crates/zinniastall-model/src/change.rs
+++ b/crates/zinniastall-model/src/change.rs
@@ -6,6 +6,7 @@
     id,
     member::Member,
     object::{Key, Object},
+    routing::{self, Publication},
 };
 
 /// What a change does.
@@ -20,6 +21,13 @@
     Join(Member),
     /// Declares an entry instance gone for certain.
     Retire(id::Instance),
+    /// Replaces the routing table, if its number is higher than the one in force; a lower or equal
+    /// number changes nothing and is done all the same, so that a resend needs no command id.
+    Publish(Box<Publication>),
+    /// Lets no new request go to the targets of an availability zone.
+    Evacuate(id::Zone),
+    /// Takes an evacuation back.
+    Reopen(id::Zone),
 }
 
 /// Who asks, and under which id: together they make a change idempotent.
@@ -42,6 +50,17 @@
     pub body: Body,
 }
 
+impl Change {
+    /// Returns the change as entry instances need it: without the operators' text of a routing table.
+    #[must_use]
+    pub fn stripped(mut self) -> Self {
+        if let Body::Publish(publication) = &mut self.body {
+            publication.document = None;
+        }
+        self
+    }
+}
+
 /// What applying a change answered; the same on every replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -83,6 +102,9 @@
     /// Another object refers to this one.
     #[error("still in use by {0}")]
     Used(String),
+    /// The routing table is not valid.
+    #[error(transparent)]
+    Routing(#[from] routing::Fault),
     /// The state holds as many objects as it may.
     #[error("too many objects")]
     Full,
--- /dev/null
+++ b/crates/zinniastall-model/src/presence.rs
@@ -0,0 +1,35 @@
+//! What gateway instances say of themselves.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{id, place::Place};
+
+/// One gateway instance, as it presents itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    /// Instance.
+    pub instance: id::Instance,
+    /// Its run.
+    pub incarnation: id::Incarnation,
+    /// Where it runs.
+    pub place: Place,
+    /// Address that callers use.
+    pub callers: String,
+    /// Address that other gateway instances use for requests that they pass on.
+    pub forward: String,
+    /// Whether it takes requests of callers.
+    pub ready: bool,
+    /// Requests in progress at targets, by service.
+    pub load: Vec<Load>,
+}
+
+/// Requests in progress that one instance has sent to the targets of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Service.
+    pub service: id::Service,
+    /// Requests at targets.
+    pub flights: u32,
+    /// Prompt tokens of those whose answers have not begun.
+    pub unread: u64,
+}
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -11,7 +11,9 @@
     member::Member,
     narrow,
     object::{Key, Object},
-    reference, valid,
+    reference,
+    routing::{Number, Publication},
+    valid,
 };
 
 /// Deleted objects whose last revision is remembered; see [`State::floor`].
@@ -20,6 +22,10 @@
 const MEMBERS: usize = 4096;
 /// Bytes that all objects may take, so that a whole state always fits into one frame.
 const BYTES: usize = 2 << 20;
+/// Bytes that a published routing table may take, so that with all objects it fits into one frame.
+const PUBLICATION: usize = 1 << 20;
+/// Most zones that may be evacuated.
+const EVACUATED: usize = 1024;
 
 /// An object and the revision of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,6 +69,12 @@
     pub floor: id::Revision,
     /// Bytes that the objects take, roughly.
     pub bytes: usize,
+    /// Routing table in force; shared, so that publishing a new state copies no routes.
+    #[serde(default)]
+    pub routing: Option<Arc<Publication>>,
+    /// Availability zones whose targets get no new requests.
+    #[serde(default)]
+    pub evacuated: IndexSet<id::Zone>,
 }
 
 impl State {
@@ -76,6 +88,9 @@
             Body::Delete(key) => self.remove(key, change.expected),
             Body::Join(member) => self.join(member),
             Body::Retire(instance) => self.retire(instance),
+            Body::Publish(publication) => self.publish(publication),
+            Body::Evacuate(zone) => self.evacuate(zone),
+            Body::Reopen(zone) => Ok(self.reopen(zone)),
         };
         done.unwrap_or_else(|refused| refused)
     }
@@ -91,6 +106,63 @@
         self.deleted.get(key).copied().unwrap_or(self.floor)
     }
 
+    /// Returns the number of the routing table in force; 0 for none.
+    pub fn routing_number(&self) -> Number {
+        self.routing
+            .as_ref()
+            .map_or(0, |publication| publication.table.number)
+    }
+
+    /// Tells whether a routing table is in force that a later one of this number would not replace.
+    pub fn has_routing(&self, number: Number) -> bool {
+        self.routing.is_some() && self.routing_number() >= number
+    }
+
+    /// Returns the state as entry instances need it: without the operators' text of the routing table.
+    #[must_use]
+    pub fn stripped(mut self: Arc<Self>) -> Arc<Self> {
+        let has_text = |publication: &Arc<Publication>| publication.document.is_some();
+        if self.routing.as_ref().is_some_and(has_text) {
+            let state = Arc::make_mut(&mut self);
+            state.routing = state
+                .routing
+                .as_deref()
+                .map(|held| Arc::new(held.stripped()));
+        }
+        self
+    }
+
+    fn publish(&mut self, publication: &Publication) -> Result<Answer, Answer> {
+        let invalid = |fault| Answer::Invalid(Invalid::Routing(fault));
+        publication.table.check().map_err(invalid)?;
+        if publication.size() > PUBLICATION {
+            return Err(Answer::Invalid(Invalid::Full));
+        }
+        if self.has_routing(publication.table.number) {
+            return Ok(self.done(false));
+        }
+        self.routing = Some(Arc::new(publication.clone()));
+        self.revision += 1;
+        Ok(self.done(false))
+    }
+
+    fn evacuate(&mut self, zone: &id::Zone) -> Result<Answer, Answer> {
+        if self.evacuated.len() >= EVACUATED {
+            return Err(Answer::Invalid(Invalid::Full));
+        }
+        if self.evacuated.insert(zone.clone()) {
+            self.revision += 1;
+        }
+        Ok(self.done(false))
+    }
+
+    fn reopen(&mut self, zone: &id::Zone) -> Answer {
+        if self.evacuated.shift_remove(zone) {
+            self.revision += 1;
+        }
+        self.done(false)
+    }
+
     fn put(&mut self, object: &Object, expected: Option<id::Revision>) -> Result<Answer, Answer> {
         let key = object.key();
         self.check_revision(&key, expected)?;
--- a/crates/zinniastall-wire/src/frame.rs
+++ b/crates/zinniastall-wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{follow, gossip, hello, stream};
+use crate::{follow, gossip, hello, hub, stream};
 
 /// Longest encoded frame, in bytes; a longer one closes the link.
 pub const LIMIT: usize = 4 * 1024 * 1024;
@@ -23,6 +23,8 @@
     Gossip(gossip::Message),
     /// A part of a forwarded request or of its answer.
     Stream(stream::Message),
+    /// Between control replicas and gateway instances.
+    Hub(hub::Message),
 }
 
 /// A message of the consensus, addressed by replica ids so that one meant for a lost replica at the
--- a/crates/zinniastall-wire/src/hello.rs
+++ b/crates/zinniastall-wire/src/hello.rs
@@ -18,6 +18,8 @@
     Gossip,
     /// Forwarded requests between entry instances.
     Stream,
+    /// Configuration, targets and instances from control replicas to gateway instances.
+    Hub,
 }
 
 /// First frame from each end.
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod frame;
 pub mod gossip;
 pub mod hello;
+pub mod hub;
 pub mod link;
 pub mod meter;
 pub mod stream;
