fix(gateway): an ending instance refuses what it would cut; callers are sent to homes only

Ruled out: ending later (the kill comes at 8 s); closing the listener at 3 s (callers with an older address would meet a closed port instead of an answer).

Change: from 2.8 s after the order a request whose time is longer than what is left of the process is refused at once as not sent. The list names regions in which all bound routes of the host may run, then draining instances of the caller's region, then the regions open to most; nothing before routes are known.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -22,7 +22,7 @@
     path::{Traffic, serve},
     policy::Policy,
     uplink::Uplinks,
-    view::{Board, View},
+    view::{Board, Drain, View},
 };
 
 /// Time between two rounds of housekeeping on the traffic thread.
@@ -60,7 +60,7 @@
     pub uplinks: Rc<Uplinks>,
     /// Address for callers, as it was bound.
     pub callers: SocketAddr,
-    drain: Option<oneshot::Sender<Drain>>,
+    drain: Option<oneshot::Sender<Ending>>,
 }
 
 /// What the traffic thread tells the control thread.
@@ -103,13 +103,15 @@
     /// Takes no more requests: says so to all, waits until callers have had time to turn elsewhere and
     /// none is in progress, `longest` at most.
     pub async fn drain(&mut self, least: Duration, longest: Duration) {
-        self.board.drain();
+        let since = Instant::now();
+        let end = since + longest;
+        self.board.drain(Drain { since, end });
         self.uplinks.announce();
         let Some(drain) = self.drain.take() else {
             return;
         };
         let (done, ended) = oneshot::channel();
-        let order = Drain {
+        let order = Ending {
             least,
             longest,
             done,
@@ -167,7 +169,7 @@
 
 /// Tells the traffic thread to end.
 #[derive(Debug)]
-struct Drain {
+struct Ending {
     least: Duration,
     longest: Duration,
     done: oneshot::Sender<()>,
@@ -178,7 +180,7 @@
     traffic: Rc<Traffic>,
     listeners: [Listener; 2],
     figures: Arc<Figures>,
-    mut drain: oneshot::Receiver<Drain>,
+    mut drain: oneshot::Receiver<Ending>,
 ) {
     let [callers, forward] = listeners.map(TcpListener::from_std);
     let (Ok(callers), Ok(forward)) = (callers, forward) else {
@@ -208,14 +210,14 @@
     }
 }
 
-/// Ends in order. Connections are taken until the last request has been quiet for a moment, and those
-/// that were taken are served to their end: a process that stopped right after a look at its counts
-/// would cut the request that came between.
-async fn end(traffic: &Traffic, accepting: [JoinHandle<()>; 2], order: Drain) {
+/// Ends in order. Connections are taken for as long as callers may not know of the end, and those that
+/// were taken are served to theirs: a process that stopped right after a look at its counts would cut
+/// the request that came between.
+async fn end(traffic: &Traffic, accepting: [JoinHandle<()>; 2], order: Ending) {
     let since = Instant::now();
     let connections = &traffic.connections;
     let over = |since: Instant| since.elapsed() >= order.longest;
-    while !over(since) && (since.elapsed() < order.least || connections.requests() > 0) {
+    while !over(since) && since.elapsed() < order.least {
         time::sleep(LOOK).await;
     }
     for task in accepting {
--- a/crates/zinniastall-gateway/src/locate.rs
+++ b/crates/zinniastall-gateway/src/locate.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-use zinniastall_model::{id, presence::Presence, routing::Route};
+use zinniastall_model::{presence::Presence, routing::Route};
 
 use crate::view::View;
 
@@ -25,43 +24,62 @@
     pub valid: Duration,
 }
 
-/// Lists instances for a caller of a host in a region and zone.
+/// Lists instances for a caller of a host in a region and zone; none while no routes are known.
 ///
 /// Those of the caller's own region come first: its requests may enter there whatever their homes
-/// are. If none is ready, the regions that may see requests to this host come next.
+/// are. If none is ready, the regions come next in which most routes of the host may run, and among
+/// equals all. An instance of the caller's region that drains still serves, and comes before a region
+/// that some routes may not enter.
 pub fn list(view: &View, host: &str, region: &str, zone: &str) -> Listing {
-    let ready: Vec<&Presence> = view.instances.values().filter(|held| held.ready).collect();
-    let within = |fits: &dyn Fn(&Presence) -> bool| -> Vec<String> {
-        let chosen = ready.iter().filter(|held| fits(held));
-        chosen
-            .take(ADDRESSES)
-            .map(|held| held.callers.clone())
-            .collect()
+    let Some(table) = view.table() else {
+        return Listing::of(Vec::new());
     };
-    let in_zone = within(&|held| held.place.region == region && held.place.zone == zone);
-    let in_region = within(&|held| held.place.region == region);
-    let homes = homes(view, host);
-    let in_homes = within(&|held| homes.is_empty() || homes.contains(&held.place.region));
-    let choices = [in_zone, in_region, in_homes];
-    let enough = |(at, list): &(usize, &Vec<String>)| list.len() >= [ZONE, 1, 1][*at];
-    let found = choices.iter().enumerate().find(enough);
-    Listing {
-        addresses: found.map(|(_, list)| list.clone()).unwrap_or_default(),
-        valid: VALID,
+    let (ready, draining): (Vec<&Presence>, Vec<&Presence>) =
+        view.instances.values().partition(|held| held.ready);
+    let own: Vec<&Presence> = within(&ready, |held| held.place.region == region);
+    let nearest: Vec<&Presence> = within(&own, |held| held.place.zone == zone);
+    if nearest.len() >= ZONE {
+        return Listing::of(nearest);
     }
+    if !own.is_empty() {
+        return Listing::of(own);
+    }
+    let bound: Vec<&Route> = table
+        .routes
+        .iter()
+        .filter(|route| is_bound(route, host))
+        .collect();
+    let open = |region: &str| bound.iter().filter(|route| route.permits(region)).count();
+    let all = within(&ready, |held| open(&held.place.region) == bound.len());
+    if !all.is_empty() {
+        return Listing::of(all);
+    }
+    let staying = within(&draining, |held| held.place.region == region);
+    if !staying.is_empty() {
+        return Listing::of(staying);
+    }
+    let most = ready.iter().map(|held| open(&held.place.region)).max();
+    Listing::of(within(&ready, |held| {
+        Some(open(&held.place.region)) == most
+    }))
 }
 
-/// Returns the regions in which all requests to a host may run; empty for any.
-fn homes(view: &View, host: &str) -> IndexSet<id::Region> {
-    let routes = view.table().map_or(&[][..], |table| &table.routes);
-    let bound = |route: &&Route| route.host == host && !route.homes.is_empty();
-    let mut bound = routes.iter().filter(bound);
-    let Some(first) = bound.next() else {
-        return IndexSet::new();
-    };
-    let mut homes: IndexSet<id::Region> = first.homes.iter().cloned().collect();
-    for route in bound {
-        homes.retain(|home| route.homes.contains(home));
+impl Listing {
+    fn of(instances: Vec<&Presence>) -> Self {
+        let addresses = instances.into_iter().take(ADDRESSES);
+        Self {
+            addresses: addresses.map(|held| held.callers.clone()).collect(),
+            valid: VALID,
+        }
     }
-    homes
+}
+
+fn within<'a>(instances: &[&'a Presence], fits: impl Fn(&Presence) -> bool) -> Vec<&'a Presence> {
+    let fitting = instances.iter().filter(|held| fits(held));
+    fitting.copied().collect()
+}
+
+/// Tells whether a route of a host is bound to homes.
+fn is_bound(route: &Route, host: &str) -> bool {
+    route.host.eq_ignore_ascii_case(host) && !route.homes.is_empty()
 }
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -26,6 +26,7 @@
     job::{Job, Judged},
     run::End,
 };
+use crate::view::Drain;
 
 /// Pause after a failed accept: out of descriptors, most likely, and a loop would spin.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -35,6 +36,12 @@
 /// Time that a caller's connection may rest while this instance drains. Requests already on their way
 /// arrive within it.
 const DRAINING_REST: Duration = Duration::from_millis(1_500);
+/// Time after the order to stop within which callers come who can't know of it: they keep an address
+/// for two seconds, and news of the order takes up to half a second.
+const UNAWARE: Duration = Duration::from_millis(2_800);
+/// Time after which a request comes back that was refused because this instance ends; any other one
+/// takes it at once.
+const AFTER_END: Duration = Duration::from_millis(50);
 /// Time between two looks at whether this instance drains.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -163,6 +170,16 @@
             let mut books = self.books.borrow_mut();
             books.budget(&job.service).request(job.arrived);
         }
+        if self.is_too_late(job) {
+            let refusal = Refusal::Busy(AFTER_END);
+            log_end(
+                job,
+                refusal.outcome().word(),
+                "the instance ends before the request could",
+            );
+            client.refuse(refusal).await?;
+            return Ok(client.keeps_open());
+        }
         let ended = tokio::select! {
             biased;
             ended = self.run(job, client) => ended?,
@@ -185,6 +202,15 @@
         Ok(client.keeps_open())
     }
 
+    /// Tells whether a request might outlast this instance, which drains.
+    ///
+    /// It would be cut in the middle of its answer; told at once, its caller finds another instance. Who
+    /// comes right after the order to stop could not know, and is served as far as time goes.
+    fn is_too_late(&self, job: &Job) -> bool {
+        let late = |drain: Drain| job.arrived > drain.since + UNAWARE && job.deadline > drain.end;
+        self.board.draining().is_some_and(late)
+    }
+
     /// Waits for the first byte of a request; a connection that rests while this instance drains is
     /// let go.
     async fn wait_for_first(&self, reader: &mut Reader, limits: &Limits) -> Result<bool, Error> {
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -1,10 +1,7 @@
 //! What the request path decides on: an immutable view, replaced as a whole.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock},
     time::Instant,
 };
 
@@ -76,11 +73,20 @@
     }
 }
 
+/// The time in which an instance ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Drain {
+    /// When it was told to.
+    pub since: Instant,
+    /// When it ends.
+    pub end: Instant,
+}
+
 /// Where knowledge is published and the request path reads it.
 #[derive(Debug, Clone)]
 pub struct Board {
     view: Arc<ArcSwap<View>>,
-    draining: Arc<AtomicBool>,
+    draining: Arc<OnceLock<Drain>>,
 }
 
 impl Board {
@@ -102,14 +108,19 @@
         self.view.store(Arc::new(view));
     }
 
-    /// Notes that the instance takes no new requests.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// Notes that the instance drains; the first word counts.
+    pub fn drain(&self, drain: Drain) {
+        let _ = self.draining.set(drain);
+    }
+
+    /// Returns since when the instance drains, if it does.
+    pub fn draining(&self) -> Option<Drain> {
+        self.draining.get().copied()
     }
 
-    /// Tells whether the instance takes no new requests.
+    /// Tells whether the instance drains.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.get().is_some()
     }
 
     /// Tells whether callers should be sent here.
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/locate.rs
@@ -0,0 +1,102 @@
+//! Which instances callers are sent to.
+
+use std::sync::Arc;
+
+use zinniastall_gateway::{locate::list, view::View};
+use zinniastall_model::{
+    place::Place,
+    presence::Presence,
+    routing::{Kind, Route, Service, Share, Table},
+};
+use zinniastall_wire::hub::Configuration;
+
+const HOST: &str = "maps.example";
+
+/// Makes a view of instances, named by region and number, each ready or not, and of routes with homes.
+fn view(instances: &[(&str, &str, bool)], homes: &[&[&str]]) -> View {
+    let routes = homes.iter().enumerate().map(|(at, homes)| {
+        let prefix = format!("/{at}/");
+        let share = Share {
+            service: "api".to_owned(),
+            weight: 1,
+        };
+        let mut route = Route::new(&prefix, HOST, &prefix, Kind::Stream).to(share);
+        route.homes = homes.iter().map(|home| (*home).to_owned()).collect();
+        route
+    });
+    let table = Table::new(1, routes.collect(), vec![Service::new("api")]);
+    let mut view = View::new("edge".to_owned(), Place::new("patras", "patras-a"));
+    view.configuration = Some(Arc::new(Configuration {
+        revision: 1,
+        table: Some(table),
+        evacuated: Vec::new(),
+    }));
+    let presences = instances.iter().map(|(region, name, ready)| {
+        let presence = Presence {
+            instance: (*name).to_owned(),
+            incarnation: 1,
+            place: Place::new(*region, format!("{region}-a")),
+            callers: (*name).to_owned(),
+            forward: String::new(),
+            ready: *ready,
+            load: Vec::new(),
+        };
+        ((*name).to_owned(), presence)
+    });
+    view.instances = Arc::new(presences.collect());
+    view
+}
+
+fn named(view: &View) -> Vec<String> {
+    list(view, HOST, "patras", "patras-a").addresses
+}
+
+#[test]
+fn the_callers_own_region_comes_first() {
+    let view = view(
+        &[("patras", "p1", true), ("athens", "a1", true)],
+        &[&["athens"]],
+    );
+    assert_eq!(named(&view), ["p1"]);
+}
+
+/// All instances of a region restart one after the other, and for a moment none of them is ready. Its
+/// callers are sent elsewhere; a region that their requests may not enter would see their bodies.
+#[test]
+fn a_region_without_ready_instances_is_replaced_by_homes_only() {
+    let instances = [
+        ("patras", "p1", false),
+        ("athens", "a1", true),
+        ("thess", "t1", true),
+    ];
+    let both = view(&instances, &[&["athens"], &["athens", "thess"], &[]]);
+    assert_eq!(named(&both), ["a1"]);
+}
+
+/// Two routes of a host have no home in common, and the region's last instance drains. It still
+/// serves; each other region is closed to one of the routes.
+#[test]
+fn a_draining_instance_comes_before_a_region_that_is_closed_to_some() {
+    let instances = [
+        ("patras", "p1", false),
+        ("athens", "a1", true),
+        ("thess", "t1", true),
+    ];
+    let apart = view(&instances, &[&["athens"], &["thess"]]);
+    assert_eq!(named(&apart), ["p1"]);
+}
+
+#[test]
+fn without_homes_any_region_will_do() {
+    let instances = [("athens", "a1", true), ("thess", "t1", true)];
+    assert_eq!(named(&view(&instances, &[&[]])), ["a1", "t1"]);
+}
+
+/// An instance that has just started knows instances before it knows routes, and with them homes. An
+/// answer then could send callers to a region that their requests may not enter.
+#[test]
+fn nobody_is_named_before_routes_are_known() {
+    let mut early = view(&[("athens", "a1", true)], &[&["patras"]]);
+    early.configuration = None;
+    assert!(named(&early).is_empty());
+}
