feat(control): routing tables and zones by the operators' calls, and tests of the repair

Cause: the product's own operators could not publish a routing table or empty a zone; only the adapter could.

Unknown fields in lists of an object given to zinniastall-ctl are refused too. tests/heal.rs: the next step for each way a group is hurt; tests/routing_calls.rs: three disks lost one after the other with real processes, repaired without an operator.

--- a/crates/zinniastall-control/src/rpc/convert.rs
+++ b/crates/zinniastall-control/src/rpc/convert.rs
@@ -1,6 +1,7 @@
 //! Between the schema's types and the model's.
 
 mod object;
+mod routing;
 
 use tonic::Status;
 use zinniastall_api::operator as api;
@@ -9,7 +10,10 @@
     object::{Key, Kind},
 };
 
-pub(super) use self::object::{object, record};
+pub(super) use self::{
+    object::{object, record},
+    routing::{published, routing},
+};
 use crate::control::Reply;
 
 /// A field without which a request makes no sense.
--- /dev/null
+++ b/crates/zinniastall-control/src/rpc/convert/routing.rs
@@ -0,0 +1,149 @@
+//! Routing tables between the schema's types and the model's.
+
+use zinniastall_api::operator as api;
+use zinniastall_model::{
+    routing::{Engine, Kind, Limits, Publication, Route, Service, Share, Table},
+    state::State,
+};
+
+use super::Fault;
+
+/// Words for the kinds of routes.
+const KINDS: [(&str, Kind); 3] = [
+    ("idempotent", Kind::Idempotent),
+    ("once", Kind::Once),
+    ("stream", Kind::Stream),
+];
+
+/// Reads a table that is to be published.
+pub(crate) fn published(table: Option<api::RoutingTable>) -> Result<Publication, Fault> {
+    let table = table.ok_or(Fault::Missing("table"))?;
+    let routes: Result<Vec<Route>, Fault> = table.routes.into_iter().map(rule).collect();
+    Ok(Publication {
+        table: Table {
+            number: table.number,
+            routes: routes?,
+            services: table.services.into_iter().map(service).collect(),
+            limits: limits(&table.limits.unwrap_or_default()),
+        },
+        document: None,
+    })
+}
+
+/// Writes what gateway instances go by.
+pub(crate) fn routing(state: &State) -> api::RoutingResponse {
+    let publication = state.routing.as_ref();
+    api::RoutingResponse {
+        revision: state.revision,
+        table: publication.map(|publication| written(&publication.table)),
+        evacuated: state.evacuated.iter().cloned().collect(),
+    }
+}
+
+fn rule(rule: api::RoutingRule) -> Result<Route, Fault> {
+    let kind = KINDS.iter().find(|(word, _)| *word == rule.kind);
+    let (_, kind) = kind.ok_or(Fault::Malformed("table.routes.kind"))?;
+    let priority = u8::try_from(rule.priority);
+    let split = rule.split.into_iter().map(|share| Share {
+        service: share.service,
+        weight: share.weight,
+    });
+    Ok(Route {
+        name: rule.name,
+        host: rule.host,
+        prefix: rule.prefix,
+        kind: *kind,
+        timeout_ms: rule.timeout_ms,
+        objective_ms: rule.objective_ms,
+        priority: priority.map_err(|_| Fault::Malformed("table.routes.priority"))?,
+        split: split.collect(),
+        attempts: rule.attempts.max(1),
+        sticky: rule.sticky,
+        resumable: rule.resumable,
+        gap_ms: rule.gap_ms,
+        homes: rule.homes,
+    })
+}
+
+fn service(service: api::RoutingService) -> Service {
+    Service {
+        name: service.name,
+        health_path: service.health_path,
+        connections: service.connections,
+        cold_ms: service.cold_ms,
+        cold_rate_milli: service.cold_rate_milli,
+        engine: service.engine.map(|engine| Engine {
+            slots: engine.slots,
+            tokens: engine.tokens,
+            stride: engine.stride,
+        }),
+    }
+}
+
+fn limits(limits: &api::CallerLimits) -> Limits {
+    let own = Limits::default();
+    let bytes = |value: u64, own: usize| match value {
+        0 => own,
+        value => usize::try_from(value).unwrap_or(usize::MAX),
+    };
+    let millis = |value: u64, own: u64| if value == 0 { own } else { value };
+    Limits {
+        head_bytes: bytes(limits.head_bytes, own.head_bytes),
+        body_bytes: bytes(limits.body_bytes, own.body_bytes),
+        head_ms: millis(limits.head_ms, own.head_ms),
+        idle_ms: millis(limits.idle_ms, own.idle_ms),
+    }
+}
+
+fn written(table: &Table) -> api::RoutingTable {
+    let limits = &table.limits;
+    api::RoutingTable {
+        number: table.number,
+        routes: table.routes.iter().map(written_rule).collect(),
+        services: table.services.iter().map(written_service).collect(),
+        limits: Some(api::CallerLimits {
+            head_bytes: limits.head_bytes as u64,
+            body_bytes: limits.body_bytes as u64,
+            head_ms: limits.head_ms,
+            idle_ms: limits.idle_ms,
+        }),
+    }
+}
+
+fn written_rule(route: &Route) -> api::RoutingRule {
+    let word = KINDS.iter().find(|(_, kind)| *kind == route.kind);
+    let split = route.split.iter().map(|share| api::RoutingShare {
+        service: share.service.clone(),
+        weight: share.weight,
+    });
+    api::RoutingRule {
+        name: route.name.clone(),
+        host: route.host.clone(),
+        prefix: route.prefix.clone(),
+        kind: word.map_or("", |(word, _)| word).to_owned(),
+        timeout_ms: route.timeout_ms,
+        objective_ms: route.objective_ms,
+        priority: route.priority.into(),
+        split: split.collect(),
+        attempts: route.attempts,
+        sticky: route.sticky,
+        resumable: route.resumable,
+        gap_ms: route.gap_ms,
+        homes: route.homes.clone(),
+    }
+}
+
+fn written_service(service: &Service) -> api::RoutingService {
+    api::RoutingService {
+        name: service.name.clone(),
+        health_path: service.health_path.clone(),
+        connections: service.connections,
+        cold_ms: service.cold_ms,
+        cold_rate_milli: service.cold_rate_milli,
+        engine: service.engine.as_ref().map(|engine| api::RoutingEngine {
+            slots: engine.slots,
+            tokens: engine.tokens,
+            stride: engine.stride,
+        }),
+    }
+}
--- a/crates/zinniastall-control/src/rpc/operators.rs
+++ b/crates/zinniastall-control/src/rpc/operators.rs
@@ -69,6 +69,16 @@
         Ok(Response::new(convert::response(reply)))
     }
 
+    /// Writes a change that does the same however often it is sent.
+    async fn order(&self, body: Body) -> Answer<api::ChangeResponse> {
+        let change = Change {
+            origin: None,
+            expected: None,
+            body,
+        };
+        self.write(change, 0).await
+    }
+
     async fn read(&self, revision: id::Revision) -> Result<Look, Status> {
         let later = self.control.send(Read { revision }).await.map_err(gone)?;
         later
@@ -213,6 +223,32 @@
         let change = convert::unchecked(command, Body::Retire(request.instance));
         self.write(change, 0).await
     }
+
+    async fn publish(&self, request: Request<api::PublishRequest>) -> Answer<api::ChangeResponse> {
+        let publication = convert::published(request.into_inner().table)?;
+        self.order(Body::Publish(Box::new(publication))).await
+    }
+
+    async fn routing(&self, _: Request<api::RoutingRequest>) -> Answer<api::RoutingResponse> {
+        let state = self.read(0).await?.state;
+        Ok(Response::new(convert::routing(&state)))
+    }
+
+    async fn evacuate(
+        &self,
+        request: Request<api::EvacuateRequest>,
+    ) -> Answer<api::ChangeResponse> {
+        let request = request.into_inner();
+        if request.zone.is_empty() {
+            return Err(convert::Fault::Missing("zone").into());
+        }
+        let body = if request.reopen {
+            Body::Reopen(request.zone)
+        } else {
+            Body::Evacuate(request.zone)
+        };
+        self.order(body).await
+    }
 }
 
 fn gone(_: MailboxError) -> Status {
--- /dev/null
+++ b/crates/zinniastall-control/tests/heal.rs
@@ -0,0 +1,176 @@
+//! Which step repairs a group next.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use zinniastall_control::control::next_step;
+use zinniastall_coord::{
+    Id,
+    replica::{Part, Peer, Status},
+    voters::{Change, Voters},
+};
+
+const OWN: Id = 1;
+
+/// How a leader sees a member.
+#[derive(Clone, Copy)]
+enum Seen {
+    Whole,
+    Behind,
+    Silent(u64),
+}
+
+/// Makes the status of a leader that sees these voters and learners, each at an address.
+fn status(voters: &[(Id, &str, Seen)], learners: &[(Id, &str, Seen)]) -> Status {
+    let set = |members: &[(Id, &str, Seen)]| {
+        let member = |(id, address, _): &(Id, &str, Seen)| (*id, (*address).to_owned());
+        members.iter().map(member).collect()
+    };
+    let peers = voters.iter().chain(learners).filter(|(id, ..)| *id != OWN);
+    let peers = peers.map(|(id, _, seen)| {
+        let (matched, silent) = match seen {
+            Seen::Whole => (100, 0),
+            Seen::Behind => (10, 0),
+            Seen::Silent(seconds) => (90, *seconds),
+        };
+        let silent = Duration::from_secs(silent);
+        let peer = Peer {
+            matched,
+            silent: Some(silent),
+            reachable: silent.is_zero(),
+        };
+        (*id, peer)
+    });
+    Status {
+        id: OWN,
+        cluster: Some([7; 16]),
+        part: Part::Leader,
+        term: 3,
+        leader: Some(OWN),
+        commit: 100,
+        applied: 100,
+        last: 100,
+        peers: peers.collect(),
+        voters: Voters {
+            voters: set(voters),
+            learners: set(learners),
+        },
+        voters_index: 50,
+        removed: false,
+        lease_until: None,
+    }
+}
+
+fn asking(replicas: &[(Id, &str)]) -> IndexMap<Id, String> {
+    let replica = |(id, address): &(Id, &str)| (*id, (*address).to_owned());
+    replicas.iter().map(replica).collect()
+}
+
+const WHOLE: [(Id, &str, Seen); 3] = [
+    (OWN, "a", Seen::Whole),
+    (2, "b", Seen::Whole),
+    (3, "c", Seen::Whole),
+];
+
+#[test]
+fn a_whole_group_is_left_alone() {
+    assert_eq!(next_step(&status(&WHOLE, &[]), &asking(&[])), None);
+    assert_eq!(next_step(&status(&WHOLE, &[]), &asking(&[(2, "b")])), None);
+}
+
+/// A replica is down for half a minute and will come back with its disk. Two of three voters are a
+/// majority with it as without; to take it out would cost it the way back.
+#[test]
+fn a_silent_voter_of_an_odd_set_stays() {
+    let mut voters = WHOLE;
+    voters[2].2 = Seen::Silent(30);
+    assert_eq!(next_step(&status(&voters, &[]), &asking(&[])), None);
+}
+
+/// A disk is lost: the same address under another id. Admitted, caught up, promoted; then the one that
+/// it replaces goes.
+#[test]
+fn a_lost_disk_is_replaced_step_by_step() {
+    let mut voters = WHOLE;
+    voters[2].2 = Seen::Silent(2);
+    let fresh = asking(&[(9, "c")]);
+    let admit = Change::Admit {
+        id: 9,
+        address: "c".to_owned(),
+    };
+    assert_eq!(next_step(&status(&voters, &[]), &fresh), Some(admit));
+    let behind = [(9, "c", Seen::Behind)];
+    assert_eq!(
+        next_step(&status(&voters, &behind), &fresh),
+        None,
+        "it must catch up first"
+    );
+    let whole = [(9, "c", Seen::Whole)];
+    let promote = Change::Promote { id: 9 };
+    assert_eq!(next_step(&status(&voters, &whole), &fresh), Some(promote));
+    let mut four = voters.to_vec();
+    four.push((9, "c", Seen::Whole));
+    let remove = Change::Remove { id: 3 };
+    assert_eq!(next_step(&status(&four, &[]), &asking(&[])), Some(remove));
+}
+
+/// A machine is gone for good and a new one comes at another address. The old one is taken out once it
+/// has been silent for longer than a restart takes, and not before.
+#[test]
+fn a_machine_that_is_gone_makes_room() {
+    let four = |seconds| {
+        let mut voters = WHOLE.to_vec();
+        voters[1].2 = Seen::Silent(seconds);
+        voters.push((9, "d", Seen::Whole));
+        next_step(&status(&voters, &[]), &asking(&[]))
+    };
+    assert_eq!(four(3), None);
+    assert_eq!(four(7), Some(Change::Remove { id: 2 }));
+}
+
+/// A machine that was admitted dies before it has caught up, and another one asks.
+#[test]
+fn a_learner_that_is_gone_is_forgotten() {
+    let gone = [(8, "d", Seen::Silent(9))];
+    let remove = Change::Remove { id: 8 };
+    assert_eq!(
+        next_step(&status(&WHOLE, &gone), &asking(&[(9, "e")])),
+        Some(remove)
+    );
+}
+
+/// A group of two is never reduced: the one that is left could not know whether the other goes on.
+#[test]
+fn two_voters_stay_two() {
+    let voters = [(OWN, "a", Seen::Whole), (2, "b", Seen::Silent(60))];
+    assert_eq!(next_step(&status(&voters, &[]), &asking(&[])), None);
+}
+
+/// Whatever is lost, a step never leaves fewer voters that answer than a majority needs.
+#[test]
+fn no_step_takes_the_majority_away() {
+    let ids: [Id; 6] = [1, 2, 3, 4, 5, 6];
+    let names = ["a", "b", "c", "d", "e", "f"];
+    for size in 3..=6 {
+        for silent in 0..1_u32 << (size - 1) {
+            let voters: Vec<(Id, &str, Seen)> = (0..size)
+                .map(|at| {
+                    let is_silent = at > 0 && silent >> (at - 1) & 1 == 1;
+                    let seen = if is_silent {
+                        Seen::Silent(60)
+                    } else {
+                        Seen::Whole
+                    };
+                    (ids[at], names[at], seen)
+                })
+                .collect();
+            let status = status(&voters, &[]);
+            let Some(change) = next_step(&status, &asking(&[])) else {
+                continue;
+            };
+            let after = status.voters.after(&change).expect("the step fits");
+            let lost = voters.iter().find(|(id, ..)| !after.is_voter(*id));
+            assert!(lost.is_some_and(|(.., seen)| matches!(seen, Seen::Silent(_))));
+        }
+    }
+}
--- a/crates/zinniastall-ctl/src/arguments.rs
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -34,6 +34,11 @@
   replica promote ID            make a learner that has caught up a voter
   replica remove ID             remove a replica
   retire INSTANCE               declare an entry instance gone for certain
+  publish TABLE                 replace the gateways' routing table, if its number is higher;
+                                TABLE is JSON, a file, or -
+  routing                       print the routing table and the evacuated zones
+  evacuate ZONE                 let no new request go to the targets of a zone
+  reopen ZONE                   take an evacuation back
 
 Kinds: client, route, model, adapter, residency, role.
 
@@ -205,11 +210,19 @@
         "histograms" => Call::Histograms(words.next().unwrap_or_default()),
         "replica" => replica(&mut word)?,
         "retire" => Call::Retire(word("an instance")?),
+        "publish" => Call::Publish(input::table(&word("a routing table")?)?),
+        "routing" => Call::Routing,
+        "evacuate" => evacuate(word("a zone")?, false),
+        "reopen" => evacuate(word("a zone")?, true),
         _ => return Err(Error::Call(name)),
     };
     words.next().map_or(Ok(call), |word| Err(Error::Left(word)))
 }
 
+const fn evacuate(zone: String, reopen: bool) -> Call {
+    Call::Evacuate { zone, reopen }
+}
+
 fn replica(word: &mut impl FnMut(&'static str) -> Result<String, Error>) -> Result<Call, Error> {
     let name = word("a step")?;
     let step = Step::parse(&name).filter(|step| *step != Step::Unspecified);
--- a/crates/zinniastall-ctl/src/call.rs
+++ b/crates/zinniastall-ctl/src/call.rs
@@ -1,6 +1,6 @@
 //! The calls.
 
-use zinniastall_api::operator::{Command, Kind, Object, Step};
+use zinniastall_api::operator::{Command, Kind, Object, RoutingTable, Step};
 
 /// One call and what it needs.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,6 +32,17 @@
     Replica(Replica),
     /// Declares an entry instance gone for certain.
     Retire(String),
+    /// Replaces the routing table of gateway instances.
+    Publish(RoutingTable),
+    /// Prints the routing table and the evacuated zones.
+    Routing,
+    /// Lets no new request go to the targets of a zone, or takes that back.
+    Evacuate {
+        /// Availability zone.
+        zone: String,
+        /// Whether it is taken back.
+        reopen: bool,
+    },
 }
 
 /// What to watch.
--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -176,7 +176,8 @@
     SystemStatus,
     InstanceStatus,
     ChangeStatus,
-    HistogramsResponse
+    HistogramsResponse,
+    RoutingResponse
 );
 
 impl<T> Answer for tonic::Streaming<T> {}
--- a/crates/zinniastall-ctl/src/input.rs
+++ b/crates/zinniastall-ctl/src/input.rs
@@ -2,8 +2,9 @@
 
 use std::{fs, io};
 
+use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
-use zinniastall_api::operator::Object;
+use zinniastall_api::operator::{Object, RoutingTable};
 
 /// Why an object can't be read.
 #[derive(Debug, thiserror::Error)]
@@ -33,19 +34,31 @@
 ///
 /// [`Fault`] says what is wrong.
 pub fn object(argument: &str) -> Result<Object, Fault> {
+    parse(&text(argument)?)
+}
+
+/// Reads a routing table from inline JSON, a file name, or `-` for standard input.
+///
+/// # Errors
+///
+/// [`Fault`] says what is wrong.
+pub fn table(argument: &str) -> Result<RoutingTable, Fault> {
+    understood(&text(argument)?)
+}
+
+fn text(argument: &str) -> Result<String, Fault> {
     if argument.trim_start().starts_with('{') {
-        return parse(argument);
+        return Ok(argument.to_owned());
     }
     let text = if argument == "-" {
         io::read_to_string(io::stdin())
     } else {
         fs::read_to_string(argument)
     };
-    let text = text.map_err(|error| Fault::Unreadable {
+    text.map_err(|error| Fault::Unreadable {
         path: argument.to_owned(),
         error,
-    })?;
-    parse(&text)
+    })
 }
 
 /// Parses the JSON of an object.
@@ -54,20 +67,29 @@
 ///
 /// [`Fault`] says what is wrong; an unknown field is a fault, since it is a misspelt one as a rule.
 pub fn parse(text: &str) -> Result<Object, Fault> {
-    let given: Value = serde_json::from_str(text)?;
-    let object: Object = serde_json::from_value(given.clone())?;
-    let understood = serde_json::to_value(&object)?;
-    if let Some(field) = unknown(&given, &understood, "") {
-        return Err(Fault::Unknown(field));
-    }
+    let object: Object = understood(text)?;
     if object.object.is_none() {
         return Err(Fault::Kind);
     }
     Ok(object)
 }
 
+/// Parses JSON all of whose fields have to be understood.
+fn understood<T: Serialize + DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    let given: Value = serde_json::from_str(text)?;
+    let read: T = serde_json::from_value(given.clone())?;
+    match unknown(&given, &serde_json::to_value(&read)?, "") {
+        Some(field) => Err(Fault::Unknown(field)),
+        None => Ok(read),
+    }
+}
+
 /// Finds a field that was given and not understood.
 fn unknown(given: &Value, understood: &Value, path: &str) -> Option<String> {
+    if let (Some(given), Some(understood)) = (given.as_array(), understood.as_array()) {
+        let mut items = given.iter().zip(understood);
+        return items.find_map(|(given, own)| unknown(given, own, path));
+    }
     let given = given.as_object()?;
     for (field, value) in given {
         let path = format!("{path}.{field}");
--- a/crates/zinniastall-ctl/src/run.rs
+++ b/crates/zinniastall-ctl/src/run.rs
@@ -8,8 +8,9 @@
     metadata,
     operator::{
         ApplyRequest, BootstrapRequest, ChangeRequest, ChangeResponse, Command, DeleteRequest,
-        Event, GetRequest, HistogramsRequest, InstanceRequest, Kind, ListRequest, Object,
-        ReplicaRequest, RetireRequest, StatusRequest, SystemStatus, WatchRequest, object,
+        EvacuateRequest, Event, GetRequest, HistogramsRequest, InstanceRequest, Kind, ListRequest,
+        Object, PublishRequest, ReplicaRequest, RetireRequest, RoutingRequest, StatusRequest,
+        SystemStatus, WatchRequest, object,
     },
 };
 
@@ -41,7 +42,12 @@
     eprintln!("zinniastall-ctl: {fault}");
     let writes = matches!(
         order.call,
-        Call::Apply(_) | Call::Delete(..) | Call::Retire(_) | Call::Replica(_)
+        Call::Apply(_)
+            | Call::Delete(..)
+            | Call::Retire(_)
+            | Call::Replica(_)
+            | Call::Publish(_)
+            | Call::Evacuate { .. }
     );
     match fault {
         Fault::Refused(status) if status.code() == Code::InvalidArgument => Verdict::Invalid,
@@ -106,6 +112,25 @@
             let call = async |mut client: Client| client.retire(request.clone()).await;
             Ok(conclude(order, &group.call(unwrapped(call)).await?))
         }
+        Call::Publish(table) => {
+            let request = PublishRequest {
+                table: Some(table.clone()),
+            };
+            let call = async |mut client: Client| client.publish(request.clone()).await;
+            Ok(conclude(order, &group.call(unwrapped(call)).await?))
+        }
+        Call::Routing => {
+            let call = async |mut client: Client| client.routing(RoutingRequest {}).await;
+            Ok(show(&group.call(unwrapped(call)).await?))
+        }
+        Call::Evacuate { zone, reopen } => {
+            let request = EvacuateRequest {
+                zone: zone.clone(),
+                reopen: *reopen,
+            };
+            let call = async |mut client: Client| client.evacuate(request.clone()).await;
+            Ok(conclude(order, &group.call(unwrapped(call)).await?))
+        }
     }
 }
 
--- /dev/null
+++ b/tests/tests/routing_calls.rs
@@ -0,0 +1,143 @@
+//! Routing tables and evacuations by the operators' calls, and a group that repairs itself, with real
+//! processes.
+
+use serde_json::{Value, json};
+use zinniastall_tests::{Result, cluster::Cluster, wait};
+
+/// Exit code of an invalid object.
+const INVALID: Option<i32> = Some(6);
+
+fn table(number: u64, service: &str) -> Value {
+    json!({
+        "number": number,
+        "routes": [{
+            "name": "plans", "host": "maps.example", "prefix": "/plans/", "kind": "idempotent",
+            "timeout_ms": 5_000, "objective_ms": 300, "attempts": 2,
+            "split": [{"service": service, "weight": 1}],
+        }],
+        "services": [{"name": "api"}, {"name": "other"}],
+    })
+}
+
+async fn publish(cluster: &Cluster, table: &Value) -> Result<Value> {
+    cluster.ctl(&["publish", &table.to_string()]).await?.json()
+}
+
+async fn held(cluster: &Cluster) -> Result<(u64, Value)> {
+    let routing = cluster.ctl(&["routing"]).await?.json()?;
+    let number = routing["table"]["number"].as_u64().unwrap_or_default();
+    let service = routing["table"]["routes"][0]["split"][0]["service"].clone();
+    Ok((number, service))
+}
+
+/// The highest number is in force. A lower or equal one, resent or from a second operator, is accepted
+/// and changes nothing.
+#[actix_rt::test]
+async fn the_highest_table_is_in_force() -> Result<()> {
+    let cluster = Cluster::builder().zone("patras", "a", 1).start().await?;
+    publish(&cluster, &table(7, "api")).await?;
+    for stale in [table(7, "other"), table(6, "other"), table(7, "api")] {
+        let answer = publish(&cluster, &stale).await?;
+        assert_eq!(answer["outcome"], "accepted", "{answer}");
+        assert_eq!(held(&cluster).await?, (7, json!("api")));
+    }
+    publish(&cluster, &table(12, "other")).await?;
+    assert_eq!(held(&cluster).await?, (12, json!("other")));
+    Ok(())
+}
+
+/// A table that contradicts itself is refused as a whole, with the reason, and nothing of it is in force.
+#[actix_rt::test]
+async fn an_invalid_table_is_refused_whole() -> Result<()> {
+    let cluster = Cluster::builder().zone("patras", "a", 1).start().await?;
+    publish(&cluster, &table(7, "api")).await?;
+    let mut weightless = table(9, "api");
+    weightless["routes"][0]["split"][0]["weight"] = json!(0);
+    let mut timeless = table(9, "api");
+    timeless["routes"][0]["timeout_ms"] = json!(0);
+    let mut doubled = table(9, "api");
+    let route = doubled["routes"][0].clone();
+    if let Some(routes) = doubled["routes"].as_array_mut() {
+        routes.push(route);
+    }
+    let mut misspelt = table(9, "api");
+    misspelt["routes"][0]["tiemout_ms"] = json!(1);
+    let faults = [
+        (table(9, "nobody"), "unknown service"),
+        (weightless, "add up to 0"),
+        (timeless, "timeout of 0"),
+        (doubled, "share host and prefix"),
+    ];
+    for (table, reason) in faults {
+        let run = cluster.ctl(&["publish", &table.to_string()]).await?;
+        assert_eq!(run.code, INVALID, "{reason}");
+        let answer = run.answer();
+        assert!(
+            answer["reason"]
+                .as_str()
+                .unwrap_or_default()
+                .contains(reason),
+            "{answer}"
+        );
+    }
+    let run = cluster.ctl(&["publish", &misspelt.to_string()]).await?;
+    assert_eq!(run.code, Some(2), "an unknown field is a usage error");
+    assert_eq!(held(&cluster).await?, (7, json!("api")));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn zones_are_evacuated_and_reopened() -> Result<()> {
+    let cluster = Cluster::builder().zone("patras", "a", 1).start().await?;
+    let evacuated = async || -> Result<Value> {
+        Ok(cluster.ctl(&["routing"]).await?.json()?["evacuated"].clone())
+    };
+    for _ in 0..2 {
+        cluster.ctl(&["evacuate", "patras-b"]).await?.json()?;
+        assert_eq!(evacuated().await?, json!(["patras-b"]));
+    }
+    for _ in 0..2 {
+        cluster.ctl(&["reopen", "patras-b"]).await?.json()?;
+        assert_eq!(evacuated().await?, json!([]));
+    }
+    Ok(())
+}
+
+/// A replica loses its disk and starts again empty, at its old address. Nobody is there to take it in.
+/// Were it to vote under its old name, it would have forgotten what it acknowledged; were it left out,
+/// the next loss would stop the group. Then the next one loses its disk.
+#[actix_rt::test]
+async fn lost_disks_are_repaired_without_an_operator() -> Result<()> {
+    let builder = Cluster::builder().zone("patras", "a", 1).replicas(3);
+    let builder = builder.control(json!({"group": {"heals": true}}));
+    let mut cluster = builder.start().await?;
+    cluster.next_loss_safe(true).await?;
+    let mut number = 10;
+    for lost in ["control-2", "control-3", "control-1"] {
+        let before = cluster.replica_id(lost).await?;
+        number += 1;
+        publish(&cluster, &table(number, "api")).await?;
+        cluster.wipe(lost).await?;
+        wait::until(
+            "the group has three voters again, all of them new or whole",
+            async || {
+                let status = cluster.ctl(&["status"]).await.ok()?.json().ok()?;
+                let replicas = status["replicas"].as_array()?;
+                let voters = replicas.iter().filter(|replica| replica["voter"] == true);
+                let ids: Vec<&str> = voters
+                    .filter_map(|replica| replica["id"].as_str())
+                    .collect();
+                let whole =
+                    ids.len() == 3 && replicas.len() == 3 && !ids.contains(&before.as_str());
+                (whole && status["next_loss_safe"] == true).then_some(())
+            },
+        )
+        .await?;
+        assert_eq!(
+            held(&cluster).await?,
+            (number, json!("api")),
+            "after {lost} was lost"
+        );
+    }
+    Ok(())
+}
