feat(ctl): explain a request from logs; figures for scrapers; logs that never block

Cause: on-call engineers have only logs and metrics; gateway instances logged failures alone, on a blocking writer, and control's figures were reachable by its own calls only.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -42,7 +42,7 @@
     entries::Heard,
     found::{Bootstrap, Founded, Refused},
     group::Regroup,
-    heal::{Members, Reseed, next_step},
+    heal::{Glance, Glimpse, Members, Reseed, next_step},
     read::{Look, Read},
     reply::{Later, NotLeader, Reply},
     start::{Failure, Start, StartFault},
--- a/crates/zinniastall-control/src/control/heal.rs
+++ b/crates/zinniastall-control/src/control/heal.rs
@@ -207,6 +207,34 @@
     }
 }
 
+/// Asks how the replica is, for its figures.
+#[derive(Debug, Message)]
+#[rtype(result = "Glimpse")]
+pub struct Glance;
+
+/// How a replica is.
+#[derive(Debug, Clone)]
+pub struct Glimpse {
+    /// The consensus.
+    pub status: Status,
+    /// Configuration as it is committed.
+    pub revision: u64,
+    /// Batches that wait for the disk.
+    pub unsynced: u64,
+}
+
+impl Handler<Glance> for Control {
+    type Result = MessageResult<Glance>;
+
+    fn handle(&mut self, _: Glance, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(Glimpse {
+            status: self.replica.status(Instant::now()),
+            revision: self.machine.state().revision,
+            unsynced: self.handed.saturating_sub(self.synced),
+        })
+    }
+}
+
 /// Asks for the addresses of the links of the group's replicas.
 #[derive(Debug, Message)]
 #[rtype(result = "Vec<Address>")]
--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -36,7 +36,7 @@
 
 /// Runs a control instance until it is told to stop.
 pub fn run(settings: settings::Control) -> ExitCode {
-    log::start(&settings.log);
+    let _log = log::start(&settings.log);
     let system = actix::System::new();
     let served = system.block_on(serve(Arc::new(settings)));
     match served {
--- a/crates/zinniastall-control/src/lib.rs
+++ b/crates/zinniastall-control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod daemon;
 pub mod disk;
+pub mod figures;
 pub mod hub;
 pub mod links;
 pub mod orders;
--- a/crates/zinniastall-ctl/src/arguments.rs
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     call::{Call, Order, Replica, Watch},
+    explain::Question,
     input,
 };
 
@@ -39,6 +40,8 @@
   routing                       print the routing table and the evacuated zones
   evacuate ZONE                 let no new request go to the targets of a zone
   reopen ZONE                   take an evacuation back
+  explain ID [LOG...]           tell the story of a request from the logs of all processes, or
+                                from standard input; needs no --address
 
 Kinds: client, route, model, adapter, residency, role.
 
@@ -53,6 +56,7 @@
   --after N         watch: print changes after this revision (default: 0)
   --count N         watch: end after that many changes
   --timeout MS      give up after that long (default: 15000)
+  --json            explain: print JSON instead of text
   -h, --help        print this text
   -V, --version     print the version
 
@@ -67,6 +71,8 @@
 pub enum Action {
     /// Runs one call.
     Run(Box<Order>),
+    /// Tells the story of a request from logs.
+    Explain(Question),
     /// Prints the help text.
     Help,
     /// Prints the version.
@@ -119,6 +125,7 @@
     local: bool,
     count: Option<usize>,
     timeout: Option<Duration>,
+    json: bool,
 }
 
 impl Action {
@@ -144,6 +151,7 @@
                 Long("expected") => options.expected = Some(parser.value()?.parse()?),
                 Long("wait") => options.wait_ms = parser.value()?.parse()?,
                 Long("local") => options.local = true,
+                Long("json") => options.json = true,
                 Long("after") => options.after = parser.value()?.parse()?,
                 Long("count") => options.count = Some(parser.value()?.parse()?),
                 Long("timeout") => {
@@ -153,10 +161,22 @@
                 other => return Err(other.unexpected().into()),
             }
         }
+        if words.first().is_some_and(|word| word == "explain") {
+            return Ok(Self::Explain(question(&options, words)?));
+        }
         Ok(Self::Run(Box::new(order(options, words)?)))
     }
 }
 
+fn question(options: &Options, words: Vec<String>) -> Result<Question, Error> {
+    let mut words = words.into_iter().skip(1);
+    Ok(Question {
+        id: words.next().ok_or(Error::Argument("the id of a request"))?,
+        logs: words.collect(),
+        json: options.json,
+    })
+}
+
 fn order(options: Options, words: Vec<String>) -> Result<Order, Error> {
     let call = call(&options, words)?;
     if options.addresses.is_empty() {
--- a/crates/zinniastall-ctl/src/main.rs
+++ b/crates/zinniastall-ctl/src/main.rs
@@ -4,7 +4,7 @@
 
 use zinniastall_ctl::{
     arguments::{Action, HELP},
-    run,
+    explain, run,
     verdict::Verdict,
 };
 
@@ -13,6 +13,7 @@
         Ok(Action::Help) => print(HELP),
         Ok(Action::Version) => print(concat!("zinniastall-ctl ", env!("CARGO_PKG_VERSION"))),
         Ok(Action::Run(order)) => run::run(&order).into(),
+        Ok(Action::Explain(question)) => explain::run(&question).into(),
         Err(error) => {
             eprintln!("zinniastall-ctl: {error}");
             eprintln!("Try 'zinniastall-ctl --help'.");
--- /dev/null
+++ b/crates/zinniastall-ctl/tests/explain.rs
@@ -0,0 +1,128 @@
+//! Stories of requests, told from kept logs of real runs.
+
+use std::{fs, path::PathBuf, process::Command};
+
+use serde_json::Value;
+use zinniastall_ctl::explain::{line::Line, read, tell};
+
+fn kept(name: &str) -> PathBuf {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../../docs/operations").join(name)
+}
+
+/// Returns the id of the request that a kept log is about.
+fn id(log: &str) -> String {
+    let text = fs::read_to_string(kept(log)).expect("the log is kept");
+    let lines = read(text.as_bytes()).expect("the log can be read");
+    let line = lines.iter().find(|line| !line.field("id").is_empty());
+    line.expect("a line has an id").field("id").to_owned()
+}
+
+/// Runs the command that the page shows.
+fn explain(log: &str) -> Value {
+    let output = Command::new(env!("CARGO_BIN_EXE_zinniastall-ctl"))
+        .args(["--json", "explain", &id(log)])
+        .arg(kept(log))
+        .output()
+        .expect("the command runs");
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).expect("the story is JSON")
+}
+
+fn step<'a>(story: &'a Value, event: &str) -> &'a Value {
+    let steps = story["steps"].as_array().expect("a story has steps");
+    let step = steps.iter().find(|step| step["event"] == event);
+    step.unwrap_or_else(|| panic!("no {event} in {story}"))
+}
+
+fn number(step: &Value, field: &str) -> u64 {
+    let text = step["fields"][field].as_str().expect("the field is there");
+    text.parse().expect("the field is a number")
+}
+
+/// A user complains of a 503. The log says that the wait at the best target was longer than the
+/// objective, and when the request should have come back.
+#[test]
+fn a_refusal_names_the_queue() {
+    let story = explain("refused.log");
+    assert_eq!(story["end"], "not-sent");
+    let given_up = step(&story, "given-up");
+    assert!(number(given_up, "wait_ms") * 10 > number(given_up, "objective_ms") * 8);
+    assert!(number(given_up, "retry_after_ms") > 0);
+}
+
+/// A user complains of a 502. The log names the target that closed without an answer.
+#[test]
+fn an_unknown_outcome_names_the_target() {
+    let story = explain("unknown.log");
+    assert_eq!(story["end"], "unknown");
+    let attempt = step(&story, "attempt");
+    let outcome = attempt["fields"]["outcome"].as_str().unwrap_or_default();
+    assert!(["unknown", "broken"].contains(&outcome), "{story}");
+    assert_eq!(
+        step(&story, "placed")["fields"]["place"],
+        attempt["fields"]["place"]
+    );
+}
+
+/// A user complains of a late answer. The log shows that it went to another region and for how long it
+/// waited there.
+#[test]
+fn a_late_answer_names_its_way() {
+    let story = explain("late.log");
+    assert_eq!(step(&story, "placed")["fields"]["far"], "true");
+    let mut ended = story["steps"].as_array().expect("steps").iter();
+    let ended = ended
+        .rfind(|step| step["event"] == "request-ended")
+        .expect("an end");
+    assert!(
+        number(ended, "first_ms") > number(ended, "objective_ms"),
+        "{story}"
+    );
+}
+
+#[test]
+fn a_request_that_no_line_names_is_told_apart() {
+    assert_eq!(
+        tell(
+            "nobody",
+            &read(&b"ts=1 event=x id=other"[..]).expect("a log")
+        ),
+        None
+    );
+}
+
+/// Collectors put a time and a process before a line, or a process, or nothing.
+#[test]
+fn lines_are_read_with_and_without_a_prefix() {
+    let own = "ts=2026-07-27T15:14:47.500Z level=info event=placed id=a why=\"two words\"";
+    let line = |text: &str| Line::parse(text).expect("a line");
+    let bare = line(own);
+    assert_eq!(
+        (bare.event(), bare.field("why"), bare.process.as_str()),
+        ("placed", "two words", "")
+    );
+    let named = line(&format!("edge-1 {own}"));
+    assert_eq!((named.process.as_str(), named.at), ("edge-1", bare.at));
+    let timed = line(&format!("  -9.25 edge-1 {own}"));
+    assert_eq!((timed.process.as_str(), timed.at), ("edge-1", -9.25));
+    assert_eq!(Line::parse("no line of a log"), None);
+}
+
+/// What a process came to believe of the target that the request met is part of its story; what it came
+/// to believe of others, or what other processes believe, is not.
+#[test]
+fn beliefs_are_told_where_they_matter() {
+    let log = "\
+        1.0 edge-1 ts=1 event=target target=t1 state=ready\n\
+        1.1 edge-1 ts=1 event=target target=t2 state=ready\n\
+        1.2 edge-2 ts=1 event=target target=t1 state=ready\n\
+        2.0 edge-1 ts=1 event=placed id=a place=t1\n\
+        2.5 edge-1 ts=1 event=target-out target=t1 why=unknown\n\
+        3.0 edge-1 ts=1 event=request-ended id=a outcome=unknown\n\
+        4.0 edge-1 ts=1 event=target target=t1 state=gone\n";
+    let story = tell("a", &read(log.as_bytes()).expect("a log")).expect("a story");
+    let events: Vec<&str> = story.steps.iter().map(|step| step.event.as_str()).collect();
+    assert_eq!(events, ["target", "placed", "target-out", "request-ended"]);
+    assert_eq!(story.end.as_deref(), Some("unknown"));
+}
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -32,7 +32,7 @@
 
 /// Runs an entry instance until it is told to stop.
 pub fn run(settings: Entry) -> ExitCode {
-    log::start(&settings.log);
+    let _log = log::start(&settings.log);
     match actix::System::new().block_on(serve(settings)) {
         Ok(()) => ExitCode::from(cli::EXIT_OK),
         Err(error) => {
--- a/crates/zinniastall-gateway/src/books.rs
+++ b/crates/zinniastall-gateway/src/books.rs
@@ -30,6 +30,7 @@
     bound: Bound,
     targets: IndexMap<id::Target, Account>,
     services: IndexMap<id::Service, Budget>,
+    shut_regions: IndexMap<(id::Region, id::Service), Instant>,
 }
 
 /// What is known of one target.
@@ -66,6 +67,7 @@
             bound,
             targets: IndexMap::new(),
             services: IndexMap::new(),
+            shut_regions: IndexMap::new(),
         }
     }
 
@@ -100,6 +102,20 @@
             .or_insert_with(|| Budget::new(bound))
     }
 
+    /// Notes that another region took no request for a service.
+    pub fn shut_region(&mut self, region: &str, service: &str, until: Instant) {
+        let key = (region.to_owned(), service.to_owned());
+        self.shut_regions.insert(key, until);
+    }
+
+    /// Tells whether another region is known to take no request for a service now.
+    pub fn is_region_shut(&self, region: &str, service: &str, now: Instant) -> bool {
+        let key = (region.to_owned(), service.to_owned());
+        self.shut_regions
+            .get(&key)
+            .is_some_and(|until| *until > now)
+    }
+
     /// Returns the requests at targets, by service.
     pub fn load(&self) -> Vec<Load> {
         let mut loads: IndexMap<&str, Load> = IndexMap::new();
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -22,6 +22,7 @@
 use zinniastall_wire::hello::{Hello, Purpose, VERSION};
 
 use crate::{
+    figures::Figures,
     knowledge::{Knowledge, Replica},
     names::Names,
     neighbours,
@@ -64,6 +65,8 @@
     pub board: Board,
     /// Links to control replicas.
     pub uplinks: Rc<Uplinks>,
+    /// Counters and histograms.
+    pub figures: Figures,
     /// Address for callers, as it was bound.
     pub callers: SocketAddr,
     drain: Option<oneshot::Sender<Ending>>,
@@ -71,7 +74,7 @@
 
 /// What the traffic thread tells the control thread.
 #[derive(Debug, Default)]
-struct Figures {
+struct Told {
     load: Mutex<Vec<Load>>,
 }
 
@@ -84,25 +87,32 @@
     pub fn start(settings: &Settings) -> std::io::Result<Self> {
         let view = View::new(settings.instance.clone(), settings.place.clone());
         let board = Board::new(view);
-        let figures = Arc::new(Figures::default());
+        let told = Arc::new(Told::default());
+        let figures = Figures::new();
         let callers = bind(settings.callers)?;
         let forward = bind(settings.forward)?;
         let addresses = (callers.local_addr()?, forward.local_addr()?);
         let words = std::net::UdpSocket::bind(addresses.1)?;
         words.set_nonblocking(true)?;
         tracing::info!(event = "listening", callers = %addresses.0, forward = %addresses.1);
-        let traffic = (board.clone(), settings.names.clone(), settings.policy);
-        let shared = Arc::clone(&figures);
+        let traffic = (
+            board.clone(),
+            settings.names.clone(),
+            settings.policy,
+            figures.clone(),
+        );
+        let shared = Arc::clone(&told);
         let (drain, ordered) = oneshot::channel();
         Arbiter::new().spawn_fn(move || {
-            let (board, names, policy) = traffic;
-            let traffic = Rc::new(Traffic::new(board, names, policy));
+            let (board, names, policy, figures) = traffic;
+            let traffic = Rc::new(Traffic::new(board, names, policy, figures));
             actix::spawn(run(traffic, [callers, forward], words, shared, ordered));
         });
-        let uplinks = link(settings, addresses, &board, &figures);
+        let uplinks = link(settings, addresses, &board, &told);
         Ok(Self {
             board,
             uplinks,
+            figures,
             callers: addresses.0,
             drain: Some(drain),
         })
@@ -141,7 +151,7 @@
     settings: &Settings,
     addresses: (SocketAddr, SocketAddr),
     board: &Board,
-    figures: &Arc<Figures>,
+    told: &Arc<Told>,
 ) -> Rc<Uplinks> {
     let hello = Hello {
         version: VERSION,
@@ -154,12 +164,12 @@
         service: addresses.0.to_string(),
     };
     let knowledge = Knowledge::new(settings.instance.clone(), settings.place.clone());
-    let present = present(hello.clone(), board.clone(), Arc::clone(figures));
+    let present = present(hello.clone(), board.clone(), Arc::clone(told));
     let seeds = settings.seeds.clone();
     Uplinks::start(hello, present, knowledge, board.clone(), seeds)
 }
 
-fn present(hello: Hello, board: Board, figures: Arc<Figures>) -> Rc<dyn Fn() -> Presence> {
+fn present(hello: Hello, board: Board, told: Arc<Told>) -> Rc<dyn Fn() -> Presence> {
     Rc::new(move || Presence {
         instance: hello.instance.clone(),
         incarnation: hello.incarnation,
@@ -167,7 +177,7 @@
         callers: hello.service.clone(),
         forward: hello.links.clone(),
         ready: board.is_ready(),
-        load: figures
+        load: told
             .load
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -188,7 +198,7 @@
     traffic: Rc<Traffic>,
     listeners: [Listener; 2],
     words: std::net::UdpSocket,
-    figures: Arc<Figures>,
+    told: Arc<Told>,
     mut drain: oneshot::Receiver<Ending>,
 ) {
     let [callers, forward] = listeners.map(TcpListener::from_std);
@@ -219,7 +229,11 @@
             _ = tick.tick() => {
                 traffic.pool.sweep(Instant::now());
                 let load = traffic.books.borrow().load();
-                *figures.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
+                let view = traffic.board.view();
+                let ready = view.instances.values().filter(|held| held.ready).count();
+                traffic.figures.know(view.revision(), view.targets.len(), ready);
+                traffic.figures.connect(traffic.connections.open());
+                *told.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
             order = &mut drain => {
                 if let Ok(order) = order {
--- /dev/null
+++ b/crates/zinniastall-gateway/src/journal.rs
@@ -0,0 +1,212 @@
+//! Log lines on requests, bounded: what fails is kept before what goes well.
+//!
+//! One line for each decision lets an engineer follow a request by its id. Under load that would cost
+//! more than the requests, so each kind has a rate of its own; lines beyond it are counted and the
+//! count is told.
+
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+use super::path::{
+    attempt::{Ended, Place},
+    job::Job,
+};
+
+/// Lines a second on requests that go well. A line costs some ten microseconds; this is half a percent
+/// of a core.
+const WELL: u32 = 60;
+/// Lines a second on requests that fail, are refused or are tried again.
+const BADLY: u32 = 300;
+/// Time over which lines are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// What a placing was decided on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Basis {
+    /// Expected wait there.
+    pub wait: Duration,
+    /// Expected time to read the prompt there.
+    pub read: Duration,
+    /// Requests at the target, of all instances as far as they are known.
+    pub flights: u32,
+    /// Age of the target's last report.
+    pub age: Duration,
+    /// Places that were weighed.
+    pub candidates: usize,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy)]
+pub struct End<'a> {
+    /// What its caller may rely on.
+    pub outcome: &'static str,
+    /// Why.
+    pub why: &'a str,
+    /// Status that the caller saw; 0 for none.
+    pub status: u16,
+    /// Time until the answer began.
+    pub first: Option<Duration>,
+    /// Whether it was answered within its objective.
+    pub is_well: bool,
+}
+
+/// Writes log lines on requests.
+#[derive(Debug, Default)]
+pub struct Journal {
+    well: RefCell<Window>,
+    badly: RefCell<Window>,
+}
+
+/// Lines in the present window.
+#[derive(Debug, Default)]
+struct Window {
+    since: Option<Instant>,
+    lines: u32,
+    left_out: u32,
+}
+
+impl Window {
+    /// Tells whether a line may be written; logs what the window before left out.
+    fn open(&mut self, limit: u32, kind: &'static str) -> bool {
+        let now = Instant::now();
+        if self.since.is_none_or(|since| since + WINDOW <= now) {
+            if self.left_out > 0 {
+                tracing::info!(event = "lines-left-out", kind, lines = self.left_out);
+            }
+            *self = Self {
+                since: Some(now),
+                ..Self::default()
+            };
+        }
+        if self.lines >= limit {
+            self.left_out += 1;
+            return false;
+        }
+        self.lines += 1;
+        true
+    }
+}
+
+impl Journal {
+    /// Notes where a request goes and why.
+    pub fn placed(&self, job: &Job, place: &Place, basis: Basis, attempt: u32) {
+        let is_first = attempt == 0;
+        if !self.allows(is_first) {
+            return;
+        }
+        tracing::info!(
+            event = "placed",
+            id = job.id,
+            route = job.route().name,
+            service = job.service,
+            place = place.name(),
+            far = matches!(place, Place::Instance { .. }),
+            attempt,
+            wait_ms = millis(basis.wait),
+            read_ms = millis(basis.read),
+            flights = basis.flights,
+            report_age_ms = millis(basis.age),
+            candidates = basis.candidates,
+            revision = job.revision(),
+            left_ms = millis(job.left(Instant::now())),
+        );
+    }
+
+    /// Notes how an attempt ended, unless it went well.
+    pub fn attempted(&self, job: &Job, place: &Place, ended: &Ended) {
+        let why = match ended {
+            Ended::Delivered => return,
+            Ended::NotSent(why) | Ended::Unknown(why) | Ended::Broken(why) => why.as_str(),
+            Ended::NotRun(_) => "the target refused it",
+            Ended::Failing(answer) => answer.status.as_str(),
+            Ended::Gone(_) => "nobody takes the answer",
+        };
+        if !self.allows(false) {
+            return;
+        }
+        tracing::info!(
+            event = "attempt",
+            id = job.id,
+            route = job.route().name,
+            place = place.name(),
+            outcome = ended.word(),
+            why,
+            left_ms = millis(job.left(Instant::now())),
+        );
+    }
+
+    /// Notes that no place would answer a request in time.
+    pub fn given_up(&self, job: &Job, basis: Basis, after: Duration) {
+        if !self.allows(false) {
+            return;
+        }
+        tracing::info!(
+            event = "given-up",
+            id = job.id,
+            route = job.route().name,
+            service = job.service,
+            wait_ms = millis(basis.wait),
+            flights = basis.flights,
+            report_age_ms = millis(basis.age),
+            candidates = basis.candidates,
+            objective_ms = job.route().objective_ms,
+            left_ms = millis(job.left(Instant::now())),
+            retry_after_ms = millis(after),
+        );
+    }
+
+    /// Notes that a request is kept because no target takes one now.
+    pub fn kept(&self, job: &Job, what: &'static str) {
+        if self.allows(false) {
+            let took_ms = millis(job.arrived.elapsed());
+            tracing::info!(
+                event = "kept",
+                id = job.id,
+                route = job.route().name,
+                what,
+                took_ms
+            );
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&self, job: &Job, end: &End<'_>) {
+        if !self.allows(end.is_well) {
+            return;
+        }
+        tracing::info!(
+            event = "request-ended",
+            id = job.id,
+            route = job.route().name,
+            outcome = end.outcome,
+            why = end.why,
+            status = end.status,
+            first_ms = end.first.map(millis),
+            took_ms = millis(job.arrived.elapsed()),
+            objective_ms = job.route().objective_ms,
+            revision = job.revision(),
+            passed_on = job.is_passed_on,
+        );
+    }
+
+    /// Notes that a request was refused before it was judged.
+    pub fn refused(&self, id: &str, reason: &str) {
+        if self.allows(false) {
+            tracing::info!(event = "request-refused", id, reason);
+        }
+    }
+
+    fn allows(&self, is_well: bool) -> bool {
+        if is_well {
+            self.well.borrow_mut().open(WELL, "well")
+        } else {
+            self.badly.borrow_mut().open(BADLY, "badly")
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/zinniastall-gateway/src/knowledge.rs
+++ b/crates/zinniastall-gateway/src/knowledge.rs
@@ -57,6 +57,14 @@
     cut: Option<Instant>,
 }
 
+/// Tells whether two reports of a target say different things of it.
+fn differs(held: &Report, report: &Report) -> bool {
+    held.incarnation != report.incarnation
+        || held.state != report.state
+        || held.left_ms.is_some() != report.left_ms.is_some()
+        || (held.cold_ms > 0) != (report.cold_ms > 0)
+}
+
 impl Knowledge {
     /// Creates the knowledge of an instance that has heard nothing yet.
     pub fn new(instance: id::Instance, place: Place) -> Self {
@@ -85,28 +93,30 @@
         true
     }
 
-    /// Takes reports of targets; returns whether any of them was news.
-    pub fn hear(&mut self, reports: Vec<Report>, now: Instant) -> bool {
-        let mut news = false;
-        for report in reports {
-            news |= self.hear_one(report, now);
-        }
-        news
+    /// Takes reports of targets; returns those that change what is believed of a target, beyond that it
+    /// is still there.
+    pub fn hear(&mut self, reports: Vec<Report>, now: Instant) -> Vec<Report> {
+        let news = reports
+            .into_iter()
+            .filter_map(|report| self.hear_one(report, now));
+        news.collect()
     }
 
-    fn hear_one(&mut self, report: Report, now: Instant) -> bool {
+    fn hear_one(&mut self, report: Report, now: Instant) -> Option<Report> {
         let age = Duration::from_millis(report.age_ms);
         let held = self.targets.get(&report.target);
         if age > FORGOTTEN || held.is_some_and(|held| !report.replaces(&held.report)) {
-            return false;
+            return None;
         }
+        let is_news = held.is_none_or(|held| differs(&held.report, &report));
         if report.state != State::Gone {
             self.vacate(&report);
         }
         let heard = now.checked_sub(age).unwrap_or(now);
+        let news = is_news.then(|| report.clone());
         let target = report.target.clone();
         self.targets.insert(target, Known { report, heard });
-        true
+        news
     }
 
     /// Marks targets gone that an earlier run left behind at the address of a new one.
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod books;
 pub mod daemon;
 pub mod decide;
+pub mod figures;
+pub mod journal;
 pub mod knowledge;
 pub mod locate;
 pub mod names;
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -76,6 +76,21 @@
     Gone(io::Error),
 }
 
+impl Ended {
+    /// Returns a word for logs and figures.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Delivered => "delivered",
+            Self::NotSent(_) => "not-sent",
+            Self::NotRun(_) => "not-run",
+            Self::Failing(_) => "failing",
+            Self::Unknown(_) => "unknown",
+            Self::Broken(_) => "broken",
+            Self::Gone(_) => "left",
+        }
+    }
+}
+
 /// Why an attempt failed; for logs.
 pub type Why = String;
 
--- a/crates/zinniastall-gateway/src/path/client.rs
+++ b/crates/zinniastall-gateway/src/path/client.rs
@@ -1,6 +1,6 @@
 //! The way back to whoever sent a request.
 
-use std::io;
+use std::{io, time::Instant};
 
 use bytes::{Bytes, BytesMut};
 use http::{
@@ -31,6 +31,7 @@
     keep: bool,
     is_modern: bool,
     progress: Progress,
+    begun: Option<Instant>,
     status: Option<StatusCode>,
 }
 
@@ -43,6 +44,7 @@
             keep: true,
             is_modern: true,
             progress: Progress::Waiting,
+            begun: None,
             status: None,
         }
     }
@@ -52,6 +54,7 @@
         self.keep = keep;
         self.is_modern = is_modern;
         self.progress = Progress::Waiting;
+        self.begun = None;
         self.status = None;
     }
 
@@ -60,6 +63,11 @@
         !matches!(self.progress, Progress::Waiting)
     }
 
+    /// Returns when the answer began.
+    pub const fn begun(&self) -> Option<Instant> {
+        self.begun
+    }
+
     /// Returns the status that was sent.
     pub const fn status(&self) -> Option<StatusCode> {
         self.status
@@ -77,6 +85,7 @@
     /// Fails when the connection does.
     pub async fn answer(&mut self, answer: Answer) -> io::Result<()> {
         self.progress = Progress::Begun;
+        self.begun = Some(Instant::now());
         self.status = Some(answer.status);
         self.writer.write(&answer.encode(self.keep)).await?;
         self.progress = Progress::Whole;
@@ -113,6 +122,7 @@
     /// Fails when the connection does.
     pub async fn begin(&mut self, status: StatusCode, mut headers: HeaderMap) -> io::Result<()> {
         self.progress = Progress::Begun;
+        self.begun = Some(Instant::now());
         self.status = Some(status);
         if self.is_modern {
             let chunked = HeaderValue::from_static("chunked");
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -12,7 +12,10 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use crate::{books::Books, names::Names, neighbours::Neighbours, policy::Policy, view::Board};
+use crate::{
+    books::Books, figures::Figures, journal::Journal, names::Names, neighbours::Neighbours,
+    policy::Policy, view::Board,
+};
 
 use self::{pool::Pool, serve::Connections};
 
@@ -33,16 +36,22 @@
     pub pool: Pool,
     /// Connections of callers and instances.
     pub connections: Connections,
+    /// Log lines on requests.
+    pub journal: Journal,
+    /// Counters and histograms.
+    pub figures: Figures,
 }
 
 impl Traffic {
     /// Creates the request path of a thread.
-    pub fn new(board: Board, names: Names, policy: Policy) -> Self {
+    pub fn new(board: Board, names: Names, policy: Policy, figures: Figures) -> Self {
         Self {
             books: Rc::new(RefCell::new(Books::new(policy.repeats))),
             neighbours: Rc::default(),
             pool: Pool::default(),
             connections: Connections::default(),
+            journal: Journal::default(),
+            figures,
             board,
             names,
             policy,
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -12,6 +12,7 @@
         place::{Candidate, Choice, Patience, Region, choose},
         warm,
     },
+    journal::Basis,
     view::{Target, View},
 };
 
@@ -38,11 +39,11 @@
 #[derive(Debug)]
 pub enum Next {
     /// To a place, where so many prompt tokens have to be read.
-    Go(Place, u64),
+    Go(Place, u64, Basis),
     /// Nowhere now; to be asked again after a time.
     Wait(Duration),
-    /// Nowhere; worth coming back after a time.
-    Refuse(Duration),
+    /// Nowhere; worth coming back after a time. The basis is that of the best target.
+    Refuse(Duration, Basis),
 }
 
 impl Tried {
@@ -62,9 +63,26 @@
     targets: Vec<&'a Target>,
     candidates: Vec<Candidate>,
     unread: Vec<u64>,
+    flights: Vec<u32>,
     opens_soon: bool,
 }
 
+impl Here<'_> {
+    /// Returns what speaks for the target with the shortest wait.
+    fn best(&self) -> Basis {
+        let places = self.candidates.iter().enumerate();
+        let best = places.min_by_key(|(_, candidate)| candidate.cost());
+        let basis = best.map(|(at, candidate)| Basis {
+            wait: candidate.wait,
+            read: candidate.read,
+            flights: self.flights[at],
+            age: self.targets[at].heard.elapsed(),
+            candidates: self.candidates.len(),
+        });
+        basis.unwrap_or_default()
+    }
+}
+
 /// Another region.
 #[derive(Debug)]
 struct There<'a> {
@@ -86,17 +104,19 @@
         let patience = Patience {
             left: job.left(now),
             objective: job.objective(now),
-            opens_soon: here.opens_soon,
+            // Who passed the request on may find another place at once.
+            opens_soon: here.opens_soon && !job.is_passed_on,
         };
         match choose(&here.candidates, &regions, patience) {
-            Choice::Here(at) => self.take(job, here.targets[at], here.unread[at], now),
+            Choice::Here(at) => self.take(job, &here, at, now),
             Choice::There(at) => instance(&there[at]),
             Choice::Wait(after) => Next::Wait(after),
-            Choice::Refuse(after) => Next::Refuse(after),
+            Choice::Refuse(after) => Next::Refuse(after, here.best()),
         }
     }
 
-    fn take(&self, job: &Job, target: &Target, unread: u64, now: Instant) -> Next {
+    fn take(&self, job: &Job, here: &Here<'_>, at: usize, now: Instant) -> Next {
+        let (target, candidate) = (here.targets[at], here.candidates[at]);
         let report = &target.report;
         let mut books = self.books.borrow_mut();
         let account = books.target(&report.target, &job.service, now);
@@ -108,7 +128,14 @@
             target: report.target.clone(),
             address: report.address.clone(),
         };
-        Next::Go(place, unread)
+        let basis = Basis {
+            wait: candidate.wait,
+            read: candidate.read,
+            flights: here.flights[at],
+            age: now.saturating_duration_since(target.heard),
+            candidates: here.candidates.len(),
+        };
+        Next::Go(place, here.unread[at], basis)
     }
 
     fn here<'a>(&self, job: &Job, tried: &Tried, view: &'a View, now: Instant) -> Here<'a> {
@@ -129,8 +156,9 @@
             if self.is_shut(target, now) {
                 here.opens_soon = true;
             } else if !tried.has(&target.report.target) {
-                let (candidate, unread) = self.candidate(job, target, home, now);
+                let (candidate, unread, flights) = self.candidate(job, target, home, now);
                 here.targets.push(target);
+                here.flights.push(flights);
                 here.candidates.push(candidate);
                 here.unread.push(unread);
             }
@@ -166,7 +194,7 @@
         target: &Target,
         home: Option<&str>,
         now: Instant,
-    ) -> (Candidate, u64) {
+    ) -> (Candidate, u64, u32) {
         let report = &target.report;
         let others = self.neighbours.borrow().at(&report.target, now);
         let mut books = self.books.borrow_mut();
@@ -193,7 +221,7 @@
             is_out: account.record.is_out(now) || is_silent,
             tie: rand::rng().random(),
         };
-        (candidate, read)
+        (candidate, read, flights)
     }
 
     /// Returns the prompt tokens that a target would have to read.
@@ -234,7 +262,15 @@
                 regions.entry(region).or_default().push(presence);
             }
         }
+        let now = Instant::now();
         let there = regions.into_iter().filter_map(|(region, instances)| {
+            if self
+                .books
+                .borrow()
+                .is_region_shut(region, &job.service, now)
+            {
+                return None;
+            }
             let wait = self.wait_there(job, region, &instances, view)?;
             let trip = self.policy.trip;
             Some(There {
@@ -315,7 +351,12 @@
         region: presence.place.region.clone(),
         address: presence.forward.clone(),
     };
-    Next::Go(place, 0)
+    let basis = Basis {
+        wait: there.region.wait + there.region.trip,
+        candidates: there.instances.len(),
+        ..Basis::default()
+    };
+    Next::Go(place, 0, basis)
 }
 
 fn service(job: &Job) -> Option<&Service> {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -50,6 +50,7 @@
     sent: u32,
     unreachable: usize,
     is_lost: bool,
+    is_kept: bool,
     broken: Option<Instant>,
     failing: Option<Answer>,
     may_have_run: &'a Cell<bool>,
@@ -102,6 +103,7 @@
             sent: 0,
             unreachable: 0,
             is_lost: false,
+            is_kept: false,
             broken: None,
             failing: None,
             may_have_run,
@@ -109,15 +111,23 @@
         loop {
             let step = match self.place(job, &course.tried) {
                 Next::Wait(after) => {
+                    if !course.is_kept {
+                        course.is_kept = true;
+                        self.journal.kept(job, "no target takes one now");
+                    }
                     time::sleep(after).await;
                     Step::Again
                 }
-                Next::Refuse(_) if course.may_go_on(client) => {
+                Next::Refuse(..) if course.may_go_on(client) => {
                     time::sleep(GOING_ON.0).await;
                     Step::Again
                 }
-                Next::Refuse(after) => course.nowhere(client, after),
-                Next::Go(place, unread) => {
+                Next::Refuse(after, basis) => {
+                    self.journal.given_up(job, basis, after);
+                    course.nowhere(client, after)
+                }
+                Next::Go(place, unread, basis) => {
+                    self.journal.placed(job, &place, basis, course.sent);
                     let attempt = Attempt {
                         job,
                         place: &place,
@@ -207,59 +217,44 @@
         books.budget(&job.service).repeat(Instant::now(), instances)
     }
 
-    /// Notes what an attempt says of its target, and logs it unless all is well.
+    /// Notes what an attempt says of its target.
     fn note(&self, job: &Job, place: &Place, ended: &Ended) {
+        self.journal.attempted(job, place, ended);
+        self.figures.attempt(ended.word());
         let now = Instant::now();
-        let mut books = self.books.borrow_mut();
-        let Some(account) = books.known(place.name()) else {
-            if let Ended::NotSent(why) = ended {
-                log_attempt(job, place, "not-sent", why);
-                let account = books.target(place.name(), &job.service, now);
-                account.record.unreachable(now);
-                account.shut_until = Some(now + SHUT);
-            }
-            return;
+        let service = match place {
+            Place::Target { .. } => job.service.as_str(),
+            Place::Instance { .. } => "",
         };
+        let mut books = self.books.borrow_mut();
+        let account = books.target(place.name(), service, now);
+        let was_out = account.record.is_out(now);
         match ended {
             Ended::Delivered => account.record.success(),
-            Ended::NotSent(why) => {
+            Ended::NotSent(_) => {
                 account.record.unreachable(now);
                 account.shut_until = Some(now + SHUT);
-                log_attempt(job, place, "not-sent", why);
-            }
-            Ended::Unknown(why) | Ended::Broken(why) => {
-                let out = account.record.failure(now);
-                log_attempt(job, place, "failed", why);
-                if let Some(out) = out {
-                    let out_ms = u64::try_from(out.as_millis()).unwrap_or(u64::MAX);
-                    tracing::info!(event = "target-out", target = place.name(), out_ms);
+                if let Place::Instance { region, .. } = place {
+                    books.shut_region(region, &job.service, now + SHUT);
                 }
+                return;
             }
-            Ended::Failing(answer) => {
+            Ended::NotRun(_) => account.shut_until = Some(now + SHUT),
+            Ended::Unknown(_) | Ended::Broken(_) | Ended::Failing(_) => {
                 account.record.failure(now);
-                log_attempt(job, place, "failing", answer.status.as_str());
-            }
-            Ended::NotRun(_) => {
-                account.shut_until = Some(now + SHUT);
-                log_attempt(job, place, "not-run", "refused");
             }
             Ended::Gone(_) => {}
         }
+        if account.record.is_out(now) && !was_out {
+            tracing::info!(
+                event = "target-out",
+                target = place.name(),
+                why = ended.word()
+            );
+        }
     }
 }
 
-fn log_attempt(job: &Job, place: &Place, outcome: &str, why: &str) {
-    tracing::info!(
-        event = "attempt",
-        id = job.id,
-        route = job.route().name,
-        place = place.name(),
-        outcome,
-        why,
-        left_ms = u64::try_from(job.left(Instant::now()).as_millis()).unwrap_or(u64::MAX),
-    );
-}
-
 impl Course<'_> {
     /// Tells whether a stream that was broken off may still go on elsewhere.
     fn may_go_on(&self, client: &Client) -> bool {
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -23,10 +23,10 @@
     Traffic,
     answer::Refusal,
     client::Client,
-    job::{Job, Judged, number},
-    run::End,
+    job::{Job, Judged, number, text},
+    run,
 };
-use crate::view::Drain;
+use crate::{journal::End, view::Drain};
 
 /// Pause after a failed accept: out of descriptors, most likely, and a loop would spin.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -139,17 +139,19 @@
         let head = match read {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None)) => return Ok(false),
-            Ok(Err(error)) => return refuse(client, unreadable(&error)).await,
-            Err(_) => return refuse(client, Refusal::Slow).await,
+            Ok(Err(error)) => return self.refuse("", client, unreadable(&error)).await,
+            Err(_) => return self.refuse("", client, Refusal::Slow).await,
         };
         let arrived = Instant::now();
+        let id = text(&head.headers, &self.names.request_id);
+        let id = id.unwrap_or_default().to_owned();
         client.next(
             head.is_modern,
             head.keeps_open() && !self.board.is_draining(),
         );
         let body = match self.body(&head, reader, client, &limits).await {
             Ok(body) => body,
-            Err(Stop::Refused(refusal)) => return refuse(client, refusal).await,
+            Err(Stop::Refused(refusal)) => return self.refuse(&id, client, refusal).await,
             Err(Stop::Failed(error)) => return Err(error),
         };
         let judged = self.judge(&head, arrived, from_instances).await;
@@ -157,7 +159,7 @@
         match job {
             Ok(job) => self.serve(&job, reader, client).await,
             Err(refusal) => {
-                log_refusal(refusal);
+                self.note_refusal(&id, refusal);
                 client.refuse(refusal).await?;
                 Ok(client.keeps_open())
             }
@@ -197,12 +199,13 @@
         }
         if self.is_too_late(job) {
             let refusal = Refusal::Busy(AFTER_END);
-            log_end(
+            client.refuse(refusal).await?;
+            self.note_end(
                 job,
+                client,
                 refusal.outcome().word(),
-                "the instance ends before the request could",
+                "this instance ends before it could",
             );
-            client.refuse(refusal).await?;
             return Ok(client.keeps_open());
         }
         let ended = tokio::select! {
@@ -210,15 +213,17 @@
             ended = self.run(job, client) => ended?,
             // Dropping the attempt closes its connection, which is how the target learns of it.
             () = reader.closed() => {
-                log_end(job, "left", "the caller closed the connection");
+                self.note_end(job, client, "left", "the caller closed the connection");
                 return Ok(false);
             }
         };
         match ended {
-            End::Answered => {}
-            End::Refused(refusal) => log_end(job, refusal.outcome().word(), refusal.word()),
-            End::Aborted(why) => {
-                log_end(job, "aborted", &why);
+            run::End::Answered => self.note_end(job, client, "answered", ""),
+            run::End::Refused(refusal) => {
+                self.note_end(job, client, refusal.outcome().word(), refusal.word());
+            }
+            run::End::Aborted(why) => {
+                self.note_end(job, client, "aborted", &why);
                 return Err(Error::Ended);
             }
         }
@@ -227,6 +232,41 @@
         Ok(client.keeps_open())
     }
 
+    /// Refuses a request that can't be read; what follows on its connection can't be trusted either.
+    async fn refuse(&self, id: &str, client: &mut Client, refusal: Refusal) -> Result<bool, Error> {
+        self.note_refusal(id, refusal);
+        client.next(true, false);
+        client.refuse(refusal).await?;
+        Ok(false)
+    }
+
+    /// Notes that a request was refused before it was judged.
+    fn note_refusal(&self, id: &str, refusal: Refusal) {
+        self.journal.refused(id, refusal.word());
+        self.figures
+            .request("", refusal.outcome().word(), None, Duration::ZERO);
+    }
+
+    /// Notes how a request ended.
+    fn note_end(&self, job: &Job, client: &Client, outcome: &'static str, why: &str) {
+        let status = client.status().map_or(0, |status| status.as_u16());
+        let first = client
+            .begun()
+            .map(|begun| begun.duration_since(job.arrived));
+        let objective = Duration::from_millis(job.route().objective_ms);
+        let in_time = first.is_some_and(|first| first <= objective);
+        let end = End {
+            outcome,
+            why,
+            status,
+            first,
+            is_well: outcome == "answered" && status < 500 && in_time,
+        };
+        self.journal.ended(job, &end);
+        self.figures
+            .request(&job.route().name, outcome, first, job.arrived.elapsed());
+    }
+
     /// Tells whether a request might outlast this instance, which drains.
     ///
     /// It would be cut in the middle of its answer; told at once, its caller finds another instance. Who
@@ -309,33 +349,9 @@
     Failed(Error),
 }
 
-/// Refuses a request that can't be read; what follows on its connection can't be trusted either.
-async fn refuse(client: &mut Client, refusal: Refusal) -> Result<bool, Error> {
-    log_refusal(refusal);
-    client.next(true, false);
-    client.refuse(refusal).await?;
-    Ok(false)
-}
-
 const fn unreadable(error: &Error) -> Refusal {
     match error {
         Error::Head(head::Fault::Long) => Refusal::LongHead,
         _ => Refusal::Malformed,
     }
 }
-
-fn log_refusal(refusal: Refusal) {
-    tracing::info!(event = "request-refused", reason = refusal.word());
-}
-
-fn log_end(job: &Job, outcome: &str, why: &str) {
-    tracing::info!(
-        event = "request-ended",
-        id = job.id,
-        route = job.route().name,
-        outcome,
-        why,
-        took_ms = u64::try_from(job.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
-        revision = job.revision(),
-    );
-}
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::{sync::Notify, task::JoinHandle, time};
-use zinniastall_model::{id, presence::Presence};
+use zinniastall_model::{id, presence::Presence, target::Report};
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -20,7 +20,7 @@
 
 use crate::{
     knowledge::{Knowledge, Replica},
-    view::Board,
+    view::{Board, View},
 };
 
 /// Time between two signs of life, in which the load is told anew.
@@ -111,6 +111,7 @@
 
     fn publish(&self) {
         let view = self.knowledge.borrow_mut().view(Instant::now());
+        log_instances(&self.board.view(), &view);
         self.board.publish(view);
     }
 
@@ -219,9 +220,11 @@
                 }
             }
             Message::Targets(reports) => {
-                if self.knowledge.borrow_mut().hear(reports, now) {
-                    self.publish();
+                let news = self.knowledge.borrow_mut().hear(reports, now);
+                for report in &news {
+                    log_target(report, replica);
                 }
+                self.publish();
             }
             Message::Instances(instances) => {
                 self.knowledge
@@ -244,6 +247,39 @@
     }
 }
 
+fn log_target(report: &Report, replica: &str) {
+    tracing::info!(
+        event = "target",
+        target = report.target,
+        state = format!("{:?}", report.state).to_lowercase(),
+        service = report.service,
+        address = report.address,
+        zone = report.place.zone,
+        run = report.incarnation,
+        sequence = report.sequence,
+        cold_ms = report.cold_ms,
+        left_ms = report.left_ms,
+        age_ms = report.age_ms,
+        replica,
+    );
+}
+
+/// Logs which instances came, went, or changed whether they take requests.
+fn log_instances(before: &View, after: &View) {
+    let ready = |view: &View, name: &str| view.instances.get(name).map(|held| held.ready);
+    for name in after.instances.keys() {
+        let is_ready = ready(after, name);
+        if ready(before, name) != is_ready {
+            tracing::info!(event = "instance", instance = name, ready = is_ready);
+        }
+    }
+    for name in before.instances.keys() {
+        if !after.instances.contains_key(name) {
+            tracing::info!(event = "instance", instance = name, state = "gone");
+        }
+    }
+}
+
 async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
     let sent = time::timeout(SILENCE, sender.send(Frame::Hub(message))).await;
     sent.map_err(|_| Error::Closed)?
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/figures.rs
@@ -0,0 +1,66 @@
+//! Counters and histograms.
+
+use std::time::Duration;
+
+use zinniastall_gateway::figures::Figures;
+
+/// Returns the sum of all samples of a metric.
+fn sum(text: &str, metric: &str) -> f64 {
+    let lines = text.lines().filter(|line| !line.starts_with('#'));
+    let samples = lines.filter(|line| {
+        let name = line.split(['{', ' ']).next().unwrap_or_default();
+        name == metric
+    });
+    let values = samples.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum()
+}
+
+/// The histograms and the counters speak of the same requests: whoever divides one by the other gets
+/// an average that means something.
+#[test]
+fn sums_of_histograms_equal_the_requests_counted() {
+    let figures = Figures::new();
+    for number in 0..250_u64 {
+        let outcome = if number % 5 == 0 {
+            "not-sent"
+        } else {
+            "answered"
+        };
+        let first = (outcome == "answered").then(|| Duration::from_millis(number));
+        let took = Duration::from_millis(number * 2);
+        figures.request(&format!("route-{}", number % 7), outcome, first, took);
+    }
+    let text = figures.text();
+    assert_eq!(
+        sum(&text, "zinniastall_gateway_requests_total").to_string(),
+        "250"
+    );
+    assert_eq!(
+        sum(&text, "zinniastall_gateway_request_seconds_count").to_string(),
+        "250"
+    );
+    assert_eq!(
+        sum(&text, "zinniastall_gateway_first_seconds_count").to_string(),
+        "200"
+    );
+    assert_eq!(figures.counted(), 250);
+    assert!(text.ends_with("# EOF\n"));
+}
+
+/// Operators add hundreds of routes. Figures of each would take megabytes in every instance.
+#[test]
+fn figures_are_kept_for_a_bounded_number_of_routes() {
+    let figures = Figures::new();
+    for number in 0..1_000 {
+        figures.request(&format!("route-{number}"), "answered", None, Duration::ZERO);
+    }
+    let text = figures.text();
+    let series = text
+        .lines()
+        .filter(|line| line.starts_with("zinniastall_gateway_requests_total"));
+    assert_eq!(series.count(), 65);
+    assert_eq!(
+        sum(&text, "zinniastall_gateway_requests_total").to_string(),
+        "1000"
+    );
+}
--- a/crates/zinniastall-gateway/tests/path/stage.rs
+++ b/crates/zinniastall-gateway/tests/path/stage.rs
@@ -10,6 +10,7 @@
     time,
 };
 use zinniastall_gateway::{
+    figures::Figures,
     names::Names,
     path::{Traffic, serve},
     policy::Policy,
@@ -289,7 +290,7 @@
         };
         let mut policy = Policy::default();
         policy.repeats.slack = 100;
-        let traffic = Rc::new(Traffic::new(board, names, policy));
+        let traffic = Rc::new(Traffic::new(board, names, policy, Figures::new()));
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let forward = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let stage = Self {
--- a/crates/zinniastall-load/src/main.rs
+++ b/crates/zinniastall-load/src/main.rs
@@ -16,7 +16,7 @@
 
 fn main() -> ExitCode {
     DAEMON.main::<Experiment>(|experiment| {
-        log::start(&experiment.log);
+        let _log = log::start(&experiment.log);
         match measure(&experiment) {
             Ok(true) => ExitCode::from(EXIT_OK),
             Ok(false) => ExitCode::from(EXIT_FAILED),
--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -33,7 +33,7 @@
 
 /// Runs a stand-in until it is told to stop.
 pub fn run(settings: Standin) -> ExitCode {
-    log::start(&settings.log);
+    let _log = log::start(&settings.log);
     match actix_web::rt::System::new().block_on(serve(settings)) {
         Ok(()) => ExitCode::from(cli::EXIT_OK),
         Err(error) => {
