perf(gateway): tell engines how urgent a route is

Cause: urgent requests wait behind less urgent ones inside an engine, whose own order was first come, first served.

Ruled out: own queues in front of engines (reports lag, and a second queue would hold what an engine could batch).

Change: requests to targets carry the route's priority, which callers can't set.

--- a/crates/zinniastall-gateway/src/names.rs
+++ b/crates/zinniastall-gateway/src/names.rs
@@ -32,6 +32,8 @@
     pub prompt_parts: HeaderName,
     /// Tokens of a request's prompt and the most of its answer, with a comma between.
     pub tokens: HeaderName,
+    /// Urgency towards a target, from 0 for the most urgent to 9.
+    pub priority: HeaderName,
     /// Fields that only the gateway may set towards targets; those that a caller sends are dropped.
     pub reserved: Vec<HeaderName>,
 }
@@ -45,6 +47,7 @@
             not_run: HeaderName::from_static("not-run"),
             prompt_parts: HeaderName::from_static("prompt-parts"),
             tokens: HeaderName::from_static("tokens"),
+            priority: HeaderName::from_static("priority-rank"),
             reserved: Vec::new(),
         }
     }
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -33,6 +33,8 @@
 
 /// Longest whole answer, in bytes; answers of streams have no bound.
 const LONGEST: usize = 32 << 20;
+/// Least urgent priority that targets know.
+const LEAST_URGENT: u8 = 9;
 /// Answers to other requests that are skipped on a connection before it counts as broken.
 const STRAYS: usize = 2;
 
@@ -349,6 +351,8 @@
                 if let Ok(target) = HeaderValue::try_from(target.as_str()) {
                     headers.insert(&self.names.expected_target, target);
                 }
+                let priority = job.route().priority.min(LEAST_URGENT);
+                headers.insert(&self.names.priority, HeaderValue::from(u16::from(priority)));
             }
             Place::Instance { .. } => {
                 headers.insert(REVISION, HeaderValue::from(job.revision()));
@@ -366,6 +370,7 @@
             headers.remove(name);
         }
         headers.remove(&self.names.expected_target);
+        headers.remove(&self.names.priority);
         let own: Vec<_> = headers
             .keys()
             .filter(|name| name.as_str().starts_with(OWN_PREFIX))
