--- /dev/null
+++ b/crates/zinniastall-http/tests/body.rs
@@ -0,0 +1,113 @@
+//! Bodies: the same bytes come out in whatever pieces they come in.
+
+use bytes::BytesMut;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+use zinniastall_http::body::{Decoder, Fault, Framing, LAST_CHUNK, Step, write_chunk};
+
+const SEED: u64 = 5;
+
+fn runner() -> TestRunner {
+    println!("seed {SEED}");
+    TestRunner::new(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })
+}
+
+/// Feeds bytes in pieces; returns the body, whether it ended, and what was left over.
+fn decode(framing: Framing, bytes: &[u8], size: usize) -> Result<(Vec<u8>, bool, Vec<u8>), Fault> {
+    let mut decoder = Decoder::new(framing);
+    let (mut input, mut body) = (BytesMut::new(), Vec::new());
+    for piece in bytes.chunks(size.max(1)) {
+        input.extend_from_slice(piece);
+        while let Step::Piece(bytes) = decoder.decode(&mut input)? {
+            body.extend_from_slice(&bytes);
+        }
+    }
+    Ok((body, decoder.is_done(), input.to_vec()))
+}
+
+fn chunked(pieces: &[Vec<u8>]) -> Vec<u8> {
+    let mut output = BytesMut::new();
+    for piece in pieces {
+        write_chunk(&mut output, piece);
+    }
+    output.extend_from_slice(LAST_CHUNK);
+    output.to_vec()
+}
+
+#[test]
+fn chunks_are_put_together_whatever_pieces_they_come_in() {
+    let pieces = prop::collection::vec(prop::collection::vec(any::<u8>(), 0..400), 0..8);
+    let whole = runner().run(&(pieces, 1..64_usize), |(pieces, size)| {
+        let mut bytes = chunked(&pieces);
+        bytes.extend_from_slice(b"next");
+        let (body, done, rest) = decode(Framing::Chunked, &bytes, size)?;
+        prop_assert!(done);
+        prop_assert_eq!(body, pieces.concat());
+        prop_assert_eq!(rest, b"next");
+        Ok(())
+    });
+    whole.expect("chunks are put together");
+}
+
+/// A connection ends in the middle of a body. It must never pass for whole.
+#[test]
+fn a_cut_body_never_looks_whole() {
+    let bytes = chunked(&[b"first".to_vec(), b"second".to_vec()]);
+    for length in 0..bytes.len() {
+        let (_, done, _) = decode(Framing::Chunked, &bytes[..length], 7).expect("a beginning");
+        assert!(!done, "cut at {length}");
+    }
+    let mut decoder = Decoder::new(Framing::Length(10));
+    let mut input = BytesMut::from(&b"123"[..]);
+    assert!(matches!(decoder.decode(&mut input), Ok(Step::Piece(_))));
+    assert_eq!(decoder.finish(), Err(Fault::Cut));
+    let mut until_close = Decoder::new(Framing::Close);
+    assert_eq!(until_close.finish(), Ok(()));
+}
+
+/// Sizes that one reader takes for a number and another one doesn't.
+#[test]
+fn odd_chunks_are_refused() {
+    let odd: [&[u8]; 9] = [
+        b"+3\r\nabc\r\n",
+        b"-1\r\n",
+        b"0x3\r\nabc\r\n",
+        b"3\nabc\r\n",
+        b"\r\nabc\r\n",
+        b"3\r\nabcd\r\n",
+        b"3\r\nabc\n0\r\n\r\n",
+        b"fffffffffffffffff\r\n",
+        b"ffffffff0\r\n",
+    ];
+    for bytes in odd {
+        let read = decode(Framing::Chunked, bytes, bytes.len());
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(read, Err(Fault::Chunk), "{text}");
+    }
+}
+
+/// Whatever bytes come, the decoder neither panics nor takes more than the body.
+#[test]
+fn any_bytes_are_borne() {
+    let framings = prop_oneof![
+        Just(Framing::Chunked),
+        Just(Framing::Close),
+        (0..64_u64).prop_map(Framing::Length),
+    ];
+    let bytes = prop::collection::vec(any::<u8>(), 0..300);
+    let borne = runner().run(&(framings, bytes, 1..40_usize), |(framing, bytes, size)| {
+        let read = decode(framing, &bytes, size);
+        if let (Framing::Length(length), Ok((body, ..))) = (framing, read) {
+            prop_assert!(body.len() as u64 <= length);
+        }
+        Ok(())
+    });
+    borne.expect("bytes are borne");
+}
