--- a/crates/zinniastall-control/src/figures.rs
+++ b/crates/zinniastall-control/src/figures.rs
@@ -53,6 +53,7 @@
     commit: Gauge<u64, AtomicU64>,
     revision: Gauge<u64, AtomicU64>,
     voters: Gauge<u64, AtomicU64>,
+    spare: Gauge<u64, AtomicU64>,
     instances: Gauge<u64, AtomicU64>,
     unsynced: Gauge<u64, AtomicU64>,
 }
@@ -86,6 +87,10 @@
         let commit = gauge("commit", "Last committed entry");
         let revision = gauge("revision", "Configuration as it is committed");
         let voters = gauge("voters", "Replicas that vote");
+        let spare = gauge(
+            "spare",
+            "Voters that may be lost at once, as the leader sees it",
+        );
         let instances = gauge("instances", "Gateway instances that are linked");
         let unsynced = gauge("unsynced", "Batches that wait for the disk");
         Self {
@@ -97,6 +102,7 @@
             commit,
             revision,
             voters,
+            spare,
             instances,
             unsynced,
         }
@@ -118,6 +124,7 @@
                 self.term.set(status.term);
                 self.commit.set(status.commit);
                 self.voters.set(status.voters.voters.len() as u64);
+                self.spare.set(status.spare() as u64);
                 self.revision.set(glance.revision);
                 self.unsynced.set(glance.unsynced);
             }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -217,6 +217,8 @@
                 if self.knowledge.borrow_mut().configure(*configuration, now) {
                     tracing::info!(event = "configured", revision, number, evacuated, replica);
                     self.publish();
+                    // The first one makes this instance ready, and callers may be waiting for one that is.
+                    self.announce();
                 }
             }
             Message::Targets(reports) => {
