fix(gateway): a later refusal takes nothing back of an earlier attempt

Cause: read, not seen: a request that may be repeated is cut at its first target, refused by the second, and its time ends at the third. The refusal cleared the mark that it may have run, so the caller was told 503, "not run".

Ruled out: requests that must not be repeated (they have one attempt after a byte was sent).

Change: a refusal restores the mark of before the attempt. Requests on their way out have a module of their own.

Figures: tests/path answers::a_later_refusal_takes_no_run_back: 503 for 504 before, passes after.

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -7,10 +7,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{
-    HeaderMap, HeaderValue, Method, StatusCode,
-    header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
-};
+use http::{HeaderMap, Method, StatusCode};
 use zinniastall_http::{
     body::Decoder,
     connection::{RESPONSE_HEAD, Reader, Writer},
@@ -28,13 +25,11 @@
 };
 use crate::{
     books::Flight,
-    names::{LAST_EVENT, OUTCOME, OWN_PREFIX, RETRY_MS, REVISION},
+    names::{OUTCOME, RETRY_MS},
 };
 
 /// Longest whole answer, in bytes; answers of streams have no bound.
 const LONGEST: usize = 32 << 20;
-/// Least urgent priority that targets know.
-const LEAST_URGENT: u8 = 9;
 /// Answers to other requests that are skipped on a connection before it counts as broken.
 const STRAYS: usize = 2;
 
@@ -153,13 +148,13 @@
         };
         let mut flight = Flight::start(&self.books, name, service, attempt.reading_us, now);
         let output = self.encode(attempt, events.last());
-        attempt.may_have_run.set(true);
+        let before = attempt.may_have_run.replace(true);
         let received = self.exchange(job, &mut connection, &output).await;
         let (response, is_clean) = match received {
             Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
-        if let Some(ended) = self.refused(attempt, &response, connection.is_used) {
+        if let Some(ended) = self.refused(attempt, &response, connection.is_used, before) {
             let rest = Decoder::new(
                 response
                     .framing(false)
@@ -234,8 +229,15 @@
         Ok((response, is_written && strays == 0))
     }
 
-    /// Tells whether an answer says that the request has not run.
-    fn refused(&self, attempt: &Attempt<'_>, response: &Response, is_used: bool) -> Option<Ended> {
+    /// Tells whether an answer says that the request has not run; `before` tells whether an earlier attempt
+    /// may have run it, which this one's refusal takes nothing back of.
+    fn refused(
+        &self,
+        attempt: &Attempt<'_>,
+        response: &Response,
+        is_used: bool,
+        before: bool,
+    ) -> Option<Ended> {
         let headers = &response.headers;
         if matches!(attempt.place, Place::Instance { .. }) {
             let outcome = text(headers, &OUTCOME).and_then(Outcome::parse)?;
@@ -243,7 +245,7 @@
             if outcome == Outcome::Unknown {
                 return Some(Ended::Unknown("unknown there".to_owned()));
             }
-            attempt.may_have_run.set(false);
+            attempt.may_have_run.set(before);
             return Some(match outcome {
                 Outcome::NotSent => Ended::NotSent("not sent there".to_owned()),
                 _ => Ended::NotRun(after),
@@ -259,7 +261,7 @@
         if !is_ours && !attempt.job.route().repeats() {
             return Some(Ended::Unknown("a refusal without an id".to_owned()));
         }
-        attempt.may_have_run.set(false);
+        attempt.may_have_run.set(before);
         Some(Ended::NotRun(None))
     }
 
@@ -327,59 +329,6 @@
             }
         }
     }
-
-    /// Encodes a request for a place.
-    fn encode(&self, attempt: &Attempt<'_>, last_event: Option<&str>) -> BytesMut {
-        let job = attempt.job;
-        let mut headers = job.head.headers.clone();
-        let has_body =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        head::strip_hop_by_hop(&mut headers);
-        self.strip_reserved(&mut headers);
-        headers.remove(EXPECT);
-        if has_body {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(job.body.len()));
-        }
-        let left = job.left(Instant::now()).as_millis();
-        let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
-        headers.insert(&self.names.deadline_ms, HeaderValue::from(left));
-        if let Some(last) = last_event.and_then(|last| HeaderValue::try_from(last).ok()) {
-            headers.insert(LAST_EVENT, last);
-        }
-        match attempt.place {
-            Place::Target { target, .. } => {
-                if let Ok(target) = HeaderValue::try_from(target.as_str()) {
-                    headers.insert(&self.names.expected_target, target);
-                }
-                let priority = job.route().priority.min(LEAST_URGENT);
-                headers.insert(&self.names.priority, HeaderValue::from(u16::from(priority)));
-            }
-            Place::Instance { .. } => {
-                headers.insert(REVISION, HeaderValue::from(job.revision()));
-            }
-        }
-        let mut output = BytesMut::with_capacity(1024 + job.body.len());
-        head::write_request(&mut output, &job.head.method, &job.head.target, &headers);
-        output.extend_from_slice(&job.body);
-        output
-    }
-
-    /// Removes what only the gateway may set.
-    fn strip_reserved(&self, headers: &mut HeaderMap) {
-        for name in &self.names.reserved {
-            headers.remove(name);
-        }
-        headers.remove(&self.names.expected_target);
-        headers.remove(&self.names.priority);
-        let own: Vec<_> = headers
-            .keys()
-            .filter(|name| name.as_str().starts_with(OWN_PREFIX))
-            .cloned()
-            .collect();
-        for name in own {
-            headers.remove(name);
-        }
-    }
 }
 
 async fn write(writer: &mut Writer, output: &[u8]) -> io::Result<()> {
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod events;
 pub mod job;
+mod outgoing;
 pub mod placing;
 pub mod pool;
 pub mod run;
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -0,0 +1,74 @@
+//! Requests as they go out: what is passed on, what is set, what is left out.
+
+use std::time::Instant;
+
+use bytes::BytesMut;
+use http::{
+    HeaderMap, HeaderValue,
+    header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
+};
+use zinniastall_http::head;
+
+use super::{
+    Traffic,
+    attempt::{Attempt, Place},
+};
+use crate::names::{LAST_EVENT, OWN_PREFIX, REVISION};
+
+/// Least urgent priority that targets know.
+const LEAST_URGENT: u8 = 9;
+
+impl Traffic {
+    /// Encodes a request for a place.
+    pub(super) fn encode(&self, attempt: &Attempt<'_>, last_event: Option<&str>) -> BytesMut {
+        let job = attempt.job;
+        let mut headers = job.head.headers.clone();
+        let has_body =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        head::strip_hop_by_hop(&mut headers);
+        self.strip_reserved(&mut headers);
+        headers.remove(EXPECT);
+        if has_body {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(job.body.len()));
+        }
+        let left = job.left(Instant::now()).as_millis();
+        let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
+        headers.insert(&self.names.deadline_ms, HeaderValue::from(left));
+        if let Some(last) = last_event.and_then(|last| HeaderValue::try_from(last).ok()) {
+            headers.insert(LAST_EVENT, last);
+        }
+        match attempt.place {
+            Place::Target { target, .. } => {
+                if let Ok(target) = HeaderValue::try_from(target.as_str()) {
+                    headers.insert(&self.names.expected_target, target);
+                }
+                let priority = job.route().priority.min(LEAST_URGENT);
+                headers.insert(&self.names.priority, HeaderValue::from(u16::from(priority)));
+            }
+            Place::Instance { .. } => {
+                headers.insert(REVISION, HeaderValue::from(job.revision()));
+            }
+        }
+        let mut output = BytesMut::with_capacity(1024 + job.body.len());
+        head::write_request(&mut output, &job.head.method, &job.head.target, &headers);
+        output.extend_from_slice(&job.body);
+        output
+    }
+
+    /// Removes what only the gateway may set.
+    fn strip_reserved(&self, headers: &mut HeaderMap) {
+        for name in &self.names.reserved {
+            headers.remove(name);
+        }
+        headers.remove(&self.names.expected_target);
+        headers.remove(&self.names.priority);
+        let own: Vec<_> = headers
+            .keys()
+            .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+            .cloned()
+            .collect();
+        for name in own {
+            headers.remove(name);
+        }
+    }
+}
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -53,7 +53,6 @@
     is_kept: bool,
     broken: Option<Instant>,
     failing: Option<Answer>,
-    may_have_run: &'a Cell<bool>,
 }
 
 /// What follows from an attempt.
@@ -106,7 +105,6 @@
             is_kept: false,
             broken: None,
             failing: None,
-            may_have_run,
         };
         loop {
             let step = match self.place(job, &course.tried) {
@@ -267,10 +265,7 @@
         if client.has_begun() {
             return Step::End(End::Aborted("no place to go on".to_owned()));
         }
-        if self.is_lost && self.may_have_run.get() || self.failing.is_some() {
-            return Step::Give(Refusal::Lost);
-        }
-        if self.is_lost {
+        if self.is_lost || self.failing.is_some() {
             return Step::Give(Refusal::Lost);
         }
         if self.sent > 0 {
--- a/crates/zinniastall-gateway/tests/path/answers.rs
+++ b/crates/zinniastall-gateway/tests/path/answers.rs
@@ -168,6 +168,57 @@
     );
 }
 
+/// Makes an address at which connections neither open nor fail: its queue of new ones is full.
+async fn deaf() -> (
+    std::net::SocketAddr,
+    Vec<tokio::net::TcpStream>,
+    tokio::net::TcpListener,
+) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    let moment = Duration::from_millis(100);
+    let connect = || tokio::net::TcpStream::connect(address);
+    while let Ok(Ok(stream)) = tokio::time::timeout(moment, connect()).await {
+        held.push(stream);
+    }
+    (address, held, listener)
+}
+
+async fn a_later_refusal_takes_nothing_back() {
+    let order = Rc::new(Cell::new(0));
+    let script = |order: &Rc<Cell<u32>>| {
+        let order = Rc::clone(order);
+        move |seen: &Seen| {
+            let id = seen.id();
+            let full = format!(
+                "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+            );
+            match order.replace(order.get() + 1) {
+                0 => vec![Act::Close],
+                _ => vec![Act::Send(full.into_bytes())],
+            }
+        }
+    };
+    let one = Target::start(script(&order)).await;
+    let two = Target::start(script(&order)).await;
+    let (address, _held, _listener) = deaf().await;
+    let mut shown = view(routes(), &[&one, &two]);
+    let mut targets = (*shown.targets).clone();
+    // Left alone at first, as a target that was silent for long, so that the other two come before it.
+    let mut third = crate::stage::known("target-2", address);
+    third.heard = third.heard.checked_sub(Duration::from_secs(10)).unwrap();
+    targets.insert("target-2".to_owned(), third);
+    shown.targets = std::sync::Arc::new(targets);
+    let stage = Stage::start(shown).await;
+    let text = get("/plans/1", "a", "deadline-ms: 250\r\n");
+    let got = stage.connect().await.call(&text).await;
+    assert_eq!(order.get(), 2, "the first two were asked");
+    assert_eq!(got.status, 504, "{}", got.body);
+}
+
 async fn early_answer_ends_the_connection() {
     // The answer comes before the body is read; what is sent next on that connection would be taken
     // for the rest of the body.
@@ -238,6 +289,9 @@
     /// A late refusal of an earlier request arrives without an id. Taken for this request's, it would
     /// promise that a request never runs that is running.
     a_refusal_without_an_id_promises_nothing => stray_refusal_is_no_promise(),
+    /// A target closes without an answer; the next one refuses, which says nothing of the first. The caller
+    /// must not be told that the request has not run.
+    a_later_refusal_takes_no_run_back => a_later_refusal_takes_nothing_back(),
     /// A target's own failure is its answer, signature and all, also after a repeat.
     a_targets_own_failure_is_passed_on => passes_own_failures_on(),
     /// A target answers before it has read a long body, and reads on later.
