--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -18,7 +18,7 @@
     admission::Flight,
     answer::GATHER,
     parcel::Parcel,
-    reply::{Body, Reply},
+    reply::{Body, Parts, Reply, pull},
     target,
     worker::Worker,
 };
@@ -68,26 +68,17 @@
     flight: &Rc<std::cell::RefCell<Flight>>,
     body: Body,
 ) -> Body {
-    let stream = Stream {
+    pull(Stream {
         worker: Rc::clone(worker),
         parcel: Rc::clone(parcel),
         flight: Rc::clone(flight),
         body,
         events: Events::default(),
         attempts: 1,
-    };
-    let next = |state: Option<Stream>| async move {
-        let mut stream = state?;
-        match stream.part().await {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
-            Ok(None) => None,
-            Err(refusal) => Some((Err(refusal), None)),
-        }
-    };
-    stream::unfold(Some(stream), next).boxed_local()
+    })
 }
 
-impl Stream {
+impl Parts for Stream {
     async fn part(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
             let broken = match self.body.next().await {
@@ -106,7 +97,9 @@
             self.resume(broken).await?;
         }
     }
+}
 
+impl Stream {
     async fn resume(&mut self, broken: Refusal) -> Result<(), Refusal> {
         let request = &self.parcel.request;
         let progress = Progress {
