fix(gateway): the word of neighbours goes out in parts

Ruled out: longer datagrams (cut into packets, lost with any of them), links (a connection for each pair).

Change: names of fields are short, forty targets a datagram, and parts of one turn stand beside each other.

--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -30,9 +30,11 @@
 const OLD: u32 = 6;
 /// Longest datagram, in bytes; one that is longer would be cut into packets and lost with any of them.
 const LONGEST: usize = 1_400;
+/// Targets of one datagram: with names of 16 bytes each takes 26 bytes. A region of 70 targets needs two.
+const TARGETS: usize = 40;
 
 /// Requests at one target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
     /// Requests.
     pub flights: u32,
@@ -40,17 +42,31 @@
     pub reading_us: u64,
 }
 
-/// One instance's requests at targets.
+/// One instance's requests at targets, or a part of them.
 #[derive(Debug, Serialize, Deserialize)]
 struct Word {
+    #[serde(rename = "i")]
     instance: id::Instance,
-    loads: Vec<(id::Target, Load)>,
+    /// The same in all parts that are told at once.
+    #[serde(rename = "t")]
+    turn: u32,
+    /// Target, requests, reading time in microseconds.
+    #[serde(rename = "l")]
+    loads: Vec<(id::Target, u32, u64)>,
+}
+
+/// What one neighbour said last.
+#[derive(Debug)]
+struct Said {
+    turn: u32,
+    since: Instant,
+    loads: IndexMap<id::Target, Load>,
 }
 
 /// What the neighbours said last.
 #[derive(Debug, Default)]
 pub struct Neighbours {
-    words: IndexMap<id::Instance, (Instant, IndexMap<id::Target, Load>)>,
+    words: IndexMap<id::Instance, Said>,
     rounds: u32,
 }
 
@@ -59,8 +75,8 @@
     pub fn at(&self, target: &str, now: Instant) -> Load {
         let old = self.old();
         let fresh = |since: Instant| now.saturating_duration_since(since) < old;
-        let words = self.words.values().filter(|(since, _)| fresh(*since));
-        let loads = words.filter_map(|(_, loads)| loads.get(target));
+        let words = self.words.values().filter(|said| fresh(said.since));
+        let loads = words.filter_map(|said| said.loads.get(target));
         loads.fold(Load::default(), |sum, load| Load {
             flights: sum.flights + load.flights,
             reading_us: sum.reading_us + load.reading_us,
@@ -78,13 +94,28 @@
         PACE * OLD * self.rounds.max(1)
     }
 
-    /// Takes a neighbour's word.
-    pub fn hear(&mut self, instance: id::Instance, loads: Vec<(id::Target, Load)>, now: Instant) {
+    /// Takes a neighbour's word, or a part of it; a part of another turn replaces what was said before.
+    pub fn hear(
+        &mut self,
+        instance: &str,
+        turn: u32,
+        loads: impl IntoIterator<Item = (id::Target, Load)>,
+        now: Instant,
+    ) {
         let old = self.old();
         let fresh = |since: Instant| now.saturating_duration_since(since) < old;
-        self.words.retain(|_, (since, _)| fresh(*since));
-        self.words
-            .insert(instance, (now, loads.into_iter().collect()));
+        self.words.retain(|_, said| fresh(said.since));
+        let new = || Said {
+            turn,
+            since: now,
+            loads: IndexMap::new(),
+        };
+        let said = self.words.entry(instance.to_owned()).or_insert_with(new);
+        if said.turn != turn {
+            *said = new();
+        }
+        said.since = now;
+        said.loads.extend(loads);
     }
 }
 
@@ -107,7 +138,11 @@
                 let word: Result<Word, _> = ciborium::from_reader(&buffer[..length]);
                 // Whatever is not a word of a neighbour is dropped; the next one comes soon.
                 if let Ok(word) = word {
-                    neighbours.borrow_mut().hear(word.instance, word.loads, Instant::now());
+                    let loads = word.loads.into_iter().map(|(target, flights, reading_us)| {
+                        (target, Load { flights, reading_us })
+                    });
+                    let mut neighbours = neighbours.borrow_mut();
+                    neighbours.hear(&word.instance, word.turn, loads, Instant::now());
                 }
             }
             _ = pace.tick() => {
@@ -119,7 +154,7 @@
                 let loads = books.borrow().by_target();
                 let is_busy = !loads.is_empty();
                 if is_busy || was_busy {
-                    tell(&socket, &board, loads).await;
+                    tell(&socket, &board, round, &loads).await;
                 }
                 was_busy = is_busy;
             }
@@ -134,11 +169,26 @@
     others.filter(|held| held.place.region == view.place.region)
 }
 
-async fn tell(socket: &UdpSocket, board: &Board, loads: Vec<(id::Target, Load)>) {
+async fn tell(socket: &UdpSocket, board: &Board, turn: u32, loads: &[(id::Target, Load)]) {
     let view = board.view();
+    let mut parts = loads.chunks(TARGETS).peekable();
+    if parts.peek().is_none() {
+        // Nothing is in progress any more, which is worth a word too.
+        tell_part(socket, &view, turn, &[]).await;
+    }
+    for part in parts {
+        tell_part(socket, &view, turn, part).await;
+    }
+}
+
+async fn tell_part(socket: &UdpSocket, view: &View, turn: u32, loads: &[(id::Target, Load)]) {
+    let loads = loads.iter();
     let word = Word {
         instance: view.instance.clone(),
-        loads,
+        turn,
+        loads: loads
+            .map(|(target, load)| (target.clone(), load.flights, load.reading_us))
+            .collect(),
     };
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(&word, &mut bytes) {
@@ -149,7 +199,7 @@
         tracing::warn!(event = "word-too-long", bytes = bytes.len());
         return;
     }
-    for neighbour in near(&view) {
+    for neighbour in near(view) {
         if let Ok(address) = neighbour.forward.parse::<SocketAddr>() {
             // A lost word is replaced by the next one.
             let _ = socket.send_to(&bytes, address).await;
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -0,0 +1,78 @@
+//! Words between the instances of a region, over real datagrams.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{net::UdpSocket, time};
+use zinniastall_gateway::{
+    books::{Books, Flight},
+    decide::budget::Bound,
+    neighbours::{self, Neighbours},
+    view::{Board, View},
+};
+use zinniastall_model::{place::Place, presence::Presence};
+
+/// Targets of a large region; their names are as long as names mostly are.
+const TARGETS: usize = 150;
+
+fn presence(name: &str, address: String) -> Presence {
+    Presence {
+        instance: name.to_owned(),
+        incarnation: 1,
+        place: Place::new("patras", "patras-a"),
+        callers: String::new(),
+        forward: address,
+        ready: true,
+        load: Vec::new(),
+    }
+}
+
+/// A region has 150 targets, all of them busy. Were all told in one datagram, it would be too long to be
+/// sent, and the instances of the largest regions would place blindly.
+#[test]
+fn the_load_of_many_targets_arrives() {
+    actix::System::new().block_on(async {
+        let (one, two) = (
+            UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+            UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let address = |socket: &UdpSocket| socket.local_addr().unwrap().to_string();
+        let instances = [
+            presence("one", address(&one)),
+            presence("two", address(&two)),
+        ];
+        let board = |name: &str| {
+            let mut view = View::new(name.to_owned(), Place::new("patras", "patras-a"));
+            let named = instances
+                .iter()
+                .map(|held| (held.instance.clone(), held.clone()));
+            view.instances = Arc::new(named.collect());
+            Board::new(view)
+        };
+        let books = || Rc::new(RefCell::new(Books::new(Bound::default())));
+        let (busy, idle) = (books(), books());
+        let now = std::time::Instant::now();
+        let flights: Vec<Flight> = (0..TARGETS)
+            .map(|at| Flight::start(&busy, &format!("i-{at:010}"), "api", 10, now))
+            .collect();
+        let heard: Rc<RefCell<Neighbours>> = Rc::default();
+        actix::spawn(neighbours::run(one, board("one"), busy, Rc::default()));
+        actix::spawn(neighbours::run(two, board("two"), idle, Rc::clone(&heard)));
+        let total = |heard: &RefCell<Neighbours>| {
+            let now = std::time::Instant::now();
+            let loads = (0..TARGETS).map(|at| heard.borrow().at(&format!("i-{at:010}"), now));
+            loads.map(|load| load.flights).sum::<u32>()
+        };
+        let whole = async {
+            while total(&heard) < 150 {
+                time::sleep(Duration::from_millis(10)).await;
+            }
+            drop(flights);
+            while total(&heard) > 0 {
+                time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        time::timeout(Duration::from_secs(20), whole)
+            .await
+            .expect("all of it is heard");
+    });
+}
