fix(gateway): no other answer behind a stream that has begun

Ruled out: garbled answers of the target (the bytes were the gateway's own).

Change: a target's answer that isn't the stream's going on counts as a break, and a final answer of any kind is given only while nothing was handed over; else the stream is aborted.

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -166,6 +166,12 @@
             return ended;
         }
         let stream = job.is_stream() && response.status.is_success();
+        if client.has_begun() && !stream {
+            return Ended::Broken(format!(
+                "status {} where the stream should go on",
+                response.status
+            ));
+        }
         let ended = if stream {
             self.relay(job, &response, &mut connection, &mut flight, events, client)
                 .await
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -275,7 +275,12 @@
     }
 }
 
+/// Gives the final answer, unless a stream has begun: behind its events another answer would be garbage that
+/// the caller takes for a part of it.
 async fn give(course: Course<'_>, refusal: Refusal, client: &mut Client) -> io::Result<End> {
+    if client.has_begun() {
+        return Ok(End::Aborted(refusal.word().to_owned()));
+    }
     if let Some(answer) = course.failing {
         client.answer(answer).await?;
         return Ok(End::Answered);
--- a/crates/zinniastall-gateway/tests/path/streams.rs
+++ b/crates/zinniastall-gateway/tests/path/streams.rs
@@ -10,7 +10,7 @@
 };
 
 fn routes() -> Vec<Route> {
-    let mut resumable = route("/resumed/", Kind::Stream, 3);
+    let mut resumable = route("/resumed/", Kind::Stream, 2);
     resumable.resumable = true;
     vec![route("/stream/", Kind::Stream, 2), resumable]
 }
@@ -109,6 +109,25 @@
     assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
 }
 
+/// Breaks the first stream off after three events, and lets the target at which it goes on act as told.
+async fn goes_on_badly(then: impl Fn(&Seen) -> Vec<Act> + Clone + 'static) {
+    let script = move |seen: &Seen| {
+        if seen.header("last-event-id").is_empty() {
+            return script(seen, 9, Some(4));
+        }
+        then(seen)
+    };
+    let one = Target::start(script.clone()).await;
+    let two = Target::start(script).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    let mut caller = stage.connect().await;
+    let got = caller.call(&get("/resumed/1", "a", "")).await;
+    assert!(!got.is_whole);
+    assert_eq!(got.body, all(3));
+    assert!(caller.ends().await, "bytes of another answer came behind");
+    assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
+}
+
 async fn goes_on_after_the_named_event() {
     let target = Target::start(|seen| script(seen, 5, None)).await;
     let stage = Stage::start(view(routes(), &[&target])).await;
@@ -154,6 +173,17 @@
     /// An engine crashes in the middle of an event of a stream that may be resumed. The caller reads
     /// one stream, whole and without a doubled event.
     a_broken_stream_goes_on_at_another_target => resumes_elsewhere(),
+    /// The target at which a broken stream is to go on fails it. Written behind the events that the caller
+    /// has, its answer would be garbage in the middle of a stream.
+    a_failure_never_follows_a_begun_stream => goes_on_badly(|seen| {
+        vec![Act::Send(crate::stage::answer(500, seen.id(), "broke"))]
+    }),
+    /// The target at which a broken stream is to go on answers with something that is no stream.
+    another_answer_never_follows_a_begun_stream => goes_on_badly(|seen| {
+        vec![Act::Send(crate::stage::answer(404, seen.id(), "what stream?"))]
+    }),
+    /// The target at which a broken stream is to go on closes without an answer.
+    a_refusal_never_follows_a_begun_stream => goes_on_badly(|_| vec![Act::Close]),
     /// A caller resumes a stream itself.
     a_stream_goes_on_after_the_named_event => goes_on_after_the_named_event(),
     /// An engine crashes after its head and before the first event: the run may have begun.
