fix(gateway): a refusal that names no end holds nobody up

Cause, found in reading: before a refused attempt was followed up, the rest of the refusal was read. A target that names no length and keeps its connection open held the caller until the deadline for an answer that was known. Ruled out: leaving every such connection unused, which costs one connecting for each refusal of a full target.

Change: words without a named end are not read, others for 5 ms at most. Test a_refusal_without_an_end_is_told_at_once failed first (5 s, the route's deadline) and passes now. With it, tests for the lines that explain a request and for their bound where everything fails (tests/path/lines.rs).

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -8,8 +8,9 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
+use tokio::time;
 use zinniastall_http::{
-    body::Decoder,
+    body::{Decoder, Framing},
     connection::{RESPONSE_HEAD, Reader, Writer},
     head::{self, Response},
 };
@@ -30,6 +31,10 @@
 
 /// Longest whole answer, in bytes; answers of streams have no bound.
 const LONGEST: usize = 32 << 20;
+/// Longest wait for the rest of a refusal, whose words nobody reads. A target that names no length, or stalls
+/// within them, would hold up a request whose fate is known; its connection is closed instead, which costs
+/// one more connecting. Nearly all refusals come in one piece.
+const REST: Duration = Duration::from_millis(5);
 /// Answers to other requests that are skipped on a connection before it counts as broken.
 const STRAYS: usize = 2;
 
@@ -155,12 +160,7 @@
             Err(why) => return Ended::Unknown(why),
         };
         if let Some(ended) = self.refused(attempt, &response, connection.is_used, before) {
-            let rest = Decoder::new(
-                response
-                    .framing(false)
-                    .unwrap_or(zinniastall_http::body::Framing::Close),
-            );
-            if is_clean && drained(&mut connection.reader, rest).await {
+            if is_clean && ends_soon(&response, &mut connection.reader).await {
                 self.pool.rest(place.address(), connection, &response);
             }
             return ended;
@@ -227,7 +227,7 @@
             strays += 1;
             tracing::info!(event = "stray-answer", id = job.id, other = echoed);
             let framing = response.framing(false).map_err(|fault| fault.to_string())?;
-            let length_known = framing != zinniastall_http::body::Framing::Close;
+            let length_known = framing != Framing::Close;
             if strays > STRAYS || !length_known || !drained(reader, Decoder::new(framing)).await {
                 return Err("answers of other requests".to_owned());
             }
@@ -349,6 +349,18 @@
     }
 }
 
+/// Reads the words of a refusal; tells whether the connection may be used again.
+async fn ends_soon(response: &Response, reader: &mut Reader) -> bool {
+    let Ok(framing) = response.framing(false) else {
+        return false;
+    };
+    if framing == Framing::Close {
+        return false;
+    }
+    let rest = drained(reader, Decoder::new(framing));
+    time::timeout(REST, rest).await.unwrap_or(false)
+}
+
 /// Reads the rest of a body that nobody needs; tells whether it ended in order.
 async fn drained(reader: &mut Reader, mut decoder: Decoder) -> bool {
     loop {
--- a/crates/zinniastall-gateway/tests/path/answers.rs
+++ b/crates/zinniastall-gateway/tests/path/answers.rs
@@ -134,6 +134,24 @@
     assert!(got.body.contains("not-run"), "{}", got.body);
 }
 
+async fn refused_without_an_end() {
+    let target = Target::start(|seen| {
+        let id = seen.id();
+        let text = format!("HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\n\r\nfull");
+        vec![
+            Act::Send(text.into_bytes()),
+            Act::Wait(Duration::from_secs(15)),
+        ]
+    })
+    .await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let since = std::time::Instant::now();
+    let got = stage.connect().await.call(&post("/pay/1", "a", "x")).await;
+    assert_eq!(got.status, 503);
+    assert!(got.body.contains("not-run"), "{}", got.body);
+    assert!(since.elapsed() < Duration::from_secs(1));
+}
+
 async fn stray_refusal_is_no_promise() {
     let late = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
     let target = Target::start(move |seen| {
@@ -286,6 +304,9 @@
     bytes_behind_an_answer_end_the_connection => closes_after_extra_bytes(),
     /// A full target says that it has not run the request. The caller is told so, and when to return.
     a_refusal_before_the_run_is_told => refused_before_it_ran(),
+    /// A full target says so, names no length and keeps its connection open. Whoever waits for the end of its
+    /// words holds the caller to the deadline for an answer that is known.
+    a_refusal_without_an_end_is_told_at_once => refused_without_an_end(),
     /// A late refusal of an earlier request arrives without an id. Taken for this request's, it would
     /// promise that a request never runs that is running.
     a_refusal_without_an_id_promises_nothing => stray_refusal_is_no_promise(),
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/lines.rs
@@ -0,0 +1,182 @@
+//! Log lines on requests: what an engineer finds of one, and how many there may be.
+
+use std::{
+    cell::Cell,
+    io,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tracing::subscriber::DefaultGuard;
+use tracing_subscriber::layer::SubscriberExt;
+use zinniastall_model::routing::{Kind, Route};
+
+use crate::{
+    cases,
+    stage::{Act, Seen, Stage, Target, get, post, route, view},
+};
+
+/// Most lines a second on requests that fail.
+const BADLY: usize = 300;
+
+/// Keeps what a thread logs while a test runs.
+#[derive(Debug, Clone, Default)]
+struct Log(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Log {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Log {
+    fn start() -> (Self, DefaultGuard) {
+        let log = Self::default();
+        let writer = log.clone();
+        let layer = tracing_logfmt::builder()
+            .layer()
+            .with_writer(move || writer.clone());
+        let guard = tracing::subscriber::set_default(tracing_subscriber::registry().with(layer));
+        (log, guard)
+    }
+
+    /// Returns the lines that contain all of these words.
+    fn with(&self, words: &[&str]) -> Vec<String> {
+        let bytes = self.0.lock().unwrap();
+        let text = String::from_utf8_lossy(&bytes);
+        let lines = text.lines().filter(|line| {
+            let fields: Vec<&str> = line.split(' ').collect();
+            words.iter().all(|word| fields.contains(word))
+        });
+        lines.map(str::to_owned).collect()
+    }
+
+    /// Checks that one line has these words, and a value for each of these fields.
+    fn has(&self, words: &[&str], fields: &[&str]) {
+        let lines = self.with(words);
+        let [line] = &lines[..] else {
+            panic!("{words:?}: {lines:?} of {:?}", self.with(&[]));
+        };
+        for field in fields {
+            let begin = format!(" {field}=");
+            assert!(line.contains(&begin), "{field} is missing: {line}");
+        }
+    }
+}
+
+fn routes() -> Vec<Route> {
+    vec![
+        route("/plans/", Kind::Idempotent, 3),
+        route("/pay/", Kind::Once, 1),
+    ]
+}
+
+async fn placed_and_ended() {
+    let (log, _guard) = Log::start();
+    let target = Target::answering("fine").await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    stage.connect().await.call(&get("/plans/1", "a", "")).await;
+    let basis = [
+        "wait_ms",
+        "read_ms",
+        "flights",
+        "report_age_ms",
+        "candidates",
+        "revision",
+        "left_ms",
+    ];
+    let place = [
+        "event=placed",
+        "id=a",
+        "place=target-0",
+        "attempt=0",
+        "far=false",
+    ];
+    log.has(&place, &basis);
+    let end = [
+        "event=request-ended",
+        "id=a",
+        "outcome=answered",
+        "status=200",
+    ];
+    log.has(&end, &["first_ms", "took_ms", "objective_ms", "revision"]);
+}
+
+async fn tried_again() {
+    let (log, _guard) = Log::start();
+    let is_first = Rc::new(Cell::new(true));
+    let script = |is_first: &Rc<Cell<bool>>| {
+        let is_first = Rc::clone(is_first);
+        move |seen: &Seen| {
+            if is_first.replace(false) {
+                return vec![Act::Close];
+            }
+            vec![Act::Send(seen.answer("fine"))]
+        }
+    };
+    let one = Target::start(script(&is_first)).await;
+    let two = Target::start(script(&is_first)).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    stage.connect().await.call(&get("/plans/1", "a", "")).await;
+    let failed = ["event=attempt", "id=a", "outcome=unknown"];
+    log.has(&failed, &["place", "why", "left_ms"]);
+    log.has(
+        &["event=placed", "id=a", "attempt=1"],
+        &["place", "wait_ms"],
+    );
+}
+
+async fn given_up() {
+    let (log, _guard) = Log::start();
+    let target = Target::start(|_| vec![Act::Close]).await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    stage.connect().await.call(&post("/pay/1", "a", "x")).await;
+    log.has(
+        &[
+            "event=request-ended",
+            "id=a",
+            "outcome=unknown",
+            "status=502",
+        ],
+        &["why", "took_ms"],
+    );
+}
+
+async fn bounded() {
+    const REQUESTS: usize = 2_000;
+    let (log, _guard) = Log::start();
+    let target = Target::start(|_| vec![Act::Close]).await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    let since = std::time::Instant::now();
+    let mut caller = stage.connect().await;
+    for at in 0..REQUESTS {
+        caller.call(&post("/pay/1", &format!("a{at}"), "x")).await;
+    }
+    let windows = usize::try_from(since.elapsed().as_secs()).unwrap() + 1;
+    let failed =
+        |log: &Log| log.with(&["event=attempt"]).len() + log.with(&["outcome=unknown"]).len();
+    let written = log.with(&["event=request-ended"]).len() + failed(&log);
+    assert!(written <= 2 * BADLY * windows, "{written} in {windows} s");
+    // The next window tells what this one left out.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    caller.call(&post("/pay/1", "last", "x")).await;
+    let told = log.with(&["event=lines-left-out", "kind=badly"]);
+    assert!(!told.is_empty(), "what was left out is told");
+}
+
+cases! {
+    /// A caller asks why a request went where it went; its lines must say on what it was decided.
+    a_request_that_goes_well_has_its_lines => placed_and_ended(),
+    /// A request was slow because its first target failed it.
+    a_repeat_has_its_lines => tried_again(),
+    /// A caller was told that nobody knows whether a request ran.
+    an_unknown_end_has_its_line => given_up(),
+    /// Every request fails. Lines without a bound would cost more than the requests, and fill the disk.
+    lines_are_bounded_where_everything_fails => bounded(),
+}
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod bounds;
 mod heads;
+mod lines;
 mod stage;
 mod streams;
 
