fix(control): a replaced voter goes before its successor counts

Between promotion and removal the group had four voters, one of them gone for good: three of three had to answer, and one more lost disk would leave a group that never leads again.

Change: the replaced voter is removed as soon as its successor is a reachable learner at its address; no step passes through an even set. The order that a_lost_disk_is_replaced_step_by_step checked was the fault; it now checks the new order with as many steps. Tests a_lost_disk_is_replaced_step_by_step and a_replacement_never_makes_a_set_that_needs_all failed first. Two voters keep the old order.

--- a/crates/zinniastall-control/src/control/heal.rs
+++ b/crates/zinniastall-control/src/control/heal.rs
@@ -2,7 +2,7 @@
 //!
 //! A replica outside the group asks all that it knows of to be taken in; whoever hears it passes that
 //! on to the leader. The leader takes one step at a time, each a change of voters that the log
-//! commits: admit, promote once caught up, remove whom the new one replaces. A replica that came back
+//! commits: admit, remove whom the new one replaces, promote once caught up. A replica that came back
 //! with an empty disk has a new id, so it can't vote in the place of the one that forgot its vote.
 
 use std::time::{Duration, Instant};
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use zinniastall_coord::{
     Id,
-    replica::{Part, Status},
+    replica::{Part, Peer, Status},
     voters::{Address, Change},
 };
 
@@ -101,22 +101,27 @@
     let learner = voters.learners.keys().copied();
     let caught_up =
         |id: &Id| peer(id).is_some_and(|peer| peer.reachable && peer.matched + 8 >= status.commit);
-    if let Some(id) = learner.clone().find(|id| caught_up(id)) {
-        return Some(Change::Promote { id });
-    }
     let silent = |id: &Id, least: Duration| {
-        let long = |peer: &zinniastall_coord::replica::Peer| {
-            !peer.reachable && peer.silent.is_none_or(|silent| silent >= least)
-        };
+        let long =
+            |peer: &Peer| !peer.reachable && peer.silent.is_none_or(|silent| silent >= least);
         *id != status.id && peer(id).is_some_and(long)
     };
+    let is_reachable = |id: &Id| peer(id).is_some_and(|peer| peer.reachable);
     let taken = |id: &Id, address: &Address| {
-        let same = |other: Id| other != *id && voters.address(other) == Some(address);
-        voters.voters.keys().any(|other| same(*other))
+        let same = |other: &Id| *other != *id && voters.address(*other) == Some(address);
+        let learner = |other: &Id| same(other) && is_reachable(other);
+        voters.voters.keys().any(same) || voters.learners.keys().any(learner)
     };
     let is_replaced = |(id, address): &(&Id, &Address)| taken(id, address) && silent(id, REPLACED);
-    if let Some((id, _)) = voters.voters.iter().find(is_replaced) {
-        return Some(Change::Remove { id: *id });
+    let replaced = voters.voters.iter().find(is_replaced).map(|(id, _)| *id);
+    // Promoted beside the one that it replaces, the new voter would make an even set, in which all that
+    // answer make a majority: one more loss before the next step would leave a group that never leads
+    // again. Two voters stay two until the new one counts.
+    if let Some(id) = replaced.filter(|_| voters.voters.len() > 2) {
+        return Some(Change::Remove { id });
+    }
+    if let Some(id) = learner.clone().find(|id| caught_up(id)) {
+        return Some(Change::Promote { id });
     }
     let is_stale = |id: &Id| silent(id, SILENT) && !asking.contains_key(id);
     if let Some(id) = learner.clone().find(is_stale) {
--- a/crates/zinniastall-control/tests/heal.rs
+++ b/crates/zinniastall-control/tests/heal.rs
@@ -87,8 +87,8 @@
     assert_eq!(next_step(&status(&voters, &[]), &asking(&[])), None);
 }
 
-/// A disk is lost: the same address under another id. Admitted, caught up, promoted; then the one that
-/// it replaces goes.
+/// A disk is lost: the same address under another id. Admitted; the one that it replaces goes, and the new
+/// one votes once it has caught up.
 #[test]
 fn a_lost_disk_is_replaced_step_by_step() {
     let mut voters = WHOLE;
@@ -99,21 +99,54 @@
         address: "c".to_owned(),
     };
     assert_eq!(next_step(&status(&voters, &[]), &fresh), Some(admit));
+    let remove = Change::Remove { id: 3 };
     let behind = [(9, "c", Seen::Behind)];
+    let step = next_step(&status(&voters, &behind), &fresh);
+    assert_eq!(step, Some(remove.clone()));
+    let two = &WHOLE[..2];
     assert_eq!(
-        next_step(&status(&voters, &behind), &fresh),
+        next_step(&status(two, &behind), &fresh),
         None,
         "it must catch up first"
     );
     let whole = [(9, "c", Seen::Whole)];
     let promote = Change::Promote { id: 9 };
-    assert_eq!(next_step(&status(&voters, &whole), &fresh), Some(promote));
+    assert_eq!(next_step(&status(two, &whole), &fresh), Some(promote));
     let mut four = voters.to_vec();
     four.push((9, "c", Seen::Whole));
-    let remove = Change::Remove { id: 3 };
     assert_eq!(next_step(&status(&four, &[]), &asking(&[])), Some(remove));
 }
 
+/// A disk is lost, and all machines lose power while it is being replaced; one more comes back with an empty
+/// disk. Had the new voter been counted beside the one that it replaces, two of four would be left: no leader
+/// is ever elected again, and every request is refused.
+#[test]
+fn a_replacement_never_makes_a_set_that_needs_all() {
+    let mut voters = WHOLE;
+    voters[2].2 = Seen::Silent(2);
+    let whole = [(9, "c", Seen::Whole)];
+    let step = next_step(&status(&voters, &whole), &asking(&[]));
+    assert_eq!(step, Some(Change::Remove { id: 3 }));
+}
+
+/// One of two voters lost its disk. Its successor counts before it goes, since one alone is no group.
+#[test]
+fn one_of_two_is_replaced_by_a_third() {
+    let voters = [(OWN, "a", Seen::Whole), (2, "b", Seen::Silent(2))];
+    let whole = [(9, "b", Seen::Whole)];
+    let step = next_step(&status(&voters, &whole), &asking(&[]));
+    assert_eq!(step, Some(Change::Promote { id: 9 }));
+}
+
+/// A replica whose disk was lost twice leaves a learner that nobody reaches. The voter at its address stays.
+#[test]
+fn a_learner_that_is_silent_replaces_nobody() {
+    let mut voters = WHOLE;
+    voters[2].2 = Seen::Silent(2);
+    let gone = [(9, "c", Seen::Silent(2))];
+    assert_eq!(next_step(&status(&voters, &gone), &asking(&[])), None);
+}
+
 /// A machine is gone for good and a new one comes at another address. The old one is taken out once it
 /// has been silent for longer than a restart takes, and not before.
 #[test]
