refactor(control): the step that repairs a group is code of its own

heal.rs decided and acted in one file, and next_step was sixty lines of closures. It is repair.rs now, one short function for each reason. No behaviour changes: the tests of heal.rs are as they were.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -13,6 +13,7 @@
 mod heal;
 mod order;
 mod read;
+mod repair;
 mod reply;
 mod start;
 mod status;
@@ -42,8 +43,9 @@
     entries::Heard,
     found::{Bootstrap, Founded, Refused},
     group::Regroup,
-    heal::{Glance, Glimpse, Members, Reseed, next_step},
+    heal::{Glance, Glimpse, Members, Reseed},
     read::{Look, Read},
+    repair::next_step,
     reply::{Later, NotLeader, Reply},
     start::{Failure, Start, StartFault},
     status::{Health, Inspect},
--- a/crates/zinniastall-control/src/control/heal.rs
+++ b/crates/zinniastall-control/src/control/heal.rs
@@ -11,11 +11,11 @@
 use indexmap::IndexMap;
 use zinniastall_coord::{
     Id,
-    replica::{Part, Peer, Status},
-    voters::{Address, Change},
+    replica::{Part, Status},
+    voters::Address,
 };
 
-use super::{Bootstrap, Control, Regroup};
+use super::{Bootstrap, Control, Regroup, repair::next_step};
 use crate::peers;
 
 /// Time between two questions of a replica outside the group, and between two steps of the leader.
@@ -23,11 +23,6 @@
 const STEP: Duration = Duration::from_millis(300);
 /// Time after which a question that wasn't repeated is forgotten: five of them were lost.
 const ASKING: Duration = Duration::from_millis(1_500);
-/// Silence after which a voter may be removed from an even set. It is longer than a restart or an
-/// election takes, since a voter that comes back has to catch up and be promoted anew.
-const SILENT: Duration = Duration::from_secs(6);
-/// Silence after which the voter before gives way to a new one at its own address.
-const REPLACED: Duration = Duration::from_secs(1);
 /// Time without a finished sync after which a leader hands over. Others' disks may be well, and
 /// nothing is acknowledged here meanwhile; an order has six seconds in all.
 const STALLED: Duration = Duration::from_millis(1_200);
@@ -92,56 +87,6 @@
     }
 }
 
-/// Returns the next change of voters that repairs a group, as its leader sees it.
-///
-/// `asking` are the replicas that ask to be taken in, with their addresses.
-pub fn next_step(status: &Status, asking: &IndexMap<Id, Address>) -> Option<Change> {
-    let voters = &status.voters;
-    let peer = |id: &Id| status.peers.get(id);
-    let learner = voters.learners.keys().copied();
-    let caught_up =
-        |id: &Id| peer(id).is_some_and(|peer| peer.reachable && peer.matched + 8 >= status.commit);
-    let silent = |id: &Id, least: Duration| {
-        let long =
-            |peer: &Peer| !peer.reachable && peer.silent.is_none_or(|silent| silent >= least);
-        *id != status.id && peer(id).is_some_and(long)
-    };
-    let is_reachable = |id: &Id| peer(id).is_some_and(|peer| peer.reachable);
-    let taken = |id: &Id, address: &Address| {
-        let same = |other: &Id| *other != *id && voters.address(*other) == Some(address);
-        let learner = |other: &Id| same(other) && is_reachable(other);
-        voters.voters.keys().any(same) || voters.learners.keys().any(learner)
-    };
-    let is_replaced = |(id, address): &(&Id, &Address)| taken(id, address) && silent(id, REPLACED);
-    let replaced = voters.voters.iter().find(is_replaced).map(|(id, _)| *id);
-    // Promoted beside the one that it replaces, the new voter would make an even set, in which all that
-    // answer make a majority: one more loss before the next step would leave a group that never leads
-    // again. Two voters stay two until the new one counts.
-    if let Some(id) = replaced.filter(|_| voters.voters.len() > 2) {
-        return Some(Change::Remove { id });
-    }
-    if let Some(id) = learner.clone().find(|id| caught_up(id)) {
-        return Some(Change::Promote { id });
-    }
-    let is_stale = |id: &Id| silent(id, SILENT) && !asking.contains_key(id);
-    if let Some(id) = learner.clone().find(is_stale) {
-        return Some(Change::Remove { id });
-    }
-    let is_new = |(id, _): &(&Id, &Address)| !voters.is_member(**id);
-    if let Some((id, address)) = asking.iter().find(is_new) {
-        return Some(Change::Admit {
-            id: *id,
-            address: address.clone(),
-        });
-    }
-    // A silent voter of an even set is a burden: without it as many others may be lost, and one
-    // vote less makes a majority.
-    let even = voters.voters.len() > 2 && voters.voters.len().is_multiple_of(2);
-    let burden = voters.voters.keys().find(|id| silent(id, SILENT));
-    let id = *burden.filter(|_| even)?;
-    Some(Change::Remove { id })
-}
-
 impl Control {
     /// Tells whether the group has as many voters as it needs for its first change.
     ///
--- /dev/null
+++ b/crates/zinniastall-control/src/control/repair.rs
@@ -0,0 +1,111 @@
+//! Which change of voters repairs a group next.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use zinniastall_coord::{
+    Id,
+    replica::{Peer, Status},
+    voters::{Address, Change},
+};
+
+/// Silence after which a voter may be removed from an even set. It is longer than a restart or an
+/// election takes, since a voter that comes back has to catch up and be promoted anew.
+const SILENT: Duration = Duration::from_secs(6);
+/// Silence after which the voter before gives way to a new one at its own address.
+const REPLACED: Duration = Duration::from_secs(1);
+/// Entries that a learner may lack when it is promoted; it gets them within a message or two.
+const BEHIND: u64 = 8;
+
+/// A group as its leader sees it.
+struct Group<'a> {
+    status: &'a Status,
+    /// Replicas that ask to be taken in, with their addresses.
+    asking: &'a IndexMap<Id, Address>,
+}
+
+/// Returns the next change of voters that repairs a group, as its leader sees it.
+///
+/// `asking` are the replicas that ask to be taken in, with their addresses.
+pub fn next_step(status: &Status, asking: &IndexMap<Id, Address>) -> Option<Change> {
+    let group = Group { status, asking };
+    let remove = |id| Change::Remove { id };
+    let promote = |id| Change::Promote { id };
+    let replaced = group.replaced();
+    // Promoted beside the one that it replaces, the new voter would make an even set, in which all that
+    // answer make a majority: one more loss before the next step would leave a group that never leads
+    // again. Two voters stay two until the new one counts.
+    let first = replaced.filter(|_| status.voters.voters.len() > 2);
+    first
+        .map(remove)
+        .or_else(|| group.caught_up().map(promote))
+        .or_else(|| group.stale_learner().map(remove))
+        .or_else(|| group.newcomer())
+        .or_else(|| group.burden().map(remove))
+}
+
+impl Group<'_> {
+    fn peer(&self, id: Id) -> Option<&Peer> {
+        self.status.peers.get(&id)
+    }
+
+    fn is_reachable(&self, id: Id) -> bool {
+        self.peer(id).is_some_and(|peer| peer.reachable)
+    }
+
+    fn is_silent(&self, id: Id, least: Duration) -> bool {
+        let long =
+            |peer: &Peer| !peer.reachable && peer.silent.is_none_or(|silent| silent >= least);
+        id != self.status.id && self.peer(id).is_some_and(long)
+    }
+
+    fn voters(&self) -> impl Iterator<Item = Id> {
+        self.status.voters.voters.keys().copied()
+    }
+
+    fn learners(&self) -> impl Iterator<Item = Id> {
+        self.status.voters.learners.keys().copied()
+    }
+
+    /// Returns a silent voter whose address belongs to another voter, or to a learner that answers.
+    fn replaced(&self) -> Option<Id> {
+        let address = |id: Id| self.status.voters.address(id);
+        let is_taken = |id: Id| {
+            let same = |other: Id| other != id && address(other) == address(id);
+            let answers = |other: Id| same(other) && self.is_reachable(other);
+            self.voters().any(same) || self.learners().any(answers)
+        };
+        let is_replaced = |id: &Id| self.is_silent(*id, REPLACED) && is_taken(*id);
+        self.voters().find(is_replaced)
+    }
+
+    fn caught_up(&self) -> Option<Id> {
+        let commit = self.status.commit;
+        let has_all = |peer: &Peer| peer.reachable && peer.matched + BEHIND >= commit;
+        self.learners()
+            .find(|id| self.peer(*id).is_some_and(has_all))
+    }
+
+    fn stale_learner(&self) -> Option<Id> {
+        let is_stale = |id: &Id| self.is_silent(*id, SILENT) && !self.asking.contains_key(id);
+        self.learners().find(is_stale)
+    }
+
+    fn newcomer(&self) -> Option<Change> {
+        let voters = &self.status.voters;
+        let (id, address) = self.asking.iter().find(|(id, _)| !voters.is_member(**id))?;
+        Some(Change::Admit {
+            id: *id,
+            address: address.clone(),
+        })
+    }
+
+    /// Returns a silent voter of an even set: without it as many others may be lost, and one vote less makes
+    /// a majority.
+    fn burden(&self) -> Option<Id> {
+        let size = self.status.voters.voters.len();
+        let is_even = size > 2 && size.is_multiple_of(2);
+        self.voters()
+            .find(|id| is_even && self.is_silent(*id, SILENT))
+    }
+}
