test(standin): the ledger's test doesn't race the end of its stream

Cause: its stream is five tokens of 1 ms, so a pause of 4 ms between the first event and the kill lets it end. Shown by a pause of 20 ms put there: the same words, false for true, each time. Ruled out: a lost line of the ledger, the entry was there with its end.

Change: that stream is a minute long; with the pause it passes, and the pause is gone again. As strict as before: the same two entries are asked for.

--- a/tests/tests/standin.rs
+++ b/tests/tests/standin.rs
@@ -127,7 +127,10 @@
     let file = json!({"ledger_file": folder.path().join("ledger")});
     let (mut process, address) = engine(file.clone()).await?;
     read(address, 0).await?;
-    let request = http::post(address, "/v1/chat/completions").json(&chat("room 2", true));
+    // A minute long at a token each millisecond, so that it can't end before the kill.
+    let mut long = chat("room 2", true);
+    long["max_tokens"] = json!(60_000);
+    let request = http::post(address, "/v1/chat/completions").json(&long);
     let (_, mut events) = request.stream().await?;
     events.next().await?;
     process.kill()?;
