fix(gateway): a stream torn within an event doesn't go on at another target

Found in reading. An event beyond 256 KiB is passed on in parts. Where its target then crashed, the resumed stream was put behind the half event, and the caller read one event made of halves of two runs in an answer that looked whole.

Change: such an end is an outcome of its own, torn, and ends the answer as broken. The search for the end of an event begins where the last one stopped; before, each piece of an event searched all of it again (not measured). Test streams::a_long_event_that_is_broken_off_ends_the_stream failed first ("an event was made of two halves").

--- a/crates/zinniastall-gateway/src/journal.rs
+++ b/crates/zinniastall-gateway/src/journal.rs
@@ -118,7 +118,9 @@
     pub fn attempted(&self, job: &Job, place: &Place, ended: &Ended) {
         let why = match ended {
             Ended::Delivered => return,
-            Ended::NotSent(why) | Ended::Unknown(why) | Ended::Broken(why) => why.as_str(),
+            Ended::NotSent(why) | Ended::Unknown(why) | Ended::Broken(why) | Ended::Torn(why) => {
+                why.as_str()
+            }
             Ended::NotRun(_) => "the target refused it",
             Ended::Failing(answer) => answer.status.as_str(),
             Ended::Gone(_) => "nobody takes the answer",
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -72,8 +72,10 @@
     Failing(Answer),
     /// It was sent, and nobody can tell whether it ran.
     Unknown(Why),
-    /// A part of the answer was handed over, and no more comes.
+    /// A part of the answer was handed over, and no more comes from this target.
     Broken(Why),
+    /// The same in the middle of an event, behind which no other target can go on.
+    Torn(Why),
     /// Nobody takes the answer any more.
     Gone(io::Error),
 }
@@ -88,6 +90,7 @@
             Self::Failing(_) => "failing",
             Self::Unknown(_) => "unknown",
             Self::Broken(_) => "broken",
+            Self::Torn(_) => "torn",
             Self::Gone(_) => "left",
         }
     }
@@ -316,6 +319,7 @@
         loop {
             let piece = match connection.reader.piece(&mut decoder).await {
                 Ok(piece) => piece,
+                Err(error) if events.is_torn() => return Ended::Torn(error.to_string()),
                 Err(error) if client.has_begun() => return Ended::Broken(error.to_string()),
                 Err(error) => return Ended::Unknown(error.to_string()),
             };
--- a/crates/zinniastall-gateway/src/path/events.rs
+++ b/crates/zinniastall-gateway/src/path/events.rs
@@ -2,22 +2,27 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event, in bytes; what is longer is passed on as it comes and can't be resumed.
+/// Longest event that is kept until it is whole, in bytes; a longer one is passed on as it comes.
 const LONGEST: usize = 256 << 10;
+/// Bytes of an end that may lie in the piece before: all of `\r\n\r\n` but one.
+const BEFORE: usize = 3;
 
 /// Cuts a stream into whole events and remembers the last one.
 #[derive(Debug, Default)]
 pub struct Events {
     input: BytesMut,
+    /// Bytes of the input in which no event ends.
+    searched: usize,
     last: Option<String>,
+    is_torn: bool,
 }
 
 impl Events {
     /// Creates the reader of a stream that goes on after an event.
     pub fn after(last: Option<String>) -> Self {
         Self {
-            input: BytesMut::new(),
             last,
+            ..Self::default()
         }
     }
 
@@ -27,18 +32,30 @@
     /// event that neither of them sent.
     pub fn resume(&mut self) {
         self.input.clear();
+        self.searched = 0;
+    }
+
+    /// Tells whether a part of an event was passed on and its end wasn't: what another target sends can't
+    /// be put behind it.
+    pub const fn is_torn(&self) -> bool {
+        self.is_torn
     }
 
     /// Takes bytes and returns all events that are whole by now, in one piece.
     pub fn take(&mut self, bytes: &[u8]) -> Bytes {
         self.input.extend_from_slice(bytes);
-        let Some(end) = last_end(&self.input) else {
-            if self.input.len() > LONGEST {
-                return self.input.split().freeze();
+        let from = self.searched.saturating_sub(BEFORE);
+        let Some(end) = last_end(&self.input, from) else {
+            self.searched = self.input.len();
+            if self.searched > LONGEST {
+                self.is_torn = true;
+                return self.rest();
             }
             return Bytes::new();
         };
         let whole = self.input.split_to(end).freeze();
+        self.searched = self.input.len();
+        self.is_torn = false;
         if let Some(id) = last_id(&whole) {
             self.last = Some(id);
         }
@@ -47,6 +64,7 @@
 
     /// Returns what is left over, at an end that was in order.
     pub fn rest(&mut self) -> Bytes {
+        self.searched = 0;
         self.input.split().freeze()
     }
 
@@ -56,17 +74,13 @@
     }
 }
 
-/// Returns the place behind the last blank line.
-fn last_end(input: &[u8]) -> Option<usize> {
-    let mut at = input.len();
-    while at >= 2 {
-        let front = &input[..at];
-        if front.ends_with(b"\n\n") || front.ends_with(b"\r\n\r\n") {
-            return Some(at);
-        }
-        at -= 1;
-    }
-    None
+/// Returns the place behind the last blank line that ends behind `from`.
+fn last_end(input: &[u8], from: usize) -> Option<usize> {
+    let is_end = |at: &usize| {
+        let front = &input[..*at];
+        front.ends_with(b"\n\n") || front.ends_with(b"\r\n\r\n")
+    };
+    (from..=input.len()).rev().find(is_end)
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -192,6 +192,7 @@
                     Step::Give(Refusal::Lost)
                 }
             }
+            Ended::Torn(why) => Step::End(End::Aborted(why)),
             Ended::Broken(why) => {
                 course.sent += 1;
                 course.broken = Some(Instant::now());
@@ -238,7 +239,7 @@
                 return;
             }
             Ended::NotRun(_) => account.shut_until = Some(now + SHUT),
-            Ended::Unknown(_) | Ended::Broken(_) | Ended::Failing(_) => {
+            Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) | Ended::Failing(_) => {
                 account.record.failure(now);
             }
             Ended::Gone(_) => {}
--- a/crates/zinniastall-gateway/tests/events.rs
+++ b/crates/zinniastall-gateway/tests/events.rs
@@ -37,6 +37,33 @@
     }
 }
 
+/// An end of an event lies in two pieces, cut at any byte.
+#[test]
+fn an_end_is_found_across_pieces() {
+    for end in ["\n\n", "\r\n\r\n"] {
+        let text = format!("id: 1{end}id: 2{end}");
+        for cut in 1..text.len() {
+            let mut events = Events::default();
+            let first = events.take(&text.as_bytes()[..cut]);
+            let second = events.take(&text.as_bytes()[cut..]);
+            assert_eq!([first, second].concat(), text.as_bytes(), "cut at {cut}");
+            assert_eq!(events.last(), Some("2"));
+        }
+    }
+}
+
+/// An event is longer than what is kept. It is passed on as it comes, and is torn until its end.
+#[test]
+fn a_long_event_is_torn_until_its_end() {
+    let mut events = Events::default();
+    let piece = [b'x'; 64 << 10];
+    let passed: usize = (0..8).map(|_| events.take(&piece).len()).sum();
+    assert!(passed > 0 && events.is_torn());
+    let last = events.take(b"\n\n");
+    assert_eq!(passed + last.len(), 8 * piece.len() + 2);
+    assert!(!events.is_torn());
+}
+
 /// Event sources may end lines with a carriage return.
 #[test]
 fn lines_may_end_with_a_carriage_return() {
--- a/crates/zinniastall-gateway/tests/path/streams.rs
+++ b/crates/zinniastall-gateway/tests/path/streams.rs
@@ -128,6 +128,34 @@
     assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
 }
 
+async fn part_of_a_long_event_is_not_resumed() {
+    let long = chunk(&format!("id: 4\ndata: {}", "x".repeat(300 << 10)));
+    let script = move |seen: &Seen| {
+        if !seen.header("last-event-id").is_empty() {
+            return script(seen, 9, None);
+        }
+        let mut acts = script(seen, 3, None);
+        acts.pop();
+        acts.push(Act::Send(long.clone().into_bytes()));
+        acts.push(Act::Close);
+        acts
+    };
+    let one = Target::start(script.clone()).await;
+    let two = Target::start(script).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    let got = stage
+        .connect()
+        .await
+        .call(&get("/resumed/1", "a", ""))
+        .await;
+    assert!(
+        !got.body.contains("xid:"),
+        "an event was made of two halves"
+    );
+    assert!(!got.is_whole);
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+}
+
 async fn goes_on_after_the_named_event() {
     let target = Target::start(|seen| script(seen, 5, None)).await;
     let stage = Stage::start(view(routes(), &[&target])).await;
@@ -184,6 +212,9 @@
     }),
     /// The target at which a broken stream is to go on closes without an answer.
     a_refusal_never_follows_a_begun_stream => goes_on_badly(|_| vec![Act::Close]),
+    /// An engine crashes in the middle of an event that is too long to be kept until it is whole. Gone on after
+    /// the event before, the caller would read one event made of halves of two runs.
+    a_long_event_that_is_broken_off_ends_the_stream => part_of_a_long_event_is_not_resumed(),
     /// A caller resumes a stream itself.
     a_stream_goes_on_after_the_named_event => goes_on_after_the_named_event(),
     /// An engine crashes after its head and before the first event: the run may have begun.
