fix(ctl): explain tells how a request ended for its caller

Found in reading: the end was that of the last line read. With logs of two instances given in the other order, a request that was passed on seemed answered although its caller had left, and a repeated one ended like its first try.

Change: the last line in time of an instance to which the caller came; one that got the request passed on only counts where there is no other. Tests the_end_is_what_the_caller_saw and the_last_try_ends_a_request failed first.

--- a/crates/zinniastall-ctl/src/explain/mod.rs
+++ b/crates/zinniastall-ctl/src/explain/mod.rs
@@ -111,7 +111,7 @@
 pub struct Story {
     /// Its id.
     pub id: String,
-    /// How it ended, as the last line on it says.
+    /// How it ended for its caller, as the logs say.
     pub end: Option<String>,
     /// What happened, in time order.
     pub steps: Vec<Step>,
@@ -143,17 +143,25 @@
     let beliefs = lines.iter().filter(matters);
     let mut all: Vec<&Line> = own.iter().copied().chain(beliefs).collect();
     all.sort_by(|a, b| a.at.total_cmp(&b.at));
-    let end = own
-        .iter()
-        .rev()
-        .find(|line| line.event() == "request-ended");
     Some(Story {
         id: id.to_owned(),
-        end: end.map(|line| line.field("outcome").to_owned()),
+        end: end(&own).map(|line| line.field("outcome").to_owned()),
         steps: all.into_iter().map(|line| step(line, first)).collect(),
     })
 }
 
+/// Returns the line that says how a request ended for its caller: the last one of an instance to which it came
+/// from the caller. Where the logs lack that, the last one of an instance to which it was passed on.
+fn end<'a>(own: &[&'a Line]) -> Option<&'a Line> {
+    let ends = own.iter().filter(|line| line.event() == "request-ended");
+    let is_callers = |line: &Line| line.field("passed_on") != "true";
+    let last = ends.max_by(|a, b| {
+        let own = is_callers(a).cmp(&is_callers(b));
+        own.then(a.at.total_cmp(&b.at))
+    });
+    last.copied()
+}
+
 /// Returns the names of whatever a request met: processes, targets, instances.
 fn met<'a>(own: &[&'a Line]) -> IndexSet<&'a str> {
     let named = own.iter().map(|line| line.field("place"));
--- a/crates/zinniastall-ctl/tests/explain.rs
+++ b/crates/zinniastall-ctl/tests/explain.rs
@@ -126,3 +126,36 @@
     assert_eq!(events, ["target", "placed", "target-out", "request-ended"]);
     assert_eq!(story.end.as_deref(), Some("unknown"));
 }
+
+/// A request was passed on to another region. Both instances write how it ended, in logs of their own that come in
+/// any order and from clocks that differ; what its caller saw is what the instance says to which it came.
+#[test]
+fn the_end_is_what_the_caller_saw() {
+    let near = "\
+        2.5 edge-1 ts=1 event=request-ended id=a outcome=left passed_on=false\n";
+    let far = "\
+        2.4 edge-9 ts=1 event=request-ended id=a outcome=answered passed_on=true\n\
+        9.0 edge-9 ts=1 event=request-ended id=b outcome=answered passed_on=true\n";
+    let later = "\
+        2.6 edge-9 ts=1 event=request-ended id=a outcome=answered passed_on=true\n";
+    for log in [
+        [near, far].concat(),
+        [far, near].concat(),
+        [near, later].concat(),
+    ] {
+        let lines = read(log.as_bytes()).expect("a log");
+        let story = tell("a", &lines).expect("a story");
+        assert_eq!(story.end.as_deref(), Some("left"), "{log}");
+    }
+}
+
+/// A caller sends a request again under its id. How it ended is how its last try ended.
+#[test]
+fn the_last_try_ends_a_request() {
+    let log = "\
+        3.0 edge-2 ts=1 event=request-ended id=a outcome=answered passed_on=false\n\
+        2.0 edge-1 ts=1 event=request-ended id=a outcome=not-run passed_on=false\n";
+    let lines = read(log.as_bytes()).expect("a log");
+    let story = tell("a", &lines).expect("a story");
+    assert_eq!(story.end.as_deref(), Some("answered"));
+}
