test(gateway): the tests of log lines hear all threads' places

Cause: with one subscriber that belongs to a thread, tracing asks the thread that comes by a place in the code first whether anybody listens, and keeps the answer; where that was another test's thread, the place was silent for all. Ruled out: the bound on lines (too few requests), the request path (the answers were right).

The same checks.

--- a/crates/zinniastall-gateway/tests/path/lines.rs
+++ b/crates/zinniastall-gateway/tests/path/lines.rs
@@ -1,14 +1,13 @@
 //! Log lines on requests: what an engineer finds of one, and how many there may be.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::Once,
     time::Duration,
 };
 
-use tracing::subscriber::DefaultGuard;
 use tracing_subscriber::layer::SubscriberExt;
 use zinniastall_model::routing::{Kind, Route};
 
@@ -22,13 +21,17 @@
 /// Most lines a second on requests that go well.
 const WELL: usize = 60;
 
-/// Keeps what a thread logs while a test runs.
-#[derive(Debug, Clone, Default)]
-struct Log(Arc<Mutex<Vec<u8>>>);
+thread_local! {
+    /// What the tests of this thread have logged; each test has a thread of its own.
+    static LOGGED: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Writes to the log of the thread that logs.
+struct Writer;
 
-impl io::Write for Log {
+impl io::Write for Writer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
+        LOGGED.with_borrow_mut(|logged| logged.extend_from_slice(bytes));
         Ok(bytes.len())
     }
 
@@ -37,38 +40,38 @@
     }
 }
 
-impl Log {
-    fn start() -> (Self, DefaultGuard) {
-        let log = Self::default();
-        let writer = log.clone();
-        let layer = tracing_logfmt::builder()
-            .layer()
-            .with_writer(move || writer.clone());
-        let guard = tracing::subscriber::set_default(tracing_subscriber::registry().with(layer));
-        (log, guard)
-    }
+/// Starts to keep what is logged, once for all threads: a subscriber of one thread alone misses the lines whose
+/// place in the code another thread has come by first.
+fn keep_log() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        let layer = tracing_logfmt::builder().layer().with_writer(|| Writer);
+        let subscriber = tracing_subscriber::registry().with(layer);
+        tracing::subscriber::set_global_default(subscriber).unwrap();
+        // Places that a thread came by while the subscriber was being set.
+        tracing::callsite::rebuild_interest_cache();
+    });
+}
 
-    /// Returns the lines that contain all of these words.
-    fn with(&self, words: &[&str]) -> Vec<String> {
-        let bytes = self.0.lock().unwrap();
-        let text = String::from_utf8_lossy(&bytes);
-        let lines = text.lines().filter(|line| {
-            let fields: Vec<&str> = line.split(' ').collect();
-            words.iter().all(|word| fields.contains(word))
-        });
-        lines.map(str::to_owned).collect()
-    }
+/// Returns the lines of this thread that contain all of these words.
+fn lines(words: &[&str]) -> Vec<String> {
+    let text = LOGGED.with_borrow(|logged| String::from_utf8_lossy(logged).into_owned());
+    let lines = text.lines().filter(|line| {
+        let fields: Vec<&str> = line.split(' ').collect();
+        words.iter().all(|word| fields.contains(word))
+    });
+    lines.map(str::to_owned).collect()
+}
 
-    /// Checks that one line has these words, and a value for each of these fields.
-    fn has(&self, words: &[&str], fields: &[&str]) {
-        let lines = self.with(words);
-        let [line] = &lines[..] else {
-            panic!("{words:?}: {lines:?} of {:?}", self.with(&[]));
-        };
-        for field in fields {
-            let begin = format!(" {field}=");
-            assert!(line.contains(&begin), "{field} is missing: {line}");
-        }
+/// Checks that one line has these words, and a value for each of these fields.
+fn check_line(words: &[&str], fields: &[&str]) {
+    let found = lines(words);
+    let [line] = &found[..] else {
+        panic!("{words:?}: {found:?} of {:?}", lines(&[]));
+    };
+    for field in fields {
+        let begin = format!(" {field}=");
+        assert!(line.contains(&begin), "{field} is missing: {line}");
     }
 }
 
@@ -80,7 +83,7 @@
 }
 
 async fn placed_and_ended() {
-    let (log, _guard) = Log::start();
+    keep_log();
     let target = Target::answering("fine").await;
     let stage = Stage::start(view(routes(), &[&target])).await;
     stage.connect().await.call(&get("/plans/1", "a", "")).await;
@@ -100,18 +103,18 @@
         "attempt=0",
         "far=false",
     ];
-    log.has(&place, &basis);
+    check_line(&place, &basis);
     let end = [
         "event=request-ended",
         "id=a",
         "outcome=answered",
         "status=200",
     ];
-    log.has(&end, &["first_ms", "took_ms", "objective_ms", "revision"]);
+    check_line(&end, &["first_ms", "took_ms", "objective_ms", "revision"]);
 }
 
 async fn tried_again() {
-    let (log, _guard) = Log::start();
+    keep_log();
     let is_first = Rc::new(Cell::new(true));
     let script = |is_first: &Rc<Cell<bool>>| {
         let is_first = Rc::clone(is_first);
@@ -127,19 +130,19 @@
     let stage = Stage::start(view(routes(), &[&one, &two])).await;
     stage.connect().await.call(&get("/plans/1", "a", "")).await;
     let failed = ["event=attempt", "id=a", "outcome=unknown"];
-    log.has(&failed, &["place", "why", "left_ms"]);
-    log.has(
+    check_line(&failed, &["place", "why", "left_ms"]);
+    check_line(
         &["event=placed", "id=a", "attempt=1"],
         &["place", "wait_ms"],
     );
 }
 
 async fn given_up() {
-    let (log, _guard) = Log::start();
+    keep_log();
     let target = Target::start(|_| vec![Act::Close]).await;
     let stage = Stage::start(view(routes(), &[&target])).await;
     stage.connect().await.call(&post("/pay/1", "a", "x")).await;
-    log.has(
+    check_line(
         &[
             "event=request-ended",
             "id=a",
@@ -152,7 +155,7 @@
 
 async fn bounded() {
     const REQUESTS: usize = 2_000;
-    let (log, _guard) = Log::start();
+    keep_log();
     let target = Target::start(|_| vec![Act::Close]).await;
     let stage = Stage::start(view(routes(), &[&target])).await;
     let since = std::time::Instant::now();
@@ -161,7 +164,7 @@
         caller.call(&post("/pay/1", &format!("a{at}"), "x")).await;
     }
     let windows = usize::try_from(since.elapsed().as_secs()).unwrap() + 1;
-    let count = |event| log.with(&[event]).len();
+    let count = |event| lines(&[event]).len();
     let badly = count("event=attempt") + count("event=request-ended");
     assert!(badly <= BADLY * windows, "{badly} in {windows} s");
     let well = count("event=placed");
@@ -169,7 +172,7 @@
     // The next window tells what this one left out.
     tokio::time::sleep(Duration::from_secs(1)).await;
     caller.call(&post("/pay/1", "last", "x")).await;
-    let told = log.with(&["event=lines-left-out", "kind=badly"]);
+    let told = lines(&["event=lines-left-out", "kind=badly"]);
     assert!(!told.is_empty(), "what was left out is told");
 }
 
