--- a/crates/zinniastall-gateway/src/books.rs
+++ b/crates/zinniastall-gateway/src/books.rs
@@ -32,7 +32,7 @@
     bound: Bound,
     targets: IndexMap<id::Target, Account>,
     services: IndexMap<id::Service, Budget>,
-    shut_regions: IndexMap<(id::Region, id::Service), Instant>,
+    shut_regions: IndexMap<id::Service, IndexMap<id::Region, Instant>>,
     ranks: IndexMap<id::Service, IndexMap<u8, Instant>>,
 }
 
@@ -77,9 +77,10 @@
 
     /// Returns the account of a target, opened if need be.
     pub fn target(&mut self, target: &str, service: &str, now: Instant) -> &mut Account {
-        if !self.targets.contains_key(target) {
-            self.close_idle(now);
+        if let Some(at) = self.targets.get_index_of(target) {
+            return &mut self.targets[at];
         }
+        self.close_idle(now);
         let account = self.targets.entry(target.to_owned());
         account.or_insert_with(|| Account {
             service: service.to_owned(),
@@ -125,16 +126,15 @@
 
     /// Notes that another region took no request for a service.
     pub fn shut_region(&mut self, region: &str, service: &str, until: Instant) {
-        let key = (region.to_owned(), service.to_owned());
-        self.shut_regions.insert(key, until);
+        let regions = self.shut_regions.entry(service.to_owned()).or_default();
+        regions.insert(region.to_owned(), until);
     }
 
     /// Tells whether another region is known to take no request for a service now.
     pub fn is_region_shut(&self, region: &str, service: &str, now: Instant) -> bool {
-        let key = (region.to_owned(), service.to_owned());
-        self.shut_regions
-            .get(&key)
-            .is_some_and(|until| *until > now)
+        let regions = self.shut_regions.get(service);
+        let until = regions.and_then(|regions| regions.get(region));
+        until.is_some_and(|until| *until > now)
     }
 
     /// Returns the requests at targets, by service.
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -230,8 +230,9 @@
                 traffic.pool.sweep(Instant::now());
                 let load = traffic.books.borrow().load();
                 let view = traffic.board.view();
-                let ready = view.instances.values().filter(|held| held.ready).count();
-                traffic.figures.know(view.revision(), view.targets.len(), ready);
+                let instances = view.instances.by_name().values();
+                let ready = instances.filter(|held| held.ready).count();
+                traffic.figures.know(view.revision(), view.targets.by_name().len(), ready);
                 traffic.figures.connect(traffic.connections.open());
                 *told.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
--- /dev/null
+++ b/crates/zinniastall-gateway/src/groups.rs
@@ -0,0 +1,141 @@
+//! Targets, instances and loads in the groups in which the request path asks for them.
+//!
+//! A request is placed among the targets of its service in one region, a dozen or so. Found by a look at all
+//! targets, instances and loads of the system, one choice took 3.6 ms with 10,000 targets and 1,700 instances in
+//! 23 regions; found by their groups it takes 0.03 to 0.05 ms (example `place_cost`, release build).
+
+use indexmap::IndexMap;
+use zinniastall_model::{
+    id,
+    presence::{Presence, RegionLoad},
+};
+
+use crate::view::Target;
+
+/// Places in a list, by region.
+#[derive(Debug, Clone, Default)]
+struct Regions(IndexMap<id::Region, Vec<usize>>);
+
+/// Targets that take requests.
+#[derive(Debug, Clone, Default)]
+pub struct Targets {
+    named: IndexMap<id::Target, Target>,
+    services: IndexMap<id::Service, Regions>,
+}
+
+/// Gateway instances that are alive.
+#[derive(Debug, Clone, Default)]
+pub struct Instances {
+    named: IndexMap<id::Instance, Presence>,
+    regions: Regions,
+}
+
+/// Requests that all instances of a region have at targets of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sum {
+    /// Requests.
+    pub flights: u32,
+    /// Expected time to read the prompts of those whose answers have not begun, in microseconds.
+    pub reading_us: u64,
+}
+
+/// Load of all instances of each region.
+#[derive(Debug, Clone, Default)]
+pub struct Loads(IndexMap<id::Service, IndexMap<id::Region, Sum>>);
+
+impl Regions {
+    fn add(&mut self, region: &str, at: usize) {
+        match self.0.get_mut(region) {
+            Some(places) => places.push(at),
+            None => {
+                self.0.insert(region.to_owned(), vec![at]);
+            }
+        }
+    }
+
+    fn places(&self, region: &str) -> &[usize] {
+        self.0.get(region).map_or(&[], Vec::as_slice)
+    }
+}
+
+impl Targets {
+    /// Returns all targets by name.
+    pub const fn by_name(&self) -> &IndexMap<id::Target, Target> {
+        &self.named
+    }
+
+    /// Returns the targets of a service in a region.
+    pub fn of(&self, service: &str, region: &str) -> impl Iterator<Item = &Target> {
+        let regions = self.services.get(service);
+        let places = regions.map_or(&[][..], |regions| regions.places(region));
+        places.iter().map(|at| &self.named[*at])
+    }
+
+    /// Returns the regions in which a service has targets.
+    pub fn regions(&self, service: &str) -> impl Iterator<Item = &id::Region> {
+        let regions = self.services.get(service).into_iter();
+        regions.flat_map(|regions| regions.0.keys())
+    }
+}
+
+impl FromIterator<(id::Target, Target)> for Targets {
+    fn from_iter<I: IntoIterator<Item = (id::Target, Target)>>(targets: I) -> Self {
+        let named: IndexMap<id::Target, Target> = targets.into_iter().collect();
+        let mut services: IndexMap<id::Service, Regions> = IndexMap::new();
+        for (at, target) in named.values().enumerate() {
+            let report = &target.report;
+            if !services.contains_key(&report.service) {
+                services.insert(report.service.clone(), Regions::default());
+            }
+            services[&report.service].add(&report.place.region, at);
+        }
+        Self { named, services }
+    }
+}
+
+impl Instances {
+    /// Returns all instances by name.
+    pub const fn by_name(&self) -> &IndexMap<id::Instance, Presence> {
+        &self.named
+    }
+
+    /// Returns the instances of a region that take requests.
+    pub fn ready_in(&self, region: &str) -> impl Iterator<Item = &Presence> {
+        let places = self.regions.places(region).iter();
+        let presences = places.map(|at| &self.named[*at]);
+        presences.filter(|presence| presence.ready)
+    }
+}
+
+impl FromIterator<(id::Instance, Presence)> for Instances {
+    fn from_iter<I: IntoIterator<Item = (id::Instance, Presence)>>(instances: I) -> Self {
+        let named: IndexMap<id::Instance, Presence> = instances.into_iter().collect();
+        let mut regions = Regions::default();
+        for (at, presence) in named.values().enumerate() {
+            regions.add(&presence.place.region, at);
+        }
+        Self { named, regions }
+    }
+}
+
+impl Loads {
+    /// Returns the load of a service in a region.
+    pub fn of(&self, service: &str, region: &str) -> Sum {
+        let regions = self.0.get(service);
+        let sum = regions.and_then(|regions| regions.get(region));
+        sum.copied().unwrap_or_default()
+    }
+}
+
+impl FromIterator<RegionLoad> for Loads {
+    fn from_iter<I: IntoIterator<Item = RegionLoad>>(loads: I) -> Self {
+        let mut services: IndexMap<id::Service, IndexMap<id::Region, Sum>> = IndexMap::new();
+        for held in loads {
+            let regions = services.entry(held.load.service).or_default();
+            let sum = regions.entry(held.region).or_default();
+            sum.flights += held.load.flights;
+            sum.reading_us += held.load.reading_us;
+        }
+        Self(services)
+    }
+}
--- a/crates/zinniastall-gateway/src/knowledge.rs
+++ b/crates/zinniastall-gateway/src/knowledge.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use zinniastall_model::{
     id,
     place::Place,
@@ -18,7 +18,10 @@
 };
 use zinniastall_wire::hub::Configuration;
 
-use crate::view::{Target, View};
+use crate::{
+    groups::{Instances, Loads, Targets},
+    view::{Target, View},
+};
 
 /// Address of a control replica's links.
 pub type Replica = String;
@@ -42,7 +45,7 @@
     targets: IndexMap<id::Target, Known>,
     words: IndexMap<Replica, Word>,
     reopened: IndexMap<id::Zone, Instant>,
-    loads: Arc<Vec<RegionLoad>>,
+    loads: Arc<Loads>,
 }
 
 #[derive(Debug)]
@@ -136,7 +139,7 @@
     /// Takes a replica's word on the load of regions. All replicas are told the same by the same instances, so
     /// the last word is as good as any.
     pub fn hear_loads(&mut self, loads: Vec<RegionLoad>) {
-        self.loads = Arc::new(loads);
+        self.loads = Arc::new(loads.into_iter().collect());
     }
 
     /// Notes that the link to a replica broke.
@@ -160,7 +163,7 @@
         }
     }
 
-    fn usable(&self, now: Instant) -> IndexMap<id::Target, Target> {
+    fn usable(&self, now: Instant) -> Targets {
         let ready = |known: &&Known| known.report.state == State::Ready;
         let targets = self.targets.values().filter(ready).map(|known| {
             let gone = known.report.left_ms.map(Duration::from_millis);
@@ -208,7 +211,7 @@
     /// Returns the instances that any replica calls alive.
     ///
     /// Where no replica is linked, all are as they were: this instance is the one that is cut off.
-    fn alive(&self, now: Instant) -> IndexMap<id::Instance, Presence> {
+    fn alive(&self, now: Instant) -> Instances {
         let linked = self.words.values().any(|word| word.cut.is_none());
         let counts = |word: &&Word| {
             let fresh = |cut: Instant| now.saturating_duration_since(cut) < WORD;
@@ -231,11 +234,6 @@
                 alive.insert(presence.instance.clone(), presence.clone());
             }
         }
-        alive
-    }
-
-    /// Returns the zones whose evacuation ended in this run; for logs.
-    pub fn reopened(&self) -> IndexSet<&id::Zone> {
-        self.reopened.keys().collect()
+        alive.into_iter().collect()
     }
 }
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod decide;
 pub mod figures;
+pub mod groups;
 pub mod journal;
 pub mod knowledge;
 pub mod locate;
--- a/crates/zinniastall-gateway/src/locate.rs
+++ b/crates/zinniastall-gateway/src/locate.rs
@@ -34,8 +34,11 @@
     let Some(table) = view.table() else {
         return Listing::of(Vec::new());
     };
-    let (ready, draining): (Vec<&Presence>, Vec<&Presence>) =
-        view.instances.values().partition(|held| held.ready);
+    let (ready, draining): (Vec<&Presence>, Vec<&Presence>) = view
+        .instances
+        .by_name()
+        .values()
+        .partition(|held| held.ready);
     let own: Vec<&Presence> = within(&ready, |held| held.place.region == region);
     let nearest: Vec<&Presence> = within(&own, |held| held.place.zone == zone);
     if nearest.len() >= ZONE {
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -164,7 +164,7 @@
 
 /// Returns the other instances of this region.
 fn near(view: &View) -> impl Iterator<Item = &Presence> {
-    let others = view.instances.values();
+    let others = view.instances.by_name().values();
     let others = others.filter(|held| held.instance != view.instance);
     others.filter(|held| held.place.region == view.place.region)
 }
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -10,15 +10,12 @@
 use zinniastall_http::head::Request;
 use zinniastall_model::{
     id,
-    routing::{Kind, Route, Table},
+    routing::{Kind, Route, Service, Table},
 };
 use zinniastall_wire::hub::Configuration;
 
 use super::answer::Refusal;
-use crate::{
-    names::{Names, REVISION},
-    view::View,
-};
+use crate::{names::Names, view::View};
 
 /// Requests of one route are spread over its services by this many points.
 const POINTS: u64 = 1 << 32;
@@ -43,7 +40,9 @@
     /// Prompt.
     pub prompt: Prompt,
     configuration: Arc<Configuration>,
+    /// Places of its route and its service in the table.
     route: usize,
+    served: usize,
 }
 
 /// What a request says of its prompt.
@@ -72,14 +71,8 @@
     pub fn new(view: &View, head: &Request, forwarded: bool) -> Result<Self, Refusal> {
         let configuration = view.configuration.clone().ok_or(Refusal::Unconfigured)?;
         let table = configuration.table.as_ref().ok_or(Refusal::Unconfigured)?;
-        let found = table
-            .find(head.host(), head.path())
-            .ok_or(Refusal::Unknown)?;
-        let place = table
-            .routes
-            .iter()
-            .position(|route| std::ptr::eq(route, found));
-        let route = place.ok_or(Refusal::Unknown)?;
+        let route = table.position(head.host(), head.path());
+        let route = route.ok_or(Refusal::Unknown)?;
         Ok(Self {
             configuration,
             route,
@@ -91,7 +84,7 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::Unknown`] when the route names no service.
+    /// [`Refusal::Unknown`] when the route names no service of the table.
     pub fn job(
         self,
         names: &Names,
@@ -111,6 +104,9 @@
         // Every instance comes to the same service for the same request.
         let point = crate::decide::warm::weight(&route.name, &id) % POINTS;
         let service = route.service_at(point).ok_or(Refusal::Unknown)?.clone();
+        let is_its = |held: &Service| held.name == service;
+        let served = table.services.iter().position(is_its);
+        let served = served.ok_or(Refusal::Unknown)?;
         let asked = number(&head.headers, &names.deadline_ms).map(Duration::from_millis);
         let time = asked.map_or(route.timeout(), |asked| asked.min(route.timeout()));
         let prompt = Prompt::read(&head.headers, names);
@@ -123,6 +119,7 @@
             prompt,
             configuration: self.configuration,
             route: self.route,
+            served,
             head,
             body,
         })
@@ -142,6 +139,21 @@
         &self.table().routes[self.route]
     }
 
+    /// Returns what operators state of the service.
+    pub fn served(&self) -> &Service {
+        &self.table().services[self.served]
+    }
+
+    /// Returns the slots of the service's engines, if it has engines.
+    pub fn engine_slots(&self) -> Option<u32> {
+        Some(self.served().engine.as_ref()?.slots)
+    }
+
+    /// Returns the requests a second that a cold target bears, in thousandths; 0 for no bound.
+    pub fn cold_rate(&self) -> u64 {
+        self.served().cold_rate_milli
+    }
+
     /// Returns the revision by which the request was judged.
     pub fn revision(&self) -> id::Revision {
         self.configuration.revision
@@ -162,11 +174,6 @@
     pub fn is_stream(&self) -> bool {
         self.route().kind == Kind::Stream
     }
-
-    /// Returns the revision that the sending instance held, for a request that was passed on.
-    pub fn sent_revision(head: &Request) -> Option<id::Revision> {
-        number(&head.headers, &REVISION)
-    }
 }
 
 impl Prompt {
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -2,13 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use rand::Rng;
-use zinniastall_model::{
-    id,
-    presence::{Presence, RegionLoad},
-    routing::Service,
-};
+use zinniastall_model::{id, presence::Presence};
 
 use super::{Traffic, attempt::Place, job::Job};
 use crate::{
@@ -16,6 +12,7 @@
         place::{Candidate, Choice, Patience, Region, choose},
         warm,
     },
+    groups::Sum,
     journal::Basis,
     view::{Target, View},
 };
@@ -27,7 +24,7 @@
 /// delays a step by a millisecond, and a prompt takes some fifty steps.
 const RUNNING: Duration = Duration::from_micros(700);
 /// Time that a target which is going away must have left to get a request.
-const LEFT: Duration = Duration::from_millis(1_500);
+const LEAVING: Duration = Duration::from_millis(1_500);
 /// Time for which an engine is expected to keep a prompt part after it was sent there.
 const KEPT: Duration = Duration::from_secs(20);
 /// Silence after which a target counts as failing unless its own answers speak for it: two signs of life,
@@ -103,7 +100,7 @@
         let there = if job.is_passed_on {
             Vec::new()
         } else {
-            self.there(job, tried, &view)
+            self.there(job, tried, &view, now)
         };
         let regions: Vec<Region> = there.iter().map(|there| there.region).collect();
         let patience = Patience {
@@ -131,7 +128,7 @@
         let account = books.target(&report.target, &job.service, now);
         account.send_parts(job.prompt.shared(), now);
         if target.cold_until.is_some_and(|until| until > now) {
-            account.pace.take(cold_rate(job), now);
+            account.pace.take(job.cold_rate(), now);
         }
         let place = Place::Target {
             target: report.target.clone(),
@@ -152,11 +149,8 @@
         if !job.route().permits(&view.place.region) {
             return here;
         }
-        let fits = |target: &&Target| {
-            let report = &target.report;
-            report.service == job.service && report.place.region == view.place.region
-        };
-        let targets: Vec<&Target> = view.targets.values().filter(fits).collect();
+        let targets = view.targets.of(&job.service, &view.place.region);
+        let targets: Vec<&Target> = targets.collect();
         let home = home(job, &targets);
         for target in targets {
             if !self.is_open(job, target, view, now) {
@@ -178,16 +172,16 @@
     /// Tells whether a target may get a request at all.
     fn is_open(&self, job: &Job, target: &Target, view: &View, now: Instant) -> bool {
         let report = &target.report;
-        let leaves = target.gone_at.is_some_and(|gone| gone < now + LEFT);
+        let leaves = target.gone_at.is_some_and(|gone| gone < now + LEAVING);
         if leaves || view.is_evacuated(&report.place.zone) {
             return false;
         }
         let is_cold = target.cold_until.is_some_and(|until| until > now);
-        let rate = cold_rate(job);
+        let rate = job.cold_rate();
         if !is_cold || rate == 0 {
             return true;
         }
-        let names = view.ready_in(&report.place.region);
+        let names = view.instances.ready_in(&report.place.region);
         let sender = warm::sender(&report.target, names.map(|held| held.instance.as_str()));
         if sender != Some(&view.instance) {
             return false;
@@ -210,7 +204,7 @@
         let account = books.target(&report.target, &job.service, now);
         let is_silent = now.saturating_duration_since(target.heard) > SILENT;
         let flights = account.flights + others.flights;
-        let Some(slots) = engine(job) else {
+        let Some(slots) = job.engine_slots() else {
             let candidate = Candidate {
                 wait: self.policy.work * flights / report.slots.max(1),
                 read: Duration::ZERO,
@@ -271,48 +265,39 @@
         account.is_some_and(|account| account.is_shut(now))
     }
 
-    fn there<'a>(&self, job: &Job, tried: &Tried, view: &'a View) -> Vec<There<'a>> {
-        let mut regions: IndexMap<&id::Region, Vec<&Presence>> = IndexMap::new();
-        for presence in view.instances.values() {
-            let region = &presence.place.region;
-            let is_far = *region != view.place.region && job.route().permits(region);
-            if is_far && presence.ready && !tried.has(&presence.instance) {
-                regions.entry(region).or_default().push(presence);
-            }
-        }
-        let now = Instant::now();
-        let there = regions.into_iter().filter_map(|(region, instances)| {
-            if self
-                .books
-                .borrow()
-                .is_region_shut(region, &job.service, now)
-            {
-                return None;
-            }
-            let wait = self.wait_there(job, region, view)?;
+    fn there<'a>(&self, job: &Job, tried: &Tried, view: &'a View, now: Instant) -> Vec<There<'a>> {
+        let books = self.books.borrow();
+        let may_run = |region: &&id::Region| {
+            **region != view.place.region
+                && job.route().permits(region)
+                && !books.is_region_shut(region, &job.service, now)
+        };
+        let regions = view.targets.regions(&job.service).filter(may_run);
+        let there = regions.filter_map(|name| {
+            let ready = view.instances.ready_in(name);
+            let instances: Vec<&Presence> =
+                ready.filter(|held| !tried.has(&held.instance)).collect();
+            let wait = self.wait_there(job, name, view, now)?;
             let trip = self.policy.trip;
-            Some(There {
-                instances,
-                region: Region { wait, trip },
-            })
+            let region = Region { wait, trip };
+            (!instances.is_empty()).then_some(There { instances, region })
         });
         there.collect()
     }
 
     /// Returns the expected wait in another region, or nothing where no target would take the request.
-    fn wait_there(&self, job: &Job, region: &str, view: &View) -> Option<Duration> {
-        let now = Instant::now();
+    fn wait_there(&self, job: &Job, region: &str, view: &View, now: Instant) -> Option<Duration> {
         let serves = |target: &&Target| {
-            let report = &target.report;
-            let in_place = report.service == job.service && report.place.region == region;
             let is_cold = target.cold_until.is_some_and(|until| until > now);
-            let bears = !is_cold || cold_rate(job) == 0;
-            in_place && bears && !view.is_evacuated(&report.place.zone) && target.gone_at.is_none()
+            let bears = !is_cold || job.cold_rate() == 0;
+            let zone = &target.report.place.zone;
+            bears && !view.is_evacuated(zone) && target.gone_at.is_none()
         };
-        let targets: Vec<&Target> = view.targets.values().filter(serves).collect();
-        let each = sum(view, region, &job.service).each(targets.len());
+        let targets = view.targets.of(&job.service, region);
+        let targets: Vec<&Target> = targets.filter(serves).collect();
+        let each = each(view.loads.of(&job.service, region), targets.len());
         let slots = targets.first()?.report.slots.max(1);
-        Some(match engine(job) {
+        Some(match job.engine_slots() {
             Some(slots) => {
                 let beyond = each.flights.saturating_sub(slots);
                 let reading = Duration::from_micros(each.reading_us);
@@ -323,32 +308,15 @@
     }
 }
 
-/// Requests at targets.
-#[derive(Debug, Clone, Copy, Default)]
-struct Others {
-    flights: u32,
-    reading_us: u64,
-}
-
-impl Others {
-    fn each(self, targets: usize) -> Self {
-        let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
-        Self {
-            flights: self.flights / targets,
-            reading_us: self.reading_us / u64::from(targets),
-        }
+/// Returns what each of some targets has of a load.
+fn each(sum: Sum, targets: usize) -> Sum {
+    let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
+    Sum {
+        flights: sum.flights / targets,
+        reading_us: sum.reading_us / u64::from(targets),
     }
 }
 
-fn sum(view: &View, region: &str, service: &str) -> Others {
-    let fits = |held: &&RegionLoad| held.region == region && held.load.service == service;
-    let loads = view.loads.iter().filter(fits);
-    loads.fold(Others::default(), |sum, held| Others {
-        flights: sum.flights + held.load.flights,
-        reading_us: sum.reading_us + held.load.reading_us,
-    })
-}
-
 /// Returns the target at which all instances of the region expect a request's shared parts.
 fn home<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
     let key = job.prompt.shared().last()?;
@@ -371,16 +339,3 @@
     };
     Next::Go(place, 0, basis)
 }
-
-fn service(job: &Job) -> Option<&Service> {
-    job.table().service(&job.service)
-}
-
-fn cold_rate(job: &Job) -> u64 {
-    service(job).map_or(0, |service| service.cold_rate_milli)
-}
-
-/// Returns the slots of the service's engines, if it has engines.
-fn engine(job: &Job) -> Option<u32> {
-    Some(service(job)?.engine.as_ref()?.slots)
-}
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -211,7 +211,7 @@
         if job.is_passed_on || course.sent >= job.route().attempts {
             return false;
         }
-        let instances = self.board.view().instances.len();
+        let instances = self.board.view().instances.by_name().len();
         let mut books = self.books.borrow_mut();
         books.budget(&job.service).repeat(Instant::now(), instances)
     }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -252,15 +252,15 @@
 
 /// Logs which instances came, went, or changed whether they take requests.
 fn log_instances(before: &View, after: &View) {
-    let ready = |view: &View, name: &str| view.instances.get(name).map(|held| held.ready);
-    for name in after.instances.keys() {
+    let ready = |view: &View, name: &str| view.instances.by_name().get(name).map(|held| held.ready);
+    for name in after.instances.by_name().keys() {
         let is_ready = ready(after, name);
         if ready(before, name) != is_ready {
             tracing::info!(event = "instance", instance = name, ready = is_ready);
         }
     }
-    for name in before.instances.keys() {
-        if !after.instances.contains_key(name) {
+    for name in before.instances.by_name().keys() {
+        if !after.instances.by_name().contains_key(name) {
             tracing::info!(event = "instance", instance = name, state = "gone");
         }
     }
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -6,16 +6,11 @@
 };
 
 use arc_swap::ArcSwap;
-use indexmap::IndexMap;
-use zinniastall_model::{
-    id,
-    place::Place,
-    presence::{Presence, RegionLoad},
-    routing::Table,
-    target::Report,
-};
+use zinniastall_model::{id, place::Place, routing::Table, target::Report};
 use zinniastall_wire::hub::Configuration;
 
+use crate::groups::{Instances, Loads, Targets};
+
 /// A target and what follows from its last report.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -39,11 +34,11 @@
     /// Configuration in force; `None` until one has been received.
     pub configuration: Option<Arc<Configuration>>,
     /// Targets that take requests.
-    pub targets: Arc<IndexMap<id::Target, Target>>,
+    pub targets: Arc<Targets>,
     /// Gateway instances that are alive, this one included once it is known to the others.
-    pub instances: Arc<IndexMap<id::Instance, Presence>>,
+    pub instances: Arc<Instances>,
     /// Load of all instances of each region.
-    pub loads: Arc<Vec<RegionLoad>>,
+    pub loads: Arc<Loads>,
 }
 
 impl View {
@@ -74,12 +69,6 @@
         let zones = self.configuration.as_ref().map(|held| &held.evacuated);
         zones.is_some_and(|zones| zones.iter().any(|evacuated| evacuated == zone))
     }
-
-    /// Returns the instances of a region that take requests, by name.
-    pub fn ready_in<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Presence> {
-        let fits = move |presence: &&Presence| presence.ready && presence.place.region == region;
-        self.instances.values().filter(fits)
-    }
 }
 
 /// The time in which an instance ends.
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -210,7 +210,7 @@
             .send(Message::Targets(vec![report(target().await)]))
             .unwrap();
         until("the instance is ready", || {
-            board.is_ready() && !board.view().targets.is_empty()
+            board.is_ready() && !board.view().targets.by_name().is_empty()
         })
         .await;
         let (cut, served) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
@@ -273,7 +273,7 @@
             .send(Message::Targets(vec![report(target().await)]))
             .unwrap();
         until("the older replica was heard", || {
-            !board.view().targets.is_empty()
+            !board.view().targets.by_name().is_empty()
         })
         .await;
         assert_eq!(board.view().revision(), 9);
--- a/crates/zinniastall-gateway/tests/events.rs
+++ b/crates/zinniastall-gateway/tests/events.rs
@@ -56,7 +56,7 @@
 #[test]
 fn a_long_event_is_torn_until_its_end() {
     let mut events = Events::default();
-    let piece = [b'x'; 64 << 10];
+    let piece = vec![b'x'; 64 << 10];
     let passed: usize = (0..8).map(|_| events.take(&piece).len()).sum();
     assert!(passed > 0 && events.is_torn());
     let last = events.take(b"\n\n");
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -32,7 +32,13 @@
 }
 
 fn names(knowledge: &mut Knowledge, now: Instant) -> Vec<String> {
-    knowledge.view(now).targets.keys().cloned().collect()
+    knowledge
+        .view(now)
+        .targets
+        .by_name()
+        .keys()
+        .cloned()
+        .collect()
 }
 
 fn presence(name: &str, incarnation: u64, ready: bool) -> Presence {
@@ -114,7 +120,8 @@
     known.configure(configuration(1, &["patras-a"]), now);
     known.hear(vec![report("t", 5, 1, State::Ready)], now);
     known.configure(configuration(2, &[]), now);
-    let cold = |known: &mut Knowledge, now| known.view(now).targets["t"].cold_until.is_some();
+    let cold =
+        |known: &mut Knowledge, now| known.view(now).targets.by_name()["t"].cold_until.is_some();
     assert!(cold(&mut known, now));
     let later = now + Duration::from_millis(900);
     known.hear(vec![report("t", 5, 2, State::Ready)], later);
@@ -127,7 +134,13 @@
 fn a_replicas_word_outlives_its_link_for_a_moment() {
     let (mut known, now) = (knowledge(), Instant::now());
     let alive = |known: &mut Knowledge, now| -> Vec<String> {
-        known.view(now).instances.keys().cloned().collect()
+        known
+            .view(now)
+            .instances
+            .by_name()
+            .keys()
+            .cloned()
+            .collect()
     };
     known.hear_instances("r1", vec![presence("a", 1, true)]);
     known.hear_instances("r2", vec![presence("b", 1, true)]);
@@ -146,9 +159,12 @@
     let (mut known, now) = (knowledge(), Instant::now());
     known.hear_instances("r1", vec![presence("a", 1, false)]);
     known.hear_instances("r2", vec![presence("a", 1, true)]);
-    assert!(!known.view(now).instances["a"].ready);
+    assert!(!known.view(now).instances.by_name()["a"].ready);
     known.hear_instances("r2", vec![presence("a", 2, true)]);
-    assert!(known.view(now).instances["a"].ready, "a later run");
+    assert!(
+        known.view(now).instances.by_name()["a"].ready,
+        "a later run"
+    );
 }
 
 /// Silence alone takes no target out for a long time: it may be cut off from the replicas alone.
--- a/crates/zinniastall-gateway/tests/path/answers.rs
+++ b/crates/zinniastall-gateway/tests/path/answers.rs
@@ -224,12 +224,12 @@
     let two = Target::start(script(&order)).await;
     let (address, _held, _listener) = deaf().await;
     let mut shown = view(routes(), &[&one, &two]);
-    let mut targets = (*shown.targets).clone();
+    let mut targets = shown.targets.by_name().clone();
     // Left alone at first, as a target that was silent for long, so that the other two come before it.
     let mut third = crate::stage::known("target-2", address);
     third.heard = third.heard.checked_sub(Duration::from_secs(10)).unwrap();
     targets.insert("target-2".to_owned(), third);
-    shown.targets = std::sync::Arc::new(targets);
+    shown.targets = std::sync::Arc::new(targets.into_iter().collect());
     let stage = Stage::start(shown).await;
     let text = get("/plans/1", "a", "deadline-ms: 250\r\n");
     let got = stage.connect().await.call(&text).await;
--- a/crates/zinniastall-gateway/tests/path/stage.rs
+++ b/crates/zinniastall-gateway/tests/path/stage.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use indexmap::IndexMap;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -240,7 +239,11 @@
         (name.clone(), known(&name, target.address))
     });
     view.targets = Arc::new(known.collect());
-    view.instances = Arc::new(IndexMap::from([instance("edge-1", PLACE, "127.0.0.1:1")]));
+    view.instances = Arc::new(
+        [instance("edge-1", PLACE, "127.0.0.1:1")]
+            .into_iter()
+            .collect(),
+    );
     view
 }
 
--- a/crates/zinniastall-model/src/routing.rs
+++ b/crates/zinniastall-model/src/routing.rs
@@ -217,11 +217,18 @@
 
     /// Returns the route of a host whose prefix is the longest that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let fits = |route: &&Route| {
+        self.position(host, path).map(|at| &self.routes[at])
+    }
+
+    /// Returns the place of that route in [`Table::routes`].
+    pub fn position(&self, host: &str, path: &str) -> Option<usize> {
+        let fits = |route: &Route| {
             route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
         };
-        let matching = self.routes.iter().filter(fits);
-        matching.max_by_key(|route| route.prefix.len())
+        let routes = self.routes.iter().enumerate();
+        let matching = routes.filter(|(_, route)| fits(route));
+        let longest = matching.max_by_key(|(_, route)| route.prefix.len());
+        longest.map(|(at, _)| at)
     }
 
     /// Returns a service by its name.
