--- a/crates/zinniastall-control/src/figures.rs
+++ b/crates/zinniastall-control/src/figures.rs
@@ -93,7 +93,7 @@
                 self.revision.set(glance.revision);
                 self.unsynced.set(glance.unsynced);
             }
-            self.instances.set(hub.instances().len() as u64);
+            self.instances.set(hub.linked() as u64);
             time::sleep(LOOK).await;
         }
     }
--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use indexmap::{IndexMap, IndexSet};
 use tokio::{
     sync::{mpsc, watch},
@@ -26,7 +26,7 @@
     feed::Feed,
     frame::Frame,
     hub::{Configuration, Message, log_report},
-    link::{Error, Link, Sender},
+    link::{Error, Link, send_within},
 };
 
 /// Time between two rounds in which news of targets are passed on: what a target says is in force
@@ -176,6 +176,11 @@
         self.inner.presences()
     }
 
+    /// Returns how many gateway instances are linked with this replica.
+    pub fn linked(&self) -> usize {
+        self.inner.instances.borrow().len()
+    }
+
     /// Passes news on, round by round, for ever.
     pub async fn run(self) {
         let mut round = time::interval(ROUND);
@@ -215,7 +220,7 @@
         let mut alive = time::interval(ALIVE);
         let mut silent = Instant::now() + SILENCE;
         for message in self.first() {
-            if let Err(error) = send(&mut sender, message).await {
+            if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
                 return error;
             }
         }
@@ -246,7 +251,7 @@
                 () = time::sleep_until(silent) => return Error::Closed,
             };
             feed.mark_unchanged();
-            if let Err(error) = send(&mut sender, message).await {
+            if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
                 return error;
             }
         }
@@ -371,8 +376,3 @@
         presences.collect()
     }
 }
-
-async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
-    let sent = time::timeout(SILENCE, sender.send(Frame::Hub(message))).await;
-    sent.map_err(|_| Error::Closed)?
-}
--- a/crates/zinniastall-gateway/src/groups.rs
+++ b/crates/zinniastall-gateway/src/groups.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is placed among the targets of its service in one region, a dozen or so. Found by a look at all
 //! targets, instances and loads of the system, one choice took 3.6 ms with 10,000 targets and 1,700 instances in
-//! 23 regions; found by their groups it takes 0.03 to 0.05 ms (example `place_cost`, release build).
+//! 23 regions; found by their groups it takes 0.03 ms (example `place_cost`, release build).
 
 use indexmap::IndexMap;
 use zinniastall_model::{
--- a/crates/zinniastall-gateway/src/path/answer.rs
+++ b/crates/zinniastall-gateway/src/path/answer.rs
@@ -2,12 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http::{
-    HeaderMap, HeaderValue, StatusCode,
-    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
-};
-use zinniastall_http::head;
+use http::{HeaderValue, StatusCode, header::RETRY_AFTER};
+use zinniastall_http::server::Reply;
 
 use crate::names::{OUTCOME, RETRY_MS};
 
@@ -47,17 +43,6 @@
     Unknown,
 }
 
-/// A whole answer.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    /// Status.
-    pub status: StatusCode,
-    /// Header fields without those of the framing.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
-}
-
 /// Time after which a request should come back to an instance that has no configuration yet. Most have
 /// it half a second after their start.
 const UNCONFIGURED: Duration = Duration::from_millis(500);
@@ -132,24 +117,21 @@
     }
 
     /// Makes the answer for a caller.
-    pub fn answer(self) -> Answer {
+    pub fn answer(self) -> Reply {
         let (word, outcome) = (self.word(), self.outcome().word());
         let body = format!("{{\"error\":\"{word}\",\"outcome\":\"{outcome}\"}}");
-        let mut headers = HeaderMap::new();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let mut reply = Reply::json(self.status(), body);
         if let Some(after) = self.after() {
             let seconds = format!("{:.2}", after.as_secs_f64());
-            headers.extend(HeaderValue::try_from(seconds).map(|value| (RETRY_AFTER, value)));
-        }
-        Answer {
-            status: self.status(),
-            headers,
-            body: Bytes::from(body),
+            reply
+                .headers
+                .extend(HeaderValue::try_from(seconds).map(|value| (RETRY_AFTER, value)));
         }
+        reply
     }
 
     /// Makes the answer for the instance that passed the request on.
-    pub fn answer_instance(self) -> Answer {
+    pub fn answer_instance(self) -> Reply {
         let mut answer = self.answer();
         let word = HeaderValue::from_static(self.outcome().word());
         answer.headers.insert(OUTCOME, word);
@@ -160,19 +142,3 @@
         answer
     }
 }
-
-impl Answer {
-    /// Encodes the answer with its framing; `keep` tells whether the connection stays open.
-    pub fn encode(mut self, keep: bool) -> BytesMut {
-        let length = HeaderValue::from(self.body.len());
-        self.headers.insert(CONTENT_LENGTH, length);
-        if !keep {
-            let close = HeaderValue::from_static("close");
-            self.headers.insert(CONNECTION, close);
-        }
-        let mut output = BytesMut::with_capacity(512 + self.body.len());
-        head::write_response(&mut output, self.status, &self.headers);
-        output.extend_from_slice(&self.body);
-        output
-    }
-}
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -13,12 +13,13 @@
     body::{Decoder, Framing},
     connection::{RESPONSE_HEAD, Reader, Writer},
     head::{self, Response},
+    server::Reply,
 };
 use zinniastall_model::id;
 
 use super::{
     Traffic,
-    answer::{Answer, Outcome},
+    answer::Outcome,
     client::Client,
     events::Events,
     job::{Job, number, text},
@@ -69,7 +70,7 @@
     /// It was sent and has not run; worth asking again after a time, if one was named.
     NotRun(Option<Duration>),
     /// The target answered with a failure of its own.
-    Failing(Answer),
+    Failing(Reply),
     /// It was sent, and nobody can tell whether it ran.
     Unknown(Why),
     /// A part of the answer was handed over, and no more comes from this target.
@@ -286,7 +287,7 @@
             Ok(body) => body,
             Err(why) => return Ended::Unknown(why),
         };
-        let answer = Answer {
+        let answer = Reply {
             status: response.status,
             headers: returned(&response.headers),
             body,
--- a/crates/zinniastall-gateway/src/path/client.rs
+++ b/crates/zinniastall-gateway/src/path/client.rs
@@ -11,9 +11,10 @@
     body::{LAST_CHUNK, write_chunk},
     connection::Writer,
     head,
+    server::Reply,
 };
 
-use super::answer::{Answer, Refusal};
+use super::answer::Refusal;
 
 /// How far an answer is.
 #[derive(Debug, Clone, Copy)]
@@ -83,7 +84,7 @@
     /// # Errors
     ///
     /// Fails when the connection does.
-    pub async fn answer(&mut self, answer: Answer) -> io::Result<()> {
+    pub async fn answer(&mut self, answer: Reply) -> io::Result<()> {
         self.progress = Progress::Begun;
         self.begun = Some(Instant::now());
         self.status = Some(answer.status);
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -7,10 +7,11 @@
 };
 
 use tokio::time;
+use zinniastall_http::server::Reply;
 
 use super::{
     Traffic,
-    answer::{Answer, Refusal},
+    answer::Refusal,
     attempt::{Attempt, Ended, Place},
     client::Client,
     events::Events,
@@ -49,10 +50,11 @@
     tried: Tried,
     sent: u32,
     unreachable: usize,
-    is_lost: bool,
+    /// Whether an attempt may have run it.
+    may_have_run: &'a Cell<bool>,
     is_kept: bool,
     broken: Option<Instant>,
-    failing: Option<Answer>,
+    failing: Option<Reply>,
 }
 
 /// What follows from an attempt.
@@ -101,7 +103,7 @@
             tried: Tried::default(),
             sent: 0,
             unreachable: 0,
-            is_lost: false,
+            may_have_run,
             is_kept: false,
             broken: None,
             failing: None,
@@ -185,7 +187,6 @@
             }
             Ended::Unknown(_) => {
                 course.sent += 1;
-                course.is_lost = true;
                 if job.route().repeats() && self.may_repeat(course) {
                     Step::Again
                 } else {
@@ -266,7 +267,7 @@
         if client.has_begun() {
             return Step::End(End::Aborted("no place to go on".to_owned()));
         }
-        if self.is_lost || self.failing.is_some() {
+        if self.may_have_run.get() {
             return Step::Give(Refusal::Lost);
         }
         if self.sent > 0 {
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::{sync::Notify, task::JoinHandle, time};
@@ -15,7 +15,7 @@
     frame::Frame,
     hello::Hello,
     hub::{Message, log_report},
-    link::{Error, Link, Sender},
+    link::{Error, Link, send_within},
 };
 
 use crate::{
@@ -194,7 +194,7 @@
                 }
                 () = time::sleep_until(silent) => return Error::Closed,
             };
-            if let Err(error) = send(&mut sender, message).await {
+            if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
                 return error;
             }
         }
@@ -265,8 +265,3 @@
         }
     }
 }
-
-async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
-    let sent = time::timeout(SILENCE, sender.send(Frame::Hub(message))).await;
-    sent.map_err(|_| Error::Closed)?
-}
--- a/crates/zinniastall-http/src/server.rs
+++ b/crates/zinniastall-http/src/server.rs
@@ -24,6 +24,8 @@
 
 /// Longest head, in bytes.
 const HEAD: usize = 16 << 10;
+/// Bytes that the head of an answer mostly takes.
+const HEADERS: usize = 512;
 /// Pause after a failed accept: out of descriptors, most likely, and a loop would spin.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -87,6 +89,20 @@
         self.headers.insert(name, value);
         self
     }
+
+    /// Encodes the answer with its framing; `keep` tells whether the connection stays open.
+    pub fn encode(mut self, keep: bool) -> BytesMut {
+        let length = HeaderValue::from(self.body.len());
+        self.headers.insert(CONTENT_LENGTH, length);
+        if !keep {
+            let close = HeaderValue::from_static("close");
+            self.headers.insert(CONNECTION, close);
+        }
+        let mut output = BytesMut::with_capacity(HEADERS + self.body.len());
+        head::write_response(&mut output, self.status, &self.headers);
+        output.extend_from_slice(&self.body);
+        output
+    }
 }
 
 /// Accepts connections for ever and serves each on this thread.
@@ -175,19 +191,8 @@
     Ok(Some(Call { head, body }))
 }
 
-async fn write(writer: &mut Writer, mut reply: Reply, keep: bool) -> Result<(), Error> {
-    reply
-        .headers
-        .insert(CONTENT_LENGTH, HeaderValue::from(reply.body.len()));
-    if !keep {
-        reply
-            .headers
-            .insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    let mut output = BytesMut::with_capacity(256 + reply.body.len());
-    head::write_response(&mut output, reply.status, &reply.headers);
-    output.extend_from_slice(&reply.body);
-    writer.write(&output).await?;
+async fn write(writer: &mut Writer, reply: Reply, keep: bool) -> Result<(), Error> {
+    writer.write(&reply.encode(keep)).await?;
     if !keep {
         writer.finish().await?;
     }
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -2,16 +2,14 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use futures_util::{
-    FutureExt, SinkExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered,
-};
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use tokio::{sync::watch, time};
 use zinniastall_model::{change::Change, id, member::Member, state::State};
 
 use crate::{
     follow::{Astray, Confirmation, Message},
     frame::Frame,
-    link::{Error, Link, Receiver, Sender},
+    link::{Error, Link, Receiver, Sender, send_within},
 };
 
 /// Changes of one frame; each is bounded by the checks of the model.
@@ -207,8 +205,7 @@
 ///
 /// [`Error::Closed`] when it takes nothing.
 pub async fn send(sender: &mut Sender, message: Message) -> Result<(), Error> {
-    let sent = time::timeout(SILENCE, sender.send(Frame::Follow(message))).await;
-    sent.map_err(|_| Error::Closed)?
+    send_within(sender, Frame::Follow(message), SILENCE).await
 }
 
 /// Receives one message, unless the other end is silent for too long.
--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -97,6 +97,21 @@
 
 /// Half of a link that sends.
 pub type Sender = std::pin::Pin<Box<dyn Sink<Frame, Error = Error> + Send>>;
+
+/// Sends one frame, unless the other end takes nothing for too long.
+///
+/// # Errors
+///
+/// [`Error::Closed`] when it takes nothing, or whatever the link failed of.
+pub async fn send_within(
+    sender: &mut Sender,
+    frame: Frame,
+    longest: Duration,
+) -> Result<(), Error> {
+    let sent = time::timeout(longest, sender.send(frame)).await;
+    sent.map_err(|_| Error::Closed)?
+}
+
 /// Half of a link that receives.
 pub type Receiver = std::pin::Pin<Box<dyn Stream<Item = Result<Frame, Error>> + Send>>;
 
