feat(gateway): the longest pause within an answer is logged and counted

A stream can begin at once and be worthless all the same, because it stood still in the middle; nothing in logs or figures told. request-ended now has pause_ms, pause_seconds is a histogram by route, and a line on a stream that paused for longer than its route's bound counts among those that are kept first. Test: a target that stalls for 400 ms between two events.

--- a/crates/zinniastall-gateway/src/figures.rs
+++ b/crates/zinniastall-gateway/src/figures.rs
@@ -1,17 +1,16 @@
 //! Counters and histograms of a gateway instance.
 
-use std::{
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
 };
 
 use indexmap::IndexSet;
 use prometheus_client::encoding::EncodeLabelSet;
 use zinniastall_settings::scrape::{Builder, Counters, Gauge, Histograms, Page};
 
+use crate::journal::End;
+
 /// Routes that have figures of their own; further ones are counted together. Operators add hundreds
 /// of routes, and each costs some kilobytes in every instance.
 const ROUTES: usize = 64;
@@ -45,6 +44,7 @@
     requests: Counters<Ended>,
     seconds: Histograms<Route>,
     first_seconds: Histograms<Route>,
+    pause_seconds: Histograms<Route>,
     attempts: Counters<Attempt>,
     revision: Gauge,
     targets: Gauge,
@@ -67,6 +67,10 @@
             requests: page.counters("requests", "Requests by route and outcome"),
             seconds: page.histograms("request_seconds", "Time to the final answer"),
             first_seconds: page.histograms("first_seconds", "Time until the answer begins"),
+            pause_seconds: page.histograms(
+                "pause_seconds",
+                "Longest time between two pieces of an answer",
+            ),
             attempts: page.counters("attempts", "Attempts by outcome"),
             revision: page.gauge("revision", "Configuration in force"),
             targets: page.gauge("targets", "Targets that take requests"),
@@ -78,25 +82,24 @@
         }
     }
 
-    /// Counts a request that has ended; `first` is the time until its answer began.
-    pub fn request(
-        &self,
-        route: &str,
-        outcome: &'static str,
-        first: Option<Duration>,
-        took: Duration,
-    ) {
+    /// Counts a request that has ended.
+    pub fn request(&self, route: &str, end: &End<'_>) {
         let route = self.bounded(route);
         self.counted.fetch_add(1, Ordering::Relaxed);
         let of_route = Route {
             route: route.clone(),
         };
-        if let Some(first) = first {
+        if let Some(first) = end.first {
             let seconds = self.first_seconds.get_or_create(&of_route);
             seconds.observe(first.as_secs_f64());
         }
+        if !end.pause.is_zero() {
+            let seconds = self.pause_seconds.get_or_create(&of_route);
+            seconds.observe(end.pause.as_secs_f64());
+        }
         let seconds = self.seconds.get_or_create(&of_route);
-        seconds.observe(took.as_secs_f64());
+        seconds.observe(end.took.as_secs_f64());
+        let outcome = end.outcome;
         self.requests.get_or_create(&Ended { route, outcome }).inc();
     }
 
--- a/crates/zinniastall-gateway/src/journal.rs
+++ b/crates/zinniastall-gateway/src/journal.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant},
 };
 
+use zinniastall_model::routing::Route;
+
 use super::path::{
     attempt::{Ended, Place},
     job::Job,
@@ -48,8 +50,33 @@
     pub status: u16,
     /// Time until the answer began.
     pub first: Option<Duration>,
-    /// Whether it was answered within its objective.
-    pub is_well: bool,
+    /// Longest time between two pieces of the answer.
+    pub pause: Duration,
+    /// Time until it ended.
+    pub took: Duration,
+}
+
+impl End<'_> {
+    /// Creates the end of a request that was refused before any time was spent on it.
+    pub const fn untimed(outcome: &'static str) -> Self {
+        Self {
+            outcome,
+            why: "",
+            status: 0,
+            first: None,
+            pause: Duration::ZERO,
+            took: Duration::ZERO,
+        }
+    }
+
+    /// Tells whether the caller got what it asked for, in the time that its route promises.
+    fn is_well(&self, route: &Route) -> bool {
+        let objective = Duration::from_millis(route.objective_ms);
+        let gap = Duration::from_millis(route.gap_ms);
+        let is_prompt = self.first.is_some_and(|first| first <= objective);
+        let is_steady = gap.is_zero() || self.pause <= gap;
+        self.outcome == "answered" && self.status < 500 && is_prompt && is_steady
+    }
 }
 
 /// Writes log lines on requests.
@@ -175,7 +202,7 @@
 
     /// Notes how a request ended.
     pub fn ended(&self, job: &Job, end: &End<'_>) {
-        if !self.allows(end.is_well) {
+        if !self.allows(end.is_well(job.route())) {
             return;
         }
         tracing::info!(
@@ -186,7 +213,8 @@
             why = end.why,
             status = end.status,
             first_ms = end.first.map(millis),
-            took_ms = millis(job.arrived.elapsed()),
+            pause_ms = millis(end.pause),
+            took_ms = millis(end.took),
             objective_ms = job.route().objective_ms,
             revision = job.revision(),
             passed_on = job.is_passed_on,
--- a/crates/zinniastall-gateway/src/path/client.rs
+++ b/crates/zinniastall-gateway/src/path/client.rs
@@ -1,6 +1,9 @@
 //! The way back to whoever sent a request.
 
-use std::{io, time::Instant};
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{
@@ -34,6 +37,8 @@
     progress: Progress,
     begun: Option<Instant>,
     status: Option<StatusCode>,
+    last_piece: Option<Instant>,
+    pause: Duration,
 }
 
 impl Client {
@@ -47,6 +52,8 @@
             progress: Progress::Waiting,
             begun: None,
             status: None,
+            last_piece: None,
+            pause: Duration::ZERO,
         }
     }
 
@@ -57,6 +64,8 @@
         self.progress = Progress::Waiting;
         self.begun = None;
         self.status = None;
+        self.last_piece = None;
+        self.pause = Duration::ZERO;
     }
 
     /// Tells whether a byte of the answer may have left.
@@ -74,6 +83,16 @@
         self.status
     }
 
+    /// Returns the longest time between two pieces of the body, the one that is due now included.
+    pub fn pause(&self) -> Duration {
+        let is_due = matches!(self.progress, Progress::Begun);
+        let due = self
+            .last_piece
+            .filter(|_| is_due)
+            .map(|last| last.elapsed());
+        self.pause.max(due.unwrap_or_default())
+    }
+
     /// Tells whether the connection may serve another request.
     pub const fn keeps_open(&self) -> bool {
         matches!(self.progress, Progress::Whole) && self.keep
@@ -148,6 +167,10 @@
         if bytes.is_empty() {
             return Ok(());
         }
+        let now = Instant::now();
+        if let Some(last) = self.last_piece.replace(now) {
+            self.pause = self.pause.max(now.duration_since(last));
+        }
         if !self.is_modern {
             return self.writer.write(&bytes).await;
         }
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -250,8 +250,8 @@
     /// Notes that a request was refused before it was judged.
     fn note_refusal(&self, id: &str, refusal: Refusal) {
         self.journal.refused(id, refusal.word());
-        self.figures
-            .request("", refusal.outcome().word(), None, Duration::ZERO);
+        let end = End::untimed(refusal.outcome().word());
+        self.figures.request("", &end);
     }
 
     /// Notes how a request ended.
@@ -260,18 +260,16 @@
         let first = client
             .begun()
             .map(|begun| begun.duration_since(job.arrived));
-        let objective = Duration::from_millis(job.route().objective_ms);
-        let in_time = first.is_some_and(|first| first <= objective);
         let end = End {
             outcome,
             why,
             status,
             first,
-            is_well: outcome == "answered" && status < 500 && in_time,
+            pause: client.pause(),
+            took: job.arrived.elapsed(),
         };
         self.journal.ended(job, &end);
-        self.figures
-            .request(&job.route().name, outcome, first, job.arrived.elapsed());
+        self.figures.request(&job.route().name, &end);
     }
 
     /// Tells whether a request might outlast this instance, which drains.
--- a/crates/zinniastall-gateway/tests/figures.rs
+++ b/crates/zinniastall-gateway/tests/figures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use zinniastall_gateway::figures::Figures;
+use zinniastall_gateway::{figures::Figures, journal::End};
 
 /// Returns the sum of all samples of a metric.
 fn sum(text: &str, metric: &str) -> f64 {
@@ -26,9 +26,14 @@
         } else {
             "answered"
         };
-        let first = (outcome == "answered").then(|| Duration::from_millis(number));
-        let took = Duration::from_millis(number * 2);
-        figures.request(&format!("route-{}", number % 7), outcome, first, took);
+        let is_answered = outcome == "answered";
+        let end = End {
+            first: is_answered.then(|| Duration::from_millis(number)),
+            pause: Duration::from_millis(number) * u32::from(is_answered),
+            took: Duration::from_millis(number * 2),
+            ..End::untimed(outcome)
+        };
+        figures.request(&format!("route-{}", number % 7), &end);
     }
     let text = figures.text();
     assert_eq!(
@@ -43,6 +48,10 @@
         sum(&text, "zinniastall_gateway_first_seconds_count").to_string(),
         "200"
     );
+    assert_eq!(
+        sum(&text, "zinniastall_gateway_pause_seconds_count").to_string(),
+        "200"
+    );
     assert_eq!(figures.counted(), 250);
     assert!(text.ends_with("# EOF\n"));
 }
@@ -52,7 +61,7 @@
 fn figures_are_kept_for_a_bounded_number_of_routes() {
     let figures = Figures::new();
     for number in 0..1_000 {
-        figures.request(&format!("route-{number}"), "answered", None, Duration::ZERO);
+        figures.request(&format!("route-{number}"), &End::untimed("answered"));
     }
     let text = figures.text();
     let series = text
--- a/crates/zinniastall-gateway/tests/path/lines.rs
+++ b/crates/zinniastall-gateway/tests/path/lines.rs
@@ -110,7 +110,43 @@
         "outcome=answered",
         "status=200",
     ];
-    check_line(&end, &["first_ms", "took_ms", "objective_ms", "revision"]);
+    let times = [
+        "first_ms",
+        "pause_ms",
+        "took_ms",
+        "objective_ms",
+        "revision",
+    ];
+    check_line(&end, &times);
+}
+
+/// A target stalls between two events, as one does whose engine reads a long prompt or moved the request
+/// out of its memory. The caller sees an answer that began at once and is worthless all the same; without
+/// the pause in the line, nothing there tells it from a good one.
+async fn paused_between_events() {
+    keep_log();
+    let pause = Duration::from_millis(400);
+    let target = Target::start(move |seen| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {}\r\ncontent-length: 30\r\n\r\n",
+            seen.id()
+        );
+        vec![
+            Act::Send((head + "id: 1\ndata: 1\n\n").into_bytes()),
+            Act::Wait(pause),
+            Act::Send(b"id: 2\ndata: 2\n\n".to_vec()),
+        ]
+    })
+    .await;
+    let routes = vec![route("/stream/", Kind::Stream, 1)];
+    let stage = Stage::start(view(routes, &[&target])).await;
+    stage.connect().await.call(&get("/stream/1", "p", "")).await;
+    let [line] = &lines(&["event=request-ended", "id=p"])[..] else {
+        panic!("{:?}", lines(&[]));
+    };
+    let said = line.split(" pause_ms=").nth(1).unwrap();
+    let said: u64 = said.split(' ').next().unwrap().parse().unwrap();
+    assert!(u128::from(said) >= pause.as_millis() - 50, "{line}");
 }
 
 async fn tried_again() {
@@ -179,6 +215,8 @@
 cases! {
     /// A caller asks why a request went where it went; its lines must say on what it was decided.
     a_request_that_goes_well_has_its_lines => placed_and_ended(),
+    /// An answer began at once and then stood still for longer than its caller can use.
+    a_pause_has_its_figure => paused_between_events(),
     /// A request was slow because its first target failed it.
     a_repeat_has_its_lines => tried_again(),
     /// A caller was told that nobody knows whether a request ran.
