refactor(gateway): reading and handing over answers is a module of its own

attempt.rs had grown to 418 lines with two jobs: what an attempt decides, and how bytes get from a target to a caller. The second is transfer.rs now. No behaviour changes; all tests of the gateway pass.

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -6,13 +6,10 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, StatusCode};
-use tokio::time;
+use http::{Method, StatusCode};
 use zinniastall_http::{
     body::{Decoder, Framing},
-    connection::{RESPONSE_HEAD, Reader, Writer},
-    head::{self, Response},
+    head::Response,
     server::Reply,
 };
 use zinniastall_model::id;
@@ -24,18 +21,13 @@
     events::Events,
     job::{Job, number, text},
     pool::{CONNECT, CONNECT_FAR, Connection},
+    transfer::{collect, drained, ends_soon, hand_over, next_head, returned},
 };
 use crate::{
     books::Flight,
     names::{OUTCOME, RETRY_MS},
 };
 
-/// Longest whole answer, in bytes; answers of streams have no bound.
-const LONGEST: usize = 32 << 20;
-/// Longest wait for the rest of a refusal, whose words nobody reads. A target that names no length, or stalls
-/// within them, would hold up a request whose fate is known; its connection is closed instead, which costs
-/// one more connecting. Nearly all refusals come in one piece.
-const REST: Duration = Duration::from_millis(5);
 /// Answers to other requests that are skipped on a connection before it counts as broken.
 const STRAYS: usize = 2;
 
@@ -202,7 +194,7 @@
         let Connection { reader, writer, .. } = connection;
         let mut is_written = false;
         let mut strays = 0;
-        let mut writing = std::pin::pin!(write(writer, output));
+        let mut writing = std::pin::pin!(writer.write(output));
         let response = loop {
             let response = if is_written {
                 next_head(reader).await?
@@ -341,78 +333,3 @@
         }
     }
 }
-
-async fn write(writer: &mut Writer, output: &[u8]) -> io::Result<()> {
-    writer.write(output).await
-}
-
-async fn next_head(reader: &mut Reader) -> Result<Response, Why> {
-    match reader.head::<Response>(RESPONSE_HEAD).await {
-        Ok(Some(response)) => Ok(response),
-        Ok(None) => Err("closed without an answer".to_owned()),
-        Err(error) => Err(error.to_string()),
-    }
-}
-
-/// Reads the words of a refusal; tells whether the connection may be used again.
-async fn ends_soon(response: &Response, reader: &mut Reader) -> bool {
-    let Ok(framing) = response.framing(false) else {
-        return false;
-    };
-    if framing == Framing::Close {
-        return false;
-    }
-    let rest = drained(reader, Decoder::new(framing));
-    time::timeout(REST, rest).await.unwrap_or(false)
-}
-
-/// Reads the rest of a body that nobody needs; tells whether it ended in order.
-async fn drained(reader: &mut Reader, mut decoder: Decoder) -> bool {
-    loop {
-        match reader.piece(&mut decoder).await {
-            Ok(Some(_)) => {}
-            Ok(None) => return true,
-            Err(_) => return false,
-        }
-    }
-}
-
-async fn collect(job: &Job, response: &Response, reader: &mut Reader) -> Result<Bytes, Why> {
-    let framing = response.framing(job.head.method == Method::HEAD);
-    let mut decoder = Decoder::new(framing.map_err(|fault| fault.to_string())?);
-    let mut body = BytesMut::new();
-    loop {
-        let piece = reader.piece(&mut decoder).await;
-        match piece.map_err(|error| error.to_string())? {
-            Some(piece) if body.len() + piece.len() > LONGEST => {
-                return Err("the answer is too long".to_owned());
-            }
-            Some(piece) => body.extend_from_slice(&piece),
-            None => return Ok(body.freeze()),
-        }
-    }
-}
-
-async fn hand_over(
-    response: &Response,
-    events: Bytes,
-    is_end: bool,
-    client: &mut Client,
-) -> io::Result<()> {
-    if !client.has_begun() && (is_end || !events.is_empty()) {
-        let headers = returned(&response.headers);
-        client.begin(response.status, headers).await?;
-    }
-    client.piece(events).await?;
-    if is_end {
-        client.end().await?;
-    }
-    Ok(())
-}
-
-/// Returns the fields of a target's answer that are passed on.
-fn returned(headers: &HeaderMap) -> HeaderMap {
-    let mut headers = headers.clone();
-    head::strip_hop_by_hop(&mut headers);
-    headers
-}
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -10,6 +10,7 @@
 pub mod pool;
 pub mod run;
 pub mod serve;
+mod transfer;
 
 use std::{cell::RefCell, rc::Rc};
 
