fix(gateway): cold targets get the requests that they bear

Found by reading the whole change: a cold target opened only once its pace had begun, and its pace began only with a request sent, so no cold target ever got one, and a region whose targets all came back cold served nobody.

Change: looking begins the pace. As it can now be used, its part of the rate is 0.7 in place of 0.9: two senders whose views differ passed the bound at rates of 20 a second and more. Tests, each failing first: "0 in two seconds" on the request path, a pace that is only looked at, "36 within a second at 20 a second" (that one at 0.9).

--- a/crates/zinniastall-gateway/src/decide/warm.rs
+++ b/crates/zinniastall-gateway/src/decide/warm.rs
@@ -8,8 +8,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Part of a target's rate that is used.
-const USED: f64 = 0.9;
+/// Part of a target's rate that is used. Two senders at nine tenths each pass one and a half times a rate of
+/// 20 and three, 33 a second, by three; at seven tenths they stay under it at any rate.
+const USED: f64 = 0.7;
 
 /// Returns which of the instances may send to a cold target.
 pub fn sender<'a>(target: &str, instances: impl Iterator<Item = &'a str>) -> Option<&'a str> {
@@ -35,32 +36,31 @@
 }
 
 impl Pace {
-    /// Tells whether a request may be sent now, and counts it if so; `rate_milli` is in thousandths
-    /// of a request a second, 0 for no bound.
+    /// Tells whether a request may be sent now; `rate_milli` is in thousandths of a request a second, 0 for
+    /// no bound.
     ///
-    /// The first one waits a turn: another instance may have sent right before this one took over.
+    /// The first look begins the pace, and the first request waits a turn from then: another instance may
+    /// have sent right before this one took over.
+    pub fn is_open(&mut self, rate_milli: u64, now: Instant) -> bool {
+        rate_milli == 0 || *self.next.get_or_insert(now + turn(rate_milli)) <= now
+    }
+
+    /// Counts a request if one may be sent now; tells whether it may.
     pub fn take(&mut self, rate_milli: u64, now: Instant) -> bool {
-        if rate_milli == 0 {
-            return true;
+        if !self.is_open(rate_milli, now) {
+            return false;
         }
-        let turn = turn(rate_milli);
-        let next = *self.next.get_or_insert(now + turn);
-        // A pace that was left alone for long begins anew instead of sending at once.
-        if next + turn < now {
-            self.next = Some(now + turn);
+        if rate_milli == 0 {
             return true;
         }
-        if next > now {
-            return false;
+        if let Some(next) = self.next {
+            let turn = turn(rate_milli);
+            // A pace that was left alone for long begins anew instead of sending at once what it saved.
+            let is_old = next + turn < now;
+            self.next = Some(if is_old { now } else { next } + turn);
         }
-        self.next = Some(next + turn);
         true
     }
-
-    /// Tells whether [`Pace::take`] would send now.
-    pub fn is_open(&self, rate_milli: u64, now: Instant) -> bool {
-        rate_milli == 0 || self.next.is_some_and(|next| next <= now)
-    }
 }
 
 /// Time between two requests.
--- a/crates/zinniastall-gateway/tests/decide/warm.rs
+++ b/crates/zinniastall-gateway/tests/decide/warm.rs
@@ -42,6 +42,43 @@
     }
 }
 
+/// The same where targets bear more: of two senders at nine tenths of the rate each, the sum passes one and a
+/// half times the rate and three from a rate of ten on.
+#[test]
+fn two_senders_stay_under_the_bound_at_any_rate() {
+    let base = Instant::now();
+    for rate in [1_u32, 2, 5, 10, 20, 50] {
+        let times = |shift: u64| {
+            let mut pace = Pace::default();
+            let open = |at: &u64| {
+                let now = base + Duration::from_millis(*at);
+                pace.is_open(u64::from(rate) * 1_000, now)
+                    && pace.take(u64::from(rate) * 1_000, now)
+            };
+            (shift..6_000).step_by(5).filter(open).collect::<Vec<u64>>()
+        };
+        let both = [times(0), times(2_013)].concat();
+        let bears = usize::try_from(rate * 3 / 2 + 3).unwrap();
+        let most = most(both);
+        assert!(most <= bears, "{most} within a second at {rate} a second");
+    }
+}
+
+/// A sender looks whether a target may get a request before it sends one. If looking didn't begin the pace, no
+/// cold target would ever get any: a region whose targets all come back cold would serve nobody.
+#[test]
+fn a_target_that_is_only_looked_at_opens_in_time() {
+    let base = Instant::now();
+    let mut pace = Pace::default();
+    assert!(
+        !pace.is_open(RATE, base),
+        "another one may have sent just now"
+    );
+    assert!(pace.is_open(RATE, base + Duration::from_secs(1)));
+    assert!(pace.take(RATE, base + Duration::from_secs(1)));
+    assert!(!pace.is_open(RATE, base + Duration::from_secs(1)));
+}
+
 /// A sender that was idle for long doesn't send what it saved at once.
 #[test]
 fn an_idle_sender_saves_nothing() {
--- a/crates/zinniastall-gateway/tests/path/bounds.rs
+++ b/crates/zinniastall-gateway/tests/path/bounds.rs
@@ -48,6 +48,32 @@
     assert_eq!(target.seen().len(), 0);
 }
 
+/// The only target has just come back cold and bears five requests a second; a caller asks for fifty.
+async fn paces_a_cold_target() {
+    let target = Target::answering("fine").await;
+    let mut shown = view(routes(), &[]);
+    let mut table = shown.table().cloned().unwrap();
+    table.services[0].cold_rate_milli = 5_000;
+    shown.configuration = Some(Arc::new(Configuration {
+        revision: 2,
+        table: Some(table),
+        evacuated: Vec::new(),
+    }));
+    let mut cold = known("target-0", target.address);
+    cold.cold_until = Some(Instant::now() + Duration::from_mins(1));
+    shown.targets = Arc::new([("target-0".to_owned(), cold)].into_iter().collect());
+    let stage = Stage::start(shown).await;
+    let mut caller = stage.connect().await;
+    let since = Instant::now();
+    let mut served = 0;
+    while since.elapsed() < Duration::from_secs(2) {
+        let got = caller.call(&get("/plans/1", "a", "")).await;
+        served += u32::from(got.status == 200);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!((3..=12).contains(&served), "{served} in two seconds");
+}
+
 async fn answers_at_the_routes_timeout() {
     let target = Target::start(|_| vec![Act::Wait(Duration::from_secs(15))]).await;
     let mut routes = routes();
@@ -195,6 +221,8 @@
 }
 
 cases! {
+    /// All targets of a zone come back cold at once; they have to get some requests, and not more than they bear.
+    a_cold_target_gets_what_it_bears => paces_a_cold_target(),
     /// A path that no route serves is told apart from an instance that knows no routes yet.
     routes_that_are_missing_are_told_apart => unknown_and_unconfigured(),
     /// Operators empty a zone, and a machine there is about to be switched off.
