perf(control): what a majority holds is known before a leader stands

Cause: after a loss of all power or a kill of all processes, the log's commit was known only from the next leader, seven round trips of 160 ms after the last replica's start. For 1.3 s entry instances had no configuration and refused or kept what came. Ruled out: shorter election timeouts (links take three round trips to open, an election two more). Change: a starting replica asks the other voters for their last entry, by datagram. Its own last entry is committed where a majority holds it, a majority holds no more, and all are in the term of that entry.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -30,7 +30,10 @@
 use actix::{Actor, AsyncContext, Context, Handler};
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
-use zinniastall_coord::{Id, Replica, replica::Part};
+use zinniastall_coord::{
+    Id, Replica,
+    replica::{Index, Part},
+};
 use zinniastall_model::machine::Machine;
 use zinniastall_wire::{
     feed::Feed,
@@ -58,7 +61,10 @@
     disk::{Disk, Done},
     links::Card,
     orders::Orders,
-    peers::{self, Peers, Received},
+    peers::{
+        self, Peers, Received,
+        datagram::{self, Arrived},
+    },
     settings,
 };
 
@@ -92,6 +98,7 @@
     heal: heal::Heal,
     scheduled: bool,
     part: Part,
+    committed: Index,
     failed: Option<oneshot::Sender<Failure>>,
 }
 
@@ -188,6 +195,25 @@
     }
 }
 
+impl Handler<Arrived> for Control {
+    type Result = ();
+
+    fn handle(&mut self, arrived: Arrived, context: &mut Context<Self>) {
+        let Arrived(frame) = arrived;
+        if frame.to != self.replica.id() || self.founding {
+            return;
+        }
+        let message = peers::Message::decode(&frame.message);
+        let urgent = message.ok().filter(datagram::is_urgent);
+        let Some(peers::Message::Log(message)) = urgent else {
+            tracing::warn!(event = "malformed-datagram", peer = frame.from);
+            return;
+        };
+        self.replica.receive(frame.from, *message, Instant::now());
+        self.schedule(context);
+    }
+}
+
 /// Addresses a message to another replica.
 fn addressed(from: Id, to: Id, message: &peers::Message) -> Frame {
     Frame::Replica(frame::Replica {
--- a/crates/zinniastall-control/src/control/drive.rs
+++ b/crates/zinniastall-control/src/control/drive.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use actix::{AsyncContext, Context, Handler, Message};
-use zinniastall_coord::replica::{Part, Ready};
+use zinniastall_coord::replica::{Part, Ready, Status};
 
 use super::{Control, hex};
 use crate::{disk::Work, peers};
@@ -80,8 +80,19 @@
         }
     }
 
+    /// Notes what is known to be committed by the word of a majority, before there is a leader.
+    fn check_commit(&mut self, status: &Status) {
+        let is_led = status.leader.is_some() || status.part == Part::Leader;
+        if !is_led && status.commit > self.committed {
+            let (index, term) = (status.commit, status.term);
+            tracing::info!(event = "log-known", index, term);
+        }
+        self.committed = status.commit;
+    }
+
     fn check_part(&mut self, now: Instant) {
         let status = self.replica.status(now);
+        self.check_commit(&status);
         if status.part == self.part {
             return;
         }
--- a/crates/zinniastall-control/src/control/start.rs
+++ b/crates/zinniastall-control/src/control/start.rs
@@ -4,7 +4,10 @@
 
 use actix::{AsyncContext, Context};
 use indexmap::IndexMap;
-use tokio::sync::{oneshot, watch};
+use tokio::{
+    net::UdpSocket,
+    sync::{oneshot, watch},
+};
 use zinniastall_coord::{
     Replica,
     replica::{Limits, Part, Restored},
@@ -20,7 +23,7 @@
 use crate::{
     disk::Disk,
     links::Card,
-    peers::{self, Peers},
+    peers::{self, Peers, datagram::Datagrams},
     settings,
 };
 
@@ -35,6 +38,8 @@
     pub store: Store,
     /// What the folder held.
     pub restored: Restored,
+    /// Where datagrams between replicas are sent and received; without it links carry everything.
+    pub datagrams: Option<UdpSocket>,
     /// Where configuration is published.
     pub feed: watch::Sender<Feed>,
     /// Where a failure that ends the process is reported.
@@ -93,11 +98,15 @@
         let address = context.address();
         let timing = peers::Timing::new(settings.timing.election);
         let hello = start.card.borrow().clone();
+        let datagrams = start
+            .datagrams
+            .map(|socket| Datagrams::start(socket, address.clone().recipient()));
         start
             .feed
             .send_modify(|feed| feed.restore(Arc::clone(machine.state()).stripped()));
         let mut control = Self {
-            peers: Peers::new(start.store.id(), hello, timing, address.clone().recipient()),
+            peers: Peers::new(start.store.id(), hello, timing, address.clone().recipient())
+                .datagrams(datagrams),
             disk: Disk::start(start.store, address.recipient())?,
             card: start.card,
             replica,
@@ -120,6 +129,7 @@
             founding: false,
             scheduled: false,
             part: Part::Follower,
+            committed: 0,
             failed: Some(start.failed),
             settings,
         };
--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use actix::{Addr, Context};
 use tokio::{
+    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     sync::{oneshot, watch},
     time,
@@ -75,6 +76,7 @@
 ) -> eyre::Result<Running> {
     let (store, restored) = Store::open(&settings.data)?;
     let links = link::listen(settings.listen.links).await?;
+    let datagrams = bind_datagrams(links.local_addr()?).await;
     let card = card(settings, links.local_addr()?, service);
     listening("links", links.local_addr()?);
     let (feed, news) = watch::channel(Feed::new(Arc::new(State::default()), settings.limits.tail));
@@ -84,6 +86,7 @@
         card: Rc::clone(&card),
         store,
         restored,
+        datagrams,
         feed,
         failed,
     })?;
@@ -107,6 +110,17 @@
     })
 }
 
+/// Binds datagrams to the address of the links. A group works without them: after a loss of all power its
+/// replicas then know what is committed three round trips later.
+async fn bind_datagrams(address: SocketAddr) -> Option<UdpSocket> {
+    let bound = UdpSocket::bind(address).await;
+    bound
+        .inspect_err(
+            |error| tracing::warn!(event = "no-datagrams", address = %address, error = %error),
+        )
+        .ok()
+}
+
 /// Keeps the hub's list of replicas up to date.
 async fn list_members(control: Addr<Control>, hub: Hub) {
     loop {
--- a/crates/zinniastall-control/src/peers.rs
+++ b/crates/zinniastall-control/src/peers.rs
@@ -5,6 +5,7 @@
 //! was addressed. Queues are bounded and drop what does not fit: the consensus repeats what
 //! matters, and stale messages behind a slow link would only delay fresh ones.
 
+pub mod datagram;
 mod dial;
 mod message;
 
@@ -25,7 +26,7 @@
     hello::Hello,
 };
 
-use self::dial::Dialling;
+use self::{datagram::Datagrams, dial::Dialling};
 pub use self::{
     dial::{ask_cluster, serve},
     message::Message,
@@ -76,6 +77,7 @@
 pub struct Peers {
     dialling: Dialling,
     dialled: IndexMap<String, Dialled>,
+    datagrams: Option<Datagrams>,
     back: IndexMap<Id, Queue>,
 }
 
@@ -113,10 +115,18 @@
         Self {
             dialling,
             dialled: IndexMap::new(),
+            datagrams: None,
             back: IndexMap::new(),
         }
     }
 
+    /// Sends what is urgent by datagram too.
+    #[must_use]
+    pub fn datagrams(mut self, datagrams: Option<Datagrams>) -> Self {
+        self.datagrams = datagrams;
+        self
+    }
+
     /// Dials exactly these addresses from now on, under a handshake.
     pub fn dial(&mut self, hello: &Hello, addresses: &[String]) {
         if self.dialling.hello != *hello {
@@ -160,6 +170,11 @@
             to,
             message: message.encode(),
         });
+        if let (Some(datagrams), Some(address)) = (&self.datagrams, address)
+            && datagram::is_urgent(message)
+        {
+            datagrams.send(address, &frame);
+        }
         let dialled = address.and_then(|address| self.dialled.get(address));
         let taken = dialled.is_some_and(|dialled| dialled.try_send(&frame));
         if taken {
--- a/crates/zinniastall-control/tests/peers.rs
+++ b/crates/zinniastall-control/tests/peers.rs
@@ -7,10 +7,18 @@
 use std::time::Duration;
 
 use actix::{Actor, Context, Handler};
-use tokio::{net::TcpListener, time};
-use zinniastall_control::peers::{Peers, Received, Timing};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time,
+};
+use zinniastall_control::peers::{
+    self, Peers, Received, Timing,
+    datagram::{Arrived, Datagrams},
+};
+use zinniastall_coord::replica::{self, Body};
 use zinniastall_model::place::Place;
 use zinniastall_wire::{
+    frame::Frame,
     hello::{Hello, Purpose, VERSION},
     link::Link,
 };
@@ -33,6 +41,12 @@
     fn handle(&mut self, _: Received, _: &mut Context<Self>) {}
 }
 
+impl Handler<Arrived> for Sink {
+    type Result = ();
+
+    fn handle(&mut self, _: Arrived, _: &mut Context<Self>) {}
+}
+
 fn hello() -> Hello {
     Hello {
         version: VERSION,
@@ -77,3 +91,37 @@
     peers.renew(10, &address);
     accept(&listener).await;
 }
+
+/// All replicas lose power and start again. A link to another region takes three round trips to open, and for
+/// so long nobody would know what is committed and callers would be refused. The question goes by datagram,
+/// which needs no link; nothing else does, since a datagram proves nothing about who sent it.
+#[actix::test]
+async fn what_a_starting_replica_asks_needs_no_link() {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    let timing = Timing::new(Duration::from_millis(700));
+    let sink = Sink.start();
+    let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let datagrams = Datagrams::start(own, sink.clone().recipient());
+    let peers = Peers::new(1, hello(), timing, sink.recipient()).datagrams(Some(datagrams));
+    let say = |body: Body| {
+        let message = replica::Message {
+            cluster: [1; 16],
+            to: 2,
+            term: 3,
+            body,
+        };
+        peers::Message::Log(Box::new(message))
+    };
+    peers.send(2, Some(&address), &say(Body::Transfer));
+    let survey = say(Body::Survey { number: 7 });
+    peers.send(2, Some(&address), &survey);
+    let mut buffer = [0; 1_400];
+    let received = time::timeout(LONGEST, socket.recv_from(&mut buffer)).await;
+    let (length, _) = received.expect("nothing was sent").unwrap();
+    let Frame::Replica(frame) = Frame::decode(&buffer[..length]).unwrap() else {
+        panic!("another frame");
+    };
+    assert_eq!((frame.from, frame.to), (1, 2));
+    assert_eq!(peers::Message::decode(&frame.message).unwrap(), survey);
+}
--- a/crates/zinniastall-coord/src/replica.rs
+++ b/crates/zinniastall-coord/src/replica.rs
@@ -26,6 +26,7 @@
 mod refusal;
 mod snapshot;
 mod status;
+mod survey;
 
 use std::mem;
 use std::sync::Arc;
@@ -45,6 +46,7 @@
 use self::follower::Follower;
 use self::history::History;
 use self::leader::Leader;
+use self::survey::Survey;
 use crate::election::{Ballot, Timing};
 use crate::log::{Log, Position};
 
@@ -83,6 +85,7 @@
     heard: Instant,
     removed_at: Index,
     campaign_at: Instant,
+    survey: Option<Survey>,
     pending: Ready,
 }
 
@@ -109,6 +112,7 @@
     ///
     /// To be called a few times per heartbeat.
     pub fn tick(&mut self, now: Instant) {
+        self.survey();
         if matches!(self.role, Role::Leader(_)) {
             self.tick_leader(now);
         } else if now >= self.campaign_at {
--- a/crates/zinniastall-coord/src/replica/builder.rs
+++ b/crates/zinniastall-coord/src/replica/builder.rs
@@ -9,6 +9,7 @@
 use super::durable::Durable;
 use super::history::History;
 use super::ready::{Ready, Restored};
+use super::survey::Survey;
 use super::{Follower, Id, Replica, Role};
 use crate::election::{Fault, Timing};
 use crate::log::Log;
@@ -153,6 +154,7 @@
             heard,
             removed_at: 0,
             campaign_at: now + wait,
+            survey: Some(Survey::default()),
             rng,
             pending: Ready::default(),
         })
--- a/crates/zinniastall-coord/src/replica/campaign.rs
+++ b/crates/zinniastall-coord/src/replica/campaign.rs
@@ -152,7 +152,7 @@
         self.removed_at > self.history.index()
     }
 
-    fn other_voters(&self) -> Vec<Id> {
+    pub(super) fn other_voters(&self) -> Vec<Id> {
         let voters = self.history.current().voters.keys();
         voters.copied().filter(|id| *id != self.id).collect()
     }
--- a/crates/zinniastall-coord/src/replica/inbox.rs
+++ b/crates/zinniastall-coord/src/replica/inbox.rs
@@ -36,6 +36,8 @@
                 );
             }
             Body::Removed { index } => self.removal_told(index),
+            Body::Survey { number } => self.survey_asked(from, number),
+            Body::Standing { number, last } => self.survey_answered(from, term, number, last),
             body => self.receive_in_term(from, term, body, now),
         }
     }
@@ -79,6 +81,8 @@
             Body::PreVote { .. }
             | Body::PreVoteAnswer { .. }
             | Body::Vote { .. }
+            | Body::Survey { .. }
+            | Body::Standing { .. }
             | Body::Removed { .. } => {}
         }
     }
--- a/crates/zinniastall-coord/src/replica/message.rs
+++ b/crates/zinniastall-coord/src/replica/message.rs
@@ -72,6 +72,18 @@
     },
     /// Asks the receiver to campaign at once; the sender has stopped leading.
     Transfer,
+    /// Asks where the receiver stands; sent by a replica that has started and knows no leader.
+    Survey {
+        /// Random number of the sender's start, which the answer repeats.
+        number: u64,
+    },
+    /// Answers [`Body::Survey`]; the message's term is a part of the answer.
+    Standing {
+        /// Number of the question.
+        number: u64,
+        /// Last entry that the sender has synced.
+        last: Position,
+    },
     /// Answers [`Body::PreVote`] of a replica that a committed set of voters has removed.
     Removed {
         /// Place of that set.
--- a/crates/zinniastall-coord/tests/group/failures.rs
+++ b/crates/zinniastall-coord/tests/group/failures.rs
@@ -7,7 +7,7 @@
 use zinniastall_coord::voters::Change;
 
 use crate::net::Net;
-use crate::node::ELECTION;
+use crate::node::{ELECTION, Node};
 
 const SEEDS: u64 = 40;
 
@@ -26,6 +26,21 @@
     };
 }
 
+// All replicas lose power at once and start again. Each holds all that was accepted, and entry instances wait
+// for one that knows it: with an election before that, callers are refused for most of a second more.
+case!(all_know_their_log_without_a_leader, 3, |net| {
+    net.operated = false;
+    net.run(ELECTION);
+    assert_known_early(&mut net, 3);
+});
+
+// The same while operators change the configuration. The replicas end at different entries, some of which were
+// accepted and some not; one of them can tell, and entry instances listen to all.
+case!(one_knows_its_log_without_a_leader, 5, |net| {
+    net.run(ELECTION);
+    assert_known_early(&mut net, 1);
+});
+
 // A follower hears nobody for many election timeouts and campaigns in vain. When its link heals,
 // the leader must go on leading in its term; otherwise operators see their commands fail each time
 // a link comes back.
@@ -123,6 +138,21 @@
 });
 
 /// Runs for long with a leader cut off, and checks that one successor leads during and after it.
+/// Takes the power off all replicas, and checks that so many of them know what was committed long before a
+/// leader can be elected.
+fn assert_known_early(net: &mut Net, wanted: usize) {
+    let goal = net.committed.len();
+    net.blackout(ELECTION);
+    net.run(ELECTION);
+    let latest = net.time + ELECTION / 4;
+    let knows = |node: &&Node| node.replica.is_some() && node.applied.len() >= goal;
+    net.until("enough know what was committed", |net| {
+        net.nodes.iter().filter(knows).count() >= wanted
+    });
+    assert!(net.time < latest, "at {:?} instead of {latest:?}", net.time);
+    net.operated = true;
+}
+
 fn stay_cut(net: &mut Net, leader: usize) {
     net.run(ELECTION * 6);
     let successor = net.leader_status().map(|status| (status.id, status.term));
--- a/crates/zinniastall-coord/tests/group/main.rs
+++ b/crates/zinniastall-coord/tests/group/main.rs
@@ -32,6 +32,7 @@
     Mute(usize),
     SlowLink(usize, usize, u64),
     SlowDisk(usize, u64),
+    Blackout(u64),
     Heal,
     Compact(usize),
     Transfer,
@@ -49,6 +50,7 @@
         (place.clone(), 0..5_usize, 0..800_u64)
             .prop_map(|(from, to, span)| Fault::SlowLink(from, to, span)),
         (place.clone(), 0..800_u64).prop_map(|(place, span)| Fault::SlowDisk(place, span)),
+        (0..2000_u64).prop_map(Fault::Blackout),
         Just(Fault::Heal),
         Just(Fault::Heal),
         place.prop_map(Fault::Compact),
@@ -88,6 +90,7 @@
             net.slow_disks
                 .insert(place % size, Duration::from_millis(span));
         }
+        Fault::Blackout(away) => net.blackout(Duration::from_millis(away)),
         Fault::Heal => net.mend(),
         Fault::Compact(place) => net.nodes[place % size].compact(),
         Fault::Transfer => {
--- a/crates/zinniastall-coord/tests/group/net.rs
+++ b/crates/zinniastall-coord/tests/group/net.rs
@@ -140,7 +140,7 @@
         for place in 0..self.nodes.len() {
             let node = &mut self.nodes[place];
             if node.replica.is_none() && self.time >= node.away_until {
-                node.start(self.time);
+                node.start(self.time, self.committed.len());
             }
             if node.is_up(self.time) {
                 node.sync(self.time);
@@ -237,6 +237,14 @@
         self.nodes[place].crash(until);
     }
 
+    /// Crashes all replicas, which start again one after the other after a while.
+    pub(crate) fn blackout(&mut self, away: Duration) {
+        for place in 0..self.nodes.len() {
+            let later = u32::try_from(place).expect("a group is small");
+            self.crash(place, away + STEP * later);
+        }
+    }
+
     pub(crate) fn freeze(&mut self, place: usize, away: Duration) {
         self.nodes[place].away_until = self.time + away;
     }
--- a/crates/zinniastall-coord/tests/group/node.rs
+++ b/crates/zinniastall-coord/tests/group/node.rs
@@ -27,6 +27,8 @@
     pub(crate) replica: Option<Replica>,
     pub(crate) disk: Restored,
     pub(crate) applied: Vec<Entry>,
+    /// What was known when it started, for the check of what it learns without a leader.
+    pub(crate) start: Start,
     /// Until when the node is down or frozen, in true time.
     pub(crate) away_until: Duration,
     /// Rate of its clock.
@@ -35,6 +37,17 @@
     unsynced: VecDeque<(Duration, Ready)>,
 }
 
+/// What was known when a replica started.
+#[derive(Debug, Default)]
+pub(crate) struct Start {
+    /// Entries that were committed by then.
+    pub(crate) committed: usize,
+    /// What the replica itself knew to be committed.
+    pub(crate) known: u64,
+    /// Whether it has known a leader since.
+    pub(crate) led: bool,
+}
+
 impl Node {
     pub(crate) fn new(id: Id, rate: f64, disk: Restored) -> Self {
         Self {
@@ -42,6 +55,7 @@
             replica: None,
             disk,
             applied: Vec::new(),
+            start: Start::default(),
             away_until: Duration::ZERO,
             rate,
             epoch: Instant::now(),
@@ -74,7 +88,13 @@
         self.away_until = until;
     }
 
-    pub(crate) fn start(&mut self, time: Duration) {
+    pub(crate) fn start(&mut self, time: Duration, committed: usize) {
+        let snapshot = self.disk.snapshot.as_ref();
+        self.start = Start {
+            committed,
+            known: snapshot.map_or(0, |held| held.last.index),
+            led: false,
+        };
         self.applied = self
             .disk
             .snapshot
--- a/crates/zinniastall-coord/tests/group/watch.rs
+++ b/crates/zinniastall-coord/tests/group/watch.rs
@@ -28,6 +28,7 @@
                 );
             }
         }
+        self.check_surveys();
         let nodes = &self.nodes;
         self.reads.retain(|(place, barrier, least)| {
             let Some(replica) = &nodes[*place].replica else {
@@ -42,6 +43,24 @@
         });
     }
 
+    /// Checks that a replica which takes entries for committed without a leader holds all that were
+    /// committed when it started.
+    fn check_surveys(&mut self) {
+        for place in 0..self.nodes.len() {
+            let Some(status) = self.status(place) else {
+                continue;
+            };
+            let node = &mut self.nodes[place];
+            node.start.led |= status.leader.is_some() || status.part == Part::Leader;
+            if !node.start.led && status.commit > node.start.known {
+                assert!(
+                    node.applied.len() >= node.start.committed,
+                    "a replica without a leader would hand out an older state"
+                );
+            }
+        }
+    }
+
     /// Checks that disks which agree on one entry agree on all before it.
     pub(crate) fn check_logs(&self) {
         for (one, other) in self
