--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -3,4 +3,5 @@
 pub mod budget;
 pub mod outlier;
 pub mod place;
+pub mod reading;
 pub mod warm;
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -247,16 +247,8 @@
         kept.map(|(_, tokens)| tokens).sum()
     }
 
-    /// Returns the expected time to read a prompt of which some tokens are held.
-    ///
-    /// Each token is read once, and compared with all before it: the second part grows with the square of
-    /// the length, and makes up a fifth of the time at 9,000 tokens and half of it at 30,000.
     fn reading(&self, job: &Job, kept: u64) -> Duration {
-        #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
-        let (all, kept) = (job.prompt.tokens as f64, kept.min(job.prompt.tokens) as f64);
-        let each = (all - kept) / self.policy.read_rate;
-        let pairs = (all * all - kept * kept) / 1e6 * self.policy.pairs_ms;
-        Duration::from_secs_f64((each + pairs) / 1_000.0)
+        self.policy.rates.expected(job.prompt.tokens, kept)
     }
 
     /// Tells whether a target is known to take no request at the moment.
--- a/crates/zinniastall-gateway/src/policy.rs
+++ b/crates/zinniastall-gateway/src/policy.rs
@@ -2,17 +2,15 @@
 
 use std::time::Duration;
 
-use crate::decide::budget::Bound;
+use crate::decide::{budget::Bound, reading::Rates};
 
 /// Times and weights by which the request path decides.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
     /// Bound on requests that are sent a second time.
     pub repeats: Bound,
-    /// Prompt tokens that an engine reads in a millisecond, as its operators state it.
-    pub read_rate: f64,
-    /// Time that an engine takes to compare a million pairs of prompt tokens, in milliseconds.
-    pub pairs_ms: f64,
+    /// How fast engines are expected to read prompts.
+    pub rates: Rates,
     /// Time that a plain service takes for a request, until it has been measured.
     pub work: Duration,
     /// Time to another region and back.
@@ -24,8 +22,7 @@
     fn default() -> Self {
         Self {
             repeats: Bound::default(),
-            read_rate: 44.0,
-            pairs_ms: 0.75,
+            rates: Rates::default(),
             work: Duration::from_millis(20),
             trip: Duration::from_millis(120),
         }
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -9,6 +9,7 @@
     pub(crate) mod budget;
     pub(crate) mod outlier;
     pub(crate) mod place;
+    pub(crate) mod reading;
     pub(crate) mod steady;
     pub(crate) mod warm;
 }
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/decide/reading.rs
@@ -0,0 +1,26 @@
+//! How long prompts are expected to take.
+
+use std::time::Duration;
+
+use zinniastall_gateway::decide::reading::Rates;
+
+const RATES: Rates = Rates {
+    tokens_per_ms: 40.0,
+    pairs_ms: 0.5,
+};
+
+/// A prompt twice as long takes more than twice as long, and what is held takes nothing again: without the
+/// second, a caller's next question would go to any idle engine and be read from its beginning.
+#[test]
+fn reading_grows_with_what_is_not_held() {
+    assert_eq!(RATES.expected(4_000, 0), Duration::from_millis(108));
+    assert_eq!(RATES.expected(8_000, 0), Duration::from_millis(232));
+    assert_eq!(RATES.expected(8_000, 4_000), Duration::from_millis(124));
+    assert_eq!(RATES.expected(8_000, 8_000), Duration::ZERO);
+}
+
+/// A caller names more shared tokens than its prompt has; the rest must not come out as less than nothing.
+#[test]
+fn more_held_than_there_is_counts_as_all() {
+    assert_eq!(RATES.expected(4_000, 9_000), Duration::ZERO);
+}
