--- a/crates/zinniastall-control/src/rpc/convert/routing.rs
+++ b/crates/zinniastall-control/src/rpc/convert/routing.rs
@@ -76,6 +76,8 @@
             slots: engine.slots,
             tokens: engine.tokens,
             stride: engine.stride,
+            token_bytes: engine.token_bytes,
+            link_mbps: engine.link_mbps,
         }),
     }
 }
@@ -144,6 +146,8 @@
             slots: engine.slots,
             tokens: engine.tokens,
             stride: engine.stride,
+            token_bytes: engine.token_bytes,
+            link_mbps: engine.link_mbps,
         }),
     }
 }
--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -74,6 +74,8 @@
             slots: 64,
             tokens: 250_000,
             stride: 8,
+            token_bytes: 163_840,
+            link_mbps: 530_000,
         });
         service
     });
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of the request path, without I/O: functions of what is known and the present time.
 
 pub mod budget;
+pub mod fetch;
 pub mod outlier;
 pub mod place;
 pub mod reading;
--- a/crates/zinniastall-gateway/src/names.rs
+++ b/crates/zinniastall-gateway/src/names.rs
@@ -34,6 +34,8 @@
     pub tokens: HeaderName,
     /// Urgency towards a target, from 0 for the most urgent to 9.
     pub priority: HeaderName,
+    /// Address of a target from which another one copies parts of a prompt that it lacks.
+    pub fetch_from: HeaderName,
     /// Fields that only the gateway may set towards targets; those that a caller sends are dropped.
     pub reserved: Vec<HeaderName>,
 }
@@ -48,6 +50,7 @@
             prompt_parts: HeaderName::from_static("prompt-parts"),
             tokens: HeaderName::from_static("tokens"),
             priority: HeaderName::from_static("priority-rank"),
+            fetch_from: HeaderName::from_static("fetch-from"),
             reserved: Vec::new(),
         }
     }
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -41,6 +41,8 @@
         target: id::Target,
         /// Its address.
         address: String,
+        /// Address of a target from which it copies what it lacks of the prompt.
+        source: Option<String>,
     },
     /// An instance of another region, which chooses one of its targets.
     Instance {
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -10,7 +10,7 @@
 use zinniastall_http::head::Request;
 use zinniastall_model::{
     id,
-    routing::{Kind, Route, Service, Table},
+    routing::{Engine, Kind, Route, Service, Table},
 };
 use zinniastall_wire::hub::Configuration;
 
@@ -144,9 +144,14 @@
         &self.table().services[self.served]
     }
 
+    /// Returns what the service's engines can do, if it has engines.
+    pub fn engine(&self) -> Option<&Engine> {
+        self.served().engine.as_ref()
+    }
+
     /// Returns the slots of the service's engines, if it has engines.
     pub fn engine_slots(&self) -> Option<u32> {
-        Some(self.served().engine.as_ref()?.slots)
+        Some(self.engine()?.slots)
     }
 
     /// Returns the requests a second that a cold target bears, in thousandths; 0 for no bound.
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -38,7 +38,11 @@
             headers.insert(LAST_EVENT, last);
         }
         match attempt.place {
-            Place::Target { target, .. } => {
+            Place::Target { target, source, .. } => {
+                let source = source.as_deref().map(HeaderValue::try_from);
+                if let Some(Ok(source)) = source {
+                    headers.insert(&self.names.fetch_from, source);
+                }
                 if let Ok(target) = HeaderValue::try_from(target.as_str()) {
                     headers.insert(&self.names.expected_target, target);
                 }
@@ -62,6 +66,7 @@
         }
         headers.remove(&self.names.expected_target);
         headers.remove(&self.names.priority);
+        headers.remove(&self.names.fetch_from);
         let own: Vec<_> = headers
             .keys()
             .filter(|name| name.as_str().starts_with(OWN_PREFIX))
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -9,6 +9,7 @@
 use super::{Traffic, attempt::Place, job::Job};
 use crate::{
     decide::{
+        fetch::{self, Holder, Link},
         place::{Candidate, Choice, Patience, Region, choose},
         warm,
     },
@@ -66,6 +67,7 @@
     candidates: Vec<Candidate>,
     reading_us: Vec<u64>,
     flights: Vec<u32>,
+    holders: Vec<Holder>,
     opens_soon: bool,
 }
 
@@ -133,6 +135,7 @@
         let place = Place::Target {
             target: report.target.clone(),
             address: report.address.clone(),
+            source: self.source(job, here, at),
         };
         let basis = Basis {
             wait: candidate.wait,
@@ -144,6 +147,18 @@
         Next::Go(place, here.reading_us[at], basis)
     }
 
+    /// Returns the address of the target from which the one at a place copies what it lacks.
+    fn source(&self, job: &Job, here: &Here<'_>, at: usize) -> Option<String> {
+        let engine = job.engine()?;
+        let link = Link {
+            token_bytes: engine.token_bytes,
+            mbps: engine.link_mbps,
+        };
+        let read = |tokens| self.policy.rates.expected(tokens, 0);
+        let source = fetch::source(&here.holders, at, link, read)?;
+        Some(here.targets[source].report.address.clone())
+    }
+
     fn here<'a>(&self, job: &Job, tried: &Tried, view: &'a View, now: Instant) -> Here<'a> {
         let mut here = Here::default();
         if !job.route().permits(&view.place.region) {
@@ -159,7 +174,9 @@
             if self.is_shut(target, now) {
                 here.opens_soon = true;
             } else if !tried.has(&target.report.target) {
-                let (candidate, reading_us, flights) = self.candidate(job, target, home, now);
+                let holder = self.holder(job, target, home, now);
+                let (candidate, reading_us, flights) = self.candidate(job, target, holder, now);
+                here.holders.push(holder);
                 here.targets.push(target);
                 here.flights.push(flights);
                 here.candidates.push(candidate);
@@ -192,7 +209,7 @@
         &self,
         job: &Job,
         target: &Target,
-        home: Option<&str>,
+        holder: Holder,
         now: Instant,
     ) -> (Candidate, u64, u32) {
         let report = &target.report;
@@ -213,17 +230,8 @@
             return (candidate, 0, flights);
         };
         let before = Duration::from_micros(account.reading_us + others.reading_us);
-        let held = |part: &str| {
-            let since = now.checked_sub(KEPT);
-            since.is_some_and(|since| account.holds(part, since))
-        };
-        let known = self.reading(job, Self::kept(job, held));
-        let is_home = home == Some(report.target.as_str());
-        let hoped = if is_home {
-            self.reading(job, Self::kept(job, |_| true))
-        } else {
-            known
-        };
+        let known = self.reading(job, holder.known);
+        let hoped = self.reading(job, holder.hoped);
         let beyond = BEYOND_SLOTS * flights.saturating_sub(slots);
         let candidate = Candidate {
             wait: before + beyond + RUNNING * flights,
@@ -239,6 +247,23 @@
         (candidate, reading_us, flights)
     }
 
+    /// Returns what a target is expected to hold of a prompt.
+    fn holder(&self, job: &Job, target: &Target, home: Option<&str>, now: Instant) -> Holder {
+        let name = target.report.target.as_str();
+        let mut books = self.books.borrow_mut();
+        let since = now.checked_sub(KEPT);
+        let known = books.known(name).map_or(0, |account| {
+            let held = |part: &str| since.is_some_and(|since| account.holds(part, since));
+            Self::kept(job, held)
+        });
+        let hoped = if home == Some(name) {
+            Self::kept(job, |_| true)
+        } else {
+            known
+        };
+        Holder { known, hoped }
+    }
+
     /// Returns the prompt tokens that a target holds. A part is only held together with all before it.
     fn kept(job: &Job, held: impl Fn(&str) -> bool) -> u64 {
         let shared = job.prompt.parts.len().saturating_sub(1);
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -7,6 +7,7 @@
 
 mod decide {
     pub(crate) mod budget;
+    pub(crate) mod fetch;
     pub(crate) mod outlier;
     pub(crate) mod place;
     pub(crate) mod reading;
--- a/crates/zinniastall-gateway/tests/decide/place.rs
+++ b/crates/zinniastall-gateway/tests/decide/place.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use zinniastall_gateway::decide::place::{Candidate, Choice, Patience, Region, choose};
+use zinniastall_gateway::decide::{
+    fetch::{Holder, Link, source},
+    place::{Candidate, Choice, Patience, Region, choose},
+};
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -205,36 +208,64 @@
 /// Times to read a beginning that many prompts share, and a prompt's own part, in milliseconds.
 const BEGINNING: u64 = 170;
 const OWN: u64 = 90;
+/// Time to copy a beginning from another engine, the set-up included.
+const COPY: u64 = 8;
 /// Beginnings that an engine holds.
 const HOLDS: usize = 25;
 /// Beginnings that prompts share.
 const BEGINNINGS: u64 = 80;
 
+/// Engines that copy at a thousandth of the time to read, and engines that don't copy. A token takes a
+/// millisecond to read here.
+const LINK: Link = Link {
+    token_bytes: 125,
+    mbps: 1_000,
+};
+const NO_LINK: Link = Link { mbps: 0, ..LINK };
+
 impl Engine {
+    fn holder(&self, beginning: u64) -> Holder {
+        let known = if self.held.contains(&beginning) {
+            1_000
+        } else {
+            0
+        };
+        Holder {
+            known,
+            hoped: known,
+        }
+    }
+
     fn candidate(&self, beginning: u64, now: u64, count: u64) -> Candidate {
         let kept = self.held.contains(&beginning);
         let read = OWN + if kept { 0 } else { BEGINNING };
         candidate(self.free_at.saturating_sub(now), read * count / 2)
     }
 
-    /// Reads a prompt; returns when it is read, and whether its beginning was read again.
-    fn read(&mut self, beginning: u64, now: u64) -> (u64, bool) {
+    /// Reads a prompt, or copies its beginning where it may; returns when it is read, and whether its
+    /// beginning was read again.
+    fn read(&mut self, beginning: u64, now: u64, copies: bool) -> (u64, bool) {
         let kept = self.held.iter().position(|held| *held == beginning);
         if let Some(at) = kept {
             self.held.remove(at);
         }
         self.held.push_back(beginning);
         self.held.drain(..self.held.len().saturating_sub(HOLDS));
-        let took = OWN + if kept.is_some() { 0 } else { BEGINNING };
-        self.free_at = self.free_at.max(now) + took;
-        (self.free_at, kept.is_none())
+        let beginning = match kept {
+            Some(_) => 0,
+            None if copies => COPY,
+            None => BEGINNING,
+        };
+        self.free_at = self.free_at.max(now) + OWN + beginning;
+        (self.free_at, beginning == BEGINNING)
     }
 }
 
 /// Plays thirty seconds of prompts at four engines; `count` halves of what reading takes are counted where the
 /// engines are compared, beside the one that the decision itself doubles. Returns how many prompts were
-/// answered in time, and how many beginnings were read.
-fn play_beginnings(each: u64, count: u64) -> (usize, usize) {
+/// answered in time, and how many beginnings were read. With `link`, an engine copies a beginning from the first
+/// one that holds it.
+fn play_beginnings(each: u64, count: u64, link: Link) -> (usize, usize) {
     let mut engines: Vec<Engine> = (0..4).map(|_| Engine::default()).collect();
     let (mut in_time, mut read) = (0, 0);
     for at in 0..30_000 / each {
@@ -245,7 +276,12 @@
             .map(|engine| engine.candidate(beginning, now, count))
             .collect();
         if let Choice::Here(at) = choose(&seen, &[], PATIENCE) {
-            let (end, again) = engines[at].read(beginning, now);
+            let holders: Vec<Holder> = engines
+                .iter()
+                .map(|engine| engine.holder(beginning))
+                .collect();
+            let copies = source(&holders, at, link, Duration::from_millis).is_some();
+            let (end, again) = engines[at].read(beginning, now, copies);
             in_time += usize::from(end <= now + 1_000);
             read += usize::from(again);
         }
@@ -258,8 +294,8 @@
 /// every engine reads everything and a part of the prompts is refused.
 #[test]
 fn prompts_stay_with_what_holds_their_beginnings() {
-    let (before, read_before) = play_beginnings(28, 1);
-    let (after, read_after) = play_beginnings(28, 2);
+    let (before, read_before) = play_beginnings(28, 1, NO_LINK);
+    let (after, read_after) = play_beginnings(28, 2, NO_LINK);
     println!("counted once: {before} in time, {read_before} read; twice: {after}, {read_after}");
     assert!(after > before, "{before}, {after}");
     assert!(
@@ -268,6 +304,18 @@
     );
 }
 
+/// More prompts come than engines can read if a beginning is read wherever its prompt is sent. Copied from an
+/// engine that holds it, more of them are answered in time, and the engines' time goes to what is new.
+#[test]
+fn beginnings_are_copied_rather_than_read_again() {
+    let (before, read_before) = play_beginnings(21, 2, NO_LINK);
+    let (after, read_after) = play_beginnings(21, 2, LINK);
+    println!("read again: {before} in time, {read_before} read; copied: {after}, {read_after}");
+    assert!(after > before, "{before}, {after}");
+    let again = |read: usize| read - usize::try_from(BEGINNINGS).unwrap();
+    assert!(again(read_after) * 2 < again(read_before));
+}
+
 /// Counts of one rank: asked for, answered within the objective.
 #[derive(Debug, Default, Clone, Copy)]
 struct Share {
--- a/crates/zinniastall-gateway/tests/path/heads.rs
+++ b/crates/zinniastall-gateway/tests/path/heads.rs
@@ -33,6 +33,7 @@
 async fn strips_reserved_fields() {
     let (stage, target) = stage().await;
     let fields = "secret: 1\r\nzs-revision: 9\r\nexpected-target: other\r\ndeadline-ms: 900\r\n\
+                  fetch-from: 127.0.0.1:1\r\n\
                   x-own: kept\r\nConnection: x-hop\r\nx-hop: 1\r\n";
     let got = stage
         .connect()
@@ -41,7 +42,7 @@
         .await;
     assert_eq!(got.status, 200);
     let seen = target.seen().remove(0);
-    for gone in ["secret", "zs-revision", "x-hop", "connection"] {
+    for gone in ["secret", "zs-revision", "x-hop", "connection", "fetch-from"] {
         assert_eq!(seen.header(gone), "", "{gone} was passed on");
     }
     assert_eq!(seen.header("x-own"), "kept");
--- a/crates/zinniastall-model/src/routing.rs
+++ b/crates/zinniastall-model/src/routing.rs
@@ -120,6 +120,12 @@
     pub tokens: u64,
     /// Tokens that one event of a stream carries.
     pub stride: u32,
+    /// Bytes of memory that one token takes.
+    #[serde(default)]
+    pub token_bytes: u64,
+    /// Rate at which engines copy memory from each other, in megabits a second; 0 where they don't.
+    #[serde(default)]
+    pub link_mbps: u64,
 }
 
 /// Bounds on what callers may send and how long they may take.
