perf(control): links are told what changed, once, and of instances by two replicas

Cause: any change of one instance sent the whole list of instances from each of six replicas to all links, encoded link by link, up to ten times a second.

Change: each link has a cursor into versioned tables of targets and instances and gets one frame a round with what changed since; the frame is encoded once for all links at the same cursor. Nothing queues for a slow link, which skips to the newest state and is not cut off. Instances ask two of the replicas, the nearest that are linked, for the list of instances and the loads of regions; heartbeats of other regions' targets cross borders every ten seconds, their changes within one. A view of targets and instances is made at most every 50 ms.

--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -1,8 +1,16 @@
-//! Links to gateway instances: what targets and instances say, passed on to all of them.
+//! Links to gateway instances: what targets and instances report, passed on to all of them.
 //!
 //! A replica passes on what it heard itself, as it heard it; gateway instances keep links to all
 //! replicas and merge. Nothing of it is in the replicated log: it is out of date within seconds and
 //! would cost a sync for every heartbeat.
+//!
+//! Each link remembers up to which version it was told of each table, and gets what changed since, in one
+//! frame a round. At rest that is nothing, and a change costs its own size on each link that needs it. What
+//! every instance did to every other one on all links would grow with the square of their number.
+
+mod frames;
+mod instances;
+mod targets;
 
 use std::{
     cell::{Cell, RefCell},
@@ -10,47 +18,49 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures_util::StreamExt;
-use indexmap::{IndexMap, IndexSet};
 use tokio::{
-    sync::{mpsc, watch},
+    sync::watch,
     time::{self, Instant},
 };
 use zinniastall_model::{
     id,
-    presence::{Load, Presence, RegionLoad},
-    target::{Report, State},
+    presence::{Presence, RegionLoad},
+    target::Report,
 };
-use zinniastall_settings::process::incarnation;
 use zinniastall_wire::{
     feed::Feed,
     frame::Frame,
-    hub::{Configuration, Message, log_report},
-    link::{Error, Link, send_within},
+    hub::{Configuration, Message},
+    link::{EncodedSender, Error, Link, Receiver, send_within},
+};
+
+use self::{
+    frames::{Frames, Key},
+    instances::Instances,
+    targets::{Targets, Told},
 };
 
-/// Time between two rounds in which news of targets are passed on: what a target says is in force
-/// long before its three seconds of grace are over, and the heartbeats of a hundred targets take one
-/// frame instead of a hundred.
+/// Time between two rounds in which news are passed on: what a target says is in force long before its three
+/// seconds of grace are over, and the heartbeats of a hundred targets take one frame instead of a hundred.
 const ROUND: Duration = Duration::from_millis(100);
-/// Time after which a report that says nothing new is passed on all the same, as a sign of life. Passing on
-/// each heartbeat of 140 targets to 95 instances would take 2.6 MB a second; this takes a third of that.
-const AGAIN: Duration = Duration::from_secs(3);
-/// Rounds between two words on the load of regions. A region that is chosen by old news gets more than it
+/// Rounds between two messages on the load of regions. A region that is chosen by old news gets more than it
 /// can take; a third of a second is what the trip to it takes as well.
-const LOADS: u32 = 3;
+const LOADS: u64 = 3;
+/// Rounds between two messages on the targets of other regions.
+const FAR: u64 = 10;
 /// Time between two signs of life on a link.
 const ALIVE: Duration = Duration::from_secs(1);
 /// Time without a frame after which a link counts as cut: two signs of life were lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// Messages that may wait for one link; an instance that is further behind starts anew.
-const QUEUE: usize = 256;
-/// Age at which a report is forgotten. Instances have stopped trusting it long before.
-const STALE: Duration = Duration::from_secs(30);
-/// Most targets kept; one replica hears a few thousand at the size this is built for.
-const TARGETS: usize = 20_000;
 
-/// What a replica heard from targets and gateway instances, and the links on which it tells.
+/// Number of a change to a table; 0 before the first one.
+type Version = u64;
+/// Number of a link.
+type LinkNumber = u64;
+
+/// What a replica heard from targets and gateway instances, and the links on which it passes that on.
 #[derive(Debug, Clone)]
 pub struct Hub {
     inner: Rc<Inner>,
@@ -60,25 +70,38 @@
 struct Inner {
     feed: watch::Receiver<Feed>,
     replicas: RefCell<Vec<String>>,
-    targets: RefCell<IndexMap<id::Target, Held>>,
-    news: RefCell<IndexSet<id::Target>>,
-    instances: RefCell<IndexMap<id::Instance, Present>>,
-    instances_changed: Cell<bool>,
-    links: RefCell<IndexMap<u64, mpsc::Sender<Message>>>,
-    last_link: Cell<u64>,
+    targets: RefCell<Targets>,
+    instances: RefCell<Instances>,
+    loads: RefCell<Vec<RegionLoad>>,
+    frames: Frames,
+    round: watch::Sender<Round>,
+    last_link: Cell<LinkNumber>,
 }
 
-#[derive(Debug)]
-struct Held {
-    report: Report,
-    heard: Instant,
-    passed: Instant,
+/// What links are to be told of, by number of change.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Round {
+    targets: Version,
+    far_targets: Version,
+    instances: Version,
+    loads: Version,
+    replicas: Version,
 }
 
-#[derive(Debug)]
-struct Present {
-    presence: Presence,
-    link: u64,
+/// What one link was told, and what it wants to be told.
+#[derive(Debug, Default)]
+struct Cursor {
+    region: id::Region,
+    targets: Told,
+    replicas: Version,
+    subscription: Option<Subscription>,
+}
+
+/// What a subscriber was told.
+#[derive(Debug, Clone, Copy, Default)]
+struct Subscription {
+    instances: Version,
+    loads: Version,
 }
 
 impl Hub {
@@ -88,10 +111,10 @@
             feed,
             replicas: RefCell::default(),
             targets: RefCell::default(),
-            news: RefCell::default(),
             instances: RefCell::default(),
-            instances_changed: Cell::new(false),
-            links: RefCell::default(),
+            loads: RefCell::default(),
+            frames: Frames::default(),
+            round: watch::Sender::default(),
             last_link: Cell::new(0),
         };
         Self {
@@ -101,76 +124,17 @@
 
     /// Notes a report; returns whether it was news.
     pub fn note(&self, report: Report) -> bool {
-        let mut targets = self.inner.targets.borrow_mut();
-        let held = targets.get(&report.target);
-        if held.is_some_and(|held| !report.replaces(&held.report)) {
-            return false;
-        }
-        if held.is_none() && targets.len() >= TARGETS {
-            tracing::warn!(
-                event = "target-dropped",
-                target = report.target,
-                reason = "table full"
-            );
-            return false;
-        }
-        if held.is_none_or(|held| held.report.state != report.state) {
-            log_report(&report, None);
-        }
-        let heard = Instant::now();
-        let passed = held
-            .filter(|held| !held.report.differs(&report))
-            .map(|held| held.passed);
-        let passed = passed.filter(|passed| *passed + AGAIN > heard);
-        if passed.is_none() {
-            self.inner.news.borrow_mut().insert(report.target.clone());
-        }
-        let held = Held {
-            passed: passed.unwrap_or(heard),
-            report,
-            heard,
-        };
-        targets.insert(held.report.target.clone(), held);
-        true
+        self.inner.targets.borrow_mut().note(report)
     }
 
     /// Notes that a target has signed off.
-    ///
-    /// One that reported to other replicas so far isn't known here. Its run has begun before now, and
-    /// a later run will have a later number.
     pub fn leave(&self, target: &str) {
-        let known = {
-            let targets = self.inner.targets.borrow();
-            targets.get(target).map(|held| held.report.clone())
-        };
-        let report = known.unwrap_or_else(|| Report {
-            target: target.to_owned(),
-            incarnation: incarnation(),
-            sequence: 0,
-            service: String::new(),
-            address: String::new(),
-            place: zinniastall_model::place::Place::new("", ""),
-            slots: 0,
-            state: State::Gone,
-            cold_ms: 0,
-            left_ms: None,
-            age_ms: 0,
-        });
-        self.note(Report {
-            state: State::Gone,
-            ..report
-        });
+        self.inner.targets.borrow_mut().leave(target);
     }
 
     /// Returns the last reports of the targets that take requests and have reported within a time.
     pub fn ready(&self, within: Duration) -> Vec<Report> {
-        let targets = self.inner.targets.borrow();
-        let fresh = targets
-            .values()
-            .filter(|held| held.heard.elapsed() < within);
-        let reports = fresh.map(|held| &held.report);
-        let ready = reports.filter(|report| report.state == State::Ready);
-        ready.cloned().collect()
+        self.inner.targets.borrow().ready(within)
     }
 
     /// Sets the addresses of the group's links.
@@ -178,13 +142,14 @@
         if *self.inner.replicas.borrow() == replicas {
             return;
         }
-        self.inner.replicas.replace(replicas.clone());
-        self.inner.broadcast(&Message::Replicas(replicas));
+        self.inner.replicas.replace(replicas);
+        self.inner.round.send_modify(|round| round.replicas += 1);
     }
 
     /// Returns the gateway instances that are linked with this replica.
     pub fn instances(&self) -> Vec<Presence> {
-        self.inner.presences()
+        let instances = self.inner.instances.borrow();
+        instances.iter().cloned().collect()
     }
 
     /// Returns how many gateway instances are linked with this replica.
@@ -194,14 +159,11 @@
 
     /// Passes news on, round by round, for ever.
     pub async fn run(self) {
-        let mut round = time::interval(ROUND);
-        round.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        for number in (0..LOADS).cycle() {
-            round.tick().await;
-            self.inner.pass_on();
-            if number == 0 {
-                self.inner.tell_loads();
-            }
+        let mut tick = time::interval(ROUND);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        for number in 0.. {
+            tick.tick().await;
+            self.inner.pass_on(number);
         }
     }
 
@@ -210,180 +172,199 @@
         let peer = link.peer().instance.clone();
         let number = self.inner.last_link.get() + 1;
         self.inner.last_link.set(number);
-        let (queue, messages) = mpsc::channel(QUEUE);
-        self.inner.links.borrow_mut().insert(number, queue);
         tracing::info!(event = "gateway-linked", peer);
-        let error = self.inner.attend(link, number, messages).await;
-        self.inner.forget(number);
+        let error = self.inner.attend(link, number).await;
+        self.inner.instances.borrow_mut().lose(number);
         tracing::info!(event = "gateway-gone", peer, error = %error);
     }
 }
 
 impl Inner {
-    async fn attend(
+    async fn attend(&self, link: Link, number: LinkNumber) -> Error {
+        let mut cursor = Cursor {
+            region: link.peer().place.region.clone(),
+            ..Cursor::default()
+        };
+        let (mut sender, mut receiver) = link.split_encoded();
+        let ended = self
+            .exchange(&mut sender, &mut receiver, &mut cursor, number)
+            .await;
+        ended.err().unwrap_or(Error::Closed)
+    }
+
+    async fn exchange(
         &self,
-        link: Link,
-        number: u64,
-        mut messages: mpsc::Receiver<Message>,
-    ) -> Error {
-        let (mut sender, mut receiver) = link.split();
+        sender: &mut EncodedSender,
+        receiver: &mut Receiver,
+        cursor: &mut Cursor,
+        number: LinkNumber,
+    ) -> Result<(), Error> {
         let mut feed = self.feed.clone();
+        let mut round = self.round.subscribe();
         let mut alive = time::interval(ALIVE);
         let mut silent = Instant::now() + SILENCE;
-        for message in self.first() {
-            if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
-                return error;
-            }
-        }
+        let mut frames = vec![self.reached()?];
+        frames.extend(self.news(cursor, true)?);
         loop {
-            let message = tokio::select! {
+            for bytes in frames.drain(..) {
+                send_within(sender, bytes, SILENCE).await?;
+            }
+            tokio::select! {
+                // A frame that came while this end was sending speaks against silence.
+                biased;
                 frame = receiver.next() => {
                     silent = Instant::now() + SILENCE;
-                    match frame {
-                        Some(Ok(Frame::Hub(message))) => match self.heard(message, number) {
-                            Some(answer) => answer,
-                            None => continue,
-                        },
-                        Some(Ok(_)) => return Error::Handshake,
-                        Some(Err(error)) => return error,
-                        None => return Error::Closed,
-                    }
+                    let Frame::Hub(message) = frame.ok_or(Error::Closed)?? else {
+                        return Err(Error::Handshake);
+                    };
+                    frames.extend(self.hear(message, cursor, number)?);
+                }
+                changed = feed.changed() => {
+                    changed.map_err(|_| Error::Closed)?;
+                    frames.push(self.reached()?);
+                }
+                changed = round.changed() => {
+                    changed.map_err(|_| Error::Closed)?;
+                    round.mark_unchanged();
+                    frames.extend(self.news(cursor, false)?);
                 }
-                message = messages.recv() => match message {
-                    Some(message) => message,
-                    None => return Error::Closed,
-                },
-                changed = feed.changed() => match changed {
-                    Ok(()) => self.reached(),
-                    Err(_) => return Error::Closed,
-                },
-                _ = alive.tick() => self.reached(),
+                _ = alive.tick() => frames.push(self.reached()?),
                 // TCP goes on trying for minutes where a network swallows everything.
-                () = time::sleep_until(silent) => return Error::Closed,
-            };
-            feed.mark_unchanged();
-            if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
-                return error;
+                () = time::sleep_until(silent) => return Err(Error::Closed),
             }
+            feed.mark_unchanged();
         }
     }
 
-    /// Returns what a new link is told first.
-    fn first(&self) -> [Message; 4] {
-        [
-            self.reached(),
-            Message::Replicas(self.replicas.borrow().clone()),
-            Message::Targets(self.reports(|_| true)),
-            Message::Instances(self.presences()),
-        ]
-    }
-
-    fn heard(&self, message: Message, link: u64) -> Option<Message> {
+    /// Takes a message in; returns what is to be sent for it.
+    fn hear(
+        &self,
+        message: Message,
+        cursor: &mut Cursor,
+        number: LinkNumber,
+    ) -> Result<Vec<Bytes>, Error> {
         match message {
-            Message::Present(presence) => self.note_presence(presence, link),
-            Message::Fetch => return Some(self.configuration()),
-            _ => {}
+            Message::Present(presence) => {
+                self.instances.borrow_mut().note(presence, number);
+                Ok(Vec::new())
+            }
+            Message::Fetch => Ok(self.configuration()?.into_iter().collect()),
+            Message::Subscribe(true) => {
+                cursor.subscription.get_or_insert_default();
+                self.news(cursor, false)
+            }
+            Message::Subscribe(false) => {
+                cursor.subscription = None;
+                Ok(Vec::new())
+            }
+            _ => Ok(Vec::new()),
         }
-        None
     }
 
-    fn note_presence(&self, presence: Presence, link: u64) {
-        let mut instances = self.instances.borrow_mut();
-        let held = instances.get(&presence.instance);
-        // Two links of one instance overlap while a restart replaces a run that ended silently.
-        if held.is_some_and(|held| held.presence.incarnation > presence.incarnation) {
-            return;
-        }
-        if held.is_none_or(|held| held.presence.differs(&presence)) {
-            self.instances_changed.set(true);
-        }
-        let name = presence.instance.clone();
-        instances.insert(name, Present { presence, link });
+    /// Settles what links are told in this round, and wakes them if that is anything.
+    fn pass_on(&self, number: u64) {
+        self.targets.borrow_mut().expire();
+        self.frames.next_round(self.feed.borrow().state().revision);
+        let loads_changed = number.is_multiple_of(LOADS) && self.sum_loads();
+        let targets = self.targets.borrow().version();
+        let instances = self.instances.borrow().version();
+        self.round.send_if_modified(|round| {
+            let before = *round;
+            round.targets = targets;
+            round.instances = instances;
+            if number.is_multiple_of(FAR) {
+                round.far_targets = targets;
+            }
+            if loads_changed {
+                round.loads += 1;
+            }
+            *round != before
+        });
     }
 
-    fn forget(&self, link: u64) {
-        self.links.borrow_mut().swap_remove(&link);
-        let mut instances = self.instances.borrow_mut();
-        let before = instances.len();
-        instances.retain(|_, present| present.link != link);
-        if instances.len() < before {
-            self.instances_changed.set(true);
-        }
+    /// Sums the loads of regions; tells whether they have changed.
+    fn sum_loads(&self) -> bool {
+        let loads = self.instances.borrow().loads();
+        let before = self.loads.replace(loads);
+        *self.loads.borrow() != before
     }
 
-    fn pass_on(&self) {
-        let news = self.news.take();
-        if !news.is_empty() {
-            let reports = self.reports(|target| news.contains(target));
-            self.broadcast(&Message::Targets(reports));
+    /// Returns the frames with what a link doesn't know yet.
+    fn news(&self, cursor: &mut Cursor, is_first: bool) -> Result<Vec<Bytes>, Error> {
+        let round = *self.round.borrow();
+        let mut frames = Vec::new();
+        if is_first || cursor.replicas < round.replicas {
+            cursor.replicas = round.replicas;
+            let replicas = self.replicas.borrow().clone();
+            frames.push(encode(Message::Replicas(replicas))?);
+        }
+        let with_far = is_first || cursor.targets.far < round.far_targets;
+        if with_far || cursor.targets.near < round.targets {
+            frames.extend(self.targets(cursor, with_far)?);
+        }
+        let Some(subscription) = &mut cursor.subscription else {
+            return Ok(frames);
+        };
+        if subscription.instances == 0 || subscription.instances < round.instances {
+            frames.extend(self.instances(subscription)?);
         }
-        if self.instances_changed.replace(false) {
-            self.broadcast(&Message::Instances(self.presences()));
+        if subscription.loads < round.loads {
+            subscription.loads = round.loads;
+            let loads = || Some(Message::Loads(self.loads.borrow().clone()));
+            frames.extend(self.frames.get(Key::Loads, loads)?);
         }
-        let mut targets = self.targets.borrow_mut();
-        targets.retain(|_, held| held.heard.elapsed() < STALE);
+        Ok(frames)
     }
 
-    /// Tells the load of each region, as the instances' sum: what each of a hundred instances has would be
-    /// twenty kilobytes a second on each of their links.
-    fn tell_loads(&self) {
-        let mut sums: IndexMap<(id::Region, id::Service), Load> = IndexMap::new();
-        for present in self.instances.borrow().values() {
-            for load in &present.presence.load {
-                let key = (present.presence.place.region.clone(), load.service.clone());
-                let sum = sums.entry(key).or_insert_with(|| Load {
-                    service: load.service.clone(),
-                    flights: 0,
-                    reading_us: 0,
-                });
-                sum.flights += load.flights;
-                sum.reading_us += load.reading_us;
-            }
+    fn targets(&self, cursor: &mut Cursor, with_far: bool) -> Result<Option<Bytes>, Error> {
+        let targets = self.targets.borrow();
+        let (told, version) = (cursor.targets, targets.version());
+        let key = Key::Targets {
+            region: cursor.region.clone(),
+            told,
+            with_far,
+            version,
+        };
+        let reports = || {
+            let reports = targets.since(told, &cursor.region, with_far);
+            (!reports.is_empty()).then_some(Message::Targets(reports))
+        };
+        let bytes = self.frames.get(key, reports)?;
+        cursor.targets.near = version;
+        if with_far {
+            cursor.targets.far = version;
         }
-        let loads = sums
-            .into_iter()
-            .map(|((region, _), load)| RegionLoad { region, load });
-        self.broadcast(&Message::Loads(loads.collect()));
+        Ok(bytes)
     }
 
-    /// Queues a message on every link, and ends those that are too far behind.
-    fn broadcast(&self, message: &Message) {
-        let mut links = self.links.borrow_mut();
-        links.retain(|_, queue| queue.try_send(message.clone()).is_ok());
+    fn instances(&self, subscription: &mut Subscription) -> Result<Option<Bytes>, Error> {
+        let instances = self.instances.borrow();
+        let (told, version) = (subscription.instances, instances.version());
+        subscription.instances = version;
+        let changes = || Some(Message::Instances(instances.since(told)));
+        let key = Key::Instances { told, version };
+        Ok(self.frames.get(key, changes)?)
     }
 
-    fn reached(&self) -> Message {
-        Message::Reached(self.feed.borrow().state().revision)
+    fn reached(&self) -> Result<Bytes, Error> {
+        encode(Message::Reached(self.feed.borrow().state().revision))
     }
 
-    fn configuration(&self) -> Message {
+    fn configuration(&self) -> Result<Option<Bytes>, Error> {
         let state = std::sync::Arc::clone(self.feed.borrow().state());
-        let table = state.routing.as_ref().map(|held| held.table.clone());
-        Message::Configuration(Box::new(Configuration {
-            revision: state.revision,
-            table,
-            evacuated: state.evacuated.iter().cloned().collect(),
-        }))
-    }
-
-    fn reports(&self, wanted: impl Fn(&str) -> bool) -> Vec<Report> {
-        let targets = self.targets.borrow();
-        let wanted = targets.values().filter(|held| wanted(&held.report.target));
-        let aged = wanted.map(|held| {
-            let age = held.heard.elapsed().as_millis();
-            let mut report = held.report.clone();
-            report.age_ms = u64::try_from(age).unwrap_or(u64::MAX);
-            report
-        });
-        aged.collect()
+        let configuration = || {
+            let table = state.routing.as_ref().map(|held| held.table.clone());
+            Some(Message::Configuration(Box::new(Configuration {
+                revision: state.revision,
+                table,
+                evacuated: state.evacuated.iter().cloned().collect(),
+            })))
+        };
+        let key = Key::Configuration(state.revision);
+        Ok(self.frames.get(key, configuration)?)
     }
+}
 
-    fn presences(&self) -> Vec<Presence> {
-        let instances = self.instances.borrow();
-        let presences = instances.values().map(|present| Presence {
-            load: Vec::new(),
-            ..present.presence.clone()
-        });
-        presences.collect()
-    }
+fn encode(message: Message) -> Result<Bytes, Error> {
+    Ok(Bytes::from(Frame::Hub(message).encode()?))
 }
--- /dev/null
+++ b/crates/zinniastall-control/src/hub/instances.rs
@@ -0,0 +1,128 @@
+//! The gateway instances that are linked with a replica, and what a subscriber doesn't know of them yet.
+//!
+//! Each change gets a version, and each subscriber remembers the version up to which it was told. Whatever
+//! changed in between is told once, as it is now: a subscriber whose link is slow skips to the newest state,
+//! and nothing queues up for it.
+
+use indexmap::IndexMap;
+use zinniastall_model::{
+    id,
+    presence::{Load, Presence, RegionLoad},
+};
+use zinniastall_wire::hub;
+
+use super::{LinkNumber, Version};
+
+/// Ends that are remembered. A subscriber that was told before the oldest of them gets the whole list.
+const GONE: usize = 4_096;
+
+/// Gateway instances by name.
+#[derive(Debug, Default)]
+pub(super) struct Instances {
+    present: IndexMap<id::Instance, Present>,
+    gone: IndexMap<id::Instance, Version>,
+    forgotten: Version,
+    version: Version,
+}
+
+#[derive(Debug)]
+struct Present {
+    presence: Presence,
+    link: LinkNumber,
+    version: Version,
+}
+
+impl Instances {
+    /// Returns the version of the last change.
+    pub(super) const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns how many there are.
+    pub(super) fn len(&self) -> usize {
+        self.present.len()
+    }
+
+    /// Returns them all.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Presence> {
+        self.present.values().map(|present| &present.presence)
+    }
+
+    /// Notes how an instance is. A change of its load alone is no change to subscribers.
+    pub(super) fn note(&mut self, presence: Presence, link: LinkNumber) {
+        let held = self.present.get(&presence.instance);
+        // Two links of one instance overlap while a restart replaces a run that ended silently.
+        if held.is_some_and(|held| held.presence.incarnation > presence.incarnation) {
+            return;
+        }
+        let same = held.filter(|held| !held.presence.differs(&presence));
+        let version = same.map_or(self.version + 1, |held| held.version);
+        self.version = self.version.max(version);
+        let name = presence.instance.clone();
+        self.gone.shift_remove(&name);
+        let present = Present {
+            presence,
+            link,
+            version,
+        };
+        self.present.insert(name, present);
+    }
+
+    /// Notes that a link ended.
+    pub(super) fn lose(&mut self, link: LinkNumber) {
+        let ended = self
+            .present
+            .iter()
+            .filter(|(_, present)| present.link == link);
+        let ended: Vec<id::Instance> = ended.map(|(name, _)| name.clone()).collect();
+        for name in ended {
+            self.version += 1;
+            self.present.swap_remove(&name);
+            self.gone.insert(name, self.version);
+        }
+        let surplus = self.gone.len().saturating_sub(GONE);
+        if let Some((_, last)) = self.gone.drain(..surplus).last() {
+            self.forgotten = last;
+        }
+    }
+
+    /// Returns what a subscriber that was told up to a version doesn't know yet; 0 for nothing told so far.
+    pub(super) fn since(&self, told: Version) -> hub::Instances {
+        let whole = told == 0 || told < self.forgotten;
+        let after = if whole { 0 } else { told };
+        let changed = self.present.values().filter(|held| held.version > after);
+        let present = changed.map(|held| Presence {
+            load: Vec::new(),
+            ..held.presence.clone()
+        });
+        let ended = self.gone.iter().filter(|(_, version)| **version > after);
+        let gone = ended.map(|(name, _)| name.clone());
+        hub::Instances {
+            whole,
+            present: present.collect(),
+            gone: if whole { Vec::new() } else { gone.collect() },
+        }
+    }
+
+    /// Returns the load of each region, as its instances' sum: what each of a hundred instances has would be
+    /// most of what their links carry.
+    pub(super) fn loads(&self) -> Vec<RegionLoad> {
+        let mut sums: IndexMap<(id::Region, id::Service), Load> = IndexMap::new();
+        for presence in self.iter() {
+            for load in &presence.load {
+                let key = (presence.place.region.clone(), load.service.clone());
+                let sum = sums.entry(key).or_insert_with(|| Load {
+                    service: load.service.clone(),
+                    flights: 0,
+                    reading_us: 0,
+                });
+                sum.flights += load.flights;
+                sum.reading_us += load.reading_us;
+            }
+        }
+        let loads = sums.into_iter();
+        loads
+            .map(|((region, _), load)| RegionLoad { region, load })
+            .collect()
+    }
+}
--- a/crates/zinniastall-control/tests/hub.rs
+++ b/crates/zinniastall-control/tests/hub.rs
@@ -22,7 +22,7 @@
     feed::Feed,
     frame::Frame,
     hello::{Hello, Purpose, VERSION},
-    hub::Message,
+    hub::{Instances, Message},
     link::{Link, Receiver, Sender},
 };
 
@@ -72,6 +72,14 @@
         actix::spawn(self.hub.clone().serve(accepted));
         dialled.unwrap().split()
     }
+
+    /// Links a gateway instance that asks which instances there are.
+    async fn subscribe(&self, instance: &str) -> (Sender, Receiver) {
+        let mut link = self.link(instance).await;
+        let subscribe = Frame::Hub(Message::Subscribe(true));
+        link.0.send(subscribe).await.unwrap();
+        link
+    }
 }
 
 /// Collects what a link says for a time, and keeps it open by the instance's word.
@@ -137,6 +145,22 @@
     reports.flatten().collect()
 }
 
+fn named(instance: &str, ready: bool) -> Presence {
+    Presence {
+        instance: instance.to_owned(),
+        ready,
+        ..presence(0)
+    }
+}
+
+fn lists(heard: &[Message]) -> Vec<&Instances> {
+    let lists = heard.iter().filter_map(|message| match message {
+        Message::Instances(instances) => Some(instances),
+        _ => None,
+    });
+    lists.collect()
+}
+
 fn run(test: impl Future<Output = ()>) {
     actix::System::new().block_on(async {
         time::timeout(LONGEST, test).await.expect("the test hangs");
@@ -175,11 +199,11 @@
 fn load_is_told_as_a_sum_and_not_with_the_list() {
     run(async {
         let bench = Bench::start().await;
-        let mut link = bench.link("edge-1").await;
+        let mut link = bench.subscribe("edge-1").await;
         let own: Vec<Presence> = (1..=40).map(presence).collect();
         let heard = heard(&mut link, &own, Duration::from_millis(2_600)).await;
         let lists = heard.iter().filter(|message| match message {
-            Message::Instances(instances) => !instances.is_empty(),
+            Message::Instances(instances) => !instances.present.is_empty(),
             _ => false,
         });
         assert_eq!(lists.count(), 1, "the list was told again for its load");
@@ -210,3 +234,139 @@
         }
     });
 }
+
+/// One of forty instances begins to drain. Sent the whole list for each such change, links of hundreds of
+/// instances that restart in turn would carry nothing else, and callers' streams would wait behind it.
+#[test]
+fn a_change_of_one_instance_is_told_alone() {
+    run(async {
+        let bench = Bench::start().await;
+        let mut first = bench.subscribe("edge-1").await;
+        let mut others = Vec::new();
+        for number in 2..=40 {
+            let name = format!("edge-{number}");
+            let mut link = bench.link(&name).await;
+            let present = Frame::Hub(Message::Present(named(&name, true)));
+            link.0.send(present).await.unwrap();
+            others.push(link);
+        }
+        let own = [named("edge-1", true)];
+        let heard_first = heard(&mut first, &own, Duration::from_millis(500)).await;
+        let known: usize = lists(&heard_first)
+            .iter()
+            .map(|list| list.present.len())
+            .sum();
+        assert_eq!(known, 40);
+        let drains = Frame::Hub(Message::Present(named("edge-7", false)));
+        others[5].0.send(drains).await.unwrap();
+        drop(others.pop());
+        let heard = heard(&mut first, &own, Duration::from_millis(400)).await;
+        let lists = lists(&heard);
+        assert!(lists.iter().all(|list| !list.whole), "{lists:?}");
+        let changed: Vec<&str> = lists
+            .iter()
+            .flat_map(|list| &list.present)
+            .map(|held| held.instance.as_str())
+            .collect();
+        let gone: Vec<&str> = lists
+            .iter()
+            .flat_map(|list| &list.gone)
+            .map(String::as_str)
+            .collect();
+        assert_eq!((changed, gone), (vec!["edge-7"], vec!["edge-40"]));
+    });
+}
+
+/// An instance keeps links to all replicas, and each would tell it the same of all others.
+#[test]
+fn who_has_not_subscribed_is_told_of_no_instance() {
+    run(async {
+        let bench = Bench::start().await;
+        let mut link = bench.link("edge-1").await;
+        let heard_before = heard(&mut link, &[presence(1)], Duration::from_millis(400)).await;
+        assert!(lists(&heard_before).is_empty(), "{heard_before:?}");
+        let subscribe = Frame::Hub(Message::Subscribe(true));
+        link.0.send(subscribe).await.unwrap();
+        let heard_after = heard(&mut link, &[presence(1)], Duration::from_millis(400)).await;
+        assert!(lists(&heard_after)[0].whole, "{heard_after:?}");
+        let end = Frame::Hub(Message::Subscribe(false));
+        link.0.send(end).await.unwrap();
+        let own = [named("edge-1", false)];
+        let heard_last = heard(&mut link, &own, Duration::from_millis(400)).await;
+        assert!(lists(&heard_last).is_empty(), "{heard_last:?}");
+    });
+}
+
+/// An instance reads nothing for a while, since its processor is taken. Meanwhile another one restarts again and
+/// again. What waits for the slow one is how things are now, not each step on the way; and it isn't cut
+/// off, which would make it begin with everything once more.
+#[test]
+fn a_slow_link_skips_to_the_newest_state() {
+    run(async {
+        let bench = Bench::start().await;
+        let mut slow = bench.subscribe("edge-1").await;
+        heard(
+            &mut slow,
+            &[named("edge-1", true)],
+            Duration::from_millis(300),
+        )
+        .await;
+        let mut other = bench.link("edge-2").await;
+        let since = Instant::now();
+        let mut steps = 0;
+        while since.elapsed() < Duration::from_millis(1_500) {
+            steps += 1;
+            for sequence in 0..20 {
+                bench.hub.note(report(steps * 20 + sequence, State::Ready));
+            }
+            let changed = named("edge-2", steps % 2 == 0);
+            other
+                .0
+                .send(Frame::Hub(Message::Present(changed)))
+                .await
+                .unwrap();
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        let last = Frame::Hub(Message::Present(named("edge-2", false)));
+        other.0.send(last).await.unwrap();
+        let heard = heard(
+            &mut slow,
+            &[named("edge-1", true)],
+            Duration::from_millis(400),
+        )
+        .await;
+        let lists = lists(&heard);
+        assert!(lists.len() <= 25, "{} lists for {steps} steps", lists.len());
+        assert!(!lists.last().unwrap().present[0].ready);
+    });
+}
+
+/// Targets of another region report every second. An instance needs to know that there is capacity, not each
+/// heartbeat: those would cross the border once for every instance there. What changes is told within a second or so.
+#[test]
+fn heartbeats_of_other_regions_stay_there() {
+    run(async {
+        let bench = Bench::start().await;
+        let mut link = bench.link("edge-1").await;
+        let own = [presence(1)];
+        let far = |sequence, state| Report {
+            place: Place::new("athens", "athens-a"),
+            ..report(sequence, state)
+        };
+        bench.hub.note(far(1, State::Ready));
+        let first = heard(&mut link, &own, Duration::from_millis(1_500)).await;
+        assert_eq!(reports(&first), [State::Ready]);
+        let since = Instant::now();
+        let mut sequence = 1;
+        let mut told = Vec::new();
+        while since.elapsed() < Duration::from_secs(4) {
+            sequence += 1;
+            bench.hub.note(far(sequence, State::Ready));
+            told.extend(heard(&mut link, &own, Duration::from_millis(200)).await);
+        }
+        assert!(reports(&told).is_empty(), "{told:?}");
+        bench.hub.note(far(sequence + 1, State::Draining));
+        let end = heard(&mut link, &own, Duration::from_millis(1_500)).await;
+        assert_eq!(reports(&end), [State::Draining]);
+    });
+}
--- a/crates/zinniastall-gateway/src/knowledge.rs
+++ b/crates/zinniastall-gateway/src/knowledge.rs
@@ -16,7 +16,7 @@
     presence::{Presence, RegionLoad},
     target::{Report, State},
 };
-use zinniastall_wire::hub::Configuration;
+use zinniastall_wire::hub::{self, Configuration};
 
 use crate::{
     groups::{Instances, Loads, Targets},
@@ -26,9 +26,9 @@
 /// Address of a control replica's links.
 pub type Replica = String;
 
-/// Time for which a replica's word on instances outlives its link. Without it, a link that breaks and
-/// opens again would take all of them out of the directory for a moment.
-const WORD: Duration = Duration::from_secs(3);
+/// Time for which a replica's list of instances outlives its link or the subscription to it. Without it, a link
+/// that breaks and opens again would take all of them out of the directory for a moment.
+const LIST: Duration = Duration::from_secs(3);
 /// Time after which a target that reports no more is forgotten. Long before that it is used only when
 /// it answers; until then it may be cut off from the replicas and not from here.
 const FORGOTTEN: Duration = Duration::from_secs(25);
@@ -43,7 +43,9 @@
     place: Place,
     configuration: Option<Arc<Configuration>>,
     targets: IndexMap<id::Target, Known>,
-    words: IndexMap<Replica, Word>,
+    lists: IndexMap<Replica, List>,
+    /// Those that are alive, and how many lists that rests on.
+    instances: Option<(usize, Arc<Instances>)>,
     reopened: IndexMap<id::Zone, Instant>,
     loads: Arc<Loads>,
 }
@@ -54,11 +56,18 @@
     heard: Instant,
 }
 
-/// What one replica says of instances.
+/// The instances that one replica is linked with.
 #[derive(Debug, Default)]
-struct Word {
-    instances: Vec<Presence>,
-    cut: Option<Instant>,
+struct List {
+    instances: IndexMap<id::Instance, Presence>,
+    ended: Option<Instant>,
+}
+
+impl List {
+    fn is_fresh(&self, now: Instant) -> bool {
+        let fresh = |ended: Instant| now.saturating_duration_since(ended) < LIST;
+        self.ended.is_none_or(fresh)
+    }
 }
 
 impl Knowledge {
@@ -69,7 +78,8 @@
             place,
             configuration: None,
             targets: IndexMap::new(),
-            words: IndexMap::new(),
+            lists: IndexMap::new(),
+            instances: None,
             reopened: IndexMap::new(),
             loads: Arc::default(),
         }
@@ -127,13 +137,20 @@
         }
     }
 
-    /// Takes a replica's word on which instances are alive.
-    pub fn hear_instances(&mut self, replica: &str, instances: Vec<Presence>) {
-        let word = self.words.entry(replica.to_owned()).or_default();
-        *word = Word {
-            instances,
-            cut: None,
-        };
+    /// Takes a replica's list of the instances that are alive, or what has changed of it.
+    pub fn hear_instances(&mut self, replica: &str, changes: hub::Instances) {
+        let list = self.lists.entry(replica.to_owned()).or_default();
+        list.ended = None;
+        if changes.whole {
+            list.instances.clear();
+        }
+        for name in &changes.gone {
+            list.instances.swap_remove(name);
+        }
+        let present = changes.present.into_iter();
+        list.instances
+            .extend(present.map(|presence| (presence.instance.clone(), presence)));
+        self.instances = None;
     }
 
     /// Takes a replica's word on the load of regions. All replicas are told the same by the same instances, so
@@ -142,10 +159,10 @@
         self.loads = Arc::new(loads.into_iter().collect());
     }
 
-    /// Notes that the link to a replica broke.
+    /// Notes that a replica says no more of instances: its link broke, or others are asked now.
     pub fn lose(&mut self, replica: &str, now: Instant) {
-        if let Some(word) = self.words.get_mut(replica) {
-            word.cut.get_or_insert(now);
+        if let Some(list) = self.lists.get_mut(replica) {
+            list.ended.get_or_insert(now);
         }
     }
 
@@ -158,7 +175,7 @@
             place: self.place.clone(),
             configuration: self.configuration.clone(),
             targets: Arc::new(self.usable(now)),
-            instances: Arc::new(self.alive(now)),
+            instances: self.instances(now),
             loads: Arc::clone(&self.loads),
         }
     }
@@ -208,32 +225,42 @@
         }
     }
 
-    /// Returns the instances that any replica calls alive.
+    /// Returns the instances that are alive, made anew only where that may have changed: a list was heard, or
+    /// another number of lists counts than before.
+    fn instances(&mut self, now: Instant) -> Arc<Instances> {
+        let counting = self.counting(now).count();
+        let held = self.instances.take();
+        let held = held.filter(|(before, _)| *before == counting);
+        let (_, instances) = held.unwrap_or_else(|| (counting, Arc::new(self.alive(now))));
+        self.instances = Some((counting, Arc::clone(&instances)));
+        instances
+    }
+
+    /// Returns the lists that count.
     ///
     /// Where no replica is linked, all are as they were: this instance is the one that is cut off.
+    fn counting(&self, now: Instant) -> impl Iterator<Item = &List> {
+        let linked = self.lists.values().any(|list| list.ended.is_none());
+        let lists = self.lists.values();
+        lists.filter(move |list| !linked || list.is_fresh(now))
+    }
+
+    /// Returns the instances that any replica lists.
     fn alive(&self, now: Instant) -> Instances {
-        let linked = self.words.values().any(|word| word.cut.is_none());
-        let counts = |word: &&Word| {
-            let fresh = |cut: Instant| now.saturating_duration_since(cut) < WORD;
-            !linked || word.cut.is_none_or(fresh)
-        };
-        let mut alive: IndexMap<id::Instance, Presence> = IndexMap::new();
-        for presence in self
-            .words
-            .values()
-            .filter(counts)
-            .flat_map(|word| &word.instances)
-        {
-            let held = alive.get(&presence.instance);
-            let newer = |held: &Presence| {
-                // Of two words on one run, the one that knows of its end is the later.
+        let mut alive: IndexMap<&id::Instance, &Presence> = IndexMap::new();
+        for (name, presence) in self.counting(now).flat_map(|list| &list.instances) {
+            let newer = |held: &&Presence| {
+                // Of two lists on one run, the one that knows of its end is the later.
                 let same = presence.incarnation == held.incarnation;
                 presence.incarnation > held.incarnation || (same && !presence.ready)
             };
-            if held.is_none_or(newer) {
-                alive.insert(presence.instance.clone(), presence.clone());
+            if alive.get(name).is_none_or(newer) {
+                alive.insert(name, presence);
             }
         }
-        alive.into_iter().collect()
+        let alive = alive.into_iter();
+        alive
+            .map(|(name, presence)| (name.clone(), presence.clone()))
+            .collect()
     }
 }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -10,7 +11,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::{sync::Notify, task::JoinHandle, time};
-use zinniastall_model::{id, presence::Presence};
+use zinniastall_model::{id, place::Place, presence::Presence};
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -36,6 +37,12 @@
 const HEAD_START: Duration = Duration::from_millis(150);
 /// Time between two views made for what comes about by time alone, such as the end of a cold start.
 const REFRESH: Duration = Duration::from_millis(250);
+/// Longest time that news of targets and instances wait for a view. Six replicas pass some on ten times a
+/// second each; a view made for every frame would take more of a small instance than its requests do.
+const GATHER: Duration = Duration::from_millis(50);
+/// Replicas that are asked which instances there are. All know the same; a second one stands in while the
+/// first restarts or is cut off from some instances.
+const SOURCES: usize = 2;
 
 /// What this instance says of itself now.
 pub type Present = Rc<dyn Fn() -> Presence>;
@@ -50,7 +57,10 @@
     seeds: RefCell<Vec<Replica>>,
     listed: RefCell<IndexMap<Replica, Vec<Replica>>>,
     reached: RefCell<IndexMap<Replica, id::Revision>>,
+    linked: RefCell<IndexMap<Replica, Place>>,
     changed: Notify,
+    sources_changed: Notify,
+    news: Notify,
 }
 
 impl std::fmt::Debug for Uplinks {
@@ -79,7 +89,10 @@
             seeds: RefCell::new(seeds),
             listed: RefCell::default(),
             reached: RefCell::default(),
+            linked: RefCell::default(),
             changed: Notify::new(),
+            sources_changed: Notify::new(),
+            news: Notify::new(),
         });
         uplinks.dial();
         actix::spawn(Rc::clone(&uplinks).refresh());
@@ -104,7 +117,10 @@
     async fn refresh(self: Rc<Self>) {
         let mut tick = time::interval(REFRESH);
         loop {
-            tick.tick().await;
+            tokio::select! {
+                _ = tick.tick() => {}
+                () = self.news.notified() => time::sleep(GATHER).await,
+            }
             self.publish();
         }
     }
@@ -126,7 +142,7 @@
             let keep = wanted.contains(replica);
             if !keep {
                 task.abort();
-                self.knowledge.borrow_mut().lose(replica, Instant::now());
+                self.unlink(replica);
             }
             keep
         });
@@ -146,9 +162,12 @@
                 Ok(link) => {
                     tracing::info!(event = "control-linked", replica);
                     wait = WAIT.0;
+                    let place = link.peer().place.clone();
+                    self.linked.borrow_mut().insert(replica.clone(), place);
+                    self.sources_changed.notify_waiters();
                     let error = self.attend(link, &replica).await;
                     tracing::warn!(event = "control-lost", replica, error = %error);
-                    self.knowledge.borrow_mut().lose(&replica, Instant::now());
+                    self.unlink(&replica);
                 }
                 Err(error) => {
                     tracing::debug!(event = "control-unreachable", replica, error = %error);
@@ -159,6 +178,25 @@
         }
     }
 
+    /// Notes that a replica's link broke.
+    fn unlink(&self, replica: &str) {
+        self.linked.borrow_mut().swap_remove(replica);
+        self.knowledge.borrow_mut().lose(replica, Instant::now());
+        self.sources_changed.notify_waiters();
+    }
+
+    /// Tells whether a replica is one of the nearest that are linked, which are asked about instances.
+    fn is_source(&self, replica: &str) -> bool {
+        let linked = self.linked.borrow();
+        let own = &self.hello.place;
+        let mut nearest: Vec<_> = linked.iter().collect();
+        nearest.sort_by_key(|(name, place)| {
+            (place.zone != own.zone, place.region != own.region, *name)
+        });
+        let mut sources = nearest.into_iter().take(SOURCES);
+        sources.any(|(name, _)| name == replica)
+    }
+
     async fn attend(self: &Rc<Self>, link: Link, replica: &str) -> Error {
         let is_near = link.peer().place.region == self.hello.place.region;
         let head_start = if is_near { Duration::ZERO } else { HEAD_START };
@@ -166,33 +204,43 @@
         let mut present = time::interval(PRESENT);
         let mut silent = time::Instant::now() + SILENCE;
         let mut fetch_at: Option<time::Instant> = None;
+        let mut is_subscribed = false;
         loop {
             let due = fetch_at.unwrap_or(silent);
-            let message = tokio::select! {
-                frame = receiver.next() => {
-                    silent = time::Instant::now() + SILENCE;
-                    match frame {
-                        Some(Ok(Frame::Hub(message))) => {
-                            if self.heard(replica, message) {
-                                fetch_at.get_or_insert(time::Instant::now() + head_start);
+            let message = if self.is_source(replica) != is_subscribed {
+                is_subscribed = !is_subscribed;
+                if !is_subscribed {
+                    self.knowledge.borrow_mut().lose(replica, Instant::now());
+                }
+                Message::Subscribe(is_subscribed)
+            } else {
+                tokio::select! {
+                    frame = receiver.next() => {
+                        silent = time::Instant::now() + SILENCE;
+                        match frame {
+                            Some(Ok(Frame::Hub(message))) => {
+                                if self.heard(replica, message) {
+                                    fetch_at.get_or_insert(time::Instant::now() + head_start);
+                                }
                             }
+                            Some(Ok(_)) => return Error::Handshake,
+                            Some(Err(error)) => return error,
+                            None => return Error::Closed,
                         }
-                        Some(Ok(_)) => return Error::Handshake,
-                        Some(Err(error)) => return error,
-                        None => return Error::Closed,
-                    }
-                    continue;
-                }
-                _ = present.tick() => Message::Present((self.present)()),
-                () = self.changed.notified() => Message::Present((self.present)()),
-                () = time::sleep_until(due), if fetch_at.is_some() => {
-                    fetch_at = None;
-                    if !self.is_behind(replica) {
                         continue;
                     }
-                    Message::Fetch
+                    _ = present.tick() => Message::Present((self.present)()),
+                    () = self.changed.notified() => Message::Present((self.present)()),
+                    () = self.sources_changed.notified() => continue,
+                    () = time::sleep_until(due), if fetch_at.is_some() => {
+                        fetch_at = None;
+                        if !self.is_behind(replica) {
+                            continue;
+                        }
+                        Message::Fetch
+                    }
+                    () = time::sleep_until(silent) => return Error::Closed,
                 }
-                () = time::sleep_until(silent) => return Error::Closed,
             };
             if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
                 return error;
@@ -226,20 +274,20 @@
                 for report in &news {
                     log_report(report, Some(replica));
                 }
-                self.publish();
+                self.news.notify_one();
             }
             Message::Instances(instances) => {
                 self.knowledge
                     .borrow_mut()
                     .hear_instances(replica, instances);
-                self.publish();
+                self.news.notify_one();
             }
             Message::Loads(loads) => self.knowledge.borrow_mut().hear_loads(loads),
             Message::Replicas(list) => {
                 self.listed.borrow_mut().insert(replica.to_owned(), list);
                 self.dial();
             }
-            Message::Present(_) | Message::Fetch => {}
+            Message::Present(_) | Message::Fetch | Message::Subscribe(_) => {}
         }
         false
     }
@@ -252,6 +300,9 @@
 
 /// Logs which instances came, went, or changed whether they take requests.
 fn log_instances(before: &View, after: &View) {
+    if Arc::ptr_eq(&before.instances, &after.instances) {
+        return;
+    }
     let ready = |view: &View, name: &str| view.instances.by_name().get(name).map(|held| held.ready);
     for name in after.instances.by_name().keys() {
         let is_ready = ready(after, name);
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -9,7 +9,7 @@
     routing::{Service, Table},
     target::{Report, State},
 };
-use zinniastall_wire::hub::Configuration;
+use zinniastall_wire::hub::{Configuration, Instances};
 
 fn knowledge() -> Knowledge {
     Knowledge::new("edge-1".to_owned(), Place::new("patras", "patras-a"))
@@ -53,6 +53,21 @@
     }
 }
 
+fn all(present: Vec<Presence>) -> Instances {
+    Instances {
+        whole: true,
+        present,
+        gone: Vec::new(),
+    }
+}
+
+fn alive(known: &mut Knowledge, now: Instant) -> Vec<String> {
+    let view = known.view(now);
+    let mut names: Vec<String> = view.instances.by_name().keys().cloned().collect();
+    names.sort();
+    names
+}
+
 fn configuration(revision: u64, evacuated: &[&str]) -> Configuration {
     let mut service = Service::new("api");
     service.cold_ms = 3_000;
@@ -133,17 +148,8 @@
 #[test]
 fn a_replicas_word_outlives_its_link_for_a_moment() {
     let (mut known, now) = (knowledge(), Instant::now());
-    let alive = |known: &mut Knowledge, now| -> Vec<String> {
-        known
-            .view(now)
-            .instances
-            .by_name()
-            .keys()
-            .cloned()
-            .collect()
-    };
-    known.hear_instances("r1", vec![presence("a", 1, true)]);
-    known.hear_instances("r2", vec![presence("b", 1, true)]);
+    known.hear_instances("r1", all(vec![presence("a", 1, true)]));
+    known.hear_instances("r2", all(vec![presence("b", 1, true)]));
     known.lose("r1", now);
     assert_eq!(alive(&mut known, now), ["a", "b"]);
     let later = now + Duration::from_secs(4);
@@ -157,10 +163,10 @@
 #[test]
 fn who_knows_of_the_end_is_believed() {
     let (mut known, now) = (knowledge(), Instant::now());
-    known.hear_instances("r1", vec![presence("a", 1, false)]);
-    known.hear_instances("r2", vec![presence("a", 1, true)]);
+    known.hear_instances("r1", all(vec![presence("a", 1, false)]));
+    known.hear_instances("r2", all(vec![presence("a", 1, true)]));
     assert!(!known.view(now).instances.by_name()["a"].ready);
-    known.hear_instances("r2", vec![presence("a", 2, true)]);
+    known.hear_instances("r2", all(vec![presence("a", 2, true)]));
     assert!(
         known.view(now).instances.by_name()["a"].ready,
         "a later run"
@@ -175,3 +181,35 @@
     assert_eq!(names(&mut known, now + Duration::from_secs(15)), ["t"]);
     assert!(names(&mut known, now + Duration::from_secs(40)).is_empty());
 }
+
+/// Of hundreds of instances one ends and one comes. A replica tells just that, and all others stay as they
+/// were.
+#[test]
+fn a_change_leaves_the_other_instances_as_they_were() {
+    let (mut known, now) = (knowledge(), Instant::now());
+    let first = vec![presence("a", 1, true), presence("b", 1, true)];
+    known.hear_instances("r1", all(first));
+    let change = Instances {
+        whole: false,
+        present: vec![presence("c", 1, true)],
+        gone: vec!["a".to_owned()],
+    };
+    known.hear_instances("r1", change);
+    assert_eq!(alive(&mut known, now), ["b", "c"]);
+    // A whole list leaves nothing of before.
+    known.hear_instances("r1", all(vec![presence("d", 1, true)]));
+    assert_eq!(alive(&mut known, now), ["d"]);
+}
+
+/// A nearer replica is asked from now on. Until its list has come, the farther one's stands: without it, callers
+/// would be told of no instance for a moment.
+#[test]
+fn another_source_takes_over_without_a_gap() {
+    let (mut known, now) = (knowledge(), Instant::now());
+    known.hear_instances("far", all(vec![presence("a", 1, true)]));
+    known.lose("far", now);
+    assert_eq!(alive(&mut known, now), ["a"]);
+    known.hear_instances("near", all(vec![presence("b", 1, true)]));
+    assert_eq!(alive(&mut known, now + Duration::from_secs(1)), ["a", "b"]);
+    assert_eq!(alive(&mut known, now + Duration::from_secs(4)), ["b"]);
+}
--- a/crates/zinniastall-wire/src/hub.rs
+++ b/crates/zinniastall-wire/src/hub.rs
@@ -21,20 +21,35 @@
     Present(Presence),
     /// Gateway: send the configuration.
     Fetch,
+    /// Gateway: whether the replica should tell which instances there are and how loaded regions are. All
+    /// replicas know the same of both, so an instance asks two of them at most.
+    Subscribe(bool),
     /// Control: the revision held; also the sign of life.
     Reached(id::Revision),
     /// Control: the configuration.
     Configuration(Box<Configuration>),
     /// Control: reports that it heard from targets.
     Targets(Vec<Report>),
-    /// Control: all gateway instances that it is linked with; their load stands in [`Message::Loads`].
-    Instances(Vec<Presence>),
+    /// Control: the gateway instances that it is linked with, or what has changed of them since the message
+    /// before; their load stands in [`Message::Loads`].
+    Instances(Instances),
     /// Control: the load of the instances that it is linked with, by region.
     Loads(Vec<RegionLoad>),
     /// Control: addresses of the links of all replicas of its group.
     Replicas(Vec<String>),
 }
 
+/// The gateway instances that a replica is linked with, as far as a subscriber doesn't know them yet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instances {
+    /// Whether these are all of them; otherwise those that are not named are as they were.
+    pub whole: bool,
+    /// Instances that came or changed.
+    pub present: Vec<Presence>,
+    /// Instances whose links ended.
+    pub gone: Vec<id::Instance>,
+}
+
 /// What gateway instances need of the replicated state.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/crates/zinniastall-wire/src/link.rs
+++ b/crates/zinniastall-wire/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use tokio::{
     net::{TcpListener, TcpStream, ToSocketAddrs},
@@ -98,17 +99,20 @@
 /// Half of a link that sends.
 pub type Sender = std::pin::Pin<Box<dyn Sink<Frame, Error = Error> + Send>>;
 
-/// Sends one frame, unless the other end takes nothing for too long.
+/// Half of a link that sends frames which were encoded before, once for all links that send the same.
+pub type EncodedSender = std::pin::Pin<Box<dyn Sink<Bytes, Error = Error> + Send>>;
+
+/// Sends one item, unless the other end takes nothing for too long.
 ///
 /// # Errors
 ///
 /// [`Error::Closed`] when it takes nothing, or whatever the link failed of.
-pub async fn send_within(
-    sender: &mut Sender,
-    frame: Frame,
+pub async fn send_within<T>(
+    sender: &mut (impl Sink<T, Error = Error> + Unpin),
+    item: T,
     longest: Duration,
 ) -> Result<(), Error> {
-    let sent = time::timeout(longest, sender.send(frame)).await;
+    let sent = time::timeout(longest, sender.send(item)).await;
     sent.map_err(|_| Error::Closed)?
 }
 
@@ -219,11 +223,21 @@
 
     /// Splits the link into its two directions.
     pub fn split(self) -> (Sender, Receiver) {
+        let (sink, stream) = self.split_encoded();
+        let sink = sink.with(|frame: Frame| {
+            let encoded = frame.encode();
+            async move { Ok::<_, Error>(Bytes::from(encoded?)) }
+        });
+        (Box::pin(sink), stream)
+    }
+
+    /// Splits the link into its two directions; what is sent has been encoded before.
+    pub fn split_encoded(self) -> (EncodedSender, Receiver) {
         let (sink, stream) = self.socket.split();
         let (sent, received) = (Arc::clone(&self.meter), self.meter);
-        let sink = sink.sink_map_err(Error::from).with(move |frame: Frame| {
-            let encoded = frame.encode().inspect(|bytes| sent.sent(bytes.len()));
-            async move { Ok::<_, Error>(Message::Binary(encoded?.into())) }
+        let sink = sink.sink_map_err(Error::from).with(move |bytes: Bytes| {
+            sent.sent(bytes.len());
+            async move { Ok::<_, Error>(Message::Binary(bytes)) }
         });
         let stream = stream.filter_map(move |message| {
             let frame = match message {
