perf(gateway): load reports go over collectors in large regions

Cause: each of 98 instances of a region told 8 neighbours a round, so that each knew of another's requests after 1.3 s, in which 500 requests are placed there.

Change: up to eight neighbours are told directly, as before. In larger regions each instance reports to two collectors of its zone, chosen by rendezvous hashing; the first that is alive sums, exchanges sums with the other zones' collectors and returns the region's sum, which names the own report that it contains. Targets are named by a hash, so that 75 fit into a datagram. Datagrams grow with the number of instances and no longer with its square; between zones their number does not grow at all (played in tests/neighbours.rs: 30 and 100 instances know of each other within three rounds).

The test many_neighbours_are_told_less_often is replaced: what it asked for, two reports a second among forty, is what is mended. Among 30 and 100 instances the tests now ask for three rounds at most.

--- a/crates/zinniastall-gateway/src/groups.rs
+++ b/crates/zinniastall-gateway/src/groups.rs
@@ -99,11 +99,15 @@
         &self.named
     }
 
+    /// Returns the instances of a region.
+    pub fn in_region(&self, region: &str) -> impl Iterator<Item = &Presence> {
+        let places = self.regions.places(region).iter();
+        places.map(|at| &self.named[*at])
+    }
+
     /// Returns the instances of a region that take requests.
     pub fn ready_in(&self, region: &str) -> impl Iterator<Item = &Presence> {
-        let places = self.regions.places(region).iter();
-        let presences = places.map(|at| &self.named[*at]);
-        presences.filter(|presence| presence.ready)
+        self.in_region(region).filter(|presence| presence.ready)
     }
 }
 
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -1,37 +1,51 @@
-//! What the other instances of this region have at each target, told by datagram.
+//! What the other instances of this region have in progress at each target, told by datagram.
 //!
 //! Instances that share targets place by what they know of each other's requests. Over the control
 //! replicas that is half a second old and a sum; in a burst all of them then turn to the same target.
-//! A datagram ten times a second, to the few instances of the region, says it by target.
+//! A datagram ten times a second says it by target.
+//!
+//! In a small region each instance sends its load report to all others. In a large one that would grow with
+//! the square, so reports go to two collectors of the zone ([`collector`]), and the first of them that is
+//! alive returns the sum over the region. Each instance sends and gets as many datagrams in a region of
+//! hundreds as in one of ten.
+
+pub mod collector;
+pub mod datagram;
+mod reports;
 
 use std::{
     cell::RefCell,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 use zinniastall_model::{id, presence::Presence};
 
+use self::{
+    collector::Roster,
+    datagram::{Datagram, Key, LONGEST, Part, Turn, key, parts},
+    reports::{Reports, add},
+};
 use crate::{
     books::Books,
     view::{Board, View},
 };
 
-/// Time between two datagrams while requests are in progress, for each [`FEW`] neighbours.
-const PACE: Duration = Duration::from_millis(100);
-/// Neighbours that are told at the full pace. Forty told ten times a second would take a tenth of the
-/// processor that an instance of such a region has.
-const FEW: usize = 8;
-/// Rounds after which a neighbour's word counts no more: several datagrams were lost, or it is gone.
-const OLD: u32 = 6;
-/// Longest datagram, in bytes; one that is longer would be cut into packets and lost with any of them.
-const LONGEST: usize = 1_400;
-/// Targets of one datagram: with names of 16 bytes each takes 26 bytes. A region of 70 targets needs two.
-const TARGETS: usize = 40;
+/// Time between two reports while requests are in progress.
+pub const PACE: Duration = Duration::from_millis(100);
+/// Age at which a report counts no more: several datagrams were lost, or its sender is gone.
+const OLD: Duration = Duration::from_millis(600);
+/// Age at which a sum over the region counts no more. It is longer, since without any sum all instances would
+/// turn to the same target: in it an instance learns that both collectors are gone, and who takes their place.
+const OLD_SUM: Duration = Duration::from_secs(3);
+/// Silence of the first collector after which the second one takes its place.
+const TAKE_OVER: Duration = Duration::from_millis(300);
+/// Own reports that are remembered, to be taken off the sums that contain them.
+const HISTORY: usize = 16;
 
 /// Requests at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -42,80 +56,178 @@
     pub reading_us: u64,
 }
 
-/// One instance's requests at targets, or a part of them.
-#[derive(Debug, Serialize, Deserialize)]
-struct Word {
-    #[serde(rename = "i")]
-    instance: id::Instance,
-    /// The same in all parts that are told at once.
-    #[serde(rename = "t")]
-    turn: u32,
-    /// Target, requests, reading time in microseconds.
-    #[serde(rename = "l")]
-    loads: Vec<(id::Target, u32, u64)>,
+/// Loads by target.
+pub type Loads = IndexMap<Key, Load>;
+
+/// A datagram and the instances to which it goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Send {
+    /// Names of the instances.
+    pub to: Vec<id::Instance>,
+    /// What they are sent.
+    pub datagram: Datagram,
 }
 
-/// What one neighbour said last.
+/// A sum over the region.
 #[derive(Debug)]
-struct Said {
-    turn: u32,
+struct Sum {
+    turn: Turn,
+    /// Own report that it contains; 0 for none.
+    included: Turn,
     since: Instant,
-    loads: IndexMap<id::Target, Load>,
+    loads: Loads,
 }
 
-/// What the neighbours said last.
+/// What the neighbours reported last, and what is due to them.
 #[derive(Debug, Default)]
 pub struct Neighbours {
-    words: IndexMap<id::Instance, Said>,
-    rounds: u32,
+    /// Reports of single instances: of all of a small region, or of the zone for which this one collects.
+    reports: Reports<id::Instance>,
+    /// Sums of the region's other zones, for a collector.
+    zones: Reports<id::Zone>,
+    sum: Option<Sum>,
+    /// When a collector's sum last came.
+    heard: Option<Instant>,
+    own: IndexMap<Turn, Loads>,
+    turn: Turn,
+    was_busy: bool,
+    was_region_busy: bool,
 }
 
 impl Neighbours {
     /// Returns what the neighbours have at a target.
     pub fn at(&self, target: &str, now: Instant) -> Load {
-        let old = self.old();
-        let fresh = |since: Instant| now.saturating_duration_since(since) < old;
-        let words = self.words.values().filter(|said| fresh(said.since));
-        let loads = words.filter_map(|said| said.loads.get(target));
-        loads.fold(Load::default(), |sum, load| Load {
-            flights: sum.flights + load.flights,
-            reading_us: sum.reading_us + load.reading_us,
-        })
+        let key = key(target);
+        let fresh = |sum: &&Sum| now.saturating_duration_since(sum.since) < OLD_SUM;
+        let Some(sum) = self.sum.as_ref().filter(fresh) else {
+            return self.reports.at(key, now, OLD);
+        };
+        let held = sum.loads.get(&key).copied().unwrap_or_default();
+        let own = self.own.get(&sum.included);
+        let own = own.and_then(|loads| loads.get(&key)).copied();
+        let own = own.unwrap_or_default();
+        Load {
+            flights: held.flights.saturating_sub(own.flights),
+            reading_us: held.reading_us.saturating_sub(own.reading_us),
+        }
+    }
+
+    /// Takes a datagram in.
+    pub fn hear(&mut self, datagram: Datagram, now: Instant) {
+        match datagram {
+            Datagram::Report { instance, part } => self.reports.hear(instance, part, now),
+            Datagram::Zone { zone, part } => self.zones.hear(zone, part, now),
+            Datagram::Region { included, part } => self.hear_sum(included, part, now),
+        }
     }
 
-    /// Notes how many neighbours there are; returns in how many rounds of the pace each is told once.
-    pub fn spread(&mut self, neighbours: usize) -> u32 {
-        let rounds = u32::try_from(neighbours.div_ceil(FEW));
-        self.rounds = rounds.unwrap_or(u32::MAX).max(1);
-        self.rounds
+    fn hear_sum(&mut self, included: Turn, part: Part, now: Instant) {
+        let new = Sum {
+            turn: part.turn,
+            included,
+            since: now,
+            loads: Loads::default(),
+        };
+        let sum = self.sum.get_or_insert_with(|| Sum { ..new });
+        if sum.turn != part.turn {
+            sum.loads.clear();
+        }
+        (sum.turn, sum.included, sum.since) = (part.turn, included, now);
+        sum.loads.extend(part.loads());
+        self.heard = Some(now);
     }
 
-    fn old(&self) -> Duration {
-        PACE * OLD * self.rounds.max(1)
+    /// Returns what is to be sent in this round, in which this instance has some load.
+    ///
+    /// Nothing is sent while no request is in progress, but for one empty report when the last one ends.
+    pub fn round(&mut self, roster: &Roster, own: Loads, now: Instant) -> Vec<Send> {
+        self.turn = self.turn.wrapping_add(1).max(1);
+        let is_busy = !own.is_empty();
+        let mut sends = Vec::new();
+        if is_busy || self.was_busy {
+            sends.extend(self.report(roster, &own));
+        }
+        self.was_busy = is_busy;
+        if roster.is_small() {
+            self.sum = None;
+            return sends;
+        }
+        if roster.collects() {
+            self.reports
+                .keep(roster.instance(), self.turn, own.clone(), now);
+            sends.extend(self.collect(roster, now));
+        }
+        self.own.insert(self.turn, own);
+        let surplus = self.own.len().saturating_sub(HISTORY);
+        self.own.drain(..surplus);
+        sends
+    }
+
+    fn report(&self, roster: &Roster, own: &Loads) -> Vec<Send> {
+        let to = roster.reports_to();
+        let report = |part| Send {
+            to: to.clone(),
+            datagram: Datagram::Report {
+                instance: roster.instance().clone(),
+                part,
+            },
+        };
+        parts(self.turn, own).into_iter().map(report).collect()
     }
 
-    /// Takes a neighbour's word, or a part of it; a part of another turn replaces what was said before.
-    pub fn hear(
-        &mut self,
-        instance: &str,
-        turn: u32,
-        loads: impl IntoIterator<Item = (id::Target, Load)>,
-        now: Instant,
-    ) {
-        let old = self.old();
-        let fresh = |since: Instant| now.saturating_duration_since(since) < old;
-        self.words.retain(|_, said| fresh(said.since));
-        let new = || Said {
-            turn,
+    /// Sums what the zone has, tells it to the collectors of other zones, and the region's sum to the zone.
+    fn collect(&mut self, roster: &Roster, now: Instant) -> Vec<Send> {
+        self.reports.expire(now, OLD);
+        self.zones.expire(now, OLD);
+        let is_silent = |heard| now.saturating_duration_since(heard) >= TAKE_OVER;
+        if !roster.is_first() && !self.heard.is_none_or(is_silent) {
+            return Vec::new();
+        }
+        let zone = self.reports.sum();
+        let mut region = zone.clone();
+        add(&mut region, &self.zones.sum());
+        // When the last request of the region ends, that is told once.
+        let was_busy = std::mem::replace(&mut self.was_region_busy, !region.is_empty());
+        if region.is_empty() && !was_busy {
+            return Vec::new();
+        }
+        let mut sends = self.tell_zones(roster, &zone);
+        sends.extend(self.tell_instances(roster, &region));
+        self.sum = Some(Sum {
+            turn: self.turn,
+            included: self.turn,
             since: now,
-            loads: IndexMap::new(),
+            loads: region,
+        });
+        sends
+    }
+
+    fn tell_zones(&self, roster: &Roster, zone: &Loads) -> Vec<Send> {
+        let tell = |part| Send {
+            to: roster.other_collectors().to_vec(),
+            datagram: Datagram::Zone {
+                zone: roster.zone().clone(),
+                part,
+            },
         };
-        let said = self.words.entry(instance.to_owned()).or_insert_with(new);
-        if said.turn != turn {
-            *said = new();
+        parts(self.turn, zone).into_iter().map(tell).collect()
+    }
+
+    fn tell_instances(&self, roster: &Roster, region: &Loads) -> Vec<Send> {
+        let parts = parts(self.turn, region);
+        let mut sends = Vec::new();
+        for instance in roster.zone_members() {
+            let included = self.reports.turn(instance);
+            let tell = |part: &Part| Send {
+                to: vec![instance.clone()],
+                datagram: Datagram::Region {
+                    included,
+                    part: part.clone(),
+                },
+            };
+            sends.extend(parts.iter().map(tell));
         }
-        said.since = now;
-        said.loads.extend(loads);
+        sends
     }
 }
 
@@ -129,80 +241,48 @@
     let mut pace = time::interval(PACE);
     pace.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; LONGEST];
-    let mut was_busy = false;
-    let mut round: u32 = 0;
+    let mut roster = Roster::default();
+    let mut known = board.view();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, _)) = received else { continue };
-                let word: Result<Word, _> = ciborium::from_reader(&buffer[..length]);
-                // Whatever is not a word of a neighbour is dropped; the next one comes soon.
-                if let Ok(word) = word {
-                    let loads = word.loads.into_iter().map(|(target, flights, reading_us)| {
-                        (target, Load { flights, reading_us })
-                    });
-                    let mut neighbours = neighbours.borrow_mut();
-                    neighbours.hear(&word.instance, word.turn, loads, Instant::now());
+                // Whatever is not a neighbour's datagram is dropped; the next one comes soon.
+                if let Ok(datagram) = Datagram::decode(&buffer[..length]) {
+                    neighbours.borrow_mut().hear(datagram, Instant::now());
                 }
             }
             _ = pace.tick() => {
-                round = round.wrapping_add(1);
-                let count = near(&board.view()).count();
-                if !round.is_multiple_of(neighbours.borrow_mut().spread(count)) {
-                    continue;
-                }
-                let loads = books.borrow().by_target();
-                let is_busy = !loads.is_empty();
-                if is_busy || was_busy {
-                    tell(&socket, &board, round, &loads).await;
+                let view = board.view();
+                let own = books.borrow().by_target();
+                let own = own.into_iter().map(|(target, load)| (key(&target), load));
+                if roster.instance().is_empty() || !Arc::ptr_eq(&known.instances, &view.instances) {
+                    roster = Roster::new(&view);
+                    known = Arc::clone(&view);
                 }
-                was_busy = is_busy;
+                let sends = neighbours.borrow_mut().round(&roster, own.collect(), Instant::now());
+                send_all(&socket, &view, sends).await;
             }
         }
     }
 }
 
-/// Returns the other instances of this region.
-fn near(view: &View) -> impl Iterator<Item = &Presence> {
-    let others = view.instances.by_name().values();
-    let others = others.filter(|held| held.instance != view.instance);
-    others.filter(|held| held.place.region == view.place.region)
-}
-
-async fn tell(socket: &UdpSocket, board: &Board, turn: u32, loads: &[(id::Target, Load)]) {
-    let view = board.view();
-    let mut parts = loads.chunks(TARGETS).peekable();
-    if parts.peek().is_none() {
-        // Nothing is in progress any more, which is worth a word too.
-        tell_part(socket, &view, turn, &[]).await;
-    }
-    for part in parts {
-        tell_part(socket, &view, turn, part).await;
-    }
-}
-
-async fn tell_part(socket: &UdpSocket, view: &View, turn: u32, loads: &[(id::Target, Load)]) {
-    let loads = loads.iter();
-    let word = Word {
-        instance: view.instance.clone(),
-        turn,
-        loads: loads
-            .map(|(target, load)| (target.clone(), load.flights, load.reading_us))
-            .collect(),
-    };
-    let mut bytes = Vec::new();
-    if let Err(error) = ciborium::into_writer(&word, &mut bytes) {
-        tracing::warn!(event = "word-not-encoded", error = %error);
-        return;
-    }
-    if bytes.len() > LONGEST {
-        tracing::warn!(event = "word-too-long", bytes = bytes.len());
-        return;
-    }
-    for neighbour in near(view) {
-        if let Ok(address) = neighbour.forward.parse::<SocketAddr>() {
-            // A lost word is replaced by the next one.
-            let _ = socket.send_to(&bytes, address).await;
+async fn send_all(socket: &UdpSocket, view: &View, sends: Vec<Send>) {
+    for send in sends {
+        let bytes = match send.datagram.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::warn!(event = "load-not-encoded", error = %error);
+                continue;
+            }
+        };
+        for name in &send.to {
+            let presence: Option<&Presence> = view.instances.by_name().get(name);
+            let address = presence.and_then(|held| held.forward.parse::<SocketAddr>().ok());
+            if let Some(address) = address {
+                // A lost datagram is replaced by the next one.
+                let _ = socket.send_to(&bytes, address).await;
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -0,0 +1,143 @@
+//! The datagrams between instances of a region.
+
+use std::io;
+
+use serde::{Deserialize, Serialize};
+use zinniastall_model::id;
+
+use super::{Load, Loads};
+use crate::decide::warm;
+
+/// Longest datagram, in bytes; one that is longer would be cut into packets and lost with any of them.
+pub const LONGEST: usize = 1_400;
+/// Targets of one datagram: each takes 16 bytes at most.
+const TARGETS: usize = 75;
+
+/// Number of a round of one instance; the same in all parts that are sent at once.
+pub type Turn = u32;
+
+/// A target, as datagrams name it: a hash of its name. Where two of a region's targets share one, each counts
+/// for the other's load as well, until one of them ends.
+pub type Key = u32;
+
+/// Loads at some targets: target, requests, reading time in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// Turn of the sender.
+    #[serde(rename = "t")]
+    pub turn: Turn,
+    #[serde(rename = "l")]
+    loads: Vec<(Key, u32, u32)>,
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What one instance has in progress.
+    #[serde(rename = "i")]
+    Report {
+        /// Instance.
+        #[serde(rename = "n")]
+        instance: id::Instance,
+        /// Its loads.
+        #[serde(rename = "p")]
+        part: Part,
+    },
+    /// What the instances of one zone have, from one of its collectors to those of other zones.
+    #[serde(rename = "z")]
+    Zone {
+        /// Zone.
+        #[serde(rename = "n")]
+        zone: id::Zone,
+        /// Sum of its instances' loads.
+        #[serde(rename = "p")]
+        part: Part,
+    },
+    /// What all instances of the region have, from a collector to an instance of its zone.
+    #[serde(rename = "r")]
+    Region {
+        /// Turn of the receiver's report that the sum contains; 0 for none.
+        #[serde(rename = "n")]
+        included: Turn,
+        /// Sum of all instances' loads.
+        #[serde(rename = "p")]
+        part: Part,
+    },
+}
+
+/// Why a datagram can't be sent.
+#[derive(Debug, thiserror::Error)]
+pub enum Unsent {
+    /// It can't be encoded.
+    #[error("it can't be encoded")]
+    Encode(#[from] ciborium::ser::Error<io::Error>),
+    /// It is longer than [`LONGEST`].
+    #[error("{0} bytes are too many")]
+    Long(usize),
+}
+
+impl Datagram {
+    /// Encodes the datagram.
+    ///
+    /// # Errors
+    ///
+    /// [`Unsent`] says why it can't be sent.
+    pub fn encode(&self) -> Result<Vec<u8>, Unsent> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes)?;
+        if bytes.len() > LONGEST {
+            return Err(Unsent::Long(bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not one.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ciborium::de::Error<io::Error>> {
+        ciborium::from_reader(bytes)
+    }
+}
+
+impl Part {
+    /// Returns the loads.
+    pub fn loads(&self) -> impl Iterator<Item = (Key, Load)> {
+        let loads = self.loads.iter();
+        loads.map(|(target, flights, reading_ms)| {
+            let load = Load {
+                flights: *flights,
+                reading_us: u64::from(*reading_ms) * 1_000,
+            };
+            (*target, load)
+        })
+    }
+}
+
+/// Cuts loads into parts that fit into a datagram each; one empty part where there are none.
+pub fn parts(turn: Turn, loads: &Loads) -> Vec<Part> {
+    let entry = |(target, load): (&Key, &Load)| {
+        let reading_ms = u32::try_from(load.reading_us / 1_000).unwrap_or(u32::MAX);
+        (*target, load.flights, reading_ms)
+    };
+    let entries: Vec<_> = loads.iter().map(entry).collect();
+    let part = |loads: &[(Key, u32, u32)]| Part {
+        turn,
+        loads: loads.to_vec(),
+    };
+    if entries.is_empty() {
+        return vec![part(&[])];
+    }
+    entries.chunks(TARGETS).map(part).collect()
+}
+
+/// Returns the key of a target.
+pub fn key(target: &str) -> Key {
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "half of the hash is enough for a region's targets"
+    )]
+    let key = warm::weight(target, "") as Key;
+    key
+}
