perf(gateway): claims of targets in large regions; plain services' work is learned

Cause, claims: sums of load reports are some 150 ms old among 98 instances; dozens of long prompts are placed in that time, and those that see the same free target go there together. Change: each target has a coordinator among the region's instances (rendezvous hashing), which counts the claims of the last 150 ms; an instance asks it before it sends, three at most, and chooses again where the answer makes another target the better one. Without an answer within 12 ms it places by the sums, and does not ask that coordinator for half a second. Regions of nine instances and fewer, where reports go to all, ask nobody.

Cause, work: a plain service was taken to work 20 ms on a request, whatever it took. Where it takes 60 ms, queues are believed to be a third of what they are, no request goes to an idle region a trip away, and targets refuse: 4,491 of 11,059 arrivals. Change: the work is learned from answers, by the queue that each found.

--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -15,7 +15,7 @@
     path::{
         Traffic,
         job::{Job, Judged},
-        placing::Tried,
+        placing::{Claimed, Tried},
     },
     policy::Policy,
     view::{Board, Target, View},
@@ -61,7 +61,7 @@
     for _ in 0..rounds {
         job.arrived = Instant::now();
         job.deadline = job.arrived + Duration::from_secs(5);
-        black_box(traffic.place(job, &tried));
+        black_box(traffic.choose(job, &tried, &Claimed::new()));
     }
     since.elapsed() / rounds
 }
--- a/crates/zinniastall-gateway/src/books.rs
+++ b/crates/zinniastall-gateway/src/books.rs
@@ -14,6 +14,7 @@
         budget::{Bound, Budget},
         outlier::Record,
         warm::Pace,
+        work::Work,
     },
     neighbours,
 };
@@ -32,6 +33,7 @@
     bound: Bound,
     targets: IndexMap<id::Target, Account>,
     services: IndexMap<id::Service, Budget>,
+    works: IndexMap<id::Service, Work>,
     shut_regions: IndexMap<id::Service, IndexMap<id::Region, Instant>>,
     uses: IndexMap<id::Service, IndexMap<Use, Instant>>,
 }
@@ -77,6 +79,7 @@
             bound,
             targets: IndexMap::new(),
             services: IndexMap::new(),
+            works: IndexMap::new(),
             shut_regions: IndexMap::new(),
             uses: IndexMap::new(),
         }
@@ -114,6 +117,18 @@
             .or_insert_with(|| Budget::new(bound))
     }
 
+    /// Returns how long a plain service is expected to work on a request.
+    pub fn work(&self, service: &str, assumed: Duration) -> Duration {
+        let work = self.works.get(service).copied().unwrap_or_default();
+        work.expected(assumed)
+    }
+
+    /// Notes an answer of a plain service; see [`Work::note`].
+    pub fn note_work(&mut self, service: &str, took: Duration, ahead: u32, slots: u32) {
+        let work = self.works.entry(service.to_owned()).or_default();
+        work.note(took, ahead, slots);
+    }
+
     /// Notes that a request was made for a service on a route.
     pub fn note_use(&mut self, service: &str, route: &Route, now: Instant) {
         let asked = Use {
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -209,12 +209,12 @@
     };
     match UdpSocket::from_std(words) {
         Ok(socket) => {
-            let (books, neighbours) = (Rc::clone(&traffic.books), Rc::clone(&traffic.neighbours));
             actix::spawn(neighbours::run(
-                socket,
+                Rc::new(socket),
                 traffic.board.clone(),
-                books,
-                neighbours,
+                Rc::clone(&traffic.books),
+                Rc::clone(&traffic.neighbours),
+                Rc::clone(&traffic.claims),
             ));
         }
         Err(error) => tracing::error!(event = "neighbours-unheard", error = %error),
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -6,3 +6,4 @@
 pub mod place;
 pub mod reading;
 pub mod warm;
+pub mod work;
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -9,6 +9,7 @@
 //! alive returns the sum over the region. Each instance sends and gets as many datagrams in a region of
 //! hundreds as in one of ten.
 
+pub mod claims;
 pub mod collector;
 pub mod datagram;
 mod reports;
@@ -26,6 +27,7 @@
 use zinniastall_model::{id, presence::Presence};
 
 use self::{
+    claims::Claims,
     collector::Roster,
     datagram::{Datagram, Key, LONGEST, Part, Turn, key, parts},
     reports::{Reports, add},
@@ -56,6 +58,17 @@
     pub reading_us: u64,
 }
 
+impl Load {
+    /// Returns the sum of two loads.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            flights: self.flights.saturating_add(other.flights),
+            reading_us: self.reading_us.saturating_add(other.reading_us),
+        }
+    }
+}
+
 /// Loads by target.
 pub type Loads = IndexMap<Key, Load>;
 
@@ -118,6 +131,7 @@
             Datagram::Report { instance, part } => self.reports.hear(instance, part, now),
             Datagram::Zone { zone, part } => self.zones.hear(zone, part, now),
             Datagram::Region { included, part } => self.hear_sum(included, part, now),
+            Datagram::Claim { .. } | Datagram::Claimed { .. } => {}
         }
     }
 
@@ -233,11 +247,13 @@
 
 /// Tells the neighbours and hears them, for ever.
 pub async fn run(
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     board: Board,
     books: Rc<RefCell<Books>>,
     neighbours: Rc<RefCell<Neighbours>>,
+    claims: Rc<Claims>,
 ) {
+    claims.open(Rc::clone(&socket));
     let mut pace = time::interval(PACE);
     pace.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; LONGEST];
@@ -246,13 +262,25 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
-                let Ok((length, _)) = received else { continue };
+                let Ok((length, sender)) = received else { continue };
                 // Whatever is not a neighbour's datagram is dropped; the next one comes soon.
-                if let Ok(datagram) = Datagram::decode(&buffer[..length]) {
-                    neighbours.borrow_mut().hear(datagram, Instant::now());
+                let Ok(datagram) = Datagram::decode(&buffer[..length]) else { continue };
+                let now = Instant::now();
+                match datagram {
+                    Datagram::Claim { number, target, reading_ms } => {
+                        let answer = claims.coordinate(number, target, reading_ms, now);
+                        send(&socket, &answer, [sender]).await;
+                    }
+                    Datagram::Claimed { number, flights, reading_ms } => {
+                        let reading_us = u64::from(reading_ms) * 1_000;
+                        let load = Load { flights, reading_us };
+                        claims.answer(number, load);
+                    }
+                    datagram => neighbours.borrow_mut().hear(datagram, now),
                 }
             }
             _ = pace.tick() => {
+                claims.expire(Instant::now());
                 let view = board.view();
                 let own = books.borrow().by_target();
                 let own = own.into_iter().map(|(target, load)| (key(&target), load));
@@ -268,21 +296,29 @@
 }
 
 async fn send_all(socket: &UdpSocket, view: &View, sends: Vec<Send>) {
-    for send in sends {
-        let bytes = match send.datagram.encode() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::warn!(event = "load-not-encoded", error = %error);
-                continue;
-            }
-        };
-        for name in &send.to {
-            let presence: Option<&Presence> = view.instances.by_name().get(name);
-            let address = presence.and_then(|held| held.forward.parse::<SocketAddr>().ok());
-            if let Some(address) = address {
-                // A lost datagram is replaced by the next one.
-                let _ = socket.send_to(&bytes, address).await;
-            }
+    let address = |name: &id::Instance| {
+        let presence: &Presence = view.instances.by_name().get(name)?;
+        presence.forward.parse().ok()
+    };
+    for sent in sends {
+        send(socket, &sent.datagram, sent.to.iter().filter_map(address)).await;
+    }
+}
+
+async fn send(
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    addresses: impl IntoIterator<Item = SocketAddr>,
+) {
+    let bytes = match datagram.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::warn!(event = "datagram-not-sent", error = %error);
+            return;
         }
+    };
+    for address in addresses {
+        // A lost datagram is replaced by the next one.
+        let _ = socket.send_to(&bytes, address).await;
     }
 }
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -14,6 +14,12 @@
 /// Collectors of a zone: one that works, and one that takes over when it falls silent.
 const COLLECTORS: usize = 2;
 
+/// Tells whether the region has so few instances that each reports to all others.
+pub fn is_small(view: &View) -> bool {
+    let mut near = view.instances.in_region(&view.place.region);
+    near.nth(SMALL + 1).is_none()
+}
+
 /// The instances of this region, as far as reports are concerned.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -63,6 +63,32 @@
         #[serde(rename = "p")]
         part: Part,
     },
+    /// An instance is about to send a request to a target; to the target's coordinator.
+    #[serde(rename = "c")]
+    Claim {
+        /// Number of the claim at its sender.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Target.
+        #[serde(rename = "k")]
+        target: Key,
+        /// Expected time to read the prompt, in milliseconds.
+        #[serde(rename = "r")]
+        reading_ms: u32,
+    },
+    /// What was claimed of a target in the moments before a claim; the coordinator's answer.
+    #[serde(rename = "a")]
+    Claimed {
+        /// Number of the claim.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Requests.
+        #[serde(rename = "f")]
+        flights: u32,
+        /// Expected time to read their prompts, in milliseconds.
+        #[serde(rename = "r")]
+        reading_ms: u32,
+    },
 }
 
 /// Why a datagram can't be sent.
--- a/crates/zinniastall-gateway/src/neighbours/reports.rs
+++ b/crates/zinniastall-gateway/src/neighbours/reports.rs
@@ -95,12 +95,3 @@
         *held = held.plus(*load);
     }
 }
-
-impl Load {
-    fn plus(self, other: Self) -> Self {
-        Self {
-            flights: self.flights + other.flights,
-            reading_us: self.reading_us + other.reading_us,
-        }
-    }
-}
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -41,6 +41,8 @@
         target: id::Target,
         /// Its address.
         address: String,
+        /// Requests that it processes at once.
+        slots: u32,
         /// Address of a target from which it copies what it lacks of the prompt.
         source: Option<String>,
     },
@@ -104,6 +106,8 @@
     pub place: &'a Place,
     /// Expected time to read the prompt there, in microseconds.
     pub reading_us: u64,
+    /// Requests that are expected to be at the target already.
+    pub ahead: u32,
     /// Whether the request may have run.
     pub may_have_run: &'a Cell<bool>,
 }
@@ -201,7 +205,9 @@
             .await
         } else {
             flight.begun();
-            self.whole(job, &response, &mut connection, client).await
+            let ended = self.whole(job, &response, &mut connection, client).await;
+            self.note_work(attempt, &ended, now.elapsed());
+            ended
         };
         if is_clean && matches!(ended, Ended::Delivered | Ended::Failing(_)) {
             self.pool.rest(place.address(), connection, &response);
@@ -295,6 +301,17 @@
         Some(Ended::NotRun(None))
     }
 
+    /// Learns from an answer of a plain service how long its work takes.
+    fn note_work(&self, attempt: &Attempt<'_>, ended: &Ended, took: Duration) {
+        let Place::Target { slots, .. } = attempt.place else {
+            return;
+        };
+        if matches!(ended, Ended::Delivered) {
+            let mut books = self.books.borrow_mut();
+            books.note_work(&attempt.job.service, took, attempt.ahead, *slots);
+        }
+    }
+
     /// Hands a whole answer over, once all of it is here: a cut one can still become a refusal.
     async fn whole(
         &self,
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -16,8 +16,13 @@
 use std::{cell::RefCell, rc::Rc};
 
 use crate::{
-    books::Books, figures::Figures, journal::Journal, names::Names, neighbours::Neighbours,
-    policy::Policy, view::Board,
+    books::Books,
+    figures::Figures,
+    journal::Journal,
+    names::Names,
+    neighbours::{Neighbours, claims::Claims},
+    policy::Policy,
+    view::Board,
 };
 
 use self::{pool::Pool, serve::Connections};
@@ -35,6 +40,8 @@
     pub books: Rc<RefCell<Books>>,
     /// What the other instances of the region have at targets.
     pub neighbours: Rc<RefCell<Neighbours>>,
+    /// What they have sent to targets within the last moments.
+    pub claims: Rc<Claims>,
     /// Connections at rest.
     pub pool: Pool,
     /// Connections of callers and instances.
@@ -51,6 +58,7 @@
         Self {
             books: Rc::new(RefCell::new(Books::new(policy.repeats))),
             neighbours: Rc::default(),
+            claims: Rc::default(),
             pool: Pool::default(),
             connections: Connections::default(),
             journal: Journal::default(),
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 use zinniastall_model::{id, presence::Presence};
 
@@ -15,6 +15,7 @@
     },
     groups::Sum,
     journal::Basis,
+    neighbours::{Load, collector::is_small},
     view::{Target, View},
 };
 
@@ -32,6 +33,13 @@
 /// which replicas pass on every three seconds, were lost.
 const SILENT: Duration = Duration::from_secs(7);
 
+/// Coordinators that are asked for a request, one after the other, while what others claimed makes another
+/// target the better one.
+const CLAIMS: usize = 3;
+
+/// What others claimed of targets in the last moments.
+pub type Claimed = IndexMap<id::Target, Load>;
+
 /// What was tried for a request and is not tried again.
 #[derive(Debug, Default)]
 pub struct Tried {
@@ -95,10 +103,38 @@
 }
 
 impl Traffic {
-    /// Chooses where a request goes next.
-    pub fn place(&self, job: &Job, tried: &Tried) -> Next {
+    /// Chooses where a request goes next, and books it there.
+    ///
+    /// In a large region the target's coordinator is asked before, since others may have chosen the same one
+    /// on the same news.
+    pub async fn place(&self, job: &Job, tried: &Tried) -> Next {
+        let view = self.board.view();
+        let mut claimed = Claimed::default();
+        let mut next = self.choose(job, tried, &claimed);
+        while claimed.len() < CLAIMS && !is_small(&view) {
+            let Next::Go(Place::Target { target, .. }, reading_us, _) = &next else {
+                break;
+            };
+            if claimed.contains_key(target) {
+                break;
+            }
+            let load = self.claims.claim(&view, target, *reading_us).await;
+            let Some(load) = load.filter(|load| *load != Load::default()) else {
+                break;
+            };
+            claimed.insert(target.clone(), load);
+            next = self.choose(job, tried, &claimed);
+        }
+        if let Next::Go(place, ..) = &next {
+            self.book(job, place);
+        }
+        next
+    }
+
+    /// Chooses where a request goes next by what is known here.
+    pub fn choose(&self, job: &Job, tried: &Tried, claimed: &Claimed) -> Next {
         let (view, now) = (self.board.view(), Instant::now());
-        let here = self.here(job, tried, &view, now);
+        let here = self.here(job, tried, claimed, &view, now);
         let there = if job.is_passed_on {
             Vec::new()
         } else {
@@ -123,18 +159,28 @@
         }
     }
 
-    fn take(&self, job: &Job, here: &Here<'_>, at: usize, now: Instant) -> Next {
-        let (target, candidate) = (here.targets[at], here.candidates[at]);
-        let report = &target.report;
+    /// Notes what a request takes to its place.
+    fn book(&self, job: &Job, place: &Place) {
+        let Place::Target { target, .. } = place else {
+            return;
+        };
+        let (view, now) = (self.board.view(), Instant::now());
         let mut books = self.books.borrow_mut();
-        let account = books.target(&report.target, &job.service, now);
+        let account = books.target(target, &job.service, now);
         account.send_parts(job.prompt.shared(), now);
-        if is_cold(target, now) {
+        let known = view.targets.by_name().get(target);
+        if known.is_some_and(|known| is_cold(known, now)) {
             account.pace.take(job.cold_rate(), now);
         }
+    }
+
+    fn take(&self, job: &Job, here: &Here<'_>, at: usize, now: Instant) -> Next {
+        let (target, candidate) = (here.targets[at], here.candidates[at]);
+        let report = &target.report;
         let place = Place::Target {
             target: report.target.clone(),
             address: report.address.clone(),
+            slots: report.slots,
             source: self.source(job, here, at),
         };
         let basis = Basis {
@@ -159,7 +205,14 @@
         Some(here.targets[source].report.address.clone())
     }
 
-    fn here<'a>(&self, job: &Job, tried: &Tried, view: &'a View, now: Instant) -> Here<'a> {
+    fn here<'a>(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        claimed: &Claimed,
+        view: &'a View,
+        now: Instant,
+    ) -> Here<'a> {
         let mut here = Here::default();
         if !job.route().permits(&view.place.region) {
             return here;
@@ -175,7 +228,10 @@
                 here.opens_soon = true;
             } else if !tried.has(&target.report.target) {
                 let holder = self.holder(job, target, home, now);
-                let (candidate, reading_us, flights) = self.candidate(job, target, holder, now);
+                let claimed = claimed.get(&target.report.target).copied();
+                let claimed = claimed.unwrap_or_default();
+                let (candidate, reading_us, flights) =
+                    self.candidate(job, target, holder, claimed, now);
                 here.holders.push(holder);
                 here.targets.push(target);
                 here.flights.push(flights);
@@ -210,17 +266,20 @@
         job: &Job,
         target: &Target,
         holder: Holder,
+        claimed: Load,
         now: Instant,
     ) -> (Candidate, u64, u32) {
         let report = &target.report;
         let others = self.neighbours.borrow().at(&report.target, now);
+        let others = others.plus(claimed);
         let mut books = self.books.borrow_mut();
+        let work = books.work(&job.service, self.policy.work);
         let account = books.target(&report.target, &job.service, now);
         let is_silent = now.saturating_duration_since(target.heard) > SILENT;
         let flights = account.flights + others.flights;
         let Some(slots) = job.engine_slots() else {
             let candidate = Candidate {
-                wait: self.policy.work * flights / report.slots.max(1),
+                wait: work * flights / report.slots.max(1),
                 before: Duration::ZERO,
                 crowd: 0.0,
                 read: Duration::ZERO,
@@ -320,7 +379,10 @@
                 let reading = Duration::from_micros(each.reading_us);
                 reading + BEYOND_SLOTS * beyond + RUNNING * each.flights
             }
-            None => self.policy.work * each.flights / slots,
+            None => {
+                let work = self.books.borrow().work(&job.service, self.policy.work);
+                work * each.flights / slots
+            }
         })
     }
 }
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -109,7 +109,7 @@
             failing: None,
         };
         loop {
-            let step = match self.place(job, &course.tried) {
+            let step = match self.place(job, &course.tried).await {
                 Next::Wait(after) => {
                     if !course.is_kept {
                         course.is_kept = true;
@@ -132,6 +132,7 @@
                         job,
                         place: &place,
                         reading_us,
+                        ahead: basis.flights,
                         may_have_run,
                     };
                     let ended = self.attempt(&attempt, &mut events, client).await;
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -0,0 +1,171 @@
+//! Claims: what instances ask a target's coordinator, and what they do without its answer.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{net::UdpSocket, time};
+use zinniastall_gateway::{
+    books::Books,
+    decide::{budget::Bound, warm},
+    neighbours::{
+        self, Load,
+        claims::{Claims, Recent},
+    },
+    view::{Board, View},
+};
+use zinniastall_model::{place::Place, presence::Presence};
+
+const LONGEST: Duration = Duration::from_secs(20);
+
+fn load(flights: u32, reading_us: u64) -> Load {
+    Load {
+        flights,
+        reading_us,
+    }
+}
+
+/// Instances of one region that talk over real datagrams.
+struct Region {
+    view: View,
+    claims: Vec<Rc<Claims>>,
+    sockets: Vec<Rc<UdpSocket>>,
+}
+
+impl Region {
+    /// Binds sockets for some instances; those that `are_alive` serve them.
+    async fn start(names: &[&str], are_alive: impl Fn(&str) -> bool) -> Self {
+        let place = Place::new("patras", "patras-a");
+        let mut sockets = Vec::new();
+        let mut present = Vec::new();
+        for name in names {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+            let presence = Presence {
+                instance: (*name).to_owned(),
+                incarnation: 1,
+                place: place.clone(),
+                callers: String::new(),
+                forward: socket.local_addr().expect("bound").to_string(),
+                ready: true,
+                load: Vec::new(),
+            };
+            present.push(((*name).to_owned(), presence));
+            sockets.push(Rc::new(socket));
+        }
+        let mut view = View::new(names[0].to_owned(), place);
+        view.instances = Arc::new(present.into_iter().collect());
+        let mut claims = Vec::new();
+        for (name, socket) in names.iter().zip(&sockets) {
+            let own = Rc::new(Claims::default());
+            claims.push(Rc::clone(&own));
+            if are_alive(name) {
+                let mut view = view.clone();
+                view.instance = (*name).to_owned();
+                let books = Rc::new(RefCell::new(Books::new(Bound::default())));
+                let neighbours = Rc::default();
+                let served = Rc::clone(socket);
+                actix::spawn(neighbours::run(
+                    served,
+                    Board::new(view),
+                    books,
+                    neighbours,
+                    own,
+                ));
+            }
+        }
+        // Each is opened when its loop runs first.
+        time::sleep(Duration::from_millis(20)).await;
+        Self {
+            view,
+            claims,
+            sockets,
+        }
+    }
+
+    /// Claims a target for an instance, by its place in the list.
+    async fn claim(&self, by: usize, target: &str) -> Option<Load> {
+        let mut view = self.view.clone();
+        view.instance = self.view.instances.by_name()[by].instance.clone();
+        self.claims[by].claim(&view, target, 200_000).await
+    }
+}
+
+/// Returns the name of a target whose coordinator is an instance.
+fn coordinated_by(instance: &str, names: &[&str]) -> String {
+    let targets = (0..).map(|number| format!("target-{number}"));
+    let mut its =
+        targets.filter(|target| warm::sender(target, names.iter().copied()) == Some(instance));
+    its.next().expect("endless")
+}
+
+fn run(test: impl Future<Output = ()>) {
+    actix::System::new().block_on(async {
+        time::timeout(LONGEST, test).await.expect("the test hangs");
+    });
+}
+
+/// Four instances see the same free target in the same moment. Told of each other's requests a tenth of a second
+/// later, all four would send it a long prompt, and the last caller would wait for three others' prompts.
+#[test]
+fn who_comes_second_hears_of_the_first() {
+    run(async {
+        let names = ["a", "b", "c", "d"];
+        let region = Region::start(&names, |_| true).await;
+        let target = coordinated_by("b", &names);
+        let first = region.claim(0, &target).await;
+        assert_eq!(first, Some(Load::default()));
+        assert_eq!(region.claim(2, &target).await, Some(load(1, 200_000)));
+        assert_eq!(region.claim(1, &target).await, Some(load(2, 400_000)));
+        assert_eq!(region.claim(3, &target).await, Some(load(3, 600_000)));
+        let other = coordinated_by("c", &names);
+        assert_eq!(region.claim(0, &other).await, Some(Load::default()));
+    });
+}
+
+/// The coordinator has crashed, and lists of instances still name it. Requests go on without it after some
+/// milliseconds, and the next ones don't wait for it at all.
+#[test]
+fn a_dead_coordinator_holds_nothing_up() {
+    run(async {
+        let names = ["a", "b", "c"];
+        let region = Region::start(&names, |name| name != "b").await;
+        let target = coordinated_by("b", &names);
+        let since = Instant::now();
+        assert_eq!(region.claim(0, &target).await, None);
+        assert!(since.elapsed() < Duration::from_millis(500), "{since:?}");
+        let asked = region.sockets[1].try_recv(&mut [0; 64]);
+        assert!(asked.is_ok(), "it was asked once");
+        assert_eq!(region.claim(0, &target).await, None);
+        let asked = region.sockets[1].try_recv(&mut [0; 64]);
+        assert!(asked.is_err(), "it was asked again at once");
+    });
+}
+
+/// Sums contain a request soon after it was sent. Were its claim counted for longer, it would count twice, and
+/// targets would seem full that aren't.
+#[test]
+fn claims_fade() {
+    let mut recent = Recent::default();
+    let now = Instant::now();
+    let later = |millis| now + Duration::from_millis(millis);
+    assert_eq!(recent.claim(7, 50, now), Load::default());
+    assert_eq!(recent.claim(7, 60, later(100)), load(1, 50));
+    assert_eq!(recent.claim(7, 70, later(200)), load(1, 60));
+    assert_eq!(recent.claim(7, 80, later(1_000)), Load::default());
+    recent.expire(later(2_000));
+    assert_eq!(recent.claim(7, 90, later(2_000)), Load::default());
+}
+
+/// A broken instance claims without end. The coordinator's memory stays bounded.
+#[test]
+fn a_flood_of_claims_is_bounded() {
+    let mut recent = Recent::default();
+    let now = Instant::now();
+    for _ in 0..10_000 {
+        recent.claim(7, 1, now);
+    }
+    assert!(recent.claim(7, 1, now).flights <= 256);
+}
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -13,4 +13,5 @@
     pub(crate) mod reading;
     pub(crate) mod steady;
     pub(crate) mod warm;
+    pub(crate) mod work;
 }
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -55,8 +55,20 @@
             .map(|at| Flight::start(&busy, &format!("i-{at:010}"), "api", 10, now))
             .collect();
         let heard: Rc<RefCell<Neighbours>> = Rc::default();
-        actix::spawn(neighbours::run(one, board("one"), busy, Rc::default()));
-        actix::spawn(neighbours::run(two, board("two"), idle, Rc::clone(&heard)));
+        actix::spawn(neighbours::run(
+            Rc::new(one),
+            board("one"),
+            busy,
+            Rc::default(),
+            Rc::default(),
+        ));
+        actix::spawn(neighbours::run(
+            Rc::new(two),
+            board("two"),
+            idle,
+            Rc::clone(&heard),
+            Rc::default(),
+        ));
         let total = |heard: &RefCell<Neighbours>| {
             let now = std::time::Instant::now();
             let loads = (0..TARGETS).map(|at| heard.borrow().at(&format!("i-{at:010}"), now));
