perf(gateway): large regions split their targets by the length of prompts; room of plain targets is learned

Cause: at the peak of the large deployment engines read for nearly all of their time, each a part of the long prompts. Ruled out: queues (they are short), news (150 ms old), first events (145 of 5,296 late).

Change: of eight targets and more in a region some are kept for prompts that read within 0.15 of the bearable pause, in proportion to the reading of each length that comes, three times counted for the short ones, and as many as keep a quarter of their slots taken. All instances sort the targets alike. Short prompts go to their own, then to another region, then to any; long ones stay off the short ones'. Only what may run in the region counts.

--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -5,5 +5,7 @@
 pub mod outlier;
 pub mod place;
 pub mod reading;
+pub mod room;
+pub mod split;
 pub mod warm;
 pub mod work;
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -128,14 +128,14 @@
     /// Takes a datagram in.
     pub fn hear(&mut self, datagram: Datagram, now: Instant) {
         match datagram {
-            Datagram::Report { instance, part } => self.reports.hear(instance, part, now),
-            Datagram::Zone { zone, part } => self.zones.hear(zone, part, now),
-            Datagram::Region { included, part } => self.hear_sum(included, part, now),
+            Datagram::Report { instance, part } => self.reports.hear(instance, &part, now),
+            Datagram::Zone { zone, part } => self.zones.hear(zone, &part, now),
+            Datagram::Region { included, part } => self.hear_sum(included, &part, now),
             Datagram::Claim { .. } | Datagram::Claimed { .. } => {}
         }
     }
 
-    fn hear_sum(&mut self, included: Turn, part: Part, now: Instant) {
+    fn hear_sum(&mut self, included: Turn, part: &Part, now: Instant) {
         let new = Sum {
             turn: part.turn,
             included,
--- a/crates/zinniastall-gateway/src/neighbours/claims.rs
+++ b/crates/zinniastall-gateway/src/neighbours/claims.rs
@@ -143,8 +143,8 @@
 
     /// Takes another instance's claim in; returns the answer.
     pub fn coordinate(&self, number: u32, target: Key, reading_ms: u32, now: Instant) -> Datagram {
-        let reading_us = u64::from(reading_ms) * 1_000;
-        let before = self.recent.borrow_mut().claim(target, reading_us, now);
+        let reading = u64::from(reading_ms) * 1_000;
+        let before = self.recent.borrow_mut().claim(target, reading, now);
         Datagram::Claimed {
             number,
             flights: before.flights,
--- a/crates/zinniastall-gateway/src/neighbours/reports.rs
+++ b/crates/zinniastall-gateway/src/neighbours/reports.rs
@@ -35,7 +35,7 @@
 
 impl<S: Hash + Eq + Clone> Reports<S> {
     /// Takes a report, or a part of it; a part of another turn replaces what was reported before.
-    pub(super) fn hear(&mut self, sender: S, part: Part, now: Instant) {
+    pub(super) fn hear(&mut self, sender: S, part: &Part, now: Instant) {
         let new = || Report {
             turn: part.turn,
             since: now,
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -10,7 +10,8 @@
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
-        place::{Candidate, Choice, Patience, Region, choose},
+        place::{self, Candidate, Choice, Patience, Region},
+        split::{self, Length},
         warm,
     },
     groups::Sum,
@@ -76,6 +77,10 @@
     reading_us: Vec<u64>,
     flights: Vec<u32>,
     holders: Vec<Holder>,
+    /// Whether each is for short prompts, where they are split.
+    is_short: Vec<bool>,
+    /// Length of this request's prompt, where targets are split by it.
+    length: Option<Length>,
     opens_soon: bool,
 }
 
@@ -95,6 +100,26 @@
     }
 }
 
+/// Targets that are split by the length of prompts.
+#[derive(Debug)]
+struct Split<'a> {
+    /// Length of the request's prompt.
+    length: Length,
+    /// Names of the targets for short ones.
+    short: IndexSet<&'a str>,
+}
+
+impl Split<'_> {
+    fn is_short(&self, target: &Target) -> bool {
+        self.short.contains(target.report.target.as_str())
+    }
+
+    /// Tells whether a target is for prompts like the request's.
+    fn is_own(&self, target: &Target) -> bool {
+        self.is_short(target) == (self.length == Length::Short)
+    }
+}
+
 /// Another region.
 #[derive(Debug)]
 struct There<'a> {
@@ -151,7 +176,12 @@
             opens_soon: here.opens_soon && !job.is_passed_on,
         };
         drop(books);
-        match choose(&here.candidates, &regions, patience) {
+        let (candidates, is_short) = (&here.candidates, &here.is_short);
+        let choice = match here.length {
+            Some(length) => split::choose(candidates, is_short, length, &regions, patience),
+            None => place::choose(candidates, &regions, patience),
+        };
+        match choice {
             Choice::Here(at) => self.take(job, &here, at, now),
             Choice::There(at) => instance(&there[at]),
             Choice::Wait(after) => Next::Wait(after),
@@ -219,7 +249,10 @@
         }
         let targets = view.targets.of(&job.service, &view.place.region);
         let targets: Vec<&Target> = targets.collect();
-        let home = home(job, &targets);
+        let split = self.split(job, &targets, now);
+        here.length = split.as_ref().map(|split| split.length);
+        let is_own = |target: &&Target| split.as_ref().is_none_or(|split| split.is_own(target));
+        let home = home(job, targets.iter().copied().filter(is_own));
         for target in targets {
             if !self.is_open(job, target, view, now) {
                 continue;
@@ -232,6 +265,12 @@
                 let claimed = claimed.unwrap_or_default();
                 let (candidate, reading_us, flights) =
                     self.candidate(job, target, holder, claimed, now);
+                if job.engine().is_none() && !self.has_room(target, flights) {
+                    here.opens_soon = true;
+                    continue;
+                }
+                let is_short = |split: &Split<'_>| split.is_short(target);
+                here.is_short.push(split.as_ref().is_some_and(is_short));
                 here.holders.push(holder);
                 here.targets.push(target);
                 here.flights.push(flights);
@@ -242,6 +281,25 @@
         here
     }
 
+    /// Returns how a service's targets are split for a request by the length of its prompt, if they are.
+    fn split<'a>(&self, job: &Job, targets: &[&'a Target], now: Instant) -> Option<Split<'a>> {
+        let slots = job.engine_slots()?;
+        let books = self.books.borrow();
+        let length = Length::of(self.reading(job, 0), books.gap(&job.service, now))?;
+        // All instances sort them alike, and one that comes or goes moves one other at most.
+        let names = targets.iter().map(|held| held.report.target.as_str());
+        let mut names: Vec<&str> = names.collect();
+        names.sort_by_cached_key(|name| warm::weight(&job.service, name));
+        let neighbours = self.neighbours.borrow();
+        let flights = |name: &&str| books.flights(name) + neighbours.at(name, now).flights;
+        let flights: Vec<u32> = names.iter().map(flights).collect();
+        let count = books.short_targets(&job.service, &flights, slots)?;
+        Some(Split {
+            length,
+            short: names.into_iter().take(count).collect(),
+        })
+    }
+
     /// Tells whether a target may get a request at all.
     fn is_open(&self, job: &Job, target: &Target, view: &View, now: Instant) -> bool {
         if is_leaving(target, view, now) {
@@ -335,6 +393,13 @@
         self.policy.rates.expected(job.prompt.tokens, kept)
     }
 
+    /// Tells whether a plain target is expected to take one more request.
+    fn has_room(&self, target: &Target, flights: u32) -> bool {
+        let mut books = self.books.borrow_mut();
+        let account = books.known(&target.report.target);
+        account.is_none_or(|account| account.room.is_open(flights))
+    }
+
     /// Tells whether a target is known to take no request at the moment.
     fn is_shut(&self, target: &Target, now: Instant) -> bool {
         let mut books = self.books.borrow_mut();
@@ -373,17 +438,13 @@
         let targets: Vec<&Target> = targets.filter(serves).collect();
         let each = each(view.loads.of(&job.service, region), targets.len());
         let slots = targets.first()?.report.slots.max(1);
-        Some(match job.engine_slots() {
-            Some(slots) => {
-                let beyond = each.flights.saturating_sub(slots);
-                let reading = Duration::from_micros(each.reading_us);
-                reading + BEYOND_SLOTS * beyond + RUNNING * each.flights
-            }
-            None => {
-                let work = self.books.borrow().work(&job.service, self.policy.work);
-                work * each.flights / slots
-            }
-        })
+        if let Some(slots) = job.engine_slots() {
+            let beyond = each.flights.saturating_sub(slots);
+            let reading = Duration::from_micros(each.reading_us);
+            return Some(reading + BEYOND_SLOTS * beyond + RUNNING * each.flights);
+        }
+        let work = self.books.borrow().work(&job.service, self.policy.work);
+        Some(work * each.flights / slots)
     }
 }
 
@@ -407,9 +468,9 @@
 }
 
 /// Returns the target at which all instances of the region expect a request's shared parts.
-fn home<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
+fn home<'a>(job: &Job, targets: impl Iterator<Item = &'a Target>) -> Option<&'a str> {
     let key = job.prompt.shared().last()?;
-    let names = targets.iter().map(|target| target.report.target.as_str());
+    let names = targets.map(|target| target.report.target.as_str());
     names.max_by_key(|name| warm::weight(key, name))
 }
 
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -136,7 +136,7 @@
                         may_have_run,
                     };
                     let ended = self.attempt(&attempt, &mut events, client).await;
-                    self.note(job, &place, &ended);
+                    self.note(&attempt, &ended);
                     self.follow_up(&mut course, &place, ended, client)?
                 }
             };
@@ -219,7 +219,8 @@
     }
 
     /// Notes what an attempt says of its target.
-    fn note(&self, job: &Job, place: &Place, ended: &Ended) {
+    fn note(&self, attempt: &Attempt<'_>, ended: &Ended) {
+        let (job, place) = (attempt.job, attempt.place);
         self.journal.attempted(job, place, ended);
         self.figures.attempt(ended.word());
         let now = Instant::now();
@@ -230,6 +231,13 @@
         let mut books = self.books.borrow_mut();
         let account = books.target(place.name(), service, now);
         let was_out = account.record.is_out(now);
+        if let Place::Target { slots, .. } = place {
+            match ended {
+                Ended::Delivered => account.room.taken(attempt.ahead),
+                Ended::NotRun(_) => account.room.refused(attempt.ahead, *slots),
+                _ => {}
+            }
+        }
         match ended {
             Ended::Delivered => account.record.success(),
             Ended::NotSent(_) => {
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -197,6 +197,19 @@
         sources.any(|(name, _)| name == replica)
     }
 
+    /// Returns what a replica is to be told where it has become a source, or is one no more.
+    fn resubscribe(&self, replica: &str, is_subscribed: &mut bool) -> Option<Message> {
+        let is_source = self.is_source(replica);
+        if is_source == *is_subscribed {
+            return None;
+        }
+        *is_subscribed = is_source;
+        if !is_source {
+            self.knowledge.borrow_mut().lose(replica, Instant::now());
+        }
+        Some(Message::Subscribe(is_source))
+    }
+
     async fn attend(self: &Rc<Self>, link: Link, replica: &str) -> Error {
         let is_near = link.peer().place.region == self.hello.place.region;
         let head_start = if is_near { Duration::ZERO } else { HEAD_START };
@@ -207,14 +220,13 @@
         let mut is_subscribed = false;
         loop {
             let due = fetch_at.unwrap_or(silent);
-            let message = if self.is_source(replica) != is_subscribed {
-                is_subscribed = !is_subscribed;
-                if !is_subscribed {
-                    self.knowledge.borrow_mut().lose(replica, Instant::now());
-                }
-                Message::Subscribe(is_subscribed)
-            } else {
-                tokio::select! {
+            let subscription = self.resubscribe(replica, &mut is_subscribed);
+            if let Some(message) = subscription
+                && let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await
+            {
+                return error;
+            }
+            let message = tokio::select! {
                     frame = receiver.next() => {
                         silent = time::Instant::now() + SILENCE;
                         match frame {
@@ -240,7 +252,6 @@
                         Message::Fetch
                     }
                     () = time::sleep_until(silent) => return Error::Closed,
-                }
             };
             if let Err(error) = send_within(&mut sender, Frame::Hub(message), SILENCE).await {
                 return error;
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -63,7 +63,7 @@
             claims.push(Rc::clone(&own));
             if are_alive(name) {
                 let mut view = view.clone();
-                view.instance = (*name).to_owned();
+                (*name).clone_into(&mut view.instance);
                 let books = Rc::new(RefCell::new(Books::new(Bound::default())));
                 let neighbours = Rc::default();
                 let served = Rc::clone(socket);
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -11,6 +11,7 @@
     pub(crate) mod outlier;
     pub(crate) mod place;
     pub(crate) mod reading;
+    pub(crate) mod room;
     pub(crate) mod steady;
     pub(crate) mod warm;
     pub(crate) mod work;
