fix(gateway): a list of instances that comes when its replica is asked no more is dropped

Cause: since instances ask two replicas for lists, one that turns to a nearer replica could get the farther one's list after it had stopped asking. Nothing corrected that list any more, and of two lists the one that says "not ready" counts: instances that were starting by it were not ready for good. Requests whose routes are bound to other regions found no instance there and were refused, and callers were sent to the few instances of lists that were right.

Change: a list counts while its replica is asked; what comes later is dropped, and a list that was not heard yet does not stand for others'. The test plays the order in which it came about.

--- a/crates/zinniastall-gateway/src/knowledge.rs
+++ b/crates/zinniastall-gateway/src/knowledge.rs
@@ -60,6 +60,8 @@
 #[derive(Debug, Default)]
 struct List {
     instances: IndexMap<id::Instance, Presence>,
+    /// Whether the replica is asked for it, so that it tells changes.
+    is_asked: bool,
     ended: Option<Instant>,
 }
 
@@ -137,9 +139,25 @@
         }
     }
 
+    /// Notes that a replica is asked which instances there are. Until it has told, its list doesn't stand for
+    /// others': it is empty.
+    pub fn ask(&mut self, replica: &str, now: Instant) {
+        let unheard = || List {
+            ended: Some(now),
+            ..List::default()
+        };
+        let list = self.lists.entry(replica.to_owned());
+        list.or_insert_with(unheard).is_asked = true;
+    }
+
     /// Takes a replica's list of the instances that are alive, or what has changed of it.
+    ///
+    /// One that was on its way when the replica was asked no more is dropped: no change would ever correct it, and
+    /// instances that were starting by it would count as starting for good.
     pub fn hear_instances(&mut self, replica: &str, changes: hub::Instances) {
-        let list = self.lists.entry(replica.to_owned()).or_default();
+        let Some(list) = self.lists.get_mut(replica).filter(|list| list.is_asked) else {
+            return;
+        };
         list.ended = None;
         if changes.whole {
             list.instances.clear();
@@ -162,6 +180,7 @@
     /// Notes that a replica says no more of instances: its link broke, or others are asked now.
     pub fn lose(&mut self, replica: &str, now: Instant) {
         if let Some(list) = self.lists.get_mut(replica) {
+            list.is_asked = false;
             list.ended.get_or_insert(now);
         }
     }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -204,8 +204,11 @@
             return None;
         }
         *is_subscribed = is_source;
-        if !is_source {
-            self.knowledge.borrow_mut().lose(replica, Instant::now());
+        let mut knowledge = self.knowledge.borrow_mut();
+        if is_source {
+            knowledge.ask(replica, Instant::now());
+        } else {
+            knowledge.lose(replica, Instant::now());
         }
         Some(Message::Subscribe(is_source))
     }
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -148,6 +148,8 @@
 #[test]
 fn a_replicas_word_outlives_its_link_for_a_moment() {
     let (mut known, now) = (knowledge(), Instant::now());
+    known.ask("r1", now);
+    known.ask("r2", now);
     known.hear_instances("r1", all(vec![presence("a", 1, true)]));
     known.hear_instances("r2", all(vec![presence("b", 1, true)]));
     known.lose("r1", now);
@@ -163,6 +165,8 @@
 #[test]
 fn who_knows_of_the_end_is_believed() {
     let (mut known, now) = (knowledge(), Instant::now());
+    known.ask("r1", now);
+    known.ask("r2", now);
     known.hear_instances("r1", all(vec![presence("a", 1, false)]));
     known.hear_instances("r2", all(vec![presence("a", 1, true)]));
     assert!(!known.view(now).instances.by_name()["a"].ready);
@@ -188,6 +192,7 @@
 fn a_change_leaves_the_other_instances_as_they_were() {
     let (mut known, now) = (knowledge(), Instant::now());
     let first = vec![presence("a", 1, true), presence("b", 1, true)];
+    known.ask("r1", now);
     known.hear_instances("r1", all(first));
     let change = Instances {
         whole: false,
@@ -206,10 +211,27 @@
 #[test]
 fn another_source_takes_over_without_a_gap() {
     let (mut known, now) = (knowledge(), Instant::now());
+    known.ask("far", now);
     known.hear_instances("far", all(vec![presence("a", 1, true)]));
     known.lose("far", now);
+    known.ask("near", now);
     assert_eq!(alive(&mut known, now), ["a"]);
     known.hear_instances("near", all(vec![presence("b", 1, true)]));
     assert_eq!(alive(&mut known, now + Duration::from_secs(1)), ["a", "b"]);
     assert_eq!(alive(&mut known, now + Duration::from_secs(4)), ["b"]);
 }
+
+/// A farther replica's list is on its way when the instance turns to a nearer one. That replica tells no changes from
+/// then on; were its last list kept, an instance that was still starting by it would never be taken for ready.
+#[test]
+fn a_list_that_comes_too_late_is_not_kept() {
+    let (mut known, now) = (knowledge(), Instant::now());
+    known.ask("far", now);
+    known.hear_instances("far", all(vec![presence("a", 1, false)]));
+    known.ask("near", now);
+    known.lose("far", now);
+    known.hear_instances("far", all(vec![presence("a", 1, false)]));
+    known.hear_instances("near", all(vec![presence("a", 1, true)]));
+    let later = now + Duration::from_secs(4);
+    assert!(known.view(later).instances.by_name()["a"].ready);
+}
