perf(gateway): claims send no request away; targets are not split by the length of prompts any more

Cause, claims: sums contain some of what a coordinator counts as well, so that a target that took one long prompt seemed to have two and no room; requests were sent to other regions or refused for that. Change: an answer that leaves no target of the region changes nothing.

Cause, split: short prompts on targets of their own gain on the large deployment and lose on the grown one, where streams are long and fill those targets.

Learned room at plain targets, which came with the split, stays.

--- a/crates/zinniastall-gateway/src/books.rs
+++ b/crates/zinniastall-gateway/src/books.rs
@@ -14,7 +14,6 @@
         budget::{Bound, Budget},
         outlier::Record,
         room::Room,
-        split::{Length, Mix},
         warm::Pace,
         work::Work,
     },
@@ -36,7 +35,6 @@
     targets: IndexMap<id::Target, Account>,
     services: IndexMap<id::Service, Budget>,
     works: IndexMap<id::Service, Work>,
-    mixes: IndexMap<id::Service, Mix>,
     shut_regions: IndexMap<id::Service, IndexMap<id::Region, Instant>>,
     uses: IndexMap<id::Service, IndexMap<Use, Instant>>,
 }
@@ -85,7 +83,6 @@
             targets: IndexMap::new(),
             services: IndexMap::new(),
             works: IndexMap::new(),
-            mixes: IndexMap::new(),
             shut_regions: IndexMap::new(),
             uses: IndexMap::new(),
         }
@@ -111,13 +108,6 @@
         })
     }
 
-    /// Returns the requests of this instance at a target.
-    pub fn flights(&self, target: &str) -> u32 {
-        self.targets
-            .get(target)
-            .map_or(0, |account| account.flights)
-    }
-
     /// Returns the account of a target, if it has one.
     pub fn known(&mut self, target: &str) -> Option<&mut Account> {
         self.targets.get_mut(target)
@@ -137,20 +127,6 @@
         work.expected(assumed)
     }
 
-    /// Notes a request for a service's engines and how long its prompt takes to read.
-    pub fn note_length(&mut self, service: &str, reading: Duration, now: Instant) {
-        let Some(length) = Length::of(reading, self.gap(service, now)) else {
-            return;
-        };
-        let mix = self.mixes.entry(service.to_owned()).or_default();
-        mix.note(length, reading, now);
-    }
-
-    /// Returns how many of some targets of a service are for short prompts; see [`Mix::short_targets`].
-    pub fn short_targets(&self, service: &str, flights: &[u32], slots: u32) -> Option<usize> {
-        self.mixes.get(service)?.short_targets(flights, slots)
-    }
-
     /// Notes an answer of a plain service; see [`Work::note`].
     pub fn note_work(&mut self, service: &str, took: Duration, ahead: u32, slots: u32) {
         let work = self.works.entry(service.to_owned()).or_default();
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -6,6 +6,5 @@
 pub mod place;
 pub mod reading;
 pub mod room;
-pub mod split;
 pub mod warm;
 pub mod work;
--- a/crates/zinniastall-gateway/src/path/placing.rs
+++ b/crates/zinniastall-gateway/src/path/placing.rs
@@ -10,8 +10,7 @@
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
-        place::{self, Candidate, Choice, Patience, Region},
-        split::{self, Length},
+        place::{Candidate, Choice, Patience, Region, choose},
         warm,
     },
     groups::Sum,
@@ -77,10 +76,6 @@
     reading_us: Vec<u64>,
     flights: Vec<u32>,
     holders: Vec<Holder>,
-    /// Whether each is for short prompts, where they are split.
-    is_short: Vec<bool>,
-    /// Length of this request's prompt, where targets are split by it.
-    length: Option<Length>,
     opens_soon: bool,
 }
 
@@ -100,26 +95,6 @@
     }
 }
 
-/// Targets that are split by the length of prompts.
-#[derive(Debug)]
-struct Split<'a> {
-    /// Length of the request's prompt.
-    length: Length,
-    /// Names of the targets for short ones.
-    short: IndexSet<&'a str>,
-}
-
-impl Split<'_> {
-    fn is_short(&self, target: &Target) -> bool {
-        self.short.contains(target.report.target.as_str())
-    }
-
-    /// Tells whether a target is for prompts like the request's.
-    fn is_own(&self, target: &Target) -> bool {
-        self.is_short(target) == (self.length == Length::Short)
-    }
-}
-
 /// Another region.
 #[derive(Debug)]
 struct There<'a> {
@@ -148,7 +123,13 @@
                 break;
             };
             claimed.insert(target.clone(), load);
-            next = self.choose(job, tried, &claimed);
+            // Sums contain some of what was claimed as well. That may turn a request to another target of the
+            // region, and is no reason to send it away.
+            let again = self.choose(job, tried, &claimed);
+            if !matches!(again, Next::Go(Place::Target { .. }, ..)) {
+                break;
+            }
+            next = again;
         }
         if let Next::Go(place, ..) = &next {
             self.book(job, place);
@@ -176,12 +157,7 @@
             opens_soon: here.opens_soon && !job.is_passed_on,
         };
         drop(books);
-        let (candidates, is_short) = (&here.candidates, &here.is_short);
-        let choice = match here.length {
-            Some(length) => split::choose(candidates, is_short, length, &regions, patience),
-            None => place::choose(candidates, &regions, patience),
-        };
-        match choice {
+        match choose(&here.candidates, &regions, patience) {
             Choice::Here(at) => self.take(job, &here, at, now),
             Choice::There(at) => instance(&there[at]),
             Choice::Wait(after) => Next::Wait(after),
@@ -249,10 +225,7 @@
         }
         let targets = view.targets.of(&job.service, &view.place.region);
         let targets: Vec<&Target> = targets.collect();
-        let split = self.split(job, &targets, now);
-        here.length = split.as_ref().map(|split| split.length);
-        let is_own = |target: &&Target| split.as_ref().is_none_or(|split| split.is_own(target));
-        let home = home(job, targets.iter().copied().filter(is_own));
+        let home = home(job, &targets);
         for target in targets {
             if !self.is_open(job, target, view, now) {
                 continue;
@@ -269,8 +242,6 @@
                     here.opens_soon = true;
                     continue;
                 }
-                let is_short = |split: &Split<'_>| split.is_short(target);
-                here.is_short.push(split.as_ref().is_some_and(is_short));
                 here.holders.push(holder);
                 here.targets.push(target);
                 here.flights.push(flights);
@@ -281,25 +252,6 @@
         here
     }
 
-    /// Returns how a service's targets are split for a request by the length of its prompt, if they are.
-    fn split<'a>(&self, job: &Job, targets: &[&'a Target], now: Instant) -> Option<Split<'a>> {
-        let slots = job.engine_slots()?;
-        let books = self.books.borrow();
-        let length = Length::of(self.reading(job, 0), books.gap(&job.service, now))?;
-        // All instances sort them alike, and one that comes or goes moves one other at most.
-        let names = targets.iter().map(|held| held.report.target.as_str());
-        let mut names: Vec<&str> = names.collect();
-        names.sort_by_cached_key(|name| warm::weight(&job.service, name));
-        let neighbours = self.neighbours.borrow();
-        let flights = |name: &&str| books.flights(name) + neighbours.at(name, now).flights;
-        let flights: Vec<u32> = names.iter().map(flights).collect();
-        let count = books.short_targets(&job.service, &flights, slots)?;
-        Some(Split {
-            length,
-            short: names.into_iter().take(count).collect(),
-        })
-    }
-
     /// Tells whether a target may get a request at all.
     fn is_open(&self, job: &Job, target: &Target, view: &View, now: Instant) -> bool {
         if is_leaving(target, view, now) {
@@ -468,9 +420,9 @@
 }
 
 /// Returns the target at which all instances of the region expect a request's shared parts.
-fn home<'a>(job: &Job, targets: impl Iterator<Item = &'a Target>) -> Option<&'a str> {
+fn home<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
     let key = job.prompt.shared().last()?;
-    let names = targets.map(|target| target.report.target.as_str());
+    let names = targets.iter().map(|target| target.report.target.as_str());
     names.max_by_key(|name| warm::weight(key, name))
 }
 
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -233,12 +233,6 @@
     fn enter(&self, job: &Job) {
         let mut books = self.books.borrow_mut();
         books.note_use(&job.service, job.route(), job.arrived);
-        // What may not run in this region takes no time of its engines.
-        let may_run = job.route().permits(&self.board.view().place.region);
-        if job.engine().is_some() && may_run {
-            let reading = self.policy.rates.expected(job.prompt.tokens, 0);
-            books.note_length(&job.service, reading, job.arrived);
-        }
         // The instance to which its caller came has counted it already.
         if !job.is_passed_on {
             books.budget(&job.service).request(job.arrived);
