fix(tests): a process that dials at its start is told apart from strangers

By its log it found control 30 ms after its zone was cut off, and counted as cut off 315 ms later. Proxies tell callers apart by the process that holds a connection, once for each; the test's thread added the process only after it had started it, so that a dial in between was a stranger's, to whom the cut doesn't apply. Ruled out: the cut itself, which the links that were open saw at once. That the thread was held up between the two steps was not observed; the order that the new test plays shows what follows from it. Change: a process is added before anybody can ask whose a connection is. No check was changed.

--- a/tests/src/node.rs
+++ b/tests/src/node.rs
@@ -110,7 +110,7 @@
     ///
     /// Fails when its process does not start.
     pub async fn start(self, settings: Value) -> Result<Node> {
-        let process = settings::start(&self.name, self.binary, &settings)?;
+        let process = start(&self.callers, &self.name, self.binary, &settings)?;
         let mut node = Node {
             name: self.name,
             region: self.region,
@@ -187,12 +187,11 @@
     /// Fails when it does not start.
     pub async fn restart(&mut self) -> Result<()> {
         self.process.kill()?;
-        self.process = settings::start(&self.name, self.binary, &self.settings)?;
+        self.process = start(&self.callers, &self.name, self.binary, &self.settings)?;
         self.connect().await
     }
 
     async fn connect(&mut self) -> Result<()> {
-        self.callers.add(self.process.id(), &self.name);
         for (role, proxy) in &self.proxies {
             proxy.upstream(self.process.address(role).await?);
         }
@@ -200,6 +199,11 @@
     }
 }
 
+fn start(callers: &Callers, name: &str, binary: &str, settings: &Value) -> Result<Process> {
+    let start = || settings::start(name, binary, settings);
+    callers.start(name, start, Process::id)
+}
+
 fn proxy<'a>(proxies: &'a Proxies, role: &str) -> Result<&'a Proxy> {
     proxies
         .get(role)
--- a/tests/src/proxy/callers.rs
+++ b/tests/src/proxy/callers.rs
@@ -20,10 +20,24 @@
 }
 
 impl Callers {
-    /// Adds a process.
-    pub fn add(&self, id: u32, name: &str) {
+    /// Starts a process and adds it.
+    ///
+    /// Whoever asks for the caller of a connection meanwhile waits: a process that dials before it is added would be
+    /// taken for a stranger for as long as that connection lasts, and pass every partition.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the start fails of.
+    pub fn start<P, E>(
+        &self,
+        name: &str,
+        start: impl FnOnce() -> Result<P, E>,
+        id: impl FnOnce(&P) -> u32,
+    ) -> Result<P, E> {
         let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
-        names.insert(id, name.to_owned());
+        let process = start()?;
+        names.insert(id(&process), name.to_owned());
+        Ok(process)
     }
 
     /// Returns the name of the process that holds the far end of an open connection, given the
--- a/tests/tests/proxy.rs
+++ b/tests/tests/proxy.rs
@@ -159,7 +159,8 @@
 async fn callers_are_told_apart() {
     let stalled = Rule::default().with(Way::Both, |lane| lane.stalled = true);
     let callers = Callers::default();
-    callers.add(std::process::id(), "this test");
+    let own = |(): &()| std::process::id();
+    callers.start("this test", || Ok::<_, ()>(()), own).unwrap();
     let proxy = Proxy::bind_for(&callers).unwrap();
     proxy.upstream(echo());
     proxy.rule_for("another", stalled);
@@ -173,6 +174,25 @@
     .unwrap();
 }
 
+/// A process is started while its zone is cut off, and dials before the test has noted whose process it is. Taken
+/// for a stranger, its connection would pass the cut, and the test would fail on a machine that is busy.
+#[actix_rt::test]
+async fn a_process_that_dials_at_its_start_is_told_apart() {
+    let stalled = Rule::default().with(Way::Both, |lane| lane.stalled = true);
+    let callers = Callers::default();
+    let proxy = Proxy::bind_for(&callers).unwrap();
+    proxy.upstream(echo());
+    proxy.rule_for("this test", stalled);
+    let dial = || {
+        let stream = TcpStream::connect(proxy.address());
+        std::thread::sleep(Duration::from_millis(200));
+        stream
+    };
+    let own = |_: &TcpStream| std::process::id();
+    let mut stream = callers.start("this test", dial, own).unwrap();
+    assert!(silent(&mut stream));
+}
+
 /// A caller dials while the way is cut, writes, and gives up. Without the cut it would have had a
 /// connection; with it nobody must hear of it when the way opens, or a request that its caller has
 /// written off would run.
