feat(gateway): logs tell which request was at a target that crashed

An attempt that is cut is followed by one look at the target's address; where the target was expected to stay and refuses connections, event=target-crashed names the request's fingerprint (a digest of account, host, path and body) and how many requests the target had.

No decision changes.

--- a/crates/zinniastall-gateway/src/journal.rs
+++ b/crates/zinniastall-gateway/src/journal.rs
@@ -190,6 +190,23 @@
         );
     }
 
+    /// Notes that a target ended while it had a request; `flights` are the requests that it had, of all instances
+    /// as far as they are known.
+    pub fn crashed(&self, job: &Job, target: &str, flights: u32) {
+        if !self.allows(false) {
+            return;
+        }
+        tracing::info!(
+            event = "target-crashed",
+            id = job.id,
+            route = job.route().name,
+            place = target,
+            fingerprint = %job.fingerprint(),
+            flights,
+            passed_on = job.is_passed_on,
+        );
+    }
+
     /// Notes that no place would answer a request in time.
     pub fn given_up(&self, job: &Job, basis: Basis, after: Duration) {
         if !self.allows(false) {
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -1,6 +1,7 @@
 //! A request, judged: its route, its service, its time.
 
 use std::{
+    cell::OnceCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,6 +10,7 @@
 use http::{HeaderMap, HeaderName};
 use zinniastall_http::head::Request;
 use zinniastall_model::{
+    fingerprint::Fingerprint,
     id,
     routing::{Account, Engine, Kind, Quota, Route, Service, Table},
 };
@@ -52,6 +54,7 @@
     route: usize,
     served: usize,
     account: Option<usize>,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 /// What a request counts for in a client account's quota.
@@ -159,6 +162,7 @@
             route: self.route,
             account: self.account,
             served,
+            fingerprint: OnceCell::new(),
             head,
             body,
         })
@@ -183,6 +187,15 @@
         self.table().account(self.account?)
     }
 
+    /// Returns what makes another request the same as this one; it is computed when it is first asked for.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let of_job = || {
+            let account = self.account().map(|account| account.name.as_str());
+            Fingerprint::of(account, self.head.host(), &self.head.target, &self.body)
+        };
+        *self.fingerprint.get_or_init(of_job)
+    }
+
     /// Returns what the request counts for in its account's quota, and which one that is.
     pub fn charge(&self) -> Option<Charge> {
         let account = self.account()?;
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod client;
+mod crash;
 pub mod events;
 pub mod job;
 mod outgoing;
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -141,6 +141,9 @@
                         may_have_run,
                     };
                     let ended = self.attempt(&attempt, &mut events, client).await;
+                    if self.has_crashed(&attempt, &ended).await {
+                        self.note_crash(job, &place);
+                    }
                     self.note(&attempt, &ended);
                     self.follow_up(&mut course, &place, ended, client)?
                 }
--- a/crates/zinniastall-gateway/src/path/watch.rs
+++ b/crates/zinniastall-gateway/src/path/watch.rs
@@ -5,7 +5,7 @@
 //! target silent as well, and is no reason to leave it. What tells the two apart is whether the target still
 //! takes connections.
 
-use std::{pin::pin, time::Duration};
+use std::{io::ErrorKind, pin::pin, time::Duration};
 
 use tokio::{net::TcpStream, time};
 
@@ -14,6 +14,9 @@
 const SILENCE: Duration = Duration::from_millis(600);
 /// Longest wait for a connection to a target of the same region, whose round trip is a few milliseconds.
 const CONNECT: Duration = Duration::from_millis(200);
+/// Longest wait for a target that has just closed a connection to refuse another one. A round trip between zones of a
+/// region takes a few milliseconds, and the request's next attempt waits for it.
+const REFUSAL: Duration = Duration::from_millis(30);
 /// Probes that have to fail in a row, since single packets are lost.
 const PROBES: usize = 2;
 
@@ -48,3 +51,10 @@
     }
     false
 }
+
+/// Tells whether nothing listens at an address any more: the machine is there, and the process that listened has
+/// ended.
+pub(super) async fn is_refused(address: &str) -> bool {
+    let connected = time::timeout(REFUSAL, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/zinniastall-gateway/tests/path/lines.rs
+++ b/crates/zinniastall-gateway/tests/path/lines.rs
@@ -173,6 +173,36 @@
     );
 }
 
+/// Sends a request under two ids, each time to a target that ends while it runs it.
+async fn crashed_twice() {
+    keep_log();
+    let crashing = |_: &Seen| vec![Act::Crash];
+    let one = Target::start(crashing).await;
+    let two = Target::start(crashing).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    for id in ["a", "b"] {
+        stage.connect().await.call(&post("/pay/1", id, "x")).await;
+    }
+    let mark = |id: &str| {
+        let id = format!("id={id}");
+        let words = ["event=target-crashed", id.as_str()];
+        check_line(&words, &["place", "flights"]);
+        let line = lines(&words).remove(0);
+        let rest = line.split(" fingerprint=").nth(1).unwrap();
+        rest.split(' ').next().unwrap().to_owned()
+    };
+    assert_eq!(mark("a"), mark("b"));
+}
+
+/// A target closes a connection within an answer and goes on serving others.
+async fn cut_without_a_crash() {
+    keep_log();
+    let target = Target::start(|_| vec![Act::Close]).await;
+    let stage = Stage::start(view(routes(), &[&target])).await;
+    stage.connect().await.call(&post("/pay/1", "a", "x")).await;
+    assert_eq!(lines(&["event=target-crashed"]), Vec::<String>::new());
+}
+
 async fn given_up() {
     keep_log();
     let target = Target::start(|_| vec![Act::Close]).await;
@@ -221,6 +251,10 @@
     a_repeat_has_its_lines => tried_again(),
     /// A caller was told that nobody knows whether a request ran.
     an_unknown_end_has_its_line => given_up(),
+    /// Two targets ended under one request that came twice: its lines must tell so.
+    a_crash_names_its_request => crashed_twice(),
+    /// A broken connection taken for a crash.
+    a_cut_is_no_crash => cut_without_a_crash(),
     /// Every request fails. Lines without a bound would cost more than the requests, and fill the disk.
     lines_are_bounded_where_everything_fails => bounded(),
 }
--- a/crates/zinniastall-gateway/tests/path/stage.rs
+++ b/crates/zinniastall-gateway/tests/path/stage.rs
@@ -6,7 +6,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::Notify,
+    sync::{Notify, watch},
     task::LocalSet,
     time,
 };
@@ -56,6 +56,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Ends the target's process: all connections are closed and new ones are refused.
+    Crash,
     /// Loses power: nothing is closed, nothing comes any more, and no connection opens.
     Dark,
 }
@@ -120,20 +122,28 @@
             closed: Rc::default(),
         };
         let dark = Rc::new(Notify::new());
+        let crash = Rc::new(watch::Sender::new(false));
         let (seen, closed) = (Rc::clone(&target.seen), Rc::clone(&target.closed));
         let script: Rc<Script> = Rc::new(script);
         tokio::task::spawn_local(async move {
             let mut connection = 0;
+            let mut crashed = crash.subscribe();
             loop {
                 let stream = tokio::select! {
                     accepted = listener.accept() => accepted.unwrap().0,
                     () = dark.notified() => break,
+                    _ = crashed.changed() => return,
                 };
-                let dark = Rc::clone(&dark);
+                let (dark, crash) = (Rc::clone(&dark), Rc::clone(&crash));
                 let (script, seen) = (Rc::clone(&script), Rc::clone(&seen));
                 let closed = Rc::clone(&closed);
                 tokio::task::spawn_local(async move {
-                    attend(stream, connection, &*script, &seen, &dark).await;
+                    let mut crashed = crash.subscribe();
+                    tokio::select! {
+                        biased;
+                        _ = crashed.wait_for(|crashed| *crashed) => {}
+                        () = attend(stream, connection, &*script, &seen, (&dark, &crash)) => {}
+                    }
                     *closed.borrow_mut() += 1;
                 });
                 connection += 1;
@@ -176,7 +186,7 @@
     connection: usize,
     script: &Script,
     seen: &RefCell<Vec<Seen>>,
-    dark: &Notify,
+    (dark, crash): (&Notify, &watch::Sender<bool>),
 ) {
     let mut input = Vec::new();
     loop {
@@ -203,6 +213,10 @@
                     }
                 }
                 Act::Close => return,
+                Act::Crash => {
+                    crash.send_replace(true);
+                    let () = std::future::pending().await;
+                }
                 Act::Dark => {
                     dark.notify_one();
                     let () = std::future::pending().await;
--- /dev/null
+++ b/crates/zinniastall-model/src/fingerprint.rs
@@ -0,0 +1,77 @@
+//! What makes two requests the same one, whoever sends it again and over whichever connection.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteArray;
+
+/// Separates these digests from all others that are made with the same function.
+const CONTEXT: &str = "zinniastall 2026 fingerprint of a request";
+/// Length of a fingerprint, in bytes.
+const LENGTH: usize = 16;
+
+/// Digest of what a request asks: its client account, host, path with query, and body.
+///
+/// Ids, deadlines and all other header fields leave it as it is. It tells nothing of the body to whom doesn't know
+/// the body already.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(ByteArray<LENGTH>);
+
+/// A text is no fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a fingerprint has {} hexadecimal digits", 2 * LENGTH)]
+pub struct Malformed;
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request; `target` is its path with the query.
+    pub fn of(account: Option<&str>, host: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+        let host = host.to_ascii_lowercase();
+        let fields = [account.unwrap_or_default(), &host, target];
+        for field in fields {
+            // Lengths keep apart what would be the same in a row.
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(&[u8::from(account.is_some())]);
+        hasher.update(body);
+        let mut bytes = [0; LENGTH];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self::from(bytes)
+    }
+}
+
+impl From<[u8; LENGTH]> for Fingerprint {
+    fn from(bytes: [u8; LENGTH]) -> Self {
+        Self(ByteArray::new(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        if text.len() != 2 * LENGTH || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(Malformed);
+        }
+        let mut bytes = [0; LENGTH];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * at..2 * at + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| Malformed)?;
+        }
+        Ok(Self::from(bytes))
+    }
+}
--- a/crates/zinniastall-model/src/lib.rs
+++ b/crates/zinniastall-model/src/lib.rs
@@ -5,6 +5,7 @@
 //! that has applied the same changes holds the same state.
 
 pub mod change;
+pub mod fingerprint;
 pub mod header;
 pub mod id;
 pub mod machine;
--- /dev/null
+++ b/crates/zinniastall-model/tests/fingerprint.rs
@@ -0,0 +1,44 @@
+//! What makes two requests the same one, and what doesn't.
+
+use proptest::prelude::*;
+use zinniastall_model::fingerprint::Fingerprint;
+
+const HOST: &str = "maps.example";
+
+fn of(account: Option<&str>, host: &str, target: &str, body: &str) -> Fingerprint {
+    Fingerprint::of(account, host, target, body.as_bytes())
+}
+
+macro_rules! differ {
+    ($($name:ident: $one:expr, $other:expr;)*) => {
+        $(#[test] fn $name() { assert_ne!($one, $other); })*
+    };
+}
+
+differ! {
+    accounts_have_their_own: of(Some("a"), HOST, "/", "x"), of(Some("b"), HOST, "/", "x");
+    no_account_is_not_an_empty_one: of(None, HOST, "/", "x"), of(Some(""), HOST, "/", "x");
+    hosts_have_their_own: of(None, "a.example", "/", "x"), of(None, "b.example", "/", "x");
+    queries_count: of(None, HOST, "/?a=1", "x"), of(None, HOST, "/?a=2", "x");
+    bodies_count: of(None, HOST, "/", "x"), of(None, HOST, "/", "y");
+    fields_don_t_run_into_each_other: of(Some("ab"), "c", "/", ""), of(Some("a"), "bc", "/", "");
+}
+
+#[test]
+fn hosts_are_compared_without_case() {
+    assert_eq!(of(None, "Maps.Example", "/", "x"), of(None, HOST, "/", "x"));
+}
+
+proptest! {
+    #[test]
+    fn a_fingerprint_is_read_as_it_was_written(bytes: [u8; 16]) {
+        let fingerprint = Fingerprint::from(bytes);
+        prop_assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
+    }
+
+    #[test]
+    fn other_texts_are_no_fingerprints(text in "[0-9a-g]{0,40}") {
+        let is_one = text.len() == 32 && !text.contains('g');
+        prop_assert_eq!(text.parse::<Fingerprint>().is_ok(), is_one);
+    }
+}
