--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod heads;
 mod lines;
+mod quarantine;
 mod stage;
 mod streams;
 
