--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,5 +1,5 @@
-//! Coordination parts without I/O: consensus, leases, fences, command tables, tickets, membership
-//! and digests.
+//! Coordination parts without I/O: consensus, leases, fences, command tables, tickets, membership,
+//! digests and quarantine.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Each part is a state machine that
 //! is given messages and the present [`Instant`](std::time::Instant) and hands back what the
@@ -16,6 +16,7 @@
 //! | [`digest`] | facts about groups, flooded, coalesced to a budget, aged out |
 //! | [`fence`] | numbers that only grow, and the gate that refuses lower ones |
 //! | [`command`] | recorded answers of commands, so that a resend never runs twice |
+//! | [`quarantine`] | requests that crash whoever runs them, and how suspicion is shared |
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
@@ -25,6 +26,7 @@
 pub mod lease;
 pub mod log;
 pub mod membership;
+pub mod quarantine;
 pub mod replica;
 pub mod ticket;
 pub mod voters;
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -216,6 +216,8 @@
                 neighbours: Rc::clone(&traffic.neighbours),
                 claims: Rc::clone(&traffic.claims),
                 quotas: Rc::clone(&traffic.quotas),
+                suspects: Rc::clone(&traffic.suspects),
+                news: Rc::clone(&traffic.news),
             };
             actix::spawn(neighbours::run(Rc::new(socket), shared));
         }
@@ -236,6 +238,7 @@
                 let ready = instances.filter(|held| held.ready).count();
                 traffic.figures.know(view.revision(), view.targets.by_name().len(), ready);
                 traffic.figures.connect(traffic.connections.open());
+                traffic.figures.quarantine(traffic.suspects.borrow().quarantined());
                 *told.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
             order = &mut drain => {
--- a/crates/zinniastall-gateway/src/figures.rs
+++ b/crates/zinniastall-gateway/src/figures.rs
@@ -39,6 +39,12 @@
     outcome: &'static str,
 }
 
+/// What becomes of requests that are suspected of crashing targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Suspect {
+    event: &'static str,
+}
+
 /// How attempts end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Attempt {
@@ -57,6 +63,8 @@
     pause_seconds: Histograms<Route>,
     attempts: Counters<Attempt>,
     units: Counters<Units>,
+    suspects: Counters<Suspect>,
+    quarantined: Gauge,
     revision: Gauge,
     targets: Gauge,
     instances: Gauge,
@@ -87,6 +95,11 @@
                 "quota_units",
                 "Units of quotas by client account and outcome",
             ),
+            suspects: page.counters(
+                "suspects",
+                "Requests at targets that crashed, and what became of them",
+            ),
+            quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             revision: page.gauge("revision", "Configuration in force"),
             targets: page.gauge("targets", "Targets that take requests"),
             instances: page.gauge("instances", "Instances that take requests"),
@@ -133,6 +146,17 @@
         self.units.get_or_create(&units_of).inc_by(units);
     }
 
+    /// Counts what becomes of a request that is suspected of crashing targets: `crashed`, `cleared`, `quarantined` or
+    /// `rejected`.
+    pub fn suspect(&self, event: &'static str) {
+        self.suspects.get_or_create(&Suspect { event }).inc();
+    }
+
+    /// Sets how many requests are quarantined.
+    pub fn quarantine(&self, requests: usize) {
+        self.quarantined.set(requests as u64);
+    }
+
     /// Sets what is known at present.
     pub fn know(&self, revision: u64, targets: usize, instances: usize) {
         self.revision.set(revision);
--- a/crates/zinniastall-gateway/src/journal.rs
+++ b/crates/zinniastall-gateway/src/journal.rs
@@ -191,8 +191,8 @@
     }
 
     /// Notes that a target ended while it had a request; `flights` are the requests that it had, of all instances
-    /// as far as they are known.
-    pub fn crashed(&self, job: &Job, target: &str, flights: u32) {
+    /// as far as they are known, and `crashes` those that count against this one by now.
+    pub fn crashed(&self, job: &Job, target: &str, flights: u32, crashes: usize) {
         if !self.allows(false) {
             return;
         }
@@ -202,11 +202,34 @@
             route = job.route().name,
             place = target,
             fingerprint = %job.fingerprint(),
+            crashes,
             flights,
             passed_on = job.is_passed_on,
         );
     }
 
+    /// Notes that a request is not run any more, or was not run because of that.
+    pub fn quarantined(&self, job: &Job, event: &'static str) {
+        if !self.allows(false) {
+            return;
+        }
+        tracing::warn!(
+            event,
+            id = job.id,
+            route = job.route().name,
+            account = job.account().map(|account| account.name.as_str()),
+            fingerprint = %job.fingerprint(),
+        );
+    }
+
+    /// Notes that a request is suspected no more.
+    pub fn cleared(&self, job: &Job) {
+        if self.allows(false) {
+            let fingerprint = job.fingerprint();
+            tracing::info!(event = "suspect-cleared", id = job.id, %fingerprint);
+        }
+    }
+
     /// Notes that no place would answer a request in time.
     pub fn given_up(&self, job: &Job, basis: Basis, after: Duration) {
         if !self.allows(false) {
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod neighbours;
 pub mod path;
 pub mod policy;
+pub mod suspects;
 pub mod uplink;
 pub mod view;
--- a/crates/zinniastall-gateway/src/names.rs
+++ b/crates/zinniastall-gateway/src/names.rs
@@ -16,6 +16,8 @@
 pub const RETRY_MS: HeaderName = HeaderName::from_static("zs-retry-after-ms");
 /// Field between instances: the client account as which a request was identified.
 pub const ACCOUNT: HeaderName = HeaderName::from_static("zs-account");
+/// Field between instances: what is known of a request that is suspected of crashing targets, as JSON.
+pub const SUSPICION: HeaderName = HeaderName::from_static("zs-suspicion");
 /// Prefix of the fields between instances; those that a caller sends are dropped.
 pub const OWN_PREFIX: &str = "zs-";
 
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -13,6 +13,7 @@
 pub mod collector;
 pub mod datagram;
 mod reports;
+pub mod suspicions;
 pub mod usage;
 
 use std::{
@@ -24,7 +25,7 @@
 };
 
 use indexmap::IndexMap;
-use tokio::{net::UdpSocket, time};
+use tokio::{net::UdpSocket, sync::Notify, time};
 use zinniastall_model::{id, presence::Presence};
 
 use self::{
@@ -37,6 +38,7 @@
 use crate::{
     books::Books,
     decide::quota::{self, Quotas},
+    suspects::Suspects,
     view::{Board, View},
 };
 
@@ -47,6 +49,8 @@
 /// Age at which a sum over the region counts no more. It is longer, since without any sum all instances would
 /// turn to the same target: in it an instance learns that both collectors are gone, and who takes their place.
 const OLD_SUM: Duration = Duration::from_secs(3);
+/// Time for which news of suspects is gathered: all connections to a target that crashes break within it.
+const GATHER: Duration = Duration::from_millis(10);
 /// Silence of the first collector after which the second one takes its place.
 const TAKE_OVER: Duration = Duration::from_millis(300);
 /// Own reports that are remembered, to be taken off the sums that contain them.
@@ -261,9 +265,25 @@
     pub claims: Rc<Claims>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
+    /// Requests that are suspected of crashing targets.
+    pub suspects: Rc<RefCell<Suspects>>,
+    /// Says that the others have to be told of a suspect.
+    pub news: Rc<Notify>,
 }
 
 impl Shared {
+    /// Takes what another instance knows of suspects.
+    fn hear_suspects(&self, roster: &Roster, part: &suspicions::Part, for_all: bool) {
+        let mut suspects = self.suspects.borrow_mut();
+        let now = Instant::now();
+        for request in suspicions::hear(roster, &mut suspects, part, for_all, now) {
+            tracing::warn!(event = "quarantine-heard", fingerprint = %request);
+        }
+        if suspects.has_news() {
+            self.news.notify_one();
+        }
+    }
+
     /// Returns what is to be sent of the use of quotas in this round; nothing where no account has one.
     fn usage(&self, exchange: &mut Exchange, roster: &Roster, now: Instant) -> Vec<Outgoing> {
         let view = self.board.view();
@@ -318,9 +338,13 @@
         neighbours,
         claims,
         quotas,
+        suspects,
+        news,
     } = &shared;
     claims.open(Rc::clone(&socket));
     let mut exchange = Exchange::default();
+    let mut comparing = suspicions::Exchange::default();
+    let mut telling: Option<time::Instant> = None;
     let mut pace = time::interval(PACE);
     pace.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; LONGEST];
@@ -349,9 +373,26 @@
                             quotas.borrow_mut().hear(totals, now);
                         }
                     }
+                    Datagram::Suspects { for_all, part } => {
+                        shared.hear_suspects(&roster, &part, for_all);
+                    }
+                    Datagram::SuspectSum { sum, is_answer } => {
+                        let answers = suspicions::answers(&roster, &suspects.borrow(), sum, is_answer);
+                        for answer in answers {
+                            send(&socket, &answer, [sender]).await;
+                        }
+                    }
                     datagram => neighbours.borrow_mut().hear(datagram, now),
                 }
             }
+            () = news.notified(), if telling.is_none() => {
+                telling = Some(time::Instant::now() + GATHER);
+            }
+            () = time::sleep_until(telling.unwrap_or_else(time::Instant::now)), if telling.is_some() => {
+                telling = None;
+                let sends = suspicions::news(&roster, &mut suspects.borrow_mut());
+                send_all(&socket, &board.view(), sends).await;
+            }
             _ = pace.tick() => {
                 claims.expire(Instant::now());
                 let view = board.view();
@@ -364,6 +405,8 @@
                 let now = Instant::now();
                 let mut sends = neighbours.borrow_mut().round(&roster, own.collect(), now);
                 sends.extend(shared.usage(&mut exchange, &roster, now));
+                sends.extend(comparing.round(&roster, &suspects.borrow()));
+                sends.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
                 send_all(&socket, &view, sends).await;
             }
         }
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use zinniastall_model::id;
 
-use super::{Load, Loads, usage};
+use super::{Load, Loads, suspicions, usage};
 use crate::decide::warm;
 
 /// Longest datagram, in bytes; one that is longer would be cut into packets and lost with any of them.
@@ -90,6 +90,26 @@
         #[serde(rename = "p")]
         part: usage::Part,
     },
+    /// What is known of requests that crash targets.
+    #[serde(rename = "s")]
+    Suspects {
+        /// Whether a collector that gets it passes it on to all zones, or to its own alone.
+        #[serde(rename = "a")]
+        for_all: bool,
+        /// Some suspicions.
+        #[serde(rename = "p")]
+        part: suspicions::Part,
+    },
+    /// A digest of all strong suspicions, to be compared.
+    #[serde(rename = "d")]
+    SuspectSum {
+        /// Digest.
+        #[serde(rename = "n")]
+        sum: u64,
+        /// Whether it answers another one.
+        #[serde(rename = "b")]
+        is_answer: bool,
+    },
     /// An instance is about to send a request to a target; to the target's coordinator.
     #[serde(rename = "c")]
     Claim {
--- /dev/null
+++ b/crates/zinniastall-gateway/src/neighbours/suspicions.rs
@@ -0,0 +1,147 @@
+//! What all instances know of requests that crash targets, told by datagram.
+//!
+//! News goes at once from an instance to the collectors of its availability zone, from those to the collectors of all
+//! other zones, and from each collector to the instances of its own. Only suspected requests travel. What is lost,
+//! and what an instance missed that starts, was suspended or cut off, comes with a comparison of digests once a
+//! second: with a collector of the own zone, and from collector to collector.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use zinniastall_coord::quarantine::Suspicion;
+use zinniastall_model::{fingerprint::Fingerprint, id};
+
+use super::{Outgoing, collector::Roster, datagram::Datagram};
+use crate::suspects::{Change, Scope, Suspects};
+
+/// Suspicions of one datagram: each takes 70 bytes at most.
+const ENTRIES: usize = 18;
+/// Rounds between two comparisons.
+const COMPARE: u32 = 10;
+/// Datagrams with which a difference is answered at most; the next comparison brings more.
+const ANSWERS: usize = 8;
+
+/// Some suspicions.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Part(Vec<(Fingerprint, Suspicion)>);
+
+/// Who is told what, and when.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    round: u32,
+}
+
+impl Exchange {
+    /// Returns what is to be sent to compare what is known, in a round.
+    pub fn round(&mut self, roster: &Roster, suspects: &Suspects) -> Option<Outgoing> {
+        let round = self.round;
+        let others = if roster.collects() {
+            partners(roster)
+        } else {
+            roster.collectors_beside()
+        };
+        if others.is_empty() {
+            return None;
+        }
+        self.round = round.wrapping_add(1);
+        if !round.is_multiple_of(COMPARE) {
+            return None;
+        }
+        let at = (round / COMPARE) as usize % others.len();
+        Some(Outgoing {
+            to: vec![others[at].clone()],
+            datagram: Datagram::SuspectSum {
+                sum: suspects.sum(),
+                is_answer: false,
+            },
+        })
+    }
+}
+
+/// Takes what another instance knows; returns the requests that are quarantined from now on.
+///
+/// News goes on to the instances of the zone where this instance is a collector, and to all where the sender has left
+/// that to it (`for_all`).
+pub fn hear(
+    roster: &Roster,
+    suspects: &mut Suspects,
+    part: &Part,
+    for_all: bool,
+    now: Instant,
+) -> Vec<Fingerprint> {
+    let scope = if for_all { Scope::All } else { Scope::Zone };
+    let scope = Some(scope).filter(|_| roster.collects());
+    let mut quarantined = Vec::new();
+    for (request, suspicion) in &part.0 {
+        if suspects.hear(*request, suspicion, scope, now) == Change::Quarantined {
+            quarantined.push(*request);
+        }
+    }
+    quarantined
+}
+
+/// Returns the news of an instance.
+pub fn news(roster: &Roster, suspects: &mut Suspects) -> Vec<Outgoing> {
+    let (far, near): (Vec<_>, Vec<_>) = suspects
+        .news()
+        .into_iter()
+        .partition(|(scope, ..)| *scope == Scope::All);
+    let entries = |news: Vec<(Scope, Fingerprint, Suspicion)>| {
+        let entries = news.into_iter();
+        let entries = entries.map(|(_, request, suspicion)| (request, suspicion));
+        entries.collect::<Vec<_>>()
+    };
+    let (far, near) = (entries(far), entries(near));
+    if !roster.collects() {
+        return tell(&roster.collectors_beside(), &far, true);
+    }
+    let mut sends = tell(&partners(roster), &far, false);
+    sends.extend(tell(roster.zone_members(), &far, false));
+    sends.extend(tell(roster.zone_members(), &near, false));
+    sends
+}
+
+/// Returns the answers to another instance's digest.
+pub fn answers(roster: &Roster, suspects: &Suspects, sum: u64, is_answer: bool) -> Vec<Datagram> {
+    let own = suspects.sum();
+    if own == sum {
+        return Vec::new();
+    }
+    let strong = suspects.strong();
+    let parts = parts(&strong, !roster.collects());
+    let mut answers: Vec<Datagram> = parts.into_iter().take(ANSWERS).collect();
+    if !is_answer {
+        answers.push(Datagram::SuspectSum {
+            sum: own,
+            is_answer: true,
+        });
+    }
+    answers
+}
+
+/// Returns the other collectors, of this zone and all others.
+fn partners(roster: &Roster) -> Vec<id::Instance> {
+    let beside = roster.collectors_beside().into_iter();
+    let others = roster.other_collectors().iter();
+    let others = others.chain(roster.far_collectors());
+    beside.chain(others.cloned()).collect()
+}
+
+fn tell(to: &[id::Instance], entries: &[(Fingerprint, Suspicion)], for_all: bool) -> Vec<Outgoing> {
+    if to.is_empty() {
+        return Vec::new();
+    }
+    let tell = |datagram| Outgoing {
+        to: to.to_vec(),
+        datagram,
+    };
+    parts(entries, for_all).into_iter().map(tell).collect()
+}
+
+fn parts(entries: &[(Fingerprint, Suspicion)], for_all: bool) -> Vec<Datagram> {
+    let part = |entries: &[(Fingerprint, Suspicion)]| Datagram::Suspects {
+        for_all,
+        part: Part(entries.to_vec()),
+    };
+    entries.chunks(ENTRIES).map(part).collect()
+}
--- a/crates/zinniastall-gateway/src/path/answer.rs
+++ b/crates/zinniastall-gateway/src/path/answer.rs
@@ -6,9 +6,13 @@
     HeaderValue, StatusCode,
     header::{RETRY_AFTER, WWW_AUTHENTICATE},
 };
+use zinniastall_coord::quarantine::Suspicion;
 use zinniastall_http::server::Reply;
 
-use crate::names::{OUTCOME, RETRY_MS};
+use crate::{
+    names::{OUTCOME, RETRY_MS, SUSPICION},
+    suspects,
+};
 
 /// Why a request has no answer of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +37,8 @@
     Unidentified,
     /// Its client account has used up its quota; it may come back after a time.
     Exceeded(Duration),
+    /// It crashes the targets that run it, and is not run any more.
+    Quarantined,
     /// It was never sent; it may come back after a time.
     Busy(Duration),
     /// A target refused it before it ran; it may come back after a time.
@@ -85,7 +91,8 @@
     /// and never will.
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            // It is the request that has to change; callers don't repeat it after this status.
+            Self::Malformed | Self::Quarantined => StatusCode::BAD_REQUEST,
             Self::LongHead => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
@@ -133,6 +140,7 @@
             Self::Unknown => "no-such-route",
             Self::Unidentified => "unknown-key",
             Self::Exceeded(_) => "quota-exceeded",
+            Self::Quarantined => "quarantined",
             Self::Busy(_) => "busy",
             Self::Refused(_) => "refused-by-target",
             Self::Lost => "answer-lost",
@@ -158,11 +166,15 @@
         reply
     }
 
-    /// Makes the answer for the instance that passed the request on.
-    pub fn answer_instance(self) -> Reply {
+    /// Makes the answer for the instance that passed the request on, with what is known against the request.
+    pub fn answer_instance(self, suspicion: Option<&Suspicion>) -> Reply {
         let mut answer = self.answer();
         let word = HeaderValue::from_static(self.outcome().word());
         answer.headers.insert(OUTCOME, word);
+        let suspicion = suspicion.and_then(suspects::field);
+        answer
+            .headers
+            .extend(suspicion.map(|value| (SUSPICION, value)));
         if let Some(after) = self.after() {
             let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
             answer.headers.insert(RETRY_MS, HeaderValue::from(millis));
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -277,6 +277,7 @@
         let headers = &response.headers;
         if matches!(attempt.place, Place::Instance { .. }) {
             let outcome = text(headers, &OUTCOME).and_then(Outcome::parse)?;
+            self.hear_suspicion(attempt.job, headers);
             let after = number(headers, &RETRY_MS).map(Duration::from_millis);
             if outcome == Outcome::Unknown {
                 return Some(Ended::Unknown("unknown there".to_owned()));
--- a/crates/zinniastall-gateway/src/path/client.rs
+++ b/crates/zinniastall-gateway/src/path/client.rs
@@ -10,6 +10,7 @@
     HeaderMap, HeaderValue, StatusCode,
     header::{CONNECTION, TRANSFER_ENCODING},
 };
+use zinniastall_coord::quarantine::Suspicion;
 use zinniastall_http::{
     body::{LAST_CHUNK, write_chunk},
     connection::Writer,
@@ -112,14 +113,18 @@
         Ok(())
     }
 
-    /// Writes an answer of the gateway's own.
+    /// Writes an answer of the gateway's own; another instance is told what is known against the request as well.
     ///
     /// # Errors
     ///
     /// Fails when the connection does.
-    pub async fn refuse(&mut self, refusal: Refusal) -> io::Result<()> {
+    pub async fn refuse(
+        &mut self,
+        refusal: Refusal,
+        suspicion: Option<&Suspicion>,
+    ) -> io::Result<()> {
         let answer = if self.is_instance {
-            refusal.answer_instance()
+            refusal.answer_instance(suspicion)
         } else {
             refusal.answer()
         };
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -1,30 +1,154 @@
-//! Targets that end while they have requests.
+//! Targets that crash while they have requests, and requests under which they do.
 //!
 //! A connection breaks for many reasons: a reset, a cut, an answer that is spoiled, a planned end. The target has
 //! crashed where it was expected to stay and refuses the next connection.
 
-use std::time::Instant;
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+use http::HeaderMap;
+use zinniastall_coord::quarantine::{LIMIT, STRONG, Suspicion};
+use zinniastall_model::fingerprint::Fingerprint;
 
 use super::{
     Traffic,
     attempt::{Attempt, Ended, Place},
-    job::Job,
+    client::Client,
+    job::{Job, text},
     watch::is_refused,
 };
+use crate::{
+    names::SUSPICION,
+    suspects::{self, Change, Suspects},
+};
+
+/// Time after which another region's news of a crash is here: a trip, and what gathers news on the way.
+const NEWS: Duration = Duration::from_millis(80);
+
+/// Whether a request may be sent, by what is known against it.
+#[derive(Debug)]
+pub(super) enum Clearance<'a> {
+    /// It may; a strong suspect for as long as the probe lives.
+    Granted(Option<Probe<'a>>),
+    /// Not while another copy of it is at a target.
+    Held,
+    /// It is not run any more.
+    Refused,
+}
+
+/// Marks a strong suspect as being at a target, for as long as it lives.
+#[derive(Debug)]
+pub(super) struct Probe<'a> {
+    suspects: &'a RefCell<Suspects>,
+    request: Fingerprint,
+}
+
+impl Drop for Probe<'_> {
+    fn drop(&mut self) {
+        self.suspects.borrow_mut().end(self.request);
+    }
+}
 
 impl Traffic {
-    /// Tells whether an attempt was cut because its target crashed.
-    pub(super) async fn has_crashed(&self, attempt: &Attempt<'_>, ended: &Ended) -> bool {
-        let Place::Target {
-            target, address, ..
-        } = attempt.place
-        else {
-            return false;
-        };
-        if !matches!(ended, Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_)) {
-            return false;
+    /// Returns the crashes that count against a request.
+    pub(super) fn crashes(&self, job: &Job) -> usize {
+        let suspects = self.suspects.borrow();
+        if suspects.is_empty() {
+            return 0;
+        }
+        suspects.crashes(job.fingerprint())
+    }
+
+    /// Returns what is known against a request.
+    pub(super) fn suspicion(&self, job: &Job) -> Option<Suspicion> {
+        let suspects = self.suspects.borrow();
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.suspicion(job.fingerprint()).cloned()
+    }
+
+    /// Tells whether a request may be sent.
+    pub(super) fn clearance(&self, job: &Job) -> Clearance<'_> {
+        let crashes = self.crashes(job);
+        if crashes >= LIMIT {
+            return Clearance::Refused;
+        }
+        if crashes < STRONG {
+            return Clearance::Granted(None);
         }
-        self.is_to_stay(target) && is_refused(address).await
+        let request = job.fingerprint();
+        if !self.suspects.borrow_mut().start(request) {
+            return Clearance::Held;
+        }
+        Clearance::Granted(Some(Probe {
+            suspects: &self.suspects,
+            request,
+        }))
+    }
+
+    /// Notes that a request was rejected because it is quarantined.
+    pub(super) fn note_rejected(&self, job: &Job) {
+        self.figures.suspect("rejected");
+        self.journal.quarantined(job, "quarantine-rejected");
+    }
+
+    /// Learns from the end of an attempt whether its target crashed under the request, `before` being the crashes
+    /// that were known when it was sent; tells whether it did.
+    pub(super) async fn learn(
+        &self,
+        attempt: &Attempt<'_>,
+        ended: &Ended,
+        before: usize,
+        client: &Client,
+    ) -> bool {
+        let job = attempt.job;
+        match (ended, attempt.place) {
+            (Ended::Delivered, _) => {
+                let status = client.status();
+                if status.is_some_and(|status| status.is_success()) {
+                    self.note_finished(job);
+                }
+                false
+            }
+            (Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_), place) => match place {
+                Place::Target {
+                    target, address, ..
+                } => {
+                    let has_crashed = self.is_to_stay(target) && is_refused(address).await;
+                    if has_crashed {
+                        self.note_crash(job, target, before > 0);
+                    }
+                    has_crashed
+                }
+                Place::Instance { .. } => {
+                    // A broken stream brings no word of what broke it.
+                    if matches!(ended, Ended::Broken(_)) && job.route().resumable {
+                        tokio::time::sleep(NEWS).await;
+                    }
+                    self.crashes(job) > before
+                }
+            },
+            _ => false,
+        }
+    }
+
+    /// Takes what another instance says of a request.
+    pub(super) fn hear_suspicion(&self, job: &Job, headers: &HeaderMap) {
+        let Some(suspicion) = text(headers, &SUSPICION) else {
+            return;
+        };
+        let suspicion: Suspicion = match serde_json::from_str(suspicion) {
+            Ok(suspicion) => suspicion,
+            Err(error) => {
+                tracing::warn!(event = "suspicion-unreadable", id = job.id, error = %error);
+                return;
+            }
+        };
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.hear(job.fingerprint(), &suspicion, None, Instant::now());
     }
 
     /// Tells whether a target is expected to stay: one that drains or was removed ends as planned.
@@ -34,15 +158,46 @@
         known.is_some_and(|known| known.gone_at.is_none())
     }
 
-    /// Notes that a target crashed while it had a request.
-    pub(super) fn note_crash(&self, job: &Job, place: &Place) {
+    fn note_crash(&self, job: &Job, target: &str, was_suspect: bool) {
         let now = Instant::now();
-        let others = self.neighbours.borrow().at(place.name(), now);
+        let view = self.board.view();
+        let Some(known) = view.targets.by_name().get(target) else {
+            return;
+        };
+        let run = suspects::run(&known.report);
+        let mut suspects = self.suspects.borrow_mut();
+        let change = suspects.crash(job.fingerprint(), run, was_suspect, now);
+        let crashes = suspects.crashes(job.fingerprint());
+        drop(suspects);
+        self.news.notify_one();
+        self.figures.suspect("crashed");
+        let flights = self.flights(target, now).saturating_add(1);
+        self.journal.crashed(job, target, flights, crashes);
+        if change == Change::Quarantined {
+            self.figures.suspect("quarantined");
+            self.journal.quarantined(job, "quarantined");
+        }
+    }
+
+    /// Returns the requests at a target, of all instances as far as they are known.
+    fn flights(&self, target: &str, now: Instant) -> u32 {
+        let others = self.neighbours.borrow().at(target, now);
         let mut books = self.books.borrow_mut();
-        let own = books.known(place.name());
+        let own = books.known(target);
         let own = own.map_or(0, |account| account.flights);
-        // This request has been taken out already.
-        let flights = own.saturating_add(others.flights).saturating_add(1);
-        self.journal.crashed(job, place.name(), flights);
+        own.saturating_add(others.flights)
+    }
+
+    fn note_finished(&self, job: &Job) {
+        if self.crashes(job) == 0 {
+            return;
+        }
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.finish(job.fingerprint(), Instant::now()) {
+            drop(suspects);
+            self.news.notify_one();
+            self.figures.suspect("cleared");
+            self.journal.cleared(job);
+        }
     }
 }
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -16,6 +16,8 @@
 
 use std::{cell::RefCell, rc::Rc};
 
+use tokio::sync::Notify;
+
 use crate::{
     books::Books,
     decide::quota::Quotas,
@@ -24,6 +26,7 @@
     names::Names,
     neighbours::{Neighbours, claims::Claims},
     policy::Policy,
+    suspects::Suspects,
     view::Board,
 };
 
@@ -46,6 +49,10 @@
     pub claims: Rc<Claims>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
+    /// Requests that are suspected of crashing targets.
+    pub suspects: Rc<RefCell<Suspects>>,
+    /// Says that the other instances have to be told of a suspect.
+    pub news: Rc<Notify>,
     /// Connections at rest.
     pub pool: Pool,
     /// Connections of callers and instances.
@@ -64,6 +71,8 @@
             neighbours: Rc::default(),
             claims: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
+            suspects: Rc::default(),
+            news: Rc::default(),
             pool: Pool::default(),
             connections: Connections::default(),
             journal: Journal::default(),
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -13,7 +13,10 @@
     Traffic,
     attempt::{Attempt, Place},
 };
-use crate::names::{ACCOUNT, LAST_EVENT, OWN_PREFIX, REVISION};
+use crate::{
+    names::{ACCOUNT, LAST_EVENT, OWN_PREFIX, REVISION, SUSPICION},
+    suspects,
+};
 
 /// Least urgent priority that targets know.
 const LEAST_URGENT: u8 = 9;
@@ -59,6 +62,9 @@
             Place::Instance { .. } => {
                 headers.insert(REVISION, HeaderValue::from(job.revision()));
                 headers.extend(account.map(|account| (ACCOUNT, account)));
+                let suspicion = self.suspicion(job);
+                let suspicion = suspicion.as_ref().and_then(suspects::field);
+                headers.extend(suspicion.map(|value| (SUSPICION, value)));
             }
         }
         let mut output = BytesMut::with_capacity(1024 + job.body.len());
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -7,6 +7,7 @@
 };
 
 use tokio::time;
+use zinniastall_coord::quarantine::STRONG;
 use zinniastall_http::server::Reply;
 
 use super::{
@@ -14,6 +15,7 @@
     answer::Refusal,
     attempt::{Attempt, Ended, Place},
     client::Client,
+    crash::Clearance,
     events::Events,
     job::{Job, text},
     placing::{Next, Tried},
@@ -36,6 +38,12 @@
 /// some requests in it, and a crashed one costs one attempt each time.
 const SHUT: Duration = Duration::from_millis(120);
 
+/// Time between two looks at whether a strong suspect may be sent, and time after which it comes back where another
+/// copy of it has not ended meanwhile: most requests finish within it.
+const HELD: (Duration, Duration) = (Duration::from_millis(30), Duration::from_secs(1));
+/// Part of the objective for which a suspect waits for the end of another copy.
+const HELD_PART: f64 = 0.5;
+
 /// How a request ended.
 #[derive(Debug)]
 pub enum End {
@@ -57,6 +65,8 @@
     may_have_run: &'a Cell<bool>,
     is_kept: bool,
     broken: Option<Instant>,
+    /// Whether a target crashed under it.
+    has_crashed: bool,
     failing: Option<Reply>,
 }
 
@@ -89,7 +99,7 @@
         } else {
             Refusal::Busy(AFTER_REFUSAL)
         };
-        client.refuse(refusal).await?;
+        client.refuse(refusal, None).await?;
         Ok(End::Refused(refusal))
     }
 
@@ -109,53 +119,98 @@
             may_have_run,
             is_kept: false,
             broken: None,
+            has_crashed: false,
             failing: None,
         };
         loop {
-            let step = match self.place(job, &course.tried).await {
-                Next::Wait(after) => {
-                    if !course.is_kept {
-                        course.is_kept = true;
-                        self.journal.kept(job, "no target takes one now");
-                    }
-                    time::sleep(after).await;
-                    Step::Again
-                }
-                Next::Refuse(..) if course.may_go_on(client) => {
-                    time::sleep(GOING_ON.0).await;
+            let step = match self.clearance(job) {
+                Clearance::Granted(_probe) => self.step(&mut course, &mut events, client).await?,
+                Clearance::Held if course.may_be_held() => {
+                    time::sleep(HELD.0).await;
                     Step::Again
                 }
-                Next::Refuse(after, basis) => {
-                    self.journal.given_up(job, basis, after);
-                    course.nowhere(client, after)
-                }
-                // A key may have been taken away while the request waited.
-                Next::Go(..) if !self.is_trusted(job) => course.nowhere(client, STALE),
-                Next::Go(place, reading_us, basis) => {
-                    self.journal.placed(job, &place, basis, course.sent);
-                    let attempt = Attempt {
-                        job,
-                        place: &place,
-                        reading_us,
-                        ahead: basis.flights,
-                        may_have_run,
-                    };
-                    let ended = self.attempt(&attempt, &mut events, client).await;
-                    if self.has_crashed(&attempt, &ended).await {
-                        self.note_crash(job, &place);
+                Clearance::Held => course.nowhere(client, HELD.1),
+                Clearance::Refused => {
+                    let step = course.quarantined(client);
+                    if matches!(step, Step::Give(Refusal::Quarantined)) {
+                        self.note_rejected(job);
                     }
-                    self.note(&attempt, &ended);
-                    self.follow_up(&mut course, &place, ended, client)?
+                    step
                 }
             };
             match step {
                 Step::Again => {}
                 Step::End(end) => return Ok(end),
-                Step::Give(refusal) => return give(course, refusal, client).await,
+                Step::Give(refusal) => return self.give(course, refusal, client).await,
             }
         }
     }
 
+    /// Places a request and sends it, or finds out that there is no place for it now.
+    async fn step(
+        &self,
+        course: &mut Course<'_>,
+        events: &mut Events,
+        client: &mut Client,
+    ) -> io::Result<Step> {
+        let job = course.job;
+        Ok(match self.place(job, &course.tried).await {
+            Next::Wait(after) => {
+                if !course.is_kept {
+                    course.is_kept = true;
+                    self.journal.kept(job, "no target takes one now");
+                }
+                time::sleep(after).await;
+                Step::Again
+            }
+            Next::Refuse(..) if course.may_go_on(client) => {
+                time::sleep(GOING_ON.0).await;
+                Step::Again
+            }
+            Next::Refuse(after, basis) => {
+                self.journal.given_up(job, basis, after);
+                course.nowhere(client, after)
+            }
+            // A key may have been taken away while the request waited.
+            Next::Go(..) if !self.is_trusted(job) => course.nowhere(client, STALE),
+            Next::Go(place, reading_us, basis) => {
+                self.journal.placed(job, &place, basis, course.sent);
+                let attempt = Attempt {
+                    job,
+                    place: &place,
+                    reading_us,
+                    ahead: basis.flights,
+                    may_have_run: course.may_have_run,
+                };
+                let before = self.crashes(job);
+                let ended = self.attempt(&attempt, events, client).await;
+                course.has_crashed |= self.learn(&attempt, &ended, before, client).await;
+                self.note(&attempt, &ended);
+                self.follow_up(course, &place, ended, client)?
+            }
+        })
+    }
+
+    /// Gives the final answer, unless a stream has begun: behind its events another answer would be garbage that
+    /// the caller takes for a part of it.
+    async fn give(
+        &self,
+        course: Course<'_>,
+        refusal: Refusal,
+        client: &mut Client,
+    ) -> io::Result<End> {
+        if client.has_begun() {
+            return Ok(End::Aborted(refusal.word().to_owned()));
+        }
+        if let Some(answer) = course.failing {
+            client.answer(answer).await?;
+            return Ok(End::Answered);
+        }
+        let suspicion = self.suspicion(course.job);
+        client.refuse(refusal, suspicion.as_ref()).await?;
+        Ok(End::Refused(refusal))
+    }
+
     /// Decides what follows from an attempt.
     fn follow_up(
         &self,
@@ -221,6 +276,10 @@
         if job.is_passed_on || course.sent >= job.route().attempts {
             return false;
         }
+        // A suspect that comes again is tried alone; here it would take the next target down at once.
+        if course.has_crashed && self.crashes(job) >= STRONG {
+            return false;
+        }
         let instances = self.board.view().instances.by_name().len();
         let mut books = self.books.borrow_mut();
         books.budget(&job.service).repeat(Instant::now(), instances)
@@ -285,6 +344,23 @@
         client.has_begun() && self.broken.is_some_and(in_time)
     }
 
+    /// Tells whether a suspect may still wait for the end of another copy of it.
+    fn may_be_held(&self) -> bool {
+        let objective = Duration::from_millis(self.job.route().objective_ms);
+        self.job.arrived.elapsed() < objective.mul_f64(HELD_PART)
+    }
+
+    /// Ends a request that is not run any more.
+    fn quarantined(&self, client: &Client) -> Step {
+        if client.has_begun() {
+            return Step::End(End::Aborted(Refusal::Quarantined.word().to_owned()));
+        }
+        if self.may_have_run.get() {
+            return Step::Give(Refusal::Lost);
+        }
+        Step::Give(Refusal::Quarantined)
+    }
+
     /// Ends a request for which there is no place now.
     fn nowhere(&self, client: &Client, after: Duration) -> Step {
         if client.has_begun() {
@@ -299,17 +375,3 @@
         Step::Give(Refusal::Busy(after))
     }
 }
-
-/// Gives the final answer, unless a stream has begun: behind its events another answer would be garbage that
-/// the caller takes for a part of it.
-async fn give(course: Course<'_>, refusal: Refusal, client: &mut Client) -> io::Result<End> {
-    if client.has_begun() {
-        return Ok(End::Aborted(refusal.word().to_owned()));
-    }
-    if let Some(answer) = course.failing {
-        client.answer(answer).await?;
-        return Ok(End::Answered);
-    }
-    client.refuse(refusal).await?;
-    Ok(End::Refused(refusal))
-}
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -13,6 +13,7 @@
     net::{TcpListener, TcpStream},
     time,
 };
+use zinniastall_coord::quarantine::LIMIT;
 use zinniastall_http::{
     body::Decoder,
     connection::{self, Error, Reader},
@@ -161,7 +162,7 @@
             Ok(job) => self.serve(&job, reader, client).await,
             Err(refusal) => {
                 self.note_refusal(&id, refusal);
-                client.refuse(refusal).await?;
+                client.refuse(refusal, None).await?;
                 Ok(client.keeps_open())
             }
         }
@@ -197,8 +198,12 @@
         client: &mut Client,
     ) -> Result<bool, Error> {
         self.enter(job);
+        if job.is_passed_on {
+            self.hear_suspicion(job, &job.head.headers);
+        }
         if let Err((refusal, why)) = self.admit(job) {
-            client.refuse(refusal).await?;
+            let suspicion = self.suspicion(job);
+            client.refuse(refusal, suspicion.as_ref()).await?;
             self.note_end(job, client, refusal.outcome().word(), why);
             return Ok(client.keeps_open());
         }
@@ -235,6 +240,10 @@
                 "this instance ends before it could",
             ));
         }
+        if self.crashes(job) >= LIMIT {
+            self.note_rejected(job);
+            return Err((Refusal::Quarantined, "targets crash under it"));
+        }
         // The instance to which its caller came has counted it already.
         let Some(charge) = job.charge().filter(|_| !job.is_passed_on) else {
             return Ok(());
@@ -286,7 +295,7 @@
     async fn refuse(&self, id: &str, client: &mut Client, refusal: Refusal) -> Result<bool, Error> {
         self.note_refusal(id, refusal);
         client.next(true, false);
-        client.refuse(refusal).await?;
+        client.refuse(refusal, None).await?;
         Ok(false)
     }
 
--- /dev/null
+++ b/crates/zinniastall-gateway/src/suspects.rs
@@ -0,0 +1,200 @@
+//! Requests that are suspected of crashing targets: what this instance knows of them, and has to tell the others.
+
+use std::time::Instant;
+
+use http::HeaderValue;
+use indexmap::{IndexMap, IndexSet};
+use zinniastall_coord::quarantine::{self, LIMIT, Merged, Run, Suspicion};
+use zinniastall_model::{fingerprint::Fingerprint, target::Report};
+
+use crate::decide::warm;
+
+/// Requests that are remembered: a quarter of a megabyte. A crash makes one suspect for each slot of its target.
+const CAPACITY: usize = 2_048;
+/// Times that news is sent: single datagrams are lost.
+const SENDS: u8 = 2;
+
+/// Suspected requests.
+#[derive(Debug)]
+pub struct Suspects {
+    table: quarantine::Table<Fingerprint>,
+    /// What the others have to be told.
+    due: IndexMap<Fingerprint, Due>,
+    /// Strong suspects that this instance has at a target.
+    probed: IndexSet<Fingerprint>,
+}
+
+/// News that is to be sent.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    scope: Scope,
+    left: u8,
+}
+
+/// Whom news still has to reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All instances.
+    All,
+    /// The other instances of this one's zone: a collector of another zone tells the rest.
+    Zone,
+}
+
+/// What became of a request with what was learned of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that was not known.
+    None,
+    /// Some more crashes, or fewer because it was cleared.
+    Known,
+    /// It is quarantined from now on.
+    Quarantined,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Self {
+            table: quarantine::Table::new(CAPACITY),
+            due: IndexMap::new(),
+            probed: IndexSet::new(),
+        }
+    }
+}
+
+impl Suspects {
+    /// Tells whether no request was ever suspected.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Returns the crashes that count against a request.
+    pub fn crashes(&self, request: Fingerprint) -> usize {
+        self.table.crashes(request)
+    }
+
+    /// Returns how many requests are quarantined.
+    pub fn quarantined(&self) -> usize {
+        self.table.quarantined()
+    }
+
+    /// Returns what is known against a request.
+    pub fn suspicion(&self, request: Fingerprint) -> Option<&Suspicion> {
+        self.table.suspicion(request)
+    }
+
+    /// Notes that a run of a target crashed under a request; `was_suspect` tells whether that was suspected when it
+    /// was sent.
+    pub fn crash(
+        &mut self,
+        request: Fingerprint,
+        run: Run,
+        was_suspect: bool,
+        now: Instant,
+    ) -> Change {
+        let before = self.table.crashes(request);
+        if !self.table.crash(request, run, was_suspect, now) {
+            return Change::None;
+        }
+        self.tell(request, Scope::All);
+        self.change_since(request, before)
+    }
+
+    /// Notes that a request finished; tells whether that clears it.
+    pub fn finish(&mut self, request: Fingerprint, now: Instant) -> bool {
+        let is_cleared = self.table.finish(request, now);
+        if is_cleared {
+            self.tell(request, Scope::All);
+        }
+        is_cleared
+    }
+
+    /// Takes what another instance knows. News is passed on as far as `scope` says; an instance that knows less is
+    /// told more.
+    pub fn hear(
+        &mut self,
+        request: Fingerprint,
+        suspicion: &Suspicion,
+        scope: Option<Scope>,
+        now: Instant,
+    ) -> Change {
+        let before = self.table.crashes(request);
+        let Merged { is_news, is_behind } = self.table.merge(request, suspicion, now);
+        if is_behind {
+            self.tell(request, Scope::All);
+        } else if let Some(scope) = scope.filter(|_| is_news) {
+            self.tell(request, scope);
+        }
+        if is_news {
+            self.change_since(request, before)
+        } else {
+            Change::None
+        }
+    }
+
+    fn change_since(&self, request: Fingerprint, before: usize) -> Change {
+        if before < LIMIT && self.table.is_quarantined(request) {
+            Change::Quarantined
+        } else {
+            Change::Known
+        }
+    }
+
+    fn tell(&mut self, request: Fingerprint, scope: Scope) {
+        self.due.insert(request, Due { scope, left: SENDS });
+    }
+
+    /// Tells whether the others have to be told something.
+    pub fn has_news(&self) -> bool {
+        !self.due.is_empty()
+    }
+
+    /// Returns what is to be sent now, each news as often as datagrams may be lost.
+    pub fn news(&mut self) -> Vec<(Scope, Fingerprint, Suspicion)> {
+        let table = &self.table;
+        let news = self.due.iter().filter_map(|(request, due)| {
+            let suspicion = table.suspicion(*request)?;
+            Some((due.scope, *request, suspicion.clone()))
+        });
+        let news = news.collect();
+        self.due.retain(|_, due| {
+            due.left -= 1;
+            due.left > 0
+        });
+        news
+    }
+
+    /// Returns a digest of the strong suspicions; instances that know the same have the same.
+    pub fn sum(&self) -> u64 {
+        self.table.sum()
+    }
+
+    /// Returns the strong suspects.
+    pub fn strong(&self) -> Vec<(Fingerprint, Suspicion)> {
+        let strong = self.table.strong();
+        strong
+            .map(|(request, suspicion)| (request, suspicion.clone()))
+            .collect()
+    }
+
+    /// Notes that a strong suspect is to be sent; tells whether it may be. One copy is tried at a time: it finishes
+    /// and is cleared, or takes one target down and not several.
+    pub fn start(&mut self, request: Fingerprint) -> bool {
+        self.probed.insert(request)
+    }
+
+    /// Notes that a strong suspect is at no target any more.
+    pub fn end(&mut self, request: Fingerprint) {
+        self.probed.swap_remove(&request);
+    }
+}
+
+/// Returns a suspicion as a field between instances.
+pub fn field(suspicion: &Suspicion) -> Option<HeaderValue> {
+    let text = serde_json::to_string(suspicion).ok()?;
+    HeaderValue::try_from(text).ok()
+}
+
+/// Returns the run of a target that made a report.
+pub fn run(report: &Report) -> Run {
+    warm::weight(&report.target, &report.incarnation.to_string())
+}
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -18,6 +18,7 @@
     neighbours::{
         self, Load, Shared,
         claims::{Claims, Recent},
+        datagram::{Datagram, LONGEST as LONGEST_DATAGRAM},
     },
     view::{Board, View},
 };
@@ -77,6 +78,8 @@
                     neighbours,
                     claims: own,
                     quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
+                    suspects: Rc::default(),
+                    news: Rc::default(),
                 };
                 actix::spawn(neighbours::run(served, shared));
             }
@@ -96,6 +99,18 @@
         view.instance = self.view.instances.by_name()[by].instance.clone();
         self.claims[by].claim(&view, target, 200_000).await
     }
+
+    /// Returns how many claims have come to an instance that doesn't run, since it was asked last.
+    fn claims_at(&self, instance: usize) -> usize {
+        let mut buffer = [0; LONGEST_DATAGRAM];
+        let datagrams = std::iter::from_fn(|| {
+            let length = self.sockets[instance].try_recv(&mut buffer).ok()?;
+            Datagram::decode(&buffer[..length]).ok()
+        });
+        datagrams
+            .filter(|datagram| matches!(datagram, Datagram::Claim { .. }))
+            .count()
+    }
 }
 
 /// Returns the name of a target whose coordinator is an instance.
@@ -141,11 +156,9 @@
         let since = Instant::now();
         assert_eq!(region.claim(0, &target).await, None);
         assert!(since.elapsed() < Duration::from_millis(500), "{since:?}");
-        let asked = region.sockets[1].try_recv(&mut [0; 64]);
-        assert!(asked.is_ok(), "it was asked once");
+        assert_eq!(region.claims_at(1), 1, "it was asked once");
         assert_eq!(region.claim(0, &target).await, None);
-        let asked = region.sockets[1].try_recv(&mut [0; 64]);
-        assert!(asked.is_err(), "it was asked again at once");
+        assert_eq!(region.claims_at(1), 0, "it was asked again at once");
     });
 }
 
--- a/crates/zinniastall-gateway/tests/path/quarantine.rs
+++ b/crates/zinniastall-gateway/tests/path/quarantine.rs
@@ -1,10 +1,21 @@
 //! Requests that crash the targets that run them.
 
-use zinniastall_model::routing::{Kind, Route};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use zinniastall_model::{
+    fingerprint::Fingerprint,
+    place::Place,
+    routing::{Kind, Route},
+};
 
 use crate::{
     cases,
-    stage::{Act, Got, Seen, Stage, Target, post, route, view},
+    stage::{
+        Act, Caller, Got, HOST, PLACE, Seen, Stage, Target, instance, post, route, until, view,
+    },
 };
 
 /// Body of a request that crashes whoever runs it.
@@ -68,9 +79,196 @@
     assert!(last.body.contains("quarantined"), "{}", last.body);
 }
 
+/// Starts an instance without targets of its own, beside one in another region that has some.
+async fn two_regions(targets: &[&Target]) -> (Stage, Stage) {
+    let far = ("athens", "athens-a");
+    let mut shown = view(routes(), targets);
+    let in_athens = |(name, mut known): (String, zinniastall_gateway::view::Target)| {
+        known.report.place = Place::new(far.0, far.1);
+        (name, known)
+    };
+    let known = shown.targets.by_name().clone().into_iter();
+    shown.targets = Arc::new(known.map(in_athens).collect());
+    let mut there = shown.clone();
+    there.instance = "edge-2".to_owned();
+    there.place = Place::new(far.0, far.1);
+    let there = Stage::start(there).await;
+    let forward = there.forward.to_string();
+    let instances = [
+        instance("edge-1", PLACE, "127.0.0.1:1"),
+        instance("edge-2", far, &forward),
+    ];
+    shown.instances = Arc::new(instances.into_iter().collect());
+    (Stage::start(shown).await, there)
+}
+
+/// The caller's instance has no targets and passes the poison on. No datagram is exchanged.
+async fn is_told_across_regions() {
+    let targets = targets(6).await;
+    let known: Vec<&Target> = targets.iter().collect();
+    let (here, there) = two_regions(&known).await;
+    let first = ask(&here, "/pay/1", "p0", POISON).await;
+    assert_eq!(first.status, 502);
+    assert_eq!(
+        here.traffic.suspects.borrow().sum(),
+        0,
+        "one crash is no strong suspicion"
+    );
+    ask(&here, "/pay/1", "p1", POISON).await;
+    ask(&here, "/pay/1", "p2", POISON).await;
+    let sum = here.traffic.suspects.borrow().sum();
+    assert_ne!(sum, 0);
+    assert_eq!(sum, there.traffic.suspects.borrow().sum());
+    assert_eq!(ask(&here, "/pay/1", "p3", POISON).await.status, 400);
+    assert_eq!(ask(&there, "/pay/1", "p4", POISON).await.status, 400);
+    assert_eq!(crashed(&targets), LIMIT);
+    assert_eq!(ask(&here, "/pay/1", "o", "x").await.status, 200);
+}
+
+/// What one instance knows goes along with a request that it passes on.
+async fn passes_suspicion_on() {
+    let targets = targets(4).await;
+    let known: Vec<&Target> = targets.iter().collect();
+    let (here, there) = two_regions(&known).await;
+    let request = Fingerprint::of(None, HOST, "/pay/1", POISON.as_bytes());
+    let now = Instant::now();
+    for run in 0..2 {
+        let mut suspects = here.traffic.suspects.borrow_mut();
+        suspects.crash(request, run, run > 0, now);
+    }
+    ask(&here, "/pay/1", "p", POISON).await;
+    assert_eq!(crashed(&targets), 1);
+    assert_eq!(ask(&there, "/pay/1", "q", POISON).await.status, 400);
+}
+
+/// Copies of a request run on all targets when most of these crash for another reason.
+async fn spares_the_popular() {
+    let script = |seen: &Seen| match seen.body.as_slice() {
+        b"popular" => vec![
+            Act::Wait(Duration::from_millis(300)),
+            Act::Send(seen.answer("fine")),
+        ],
+        b"kill" => vec![Act::Crash],
+        _ => vec![Act::Send(seen.answer("fine"))],
+    };
+    let mut targets = Vec::new();
+    for _ in 0..6 {
+        targets.push(Target::start(script).await);
+    }
+    let known: Vec<&Target> = targets.iter().collect();
+    let stage = Stage::start(view(routes(), &known)).await;
+    let mut callers = Vec::new();
+    for at in 0..12 {
+        let mut caller = stage.connect().await;
+        caller
+            .send(&post("/pay/1", &format!("c{at}"), "popular"))
+            .await;
+        callers.push(caller);
+    }
+    let all_run = || targets.iter().all(|target| !target.seen().is_empty());
+    until("copies run everywhere", all_run).await;
+    for target in targets.iter().take(4) {
+        let mut killer = Caller::connect(target.address).await;
+        killer.send(&post("/pay/1", "k", "kill")).await;
+    }
+    for mut caller in callers {
+        let got = caller.answer().await.unwrap();
+        assert!([200, 502].contains(&got.status), "{}", got.status);
+    }
+    let got = ask(&stage, "/pay/1", "again", "popular").await;
+    assert_eq!(got.status, 200, "{}", got.body);
+    assert!(stage.traffic.suspects.borrow().quarantined() == 0);
+}
+
+/// Targets break off every answer to a request and go on serving others.
+async fn spares_who_is_cut() {
+    let script = |seen: &Seen| {
+        if seen.body == b"cut" {
+            return vec![Act::Close];
+        }
+        vec![Act::Send(seen.answer("fine"))]
+    };
+    let one = Target::start(script).await;
+    let two = Target::start(script).await;
+    let stage = Stage::start(view(routes(), &[&one, &two])).await;
+    for at in 0..6 {
+        let got = ask(&stage, "/pay/1", &format!("c{at}"), "cut").await;
+        assert_ne!(got.status, 400);
+        ask(&stage, "/pay/1", &format!("o{at}"), "x").await;
+    }
+    assert!(stage.traffic.suspects.borrow().is_empty());
+}
+
+/// Targets end as they said they would, with requests that they didn't finish.
+async fn spares_who_is_at_a_planned_end() {
+    let targets = targets(3).await;
+    let known: Vec<&Target> = targets.iter().collect();
+    let mut shown = view(routes(), &known);
+    let leaving = |(name, mut known): (String, zinniastall_gateway::view::Target)| {
+        known.gone_at = Some(Instant::now() + Duration::from_secs(10));
+        (name, known)
+    };
+    let all = shown.targets.by_name().clone().into_iter();
+    shown.targets = Arc::new(all.map(leaving).collect());
+    let stage = Stage::start(shown).await;
+    for at in 0..3 {
+        ask(&stage, "/pay/1", &format!("p{at}"), POISON).await;
+    }
+    assert!(stage.traffic.suspects.borrow().is_empty());
+}
+
+/// A strong suspect comes ten times at once: one copy is tried, the others wait for what becomes of it.
+async fn tries_one_copy_at_a_time() {
+    let script = |seen: &Seen| {
+        if seen.body == POISON.as_bytes() {
+            return vec![Act::Wait(Duration::from_millis(100)), Act::Crash];
+        }
+        vec![Act::Send(seen.answer("fine"))]
+    };
+    let mut targets = Vec::new();
+    for _ in 0..6 {
+        targets.push(Target::start(script).await);
+    }
+    let known: Vec<&Target> = targets.iter().collect();
+    let mut routes = routes();
+    for route in &mut routes {
+        route.objective_ms = 1_000;
+    }
+    let stage = Stage::start(view(routes, &known)).await;
+    ask(&stage, "/pay/1", "p0", POISON).await;
+    ask(&stage, "/pay/1", "p1", POISON).await;
+    let mut callers = Vec::new();
+    for at in 0..10 {
+        let mut caller = stage.connect().await;
+        caller
+            .send(&post("/pay/1", &format!("q{at}"), POISON))
+            .await;
+        callers.push(caller);
+    }
+    let mut statuses = Vec::new();
+    for mut caller in callers {
+        statuses.push(caller.answer().await.unwrap().status);
+    }
+    statuses.sort_unstable();
+    assert_eq!(crashed(&targets), LIMIT);
+    assert_eq!(statuses, [[400; 9].as_slice(), &[502]].concat());
+}
+
 cases! {
     /// A request takes down one target after the other, and the service with them.
     a_request_that_crashes_targets_ends_three_at_most => ends_three_at_most("/plans/1"),
     a_request_that_may_run_once_ends_three_at_most => ends_three_at_most("/pay/1"),
     a_stream_that_may_be_resumed_ends_three_at_most => ends_three_at_most("/stream/1"),
+    /// A request that crashes the targets of one region comes to the instances of another.
+    an_instance_is_told_of_crashes_in_another_region => is_told_across_regions(),
+    /// A region that hasn't heard of a suspect runs it as if it were the first time.
+    an_instance_tells_what_it_knows_of_a_request => passes_suspicion_on(),
+    /// A popular request is turned away because many targets crashed with it.
+    a_popular_request_is_not_turned_away => spares_the_popular(),
+    /// A request whose answers are cut is taken for one that crashes targets.
+    a_request_that_is_cut_is_no_suspect => spares_who_is_cut(),
+    /// A release makes suspects of all requests that it cut.
+    a_planned_end_makes_no_suspects => spares_who_is_at_a_planned_end(),
+    /// Callers that repeat a request at once take down a target each.
+    a_strong_suspect_is_tried_one_copy_at_a_time => tries_one_copy_at_a_time(),
 }
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/suspects.rs
@@ -0,0 +1,318 @@
+//! Suspected requests over many instances: how soon all know of a crash, and what an instance learns that missed it.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail the test, as its own lines do"
+)]
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use zinniastall_coord::quarantine::LIMIT;
+use zinniastall_gateway::{
+    neighbours::{
+        Outgoing,
+        collector::Roster,
+        datagram::Datagram,
+        suspicions::{self, Exchange},
+    },
+    suspects::Suspects,
+    view::View,
+};
+use zinniastall_model::{fingerprint::Fingerprint, place::Place, presence::Presence};
+
+/// Time between two rounds, and for which news is gathered, in milliseconds.
+const ROUND: u64 = 100;
+const GATHER: u64 = 10;
+/// One-way trips within a region and between two, in milliseconds.
+const TRIPS: (u64, u64) = (1, 55);
+/// Part of the datagrams that is lost.
+const LOSS: f64 = 0.02;
+/// Requests that ride on a target.
+const RIDERS: u8 = 64;
+
+struct Node {
+    place: Place,
+    roster: Roster,
+    exchange: Exchange,
+    suspects: Suspects,
+    phase: u64,
+    telling: Option<u64>,
+}
+
+/// Instances that exchange datagrams, with a clock in milliseconds.
+struct World {
+    nodes: Vec<Node>,
+    random: StdRng,
+    start: Instant,
+    at: u64,
+    sent: BTreeMap<(u64, u64), (usize, usize, Datagram)>,
+    datagrams: u64,
+    bytes: usize,
+    /// Region that hears nobody and is heard by nobody.
+    cut: Option<String>,
+}
+
+fn request(number: u8) -> Fingerprint {
+    Fingerprint::from([number; 16])
+}
+
+impl World {
+    fn new(seed: u64, instances: usize, regions: usize, zones_each: usize) -> Self {
+        println!("seed {seed}, {instances} instances");
+        let mut random = StdRng::seed_from_u64(seed);
+        let place = |at: usize| {
+            let region = at % regions;
+            let zone = at / regions % zones_each;
+            Place::new(format!("r{region}"), format!("r{region}-{zone}"))
+        };
+        let presence = |at: usize| {
+            let presence = Presence {
+                instance: format!("edge-{at}"),
+                incarnation: 1,
+                place: place(at),
+                callers: String::new(),
+                forward: String::new(),
+                ready: true,
+                load: Vec::new(),
+            };
+            (presence.instance.clone(), presence)
+        };
+        let all = std::sync::Arc::new((0..instances).map(presence).collect());
+        let node = |at: usize| {
+            let mut view = View::new(format!("edge-{at}"), place(at));
+            view.instances = std::sync::Arc::clone(&all);
+            Node {
+                place: place(at),
+                roster: Roster::new(&view),
+                exchange: Exchange::default(),
+                suspects: Suspects::default(),
+                phase: random.random_range(0..ROUND),
+                telling: None,
+            }
+        };
+        Self {
+            nodes: (0..instances).map(node).collect(),
+            random,
+            start: Instant::now(),
+            at: 0,
+            sent: BTreeMap::new(),
+            datagrams: 0,
+            bytes: 0,
+            cut: None,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.at)
+    }
+
+    /// A target crashes that had requests of one instance.
+    fn crash(&mut self, node: usize, requests: impl Iterator<Item = u8>, run: u64) {
+        let now = self.now();
+        let suspects = &mut self.nodes[node].suspects;
+        for number in requests {
+            let was_suspect = suspects.crashes(request(number)) > 0;
+            suspects.crash(request(number), run, was_suspect, now);
+        }
+    }
+
+    fn step(&mut self) {
+        self.at += 1;
+        while let Some(entry) = self
+            .sent
+            .first_entry()
+            .filter(|sent| sent.key().0 <= self.at)
+        {
+            let (from, to, datagram) = entry.remove();
+            self.deliver(from, to, datagram);
+        }
+        for at in 0..self.nodes.len() {
+            let node = &mut self.nodes[at];
+            if node.suspects.has_news() && node.telling.is_none() {
+                node.telling = Some(self.at + GATHER);
+            }
+            let mut sends = Vec::new();
+            let is_round = self.at % ROUND == node.phase;
+            if is_round {
+                sends.extend(node.exchange.round(&node.roster, &node.suspects));
+            }
+            if is_round || node.telling.is_some_and(|due| due <= self.at) {
+                sends.extend(suspicions::news(&node.roster, &mut node.suspects));
+                node.telling = None;
+            }
+            self.send(at, sends);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, datagram: Datagram) {
+        let now = self.now();
+        let node = &mut self.nodes[to];
+        match datagram {
+            Datagram::Suspects { for_all, part } => {
+                suspicions::hear(&node.roster, &mut node.suspects, &part, for_all, now);
+            }
+            Datagram::SuspectSum { sum, is_answer } => {
+                let answers = suspicions::answers(&node.roster, &node.suspects, sum, is_answer);
+                let sends = answers.into_iter().map(|datagram| Outgoing {
+                    to: vec![format!("edge-{from}")],
+                    datagram,
+                });
+                self.send(to, sends.collect());
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, sends: Vec<Outgoing>) {
+        for sent in sends {
+            let length = sent.datagram.encode().unwrap().len();
+            for name in &sent.to {
+                let to: usize = name["edge-".len()..].parse().unwrap();
+                let (near, far) = (&self.nodes[from].place.region, &self.nodes[to].place.region);
+                let is_far = near != far;
+                let is_cut = |region: &String| self.cut.as_ref() == Some(region);
+                self.datagrams += 1;
+                self.bytes += length;
+                if is_far && (is_cut(near) || is_cut(far)) || self.random.random_bool(LOSS) {
+                    continue;
+                }
+                let trip = if is_far { TRIPS.1 } else { TRIPS.0 };
+                let key = (self.at + trip, self.datagrams);
+                self.sent.insert(key, (from, to, sent.datagram.clone()));
+            }
+        }
+    }
+
+    /// Plays until a condition holds at all instances; returns the milliseconds that it took.
+    fn until(&mut self, longest: u64, holds: impl Fn(&Suspects) -> bool) -> u64 {
+        let since = self.at;
+        while !self.nodes.iter().all(|node| holds(&node.suspects)) {
+            assert!(self.at < since + longest, "not within {longest} ms");
+            self.step();
+        }
+        self.at - since
+    }
+
+    fn play(&mut self, time: u64) {
+        let end = self.at + time;
+        while self.at < end {
+            self.step();
+        }
+    }
+}
+
+fn knows_all(suspects: &Suspects) -> bool {
+    (0..RIDERS).all(|number| suspects.crashes(request(number)) > 0)
+}
+
+/// A target crashes with a full batch, whose requests came over several instances.
+fn all_hear_of_a_crash(instances: usize, regions: usize, zones: usize, seeds: u64) {
+    for seed in 0..seeds {
+        let mut world = World::new(seed, instances, regions, zones);
+        world.play(3 * ROUND);
+        let (datagrams, bytes) = (world.datagrams, world.bytes);
+        let senders = world.nodes.len().min(8);
+        let each = RIDERS / u8::try_from(senders).unwrap();
+        for sender in 0..senders {
+            // Instances of one region: those that have the crashed target.
+            let node = sender * regions % instances;
+            let from = each * u8::try_from(sender).unwrap();
+            world.crash(node, from..from + each, 1);
+        }
+        let rest = each * u8::try_from(senders).unwrap();
+        world.crash(0, rest..RIDERS, 1);
+        let took = world.until(1_000, knows_all);
+        world.play(2 * ROUND);
+        let each = |sum: u64| sum / u64::try_from(instances).unwrap();
+        println!(
+            "all know after {took} ms; {} datagrams and {} bytes an instance",
+            each(world.datagrams - datagrams),
+            each(u64::try_from(world.bytes - bytes).unwrap())
+        );
+    }
+}
+
+macro_rules! sizes {
+    ($($name:ident: $instances:expr, $regions:expr, $zones:expr, $seeds:expr;)*) => {
+        $(
+            /// A request that crashes targets goes on elsewhere, where nobody has heard of it.
+            #[test]
+            fn $name() {
+                all_hear_of_a_crash($instances, $regions, $zones, $seeds);
+            }
+        )*
+    };
+}
+
+sizes! {
+    nine_instances_hear_of_a_crash_within_a_second: 9, 3, 1, 20;
+    instances_of_one_zone_hear_of_a_crash_within_a_second: 12, 1, 1, 20;
+    eighty_three_instances_hear_of_a_crash_within_a_second: 83, 3, 2, 5;
+    three_hundred_instances_hear_of_a_crash_within_a_second: 300, 3, 2, 2;
+    seventeen_hundred_instances_hear_of_a_crash_within_a_second: 1_700, 23, 3, 1;
+}
+
+/// An instance that starts, or was suspended, runs what all others have quarantined.
+#[test]
+fn an_instance_without_memory_learns_what_is_quarantined() {
+    let mut world = World::new(7, 83, 3, 2);
+    for run in 0..3 {
+        world.crash(0, 0..1, run);
+    }
+    world.until(1_000, |suspects| suspects.crashes(request(0)) >= LIMIT);
+    world.play(1_000);
+    for node in [40, 41, 42] {
+        world.nodes[node].suspects = Suspects::default();
+        world.nodes[node].exchange = Exchange::default();
+    }
+    // One round, an answer, and one more of each in case a datagram is lost.
+    world.until(1_500, |suspects| suspects.crashes(request(0)) >= LIMIT);
+}
+
+/// Both sides of a cut learn what the other one has found out meanwhile, and count it together.
+#[test]
+fn regions_that_were_cut_off_add_up_what_they_know() {
+    let mut world = World::new(8, 83, 3, 2);
+    world.crash(0, 0..1, 1);
+    world.until(1_000, |suspects| suspects.crashes(request(0)) == 1);
+    world.cut = Some("r0".to_owned());
+    world.crash(0, 0..1, 2);
+    world.crash(1, 0..1, 3);
+    world.play(2_000);
+    let crashes = world
+        .nodes
+        .iter()
+        .map(|node| node.suspects.crashes(request(0)));
+    assert!(crashes.into_iter().all(|crashes| crashes == 2));
+    world.cut = None;
+    world.until(5_000, |suspects| suspects.crashes(request(0)) >= LIMIT);
+}
+
+/// A request that was cleared stays suspected where the news was missed.
+#[test]
+fn a_cleared_request_is_cleared_everywhere() {
+    let mut world = World::new(9, 83, 3, 2);
+    for run in 0..3 {
+        world.crash(0, 0..1, run);
+    }
+    world.until(1_000, |suspects| suspects.crashes(request(0)) >= LIMIT);
+    world.cut = Some("r2".to_owned());
+    let now = world.now();
+    assert!(world.nodes[0].suspects.finish(request(0), now));
+    world.play(1_000);
+    world.cut = None;
+    world.until(5_000, |suspects| suspects.crashes(request(0)) == 0);
+}
+
+/// Nothing is sent but comparisons while no target crashes.
+#[test]
+fn calm_instances_compare_once_a_second() {
+    let mut world = World::new(10, 83, 3, 2);
+    world.play(10_000);
+    assert!(world.datagrams <= 83 * 11, "{}", world.datagrams);
+    assert!(world.bytes / 83 <= 10 * 60, "{}", world.bytes);
+}
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -64,6 +64,8 @@
             neighbours,
             claims: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
+            suspects: Rc::default(),
+            news: Rc::default(),
         };
         let busy = shared("one", busy, Rc::default());
         let idle = shared("two", idle, Rc::clone(&heard));
--- a/crates/zinniastall-model/src/fingerprint.rs
+++ b/crates/zinniastall-model/src/fingerprint.rs
@@ -48,6 +48,12 @@
     }
 }
 
+impl AsRef<[u8]> for Fingerprint {
+    fn as_ref(&self) -> &[u8] {
+        &*self.0
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
