feat(control): the group keeps which requests aren't run any more; operators list and release them

Cause: what instances know of a suspect lives in their memory. When all of them restart, a poison request takes three targets down again, and operators could neither see nor undo a quarantine.

Change: instances report what the group doesn't hold; a change of the log merges it into the replicated state, by the same rule as between instances. Gauge quarantined at instances and replicas. Frames have version 4.

Ruled out: as a part of the configuration that is fetched, which would have held leases up at each quarantine.

Shown failing: with the list taken up only every 250 ms, the restarted instances of a_request_that_crashes_targets_is_quarantined_in_all_regions ran the request once more (502 for 400).

--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -98,6 +98,7 @@
     let hub = Hub::new(news.clone());
     actix::spawn(hub.clone().run());
     actix::spawn(hub.clone().vouch(control.clone().recipient()));
+    actix::spawn(hub.clone().keep(control.clone().recipient()));
     actix::spawn(list_members(control.clone(), hub.clone()));
     let acceptor = Acceptor {
         card: Rc::clone(&card),
--- a/crates/zinniastall-control/src/figures.rs
+++ b/crates/zinniastall-control/src/figures.rs
@@ -42,6 +42,7 @@
     voters: Gauge,
     spare: Gauge,
     instances: Gauge,
+    quarantined: Gauge,
     unsynced: Gauge,
 }
 
@@ -68,6 +69,7 @@
                 "Voters that may be lost at once, as the leader sees it",
             ),
             instances: page.gauge("instances", "Gateway instances that are linked"),
+            quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             unsynced: page.gauge("unsynced", "Batches that wait for the disk"),
             page: page.build(),
         }
@@ -94,6 +96,7 @@
                 self.unsynced.set(glance.unsynced);
             }
             self.instances.set(hub.linked() as u64);
+            self.quarantined.set(hub.quarantined() as u64);
             time::sleep(LOOK).await;
         }
     }
--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -11,6 +11,7 @@
 mod frames;
 mod history;
 mod instances;
+mod keeping;
 mod targets;
 mod vouching;
 
@@ -45,10 +46,11 @@
     frames::{Frames, Key},
     history::History,
     instances::Instances,
+    keeping::Keeping,
     targets::{Targets, Told},
     vouching::{Question, Vouched, Vouching},
 };
-use crate::control::Vouch;
+use crate::control::{Vouch, Write};
 
 /// Time between two rounds in which news are passed on: what a target says is in force long before its three
 /// seconds of grace are over, and the heartbeats of a hundred targets take one frame instead of a hundred.
@@ -87,6 +89,7 @@
     frames: Frames,
     history: RefCell<History>,
     vouching: Vouching,
+    keeping: Keeping,
     round: watch::Sender<Round>,
     last_link: Cell<LinkNumber>,
 }
@@ -109,6 +112,8 @@
     replicas: Version,
     subscription: Option<Subscription>,
     questions: VecDeque<Question>,
+    /// Revision of the last change of suspects that the link was told of.
+    suspected: id::Revision,
 }
 
 /// What a subscriber was told.
@@ -130,6 +135,7 @@
             frames: Frames::default(),
             history: RefCell::default(),
             vouching: Vouching::default(),
+            keeping: Keeping::default(),
             round: watch::Sender::default(),
             last_link: Cell::new(0),
         };
@@ -173,6 +179,11 @@
         self.inner.instances.borrow().len()
     }
 
+    /// Returns how many requests are not run any more, as the group has committed it.
+    pub fn quarantined(&self) -> usize {
+        self.inner.feed.borrow().state().quarantined().count()
+    }
+
     /// Passes news on, round by round, for ever.
     pub async fn run(self) {
         let mut tick = time::interval(ROUND);
@@ -188,6 +199,11 @@
         self.inner.vouching.run(group).await;
     }
 
+    /// Has the group keep what instances report of requests that aren't run any more.
+    pub async fn keep(self, group: Recipient<Write>) {
+        self.inner.keeping.run(group, self.inner.feed.clone()).await;
+    }
+
     /// Serves one gateway instance until its link breaks or falls silent.
     pub async fn serve(self, link: Link) {
         let peer = link.peer().instance.clone();
@@ -227,6 +243,7 @@
         let mut silent = Instant::now() + SILENCE;
         let mut frames = vec![self.reached()?];
         frames.extend(self.news(cursor, true)?);
+        frames.extend(self.suspects(cursor)?);
         loop {
             for bytes in frames.drain(..) {
                 send_within(sender, bytes, SILENCE).await?;
@@ -244,6 +261,7 @@
                 changed = feed.changed() => {
                     changed.map_err(|_| Error::Closed)?;
                     frames.push(self.reached()?);
+                    frames.extend(self.suspects(cursor)?);
                 }
                 changed = round.changed() => {
                     changed.map_err(|_| Error::Closed)?;
@@ -283,6 +301,10 @@
                 cursor.questions.drain(..surplus);
                 Ok(Vec::new())
             }
+            Message::Suspects(suspects) => {
+                self.keeping.report(suspects);
+                Ok(Vec::new())
+            }
             Message::Subscribe(true) => {
                 cursor.subscription.get_or_insert_default();
                 self.news(cursor, false)
@@ -387,6 +409,21 @@
         encode(Message::Reached(revision))
     }
 
+    /// Returns what the group holds of requests that aren't run any more, where a link doesn't know it yet.
+    fn suspects(&self, cursor: &mut Cursor) -> Result<Option<Bytes>, Error> {
+        let state = Arc::clone(self.feed.borrow().state());
+        if cursor.suspected >= state.suspected {
+            return Ok(None);
+        }
+        cursor.suspected = state.suspected;
+        let suspects = || {
+            let held = state.suspects.iter();
+            let held = held.map(|(request, suspicion)| (*request, suspicion.clone()));
+            Some(Message::Suspects(held.collect()))
+        };
+        Ok(self.frames.get(Key::Suspects(state.suspected), suspects)?)
+    }
+
     /// Returns the configuration, as changes of the one that an instance holds if that is remembered.
     fn configuration(&self, held: id::Revision) -> Result<Option<Bytes>, Error> {
         let state = Arc::clone(self.feed.borrow().state());
--- a/crates/zinniastall-control/src/hub/frames.rs
+++ b/crates/zinniastall-control/src/hub/frames.rs
@@ -35,6 +35,8 @@
     },
     /// Load of all regions.
     Loads,
+    /// Requests that aren't run any more, as of a revision.
+    Suspects(id::Revision),
     /// The configuration of a revision.
     Configuration(id::Revision),
     /// What has changed of it since an earlier revision.
--- /dev/null
+++ b/crates/zinniastall-control/src/hub/keeping.rs
@@ -0,0 +1,78 @@
+//! Has the group keep which requests aren't run any more, as gateway instances report it.
+//!
+//! Instances know it from each other within a tenth of a second, and forget it when all of them restart. What the
+//! group holds survives that, and operators can list and release it.
+
+use std::{cell::RefCell, time::Duration};
+
+use actix::Recipient;
+use indexmap::IndexMap;
+use tokio::{sync::Notify, sync::watch, time};
+use zinniastall_coord::quarantine::Suspicion;
+use zinniastall_model::{
+    change::{Body, Change},
+    fingerprint::{Fingerprint, Suspect},
+};
+use zinniastall_wire::feed::Feed;
+
+use crate::control::{Reply, Write};
+
+/// Time for which reports are gathered: several instances find out the same.
+const GATHER: Duration = Duration::from_millis(50);
+/// Requests that may wait to be kept; instances report again what the group doesn't hold.
+const MOST: usize = 256;
+
+/// Reports that wait to be kept.
+#[derive(Debug, Default)]
+pub(super) struct Keeping {
+    reported: RefCell<IndexMap<Fingerprint, Suspicion>>,
+    any: Notify,
+}
+
+impl Keeping {
+    /// Takes an instance's report.
+    pub(super) fn report(&self, suspects: Vec<Suspect>) {
+        let mut reported = self.reported.borrow_mut();
+        for (request, suspicion) in suspects {
+            if reported.len() < MOST || reported.contains_key(&request) {
+                let held: &mut Suspicion = reported.entry(request).or_default();
+                held.merge(&suspicion);
+            }
+        }
+        self.any.notify_one();
+    }
+
+    /// Has the group keep what is reported, for ever.
+    pub(super) async fn run(&self, group: Recipient<Write>, feed: watch::Receiver<Feed>) {
+        loop {
+            self.any.notified().await;
+            time::sleep(GATHER).await;
+            let reported = self.reported.take();
+            let state = std::sync::Arc::clone(feed.borrow().state());
+            let mut suspects: Vec<Suspect> = reported.into_iter().collect();
+            suspects.retain(|suspect| state.lacks(suspect));
+            if suspects.is_empty() {
+                continue;
+            }
+            let requests = suspects.len();
+            match kept(&group, suspects).await {
+                Some(Reply::Done { revision, .. }) => {
+                    tracing::info!(event = "suspects-kept", requests, revision);
+                }
+                // The leader hears the same reports, and instances repeat them until they are kept.
+                reply => tracing::debug!(event = "suspects-not-kept", requests, reply = ?reply),
+            }
+        }
+    }
+}
+
+async fn kept(group: &Recipient<Write>, suspects: Vec<Suspect>) -> Option<Reply> {
+    let change = Change {
+        origin: None,
+        expected: None,
+        body: Body::Suspect(suspects),
+    };
+    let wait = Duration::ZERO;
+    let later = group.send(Write { change, wait }).await.ok()?;
+    later.await.ok()
+}
--- a/crates/zinniastall-control/src/rpc/operators.rs
+++ b/crates/zinniastall-control/src/rpc/operators.rs
@@ -249,6 +249,28 @@
         };
         self.order(body).await
     }
+
+    async fn quarantine(
+        &self,
+        _: Request<api::QuarantineRequest>,
+    ) -> Answer<api::QuarantineResponse> {
+        let state = self.read(0).await?.state;
+        Ok(Response::new(api::QuarantineResponse {
+            revision: state.revision,
+            requests: state
+                .quarantined()
+                .map(|request| request.to_string())
+                .collect(),
+        }))
+    }
+
+    async fn release(&self, request: Request<api::ReleaseRequest>) -> Answer<api::ChangeResponse> {
+        let request = request.into_inner().request;
+        let request = request
+            .parse()
+            .map_err(|_| convert::Fault::Malformed("request"))?;
+        self.order(Body::Release(request)).await
+    }
 }
 
 fn gone(_: MailboxError) -> Status {
--- a/crates/zinniastall-control/src/rpc/watch.rs
+++ b/crates/zinniastall-control/src/rpc/watch.rs
@@ -84,7 +84,9 @@
         | Body::Retire(_)
         | Body::Publish(_)
         | Body::Evacuate(_)
-        | Body::Reopen(_) => return None,
+        | Body::Reopen(_)
+        | Body::Suspect(_)
+        | Body::Release(_) => return None,
     };
     Some((
         key,
--- a/crates/zinniastall-coord/src/quarantine.rs
+++ b/crates/zinniastall-coord/src/quarantine.rs
@@ -78,14 +78,16 @@
         }
     }
 
-    fn clear(&mut self) {
+    /// Clears the request: what was known before counts no more.
+    pub fn clear(&mut self) {
         *self = Self {
             round: self.round.saturating_add(1),
             ..Self::default()
         };
     }
 
-    fn merge(&mut self, other: &Self) {
+    /// Takes what another instance knows.
+    pub fn merge(&mut self, other: &Self) {
         if other.round < self.round {
             return;
         }
--- a/crates/zinniastall-ctl/src/arguments.rs
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -40,6 +40,8 @@
   routing                       print the routing table and the evacuated zones
   evacuate ZONE                 let no new request go to the targets of a zone
   reopen ZONE                   take an evacuation back
+  quarantine                    print the requests that are not run any more, by fingerprint
+  release FINGERPRINT           let a request run again
   explain ID [LOG...]           tell the story of a request from the logs of all processes, or
                                 from standard input; needs no --address
 
@@ -234,6 +236,8 @@
         "routing" => Call::Routing,
         "evacuate" => evacuate(word("a zone")?, false),
         "reopen" => evacuate(word("a zone")?, true),
+        "quarantine" => Call::Quarantine,
+        "release" => Call::Release(word("a fingerprint")?),
         _ => return Err(Error::Call(name)),
     };
     words.next().map_or(Ok(call), |word| Err(Error::Left(word)))
--- a/crates/zinniastall-ctl/src/call.rs
+++ b/crates/zinniastall-ctl/src/call.rs
@@ -43,6 +43,10 @@
         /// Whether it is taken back.
         reopen: bool,
     },
+    /// Prints the requests that are not run any more.
+    Quarantine,
+    /// Lets a request run again, by its fingerprint.
+    Release(String),
 }
 
 /// What to watch.
--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -177,7 +177,8 @@
     InstanceStatus,
     ChangeStatus,
     HistogramsResponse,
-    RoutingResponse
+    RoutingResponse,
+    QuarantineResponse
 );
 
 impl<T> Answer for tonic::Streaming<T> {}
--- a/crates/zinniastall-ctl/src/run.rs
+++ b/crates/zinniastall-ctl/src/run.rs
@@ -9,8 +9,8 @@
     operator::{
         ApplyRequest, BootstrapRequest, ChangeRequest, ChangeResponse, Command, DeleteRequest,
         EvacuateRequest, Event, GetRequest, HistogramsRequest, InstanceRequest, Kind, ListRequest,
-        Object, PublishRequest, ReplicaRequest, RetireRequest, RoutingRequest, StatusRequest,
-        SystemStatus, WatchRequest, object,
+        Object, PublishRequest, QuarantineRequest, ReleaseRequest, ReplicaRequest, RetireRequest,
+        RoutingRequest, StatusRequest, SystemStatus, WatchRequest, object,
     },
 };
 
@@ -48,6 +48,7 @@
             | Call::Replica(_)
             | Call::Publish(_)
             | Call::Evacuate { .. }
+            | Call::Release(_)
     );
     match fault {
         Fault::Refused(status) if status.code() == Code::InvalidArgument => Verdict::Invalid,
@@ -131,6 +132,17 @@
             let call = async |mut client: Client| client.evacuate(request.clone()).await;
             Ok(conclude(order, &group.call(unwrapped(call)).await?))
         }
+        Call::Quarantine => {
+            let call = async |mut client: Client| client.quarantine(QuarantineRequest {}).await;
+            Ok(show(&group.call(unwrapped(call)).await?))
+        }
+        Call::Release(request) => {
+            let call = async |mut client: Client| {
+                let request = request.clone();
+                client.release(ReleaseRequest { request }).await
+            };
+            Ok(conclude(order, &group.call(unwrapped(call)).await?))
+        }
     }
 }
 
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -238,7 +238,9 @@
                 let ready = instances.filter(|held| held.ready).count();
                 traffic.figures.know(view.revision(), view.targets.by_name().len(), ready);
                 traffic.figures.connect(traffic.connections.open());
-                traffic.figures.quarantine(traffic.suspects.borrow().quarantined());
+                traffic.keep_suspects();
+                let quarantined = traffic.suspects.borrow().quarantined();
+                traffic.figures.quarantine(quarantined);
                 *told.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
             order = &mut drain => {
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -151,6 +152,26 @@
         suspects.hear(job.fingerprint(), &suspicion, None, Instant::now());
     }
 
+    /// Takes what the control group holds of requests that aren't run any more, and shows it what it lacks.
+    pub fn keep_suspects(&self) {
+        let kept = self.board.suspects();
+        let mut suspects = self.suspects.borrow_mut();
+        let lacking = suspects.keep(&kept.held.load(), Instant::now());
+        if **kept.lacking.load() != lacking {
+            kept.lacking.store(Arc::new(lacking));
+        }
+    }
+
+    /// Takes what the control group holds where that is news, so that an instance that has just started doesn't run
+    /// what it has been told of.
+    pub(super) fn hear_kept(&self) {
+        let held = self.board.suspects().held.load();
+        if self.suspects.borrow().is_kept(&held) {
+            return;
+        }
+        self.keep_suspects();
+    }
+
     /// Tells whether a target is expected to stay: one that drains or was removed ends as planned.
     fn is_to_stay(&self, target: &str) -> bool {
         let view = self.board.view();
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -198,6 +198,7 @@
         client: &mut Client,
     ) -> Result<bool, Error> {
         self.enter(job);
+        self.hear_kept();
         if job.is_passed_on {
             self.hear_suspicion(job, &job.head.headers);
         }
--- a/crates/zinniastall-gateway/src/suspects.rs
+++ b/crates/zinniastall-gateway/src/suspects.rs
@@ -1,11 +1,14 @@
 //! Requests that are suspected of crashing targets: what this instance knows of them, and has to tell the others.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use http::HeaderValue;
 use indexmap::{IndexMap, IndexSet};
 use zinniastall_coord::quarantine::{self, LIMIT, Merged, Run, Suspicion};
-use zinniastall_model::{fingerprint::Fingerprint, target::Report};
+use zinniastall_model::{
+    fingerprint::{Fingerprint, Suspect},
+    target::Report,
+};
 
 use crate::decide::warm;
 
@@ -22,6 +25,8 @@
     due: IndexMap<Fingerprint, Due>,
     /// Strong suspects that this instance has at a target.
     probed: IndexSet<Fingerprint>,
+    /// What the control group held last.
+    kept: Arc<Vec<Suspect>>,
 }
 
 /// News that is to be sent.
@@ -57,6 +62,7 @@
             table: quarantine::Table::new(CAPACITY),
             due: IndexMap::new(),
             probed: IndexSet::new(),
+            kept: Arc::default(),
         }
     }
 }
@@ -131,6 +137,33 @@
         }
     }
 
+    /// Tells whether what the control group holds was taken already.
+    pub fn is_kept(&self, held: &Arc<Vec<Suspect>>) -> bool {
+        Arc::ptr_eq(&self.kept, held)
+    }
+
+    /// Takes what the control group holds; returns what it has to hold as well.
+    pub fn keep(&mut self, held: &Arc<Vec<Suspect>>, now: Instant) -> Vec<Suspect> {
+        self.kept = Arc::clone(held);
+        let mut lacking = Vec::new();
+        let mut known: IndexSet<Fingerprint> = IndexSet::new();
+        for (request, suspicion) in held.iter() {
+            // Every instance is told by the group itself.
+            self.table.merge(*request, suspicion, now);
+            known.insert(*request);
+            let own = self.table.suspicion(*request);
+            if let Some(own) = own.filter(|own| *own != suspicion) {
+                lacking.push((*request, own.clone()));
+            }
+        }
+        let strong = self.table.strong();
+        let new = strong.filter(|(request, suspicion)| {
+            suspicion.crashes() >= LIMIT && !known.contains(request)
+        });
+        lacking.extend(new.map(|(request, suspicion)| (request, suspicion.clone())));
+        lacking
+    }
+
     fn change_since(&self, request: Fingerprint, before: usize) -> Change {
         if before < LIMIT && self.table.is_quarantined(request) {
             Change::Quarantined
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -260,9 +260,9 @@
                     }
                     _ = present.tick() => {
                         let vouch = self.wants_confirmation(is_subscribed);
-                        [Some(Message::Present((self.present)())), vouch]
+                        [Some(Message::Present((self.present)())), vouch, self.lacking()]
                     }
-                    () = self.changed.notified() => [Some(Message::Present((self.present)())), None],
+                    () = self.changed.notified() => [Some(Message::Present((self.present)())), None, None],
                     () = self.sources_changed.notified() => continue,
                     () = self.fetch_ended.notified(), if fetch_at.is_some() => {
                         fetch_at = Some(time::Instant::now() + head_start);
@@ -273,7 +273,7 @@
                         if fetch_at.is_some() || !self.is_behind(replica) {
                             continue;
                         }
-                        [Some(Message::Fetch(self.knowledge.borrow().revision())), None]
+                        [Some(Message::Fetch(self.knowledge.borrow().revision())), None, None]
                     }
                     () = time::sleep_until(silent) => return Error::Closed,
             };
@@ -285,6 +285,13 @@
         }
     }
 
+    /// Returns what the group has to hold of requests that aren't run any more. All replicas are told, since this
+    /// instance doesn't know which one leads.
+    fn lacking(&self) -> Option<Message> {
+        let lacking = self.board.suspects().lacking.load();
+        (!lacking.is_empty()).then(|| Message::Suspects(lacking.to_vec()))
+    }
+
     /// Returns the question whether the configuration in force is the newest, where it is to be asked: of the
     /// replicas that tell which instances there are, and of all others if those don't answer.
     fn wants_confirmation(&self, is_source: bool) -> Option<Message> {
@@ -365,6 +372,7 @@
                     .hear_instances(replica, instances);
                 self.news.notify_one();
             }
+            Message::Suspects(held) => self.board.suspects().held.store(Arc::new(held)),
             Message::Loads(loads) => self.knowledge.borrow_mut().hear_loads(loads),
             Message::Replicas(list) => {
                 self.listed.borrow_mut().insert(replica.to_owned(), list);
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use arc_swap::ArcSwap;
-use zinniastall_model::{id, place::Place, routing::Table, target::Report};
+use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
 use zinniastall_wire::hub::Configuration;
 
 use crate::{
@@ -84,11 +84,21 @@
     pub end: Instant,
 }
 
+/// Requests that aren't run any more, between the thread that finds them out and the one that talks to control.
+#[derive(Debug, Default)]
+pub struct Kept {
+    /// What the control group holds.
+    pub held: ArcSwap<Vec<Suspect>>,
+    /// What it has to hold and doesn't yet.
+    pub lacking: ArcSwap<Vec<Suspect>>,
+}
+
 /// Where knowledge is published and the request path reads it.
 #[derive(Debug, Clone)]
 pub struct Board {
     view: Arc<ArcSwap<View>>,
     lease: Lease,
+    suspects: Arc<Kept>,
     draining: Arc<OnceLock<Drain>>,
 }
 
@@ -98,6 +108,7 @@
         Self {
             view: Arc::new(ArcSwap::from_pointee(view)),
             lease: Lease::new(None),
+            suspects: Arc::default(),
             draining: Arc::default(),
         }
     }
@@ -114,6 +125,11 @@
         &self.lease
     }
 
+    /// Returns the requests that aren't run any more, as the control group knows them.
+    pub fn suspects(&self) -> &Kept {
+        &self.suspects
+    }
+
     /// Tells whether the configuration of a view that is read after this call may be relied on now.
     pub fn trust(&self) -> Trust {
         self.lease.trust(clock::now())
--- a/crates/zinniastall-gateway/tests/path/quarantine.rs
+++ b/crates/zinniastall-gateway/tests/path/quarantine.rs
@@ -90,7 +90,7 @@
     let known = shown.targets.by_name().clone().into_iter();
     shown.targets = Arc::new(known.map(in_athens).collect());
     let mut there = shown.clone();
-    there.instance = "edge-2".to_owned();
+    "edge-2".clone_into(&mut there.instance);
     there.place = Place::new(far.0, far.1);
     let there = Stage::start(there).await;
     let forward = there.forward.to_string();
--- a/crates/zinniastall-model/src/change.rs
+++ b/crates/zinniastall-model/src/change.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    fingerprint::{Fingerprint, Suspect},
     id,
     member::Member,
     object::{Key, Object},
@@ -28,6 +29,10 @@
     Evacuate(id::Zone),
     /// Takes an evacuation back.
     Reopen(id::Zone),
+    /// Adds to what is known of requests that are not run any more, as instances found it out.
+    Suspect(Vec<Suspect>),
+    /// Lets a request run again that is not run any more.
+    Release(Fingerprint),
 }
 
 /// Who asks, and under which id: together they make a change idempotent.
--- a/crates/zinniastall-model/src/fingerprint.rs
+++ b/crates/zinniastall-model/src/fingerprint.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteArray;
+use zinniastall_coord::quarantine::Suspicion;
 
 /// Separates these digests from all others that are made with the same function.
 const CONTEXT: &str = "zinniastall 2026 fingerprint of a request";
@@ -18,6 +19,9 @@
 #[serde(transparent)]
 pub struct Fingerprint(ByteArray<LENGTH>);
 
+/// A request and what is known against it.
+pub type Suspect = (Fingerprint, Suspicion);
+
 /// A text is no fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("a fingerprint has {} hexadecimal digits", 2 * LENGTH)]
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -4,9 +4,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::quarantine::{LIMIT, Suspicion};
 
 use crate::{
     change::{Answer, Body, Change, Invalid},
+    fingerprint::{Fingerprint, Suspect},
     id,
     member::Member,
     narrow,
@@ -27,6 +29,9 @@
 /// Most zones that may be evacuated.
 const EVACUATED: usize = 1024;
 
+/// Most requests that are kept as not run any more, or released. Each took three targets down.
+const SUSPECTS: usize = 1024;
+
 /// An object and the revision of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -75,6 +80,13 @@
     /// Availability zones whose targets get no new requests.
     #[serde(default)]
     pub evacuated: IndexSet<id::Zone>,
+    /// Requests that are not run any more, and those that were released, by fingerprint; those that changed last
+    /// stand last.
+    #[serde(default, with = "indexmap::map::serde_seq")]
+    pub suspects: IndexMap<Fingerprint, Suspicion>,
+    /// Revision of the last change of [`State::suspects`].
+    #[serde(default)]
+    pub suspected: id::Revision,
 }
 
 impl State {
@@ -91,6 +103,8 @@
             Body::Publish(publication) => self.publish(publication),
             Body::Evacuate(zone) => self.evacuate(zone),
             Body::Reopen(zone) => Ok(self.reopen(zone)),
+            Body::Suspect(suspects) => Ok(self.suspect(suspects)),
+            Body::Release(request) => Ok(self.release(*request)),
         };
         done.unwrap_or_else(|refused| refused)
     }
@@ -163,6 +177,53 @@
         self.done(false)
     }
 
+    /// Returns the requests that are not run any more.
+    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
+        let held = self.suspects.iter();
+        let quarantined = held.filter(|(_, suspicion)| suspicion.crashes() >= LIMIT);
+        quarantined.map(|(request, _)| *request)
+    }
+
+    /// Tells whether something is known of a request that the state doesn't hold, and has to: that it isn't run any
+    /// more, or that one which wasn't may run again.
+    pub fn lacks(&self, (request, suspicion): &Suspect) -> bool {
+        let Some(held) = self.suspects.get(request) else {
+            return suspicion.crashes() >= LIMIT;
+        };
+        let mut merged = held.clone();
+        merged.merge(suspicion);
+        merged != *held
+    }
+
+    fn suspect(&mut self, suspects: &[Suspect]) -> Answer {
+        for (request, suspicion) in suspects {
+            if self.lacks(&(*request, suspicion.clone())) {
+                let mut merged = self.suspects.shift_remove(request).unwrap_or_default();
+                merged.merge(suspicion);
+                self.keep(*request, merged);
+            }
+        }
+        self.done(false)
+    }
+
+    fn release(&mut self, request: Fingerprint) -> Answer {
+        let held = self.suspects.get(&request).cloned();
+        if let Some(mut released) = held.filter(|held| held.crashes() > 0) {
+            released.clear();
+            self.suspects.shift_remove(&request);
+            self.keep(request, released);
+        }
+        self.done(false)
+    }
+
+    fn keep(&mut self, request: Fingerprint, suspicion: Suspicion) {
+        self.suspects.insert(request, suspicion);
+        let surplus = self.suspects.len().saturating_sub(SUSPECTS);
+        self.suspects.drain(..surplus);
+        self.revision += 1;
+        self.suspected = self.revision;
+    }
+
     fn put(&mut self, object: &Object, expected: Option<id::Revision>) -> Result<Answer, Answer> {
         let key = object.key();
         self.check_revision(&key, expected)?;
--- a/crates/zinniastall-model/tests/state.rs
+++ b/crates/zinniastall-model/tests/state.rs
@@ -1,13 +1,15 @@
 //! The state machine: validity, races, resends, and which changes narrow.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Instant};
 
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
 };
+use zinniastall_coord::quarantine::{Suspicion, Table};
 use zinniastall_model::{
     change::{Answer, Body, Change, Invalid, Origin},
+    fingerprint::Fingerprint,
     machine::Machine,
     member::Member,
     object::{Client, Key, Kind, Model, Object, Residency, Route, Subject},
@@ -269,3 +271,81 @@
     });
     assert_eq!(full, Some(Answer::Invalid(Invalid::Full)));
 }
+
+fn request(number: u8) -> Fingerprint {
+    Fingerprint::from([number; 16])
+}
+
+/// Makes what an instance knows of a request after some crashes.
+fn suspicion(crashes: u64) -> Suspicion {
+    let mut table = Table::new(1);
+    for run in 0..crashes {
+        table.crash(request(0), run, run > 0, Instant::now());
+    }
+    table.suspicion(request(0)).cloned().unwrap_or_default()
+}
+
+fn suspect(number: u8, suspicion: Suspicion) -> Change {
+    own(Body::Suspect(vec![(request(number), suspicion)]))
+}
+
+fn own(body: Body) -> Change {
+    Change {
+        origin: None,
+        expected: None,
+        body,
+    }
+}
+
+fn quarantined(state: &State) -> Vec<Fingerprint> {
+    state.quarantined().collect()
+}
+
+#[test]
+fn a_quarantined_request_is_kept_once() {
+    let mut state = State::default();
+    state.apply(&suspect(1, suspicion(2)));
+    assert_eq!((quarantined(&state), state.revision), (vec![], 0));
+    for _ in 0..2 {
+        state.apply(&suspect(1, suspicion(3)));
+        assert_eq!((quarantined(&state), state.revision), (vec![request(1)], 1));
+    }
+}
+
+/// A release that instances take back with what they still know.
+#[test]
+fn a_released_request_stays_released_until_it_crashes_targets_again() {
+    let mut state = State::default();
+    state.apply(&suspect(1, suspicion(3)));
+    for _ in 0..2 {
+        state.apply(&own(Body::Release(request(1))));
+        assert_eq!((quarantined(&state), state.revision), (vec![], 2));
+    }
+    state.apply(&suspect(1, suspicion(3)));
+    assert_eq!((quarantined(&state), state.revision), (vec![], 2));
+    let released = state.suspects[&request(1)].clone();
+    let mut table = Table::new(1);
+    let now = Instant::now();
+    table.merge(request(1), &released, now);
+    for run in 10..13 {
+        table.crash(request(1), run, run > 10, now);
+    }
+    let again = table.suspicion(request(1)).cloned().unwrap();
+    state.apply(&suspect(1, again));
+    assert_eq!(quarantined(&state), vec![request(1)]);
+}
+
+#[test]
+fn quarantined_requests_are_bounded_and_the_newest_stay() {
+    let mut state = State::default();
+    for number in 0..2_000_u128 {
+        let request = Fingerprint::from(number.to_le_bytes());
+        state.apply(&own(Body::Suspect(vec![(request, suspicion(3))])));
+    }
+    let kept = quarantined(&state);
+    assert_eq!(kept.len(), 1_024);
+    assert_eq!(
+        kept.last(),
+        Some(&Fingerprint::from(1_999_u128.to_le_bytes()))
+    );
+}
--- a/crates/zinniastall-wire/src/hello.rs
+++ b/crates/zinniastall-wire/src/hello.rs
@@ -4,7 +4,7 @@
 use zinniastall_model::{id, place::Place};
 
 /// Version of the frames; both ends must speak the same.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 
 /// What a link is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/zinniastall-wire/src/hub.rs
+++ b/crates/zinniastall-wire/src/hub.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use zinniastall_model::{
+    fingerprint::Suspect,
     id,
     presence::{Presence, RegionLoad},
     routing::{self, Table},
@@ -29,6 +30,9 @@
     Subscribe(bool),
     /// Gateway: asks which revision the group has reached by now. The stamp comes back with the answer.
     Vouch(Stamp),
+    /// Gateway: requests that aren't run any more, or may run again, as far as the group doesn't hold that yet.
+    /// Control: all that the group holds of these.
+    Suspects(Vec<Suspect>),
     /// Control: the revision held; also the sign of life.
     Reached(id::Revision),
     /// Control: the group had reached a revision when the question with this stamp came, and no later one was
--- a/tests/tests/routing_calls.rs
+++ b/tests/tests/routing_calls.rs
@@ -103,6 +103,18 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn quarantined_requests_are_listed_and_released() -> Result<()> {
+    let cluster = Cluster::builder().zone("patras", "a", 1).start().await?;
+    let listed = cluster.ctl(&["quarantine"]).await?.json()?;
+    assert_eq!(listed["requests"], json!([]), "{listed}");
+    let answer = cluster.ctl(&["release", &"07".repeat(16)]).await?.json()?;
+    assert_eq!(answer["outcome"], "accepted", "{answer}");
+    let run = cluster.ctl(&["release", "not a fingerprint"]).await?;
+    assert_eq!(run.code, INVALID);
+    Ok(())
+}
+
 /// A replica loses its disk and starts again empty, at its old address. Nobody is there to take it in.
 /// Were it to vote under its old name, it would have forgotten what it acknowledged; were it left out,
 /// the next loss would stop the group. Then the next one loses its disk.
