refactor(gateway): what an attempt says of its request stands in functions of its own

learn matched on the end and the place at once; each question is a function now. No behaviour changes: cargo test -p zinniastall-gateway passes as before (90 tests of the path).

--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -10,6 +10,7 @@
 };
 
 use http::HeaderMap;
+use tokio::time;
 use zinniastall_coord::quarantine::{LIMIT, STRONG, Suspicion};
 use zinniastall_model::fingerprint::Fingerprint;
 
@@ -96,8 +97,8 @@
         self.journal.quarantined(job, "quarantine-rejected");
     }
 
-    /// Learns from the end of an attempt whether its target crashed under the request, `before` being the crashes
-    /// that were known when it was sent; tells whether it did.
+    /// Learns from the end of an attempt what it says of the request, `before` being the crashes that were known when
+    /// it was sent; tells whether its target crashed.
     pub(super) async fn learn(
         &self,
         attempt: &Attempt<'_>,
@@ -106,36 +107,45 @@
         client: &Client,
     ) -> bool {
         let job = attempt.job;
-        match (ended, attempt.place) {
-            (Ended::Delivered, _) => {
+        match ended {
+            Ended::Delivered => {
                 let status = client.status();
                 if status.is_some_and(|status| status.is_success()) {
                     self.note_finished(job);
                 }
                 false
             }
-            (Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_), place) => match place {
+            Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) => match attempt.place {
                 Place::Target {
                     target, address, ..
-                } => {
-                    let has_crashed = self.is_to_stay(target) && is_refused(address).await;
-                    if has_crashed {
-                        self.note_crash(job, target, before > 0);
-                    }
-                    has_crashed
-                }
+                } => self.has_crashed(job, target, address, before > 0).await,
                 Place::Instance { .. } => {
-                    // A broken stream brings no word of what broke it.
-                    if matches!(ended, Ended::Broken(_)) && job.route().resumable {
-                        tokio::time::sleep(NEWS).await;
-                    }
-                    self.crashes(job) > before
+                    let is_broken = matches!(ended, Ended::Broken(_));
+                    self.has_crashed_elsewhere(job, is_broken, before).await
                 }
             },
             _ => false,
         }
     }
 
+    /// Finds out whether a target whose connection broke has crashed, and notes that.
+    async fn has_crashed(&self, job: &Job, target: &str, address: &str, was_suspect: bool) -> bool {
+        let has_crashed = self.is_to_stay(target) && is_refused(address).await;
+        if has_crashed {
+            self.note_crash(job, target, was_suspect);
+        }
+        has_crashed
+    }
+
+    /// Tells whether another region's instance knows of a crash that was not known before.
+    async fn has_crashed_elsewhere(&self, job: &Job, is_broken: bool, before: usize) -> bool {
+        // A broken stream brings no word of what broke it; it only matters where it may go on.
+        if is_broken && job.route().resumable {
+            time::sleep(NEWS).await;
+        }
+        self.crashes(job) > before
+    }
+
     /// Takes what another instance says of a request.
     pub(super) fn hear_suspicion(&self, job: &Job, headers: &HeaderMap) {
         let Some(suspicion) = text(headers, &SUSPICION) else {
