--- /dev/null
+++ b/tests/tests/path/poison.rs
@@ -0,0 +1,35 @@
+//! A request that crashes the targets that run it.
+
+use zinniastall_tests::Result;
+
+use super::{
+    loss::{engine, failure},
+    support::{ask, chat, zone},
+};
+
+/// Engines of the zone, and how many of them one request may take down.
+const ENGINES: usize = 5;
+const LIMIT: usize = 3;
+
+/// A caller's request takes down one engine after the other, over two entry instances.
+#[actix_rt::test]
+async fn a_request_that_crashes_engines_ends_three_at_most() -> Result<()> {
+    let mut cluster = zone(&vec![engine("none", "die", 0); ENGINES]).await?;
+    let names: Vec<String> = (1..=ENGINES)
+        .map(|number| format!("engine-{number}"))
+        .collect();
+    for name in &names {
+        cluster.fail(name, &failure("first", "die", 0)).await?;
+    }
+    let body = chat("poison", 4, false);
+    for entry in ["patras-a-1", "patras-a-2"].into_iter().cycle().take(6) {
+        let address = cluster.entry(entry)?.address("callers")?;
+        ask(address, &body).send().await?;
+    }
+    let mut ended = 0;
+    for name in &names {
+        ended += usize::from(cluster.target(name)?.process().ended().is_some());
+    }
+    assert!(ended <= LIMIT, "{ended} engines ended");
+    Ok(())
+}
