fix(gateway): a target that crashed under a request is left alone at once

Traced: four of six targets had crashed with requests of this instance, and the next request was offered to all four, one refused connection after the other, and given up; that two others were free was luck. A cut attempt counted as one failure, and three in a row take a target out.

Change: an attempt whose target crashed takes the target out like a refused connection does.

--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -184,8 +184,9 @@
                 };
                 let before = self.crashes(job);
                 let ended = self.attempt(&attempt, events, client).await;
-                course.has_crashed |= self.learn(&attempt, &ended, before, client).await;
-                self.note(&attempt, &ended);
+                let has_crashed = self.learn(&attempt, &ended, before, client).await;
+                course.has_crashed |= has_crashed;
+                self.note(&attempt, &ended, has_crashed);
                 self.follow_up(course, &place, ended, client)?
             }
         })
@@ -291,8 +292,8 @@
         job.is_passed_on || job.account().is_none() || self.board.trust() == Trust::Fresh
     }
 
-    /// Notes what an attempt says of its target.
-    fn note(&self, attempt: &Attempt<'_>, ended: &Ended) {
+    /// Notes what an attempt says of its target; `has_crashed` tells that a target crashed under the request.
+    fn note(&self, attempt: &Attempt<'_>, ended: &Ended, has_crashed: bool) {
         let (job, place) = (attempt.job, attempt.place);
         self.journal.attempted(job, place, ended);
         self.figures.attempt(ended.word());
@@ -322,6 +323,11 @@
                 return;
             }
             Ended::NotRun(_) => account.shut_until = Some(now + SHUT),
+            // It refuses connections by now; an instance that passed the request on does not.
+            _ if has_crashed && matches!(place, Place::Target { .. }) => {
+                account.record.unreachable(now);
+                account.shut_until = Some(now + SHUT);
+            }
             Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) | Ended::Failing(_) => {
                 account.record.failure(now);
             }
--- a/crates/zinniastall-gateway/tests/path/quarantine.rs
+++ b/crates/zinniastall-gateway/tests/path/quarantine.rs
@@ -180,6 +180,36 @@
     assert!(stage.traffic.suspects.borrow().quarantined() == 0);
 }
 
+/// All targets but one crash in the same moment, each under a request of its own.
+async fn leaves_crashed_targets_alone() {
+    let script = |seen: &Seen| {
+        if seen.body.starts_with(b"crash") {
+            return vec![Act::Wait(Duration::from_millis(50)), Act::Crash];
+        }
+        vec![Act::Send(seen.answer("fine"))]
+    };
+    for _ in 0..5 {
+        let mut targets = Vec::new();
+        for _ in 0..9 {
+            targets.push(Target::start(script).await);
+        }
+        let known: Vec<&Target> = targets.iter().collect();
+        let stage = Stage::start(view(routes(), &known)).await;
+        let mut callers = Vec::new();
+        for at in 0..8 {
+            let mut caller = stage.connect().await;
+            let body = format!("crash {at}");
+            caller.send(&post("/pay/1", &format!("c{at}"), &body)).await;
+            callers.push(caller);
+        }
+        for mut caller in callers {
+            assert_eq!(caller.answer().await.unwrap().status, 502);
+        }
+        let got = ask(&stage, "/pay/1", "next", "x").await;
+        assert_eq!(got.status, 200, "{}", got.body);
+    }
+}
+
 /// Targets break off every answer to a request and go on serving others.
 async fn spares_who_is_cut() {
     let script = |seen: &Seen| {
@@ -265,6 +295,8 @@
     an_instance_tells_what_it_knows_of_a_request => passes_suspicion_on(),
     /// A popular request is turned away because many targets crashed with it.
     a_popular_request_is_not_turned_away => spares_the_popular(),
+    /// A request is refused because it is offered to one crashed target after the other.
+    a_target_that_crashed_is_left_alone => leaves_crashed_targets_alone(),
     /// A request whose answers are cut is taken for one that crashes targets.
     a_request_that_is_cut_is_no_suspect => spares_who_is_cut(),
     /// A release makes suspects of all requests that it cut.
