fix(quarantine): crashes count against a request only one after the other

Seen by callers: innocent requests were answered 400 `quarantined`.

Copies sent between the first and the second crash rode on the next two targets and counted twice more, although nobody had tried the request again since. - a request that was sent to a target that had crashed before counted as evidence: its connection broke and the next one was refused.

Now a crash counts if all crashes that count were known when the request was sent (`Sent`), and never for a request that was sent when the crash was known. A request that crashes its targets one after the other still counts each of them, so the bound of three is unchanged; copies that are under way at one time count once, at each step.

Numbers of runs are the same as before, so old and new instances agree.

Tests: coord quarantine, six cases that a macro makes.

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`fence`] | fencing tokens, and the gate that refuses old ones |
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
 //! | [`quarantine`] | requests that crash the processes that run them, and shared suspicions |
+//! | [`rendezvous`] | weights that assign keys to members |
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
@@ -27,6 +28,7 @@
 pub mod log;
 pub mod membership;
 pub mod quarantine;
+pub mod rendezvous;
 pub mod replica;
 pub mod ticket;
 pub mod voters;
--- a/crates/zinniastall-coord/src/quarantine.rs
+++ b/crates/zinniastall-coord/src/quarantine.rs
@@ -1,16 +1,20 @@
 //! Quarantine of requests that crash the processes that run them.
 //!
 //! A process that crashes takes down all requests that it runs. Each of them is a suspect, and at
-//! most one of them is the cause. Three rules tell them apart:
+//! most one of them is the cause. Four rules tell them apart:
 //!
 //! - A request that finishes anywhere is cleared.
-//! - A crash counts against each request that was already suspected when it was sent. Crashes of
-//!   copies that were sent before the request was suspected count once together: a popular request
-//!   runs on many processes at any moment, and many of them may crash at once.
+//! - A crash counts if all earlier crashes were known when the request was sent. Crashes of copies
+//!   that were sent with the same crashes known count once together: a popular request runs on many
+//!   processes at any moment, and many of them may crash at once.
+//! - A crash doesn't count against a request that was sent when the crash was known: the process
+//!   was not there to run it.
 //! - A request is quarantined only at [`CRASH_LIMIT`] crashes.
 //!
 //! Instances that share a [`Table`] send each other their [`Suspicion`]s. Merging is commutative,
 //! associative and idempotent, so messages may be lost, duplicated, delayed and reordered.
+//! [`Suspects`] tracks what has to be sent; [`Clearance`] and [`Probes`] decide whether a request
+//! may run.
 //!
 //! # Example
 //!
@@ -29,11 +33,21 @@
 //! assert!(!table.is_quarantined(b"request"));
 //! ```
 
+mod probe;
+mod suspects;
+
 use std::{hash::Hash, time::Instant};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+pub use probe::{
+    Clearance, HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, Probes, may_retry_after_crash,
+};
+pub use suspects::{Change, Known, Scope, Sent, Suspects};
+
+use crate::rendezvous;
+
 /// Number of crashes at which a request is quarantined.
 pub const CRASH_LIMIT: usize = 3;
 /// Number of crashes at which a request is a strong suspect: one more quarantines it.
@@ -42,6 +56,11 @@
 /// Number of a process run; a process that restarts after a crash begins another run.
 pub type Run = u64;
 
+/// Returns the number of a run of a named process.
+pub fn run(name: &str, incarnation: u64) -> Run {
+    rendezvous::weight(name, &incarnation.to_string())
+}
+
 /// The crashes that count against a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
@@ -73,6 +92,16 @@
         (usize::from(first.is_some()) + self.later.len()).min(CRASH_LIMIT)
     }
 
+    /// Returns whether both suspicions have been cleared equally often.
+    const fn is_same_round(&self, other: &Self) -> bool {
+        self.round == other.round
+    }
+
+    /// Returns the runs of processes that crashed with the request.
+    fn runs(&self) -> impl Iterator<Item = Run> {
+        self.first.into_iter().chain(self.later.iter().copied())
+    }
+
     fn crash(&mut self, run: Run, was_suspect: bool) {
         if was_suspect {
             self.later.push(run);
@@ -114,13 +143,13 @@
 }
 
 /// Suspicions by request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Table<K> {
     entries: IndexMap<K, Entry>,
     capacity: usize,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Entry {
     suspicion: Suspicion,
     updated_at: Instant,
--- a/crates/zinniastall-coord/tests/quarantine.rs
+++ b/crates/zinniastall-coord/tests/quarantine.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use zinniastall_coord::quarantine::{CRASH_LIMIT, Run, Suspicion, Table};
+use zinniastall_coord::quarantine::{CRASH_LIMIT, Run, Sent, Suspects, Suspicion, Table};
 
 type Key = [u8; 1];
 
 const KEY: Key = [7];
+const OTHER: Key = [8];
 const CAPACITY: usize = 64;
 
 fn table() -> Table<Key> {
@@ -177,3 +178,57 @@
         prop_assert!(sums.windows(2).all(|pair| pair[0] == pair[1]), "{tables:?}");
     }
 }
+
+/// What happens to the copies of a request, in order.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// The next copy is sent to a run.
+    Send(Run),
+    /// The run of the copy with this number crashes.
+    Crash(usize),
+    /// Some other copy finishes.
+    Finished,
+    /// A run crashes under another request.
+    CrashUnderOther(Run),
+}
+
+use Step::{Crash, CrashUnderOther, Finished, Send};
+
+macro_rules! copies {
+    ($($(#[$about:meta])* $name:ident: $steps:expr => $count:expr;)*) => {
+        $($(#[$about])* #[test] fn $name() {
+            let (mut suspects, now) = (Suspects::<Key>::default(), Instant::now());
+            let mut sent: Vec<Sent> = Vec::new();
+            for step in $steps {
+                match step {
+                    Send(run) => sent.push(suspects.sent(|| KEY, run)),
+                    Crash(copy) => { suspects.record_crash(KEY, &sent[copy], now); }
+                    Finished => { suspects.record_finish(KEY, now); }
+                    CrashUnderOther(run) => {
+                        let other = suspects.sent(|| OTHER, run);
+                        suspects.record_crash(OTHER, &other, now);
+                    }
+                }
+            }
+            assert_eq!(suspects.crashes(KEY), $count);
+        })*
+    };
+}
+
+copies! {
+    copies_sent_one_after_the_other_count_each:
+        [Send(1), Crash(0), Send(2), Crash(1), Send(3), Crash(2)] => 3;
+    copies_sent_before_any_crash_count_once:
+        [Send(1), Send(2), Send(3), Crash(0), Crash(1), Crash(2)] => 1;
+    /// Guards against refusing a popular request: several targets crash under another one within a
+    /// moment, and copies were sent to all of them between the first two crashes.
+    copies_sent_with_one_crash_known_count_once:
+        [Send(1), Crash(0), Send(2), Send(3), Send(4), Crash(1), Crash(2), Crash(3)] => 2;
+    /// Guards against blaming a request that was sent to a target that was not there any more.
+    a_target_that_had_crashed_is_no_evidence:
+        [CrashUnderOther(1), Send(1), Crash(0)] => 0;
+    a_target_that_crashes_under_another_request_is_evidence:
+        [Send(1), CrashUnderOther(1), Crash(0)] => 1;
+    what_was_known_before_a_finish_does_not_count:
+        [Send(1), Crash(0), Send(2), Finished, Crash(1)] => 1;
+}
--- a/crates/zinniastall-gateway/src/decide/quota.rs
+++ b/crates/zinniastall-gateway/src/decide/quota.rs
@@ -27,6 +27,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use zinniastall_coord::rendezvous;
 use zinniastall_model::routing::Quota;
 
 pub use self::meter::Usage;
@@ -34,7 +35,6 @@
     history::History,
     meter::{Meter, RATE_WINDOW},
 };
-use super::slow_start;
 
 /// Demand and use of an account, over all instances.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -143,7 +143,7 @@
     reason = "half of the hash is enough for some hundred accounts"
 )]
 pub fn key(account: &str) -> Key {
-    slow_start::weight(account, "") as Key
+    rendezvous::weight(account, "") as Key
 }
 
 /// Details of a request beyond its account's quota.
--- a/crates/zinniastall-gateway/src/decide/slow_start.rs
+++ b/crates/zinniastall-gateway/src/decide/slow_start.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use zinniastall_coord::rendezvous::weight;
+
 /// Share of a target's rate that is used. At a rate of 20, two senders at 0.9 each exceed 1.5 times
 /// the rate plus three, 33 per second, by three; at 0.7 they stay below it at any rate.
 const RATE_SHARE: f64 = 0.7;
@@ -17,18 +19,6 @@
     instances.max_by_key(|instance| weight(target, instance))
 }
 
-/// Returns the weight of a pair in rendezvous hashing. The pair with the greatest weight wins, so a
-/// member that joins or leaves moves only the keys it wins or held.
-pub fn weight(key: &str, member: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(key.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(member.as_bytes());
-    let mut first = [0; 8];
-    hasher.finalize_xof().fill(&mut first);
-    u64::from_le_bytes(first)
-}
-
 /// Paces the requests of one instance to one cold target.
 #[derive(Debug, Default)]
 pub struct Pacer {
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -5,9 +5,10 @@
 //! of both are correct, and instances use whichever arrived last.
 
 use indexmap::{IndexMap, IndexSet};
+use zinniastall_coord::rendezvous::weight;
 use zinniastall_model::{id, place::Place, presence::Presence};
 
-use crate::{decide::slow_start::weight, view::View};
+use crate::view::View;
 
 /// Maximum number of neighbours for which each instance reports to all others; that traffic grows
 /// with the square of the number.
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -3,10 +3,10 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::rendezvous;
 use zinniastall_model::id;
 
 use super::{Load, Loads, suspicions, usage};
-use crate::decide::slow_start;
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -214,6 +214,6 @@
         clippy::cast_possible_truncation,
         reason = "half of the hash is enough for a region's targets"
     )]
-    let key = slow_start::weight(target, "") as Key;
+    let key = rendezvous::weight(target, "") as Key;
     key
 }
--- a/crates/zinniastall-gateway/src/neighbours/suspicions.rs
+++ b/crates/zinniastall-gateway/src/neighbours/suspicions.rs
@@ -9,11 +9,11 @@
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::quarantine::Suspicion;
+use zinniastall_coord::quarantine::{Change, Scope, Suspicion};
 use zinniastall_model::{fingerprint::Fingerprint, id};
 
 use super::{Outgoing, collector::Roster, datagram::Datagram};
-use crate::suspects::{Change, Scope, Suspects};
+use crate::suspects::Suspects;
 
 /// Maximum number of suspicions in one datagram; each takes at most 70 bytes.
 const MAX_ENTRIES_PER_DATAGRAM: usize = 18;
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -11,7 +11,8 @@
 
 use http::HeaderMap;
 use tokio::time;
-use zinniastall_coord::quarantine::{CRASH_LIMIT, STRONG_SUSPECT_CRASHES, Suspicion};
+use zinniastall_coord::quarantine::{self, Change, Probes, Sent, Suspicion};
+use zinniastall_http::probe::is_refused;
 use zinniastall_model::fingerprint::Fingerprint;
 
 use super::{
@@ -19,12 +20,8 @@
     attempt::{Attempt, Ended, Place},
     job::{Job, header_text},
     responder::Responder,
-    watch::is_refused,
-};
-use crate::{
-    headers::SUSPICION,
-    suspects::{self, Change, Suspects},
 };
+use crate::{headers::SUSPICION, suspects};
 
 /// Time within which another region's report of a crash arrives: the transit between the
 /// regions, plus batching.
@@ -33,7 +30,7 @@
 /// Whether a request may be sent despite the suspicion against it.
 #[derive(Debug)]
 pub(super) enum Clearance<'a> {
-    /// The request may be sent; if it is a strong suspect, for as long as the probe lives.
+    /// The request may be sent; if it is a suspect, for as long as the probe lives.
     Granted(Option<Probe<'a>>),
     /// The request has to wait while another copy of it is at a target.
     Held,
@@ -41,16 +38,25 @@
     Refused,
 }
 
-/// Guard that marks a strong suspect as being at a target.
+/// What was known of a request before an attempt.
+#[derive(Debug)]
+pub(super) struct Before {
+    /// Crashes that counted against the request, for attempts at other instances.
+    crashes: usize,
+    /// What was known of the request and the target, for attempts at targets.
+    sent: Option<Sent>,
+}
+
+/// Guard that marks a suspect as being at a target.
 #[derive(Debug)]
 pub(super) struct Probe<'a> {
-    suspects: &'a RefCell<Suspects>,
+    probes: &'a RefCell<Probes<Fingerprint>>,
     request: Fingerprint,
 }
 
 impl Drop for Probe<'_> {
     fn drop(&mut self) {
-        self.suspects.borrow_mut().end_probe(self.request);
+        self.probes.borrow_mut().end(&self.request);
     }
 }
 
@@ -75,19 +81,17 @@
 
     /// Returns whether a request may be sent.
     pub(super) fn clearance(&self, job: &Job) -> Clearance<'_> {
-        let crashes = self.crashes(job);
-        if crashes >= CRASH_LIMIT {
-            return Clearance::Refused;
-        }
-        if crashes < STRONG_SUSPECT_CRASHES {
-            return Clearance::Granted(None);
+        match quarantine::Clearance::of(self.crashes(job)) {
+            quarantine::Clearance::Refused => return Clearance::Refused,
+            quarantine::Clearance::Free => return Clearance::Granted(None),
+            quarantine::Clearance::Alone => {}
         }
         let request = job.fingerprint();
-        if !self.suspects.borrow_mut().begin_probe(request) {
+        if !self.probes.borrow_mut().begin(request) {
             return Clearance::Held;
         }
         Clearance::Granted(Some(Probe {
-            suspects: &self.suspects,
+            probes: &self.probes,
             request,
         }))
     }
@@ -98,13 +102,31 @@
         self.request_log.quarantined(job, "quarantine-rejected");
     }
 
+    /// Returns what is known before an attempt.
+    pub(super) fn known_before(&self, job: &Job, place: &Place) -> Before {
+        let Place::Target { target, .. } = place else {
+            return Before {
+                crashes: self.crashes(job),
+                sent: None,
+            };
+        };
+        let view = self.state.view();
+        let known = view.targets.by_name().get(target.as_str());
+        let run = known.map(|known| suspects::run(&known.report));
+        let suspects = self.suspects.borrow();
+        Before {
+            crashes: 0,
+            sent: run.map(|run| suspects.sent(|| job.fingerprint(), run)),
+        }
+    }
+
     /// Updates the suspicion against a request after an attempt, and returns whether its target
-    /// crashed; `before` is the number of crashes known when the attempt began.
+    /// crashed.
     pub(super) async fn update_suspicion(
         &self,
         attempt: &Attempt<'_>,
         ended: &Ended,
-        before: usize,
+        before: &Before,
         responder: &Responder,
     ) -> bool {
         let job = attempt.job;
@@ -119,10 +141,11 @@
             Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) => match attempt.place {
                 Place::Target {
                     target, address, ..
-                } => self.has_crashed(job, target, address, before > 0).await,
+                } => self.has_crashed(job, target, address, before).await,
                 Place::Instance { .. } => {
                     let is_broken = matches!(ended, Ended::Broken(_));
-                    self.has_crashed_elsewhere(job, is_broken, before).await
+                    self.has_crashed_elsewhere(job, is_broken, before.crashes)
+                        .await
                 }
             },
             _ => false,
@@ -130,10 +153,11 @@
     }
 
     /// Checks whether a target whose connection broke has crashed, and records it.
-    async fn has_crashed(&self, job: &Job, target: &str, address: &str, was_suspect: bool) -> bool {
+    async fn has_crashed(&self, job: &Job, target: &str, address: &str, before: &Before) -> bool {
         let has_crashed = self.is_expected_to_stay(target) && is_refused(address).await;
-        if has_crashed {
-            self.record_crash(job, target, was_suspect);
+        let sent = before.sent.as_ref().filter(|sent| !sent.had_crashed());
+        if let Some(sent) = sent.filter(|_| has_crashed) {
+            self.record_crash(job, target, sent);
         }
         has_crashed
     }
@@ -193,15 +217,10 @@
         known.is_some_and(|known| known.gone_at.is_none())
     }
 
-    fn record_crash(&self, job: &Job, target: &str, was_suspect: bool) {
+    fn record_crash(&self, job: &Job, target: &str, sent: &Sent) {
         let now = Instant::now();
-        let view = self.state.view();
-        let Some(known) = view.targets.by_name().get(target) else {
-            return;
-        };
-        let run = suspects::run(&known.report);
         let mut suspects = self.suspects.borrow_mut();
-        let change = suspects.record_crash(job.fingerprint(), run, was_suspect, now);
+        let change = suspects.record_crash(job.fingerprint(), sent, now);
         let crashes = suspects.crashes(job.fingerprint());
         drop(suspects);
         self.suspects_changed.notify_one();
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName};
+use zinniastall_coord::rendezvous;
 use zinniastall_http::head::Request;
 use zinniastall_model::{
     fingerprint::Fingerprint,
@@ -143,7 +144,7 @@
             .ok_or(Refusal::Unconfigured)?;
         let route = table.routes.get(self.route).ok_or(Refusal::NoRoute)?;
         // Every instance picks the same service for the same request.
-        let point = crate::decide::slow_start::weight(&route.name, &id) % SPLIT_POINTS;
+        let point = rendezvous::weight(&route.name, &id) % SPLIT_POINTS;
         let service = route.service_at(point).ok_or(Refusal::NoRoute)?.clone();
         let is_same = |held: &Service| held.name == service;
         let service_entry = table.services.iter().position(is_same);
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -18,6 +18,8 @@
 use std::{cell::RefCell, rc::Rc};
 
 use tokio::sync::Notify;
+use zinniastall_coord::quarantine::Probes;
+use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
     decide::quota::Quotas,
@@ -52,6 +54,8 @@
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
     pub suspects: Rc<RefCell<Suspects>>,
+    /// Strong suspects of which this thread has a copy at a target.
+    pub probes: RefCell<Probes<Fingerprint>>,
     /// Notified when the other instances have to be told of a suspect.
     pub suspects_changed: Rc<Notify>,
     /// Idle connections to targets and instances.
@@ -73,6 +77,7 @@
             claims: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             suspects: Rc::default(),
+            probes: RefCell::default(),
             suspects_changed: Rc::default(),
             pool: Pool::default(),
             connections: Connections::default(),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -4,6 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
+use zinniastall_coord::rendezvous;
 use zinniastall_model::{id, presence::Presence};
 
 use super::{Proxy, attempt::Place, job::Job};
@@ -455,7 +456,7 @@
 fn cache_owner<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
     let key = job.prompt.shared().last()?;
     let names = targets.iter().map(|target| target.report.target.as_str());
-    names.max_by_key(|name| slow_start::weight(key, name))
+    names.max_by_key(|name| rendezvous::weight(key, name))
 }
 
 fn place_remote(remote: &RemoteRegion<'_>) -> Placement {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -7,7 +7,9 @@
 };
 
 use tokio::time;
-use zinniastall_coord::quarantine::STRONG_SUSPECT_CRASHES;
+use zinniastall_coord::quarantine::{
+    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, may_retry_after_crash,
+};
 use zinniastall_http::server::Reply;
 
 use super::{
@@ -39,12 +41,6 @@
 /// target finishes some requests in that time, and a crashed one costs one attempt per interval.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
 
-/// Interval at which a held suspect checks whether it may be sent, and its retry time if another
-/// copy is still running. Most requests finish within the latter.
-const SUSPECT_POLL: (Duration, Duration) = (Duration::from_millis(30), Duration::from_secs(1));
-/// Share of the objective for which a suspect waits for another copy to end.
-const SUSPECT_HOLD_SHARE: f64 = 0.5;
-
 /// How a request ended.
 #[derive(Debug)]
 pub enum End {
@@ -127,10 +123,10 @@
             let step = match self.clearance(job) {
                 Clearance::Granted(_probe) => self.step(&mut state, &mut events, responder).await?,
                 Clearance::Held if state.may_be_held() => {
-                    time::sleep(SUSPECT_POLL.0).await;
+                    time::sleep(HOLD_POLL_INTERVAL).await;
                     Step::Retry
                 }
-                Clearance::Held => state.no_place(responder, SUSPECT_POLL.1),
+                Clearance::Held => state.no_place(responder, HELD_RETRY_AFTER),
                 Clearance::Refused => {
                     let step = state.quarantined(responder);
                     if matches!(step, Step::Refuse(Refusal::Quarantined)) {
@@ -184,10 +180,10 @@
                     ahead: basis.in_flight,
                     may_have_run: state.may_have_run,
                 };
-                let before = self.crashes(job);
+                let before = self.known_before(job, &place);
                 let ended = self.attempt(&attempt, events, responder).await;
                 let has_crashed = self
-                    .update_suspicion(&attempt, &ended, before, responder)
+                    .update_suspicion(&attempt, &ended, &before, responder)
                     .await;
                 state.has_crashed |= has_crashed;
                 self.record_attempt(&attempt, &ended, has_crashed);
@@ -281,8 +277,7 @@
         if job.is_passed_on || state.sent >= job.route().attempts {
             return false;
         }
-        // A retried suspect has to run alone; retried here, it would crash the next target at once.
-        if state.has_crashed && self.crashes(job) >= STRONG_SUSPECT_CRASHES {
+        if state.has_crashed && !may_retry_after_crash(self.crashes(job)) {
             return false;
         }
         let instances = self.state.view().instances.by_name().len();
@@ -361,7 +356,7 @@
     /// Returns whether a suspect may still wait for another copy to end.
     fn may_be_held(&self) -> bool {
         let objective = Duration::from_millis(self.job.route().objective_ms);
-        self.job.arrived.elapsed() < objective.mul_f64(SUSPECT_HOLD_SHARE)
+        self.job.arrived.elapsed() < objective.mul_f64(HOLD_SHARE)
     }
 
     /// Ends a quarantined request.
--- a/crates/zinniastall-gateway/src/path/watch.rs
+++ b/crates/zinniastall-gateway/src/path/watch.rs
@@ -5,7 +5,7 @@
 //! silent, but is no reason to leave it. The difference is whether the target still accepts
 //! connections.
 
-use std::{io::ErrorKind, pin::pin, time::Duration};
+use std::{pin::pin, time::Duration};
 
 use tokio::{net::TcpStream, time};
 
@@ -14,10 +14,6 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Connect timeout of a probe. The target is in the same region, a few milliseconds away.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest wait for a target that has just closed a connection to refuse another one. A round trip
-/// between zones of a region takes a few milliseconds, and the request's next attempt is delayed
-/// meanwhile.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(30);
 /// Probes that have to fail in a row, since single packets get lost.
 const PROBE_ATTEMPTS: usize = 2;
 
@@ -55,10 +51,3 @@
     }
     false
 }
-
-/// Returns whether an address refuses connections: the machine is up, but the listening process has
-/// ended.
-pub(super) async fn is_refused(address: &str) -> bool {
-    let connected = time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-}
--- a/crates/zinniastall-gateway/tests/path/quarantine.rs
+++ b/crates/zinniastall-gateway/tests/path/quarantine.rs
@@ -139,7 +139,8 @@
     let now = Instant::now();
     for run in 0..2 {
         let mut suspects = here.proxy.suspects.borrow_mut();
-        suspects.record_crash(request, run, run > 0, now);
+        let sent = suspects.sent(|| request, run);
+        suspects.record_crash(request, &sent, now);
     }
     send(&here, "/pay/1", "p", POISON).await;
     assert_eq!(crash_count(&targets), 1);
--- a/crates/zinniastall-gateway/tests/suspects.rs
+++ b/crates/zinniastall-gateway/tests/suspects.rs
@@ -115,9 +115,9 @@
     fn crash(&mut self, node: usize, requests: impl Iterator<Item = u8>, run: u64) {
         let now = self.now();
         let suspects = &mut self.nodes[node].suspects;
-        for number in requests {
-            let was_suspect = suspects.crashes(request(number)) > 0;
-            suspects.record_crash(request(number), run, was_suspect, now);
+        let riders = requests.map(|number| (number, suspects.sent(|| request(number), run)));
+        for (number, sent) in riders.collect::<Vec<_>>() {
+            suspects.record_crash(request(number), &sent, now);
         }
     }
 
--- a/crates/zinniastall-http/src/lib.rs
+++ b/crates/zinniastall-http/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`head`] | strict parsing and writing of request and response heads |
 //! | [`body`] | decoding and encoding of bodies, without I/O |
 //! | [`connection`] | buffered read and write halves of a connection |
+//! | [`probe`] | whether a server still listens |
 //! | [`server`] | a small server for handlers that work on complete bodies |
 //!
 //! A proxy and the process behind it must agree on where each message ends, otherwise requests can
@@ -14,4 +15,5 @@
 pub mod body;
 pub mod connection;
 pub mod head;
+pub mod probe;
 pub mod server;
--- a/crates/zinniastall-model/src/fingerprint.rs
+++ b/crates/zinniastall-model/src/fingerprint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteArray;
-use zinniastall_coord::quarantine::Suspicion;
+use zinniastall_coord::quarantine::{self, Suspicion};
 
 /// Context string that separates these digests from all others derived with BLAKE3.
 const DERIVE_KEY_CONTEXT: &str = "zinniastall 2026 fingerprint of a request";
@@ -22,6 +22,9 @@
 /// A request and the target crashes attributed to it.
 pub type Suspect = (Fingerprint, Suspicion);
 
+/// What one instance knows of suspected requests.
+pub type Suspects = quarantine::Suspects<Fingerprint>;
+
 /// Error returned when a text is not a valid fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("fingerprint must have {} hexadecimal digits", 2 * LENGTH_BYTES)]
