--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -32,6 +32,7 @@
     time::{self, Instant},
 };
 use zinniastall_model::{
+    fingerprint::Suspect,
     id,
     presence::{Presence, RegionLoad},
     target::Report,
@@ -213,6 +214,11 @@
             .await;
     }
 
+    /// Reports suspected requests for the group to record.
+    pub fn report_suspects(&self, suspects: Vec<Suspect>) {
+        self.inner.recorder.report(suspects);
+    }
+
     /// Serves one gateway instance until its link breaks or stays silent for too long.
     pub async fn serve(self, link: Link) {
         let peer = link.peer().instance.clone();
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -90,12 +90,13 @@
 
     async fn serve_follower(self, link: Link) {
         let peer = link.peer().instance.clone();
-        let control = self.control;
+        let (control, hub) = (self.control, self.hub);
         let notify = |event| {
             match event {
                 Event::Member(member) => control.do_send(Notice::Member(member)),
                 Event::Confirmed(list) => control.do_send(Notice::Confirmed(list)),
                 Event::Drifted(list) => control.do_send(Notice::Drift(list)),
+                Event::Suspects(list) => hub.report_suspects(list),
                 // Operators fetch control's histograms through the operator interface; no peer asks
                 // for them on a link.
                 Event::SummariesRequested => {}
--- a/crates/zinniastall-ctl/src/explain/line.rs
+++ b/crates/zinniastall-ctl/src/explain/line.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+/// Fields that hold the id of a request.
+pub const REQUEST_FIELDS: [&str; 2] = ["id", "request"];
 const SECONDS_PER_DAY: f64 = 86_400.0;
 
 /// A parsed log line.
@@ -43,6 +45,16 @@
         self.field("event")
     }
 
+    /// Returns the id of the request that the line is about, which gateway instances and entry
+    /// instances log under different names; empty if there is none.
+    pub fn request(&self) -> &str {
+        REQUEST_FIELDS
+            .iter()
+            .map(|name| self.field(name))
+            .find(|id| !id.is_empty())
+            .unwrap_or_default()
+    }
+
     /// Returns the value of a field; empty if there is none.
     pub fn field(&self, name: &str) -> &str {
         self.fields.get(name).map_or("", String::as_str)
--- a/crates/zinniastall-ctl/src/explain/mod.rs
+++ b/crates/zinniastall-ctl/src/explain/mod.rs
@@ -15,7 +15,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
-use self::line::Line;
+use self::line::{Line, REQUEST_FIELDS};
 use crate::exit;
 
 /// Seconds before a request's first line from which state changes are included: a silent target, an
@@ -23,9 +23,14 @@
 const CONTEXT_SECONDS: f64 = 10.0;
 /// Events that report a state change, each with the field that names its subject. Events without
 /// such a field concern the whole process.
-const STATE_EVENTS: [(&str, &str); 11] = [
+const STATE_EVENTS: [(&str, &str); 16] = [
     ("target", "target"),
     ("target-out", "target"),
+    ("target-serving", "target"),
+    ("target-gone", "target"),
+    ("suspects-heard", ""),
+    ("quarantine-heard", ""),
+    ("in-force", ""),
     ("instance", "instance"),
     ("configured", ""),
     ("control-lost", ""),
@@ -37,6 +42,10 @@
     ("log-lines-dropped", ""),
 ];
 
+/// Events that report how a request ended: at a gateway instance, at the entry instance that got it
+/// from its caller, and at one that it was forwarded to.
+const END_EVENTS: [&str; 3] = ["request-ended", "request", "forwarded"];
+
 /// A request to explain, and the logs to read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Query {
@@ -134,7 +143,7 @@
 
 /// Reconstructs the timeline of a request; returns `None` if no line carries its id.
 pub fn reconstruct(id: &str, lines: &[Line]) -> Option<Timeline> {
-    let request_lines: Vec<&Line> = lines.iter().filter(|line| line.field("id") == id).collect();
+    let request_lines: Vec<&Line> = lines.iter().filter(|line| line.request() == id).collect();
     let first = request_lines
         .iter()
         .map(|line| line.time)
@@ -146,7 +155,7 @@
     let encountered = encountered(&request_lines);
     let is_context = |line: &&Line| {
         let in_time = line.time >= first - CONTEXT_SECONDS && line.time <= last;
-        in_time && line.field("id").is_empty() && is_related_state(line, &encountered)
+        in_time && line.request().is_empty() && is_related_state(line, &encountered)
     };
     let context = lines.iter().filter(is_context);
     let mut all: Vec<&Line> = request_lines.iter().copied().chain(context).collect();
@@ -165,8 +174,9 @@
 fn end<'a>(request_lines: &[&'a Line]) -> Option<&'a Line> {
     let ends = request_lines
         .iter()
-        .filter(|line| line.event() == "request-ended");
-    let is_from_caller = |line: &Line| line.field("passed_on") != "true";
+        .filter(|line| END_EVENTS.contains(&line.event()));
+    let is_from_caller =
+        |line: &Line| line.event() != "forwarded" && line.field("passed_on") != "true";
     let last = ends.max_by(|a, b| {
         let order = is_from_caller(a).cmp(&is_from_caller(b));
         order.then(a.time.total_cmp(&b.time))
@@ -176,7 +186,9 @@
 
 /// Returns the names of the processes, targets and instances that handled a request.
 fn encountered<'a>(request_lines: &[&'a Line]) -> IndexSet<&'a str> {
-    let named = request_lines.iter().map(|line| line.field("place"));
+    let named = request_lines
+        .iter()
+        .flat_map(|line| ["place", "target"].map(|name| line.field(name)));
     let processes = request_lines.iter().map(|line| line.process.as_str());
     named
         .chain(processes)
@@ -200,11 +212,9 @@
 }
 
 fn step(line: &Line, first: f64) -> Step {
-    let omitted = ["ts", "level", "event", "id"];
-    let fields = line
-        .fields
-        .iter()
-        .filter(|(name, _)| !omitted.contains(&name.as_str()));
+    let omitted =
+        |name: &str| ["ts", "level", "event"].contains(&name) || REQUEST_FIELDS.contains(&name);
+    let fields = line.fields.iter().filter(|(name, _)| !omitted(name));
     Step {
         after: ((line.time - first) * 10_000.0).round() / 10_000.0,
         process: line.process.clone(),
--- a/crates/zinniastall-ctl/tests/explain.rs
+++ b/crates/zinniastall-ctl/tests/explain.rs
@@ -157,6 +157,36 @@
     }
 }
 
+/// Entry instances log a request's id under another name than gateway instances. The timeline of a
+/// quarantined request must show the crashes, what was heard of it, and what its caller was told.
+#[test]
+fn a_request_of_an_entry_instance_is_explained() {
+    let log = "\
+        1.0 entry-1 ts=1 event=target-serving target=t1 incarnation=4\n\
+        2.0 entry-1 ts=1 event=target-crashed request=a target=t1 fingerprint=07 crashes=3\n\
+        2.0 entry-1 ts=1 event=quarantined request=a fingerprint=07\n\
+        2.1 entry-1 ts=1 event=forwarded request=a outcome=not-run reason=quarantined\n\
+        2.2 entry-2 ts=1 event=quarantine-heard peer=entry-1 fingerprint=07\n\
+        2.3 entry-2 ts=1 event=quarantine-rejected request=a fingerprint=07\n\
+        2.4 entry-2 ts=1 event=request request=a outcome=unknown reason=target-lost\n\
+        2.5 entry-2 ts=1 event=request request=b outcome=answered\n";
+    let lines = read(log.as_bytes()).expect("a log");
+    let timeline = reconstruct("a", &lines).expect("a timeline");
+    let steps = timeline.steps.iter();
+    let events: Vec<&str> = steps.map(|step| step.event.as_str()).collect();
+    let expected = [
+        "target-serving",
+        "target-crashed",
+        "quarantined",
+        "forwarded",
+        "quarantine-heard",
+        "quarantine-rejected",
+        "request",
+    ];
+    assert_eq!(events, expected);
+    assert_eq!(timeline.end.as_deref(), Some("unknown"));
+}
+
 /// A caller resends a request under the same id. The last try gives the outcome.
 #[test]
 fn the_last_try_ends_a_request() {
--- a/crates/zinniastall-entry/src/callers/accept.rs
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -1,6 +1,7 @@
 //! First stage of the pipeline: reads and validates a request within size and time limits.
 
 use std::{
+    cell::OnceCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -125,6 +126,7 @@
         path: path(http),
         headers: headers(http),
         body,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Instant};
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
+use zinniastall_coord::quarantine::{HOLD_SHARE, may_retry_after_crash};
 use zinniastall_model::id;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
@@ -16,16 +17,24 @@
     pipeline::{Answer, UNREACHABLE_RETRY_AFTER},
     relay,
     reply::Body,
+    suspect::Run,
     target,
     worker::Worker,
 };
+use crate::quarantine::Probe;
 
 /// Attempts a request until a target responds or no further attempt is allowed.
 pub(super) fn dispatch<'a>(
     worker: &'a Rc<Worker>,
     call: &'a Rc<Call>,
 ) -> LocalBoxFuture<'a, Result<Answer, Refusal>> {
-    attempts(worker, call).boxed_local()
+    let attempts = attempts(worker, call);
+    let ended = async move {
+        attempts
+            .await
+            .map_err(|refusal| worker.conclude(call, refusal))
+    };
+    ended.boxed_local()
 }
 
 async fn attempts(worker: &Rc<Worker>, call: &Rc<Call>) -> Result<Answer, Refusal> {
@@ -34,7 +43,14 @@
     let mut earlier: Option<Refusal> = None;
     let mut tried: Vec<id::Target> = Vec::new();
     let mut attempts_made = 0;
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE);
     loop {
+        let probe = match worker.clear(call, hold_until).await {
+            Ok(probe) => probe,
+            Err(refusal) => return Err(dispatch::merge(earlier, refusal)),
+        };
+        let crashes_before = worker.crashes(call);
         let decision = match admission.admit(request, &tried) {
             Ok(decision) => decision,
             // The retry budget has granted another attempt. If no other target is left, the target
@@ -46,10 +62,16 @@
             Err(refusal) => return Err(merge_last(earlier, refusal)),
         };
         let attempt = match decision {
-            Decision::Local(in_flight) => attempt_local(worker, call, *in_flight, &mut tried).await,
-            Decision::Forwarded(forwarded) => attempt_forwarded(worker, call, forwarded).await,
+            Decision::Local(in_flight) => {
+                attempt_local(worker, call, *in_flight, probe, &mut tried).await
+            }
+            Decision::Forwarded(forwarded) => {
+                attempt_forwarded(worker, call, forwarded, probe).await
+            }
             Decision::Queued(queued) => match queued.granted().await {
-                Ok(in_flight) => attempt_local(worker, call, in_flight, &mut tried).await,
+                // While it waited, the request may have crashed a target elsewhere.
+                Ok(_) if !worker.is_still_clear(call, probe.as_ref()) => continue,
+                Ok(in_flight) => attempt_local(worker, call, in_flight, probe, &mut tried).await,
                 Err(refusal) => return Err(merge_last(earlier, refusal)),
             },
         };
@@ -64,8 +86,11 @@
             has_budget: true,
         };
         let next = dispatch::next(request, &refusal, progress, Instant::now());
+        let crashes = worker.crashes(call);
+        let has_crashed = refusal.outcome == Outcome::Unknown && crashes > crashes_before;
         let merged = dispatch::merge(earlier.take(), refusal);
-        if next == Next::End || !admission.retry() {
+        let is_last = next == Next::End || (has_crashed && !may_retry_after_crash(crashes));
+        if is_last || !admission.retry() {
             return Err(merged);
         }
         earlier = Some(merged);
@@ -94,6 +119,7 @@
     worker: &Rc<Worker>,
     call: &Rc<Call>,
     in_flight: InFlight,
+    probe: Option<Probe>,
     tried: &mut Vec<id::Target>,
 ) -> Result<Answer, Refusal> {
     tried.push(in_flight.target().clone());
@@ -103,20 +129,23 @@
         .map_err(Refusal::not_run)?;
     let report = in_flight.report()?;
     let in_flight = Rc::new(RefCell::new(in_flight));
-    let failed = |refusal: Refusal| {
-        in_flight.borrow_mut().failed(&refusal);
-        refusal
+    let run = Rc::new(Run::new(worker, call, report, probe));
+    let sent = target::send(&worker.client, run.target(), call, 0).await;
+    let mut reply = match sent {
+        Ok(reply) => reply,
+        Err(refusal) => {
+            run.failed(&refusal).await;
+            in_flight.borrow_mut().failed(&refusal);
+            return Err(refusal);
+        }
     };
-    let mut reply = target::send(&worker.client, &report, call, 0)
-        .await
-        .map_err(failed)?;
-    let (events, fault) = (reply.events, reply.status >= 500);
+    let (events, status) = (reply.events, reply.status);
     let stall_timeout = worker.service.stall_timeout;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
     if events && call.request.events {
-        reply.body = relay::resumable_events(worker, call, &in_flight, reply.body);
+        reply.body = relay::resumable_events(worker, call, &run, reply.body);
     }
-    reply.body = track_in_flight(reply.body, &in_flight, fault);
+    reply.body = track_in_flight(reply.body, &in_flight, &run, status);
     if events {
         relay::await_first_part(&mut reply).await?;
     }
@@ -126,8 +155,9 @@
 
 async fn attempt_forwarded(
     worker: &Rc<Worker>,
-    call: &Call,
+    call: &Rc<Call>,
     mut forwarded: Forwarded,
+    probe: Option<Probe>,
 ) -> Result<Answer, Refusal> {
     let refused = |reason| Err(Refusal::not_run(reason).retry_after(UNREACHABLE_RETRY_AFTER));
     worker
@@ -138,12 +168,25 @@
         return refused(Reason::TargetUnreachable);
     };
     let hops = forwarded.hops().to_vec();
-    let sent = forward::send(worker, call, peer, hops).await;
-    let mut reply = sent.inspect_err(|refusal| forwarded.failed(refusal))?;
+    let mut reply = match forward::send(worker, call, peer, hops).await {
+        Ok(reply) => reply,
+        Err(refusal) => {
+            forwarded.failed(&refusal);
+            worker.share_if_strong(call).await;
+            return Err(refusal);
+        }
+    };
     let stall_timeout = worker.service.stall_timeout;
     let events = reply.events;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
-    reply.body = track_forwarded(reply.body, forwarded);
+    let remote = Remote {
+        forwarded,
+        worker: Rc::clone(worker),
+        call: Rc::clone(call),
+        status: reply.status,
+        _probe: probe,
+    };
+    reply.body = track_forwarded(reply.body, remote);
     if events {
         relay::await_first_part(&mut reply).await?;
     }
@@ -151,32 +194,63 @@
     Ok((reply, buffered))
 }
 
-/// Counts a request at its target until the body ends or is dropped.
-fn track_in_flight(body: Body, in_flight: &Rc<RefCell<InFlight>>, fault: bool) -> Body {
-    let state = (body, Rc::clone(in_flight));
-    let next = move |(mut body, in_flight): (Body, Rc<RefCell<InFlight>>)| async move {
+/// Counts a request at its target until the body ends or is dropped, and records what its end says
+/// about the request.
+fn track_in_flight(
+    body: Body,
+    in_flight: &Rc<RefCell<InFlight>>,
+    run: &Rc<Run>,
+    status: u16,
+) -> Body {
+    let state = (body, Rc::clone(in_flight), Rc::clone(run));
+    let next = move |(mut body, in_flight, run): (Body, Rc<RefCell<InFlight>>, Rc<Run>)| async move {
         let part = body.next().await;
         match &part {
-            None if !fault => in_flight.borrow_mut().answered(),
+            None if status < 500 => in_flight.borrow_mut().answered(),
             None => in_flight
                 .borrow_mut()
                 .failed(&Refusal::unknown(Reason::TargetLost)),
-            Some(Err(refusal)) => in_flight.borrow_mut().failed(refusal),
+            Some(Err(refusal)) => {
+                run.failed(refusal).await;
+                in_flight.borrow_mut().failed(refusal);
+            }
             Some(Ok(_)) => {}
         }
-        Some((part?, (body, in_flight)))
+        if part.is_none() && is_success(status) {
+            run.succeeded();
+        }
+        Some((part?, (body, in_flight, run)))
     };
     stream::unfold(state, next).boxed_local()
 }
 
-/// Counts a forwarded request at its place until the body ends or is dropped.
-fn track_forwarded(body: Body, forwarded: Forwarded) -> Body {
-    let next = |(mut body, mut forwarded): (Body, Forwarded)| async move {
-        let part = body.next().await?;
-        if let Err(refusal) = &part {
-            forwarded.failed(refusal);
+/// A request in flight at another instance.
+struct Remote {
+    forwarded: Forwarded,
+    worker: Rc<Worker>,
+    call: Rc<Call>,
+    status: u16,
+    _probe: Option<Probe>,
+}
+
+/// Counts a forwarded request at its place until the body ends or is dropped, and records what its
+/// end says about the request.
+fn track_forwarded(body: Body, remote: Remote) -> Body {
+    let next = |(mut body, mut remote): (Body, Remote)| async move {
+        let part = body.next().await;
+        match &part {
+            None if is_success(remote.status) => remote.worker.record_success(&remote.call),
+            Some(Err(refusal)) => {
+                remote.forwarded.failed(refusal);
+                remote.worker.share_if_strong(&remote.call).await;
+            }
+            _ => {}
         }
-        Some((part, (body, forwarded)))
+        Some((part?, (body, remote)))
     };
-    stream::unfold((body, forwarded), next).boxed_local()
+    stream::unfold((body, remote), next).boxed_local()
+}
+
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
 }
--- a/crates/zinniastall-entry/src/callers/call.rs
+++ b/crates/zinniastall-entry/src/callers/call.rs
@@ -1,7 +1,9 @@
 //! A caller's HTTP request, as it is sent to a target or to another instance.
 
+use std::cell::OnceCell;
+
 use bytes::Bytes;
-use zinniastall_model::header;
+use zinniastall_model::{fingerprint::Fingerprint, header};
 use zinniastall_route::request::Request;
 
 /// An HTTP request together with its routing attributes.
@@ -17,6 +19,8 @@
     pub headers: Vec<(String, String)>,
     /// HTTP body.
     pub body: Bytes,
+    /// Identity of the request, computed when it is first needed.
+    pub fingerprint: OnceCell<Fingerprint>,
 }
 
 /// Headers that apply to a single connection or that each hop sets anew. The authorization key
@@ -47,6 +51,14 @@
 }
 
 impl Call {
+    /// Returns the identity of the request, which is the same at all instances.
+    ///
+    /// The host is left out: callers address each entry instance by another one.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let compute = || Fingerprint::of(Some(&self.request.client), "", &self.path, &self.body);
+        *self.fingerprint.get_or_init(compute)
+    }
+
     /// Returns the system's own headers for a request to a target.
     pub fn system_headers(&self, left_ms: u64, offset: u64) -> Vec<(&'static str, String)> {
         let mut headers = vec![
--- a/crates/zinniastall-entry/src/callers/forward/handler.rs
+++ b/crates/zinniastall-entry/src/callers/forward/handler.rs
@@ -13,7 +13,7 @@
 use zinniastall_wire::stream::{self, Message, Open};
 
 use super::{credit::Credit, failure, head, open};
-use crate::callers::{completion::Completion, pipeline, worker::Worker};
+use crate::callers::{call::Call, completion::Completion, pipeline, worker::Worker};
 
 /// Maximum size of a response part in one message.
 const MAX_PART_BYTES: usize = 32 * 1024;
@@ -29,7 +29,8 @@
     let _progress = worker.service.progress.start();
     let stream = open.stream;
     let mut completion = Completion::forwarded(worker.recorder.clone(), &sender.instance);
-    let end = match run(&worker, &sender, open, &mut completion).await {
+    let mut call = None;
+    let end = match run(&worker, &sender, open, &mut call, &mut completion).await {
         Ok(answer) => relay(stream, answer, &credit, &out, &mut completion).await,
         Err(refusal) => Err(refusal),
     };
@@ -40,8 +41,11 @@
         }
         Err(refusal) => {
             completion.refused(&refusal);
-            let failure = failure(&refusal);
-            Message::Failed { stream, failure }
+            Message::Failed {
+                stream,
+                failure: failure(&refusal),
+                suspect: call.and_then(|call| worker.suspect(&call)),
+            }
         }
     };
     // If the link is broken, the other end notices by itself.
@@ -55,9 +59,14 @@
     worker: &Rc<Worker>,
     sender: &Address,
     mut open: Open,
+    unpacked: &mut Option<Rc<Call>>,
     completion: &mut Completion,
 ) -> Result<pipeline::Answer, Refusal> {
     completion.opened(&open);
+    if let Some(suspect) = &open.suspect {
+        let quarantine = worker.service.shared_view.quarantine();
+        quarantine.hear(&sender.instance, std::slice::from_ref(suspect), None);
+    }
     await_revision(worker, &mut open).await;
     let ticket = open.ticket.clone();
     let call = open::unpack(worker, sender, open).map_err(|refusal| {
@@ -65,6 +74,7 @@
         tickets.rejected_early(refusal, ticket.as_deref(), Some(sender))
     })?;
     completion.identified(&call.request);
+    let call = Rc::clone(unpacked.insert(Rc::new(call)));
     pipeline::serve_forwarded(worker, call, sender).await
 }
 
--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -30,7 +30,7 @@
 };
 
 use super::{call::Call, reply::Reply, worker::Worker};
-use crate::{links::Identity, view::View};
+use crate::{links::Identity, quarantine::Quarantine, view::View};
 
 pub use serve::Receiver;
 
@@ -54,14 +54,16 @@
 #[derive(Debug)]
 pub struct Links {
     identity: Option<Identity>,
+    quarantine: Quarantine,
     open: RefCell<IndexMap<id::Instance, Rc<Mux>>>,
 }
 
 impl Links {
-    /// Creates an empty set of links.
-    pub fn new(identity: Option<Identity>) -> Self {
+    /// Creates an empty set of links. What other instances report of suspects goes to `quarantine`.
+    pub fn new(identity: Option<Identity>, quarantine: Quarantine) -> Self {
         Self {
             identity,
+            quarantine,
             open: RefCell::default(),
         }
     }
@@ -80,7 +82,7 @@
         if hello.instance != peer.instance || hello.incarnation != peer.incarnation {
             return Err(unreachable());
         }
-        let mux = Mux::start(link);
+        let mux = Mux::start(link, self.quarantine.clone());
         let mut open = self.open.borrow_mut();
         open.insert(peer.instance.clone(), Rc::clone(&mux));
         Ok(mux)
@@ -128,7 +130,7 @@
     worker
         .check_again(&call.request, &peer.place)
         .map_err(Refusal::not_run)?;
-    let reply = mux.request(open::pack(call, hops));
+    let reply = mux.request(open::pack(call, hops, worker.suspect(call)));
     let reply = timeout_at(deadline.into(), reply).await;
     reply.map_err(|_| Refusal::unknown(Reason::DeadlinePassed))?
 }
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -9,6 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, time::timeout};
+use zinniastall_coord::quarantine::Scope;
 use zinniastall_model::id;
 use zinniastall_route::outcome::{Reason, Refusal};
 use zinniastall_wire::{
@@ -18,7 +19,10 @@
 };
 
 use super::{KEEPALIVE_INTERVAL, LINK_TIMEOUT, head::reply, refusal};
-use crate::callers::reply::{BodySource, Reply, lazy_body};
+use crate::{
+    callers::reply::{BodySource, Reply, lazy_body},
+    quarantine::Quarantine,
+};
 
 /// Sending end of a link.
 ///
@@ -26,6 +30,7 @@
 /// a closed stream is dropped.
 #[derive(Debug)]
 pub(super) struct Mux {
+    instance: id::Instance,
     incarnation: id::Incarnation,
     /// Outgoing messages; bounded in practice by the requests in progress and their credit
     /// messages.
@@ -33,20 +38,23 @@
     streams: RefCell<IndexMap<stream::Id, mpsc::UnboundedSender<Message>>>,
     last: Cell<stream::Id>,
     alive: Cell<bool>,
+    quarantine: Quarantine,
 }
 
 impl Mux {
     /// Spawns the tasks that write to and read from a link.
-    pub(super) fn start(link: Link) -> Rc<Self> {
-        let incarnation = link.peer().incarnation;
+    pub(super) fn start(link: Link, quarantine: Quarantine) -> Rc<Self> {
+        let (instance, incarnation) = (link.peer().instance.clone(), link.peer().incarnation);
         let (sender, receiver) = link.split();
         let (out, queued) = mpsc::unbounded_channel();
         let mux = Rc::new(Self {
+            instance,
             incarnation,
             out,
             streams: RefCell::default(),
             last: Cell::new(0),
             alive: Cell::new(true),
+            quarantine,
         });
         let read = read(Rc::downgrade(&mux), receiver);
         let write = write(queued, sender);
@@ -127,6 +135,16 @@
             return;
         };
         let stream = message.stream();
+        if let Message::Failed {
+            suspect: Some(suspect),
+            ..
+        } = &message
+        {
+            // The caller may come again at another instance of this zone at once.
+            let reported = std::slice::from_ref(suspect);
+            mux.quarantine
+                .hear(&mux.instance, reported, Some(Scope::All));
+        }
         if matches!(message, Message::End { .. } | Message::Failed { .. }) {
             mux.send(Message::Credit { stream, bytes: 0 });
         }
--- a/crates/zinniastall-entry/src/callers/forward/open.rs
+++ b/crates/zinniastall-entry/src/callers/forward/open.rs
@@ -1,12 +1,13 @@
 //! Conversion of requests to and from the message that opens a stream.
 
 use std::{
+    cell::OnceCell,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use zinniastall_coord::ticket::Address;
-use zinniastall_model::{object::Subject, place::Place};
+use zinniastall_model::{fingerprint::Suspect, object::Subject, place::Place};
 use zinniastall_route::{
     hops,
     outcome::{Reason, Refusal},
@@ -18,7 +19,7 @@
 use crate::callers::{accept, call::Call, reply::remaining_ms, worker::Worker};
 
 /// Creates the message that opens a stream; the link assigns its number.
-pub(super) fn pack(call: &Call, hops: Vec<Place>) -> Open {
+pub(super) fn pack(call: &Call, hops: Vec<Place>, suspect: Option<Suspect>) -> Open {
     let request = &call.request;
     Open {
         stream: 0,
@@ -31,6 +32,7 @@
         regions: request.regions.clone(),
         idempotent: request.idempotent,
         ticket: request.ticket.clone(),
+        suspect,
         left_ms: remaining_ms(request.deadline),
         method: call.method.clone(),
         path: call.path.clone(),
@@ -87,5 +89,6 @@
         path: open.path,
         headers: open.headers,
         body: open.body.into(),
+        fingerprint: OnceCell::new(),
     })
 }
--- a/crates/zinniastall-entry/src/callers/forward/serve.rs
+++ b/crates/zinniastall-entry/src/callers/forward/serve.rs
@@ -158,7 +158,12 @@
         let refusal = tickets.rejected_early(refusal, open.ticket.as_deref(), Some(sender));
         let failure = failure(&refusal);
         // If the channel is full too, the failure message is dropped.
-        return drop(out.try_send(Message::Failed { stream, failure }));
+        let failed = Message::Failed {
+            stream,
+            failure,
+            suspect: None,
+        };
+        return drop(out.try_send(failed));
     }
     let credit = Rc::new(Credit::new(WINDOW_BYTES));
     let handler = handle(
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -20,6 +20,7 @@
 pub mod server;
 mod service;
 pub mod settings;
+mod suspect;
 pub mod target;
 pub mod ticket;
 pub mod worker;
@@ -85,7 +86,7 @@
         worker.service.tickets.rejected_early(refusal, ticket, None)
     })?;
     completion.identified(&call.request);
-    pipeline::serve(worker, call).await
+    pipeline::serve(worker, Rc::new(call)).await
 }
 
 async fn read_call(
--- a/crates/zinniastall-entry/src/callers/pipeline.rs
+++ b/crates/zinniastall-entry/src/callers/pipeline.rs
@@ -28,7 +28,7 @@
 /// # Errors
 ///
 /// Returns a refusal if no complete response arrived and none can be relayed.
-pub async fn serve(worker: &Rc<Worker>, call: Call) -> Result<Answer, Refusal> {
+pub async fn serve(worker: &Rc<Worker>, call: Rc<Call>) -> Result<Answer, Refusal> {
     let draining = worker.view().draining;
     if call.request.idempotent {
         return serve_idempotent(worker, call, draining).await;
@@ -49,7 +49,7 @@
 /// See [`serve`].
 pub async fn serve_forwarded(
     worker: &Rc<Worker>,
-    call: Call,
+    call: Rc<Call>,
     sender: &Address,
 ) -> Result<Answer, Refusal> {
     let draining = worker.view().draining;
@@ -66,17 +66,21 @@
 /// Serves an idempotent request, unless the instance is draining.
 async fn serve_idempotent(
     worker: &Rc<Worker>,
-    call: Call,
+    call: Rc<Call>,
     draining: bool,
 ) -> Result<Answer, Refusal> {
     if draining {
         return Err(Refusal::not_run(Reason::Draining).retry_after(UNREACHABLE_RETRY_AFTER));
     }
-    dispatch(worker, &Rc::new(call)).await
+    dispatch(worker, &call).await
 }
 
 /// Runs the request of a ticket in a separate task, or joins a run that has started.
-async fn serve_once(worker: &Rc<Worker>, call: Call, action: Action) -> Result<Answer, Refusal> {
+async fn serve_once(
+    worker: &Rc<Worker>,
+    call: Rc<Call>,
+    action: Action,
+) -> Result<Answer, Refusal> {
     let (record, owner) = match action {
         Action::Run(record) => (record, true),
         Action::Join(record) => (record, false),
@@ -86,7 +90,7 @@
     if owner {
         // The task outlives the caller's connection: if the response is lost on its way, a retry of
         // the caller finds it here.
-        let task = run_recorded(Rc::clone(worker), Rc::new(call), Writer(record.clone()));
+        let task = run_recorded(Rc::clone(worker), call, Writer(record.clone()));
         actix::spawn(task);
     }
     let read = async {
@@ -143,7 +147,7 @@
     let asked = forward::send(worker, call, peer, hops).await;
     let mut reply = asked.map_err(|refusal| match refusal.reason {
         // The issuer knows whether the request ran.
-        Reason::ForwardedFailed(_) => refusal,
+        Reason::ForwardedFailed(_) => worker.conclude(call, refusal),
         // The request may have run there earlier, although nothing got through this time.
         Reason::TargetUnreachable => gone(),
         reason => Refusal::unknown(reason),
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -15,10 +15,10 @@
 };
 
 use super::{
-    admission::InFlight,
     call::Call,
     reply::{Body, BodySource, Reply, lazy_body},
     response::MAX_BUFFERED_BYTES,
+    suspect::Run,
     target,
     worker::Worker,
 };
@@ -53,7 +53,7 @@
 struct EventStream {
     worker: Rc<Worker>,
     call: Rc<Call>,
-    in_flight: Rc<std::cell::RefCell<InFlight>>,
+    run: Rc<Run>,
     body: Body,
     events: Events,
     attempts: u32,
@@ -63,16 +63,16 @@
 ///
 /// If the connection breaks in between, an idempotent stream resumes at its offset on the same
 /// target, provided that the target supports it and the retry budget permits.
-pub fn resumable_events(
+pub(super) fn resumable_events(
     worker: &Rc<Worker>,
     call: &Rc<Call>,
-    in_flight: &Rc<std::cell::RefCell<InFlight>>,
+    run: &Rc<Run>,
     body: Body,
 ) -> Body {
     lazy_body(EventStream {
         worker: Rc::clone(worker),
         call: Rc::clone(call),
-        in_flight: Rc::clone(in_flight),
+        run: Rc::clone(run),
         body,
         events: Events::default(),
         attempts: 1,
@@ -115,6 +115,10 @@
         if next == Next::End || offset == 0 || !request.idempotent {
             return Err(broken);
         }
+        // The request may be what crashed the target.
+        if self.run.failed(&broken).await {
+            return Err(broken);
+        }
         let here = &self.worker.view().place;
         if self.worker.check_again(request, here).is_err() {
             return Err(broken);
@@ -123,8 +127,7 @@
             return Err(broken);
         }
         self.attempts += 1;
-        let report = self.in_flight.borrow().report()?;
-        let reply = target::send(&self.worker.client, &report, &self.call, offset)
+        let reply = target::send(&self.worker.client, self.run.target(), &self.call, offset)
             .await
             .map_err(|_| broken.clone())?;
         // A target that ignores the offset starts over; relaying that would duplicate events.
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -33,7 +33,10 @@
     pub fn new(service: Service) -> Self {
         Self {
             client: Clients::default(),
-            links: Links::new(service.identity.clone()),
+            links: Links::new(
+                service.identity.clone(),
+                service.shared_view.quarantine().clone(),
+            ),
             recorder: service.registry.recorder(),
             service,
             index: RefCell::default(),
--- a/crates/zinniastall-entry/src/follow/actor.rs
+++ b/crates/zinniastall-entry/src/follow/actor.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use zinniastall_model::{
     change::{Answer, Change},
+    fingerprint::Suspect,
     id,
     member::Member,
     state::State,
@@ -48,6 +49,8 @@
     pub(super) activation: Activation,
     pub(super) confirmations: Collector,
     pub(super) pending_members: Vec<Member>,
+    /// Suspects that were last reported to the control group.
+    pub(super) reported_suspects: Vec<Suspect>,
 }
 
 /// Last status reported by the source.
@@ -91,6 +94,7 @@
             activation: Activation::new(stored),
             confirmations: Collector::default(),
             pending_members: Vec::new(),
+            reported_suspects: Vec::new(),
         }
     }
 
--- a/crates/zinniastall-entry/src/follow/report.rs
+++ b/crates/zinniastall-entry/src/follow/report.rs
@@ -32,6 +32,22 @@
     }
 }
 
+impl Follower {
+    /// Returns the suspects that the control group lacks, once when they change and then whenever a
+    /// report is due. Only followers of a control instance report them: suspects are known to all
+    /// instances, and relays are among these.
+    fn missing_suspects(&mut self, is_due: bool) -> Option<follow::Message> {
+        let follows_control = self.source.is_some_and(|source| source.control);
+        let missing = self.shared_view.quarantine().missing();
+        let is_new = missing != self.reported_suspects;
+        if !follows_control || missing.is_empty() || !(is_due || is_new) {
+            return None;
+        }
+        self.reported_suspects.clone_from(&missing);
+        Some(follow::Message::Suspects(missing))
+    }
+}
+
 /// Something that a follower of this instance reported.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -106,6 +122,7 @@
                 messages.push(follow::Message::Drifted(drifted));
             }
         }
+        messages.extend(self.missing_suspects(report.due));
         MessageResult(messages)
     }
 }
--- a/crates/zinniastall-entry/src/lib.rs
+++ b/crates/zinniastall-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod links;
 pub mod publish;
+pub mod quarantine;
 pub mod settings;
 pub mod spread;
 pub mod targets;
--- /dev/null
+++ b/crates/zinniastall-entry/src/quarantine.rs
@@ -0,0 +1,256 @@
+//! Requests suspected of crashing targets, shared by all threads of an instance.
+//!
+//! Every request reads the suspicions, but they change only when a target crashes, when a suspect
+//! finishes and when other instances report either. Readers therefore get an immutable table that
+//! is replaced with each change, and only changes take a lock.
+
+use std::{
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
+use zinniastall_coord::quarantine::{Change, Known, Probes, Run, Scope, Sent, Suspicion};
+use zinniastall_model::{
+    fingerprint::{Fingerprint, Suspect, Suspects},
+    state::State,
+};
+
+/// Longest time for which the answer to a request that crashed a target is held back until the
+/// other instances of the zone know of it.
+const SHARE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Suspected requests of an instance. Clones share their state.
+#[derive(Debug, Clone)]
+pub struct Quarantine(Arc<Inner>);
+
+struct Inner {
+    known: ArcSwap<Known<Fingerprint>>,
+    writer: Mutex<Writer>,
+    probes: Mutex<Probes<Fingerprint>>,
+    changed: Notify,
+    /// Version of the suspicions that all other instances of the zone have.
+    heard: watch::Sender<u64>,
+}
+
+impl fmt::Debug for Inner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Inner").finish_non_exhaustive()
+    }
+}
+
+/// State of those who change suspicions.
+#[derive(Debug, Default)]
+struct Writer {
+    suspects: Suspects,
+    /// Suspects that the control group holds, as of the last comparison.
+    held: Arc<Vec<Suspect>>,
+    /// Suspects that the control group should hold and doesn't hold yet.
+    missing: Vec<Suspect>,
+    /// Whether suspicions have changed since the last comparison.
+    has_changed: bool,
+    /// Number of changes that other instances have to be told.
+    version: u64,
+}
+
+/// Guard that marks a strong suspect as being at a target.
+#[derive(Debug)]
+pub struct Probe {
+    quarantine: Quarantine,
+    request: Fingerprint,
+}
+
+impl Drop for Probe {
+    fn drop(&mut self) {
+        lock(&self.quarantine.0.probes).end(&self.request);
+    }
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let writer = Writer::default();
+        Self(Arc::new(Inner {
+            known: ArcSwap::from_pointee(writer.suspects.known().clone()),
+            writer: Mutex::new(writer),
+            probes: Mutex::default(),
+            changed: Notify::new(),
+            heard: watch::Sender::new(0),
+        }))
+    }
+}
+
+impl Quarantine {
+    /// Returns whether neither this instance nor the configuration knows a suspect.
+    pub fn is_empty(&self, configured: Option<&State>) -> bool {
+        self.0.known.load().is_empty() && configured.is_none_or(|state| state.suspects.is_empty())
+    }
+
+    /// Returns the suspicion against a request, from what instances report and from the
+    /// configuration. The latter counts as soon as it is in force, also when it releases a request.
+    pub fn suspicion(&self, request: Fingerprint, configured: Option<&State>) -> Suspicion {
+        let known = self.0.known.load();
+        let mut suspicion = known.suspicion(request).cloned().unwrap_or_default();
+        if let Some(held) = configured.and_then(|state| state.suspects.get(&request)) {
+            suspicion.merge(held);
+        }
+        suspicion
+    }
+
+    /// Returns what is known now, to be kept with a request that is sent to a run of a target.
+    ///
+    /// `request` is called only if some request was ever suspected.
+    pub fn sent(&self, request: impl FnOnce() -> Fingerprint, run: Run) -> Sent {
+        self.0.known.load().sent(request, run)
+    }
+
+    /// Returns when this instance learned that a run of a target crashed; `None` if it didn't.
+    pub fn crashed_at(&self, run: Run) -> Option<Instant> {
+        self.0.known.load().crashed_at(run)
+    }
+
+    /// Returns the crashed run that became known last.
+    pub fn last_crashed_run(&self) -> Option<Run> {
+        self.0.known.load().last_crashed_run()
+    }
+
+    /// Records that the target to which a request was sent crashed with the request in flight.
+    pub fn record_crash(&self, request: Fingerprint, sent: &Sent) -> Change {
+        self.change(|suspects| {
+            let change = suspects.record_crash(request, sent, Instant::now());
+            (change, change != Change::None)
+        })
+    }
+
+    /// Records that a request finished; returns whether that cleared it.
+    pub fn record_finish(&self, request: Fingerprint) -> bool {
+        self.change(|suspects| {
+            let is_cleared = suspects.record_finish(request, Instant::now());
+            (is_cleared, is_cleared)
+        })
+    }
+
+    /// Merges what another instance reports, and passes news on to the instances in `scope`.
+    pub fn hear(&self, peer: &str, reported: &[Suspect], scope: Option<Scope>) {
+        let now = Instant::now();
+        let news = self.change(|suspects| {
+            let merge = |(request, suspicion): &Suspect| {
+                let change = suspects.merge(*request, suspicion, scope, now);
+                (*request, change)
+            };
+            let mut news: Vec<_> = reported.iter().map(merge).collect();
+            news.retain(|(_, change)| *change != Change::None);
+            let has_changed = !news.is_empty();
+            (news, has_changed)
+        });
+        if !news.is_empty() {
+            tracing::info!(event = "suspects-heard", peer, requests = news.len());
+        }
+        for (request, change) in news {
+            if change == Change::Quarantined {
+                tracing::warn!(event = "quarantine-heard", peer, fingerprint = %request);
+            }
+        }
+    }
+
+    /// Returns the news to send to other instances now, and the version that they have with it.
+    pub fn news(&self) -> (Vec<Suspect>, u64) {
+        let mut writer = self.writer();
+        let news = writer.suspects.news().into_iter();
+        let news = news.map(|(_, request, suspicion)| (request, suspicion));
+        (news.collect(), writer.version)
+    }
+
+    /// Sets the version that all other instances of the zone have acknowledged.
+    pub fn set_heard(&self, version: u64) {
+        self.0.heard.send_replace(version);
+    }
+
+    /// Waits, up to a limit, until the other instances of the zone know what is known here.
+    ///
+    /// A caller whose request crashed a target may send it to another instance at once.
+    pub async fn shared(&self) {
+        let version = self.writer().version;
+        let mut heard = self.0.heard.subscribe();
+        let shared = heard.wait_for(|heard| *heard >= version);
+        if timeout(SHARE_TIMEOUT, shared).await.is_err() {
+            tracing::warn!(event = "suspects-not-heard", version);
+        }
+    }
+
+    /// Waits until there may be news.
+    pub async fn changed(&self) {
+        self.0.changed.notified().await;
+    }
+
+    /// Returns the strong suspects and the version.
+    pub fn strong(&self) -> (Vec<Suspect>, u64) {
+        let writer = self.writer();
+        (writer.suspects.strong(), writer.version)
+    }
+
+    /// Compares with the suspects of a configuration, if either side has changed.
+    pub fn reconcile(&self, configured: &State) {
+        let mut writer = self.writer();
+        let held = configured.suspects.iter();
+        if !writer.has_changed
+            && held
+                .clone()
+                .eq(writer.held.iter().map(|(key, held)| (key, held)))
+        {
+            return;
+        }
+        writer.has_changed = false;
+        writer.held = Arc::new(held.map(|(key, held)| (*key, held.clone())).collect());
+        let held = Arc::clone(&writer.held);
+        writer.missing = writer.suspects.reconcile(&held, Instant::now());
+        self.publish(&writer);
+    }
+
+    /// Returns the suspects that the control group should hold and doesn't hold yet.
+    pub fn missing(&self) -> Vec<Suspect> {
+        self.writer().missing.clone()
+    }
+
+    /// Marks a strong suspect as in flight at a target; returns `None` if it is already.
+    pub fn begin_probe(&self, request: Fingerprint) -> Option<Probe> {
+        let is_first = lock(&self.0.probes).begin(request);
+        is_first.then(|| Probe {
+            quarantine: self.clone(),
+            request,
+        })
+    }
+
+    /// Applies a function that returns its result and whether it changed a suspicion.
+    fn change<T>(&self, apply: impl FnOnce(&mut Suspects) -> (T, bool)) -> T {
+        let mut writer = self.writer();
+        let (result, has_changed) = apply(&mut writer.suspects);
+        if has_changed {
+            writer.has_changed = true;
+            writer.version += u64::from(writer.suspects.has_news());
+            self.publish(&writer);
+        }
+        drop(writer);
+        self.0.changed.notify_one();
+        result
+    }
+
+    /// Publishes the suspicions to readers, in the order of the changes.
+    fn publish(&self, writer: &Writer) {
+        let known = writer.suspects.known().clone();
+        self.0.known.store(Arc::new(known));
+    }
+
+    fn writer(&self) -> MutexGuard<'_, Writer> {
+        lock(&self.0.writer)
+    }
+}
+
+/// Locks a mutex whose content stays consistent when a thread panics.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -7,7 +7,7 @@
 
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
 use indexmap::IndexMap;
-use zinniastall_coord::{digest::Bucket, membership::Roster};
+use zinniastall_coord::{digest::Bucket, membership::Roster, quarantine::Run};
 use zinniastall_model::{id, place::Place};
 use zinniastall_settings::metrics::Recorder;
 use zinniastall_wire::{
@@ -22,6 +22,7 @@
     messages::{Closed, Dialed, ForwardFacts, Linked, PublishTargets, Received, Stop},
     renewals::Renewals,
     settings::{self, CROSS_REGION_PERIODS},
+    suspicions,
     topology::Topology,
     traffic::Traffic,
 };
@@ -75,6 +76,10 @@
     pub(super) publish_pending: bool,
     pub(super) forward_pending: bool,
     pub(super) raise_count: u32,
+    /// Crashed run of a target that this instance learned of last.
+    pub(super) last_crashed_run: Option<Run>,
+    /// Versions of this instance's suspicions that the other ends of links have acknowledged.
+    pub(super) acknowledged: IndexMap<Handle, u64>,
     pub(super) started: Instant,
     last_sweep: Instant,
     /// Number of periods since the start.
@@ -109,6 +114,8 @@
             publish_pending: false,
             forward_pending: false,
             raise_count: 0,
+            last_crashed_run: None,
+            acknowledged: IndexMap::new(),
             started: now,
             last_sweep: now,
             period_count: 0,
@@ -125,6 +132,8 @@
         self.sweep(now);
         self.publish_peers(now);
         self.publish_digests(now);
+        self.reconcile_suspects();
+        self.share_suspects();
         self.dial(context, now);
     }
 
@@ -230,6 +239,7 @@
         self.address_book.mark_linked(&peer, now);
         let peers = self.introduction(&place, now);
         self.links.send(handle, gossip::Message::Peers(peers));
+        self.introduce_suspects(handle);
         if place == *self.dependencies.identity.place() {
             let reports = self.targets.reports(now);
             self.links.send(handle, gossip::Message::Targets(reports));
@@ -250,6 +260,7 @@
             gossip::Message::Peers(peers) => self.handle_peers(&peer, peers, now),
             gossip::Message::Targets(reports) => self.apply_reports(&place, reports, now),
             gossip::Message::Delta(news) => {
+                self.apply_suspects(link, (&peer, &place), &news.suspects);
                 self.forward_pending |= self.digests.apply(link, &place, news, now);
             }
         }
@@ -261,6 +272,8 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.tick(context);
+        let quarantine = self.dependencies.shared_view.quarantine().clone();
+        actix::spawn(suspicions::watch(quarantine, context.address()));
         context.run_interval(self.settings.period, |spread, context| spread.tick(context));
     }
 }
--- a/crates/zinniastall-entry/src/spread/forwarder.rs
+++ b/crates/zinniastall-entry/src/spread/forwarder.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use zinniastall_coord::digest::{Outbox, Table, overlay};
 use zinniastall_model::place::Place;
-use zinniastall_wire::gossip::{Delta, Fact, Item, Maker, Topic};
+use zinniastall_wire::gossip::{Delta, Fact, Item, Maker, Suspects, Topic};
 
 use super::links::Handle;
 
@@ -162,6 +162,7 @@
                 let news = Delta {
                     items: batch.items,
                     renewals: batch.renewals,
+                    suspects: Suspects::default(),
                 };
                 out.push((*link, news));
             }
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -4,7 +4,7 @@
 //! open links, [`address_book`] the addresses to dial, and [`topology`] decides which instances of
 //! other zones to link to. [`renewals`] holds pending lease renewals of targets. [`digests`] holds
 //! the facts about zones, [`speaker`] creates those of the own zone, and [`forwarder`] decides on
-//! which links each fact is sent.
+//! which links each fact is sent. `suspicions` shares what is known of requests that crash targets.
 //!
 //! The underlying algorithms are in [`zinniastall_coord::membership`],
 //! [`zinniastall_coord::digest`] and [`crate::targets::table`].
@@ -21,6 +21,7 @@
 pub mod renewals;
 pub mod settings;
 pub mod speaker;
+mod suspicions;
 pub mod topology;
 pub mod traffic;
 mod zone;
--- a/crates/zinniastall-entry/src/spread/zone.rs
+++ b/crates/zinniastall-entry/src/spread/zone.rs
@@ -120,7 +120,10 @@
     /// Publishes the targets that may receive requests.
     pub(super) fn publish_targets(&mut self, now: Instant) {
         self.publish_pending = false;
-        let targets = self.targets.serving(now);
+        let mut targets = self.targets.serving(now);
+        if self.last_crashed_run.is_some() {
+            targets.retain(|_, target| !self.has_crashed(target));
+        }
         let run = |(name, target): (&id::Target, &view::Target)| {
             (name.clone(), target.report.incarnation)
         };
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -15,6 +15,8 @@
 use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
 
+use crate::quarantine::Quarantine;
+
 /// Everything on which the handling of a request depends.
 #[derive(Debug, Clone)]
 pub struct View {
@@ -99,6 +101,7 @@
     current: Arc<ArcSwap<View>>,
     load: Arc<AtomicU32>,
     revision: Arc<watch::Sender<id::Revision>>,
+    quarantine: Quarantine,
 }
 
 impl Shared {
@@ -109,6 +112,7 @@
             current: Arc::new(ArcSwap::from_pointee(view)),
             load: Arc::default(),
             revision,
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -135,6 +139,11 @@
         let _ = held.wait_for(|held| *held >= revision).await;
     }
 
+    /// Returns the requests that are suspected of crashing targets.
+    pub const fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the load of this instance: requests in progress relative to its capacity, in
     /// thousandths.
     pub fn load(&self) -> u32 {
--- a/crates/zinniastall-entry/tests/callers/tickets.rs
+++ b/crates/zinniastall-entry/tests/callers/tickets.rs
@@ -1,6 +1,9 @@
 //! At-most-once execution at a single instance.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::OnceCell,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use zinniastall_coord::ticket::Address;
@@ -196,6 +199,7 @@
         path: "/orders/1".into(),
         headers: vec![],
         body: Bytes::new(),
+        fingerprint: OnceCell::new(),
     }
 }
 
--- a/crates/zinniastall-route/src/outcome.rs
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -117,6 +117,12 @@
     /// Another instance reported that a forwarded request failed.
     #[error("{0}")]
     ForwardedFailed(String),
+    /// The request has crashed the targets that ran it.
+    #[error("the request has crashed the targets that ran it; it is not run any more")]
+    Quarantined,
+    /// Another copy of a request that is suspected of crashing targets is still running.
+    #[error("a copy of the request is running, and it is suspected of crashing targets")]
+    CopyRunning,
     /// The received bytes are not the head of an HTTP request.
     #[error("this is not the head of an HTTP request")]
     MalformedHead,
@@ -158,6 +164,8 @@
             Self::TargetLost => "target-lost",
             Self::DeadlinePassed => "deadline-passed",
             Self::ForwardedFailed(_) => "forwarded-failed",
+            Self::Quarantined => "quarantined",
+            Self::CopyRunning => "copy-running",
             Self::MalformedHead => "malformed-head",
             Self::HeadTooLarge => "head-too-large",
         }
@@ -176,6 +184,7 @@
             | Self::MalformedQuery(_)
             | Self::MalformedBody(_)
             | Self::TicketInvalid
+            | Self::Quarantined
             | Self::MalformedHead => 400,
             Self::ArrivalTimeout => 408,
             Self::TicketReused => 409,
--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -49,7 +49,7 @@
         Some(path) => Ledger::open(settings.max_ledger_entries, path)?,
         None => Ledger::new(settings.max_ledger_entries),
     };
-    let failure = Injector::new(settings.failure);
+    let failure = Injector::new(settings.failure.clone());
     let shared = Shared {
         ledger: ledger.clone(),
         failure: failure.clone(),
--- a/crates/zinniastall-standin/src/engine/chat.rs
+++ b/crates/zinniastall-standin/src/engine/chat.rs
@@ -83,7 +83,11 @@
         run,
         _slot: slot,
     };
-    match job.engine.failure.trigger(Point::First, 0) {
+    match job
+        .engine
+        .failure
+        .trigger(Point::First, 0, &job.chat.prompt)
+    {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
         Some(Action::Cut) => return stream::cut_connection(),
@@ -111,7 +115,7 @@
     if !total.is_zero() {
         tokio::time::sleep(total).await;
     }
-    match job.engine.failure.trigger(Point::End, 0) {
+    match job.engine.failure.trigger(Point::End, 0, &job.chat.prompt) {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
         Some(_) => return stream::cut_connection(),
--- a/crates/zinniastall-standin/src/engine/stream.rs
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -65,9 +65,12 @@
     }
     let sent = index - job.offset;
     let last = index >= job.chat.tokens;
-    let action = job.engine.failure.trigger(Point::Events, sent);
+    let action = job
+        .engine
+        .failure
+        .trigger(Point::Events, sent, &job.chat.prompt);
     let action = action.or_else(|| {
-        last.then(|| job.engine.failure.trigger(Point::End, 0))
+        last.then(|| job.engine.failure.trigger(Point::End, 0, &job.chat.prompt))
             .flatten()
     });
     match action {
--- a/crates/zinniastall-standin/src/failure.rs
+++ b/crates/zinniastall-standin/src/failure.rs
@@ -35,7 +35,7 @@
 }
 
 /// A failure to inject.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// Point at which it occurs.
     pub point: Point,
@@ -46,6 +46,9 @@
     pub events: usize,
     /// Number of requests that are still to fail.
     pub times: u64,
+    /// Text that a request's prompt or body must contain to fail; empty for any request.
+    #[serde(default)]
+    pub mark: String,
 }
 
 /// Injects the current failure; tests replace it while the process runs.
@@ -73,13 +76,13 @@
         failure.point != Point::None && failure.times > 0
     }
 
-    /// Returns the action for a request that has reached `point` after `events` events, if it is to
-    /// fail there, and counts the failure.
-    pub fn trigger(&self, point: Point, events: usize) -> Option<Action> {
+    /// Returns the action for a request with a prompt or body of `text` that has reached `point` after
+    /// `events` events, if it is to fail there, and counts the failure.
+    pub fn trigger(&self, point: Point, events: usize, text: &str) -> Option<Action> {
         let mut failure = self.lock();
         let reached =
             failure.point == point && (point != Point::Events || failure.events == events);
-        if !reached || failure.times == 0 {
+        if !reached || failure.times == 0 || !text.contains(&failure.mark) {
             return None;
         }
         failure.times -= 1;
@@ -107,6 +110,7 @@
         action: reader.word("action", "die, cut, hang, error", parse_action, Action::Die),
         events: usize::try_from(reader.number("events", 0..=1_000_000, 0)).unwrap_or(usize::MAX),
         times: reader.number("times", 0..=1_000_000, 1),
+        mark: reader.optional_text("mark").unwrap_or_default(),
     };
     if failure.events > 0 && failure.point != Point::Events {
         reader.fault("events", Fault::Contradiction("point"));
--- a/crates/zinniastall-standin/src/service.rs
+++ b/crates/zinniastall-standin/src/service.rs
@@ -65,7 +65,10 @@
         blocks: 0,
         call: call.clone(),
     });
-    match service.failure.trigger(Point::First, 0) {
+    match service
+        .failure
+        .trigger(Point::First, 0, &String::from_utf8_lossy(&body))
+    {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
         Some(_) => return HttpResponse::InternalServerError().json(json!({"error": {}})),
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -4,7 +4,7 @@
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use tokio::{sync::watch, time};
-use zinniastall_model::{change::Change, id, member::Member, state::State};
+use zinniastall_model::{change::Change, fingerprint::Suspect, id, member::Member, state::State};
 
 use crate::{
     follow::{Confirmation, Drift, Message},
@@ -39,6 +39,8 @@
     Confirmed(Vec<Confirmation>),
     /// Targets of the follower's zone differ from the configuration.
     Drifted(Vec<Drift>),
+    /// Requests are quarantined or released that the configuration doesn't hold as such.
+    Suspects(Vec<Suspect>),
     /// The other end requests histograms; the answer is [`Message::Summaries`].
     SummariesRequested,
     /// The follower asks which revision the control group has reached; the answer is
@@ -198,6 +200,7 @@
         Message::Present(member) => Ok(Some(Event::Member(member))),
         Message::Confirm(list) => Ok(Some(Event::Confirmed(list))),
         Message::Drifted(list) => Ok(Some(Event::Drifted(list))),
+        Message::Suspects(list) => Ok(Some(Event::Suspects(list))),
         Message::SummariesRequest => Ok(Some(Event::SummariesRequested)),
         Message::ReadIndex { ask } => Ok(Some(Event::ReadIndex(ask))),
         _ => Err(Error::Handshake),
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -6,7 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 use zinniastall_model::{
-    change::Change, id, member::Member, order::Holding, place::Place, state::State,
+    change::Change, fingerprint::Suspect, id, member::Member, order::Holding, place::Place,
+    state::State,
 };
 
 /// A message of a follow link.
@@ -54,6 +55,9 @@
     /// Relay: targets of its zone that differ from the configuration.
     #[serde(rename = "astray")]
     Drifted(Vec<Drift>),
+    /// Follower of a control instance: quarantined and released requests that the configuration
+    /// doesn't hold yet.
+    Suspects(Vec<Suspect>),
     /// Control, on a link that it has dialled: requests histograms.
     #[serde(rename = "ask")]
     SummariesRequest,
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use zinniastall_coord::{digest, membership};
-use zinniastall_model::{id, object::Subject, place::Place};
+use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
 /// A message of a gossip link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -158,7 +158,8 @@
     pub adapters: Vec<id::Adapter>,
 }
 
-/// Facts and renewals that the receiver may lack, either created by the sender or forwarded.
+/// Facts, renewals and suspects that the receiver may lack, either created by the sender or
+/// forwarded.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "pack::Delta", into = "pack::Delta")]
 pub struct Delta {
@@ -166,6 +167,23 @@
     pub items: Vec<Item>,
     /// Renewals of facts that still hold.
     pub renewals: Vec<Renewal>,
+    /// Suspected requests.
+    pub suspects: Suspects,
+}
+
+/// Requests that are suspected of crashing targets, and an acknowledgement of the receiver's.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// Suspected requests that the receiver may lack.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub list: Vec<Suspect>,
+    /// Version of the sender's suspicions that the receiver has with this list; 0 for none. The
+    /// receiver acknowledges it.
+    #[serde(rename = "v", default)]
+    pub version: u64,
+    /// Latest version that the sender has received from the receiver; 0 for none.
+    #[serde(rename = "h", default)]
+    pub heard: u64,
 }
 
 /// Origin of facts.
--- a/crates/zinniastall-wire/src/gossip/pack.rs
+++ b/crates/zinniastall-wire/src/gossip/pack.rs
@@ -7,11 +7,19 @@
 use serde::{Deserialize, Serialize};
 use zinniastall_model::{id, object::Subject, place::Place};
 
-use super::{Capacity, Fact, Item, Maker, Peer, Renewal, Topic};
+use super::{Capacity, Fact, Item, Maker, Peer, Renewal, Suspects, Topic};
 
-/// Groups of facts, and renewals.
+/// Groups of facts, renewals, and suspects, which are left out if there are none.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Delta(Vec<Group>, Vec<PackedRenewal>);
+pub(super) struct Delta(
+    Vec<Group>,
+    Vec<PackedRenewal>,
+    #[serde(default, skip_serializing_if = "is_default")] Suspects,
+);
+
+fn is_default(suspects: &Suspects) -> bool {
+    *suspects == Suspects::default()
+}
 
 /// Instance, its run, region and zone of the facts, and the facts.
 #[derive(Debug, Serialize, Deserialize)]
@@ -90,13 +98,14 @@
         Self(
             groups.into_iter().map(group).collect(),
             delta.renewals.into_iter().map(pack_renewal).collect(),
+            delta.suspects,
         )
     }
 }
 
 impl From<Delta> for super::Delta {
     fn from(packed: Delta) -> Self {
-        let Delta(groups, renewals) = packed;
+        let Delta(groups, renewals, suspects) = packed;
         let renewal = |PackedRenewal(instance, incarnation, sequence, age_ms, region)| Renewal {
             maker: Maker { instance, region },
             incarnation,
@@ -106,6 +115,7 @@
         Self {
             items: groups.into_iter().flat_map(Group::unpack).collect(),
             renewals: renewals.into_iter().map(renewal).collect(),
+            suspects,
         }
     }
 }
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -5,7 +5,7 @@
 //! total length, so that a truncated response never appears complete.
 
 use serde::{Deserialize, Serialize};
-use zinniastall_model::{id, object::Subject, place::Place};
+use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
 /// Id of a stream, unique within its link.
 pub type Id = u64;
@@ -48,6 +48,9 @@
         stream: Id,
         /// Whether the request certainly did not run, or may have run.
         failure: Failure,
+        /// The request, if it is suspected of crashing targets.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        suspect: Option<Suspect>,
     },
     /// The caller has disconnected or no longer needs the response.
     Cancel {
@@ -103,6 +106,9 @@
     pub idempotent: bool,
     /// Encoded ticket; required if it may not be repeated.
     pub ticket: Option<String>,
+    /// The request, if the sender suspects it of crashing targets.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub suspect: Option<Suspect>,
     /// Time left until its deadline, in milliseconds.
     pub left_ms: u64,
     /// HTTP method.
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -1,5 +1,7 @@
 //! Tests the codec of frames: frames round-trip, and other input is rejected.
 
+use std::time::Instant;
+
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
@@ -7,6 +9,7 @@
 use zinniastall_coord::membership::Heartbeat;
 use zinniastall_model::{
     change::{Body, Change, Origin},
+    fingerprint::{Fingerprint, Suspect, Suspects},
     member::Member,
     object::{Client, Object, Residency, Route, Subject},
     place::Place,
@@ -51,6 +54,22 @@
         .boxed()
 }
 
+fn suspect() -> BoxedStrategy<Suspect> {
+    let crashes = prop::collection::vec(any::<u64>(), 0..4);
+    (any::<[u8; 16]>(), crashes)
+        .prop_map(|(request, crashes)| {
+            let mut suspects = Suspects::default();
+            let request = Fingerprint::from(request);
+            for run in crashes {
+                let sent = suspects.sent(|| request, run);
+                suspects.record_crash(request, &sent, Instant::now());
+            }
+            let suspicion = suspects.suspicion(request).cloned().unwrap_or_default();
+            (request, suspicion)
+        })
+        .boxed()
+}
+
 fn subject() -> BoxedStrategy<Subject> {
     prop_oneof![
         text().prop_map(Subject::Model),
@@ -181,6 +200,7 @@
             connected
         }),
         prop::collection::vec(confirmation, 0..4).prop_map(Message::Confirm),
+        prop::collection::vec(suspect(), 0..4).prop_map(Message::Suspects),
         Just(Message::SummariesRequest),
         any::<u64>().prop_map(|ask| Message::ReadIndex { ask }),
         any::<[u64; 2]>().prop_map(|[ask, revision]| Message::ReadIndexAnswer { ask, revision }),
@@ -219,6 +239,17 @@
         .boxed()
 }
 
+fn suspects() -> BoxedStrategy<gossip::Suspects> {
+    let list = prop::collection::vec(suspect(), 0..3);
+    (list, any::<[u64; 2]>())
+        .prop_map(|(list, [version, heard])| gossip::Suspects {
+            list,
+            version,
+            heard,
+        })
+        .boxed()
+}
+
 fn gossip() -> BoxedStrategy<gossip::Message> {
     use gossip::Message;
     let load = (any::<[u64; 3]>(), any::<u32>(), bytes()).prop_map(|(numbers, busy, added)| {
@@ -302,7 +333,12 @@
             age_ms: item.age_ms,
         };
         let renewals = items.iter().map(renewal).collect();
-        gossip::Delta { items, renewals }
+        (items, renewals)
+    });
+    let delta = (delta, suspects()).prop_map(|((items, renewals), suspects)| gossip::Delta {
+        items,
+        renewals,
+        suspects,
     });
     prop_oneof![
         delta.prop_map(Message::Delta),
@@ -317,9 +353,11 @@
 fn open() -> BoxedStrategy<Open> {
     let names = (text(), text(), text(), prop::option::of(text()));
     let lists = (prop::collection::vec(place(), 0..3), headers(), bytes());
-    (names, lists, subject(), any::<[u64; 3]>(), any::<bool>())
+    let suspect = prop::option::of(suspect());
+    let rest = (any::<[u64; 3]>(), any::<bool>(), suspect);
+    (names, lists, subject(), rest)
         .prop_map(
-            |(names, (hops, headers, body), subject, numbers, idempotent)| Open {
+            |(names, (hops, headers, body), subject, (numbers, idempotent, suspect))| Open {
                 stream: numbers[0],
                 request: names.0.clone(),
                 hops,
@@ -330,6 +368,7 @@
                 regions: vec![names.0],
                 idempotent,
                 ticket: names.3,
+                suspect,
                 left_ms: numbers[2],
                 method: names.1,
                 path: names.2,
@@ -361,7 +400,13 @@
             bytes,
         }),
         (any::<u64>(), any::<u64>()).prop_map(|(stream, length)| Message::End { stream, length }),
-        (any::<u64>(), failure).prop_map(|(stream, failure)| Message::Failed { stream, failure }),
+        (any::<u64>(), failure, prop::option::of(suspect())).prop_map(
+            |(stream, failure, suspect)| Message::Failed {
+                stream,
+                failure,
+                suspect,
+            }
+        ),
         any::<u64>().prop_map(|stream| Message::Cancel { stream }),
         (any::<u64>(), any::<u64>()).prop_map(|(stream, bytes)| Message::Credit { stream, bytes }),
     ]
--- a/tests/tests/path/hops.rs
+++ b/tests/tests/path/hops.rs
@@ -47,6 +47,7 @@
         regions: vec!["patras".to_owned(), "athens".to_owned()],
         idempotent: true,
         ticket: None,
+        suspect: None,
         left_ms: 10_000,
         method: "POST".to_owned(),
         path: CHAT.to_owned(),
