fix(quarantine): copies of a suspect run one at a time from its first crash

Seen by callers: with each copy of a request that crashes its target, the others there lose their answers.

A request with one crash now waits while the instance has another copy of it at a target, for half of its objective and a second at most, and is sent then all the same: the copies of a popular request that rode on a crashed target are delayed for a moment and never turned away, and the first one that finishes clears it. Strong suspects are still refused after that time.

--- a/crates/zinniastall-coord/src/quarantine.rs
+++ b/crates/zinniastall-coord/src/quarantine.rs
@@ -42,7 +42,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use probe::{
-    Clearance, HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, Probes, may_retry_after_crash,
+    Clearance, HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, Probes,
+    may_retry_after_crash,
 };
 pub use suspects::{Change, Known, Scope, Sent, Suspects};
 
--- a/crates/zinniastall-coord/src/quarantine/probe.rs
+++ b/crates/zinniastall-coord/src/quarantine/probe.rs
@@ -13,13 +13,18 @@
 pub const HELD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Share of the time in which an answer is useful that a request may be held.
 pub const HOLD_SHARE: f64 = 0.5;
+/// Longest time that a request may be held.
+pub const MAX_HOLD: Duration = HELD_RETRY_AFTER;
 
 /// Whether a request may be sent despite the crashes that count against it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Clearance {
     /// The request may be sent.
     Free,
-    /// The request may be sent if no other copy of it is at a target.
+    /// The request waits while another copy of it is at a target, but no longer than it may be
+    /// held: copies of a popular request must not be turned away.
+    Paced,
+    /// The request may be sent only while no other copy of it is at a target.
     Alone,
     /// The request is quarantined.
     Refused,
@@ -31,7 +36,8 @@
         match crashes {
             CRASH_LIMIT.. => Self::Refused,
             STRONG_SUSPECT_CRASHES => Self::Alone,
-            _ => Self::Free,
+            0 => Self::Free,
+            _ => Self::Paced,
         }
     }
 }
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Instant};
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
-use zinniastall_coord::quarantine::{HOLD_SHARE, may_retry_after_crash};
+use zinniastall_coord::quarantine::{HOLD_SHARE, MAX_HOLD, may_retry_after_crash};
 use zinniastall_model::id;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
@@ -44,7 +44,7 @@
     let mut tried: Vec<id::Target> = Vec::new();
     let mut attempts_made = 0;
     let left = request.deadline.saturating_duration_since(Instant::now());
-    let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE);
+    let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE).min(MAX_HOLD);
     loop {
         let probe = match worker.clear(call, hold_until).await {
             Ok(probe) => probe,
--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -49,16 +49,21 @@
         hold_until: Instant,
     ) -> Result<Option<Probe>, Refusal> {
         loop {
-            match Clearance::of(self.crashes(call)) {
+            let clearance = Clearance::of(self.crashes(call));
+            match clearance {
                 Clearance::Free => return Ok(None),
                 Clearance::Refused => return Err(Refusal::not_run(Reason::Quarantined)),
-                Clearance::Alone => {}
+                Clearance::Paced | Clearance::Alone => {}
             }
             let quarantine = self.service.shared_view.quarantine();
             if let Some(probe) = quarantine.begin_probe(call.fingerprint()) {
                 return Ok(Some(probe));
             }
-            if Instant::now() >= hold_until {
+            let is_late = Instant::now() >= hold_until;
+            if is_late && clearance == Clearance::Paced {
+                return Ok(None);
+            }
+            if is_late {
                 let refusal = Refusal::not_run(Reason::CopyRunning);
                 return Err(refusal.retry_after(HELD_RETRY_AFTER));
             }
@@ -69,7 +74,7 @@
     /// Returns whether a request that was cleared before may still be sent.
     pub(super) fn is_still_clear(&self, call: &Call, probe: Option<&Probe>) -> bool {
         match Clearance::of(self.crashes(call)) {
-            Clearance::Free => true,
+            Clearance::Free | Clearance::Paced => true,
             Clearance::Alone => probe.is_some(),
             Clearance::Refused => false,
         }
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -32,8 +32,12 @@
 pub(super) enum Clearance<'a> {
     /// The request may be sent; if it is a suspect, for as long as the probe lives.
     Granted(Option<Probe<'a>>),
-    /// The request has to wait while another copy of it is at a target.
-    Held,
+    /// The request has to wait while another copy of it is at a target; it may be sent in spite of
+    /// that once it has waited as long as it may, if `is_weak`.
+    Held {
+        /// Whether the request is no strong suspect.
+        is_weak: bool,
+    },
     /// The request is quarantined.
     Refused,
 }
@@ -81,14 +85,16 @@
 
     /// Returns whether a request may be sent.
     pub(super) fn clearance(&self, job: &Job) -> Clearance<'_> {
-        match quarantine::Clearance::of(self.crashes(job)) {
+        let clearance = quarantine::Clearance::of(self.crashes(job));
+        match clearance {
             quarantine::Clearance::Refused => return Clearance::Refused,
             quarantine::Clearance::Free => return Clearance::Granted(None),
-            quarantine::Clearance::Alone => {}
+            quarantine::Clearance::Paced | quarantine::Clearance::Alone => {}
         }
         let request = job.fingerprint();
         if !self.probes.borrow_mut().begin(request) {
-            return Clearance::Held;
+            let is_weak = clearance == quarantine::Clearance::Paced;
+            return Clearance::Held { is_weak };
         }
         Clearance::Granted(Some(Probe {
             probes: &self.probes,
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -8,7 +8,7 @@
 
 use tokio::time;
 use zinniastall_coord::quarantine::{
-    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, may_retry_after_crash,
+    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
 };
 use zinniastall_http::server::Reply;
 
@@ -122,11 +122,14 @@
         loop {
             let step = match self.clearance(job) {
                 Clearance::Granted(_probe) => self.step(&mut state, &mut events, responder).await?,
-                Clearance::Held if state.may_be_held() => {
+                Clearance::Held { .. } if state.may_be_held() => {
                     time::sleep(HOLD_POLL_INTERVAL).await;
                     Step::Retry
                 }
-                Clearance::Held => state.no_place(responder, HELD_RETRY_AFTER),
+                Clearance::Held { is_weak: true } => {
+                    self.step(&mut state, &mut events, responder).await?
+                }
+                Clearance::Held { is_weak: false } => state.no_place(responder, HELD_RETRY_AFTER),
                 Clearance::Refused => {
                     let step = state.quarantined(responder);
                     if matches!(step, Step::Refuse(Refusal::Quarantined)) {
@@ -356,7 +359,7 @@
     /// Returns whether a suspect may still wait for another copy to end.
     fn may_be_held(&self) -> bool {
         let objective = Duration::from_millis(self.job.route().objective_ms);
-        self.job.arrived.elapsed() < objective.mul_f64(HOLD_SHARE)
+        self.job.arrived.elapsed() < objective.mul_f64(HOLD_SHARE).min(MAX_HOLD)
     }
 
     /// Ends a quarantined request.
