fix(http): a probe of a target whose connection broke sends nothing

`probe::has_ended` asked a target by `OPTIONS *` whether it lives, and a target that takes any request ran it: a run that no caller asked for.

The probe now only opens a connection. A proxy without a process behind it closes that one; a live server keeps it open, and after 100 ms counts as alive. Only requests whose connection broke wait for it, and only where the address doesn't refuse connections by itself.

--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -129,7 +129,7 @@
 /// A request at a target, watched for a crash of the target.
 ///
 /// The target has crashed if the connection broke, the target was expected to stay, and its machine
-/// refuses the next connection or a proxy in front of it closes that one unanswered. A reset, a
+/// refuses the next connection or a proxy in front of it closes that one unused. A reset, a
 /// planned stop and a loss of power are no crashes.
 #[derive(Debug)]
 pub(super) struct Run {
--- a/crates/zinniastall-http/src/probe.rs
+++ b/crates/zinniastall-http/src/probe.rs
@@ -5,21 +5,15 @@
     time::Duration,
 };
 
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time,
-};
+use tokio::{io::AsyncReadExt, net::TcpStream, time};
 
 /// Longest wait for a server that has just closed a connection to refuse another one. A round trip
 /// between zones of a region takes a few milliseconds, and the request's next attempt is delayed
 /// meanwhile.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(30);
-/// Longest wait for a server to answer on a new connection. One that is only busy takes the
-/// connection and keeps it open.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
-/// A request that every HTTP server answers and that runs nothing.
-const REQUEST: &[u8] = b"OPTIONS * HTTP/1.1\r\nhost: probe\r\nconnection: close\r\n\r\n";
+/// Time within which something in front of a server closes a connection that the server can't take.
+/// A server keeps a connection open on which nothing was sent yet.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Returns whether an address refuses connections: the machine is up, but the listening process has
 /// ended.
@@ -31,11 +25,11 @@
 /// Returns whether the process behind an address has ended.
 ///
 /// It has if the address refuses connections, or if something in front of the process, such as a
-/// proxy or a load balancer, accepts a connection and closes it without an answer. An address that
-/// stays silent says nothing.
+/// proxy or a load balancer, accepts a connection and closes it at once. An address that stays
+/// silent says nothing.
 pub async fn has_ended(address: &str) -> bool {
     match connect(address).await {
-        Some(Ok(stream)) => closes_unanswered(stream).await,
+        Some(Ok(stream)) => closes_unused(stream).await,
         // A proxy may close the connection before this end has noticed that it is open.
         Some(Err(error)) => is_refusal(&error) || is_close(&error),
         None => false,
@@ -58,12 +52,11 @@
     )
 }
 
-async fn closes_unanswered(mut stream: TcpStream) -> bool {
-    let exchange = async {
-        stream.write_all(REQUEST).await?;
-        stream.read(&mut [0]).await
-    };
-    match time::timeout(ANSWER_TIMEOUT, exchange).await {
+/// Returns whether the other end closes a connection on which nothing was sent.
+///
+/// Sending a request would tell sooner, but a target might run it.
+async fn closes_unused(mut stream: TcpStream) -> bool {
+    match time::timeout(CLOSE_TIMEOUT, stream.read(&mut [0])).await {
         Ok(Ok(length)) => length == 0,
         Ok(Err(error)) => is_close(&error),
         Err(_) => false,
