--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -17,7 +17,7 @@
     pipeline::{Answer, UNREACHABLE_RETRY_AFTER},
     relay,
     reply::Body,
-    suspect::Run,
+    suspect::Watch,
     target,
     worker::Worker,
 };
@@ -46,7 +46,7 @@
     let left = request.deadline.saturating_duration_since(Instant::now());
     let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE).min(MAX_HOLD);
     loop {
-        let probe = match worker.clear(call, hold_until).await {
+        let probe = match worker.wait_until_clear(call, hold_until).await {
             Ok(probe) => probe,
             Err(refusal) => return Err(dispatch::merge(earlier, refusal)),
         };
@@ -70,7 +70,7 @@
             }
             Decision::Queued(queued) => match queued.granted().await {
                 // While it waited, the request may have crashed a target elsewhere.
-                Ok(_) if !worker.is_still_clear(call, probe.as_ref()) => continue,
+                Ok(_) if !worker.may_still_be_sent(call, probe.as_ref()) => continue,
                 Ok(in_flight) => attempt_local(worker, call, in_flight, probe, &mut tried).await,
                 Err(refusal) => return Err(merge_last(earlier, refusal)),
             },
@@ -129,12 +129,12 @@
         .map_err(Refusal::not_run)?;
     let report = in_flight.report()?;
     let in_flight = Rc::new(RefCell::new(in_flight));
-    let run = Rc::new(Run::new(worker, call, report, probe));
-    let sent = target::send(&worker.client, run.target(), call, 0).await;
+    let watch = Rc::new(Watch::new(worker, call, report, probe));
+    let sent = target::send(&worker.client, watch.target(), call, 0).await;
     let mut reply = match sent {
         Ok(reply) => reply,
         Err(refusal) => {
-            run.failed(&refusal).await;
+            watch.failed(&refusal).await;
             in_flight.borrow_mut().failed(&refusal);
             return Err(refusal);
         }
@@ -143,9 +143,9 @@
     let stall_timeout = worker.service.stall_timeout;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
     if events && call.request.events {
-        reply.body = relay::resumable_events(worker, call, &run, reply.body);
+        reply.body = relay::resumable_events(worker, call, &watch, reply.body);
     }
-    reply.body = track_in_flight(reply.body, &in_flight, &run, status);
+    reply.body = track_in_flight(reply.body, &in_flight, &watch, status);
     if events {
         relay::await_first_part(&mut reply).await?;
     }
@@ -199,11 +199,11 @@
 fn track_in_flight(
     body: Body,
     in_flight: &Rc<RefCell<InFlight>>,
-    run: &Rc<Run>,
+    watch: &Rc<Watch>,
     status: u16,
 ) -> Body {
-    let state = (body, Rc::clone(in_flight), Rc::clone(run));
-    let next = move |(mut body, in_flight, run): (Body, Rc<RefCell<InFlight>>, Rc<Run>)| async move {
+    let state = (body, Rc::clone(in_flight), Rc::clone(watch));
+    let next = move |(mut body, in_flight, watch): (Body, Rc<RefCell<InFlight>>, Rc<Watch>)| async move {
         let part = body.next().await;
         match &part {
             None if status < 500 => in_flight.borrow_mut().answered(),
@@ -211,15 +211,15 @@
                 .borrow_mut()
                 .failed(&Refusal::unknown(Reason::TargetLost)),
             Some(Err(refusal)) => {
-                run.failed(refusal).await;
+                watch.failed(refusal).await;
                 in_flight.borrow_mut().failed(refusal);
             }
             Some(Ok(_)) => {}
         }
         if part.is_none() && is_success(status) {
-            run.succeeded();
+            watch.succeeded();
         }
-        Some((part?, (body, in_flight, run)))
+        Some((part?, (body, in_flight, watch)))
     };
     stream::unfold(state, next).boxed_local()
 }
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -18,7 +18,7 @@
     call::Call,
     reply::{Body, BodySource, Reply, lazy_body},
     response::MAX_BUFFERED_BYTES,
-    suspect::Run,
+    suspect::Watch,
     target,
     worker::Worker,
 };
@@ -53,7 +53,7 @@
 struct EventStream {
     worker: Rc<Worker>,
     call: Rc<Call>,
-    run: Rc<Run>,
+    watch: Rc<Watch>,
     body: Body,
     events: Events,
     attempts: u32,
@@ -66,13 +66,13 @@
 pub(super) fn resumable_events(
     worker: &Rc<Worker>,
     call: &Rc<Call>,
-    run: &Rc<Run>,
+    watch: &Rc<Watch>,
     body: Body,
 ) -> Body {
     lazy_body(EventStream {
         worker: Rc::clone(worker),
         call: Rc::clone(call),
-        run: Rc::clone(run),
+        watch: Rc::clone(watch),
         body,
         events: Events::default(),
         attempts: 1,
@@ -116,7 +116,7 @@
             return Err(broken);
         }
         // The request may be what crashed the target.
-        if self.run.failed(&broken).await {
+        if self.watch.failed(&broken).await {
             return Err(broken);
         }
         let here = &self.worker.view().place;
@@ -127,7 +127,7 @@
             return Err(broken);
         }
         self.attempts += 1;
-        let reply = target::send(&self.worker.client, self.run.target(), &self.call, offset)
+        let reply = target::send(&self.worker.client, self.watch.target(), &self.call, offset)
             .await
             .map_err(|_| broken.clone())?;
         // A target that ignores the offset starts over; relaying that would duplicate events.
--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -43,7 +43,7 @@
     ///
     /// Returns a "not run" refusal if the request is quarantined, or if another copy of a strong
     /// suspect still runs at `hold_until`.
-    pub(super) async fn clear(
+    pub(super) async fn wait_until_clear(
         &self,
         call: &Call,
         hold_until: Instant,
@@ -72,7 +72,7 @@
     }
 
     /// Returns whether a request that was cleared before may still be sent.
-    pub(super) fn is_still_clear(&self, call: &Call, probe: Option<&Probe>) -> bool {
+    pub(super) fn may_still_be_sent(&self, call: &Call, probe: Option<&Probe>) -> bool {
         match Clearance::of(self.crashes(call)) {
             Clearance::Free | Clearance::Paced => true,
             Clearance::Alone => probe.is_some(),
@@ -132,7 +132,7 @@
 /// refuses the next connection or a proxy in front of it closes that one unused. A reset, a
 /// planned stop and a loss of power are no crashes.
 #[derive(Debug)]
-pub(super) struct Run {
+pub(super) struct Watch {
     worker: Rc<Worker>,
     call: Rc<Call>,
     target: gossip::Target,
@@ -141,7 +141,7 @@
     _probe: Option<Probe>,
 }
 
-impl Run {
+impl Watch {
     /// Starts to watch a request that is about to be sent to a target.
     pub(super) fn new(
         worker: &Rc<Worker>,
