--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -36,6 +36,8 @@
     pub expected_target: HeaderName,
     /// Marks a response to a request that was not run.
     pub not_run: HeaderName,
+    /// Requests per second that a target takes from all instances together, in its responses.
+    pub rate_limit: HeaderName,
     /// Prompt prefixes that a request shares with others, in order, as comma-separated `id:tokens`.
     pub prompt_parts: HeaderName,
     /// Prompt tokens and maximum answer tokens of a request, separated by a comma.
@@ -57,6 +59,7 @@
             deadline_ms: HeaderName::from_static("deadline-ms"),
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
+            rate_limit: HeaderName::from_static("rate-limit"),
             prompt_parts: HeaderName::from_static("prompt-parts"),
             tokens: HeaderName::from_static("tokens"),
             priority: HeaderName::from_static("priority-rank"),
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -68,6 +68,8 @@
     pub concurrency: Limit,
     /// Time until which it gets no request, because it refused a request or a connection.
     pub blocked_until: Option<Instant>,
+    /// Rate that it named in its last answer, as it wrote it.
+    pub named_rate: Option<String>,
     parts: IndexMap<String, Instant>,
     last_used: Instant,
 }
@@ -108,6 +110,7 @@
             pace: Pacer::default(),
             concurrency: Limit::default(),
             blocked_until: None,
+            named_rate: None,
             parts: IndexMap::new(),
             last_used: now,
         })
