--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -4,7 +4,8 @@
 
 use actix_web::{
     App, HttpResponse, HttpServer,
-    dev::{Server, ServerHandle},
+    dev::{Server, ServerHandle, Service as _},
+    http::header::{HeaderName, HeaderValue},
     web,
 };
 use serde_json::{Value, json};
@@ -12,6 +13,7 @@
     net::UdpSocket,
     signal::unix::{SignalKind, signal},
 };
+use zinniastall_model::header::RATE_LIMIT;
 use zinniastall_settings::{cli, log};
 
 use crate::{
@@ -19,6 +21,7 @@
     engine::Engine,
     failure::{Failure, Injector},
     ledger::Ledger,
+    rate_limit::Named,
     service::Service,
     settings::{Kind, Standin},
     slots::Slots,
@@ -53,6 +56,7 @@
     let shared = Shared {
         ledger: ledger.clone(),
         failure: failure.clone(),
+        named: Named::default(),
     };
     match settings.kind {
         Kind::Engine => {
@@ -97,11 +101,12 @@
     }
 }
 
-/// State behind `/ledger` and `/failure`, which every kind of stand-in serves to tests.
+/// State behind `/ledger`, `/failure` and `/rate-limit`, which every kind of stand-in serves to tests.
 #[derive(Clone)]
 struct Shared {
     ledger: Ledger,
     failure: Injector,
+    named: Named,
 }
 
 fn bind(
@@ -109,11 +114,26 @@
     shared: Shared,
     configure: impl Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
 ) -> std::io::Result<(Server, SocketAddr)> {
+    let named = shared.named.clone();
     let shared = web::Data::new(shared);
     let server = HttpServer::new(move || {
+        let named = named.clone();
         App::new()
+            .wrap_fn(move |request, service| {
+                let answer = service.call(request);
+                let value = named.value();
+                async move {
+                    let mut answer = answer.await?;
+                    if let Some(value) = value {
+                        let name = HeaderName::from_static(RATE_LIMIT);
+                        answer.headers_mut().insert(name, value);
+                    }
+                    Ok(answer)
+                }
+            })
             .app_data(shared.clone())
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .route("/rate-limit", web::post().to(set_rate_limit))
             .route("/ledger", web::get().to(list_ledger))
             .route("/failure", web::post().to(set_failure))
             .configure(configure.clone())
@@ -138,6 +158,20 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+async fn set_rate_limit(
+    shared: web::Data<Shared>,
+    rate: web::Json<Option<String>>,
+) -> HttpResponse {
+    let value = rate.into_inner().map(HeaderValue::try_from);
+    match value.transpose() {
+        Ok(value) => {
+            shared.named.set(value);
+            HttpResponse::Ok().json(json!({}))
+        }
+        Err(_) => HttpResponse::BadRequest().json(json!({})),
+    }
+}
+
 /// Serves an announced target until SIGTERM, then withdraws it and drains its requests.
 async fn serve_announced(
     settings: &Standin,
--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -202,6 +202,21 @@
         Ok(())
     }
 
+    /// Has a target name a rate in its answers from now on, or none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not respond.
+    pub async fn name_rate(&mut self, target: &str, rate: Option<&str>) -> Result<()> {
+        let address = self.target(target)?.process().address("http").await?;
+        let rate = json!(rate);
+        http::post(address, "/rate-limit")
+            .json(&rate)
+            .send()
+            .await?;
+        Ok(())
+    }
+
     /// Runs the operators' command line against all control replicas.
     ///
     /// # Errors
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -17,6 +17,7 @@
 mod overtake;
 mod poison;
 mod races;
+mod rates;
 mod storm;
 mod support;
 mod together;
