--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,5 +1,6 @@
 //! Coordination primitives without I/O: consensus, leases, fencing tokens, command deduplication,
-//! tickets, membership, digests and quarantine.
+//! tickets, membership, digests, quarantine and
+//! rate limits.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Each primitive is a state
 //! machine: the embedder passes it messages and the current [`Instant`](std::time::Instant), and it
@@ -17,6 +18,7 @@
 //! | [`fence`] | fencing tokens, and the gate that refuses old ones |
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
 //! | [`quarantine`] | requests that crash the processes that run them, and shared suspicions |
+//! | [`rate`] | rate limits that many instances keep together |
 //! | [`rendezvous`] | weights that assign keys to members |
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
@@ -28,6 +30,7 @@
 pub mod log;
 pub mod membership;
 pub mod quarantine;
+pub mod rate;
 pub mod rendezvous;
 pub mod replica;
 pub mod ticket;
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -230,6 +230,7 @@
                 tracker: Rc::clone(&traffic.tracker),
                 neighbours: Rc::clone(&traffic.neighbours),
                 claims: Rc::clone(&traffic.claims),
+                rates: Rc::clone(&traffic.rates),
                 quotas: Rc::clone(&traffic.quotas),
                 suspects: Rc::clone(&traffic.suspects),
                 news: Rc::clone(&traffic.suspects_changed),
@@ -256,6 +257,8 @@
                 traffic.keep_suspects();
                 let quarantined = traffic.suspects.borrow().quarantined();
                 traffic.metrics.set_quarantined(quarantined);
+                let limited = traffic.rates.limited(&view, Instant::now());
+                traffic.metrics.set_limited(limited);
                 *shared_load.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
             order = &mut drain => {
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -10,4 +10,3 @@
 pub mod prefill;
 pub mod quota;
 pub mod service_time;
-pub mod slow_start;
--- a/crates/zinniastall-gateway/src/decide/place.rs
+++ b/crates/zinniastall-gateway/src/decide/place.rs
@@ -19,6 +19,8 @@
 pub struct Candidate {
     /// Expected time until the target starts on this request.
     pub wait: Duration,
+    /// Part of that wait until a permit to send to the target is expected; zero if it takes any rate.
+    pub permit_wait: Duration,
     /// Part of that wait in which the target prefills other prompts.
     pub prefill_ahead: Duration,
     /// Share of the target's slots in use; above 1 where requests queue for a slot.
@@ -39,6 +41,23 @@
         self.wait + self.prefill * PREFILL_WEIGHT
     }
 
+    /// Returns whether the target is used only if the others are no better.
+    const fn is_last_resort(&self) -> bool {
+        self.is_ejected || !self.permit_wait.is_zero()
+    }
+
+    /// Returns the time after which a request should return that would have to wait too long.
+    ///
+    /// Permits come at a known pace, however slow; all other waits are estimates.
+    fn retry_after(&self, excess: Duration) -> Duration {
+        let longest = if self.permit_wait.is_zero() {
+            RETRY_AFTER.1
+        } else {
+            MAX_PERMIT_RETRY_AFTER
+        };
+        excess.clamp(RETRY_AFTER.0, longest)
+    }
+
     /// Returns whether the target's running streams continue without a pause longer than `gap`.
     ///
     /// A target that prefills without a break processes a large chunk in each step, and an event
@@ -139,6 +158,8 @@
 /// Shortest and longest time after which a refused request should retry. Before the first the queue
 /// has hardly moved, and after the second most callers have given up.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
+/// Longest time after which a request should retry that found no permit.
+const MAX_PERMIT_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// Chooses where a request goes.
 ///
@@ -159,14 +180,15 @@
 }
 
 /// Returns the indexes of the targets to weigh: some of those with most of the prompt cached, and
-/// some others. Ejected targets are included only if too few others are left.
+/// some others. Ejected targets, and those that take a limited rate and have no permit left now, are
+/// included only if too few others are left.
 fn sample(local: &[Candidate]) -> Vec<usize> {
-    let healthy = local.iter().filter(|candidate| !candidate.is_ejected);
+    let healthy = local.iter().filter(|candidate| !candidate.is_last_resort());
     let min_prefill = healthy.map(|candidate| candidate.prefill).min();
     let has_most_cached =
-        |at: &usize| !local[*at].is_ejected && Some(local[*at].prefill) == min_prefill;
+        |at: &usize| !local[*at].is_last_resort() && Some(local[*at].prefill) == min_prefill;
     let mut indexes: Vec<usize> = (0..local.len()).collect();
-    indexes.sort_by_key(|at| (local[*at].is_ejected, local[*at].tie_breaker));
+    indexes.sort_by_key(|at| (local[*at].is_last_resort(), local[*at].tie_breaker));
     let (cached, others): (Vec<usize>, Vec<usize>) = indexes.into_iter().partition(has_most_cached);
     let cached = cached.into_iter().take(SAMPLED_CACHED);
     cached
@@ -180,14 +202,19 @@
     let Some((choice, expected)) = closest(steady, local, best_region(remote), remote) else {
         return best.map_or_else(
             || no_target(constraints),
-            |at| Choice::Refuse(local[at].wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1)),
+            |at| Choice::Refuse(local[at].retry_after(local[at].wait)),
         );
     };
     let max_wait = constraints.max_wait();
     if expected <= max_wait {
         return choice;
     }
-    Choice::Refuse((expected.saturating_sub(max_wait)).clamp(RETRY_AFTER.0, RETRY_AFTER.1))
+    let excess = expected.saturating_sub(max_wait);
+    let after = match choice {
+        Choice::Local(at) => local[at].retry_after(excess),
+        _ => excess.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+    };
+    Choice::Refuse(after)
 }
 
 impl Constraints {
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -45,6 +45,18 @@
     event: &'static str,
 }
 
+/// Labels of permits to send to targets that take a limited rate.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PermitLabels {
+    outcome: &'static str,
+}
+
+/// Labels of what targets say of the rate that they take.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    event: &'static str,
+}
+
 /// Labels of finished attempts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
@@ -64,7 +76,10 @@
     attempts: Counters<AttemptLabels>,
     units: Counters<UnitLabels>,
     suspects: Counters<SuspectLabels>,
+    permits: Counters<PermitLabels>,
+    limits: Counters<LimitLabels>,
     quarantined: Gauge,
+    limited: Gauge,
     revision: Gauge,
     targets: Gauge,
     instances: Gauge,
@@ -99,6 +114,12 @@
                 "suspects",
                 "Requests at targets that crashed, and what became of them",
             ),
+            permits: page.counters(
+                "permits",
+                "Permits to send to targets that take a limited rate, by outcome",
+            ),
+            limits: page.counters("target_limits", "Rates that targets named, by event"),
+            limited: page.gauge("limited_targets", "Targets that name a rate"),
             quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             revision: page.gauge("revision", "Configuration in force"),
             targets: page.gauge("targets", "Targets that take requests"),
@@ -156,6 +177,22 @@
         self.suspects.get_or_create(&SuspectLabels { event }).inc();
     }
 
+    /// Counts a question for a permit: `granted`, `denied`, `unanswered` or `void`, which was not used
+    /// in time.
+    pub fn count_permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&PermitLabels { outcome }).inc();
+    }
+
+    /// Counts what a target says of the rate that it takes: `lowered`, `raised` or `invalid`.
+    pub fn count_limit(&self, event: &'static str) {
+        self.limits.get_or_create(&LimitLabels { event }).inc();
+    }
+
+    /// Sets the number of targets that name a rate.
+    pub fn set_limited(&self, targets: usize) {
+        self.limited.set(targets as u64);
+    }
+
     /// Sets the number of quarantined requests.
     pub fn set_quarantined(&self, requests: usize) {
         self.quarantined.set(requests as u64);
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -1,5 +1,6 @@
 //! Exchange of datagrams between the instances of the system: requests in flight at each target,
-//! use of quotas, and requests suspected of crashing targets.
+//! use of quotas, rates that targets name, permits to send to these, and requests suspected of
+//! crashing targets.
 //!
 //! Instances that share targets have to know each other's requests when they place their own. By
 //! way of the control replicas that information is a sum over all targets and half a second old, so
@@ -14,7 +15,12 @@
 
 pub mod claims;
 pub mod collector;
+pub mod coordinator;
 pub mod datagram;
+mod flood;
+pub mod limits;
+mod queries;
+pub mod rates;
 mod reports;
 pub mod suspicions;
 pub mod usage;
@@ -29,12 +35,14 @@
 
 use indexmap::IndexMap;
 use tokio::{net::UdpSocket, sync::Notify, time};
+use zinniastall_coord::rate::Demand;
 use zinniastall_model::{id, presence::Presence};
 
 use self::{
     claims::Claims,
     collector::Roster,
     datagram::{Datagram, Key, MAX_DATAGRAM_BYTES, Part, Round, key, parts},
+    rates::Rates,
     reports::{Reports, add},
     usage::Exchange,
 };
@@ -52,9 +60,9 @@
 /// Age at which a region's sum expires. Without any sum all instances would choose the same target,
 /// so this is long enough to learn that both collectors are gone and which instances replace them.
 const SUM_TTL: Duration = Duration::from_secs(3);
-/// Time for which news of suspects is collected. All connections to a target that crashes break
-/// within this time.
-const SUSPECT_BATCH_DELAY: Duration = Duration::from_millis(10);
+/// Time for which news of suspects and rates is collected. All connections to a target that crashes
+/// break within this time.
+const NEWS_BATCH_DELAY: Duration = Duration::from_millis(10);
 /// Silence of the first collector after which the second one takes over.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Own load reports that are kept, to be subtracted from the sums that include them.
@@ -271,6 +279,8 @@
     pub neighbours: Rc<RefCell<Neighbours>>,
     /// Recent claims of targets.
     pub claims: Rc<Claims>,
+    /// Rates of targets.
+    pub rates: Rc<Rates>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -280,6 +290,67 @@
 }
 
 impl Context {
+    /// Applies a datagram; returns the answers to its sender.
+    fn receive(
+        &self,
+        roster: &Roster,
+        exchange: &mut Exchange,
+        datagram: Datagram,
+        now: Instant,
+    ) -> Vec<Datagram> {
+        match datagram {
+            Datagram::Claim {
+                number,
+                target,
+                reading_ms,
+            } => vec![self.claims.receive_claim(number, target, reading_ms, now)],
+            Datagram::Claimed { number, .. } => {
+                self.claims.receive_answer(number, datagram);
+                Vec::new()
+            }
+            Datagram::Acquire {
+                number,
+                target,
+                rate,
+                patience_ms,
+            } => {
+                let patience = Duration::from_millis(u64::from(patience_ms));
+                let demand = Demand { rate, patience };
+                let rates = &self.rates;
+                vec![rates.receive_demand(&self.state, number, &target, demand, now)]
+            }
+            Datagram::Acquired { number, .. } => {
+                self.rates.receive_answer(number, datagram);
+                Vec::new()
+            }
+            Datagram::Limits { for_all, part } => {
+                self.receive_limits(roster, &part, for_all);
+                Vec::new()
+            }
+            Datagram::LimitSum { digest, is_answer } => {
+                limits::answers(roster, &self.rates.limits().borrow(), digest, is_answer)
+            }
+            Datagram::Used { .. } | Datagram::ZoneUsed { .. } | Datagram::AllUsed { .. } => {
+                if exchange.receive(datagram, now) {
+                    let totals = exchange.totals().clone();
+                    self.quotas.borrow_mut().update_totals(totals, now);
+                }
+                Vec::new()
+            }
+            Datagram::Suspects { for_all, part } => {
+                self.receive_suspects(roster, &part, for_all);
+                Vec::new()
+            }
+            Datagram::SuspectSum { digest, is_answer } => {
+                suspicions::answers(roster, &self.suspects.borrow(), digest, is_answer)
+            }
+            Datagram::Report { .. } | Datagram::Zone { .. } | Datagram::Region { .. } => {
+                self.neighbours.borrow_mut().receive(datagram, now);
+                Vec::new()
+            }
+        }
+    }
+
     /// Merges suspicions that another instance sent.
     fn receive_suspects(&self, roster: &Roster, part: &suspicions::Part, for_all: bool) {
         let mut suspects = self.suspects.borrow_mut();
@@ -292,6 +363,18 @@
         }
     }
 
+    /// Merges rates that another instance sent.
+    fn receive_limits(&self, roster: &Roster, part: &limits::Part, for_all: bool) {
+        let mut known = self.rates.limits().borrow_mut();
+        for (target, limit) in limits::receive(roster, &mut known, part, for_all, Instant::now()) {
+            let rate = rates::text(&limit);
+            tracing::info!(event = "target-limit", target, rate, via = "instance");
+        }
+        if known.has_news() {
+            self.rates.news.notify_one();
+        }
+    }
+
     /// Returns the quota datagrams to send in this round; none if no account has a quota.
     fn usage(&self, exchange: &mut Exchange, roster: &Roster, now: Instant) -> Vec<Outgoing> {
         let view = self.state.view();
@@ -345,14 +428,17 @@
         tracker,
         neighbours,
         claims,
-        quotas,
+        rates,
         suspects,
         news,
+        ..
     } = &context;
     claims.set_socket(Rc::clone(&socket));
+    rates.set_socket(Rc::clone(&socket));
     let mut exchange = Exchange::default();
     let mut suspect_exchange = suspicions::Exchange::default();
-    let mut suspects_due: Option<time::Instant> = None;
+    let mut limit_exchange = limits::Exchange::default();
+    let mut news_due: Option<time::Instant> = None;
     let mut ticks = time::interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -365,49 +451,27 @@
                 // Malformed datagrams are dropped; the next valid one follows soon.
                 let Ok(datagram) = Datagram::decode(&buffer[..length]) else { continue };
                 let now = Instant::now();
-                match datagram {
-                    Datagram::Claim { number, target, reading_ms } => {
-                        let answer = claims.receive_claim(number, target, reading_ms, now);
-                        send(&socket, &answer, [sender]).await;
-                    }
-                    Datagram::Claimed { number, in_flight, reading_ms } => {
-                        let reading_us = u64::from(reading_ms) * 1_000;
-                        let load = Load { in_flight, reading_us };
-                        claims.receive_answer(number, load);
-                    }
-                    Datagram::Used { .. }
-                    | Datagram::ZoneUsed { .. }
-                    | Datagram::AllUsed { .. } => {
-                        if exchange.receive(datagram, now) {
-                            let totals = exchange.totals().clone();
-                            quotas.borrow_mut().update_totals(totals, now);
-                        }
-                    }
-                    Datagram::Suspects { for_all, part } => {
-                        context.receive_suspects(&roster, &part, for_all);
-                    }
-                    Datagram::SuspectSum { digest, is_answer } => {
-                        let answers =
-                            suspicions::answers(&roster, &suspects.borrow(), digest, is_answer);
-                        for answer in answers {
-                            send(&socket, &answer, [sender]).await;
-                        }
-                    }
-                    datagram => neighbours.borrow_mut().receive(datagram, now),
+                for answer in context.receive(&roster, &mut exchange, datagram, now) {
+                    send(&socket, &answer, [sender]).await;
                 }
             }
-            () = news.notified(), if suspects_due.is_none() => {
-                suspects_due = Some(time::Instant::now() + SUSPECT_BATCH_DELAY);
+            () = news.notified(), if news_due.is_none() => {
+                news_due = Some(time::Instant::now() + NEWS_BATCH_DELAY);
+            }
+            () = rates.news.notified(), if news_due.is_none() => {
+                news_due = Some(time::Instant::now() + NEWS_BATCH_DELAY);
             }
-            () = time::sleep_until(suspects_due.unwrap_or_else(time::Instant::now)),
-                if suspects_due.is_some() =>
+            () = time::sleep_until(news_due.unwrap_or_else(time::Instant::now)),
+                if news_due.is_some() =>
             {
-                suspects_due = None;
-                let outgoing = suspicions::news(&roster, &mut suspects.borrow_mut());
+                news_due = None;
+                let mut outgoing = suspicions::news(&roster, &mut suspects.borrow_mut());
+                outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
                 send_all(&socket, &state.view(), outgoing).await;
             }
             _ = ticks.tick() => {
                 claims.expire(Instant::now());
+                rates.expire(state, Instant::now());
                 let view = state.view();
                 let own = tracker.borrow().by_target();
                 let own = own.into_iter().map(|(target, load)| (key(&target), load));
@@ -422,6 +486,8 @@
                 outgoing.extend(context.usage(&mut exchange, &roster, now));
                 outgoing.extend(suspect_exchange.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
+                outgoing.extend(limit_exchange.round(&roster, &rates.limits().borrow()));
+                outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
                 send_all(&socket, &view, outgoing).await;
             }
         }
--- a/crates/zinniastall-gateway/src/neighbours/claims.rs
+++ b/crates/zinniastall-gateway/src/neighbours/claims.rs
@@ -14,7 +14,7 @@
 //! the sums alone.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::VecDeque,
     net::SocketAddr,
     rc::Rc,
@@ -22,19 +22,18 @@
 };
 
 use indexmap::IndexMap;
-use tokio::{net::UdpSocket, sync::oneshot, time};
+use tokio::net::UdpSocket;
 use zinniastall_model::id;
 
 use super::{
-    Load,
+    Load, coordinator,
     datagram::{Datagram, Key, key},
+    queries::Queries,
 };
-use crate::{decide::slow_start, view::View};
+use crate::view::View;
 
 /// Time for which a claim counts at the coordinator. By then most sums include the request.
 const CLAIM_TTL: Duration = Duration::from_millis(150);
-/// Timeout for a coordinator's answer: a few round trips between the zones of a region.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(12);
 /// Time for which a coordinator that did not answer isn't asked again.
 const SILENT_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum number of claims remembered for one target; a target gets at most a few hundred requests
@@ -77,27 +76,23 @@
 /// Claims of this instance that await answers, and claims that it coordinates.
 #[derive(Debug, Default)]
 pub struct Claims {
-    socket: RefCell<Option<Rc<UdpSocket>>>,
+    queries: Queries,
     history: RefCell<History>,
-    pending: RefCell<IndexMap<u32, oneshot::Sender<Load>>>,
     silent_until: RefCell<IndexMap<id::Instance, Instant>>,
-    last_number: Cell<u32>,
 }
 
 impl Claims {
     /// Sets the socket used to ask coordinators; without one no claims are made.
     pub fn set_socket(&self, socket: Rc<UdpSocket>) {
-        self.socket.replace(Some(socket));
+        self.queries.set_socket(socket);
     }
 
     /// Claims a target for a request; returns the load that others claimed in the moments before,
     /// or `None` if no coordinator answers.
     pub async fn claim(&self, view: &View, target: &str, reading_us: u64) -> Option<Load> {
-        let socket = self.socket.borrow().clone()?;
-        let names = view.instances.ready_in(&view.place.region);
-        let coordinator = slow_start::sender(target, names.map(|held| held.instance.as_str()))?;
+        let coordinator = coordinator::of(view, target)?;
         let key = key(target);
-        if coordinator == view.instance {
+        if *coordinator == view.instance {
             let mut history = self.history.borrow_mut();
             return Some(history.claim(key, reading_us, Instant::now()));
         }
@@ -106,37 +101,27 @@
         }
         let presence = view.instances.by_name().get(coordinator)?;
         let address: SocketAddr = presence.forward.parse().ok()?;
-        let load = self.request(&socket, address, key, reading_us).await;
-        if load.is_none() {
+        let claim = |number| Datagram::Claim {
+            number,
+            target: key,
+            reading_ms: u32::try_from(reading_us / 1_000).unwrap_or(u32::MAX),
+        };
+        let answer = self.queries.ask(address, claim).await;
+        let Some(Datagram::Claimed {
+            in_flight,
+            reading_ms,
+            ..
+        }) = answer
+        else {
             let until = Instant::now() + SILENT_BACKOFF;
             let mut silent_until = self.silent_until.borrow_mut();
             silent_until.insert(coordinator.to_owned(), until);
-        }
-        load
-    }
-
-    async fn request(
-        &self,
-        socket: &UdpSocket,
-        address: SocketAddr,
-        target: Key,
-        reading_us: u64,
-    ) -> Option<Load> {
-        let number = self.last_number.get().wrapping_add(1);
-        self.last_number.set(number);
-        let claim = Datagram::Claim {
-            number,
-            target,
-            reading_ms: u32::try_from(reading_us / 1_000).unwrap_or(u32::MAX),
+            return None;
         };
-        let bytes = claim.encode().ok()?;
-        let (answer, answered) = oneshot::channel();
-        self.pending.borrow_mut().insert(number, answer);
-        // A claim that can't be sent is handled like one without an answer.
-        let _ = socket.send_to(&bytes, address).await;
-        let answered = time::timeout(ANSWER_TIMEOUT, answered).await;
-        self.pending.borrow_mut().swap_remove(&number);
-        answered.ok()?.ok()
+        Some(Load {
+            in_flight,
+            reading_us: u64::from(reading_ms) * 1_000,
+        })
     }
 
     fn is_silent(&self, coordinator: &str) -> bool {
@@ -164,11 +149,8 @@
     }
 
     /// Completes the claim that a coordinator has answered.
-    pub fn receive_answer(&self, number: u32, load: Load) {
-        if let Some(pending) = self.pending.borrow_mut().swap_remove(&number) {
-            // The receiver may have given up at this moment.
-            let _ = pending.send(load);
-        }
+    pub fn receive_answer(&self, number: u32, answer: Datagram) {
+        self.queries.receive_answer(number, answer);
     }
 
     /// Forgets expired claims and backoffs.
@@ -177,8 +159,6 @@
         self.silent_until
             .borrow_mut()
             .retain(|_, until| *until > now);
-        // A request whose caller has left no longer awaits its answer.
-        let mut pending = self.pending.borrow_mut();
-        pending.retain(|_, answer| !answer.is_closed());
+        self.queries.expire();
     }
 }
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -120,6 +120,13 @@
         &self.remote_collectors
     }
 
+    /// Returns the other collectors, of this zone and of all others.
+    pub fn all_other_collectors(&self) -> Vec<id::Instance> {
+        let others = self.region_collectors.iter();
+        let others = others.chain(&self.remote_collectors).cloned();
+        self.peer_collectors().into_iter().chain(others).collect()
+    }
+
     /// Returns whether an instance is alive.
     pub fn contains(&self, instance: &str) -> bool {
         self.instances.contains(instance)
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -3,10 +3,10 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::rendezvous;
+use zinniastall_coord::{rate::Rate, rendezvous};
 use zinniastall_model::id;
 
-use super::{Load, Loads, suspicions, usage};
+use super::{Load, Loads, limits, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -111,6 +111,55 @@
         #[serde(rename = "b")]
         is_answer: bool,
     },
+    /// Rates that targets named.
+    #[serde(rename = "m")]
+    Limits {
+        /// Whether a collector passes the rates on to all zones or only to its own.
+        #[serde(rename = "a")]
+        for_all: bool,
+        /// Rates of some targets.
+        #[serde(rename = "p")]
+        part: limits::Part,
+    },
+    /// Digest of all rates, for comparison.
+    #[serde(rename = "e")]
+    LimitSum {
+        /// Digest of the sender.
+        #[serde(rename = "n")]
+        digest: u64,
+        /// Whether the datagram answers another digest.
+        #[serde(rename = "b")]
+        is_answer: bool,
+    },
+    /// Asks a target's coordinator for a permit to send it a request.
+    #[serde(rename = "g")]
+    Acquire {
+        /// Number of the question, chosen by the sender.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Target.
+        #[serde(rename = "k")]
+        target: id::Target,
+        /// Rate that the sender knows of.
+        #[serde(rename = "r")]
+        rate: Rate,
+        /// Longest time that the request would wait, in milliseconds.
+        #[serde(rename = "w")]
+        patience_ms: u32,
+    },
+    /// A coordinator's answer to [`Datagram::Acquire`].
+    #[serde(rename = "h")]
+    Acquired {
+        /// Number of the question that is answered.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Time until the permit may be used, in microseconds; `None` if there is none.
+        #[serde(rename = "w")]
+        wait_us: Option<u64>,
+        /// Time until the next permit, in microseconds.
+        #[serde(rename = "t")]
+        next_us: u64,
+    },
     /// Announces to a target's coordinator that an instance is about to send a request to the
     /// target.
     #[serde(rename = "c")]
--- /dev/null
+++ b/crates/zinniastall-gateway/src/neighbours/queries.rs
@@ -0,0 +1,64 @@
+//! Questions to other instances of the region, by datagram.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tokio::{net::UdpSocket, sync::oneshot, time};
+
+use super::datagram::Datagram;
+
+/// Timeout for an answer: a few round trips between the zones of a region.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(12);
+
+/// Questions that await their answers.
+#[derive(Debug, Default)]
+pub(super) struct Queries {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    pending: RefCell<IndexMap<u32, oneshot::Sender<Datagram>>>,
+    last_number: Cell<u32>,
+}
+
+impl Queries {
+    /// Sets the socket to ask from; without one no questions are asked.
+    pub(super) fn set_socket(&self, socket: Rc<UdpSocket>) {
+        self.socket.replace(Some(socket));
+    }
+
+    /// Asks an instance; returns its answer, or `None` if it doesn't answer in time.
+    pub(super) async fn ask(
+        &self,
+        address: SocketAddr,
+        question: impl FnOnce(u32) -> Datagram,
+    ) -> Option<Datagram> {
+        let socket = self.socket.borrow().clone()?;
+        let number = self.last_number.get().wrapping_add(1);
+        self.last_number.set(number);
+        let bytes = question(number).encode().ok()?;
+        let (answer, answered) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, answer);
+        // A question that can't be sent is handled like one without an answer.
+        let _ = socket.send_to(&bytes, address).await;
+        let answered = time::timeout(ANSWER_TIMEOUT, answered).await;
+        self.pending.borrow_mut().swap_remove(&number);
+        answered.ok()?.ok()
+    }
+
+    /// Completes the question that an instance has answered.
+    pub(super) fn receive_answer(&self, number: u32, answer: Datagram) {
+        if let Some(pending) = self.pending.borrow_mut().swap_remove(&number) {
+            // The receiver may have given up at this moment.
+            let _ = pending.send(answer);
+        }
+    }
+
+    /// Forgets questions that nobody awaits any more, because their caller has left.
+    pub(super) fn expire(&self) {
+        let mut pending = self.pending.borrow_mut();
+        pending.retain(|_, answer| !answer.is_closed());
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -0,0 +1,248 @@
+//! Permits for requests to targets that take a limited rate from all instances together.
+//!
+//! A target names the rate in its answers, or it is cold and its service has one. Either way the
+//! target's coordinator issues a permit for each request; see [`zinniastall_coord::rate`].
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::{net::UdpSocket, sync::Notify};
+use zinniastall_coord::rate::{
+    Change, Demand, Issuer, Limit, Limits, Permits, Rate, Said, Verdict,
+};
+use zinniastall_model::id;
+
+use super::{coordinator, datagram::Datagram, queries::Queries};
+use crate::{
+    clock::{self, Moment},
+    view::{Shared, Target, View},
+};
+
+/// Share of a service's rate that its cold targets get. Two coordinators whose views differ then
+/// stay below one and a half times the rate plus three requests within a second.
+const COLD_SHARE: f64 = 0.7;
+/// Pause of this process after which it issues nothing for a while, because another instance may
+/// have taken over meanwhile.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Questions to a coordinator for one permit; the first may have been lost.
+const MAX_QUESTIONS: usize = 2;
+/// Time after which an instance should ask again that asked one which is not the coordinator.
+const WRONG_COORDINATOR_RETRY: Duration = Duration::from_millis(100);
+
+/// Rates of targets, and the permits to send them requests.
+#[derive(Debug, Default)]
+pub struct Rates {
+    limits: RefCell<Limits>,
+    permits: RefCell<Permits>,
+    issuer: RefCell<Issuer>,
+    queries: Queries,
+    last_active: Cell<Moment>,
+    /// Notified when there is news to send at once.
+    pub news: Notify,
+}
+
+impl Rates {
+    /// Sets the socket used to ask coordinators; without one only this instance's own permits are
+    /// available.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        self.queries.set_socket(socket);
+    }
+
+    /// Returns the rates that targets have named.
+    pub const fn limits(&self) -> &RefCell<Limits> {
+        &self.limits
+    }
+
+    /// Returns the rate that a target takes now from all instances together; `None` for no limit.
+    ///
+    /// `cold_rate_milli` is the rate of a cold target of its service, in thousandths of a request
+    /// per second; 0 for no limit.
+    pub fn rate(&self, target: &Target, cold_rate_milli: u64, now: Instant) -> Option<Rate> {
+        let limits = self.limits.borrow();
+        let report = &target.report;
+        let named = if limits.is_empty() {
+            None
+        } else {
+            limits.rate(&report.target, report.incarnation, now)
+        };
+        let cold = if target.is_cold(now) {
+            cold_rate(cold_rate_milli)
+        } else {
+            None
+        };
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(named.min(cold)),
+            (named, cold) => named.or(cold),
+        }
+    }
+
+    /// Returns the time until a permit of a target is expected to be available.
+    pub fn wait(&self, target: &str, now: Instant) -> Duration {
+        self.permits.borrow().wait(target, now)
+    }
+
+    /// Records what an answer of a target says of its rate.
+    pub fn observe(&self, target: &str, said: Said, now: Instant) -> Change {
+        let mut limits = self.limits.borrow_mut();
+        if limits.is_empty() && said.rate.is_none() {
+            return Change::None;
+        }
+        let change = limits.observe(target, said, now);
+        // Others are told of a higher rate in the next round.
+        if change == Change::Lowered {
+            self.news.notify_one();
+        }
+        change
+    }
+
+    /// Asks the coordinator of a target for a permit; returns `None` if it doesn't answer.
+    pub async fn acquire(&self, state: &Shared, target: &str, demand: Demand) -> Option<Verdict> {
+        let verdict = self.ask(state, target, demand).await;
+        let mut permits = self.permits.borrow_mut();
+        permits.record(target, verdict, Instant::now());
+        verdict
+    }
+
+    async fn ask(&self, state: &Shared, target: &str, demand: Demand) -> Option<Verdict> {
+        let view = state.view();
+        let coordinator = coordinator(state, &view, target)?;
+        if *coordinator == view.instance {
+            return Some(self.issue(target, demand, Instant::now()));
+        }
+        let presence = view.instances.by_name().get(coordinator)?;
+        let address: SocketAddr = presence.forward.parse().ok()?;
+        let patience_ms = u32::try_from(demand.patience.as_millis()).unwrap_or(u32::MAX);
+        for _ in 0..MAX_QUESTIONS {
+            let question = |number| Datagram::Acquire {
+                number,
+                target: target.to_owned(),
+                rate: demand.rate,
+                patience_ms,
+            };
+            if let Some(answer) = self.queries.ask(address, question).await {
+                return verdict(&answer);
+            }
+        }
+        None
+    }
+
+    /// Answers another instance's demand.
+    pub fn receive_demand(
+        &self,
+        state: &Shared,
+        number: u32,
+        target: &id::Target,
+        demand: Demand,
+        now: Instant,
+    ) -> Datagram {
+        let view = state.view();
+        let verdict = if coordinator(state, &view, target) == Some(&view.instance) {
+            let named = self.limits.borrow().rate(target, 0, now);
+            let rate = named.map_or(demand.rate, |named| named.min(demand.rate));
+            self.issue(target, Demand { rate, ..demand }, now)
+        } else {
+            Verdict::Denied {
+                next: WRONG_COORDINATOR_RETRY,
+            }
+        };
+        answer(number, verdict)
+    }
+
+    /// Completes the question that a coordinator has answered.
+    pub fn receive_answer(&self, number: u32, answer: Datagram) {
+        self.queries.receive_answer(number, answer);
+    }
+
+    fn issue(&self, target: &str, demand: Demand, now: Instant) -> Verdict {
+        self.detect_pause();
+        self.issuer.borrow_mut().acquire(target, demand, now)
+    }
+
+    /// Starts anew as a coordinator if the process was suspended.
+    fn detect_pause(&self) {
+        let now = clock::now();
+        let last_active = self.last_active.replace(now);
+        if !last_active.is_zero() && now.saturating_sub(last_active) > MAX_PAUSE {
+            self.issuer.borrow_mut().clear();
+        }
+    }
+
+    /// Gives up the targets that another instance coordinates now, and forgets what has expired.
+    pub fn expire(&self, state: &Shared, now: Instant) {
+        self.detect_pause();
+        let view = state.view();
+        let is_mine = |target: &str| coordinator(state, &view, target) == Some(&view.instance);
+        self.issuer.borrow_mut().retain(is_mine, now);
+        self.permits.borrow_mut().expire(now);
+        self.queries.expire();
+        let is_known = |target: &str| view.targets.by_name().contains_key(target);
+        self.limits.borrow_mut().retain(is_known, now);
+    }
+
+    /// Returns the number of known targets that name a rate.
+    pub fn limited(&self, view: &View, now: Instant) -> usize {
+        let limits = self.limits.borrow();
+        let is_known = |target: &str| view.targets.by_name().contains_key(target);
+        limits
+            .named(now)
+            .filter(|(name, ..)| is_known(name))
+            .count()
+    }
+}
+
+/// Returns the rate that cold targets of a service get; `None` for no limit.
+///
+/// `milli` is the rate that the service's targets sustain, in thousandths of a request per second.
+pub fn cold_rate(milli: u64) -> Option<Rate> {
+    (milli > 0).then(|| Rate::milli(milli).mul_f64(COLD_SHARE))
+}
+
+/// Returns the coordinator of a target. An instance that drains leaves that to the others before
+/// these know of it.
+fn coordinator<'a>(state: &Shared, view: &'a View, target: &str) -> Option<&'a id::Instance> {
+    if !state.is_draining() {
+        return coordinator::of(view, target);
+    }
+    coordinator::without(view, target, &view.instance)
+}
+
+fn answer(number: u32, verdict: Verdict) -> Datagram {
+    let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    let (wait_us, next) = match verdict {
+        Verdict::Granted { wait, next } => (Some(micros(wait)), next),
+        Verdict::Denied { next } => (None, next),
+    };
+    Datagram::Acquired {
+        number,
+        wait_us,
+        next_us: micros(next),
+    }
+}
+
+fn verdict(answer: &Datagram) -> Option<Verdict> {
+    let Datagram::Acquired {
+        wait_us, next_us, ..
+    } = answer
+    else {
+        return None;
+    };
+    let next = Duration::from_micros(*next_us);
+    Some(match wait_us {
+        Some(wait_us) => Verdict::Granted {
+            wait: Duration::from_micros(*wait_us),
+            next,
+        },
+        None => Verdict::Denied { next },
+    })
+}
+
+/// Returns the text of a rate for logs; `none` if there is none.
+pub fn text(limit: &Limit) -> String {
+    limit
+        .rate
+        .map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+}
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -7,6 +7,7 @@
 };
 
 use http::{Method, StatusCode};
+use zinniastall_coord::rate::Rate;
 use zinniastall_http::{
     body::{Decoder, Framing},
     head::Response,
@@ -47,6 +48,10 @@
         slots: u32,
         /// Address of a target from which it fetches the prompt's KV cache, as far as it lacks it.
         source: Option<String>,
+        /// Run of its process.
+        incarnation: id::Incarnation,
+        /// Rate that it takes from all instances together, if that is limited.
+        rate: Option<Rate>,
     },
     /// An instance of another region, which chooses one of its targets.
     Instance {
@@ -186,7 +191,7 @@
             Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
-        self.log_rate_limit(place, &response);
+        self.observe_rate(attempt, &response, now);
         if let Some(ended) =
             self.refusal(attempt, &response, connection.is_used, may_have_run_before)
         {
@@ -226,22 +231,6 @@
         ended
     }
 
-    /// Logs the rate that a target names in its answer, when it changes.
-    fn log_rate_limit(&self, place: &Place, response: &Response) {
-        let Place::Target { target, .. } = place else {
-            return;
-        };
-        let mut tracker = self.tracker.borrow_mut();
-        let Some(known) = tracker.find(target) else {
-            return;
-        };
-        let named = header_text(&response.headers, &self.header_names.rate_limit);
-        if known.named_rate.as_deref() != named {
-            known.named_rate = named.map(str::to_owned);
-            tracing::info!(event = "target-limit", target, rate = named);
-        }
-    }
-
     /// Writes the request and reads the head of its answer.
     ///
     /// A target may answer before it has read a long body. Such an answer counts, but the
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -9,6 +9,7 @@
 mod outgoing;
 pub mod placement;
 pub mod pool;
+mod rate;
 pub mod responder;
 pub mod run;
 pub mod serve;
@@ -25,7 +26,7 @@
     decide::quota::Quotas,
     headers::Names,
     metrics::Metrics,
-    neighbours::{Neighbours, claims::Claims},
+    neighbours::{Neighbours, claims::Claims, rates::Rates},
     policy::Policy,
     request_log::Log,
     suspects::Suspects,
@@ -50,6 +51,8 @@
     pub neighbours: Rc<RefCell<Neighbours>>,
     /// Requests that those instances sent to targets within the last moments.
     pub claims: Rc<Claims>,
+    /// Rates of targets, and permits to send to those that take a limited one.
+    pub rates: Rc<Rates>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -75,6 +78,7 @@
             tracker: Rc::new(RefCell::new(Tracker::new(policy.retry_budget))),
             neighbours: Rc::default(),
             claims: Rc::default(),
+            rates: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             suspects: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
-use zinniastall_coord::rendezvous;
+use zinniastall_coord::{rate::Rate, rendezvous};
 use zinniastall_model::{id, presence::Presence};
 
 use super::{Proxy, attempt::Place, job::Job};
@@ -12,7 +12,6 @@
     decide::{
         fetch::{self, Holder, Link},
         place::{Candidate, Choice, Constraints, Region, choose},
-        slow_start,
     },
     index::Total,
     neighbours::{Load, collector::is_small},
@@ -38,6 +37,14 @@
 /// make another target the better choice.
 const MAX_CLAIMS: usize = 3;
 
+/// Permits that are asked for one request, one after the other, before it is decided anew.
+const MAX_PERMITS: usize = 4;
+/// Time after which a request is decided anew that was denied that many.
+const PERMIT_RETRY: Duration = Duration::from_millis(30);
+/// Share of the requests for which the priority of others doesn't count at targets that take a limited
+/// rate. Urgent requests alone may take all permits, and the others would get none.
+const UNRANKED_SHARE: f64 = 0.125;
+
 /// Load that other instances claimed at targets within the last moments, by target.
 pub type Claimed = IndexMap<id::Target, Load>;
 
@@ -78,7 +85,10 @@
     reading_us: Vec<u64>,
     flights: Vec<u32>,
     holders: Vec<Holder>,
+    rates: Vec<Option<Rate>>,
     opens_soon: bool,
+    /// Whether the priority of other requests doesn't count for this one.
+    is_unranked: bool,
 }
 
 impl LocalTargets<'_> {
@@ -88,6 +98,7 @@
         let best = indexed.min_by_key(|(_, candidate)| candidate.cost());
         let basis = best.map(|(at, candidate)| Basis {
             wait: candidate.wait,
+            permit_wait: candidate.permit_wait,
             prefill: candidate.prefill,
             in_flight: self.flights[at],
             report_age: self.targets[at].heard_at.elapsed(),
@@ -107,9 +118,33 @@
 impl Proxy {
     /// Chooses where a request goes next, and records the choice.
     ///
+    /// A target that takes a limited rate is chosen only with a permit of its coordinator.
+    pub async fn place(&self, job: &Job, tried: &Tried) -> Placement {
+        for _ in 0..MAX_PERMITS {
+            let next = self.choose_claimed(job, tried).await;
+            let Placement::Send(place, ..) = &next else {
+                return next;
+            };
+            if let Place::Target {
+                target,
+                rate: Some(rate),
+                ..
+            } = place
+                && !self.await_permit(job, target, *rate).await
+            {
+                continue;
+            }
+            self.record_placement(job, place);
+            return next;
+        }
+        Placement::Wait(PERMIT_RETRY)
+    }
+
+    /// Chooses where a request goes next.
+    ///
     /// In a large region the target's coordinator is asked first, since other instances may have
     /// chosen the same target on the same information.
-    pub async fn place(&self, job: &Job, tried: &Tried) -> Placement {
+    async fn choose_claimed(&self, job: &Job, tried: &Tried) -> Placement {
         let view = self.state.view();
         let mut claimed = Claimed::default();
         let mut next = self.choose(job, tried, &claimed);
@@ -133,9 +168,6 @@
             }
             next = again;
         }
-        if let Placement::Send(place, ..) = &next {
-            self.record_placement(job, place);
-        }
         next
     }
 
@@ -154,7 +186,11 @@
             left: job.left(now),
             objective: job.objective(now),
             gap: tracker.min_gap(&job.service, now),
-            rank: tracker.rank(&job.service, job.priority(), now),
+            rank: if local.is_unranked {
+                0
+            } else {
+                tracker.rank(&job.service, job.priority(), now)
+            },
             route_rank: tracker.route_rank(&job.service, job.route().priority, now),
             // The instance that forwarded the request may find another target at once.
             opens_soon: local.opens_soon && !job.is_passed_on,
@@ -168,20 +204,15 @@
         }
     }
 
-    /// Records the prompt parts that a request takes to its target, and the permit of a cold
-    /// target.
+    /// Records the prompt parts that a request takes to its target.
     fn record_placement(&self, job: &Job, place: &Place) {
         let Place::Target { target, .. } = place else {
             return;
         };
-        let (view, now) = (self.state.view(), Instant::now());
+        let now = Instant::now();
         let mut tracker = self.tracker.borrow_mut();
         let account = tracker.target(target, &job.service, now);
         account.record_parts(job.prompt.shared(), now);
-        let known = view.targets.by_name().get(target);
-        if known.is_some_and(|known| is_cold(known, now)) {
-            account.pace.try_acquire(job.cold_rate(), now);
-        }
     }
 
     fn place_local(
@@ -198,9 +229,12 @@
             address: report.address.clone(),
             slots: report.slots,
             source: self.source(job, local, at),
+            incarnation: report.incarnation,
+            rate: local.rates[at],
         };
         let basis = Basis {
             wait: candidate.wait,
+            permit_wait: candidate.permit_wait,
             prefill: candidate.prefill,
             in_flight: local.flights[at],
             report_age: now.saturating_duration_since(target.heard_at),
@@ -238,7 +272,7 @@
         let targets: Vec<&Target> = targets.collect();
         let cache_owner = cache_owner(job, &targets);
         for target in targets {
-            if !self.is_eligible(job, target, view, now) {
+            if is_leaving(target, view, now) {
                 continue;
             }
             if self.is_shut(target, now) {
@@ -253,33 +287,43 @@
                     local.opens_soon = true;
                     continue;
                 }
+                let rate = self.rates.rate(target, job.cold_rate(), now);
+                let candidate = self.with_permit_wait(candidate, target, rate, now);
                 local.holders.push(holder);
+                local.rates.push(rate);
                 local.targets.push(target);
                 local.flights.push(flights);
                 local.candidates.push(candidate);
                 local.reading_us.push(reading_us);
             }
         }
+        let is_limited = local.rates.iter().any(Option::is_some);
+        local.is_unranked = is_limited && rand::rng().random_bool(UNRANKED_SHARE);
         local
     }
 
-    /// Returns whether a target may get a request at all.
-    fn is_eligible(&self, job: &Job, target: &Target, view: &View, now: Instant) -> bool {
-        if is_leaving(target, view, now) {
-            return false;
-        }
-        let (report, rate) = (&target.report, job.cold_rate());
-        if !is_cold(target, now) || rate == 0 {
-            return true;
+    /// Returns whether a target that was chosen before may still get a request.
+    pub(super) fn may_get_requests(&self, target: &Target, view: &View, now: Instant) -> bool {
+        !is_leaving(target, view, now) && !self.is_shut(target, now)
+    }
+
+    /// Adds the time until a permit of a target is expected to a candidate.
+    fn with_permit_wait(
+        &self,
+        candidate: Candidate,
+        target: &Target,
+        rate: Option<Rate>,
+        now: Instant,
+    ) -> Candidate {
+        if rate.is_none() {
+            return candidate;
         }
-        let names = view.instances.ready_in(&report.place.region);
-        let sender = slow_start::sender(&report.target, names.map(|held| held.instance.as_str()));
-        if sender != Some(&view.instance) {
-            return false;
+        let permit_wait = self.rates.wait(&target.report.target, now);
+        Candidate {
+            wait: candidate.wait + permit_wait,
+            permit_wait,
+            ..candidate
         }
-        let mut tracker = self.tracker.borrow_mut();
-        let account = tracker.target(&report.target, &job.service, now);
-        account.pace.is_ready(rate, now)
     }
 
     fn candidate(
@@ -301,6 +345,7 @@
         let Some(slots) = job.engine_slots() else {
             let candidate = Candidate {
                 wait: service_time * flights / report.slots.max(1),
+                permit_wait: Duration::ZERO,
                 prefill_ahead: Duration::ZERO,
                 occupancy: 0.0,
                 prefill: Duration::ZERO,
@@ -315,6 +360,7 @@
         let queued = DELAY_PER_QUEUED * flights.saturating_sub(slots);
         let candidate = Candidate {
             wait: prefill_ahead + queued + DELAY_PER_RUNNING * flights,
+            permit_wait: Duration::ZERO,
             prefill_ahead,
             occupancy: f64::from(flights) / f64::from(slots.max(1)),
             prefill: expected,
@@ -407,7 +453,7 @@
     /// request.
     fn remote_wait(&self, job: &Job, region: &str, view: &View, now: Instant) -> Option<Duration> {
         let is_usable = |target: &&Target| {
-            let accepts_load = !is_cold(target, now) || job.cold_rate() == 0;
+            let accepts_load = self.rates.rate(target, job.cold_rate(), now).is_none();
             let zone = &target.report.place.zone;
             accepts_load && !view.is_evacuated(zone) && target.gone_at.is_none()
         };
@@ -447,10 +493,6 @@
     ends || view.is_evacuated(&target.report.place.zone)
 }
 
-fn is_cold(target: &Target, now: Instant) -> bool {
-    target.cold_until.is_some_and(|until| until > now)
-}
-
 /// Returns the target to which all instances of the region assign the request's shared prompt
 /// parts.
 fn cache_owner<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -0,0 +1,129 @@
+//! Requests to targets that take a limited rate: reads the rate from answers, and waits for permits.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use tokio::time;
+use zinniastall_coord::rate::{Change, Demand, PERMIT_TTL, Permits, Rate, Said, Verdict};
+use zinniastall_http::head::Response;
+
+use super::{
+    Proxy,
+    attempt::{Attempt, Place},
+    job::{Job, header_text},
+};
+
+/// A text in a target's answer that is no rate.
+#[derive(Debug)]
+struct Unreadable {
+    reason: String,
+}
+
+impl Proxy {
+    /// Records the rate that a target names in its answer, or that it names none.
+    ///
+    /// An answer of another target that took over the address says nothing, and neither does one
+    /// that may be meant for an earlier request.
+    pub(super) fn observe_rate(
+        &self,
+        attempt: &Attempt<'_>,
+        response: &Response,
+        sent_at: Instant,
+    ) {
+        let Place::Target {
+            target,
+            incarnation,
+            ..
+        } = attempt.place
+        else {
+            return;
+        };
+        let echoed = header_text(&response.headers, &self.header_names.request_id);
+        let is_stray = echoed != Some(attempt.job.id.as_str());
+        if is_stray || response.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let rate = match self.named_rate(response) {
+            Ok(rate) => rate,
+            Err(Unreadable { reason }) => {
+                self.metrics.count_limit("invalid");
+                self.request_log
+                    .unreadable_rate(attempt.job, target, &reason);
+                return;
+            }
+        };
+        let said = Said {
+            incarnation: *incarnation,
+            rate,
+            sent_at,
+        };
+        let change = self.rates.observe(target, said, Instant::now());
+        if change != Change::None {
+            let is_lower = change == Change::Lowered;
+            self.metrics
+                .count_limit(if is_lower { "lowered" } else { "raised" });
+            let rate = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            tracing::info!(event = "target-limit", target, rate, via = "answer");
+        }
+    }
+
+    /// Returns the lowest rate that an answer names; `None` if it names none.
+    fn named_rate(&self, response: &Response) -> Result<Option<Rate>, Unreadable> {
+        let values = response.headers.get_all(&self.header_names.rate_limit);
+        let mut lowest: Option<Rate> = None;
+        for value in values {
+            let unreadable = |reason: String| Unreadable { reason };
+            let text = value
+                .to_str()
+                .map_err(|error| unreadable(error.to_string()))?;
+            let rate = Rate::parse(text).map_err(|error| unreadable(error.to_string()))?;
+            lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate)));
+        }
+        Ok(lowest)
+    }
+
+    /// Waits for a permit to send a request to a target that takes a limited rate; returns whether
+    /// the request may be sent there now.
+    pub(super) async fn await_permit(&self, job: &Job, target: &str, rate: Rate) -> bool {
+        let expected = self.rates.wait(target, Instant::now());
+        let demand = Demand {
+            rate,
+            patience: Permits::patience(expected).min(job.objective(Instant::now())),
+        };
+        let verdict = self.rates.acquire(&self.state, target, demand).await;
+        self.request_log.permit(job, target, demand, verdict);
+        let wait = match verdict {
+            Some(Verdict::Granted { wait, .. }) => wait,
+            Some(Verdict::Denied { .. }) => {
+                self.metrics.count_permit("denied");
+                return false;
+            }
+            None => {
+                self.metrics.count_permit("unanswered");
+                return false;
+            }
+        };
+        self.metrics.count_permit("granted");
+        wait.is_zero() || self.wait_until_due(job, target, rate, wait).await
+    }
+
+    /// Waits until a permit is due; returns whether it is still good then.
+    async fn wait_until_due(&self, job: &Job, target: &str, rate: Rate, wait: Duration) -> bool {
+        let due = Instant::now() + wait;
+        time::sleep_until(due.into()).await;
+        let now = Instant::now();
+        let view = self.state.view();
+        let known = view.targets.by_name().get(target);
+        let is_good = known.is_some_and(|known| {
+            let is_lower = self
+                .rates
+                .rate(known, job.cold_rate(), now)
+                .is_some_and(|current| current < rate);
+            now <= due + PERMIT_TTL && !is_lower && self.may_get_requests(known, &view, now)
+        });
+        if !is_good {
+            self.metrics.count_permit("void");
+        }
+        is_good
+    }
+}
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use zinniastall_coord::rate::{Demand, Verdict};
 use zinniastall_model::routing::Route;
 
 use super::{
@@ -32,6 +33,8 @@
 pub struct Basis {
     /// Expected wait at the chosen place.
     pub wait: Duration,
+    /// Part of it until a permit is expected, if the place takes a limited rate.
+    pub permit_wait: Duration,
     /// Expected time to read the prompt there.
     pub prefill: Duration,
     /// Requests in flight at the target, from all instances as far as known.
@@ -138,6 +141,7 @@
             far = matches!(place, Place::Instance { .. }),
             attempt,
             wait_ms = millis(basis.wait),
+            permit_ms = millis(basis.permit_wait),
             read_ms = millis(basis.prefill),
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
@@ -147,6 +151,42 @@
         );
     }
 
+    /// Logs the answer to a request's demand for a permit of a target that takes a limited rate.
+    pub fn permit(&self, job: &Job, target: &str, demand: Demand, verdict: Option<Verdict>) {
+        let (outcome, wait, next) = match verdict {
+            Some(Verdict::Granted { wait, next }) => ("granted", Some(wait), Some(next)),
+            Some(Verdict::Denied { next }) => ("denied", None, Some(next)),
+            None => ("unanswered", None, None),
+        };
+        if !self.admits(outcome == "granted") {
+            return;
+        }
+        tracing::info!(
+            event = "permit",
+            id = job.id,
+            route = job.route().name,
+            place = target,
+            rate = %demand.rate,
+            patience_ms = millis(demand.patience),
+            outcome,
+            permit_ms = wait.map(millis),
+            next_ms = next.map(millis),
+            left_ms = millis(job.left(Instant::now())),
+        );
+    }
+
+    /// Logs that the rate which a target names can't be read.
+    pub fn unreadable_rate(&self, job: &Job, target: &str, reason: &str) {
+        if self.admits(false) {
+            tracing::warn!(
+                event = "target-limit-unreadable",
+                id = job.id,
+                target,
+                reason
+            );
+        }
+    }
+
     /// Logs that a request exceeds its account's quota.
     pub fn exceeded(&self, job: &Job, charge: Charge, excess: Excess) {
         if !self.admits(false) {
@@ -246,6 +286,7 @@
             route = job.route().name,
             service = job.service,
             wait_ms = millis(basis.wait),
+            permit_ms = millis(basis.permit_wait),
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -15,7 +15,6 @@
         concurrency::Limit,
         outlier::Record,
         service_time::Estimate,
-        slow_start::Pacer,
     },
     neighbours,
 };
@@ -62,14 +61,10 @@
     pub reading_us: u64,
     /// Outcomes of its requests, for outlier detection.
     pub record: Record,
-    /// Slow start while it is cold.
-    pub pace: Pacer,
     /// Concurrency limit learned for it, if it is a plain service's target.
     pub concurrency: Limit,
     /// Time until which it gets no request, because it refused a request or a connection.
     pub blocked_until: Option<Instant>,
-    /// Rate that it named in its last answer, as it wrote it.
-    pub named_rate: Option<String>,
     parts: IndexMap<String, Instant>,
     last_used: Instant,
 }
@@ -107,10 +102,8 @@
             in_flight: 0,
             reading_us: 0,
             record: Record::default(),
-            pace: Pacer::default(),
             concurrency: Limit::default(),
             blocked_until: None,
-            named_rate: None,
             parts: IndexMap::new(),
             last_used: now,
         })
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -28,6 +28,13 @@
     pub gone_at: Option<Instant>,
 }
 
+impl Target {
+    /// Returns whether the target is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
+    }
+}
+
 /// Everything that the request path knows of the rest of the system.
 #[derive(Debug, Clone)]
 pub struct View {
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -12,11 +12,11 @@
     decide::{
         budget::Bound,
         quota::{self, Quotas},
-        slow_start,
     },
     neighbours::{
         self, Context, Load,
         claims::{Claims, History},
+        coordinator,
         datagram::{Datagram, MAX_DATAGRAM_BYTES as LONGEST_DATAGRAM},
     },
     tracker::Tracker,
@@ -77,6 +77,7 @@
                     tracker: books,
                     neighbours,
                     claims: own,
+                    rates: Rc::default(),
                     quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
                     suspects: Rc::default(),
                     news: Rc::default(),
@@ -117,8 +118,10 @@
 /// Returns the name of a target that an instance coordinates.
 fn coordinated_by(instance: &str, names: &[&str]) -> String {
     let targets = (0..).map(|number| format!("target-{number}"));
-    let mut candidates = targets
-        .filter(|target| slow_start::sender(target, names.iter().copied()) == Some(instance));
+    let names: Vec<String> = names.iter().map(|name| (*name).to_owned()).collect();
+    let coordinator = |target: &str| coordinator::choose(target, names.iter());
+    let mut candidates =
+        targets.filter(|target| coordinator(target).is_some_and(|name| name == instance));
     candidates.next().expect("an endless iterator")
 }
 
--- a/crates/zinniastall-gateway/tests/decide/place.rs
+++ b/crates/zinniastall-gateway/tests/decide/place.rs
@@ -14,6 +14,7 @@
 const fn candidate(wait: u64, read: u64) -> Candidate {
     Candidate {
         wait: ms(wait),
+        permit_wait: Duration::ZERO,
         prefill_ahead: ms(wait),
         occupancy: 0.0,
         prefill: ms(read),
--- a/crates/zinniastall-gateway/tests/decide/slow_start.rs
+++ b/crates/zinniastall-gateway/tests/decide/slow_start.rs
@@ -1,8 +1,9 @@
-//! Slow start: cold targets get few requests, also from instances whose views differ.
+//! Slow start: cold targets get few requests, also from coordinators whose views differ.
 
 use std::time::{Duration, Instant};
 
-use zinniastall_gateway::decide::slow_start::{Pacer, sender};
+use zinniastall_coord::rate::{Demand, Issuer, Rate, Verdict};
+use zinniastall_gateway::neighbours::{coordinator::choose, rates::cold_rate};
 
 /// Request rate that a cold target sustains, in thousandths of a request per second.
 const RATE_MILLI: u64 = 2_200;
@@ -22,41 +23,48 @@
     times.iter().map(within).max().unwrap_or(0)
 }
 
-fn send_times(pace: &mut Pacer, from: u64, to: u64, base: Instant) -> Vec<u64> {
-    let open = |at: &u64| pace.try_acquire(RATE_MILLI, base + Duration::from_millis(*at));
+fn try_acquire(issuer: &mut Issuer, rate: Rate, now: Instant) -> bool {
+    let patience = Duration::ZERO;
+    let verdict = issuer.acquire("target", Demand { rate, patience }, now);
+    matches!(verdict, Verdict::Granted { .. })
+}
+
+fn send_times(issuer: &mut Issuer, rate_milli: u64, from: u64, to: u64, base: Instant) -> Vec<u64> {
+    let rate = cold_rate(rate_milli).unwrap();
+    let open = |at: &u64| try_acquire(issuer, rate, base + Duration::from_millis(*at));
     (from..to).step_by(5).filter(open).collect()
 }
 
-/// A zone's targets come back cold while an instance restarts: the sender that was chosen before
-/// continues, and the one that is chosen now starts. Both together must stay under what the target
-/// sustains, or it crashes again.
+/// A zone's targets come back cold while an instance restarts: the coordinator that was chosen
+/// before continues, and the one that is chosen now starts. Both together must stay under what the
+/// target sustains, or it crashes again.
 #[test]
-fn two_senders_together_stay_under_the_bound() {
+fn two_coordinators_together_stay_under_the_bound() {
     let base = Instant::now();
-    let (mut first, mut second) = (Pacer::default(), Pacer::default());
     for shift in 0..20 {
-        let mut times = send_times(&mut first, 0, 6_000, base);
-        times.extend(send_times(&mut second, 2_000 + shift * 25, 6_000, base));
+        let (mut first, mut second) = (Issuer::default(), Issuer::default());
+        let mut times = send_times(&mut first, RATE_MILLI, 0, 6_000, base);
+        times.extend(send_times(
+            &mut second,
+            RATE_MILLI,
+            2_000 + shift * 25,
+            6_000,
+            base,
+        ));
         let peak = max_per_second(times);
         assert!(peak <= MAX_PER_SECOND, "{peak} within a second");
-        (first, second) = (Pacer::default(), Pacer::default());
     }
 }
 
-/// The same where targets sustain more. Two senders at nine tenths of the rate each would together
-/// exceed one and a half times the rate plus three, from a rate of ten on.
+/// The same where targets sustain more. Two coordinators at nine tenths of the rate each would
+/// together exceed one and a half times the rate plus three, from a rate of ten on.
 #[test]
-fn two_senders_stay_under_the_bound_at_any_rate() {
+fn two_coordinators_stay_under_the_bound_at_any_rate() {
     let base = Instant::now();
     for rate in [1_u32, 2, 5, 10, 20, 50] {
         let times = |shift: u64| {
-            let mut pace = Pacer::default();
-            let open = |at: &u64| {
-                let now = base + Duration::from_millis(*at);
-                pace.is_ready(u64::from(rate) * 1_000, now)
-                    && pace.try_acquire(u64::from(rate) * 1_000, now)
-            };
-            (shift..6_000).step_by(5).filter(open).collect::<Vec<u64>>()
+            let mut issuer = Issuer::default();
+            send_times(&mut issuer, u64::from(rate) * 1_000, shift, 6_000, base)
         };
         let both = [times(0), times(2_013)].concat();
         let limit = usize::try_from(rate * 3 / 2 + 3).unwrap();
@@ -65,48 +73,49 @@
     }
 }
 
-/// A sender checks whether a target may get a request before it sends one. If the check didn't
-/// start the pace, no cold target would ever get a request, and a region whose targets all come
-/// back cold would serve nobody.
+/// A coordinator is asked before a target gets its first request. If the question didn't start the
+/// pace, no cold target would ever get a request, and a region whose targets all come back cold
+/// would serve nobody.
 #[test]
-fn checking_a_target_starts_its_pace() {
+fn asking_for_a_target_starts_its_pace() {
     let base = Instant::now();
-    let mut pace = Pacer::default();
+    let mut issuer = Issuer::default();
+    let rate = cold_rate(RATE_MILLI).unwrap();
     assert!(
-        !pace.is_ready(RATE_MILLI, base),
-        "another sender may have sent just now"
+        !try_acquire(&mut issuer, rate, base),
+        "another coordinator may have issued a permit just now"
     );
-    assert!(pace.is_ready(RATE_MILLI, base + Duration::from_secs(1)));
-    assert!(pace.try_acquire(RATE_MILLI, base + Duration::from_secs(1)));
-    assert!(!pace.is_ready(RATE_MILLI, base + Duration::from_secs(1)));
+    let later = base + Duration::from_secs(1);
+    assert!(try_acquire(&mut issuer, rate, later));
+    assert!(!try_acquire(&mut issuer, rate, later));
 }
 
-/// A sender that was idle for long doesn't send the requests that it didn't use as a burst.
+/// A coordinator that was idle for long doesn't issue the permits that nobody used as a burst.
 #[test]
-fn an_idle_sender_saves_no_burst() {
+fn an_idle_coordinator_saves_no_burst() {
     let base = Instant::now();
-    let mut pace = Pacer::default();
-    let mut times = send_times(&mut pace, 0, 1_000, base);
-    times.extend(send_times(&mut pace, 30_000, 34_000, base));
+    let mut issuer = Issuer::default();
+    let mut times = send_times(&mut issuer, RATE_MILLI, 0, 1_000, base);
+    times.extend(send_times(&mut issuer, RATE_MILLI, 30_000, 34_000, base));
     assert!(max_per_second(times) <= 3);
 }
 
-/// All instances pick the same sender for a target, and another one only if that sender leaves.
+/// All instances pick the same coordinator for a target, and another one only if that one leaves.
 #[test]
-fn all_instances_pick_the_same_sender() {
-    let names = ["edge-1", "edge-2", "edge-3", "edge-4"];
+fn all_instances_pick_the_same_coordinator() {
+    let names = ["edge-1", "edge-2", "edge-3", "edge-4"].map(str::to_owned);
     for target in 0..50 {
         let target = format!("target-{target}");
-        let chosen = sender(&target, names.into_iter()).unwrap();
-        assert_eq!(sender(&target, names.into_iter().rev()), Some(chosen));
-        let others = names.into_iter().filter(|name| *name != chosen);
-        assert_ne!(sender(&target, others), Some(chosen));
-        let without = names.into_iter().find(|name| *name != chosen);
-        let rest = names.into_iter().filter(|name| Some(*name) != without);
+        let chosen = choose(&target, names.iter()).unwrap();
+        assert_eq!(choose(&target, names.iter().rev()), Some(chosen));
+        let others = names.iter().filter(|name| *name != chosen);
+        assert_ne!(choose(&target, others), Some(chosen));
+        let without = names.iter().find(|name| *name != chosen);
+        let rest = names.iter().filter(|name| Some(*name) != without);
         assert_eq!(
-            sender(&target, rest),
+            choose(&target, rest),
             Some(chosen),
-            "a sender that stays keeps its targets"
+            "a coordinator that stays keeps its targets"
         );
     }
 }
@@ -114,7 +123,5 @@
 /// A rate of zero means no bound.
 #[test]
 fn a_target_without_a_rate_is_not_paced() {
-    let now = Instant::now();
-    let mut pace = Pacer::default();
-    assert!((0..100).all(|_| pace.try_acquire(0, now)));
+    assert_eq!(cold_rate(0), None);
 }
--- a/crates/zinniastall-gateway/tests/decide/steady.rs
+++ b/crates/zinniastall-gateway/tests/decide/steady.rs
@@ -173,6 +173,7 @@
         let before = Duration::from_micros(engine.pending_prefill(request.by) + others);
         Candidate {
             wait: before,
+            permit_wait: Duration::ZERO,
             prefill_ahead: before,
             occupancy: engine.crowd(),
             prefill: Duration::from_micros(request.expected),
@@ -314,6 +315,7 @@
 fn a_prompt_that_takes_longer_than_any_pause_is_admitted() {
     let huge = |wait| Candidate {
         wait: Duration::from_millis(wait),
+        permit_wait: Duration::ZERO,
         prefill_ahead: Duration::from_millis(wait),
         occupancy: 1.5,
         prefill: Duration::from_secs(2),
@@ -339,6 +341,7 @@
 fn an_accounts_rank_leaves_the_bound_on_pauses_alone() {
     let reading = Candidate {
         wait: Duration::from_millis(150),
+        permit_wait: Duration::ZERO,
         prefill_ahead: Duration::from_millis(150),
         occupancy: 0.2,
         prefill: Duration::from_millis(180),
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -63,6 +63,7 @@
             tracker: books,
             neighbours,
             claims: Rc::default(),
+            rates: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
             suspects: Rc::default(),
             news: Rc::default(),
