fix(entry): permits for targets that name a rate, over the instances of a zone

The same cause on the entry path: 142 arrivals in 4 s from two entry instances at an engine that named 1 a second. The rule is the one of the gateway path (coord::rate); traffic threads decide, the control arbiter carries news, questions and verdicts over the gossip links. Queues expect starts at the rate of a limited target.

--- a/crates/zinniastall-coord/src/rate.rs
+++ b/crates/zinniastall-coord/src/rate.rs
@@ -10,6 +10,7 @@
 //! - [`Issuer`] is the state of a coordinator. It issues permits at the rate, each for a point in
 //!   time, so that requests wait in one queue however many instances they come through, and what
 //!   can't be sent in time is refused at once.
+//! - [`Issued`] keeps the latest permits, for those who ask again because the answer was lost.
 //! - [`Permits`] is what an instance knows of the permits that it may get, so that it asks only
 //!   where that is worth a round trip.
 //!
@@ -32,6 +33,7 @@
 //! assert!(matches!(issuer.acquire(7, demand, now), Verdict::Denied { .. }));
 //! ```
 
+mod issued;
 mod issuer;
 mod limits;
 mod permits;
@@ -40,6 +42,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use issued::Issued;
 pub use issuer::{Demand, Issuer, MAX_PATIENCE, TAKEOVER_DELAY, Verdict};
 pub use limits::{Change, Limit, Limits, Said};
 pub use permits::{PERMIT_TTL, Permits};
--- a/crates/zinniastall-coord/src/rendezvous.rs
+++ b/crates/zinniastall-coord/src/rendezvous.rs
@@ -1,5 +1,13 @@
 //! Rendezvous hashing.
 
+/// Returns the member that a key is assigned to; `None` if there are no members.
+pub fn choose<'a, S: AsRef<str> + ?Sized>(
+    key: &str,
+    members: impl Iterator<Item = &'a S>,
+) -> Option<&'a S> {
+    members.max_by_key(|member| weight(key, member.as_ref()))
+}
+
 /// Returns the weight of a pair. The pair with the greatest weight wins, so a member that joins or
 /// leaves moves only the keys it wins or held.
 pub fn weight(key: &str, member: &str) -> u64 {
--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use zinniastall_coord::rate::{MAX_PATIENCE, MIN_RATE};
 use zinniastall_model::{id, object::Subject, place::Place};
 use zinniastall_route::{
     admit,
@@ -16,17 +17,30 @@
 use zinniastall_wire::gossip;
 
 use super::outstanding::Outstanding;
-use crate::view::{Digest, Target, View};
+use crate::{
+    rates::{Limited, Rates},
+    view::{Digest, Target, View},
+};
 
 /// Role of targets that only compute prompts for other targets.
 const PREFILL_ROLE: &str = "prefill";
 /// Age at which a digest is ignored.
 const MAX_DIGEST_AGE: Duration = Duration::from_secs(5);
 
+/// What the choice of targets depends on besides the view.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sources<'a> {
+    pub(super) policy: &'a Policy,
+    pub(super) table: &'a Table,
+    pub(super) rates: &'a Rates,
+}
+
 /// Targets of this zone that can serve a request, without ejected ones.
 #[derive(Debug)]
 pub(super) struct Candidates<'a> {
     all: Vec<Candidate<'a>>,
+    /// Targets that take a limited rate.
+    limited: IndexMap<&'a str, Limited>,
     /// Whether any target serves the subject, including those that failed this request.
     any_serving: bool,
 }
@@ -37,16 +51,22 @@
         view: &'a View,
         request: &Request,
         tried: &[id::Target],
-        policy: &Policy,
-        table: &'a Table,
+        sources: Sources<'a>,
         now: Instant,
     ) -> Self {
+        let Sources {
+            policy,
+            table,
+            rates,
+        } = sources;
         let mut all = serving(view, &request.subject, table, now);
         let any_serving = !all.is_empty();
         all.retain(|candidate| !tried.iter().any(|target| target == candidate.target));
         prefer_version(view, request, &mut all);
+        let all = without_ejected(all, policy, now);
         Self {
-            all: without_ejected(all, policy, now),
+            limited: limited(view, &all, rates, now),
+            all,
             any_serving,
         }
     }
@@ -56,15 +76,34 @@
     }
 
     pub(super) fn have_room(&self) -> bool {
-        self.all.iter().any(|candidate| candidate.load.has_room())
+        !self.with_room().is_empty()
     }
 
+    /// Returns the targets that may get one more request. One for which the request would wait is
+    /// among them only if there is no other.
     pub(super) fn with_room(&self) -> Vec<Candidate<'a>> {
-        let open = self
-            .all
-            .iter()
-            .filter(|candidate| candidate.load.has_room());
-        open.copied().collect()
+        let within = |longest: Duration| {
+            let open = self.all.iter().filter(|candidate| {
+                candidate.load.has_room() && self.permit_wait(candidate) <= longest
+            });
+            open.copied().collect::<Vec<_>>()
+        };
+        let open = within(Duration::ZERO);
+        if open.is_empty() {
+            within(MAX_PATIENCE)
+        } else {
+            open
+        }
+    }
+
+    /// Returns the limit of a target; `None` if it takes any rate.
+    pub(super) fn limit_of(&self, target: &str) -> Option<Limited> {
+        self.limited.get(target).copied()
+    }
+
+    fn permit_wait(&self, candidate: &Candidate<'_>) -> Duration {
+        let limited = self.limited.get(candidate.target);
+        limited.map_or(Duration::ZERO, |limited| limited.wait)
     }
 
     /// Returns the mean service time of a request.
@@ -80,12 +119,17 @@
 
     /// Returns the mean interval between starts while all targets are at their limits.
     pub(super) fn start_interval(&self) -> Duration {
-        let limits: u32 = self
-            .all
-            .iter()
-            .map(|candidate| candidate.load.limit())
-            .sum();
-        self.mean_service_time() / limits.max(1)
+        if self.limited.is_empty() {
+            let limits = self.all.iter().map(|candidate| candidate.load.limit());
+            return self.mean_service_time() / limits.sum::<u32>().max(1);
+        }
+        let service_secs = self.mean_service_time().as_secs_f64().max(f64::EPSILON);
+        let starts = self.all.iter().map(|candidate| {
+            let limited = self.limited.get(candidate.target);
+            let rate = limited.map_or(f64::INFINITY, |limited| limited.rate.as_f64());
+            (f64::from(candidate.load.limit()) / service_secs).min(rate)
+        });
+        Duration::from_secs_f64(1.0 / starts.sum::<f64>().max(MIN_RATE.as_f64()))
     }
 
     /// Creates the queue entry of a request; the queue assigns its id.
@@ -105,7 +149,10 @@
     /// Returns the lowest cost of serving the request here, ignoring the queue.
     pub(super) fn cheapest(&self, policy: &Policy, prefixes: &[u64], now: Instant) -> Local {
         let costs = self.all.iter();
-        let costs = costs.map(|candidate| choose::cost(policy, prefixes, candidate.load, now));
+        let costs = costs.map(|candidate| {
+            let cost = choose::cost(policy, prefixes, candidate.load, now);
+            cost + policy.wait_cost(self.permit_wait(candidate))
+        });
         match costs.min_by(f64::total_cmp) {
             Some(cost) => Local::Cost(cost),
             None if self.any_serving => Local::Tried,
@@ -132,12 +179,34 @@
 pub(super) fn any_has_room(
     view: &View,
     subject: &Subject,
-    policy: &Policy,
-    table: &Table,
+    sources: Sources<'_>,
     now: Instant,
 ) -> bool {
-    let all = without_ejected(serving(view, subject, table, now), policy, now);
-    all.iter().any(|candidate| candidate.load.has_room())
+    let serving = serving(view, subject, sources.table, now);
+    let all = without_ejected(serving, sources.policy, now);
+    let candidates = Candidates {
+        limited: limited(view, &all, sources.rates, now),
+        all,
+        any_serving: true,
+    };
+    candidates.have_room()
+}
+
+/// Returns which of the candidates take a limited rate.
+fn limited<'a>(
+    view: &View,
+    candidates: &[Candidate<'a>],
+    rates: &Rates,
+    now: Instant,
+) -> IndexMap<&'a str, Limited> {
+    if !rates.is_used() {
+        return IndexMap::new();
+    }
+    let limited = candidates.iter().filter_map(|candidate| {
+        let target = view.targets.get(candidate.target)?;
+        Some((candidate.target, rates.limited(&target.report, now)?))
+    });
+    limited.collect()
 }
 
 /// Converts a target's announcement to a load report.
--- a/crates/zinniastall-entry/src/callers/admission/in_flight.rs
+++ b/crates/zinniastall-entry/src/callers/admission/in_flight.rs
@@ -10,6 +10,7 @@
 use zinniastall_wire::gossip;
 
 use super::Admission;
+use crate::rates::Limited;
 
 /// A request in flight at a target; dropping it releases the slot to the next waiting request.
 #[derive(Debug)]
@@ -20,6 +21,7 @@
     report: Option<gossip::Target>,
     started: Instant,
     end: End,
+    limited: Option<Limited>,
 }
 
 impl InFlight {
@@ -37,9 +39,22 @@
             report,
             started,
             end: End::Cancelled,
+            limited: None,
         }
     }
 
+    /// Sets the limit by which the target was chosen.
+    #[must_use]
+    pub(super) const fn limited(mut self, limited: Option<Limited>) -> Self {
+        self.limited = limited;
+        self
+    }
+
+    /// Returns the limit by which the target was chosen; `None` if it took any rate.
+    pub const fn limit(&self) -> Option<Limited> {
+        self.limited
+    }
+
     /// Returns the target's name.
     pub fn target(&self) -> &id::Target {
         &self.target
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -19,7 +19,7 @@
 use zinniastall_model::id;
 use zinniastall_route::{
     choose::Chooser,
-    load::End,
+    load::{End, Table},
     outcome::{Reason, Refusal},
     policy::Policy,
     request::Request,
@@ -30,7 +30,7 @@
 pub use in_flight::{Forwarded, InFlight};
 pub use queued::Queued;
 
-use candidates::Candidates;
+use candidates::{Candidates, Sources};
 use state::State;
 use subject_queue::Grant;
 
@@ -79,7 +79,8 @@
         if tried.is_empty() {
             state.budget.deposit();
         }
-        let found = Candidates::find(&view, request, tried, &self.policy, &state.table, now);
+        let sources = self.sources(&state.table);
+        let found = Candidates::find(&view, request, tried, sources, now);
         let starts_now = found.have_room() && !state.queues.has_waiting(&request.subject);
         let queues = &mut state.queues;
         if let Some((place, hops)) =
@@ -98,9 +99,13 @@
             );
         }
         if starts_now && let Some(target) = self.choose(&mut state.chooser, request, &found, now) {
-            return Ok(Decision::Local(Box::new(
-                state.start(self, request, &target, now),
-            )));
+            let limited = found.limit_of(&target);
+            return Ok(Decision::Local(Box::new(state.start(
+                self,
+                request,
+                (&target, limited),
+                now,
+            ))));
         }
         let waiter = found.waiter(&self.policy, request, now);
         let (id, receiver) = queues.enqueue(&self.policy, waiter, request, tried, &found, now)?;
@@ -126,6 +131,15 @@
         chooser.choose(&self.policy, &request.prefixes, &open, now, random)
     }
 
+    /// Returns what the choice of targets depends on besides the view.
+    fn sources<'a>(&'a self, table: &'a Table) -> Sources<'a> {
+        Sources {
+            policy: &self.policy,
+            table,
+            rates: self.shared_view.rates(),
+        }
+    }
+
     /// Ends a request at a target and grants the free slot to waiting requests.
     fn end(&self, target: &str, incarnation: id::Incarnation, end: End) {
         let grants = {
--- a/crates/zinniastall-entry/src/callers/admission/state.rs
+++ b/crates/zinniastall-entry/src/callers/admission/state.rs
@@ -19,7 +19,10 @@
     queues::Queues,
     subject_queue::Grant,
 };
-use crate::view::{self, Shared, View};
+use crate::{
+    rates::Limited,
+    view::{self, Shared, View},
+};
 
 /// Load of the targets, queues and retry budget of an instance.
 #[derive(Debug)]
@@ -82,13 +85,17 @@
         shared_view.set_load(u32::try_from(load).unwrap_or(u32::MAX));
     }
 
+    /// Counts a request at a target, and on a permit if the target takes a limited rate.
     pub(super) fn start(
         &mut self,
         admission: &Admission,
         request: &Request,
-        target: &str,
+        (target, limited): (&str, Option<Limited>),
         now: Instant,
     ) -> InFlight {
+        if let Some(limited) = limited {
+            admission.shared_view.rates().assume(target, limited, now);
+        }
         let incarnation = self.table.start(target, &request.prefixes, now);
         self.in_flight += 1;
         self.publish_load(&admission.shared_view);
@@ -96,7 +103,7 @@
             .last_targets
             .get(target)
             .map(|target| target.report.clone());
-        InFlight::new(admission.clone(), target, incarnation, report, now)
+        InFlight::new(admission.clone(), target, incarnation, report, now).limited(limited)
     }
 
     /// Starts waiting requests while there are free slots, and returns their grants.
@@ -120,14 +127,15 @@
         now: Instant,
     ) -> Option<Grant> {
         let policy = &admission.policy;
+        let sources = admission.sources(&self.table);
         let queue = self.queues.by_subject.get_mut(subject)?;
-        if !candidates::any_has_room(view, subject, policy, &self.table, now) {
+        if !candidates::any_has_room(view, subject, sources, now) {
             return None;
         }
         let mut best: Option<(f64, admit::Id, id::Target)> = None;
         for (id, entry) in queue.next_entries(policy.window()) {
             let (request, tried) = (&entry.request, &entry.tried);
-            let found = Candidates::find(view, request, tried, policy, &self.table, now);
+            let found = Candidates::find(view, request, tried, sources, now);
             let target = admission.choose(&mut self.chooser, request, &found, now);
             let Some((target, load)) = target.and_then(|name| {
                 let load = self.table.get(&name)?;
@@ -142,7 +150,9 @@
         }
         let (_, id, target) = best?;
         let entry = queue.take(id, now)?;
-        let in_flight = self.start(admission, &entry.request, &target, now);
+        let found = Candidates::find(view, &entry.request, &entry.tried, sources, now);
+        let chosen = (target.as_str(), found.limit_of(&target));
+        let in_flight = self.start(admission, &entry.request, chosen, now);
         Some(Grant {
             sender: entry.sender,
             in_flight,
@@ -164,8 +174,7 @@
             &view,
             &entry.request,
             &entry.tried,
-            &admission.policy,
-            &self.table,
+            admission.sources(&self.table),
             now,
         );
         if found.is_empty() {
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -15,6 +15,7 @@
     call::Call,
     forward,
     pipeline::{Answer, UNREACHABLE_RETRY_AFTER},
+    rate::Permit,
     relay,
     reply::Body,
     suspect::Watch,
@@ -63,6 +64,9 @@
         };
         let attempt = match decision {
             Decision::Local(in_flight) => {
+                if is_denied(worker, call, &in_flight).await? {
+                    continue;
+                }
                 attempt_local(worker, call, *in_flight, probe, &mut tried).await
             }
             Decision::Forwarded(forwarded) => {
@@ -71,7 +75,12 @@
             Decision::Queued(queued) => match queued.granted().await {
                 // While it waited, the request may have crashed a target elsewhere.
                 Ok(_) if !worker.may_still_be_sent(call, probe.as_ref()) => continue,
-                Ok(in_flight) => attempt_local(worker, call, in_flight, probe, &mut tried).await,
+                Ok(in_flight) => {
+                    if is_denied(worker, call, &in_flight).await? {
+                        continue;
+                    }
+                    attempt_local(worker, call, in_flight, probe, &mut tried).await
+                }
                 Err(refusal) => return Err(merge_last(earlier, refusal)),
             },
         };
@@ -97,6 +106,18 @@
     }
 }
 
+/// Waits for a permit to send a request to the target that was chosen; returns whether there is none,
+/// so that the request is admitted anew.
+async fn is_denied(
+    worker: &Rc<Worker>,
+    call: &Call,
+    in_flight: &InFlight,
+) -> Result<bool, Refusal> {
+    let report = in_flight.report()?;
+    let permit = worker.await_permit(call, &report, in_flight.limit()).await;
+    Ok(permit == Permit::Denied)
+}
+
 /// Returns whether the only targets left are those that lost this request.
 fn only_tried_left(refusal: &Refusal, earlier: Option<&Refusal>, tried: &[id::Target]) -> bool {
     let lost = earlier.is_some_and(|earlier| earlier.outcome == Outcome::Unknown);
@@ -130,7 +151,7 @@
     let report = in_flight.report()?;
     let in_flight = Rc::new(RefCell::new(in_flight));
     let watch = Rc::new(Watch::new(worker, call, report, probe));
-    let sent = target::send(&worker.client, watch.target(), call, 0).await;
+    let sent = target::send(worker, watch.target(), call, 0).await;
     let mut reply = match sent {
         Ok(reply) => reply,
         Err(refusal) => {
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -14,6 +14,7 @@
 pub mod locate;
 pub mod pipeline;
 pub mod progress;
+mod rate;
 pub mod relay;
 pub mod reply;
 pub mod response;
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -16,6 +16,7 @@
 
 use super::{
     call::Call,
+    rate::Permit,
     reply::{Body, BodySource, Reply, lazy_body},
     response::MAX_BUFFERED_BYTES,
     suspect::Watch,
@@ -126,8 +127,12 @@
         if !self.worker.service.admission.retry() {
             return Err(broken);
         }
+        let target = self.watch.target();
+        if self.worker.await_permit(&self.call, target, None).await == Permit::Denied {
+            return Err(broken);
+        }
         self.attempts += 1;
-        let reply = target::send(&self.worker.client, self.watch.target(), &self.call, offset)
+        let reply = target::send(&self.worker, self.watch.target(), &self.call, offset)
             .await
             .map_err(|_| broken.clone())?;
         // A target that ignores the offset starts over; relaying that would duplicate events.
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -5,7 +5,7 @@
 //! from the target, are "not run". Retries and redirects in the library are disabled, since both
 //! could run a request twice.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_service::ServiceExt;
 use actix_tls::connect::{Connection, Connector as Dialer};
@@ -27,6 +27,7 @@
     call::{Call, is_forwarded},
     guard::Guard,
     reply::{Body, Reply, Served, remaining_ms},
+    worker::Worker,
 };
 
 /// Maximum time to connect to a target of the zone; the request is validated before it.
@@ -104,7 +105,7 @@
 ///
 /// Returns a [`Refusal`] whose outcome tells whether the target may have run the request.
 pub async fn send(
-    clients: &Clients,
+    worker: &Worker,
     target: &gossip::Target,
     call: &Call,
     offset: u64,
@@ -113,7 +114,7 @@
     let method = awc::http::Method::from_bytes(call.method.as_bytes()).map_err(|_| {
         Refusal::not_run(Reason::MalformedBody("the method is not known".to_owned()))
     })?;
-    let client = clients.client(call.request.idempotent);
+    let client = worker.client.client(call.request.idempotent);
     let mut request = client.request(method, url);
     for (name, value) in &call.headers {
         request = request.insert_header((name.as_str(), value.as_str()));
@@ -125,11 +126,13 @@
     if left == 0 {
         return Err(Refusal::not_run(Reason::DeadlineNotFeasible));
     }
+    let sent_at = Instant::now();
     let response = request
         .timeout(Duration::from_millis(left))
         .send_body(call.body.clone())
         .await
         .map_err(|error| classify(&error))?;
+    worker.observe_rate(target, call, response.headers(), sent_at);
     if let Some(refusal) = typed_refusal(&response) {
         return Err(refusal);
     }
--- a/crates/zinniastall-entry/src/lib.rs
+++ b/crates/zinniastall-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod links;
 pub mod publish;
 pub mod quarantine;
+pub mod rates;
 pub mod settings;
 pub mod spread;
 pub mod targets;
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -20,6 +20,7 @@
     digests::Digests,
     links::{Handle, Links},
     messages::{Closed, Dialed, ForwardFacts, Linked, PublishTargets, Received, Stop},
+    rates,
     renewals::Renewals,
     settings::{self, CROSS_REGION_PERIODS},
     suspicions,
@@ -134,6 +135,8 @@
         self.publish_digests(now);
         self.reconcile_suspects();
         self.share_suspects();
+        self.share_rates();
+        self.expire_rates(now);
         self.dial(context, now);
     }
 
@@ -150,6 +153,7 @@
         tracing::warn!(event = "frozen", millis = millis(since));
         self.last_sweep = now;
         self.links.clear();
+        self.rates().restart_issuer();
         self.publish_targets(now);
         self.publish_peers(now);
     }
@@ -241,6 +245,7 @@
         self.links.send(handle, gossip::Message::Peers(peers));
         self.introduce_suspects(handle);
         if place == *self.dependencies.identity.place() {
+            self.introduce_rates(handle);
             let reports = self.targets.reports(now);
             self.links.send(handle, gossip::Message::Targets(reports));
         }
@@ -263,6 +268,7 @@
                 self.apply_suspects(link, (&peer, &place), &news.suspects);
                 self.forward_pending |= self.digests.apply(link, &place, news, now);
             }
+            gossip::Message::Rates(rates) => self.apply_rates(link, &place, &rates, now),
         }
     }
 }
@@ -274,6 +280,8 @@
         self.tick(context);
         let quarantine = self.dependencies.shared_view.quarantine().clone();
         actix::spawn(suspicions::watch(quarantine, context.address()));
+        let rates = self.rates().clone();
+        actix::spawn(rates::watch(rates, context.address()));
         context.run_interval(self.settings.period, |spread, context| spread.tick(context));
     }
 }
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -18,6 +18,7 @@
 pub mod links;
 pub mod messages;
 mod peers;
+mod rates;
 pub mod renewals;
 pub mod settings;
 pub mod speaker;
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -15,7 +15,7 @@
 use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
 
-use crate::quarantine::Quarantine;
+use crate::{quarantine::Quarantine, rates::Rates};
 
 /// Everything on which the handling of a request depends.
 #[derive(Debug, Clone)]
@@ -102,6 +102,7 @@
     load: Arc<AtomicU32>,
     revision: Arc<watch::Sender<id::Revision>>,
     quarantine: Quarantine,
+    rates: Rates,
 }
 
 impl Shared {
@@ -113,6 +114,7 @@
             load: Arc::default(),
             revision,
             quarantine: Quarantine::default(),
+            rates: Rates::default(),
         }
     }
 
@@ -144,6 +146,11 @@
         &self.quarantine
     }
 
+    /// Returns the rates of targets, and the permits to send to those that take a limited one.
+    pub const fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
     /// Returns the load of this instance: requests in progress relative to its capacity, in
     /// thousandths.
     pub fn load(&self) -> u32 {
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -3,6 +3,7 @@
 //! A deployment's adapter supplies its own names.
 
 use http::HeaderName;
+use zinniastall_model::header::RATE_LIMIT;
 
 /// Id of the last event that the caller received; a stream resumes after it. Browsers' event
 /// sources send this field.
@@ -59,7 +60,7 @@
             deadline_ms: HeaderName::from_static("deadline-ms"),
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
-            rate_limit: HeaderName::from_static("rate-limit"),
+            rate_limit: HeaderName::from_static(RATE_LIMIT),
             prompt_parts: HeaderName::from_static("prompt-parts"),
             tokens: HeaderName::from_static("tokens"),
             priority: HeaderName::from_static("priority-rank"),
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -295,7 +295,7 @@
         &self,
         roster: &Roster,
         exchange: &mut Exchange,
-        datagram: Datagram,
+        (sender, datagram): (SocketAddr, Datagram),
         now: Instant,
     ) -> Vec<Datagram> {
         match datagram {
@@ -317,7 +317,8 @@
                 let patience = Duration::from_millis(u64::from(patience_ms));
                 let demand = Demand { rate, patience };
                 let rates = &self.rates;
-                vec![rates.receive_demand(&self.state, number, &target, demand, now)]
+                let question = (sender, number);
+                vec![rates.receive_demand(&self.state, question, &target, demand, now)]
             }
             Datagram::Acquired { number, .. } => {
                 self.rates.receive_answer(number, datagram);
@@ -451,7 +452,8 @@
                 // Malformed datagrams are dropped; the next valid one follows soon.
                 let Ok(datagram) = Datagram::decode(&buffer[..length]) else { continue };
                 let now = Instant::now();
-                for answer in context.receive(&roster, &mut exchange, datagram, now) {
+                let received = (sender, datagram);
+                for answer in context.receive(&roster, &mut exchange, received, now) {
                     send(&socket, &answer, [sender]).await;
                 }
             }
--- a/crates/zinniastall-gateway/src/neighbours/claims.rs
+++ b/crates/zinniastall-gateway/src/neighbours/claims.rs
@@ -106,7 +106,7 @@
             target: key,
             reading_ms: u32::try_from(reading_us / 1_000).unwrap_or(u32::MAX),
         };
-        let answer = self.queries.ask(address, claim).await;
+        let answer = self.queries.ask(address, 1, claim).await;
         let Some(Datagram::Claimed {
             in_flight,
             reading_ms,
--- a/crates/zinniastall-gateway/src/neighbours/coordinator.rs
+++ b/crates/zinniastall-gateway/src/neighbours/coordinator.rs
@@ -3,19 +3,11 @@
 //! Every instance of the region derives it from the list of instances by rendezvous hashing, without
 //! communication. While lists differ, two instances may both be asked.
 
-use zinniastall_coord::rendezvous::weight;
+use zinniastall_coord::rendezvous::choose;
 use zinniastall_model::{id, presence::Presence};
 
 use crate::view::View;
 
-/// Returns the coordinator of a target among instances.
-pub fn choose<'a>(
-    target: &str,
-    instances: impl Iterator<Item = &'a id::Instance>,
-) -> Option<&'a id::Instance> {
-    instances.max_by_key(|instance| weight(target, instance))
-}
-
 /// Returns the coordinator of a target among the ready instances of the view's region; among all of
 /// them if none is ready.
 pub fn of<'a>(view: &'a View, target: &str) -> Option<&'a id::Instance> {
--- a/crates/zinniastall-gateway/src/neighbours/queries.rs
+++ b/crates/zinniastall-gateway/src/neighbours/queries.rs
@@ -29,23 +29,29 @@
         self.socket.replace(Some(socket));
     }
 
-    /// Asks an instance; returns its answer, or `None` if it doesn't answer in time.
+    /// Asks an instance up to `tries` times, under the same number; returns its answer, or `None` if
+    /// it doesn't answer in time.
     pub(super) async fn ask(
         &self,
         address: SocketAddr,
+        tries: usize,
         question: impl FnOnce(u32) -> Datagram,
     ) -> Option<Datagram> {
         let socket = self.socket.borrow().clone()?;
         let number = self.last_number.get().wrapping_add(1);
         self.last_number.set(number);
         let bytes = question(number).encode().ok()?;
-        let (answer, answered) = oneshot::channel();
+        let (answer, mut answered) = oneshot::channel();
         self.pending.borrow_mut().insert(number, answer);
-        // A question that can't be sent is handled like one without an answer.
-        let _ = socket.send_to(&bytes, address).await;
-        let answered = time::timeout(ANSWER_TIMEOUT, answered).await;
+        for _ in 0..tries {
+            // A question that can't be sent is handled like one without an answer.
+            let _ = socket.send_to(&bytes, address).await;
+            if let Ok(answered) = time::timeout(ANSWER_TIMEOUT, &mut answered).await {
+                return answered.ok();
+            }
+        }
         self.pending.borrow_mut().swap_remove(&number);
-        answered.ok()?.ok()
+        None
     }
 
     /// Completes the question that an instance has answered.
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -12,7 +12,7 @@
 
 use tokio::{net::UdpSocket, sync::Notify};
 use zinniastall_coord::rate::{
-    Change, Demand, Issuer, Limit, Limits, Permits, Rate, Said, Verdict,
+    Change, Demand, Issued, Issuer, Limit, Limits, Permits, Rate, Said, Verdict,
 };
 use zinniastall_model::id;
 
@@ -39,8 +39,10 @@
     limits: RefCell<Limits>,
     permits: RefCell<Permits>,
     issuer: RefCell<Issuer>,
+    issued: RefCell<Issued<(SocketAddr, u32)>>,
     queries: Queries,
-    last_active: Cell<Moment>,
+    /// When what has expired was last forgotten; zero if never.
+    last_tick: Cell<Moment>,
     /// Notified when there is news to send at once.
     pub news: Notify,
 }
@@ -116,29 +118,29 @@
         let presence = view.instances.by_name().get(coordinator)?;
         let address: SocketAddr = presence.forward.parse().ok()?;
         let patience_ms = u32::try_from(demand.patience.as_millis()).unwrap_or(u32::MAX);
-        for _ in 0..MAX_QUESTIONS {
-            let question = |number| Datagram::Acquire {
-                number,
-                target: target.to_owned(),
-                rate: demand.rate,
-                patience_ms,
-            };
-            if let Some(answer) = self.queries.ask(address, question).await {
-                return verdict(&answer);
-            }
-        }
-        None
+        let question = |number| Datagram::Acquire {
+            number,
+            target: target.to_owned(),
+            rate: demand.rate,
+            patience_ms,
+        };
+        let answer = self.queries.ask(address, MAX_QUESTIONS, question).await?;
+        verdict(&answer)
     }
 
-    /// Answers another instance's demand.
+    /// Answers another instance's demand. A repeated question gets the permit that was issued for it.
     pub fn receive_demand(
         &self,
         state: &Shared,
-        number: u32,
+        question: (SocketAddr, u32),
         target: &id::Target,
         demand: Demand,
         now: Instant,
     ) -> Datagram {
+        let number = question.1;
+        if let Some(verdict) = self.issued.borrow().repeat(&question, now) {
+            return answer(number, verdict);
+        }
         let view = state.view();
         let verdict = if coordinator(state, &view, target) == Some(&view.instance) {
             let named = self.limits.borrow().rate(target, 0, now);
@@ -149,6 +151,7 @@
                 next: WRONG_COORDINATOR_RETRY,
             }
         };
+        self.issued.borrow_mut().record(question, verdict, now);
         answer(number, verdict)
     }
 
@@ -162,18 +165,21 @@
         self.issuer.borrow_mut().acquire(target, demand, now)
     }
 
-    /// Starts anew as a coordinator if the process was suspended.
+    /// Starts anew as a coordinator if the process was suspended since the last tick. Messages that
+    /// arrived meanwhile may be handled before the next one.
     fn detect_pause(&self) {
-        let now = clock::now();
-        let last_active = self.last_active.replace(now);
-        if !last_active.is_zero() && now.saturating_sub(last_active) > MAX_PAUSE {
+        let (now, last_tick) = (clock::now(), self.last_tick.get());
+        if !last_tick.is_zero() && now.saturating_sub(last_tick) > MAX_PAUSE {
             self.issuer.borrow_mut().clear();
+            self.last_tick.set(now);
         }
     }
 
-    /// Gives up the targets that another instance coordinates now, and forgets what has expired.
+    /// Gives up the targets that another instance coordinates now, and forgets what has expired. To be
+    /// called regularly, several times within [`MAX_PAUSE`].
     pub fn expire(&self, state: &Shared, now: Instant) {
         self.detect_pause();
+        self.last_tick.set(clock::now());
         let view = state.view();
         let is_mine = |target: &str| coordinator(state, &view, target) == Some(&view.instance);
         self.issuer.borrow_mut().retain(is_mine, now);
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -8,6 +8,7 @@
 };
 
 use tokio::{net::UdpSocket, time};
+use zinniastall_coord::rendezvous;
 use zinniastall_gateway::{
     decide::{
         budget::Bound,
@@ -16,7 +17,6 @@
     neighbours::{
         self, Context, Load,
         claims::{Claims, History},
-        coordinator,
         datagram::{Datagram, MAX_DATAGRAM_BYTES as LONGEST_DATAGRAM},
     },
     tracker::Tracker,
@@ -119,7 +119,7 @@
 fn coordinated_by(instance: &str, names: &[&str]) -> String {
     let targets = (0..).map(|number| format!("target-{number}"));
     let names: Vec<String> = names.iter().map(|name| (*name).to_owned()).collect();
-    let coordinator = |target: &str| coordinator::choose(target, names.iter());
+    let coordinator = |target: &str| rendezvous::choose(target, names.iter());
     let mut candidates =
         targets.filter(|target| coordinator(target).is_some_and(|name| name == instance));
     candidates.next().expect("an endless iterator")
--- a/crates/zinniastall-gateway/tests/decide/slow_start.rs
+++ b/crates/zinniastall-gateway/tests/decide/slow_start.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use zinniastall_coord::rate::{Demand, Issuer, Rate, Verdict};
-use zinniastall_gateway::neighbours::{coordinator::choose, rates::cold_rate};
+use zinniastall_coord::{
+    rate::{Demand, Issuer, Rate, Verdict},
+    rendezvous::choose,
+};
+use zinniastall_gateway::neighbours::rates::cold_rate;
 
 /// Request rate that a cold target sustains, in thousandths of a request per second.
 const RATE_MILLI: u64 = 2_200;
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod harness;
 mod heads;
 mod quarantine;
+mod rates;
 mod request_log;
 mod streams;
 
--- a/crates/zinniastall-model/src/header.rs
+++ b/crates/zinniastall-model/src/header.rs
@@ -30,4 +30,4 @@
 pub const PLACE: &str = "x-zinniastall-place";
 /// Response of a target: requests per second that it takes from all instances together, as a decimal
 /// number, for as long as it says so.
-pub const RATE_LIMIT: &str = "x-zinniastall-rate-limit";
+pub const RATE_LIMIT: &str = "rate-limit";
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -6,7 +6,10 @@
 mod pack;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::{digest, membership};
+use zinniastall_coord::{
+    digest, membership,
+    rate::{Limit, Rate},
+};
 use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
 /// A message of a gossip link.
@@ -24,6 +27,51 @@
     /// Facts about zones; sent between zones and regions.
     #[serde(rename = "news")]
     Delta(Delta),
+    /// Rates that targets of the zone name, and permits to send to these; only sent within the zone.
+    Rates(Rates),
+}
+
+/// Message about targets that take a limited rate from all instances of the zone together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rates {
+    /// Rates that the receiver may lack.
+    Named(Vec<(id::Target, Limit)>),
+    /// Asks a target's coordinator for a permit to send it a request.
+    Demand(Demand),
+    /// A coordinator's answer.
+    Verdict(Verdict),
+}
+
+/// Question for a permit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Number of the question, chosen by the sender.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Target.
+    #[serde(rename = "t")]
+    pub target: id::Target,
+    /// Rate that the sender knows of.
+    #[serde(rename = "r")]
+    pub rate: Rate,
+    /// Longest time that the request would wait, in milliseconds.
+    #[serde(rename = "w")]
+    pub patience_ms: u64,
+}
+
+/// Answer to a [`Demand`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Number of the question.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Time until the permit may be used, in microseconds; `None` if there is none.
+    #[serde(rename = "w")]
+    pub wait_us: Option<u64>,
+    /// Time until the next permit, in microseconds.
+    #[serde(rename = "x")]
+    pub next_us: u64,
 }
 
 /// A heartbeat to one peer.
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -6,7 +6,10 @@
     prelude::*,
     test_runner::{Config, RngSeed},
 };
-use zinniastall_coord::membership::Heartbeat;
+use zinniastall_coord::{
+    membership::Heartbeat,
+    rate::{Limit, Rate},
+};
 use zinniastall_model::{
     change::{Body, Change, Origin},
     fingerprint::{Fingerprint, Suspect, Suspects},
@@ -250,6 +253,33 @@
         .boxed()
 }
 
+fn rates() -> BoxedStrategy<gossip::Rates> {
+    let rate = || any::<u64>().prop_map(Rate::milli);
+    let limit = (any::<u64>(), any::<u32>(), prop::option::of(rate()));
+    let limit = limit.prop_map(|(incarnation, version, rate)| Limit {
+        incarnation,
+        version,
+        rate,
+    });
+    let named = prop::collection::vec((text(), limit), 0..4);
+    let demand = (any::<[u64; 2]>(), text(), rate()).prop_map(|(numbers, target, rate)| {
+        gossip::Rates::Demand(gossip::Demand {
+            number: numbers[0],
+            target,
+            rate,
+            patience_ms: numbers[1],
+        })
+    });
+    let verdict = (any::<[u64; 2]>(), any::<Option<u64>>()).prop_map(|(numbers, wait_us)| {
+        gossip::Rates::Verdict(gossip::Verdict {
+            number: numbers[0],
+            wait_us,
+            next_us: numbers[1],
+        })
+    });
+    prop_oneof![named.prop_map(gossip::Rates::Named), demand, verdict].boxed()
+}
+
 fn gossip() -> BoxedStrategy<gossip::Message> {
     use gossip::Message;
     let load = (any::<[u64; 3]>(), any::<u32>(), bytes()).prop_map(|(numbers, busy, added)| {
@@ -346,6 +376,7 @@
         prop::collection::vec(peer, 0..4).prop_map(Message::Peers),
         any::<u64>().prop_map(Message::Stale),
         prop::collection::vec(target(), 0..4).prop_map(Message::Targets),
+        rates().prop_map(Message::Rates),
     ]
     .boxed()
 }
