fix(gateway): an instance that starts asks for the rates before it sends

An instance that started while a rate was in force learned it with the first comparison of digests; what callers sent before was sent on without a permit.

--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -328,6 +328,7 @@
                 self.receive_limits(roster, &part, for_all);
                 Vec::new()
             }
+            Datagram::LimitsRequest => limits::all(&self.rates.limits().borrow()),
             Datagram::LimitSum { digest, is_answer } => {
                 limits::answers(roster, &self.rates.limits().borrow(), digest, is_answer)
             }
@@ -374,6 +375,7 @@
         if known.has_news() {
             self.rates.news.notify_one();
         }
+        self.rates.finish_introduction();
     }
 
     /// Returns the quota datagrams to send in this round; none if no account has a quota.
@@ -436,6 +438,7 @@
     } = &context;
     claims.set_socket(Rc::clone(&socket));
     rates.set_socket(Rc::clone(&socket));
+    rates.start_introduction();
     let mut exchange = Exchange::default();
     let mut suspect_exchange = suspicions::Exchange::default();
     let mut limit_exchange = limits::Exchange::default();
@@ -488,6 +491,10 @@
                 outgoing.extend(context.usage(&mut exchange, &roster, now));
                 outgoing.extend(suspect_exchange.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
+                // The list of instances arrives with the configuration or soon after.
+                if view.configuration.is_some() && !roster.is_empty() {
+                    outgoing.extend(rates.introduce(roster.neighbours()));
+                }
                 outgoing.extend(limit_exchange.round(&roster, &rates.limits().borrow()));
                 outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
                 send_all(&socket, &view, outgoing).await;
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -103,6 +103,11 @@
         self.peer_collectors()
     }
 
+    /// Returns the other instances of the region.
+    pub fn neighbours(&self) -> &[id::Instance] {
+        &self.neighbours
+    }
+
     /// Returns the collectors of this zone, without this instance.
     pub fn peer_collectors(&self) -> Vec<id::Instance> {
         let collectors = self.own_collectors.iter();
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -121,6 +121,9 @@
         #[serde(rename = "p")]
         part: limits::Part,
     },
+    /// Asks for all rates, from an instance that has just started.
+    #[serde(rename = "j")]
+    LimitsRequest,
     /// Digest of all rates, for comparison.
     #[serde(rename = "e")]
     LimitSum {
--- a/crates/zinniastall-gateway/src/neighbours/limits.rs
+++ b/crates/zinniastall-gateway/src/neighbours/limits.rs
@@ -57,6 +57,19 @@
     flood::news(roster, news.collect(), parts)
 }
 
+/// Returns all rates, for an instance that has just started; at least one datagram.
+pub fn all(limits: &Limits) -> Vec<Datagram> {
+    let all = parts(&limits.all(), false);
+    if all.is_empty() {
+        let part = Part(Vec::new());
+        return vec![Datagram::Limits {
+            for_all: false,
+            part,
+        }];
+    }
+    all
+}
+
 /// Returns the answers to another instance's digest; none if the digests are equal.
 pub fn answers(roster: &Roster, limits: &Limits, digest: u64, is_answer: bool) -> Vec<Datagram> {
     let all = || parts(&limits.all(), !roster.is_collector());
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -16,7 +16,7 @@
 };
 use zinniastall_model::id;
 
-use super::{coordinator, datagram::Datagram, queries::Queries};
+use super::{Outgoing, coordinator, datagram::Datagram, queries::Queries};
 use crate::{
     clock::{self, Moment},
     view::{Shared, Target, View},
@@ -30,6 +30,10 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Questions to a coordinator for one permit; the first may have been lost.
 const MAX_QUESTIONS: usize = 2;
+/// Rounds in which an instance that has just started asks for all rates.
+const MAX_INTRODUCTIONS: u32 = 3;
+/// Instances that it asks in a round.
+const INTRODUCERS: usize = 2;
 /// Time after which an instance should ask again that asked one which is not the coordinator.
 const WRONG_COORDINATOR_RETRY: Duration = Duration::from_millis(100);
 
@@ -43,10 +47,21 @@
     queries: Queries,
     /// When what has expired was last forgotten; zero if never.
     last_tick: Cell<Moment>,
+    introduction: Cell<Introduction>,
     /// Notified when there is news to send at once.
     pub news: Notify,
 }
 
+/// Whether this instance knows the rates that the others learned before it started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Introduction {
+    /// It does, or nobody can tell it.
+    #[default]
+    Done,
+    /// It has asked this number of times.
+    Asked(u32),
+}
+
 impl Rates {
     /// Sets the socket used to ask coordinators; without one only this instance's own permits are
     /// available.
@@ -54,6 +69,43 @@
         self.queries.set_socket(socket);
     }
 
+    /// Starts to learn the rates that the others know. Until then, this instance should send no
+    /// requests.
+    pub fn start_introduction(&self) {
+        self.introduction.set(Introduction::Asked(0));
+    }
+
+    /// Returns whether this instance knows the rates that the others learned before it started.
+    pub fn is_introduced(&self) -> bool {
+        self.introduction.get() == Introduction::Done
+    }
+
+    /// Records that another instance told all that it knows.
+    pub fn finish_introduction(&self) {
+        self.introduction.set(Introduction::Done);
+    }
+
+    /// Returns the question for all rates, to be sent in this round to some of `neighbours`, the other
+    /// instances of the region.
+    ///
+    /// After some rounds without an answer, the instance goes on without.
+    pub fn introduce(&self, neighbours: &[id::Instance]) -> Option<Outgoing> {
+        let Introduction::Asked(asked) = self.introduction.get() else {
+            return None;
+        };
+        if neighbours.is_empty() || asked >= MAX_INTRODUCTIONS {
+            self.finish_introduction();
+            return None;
+        }
+        self.introduction.set(Introduction::Asked(asked + 1));
+        let first = asked as usize * INTRODUCERS;
+        let asked = neighbours.iter().cycle().skip(first).take(INTRODUCERS);
+        Some(Outgoing {
+            to: asked.cloned().collect(),
+            datagram: Datagram::LimitsRequest,
+        })
+    }
+
     /// Returns the rates that targets have named.
     pub const fn limits(&self) -> &RefCell<Limits> {
         &self.limits
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -180,9 +180,9 @@
         }
     }
 
-    /// Matches a request to its route. A request that arrives before this instance knows any routes
-    /// is held for as long as it usually takes to learn them: if it were sent away, it would find
-    /// most other instances starting as well.
+    /// Matches a request to its route. A request that arrives before this instance knows any routes,
+    /// and the rates that targets have named to others, is held for as long as it usually takes to
+    /// learn them: if it were sent away, it would find most other instances starting as well.
     async fn match_route(
         &self,
         head: &Request,
@@ -197,7 +197,8 @@
             // covers.
             let trust = self.state.trust();
             let matched = Match::new(&self.state.view(), trust, head, from_instances);
-            let waits = matches!(matched, Err(Refusal::Unconfigured));
+            let waits =
+                matches!(matched, Err(Refusal::Unconfigured)) || !self.rates.is_introduced();
             if !waits || arrived.elapsed() >= max_hold {
                 return matched;
             }
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -6,6 +6,7 @@
 //! same seed injects the same faults in the same order; their effects still depend on timing.
 
 mod faults;
+mod limits;
 mod operator;
 mod system;
 
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::build::{self, Profile};
+use limits::Limits;
 use operator::Operator;
 use system::System;
 
@@ -47,10 +49,13 @@
     let end = Instant::now() + length;
     let mut random = StdRng::seed_from_u64(seed);
     let mut operator = Operator::default();
+    let mut limits = Limits::default();
     let mut faults = 0;
     while Instant::now() + QUIET_PERIOD < end {
+        limits.step(&mut system, &mut random).await;
         let fault = faults::draw(&mut random, &system);
         println!("soak: {fault:?}");
+        limits.before(&fault);
         faults::inject(&mut system, &fault, &mut operator).await?;
         faults += 1;
         operator.step(&system).await;
@@ -60,6 +65,8 @@
     let findings = Findings {
         faults,
         strayed: system.strayed().await?,
+        limited: limits.exceeded(&mut system).await?,
+        limits: limits.counted(),
         died: system.died(),
     };
     system.stop().await?;
@@ -71,6 +78,10 @@
     faults: usize,
     /// Number of requests that ran outside their client's region.
     strayed: usize,
+    /// Number of times that a target got more than the rate that it named.
+    limited: usize,
+    /// Number of times that a target named a rate for long enough to be counted.
+    limits: usize,
     /// Number of processes that exited on their own.
     died: usize,
 }
@@ -88,10 +99,16 @@
         .map(of)
         .iter()
         .sum();
-    let broken = ledger + findings.strayed + operator.reverted + operator.unclean + findings.died;
+    let broken = ledger
+        + findings.strayed
+        + findings.limited
+        + operator.reverted
+        + operator.unclean
+        + findings.died;
     println!(
         "soak: requests={} answered={} not_run={} unknown={} runs={} changes={} faults={} \
-         wrong={} invented={} ran_anyway={} doubled={} strayed={} reverted={} unclean={} died={} \
+         wrong={} invented={} ran_anyway={} doubled={} strayed={} limits={} exceeded={} \
+         reverted={} unclean={} died={} \
          violations={broken} seed={seed}",
         all["requests"],
         all["answered"],
@@ -105,6 +122,8 @@
         audit["ran_anyway"],
         audit["doubled"],
         findings.strayed,
+        findings.limits,
+        findings.limited,
         operator.reverted,
         operator.unclean,
         findings.died,
