--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -152,7 +152,8 @@
         metrics,
         hello,
         settings.limits.watches,
-    );
+    )
+    .limits(running.hub.limits().clone());
     let server = rpc::Server::start(service, operators)?;
     let mut terminated = signal(SignalKind::terminate())?;
     tokio::select! {
--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -52,7 +52,10 @@
     suspects::Recorder,
     targets::{Targets, Versions},
 };
-use crate::control::{ReadIndex, Write};
+use crate::{
+    control::{ReadIndex, Write},
+    limits::Board,
+};
 
 /// Time between two rounds in which changes are sent. It is far below the three seconds within
 /// which an announcement has to take effect, and batches the heartbeats of a hundred targets into
@@ -95,6 +98,7 @@
     history: RefCell<History>,
     read_index: Rounds,
     recorder: Recorder,
+    limits: Board,
     round: watch::Sender<Round>,
     last_link: Cell<LinkNumber>,
 }
@@ -141,6 +145,7 @@
             history: RefCell::default(),
             read_index: Rounds::default(),
             recorder: Recorder::default(),
+            limits: Board::default(),
             round: watch::Sender::default(),
             last_link: Cell::new(0),
         };
@@ -149,6 +154,11 @@
         }
     }
 
+    /// Returns the rates that targets name, as instances report them.
+    pub fn limits(&self) -> &Board {
+        &self.inner.limits
+    }
+
     /// Records a target's report; returns whether it replaced the previous one.
     pub fn note(&self, report: Report) -> bool {
         self.inner.targets.borrow_mut().note(report)
@@ -321,6 +331,10 @@
                 self.recorder.report(suspects);
                 Ok(Vec::new())
             }
+            Message::Limits(reported) => {
+                self.limits.hear(reported, std::time::Instant::now());
+                Ok(Vec::new())
+            }
             Message::Subscribe(true) => {
                 cursor.subscription.get_or_insert_default();
                 self.updates(cursor, false)
--- a/crates/zinniastall-control/src/lib.rs
+++ b/crates/zinniastall-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod disk;
 pub mod hub;
+pub mod limits;
 pub mod links;
 pub mod metrics;
 pub mod orders;
--- a/crates/zinniastall-control/src/rpc/operators.rs
+++ b/crates/zinniastall-control/src/rpc/operators.rs
@@ -13,7 +13,7 @@
     metadata,
     operator::{self as api, operator_server::Operator},
 };
-use zinniastall_coord::voters;
+use zinniastall_coord::{rate::Rate, voters};
 use zinniastall_model::{change::Body, change::Change, id};
 use zinniastall_settings::metrics::{Recorder, Registry};
 use zinniastall_wire::{feed::Feed, hello::Hello};
@@ -23,6 +23,7 @@
     Bootstrap, BootstrapError, Control, Health, Inspect, NotLeader, Read, Reconfigure, Reply, View,
     Write,
 };
+use crate::limits::Board;
 
 /// Longest time that an operator may wait for confirmations.
 const MAX_WAIT: Duration = Duration::from_mins(10);
@@ -36,6 +37,7 @@
     recorder: Recorder,
     hello: Hello,
     watches: Arc<Semaphore>,
+    limits: Board,
 }
 
 type Answer<T> = Result<Response<T>, Status>;
@@ -56,9 +58,17 @@
             metrics,
             hello,
             watches: Arc::new(Semaphore::new(watches)),
+            limits: Board::default(),
         }
     }
 
+    /// Sets the rates that targets name, as instances report them.
+    #[must_use]
+    pub fn limits(mut self, limits: Board) -> Self {
+        self.limits = limits;
+        self
+    }
+
     async fn write(&self, change: Change, wait_ms: u64) -> Answer<api::ChangeResponse> {
         let start = Instant::now();
         let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
@@ -288,6 +298,18 @@
             .map_err(|_| convert::Error::Malformed("request"))?;
         self.write_idempotent(Body::Release(request)).await
     }
+
+    async fn limits(&self, _: Request<api::LimitsRequest>) -> Answer<api::LimitsResponse> {
+        let named = self.limits.named(Instant::now()).into_iter();
+        let limit = |(target, rate, age): (id::Target, Rate, Duration)| api::TargetLimit {
+            target,
+            rate: rate.as_f64(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        };
+        Ok(Response::new(api::LimitsResponse {
+            targets: named.map(limit).collect(),
+        }))
+    }
 }
 
 fn mailbox_closed(_: MailboxError) -> Status {
--- a/crates/zinniastall-ctl/src/call.rs
+++ b/crates/zinniastall-ctl/src/call.rs
@@ -45,6 +45,8 @@
     },
     /// Prints the quarantined requests.
     Quarantine,
+    /// Prints the targets that name a rate.
+    Limits,
     /// Releases a request from quarantine, by its fingerprint.
     Release(String),
 }
--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -190,7 +190,8 @@
     ChangeStatus,
     HistogramsResponse,
     RoutingResponse,
-    QuarantineResponse
+    QuarantineResponse,
+    LimitsResponse
 );
 
 impl<T> Answer for tonic::Streaming<T> {}
--- a/crates/zinniastall-ctl/src/run.rs
+++ b/crates/zinniastall-ctl/src/run.rs
@@ -8,9 +8,10 @@
     metadata,
     operator::{
         ApplyRequest, BootstrapRequest, ChangeRequest, ChangeResponse, Command, DeleteRequest,
-        EvacuateRequest, Event, GetRequest, HistogramsRequest, InstanceRequest, Kind, ListRequest,
-        Object, PublishRequest, QuarantineRequest, ReleaseRequest, ReplicaRequest, RetireRequest,
-        RoutingRequest, StatusRequest, SystemStatus, WatchRequest, object,
+        EvacuateRequest, Event, GetRequest, HistogramsRequest, InstanceRequest, Kind,
+        LimitsRequest, ListRequest, Object, PublishRequest, QuarantineRequest, ReleaseRequest,
+        ReplicaRequest, RetireRequest, RoutingRequest, StatusRequest, SystemStatus, WatchRequest,
+        object,
     },
 };
 
@@ -145,6 +146,10 @@
             let call = async |mut client: Client| client.quarantine(QuarantineRequest {}).await;
             Ok(print_answer(&group.call(unwrapped(call)).await?))
         }
+        Call::Limits => {
+            let call = async |mut client: Client| client.limits(LimitsRequest {}).await;
+            Ok(print_answer(&group.call(unwrapped(call)).await?))
+        }
         Call::Release(request) => {
             let call = async |mut client: Client| {
                 let request = request.clone();
--- a/crates/zinniastall-entry/src/follow/report.rs
+++ b/crates/zinniastall-entry/src/follow/report.rs
@@ -117,6 +117,10 @@
             messages.push(follow::Message::Confirm(list));
         }
         if report.due && self.source.is_some_and(|source| source.control) {
+            let named = self.shared_view.rates().all();
+            if !named.is_empty() {
+                messages.push(follow::Message::Limits(named));
+            }
             let drifted = drift::find(&self.held, &self.shared_view.view());
             if !drifted.is_empty() {
                 messages.push(follow::Message::Drifted(drifted));
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -259,6 +259,7 @@
                 traffic.metrics.set_quarantined(quarantined);
                 let limited = traffic.rates.limited(&view, Instant::now());
                 traffic.metrics.set_limited(limited);
+                traffic.state.limits().store(Arc::new(traffic.rates.limits().borrow().all()));
                 *shared_load.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
             }
             order = &mut drain => {
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -279,12 +279,14 @@
                             Some(Message::Present((self.presence)())),
                             confirmation,
                             self.missing_suspects(),
+                            self.named_rates(),
                         ]
                     }
                     () = self.presence_changed.notified() => [
                         Some(Message::Present((self.presence)())),
                         None,
                         None,
+                        None,
                     ],
                     () = self.sources_changed.notified() => continue,
                     () = self.fetch_ended.notified(), if fetch_at.is_some() => {
@@ -296,7 +298,8 @@
                         if fetch_at.is_some() || !self.is_behind(replica) {
                             continue;
                         }
-                        [Some(Message::Fetch(self.cluster.borrow().revision())), None, None]
+                        let fetch = Message::Fetch(self.cluster.borrow().revision());
+                        [Some(fetch), None, None, None]
                     }
                     () = time::sleep_until(timeout_at) => return Error::Closed,
             };
@@ -317,6 +320,12 @@
         (!missing.is_empty()).then(|| Message::Suspects(missing.to_vec()))
     }
 
+    /// Returns the rates that targets have named, for operators.
+    fn named_rates(&self) -> Option<Message> {
+        let named = self.state.limits().load();
+        (!named.is_empty()).then(|| Message::Limits(named.to_vec()))
+    }
+
     /// Returns the question whether the configuration in force is the newest, if it is due: always
     /// for the replicas that are subscribed to, and for all others once the last confirmation is
     /// old.
@@ -412,6 +421,7 @@
             Message::Present(_)
             | Message::Fetch(_)
             | Message::Subscribe(_)
+            | Message::Limits(_)
             | Message::ReadIndex(_) => {}
         }
         false
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -6,6 +6,7 @@
 };
 
 use arc_swap::ArcSwap;
+use zinniastall_coord::rate::Limit;
 use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
 use zinniastall_wire::hub::Configuration;
 
@@ -107,6 +108,7 @@
     view: Arc<ArcSwap<View>>,
     lease: Lease,
     suspects: Arc<Suspects>,
+    limits: Arc<ArcSwap<Vec<(id::Target, Limit)>>>,
     draining: Arc<OnceLock<Drain>>,
 }
 
@@ -117,6 +119,7 @@
             view: Arc::new(ArcSwap::from_pointee(view)),
             lease: Lease::new(None),
             suspects: Arc::default(),
+            limits: Arc::default(),
             draining: Arc::default(),
         }
     }
@@ -138,6 +141,11 @@
         &self.suspects
     }
 
+    /// Returns the rates that targets have named, which the control thread reports to operators.
+    pub fn limits(&self) -> &ArcSwap<Vec<(id::Target, Limit)>> {
+        &self.limits
+    }
+
     /// Returns whether the configuration of a view that is read after this call may be relied on
     /// now.
     pub fn trust(&self) -> Trust {
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -4,6 +4,7 @@
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use tokio::{sync::watch, time};
+use zinniastall_coord::rate::Limit;
 use zinniastall_model::{change::Change, fingerprint::Suspect, id, member::Member, state::State};
 
 use crate::{
@@ -41,6 +42,8 @@
     Drifted(Vec<Drift>),
     /// Requests are quarantined or released that the configuration doesn't hold as such.
     Suspects(Vec<Suspect>),
+    /// Targets have named rates.
+    Limits(Vec<(id::Target, Limit)>),
     /// The other end requests histograms; the answer is [`Message::Summaries`].
     SummariesRequested,
     /// The follower asks which revision the control group has reached; the answer is
@@ -201,6 +204,7 @@
         Message::Confirm(list) => Ok(Some(Event::Confirmed(list))),
         Message::Drifted(list) => Ok(Some(Event::Drifted(list))),
         Message::Suspects(list) => Ok(Some(Event::Suspects(list))),
+        Message::Limits(list) => Ok(Some(Event::Limits(list))),
         Message::SummariesRequest => Ok(Some(Event::SummariesRequested)),
         Message::ReadIndex { ask } => Ok(Some(Event::ReadIndex(ask))),
         _ => Err(Error::Handshake),
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -5,6 +5,7 @@
 //! duplicate and late messages are detected and dropped.
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::rate::Limit;
 use zinniastall_model::{
     change::Change, fingerprint::Suspect, id, member::Member, order::Holding, place::Place,
     state::State,
@@ -58,6 +59,8 @@
     /// Follower of a control instance: quarantined and released requests that the configuration
     /// doesn't hold yet.
     Suspects(Vec<Suspect>),
+    /// Follower of a control instance: rates that targets have named to instances of its zone.
+    Limits(Vec<(id::Target, Limit)>),
     /// Control, on a link that it has dialled: requests histograms.
     #[serde(rename = "ask")]
     SummariesRequest,
--- a/crates/zinniastall-wire/src/hub.rs
+++ b/crates/zinniastall-wire/src/hub.rs
@@ -7,6 +7,7 @@
 //! border once per replica.
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::rate::Limit;
 use zinniastall_model::{
     fingerprint::Suspect,
     id,
@@ -36,6 +37,8 @@
     /// Gateway: quarantined and released requests that the group doesn't hold yet. Control: all
     /// those that the group holds.
     Suspects(Vec<Suspect>),
+    /// Gateway: rates that targets have named to instances.
+    Limits(Vec<(id::Target, Limit)>),
     /// Control: the revision that it holds; also serves as a keepalive.
     Reached(id::Revision),
     /// Control: the group had reached this revision when the question arrived, and had accepted no
--- a/tests/tests/path/rates.rs
+++ b/tests/tests/path/rates.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use tokio::time::{Instant, sleep};
-use zinniastall_tests::Result;
+use zinniastall_tests::{Result, wait};
 
 use super::support::{System, ask, chat, zone};
 
@@ -77,3 +77,46 @@
     );
     cluster.stop().await
 }
+
+/// Guards against a limited target that operators don't see.
+#[actix_rt::test]
+async fn operators_see_a_target_that_names_a_rate() -> Result<()> {
+    let mut cluster = zone(&[json!({})]).await?;
+    cluster.name_rate("engine-1", Some("2.5")).await?;
+    ask_until(&mut cluster, Instant::now() + DELAY).await?;
+    wait::until("operators see the rate", async || {
+        let listed = cluster.ctl(&["limits"]).await.ok()?.json().ok()?;
+        let listed = &listed["targets"][0];
+        (listed["target"] == "engine-1" && listed["rate"] == 2.5).then_some(())
+    })
+    .await
+}
+
+/// Guards against a zone whose engines all name a rate: it is used up, what can't be served in time is
+/// rejected, and none gets more.
+#[actix_rt::test]
+async fn a_zone_of_limited_engines_is_used_at_its_rates() -> Result<()> {
+    let mut cluster = zone(&[json!({}), json!({})]).await?;
+    for engine in ["engine-1", "engine-2"] {
+        cluster.name_rate(engine, Some("5")).await?;
+    }
+    ask_until(&mut cluster, Instant::now() + 2 * DELAY).await?;
+    let since = unix_ms();
+    let statuses = ask_until(&mut cluster, Instant::now() + 2 * SPAN).await?;
+    let is_proper = |status: &u16| [200, 429, 503].contains(status);
+    assert!(statuses.iter().all(is_proper), "{statuses:?}");
+    let mut used = 0;
+    for engine in ["engine-1", "engine-2"] {
+        let starts = starts(&mut cluster, engine).await?;
+        let most = most_in_span(&starts, since);
+        let permitted = 5 * 4 + SPAN_SLACK;
+        assert!(
+            most <= permitted,
+            "{most} in {SPAN:?}, permitted {permitted}"
+        );
+        used += starts.iter().filter(|at| **at >= since).count();
+    }
+    let permits = 2 * 5 * 8;
+    assert!(used * 10 >= permits * 9, "{used} of {permits}");
+    cluster.stop().await
+}
