feat: explain names a limited target; other zones don't count it as capacity

permit lines name the coordinator that was asked and the age of the rate, and explain shows target-limit of the targets that a request met. Zone digests of the entry path count a limited target as full; the gateway path's choice of another region leaves it out already.

--- a/crates/zinniastall-ctl/src/explain/mod.rs
+++ b/crates/zinniastall-ctl/src/explain/mod.rs
@@ -23,9 +23,10 @@
 const CONTEXT_SECONDS: f64 = 10.0;
 /// Events that report a state change, each with the field that names its subject. Events without
 /// such a field concern the whole process.
-const STATE_EVENTS: [(&str, &str); 16] = [
+const STATE_EVENTS: [(&str, &str); 17] = [
     ("target", "target"),
     ("target-out", "target"),
+    ("target-limit", "target"),
     ("target-serving", "target"),
     ("target-gone", "target"),
     ("suspects-heard", ""),
--- a/crates/zinniastall-ctl/tests/explain.rs
+++ b/crates/zinniastall-ctl/tests/explain.rs
@@ -121,6 +121,7 @@
         1.1 edge-1 ts=1 event=target target=t2 state=ready\n\
         1.2 edge-2 ts=1 event=target target=t1 state=ready\n\
         2.0 edge-1 ts=1 event=placed id=a place=t1\n\
+        2.2 edge-1 ts=1 event=target-limit target=t1 rate=1 via=answer\n\
         2.5 edge-1 ts=1 event=target-out target=t1 why=unknown\n\
         3.0 edge-1 ts=1 event=request-ended id=a outcome=unknown\n\
         4.0 edge-1 ts=1 event=target target=t1 state=gone\n";
@@ -130,7 +131,14 @@
         .iter()
         .map(|step| step.event.as_str())
         .collect();
-    assert_eq!(events, ["target", "placed", "target-out", "request-ended"]);
+    let expected = [
+        "target",
+        "placed",
+        "target-limit",
+        "target-out",
+        "request-ended",
+    ];
+    assert_eq!(events, expected);
     assert_eq!(timeline.end.as_deref(), Some("unknown"));
 }
 
--- a/crates/zinniastall-entry/src/spread/dissemination.rs
+++ b/crates/zinniastall-entry/src/spread/dissemination.rs
@@ -25,7 +25,8 @@
             Some(0) => Scope::Zone,
             _ => Scope::None,
         };
-        let targets = self.targets.serving(now);
+        let mut targets = self.targets.serving(now);
+        self.fill_limited(&mut targets, now);
         let speakers = zone.into_values().collect();
         self.digests.speak(scope, speakers, &targets, now);
         let forwarding_links = self.forwarding_links(now);
--- a/crates/zinniastall-entry/src/spread/rates.rs
+++ b/crates/zinniastall-entry/src/spread/rates.rs
@@ -7,11 +7,12 @@
 use std::time::Instant;
 
 use actix::{Addr, Context, Handler, Message};
-use zinniastall_model::place::Place;
+use indexmap::IndexMap;
+use zinniastall_model::{id, place::Place};
 use zinniastall_wire::gossip;
 
 use super::{actor::Spread, links::Handle};
-use crate::rates::Rates;
+use crate::{rates::Rates, view};
 
 /// Maximum number of targets in one message.
 const MAX_NAMED: usize = 256;
@@ -70,6 +71,20 @@
         }
     }
 
+    /// Counts the targets that take a limited rate as full, so that other zones don't take their slots
+    /// for capacity.
+    pub(super) fn fill_limited(
+        &self,
+        targets: &mut IndexMap<id::Target, view::Target>,
+        now: Instant,
+    ) {
+        for target in targets.values_mut() {
+            if self.rates().limited(&target.report, now).is_some() {
+                target.report.busy = target.report.slots;
+            }
+        }
+    }
+
     /// Forgets what has expired.
     pub(super) fn expire_rates(&self, now: Instant) {
         let view = self.dependencies.shared_view.view();
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -139,6 +139,19 @@
         self.permits.borrow().wait(target, now)
     }
 
+    /// Returns the coordinator of a target, and the time since its rate was learned, if it named one.
+    pub fn source(
+        &self,
+        state: &Shared,
+        target: &str,
+        now: Instant,
+    ) -> (Option<id::Instance>, Option<Duration>) {
+        let coordinator = coordinator(state, &state.view(), target).cloned();
+        let limits = self.limits.borrow();
+        let named = limits.named(now).find(|(name, ..)| *name == target);
+        (coordinator, named.map(|(.., age)| age))
+    }
+
     /// Records what an answer of a target says of its rate.
     pub fn observe(&self, target: &str, said: Said, now: Instant) -> Change {
         let mut limits = self.limits.borrow_mut();
--- a/crates/zinniastall-gateway/src/path/rate.rs
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -91,7 +91,9 @@
             patience: Permits::patience(expected).min(job.objective(Instant::now())),
         };
         let verdict = self.rates.acquire(&self.state, target, demand).await;
-        self.request_log.permit(job, target, demand, verdict);
+        let source = || self.rates.source(&self.state, target, Instant::now());
+        self.request_log
+            .permit(job, target, demand, verdict, source);
         let wait = match verdict {
             Some(Verdict::Granted { wait, .. }) => wait,
             Some(Verdict::Denied { .. }) => {
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -10,7 +10,7 @@
 };
 
 use zinniastall_coord::rate::{Demand, Verdict};
-use zinniastall_model::routing::Route;
+use zinniastall_model::{id, routing::Route};
 
 use super::{
     decide::quota::Excess,
@@ -152,7 +152,17 @@
     }
 
     /// Logs the answer to a request's demand for a permit of a target that takes a limited rate.
-    pub fn permit(&self, job: &Job, target: &str, demand: Demand, verdict: Option<Verdict>) {
+    ///
+    /// `source` returns the coordinator that was asked, and the time since the target's rate was
+    /// learned, if it named one.
+    pub fn permit(
+        &self,
+        job: &Job,
+        target: &str,
+        demand: Demand,
+        verdict: Option<Verdict>,
+        source: impl FnOnce() -> (Option<id::Instance>, Option<Duration>),
+    ) {
         let (outcome, wait, next) = match verdict {
             Some(Verdict::Granted { wait, next }) => ("granted", Some(wait), Some(next)),
             Some(Verdict::Denied { next }) => ("denied", None, Some(next)),
@@ -161,12 +171,15 @@
         if !self.admits(outcome == "granted") {
             return;
         }
+        let (coordinator, age) = source();
         tracing::info!(
             event = "permit",
             id = job.id,
             route = job.route().name,
             place = target,
+            coordinator,
             rate = %demand.rate,
+            age_ms = age.map(millis),
             patience_ms = millis(demand.patience),
             outcome,
             permit_ms = wait.map(millis),
