fix(coord): a rate that changes a little in each answer is no news at once

A target that computes its rate anew for each answer would have had every instance told, and a line logged, hundreds of times a second. Slight changes travel with the next round and are not logged; a lift that is learned twice does not start its rise anew.

--- a/crates/zinniastall-coord/src/rate/limits.rs
+++ b/crates/zinniastall-coord/src/rate/limits.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::Rate;
+use super::{MIN_RATE, Rate};
 use crate::{quarantine::Scope, rendezvous};
 
 /// Maximum number of servers. The oldest rates are forgotten first; they are learned again from the
@@ -13,6 +13,8 @@
 const MAX_SERVERS: usize = 16_384;
 /// Change of a rate that is ignored: a server that measures itself names another number each time.
 const IGNORED_CHANGE: f64 = 0.02;
+/// Ratios to the rate of the last notable change between which a change is slight.
+const SLIGHT_CHANGE: (f64, f64) = (0.8, 1.25);
 /// Time in which the rate of a server that names none any more rises. All instances learn of it at
 /// once, and the server looks idle to each of them.
 const RAMP_TIME: Duration = Duration::from_millis(1_500);
@@ -55,9 +57,12 @@
 pub enum Change {
     /// Nothing new.
     None,
-    /// A lower rate than before; requests that were placed by the higher one are still under way.
+    /// A rate that differs little from the one that was last a notable change. All instances keep to
+    /// it, but it is no news to operators: a server may name another rate in each answer.
+    Slight,
+    /// A much lower rate than before; requests that were placed by the higher one are still under way.
     Lowered,
-    /// A higher rate than before, or none.
+    /// A much higher rate than before, or none.
     Raised,
 }
 
@@ -67,6 +72,8 @@
     learned_at: Instant,
     /// Rate before the server stopped naming one.
     lifted_from: Rate,
+    /// Rate of the last notable change.
+    notable: Option<Rate>,
 }
 
 impl Limit {
@@ -204,23 +211,35 @@
     }
 
     fn replace(&mut self, server: &str, limit: Limit, now: Instant) -> Change {
-        let held = self.entries.get(server);
-        let before = held.map_or(u64::MAX, |held| rank(held.limit.rate));
-        let lifted_from = held.and_then(|held| held.limit.rate);
-        if held.is_none() && self.entries.len() >= MAX_SERVERS {
+        let Some(held) = self.entries.get_mut(server) else {
+            self.insert(server, limit, now);
+            return change(None, limit.rate);
+        };
+        let lifted_from = held.limit.rate;
+        held.limit = limit;
+        if lifted_from.is_none() && limit.rate.is_none() {
+            return Change::None;
+        }
+        held.learned_at = now;
+        held.lifted_from = lifted_from.unwrap_or(MIN_RATE);
+        let change = change(held.notable, limit.rate);
+        if change != Change::Slight {
+            held.notable = limit.rate;
+        }
+        change
+    }
+
+    fn insert(&mut self, server: &str, limit: Limit, now: Instant) {
+        if self.entries.len() >= MAX_SERVERS {
             self.evict();
         }
         let entry = Entry {
             limit,
             learned_at: now,
-            lifted_from: lifted_from.unwrap_or(super::MIN_RATE),
+            lifted_from: MIN_RATE,
+            notable: limit.rate,
         };
         self.entries.insert(server.to_owned(), entry);
-        match rank(limit.rate).cmp(&before) {
-            std::cmp::Ordering::Less => Change::Lowered,
-            std::cmp::Ordering::Equal => Change::None,
-            std::cmp::Ordering::Greater => Change::Raised,
-        }
     }
 
     fn evict(&mut self) {
@@ -281,6 +300,19 @@
     }
 }
 
+/// Returns the change from the rate of the last notable change.
+fn change(notable: Option<Rate>, rate: Option<Rate>) -> Change {
+    let ratio = |notable: Rate, rate: Rate| rate.as_f64() / notable.as_f64();
+    match (notable, rate) {
+        (None, None) => Change::None,
+        (None, Some(_)) => Change::Lowered,
+        (Some(_), None) => Change::Raised,
+        (Some(notable), Some(rate)) if ratio(notable, rate) < SLIGHT_CHANGE.0 => Change::Lowered,
+        (Some(notable), Some(rate)) if ratio(notable, rate) > SLIGHT_CHANGE.1 => Change::Raised,
+        _ => Change::Slight,
+    }
+}
+
 /// Returns whether two rates are equal, or differ so little that the difference is ignored.
 fn is_same(held: Option<Rate>, said: Option<Rate>) -> bool {
     let (Some(held), Some(said)) = (held, said) else {
--- a/crates/zinniastall-coord/tests/rate.rs
+++ b/crates/zinniastall-coord/tests/rate.rs
@@ -20,13 +20,11 @@
 fn most_in_span(times: &[Instant]) -> usize {
     let mut times = times.to_vec();
     times.sort_unstable();
-    let count = |from: &Instant| {
-        times
-            .iter()
-            .filter(|at| (*from..*from + SPAN).contains(at))
-            .count()
+    let within = |(at, first): (usize, &Instant)| {
+        let later = times[at..].iter();
+        later.take_while(|later| **later < *first + SPAN).count()
     };
-    times.iter().map(count).max().unwrap_or(0)
+    times.iter().enumerate().map(within).max().unwrap_or(0)
 }
 
 fn as_f64(count: usize) -> f64 {
@@ -281,6 +279,9 @@
         limits.observe(SERVER, higher, start + millis(20)),
         Change::None
     );
+    let slightly_lower = said(Some(1.9), start + millis(5));
+    let change = limits.observe(SERVER, slightly_lower, start + millis(20));
+    assert_eq!(change, Change::Slight);
     let lower = said(Some(1.0), start + millis(5));
     assert_eq!(
         limits.observe(SERVER, lower, start + millis(20)),
--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -53,7 +53,7 @@
         };
         let change = self.rates().observe(&report.target, said, Instant::now());
         match change {
-            Change::None => return,
+            Change::None | Change::Slight => return,
             Change::Lowered => self.recorder.count("rates.lowered", 1),
             Change::Raised => self.recorder.count("rates.raised", 1),
         }
--- a/crates/zinniastall-entry/src/rates.rs
+++ b/crates/zinniastall-entry/src/rates.rs
@@ -103,7 +103,8 @@
         }
         self.0.is_used.store(true, Ordering::Relaxed);
         let change = self.state().limits.observe(target, said, now);
-        if change != Change::None {
+        // Others are told of a slight change in the next period.
+        if matches!(change, Change::Lowered | Change::Raised) {
             self.0.changed.notify_one();
         }
         change
@@ -217,7 +218,7 @@
         for (target, limit) in reported {
             // Instances of a zone hear of news from each other directly.
             let change = state.limits.merge(target, *limit, None, now);
-            if change != Change::None {
+            if matches!(change, Change::Lowered | Change::Raised) {
                 log_change(target, limit.rate, "instance");
             }
         }
--- a/crates/zinniastall-gateway/src/neighbours/limits.rs
+++ b/crates/zinniastall-gateway/src/neighbours/limits.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// Merges rates from another instance; returns those that changed.
+/// Merges rates from another instance; returns the notable changes.
 pub fn receive(
     roster: &Roster,
     limits: &mut Limits,
@@ -43,7 +43,8 @@
     let scope = flood::forwarding_scope(roster, for_all);
     let mut changed = Vec::new();
     for (target, limit) in &part.0 {
-        if limits.merge(target, *limit, scope, now) != Change::None {
+        let change = limits.merge(target, *limit, scope, now);
+        if matches!(change, Change::Lowered | Change::Raised) {
             changed.push((target.clone(), *limit));
         }
     }
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -159,7 +159,7 @@
             return Change::None;
         }
         let change = limits.observe(target, said, now);
-        // Others are told of a higher rate in the next round.
+        // Others are told of all other changes in the next round.
         if change == Change::Lowered {
             self.news.notify_one();
         }
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -137,6 +137,9 @@
             self.record_placement(job, place);
             return next;
         }
+        if job.objective(Instant::now()).is_zero() {
+            return Placement::Refuse(PERMIT_RETRY, Basis::default());
+        }
         Placement::Wait(PERMIT_RETRY)
     }
 
--- a/crates/zinniastall-gateway/src/path/rate.rs
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -58,7 +58,7 @@
             sent_at,
         };
         let change = self.rates.observe(target, said, Instant::now());
-        if change != Change::None {
+        if matches!(change, Change::Lowered | Change::Raised) {
             let is_lower = change == Change::Lowered;
             self.metrics
                 .count_limit(if is_lower { "lowered" } else { "raised" });
