fix(gateway): an instance is introduced when it knows all that another one does

A datagram with news of one target ended the introduction before the rates of the others had arrived.

--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -330,6 +330,9 @@
             }
             Datagram::LimitsRequest => limits::all(&self.rates.limits().borrow()),
             Datagram::LimitSum { digest, is_answer } => {
+                if is_answer {
+                    self.rates.check_introduction(digest);
+                }
                 limits::answers(roster, &self.rates.limits().borrow(), digest, is_answer)
             }
             Datagram::Used { .. } | Datagram::ZoneUsed { .. } | Datagram::AllUsed { .. } => {
@@ -375,7 +378,6 @@
         if known.has_news() {
             self.rates.news.notify_one();
         }
-        self.rates.finish_introduction();
     }
 
     /// Returns the quota datagrams to send in this round; none if no account has a quota.
@@ -491,9 +493,9 @@
                 outgoing.extend(context.usage(&mut exchange, &roster, now));
                 outgoing.extend(suspect_exchange.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
-                // The list of instances arrives with the configuration or soon after.
-                if view.configuration.is_some() && !roster.is_empty() {
-                    outgoing.extend(rates.introduce(roster.neighbours()));
+                // Requests are served as soon as there is a configuration.
+                if view.configuration.is_some() {
+                    outgoing.extend(rates.introduce(&roster));
                 }
                 outgoing.extend(limit_exchange.round(&roster, &rates.limits().borrow()));
                 outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
--- a/crates/zinniastall-gateway/src/neighbours/limits.rs
+++ b/crates/zinniastall-gateway/src/neighbours/limits.rs
@@ -58,16 +58,10 @@
     flood::news(roster, news.collect(), parts)
 }
 
-/// Returns all rates, for an instance that has just started; at least one datagram.
+/// Returns all rates and their digest, for an instance that has just started.
 pub fn all(limits: &Limits) -> Vec<Datagram> {
-    let all = parts(&limits.all(), false);
-    if all.is_empty() {
-        let part = Part(Vec::new());
-        return vec![Datagram::Limits {
-            for_all: false,
-            part,
-        }];
-    }
+    let mut all = parts(&limits.all(), false);
+    all.push(sum(limits, true));
     all
 }
 
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -16,7 +16,7 @@
 };
 use zinniastall_model::id;
 
-use super::{Outgoing, coordinator, datagram::Datagram, queries::Queries};
+use super::{Outgoing, collector::Roster, coordinator, datagram::Datagram, queries::Queries};
 use crate::{
     clock::{self, Moment},
     view::{Shared, Target, View},
@@ -80,24 +80,31 @@
         self.introduction.get() == Introduction::Done
     }
 
-    /// Records that another instance told all that it knows.
-    pub fn finish_introduction(&self) {
-        self.introduction.set(Introduction::Done);
+    /// Ends the introduction if this instance knows all that another one does, by its digest.
+    pub fn check_introduction(&self, digest: u64) {
+        if self.limits.borrow().digest() == digest {
+            self.introduction.set(Introduction::Done);
+        }
     }
 
-    /// Returns the question for all rates, to be sent in this round to some of `neighbours`, the other
-    /// instances of the region.
+    /// Returns the question for all rates, to be sent in this round to some instances of the region.
     ///
     /// After some rounds without an answer, the instance goes on without.
-    pub fn introduce(&self, neighbours: &[id::Instance]) -> Option<Outgoing> {
+    pub fn introduce(&self, roster: &Roster) -> Option<Outgoing> {
         let Introduction::Asked(asked) = self.introduction.get() else {
             return None;
         };
-        if neighbours.is_empty() || asked >= MAX_INTRODUCTIONS {
-            self.finish_introduction();
+        let neighbours = roster.neighbours();
+        let is_alone = neighbours.is_empty() && !roster.is_empty();
+        if is_alone || asked >= MAX_INTRODUCTIONS {
+            self.introduction.set(Introduction::Done);
             return None;
         }
         self.introduction.set(Introduction::Asked(asked + 1));
+        if neighbours.is_empty() {
+            // The list of instances has not arrived yet.
+            return None;
+        }
         let first = asked as usize * INTRODUCERS;
         let asked = neighbours.iter().cycle().skip(first).take(INTRODUCERS);
         Some(Outgoing {
