fix(entry): a request that gets no permit is refused after eight tries

A coordinator that does not answer had requests ask again until their deadline; and each try earned a part of a retry anew. A test suspends one of two entry instances: no request takes 3 s, and the other one uses the rates within 4 s.

--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Counts a new request, which earns a part of a retry.
+    pub fn begin(&self) {
+        self.lock().budget.deposit();
+    }
+
     /// Decides where a request goes; the targets in `tried` have already failed it.
     ///
     /// # Errors
@@ -76,9 +81,6 @@
         let mut guard = self.lock();
         let state = &mut *guard;
         state.refresh(&view, now);
-        if tried.is_empty() {
-            state.budget.deposit();
-        }
         let sources = self.sources(&state.table);
         let found = Candidates::find(&view, request, tried, sources, now);
         let starts_now = found.have_room() && !state.queues.has_waiting(&request.subject);
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -1,6 +1,10 @@
 //! Attempts of a request at targets and in other places, until one succeeds.
 
-use std::{cell::RefCell, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use zinniastall_coord::quarantine::{HOLD_SHARE, MAX_HOLD, may_retry_after_crash};
@@ -24,6 +28,20 @@
 };
 use crate::quarantine::Probe;
 
+/// A request that has a place to go.
+enum Started {
+    /// To a target of this zone.
+    Here(Box<InFlight>),
+    /// To another zone or region.
+    Elsewhere(Forwarded),
+}
+
+/// Permits that are asked for one request in vain until it is refused. Without a bound, a request would
+/// be held until its deadline by a coordinator that does not answer.
+const MAX_DENIED: u32 = 8;
+/// Shortest time after which a request should return that got no permit.
+const MIN_PERMIT_RETRY: Duration = Duration::from_millis(100);
+
 /// Attempts a request until a target responds or no further attempt is allowed.
 pub(super) fn dispatch<'a>(
     worker: &'a Rc<Worker>,
@@ -44,6 +62,8 @@
     let mut earlier: Option<Refusal> = None;
     let mut tried: Vec<id::Target> = Vec::new();
     let mut attempts_made = 0;
+    let mut denied = 0;
+    admission.begin();
     let left = request.deadline.saturating_duration_since(Instant::now());
     let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE).min(MAX_HOLD);
     loop {
@@ -62,27 +82,30 @@
             }
             Err(refusal) => return Err(merge_last(earlier, refusal)),
         };
-        let attempt = match decision {
-            Decision::Local(in_flight) => {
-                if is_denied(worker, call, &in_flight).await? {
+        let started = match decision {
+            Decision::Local(in_flight) => Started::Here(in_flight),
+            Decision::Forwarded(forwarded) => Started::Elsewhere(forwarded),
+            Decision::Queued(queued) => match queued.granted().await {
+                // While it waited, the request may have crashed a target elsewhere.
+                Ok(_) if !worker.may_still_be_sent(call, probe.as_ref()) => continue,
+                Ok(in_flight) => Started::Here(Box::new(in_flight)),
+                Err(refusal) => return Err(merge_last(earlier, refusal)),
+            },
+        };
+        let attempt = match started {
+            Started::Here(in_flight) => {
+                if let Some(wait) = denial(worker, call, &in_flight).await? {
+                    denied += 1;
+                    if denied == MAX_DENIED {
+                        return Err(merge_last(earlier, no_permit(wait)));
+                    }
                     continue;
                 }
                 attempt_local(worker, call, *in_flight, probe, &mut tried).await
             }
-            Decision::Forwarded(forwarded) => {
+            Started::Elsewhere(forwarded) => {
                 attempt_forwarded(worker, call, forwarded, probe).await
             }
-            Decision::Queued(queued) => match queued.granted().await {
-                // While it waited, the request may have crashed a target elsewhere.
-                Ok(_) if !worker.may_still_be_sent(call, probe.as_ref()) => continue,
-                Ok(in_flight) => {
-                    if is_denied(worker, call, &in_flight).await? {
-                        continue;
-                    }
-                    attempt_local(worker, call, in_flight, probe, &mut tried).await
-                }
-                Err(refusal) => return Err(merge_last(earlier, refusal)),
-            },
         };
         let refusal = match attempt {
             Ok(answer) => return Ok(answer),
@@ -106,16 +129,27 @@
     }
 }
 
-/// Waits for a permit to send a request to the target that was chosen; returns whether there is none,
-/// so that the request is admitted anew.
-async fn is_denied(
+/// Waits for a permit to send a request to the target that was chosen. If there is none, returns the
+/// time until the next one; the request is then admitted anew.
+async fn denial(
     worker: &Rc<Worker>,
     call: &Call,
     in_flight: &InFlight,
-) -> Result<bool, Refusal> {
+) -> Result<Option<Duration>, Refusal> {
     let report = in_flight.report()?;
     let permit = worker.await_permit(call, &report, in_flight.limit()).await;
-    Ok(permit == Permit::Denied)
+    let rates = worker.service.shared_view.rates();
+    let next = || {
+        rates
+            .limited(&report, Instant::now())
+            .map(|limited| limited.wait)
+    };
+    Ok((permit == Permit::Denied).then(|| next().unwrap_or_default()))
+}
+
+/// Refuses a request that got no permit; `wait` is the time until the next one.
+fn no_permit(wait: Duration) -> Refusal {
+    Refusal::not_run(Reason::DeadlineNotFeasible).retry_after(wait.max(MIN_PERMIT_RETRY))
 }
 
 /// Returns whether the only targets left are those that lost this request.
--- a/tests/tests/path/rates.rs
+++ b/tests/tests/path/rates.rs
@@ -120,3 +120,41 @@
     assert!(used * 10 >= permits * 9, "{used} of {permits}");
     cluster.stop().await
 }
+
+/// Guards against requests that are held until their deadline by a coordinator that does not answer.
+#[actix_rt::test]
+async fn a_frozen_coordinator_holds_no_request() -> Result<()> {
+    let mut cluster = zone(&[json!({}), json!({})]).await?;
+    for engine in ["engine-1", "engine-2"] {
+        cluster.name_rate(engine, Some("5")).await?;
+    }
+    ask_until(&mut cluster, Instant::now() + 2 * DELAY).await?;
+    cluster.entry(ENTRIES[0])?.process().freeze()?;
+    let address = cluster.entry(ENTRIES[1])?.address("callers")?;
+    let end = Instant::now() + 2 * SPAN;
+    let since = unix_ms() + u64::try_from(SPAN.as_millis()).expect("fits");
+    let callers = (0..4).map(|caller| async move {
+        while Instant::now() < end {
+            let sent = Instant::now();
+            let body = chat(&format!("room {caller}"), 1, false);
+            let status = ask(address, &body).send().await?.status();
+            let took = sent.elapsed();
+            assert!(took < Duration::from_secs(3), "{status} after {took:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok::<_, zinniastall_tests::Error>(())
+    });
+    futures_util::future::try_join_all(callers).await?;
+    let mut used = 0;
+    for engine in ["engine-1", "engine-2"] {
+        let starts = starts(&mut cluster, engine).await?;
+        used += starts.iter().filter(|at| **at >= since).count();
+    }
+    let permits = 2 * 5 * 4;
+    assert!(
+        used * 10 >= permits * 9,
+        "{used} of {permits} permits were used"
+    );
+    cluster.entry(ENTRIES[0])?.process().resume()?;
+    cluster.stop().await
+}
