refactor: one copy of the questions for permits and of the reading of a rate

Both paths had their own wire forms of demands and verdicts and their own reader of the field. They stand in wire::rates and coord::rate now.

--- a/crates/zinniastall-coord/src/rate.rs
+++ b/crates/zinniastall-coord/src/rate.rs
@@ -107,6 +107,21 @@
         Ok(Self::per_second(requests))
     }
 
+    /// Reads the lowest rate of the fields of an answer; `None` if there are none.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] if one of the fields is no rate.
+    pub fn read<'a>(fields: impl Iterator<Item = &'a [u8]>) -> Result<Option<Self>, Invalid> {
+        let mut lowest: Option<Self> = None;
+        for field in fields {
+            let text = str::from_utf8(field).map_err(|_| Invalid::Number)?;
+            let rate = Self::parse(text)?;
+            lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate)));
+        }
+        Ok(lowest)
+    }
+
     /// Returns the rate in thousandths of a request per second.
     pub const fn as_milli(self) -> u64 {
         self.0
--- a/crates/zinniastall-coord/src/rate/issuer.rs
+++ b/crates/zinniastall-coord/src/rate/issuer.rs
@@ -19,6 +19,8 @@
 const BURST_TIME: Duration = Duration::from_millis(100);
 /// Time after the last permit after which a server is forgotten.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time after which an instance asks again that asked one which is not the coordinator.
+const NOT_COORDINATOR_RETRY: Duration = Duration::from_millis(100);
 /// Maximum number of servers; an instance coordinates a part of its region's.
 const MAX_SERVERS: usize = 4_096;
 
@@ -31,6 +33,15 @@
     pub patience: Duration,
 }
 
+impl Demand {
+    /// Returns the demand at no more than the rate that a server named, as far as it is known.
+    #[must_use]
+    pub fn at_most(self, named: Option<Rate>) -> Self {
+        let rate = named.map_or(self.rate, |named| named.min(self.rate));
+        Self { rate, ..self }
+    }
+}
+
 /// Answer to a [`Demand`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -48,6 +59,13 @@
     },
 }
 
+impl Verdict {
+    /// Answer of an instance that is not the server's coordinator, by its own view.
+    pub const NOT_COORDINATOR: Self = Self::Denied {
+        next: NOT_COORDINATOR_RETRY,
+    };
+}
+
 /// Permits issued for the servers that one instance coordinates.
 #[derive(Debug, Default)]
 pub struct Issuer {
--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use awc::http::header::HeaderMap;
+use awc::http::header::{HeaderMap, HeaderValue};
 use tokio::time;
 use zinniastall_coord::rate::{Change, Demand, PERMIT_TTL, Permits, Rate, Said, Verdict};
 use zinniastall_model::header::RATE_LIMIT;
@@ -33,15 +33,15 @@
         headers: &HeaderMap,
         sent_at: Instant,
     ) {
-        let rate = match named_rate(headers) {
+        let rate = match Rate::read(headers.get_all(RATE_LIMIT).map(HeaderValue::as_bytes)) {
             Ok(rate) => rate,
-            Err(reason) => {
+            Err(invalid) => {
                 self.recorder.count("rates.invalid", 1);
                 tracing::warn!(
                     event = "target-limit-unreadable",
                     request = call.request.id,
                     target = report.target,
-                    reason,
+                    reason = %invalid,
                 );
                 return;
             }
@@ -134,14 +134,3 @@
         now <= due + PERMIT_TTL && !is_lower && is_known
     }
 }
-
-/// Returns the lowest rate that an answer names; `None` if it names none.
-fn named_rate(headers: &HeaderMap) -> Result<Option<Rate>, String> {
-    let mut lowest: Option<Rate> = None;
-    for value in headers.get_all(RATE_LIMIT) {
-        let text = value.to_str().map_err(|error| error.to_string())?;
-        let rate = Rate::parse(text).map_err(|error| error.to_string())?;
-        lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate)));
-    }
-    Ok(lowest)
-}
--- a/crates/zinniastall-entry/src/rates.rs
+++ b/crates/zinniastall-entry/src/rates.rs
@@ -23,14 +23,12 @@
     rendezvous,
 };
 use zinniastall_model::id;
-use zinniastall_wire::gossip;
+use zinniastall_wire::{gossip, rates as wire};
 
 use crate::view::View;
 
 /// Timeout for a coordinator's answer: a round trip within the zone, between the control arbiters.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time after which an instance should ask again that asked one which is not the coordinator.
-const WRONG_COORDINATOR_RETRY: Duration = Duration::from_millis(100);
 
 /// Rates of the zone's targets, and the permits to send them requests. Clones share their state.
 #[derive(Debug, Clone, Default)]
@@ -57,8 +55,8 @@
     issuer: Issuer,
     /// Questions that the control arbiter has yet to send.
     unsent: Vec<Question>,
-    pending: IndexMap<u64, oneshot::Sender<Verdict>>,
-    last_number: u64,
+    pending: IndexMap<wire::Number, oneshot::Sender<Verdict>>,
+    last_number: wire::Number,
 }
 
 /// Question to a target's coordinator for a permit.
@@ -67,7 +65,7 @@
     /// Instance to ask.
     pub coordinator: id::Instance,
     /// The question.
-    pub demand: gossip::Demand,
+    pub demand: wire::Demand,
 }
 
 /// A target that takes a limited rate, as one instance may use it now.
@@ -146,19 +144,14 @@
         target: &str,
         demand: Demand,
         sender: oneshot::Sender<Verdict>,
-    ) -> u64 {
+    ) -> wire::Number {
         let mut state = self.state();
-        state.last_number += 1;
+        state.last_number = state.last_number.wrapping_add(1);
         let number = state.last_number;
         state.pending.insert(number, sender);
         state.unsent.push(Question {
             coordinator: coordinator.clone(),
-            demand: gossip::Demand {
-                number,
-                target: target.to_owned(),
-                rate: demand.rate,
-                patience_ms: millis(demand.patience),
-            },
+            demand: wire::Demand::new(number, target, demand),
         });
         number
     }
@@ -167,47 +160,26 @@
     pub fn receive_demand(
         &self,
         view: &View,
-        demand: &gossip::Demand,
+        demand: &wire::Demand,
         now: Instant,
-    ) -> gossip::Verdict {
+    ) -> wire::Verdict {
         let target = demand.target.as_str();
         let verdict = if coordinator(view, target) == Some(&view.instance) {
             let mut state = self.state();
             let named = state.limits.rate(target, 0, now);
-            let demand = Demand {
-                rate: named.map_or(demand.rate, |named| named.min(demand.rate)),
-                patience: Duration::from_millis(demand.patience_ms),
-            };
+            let demand = Demand::from(demand).at_most(named);
             state.issuer.acquire(target, demand, now)
         } else {
-            Verdict::Denied {
-                next: WRONG_COORDINATOR_RETRY,
-            }
-        };
-        let (wait, next) = match verdict {
-            Verdict::Granted { wait, next } => (Some(wait), next),
-            Verdict::Denied { next } => (None, next),
+            Verdict::NOT_COORDINATOR
         };
-        gossip::Verdict {
-            number: demand.number,
-            wait_us: wait.map(micros),
-            next_us: micros(next),
-        }
+        wire::Verdict::new(demand.number, verdict)
     }
 
     /// Completes the question that a coordinator has answered.
-    pub fn receive_verdict(&self, verdict: &gossip::Verdict) {
-        let next = Duration::from_micros(verdict.next_us);
-        let answer = match verdict.wait_us {
-            Some(wait_us) => Verdict::Granted {
-                wait: Duration::from_micros(wait_us),
-                next,
-            },
-            None => Verdict::Denied { next },
-        };
+    pub fn receive_verdict(&self, verdict: &wire::Verdict) {
         if let Some(pending) = self.state().pending.swap_remove(&verdict.number) {
             // The receiver may have given up at this moment.
-            let _ = pending.send(answer);
+            let _ = pending.send(verdict.into());
         }
     }
 
@@ -289,11 +261,3 @@
     let own = (!view.draining).then_some(own);
     rendezvous::choose(target, others.chain(own)).or(Some(&view.instance))
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -35,7 +35,6 @@
 
 use indexmap::IndexMap;
 use tokio::{net::UdpSocket, sync::Notify, time};
-use zinniastall_coord::rate::Demand;
 use zinniastall_model::{id, presence::Presence};
 
 use self::{
@@ -308,19 +307,11 @@
                 self.claims.receive_answer(number, datagram);
                 Vec::new()
             }
-            Datagram::Acquire {
-                number,
-                target,
-                rate,
-                patience_ms,
-            } => {
-                let patience = Duration::from_millis(u64::from(patience_ms));
-                let demand = Demand { rate, patience };
-                let rates = &self.rates;
-                let question = (sender, number);
-                vec![rates.receive_demand(&self.state, question, &target, demand, now)]
+            Datagram::Demand(demand) => {
+                vec![self.rates.receive_demand(&self.state, sender, &demand, now)]
             }
-            Datagram::Acquired { number, .. } => {
+            Datagram::Verdict(ref verdict) => {
+                let number = verdict.number;
                 self.rates.receive_answer(number, datagram);
                 Vec::new()
             }
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -3,8 +3,9 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::{rate::Rate, rendezvous};
+use zinniastall_coord::rendezvous;
 use zinniastall_model::id;
+use zinniastall_wire::rates;
 
 use super::{Load, Loads, limits, suspicions, usage};
 
@@ -136,33 +137,10 @@
     },
     /// Asks a target's coordinator for a permit to send it a request.
     #[serde(rename = "g")]
-    Acquire {
-        /// Number of the question, chosen by the sender.
-        #[serde(rename = "n")]
-        number: u32,
-        /// Target.
-        #[serde(rename = "k")]
-        target: id::Target,
-        /// Rate that the sender knows of.
-        #[serde(rename = "r")]
-        rate: Rate,
-        /// Longest time that the request would wait, in milliseconds.
-        #[serde(rename = "w")]
-        patience_ms: u32,
-    },
-    /// A coordinator's answer to [`Datagram::Acquire`].
+    Demand(rates::Demand),
+    /// A coordinator's answer to [`Datagram::Demand`].
     #[serde(rename = "h")]
-    Acquired {
-        /// Number of the question that is answered.
-        #[serde(rename = "n")]
-        number: u32,
-        /// Time until the permit may be used, in microseconds; `None` if there is none.
-        #[serde(rename = "w")]
-        wait_us: Option<u64>,
-        /// Time until the next permit, in microseconds.
-        #[serde(rename = "t")]
-        next_us: u64,
-    },
+    Verdict(rates::Verdict),
     /// Announces to a target's coordinator that an instance is about to send a request to the
     /// target.
     #[serde(rename = "c")]
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -15,6 +15,7 @@
     Change, Demand, Issued, Issuer, Limit, Limits, Permits, Rate, Said, Verdict,
 };
 use zinniastall_model::id;
+use zinniastall_wire::rates as wire;
 
 use super::{Outgoing, collector::Roster, coordinator, datagram::Datagram, queries::Queries};
 use crate::{
@@ -34,8 +35,6 @@
 const MAX_INTRODUCTIONS: u32 = 3;
 /// Instances that it asks in a round.
 const INTRODUCERS: usize = 2;
-/// Time after which an instance should ask again that asked one which is not the coordinator.
-const WRONG_COORDINATOR_RETRY: Duration = Duration::from_millis(100);
 
 /// Rates of targets, and the permits to send them requests.
 #[derive(Debug, Default)]
@@ -189,42 +188,38 @@
         }
         let presence = view.instances.by_name().get(coordinator)?;
         let address: SocketAddr = presence.forward.parse().ok()?;
-        let patience_ms = u32::try_from(demand.patience.as_millis()).unwrap_or(u32::MAX);
-        let question = |number| Datagram::Acquire {
-            number,
-            target: target.to_owned(),
-            rate: demand.rate,
-            patience_ms,
-        };
-        let answer = self.queries.ask(address, MAX_QUESTIONS, question).await?;
-        verdict(&answer)
+        let question = |number| Datagram::Demand(wire::Demand::new(number, target, demand));
+        match self.queries.ask(address, MAX_QUESTIONS, question).await? {
+            Datagram::Verdict(verdict) => Some((&verdict).into()),
+            _ => None,
+        }
     }
 
     /// Answers another instance's demand. A repeated question gets the permit that was issued for it.
     pub fn receive_demand(
         &self,
         state: &Shared,
-        question: (SocketAddr, u32),
-        target: &id::Target,
-        demand: Demand,
+        sender: SocketAddr,
+        demand: &wire::Demand,
         now: Instant,
     ) -> Datagram {
-        let number = question.1;
-        if let Some(verdict) = self.issued.borrow().repeat(&question, now) {
-            return answer(number, verdict);
+        let question = (sender, demand.number);
+        let repeated = self.issued.borrow().repeat(&question, now);
+        let verdict = repeated.unwrap_or_else(|| {
+            let verdict = self.decide(state, demand, now);
+            self.issued.borrow_mut().record(question, verdict, now);
+            verdict
+        });
+        Datagram::Verdict(wire::Verdict::new(demand.number, verdict))
+    }
+
+    fn decide(&self, state: &Shared, demand: &wire::Demand, now: Instant) -> Verdict {
+        let (view, target) = (state.view(), demand.target.as_str());
+        if coordinator(state, &view, target) != Some(&view.instance) {
+            return Verdict::NOT_COORDINATOR;
         }
-        let view = state.view();
-        let verdict = if coordinator(state, &view, target) == Some(&view.instance) {
-            let named = self.limits.borrow().rate(target, 0, now);
-            let rate = named.map_or(demand.rate, |named| named.min(demand.rate));
-            self.issue(target, Demand { rate, ..demand }, now)
-        } else {
-            Verdict::Denied {
-                next: WRONG_COORDINATOR_RETRY,
-            }
-        };
-        self.issued.borrow_mut().record(question, verdict, now);
-        answer(number, verdict)
+        let named = self.limits.borrow().rate(target, 0, now);
+        self.issue(target, Demand::from(demand).at_most(named), now)
     }
 
     /// Completes the question that a coordinator has answered.
@@ -288,36 +283,6 @@
     coordinator::without(view, target, &view.instance)
 }
 
-fn answer(number: u32, verdict: Verdict) -> Datagram {
-    let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-    let (wait_us, next) = match verdict {
-        Verdict::Granted { wait, next } => (Some(micros(wait)), next),
-        Verdict::Denied { next } => (None, next),
-    };
-    Datagram::Acquired {
-        number,
-        wait_us,
-        next_us: micros(next),
-    }
-}
-
-fn verdict(answer: &Datagram) -> Option<Verdict> {
-    let Datagram::Acquired {
-        wait_us, next_us, ..
-    } = answer
-    else {
-        return None;
-    };
-    let next = Duration::from_micros(*next_us);
-    Some(match wait_us {
-        Some(wait_us) => Verdict::Granted {
-            wait: Duration::from_micros(*wait_us),
-            next,
-        },
-        None => Verdict::Denied { next },
-    })
-}
-
 /// Returns the text of a rate for logs; `none` if there is none.
 pub fn text(limit: &Limit) -> String {
     limit
--- a/crates/zinniastall-gateway/src/path/rate.rs
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use tokio::time;
 use zinniastall_coord::rate::{Change, Demand, PERMIT_TTL, Permits, Rate, Said, Verdict};
 use zinniastall_http::head::Response;
@@ -13,12 +13,6 @@
     job::{Job, header_text},
 };
 
-/// A text in a target's answer that is no rate.
-#[derive(Debug)]
-struct Unreadable {
-    reason: String,
-}
-
 impl Proxy {
     /// Records the rate that a target names in its answer, or that it names none.
     ///
@@ -43,12 +37,13 @@
         if is_stray || response.status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let rate = match self.named_rate(response) {
+        let fields = response.headers.get_all(&self.header_names.rate_limit);
+        let rate = match Rate::read(fields.iter().map(HeaderValue::as_bytes)) {
             Ok(rate) => rate,
-            Err(Unreadable { reason }) => {
+            Err(invalid) => {
                 self.metrics.count_limit("invalid");
                 self.request_log
-                    .unreadable_rate(attempt.job, target, &reason);
+                    .unreadable_rate(attempt.job, target, &invalid);
                 return;
             }
         };
@@ -67,21 +62,6 @@
         }
     }
 
-    /// Returns the lowest rate that an answer names; `None` if it names none.
-    fn named_rate(&self, response: &Response) -> Result<Option<Rate>, Unreadable> {
-        let values = response.headers.get_all(&self.header_names.rate_limit);
-        let mut lowest: Option<Rate> = None;
-        for value in values {
-            let unreadable = |reason: String| Unreadable { reason };
-            let text = value
-                .to_str()
-                .map_err(|error| unreadable(error.to_string()))?;
-            let rate = Rate::parse(text).map_err(|error| unreadable(error.to_string()))?;
-            lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate)));
-        }
-        Ok(lowest)
-    }
-
     /// Waits for a permit to send a request to a target that takes a limited rate; returns whether
     /// the request may be sent there now.
     pub(super) async fn await_permit(&self, job: &Job, target: &str, rate: Rate) -> bool {
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use zinniastall_coord::rate::{Demand, Verdict};
+use zinniastall_coord::rate::{Demand, Invalid, Verdict};
 use zinniastall_model::{id, routing::Route};
 
 use super::{
@@ -189,13 +189,13 @@
     }
 
     /// Logs that the rate which a target names can't be read.
-    pub fn unreadable_rate(&self, job: &Job, target: &str, reason: &str) {
+    pub fn unreadable_rate(&self, job: &Job, target: &str, invalid: &Invalid) {
         if self.admits(false) {
             tracing::warn!(
                 event = "target-limit-unreadable",
                 id = job.id,
                 target,
-                reason
+                reason = %invalid
             );
         }
     }
--- a/crates/zinniastall-gateway/tests/rates.rs
+++ b/crates/zinniastall-gateway/tests/rates.rs
@@ -28,6 +28,7 @@
     view::View,
 };
 use zinniastall_model::{place::Place, presence::Presence};
+use zinniastall_wire::rates as wire;
 
 const TARGET: &str = "i-7";
 /// Time between two rounds, the time for which news is batched and the timeout of a question.
@@ -353,12 +354,7 @@
         }
         self.numbers += 1;
         let number = u32::try_from(self.numbers).unwrap();
-        let datagram = Datagram::Acquire {
-            number,
-            target: TARGET.to_owned(),
-            rate: demand.rate,
-            patience_ms: u32::try_from(demand.patience.as_millis()).unwrap(),
-        };
+        let datagram = Datagram::Demand(wire::Demand::new(number, TARGET, demand));
         self.send(node, coordinator, datagram.clone());
         let question = Question {
             node,
@@ -480,58 +476,24 @@
                     self.send(to, from, answer);
                 }
             }
-            Datagram::Acquire {
-                number,
-                rate,
-                patience_ms,
-                ..
-            } => {
-                let patience = Duration::from_millis(u64::from(patience_ms));
-                let issued = knowledge.issued.repeat(&(from, number), now);
+            Datagram::Demand(demand) => {
+                let question = (from, demand.number);
+                let issued = knowledge.issued.repeat(&question, now);
                 let verdict = if let Some(issued) = issued {
                     issued
                 } else if is_coordinator {
-                    knowledge
-                        .issuer
-                        .acquire(TARGET, Demand { rate, patience }, now)
+                    knowledge.issuer.acquire(TARGET, (&demand).into(), now)
                 } else {
-                    Verdict::Denied {
-                        next: Duration::from_millis(100),
-                    }
-                };
-                knowledge.issued.record((from, number), verdict, now);
-                let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap();
-                let (wait_us, next) = match verdict {
-                    Verdict::Granted { wait, next } => (Some(micros(wait)), next),
-                    Verdict::Denied { next } => (None, next),
+                    Verdict::NOT_COORDINATOR
                 };
-                self.send(
-                    to,
-                    from,
-                    Datagram::Acquired {
-                        number,
-                        wait_us,
-                        next_us: micros(next),
-                    },
-                );
+                knowledge.issued.record(question, verdict, now);
+                let answer = wire::Verdict::new(demand.number, verdict);
+                self.send(to, from, Datagram::Verdict(answer));
             }
-            Datagram::Acquired {
-                number,
-                wait_us,
-                next_us,
-            } => {
-                let Some(Question { node, asked, .. }) = self.questions.remove(&number) else {
-                    return;
-                };
-                let next = Duration::from_micros(next_us);
-                let verdict = match wait_us {
-                    Some(wait_us) => Verdict::Granted {
-                        wait: Duration::from_micros(wait_us),
-                        next,
-                    },
-                    None => Verdict::Denied { next },
-                };
-                self.decide(node, Some(verdict), asked);
+            Datagram::Verdict(verdict) => {
+                if let Some(question) = self.questions.remove(&verdict.number) {
+                    self.decide(question.node, Some((&verdict).into()), question.asked);
+                }
             }
             _ => {}
         }
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -6,12 +6,11 @@
 mod pack;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::{
-    digest, membership,
-    rate::{Limit, Rate},
-};
+use zinniastall_coord::{digest, membership, rate::Limit};
 use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
+use crate::rates::{Demand, Verdict};
+
 /// A message of a gossip link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -43,37 +42,6 @@
     Verdict(Verdict),
 }
 
-/// Question for a permit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Demand {
-    /// Number of the question, chosen by the sender.
-    #[serde(rename = "n")]
-    pub number: u64,
-    /// Target.
-    #[serde(rename = "t")]
-    pub target: id::Target,
-    /// Rate that the sender knows of.
-    #[serde(rename = "r")]
-    pub rate: Rate,
-    /// Longest time that the request would wait, in milliseconds.
-    #[serde(rename = "w")]
-    pub patience_ms: u64,
-}
-
-/// Answer to a [`Demand`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// Number of the question.
-    #[serde(rename = "n")]
-    pub number: u64,
-    /// Time until the permit may be used, in microseconds; `None` if there is none.
-    #[serde(rename = "w")]
-    pub wait_us: Option<u64>,
-    /// Time until the next permit, in microseconds.
-    #[serde(rename = "x")]
-    pub next_us: u64,
-}
-
 /// A heartbeat to one peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod hub;
 pub mod link;
 pub mod meter;
+pub mod rates;
 pub mod stream;
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -23,6 +23,7 @@
     frame::{Error, Frame, MAX_BYTES, Replica},
     gossip,
     hello::{Hello, Purpose, Refusal, VERSION},
+    rates,
     stream::{self, Failure, Open},
 };
 
@@ -253,7 +254,7 @@
         .boxed()
 }
 
-fn rates() -> BoxedStrategy<gossip::Rates> {
+fn rate_messages() -> BoxedStrategy<gossip::Rates> {
     let rate = || any::<u64>().prop_map(Rate::milli);
     let limit = (any::<u64>(), any::<u32>(), prop::option::of(rate()));
     let limit = limit.prop_map(|(incarnation, version, rate)| Limit {
@@ -262,19 +263,19 @@
         rate,
     });
     let named = prop::collection::vec((text(), limit), 0..4);
-    let demand = (any::<[u64; 2]>(), text(), rate()).prop_map(|(numbers, target, rate)| {
-        gossip::Rates::Demand(gossip::Demand {
-            number: numbers[0],
+    let demand = (any::<(u32, u64)>(), text(), rate()).prop_map(|(numbers, target, rate)| {
+        gossip::Rates::Demand(rates::Demand {
+            number: numbers.0,
             target,
             rate,
-            patience_ms: numbers[1],
+            patience_ms: numbers.1,
         })
     });
-    let verdict = (any::<[u64; 2]>(), any::<Option<u64>>()).prop_map(|(numbers, wait_us)| {
-        gossip::Rates::Verdict(gossip::Verdict {
-            number: numbers[0],
+    let verdict = (any::<(u32, u64)>(), any::<Option<u64>>()).prop_map(|(numbers, wait_us)| {
+        gossip::Rates::Verdict(rates::Verdict {
+            number: numbers.0,
             wait_us,
-            next_us: numbers[1],
+            next_us: numbers.1,
         })
     });
     prop_oneof![named.prop_map(gossip::Rates::Named), demand, verdict].boxed()
@@ -376,7 +377,7 @@
         prop::collection::vec(peer, 0..4).prop_map(Message::Peers),
         any::<u64>().prop_map(Message::Stale),
         prop::collection::vec(target(), 0..4).prop_map(Message::Targets),
-        rates().prop_map(Message::Rates),
+        rate_messages().prop_map(Message::Rates),
     ]
     .boxed()
 }
