fix(gateway): the rate in an answer that does not repeat the request's id

A target that does not echo ids was never read. Such an answer may belong to an earlier request, so it counts only where it lowers the rate. The example of coord::rate runs again (a server's name in place of a number).

--- a/crates/zinniastall-coord/src/rate.rs
+++ b/crates/zinniastall-coord/src/rate.rs
@@ -26,11 +26,11 @@
 //!
 //! let start = Instant::now();
 //! let mut issuer = Issuer::default();
-//! let demand = Demand { rate: Rate::per_second(2.0), patience: Duration::ZERO };
-//! issuer.acquire(7, demand, start);
+//! let demand = Demand { rate: Rate::per_second(4.0), patience: Duration::ZERO };
+//! issuer.acquire("engine-1", demand, start);
 //! let now = start + TAKEOVER_DELAY;
-//! assert!(matches!(issuer.acquire(7, demand, now), Verdict::Granted { .. }));
-//! assert!(matches!(issuer.acquire(7, demand, now), Verdict::Denied { .. }));
+//! assert!(matches!(issuer.acquire("engine-1", demand, now), Verdict::Granted { .. }));
+//! assert!(matches!(issuer.acquire("engine-1", demand, now), Verdict::Denied { .. }));
 //! ```
 
 mod issued;
--- a/crates/zinniastall-coord/src/rate/limits.rs
+++ b/crates/zinniastall-coord/src/rate/limits.rs
@@ -48,8 +48,8 @@
     pub incarnation: u64,
     /// Rate; `None` if the answer names none.
     pub rate: Option<Rate>,
-    /// When the request was sent that this answers.
-    pub sent_at: Instant,
+    /// When the request was sent that this answers; `None` if it may answer an earlier one.
+    pub sent_at: Option<Instant>,
 }
 
 /// Effect of an answer or of a message.
@@ -161,7 +161,8 @@
             return Change::None;
         }
         let is_lower = rank(said.rate) < rank(held.limit.rate);
-        if !is_lower && said.sent_at < held.learned_at {
+        let is_later = |sent_at: Instant| sent_at >= held.learned_at;
+        if !is_lower && !said.sent_at.is_some_and(is_later) {
             return Change::None;
         }
         self.update(server, said, held.limit.version, now)
--- a/crates/zinniastall-coord/tests/rate.rs
+++ b/crates/zinniastall-coord/tests/rate.rs
@@ -257,7 +257,7 @@
     Said {
         incarnation: 1,
         rate: rate.map(Rate::per_second),
-        sent_at,
+        sent_at: Some(sent_at),
     }
 }
 
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -28,6 +28,12 @@
 };
 use crate::quarantine::Probe;
 
+/// Permits that are asked for one request in vain until it is refused. Without a bound, a request would
+/// be held until its deadline by a coordinator that does not answer.
+const MAX_DENIED: u32 = 8;
+/// Shortest time after which a request should return that got no permit.
+const MIN_PERMIT_RETRY: Duration = Duration::from_millis(100);
+
 /// A request that has a place to go.
 enum Started {
     /// To a target of this zone.
@@ -36,12 +42,6 @@
     Elsewhere(Forwarded),
 }
 
-/// Permits that are asked for one request in vain until it is refused. Without a bound, a request would
-/// be held until its deadline by a coordinator that does not answer.
-const MAX_DENIED: u32 = 8;
-/// Shortest time after which a request should return that got no permit.
-const MIN_PERMIT_RETRY: Duration = Duration::from_millis(100);
-
 /// Attempts a request until a target responds or no further attempt is allowed.
 pub(super) fn dispatch<'a>(
     worker: &'a Rc<Worker>,
--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -49,7 +49,7 @@
         let said = Said {
             incarnation: report.incarnation,
             rate,
-            sent_at,
+            sent_at: Some(sent_at),
         };
         let change = self.rates().observe(&report.target, said, Instant::now());
         match change {
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -191,7 +191,7 @@
             Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
-        self.observe_rate(attempt, &response, now);
+        self.observe_rate(attempt, &response, now, connection.is_used);
         if let Some(ended) =
             self.refusal(attempt, &response, connection.is_used, may_have_run_before)
         {
--- a/crates/zinniastall-gateway/src/path/rate.rs
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -10,19 +10,20 @@
 use super::{
     Proxy,
     attempt::{Attempt, Place},
-    job::{Job, header_text},
+    job::Job,
 };
 
 impl Proxy {
     /// Records the rate that a target names in its answer, or that it names none.
     ///
-    /// An answer of another target that took over the address says nothing, and neither does one
-    /// that may be meant for an earlier request.
+    /// An answer of another target that took over the address says nothing. One without the request's
+    /// id, on a connection that was used before, may answer an earlier request.
     pub(super) fn observe_rate(
         &self,
         attempt: &Attempt<'_>,
         response: &Response,
         sent_at: Instant,
+        is_used: bool,
     ) {
         let Place::Target {
             target,
@@ -32,11 +33,10 @@
         else {
             return;
         };
-        let echoed = header_text(&response.headers, &self.header_names.request_id);
-        let is_stray = echoed != Some(attempt.job.id.as_str());
-        if is_stray || response.status == StatusCode::MISDIRECTED_REQUEST {
+        if response.status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        let is_echoed = response.headers.contains_key(&self.header_names.request_id);
         let fields = response.headers.get_all(&self.header_names.rate_limit);
         let rate = match Rate::read(fields.iter().map(HeaderValue::as_bytes)) {
             Ok(rate) => rate,
@@ -50,7 +50,7 @@
         let said = Said {
             incarnation: *incarnation,
             rate,
-            sent_at,
+            sent_at: (is_echoed || !is_used).then_some(sent_at),
         };
         let change = self.rates.observe(target, said, Instant::now());
         if matches!(change, Change::Lowered | Change::Raised) {
--- a/crates/zinniastall-gateway/tests/path/rates.rs
+++ b/crates/zinniastall-gateway/tests/path/rates.rs
@@ -233,6 +233,18 @@
     assert!(most <= 4.0 + SPAN_SLACK, "{most} in {SPAN:?}");
 }
 
+/// A target does not repeat the ids of requests in its answers.
+async fn reads_answers_without_ids() {
+    let target = Target::start(|_| {
+        let head = "HTTP/1.1 200 Some\r\nrate-limit: 1\r\ncontent-length: 0\r\n\r\n";
+        vec![Action::Send(head.as_bytes().to_vec())]
+    })
+    .await;
+    let gateway = Gateway::start(view(routes(), &[&target])).await;
+    get(&gateway, "r").await;
+    assert!(!gateway.proxy.rates.limits().borrow().is_empty());
+}
+
 /// Another target has taken over the address and names a rate of its own in its refusal.
 async fn ignores_another_target() {
     let target = Target::start(|request| {
@@ -311,6 +323,8 @@
     a_rate_in_a_refusal_counts => reads_rejections("503", "not-run: 1\r\n"),
     /// Guards against a limit that is named in failures and not read there.
     a_rate_in_a_failure_counts => reads_rejections("500", ""),
+    /// Guards against a limit that is not read because the answer does not repeat the request's id.
+    a_rate_in_an_answer_without_id_counts => reads_answers_without_ids(),
     /// Guards against a limit that is taken for that of the target which had the address before.
     a_rate_of_another_target_does_not_count => ignores_another_target(),
     /// Guards against callers that limit a target.
--- a/crates/zinniastall-gateway/tests/rates.rs
+++ b/crates/zinniastall-gateway/tests/rates.rs
@@ -440,7 +440,7 @@
                 let said = Said {
                     incarnation: 1,
                     rate: Some(Rate::per_second(self.rate)),
-                    sent_at: self.time(sent),
+                    sent_at: Some(self.time(sent)),
                 };
                 self.nodes[node].knowledge.limits.observe(TARGET, said, now);
             }
