fix: rates of targets that are gone are forgotten by all instances

Instances that learned a rate at different times forgot it at different times and told each other of it again without end: nine of nine still held it two minutes after the target was gone (the_rate_of_a_target_that_is_gone_is_forgotten failed before). An instance takes rates only of targets that it knows; on the entry path a new link sends them behind the targets.

--- a/crates/zinniastall-entry/src/rates.rs
+++ b/crates/zinniastall-entry/src/rates.rs
@@ -183,11 +183,16 @@
         }
     }
 
-    /// Merges what another instance reports.
-    pub fn hear(&self, reported: &[(id::Target, Limit)], now: Instant) {
+    /// Merges what another instance reports of the targets that this one knows.
+    pub fn hear(
+        &self,
+        reported: &[(id::Target, Limit)],
+        is_known: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
         self.0.is_used.store(true, Ordering::Relaxed);
         let mut state = self.state();
-        for (target, limit) in reported {
+        for (target, limit) in reported.iter().filter(|(target, _)| is_known(target)) {
             // Instances of a zone hear of news from each other directly.
             let change = state.limits.merge(target, *limit, None, now);
             if matches!(change, Change::Lowered | Change::Raised) {
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -245,9 +245,9 @@
         self.links.send(handle, gossip::Message::Peers(peers));
         self.introduce_suspects(handle);
         if place == *self.dependencies.identity.place() {
-            self.introduce_rates(handle);
             let reports = self.targets.reports(now);
             self.links.send(handle, gossip::Message::Targets(reports));
+            self.introduce_rates(handle);
         }
     }
 
--- a/crates/zinniastall-entry/src/spread/rates.rs
+++ b/crates/zinniastall-entry/src/spread/rates.rs
@@ -1,8 +1,8 @@
 //! Exchange of the rates that targets name, and of questions for permits.
 //!
 //! Only instances of the targets' zone send them requests, and these have links to each other. A new
-//! link starts with what both ends know, which makes up for what either missed while it was down,
-//! suspended or cut off.
+//! link starts with what both ends know, behind the targets themselves. That makes up for what either
+//! missed while it was down, suspended or cut off.
 
 use std::time::Instant;
 
@@ -33,7 +33,8 @@
         let rates = self.rates().clone();
         match message {
             gossip::Rates::Named(list) => {
-                rates.hear(list, now);
+                let is_known = |target: &str| self.targets.report(target, now).is_some();
+                rates.hear(list, is_known, now);
                 self.share_rates();
             }
             gossip::Rates::Demand(demand) => {
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -362,7 +362,10 @@
     /// Merges rates that another instance sent.
     fn receive_limits(&self, roster: &Roster, part: &limits::Part, for_all: bool) {
         let mut known = self.rates.limits().borrow_mut();
-        for (target, limit) in limits::receive(roster, &mut known, part, for_all, Instant::now()) {
+        let view = self.state.view();
+        let is_known = |target: &str| view.targets.by_name().contains_key(target);
+        let news = (part, for_all);
+        for (target, limit) in limits::receive(roster, &mut known, news, is_known, Instant::now()) {
             let rate = rates::text(&limit);
             tracing::info!(event = "target-limit", target, rate, via = "instance");
         }
--- a/crates/zinniastall-gateway/src/neighbours/limits.rs
+++ b/crates/zinniastall-gateway/src/neighbours/limits.rs
@@ -33,16 +33,19 @@
 }
 
 /// Merges rates from another instance; returns the notable changes.
+///
+/// Rates of targets that this instance doesn't know are left out: instances that forget a target at
+/// different times would tell each other of its rate without end.
 pub fn receive(
     roster: &Roster,
     limits: &mut Limits,
-    part: &Part,
-    for_all: bool,
+    (part, for_all): (&Part, bool),
+    is_known: impl Fn(&str) -> bool,
     now: Instant,
 ) -> Vec<(id::Target, Limit)> {
     let scope = flood::forwarding_scope(roster, for_all);
     let mut changed = Vec::new();
-    for (target, limit) in &part.0 {
+    for (target, limit) in part.0.iter().filter(|(target, _)| is_known(target)) {
         let change = limits.merge(target, *limit, scope, now);
         if matches!(change, Change::Lowered | Change::Raised) {
             changed.push((target.clone(), *limit));
--- a/crates/zinniastall-gateway/tests/rates.rs
+++ b/crates/zinniastall-gateway/tests/rates.rs
@@ -75,6 +75,8 @@
     /// Time until which it handles nothing.
     frozen_until: u64,
     drains: bool,
+    /// Whether its list of targets holds the target.
+    knows_target: bool,
 }
 
 enum Event {
@@ -175,6 +177,7 @@
                     .collect(),
                 frozen_until: 0,
                 drains: false,
+                knows_target: true,
             }
         };
         Self {
@@ -262,6 +265,8 @@
         if is_round {
             sends.extend(knowledge.exchange.round(&node.roster, &knowledge.limits));
             knowledge.permits.expire(now);
+            let knows_target = node.knows_target;
+            knowledge.limits.retain(|_| knows_target, now);
         }
         if is_round || knowledge.news_due.is_some_and(|due| due <= time) {
             sends.extend(limits::news(&node.roster, &mut knowledge.limits));
@@ -464,12 +469,14 @@
     fn receive(&mut self, to: usize, from: usize, datagram: Datagram) {
         let now = self.now();
         let is_coordinator = self.coordinator(to) == Some(to);
+        let knows_target = self.nodes[to].knows_target;
         let Node {
             roster, knowledge, ..
         } = &mut self.nodes[to];
         match datagram {
             Datagram::Limits { for_all, part } => {
-                limits::receive(roster, &mut knowledge.limits, &part, for_all, now);
+                let news = (&part, for_all);
+                limits::receive(roster, &mut knowledge.limits, news, |_| knows_target, now);
             }
             Datagram::LimitSum { digest, is_answer } => {
                 for answer in limits::answers(roster, &knowledge.limits, digest, is_answer) {
@@ -736,3 +743,25 @@
     let unsent: Vec<Outgoing> = simulation.nodes.iter_mut().flat_map(unsent).collect();
     assert!(unsent.is_empty());
 }
+
+/// Guards against instances that forget a target at different times and tell each other of its rate
+/// without end.
+#[test]
+fn the_rate_of_a_target_that_is_gone_is_forgotten() {
+    let mut simulation = Simulation::new(5, 9, 3, 1, 1.0);
+    simulation.run_for(3 * ROUND_MS);
+    simulation.learn();
+    simulation.demand = 0.0;
+    simulation.run_for(20_000);
+    simulation.nodes[3].knowledge = Knowledge::default();
+    simulation.run_for(3_000);
+    for node in &mut simulation.nodes {
+        node.knows_target = false;
+    }
+    simulation.run_for(120_000);
+    let holds = |node: &Node| !node.knowledge.limits.is_empty();
+    assert_eq!(
+        simulation.nodes.iter().filter(|node| holds(node)).count(),
+        0
+    );
+}
