feat(gateway): paths to targets are observed: lines, metrics, questions to neighbours

Requests are placed as before; a request that may be repeated stops waiting by the state of its target's path instead of by a probe of its own, and a crash counts against a request only if no neighbour hears from the target since.

The scripted target of the tests answers probes of its health without counting them as requests.

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,6 +1,5 @@
 //! Coordination primitives without I/O: consensus, leases, fencing tokens, command deduplication,
-//! tickets, membership, digests, quarantine and
-//! rate limits.
+//! tickets, membership, digests, quarantine, rate limits and reachability.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Each primitive is a state
 //! machine: the embedder passes it messages and the current [`Instant`](std::time::Instant), and it
@@ -19,6 +18,7 @@
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
 //! | [`quarantine`] | requests that crash the processes that run them, and shared suspicions |
 //! | [`rate`] | rate limits that many instances keep together |
+//! | [`reach`] | paths to targets, as neighbours confirm them |
 //! | [`rendezvous`] | weights that assign keys to members |
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
@@ -31,6 +31,7 @@
 pub mod membership;
 pub mod quarantine;
 pub mod rate;
+pub mod reach;
 pub mod rendezvous;
 pub mod replica;
 pub mod ticket;
--- /dev/null
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -0,0 +1,188 @@
+//! The path from this instance to one target.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::VOUCHER_TTL;
+
+/// Silence of a target with requests in progress after which it is probed. Engines that prefill
+/// prompts between events are seldom silent for longer.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest interval of the probes of a target that answers them but none of its requests.
+const MAX_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Shortest and longest interval of the probes of a lost path. The longest one bounds how long a path
+/// that is back goes unnoticed.
+const PROBE_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// State of a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Requests get through, as far as known.
+    Open,
+    /// There is evidence against the path, and a probe is under way or due.
+    Suspect,
+    /// A connection could not be opened or did not last, and no probe was answered since.
+    Lost,
+}
+
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// The target answered.
+    Answered,
+    /// A connection opened and stays open, but the target says nothing. It may be busy.
+    Silent,
+    /// No connection opens, or none lasts.
+    Failed,
+}
+
+/// A neighbour's statement that it hears from the target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Voucher {
+    /// When the neighbour heard from the target.
+    pub(super) heard_at: Instant,
+    /// When the neighbour said so.
+    pub(super) told_at: Instant,
+}
+
+/// The path from this instance to one target.
+#[derive(Debug)]
+pub(super) struct Path {
+    pub(super) state: State,
+    /// When the state last changed.
+    pub(super) since: Instant,
+    /// When the target was last heard, on any connection.
+    pub(super) heard_at: Option<Instant>,
+    /// Requests in progress, and since when there are any.
+    waiting: u32,
+    waiting_since: Instant,
+    probe_at: Option<Instant>,
+    is_probing: bool,
+    backoff: Duration,
+    silence_timeout: Duration,
+    pub(super) vouchers: IndexMap<String, Voucher>,
+}
+
+impl Path {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            state: State::Open,
+            since: now,
+            heard_at: None,
+            waiting: 0,
+            waiting_since: now,
+            probe_at: None,
+            is_probing: false,
+            backoff: PROBE_BACKOFF.0,
+            silence_timeout: SILENCE_TIMEOUT,
+            vouchers: IndexMap::new(),
+        }
+    }
+
+    pub(super) const fn is_idle(&self) -> bool {
+        self.waiting == 0 && !self.is_probing
+    }
+
+    pub(super) const fn begin(&mut self, now: Instant) {
+        if self.waiting == 0 {
+            self.waiting_since = now;
+        }
+        self.waiting = self.waiting.saturating_add(1);
+    }
+
+    pub(super) const fn end(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    pub(super) fn heard(&mut self, now: Instant) {
+        self.heard_at = Some(now);
+        self.silence_timeout = SILENCE_TIMEOUT;
+    }
+
+    /// Returns for how long the target has been silent although requests are in progress.
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        let heard_at = self.heard_at.unwrap_or(self.waiting_since);
+        let since = heard_at.max(self.waiting_since);
+        if self.waiting == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_duration_since(since)
+    }
+
+    pub(super) fn enter(&mut self, state: State, now: Instant) {
+        if self.state != state {
+            self.state = state;
+            self.since = now;
+        }
+    }
+
+    /// Schedules a probe, unless one is under way.
+    pub(super) fn probe_soon(&mut self, now: Instant) {
+        let at = self.probe_at.map_or(now, |at| at.min(now));
+        self.probe_at = Some(at);
+    }
+
+    /// Starts a probe if one is due, and returns whether it did.
+    pub(super) fn start_probe(&mut self, now: Instant) -> bool {
+        if self.state == State::Open && self.silence(now) >= self.silence_timeout {
+            self.enter(State::Suspect, now);
+            self.probe_soon(now);
+        }
+        let is_due = !self.is_probing && self.probe_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.is_probing = true;
+            self.probe_at = None;
+        }
+        is_due
+    }
+
+    /// Records the result of a probe.
+    pub(super) fn probed(&mut self, probe: Probe, now: Instant) {
+        self.is_probing = false;
+        match probe {
+            Probe::Answered => self.restore(now),
+            Probe::Silent => {
+                if self.state == State::Open {
+                    self.enter(State::Suspect, now);
+                }
+                self.probe_later(now);
+            }
+            Probe::Failed => self.lose(now),
+        }
+    }
+
+    fn restore(&mut self, now: Instant) {
+        if self.silence(now) >= self.silence_timeout {
+            self.silence_timeout = (self.silence_timeout * 2).min(MAX_SILENCE_TIMEOUT);
+        }
+        self.heard_at = Some(now);
+        self.probe_at = None;
+        self.backoff = PROBE_BACKOFF.0;
+        self.enter(State::Open, now);
+    }
+
+    /// Records that the path is lost, and schedules the next probe.
+    pub(super) fn lose(&mut self, now: Instant) {
+        if self.state != State::Lost {
+            self.backoff = PROBE_BACKOFF.0;
+        }
+        self.enter(State::Lost, now);
+        self.probe_later(now);
+    }
+
+    fn probe_later(&mut self, now: Instant) {
+        if self.probe_at.is_none() {
+            self.probe_at = Some(now + self.backoff);
+            self.backoff = (self.backoff * 2).min(PROBE_BACKOFF.1);
+        }
+    }
+
+    /// Returns the neighbours that vouch for the target now.
+    pub(super) fn vouchers(&self, now: Instant) -> impl Iterator<Item = (&str, Voucher)> {
+        let vouchers = self.vouchers.iter();
+        let current = vouchers
+            .filter(move |(_, held)| now.saturating_duration_since(held.told_at) < VOUCHER_TTL);
+        current.map(|(instance, held)| (instance.as_str(), *held))
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -0,0 +1,271 @@
+//! The paths from this instance to all targets that it uses.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{
+    DARK_TIMEOUT, EVIDENCE_TTL, VOUCHER_TTL,
+    path::{Path, Probe, State, Voucher},
+};
+
+/// Time since which a target must have been heard to stay above suspicion when another path fails.
+const SUSPICION_AGE: Duration = Duration::from_millis(300);
+/// Largest number of paths that come under suspicion, and so are probed, when another one fails.
+const MAX_SUSPECTS: usize = 16;
+/// Difference by which a neighbour must have heard from a target later than this instance to show
+/// that the target is alive: how far two messages may overtake each other.
+const LATER_MARGIN: Duration = Duration::from_millis(10);
+
+/// How a request reaches a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route<'a> {
+    /// On a connection of this instance.
+    Direct,
+    /// By one of these neighbours, which vouch for the target.
+    Detour(Vec<&'a str>),
+    /// Not at all, as far as known.
+    None {
+        /// Time since the path was lost.
+        since: Duration,
+    },
+}
+
+/// Effect of evidence on a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// None that matters to requests.
+    None,
+    /// The path is lost.
+    Lost,
+    /// The path was lost and is open again.
+    Back,
+}
+
+/// The paths from this instance to all targets that it uses.
+#[derive(Debug, Default)]
+pub struct Paths {
+    paths: IndexMap<String, Path>,
+    /// Neighbours whose vouchers don't count until a time, because they proved wrong.
+    distrusted: IndexMap<String, Instant>,
+}
+
+impl Paths {
+    /// Records that a request is about to be sent to a target. Each call is paired with one of
+    /// [`Paths::end`].
+    pub fn begin(&mut self, target: &str, now: Instant) {
+        self.path(target, now).begin(now);
+    }
+
+    /// Records that a request at a target has ended, however.
+    pub fn end(&mut self, target: &str) {
+        if let Some(path) = self.paths.get_mut(target) {
+            path.end();
+        }
+    }
+
+    /// Records that part of an answer arrived; `is_new` tells whether the connection was opened for
+    /// this request. Connections that were open before may live on while no new ones open.
+    pub fn heard(&mut self, target: &str, is_new: bool, now: Instant) -> Change {
+        let Some(path) = self.paths.get_mut(target) else {
+            return Change::None;
+        };
+        path.heard(now);
+        let before = path.state;
+        if before == State::Suspect || (before == State::Lost && is_new) {
+            path.enter(State::Open, now);
+        }
+        change(before, path.state)
+    }
+
+    /// Records that a connection to a target could not be opened.
+    ///
+    /// The cause may lie on this side, so other paths are probed that were not used of late.
+    pub fn failed(&mut self, target: &str, now: Instant) -> Change {
+        let path = self.path(target, now);
+        let was_lost = path.state == State::Lost;
+        path.lose(now);
+        if was_lost {
+            return Change::None;
+        }
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < SUSPICION_AGE;
+        let others = self
+            .paths
+            .values_mut()
+            .filter(|path| path.state == State::Open && !path.heard_at.is_some_and(is_fresh));
+        for path in others.take(MAX_SUSPECTS) {
+            path.enter(State::Suspect, now);
+            path.probe_soon(now);
+        }
+        Change::Lost
+    }
+
+    /// Records that a connection to a target broke while a request was in progress.
+    pub fn broke(&mut self, target: &str, now: Instant) {
+        let path = self.path(target, now);
+        if path.state == State::Open {
+            path.enter(State::Suspect, now);
+        }
+        path.probe_soon(now);
+    }
+
+    /// Starts the probes that are due; returns the targets to probe.
+    pub fn start_probes(&mut self, now: Instant) -> Vec<String> {
+        let paths = self.paths.iter_mut();
+        let due = paths.filter_map(|(target, path)| path.start_probe(now).then(|| target.clone()));
+        due.collect()
+    }
+
+    /// Records the result of a probe.
+    pub fn probed(&mut self, target: &str, probe: Probe, now: Instant) -> Change {
+        let Some(path) = self.paths.get_mut(target) else {
+            return Change::None;
+        };
+        let before = path.state;
+        path.probed(probe, now);
+        change(before, path.state)
+    }
+
+    /// Returns how a request reaches a target now; `is_usable` tells which neighbours may get it.
+    ///
+    /// A path that is only suspect is used directly if there is no detour.
+    pub fn route(&self, target: &str, now: Instant, is_usable: impl Fn(&str) -> bool) -> Route<'_> {
+        let Some(path) = self
+            .paths
+            .get(target)
+            .filter(|path| path.state != State::Open)
+        else {
+            return Route::Direct;
+        };
+        let vouchers = path.vouchers(now).map(|(instance, _)| instance);
+        let usable: Vec<&str> = vouchers.filter(|instance| is_usable(instance)).collect();
+        if !usable.is_empty() {
+            return Route::Detour(usable);
+        }
+        if path.state == State::Suspect {
+            return Route::Direct;
+        }
+        let since = now.saturating_duration_since(path.since);
+        Route::None { since }
+    }
+
+    /// Returns the state of a path.
+    pub fn state(&self, target: &str) -> State {
+        self.paths
+            .get(target)
+            .map_or(State::Open, |path| path.state)
+    }
+
+    /// Returns whether a request should stop waiting for an answer, because a neighbour reaches the
+    /// target and this instance doesn't, or because nobody does for a long time.
+    pub fn is_given_up(&self, target: &str, now: Instant) -> bool {
+        let lost = self.paths.get(target);
+        let lost = lost.filter(|path| path.state == State::Lost);
+        lost.is_some_and(|path| {
+            path.silence(now) >= DARK_TIMEOUT || self.is_alive_since(target, path.heard_at, now)
+        })
+    }
+
+    /// Returns whether a neighbour has heard from a target later than a time.
+    pub fn is_alive_since(&self, target: &str, at: Option<Instant>, now: Instant) -> bool {
+        let Some(path) = self.paths.get(target) else {
+            return false;
+        };
+        let is_later = |heard_at: Instant| at.is_none_or(|at| heard_at > at + LATER_MARGIN);
+        path.vouchers(now).any(|(_, held)| is_later(held.heard_at))
+    }
+
+    /// Returns the targets whose paths are not open, about which neighbours are asked.
+    pub fn questions(&self) -> impl Iterator<Item = &str> {
+        let unsettled = self
+            .paths
+            .iter()
+            .filter(|(_, path)| path.state != State::Open);
+        unsettled.map(|(target, _)| target.as_str())
+    }
+
+    /// Returns the targets whose paths are lost, with the time since then and the number of
+    /// neighbours that vouch for them.
+    pub fn lost(&self, now: Instant) -> impl Iterator<Item = (&str, Duration, usize)> {
+        let lost = self
+            .paths
+            .iter()
+            .filter(|(_, path)| path.state == State::Lost);
+        lost.map(move |(target, path)| {
+            let since = now.saturating_duration_since(path.since);
+            (target.as_str(), since, path.vouchers(now).count())
+        })
+    }
+
+    /// Records that a neighbour heard from a target itself, `age` ago.
+    pub fn vouch(&mut self, target: &str, instance: &str, age: Duration, now: Instant) {
+        if age > EVIDENCE_TTL
+            || self
+                .distrusted
+                .get(instance)
+                .is_some_and(|until| *until > now)
+        {
+            return;
+        }
+        let Some(path) = self.paths.get_mut(target) else {
+            return;
+        };
+        let heard_at = now.checked_sub(age).unwrap_or(now);
+        let told_at = now;
+        path.vouchers
+            .insert(instance.to_owned(), Voucher { heard_at, told_at });
+    }
+
+    /// Drops the vouchers of a neighbour that did not keep its word.
+    pub fn distrust(&mut self, instance: &str, now: Instant) {
+        self.distrusted
+            .insert(instance.to_owned(), now + VOUCHER_TTL);
+        for path in self.paths.values_mut() {
+            path.vouchers.swap_remove(instance);
+        }
+    }
+
+    /// Returns how long ago this instance heard from a target itself, for a neighbour that asks for
+    /// evidence no older than `longest`. Without such evidence, the target is probed.
+    pub fn evidence(&mut self, target: &str, longest: Duration, now: Instant) -> Option<Duration> {
+        let path = self.path(target, now);
+        let age = path.heard_at.map(|at| now.saturating_duration_since(at));
+        let age = age.filter(|age| *age <= longest.min(EVIDENCE_TTL));
+        if age.is_none() && path.state == State::Open {
+            path.probe_soon(now);
+        }
+        age.filter(|_| path.state == State::Open)
+    }
+
+    /// Returns the neighbours that vouch for any target now.
+    pub fn vouchers(&self, now: Instant) -> impl Iterator<Item = &str> {
+        let paths = self.paths.values();
+        paths.flat_map(move |path| path.vouchers(now).map(|(instance, _)| instance))
+    }
+
+    /// Forgets targets that are not known any more, and what has expired.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool, now: Instant) {
+        self.paths.retain(|target, path| {
+            path.vouchers
+                .retain(|_, held| now.saturating_duration_since(held.told_at) < VOUCHER_TTL);
+            !path.is_idle() || is_known(target)
+        });
+        self.distrusted.retain(|_, until| *until > now);
+    }
+
+    fn path(&mut self, target: &str, now: Instant) -> &mut Path {
+        if let Some(at) = self.paths.get_index_of(target) {
+            return &mut self.paths[at];
+        }
+        let entry = self.paths.entry(target.to_owned());
+        entry.or_insert_with(|| Path::new(now))
+    }
+}
+
+const fn change(before: State, after: State) -> Change {
+    match (before, after) {
+        (State::Lost, State::Open) => Change::Back,
+        (State::Open | State::Suspect, State::Lost) => Change::Lost,
+        _ => Change::None,
+    }
+}
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -27,7 +27,7 @@
     headers::Names,
     metrics::Metrics,
     neighbours::{self, Context},
-    path::{Proxy, serve},
+    path::{Proxy, reach, serve},
     policy::Policy,
     uplink::Uplinks,
     view::{Drain, Shared, View},
@@ -231,6 +231,7 @@
                 neighbours: Rc::clone(&traffic.neighbours),
                 claims: Rc::clone(&traffic.claims),
                 rates: Rc::clone(&traffic.rates),
+                reach: Rc::clone(&traffic.reach),
                 quotas: Rc::clone(&traffic.quotas),
                 suspects: Rc::clone(&traffic.suspects),
                 news: Rc::clone(&traffic.suspects_changed),
@@ -239,6 +240,7 @@
         }
         Err(error) => tracing::error!(event = "neighbours-unheard", error = %error),
     }
+    actix::spawn(reach::run(Rc::clone(&traffic)));
     let accepting = [
         actix::spawn(serve::accept(Rc::clone(&traffic), callers, false)),
         actix::spawn(serve::accept(Rc::clone(&traffic), forward, true)),
@@ -257,6 +259,9 @@
                 traffic.keep_suspects();
                 let quarantined = traffic.suspects.borrow().quarantined();
                 traffic.metrics.set_quarantined(quarantined);
+                traffic.reach.expire(&view, Instant::now());
+                let unreached = traffic.reach.observe(&view, Instant::now());
+                traffic.metrics.set_unreached(unreached.len());
                 let limited = traffic.rates.limited(&view, Instant::now());
                 traffic.metrics.set_limited(limited);
                 traffic.state.limits().store(Arc::new(traffic.rates.limits().borrow().all()));
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -22,6 +22,9 @@
 pub const ACCOUNT: HeaderName = HeaderName::from_static("zs-account");
 /// Field between instances: the suspicion against a request that may crash targets, as JSON.
 pub const SUSPICION: HeaderName = HeaderName::from_static("zs-suspicion");
+/// Field between instances of a region: the request was handed on because the sender doesn't reach
+/// the targets. The receiver sends it to a target itself or rejects it.
+pub const DETOUR: HeaderName = HeaderName::from_static("zs-detour");
 /// Prefix of the fields between instances; fields with this prefix are removed from callers'
 /// requests.
 pub const INTERNAL_PREFIX: &str = "zs-";
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod neighbours;
 pub mod path;
 pub mod policy;
+pub mod reach;
 pub mod request_log;
 pub mod suspects;
 pub mod tracker;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -57,6 +57,18 @@
     event: &'static str,
 }
 
+/// Labels of events of the paths to targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PathLabels {
+    event: &'static str,
+}
+
+/// Labels of requests that were handed to a neighbour.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DetourLabels {
+    outcome: &'static str,
+}
+
 /// Labels of finished attempts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
@@ -78,6 +90,9 @@
     suspects: Counters<SuspectLabels>,
     permits: Counters<PermitLabels>,
     limits: Counters<LimitLabels>,
+    paths: Counters<PathLabels>,
+    detours: Counters<DetourLabels>,
+    unreached: Gauge,
     quarantined: Gauge,
     limited: Gauge,
     revision: Gauge,
@@ -119,6 +134,15 @@
                 "Permits to send to targets that take a limited rate, by outcome",
             ),
             limits: page.counters("target_limits", "Rates that targets named, by event"),
+            paths: page.counters("paths", "Paths to targets, by event"),
+            detours: page.counters(
+                "detours",
+                "Requests handed to a neighbour that reaches the targets, by outcome",
+            ),
+            unreached: page.gauge(
+                "unreached_targets",
+                "Targets that are not reached from here",
+            ),
             limited: page.gauge("limited_targets", "Targets that name a rate"),
             quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             revision: page.gauge("revision", "Configuration in force"),
@@ -188,6 +212,21 @@
         self.limits.get_or_create(&LimitLabels { event }).inc();
     }
 
+    /// Counts an event of a path to a target: `lost`, `back` or `probed`.
+    pub fn count_path(&self, event: &'static str) {
+        self.paths.get_or_create(&PathLabels { event }).inc();
+    }
+
+    /// Counts a request that was handed to a neighbour, by the outcome of the attempt.
+    pub fn count_detour(&self, outcome: &'static str) {
+        self.detours.get_or_create(&DetourLabels { outcome }).inc();
+    }
+
+    /// Sets the number of targets that this instance does not reach.
+    pub fn set_unreached(&self, targets: usize) {
+        self.unreached.set(targets as u64);
+    }
+
     /// Sets the number of targets that name a rate.
     pub fn set_limited(&self, targets: usize) {
         self.limited.set(targets as u64);
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -1,6 +1,6 @@
 //! Exchange of datagrams between the instances of the system: requests in flight at each target,
-//! use of quotas, rates that targets name, permits to send to these, and requests suspected of
-//! crashing targets.
+//! use of quotas, rates that targets name, permits to send to these, requests suspected of crashing
+//! targets, and the targets that an instance does not reach.
 //!
 //! Instances that share targets have to know each other's requests when they place their own. By
 //! way of the control replicas that information is a sum over all targets and half a second old, so
@@ -21,6 +21,7 @@
 pub mod limits;
 mod queries;
 pub mod rates;
+pub mod reach;
 mod reports;
 pub mod suspicions;
 pub mod usage;
@@ -35,6 +36,7 @@
 
 use indexmap::IndexMap;
 use tokio::{net::UdpSocket, sync::Notify, time};
+use zinniastall_coord::reach::QUESTION_INTERVAL;
 use zinniastall_model::{id, presence::Presence};
 
 use self::{
@@ -47,6 +49,7 @@
 };
 use crate::{
     decide::quota::{self, Quotas},
+    reach::Reach,
     suspects::Suspects,
     tracker::Tracker,
     view::{Shared, View},
@@ -280,6 +283,8 @@
     pub claims: Rc<Claims>,
     /// Rates of targets.
     pub rates: Rc<Rates>,
+    /// Paths to targets.
+    pub reach: Rc<Reach>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -293,11 +298,16 @@
     fn receive(
         &self,
         roster: &Roster,
-        exchange: &mut Exchange,
+        exchanges: &mut Exchanges,
         (sender, datagram): (SocketAddr, Datagram),
         now: Instant,
     ) -> Vec<Datagram> {
         match datagram {
+            Datagram::PathQuestion(part) => vec![reach::answer(&self.reach, roster, &part, now)],
+            Datagram::PathAnswer(part) => {
+                exchanges.reach.receive(&self.reach, roster, part, now);
+                Vec::new()
+            }
             Datagram::Claim {
                 number,
                 target,
@@ -327,8 +337,8 @@
                 limits::answers(roster, &self.rates.limits().borrow(), digest, is_answer)
             }
             Datagram::Used { .. } | Datagram::ZoneUsed { .. } | Datagram::AllUsed { .. } => {
-                if exchange.receive(datagram, now) {
-                    let totals = exchange.totals().clone();
+                if exchanges.usage.receive(datagram, now) {
+                    let totals = exchanges.usage.totals().clone();
                     self.quotas.borrow_mut().update_totals(totals, now);
                 }
                 Vec::new()
@@ -403,6 +413,15 @@
     }
 }
 
+/// State of the exchanges that span several datagrams.
+#[derive(Debug, Default)]
+struct Exchanges {
+    usage: Exchange,
+    suspects: suspicions::Exchange,
+    limits: limits::Exchange,
+    reach: reach::Exchange,
+}
+
 /// What this instance knows of client accounts.
 struct Accounts<'a> {
     rates: &'a IndexMap<quota::Key, u64>,
@@ -428,6 +447,7 @@
         neighbours,
         claims,
         rates,
+        reach,
         suspects,
         news,
         ..
@@ -435,9 +455,8 @@
     claims.set_socket(Rc::clone(&socket));
     rates.set_socket(Rc::clone(&socket));
     rates.start_introduction();
-    let mut exchange = Exchange::default();
-    let mut suspect_exchange = suspicions::Exchange::default();
-    let mut limit_exchange = limits::Exchange::default();
+    let mut exchanges = Exchanges::default();
+    let mut question_due = time::Instant::now();
     let mut news_due: Option<time::Instant> = None;
     let mut ticks = time::interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -452,7 +471,7 @@
                 let Ok(datagram) = Datagram::decode(&buffer[..length]) else { continue };
                 let now = Instant::now();
                 let received = (sender, datagram);
-                for answer in context.receive(&roster, &mut exchange, received, now) {
+                for answer in context.receive(&roster, &mut exchanges, received, now) {
                     send(&socket, &answer, [sender]).await;
                 }
             }
@@ -462,6 +481,13 @@
             () = rates.news.notified(), if news_due.is_none() => {
                 news_due = Some(time::Instant::now() + NEWS_BATCH_DELAY);
             }
+            () = reach.questions.notified() => question_due = time::Instant::now(),
+            () = time::sleep_until(question_due) => {
+                question_due = time::Instant::now() + QUESTION_INTERVAL;
+                let view = state.view();
+                let outgoing = exchanges.reach.questions(reach, &view, &roster, Instant::now());
+                send_all(&socket, &view, outgoing).await;
+            }
             () = time::sleep_until(news_due.unwrap_or_else(time::Instant::now)),
                 if news_due.is_some() =>
             {
@@ -484,14 +510,14 @@
                 }
                 let now = Instant::now();
                 let mut outgoing = neighbours.borrow_mut().round(&roster, own.collect(), now);
-                outgoing.extend(context.usage(&mut exchange, &roster, now));
-                outgoing.extend(suspect_exchange.round(&roster, &suspects.borrow()));
+                outgoing.extend(context.usage(&mut exchanges.usage, &roster, now));
+                outgoing.extend(exchanges.suspects.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
                 // Requests are served as soon as there is a configuration.
                 if view.configuration.is_some() {
                     outgoing.extend(rates.introduce(&roster));
                 }
-                outgoing.extend(limit_exchange.round(&roster, &rates.limits().borrow()));
+                outgoing.extend(exchanges.limits.round(&roster, &rates.limits().borrow()));
                 outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
                 send_all(&socket, &view, outgoing).await;
             }
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -7,7 +7,7 @@
 use zinniastall_model::id;
 use zinniastall_wire::rates;
 
-use super::{Load, Loads, limits, suspicions, usage};
+use super::{Load, Loads, limits, reach, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -141,6 +141,12 @@
     /// A coordinator's answer to [`Datagram::Demand`].
     #[serde(rename = "h")]
     Verdict(rates::Verdict),
+    /// Asks which of some targets the receiver reaches.
+    #[serde(rename = "q")]
+    PathQuestion(reach::Part),
+    /// Answer to [`Datagram::PathQuestion`].
+    #[serde(rename = "o")]
+    PathAnswer(reach::Part),
     /// Announces to a target's coordinator that an instance is about to send a request to the
     /// target.
     #[serde(rename = "c")]
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -25,10 +25,10 @@
     transfer::{
         drain_body, drain_refusal, end_to_end_headers, forward_events, next_head, read_body,
     },
-    watch::until_unreachable,
 };
 use crate::{
     headers::{OUTCOME, RETRY_MS},
+    reach,
     tracker::Guard,
 };
 
@@ -53,7 +53,8 @@
         /// Rate that it takes from all instances together, if that is limited.
         rate: Option<Rate>,
     },
-    /// An instance of another region, which chooses one of its targets.
+    /// An instance of another region, or one of this region that reaches what this instance doesn't;
+    /// it chooses one of its targets.
     Instance {
         /// Name of the instance.
         instance: id::Instance,
@@ -61,6 +62,9 @@
         region: id::Region,
         /// Address of the instance for forwarded requests.
         address: String,
+        /// Target for which an instance of this region was chosen, because it reaches the target and
+        /// this instance doesn't.
+        detour: Option<id::Target>,
     },
 }
 
@@ -120,25 +124,6 @@
     pub may_have_run: &'a Cell<bool>,
 }
 
-impl Attempt<'_> {
-    /// Waits for a target; if another one may take over, only for as long as this one is reachable.
-    ///
-    /// Otherwise the only hope is that this target answers before the deadline.
-    async fn while_reachable<T>(
-        &self,
-        work: impl Future<Output = Result<T, Why>>,
-    ) -> Result<T, Why> {
-        let Place::Target { address, .. } = self.place else {
-            return work.await;
-        };
-        if !self.job.route().is_retryable() {
-            return work.await;
-        }
-        let outcome = until_unreachable(work, address).await;
-        outcome.unwrap_or_else(|| Err("silent and unreachable".to_owned()))
-    }
-}
-
 impl Place {
     fn address(&self) -> &str {
         match self {
@@ -146,6 +131,25 @@
         }
     }
 
+    /// Returns the target of an attempt that goes there directly.
+    pub const fn target(&self) -> Option<&id::Target> {
+        match self {
+            Self::Target { target, .. } => Some(target),
+            Self::Instance { .. } => None,
+        }
+    }
+
+    /// Returns whether the place is a neighbour that reaches a target which this instance doesn't.
+    pub const fn is_detour(&self) -> bool {
+        matches!(
+            self,
+            Self::Instance {
+                detour: Some(_),
+                ..
+            }
+        )
+    }
+
     /// Returns the name of the target or instance.
     pub fn name(&self) -> &str {
         match self {
@@ -165,14 +169,14 @@
     ) -> Ended {
         let (job, place) = (attempt.job, attempt.place);
         let timeout = match place {
-            Place::Target { .. } => CONNECT_TIMEOUT,
-            Place::Instance { .. } => REMOTE_CONNECT_TIMEOUT,
+            Place::Instance { detour: None, .. } => REMOTE_CONNECT_TIMEOUT,
+            _ => CONNECT_TIMEOUT,
         };
         let repeats = job.route().is_retryable();
         let connected = self.pool.connect(place.address(), repeats, timeout).await;
         let mut connection = match connected {
             Ok(connection) => connection,
-            Err(error) => return Ended::NotSent(format!("connect: {error}")),
+            Err(error) => return self.not_connected(place, &error),
         };
         let name = place.name();
         let now = Instant::now();
@@ -182,15 +186,17 @@
             Place::Instance { .. } => "",
         };
         let mut flight = Guard::start(&self.tracker, name, service, attempt.reading_us, now);
+        let _path = self.begin_path(place);
         let output = self.encode(attempt, events.last_id());
         let may_have_run_before = attempt.may_have_run.replace(true);
-        let received = attempt
-            .while_reachable(self.exchange(job, &mut connection, &output))
-            .await;
+        let is_new = !connection.is_used;
+        let exchange = self.exchange(job, &mut connection, &output);
+        let received = self.while_reachable(attempt, exchange).await;
         let (response, is_clean) = match received {
             Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
+        self.heard(place, is_new);
         self.observe_rate(attempt, &response, now, connection.is_used);
         if let Some(ended) =
             self.refusal(attempt, &response, connection.is_used, may_have_run_before)
@@ -231,6 +237,56 @@
         ended
     }
 
+    /// Ends an attempt for which no connection could be opened.
+    fn not_connected(&self, place: &Place, error: &io::Error) -> Ended {
+        match place {
+            Place::Target { target, .. } => self.path_failed(target, &error.to_string()),
+            Place::Instance {
+                instance, detour, ..
+            } if detour.is_some() => {
+                self.reach.distrust(instance);
+            }
+            Place::Instance { .. } => {}
+        }
+        Ended::NotSent(format!("connect: {error}"))
+    }
+
+    /// Counts the request on its path, until the guard is dropped.
+    fn begin_path(&self, place: &Place) -> Option<reach::Guard> {
+        match place {
+            Place::Target { target, .. } => Some(self.reach.begin(target)),
+            Place::Instance {
+                instance, detour, ..
+            } => detour.is_some().then(|| self.reach.begin_detour(instance)),
+        }
+    }
+
+    /// Records that part of the answer arrived.
+    fn heard(&self, place: &Place, is_new: bool) {
+        if let Some(target) = place.target() {
+            self.path_heard(target, is_new);
+        }
+    }
+
+    /// Waits for the answer; if the request may be repeated, only for as long as its path gives hope.
+    ///
+    /// Otherwise the only hope is that the answer comes before the deadline.
+    async fn while_reachable<T>(
+        &self,
+        attempt: &Attempt<'_>,
+        work: impl Future<Output = Result<T, Why>>,
+    ) -> Result<T, Why> {
+        if !attempt.job.route().is_retryable() {
+            return work.await;
+        }
+        let outcome = match attempt.place {
+            Place::Target { target, .. } => self.reach.until_given_up(target, work).await,
+            Place::Instance { detour: None, .. } => return work.await,
+            Place::Instance { instance, .. } => self.reach.until_silent(instance, work).await,
+        };
+        outcome.unwrap_or_else(|| Err("silent and not reached from here".to_owned()))
+    }
+
     /// Writes the request and reads the head of its answer.
     ///
     /// A target may answer before it has read a long body. Such an answer counts, but the
@@ -384,8 +440,11 @@
                 let piece = connection.reader.piece(&mut decoder).await;
                 piece.map_err(|error| error.to_string())
             };
-            let piece = match attempt.while_reachable(next).await {
-                Ok(piece) => piece,
+            let piece = match self.while_reachable(attempt, next).await {
+                Ok(piece) => {
+                    self.heard(attempt.place, !connection.is_used);
+                    piece
+                }
                 Err(why) if events.is_mid_event() => return Ended::Torn(why),
                 Err(why) if responder.has_begun() => return Ended::Broken(why),
                 Err(why) => return Ended::Unknown(why),
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -1,7 +1,8 @@
 //! Detects targets that crash while processing requests, and tracks the requests that crash them.
 //!
 //! A connection may break for many reasons: a reset, a truncation, a corrupt answer, a planned
-//! stop. The target has crashed if it was expected to stay and refuses the next connection.
+//! stop, a partition. The target has crashed if it was expected to stay, refuses the next connection,
+//! and no neighbour reaches it any more.
 
 use std::{
     cell::RefCell,
@@ -160,7 +161,10 @@
 
     /// Checks whether a target whose connection broke has crashed, and records it.
     async fn has_crashed(&self, job: &Job, target: &str, address: &str, before: &Before) -> bool {
-        let has_crashed = self.is_expected_to_stay(target) && is_refused(address).await;
+        let broke_at = Instant::now();
+        let has_crashed = self.is_expected_to_stay(target)
+            && is_refused(address).await
+            && !self.is_contradicted(target, broke_at).await;
         let sent = before.sent.as_ref().filter(|sent| !sent.had_crashed());
         if let Some(sent) = sent.filter(|_| has_crashed) {
             self.record_crash(job, target, sent);
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -24,7 +24,7 @@
         quota,
     },
     freshness::Trust,
-    headers::{ACCOUNT, Names},
+    headers::{ACCOUNT, DETOUR, Names},
     view::View,
 };
 
@@ -48,6 +48,9 @@
     pub deadline: Instant,
     /// Whether another instance forwarded the request; if so, it is served here or not at all.
     pub is_passed_on: bool,
+    /// Whether a neighbour forwarded the request because it does not reach the targets; if so, it is
+    /// sent to a target from here or not at all.
+    pub is_detoured: bool,
     /// Prompt, as described by the request's headers.
     pub prompt: Prompt,
     configuration: Arc<Configuration>,
@@ -157,6 +160,7 @@
             service,
             arrived,
             deadline: arrived + timeout,
+            is_detoured: self.is_passed_on && head.headers.contains_key(DETOUR),
             is_passed_on: self.is_passed_on,
             prompt,
             configuration: self.configuration,
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -10,11 +10,11 @@
 pub mod placement;
 pub mod pool;
 mod rate;
+pub mod reach;
 pub mod responder;
 pub mod run;
 pub mod serve;
 mod transfer;
-mod watch;
 
 use std::{cell::RefCell, rc::Rc};
 
@@ -28,6 +28,7 @@
     metrics::Metrics,
     neighbours::{Neighbours, claims::Claims, rates::Rates},
     policy::Policy,
+    reach::Reach,
     request_log::Log,
     suspects::Suspects,
     tracker::Tracker,
@@ -53,6 +54,8 @@
     pub claims: Rc<Claims>,
     /// Rates of targets, and permits to send to those that take a limited one.
     pub rates: Rc<Rates>,
+    /// Paths to targets, and the neighbours that reach those that this instance doesn't.
+    pub reach: Rc<Reach>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -79,6 +82,7 @@
             neighbours: Rc::default(),
             claims: Rc::default(),
             rates: Rc::default(),
+            reach: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             suspects: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -14,7 +14,7 @@
     attempt::{Attempt, Place},
 };
 use crate::{
-    headers::{ACCOUNT, INTERNAL_PREFIX, LAST_EVENT_ID, REVISION, SUSPICION},
+    headers::{ACCOUNT, DETOUR, INTERNAL_PREFIX, LAST_EVENT_ID, REVISION, SUSPICION},
     suspects,
 };
 
@@ -63,7 +63,10 @@
                 );
                 headers.extend(account.map(|account| (self.header_names.account.clone(), account)));
             }
-            Place::Instance { .. } => {
+            Place::Instance { detour, .. } => {
+                if detour.is_some() {
+                    headers.insert(DETOUR, HeaderValue::from_static("1"));
+                }
                 headers.insert(REVISION, HeaderValue::from(job.revision()));
                 headers.extend(account.map(|account| (ACCOUNT, account)));
                 let suspicion = self.suspicion(job);
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -511,6 +511,7 @@
         instance: presence.instance.clone(),
         region: presence.place.region.clone(),
         address: presence.forward.clone(),
+        detour: None,
     };
     let basis = Basis {
         wait: remote.region.wait + remote.region.round_trip,
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -0,0 +1,136 @@
+//! Evidence of the paths to targets: from requests, and from probes in the background.
+
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use tokio::time;
+use zinniastall_coord::reach::{Change, Probe, QUESTION_INTERVAL, State};
+use zinniastall_http::probe;
+use zinniastall_model::id;
+
+use super::Proxy;
+use crate::{decide::outlier::Record, view::View};
+
+/// Interval at which due probes are started.
+const PROBE_TICK: Duration = Duration::from_millis(50);
+/// Longest delay of a probe of a lost path, so that instances that are cut off together don't probe
+/// together.
+const PROBE_SPREAD: Duration = Duration::from_millis(40);
+/// Time that neighbours have to contradict that a target has crashed: two questions and answers, and
+/// a probe in between.
+const CONTRADICTION_TIME: Duration = Duration::from_millis(50);
+/// Interval of the questions meanwhile.
+const CONTRADICTION_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Probes paths when that is due; never returns.
+pub async fn run(proxy: Rc<Proxy>) {
+    let mut last_asked = Instant::now();
+    loop {
+        tokio::select! {
+            () = time::sleep(PROBE_TICK) => {}
+            () = proxy.reach.probes.notified() => {}
+        }
+        let now = Instant::now();
+        let due = proxy.reach.paths().borrow_mut().start_probes(now);
+        if !due.is_empty() && last_asked + QUESTION_INTERVAL / 4 < now {
+            last_asked = now;
+            proxy.reach.questions.notify_one();
+        }
+        for target in due {
+            tokio::task::spawn_local(probe_path(Rc::clone(&proxy), target));
+        }
+    }
+}
+
+async fn probe_path(proxy: Rc<Proxy>, target: id::Target) {
+    let view = proxy.state.view();
+    let reach = &proxy.reach;
+    if reach.paths().borrow().state(&target) == State::Lost {
+        time::sleep(PROBE_SPREAD.mul_f64(rand::rng().random())).await;
+    }
+    let probed = match address(&view, &target) {
+        Some((address, path)) => probe::answers(address, path).await,
+        None => Err(io::Error::other("the target is not known any more")),
+    };
+    proxy.metrics.count_path("probed");
+    let (probe, why) = match probed {
+        Ok(true) => (Probe::Answered, String::new()),
+        Ok(false) => (Probe::Silent, String::new()),
+        Err(error) => (Probe::Failed, error.to_string()),
+    };
+    let change = {
+        let mut paths = reach.paths().borrow_mut();
+        paths.probed(&target, probe, Instant::now())
+    };
+    proxy.record_path(&target, change, &why);
+}
+
+impl Proxy {
+    /// Records that a connection to a target could not be opened.
+    pub(super) fn path_failed(&self, target: &str, why: &str) {
+        let change = {
+            let mut paths = self.reach.paths().borrow_mut();
+            paths.failed(target, Instant::now())
+        };
+        self.record_path(target, change, why);
+    }
+
+    /// Records that part of an answer arrived; `is_new` tells whether the connection was opened for the
+    /// request.
+    pub(super) fn path_heard(&self, target: &str, is_new: bool) {
+        let change = {
+            let mut paths = self.reach.paths().borrow_mut();
+            paths.heard(target, is_new, Instant::now())
+        };
+        self.record_path(target, change, "");
+    }
+
+    fn record_path(&self, target: &str, change: Change, why: &str) {
+        match change {
+            Change::None => {}
+            Change::Lost => {
+                tracing::warn!(event = "path-lost", target, why);
+                self.metrics.count_path("lost");
+                self.reach.probes.notify_one();
+                self.reach.questions.notify_one();
+            }
+            Change::Back => {
+                tracing::info!(event = "path-back", target);
+                self.metrics.count_path("back");
+                // What failed meanwhile was the path's fault, not the target's.
+                if let Some(account) = self.tracker.borrow_mut().find(target) {
+                    account.record = Record::default();
+                    account.blocked_until = None;
+                }
+            }
+        }
+    }
+
+    /// Waits until neighbours could have contradicted that a target crashed at a time, and returns
+    /// whether one did.
+    pub(super) async fn is_contradicted(&self, target: &str, at: Instant) -> bool {
+        self.path_failed(target, "the connection broke and the next one is refused");
+        let reach = &self.reach;
+        reach.ask_since(target, at);
+        let until = Instant::now() + CONTRADICTION_TIME;
+        let mut is_contradicted = false;
+        while !is_contradicted && Instant::now() < until {
+            time::sleep(CONTRADICTION_INTERVAL).await;
+            reach.questions.notify_one();
+            let paths = reach.paths().borrow();
+            is_contradicted = paths.is_alive_since(target, Some(at), Instant::now());
+        }
+        reach.end_asking(target);
+        is_contradicted
+    }
+}
+
+fn address<'a>(view: &'a View, target: &str) -> Option<(&'a str, &'a str)> {
+    let report = &view.targets.by_name().get(target)?.report;
+    let service = view.table()?.service(&report.service)?;
+    Some((&report.address, &service.health_path))
+}
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -302,6 +302,9 @@
         let (job, place) = (attempt.job, attempt.place);
         self.request_log.attempted(job, place, ended);
         self.metrics.count_attempt(ended.as_str());
+        if place.is_detour() {
+            self.metrics.count_detour(ended.as_str());
+        }
         let now = Instant::now();
         let service = match place {
             Place::Target { .. } => job.service.as_str(),
@@ -336,6 +339,10 @@
             }
             Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) | Ended::Failing(_) => {
                 account.record.failure(now);
+                if let (Some(target), false) = (place.target(), matches!(ended, Ended::Failing(_)))
+                {
+                    self.reach.broke(target);
+                }
             }
             Ended::CallerGone(_) => {}
         }
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -78,6 +78,7 @@
                     neighbours,
                     claims: own,
                     rates: Rc::default(),
+                    reach: Rc::default(),
                     quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
                     suspects: Rc::default(),
                     news: Rc::default(),
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -13,7 +13,7 @@
 use zinniastall_gateway::{
     headers::Names,
     metrics::Metrics,
-    path::{Proxy, serve},
+    path::{Proxy, reach, serve},
     policy::Policy,
     view::{Shared, Target as KnownTarget, View},
 };
@@ -75,6 +75,11 @@
         self.header("request-id")
     }
 
+    /// Returns whether this is a probe of the target's health, which is no caller's request.
+    fn is_health(&self) -> bool {
+        self.head.starts_with("GET / ") && self.id().is_empty()
+    }
+
     /// Returns a complete response to this request.
     pub(crate) fn response(&self, body: &str) -> Vec<u8> {
         response(200, self.id(), body)
@@ -196,6 +201,11 @@
         else {
             return;
         };
+        if request.is_health() {
+            // The gateway closes the connection of a probe itself.
+            let _ = stream.write_all(&response(200, "", "")).await;
+            return;
+        }
         requests.borrow_mut().push(request.clone());
         for action in script(&request) {
             match action {
@@ -362,6 +372,7 @@
             forward: forward.local_addr().unwrap(),
             proxy: Rc::clone(&proxy),
         };
+        tokio::task::spawn_local(reach::run(Rc::clone(&proxy)));
         let instances = serve::accept(Rc::clone(&proxy), forward, true);
         tokio::task::spawn_local(serve::accept(proxy, callers, false));
         tokio::task::spawn_local(instances);
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -64,6 +64,7 @@
             neighbours,
             claims: Rc::default(),
             rates: Rc::default(),
+            reach: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
             suspects: Rc::default(),
             news: Rc::default(),
--- a/crates/zinniastall-http/src/probe.rs
+++ b/crates/zinniastall-http/src/probe.rs
@@ -1,11 +1,15 @@
-//! Probes of servers whose connection broke: whether the process still runs.
+//! Probes of servers: whether the process still runs, and whether it is reached from here.
 
 use std::{
     io::{self, ErrorKind},
     time::Duration,
 };
 
-use tokio::{io::AsyncReadExt, net::TcpStream, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time,
+};
 
 /// Longest wait for a server that has just closed a connection to refuse another one. A round trip
 /// between zones of a region takes a few milliseconds, and the request's next attempt is delayed
@@ -14,6 +18,10 @@
 /// Time within which something in front of a server closes a connection that the server can't take.
 /// A server keeps a connection open on which nothing was sent yet.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait of [`answers`] for a connection: many round trips within the region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest wait of [`answers`] for the first byte of an answer. A busy server queues the request.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Returns whether an address refuses connections: the machine is up, but the listening process has
 /// ended.
@@ -36,6 +44,28 @@
     }
 }
 
+/// Asks a server for its health, and returns whether an answer begins in time, whatever it says: then
+/// both directions of the path work. A busy server may stay silent.
+///
+/// # Errors
+///
+/// Fails if no connection opens, or if it does not last.
+pub async fn answers(address: &str, path: &str) -> io::Result<bool> {
+    let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let mut stream = connected.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let mut first = [0; 1];
+    let exchange = async {
+        stream.write_all(request.as_bytes()).await?;
+        stream.read(&mut first).await
+    };
+    match time::timeout(ANSWER_TIMEOUT, exchange).await {
+        Ok(Ok(0)) => Err(io::Error::from(ErrorKind::UnexpectedEof)),
+        Ok(answered) => answered.map(|_| true),
+        Err(_) => Ok(false),
+    }
+}
+
 async fn connect(address: &str) -> Option<io::Result<TcpStream>> {
     let connected = time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(address));
     connected.await.ok()
