fix(gateway): a request goes by way of a neighbour that reaches the targets

Cause: each instance took its own view for the truth. A target that it couldn't reach counted as one that is unwell, each request paid for finding out anew, nobody was told, and the only way around led to other regions, whose instances were cut off as well.

A lost path costs no request: probes run in the background. A target whose path is lost stays a candidate if a neighbour vouches that it hears from it, at the cost of the hop; the request goes to that neighbour, which sends it to a target itself or rejects it. One border and one such hop at most, so there are no loops. A region that takes nothing is asked less and less. What failed on a lost path is forgotten when the path is back.

--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -197,6 +197,13 @@
         })
     }
 
+    /// Returns the time since a neighbour that vouches for a target heard from it.
+    pub fn voucher_age(&self, target: &str, instance: &str, now: Instant) -> Option<Duration> {
+        let mut vouchers = self.paths.get(target)?.vouchers(now);
+        let (_, held) = vouchers.find(|(name, _)| *name == instance)?;
+        Some(now.saturating_duration_since(held.heard_at))
+    }
+
     /// Records that a neighbour heard from a target itself, `age` ago.
     pub fn vouch(&mut self, target: &str, instance: &str, age: Duration, now: Instant) {
         if age > EVIDENCE_TTL
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -91,6 +91,14 @@
 }
 
 impl Ended {
+    /// Returns whether no answer came, or none to its end, for a reason other than the caller.
+    pub const fn is_failure(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent(_) | Self::Unknown(_) | Self::Broken(_) | Self::Torn(_)
+        )
+    }
+
     /// Returns the name used in logs and metrics.
     pub const fn as_str(&self) -> &'static str {
         match self {
@@ -139,15 +147,12 @@
         }
     }
 
-    /// Returns whether the place is a neighbour that reaches a target which this instance doesn't.
-    pub const fn is_detour(&self) -> bool {
-        matches!(
-            self,
-            Self::Instance {
-                detour: Some(_),
-                ..
-            }
-        )
+    /// Returns the target for which a neighbour was chosen that reaches it, if the place is one.
+    pub fn detour(&self) -> Option<&str> {
+        match self {
+            Self::Instance { detour, .. } => detour.as_deref(),
+            Self::Target { .. } => None,
+        }
     }
 
     /// Returns the name of the target or instance.
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -15,6 +15,7 @@
     },
     index::Total,
     neighbours::{Load, collector::is_small},
+    reach::Path,
     request_log::Basis,
     view::{Target, View},
 };
@@ -33,6 +34,12 @@
 /// on every three seconds, were lost.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(7);
 
+/// Time that a request takes longer by way of a neighbour: a round trip between the zones of a region,
+/// and the neighbour's work.
+const DETOUR_TIME: Duration = Duration::from_millis(4);
+/// Time since a path was lost for which requests are held rather than rejected, while neighbours are
+/// asked and the target is probed.
+const UNREACHED_HOLD: Duration = Duration::from_secs(1);
 /// Coordinators that are asked about one request, one after the other, while the claims of others
 /// make another target the better choice.
 const MAX_CLAIMS: usize = 3;
@@ -82,11 +89,15 @@
 struct LocalTargets<'a> {
     targets: Vec<&'a Target>,
     candidates: Vec<Candidate>,
+    /// Neighbour by way of which each target is reached that isn't reached from here.
+    detours: Vec<Option<id::Instance>>,
     reading_us: Vec<u64>,
     flights: Vec<u32>,
     holders: Vec<Holder>,
     rates: Vec<Option<Rate>>,
     opens_soon: bool,
+    /// Targets that no known path leads to.
+    unreached: usize,
     /// Whether the priority of other requests doesn't count for this one.
     is_unranked: bool,
 }
@@ -103,8 +114,13 @@
             in_flight: self.flights[at],
             report_age: self.targets[at].heard_at.elapsed(),
             candidates: self.candidates.len(),
+            unreached: self.unreached,
+            detour_age: None,
         });
-        basis.unwrap_or_default()
+        basis.unwrap_or(Basis {
+            unreached: self.unreached,
+            ..Basis::default()
+        })
     }
 }
 
@@ -227,13 +243,16 @@
     ) -> Placement {
         let (target, candidate) = (local.targets[at], local.candidates[at]);
         let report = &target.report;
-        let place = Place::Target {
-            target: report.target.clone(),
-            address: report.address.clone(),
-            slots: report.slots,
-            source: self.source(job, local, at),
-            incarnation: report.incarnation,
-            rate: local.rates[at],
+        let place = match &local.detours[at] {
+            Some(instance) => self.detour(instance, &report.target),
+            None => Place::Target {
+                target: report.target.clone(),
+                address: report.address.clone(),
+                slots: report.slots,
+                source: self.source(job, local, at),
+                incarnation: report.incarnation,
+                rate: local.rates[at],
+            },
         };
         let basis = Basis {
             wait: candidate.wait,
@@ -242,10 +261,37 @@
             in_flight: local.flights[at],
             report_age: now.saturating_duration_since(target.heard_at),
             candidates: local.candidates.len(),
+            unreached: local.unreached,
+            detour_age: local.detours[at].as_ref().and_then(|instance| {
+                let paths = self.reach.paths().borrow();
+                paths.voucher_age(&report.target, instance, now)
+            }),
         };
         Placement::Send(place, local.reading_us[at], basis)
     }
 
+    /// Returns the place of a neighbour that reaches a target which this instance doesn't.
+    fn detour(&self, instance: &str, target: &str) -> Place {
+        let view = self.state.view();
+        let known = view.instances.by_name().get(instance);
+        Place::Instance {
+            instance: instance.to_owned(),
+            region: view.place.region.clone(),
+            // An empty address refuses the connection: the neighbour has left meanwhile.
+            address: known.map_or_else(String::new, |known| known.forward.clone()),
+            detour: Some(target.to_owned()),
+        }
+    }
+
+    /// Returns how a request reaches a target: directly, by a neighbour that vouches for it, or not at
+    /// all. A request that a neighbour handed on goes directly or not at all.
+    fn path(&self, job: &Job, tried: &Tried, target: &str, view: &View, now: Instant) -> Path {
+        let fits = |instance: &str| {
+            !job.is_detoured && !tried.has(instance) && !self.is_blocked(instance, now)
+        };
+        self.reach.path(view, target, fits, now)
+    }
+
     /// Returns the address of the target from which the one at index `at` fetches the cache that it
     /// lacks.
     fn source(&self, job: &Job, local: &LocalTargets<'_>, at: usize) -> Option<String> {
@@ -278,7 +324,11 @@
             if is_leaving(target, view, now) {
                 continue;
             }
-            if self.is_shut(target, now) {
+            let path = self.path(job, tried, &target.report.target, view, now);
+            if let Path::None { since } = path {
+                local.unreached += 1;
+                local.opens_soon |= since < UNREACHED_HOLD;
+            } else if self.is_shut(target, now) {
                 local.opens_soon = true;
             } else if !tried.has(&target.report.target) {
                 let holder = self.holder(job, target, cache_owner, now);
@@ -292,6 +342,8 @@
                 }
                 let rate = self.rates.rate(target, job.cold_rate(), now);
                 let candidate = self.with_permit_wait(candidate, target, rate, now);
+                let (candidate, detour) = with_path(candidate, path);
+                local.detours.push(detour);
                 local.holders.push(holder);
                 local.rates.push(rate);
                 local.targets.push(target);
@@ -421,8 +473,13 @@
 
     /// Returns whether a target is known to accept no requests at the moment.
     fn is_shut(&self, target: &Target, now: Instant) -> bool {
+        self.is_blocked(&target.report.target, now)
+    }
+
+    /// Returns whether a target or instance gets no request now, because it refused one.
+    fn is_blocked(&self, name: &str, now: Instant) -> bool {
         let mut tracker = self.tracker.borrow_mut();
-        let account = tracker.find(&target.report.target);
+        let account = tracker.find(name);
         account.is_some_and(|account| account.is_blocked(now))
     }
 
@@ -479,6 +536,20 @@
     }
 }
 
+/// Adds the cost of the path to a candidate; returns the neighbour that the path leads by, if it does.
+fn with_path(candidate: Candidate, path: Path) -> (Candidate, Option<id::Instance>) {
+    let Path::Detour(instance) = path else {
+        return (candidate, None);
+    };
+    let candidate = Candidate {
+        wait: candidate.wait + DETOUR_TIME,
+        // What failed from here says nothing of the neighbour's path.
+        is_ejected: false,
+        ..candidate
+    };
+    (candidate, Some(instance))
+}
+
 /// Returns the average load of a target.
 fn per_target(sum: Total, targets: usize) -> Total {
     let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
--- a/crates/zinniastall-gateway/src/path/reach.rs
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -13,7 +13,7 @@
 use zinniastall_model::id;
 
 use super::Proxy;
-use crate::{decide::outlier::Record, view::View};
+use crate::{decide::outlier::Record, reach::Path, view::View};
 
 /// Interval at which due probes are started.
 const PROBE_TICK: Duration = Duration::from_millis(50);
@@ -26,6 +26,11 @@
 /// Interval of the questions meanwhile.
 const CONTRADICTION_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Longest wait of a request whose attempt failed for a probe or for neighbours: a few round trips.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Interval at which it checks meanwhile.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Probes paths when that is due; never returns.
 pub async fn run(proxy: Rc<Proxy>) {
     let mut last_asked = Instant::now();
@@ -127,6 +132,21 @@
         reach.end_asking(target);
         is_contradicted
     }
+
+    /// Waits, for a moment at most, until it is known how a target is reached on whose path an attempt
+    /// has just failed.
+    pub(super) async fn settle_path(&self, target: &str) {
+        let until = Instant::now() + SETTLE_TIME;
+        while Instant::now() < until {
+            let view = self.state.view();
+            let path = self.reach.path(&view, target, |_| true, Instant::now());
+            let is_suspect = self.reach.paths().borrow().state(target) == State::Suspect;
+            if matches!(path, Path::Detour(_)) || (path == Path::Direct && !is_suspect) {
+                return;
+            }
+            time::sleep(SETTLE_INTERVAL).await;
+        }
+    }
 }
 
 fn address<'a>(view: &'a View, target: &str) -> Option<(&'a str, &'a str)> {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -190,6 +190,9 @@
                     .await;
                 state.has_crashed |= has_crashed;
                 self.record_attempt(&attempt, &ended, has_crashed);
+                if let Some(target) = place.target().filter(|_| ended.is_failure()) {
+                    self.settle_path(target).await;
+                }
                 self.follow_up(state, &place, ended, responder)?
             }
         })
@@ -223,7 +226,11 @@
         ended: Ended,
         responder: &Responder,
     ) -> io::Result<Step> {
-        state.tried.add(place.name());
+        // A target that could not be reached from here may be tried by another path.
+        let is_unreached = place.target().is_some() && matches!(ended, Ended::NotSent(_));
+        if !is_unreached {
+            state.tried.add(place.name());
+        }
         let job = state.job;
         Ok(match ended {
             Ended::Delivered => Step::Finish(End::Answered),
@@ -302,7 +309,7 @@
         let (job, place) = (attempt.job, attempt.place);
         self.request_log.attempted(job, place, ended);
         self.metrics.count_attempt(ended.as_str());
-        if place.is_detour() {
+        if place.detour().is_some() {
             self.metrics.count_detour(ended.as_str());
         }
         let now = Instant::now();
@@ -311,6 +318,9 @@
             Place::Instance { .. } => "",
         };
         let mut tracker = self.tracker.borrow_mut();
+        if let (Place::Instance { region, .. }, Ended::Delivered) = (place, ended) {
+            tracker.unblock_region(region, &job.service);
+        }
         let account = tracker.target(place.name(), service, now);
         let was_ejected = account.record.is_ejected(now);
         if let Place::Target { slots, .. } = place {
@@ -322,11 +332,17 @@
         }
         match ended {
             Ended::Delivered => account.record.success(),
+            // The path keeps what is known of a target that can't be reached.
+            Ended::NotSent(_) if place.target().is_some() => return,
             Ended::NotSent(_) => {
-                account.record.unreachable(now);
                 account.blocked_until = Some(now + REFUSAL_BACKOFF);
-                if let Place::Instance { region, .. } = place {
-                    tracker.block_region(region, &job.service, now + REFUSAL_BACKOFF);
+                if let Place::Instance {
+                    region,
+                    detour: None,
+                    ..
+                } = place
+                {
+                    tracker.block_region(region, &job.service, now);
                 }
                 return;
             }
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -45,6 +45,8 @@
 /// Retry time of a request refused because this instance is stopping; any other instance accepts it
 /// at once.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Retry time of a request that a neighbour handed on while too many such requests are in progress.
+const DETOUR_RETRY: Duration = Duration::from_millis(250);
 /// Longest time for which a request is held until routes are known here. After a loss of all power,
 /// a leader is elected and has committed within it.
 const STARTUP_HOLD: Duration = Duration::from_millis(1_200);
@@ -218,7 +220,17 @@
         if job.is_passed_on {
             self.merge_suspicion(job, &job.head.headers);
         }
-        if let Err((refusal, why)) = self.admit(job) {
+        let detoured = job.is_detoured.then(|| self.reach.begin_detoured());
+        let is_over = matches!(detoured, Some(None));
+        let admitted = if is_over {
+            Err((
+                Refusal::Busy(DETOUR_RETRY),
+                "too many requests of neighbours",
+            ))
+        } else {
+            self.admit(job)
+        };
+        if let Err((refusal, why)) = admitted {
             let suspicion = self.suspicion(job);
             responder.refuse(refusal, suspicion.as_ref()).await?;
             self.record_end(job, responder, refusal.outcome().as_str(), why);
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -43,6 +43,10 @@
     pub report_age: Duration,
     /// Number of candidates considered.
     pub candidates: usize,
+    /// Targets that no known path leads to.
+    pub unreached: usize,
+    /// Time since the neighbour heard from the target, if the place is a neighbour.
+    pub detour_age: Option<Duration>,
 }
 
 /// How a request ended.
@@ -138,7 +142,10 @@
             route = job.route().name,
             service = job.service,
             place = place.name(),
-            far = matches!(place, Place::Instance { .. }),
+            far = matches!(place, Place::Instance { detour: None, .. }),
+            detour_to = place.detour(),
+            detour_age_ms = basis.detour_age.map(millis),
+            unreached = basis.unreached,
             attempt,
             wait_ms = millis(basis.wait),
             permit_ms = millis(basis.permit_wait),
@@ -303,6 +310,7 @@
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
+            unreached = basis.unreached,
             objective_ms = job.route().objective_ms,
             left_ms = millis(job.left(Instant::now())),
             retry_after_ms = millis(after),
@@ -341,6 +349,7 @@
             objective_ms = job.route().objective_ms,
             revision = job.revision(),
             passed_on = job.is_passed_on,
+            detoured = job.is_detoured,
         );
     }
 
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -24,6 +24,9 @@
 const MAX_PARTS_PER_TARGET: usize = 256;
 /// Time after its last request for which a route's priority and gap limit count as in use.
 const DEMAND_TTL: Duration = Duration::from_secs(10);
+/// First and longest time for which another region gets no requests after it refused one. The first
+/// covers a moment in which its targets are full, the last a partition there.
+const REGION_BACKOFF: (Duration, Duration) = (Duration::from_millis(120), Duration::from_secs(2));
 /// Time after its last request at which a target without requests in flight is forgotten.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -34,10 +37,17 @@
     targets: IndexMap<id::Target, Target>,
     budgets: IndexMap<id::Service, Budget>,
     service_times: IndexMap<id::Service, Estimate>,
-    blocked_regions: IndexMap<id::Service, IndexMap<id::Region, Instant>>,
+    blocked_regions: IndexMap<id::Service, IndexMap<id::Region, Block>>,
     demands: IndexMap<id::Service, IndexMap<Demand, Instant>>,
 }
 
+/// Time for which another region gets no requests for a service.
+#[derive(Debug, Clone, Copy)]
+struct Block {
+    until: Instant,
+    length: Duration,
+}
+
 /// What a request's account and route ask of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Demand {
@@ -177,17 +187,30 @@
             .map(|(demand, _)| demand)
     }
 
-    /// Records that another region refuses requests for a service until a time.
-    pub fn block_region(&mut self, region: &str, service: &str, until: Instant) {
+    /// Records that another region refused a request for a service. It gets none for a time that
+    /// doubles if it refuses the next one as well.
+    pub fn block_region(&mut self, region: &str, service: &str, now: Instant) {
         let regions = self.blocked_regions.entry(service.to_owned()).or_default();
-        regions.insert(region.to_owned(), until);
+        let is_recent = |block: &&Block| now < block.until + REGION_BACKOFF.1;
+        let last = regions.get(region).filter(is_recent);
+        let last = last.map(|block| block.length);
+        let length = last.map_or(REGION_BACKOFF.0, |last| (last * 2).min(REGION_BACKOFF.1));
+        let until = now + length;
+        regions.insert(region.to_owned(), Block { until, length });
+    }
+
+    /// Records that another region answered a request for a service.
+    pub fn unblock_region(&mut self, region: &str, service: &str) {
+        if let Some(regions) = self.blocked_regions.get_mut(service) {
+            regions.swap_remove(region);
+        }
     }
 
     /// Returns whether another region is known to refuse requests for a service.
     pub fn is_region_blocked(&self, region: &str, service: &str, now: Instant) -> bool {
         let regions = self.blocked_regions.get(service);
-        let until = regions.and_then(|regions| regions.get(region));
-        until.is_some_and(|until| *until > now)
+        let block = regions.and_then(|regions| regions.get(region));
+        block.is_some_and(|block| block.until > now)
     }
 
     /// Returns the requests in flight by service.
