fix(tests): a rule of the fault proxy applies to all bytes that are sent after it

Cause: a connection's rule and its bytes woke the same task, which handled them in random order, so that the first 16 KiB could pass under the rule before. The new test sets a delay and sends, 160 times: a round trip took 1.9 ms at a delay of 20 ms.

--- a/tests/src/proxy/connection.rs
+++ b/tests/src/proxy/connection.rs
@@ -41,6 +41,8 @@
     let dialled_during_stall = resolver.dialled_during_stall().await;
     let (sender, rule) = watch::channel(resolver.rule().await);
     tokio::select! {
+        // A rule that was set before bytes were sent applies to them.
+        biased;
         () = resolver.run(sender) => {}
         () = connect(caller, rule, upstream, dialled_during_stall.then_some(abandoned)) => {}
     }
--- a/tests/tests/proxy.rs
+++ b/tests/tests/proxy.rs
@@ -134,6 +134,30 @@
     assert!(start.elapsed() >= Duration::from_millis(450));
 }
 
+/// Guards against bytes that pass under the rule before the one that was set before they were sent.
+#[test]
+fn a_rule_applies_to_all_bytes_sent_after_it() {
+    let delay = Duration::from_millis(20);
+    let rounds = || {
+        let (proxy, mut stream) = connect_through_proxy();
+        let took = (0..10).map(|_| {
+            proxy.heal();
+            round_trip(&mut stream, REPLY_TIMEOUT).unwrap();
+            proxy.delay(Direction::Up, delay);
+            let start = Instant::now();
+            round_trip(&mut stream, REPLY_TIMEOUT).unwrap();
+            start.elapsed()
+        });
+        took.min().unwrap_or_default()
+    };
+    let least = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..16).map(|_| scope.spawn(rounds)).collect();
+        let took = threads.into_iter().map(|thread| thread.join().unwrap());
+        took.min().unwrap_or_default()
+    });
+    assert!(least >= delay, "{least:?}");
+}
+
 #[test]
 fn cut_after_lets_exactly_that_much_pass() {
     let (proxy, mut stream) = connect_through_proxy();
