fix(coord): rates in messages are clamped

A rate of zero in a message from another instance ended an entry process: its interval is infinite. Decoding clamps like the constructors do. The test failed before: Some(Rate(0)) for Some(Rate(100)).

--- a/crates/zinniastall-coord/src/rate.rs
+++ b/crates/zinniastall-coord/src/rate.rs
@@ -49,7 +49,7 @@
 
 /// Requests per second, in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "u64", into = "u64")]
 pub struct Rate(u64);
 
 /// Lowest rate that is kept. A server that names less, or zero, still gets a request at this rate:
@@ -145,6 +145,19 @@
     }
 }
 
+impl From<u64> for Rate {
+    /// Creates a rate from thousandths of a request per second, as messages carry it.
+    fn from(milli: u64) -> Self {
+        Self::milli(milli)
+    }
+}
+
+impl From<Rate> for u64 {
+    fn from(rate: Rate) -> Self {
+        rate.as_milli()
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.as_f64())
--- a/crates/zinniastall-coord/tests/rate.rs
+++ b/crates/zinniastall-coord/tests/rate.rs
@@ -447,3 +447,17 @@
         prop_assert!(most_in_span(&due) <= permitted(rate));
     }
 }
+
+/// Guards against a rate of zero in a message, whose interval is infinite, and against one beyond all
+/// bounds.
+#[test]
+fn rates_in_messages_are_clamped() {
+    for (sent, kept) in [(0, MIN_RATE), (u64::MAX, Rate::milli(u64::MAX))] {
+        let mut bytes = Vec::new();
+        let message = std::collections::BTreeMap::from([("i", 1), ("v", 1), ("r", sent)]);
+        ciborium::into_writer(&message, &mut bytes).expect("encodes");
+        let limit: Limit = ciborium::from_reader(&bytes[..]).expect("decodes");
+        assert_eq!(limit.rate, Some(kept));
+        assert!(kept.interval() <= Duration::from_secs(10));
+    }
+}
