fix(entry): unreadable rates are logged within bounds

target-limit-unreadable was written for each answer of a target that names something unreadable. Now once in ten seconds for a target, 64 targets at most; the counter rates.invalid counts each.

--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -37,12 +37,14 @@
             Ok(rate) => rate,
             Err(invalid) => {
                 self.recorder.count("rates.invalid", 1);
-                tracing::warn!(
-                    event = "target-limit-unreadable",
-                    request = call.request.id,
-                    target = report.target,
-                    reason = %invalid,
-                );
+                if self.rates().logs_unreadable(&report.target, Instant::now()) {
+                    tracing::warn!(
+                        event = "target-limit-unreadable",
+                        request = call.request.id,
+                        target = report.target,
+                        reason = %invalid,
+                    );
+                }
                 return;
             }
         };
--- a/crates/zinniastall-entry/src/rates.rs
+++ b/crates/zinniastall-entry/src/rates.rs
@@ -30,6 +30,11 @@
 /// Timeout for a coordinator's answer: a round trip within the zone, between the control arbiters.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time after which it is logged again that a target's rate can't be read.
+const UNREADABLE_INTERVAL: Duration = Duration::from_secs(10);
+/// Largest number of targets of which that is logged within this time.
+const MAX_UNREADABLE: usize = 64;
+
 /// Rates of the zone's targets, and the permits to send them requests. Clones share their state.
 #[derive(Debug, Clone, Default)]
 pub struct Rates(Arc<Inner>);
@@ -57,6 +62,8 @@
     unsent: Vec<Question>,
     pending: IndexMap<wire::Number, oneshot::Sender<Verdict>>,
     last_number: wire::Number,
+    /// Targets whose rates can't be read, and when that was last logged.
+    unreadable: IndexMap<id::Target, Instant>,
 }
 
 /// Question to a target's coordinator for a permit.
@@ -108,6 +115,22 @@
         change
     }
 
+    /// Returns whether to log that a target's rate can't be read: once in a while for each target,
+    /// although each of its answers may say so.
+    pub fn logs_unreadable(&self, target: &str, now: Instant) -> bool {
+        let mut state = self.state();
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNREADABLE_INTERVAL;
+        if state.unreadable.get(target).is_some_and(is_recent) {
+            return false;
+        }
+        state.unreadable.retain(|_, at| is_recent(at));
+        if state.unreadable.len() >= MAX_UNREADABLE {
+            return false;
+        }
+        state.unreadable.insert(target.to_owned(), now);
+        true
+    }
+
     /// Counts on a permit of a target for a request that will ask for one, until the answer arrives.
     /// Other requests would otherwise all expect the same one.
     pub fn assume(&self, target: &str, limited: Limited, now: Instant) {
