--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -15,6 +15,7 @@
 mod loss;
 mod once;
 mod overtake;
+mod partitions;
 mod poison;
 mod races;
 mod rates;
