fix(entry): a request goes by another instance of the zone that reaches the targets

Cause as on the gateway path; besides, the instance that was cut off took reset connections for crashes and told the others, which then left sound targets alone.

Fix: the same rule, coord::reach, with its own wiring: probes and questions by the control arbiter over gossip links (Message::Paths), requests handed on over stream links (Open::detoured). Such a request is sent to a target by its receiver or not at all. A crash counts only if no other instance of the zone hears from the target after it. The messages' code is shared with the gateway path (wire::reach), the waiting with http::watch. Where connections are taken but nothing is answered, other unused paths are suspect as well once a neighbour contradicts the silence.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -15,6 +15,9 @@
 /// that is back goes unnoticed.
 const PROBE_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
+/// Time for which a target that says nothing to requests stays suspect although connections open.
+const SILENT_HOLD: Duration = Duration::from_secs(5);
+
 /// State of a path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -31,7 +34,10 @@
 pub enum Probe {
     /// The target answered.
     Answered,
-    /// A connection opened and stays open, but the target says nothing. It may be busy.
+    /// A connection opened and stays open; nothing was asked. This proves less than an answer: something
+    /// in front of the target may have taken the connection.
+    Opened,
+    /// A connection opened and stays open, but the target does not answer. It may be busy.
     Silent,
     /// No connection opens, or none lasts.
     Failed,
@@ -59,6 +65,8 @@
     waiting_since: Instant,
     probe_at: Option<Instant>,
     is_probing: bool,
+    /// Whether the target became suspect because it said nothing to requests.
+    is_silent: bool,
     backoff: Duration,
     silence_timeout: Duration,
     pub(super) vouchers: IndexMap<String, Voucher>,
@@ -74,6 +82,7 @@
             waiting_since: now,
             probe_at: None,
             is_probing: false,
+            is_silent: false,
             backoff: PROBE_BACKOFF.0,
             silence_timeout: SILENCE_TIMEOUT,
             vouchers: IndexMap::new(),
@@ -97,6 +106,7 @@
 
     pub(super) fn heard(&mut self, now: Instant) {
         self.heard_at = Some(now);
+        self.is_silent = false;
         self.silence_timeout = SILENCE_TIMEOUT;
     }
 
@@ -117,6 +127,20 @@
         }
     }
 
+    /// Puts the path under suspicion, unless it is lost, and schedules a probe.
+    pub(super) fn suspect(&mut self, is_silent: bool, now: Instant) {
+        if self.state == State::Open {
+            self.is_silent = is_silent;
+            self.enter(State::Suspect, now);
+        }
+        self.probe_soon(now);
+    }
+
+    /// Returns whether the path is suspect because the target said nothing.
+    pub(super) fn is_silent_suspect(&self) -> bool {
+        self.state == State::Suspect && self.is_silent
+    }
+
     /// Schedules a probe, unless one is under way.
     pub(super) fn probe_soon(&mut self, now: Instant) {
         let at = self.probe_at.map_or(now, |at| at.min(now));
@@ -126,8 +150,7 @@
     /// Starts a probe if one is due, and returns whether it did.
     pub(super) fn start_probe(&mut self, now: Instant) -> bool {
         if self.state == State::Open && self.silence(now) >= self.silence_timeout {
-            self.enter(State::Suspect, now);
-            self.probe_soon(now);
+            self.suspect(true, now);
         }
         let is_due = !self.is_probing && self.probe_at.is_some_and(|at| at <= now);
         if is_due {
@@ -142,7 +165,11 @@
         self.is_probing = false;
         match probe {
             Probe::Answered => self.restore(now),
-            Probe::Silent => {
+            Probe::Opened if !self.is_silent => self.restore(now),
+            Probe::Opened if now.saturating_duration_since(self.since) >= SILENT_HOLD => {
+                self.restore(now);
+            }
+            Probe::Opened | Probe::Silent => {
                 if self.state == State::Open {
                     self.enter(State::Suspect, now);
                 }
@@ -157,6 +184,7 @@
             self.silence_timeout = (self.silence_timeout * 2).min(MAX_SILENCE_TIMEOUT);
         }
         self.heard_at = Some(now);
+        self.is_silent = false;
         self.probe_at = None;
         self.backoff = PROBE_BACKOFF.0;
         self.enter(State::Open, now);
--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -13,6 +13,9 @@
 const SUSPICION_AGE: Duration = Duration::from_millis(300);
 /// Largest number of paths that come under suspicion, and so are probed, when another one fails.
 const MAX_SUSPECTS: usize = 16;
+/// Interval at which a waiting request checks its path: while the path is open, and otherwise.
+const WATCH_INTERVALS: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_millis(50));
 /// Difference by which a neighbour must have heard from a target later than this instance to show
 /// that the target is alive: how far two messages may overtake each other.
 const LATER_MARGIN: Duration = Duration::from_millis(10);
@@ -88,25 +91,14 @@
         if was_lost {
             return Change::None;
         }
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < SUSPICION_AGE;
-        let others = self
-            .paths
-            .values_mut()
-            .filter(|path| path.state == State::Open && !path.heard_at.is_some_and(is_fresh));
-        for path in others.take(MAX_SUSPECTS) {
-            path.enter(State::Suspect, now);
-            path.probe_soon(now);
-        }
+        self.suspect_others(false, now);
         Change::Lost
     }
 
     /// Records that a connection to a target broke while a request was in progress.
     pub fn broke(&mut self, target: &str, now: Instant) {
         let path = self.path(target, now);
-        if path.state == State::Open {
-            path.enter(State::Suspect, now);
-        }
-        path.probe_soon(now);
+        path.suspect(false, now);
     }
 
     /// Starts the probes that are due; returns the targets to probe.
@@ -156,6 +148,15 @@
             .map_or(State::Open, |path| path.state)
     }
 
+    /// Returns the interval at which a waiting request should check [`Paths::is_given_up`].
+    pub fn watch_interval(&self, target: &str) -> Duration {
+        if self.state(target) == State::Open {
+            WATCH_INTERVALS.0
+        } else {
+            WATCH_INTERVALS.1
+        }
+    }
+
     /// Returns whether a request should stop waiting for an answer, because a neighbour reaches the
     /// target and this instance doesn't, or because nobody does for a long time.
     pub fn is_given_up(&self, target: &str, now: Instant) -> bool {
@@ -221,6 +222,23 @@
         let told_at = now;
         path.vouchers
             .insert(instance.to_owned(), Voucher { heard_at, told_at });
+        let is_later = |at: Instant| heard_at > at + LATER_MARGIN;
+        if path.is_silent_suspect() && path.heard_at.is_none_or(is_later) {
+            self.suspect_others(true, now);
+        }
+    }
+
+    /// Puts paths under suspicion that were not used of late, because another one failed. `is_silent`
+    /// tells whether its target took connections and said nothing, as the others then may.
+    fn suspect_others(&mut self, is_silent: bool, now: Instant) {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < SUSPICION_AGE;
+        let others = self
+            .paths
+            .values_mut()
+            .filter(|path| path.state == State::Open && !path.heard_at.is_some_and(is_fresh));
+        for path in others.take(MAX_SUSPECTS) {
+            path.suspect(is_silent, now);
+        }
     }
 
     /// Drops the vouchers of a neighbour that did not keep its word.
--- a/crates/zinniastall-entry/src/callers/accept.rs
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -118,6 +118,7 @@
         version: index.version(&route.subject).map(ToOwned::to_owned),
         regions,
         hops: vec![view.place.clone()],
+        detoured: false,
         revision: index.revision(),
     };
     Ok(Call {
--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -19,6 +19,7 @@
 use super::outstanding::Outstanding;
 use crate::{
     rates::{Limited, Rates},
+    reach::Reach,
     view::{Digest, Target, View},
 };
 
@@ -33,6 +34,7 @@
     pub(super) policy: &'a Policy,
     pub(super) table: &'a Table,
     pub(super) rates: &'a Rates,
+    pub(super) reach: &'a Reach,
 }
 
 /// Targets of this zone that can serve a request, without ejected ones.
@@ -58,8 +60,10 @@
             policy,
             table,
             rates,
+            reach,
         } = sources;
         let mut all = serving(view, &request.subject, table, now);
+        all.retain(|candidate| reach.is_reached(view, candidate.target, request, now));
         let any_serving = !all.is_empty();
         all.retain(|candidate| !tried.iter().any(|target| target == candidate.target));
         prefer_version(view, request, &mut all);
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -139,6 +139,7 @@
             policy: &self.policy,
             table,
             rates: self.shared_view.rates(),
+            reach: self.shared_view.paths(),
         }
     }
 
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -13,6 +13,7 @@
     dispatch::{self, Next, Progress},
     outcome::{Outcome, Reason, Refusal},
 };
+use zinniastall_wire::gossip::Peer;
 
 use super::{
     admission::{Decision, Forwarded, InFlight},
@@ -26,7 +27,7 @@
     target,
     worker::Worker,
 };
-use crate::quarantine::Probe;
+use crate::{quarantine::Probe, reach::Path};
 
 /// Permits that are asked for one request in vain until it is refused. Without a bound, a request would
 /// be held until its deadline by a coordinator that does not answer.
@@ -94,14 +95,30 @@
         };
         let attempt = match started {
             Started::Here(in_flight) => {
-                if let Some(wait) = denial(worker, call, &in_flight).await? {
+                let target = in_flight.target().clone();
+                let reach = worker.service.shared_view.paths();
+                let path = reach.path(&worker.view(), &target, request, Instant::now());
+                if path == Path::Direct
+                    && let Some(wait) = denial(worker, call, &in_flight).await?
+                {
                     denied += 1;
                     if denied == MAX_DENIED {
                         return Err(merge_last(earlier, no_permit(wait)));
                     }
                     continue;
                 }
-                attempt_local(worker, call, *in_flight, probe, &mut tried).await
+                match path {
+                    Path::Direct => {
+                        attempt_local(worker, call, *in_flight, probe, &mut tried).await
+                    }
+                    Path::Detour(peer) => {
+                        attempt_detour(worker, call, *in_flight, &peer, probe).await
+                    }
+                    Path::None => {
+                        let refusal = Refusal::not_run(Reason::TargetUnreachable);
+                        Err(refusal.retry_after(UNREACHABLE_RETRY_AFTER))
+                    }
+                }
             }
             Started::Elsewhere(forwarded) => {
                 attempt_forwarded(worker, call, forwarded, probe).await
@@ -184,16 +201,28 @@
         .map_err(Refusal::not_run)?;
     let report = in_flight.report()?;
     let in_flight = Rc::new(RefCell::new(in_flight));
+    let reach = worker.service.shared_view.paths();
+    let path = reach.begin(&report.target);
     let watch = Rc::new(Watch::new(worker, call, report, probe));
-    let sent = target::send(worker, watch.target(), call, 0).await;
+    let sent = target::send(worker, watch.target(), call, 0);
+    let sent = target::while_reachable(worker, watch.target(), call, sent).await;
     let mut reply = match sent {
         Ok(reply) => reply,
+        Err(refusal) if refusal.reason == Reason::TargetUnreachable => {
+            // It may be reached by another path.
+            tried.retain(|name| *name != watch.target().target);
+            reach
+                .settle(&worker.view(), &watch.target().target, &call.request)
+                .await;
+            return Err(refusal);
+        }
         Err(refusal) => {
             watch.failed(&refusal).await;
             in_flight.borrow_mut().failed(&refusal);
             return Err(refusal);
         }
     };
+    reply.body = relay::on_path(worker, call, path, reply.body);
     let (events, status) = (reply.events, reply.status);
     let stall_timeout = worker.service.stall_timeout;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
@@ -208,6 +237,54 @@
     Ok((reply, buffered))
 }
 
+/// Sends a request by another instance of this place, which reaches a target that this one doesn't.
+async fn attempt_detour(
+    worker: &Rc<Worker>,
+    call: &Rc<Call>,
+    in_flight: InFlight,
+    peer: &Peer,
+    probe: Option<Probe>,
+) -> Result<Answer, Refusal> {
+    let here = worker.view().place.clone();
+    worker
+        .check_again(&call.request, &here)
+        .map_err(Refusal::not_run)?;
+    tracing::debug!(
+        event = "detour",
+        request = call.request.id,
+        target = in_flight.target(),
+        peer = peer.instance,
+    );
+    worker.recorder.count("detours", 1);
+    let sent = forward::send(worker, call, peer, forward::Route::detour(here)).await;
+    let mut reply = match sent {
+        Ok(reply) => reply,
+        Err(refusal) => {
+            worker.recorder.count("detours.failed", 1);
+            if refusal.reason == Reason::TargetUnreachable {
+                worker.service.shared_view.paths().distrust(&peer.instance);
+            }
+            worker.share_if_strong(call).await;
+            return Err(refusal);
+        }
+    };
+    let (events, stall_timeout) = (reply.events, worker.service.stall_timeout);
+    reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
+    let remote = Remote {
+        counted: Counted::Detour(Box::new(in_flight)),
+        worker: Rc::clone(worker),
+        call: Rc::clone(call),
+        status: reply.status,
+        _probe: probe,
+    };
+    reply.body = track_forwarded(reply.body, remote);
+    if events {
+        relay::await_first_part(&mut reply).await?;
+    }
+    let buffered = relay::buffer(&mut reply).await?;
+    Ok((reply, buffered))
+}
+
 async fn attempt_forwarded(
     worker: &Rc<Worker>,
     call: &Rc<Call>,
@@ -222,8 +299,8 @@
     let Some(peer) = forward::choose_peer(&view, forwarded.place()) else {
         return refused(Reason::TargetUnreachable);
     };
-    let hops = forwarded.hops().to_vec();
-    let mut reply = match forward::send(worker, call, peer, hops).await {
+    let route = forward::Route::to(forwarded.hops().to_vec());
+    let mut reply = match forward::send(worker, call, peer, route).await {
         Ok(reply) => reply,
         Err(refusal) => {
             forwarded.failed(&refusal);
@@ -235,7 +312,7 @@
     let events = reply.events;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
     let remote = Remote {
-        forwarded,
+        counted: Counted::Forwarded(forwarded),
         worker: Rc::clone(worker),
         call: Rc::clone(call),
         status: reply.status,
@@ -279,9 +356,17 @@
     stream::unfold(state, next).boxed_local()
 }
 
+/// Where a request in flight at another instance is counted.
+enum Counted {
+    /// At another place.
+    Forwarded(Forwarded),
+    /// At the target for which it was handed on. Its end says nothing of the target's service time.
+    Detour(#[expect(dead_code, reason = "counts until it is dropped")] Box<InFlight>),
+}
+
 /// A request in flight at another instance.
 struct Remote {
-    forwarded: Forwarded,
+    counted: Counted,
     worker: Rc<Worker>,
     call: Rc<Call>,
     status: u16,
@@ -296,7 +381,9 @@
         match &part {
             None if is_success(remote.status) => remote.worker.record_success(&remote.call),
             Some(Err(refusal)) => {
-                remote.forwarded.failed(refusal);
+                if let Counted::Forwarded(forwarded) = &mut remote.counted {
+                    forwarded.failed(refusal);
+                }
                 remote.worker.share_if_strong(&remote.call).await;
             }
             _ => {}
--- a/crates/zinniastall-entry/src/callers/forward/mod.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mod.rs
@@ -96,6 +96,34 @@
     }
 }
 
+/// Where a forwarded request passes.
+#[derive(Debug)]
+pub struct Route {
+    /// Places that it has passed, including its destination.
+    pub hops: Vec<Place>,
+    /// Whether it goes to another instance of this place, which reaches the targets that this one
+    /// doesn't.
+    pub is_detour: bool,
+}
+
+impl Route {
+    /// Creates the route of a request that goes to another place, or to the issuer of its ticket.
+    pub const fn to(hops: Vec<Place>) -> Self {
+        Self {
+            hops,
+            is_detour: false,
+        }
+    }
+
+    /// Creates the route of a request that goes to another instance of its place.
+    pub fn detour(here: Place) -> Self {
+        Self {
+            hops: vec![here],
+            is_detour: true,
+        }
+    }
+}
+
 /// Chooses an instance of a place at random, preferring less loaded ones.
 pub fn choose_peer<'a>(view: &'a View, place: &Place) -> Option<&'a Peer> {
     let peers = view.peers.values();
@@ -119,7 +147,7 @@
     worker: &Rc<Worker>,
     call: &Call,
     peer: &Peer,
-    hops: Vec<Place>,
+    route: Route,
 ) -> Result<Reply, Refusal> {
     let deadline = call.request.deadline;
     let until = deadline.min(Instant::now() + DIAL_TIMEOUT);
@@ -130,7 +158,7 @@
     worker
         .check_again(&call.request, &peer.place)
         .map_err(Refusal::not_run)?;
-    let reply = mux.request(open::pack(call, hops, worker.suspect(call)));
+    let reply = mux.request(open::pack(call, route, worker.suspect(call)));
     let reply = timeout_at(deadline.into(), reply).await;
     reply.map_err(|_| Refusal::unknown(Reason::DeadlinePassed))?
 }
--- a/crates/zinniastall-entry/src/callers/forward/open.rs
+++ b/crates/zinniastall-entry/src/callers/forward/open.rs
@@ -16,15 +16,17 @@
 };
 use zinniastall_wire::stream::Open;
 
+use super::Route;
 use crate::callers::{accept, call::Call, reply::remaining_ms, worker::Worker};
 
 /// Creates the message that opens a stream; the link assigns its number.
-pub(super) fn pack(call: &Call, hops: Vec<Place>, suspect: Option<Suspect>) -> Open {
+pub(super) fn pack(call: &Call, route: Route, suspect: Option<Suspect>) -> Open {
     let request = &call.request;
     Open {
         stream: 0,
         request: request.id.clone(),
-        hops,
+        hops: route.hops,
+        detoured: route.is_detour,
         revision: request.revision,
         client: request.client.clone(),
         class: request.class.clone(),
@@ -81,6 +83,7 @@
         deadline: Instant::now() + Duration::from_millis(open.left_ms),
         regions,
         hops: open.hops,
+        detoured: open.detoured,
         revision: index.revision(),
     };
     Ok(Call {
--- a/crates/zinniastall-entry/src/callers/pipeline.rs
+++ b/crates/zinniastall-entry/src/callers/pipeline.rs
@@ -144,7 +144,7 @@
         .map_err(Refusal::unknown)?;
     let hops = zinniastall_route::hops::check_next(&call.request.hops, &peer.place);
     let hops = hops.map_err(Refusal::unknown)?;
-    let asked = forward::send(worker, call, peer, hops).await;
+    let asked = forward::send(worker, call, peer, forward::Route::to(hops)).await;
     let mut reply = asked.map_err(|refusal| match refusal.reason {
         // The issuer knows whether the request ran.
         Reason::ForwardedFailed(_) => worker.conclude(call, refusal),
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -23,6 +23,7 @@
     target,
     worker::Worker,
 };
+use crate::reach::Guard;
 
 /// Fails a body that stalls: a plain response at the request's deadline, an event stream after
 /// `stall_timeout` without data.
@@ -50,6 +51,51 @@
     stream::unfold(Some((body, deadline)), next).boxed_local()
 }
 
+/// A body whose parts show that its target is reached.
+struct OnPath {
+    worker: Rc<Worker>,
+    call: Rc<Call>,
+    path: Guard,
+    body: Body,
+}
+
+/// Records that a target is reached with each part of a body, and counts the request until its end. A
+/// request that may be repeated stops waiting once the path gives no more hope.
+pub(super) fn on_path(worker: &Rc<Worker>, call: &Rc<Call>, path: Guard, body: Body) -> Body {
+    lazy_body(OnPath {
+        worker: Rc::clone(worker),
+        call: Rc::clone(call),
+        path,
+        body,
+    })
+}
+
+impl BodySource for OnPath {
+    async fn next_part(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let reach = self.worker.service.shared_view.paths();
+        let next = self.body.next();
+        let part = if self.call.request.idempotent {
+            reach.until_given_up(self.path.target(), next).await
+        } else {
+            Some(next.await)
+        };
+        match part {
+            Some(Some(Ok(bytes))) => {
+                reach.heard(self.path.target(), false);
+                Ok(Some(bytes))
+            }
+            Some(Some(Err(refusal))) => {
+                if refusal.reason == Reason::TargetLost {
+                    reach.broke(self.path.target());
+                }
+                Err(refusal)
+            }
+            Some(None) => Ok(None),
+            None => Err(Refusal::unknown(Reason::TargetLost)),
+        }
+    }
+}
+
 /// An event stream that can be resumed at its target.
 struct EventStream {
     worker: Rc<Worker>,
--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -129,8 +129,9 @@
 /// A request at a target, watched for a crash of the target.
 ///
 /// The target has crashed if the connection broke, the target was expected to stay, and its machine
-/// refuses the next connection or a proxy in front of it closes that one unused. A reset, a
-/// planned stop and a loss of power are no crashes.
+/// refuses the next connection or a proxy in front of it closes that one unused, and no other
+/// instance of the zone reaches it any more. A reset, a planned stop, a partition and a loss of power
+/// are no crashes.
 #[derive(Debug)]
 pub(super) struct Watch {
     worker: Rc<Worker>,
@@ -191,7 +192,11 @@
 
     /// Returns whether the target's process has ended although it was expected to stay.
     async fn has_ended(&self) -> bool {
-        let has_ended = self.is_expected_to_stay() && has_ended(&self.target.address).await;
+        let broke_at = Instant::now();
+        let reach = self.worker.service.shared_view.paths();
+        let has_ended = self.is_expected_to_stay()
+            && has_ended(&self.target.address).await
+            && !reach.is_contradicted(&self.target.target, broke_at).await;
         tracing::info!(
             event = "target-probed",
             request = self.call.request.id,
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -131,7 +131,9 @@
         .timeout(Duration::from_millis(left))
         .send_body(call.body.clone())
         .await
-        .map_err(|error| classify(&error))?;
+        .map_err(|error| worker.failed_path(target, &error))?;
+    let reach = worker.service.shared_view.paths();
+    reach.heard(&target.target, !call.request.idempotent);
     worker.observe_rate(target, call, response.headers(), sent_at);
     if let Some(refusal) = typed_refusal(&response) {
         return Err(refusal);
@@ -139,6 +141,40 @@
     Ok(read_head(response, target))
 }
 
+/// Waits for a target's work on a request; if the request may be repeated, only for as long as the path
+/// to the target gives hope.
+///
+/// # Errors
+///
+/// Returns the work's refusal, or "unknown" if it was given up.
+pub async fn while_reachable<T>(
+    worker: &Worker,
+    target: &gossip::Target,
+    call: &Call,
+    work: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    if !call.request.idempotent {
+        return work.await;
+    }
+    let reach = worker.service.shared_view.paths();
+    let done = reach.until_given_up(&target.target, work).await;
+    done.unwrap_or_else(|| Err(Refusal::unknown(Reason::TargetLost)))
+}
+
+impl Worker {
+    /// Records what a send error says of the path to a target, and classifies it.
+    fn failed_path(&self, target: &gossip::Target, error: &SendRequestError) -> Refusal {
+        let refusal = classify(error);
+        let reach = self.service.shared_view.paths();
+        match refusal.reason {
+            Reason::TargetUnreachable => reach.failed(&target.target, &error.to_string()),
+            Reason::TargetLost => reach.broke(&target.target),
+            _ => {}
+        }
+        refusal
+    }
+}
+
 /// Classifies a send error by whether the request may have run.
 fn classify(error: &SendRequestError) -> Refusal {
     match error {
--- a/crates/zinniastall-entry/src/lib.rs
+++ b/crates/zinniastall-entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod publish;
 pub mod quarantine;
 pub mod rates;
+pub mod reach;
 pub mod settings;
 pub mod spread;
 pub mod targets;
--- a/crates/zinniastall-entry/src/spread/actor.rs
+++ b/crates/zinniastall-entry/src/spread/actor.rs
@@ -20,7 +20,7 @@
     digests::Digests,
     links::{Handle, Links},
     messages::{Closed, Dialed, ForwardFacts, Linked, PublishTargets, Received, Stop},
-    rates,
+    paths, rates,
     renewals::Renewals,
     settings::{self, CROSS_REGION_PERIODS},
     suspicions,
@@ -269,6 +269,7 @@
                 self.forward_pending |= self.digests.apply(link, &place, news, now);
             }
             gossip::Message::Rates(rates) => self.apply_rates(link, &place, &rates, now),
+            gossip::Message::Paths(message) => self.apply_paths(link, &place, &message),
         }
     }
 }
@@ -282,6 +283,8 @@
         actix::spawn(suspicions::watch(quarantine, context.address()));
         let rates = self.rates().clone();
         actix::spawn(rates::watch(rates, context.address()));
+        let reach = self.reach().clone();
+        actix::spawn(paths::watch(reach, context.address()));
         context.run_interval(self.settings.period, |spread, context| spread.tick(context));
     }
 }
--- a/crates/zinniastall-entry/src/spread/mod.rs
+++ b/crates/zinniastall-entry/src/spread/mod.rs
@@ -17,6 +17,7 @@
 pub mod forwarder;
 pub mod links;
 pub mod messages;
+mod paths;
 mod peers;
 mod rates;
 pub mod renewals;
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -15,7 +15,7 @@
 use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
 
-use crate::{quarantine::Quarantine, rates::Rates};
+use crate::{quarantine::Quarantine, rates::Rates, reach::Reach};
 
 /// Everything on which the handling of a request depends.
 #[derive(Debug, Clone)]
@@ -103,6 +103,7 @@
     revision: Arc<watch::Sender<id::Revision>>,
     quarantine: Quarantine,
     rates: Rates,
+    reach: Reach,
 }
 
 impl Shared {
@@ -115,6 +116,7 @@
             revision,
             quarantine: Quarantine::default(),
             rates: Rates::default(),
+            reach: Reach::default(),
         }
     }
 
@@ -151,6 +153,11 @@
         &self.rates
     }
 
+    /// Returns the paths to the targets of the zone.
+    pub const fn paths(&self) -> &Reach {
+        &self.reach
+    }
+
     /// Returns the load of this instance: requests in progress relative to its capacity, in
     /// thousandths.
     pub fn load(&self) -> u32 {
--- a/crates/zinniastall-entry/tests/callers/tickets.rs
+++ b/crates/zinniastall-entry/tests/callers/tickets.rs
@@ -191,6 +191,7 @@
         deadline: Instant::now() + Duration::from_secs(1),
         regions: vec!["patras".into()],
         hops: vec![],
+        detoured: false,
         revision: 1,
     };
     Call {
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -21,7 +21,7 @@
 pub mod limits;
 mod queries;
 pub mod rates;
-pub mod reach;
+mod reach;
 mod reports;
 pub mod suspicions;
 pub mod usage;
@@ -303,9 +303,12 @@
         now: Instant,
     ) -> Vec<Datagram> {
         match datagram {
-            Datagram::PathQuestion(part) => vec![reach::answer(&self.reach, roster, &part, now)],
+            Datagram::PathQuestion(part) => {
+                let answer = reach::answer(&self.reach, roster, &part, now);
+                answer.into_iter().collect()
+            }
             Datagram::PathAnswer(part) => {
-                exchanges.reach.receive(&self.reach, roster, part, now);
+                exchanges.reach.receive(&self.reach, roster, &part, now);
                 Vec::new()
             }
             Datagram::Claim {
@@ -485,8 +488,8 @@
             () = time::sleep_until(question_due) => {
                 question_due = time::Instant::now() + QUESTION_INTERVAL;
                 let view = state.view();
-                let outgoing = exchanges.reach.questions(reach, &view, &roster, Instant::now());
-                send_all(&socket, &view, outgoing).await;
+                let question = exchanges.reach.question(reach, &view, &roster, Instant::now());
+                send_all(&socket, &view, question.into_iter().collect()).await;
             }
             () = time::sleep_until(news_due.unwrap_or_else(time::Instant::now)),
                 if news_due.is_some() =>
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 use zinniastall_coord::rendezvous;
 use zinniastall_model::id;
-use zinniastall_wire::rates;
+use zinniastall_wire::{rates, reach};
 
-use super::{Load, Loads, limits, reach, suspicions, usage};
+use super::{Load, Loads, limits, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
--- a/crates/zinniastall-gateway/src/reach.rs
+++ b/crates/zinniastall-gateway/src/reach.rs
@@ -9,15 +9,13 @@
 
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
-use tokio::{sync::Notify, time};
+use tokio::sync::Notify;
 use zinniastall_coord::reach::{DARK_TIMEOUT, EVIDENCE_TTL, Paths, Route, State};
+use zinniastall_http::watch;
 use zinniastall_model::id;
 
 use crate::view::View;
 
-/// Interval at which a waiting request checks its path: while the path is open, and otherwise.
-const WATCH_INTERVALS: (Duration, Duration) =
-    (Duration::from_millis(250), Duration::from_millis(50));
 /// Requests of neighbours that an instance takes to its targets at once; each uses two descriptors.
 const MAX_DETOURED: usize = 1_000;
 
@@ -202,9 +200,9 @@
         target: &str,
         work: impl Future<Output = T>,
     ) -> Option<T> {
-        let is_open = || self.paths.borrow().state(target) == State::Open;
+        let interval = || self.paths.borrow().watch_interval(target);
         let is_given_up = || self.paths.borrow().is_given_up(target, Instant::now());
-        watch(work, is_open, is_given_up).await
+        watch::until(work, interval, is_given_up).await
     }
 
     /// Waits for work by way of a neighbour; returns `None` once that neighbour is silent.
@@ -222,7 +220,7 @@
             let last = answered.unwrap_or(since).max(asking_since).max(since);
             last.elapsed() >= DARK_TIMEOUT
         };
-        watch(work, || true, is_silent).await
+        watch::until(work, || DARK_TIMEOUT / 4, is_silent).await
     }
 
     /// Asks neighbours for evidence that is later than a time, when a target may have crashed.
@@ -276,26 +274,3 @@
         self.answered.borrow_mut().retain(|_, at| is_fresh(at));
     }
 }
-
-async fn watch<T>(
-    work: impl Future<Output = T>,
-    is_open: impl Fn() -> bool,
-    is_over: impl Fn() -> bool,
-) -> Option<T> {
-    let mut work = std::pin::pin!(work);
-    loop {
-        let interval = if is_open() {
-            WATCH_INTERVALS.0
-        } else {
-            WATCH_INTERVALS.1
-        };
-        tokio::select! {
-            biased;
-            done = &mut work => return Some(done),
-            () = time::sleep(interval) => {}
-        }
-        if is_over() {
-            return None;
-        }
-    }
-}
--- a/crates/zinniastall-http/src/lib.rs
+++ b/crates/zinniastall-http/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`body`] | decoding and encoding of bodies, without I/O |
 //! | [`connection`] | buffered read and write halves of a connection |
 //! | [`probe`] | whether a server still listens |
+//! | [`watch`] | waiting for work that may have become hopeless |
 //! | [`server`] | a small server for handlers that work on complete bodies |
 //!
 //! A proxy and the process behind it must agree on where each message ends, otherwise requests can
@@ -17,3 +18,4 @@
 pub mod head;
 pub mod probe;
 pub mod server;
+pub mod watch;
--- a/crates/zinniastall-http/src/probe.rs
+++ b/crates/zinniastall-http/src/probe.rs
@@ -18,6 +18,8 @@
 /// Time within which something in front of a server closes a connection that the server can't take.
 /// A server keeps a connection open on which nothing was sent yet.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The same for [`stays_open`], which is asked again and again.
+const SHORT_CLOSE_TIMEOUT: Duration = Duration::from_millis(30);
 /// Longest wait of [`answers`] for a connection: many round trips within the region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest wait of [`answers`] for the first byte of an answer. A busy server queues the request.
@@ -37,7 +39,7 @@
 /// silent says nothing.
 pub async fn has_ended(address: &str) -> bool {
     match connect(address).await {
-        Some(Ok(stream)) => closes_unused(stream).await,
+        Some(Ok(stream)) => closes_unused(stream, CLOSE_TIMEOUT).await,
         // A proxy may close the connection before this end has noticed that it is open.
         Some(Err(error)) => is_refusal(&error) || is_close(&error),
         None => false,
@@ -66,6 +68,20 @@
     }
 }
 
+/// Opens a connection to a server, and succeeds if it is not closed at once. Nothing is sent.
+///
+/// # Errors
+///
+/// Fails if no connection opens, or if it does not last.
+pub async fn stays_open(address: &str) -> io::Result<()> {
+    let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+    if closes_unused(stream, SHORT_CLOSE_TIMEOUT).await {
+        return Err(io::Error::from(ErrorKind::ConnectionReset));
+    }
+    Ok(())
+}
+
 async fn connect(address: &str) -> Option<io::Result<TcpStream>> {
     let connected = time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(address));
     connected.await.ok()
@@ -85,8 +101,8 @@
 /// Returns whether the other end closes a connection on which nothing was sent.
 ///
 /// Sending a request would tell sooner, but a target might run it.
-async fn closes_unused(mut stream: TcpStream) -> bool {
-    match time::timeout(CLOSE_TIMEOUT, stream.read(&mut [0])).await {
+async fn closes_unused(mut stream: TcpStream, timeout: Duration) -> bool {
+    match time::timeout(timeout, stream.read(&mut [0])).await {
         Ok(Ok(length)) => length == 0,
         Ok(Err(error)) => is_close(&error),
         Err(_) => false,
--- a/crates/zinniastall-route/src/request.rs
+++ b/crates/zinniastall-route/src/request.rs
@@ -33,6 +33,9 @@
     pub regions: Vec<id::Region>,
     /// Places that it has passed, starting with that of the entry instance that received it.
     pub hops: Vec<Place>,
+    /// Whether another instance of this place handed it on because it does not reach the targets. Such
+    /// a request is sent to a target from here or not at all.
+    pub detoured: bool,
     /// Revision of the configuration under which it was admitted.
     pub revision: id::Revision,
 }
--- a/crates/zinniastall-route/tests/filters/rules.rs
+++ b/crates/zinniastall-route/tests/filters/rules.rs
@@ -86,6 +86,7 @@
         prefixes: vec![],
         regions: vec![],
         hops: vec![],
+        detoured: false,
         revision: 1,
     }
 }
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -9,7 +9,10 @@
 use zinniastall_coord::{digest, membership, rate::Limit};
 use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
-use crate::rates::{Demand, Verdict};
+use crate::{
+    rates::{Demand, Verdict},
+    reach,
+};
 
 /// A message of a gossip link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -28,6 +31,18 @@
     Delta(Delta),
     /// Rates that targets of the zone name, and permits to send to these; only sent within the zone.
     Rates(Rates),
+    /// Targets that an instance of the zone does not reach; only sent within the zone.
+    Paths(Paths),
+}
+
+/// Message about targets that an instance does not reach.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Paths {
+    /// Asks which of some targets the receiver reaches.
+    Question(reach::Part),
+    /// Answer to a question.
+    Answer(reach::Part),
 }
 
 /// Message about targets that take a limited rate from all instances of the zone together.
--- a/crates/zinniastall-wire/src/lib.rs
+++ b/crates/zinniastall-wire/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod link;
 pub mod meter;
 pub mod rates;
+pub mod reach;
 pub mod stream;
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -92,6 +92,9 @@
     /// Places through which the request has passed, beginning with that of the entry instance that
     /// received it.
     pub hops: Vec<Place>,
+    /// Whether the sender hands it on because it does not reach the targets of its place.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub detoured: bool,
     /// Configuration revision under which the sender chose the destination.
     pub revision: id::Revision,
     /// Client.
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -393,6 +393,7 @@
                 stream: numbers[0],
                 request: names.0.clone(),
                 hops,
+                detoured: !idempotent,
                 revision: numbers[1],
                 client: names.1.clone(),
                 class: names.2.clone(),
--- a/tests/tests/path/hops.rs
+++ b/tests/tests/path/hops.rs
@@ -40,6 +40,7 @@
         stream,
         request: format!("forged-{stream}"),
         hops: hops.iter().copied().map(place).collect(),
+        detoured: false,
         revision: 0,
         client: CLIENT.to_owned(),
         class: "interactive".to_owned(),
