fix(gateway): brittle targets get no more at once than they have slots, over all instances

Now its coordinator lends one of its slots for each request (coord::rate::Slots, datagrams Loan and Lent; an attempt returns its slot when it ends), so that nothing waits there. If it rejects a request all the same, because its room shrank unannounced, it is limited like a target that names a rate, at a quarter of the rejections that it bears, by the permits that exist, until an answer shows that it has room.

--- a/crates/zinniastall-coord/src/rate.rs
+++ b/crates/zinniastall-coord/src/rate.rs
@@ -14,6 +14,11 @@
 //! - [`Permits`] is what an instance knows of the permits that it may get, so that it asks only
 //!   where that is worth a round trip.
 //!
+//! A target that bears few rejections gets no more requests at once than it has slots: its coordinator
+//! lends them ([`Slots`]). If it rejects a request all the same, it is limited like one that names a
+//! rate ([`Rate::after_rejection`]), which keeps all later rejections within bounds, until an answer
+//! shows that it has room.
+//!
 //! Two instances may each believe that they are a server's coordinator while their views differ.
 //! An issuer therefore issues nothing for [`TAKEOVER_DELAY`] after it was first asked for a server,
 //! by which time the permits of a former one have been used, and starts without a burst.
@@ -37,6 +42,7 @@
 mod issuer;
 mod limits;
 mod permits;
+mod slots;
 
 use std::{fmt, time::Duration};
 
@@ -46,6 +52,7 @@
 pub use issuer::{Demand, Issuer, MAX_PATIENCE, TAKEOVER_DELAY, Verdict};
 pub use limits::{Change, Limit, Limits, Said};
 pub use permits::{PERMIT_TTL, Permits};
+pub use slots::Slots;
 
 /// Requests per second, in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -57,6 +64,9 @@
 pub const MIN_RATE: Rate = Rate(100);
 /// Highest rate that is kept; no server takes as many requests, so that it is no limit.
 const MAX_RATE: Rate = Rate(1_000_000_000);
+/// Share of the rejections that a target bears at which it gets requests after one. The rest covers
+/// requests under way when it rejected, and those that come while its rate rises again.
+const AFTER_REJECTION: f64 = 0.25;
 /// Maximum length of a rate as text.
 const MAX_TEXT_BYTES: usize = 32;
 
@@ -74,6 +84,37 @@
     Range,
 }
 
+/// What an answer of a target names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Named {
+    /// Requests per second that it takes; `None` for no limit.
+    pub rate: Option<Rate>,
+    /// Rejections per second that it bears; `None` for no limit.
+    pub rejections: Option<Rate>,
+}
+
+impl Named {
+    /// Reads the fields of an answer. A rejection by a target that bears few of them limits its rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] if one of the fields is no rate.
+    pub fn read<'a>(
+        rates: impl Iterator<Item = &'a [u8]>,
+        rejections: impl Iterator<Item = &'a [u8]>,
+        is_rejection: bool,
+    ) -> Result<Self, Invalid> {
+        let rate = Rate::read(rates)?;
+        let rejections = Rate::read(rejections)?;
+        let implied = rejections.filter(|_| is_rejection);
+        let implied = implied.map(Rate::after_rejection);
+        Ok(Self {
+            rate: [rate, implied].into_iter().flatten().min(),
+            rejections,
+        })
+    }
+}
+
 impl Rate {
     /// Creates a rate from requests per second, within the rates that are kept.
     #[expect(
@@ -122,6 +163,13 @@
         Ok(lowest)
     }
 
+    /// Returns the rate at which a target may get requests after it rejected one, if it bears this many
+    /// rejections per second: even if it rejects all of them, it rejects less.
+    #[must_use]
+    pub fn after_rejection(self) -> Self {
+        self.mul_f64(AFTER_REJECTION)
+    }
+
     /// Returns the rate in thousandths of a request per second.
     pub const fn as_milli(self) -> u64 {
         self.0
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -3,7 +3,7 @@
 //! A deployment's adapter supplies its own names.
 
 use http::HeaderName;
-use zinniastall_model::header::RATE_LIMIT;
+use zinniastall_model::header::{RATE_LIMIT, REJECTION_LIMIT};
 
 /// Id of the last event that the caller received; a stream resumes after it. Browsers' event
 /// sources send this field.
@@ -42,6 +42,8 @@
     pub not_run: HeaderName,
     /// Requests per second that a target takes from all instances together, in its responses.
     pub rate_limit: HeaderName,
+    /// Rejections per second that a target bears from all instances together, in its responses.
+    pub rejection_limit: HeaderName,
     /// Prompt prefixes that a request shares with others, in order, as comma-separated `id:tokens`.
     pub prompt_parts: HeaderName,
     /// Prompt tokens and maximum answer tokens of a request, separated by a comma.
@@ -64,6 +66,7 @@
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
             rate_limit: HeaderName::from_static(RATE_LIMIT),
+            rejection_limit: HeaderName::from_static(REJECTION_LIMIT),
             prompt_parts: HeaderName::from_static("prompt-parts"),
             tokens: HeaderName::from_static("tokens"),
             priority: HeaderName::from_static("priority-rank"),
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -303,6 +303,22 @@
         now: Instant,
     ) -> Vec<Datagram> {
         match datagram {
+            Datagram::Loan(loan) => {
+                let (neighbours, tracker) = (&self.neighbours, &self.tracker);
+                let known = || {
+                    let others = neighbours.borrow().load_at(&loan.target, now);
+                    let own = tracker.borrow().in_flight(&loan.target);
+                    others.in_flight.saturating_add(own)
+                };
+                let answer = self
+                    .rates
+                    .receive_loan(&self.state, sender, &loan, known, now);
+                answer.into_iter().collect()
+            }
+            Datagram::Lent { number, .. } => {
+                self.rates.receive_answer(number, datagram);
+                Vec::new()
+            }
             Datagram::PathQuestion(part) => {
                 let answer = reach::answer(&self.reach, roster, &part, now);
                 answer.into_iter().collect()
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -141,6 +141,19 @@
     /// A coordinator's answer to [`Datagram::Demand`].
     #[serde(rename = "h")]
     Verdict(rates::Verdict),
+    /// Asks a target's coordinator for one of the target's slots, or returns it.
+    #[serde(rename = "l")]
+    Loan(rates::Loan),
+    /// A coordinator's answer to [`Datagram::Loan`].
+    #[serde(rename = "y")]
+    Lent {
+        /// Number of the question that is answered.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Whether the sender got the slot.
+        #[serde(rename = "g")]
+        is_granted: bool,
+    },
     /// Asks which of some targets the receiver reaches.
     #[serde(rename = "q")]
     PathQuestion(reach::Part),
--- a/crates/zinniastall-gateway/src/neighbours/queries.rs
+++ b/crates/zinniastall-gateway/src/neighbours/queries.rs
@@ -38,8 +38,7 @@
         question: impl FnOnce(u32) -> Datagram,
     ) -> Option<Datagram> {
         let socket = self.socket.borrow().clone()?;
-        let number = self.last_number.get().wrapping_add(1);
-        self.last_number.set(number);
+        let number = self.next_number();
         let bytes = question(number).encode().ok()?;
         let (answer, mut answered) = oneshot::channel();
         self.pending.borrow_mut().insert(number, answer);
@@ -54,6 +53,21 @@
         None
     }
 
+    /// Returns the number of the next question.
+    pub(super) fn next_number(&self) -> u32 {
+        let number = self.last_number.get().wrapping_add(1);
+        self.last_number.set(number);
+        number
+    }
+
+    /// Tells an instance something that needs no answer.
+    pub(super) fn tell(&self, address: SocketAddr, datagram: &Datagram) {
+        if let (Some(socket), Ok(bytes)) = (&*self.socket.borrow(), datagram.encode()) {
+            // A full send buffer loses the datagram like the network may.
+            let _ = socket.try_send_to(&bytes, address);
+        }
+    }
+
     /// Completes the question that an instance has answered.
     pub(super) fn receive_answer(&self, number: u32, answer: Datagram) {
         if let Some(pending) = self.pending.borrow_mut().swap_remove(&number) {
--- a/crates/zinniastall-gateway/src/neighbours/rates.rs
+++ b/crates/zinniastall-gateway/src/neighbours/rates.rs
@@ -10,9 +10,10 @@
     time::{Duration, Instant},
 };
 
+use indexmap::IndexMap;
 use tokio::{net::UdpSocket, sync::Notify};
 use zinniastall_coord::rate::{
-    Change, Demand, Issued, Issuer, Limit, Limits, Permits, Rate, Said, Verdict,
+    Change, Demand, Issued, Issuer, Limit, Limits, Permits, Rate, Said, Slots, Verdict,
 };
 use zinniastall_model::id;
 use zinniastall_wire::rates as wire;
@@ -31,6 +32,8 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Questions to a coordinator for one permit; the first may have been lost.
 const MAX_QUESTIONS: usize = 2;
+/// Datagrams that return a slot; one may be lost.
+const RETURNS: usize = 2;
 /// Rounds in which an instance that has just started asks for all rates.
 const MAX_INTRODUCTIONS: u32 = 3;
 /// Instances that it asks in a round.
@@ -41,6 +44,10 @@
 pub struct Rates {
     limits: RefCell<Limits>,
     permits: RefCell<Permits>,
+    /// Rejections per second that targets bear, as this instance read it.
+    rejections: RefCell<IndexMap<id::Target, Rate>>,
+    /// Slots that this instance lends as a coordinator.
+    slots: RefCell<Slots<Holder>>,
     issuer: RefCell<Issuer>,
     issued: RefCell<Issued<(SocketAddr, u32)>>,
     queries: Queries,
@@ -51,6 +58,41 @@
     pub news: Notify,
 }
 
+/// Request that holds a slot: the address of its instance, `None` for this one, and its number there.
+type Holder = (Option<SocketAddr>, u32);
+
+/// A slot of a target that bears few rejections; it is returned when this is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    rates: Rc<Rates>,
+    target: id::Target,
+    number: u32,
+    /// Address of the coordinator that lent it; `None` for this instance.
+    coordinator: Option<SocketAddr>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let Some(coordinator) = self.coordinator else {
+            let holder = (None, self.number);
+            self.rates
+                .slots
+                .borrow_mut()
+                .take_back(&self.target, &holder);
+            return;
+        };
+        let loan = Datagram::Loan(wire::Loan {
+            number: self.number,
+            target: self.target.clone(),
+            slots: 0,
+            time_ms: 0,
+        });
+        for _ in 0..RETURNS {
+            self.rates.queries.tell(coordinator, &loan);
+        }
+    }
+}
+
 /// Whether this instance knows the rates that the others learned before it started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Introduction {
@@ -140,6 +182,30 @@
         }
     }
 
+    /// Records the rejections per second that a target bears; `None` for no limit.
+    pub fn set_rejections(&self, target: &str, rejections: Option<Rate>) {
+        let mut held = self.rejections.borrow_mut();
+        match rejections {
+            None if held.is_empty() => {}
+            None => {
+                if held.swap_remove(target).is_some() {
+                    tracing::info!(event = "target-brittle", target, rejections = "none");
+                }
+            }
+            Some(rejections) => {
+                if held.insert(target.to_owned(), rejections) != Some(rejections) {
+                    tracing::info!(event = "target-brittle", target, %rejections);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a target bears few rejections. It gets no request that would have to wait there.
+    pub fn is_brittle(&self, target: &str) -> bool {
+        let held = self.rejections.borrow();
+        !held.is_empty() && held.contains_key(target)
+    }
+
     /// Returns the time until a permit of a target is expected to be available.
     pub fn wait(&self, target: &str, now: Instant) -> Duration {
         self.permits.borrow().wait(target, now)
@@ -222,6 +288,88 @@
         self.issue(target, Demand::from(demand).at_most(named), now)
     }
 
+    /// Asks the coordinator of a target that bears few rejections for one of its slots, for a time at
+    /// most; returns `None` if none is free or nobody answers. `known` returns the requests that are
+    /// known to be at the target.
+    pub async fn borrow_slot(
+        self: &Rc<Self>,
+        state: &Shared,
+        target: &Target,
+        time: Duration,
+        known: impl FnOnce() -> u32,
+    ) -> Option<Slot> {
+        let view = state.view();
+        let (name, slots) = (&target.report.target, target.report.slots);
+        let coordinator = coordinator(state, &view, name)?;
+        if *coordinator == view.instance {
+            let number = self.queries.next_number();
+            let now = Instant::now();
+            let former = known();
+            let is_lent = {
+                let mut lent = self.slots.borrow_mut();
+                lent.lend(name, (None, number), (slots, former), time, now)
+            };
+            return is_lent.then(|| self.slot(name, number, None));
+        }
+        let presence = view.instances.by_name().get(coordinator)?;
+        let address: SocketAddr = presence.forward.parse().ok()?;
+        let number = Cell::new(0);
+        let question = |chosen| {
+            number.set(chosen);
+            Datagram::Loan(wire::Loan {
+                number: chosen,
+                target: name.clone(),
+                slots,
+                time_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX).max(1),
+            })
+        };
+        let answer = self.queries.ask(address, MAX_QUESTIONS, question).await;
+        // An answer that is lost may have granted the slot; then it is returned here.
+        let slot = self.slot(name, number.get(), Some(address));
+        let is_granted = matches!(
+            answer,
+            Some(Datagram::Lent {
+                is_granted: true,
+                ..
+            })
+        );
+        is_granted.then_some(slot)
+    }
+
+    fn slot(self: &Rc<Self>, target: &str, number: u32, coordinator: Option<SocketAddr>) -> Slot {
+        Slot {
+            rates: Rc::clone(self),
+            target: target.to_owned(),
+            number,
+            coordinator,
+        }
+    }
+
+    /// Lends a slot to another instance's request, or takes it back. There is an answer to the former
+    /// only.
+    pub fn receive_loan(
+        &self,
+        state: &Shared,
+        sender: SocketAddr,
+        loan: &wire::Loan,
+        known: impl FnOnce() -> u32,
+        now: Instant,
+    ) -> Option<Datagram> {
+        let (target, number) = (loan.target.as_str(), loan.number);
+        let holder = (Some(sender), number);
+        let mut lent = self.slots.borrow_mut();
+        if loan.time_ms == 0 {
+            lent.take_back(target, &holder);
+            return None;
+        }
+        let view = state.view();
+        let is_coordinator = coordinator(state, &view, target) == Some(&view.instance);
+        let time = Duration::from_millis(loan.time_ms);
+        let is_granted =
+            is_coordinator && lent.lend(target, holder, (loan.slots, known()), time, now);
+        Some(Datagram::Lent { number, is_granted })
+    }
+
     /// Completes the question that a coordinator has answered.
     pub fn receive_answer(&self, number: u32, answer: Datagram) {
         self.queries.receive_answer(number, answer);
@@ -250,10 +398,14 @@
         let view = state.view();
         let is_mine = |target: &str| coordinator(state, &view, target) == Some(&view.instance);
         self.issuer.borrow_mut().retain(is_mine, now);
+        self.slots.borrow_mut().retain(is_mine);
         self.permits.borrow_mut().expire(now);
         self.queries.expire();
         let is_known = |target: &str| view.targets.by_name().contains_key(target);
         self.limits.borrow_mut().retain(is_known, now);
+        self.rejections
+            .borrow_mut()
+            .retain(|target, _| is_known(target));
     }
 
     /// Returns the number of known targets that name a rate.
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -7,14 +7,14 @@
 use zinniastall_coord::{rate::Rate, rendezvous};
 use zinniastall_model::{id, presence::Presence};
 
-use super::{Proxy, attempt::Place, job::Job};
+use super::{Proxy, attempt::Place, job::Job, rate::NoSlot};
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
         place::{Candidate, Choice, Constraints, Region, choose},
     },
     index::Total,
-    neighbours::{Load, collector::is_small},
+    neighbours::{Load, collector::is_small, rates::Slot},
     reach::Path,
     request_log::Basis,
     view::{Target, View},
@@ -56,7 +56,7 @@
 pub type Claimed = IndexMap<id::Target, Load>;
 
 /// Targets and instances already tried for a request, which are not tried again.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Tried {
     names: IndexSet<String>,
 }
@@ -64,8 +64,8 @@
 /// Where a request goes next.
 #[derive(Debug)]
 pub enum Placement {
-    /// To a destination, with the expected prefill time in microseconds.
-    Send(Place, u64, Basis),
+    /// To a destination, with the expected prefill time in microseconds, and its slot if it lends them.
+    Send(Place, u64, Basis, Option<Slot>),
     /// Nowhere for now; to be decided again after the given time.
     Wait(Duration),
     /// Nowhere; worth retrying after the given time. The basis is that of the best target.
@@ -136,11 +136,22 @@
     ///
     /// A target that takes a limited rate is chosen only with a permit of its coordinator.
     pub async fn place(&self, job: &Job, tried: &Tried) -> Placement {
-        for _ in 0..MAX_PERMITS {
-            let next = self.choose_claimed(job, tried).await;
-            let Placement::Send(place, ..) = &next else {
-                return next;
+        let mut tried = tried.clone();
+        for asked in 0..MAX_PERMITS {
+            let mut next = self.choose_claimed(job, &tried).await;
+            let Placement::Send(place, _, _, slot) = &mut next else {
+                if asked == 0 {
+                    return next;
+                }
+                break;
             };
+            match self.slot(job, place).await {
+                Ok(lent) => *slot = lent,
+                Err(NoSlot) => {
+                    tried.add(place.name());
+                    continue;
+                }
+            }
             if let Place::Target {
                 target,
                 rate: Some(rate),
@@ -168,7 +179,7 @@
         let mut claimed = Claimed::default();
         let mut next = self.choose(job, tried, &claimed);
         while claimed.len() < MAX_CLAIMS && !is_small(&view) {
-            let Placement::Send(Place::Target { target, .. }, reading_us, _) = &next else {
+            let Placement::Send(Place::Target { target, .. }, reading_us, ..) = &next else {
                 break;
             };
             if claimed.contains_key(target) {
@@ -267,7 +278,7 @@
                 paths.voucher_age(&report.target, instance, now)
             }),
         };
-        Placement::Send(place, local.reading_us[at], basis)
+        Placement::Send(place, local.reading_us[at], basis, None)
     }
 
     /// Returns the place of a neighbour that reaches a target which this instance doesn't.
@@ -336,7 +347,8 @@
                 let claimed = claimed.unwrap_or_default();
                 let (candidate, reading_us, flights) =
                     self.candidate(job, target, holder, claimed, now);
-                if job.engine().is_none() && !self.allows_one_more(target, flights) {
+                let is_full = job.engine().is_none() && !self.allows_one_more(target, flights);
+                if is_full || self.is_brittle_and_full(target, flights) {
                     local.opens_soon = true;
                     continue;
                 }
@@ -471,6 +483,12 @@
         account.is_none_or(|account| account.concurrency.allows(flights))
     }
 
+    /// Returns whether one more request would have to wait at a target that bears few rejections, and so
+    /// might be one.
+    fn is_brittle_and_full(&self, target: &Target, flights: u32) -> bool {
+        flights >= target.report.slots && self.rates.is_brittle(&target.report.target)
+    }
+
     /// Returns whether a target is known to accept no requests at the moment.
     fn is_shut(&self, target: &Target, now: Instant) -> bool {
         self.is_blocked(&target.report.target, now)
@@ -589,5 +607,5 @@
         candidates: remote.instances.len(),
         ..Basis::default()
     };
-    Placement::Send(place, 0, basis)
+    Placement::Send(place, 0, basis, None)
 }
--- a/crates/zinniastall-gateway/src/path/rate.rs
+++ b/crates/zinniastall-gateway/src/path/rate.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, StatusCode};
 use tokio::time;
-use zinniastall_coord::rate::{Change, Demand, PERMIT_TTL, Permits, Rate, Said, Verdict};
+use zinniastall_coord::rate::{Change, Demand, Named, PERMIT_TTL, Permits, Rate, Said, Verdict};
 use zinniastall_http::head::Response;
 
 use super::{
@@ -12,6 +12,11 @@
     attempt::{Attempt, Place},
     job::Job,
 };
+use crate::neighbours::rates::Slot;
+
+/// A target that bears few rejections has no slot free.
+#[derive(Debug)]
+pub(super) struct NoSlot;
 
 impl Proxy {
     /// Records the rate that a target names in its answer, or that it names none.
@@ -37,9 +42,19 @@
             return;
         }
         let is_echoed = response.headers.contains_key(&self.header_names.request_id);
-        let fields = response.headers.get_all(&self.header_names.rate_limit);
-        let rate = match Rate::read(fields.iter().map(HeaderValue::as_bytes)) {
-            Ok(rate) => rate,
+        let field = |name| {
+            let fields = response.headers.get_all(name);
+            fields.iter().map(HeaderValue::as_bytes)
+        };
+        let fields = &self.header_names;
+        let is_rejection = response.headers.contains_key(&fields.not_run);
+        let named = Named::read(
+            field(&fields.rate_limit),
+            field(&fields.rejection_limit),
+            is_rejection,
+        );
+        let Named { rate, rejections } = match named {
+            Ok(read) => read,
             Err(invalid) => {
                 self.metrics.count_limit("invalid");
                 self.request_log
@@ -47,6 +62,10 @@
                 return;
             }
         };
+        self.rates.set_rejections(target, rejections);
+        if is_rejection && rejections.is_some() {
+            self.metrics.count_limit("rejected");
+        }
         let said = Said {
             incarnation: *incarnation,
             rate,
@@ -62,6 +81,31 @@
         }
     }
 
+    /// Borrows a slot of the target at a place, if the target bears few rejections.
+    pub(super) async fn slot(&self, job: &Job, place: &Place) -> Result<Option<Slot>, NoSlot> {
+        let Some(target) = place
+            .target()
+            .filter(|target| self.rates.is_brittle(target))
+        else {
+            return Ok(None);
+        };
+        let view = self.state.view();
+        let known = view.targets.by_name().get(target).ok_or(NoSlot)?;
+        let now = Instant::now();
+        let in_flight = || {
+            let others = self.neighbours.borrow().load_at(target, now);
+            let own = self.tracker.borrow().in_flight(target);
+            others.in_flight.saturating_add(own)
+        };
+        let slot = self
+            .rates
+            .borrow_slot(&self.state, known, job.left(now), in_flight);
+        let slot = slot.await;
+        let outcome = if slot.is_some() { "lent" } else { "no-slot" };
+        self.metrics.count_permit(outcome);
+        slot.map(Some).ok_or(NoSlot)
+    }
+
     /// Waits for a permit to send a request to a target that takes a limited rate; returns whether
     /// the request may be sent there now.
     pub(super) async fn await_permit(&self, job: &Job, target: &str, rate: Rate) -> bool {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -174,7 +174,7 @@
             }
             // The key may have been revoked while the request waited.
             Placement::Send(..) if !self.is_trusted(job) => state.no_place(responder, STALE_RETRY),
-            Placement::Send(place, reading_us, basis) => {
+            Placement::Send(place, reading_us, basis, _slot) => {
                 self.request_log.placed(job, &place, basis, state.sent);
                 let attempt = Attempt {
                     job,
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -124,6 +124,13 @@
         self.targets.get_mut(target)
     }
 
+    /// Returns the requests of this instance in flight at a target.
+    pub fn in_flight(&self, target: &str) -> u32 {
+        self.targets
+            .get(target)
+            .map_or(0, |target| target.in_flight)
+    }
+
     /// Returns the retry budget of a service.
     pub fn budget(&mut self, service: &str) -> &mut Budget {
         let retry_bound = self.retry_bound;
--- a/crates/zinniastall-model/src/header.rs
+++ b/crates/zinniastall-model/src/header.rs
@@ -31,3 +31,6 @@
 /// Response of a target: requests per second that it takes from all instances together, as a decimal
 /// number, for as long as it says so.
 pub const RATE_LIMIT: &str = "rate-limit";
+/// Response of a target: rejections per second that it bears from all instances together, as a decimal
+/// number, for as long as it says so.
+pub const REJECTION_LIMIT: &str = "rejection-limit";
--- a/crates/zinniastall-wire/src/rates.rs
+++ b/crates/zinniastall-wire/src/rates.rs
@@ -42,6 +42,23 @@
     pub next_us: u64,
 }
 
+/// Question for a slot of a target that bears few rejections, or its return.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Number of the question, which identifies the request at its sender.
+    #[serde(rename = "n")]
+    pub number: Number,
+    /// Target.
+    #[serde(rename = "k")]
+    pub target: id::Target,
+    /// Slots of the target.
+    #[serde(rename = "s")]
+    pub slots: u32,
+    /// Longest time for which the request needs the slot, in milliseconds; 0 to return it.
+    #[serde(rename = "w")]
+    pub time_ms: u64,
+}
+
 impl Demand {
     /// Creates the question for a permit of a target.
     pub fn new(number: Number, target: &str, demand: rate::Demand) -> Self {
