--- a/crates/zinniastall-coord/tests/rate.rs
+++ b/crates/zinniastall-coord/tests/rate.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use zinniastall_coord::rate::{
-    Change, Demand, Invalid, Issuer, Limit, Limits, MAX_PATIENCE, MIN_RATE, PERMIT_TTL, Permits,
-    Rate, Said, TAKEOVER_DELAY, Verdict,
+    Change, Demand, Invalid, Issuer, Limit, Limits, MAX_PATIENCE, MIN_RATE, Named, PERMIT_TTL,
+    Permits, Rate, Said, Slots, TAKEOVER_DELAY, Verdict,
 };
 
 const SERVER: &str = "engine-1";
@@ -461,3 +461,48 @@
         assert!(kept.interval() <= Duration::from_secs(10));
     }
 }
+
+/// Guards against more requests at a brittle target than it has slots, and against slots that are lost
+/// for good.
+#[test]
+fn a_slot_is_lent_to_one_request_at_a_time() {
+    let start = Instant::now();
+    let mut slots: Slots<u32> = Slots::default();
+    let time = Duration::from_secs(2);
+    let mut lend = |holder, now| slots.lend(SERVER, holder, (3, 1), time, now);
+    assert!(lend(1, start) && lend(2, start), "one was there before");
+    assert!(!lend(3, start));
+    assert!(lend(2, start), "a question that is asked again");
+    let later = start + time;
+    assert!(lend(3, later) && lend(4, later) && lend(5, later));
+    assert!(!lend(6, later));
+    slots.take_back(SERVER, &4);
+    slots.take_back(SERVER, &4);
+    assert!(slots.lend(SERVER, 6, (3, 0), time, later));
+    assert!(!slots.lend(SERVER, 7, (3, 0), time, later));
+}
+
+fn read(rates: &[&str], rejections: &[&str], is_rejection: bool) -> Result<Named, Invalid> {
+    let rates = rates.iter().map(|text| text.as_bytes());
+    let rejections = rejections.iter().map(|text| text.as_bytes());
+    Named::read(rates, rejections, is_rejection)
+}
+
+/// Guards against a brittle target that is not limited after a rejection, or limited without one.
+#[test]
+fn a_rejection_limits_a_brittle_target() {
+    let rate = |named: Named| named.rate.map(Rate::as_f64);
+    assert_eq!(read(&[], &["8"], false).map(rate), Ok(None));
+    assert_eq!(read(&[], &["8"], true).map(rate), Ok(Some(2.0)));
+    assert_eq!(read(&["1"], &["8"], true).map(rate), Ok(Some(1.0)));
+    assert_eq!(read(&[], &["8", "4"], true).map(rate), Ok(Some(1.0)));
+    assert_eq!(
+        read(&[], &["0"], true).map(rate),
+        Ok(Some(MIN_RATE.as_f64()))
+    );
+    assert_eq!(read(&["3"], &[], true).map(rate), Ok(Some(3.0)));
+    let long = "9".repeat(10_000);
+    for bad in ["", "-1", "NaN", "inf", "many", long.as_str()] {
+        assert!(read(&[], &[bad], true).is_err(), "{bad}");
+    }
+}
--- /dev/null
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -0,0 +1,266 @@
+//! Reachability: when a path is lost and back, who is believed, and how requests are routed.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use zinniastall_coord::reach::{
+    Change, DARK_TIMEOUT, EVIDENCE_TTL, Paths, Probe, Route, State, VOUCHER_TTL,
+};
+
+const TARGET: &str = "engine-1";
+const NEIGHBOURS: [&str; 3] = ["edge-1", "edge-2", "edge-3"];
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns paths of which one is lost at a time.
+fn lost(now: Instant) -> Paths {
+    let mut paths = Paths::default();
+    assert_eq!(paths.failed(TARGET, now), Change::Lost);
+    paths
+}
+
+fn is_detour(route: &Route<'_>) -> bool {
+    matches!(route, Route::Detour(_))
+}
+
+/// Guards against requests that pay for a path that is known to be lost.
+#[test]
+fn a_lost_path_is_not_used_until_a_probe_is_answered() {
+    let start = Instant::now();
+    let mut paths = lost(start);
+    let now = start + millis(400);
+    assert!(matches!(
+        paths.route(TARGET, now, |_| true),
+        Route::None { .. }
+    ));
+    paths.heard(TARGET, false, now);
+    assert_eq!(
+        paths.state(TARGET),
+        State::Lost,
+        "an old connection may live on"
+    );
+    assert_eq!(paths.start_probes(now), [TARGET]);
+    assert!(paths.start_probes(now).is_empty(), "one probe at a time");
+    assert_eq!(paths.probed(TARGET, Probe::Answered, now), Change::Back);
+    assert_eq!(paths.route(TARGET, now, |_| true), Route::Direct);
+}
+
+/// Guards against a path that stays unused for long after it is back.
+#[test]
+fn a_lost_path_is_probed_at_least_every_second() {
+    let start = Instant::now();
+    let mut paths = lost(start);
+    let (mut now, mut last) = (start, start);
+    while now < start + Duration::from_secs(30) {
+        now += millis(10);
+        if !paths.start_probes(now).is_empty() {
+            assert!(now - last <= millis(1_010), "{:?}", now - last);
+            last = now;
+            paths.probed(TARGET, Probe::Failed, now);
+        }
+    }
+}
+
+/// Guards against a target that pauses for a second and loses its requests, or is left alone.
+#[test]
+fn a_target_that_pauses_for_a_second_keeps_its_requests() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    paths.begin(TARGET, start);
+    paths.heard(TARGET, true, start);
+    for elapsed in (0..1_200).step_by(50).map(millis) {
+        let now = start + elapsed;
+        for target in paths.start_probes(now) {
+            paths.probed(&target, Probe::Failed, now);
+        }
+        assert!(!paths.is_given_up(TARGET, now), "{elapsed:?}");
+    }
+    let now = start + millis(1_250);
+    paths.heard(TARGET, false, now);
+    let again = now + millis(1_000);
+    for target in paths.start_probes(again) {
+        paths.probed(&target, Probe::Answered, again);
+    }
+    assert_eq!(paths.route(TARGET, again, |_| true), Route::Direct);
+}
+
+/// Guards against requests that wait for a target that others reach, or that nobody does.
+#[test]
+fn a_request_gives_up_a_lost_target_that_others_hear_or_nobody_does() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    paths.begin(TARGET, start);
+    paths.heard(TARGET, true, start);
+    paths.failed(TARGET, start + millis(450));
+    let now = start + millis(500);
+    paths.vouch(TARGET, NEIGHBOURS[0], millis(600), now);
+    assert!(!paths.is_given_up(TARGET, now), "heard before the silence");
+    paths.vouch(TARGET, NEIGHBOURS[0], millis(10), now);
+    assert!(paths.is_given_up(TARGET, now));
+    let later = start + DARK_TIMEOUT;
+    assert!(paths.is_given_up(TARGET, later), "dark");
+    paths.end(TARGET);
+    assert!(!paths.is_given_up(TARGET, start + VOUCHER_TTL * 3));
+}
+
+/// Guards against two instances that are both cut off and vouch for each other.
+#[test]
+fn instances_without_a_path_convince_nobody() {
+    let start = Instant::now();
+    let (mut one, mut other) = (lost(start), lost(start));
+    one.vouch(TARGET, "edge-9", Duration::ZERO, start);
+    for elapsed in (0..5_000).step_by(100).map(millis) {
+        let now = start + elapsed;
+        assert_eq!(one.evidence(TARGET, EVIDENCE_TTL, now), None);
+        assert_eq!(other.evidence(TARGET, EVIDENCE_TTL, now), None);
+    }
+    let now = start + VOUCHER_TTL;
+    assert!(!is_detour(&one.route(TARGET, now, |_| true)), "expired");
+}
+
+/// Guards against an instance that starts inside a partition and claims to reach what it never heard.
+#[test]
+fn an_instance_vouches_only_for_what_it_has_heard() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    assert_eq!(paths.evidence(TARGET, EVIDENCE_TTL, start), None);
+    assert_eq!(paths.start_probes(start), [TARGET], "it is probed instead");
+    paths.probed(TARGET, Probe::Answered, start);
+    assert_eq!(
+        paths.evidence(TARGET, EVIDENCE_TTL, start),
+        Some(Duration::ZERO)
+    );
+    let late = start + EVIDENCE_TTL + millis(1);
+    assert_eq!(paths.evidence(TARGET, EVIDENCE_TTL, late), None);
+}
+
+/// Guards against a partition that is discovered anew by a request at each target.
+#[test]
+fn a_failed_path_puts_unused_ones_under_suspicion() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    for target in [TARGET, "engine-2", "engine-3"] {
+        paths.begin(target, start);
+        paths.heard(target, true, start);
+        paths.end(target);
+    }
+    let now = start + millis(400);
+    paths.heard("engine-3", false, now);
+    paths.failed(TARGET, now);
+    assert_eq!(paths.state("engine-2"), State::Suspect);
+    assert_eq!(
+        paths.state("engine-3"),
+        State::Open,
+        "it was heard just now"
+    );
+    assert_eq!(paths.route("engine-2", now, |_| true), Route::Direct);
+    paths.vouch("engine-2", NEIGHBOURS[0], Duration::ZERO, now);
+    assert!(is_detour(&paths.route("engine-2", now, |_| true)));
+}
+
+/// Guards against a neighbour that keeps getting requests although it can't be reached itself.
+#[test]
+fn a_neighbour_that_broke_its_word_is_left_out_for_a_while() {
+    let start = Instant::now();
+    let mut paths = lost(start);
+    paths.vouch(TARGET, NEIGHBOURS[0], Duration::ZERO, start);
+    paths.distrust(NEIGHBOURS[0], start);
+    paths.vouch(TARGET, NEIGHBOURS[0], Duration::ZERO, start);
+    assert!(!is_detour(&paths.route(TARGET, start, |_| true)));
+    let later = start + VOUCHER_TTL;
+    paths.vouch(TARGET, NEIGHBOURS[0], Duration::ZERO, later);
+    assert!(is_detour(&paths.route(TARGET, later, |_| true)));
+}
+
+/// Something that happens to a path.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Begin,
+    End,
+    Heard(bool),
+    Failed,
+    Broke,
+    Probed(usize),
+    Vouch(usize, u64),
+    Distrust(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Begin),
+        Just(Event::End),
+        any::<bool>().prop_map(Event::Heard),
+        Just(Event::Failed),
+        Just(Event::Broke),
+        (0..4_usize).prop_map(Event::Probed),
+        (0..3_usize, 0..2_000_u64).prop_map(|(at, age)| Event::Vouch(at, age)),
+        (0..3_usize).prop_map(Event::Distrust),
+    ]
+}
+
+fn apply(paths: &mut Paths, event: Event, now: Instant) {
+    match event {
+        Event::Begin => paths.begin(TARGET, now),
+        Event::End => paths.end(TARGET),
+        Event::Heard(is_new) => drop(paths.heard(TARGET, is_new, now)),
+        Event::Failed => drop(paths.failed(TARGET, now)),
+        Event::Broke => paths.broke(TARGET, now),
+        Event::Probed(at) => {
+            let results = [Probe::Answered, Probe::Opened, Probe::Silent, Probe::Failed];
+            paths.start_probes(now);
+            paths.probed(TARGET, results[at], now);
+        }
+        Event::Vouch(at, age) => paths.vouch(TARGET, NEIGHBOURS[at], millis(age), now),
+        Event::Distrust(at) => paths.distrust(NEIGHBOURS[at], now),
+    }
+}
+
+proptest! {
+    /// Guards against a request that is handed on twice, or to a neighbour that may not get it.
+    #[test]
+    fn requests_are_handed_on_once_and_to_usable_neighbours(
+        events in prop::collection::vec((event(), 0..500_u64), 0..60),
+        usable in 0..3_usize,
+    ) {
+        let mut now = Instant::now();
+        let mut paths = Paths::default();
+        for (event, elapsed) in events {
+            now += millis(elapsed);
+            apply(&mut paths, event, now);
+            prop_assert!(!is_detour(&paths.route(TARGET, now, |_| false)));
+            let route = paths.route(TARGET, now, |name| name == NEIGHBOURS[usable]);
+            if let Route::Detour(by) = &route {
+                prop_assert_eq!(by, &vec![NEIGHBOURS[usable]]);
+                prop_assert!(paths.state(TARGET) != State::Open);
+            }
+            if paths.state(TARGET) == State::Open {
+                prop_assert_eq!(route, Route::Direct);
+            }
+            if paths.evidence(TARGET, EVIDENCE_TTL, now).is_some() {
+                prop_assert_eq!(paths.state(TARGET), State::Open);
+            }
+        }
+    }
+
+    /// Guards against a path that stays lost, whatever happened before.
+    #[test]
+    fn every_path_is_open_soon_after_its_target_answers_again(
+        events in prop::collection::vec((event(), 0..500_u64), 0..60),
+    ) {
+        let mut now = Instant::now();
+        let mut paths = Paths::default();
+        for (event, elapsed) in events {
+            now += millis(elapsed);
+            apply(&mut paths, event, now);
+        }
+        for _ in 0..40 {
+            now += millis(50);
+            for target in paths.start_probes(now) {
+                paths.probed(&target, Probe::Answered, now);
+            }
+        }
+        prop_assert_eq!(paths.state(TARGET), State::Open);
+    }
+}
--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -4,8 +4,8 @@
 
 use awc::http::header::{HeaderMap, HeaderValue};
 use tokio::time;
-use zinniastall_coord::rate::{Change, Demand, PERMIT_TTL, Permits, Rate, Said, Verdict};
-use zinniastall_model::header::RATE_LIMIT;
+use zinniastall_coord::rate::{Change, Demand, Named, PERMIT_TTL, Permits, Said, Verdict};
+use zinniastall_model::header::{RATE_LIMIT, REJECTION_LIMIT};
 use zinniastall_wire::gossip;
 
 use super::{call::Call, worker::Worker};
@@ -30,11 +30,13 @@
         &self,
         report: &gossip::Target,
         call: &Call,
-        headers: &HeaderMap,
+        (headers, is_rejection): (&HeaderMap, bool),
         sent_at: Instant,
     ) {
-        let rate = match Rate::read(headers.get_all(RATE_LIMIT).map(HeaderValue::as_bytes)) {
-            Ok(rate) => rate,
+        let field = |name| headers.get_all(name).map(HeaderValue::as_bytes);
+        let named = Named::read(field(RATE_LIMIT), field(REJECTION_LIMIT), is_rejection);
+        let rate = match named {
+            Ok(named) => named.rate,
             Err(invalid) => {
                 self.recorder.count("rates.invalid", 1);
                 if self.rates().logs_unreadable(&report.target, Instant::now()) {
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -134,8 +134,10 @@
         .map_err(|error| worker.failed_path(target, &error))?;
     let reach = worker.service.shared_view.paths();
     reach.heard(&target.target, !call.request.idempotent);
-    worker.observe_rate(target, call, response.headers(), sent_at);
-    if let Some(refusal) = typed_refusal(&response) {
+    let refusal = typed_refusal(&response);
+    let answer = (response.headers(), refusal.is_some());
+    worker.observe_rate(target, call, answer, sent_at);
+    if let Some(refusal) = refusal {
         return Err(refusal);
     }
     Ok(read_head(response, target))
