feat(ctl): reach lists the targets that instances don't reach

Instances report the targets whose paths are lost to control replicas (hub and follow messages), with the time since and how many neighbours vouch for them; nothing is decided by it. explain shows path-lost, path-back, cut-off, cut-off-ended and target-brittle of what a request met, and the target that a detour was for.

--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -153,7 +153,8 @@
         hello,
         settings.limits.watches,
     )
-    .limits(running.hub.limits().clone());
+    .limits(running.hub.limits().clone())
+    .reach(running.hub.reach().clone());
     let server = rpc::Server::start(service, operators)?;
     let mut terminated = signal(SignalKind::terminate())?;
     tokio::select! {
--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -55,6 +55,7 @@
 use crate::{
     control::{ReadIndex, Write},
     limits::Board,
+    reach,
 };
 
 /// Time between two rounds in which changes are sent. It is far below the three seconds within
@@ -99,6 +100,7 @@
     read_index: Rounds,
     recorder: Recorder,
     limits: Board,
+    reach: reach::Board,
     round: watch::Sender<Round>,
     last_link: Cell<LinkNumber>,
 }
@@ -146,6 +148,7 @@
             read_index: Rounds::default(),
             recorder: Recorder::default(),
             limits: Board::default(),
+            reach: reach::Board::default(),
             round: watch::Sender::default(),
             last_link: Cell::new(0),
         };
@@ -154,6 +157,11 @@
         }
     }
 
+    /// Returns the targets that instances don't reach, as they report them.
+    pub fn reach(&self) -> &reach::Board {
+        &self.inner.reach
+    }
+
     /// Returns the rates that targets name, as instances report them.
     pub fn limits(&self) -> &Board {
         &self.inner.limits
@@ -335,6 +343,10 @@
                 self.limits.hear(reported, std::time::Instant::now());
                 Ok(Vec::new())
             }
+            Message::Unreached(report) => {
+                self.reach.hear(report, std::time::Instant::now());
+                Ok(Vec::new())
+            }
             Message::Subscribe(true) => {
                 cursor.subscription.get_or_insert_default();
                 self.updates(cursor, false)
--- a/crates/zinniastall-control/src/lib.rs
+++ b/crates/zinniastall-control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod orders;
 pub mod peers;
+pub mod reach;
 pub mod recall;
 pub mod rpc;
 pub mod settings;
--- a/crates/zinniastall-control/src/links.rs
+++ b/crates/zinniastall-control/src/links.rs
@@ -97,6 +97,7 @@
                 Event::Confirmed(list) => control.do_send(Notice::Confirmed(list)),
                 Event::Drifted(list) => control.do_send(Notice::Drift(list)),
                 Event::Suspects(list) => hub.report_suspects(list),
+                Event::Unreached(report) => hub.reach().hear(report, std::time::Instant::now()),
                 Event::Limits(list) => hub.limits().hear(list, std::time::Instant::now()),
                 // Operators fetch control's histograms through the operator interface; no peer asks
                 // for them on a link.
--- a/crates/zinniastall-control/src/rpc/operators.rs
+++ b/crates/zinniastall-control/src/rpc/operators.rs
@@ -23,7 +23,7 @@
     Bootstrap, BootstrapError, Control, Health, Inspect, NotLeader, Read, Reconfigure, Reply, View,
     Write,
 };
-use crate::limits::Board;
+use crate::{limits::Board, reach};
 
 /// Longest time that an operator may wait for confirmations.
 const MAX_WAIT: Duration = Duration::from_mins(10);
@@ -38,6 +38,7 @@
     hello: Hello,
     watches: Arc<Semaphore>,
     limits: Board,
+    reach: reach::Board,
 }
 
 type Answer<T> = Result<Response<T>, Status>;
@@ -59,6 +60,7 @@
             hello,
             watches: Arc::new(Semaphore::new(watches)),
             limits: Board::default(),
+            reach: reach::Board::default(),
         }
     }
 
@@ -69,6 +71,13 @@
         self
     }
 
+    /// Sets the targets that instances don't reach, as they report them.
+    #[must_use]
+    pub fn reach(mut self, reach: reach::Board) -> Self {
+        self.reach = reach;
+        self
+    }
+
     async fn write(&self, change: Change, wait_ms: u64) -> Answer<api::ChangeResponse> {
         let start = Instant::now();
         let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
@@ -299,6 +308,22 @@
         self.write_idempotent(Body::Release(request)).await
     }
 
+    async fn reach(&self, _: Request<api::ReachRequest>) -> Answer<api::ReachResponse> {
+        let unreached = |held: zinniastall_wire::reach::Unreached| api::UnreachedTarget {
+            target: held.target,
+            since_ms: held.since_ms,
+            vouchers: held.vouchers,
+        };
+        let reports = self.reach.reports(Instant::now()).into_iter();
+        let instances = reports.map(|(instance, held)| api::InstanceReach {
+            instance,
+            unreached: held.into_iter().map(unreached).collect(),
+        });
+        Ok(Response::new(api::ReachResponse {
+            instances: instances.collect(),
+        }))
+    }
+
     async fn limits(&self, _: Request<api::LimitsRequest>) -> Answer<api::LimitsResponse> {
         let named = self.limits.named(Instant::now()).into_iter();
         let limit = |(target, rate, age): (id::Target, Rate, Duration)| api::TargetLimit {
--- a/crates/zinniastall-ctl/src/arguments.rs
+++ b/crates/zinniastall-ctl/src/arguments.rs
@@ -42,6 +42,7 @@
   reopen ZONE                   take an evacuation back
   quarantine                    print the requests that are not run any more, by fingerprint
   release FINGERPRINT           let a request run again
+  reach                         print the instances that don't reach all targets, and which
   limits                        print the targets that name a rate, as the replica heard of them
   explain ID [LOG...]           tell the story of a request from the logs of all processes, or
                                 from standard input; needs no --address
@@ -243,6 +244,7 @@
         "reopen" => evacuate(operand("a zone")?, true),
         "quarantine" => Call::Quarantine,
         "limits" => Call::Limits,
+        "reach" => Call::Reach,
         "release" => Call::Release(operand("a fingerprint")?),
         _ => return Err(Error::UnknownCall(name)),
     };
--- a/crates/zinniastall-ctl/src/call.rs
+++ b/crates/zinniastall-ctl/src/call.rs
@@ -47,6 +47,8 @@
     Quarantine,
     /// Prints the targets that name a rate.
     Limits,
+    /// Prints the targets that instances don't reach.
+    Reach,
     /// Releases a request from quarantine, by its fingerprint.
     Release(String),
 }
--- a/crates/zinniastall-ctl/src/explain/mod.rs
+++ b/crates/zinniastall-ctl/src/explain/mod.rs
@@ -23,10 +23,15 @@
 const CONTEXT_SECONDS: f64 = 10.0;
 /// Events that report a state change, each with the field that names its subject. Events without
 /// such a field concern the whole process.
-const STATE_EVENTS: [(&str, &str); 17] = [
+const STATE_EVENTS: [(&str, &str); 22] = [
     ("target", "target"),
     ("target-out", "target"),
     ("target-limit", "target"),
+    ("target-brittle", "target"),
+    ("path-lost", "target"),
+    ("path-back", "target"),
+    ("cut-off", ""),
+    ("cut-off-ended", ""),
     ("target-serving", "target"),
     ("target-gone", "target"),
     ("suspects-heard", ""),
--- a/crates/zinniastall-ctl/src/group.rs
+++ b/crates/zinniastall-ctl/src/group.rs
@@ -191,7 +191,8 @@
     HistogramsResponse,
     RoutingResponse,
     QuarantineResponse,
-    LimitsResponse
+    LimitsResponse,
+    ReachResponse
 );
 
 impl<T> Answer for tonic::Streaming<T> {}
--- a/crates/zinniastall-ctl/src/run.rs
+++ b/crates/zinniastall-ctl/src/run.rs
@@ -9,9 +9,9 @@
     operator::{
         ApplyRequest, BootstrapRequest, ChangeRequest, ChangeResponse, Command, DeleteRequest,
         EvacuateRequest, Event, GetRequest, HistogramsRequest, InstanceRequest, Kind,
-        LimitsRequest, ListRequest, Object, PublishRequest, QuarantineRequest, ReleaseRequest,
-        ReplicaRequest, RetireRequest, RoutingRequest, StatusRequest, SystemStatus, WatchRequest,
-        object,
+        LimitsRequest, ListRequest, Object, PublishRequest, QuarantineRequest, ReachRequest,
+        ReleaseRequest, ReplicaRequest, RetireRequest, RoutingRequest, StatusRequest, SystemStatus,
+        WatchRequest, object,
     },
 };
 
@@ -146,10 +146,8 @@
             let call = async |mut client: Client| client.quarantine(QuarantineRequest {}).await;
             Ok(print_answer(&group.call(unwrapped(call)).await?))
         }
-        Call::Limits => {
-            let call = async |mut client: Client| client.limits(LimitsRequest {}).await;
-            Ok(print_answer(&group.call(unwrapped(call)).await?))
-        }
+        Call::Limits => limits(&group).await,
+        Call::Reach => reach(&group).await,
         Call::Release(request) => {
             let call = async |mut client: Client| {
                 let request = request.clone();
@@ -170,6 +168,16 @@
     async move |client| call(client).await.map(tonic::Response::into_inner)
 }
 
+async fn limits(group: &Group) -> Result<exit::Status, Error> {
+    let call = async |mut client: Client| client.limits(LimitsRequest {}).await;
+    Ok(print_answer(&group.call(unwrapped(call)).await?))
+}
+
+async fn reach(group: &Group) -> Result<exit::Status, Error> {
+    let call = async |mut client: Client| client.reach(ReachRequest {}).await;
+    Ok(print_answer(&group.call(unwrapped(call)).await?))
+}
+
 async fn bootstrap(group: &Group) -> Result<exit::Status, Error> {
     let call = async |mut client: Client| client.bootstrap(BootstrapRequest {}).await;
     Ok(print_answer(&group.call(unwrapped(call)).await?))
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -249,7 +249,7 @@
     worker
         .check_again(&call.request, &here)
         .map_err(Refusal::not_run)?;
-    tracing::debug!(
+    tracing::info!(
         event = "detour",
         request = call.request.id,
         target = in_flight.target(),
--- a/crates/zinniastall-entry/src/follow/mod.rs
+++ b/crates/zinniastall-entry/src/follow/mod.rs
@@ -96,7 +96,11 @@
             // A relay's followers report to the relay, and only relays report to control. Only
             // control can answer what the group has reached, because only control can ask a
             // majority.
-            Event::Drifted(_) | Event::Suspects(_) | Event::Limits(_) | Event::ReadIndex(_) => None,
+            Event::Drifted(_)
+            | Event::Suspects(_)
+            | Event::Limits(_)
+            | Event::Unreached(_)
+            | Event::ReadIndex(_) => None,
             Event::SummariesRequested => Some(feed::ready(Message::Summaries(summarize(&metrics)))),
         };
         actix::spawn(async move {
--- a/crates/zinniastall-entry/src/follow/report.rs
+++ b/crates/zinniastall-entry/src/follow/report.rs
@@ -121,6 +121,8 @@
             if !named.is_empty() {
                 messages.push(follow::Message::Limits(named));
             }
+            let report = self.shared_view.paths().report(&self.shared_view.view());
+            messages.extend(report.map(follow::Message::Unreached));
             let drifted = drift::find(&self.held, &self.shared_view.view());
             if !drifted.is_empty() {
                 messages.push(follow::Message::Drifted(drifted));
--- a/crates/zinniastall-entry/src/reach.rs
+++ b/crates/zinniastall-entry/src/reach.rs
@@ -16,11 +16,14 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use tokio::{sync::Notify, time};
-use zinniastall_coord::reach::{Change, EVIDENCE_TTL, Paths, Probe, Route, State};
+use zinniastall_coord::reach::{Change, EVIDENCE_TTL, Paths, Probe, Route};
 use zinniastall_http::watch;
 use zinniastall_model::id;
 use zinniastall_route::request::Request;
-use zinniastall_wire::{gossip::Peer, reach::Part};
+use zinniastall_wire::{
+    gossip::Peer,
+    reach::{Part, Report},
+};
 
 use crate::view::View;
 
@@ -244,18 +247,9 @@
         answer.apply(&mut self.paths(), Instant::now());
     }
 
-    /// Returns the targets whose paths are lost, with the time since then and the number of instances
-    /// that vouch for them.
-    pub fn lost(&self, now: Instant) -> Vec<(id::Target, Duration, usize)> {
-        let paths = self.paths();
-        let lost = paths.lost(now);
-        lost.map(|(target, since, vouchers)| (target.to_owned(), since, vouchers))
-            .collect()
-    }
-
-    /// Returns the state of a path.
-    pub fn state(&self, target: &str) -> State {
-        self.paths().state(target)
+    /// Returns the targets that this instance does not reach, for operators.
+    pub fn report(&self, view: &View) -> Option<Report> {
+        Report::new(&view.instance, &self.paths(), Instant::now())
     }
 
     /// Forgets targets that are not known any more, and what has expired.
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -261,7 +261,9 @@
                 traffic.metrics.set_quarantined(quarantined);
                 traffic.reach.expire(&view, Instant::now());
                 let unreached = traffic.reach.observe(&view, Instant::now());
-                traffic.metrics.set_unreached(unreached.len());
+                let count = unreached.as_ref().map_or(0, |report| report.unreached.len());
+                traffic.metrics.set_unreached(count);
+                traffic.state.unreached().store(Arc::new(unreached));
                 let limited = traffic.rates.limited(&view, Instant::now());
                 traffic.metrics.set_limited(limited);
                 traffic.state.limits().store(Arc::new(traffic.rates.limits().borrow().all()));
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -7,7 +7,7 @@
 use zinniastall_coord::{rate::Rate, rendezvous};
 use zinniastall_model::{id, presence::Presence};
 
-use super::{Proxy, attempt::Place, job::Job, rate::NoSlot};
+use super::{Proxy, attempt::Place, job::Job};
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
@@ -145,13 +145,11 @@
                 }
                 break;
             };
-            match self.slot(job, place).await {
-                Ok(lent) => *slot = lent,
-                Err(NoSlot) => {
-                    tried.add(place.name());
-                    continue;
-                }
-            }
+            let Ok(lent) = self.slot(job, place).await else {
+                tried.add(place.name());
+                continue;
+            };
+            *slot = lent;
             if let Place::Target {
                 target,
                 rate: Some(rate),
--- a/crates/zinniastall-gateway/src/reach.rs
+++ b/crates/zinniastall-gateway/src/reach.rs
@@ -13,6 +13,7 @@
 use zinniastall_coord::reach::{DARK_TIMEOUT, EVIDENCE_TTL, Paths, Route, State};
 use zinniastall_http::watch;
 use zinniastall_model::id;
+use zinniastall_wire::reach::Report;
 
 use crate::view::View;
 
@@ -242,12 +243,8 @@
 
     /// Returns the lost paths for operators, and logs when all paths of the region are lost or no
     /// longer.
-    pub fn observe(&self, view: &View, now: Instant) -> Vec<(id::Target, Duration, usize)> {
+    pub fn observe(&self, view: &View, now: Instant) -> Option<Report> {
         let paths = self.paths.borrow();
-        let lost: Vec<_> = paths
-            .lost(now)
-            .map(|(target, since, vouchers)| (target.to_owned(), since, vouchers))
-            .collect();
         let near = view.targets.by_name().values();
         let near = near.filter(|target| target.report.place.region == view.place.region);
         let (mut targets, mut unreached) = (0, 0);
@@ -263,7 +260,7 @@
                 tracing::info!(event = "cut-off-ended", targets, unreached);
             }
         }
-        lost
+        Report::new(&view.instance, &paths, now)
     }
 
     /// Forgets targets that are not known any more, and what has expired.
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -280,6 +280,7 @@
                             confirmation,
                             self.missing_suspects(),
                             self.named_rates(),
+                            self.unreached(),
                         ]
                     }
                     () = self.presence_changed.notified() => [
@@ -287,6 +288,7 @@
                         None,
                         None,
                         None,
+                        None,
                     ],
                     () = self.sources_changed.notified() => continue,
                     () = self.fetch_ended.notified(), if fetch_at.is_some() => {
@@ -299,7 +301,7 @@
                             continue;
                         }
                         let fetch = Message::Fetch(self.cluster.borrow().revision());
-                        [Some(fetch), None, None, None]
+                        [Some(fetch), None, None, None, None]
                     }
                     () = time::sleep_until(timeout_at) => return Error::Closed,
             };
@@ -326,6 +328,12 @@
         (!named.is_empty()).then(|| Message::Limits(named.to_vec()))
     }
 
+    /// Returns the targets that this instance does not reach, for operators.
+    fn unreached(&self) -> Option<Message> {
+        let report = self.state.unreached().load();
+        report.as_ref().clone().map(Message::Unreached)
+    }
+
     /// Returns the question whether the configuration in force is the newest, if it is due: always
     /// for the replicas that are subscribed to, and for all others once the last confirmation is
     /// old.
@@ -422,6 +430,7 @@
             | Message::Fetch(_)
             | Message::Subscribe(_)
             | Message::Limits(_)
+            | Message::Unreached(_)
             | Message::ReadIndex(_) => {}
         }
         false
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use zinniastall_coord::rate::Limit;
 use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
-use zinniastall_wire::hub::Configuration;
+use zinniastall_wire::{hub::Configuration, reach};
 
 use crate::{
     clock,
@@ -109,6 +109,7 @@
     lease: Lease,
     suspects: Arc<Suspects>,
     limits: Arc<ArcSwap<Vec<(id::Target, Limit)>>>,
+    unreached: Arc<ArcSwap<Option<reach::Report>>>,
     draining: Arc<OnceLock<Drain>>,
 }
 
@@ -120,6 +121,7 @@
             lease: Lease::new(None),
             suspects: Arc::default(),
             limits: Arc::default(),
+            unreached: Arc::default(),
             draining: Arc::default(),
         }
     }
@@ -146,6 +148,12 @@
         &self.limits
     }
 
+    /// Returns the targets that this instance does not reach, which the control thread reports to
+    /// operators.
+    pub fn unreached(&self) -> &ArcSwap<Option<reach::Report>> {
+        &self.unreached
+    }
+
     /// Returns whether the configuration of a view that is read after this call may be relied on
     /// now.
     pub fn trust(&self) -> Trust {
--- a/crates/zinniastall-wire/src/feed.rs
+++ b/crates/zinniastall-wire/src/feed.rs
@@ -44,6 +44,8 @@
     Suspects(Vec<Suspect>),
     /// Targets have named rates.
     Limits(Vec<(id::Target, Limit)>),
+    /// The follower does not reach some targets.
+    Unreached(crate::reach::Report),
     /// The other end requests histograms; the answer is [`Message::Summaries`].
     SummariesRequested,
     /// The follower asks which revision the control group has reached; the answer is
@@ -205,6 +207,7 @@
         Message::Drifted(list) => Ok(Some(Event::Drifted(list))),
         Message::Suspects(list) => Ok(Some(Event::Suspects(list))),
         Message::Limits(list) => Ok(Some(Event::Limits(list))),
+        Message::Unreached(report) => Ok(Some(Event::Unreached(report))),
         Message::SummariesRequest => Ok(Some(Event::SummariesRequested)),
         Message::ReadIndex { ask } => Ok(Some(Event::ReadIndex(ask))),
         _ => Err(Error::Handshake),
--- a/crates/zinniastall-wire/src/follow.rs
+++ b/crates/zinniastall-wire/src/follow.rs
@@ -61,6 +61,8 @@
     Suspects(Vec<Suspect>),
     /// Follower of a control instance: rates that targets have named to instances of its zone.
     Limits(Vec<(id::Target, Limit)>),
+    /// Follower of a control instance: targets of its zone that it does not reach.
+    Unreached(crate::reach::Report),
     /// Control, on a link that it has dialled: requests histograms.
     #[serde(rename = "ask")]
     SummariesRequest,
--- a/crates/zinniastall-wire/src/hub.rs
+++ b/crates/zinniastall-wire/src/hub.rs
@@ -16,6 +16,8 @@
     target::Report,
 };
 
+use crate::reach;
+
 /// Identifies a question of a gateway instance in the answer; a time of the instance's own clock.
 pub type Stamp = u64;
 
@@ -39,6 +41,8 @@
     Suspects(Vec<Suspect>),
     /// Gateway: rates that targets have named to instances.
     Limits(Vec<(id::Target, Limit)>),
+    /// Gateway: targets that it does not reach.
+    Unreached(reach::Report),
     /// Control: the revision that it holds; also serves as a keepalive.
     Reached(id::Revision),
     /// Control: the group had reached this revision when the question arrived, and had accepted no
--- a/crates/zinniastall-wire/src/reach.rs
+++ b/crates/zinniastall-wire/src/reach.rs
@@ -33,6 +33,46 @@
     pub named: Vec<id::Instance>,
 }
 
+/// A target that an instance does not reach.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unreached {
+    /// Target.
+    pub target: id::Target,
+    /// Time since its path was lost, in milliseconds.
+    pub since_ms: u64,
+    /// Number of neighbours that vouch for it.
+    pub vouchers: u32,
+}
+
+/// Targets that an instance does not reach, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Reporting instance.
+    pub instance: id::Instance,
+    /// Targets; at most [`MAX_REPORTED`].
+    pub unreached: Vec<Unreached>,
+}
+
+/// Largest number of targets in a [`Report`].
+pub const MAX_REPORTED: usize = 64;
+
+impl Report {
+    /// Creates the report of an instance by its paths; `None` if none is lost.
+    pub fn new(instance: &str, paths: &Paths, now: Instant) -> Option<Self> {
+        let lost = paths.lost(now).take(MAX_REPORTED);
+        let unreached = lost.map(|(target, since, vouchers)| Unreached {
+            target: target.to_owned(),
+            since_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            vouchers: u32::try_from(vouchers).unwrap_or(u32::MAX),
+        });
+        let report = Self {
+            instance: instance.to_owned(),
+            unreached: unreached.collect(),
+        };
+        (!report.unreached.is_empty()).then_some(report)
+    }
+}
+
 impl Part {
     /// Creates a question about the targets whose paths are not open, by turns of each group, so that
     /// no group is left out; `None` if there are none.
--- a/tests/tests/path/partitions.rs
+++ b/tests/tests/path/partitions.rs
@@ -5,6 +5,7 @@
 use zinniastall_tests::{
     Result,
     proxy::rule::{Direction, Rule},
+    wait,
 };
 
 use super::support::{System, ask, ask_once, chat, ticket, zone};
@@ -90,3 +91,30 @@
     let rule = Rule::default().with(Direction::Both, |effect| effect.stalled = true);
     assert_served_alike(rule, 0.98).await
 }
+
+/// Guards against an instance that is cut off without operators seeing it.
+#[actix_rt::test]
+async fn operators_see_which_targets_an_instance_does_not_reach() -> Result<()> {
+    let mut cluster = zone(&[json!({}), json!({})]).await?;
+    let rule = Rule {
+        refused: true,
+        ..Rule::default()
+    };
+    cut(&cluster, rule);
+    ask_until(&mut cluster, Instant::now() + SETTLING).await?;
+    wait::until("operators see the instance", async || {
+        let listed = cluster.ctl(&["reach"]).await.ok()?.json().ok()?;
+        let listed = &listed["instances"][0];
+        let unreached = listed["unreached"].as_array()?;
+        let is_vouched = unreached.iter().all(|target| target["vouchers"] == 1);
+        (listed["instance"] == ENTRIES[0] && unreached.len() == 2 && is_vouched).then_some(())
+    })
+    .await?;
+    cut(&cluster, Rule::default());
+    wait::until("the instance reaches them again", async || {
+        let listed = cluster.ctl(&["reach"]).await.ok()?.json().ok()?;
+        listed["instances"].as_array()?.is_empty().then_some(())
+    })
+    .await?;
+    cluster.stop().await
+}
