--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -27,6 +27,8 @@
     Reset(String),
     /// Delays all connections to a process.
     Slow(String, Duration),
+    /// Cuts entry instances off from all targets, by resets or by silence.
+    Cut(Vec<String>, bool, Duration),
 }
 
 /// Draws a random fault.
@@ -37,7 +39,7 @@
         let group = groups[random.random_range(0..groups.len())];
         group.choose(random).cloned().unwrap_or_default()
     };
-    match random.random_range(0..7) {
+    match random.random_range(0..9) {
         0 => Fault::Kill(name(random), duration),
         1 => Fault::Freeze(name(random), duration),
         2 => Fault::Stop(name(random)),
@@ -53,6 +55,12 @@
         }
         4 => Fault::OneWay(name(random), duration),
         5 => Fault::Reset(name(random)),
+        6 | 7 => {
+            let most = system.entries.len();
+            let amount = random.random_range(1..=most);
+            let cut = system.entries.choose_multiple(random, amount);
+            Fault::Cut(cut.cloned().collect(), random.random(), duration)
+        }
         _ => Fault::Slow(name(random), duration),
     }
 }
@@ -108,6 +116,24 @@
             let node = system.cluster.node(name)?;
             node.proxies().values().for_each(Proxy::reset);
         }
+        Fault::Cut(entries, is_reset, duration) => {
+            let rule = if *is_reset {
+                Rule {
+                    refused: true,
+                    ..Rule::default()
+                }
+            } else {
+                Rule::default().with(Direction::Both, |effect| effect.stalled = true)
+            };
+            for target in system.cluster.targets() {
+                for proxy in target.proxies().values() {
+                    let cut = entries.iter();
+                    cut.for_each(|entry| proxy.rule_for(entry, rule));
+                }
+            }
+            operate_for(system, operator, *duration).await;
+            system.cluster.heal();
+        }
         Fault::Slow(name, duration) => {
             let node = system.cluster.node(name)?;
             let delay = Duration::from_millis(50);
--- a/xtask/src/soak/limits.rs
+++ b/xtask/src/soak/limits.rs
@@ -62,9 +62,9 @@
             | Fault::Stop(name)
             | Fault::Slow(name, _)
             | Fault::Reset(name) => name == target,
-            Fault::OneWay(name, _) => {
-                let zone = name.rsplit_once('-').map_or("", |(zone, _)| zone);
-                target.contains(zone)
+            Fault::OneWay(name, _) => is_in_zone_of(target, name),
+            Fault::Cut(entries, is_reset, _) => {
+                !is_reset && entries.iter().any(|entry| is_in_zone_of(target, entry))
             }
             Fault::Partition(..) => false,
         };
@@ -124,6 +124,12 @@
     starts.iter().enumerate().map(within).max().unwrap_or(0)
 }
 
+/// Returns whether a target is in the zone of an entry instance, by their names.
+fn is_in_zone_of(target: &str, entry: &str) -> bool {
+    let zone = entry.rsplit_once('-').map_or("", |(zone, _)| zone);
+    target.contains(zone)
+}
+
 fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, millis)
