--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -21,7 +21,7 @@
 pub mod limits;
 mod queries;
 pub mod rates;
-mod reach;
+pub mod reach;
 mod reports;
 pub mod suspicions;
 pub mod usage;
@@ -319,6 +319,8 @@
                 self.rates.receive_answer(number, datagram);
                 Vec::new()
             }
+            // An instance that drains leaves the requests of its neighbours to the others.
+            Datagram::PathQuestion(_) if self.state.is_draining() => Vec::new(),
             Datagram::PathQuestion(part) => {
                 let answer = reach::answer(&self.reach, roster, &part, now);
                 answer.into_iter().collect()
--- a/crates/zinniastall-gateway/src/neighbours/reach.rs
+++ b/crates/zinniastall-gateway/src/neighbours/reach.rs
@@ -22,13 +22,13 @@
 
 /// Instances that others named.
 #[derive(Debug, Default)]
-pub(super) struct Exchange {
+pub struct Exchange {
     named: IndexSet<id::Instance>,
 }
 
 impl Exchange {
     /// Returns the question to send now; none while all paths are open.
-    pub(super) fn question(
+    pub fn question(
         &mut self,
         reach: &Reach,
         view: &View,
@@ -72,7 +72,7 @@
     }
 
     /// Applies a neighbour's answer.
-    pub(super) fn receive(&mut self, reach: &Reach, roster: &Roster, part: &Part, now: Instant) {
+    pub fn receive(&mut self, reach: &Reach, roster: &Roster, part: &Part, now: Instant) {
         // Only an instance of this region that is listed as alive may get requests of this one.
         if !roster.neighbours().contains(&part.instance) {
             return;
@@ -87,12 +87,7 @@
 }
 
 /// Returns the answer to a question; none if this instance takes no more requests of neighbours.
-pub(super) fn answer(
-    reach: &Reach,
-    roster: &Roster,
-    question: &Part,
-    now: Instant,
-) -> Option<Datagram> {
+pub fn answer(reach: &Reach, roster: &Roster, question: &Part, now: Instant) -> Option<Datagram> {
     if reach.is_full() {
         return None;
     }
--- a/crates/zinniastall-gateway/src/reach.rs
+++ b/crates/zinniastall-gateway/src/reach.rs
@@ -164,7 +164,7 @@
         }
     }
 
-    /// Returns how a request reaches a target. Only neighbours that are ready and fit are used.
+    /// Returns how a request reaches a target. Only neighbours that are listed as alive and fit are used.
     pub fn path(
         &self,
         view: &View,
@@ -172,10 +172,9 @@
         fits: impl Fn(&str) -> bool,
         now: Instant,
     ) -> Path {
-        let is_usable = |instance: &str| {
-            let known = view.instances.by_name().get(instance);
-            known.is_some_and(|known| known.ready) && fits(instance)
-        };
+        // A voucher is newer than the list's word on whether an instance is ready.
+        let is_usable =
+            |instance: &str| view.instances.by_name().contains_key(instance) && fits(instance);
         match self.paths.borrow().route(target, now, is_usable) {
             Route::Direct => Path::Direct,
             Route::None { since } => Path::None { since },
