fix: a single silent target is probed after 1.2 s, all of them after 0.4 s

Cause: in a region of dozens of instances each has few requests at each engine, and hears nothing from one for as long as it prefills them. Silence counts early now only if nothing is heard from any target, as in a cut; one target is probed after 1.2 s.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -6,11 +6,13 @@
 
 use super::VOUCHER_TTL;
 
-/// Silence of a target with requests in progress after which it is probed. Engines that prefill
-/// prompts between events are seldom silent for longer.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest interval of the probes of a target that answers them but none of its requests.
-const MAX_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence of a target with requests in progress after which it is probed. An engine is silent for as
+/// long as it prefills the few prompts that this instance has there.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The same while all other targets with requests in progress are silent, too.
+pub(super) const DEAF_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest intervals of the probes of a target that answers them but none of its requests.
+const MAX_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Shortest and longest interval of the probes of a lost path. The longest one bounds how long a path
 /// that is back goes unnoticed.
 const PROBE_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
@@ -69,6 +71,7 @@
     is_silent: bool,
     backoff: Duration,
     silence_timeout: Duration,
+    deaf_timeout: Duration,
     pub(super) vouchers: IndexMap<String, Voucher>,
 }
 
@@ -85,6 +88,7 @@
             is_silent: false,
             backoff: PROBE_BACKOFF.0,
             silence_timeout: SILENCE_TIMEOUT,
+            deaf_timeout: DEAF_TIMEOUT,
             vouchers: IndexMap::new(),
         }
     }
@@ -108,6 +112,7 @@
         self.heard_at = Some(now);
         self.is_silent = false;
         self.silence_timeout = SILENCE_TIMEOUT;
+        self.deaf_timeout = DEAF_TIMEOUT;
     }
 
     /// Returns for how long the target has been silent although requests are in progress.
@@ -147,9 +152,20 @@
         self.probe_at = Some(at);
     }
 
-    /// Starts a probe if one is due, and returns whether it did.
-    pub(super) fn start_probe(&mut self, now: Instant) -> bool {
-        if self.state == State::Open && self.silence(now) >= self.silence_timeout {
+    /// Returns whether requests are in progress.
+    pub(super) const fn is_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
+    /// Starts a probe if one is due, and returns whether it did. `is_deaf` tells whether this instance
+    /// hears from no target.
+    pub(super) fn start_probe(&mut self, is_deaf: bool, now: Instant) -> bool {
+        let timeout = if is_deaf {
+            self.deaf_timeout
+        } else {
+            self.silence_timeout
+        };
+        if self.state == State::Open && self.is_waiting() && self.silence(now) >= timeout {
             self.suspect(true, now);
         }
         let is_due = !self.is_probing && self.probe_at.is_some_and(|at| at <= now);
@@ -180,7 +196,8 @@
     }
 
     fn restore(&mut self, now: Instant) {
-        if self.silence(now) >= self.silence_timeout {
+        if self.silence(now) >= self.deaf_timeout {
+            self.deaf_timeout = (self.deaf_timeout * 2).min(MAX_SILENCE_TIMEOUT);
             self.silence_timeout = (self.silence_timeout * 2).min(MAX_SILENCE_TIMEOUT);
         }
         self.heard_at = Some(now);
--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -6,7 +6,7 @@
 
 use super::{
     DARK_TIMEOUT, EVIDENCE_TTL, VOUCHER_TTL,
-    path::{Path, Probe, State, Voucher},
+    path::{DEAF_TIMEOUT, Path, Probe, State, Voucher},
 };
 
 /// Time since which a target must have been heard to stay above suspicion when another path fails.
@@ -103,11 +103,24 @@
 
     /// Starts the probes that are due; returns the targets to probe.
     pub fn start_probes(&mut self, now: Instant) -> Vec<String> {
+        let is_deaf = self.is_deaf(now);
         let paths = self.paths.iter_mut();
-        let due = paths.filter_map(|(target, path)| path.start_probe(now).then(|| target.clone()));
+        let due = paths
+            .filter_map(|(target, path)| path.start_probe(is_deaf, now).then(|| target.clone()));
         due.collect()
     }
 
+    /// Returns whether this instance hears from no target although requests are in progress, at more
+    /// than one target if it uses several. One target alone is often silent for reasons of its own.
+    fn is_deaf(&self, now: Instant) -> bool {
+        let waiting = self.paths.values().filter(|path| path.is_waiting()).count();
+        let is_silent = |path: &Path| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < DEAF_TIMEOUT;
+            !path.heard_at.is_some_and(is_recent)
+        };
+        waiting >= self.paths.len().min(2) && self.paths.values().all(is_silent)
+    }
+
     /// Records the result of a probe.
     pub fn probed(&mut self, target: &str, probe: Probe, now: Instant) -> Change {
         let Some(path) = self.paths.get_mut(target) else {
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -86,6 +86,25 @@
     assert_eq!(paths.route(TARGET, again, |_| true), Route::Direct);
 }
 
+/// Guards against probes of each target that prefills a prompt while others are heard.
+#[test]
+fn a_silent_target_is_not_probed_soon_while_others_are_heard() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    for target in [TARGET, "engine-2"] {
+        paths.begin(target, start);
+        paths.heard(target, true, start);
+    }
+    let mut now = start;
+    while now < start + millis(1_100) {
+        paths.heard("engine-2", false, now);
+        assert!(paths.start_probes(now).is_empty(), "{:?}", now - start);
+        now += millis(50);
+    }
+    let deaf = now + millis(350);
+    assert_eq!(paths.start_probes(deaf).len(), 2, "now nothing is heard");
+}
+
 /// Guards against requests that wait for a target that others reach, or that nobody does.
 #[test]
 fn a_request_gives_up_a_lost_target_that_others_hear_or_nobody_does() {
