feat(gateway): lines and a counter tell in which framing an answer came and how it ended

http::ending::Ending is what is known of a message's end: incomplete, unconfirmed (close-delimited, connection ended in order), complete. The body decoder makes it; Reader::part hands it on with the last part, so that nobody reads a body to its end without it. Requests are forwarded as before. An unconfirmed answer has an attempt line (outcome=unconfirmed), its request ends as unconfirmed instead of answered, and answer_endings_total counts by framing and ending.

--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexSet;
 use prometheus_client::encoding::EncodeLabelSet;
+use zinniastall_http::{body::Framing, ending::Ending};
 use zinniastall_settings::scrape::{Builder, Counters, Gauge, Histograms, Page};
 
 use crate::request_log::End;
@@ -75,6 +76,13 @@
     outcome: &'static str,
 }
 
+/// Labels of ended answers of targets and other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndingLabels {
+    framing: &'static str,
+    ending: &'static str,
+}
+
 /// Metrics of one instance; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -86,6 +94,7 @@
     first_seconds: Histograms<RouteLabels>,
     pause_seconds: Histograms<RouteLabels>,
     attempts: Counters<AttemptLabels>,
+    endings: Counters<EndingLabels>,
     units: Counters<UnitLabels>,
     suspects: Counters<SuspectLabels>,
     permits: Counters<PermitLabels>,
@@ -121,6 +130,10 @@
                 "Longest time between two pieces of an answer",
             ),
             attempts: page.counters("attempts", "Attempts by outcome"),
+            endings: page.counters(
+                "answer_endings",
+                "Answers received, by their framing and by what is known of their end",
+            ),
             units: page.counters(
                 "quota_units",
                 "Units of quotas by client account and outcome",
@@ -186,6 +199,15 @@
             .inc();
     }
 
+    /// Counts the end of an answer that was received.
+    pub fn count_ending(&self, framing: Framing, ending: Ending) {
+        let ending_labels = EndingLabels {
+            framing: framing.as_str(),
+            ending: ending.as_str(),
+        };
+        self.endings.get_or_create(&ending_labels).inc();
+    }
+
     /// Counts units of a client account's quota for which a request was admitted or refused.
     pub fn count_units(&self, account: &str, units: u64, admitted: bool) {
         let unit_labels = UnitLabels {
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -6,10 +6,12 @@
     time::{Duration, Instant},
 };
 
-use http::{Method, StatusCode};
+use http::StatusCode;
 use zinniastall_coord::rate::Rate;
 use zinniastall_http::{
     body::{Decoder, Framing},
+    connection::Part,
+    ending::Ending,
     head::Response,
     server::Reply,
 };
@@ -23,7 +25,8 @@
     pool::{CONNECT_TIMEOUT, Connection, REMOTE_CONNECT_TIMEOUT},
     responder::Responder,
     transfer::{
-        drain_body, drain_refusal, end_to_end_headers, forward_events, next_head, read_body,
+        drain_body, drain_refusal, end_to_end_headers, forward_events, framing, next_head,
+        read_body,
     },
 };
 use crate::{
@@ -71,8 +74,8 @@
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum Ended {
-    /// The answer was forwarded in full.
-    Delivered,
+    /// The answer was forwarded up to its end, of which this is known.
+    Delivered(Ending),
     /// Nothing was sent.
     NotSent(Why),
     /// The request was sent and has not run; it may be retried after the given time, if there is
@@ -102,7 +105,8 @@
     /// Returns the name used in logs and metrics.
     pub const fn as_str(&self) -> &'static str {
         match self {
-            Self::Delivered => "delivered",
+            Self::Delivered(Ending::Complete) => "delivered",
+            Self::Delivered(_) => "unconfirmed",
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::Failing(_) => "failing",
@@ -236,7 +240,7 @@
             self.record_service_time(attempt, &ended, now.elapsed());
             ended
         };
-        if is_clean && matches!(ended, Ended::Delivered | Ended::Failing(_)) {
+        if is_clean && matches!(ended, Ended::Delivered(_) | Ended::Failing(_)) {
             self.pool.release(place.address(), connection, &response);
         }
         ended
@@ -391,7 +395,7 @@
         let Place::Target { slots, .. } = attempt.place else {
             return;
         };
-        if matches!(ended, Ended::Delivered) {
+        if matches!(ended, Ended::Delivered(_)) {
             let mut tracker = self.tracker.borrow_mut();
             tracker.record_service_time(&attempt.job.service, took, attempt.ahead, *slots);
         }
@@ -406,8 +410,17 @@
         connection: &mut Connection,
         responder: &mut Responder,
     ) -> Ended {
-        let body = match read_body(job, response, &mut connection.reader).await {
-            Ok(body) => body,
+        let framing = match framing(job, response) {
+            Ok(framing) => framing,
+            Err(why) => return Ended::Unknown(why),
+        };
+        let read = read_body(framing, &mut connection.reader).await;
+        let known = read
+            .as_ref()
+            .map_or(Ending::Incomplete, |(_, ending)| *ending);
+        self.metrics.count_ending(framing, known);
+        let (body, ending) = match read {
+            Ok(read) => read,
             Err(why) => return Ended::Unknown(why),
         };
         let answer = Reply {
@@ -419,7 +432,7 @@
             return Ended::Failing(answer);
         }
         match responder.send(answer).await {
-            Ok(()) => Ended::Delivered,
+            Ok(()) => Ended::Delivered(ending),
             Err(error) => Ended::CallerGone(error),
         }
     }
@@ -434,40 +447,53 @@
         events: &mut Events,
         responder: &mut Responder,
     ) -> Ended {
-        let framing = match response.framing(attempt.job.head.method == Method::HEAD) {
+        let framing = match framing(attempt.job, response) {
             Ok(framing) => framing,
-            Err(fault) => return Ended::Unknown(fault.to_string()),
+            Err(why) => return Ended::Unknown(why),
         };
         let mut decoder = Decoder::new(framing);
         events.discard_partial();
         loop {
             let next = async {
-                let piece = connection.reader.piece(&mut decoder).await;
-                piece.map_err(|error| error.to_string())
+                let part = connection.reader.part(&mut decoder).await;
+                part.map_err(|error| error.to_string())
             };
-            let piece = match self.while_reachable(attempt, next).await {
-                Ok(piece) => {
+            let part = match self.while_reachable(attempt, next).await {
+                Ok(part) => {
                     self.heard(attempt.place, !connection.is_used);
-                    piece
+                    part
+                }
+                Err(why) => {
+                    self.metrics.count_ending(framing, Ending::Incomplete);
+                    return broken(why, events, responder);
                 }
-                Err(why) if events.is_mid_event() => return Ended::Torn(why),
-                Err(why) if responder.has_begun() => return Ended::Broken(why),
-                Err(why) => return Ended::Unknown(why),
             };
-            let is_end = piece.is_none();
-            let complete = match piece {
-                Some(piece) => events.push(&piece),
-                None => events.finish(),
+            let (complete, ending) = match part {
+                Part::Piece(piece) => (events.push(&piece), None),
+                Part::End(ending) => (events.finish(), Some(ending)),
             };
             if !complete.is_empty() {
                 flight.answer_started();
             }
+            let is_end = ending.is_some();
             if let Err(error) = forward_events(response, complete, is_end, responder).await {
                 return Ended::CallerGone(error);
             }
-            if is_end {
-                return Ended::Delivered;
+            if let Some(ending) = ending {
+                self.metrics.count_ending(framing, ending);
+                return Ended::Delivered(ending);
             }
         }
     }
 }
+
+/// Ends an attempt whose stream was broken off.
+fn broken(why: Why, events: &Events, responder: &Responder) -> Ended {
+    if events.is_mid_event() {
+        Ended::Torn(why)
+    } else if responder.has_begun() {
+        Ended::Broken(why)
+    } else {
+        Ended::Unknown(why)
+    }
+}
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -138,7 +138,7 @@
     ) -> bool {
         let job = attempt.job;
         match ended {
-            Ended::Delivered => {
+            Ended::Delivered(_) => {
                 let status = responder.status();
                 if status.is_some_and(|status| status.is_success()) {
                     self.record_success(job);
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -10,7 +10,7 @@
 use zinniastall_coord::quarantine::{
     HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
 };
-use zinniastall_http::server::Reply;
+use zinniastall_http::{ending::Ending, server::Reply};
 
 use super::{
     Proxy,
@@ -44,8 +44,8 @@
 /// How a request ended.
 #[derive(Debug)]
 pub enum End {
-    /// A target's answer was forwarded in full.
-    Answered,
+    /// A target's answer was forwarded up to its end, of which this is known.
+    Answered(Ending),
     /// The gateway answered by itself.
     Refused(Refusal),
     /// The answer was cut off, so that it does not look complete.
@@ -211,7 +211,7 @@
         }
         if let Some(answer) = state.server_error {
             responder.send(answer).await?;
-            return Ok(End::Answered);
+            return Ok(End::Answered(Ending::Complete));
         }
         let suspicion = self.suspicion(state.job);
         responder.refuse(refusal, suspicion.as_ref()).await?;
@@ -233,7 +233,7 @@
         }
         let job = state.job;
         Ok(match ended {
-            Ended::Delivered => Step::Finish(End::Answered),
+            Ended::Delivered(ending) => Step::Finish(End::Answered(ending)),
             Ended::CallerGone(error) => return Err(error),
             Ended::NotSent(_) => {
                 state.unreachable += 1;
@@ -318,20 +318,20 @@
             Place::Instance { .. } => "",
         };
         let mut tracker = self.tracker.borrow_mut();
-        if let (Place::Instance { region, .. }, Ended::Delivered) = (place, ended) {
+        if let (Place::Instance { region, .. }, Ended::Delivered(_)) = (place, ended) {
             tracker.unblock_region(region, &job.service);
         }
         let account = tracker.target(place.name(), service, now);
         let was_ejected = account.record.is_ejected(now);
         if let Place::Target { slots, .. } = place {
             match ended {
-                Ended::Delivered => account.concurrency.on_accepted(attempt.ahead),
+                Ended::Delivered(_) => account.concurrency.on_accepted(attempt.ahead),
                 Ended::NotRun(_) => account.concurrency.on_refused(attempt.ahead, *slots),
                 _ => {}
             }
         }
         match ended {
-            Ended::Delivered => account.record.success(),
+            Ended::Delivered(_) => account.record.success(),
             // The path keeps what is known of a target that can't be reached.
             Ended::NotSent(_) if place.target().is_some() => return,
             Ended::NotSent(_) => {
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -16,7 +16,8 @@
 use zinniastall_coord::quarantine::CRASH_LIMIT;
 use zinniastall_http::{
     body::Decoder,
-    connection::{self, Error, Reader},
+    connection::{self, Error, Part, Reader},
+    ending::Ending,
     head::{self, Request},
 };
 use zinniastall_model::routing::Limits;
@@ -246,7 +247,7 @@
             }
         };
         match ended {
-            run::End::Answered => self.record_end(job, responder, "answered", ""),
+            run::End::Answered(ending) => self.record_end(job, responder, answered(ending), ""),
             run::End::Refused(refusal) => {
                 self.refund(job, refusal.outcome());
                 self.record_end(job, responder, refusal.outcome().as_str(), refusal.as_str());
@@ -413,14 +414,15 @@
         let mut body = BytesMut::new();
         let idle = Duration::from_millis(limits.idle_ms);
         loop {
-            let piece = time::timeout(idle, reader.piece(&mut decoder)).await;
+            let piece = time::timeout(idle, reader.part(&mut decoder)).await;
             let piece = piece.map_err(|_| BodyError::Refused(Refusal::ArrivalTimeout))?;
             match piece {
-                Ok(Some(piece)) if body.len() + piece.len() > limits.body_bytes => {
+                Ok(Part::Piece(piece)) if body.len() + piece.len() > limits.body_bytes => {
                     return Err(BodyError::Refused(Refusal::BodyTooLong));
                 }
-                Ok(Some(piece)) => body.extend_from_slice(&piece),
-                Ok(None) => return Ok(body.freeze()),
+                Ok(Part::Piece(piece)) => body.extend_from_slice(&piece),
+                // A request always states its own end.
+                Ok(Part::End(_)) => return Ok(body.freeze()),
                 Err(Error::Body(zinniastall_http::body::Error::MalformedChunk)) => {
                     return Err(BodyError::Refused(Refusal::Malformed));
                 }
@@ -436,6 +438,14 @@
     }
 }
 
+/// Returns the outcome of a request whose answer was forwarded up to its end.
+const fn answered(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Complete => "answered",
+        ending => ending.as_str(),
+    }
+}
+
 /// Reason why a body was not read.
 enum BodyError {
     Refused(Refusal),
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -7,7 +7,8 @@
 use tokio::time;
 use zinniastall_http::{
     body::{Decoder, Framing},
-    connection::{MAX_RESPONSE_HEAD_BYTES, Reader},
+    connection::{MAX_RESPONSE_HEAD_BYTES, Part, Reader},
+    ending::Ending,
     head::{self, Response},
 };
 
@@ -43,34 +44,38 @@
         .unwrap_or(false)
 }
 
-/// Drains a body and returns whether it ended cleanly.
+/// Drains a body and returns whether it is complete.
 pub(super) async fn drain_body(reader: &mut Reader, mut decoder: Decoder) -> bool {
     loop {
-        match reader.piece(&mut decoder).await {
-            Ok(Some(_)) => {}
-            Ok(None) => return true,
+        match reader.part(&mut decoder).await {
+            Ok(Part::Piece(_)) => {}
+            Ok(Part::End(ending)) => return ending == Ending::Complete,
             Err(_) => return false,
         }
     }
 }
 
-/// Reads the body of a complete answer.
+/// Returns the framing of the answer to a request.
+pub(super) fn framing(job: &Job, response: &Response) -> Result<Framing, Why> {
+    let framing = response.framing(job.head.method == Method::HEAD);
+    framing.map_err(|fault| fault.to_string())
+}
+
+/// Reads a whole body, and what is known of its end.
 pub(super) async fn read_body(
-    job: &Job,
-    response: &Response,
+    framing: Framing,
     reader: &mut Reader,
-) -> Result<Bytes, Why> {
-    let framing = response.framing(job.head.method == Method::HEAD);
-    let mut decoder = Decoder::new(framing.map_err(|fault| fault.to_string())?);
+) -> Result<(Bytes, Ending), Why> {
+    let mut decoder = Decoder::new(framing);
     let mut body = BytesMut::new();
     loop {
-        let piece = reader.piece(&mut decoder).await;
-        match piece.map_err(|error| error.to_string())? {
-            Some(piece) if body.len() + piece.len() > MAX_ANSWER_BYTES => {
+        let part = reader.part(&mut decoder).await;
+        match part.map_err(|error| error.to_string())? {
+            Part::Piece(piece) if body.len() + piece.len() > MAX_ANSWER_BYTES => {
                 return Err("answer exceeds the size limit".to_owned());
             }
-            Some(piece) => body.extend_from_slice(&piece),
-            None => return Ok(body.freeze()),
+            Part::Piece(piece) => body.extend_from_slice(&piece),
+            Part::End(ending) => return Ok((body.freeze(), ending)),
         }
     }
 }
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -10,6 +10,7 @@
 };
 
 use zinniastall_coord::rate::{Demand, Invalid, Verdict};
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{id, routing::Route};
 
 use super::{
@@ -87,7 +88,10 @@
             .first_byte
             .is_some_and(|first_byte| first_byte <= objective);
         let is_steady = gap.is_zero() || self.longest_gap <= gap;
-        self.outcome == "answered" && self.status < 500 && is_prompt && is_steady
+        matches!(self.outcome, "answered" | "unconfirmed")
+            && self.status < 500
+            && is_prompt
+            && is_steady
     }
 }
 
@@ -228,10 +232,11 @@
         );
     }
 
-    /// Logs how an attempt ended, unless it succeeded.
+    /// Logs how an attempt ended, unless it brought a complete answer.
     pub fn attempted(&self, job: &Job, place: &Place, ended: &Ended) {
         let why = match ended {
-            Ended::Delivered => return,
+            Ended::Delivered(Ending::Complete) => return,
+            Ended::Delivered(_) => "the answer states no end of its own",
             Ended::NotSent(why) | Ended::Unknown(why) | Ended::Broken(why) | Ended::Torn(why) => {
                 why.as_str()
             }
@@ -239,7 +244,7 @@
             Ended::Failing(answer) => answer.status.as_str(),
             Ended::CallerGone(_) => "the caller is gone",
         };
-        if !self.admits(false) {
+        if !self.admits(matches!(ended, Ended::Delivered(_))) {
             return;
         }
         tracing::info!(
--- a/crates/zinniastall-http/src/body.rs
+++ b/crates/zinniastall-http/src/body.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::ending::Ending;
+
 /// Longest line of a chunked body. A size needs at most 16 digits; the rest is for extensions,
 /// which are ignored.
 const MAX_LINE_BYTES: usize = 256;
@@ -19,6 +21,17 @@
     Close,
 }
 
+impl Framing {
+    /// Returns the name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// Reason why a body can't be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -37,8 +50,8 @@
     Piece(Bytes),
     /// More input is needed.
     More,
-    /// The body is complete.
-    End,
+    /// The body has ended.
+    End(Ending),
 }
 
 /// Decodes a single body.
@@ -83,7 +96,7 @@
     pub fn decode(&mut self, input: &mut BytesMut) -> Result<Step, Error> {
         loop {
             match self.state {
-                State::Done => return Ok(Step::End),
+                State::Done => return Ok(Step::End(Ending::Complete)),
                 State::Data(left) => return Ok(self.piece(input, left, State::Done, State::Data)),
                 State::ChunkData(left) => {
                     return Ok(self.piece(input, left, State::ChunkEnd, State::ChunkData));
@@ -113,18 +126,15 @@
         }
     }
 
-    /// Handles the orderly end of the connection, which completes a [`Framing::Close`] body.
+    /// Handles the orderly end of the connection.
     ///
     /// # Errors
     ///
-    /// [`Error::Truncated`] if the body is incomplete.
-    pub fn finish(&mut self) -> Result<(), Error> {
+    /// [`Error::Truncated`] if the body states its own end, which hasn't arrived.
+    pub const fn finish(&mut self) -> Result<Ending, Error> {
         match self.state {
-            State::Done => Ok(()),
-            State::UntilClose => {
-                self.state = State::Done;
-                Ok(())
-            }
+            State::Done => Ok(Ending::Complete),
+            State::UntilClose => Ok(Ending::Unconfirmed),
             _ => Err(Error::Truncated),
         }
     }
--- a/crates/zinniastall-http/src/connection.rs
+++ b/crates/zinniastall-http/src/connection.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     body::{self, Decoder, Step},
+    ending::Ending,
     head::{self, Parse},
 };
 
@@ -41,6 +42,15 @@
     Ended,
 }
 
+/// What is read of a body next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// The next bytes.
+    Piece(Bytes),
+    /// The end, and what is known of it.
+    End(Ending),
+}
+
 /// Buffered read half of a connection.
 #[derive(Debug)]
 pub struct Reader {
@@ -107,21 +117,20 @@
         Ok(self.fill().await? > 0)
     }
 
-    /// Reads the next piece of a body, or returns `None` at its end.
+    /// Reads the next part of a body.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails or if the body is truncated or malformed.
-    pub async fn piece(&mut self, decoder: &mut Decoder) -> Result<Option<Bytes>, Error> {
+    pub async fn part(&mut self, decoder: &mut Decoder) -> Result<Part, Error> {
         loop {
             match decoder.decode(&mut self.input)? {
-                Step::Piece(bytes) => return Ok(Some(bytes)),
-                Step::End => return Ok(None),
+                Step::Piece(bytes) => return Ok(Part::Piece(bytes)),
+                Step::End(ending) => return Ok(Part::End(ending)),
                 Step::More => {}
             }
             if self.fill().await? == 0 {
-                decoder.finish()?;
-                return Ok(None);
+                return Ok(Part::End(decoder.finish()?));
             }
         }
     }
--- a/crates/zinniastall-http/src/lib.rs
+++ b/crates/zinniastall-http/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`head`] | strict parsing and writing of request and response heads |
 //! | [`body`] | decoding and encoding of bodies, without I/O |
+//! | [`ending`] | what is known of the end of a message |
 //! | [`connection`] | buffered read and write halves of a connection |
 //! | [`probe`] | whether a server still listens |
 //! | [`watch`] | waiting for work that may have become hopeless |
@@ -15,6 +16,7 @@
 
 pub mod body;
 pub mod connection;
+pub mod ending;
 pub mod head;
 pub mod probe;
 pub mod server;
--- a/crates/zinniastall-http/src/server.rs
+++ b/crates/zinniastall-http/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     body::Decoder,
-    connection::{self, Error, Reader, Writer},
+    connection::{self, Error, Part, Reader, Writer},
     head::{self, Request},
 };
 
@@ -183,7 +183,7 @@
     };
     let mut decoder = Decoder::new(head.framing()?);
     let mut body = BytesMut::new();
-    while let Some(piece) = reader.piece(&mut decoder).await? {
+    while let Part::Piece(piece) = reader.part(&mut decoder).await? {
         body.extend_from_slice(&piece);
         if body.len() > limits.body {
             return Err(Refusal {
--- a/crates/zinniastall-http/tests/body.rs
+++ b/crates/zinniastall-http/tests/body.rs
@@ -5,7 +5,10 @@
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
 };
-use zinniastall_http::body::{Decoder, Error, Framing, LAST_CHUNK, Step, write_chunk};
+use zinniastall_http::{
+    body::{Decoder, Error, Framing, LAST_CHUNK, Step, write_chunk},
+    ending::Ending,
+};
 
 const SEED: u64 = 5;
 
@@ -69,7 +72,7 @@
     assert!(matches!(decoder.decode(&mut input), Ok(Step::Piece(_))));
     assert_eq!(decoder.finish(), Err(Error::Truncated));
     let mut until_close = Decoder::new(Framing::Close);
-    assert_eq!(until_close.finish(), Ok(()));
+    assert_eq!(until_close.finish(), Ok(Ending::Unconfirmed));
 }
 
 /// Chunk sizes and line ends that some recipients accept and others don't.
