test: answers without framing, and answers that are broken off, on both paths (known red)

The stand-in answers without framing (unframed) and ends an answer in order, at a point or inside an event (failure actions end, tear). raw::send is a caller that reads an answer's framing.

--- a/crates/zinniastall-gateway/tests/path/caller.rs
+++ b/crates/zinniastall-gateway/tests/path/caller.rs
@@ -6,6 +6,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
+use zinniastall_http::ending::Ending;
 
 use crate::harness::HOST;
 
@@ -13,6 +14,8 @@
 pub(crate) struct Caller {
     stream: TcpStream,
     input: Vec<u8>,
+    /// Whether the connection ended with an error.
+    is_broken: bool,
 }
 
 /// A response as a caller reads it.
@@ -24,11 +27,16 @@
     pub(crate) head: String,
     /// Body without framing.
     pub(crate) body: String,
-    /// Whether the body ended as its framing says.
-    pub(crate) is_complete: bool,
+    /// What the caller can tell of its end.
+    pub(crate) ending: Ending,
 }
 
 impl Response {
+    /// Returns whether the body ended as its framing says.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.ending == Ending::Complete
+    }
+
     /// Returns a header field, empty if there is none.
     pub(crate) fn header(&self, name: &str) -> &str {
         let lines = self.head.lines().filter_map(|line| line.split_once(": "));
@@ -56,6 +64,7 @@
         Self {
             stream: TcpStream::connect(address).await.unwrap(),
             input: Vec::new(),
+            is_broken: false,
         }
     }
 
@@ -67,11 +76,11 @@
     /// Reads one response, or nothing if the connection ends before one.
     pub(crate) async fn read_response(&mut self) -> Option<Response> {
         loop {
-            if let Some(response) = parse(&mut self.input, false) {
+            if let Some(response) = parse(&mut self.input, None) {
                 return Some(response);
             }
             if !self.read().await {
-                return parse(&mut self.input, true);
+                return parse(&mut self.input, Some(self.is_broken));
             }
         }
     }
@@ -99,7 +108,11 @@
     async fn read(&mut self) -> bool {
         let mut buffer = vec![0; 16 << 10];
         match self.stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => false,
+            Ok(0) => false,
+            Err(_) => {
+                self.is_broken = true;
+                false
+            }
             Ok(read) => {
                 self.input.extend_from_slice(&buffer[..read]);
                 true
@@ -108,29 +121,38 @@
     }
 }
 
-/// Takes a response off the front of the input, a truncated one only at the end of the connection.
-fn parse(input: &mut Vec<u8>, at_eof: bool) -> Option<Response> {
+/// Takes a response off the front of the input. `broken` tells, once the connection has ended, whether
+/// it did with an error; before that, only complete responses are taken.
+fn parse(input: &mut Vec<u8>, broken: Option<bool>) -> Option<Response> {
     let end = input.windows(4).position(|four| four == b"\r\n\r\n")?;
     let head = String::from_utf8(input[..end].to_vec()).unwrap();
     let mut response = Response {
         status: head.split(' ').nth(1)?.parse().unwrap(),
         head,
         body: String::new(),
-        is_complete: false,
+        ending: Ending::Incomplete,
     };
     let body = &input[end + 4..];
-    let (text, used, whole) = if response.header("transfer-encoding") == "chunked" {
-        decode_chunks(body)
-    } else {
-        let length: usize = response.header("content-length").parse().unwrap_or(0);
-        let used = length.min(body.len());
-        (body[..used].to_vec(), used, body.len() >= length)
+    let length: Option<usize> = response.header("content-length").parse().ok();
+    let is_chunked = response.header("transfer-encoding") == "chunked";
+    let (text, used, whole) = match length {
+        _ if is_chunked => decode_chunks(body),
+        Some(length) => {
+            let used = length.min(body.len());
+            (body[..used].to_vec(), used, body.len() >= length)
+        }
+        None if response.status < 200 => (Vec::new(), 0, true),
+        None => (body.to_vec(), body.len(), false),
     };
-    if !whole && !at_eof {
+    if !whole && broken.is_none() {
         return None;
     }
     response.body = String::from_utf8(text).unwrap();
-    response.is_complete = whole;
+    response.ending = match broken {
+        _ if whole => Ending::Complete,
+        Some(false) if length.is_none() && !is_chunked => Ending::Unconfirmed,
+        _ => Ending::Incomplete,
+    };
     input.drain(..end + 4 + used);
     Some(response)
 }
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -56,6 +56,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Ends the target's process: all connections are closed and new ones are refused.
     Crash,
     /// Loses power: nothing is closed, nothing is sent any more, and no connection opens.
@@ -226,6 +228,10 @@
                     }
                 }
                 Action::Close => return,
+                Action::Reset => {
+                    stream.set_zero_linger().unwrap();
+                    return;
+                }
                 Action::Crash => {
                     crash.send_replace(true);
                     let () = std::future::pending().await;
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod bounds;
 mod caller;
+mod endings;
 mod harness;
 mod heads;
 mod partitions;
--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -123,7 +123,7 @@
     let since = Instant::now();
     let response = caller.read_response().await.unwrap();
     assert!(since.elapsed() < MAX_PAUSE, "{:?}", since.elapsed());
-    assert!(response.is_complete);
+    assert!(response.is_complete());
     assert_eq!(response.body, all(9));
 }
 
--- a/crates/zinniastall-gateway/tests/path/quarantine.rs
+++ b/crates/zinniastall-gateway/tests/path/quarantine.rs
@@ -86,9 +86,9 @@
 }
 
 /// Starts an instance without targets of its own, and one in another region that has some.
-async fn two_regions(targets: &[&Target]) -> (Gateway, Gateway) {
+pub(crate) async fn two_regions(routes: Vec<Route>, targets: &[&Target]) -> (Gateway, Gateway) {
     let far = ("athens", "athens-a");
-    let mut view = view(routes(), targets);
+    let mut view = view(routes, targets);
     let in_athens = |(name, mut known): (String, zinniastall_gateway::view::Target)| {
         known.report.place = Place::new(far.0, far.1);
         (name, known)
@@ -112,7 +112,7 @@
 async fn shares_crashes_across_regions() {
     let targets = targets(6).await;
     let known: Vec<&Target> = targets.iter().collect();
-    let (here, there) = two_regions(&known).await;
+    let (here, there) = two_regions(routes(), &known).await;
     let first = send(&here, "/pay/1", "p0", POISON).await;
     assert_eq!(first.status, 502);
     assert_eq!(
@@ -135,7 +135,7 @@
 async fn forwards_suspicion() {
     let targets = targets(4).await;
     let known: Vec<&Target> = targets.iter().collect();
-    let (here, there) = two_regions(&known).await;
+    let (here, there) = two_regions(routes(), &known).await;
     let request = Fingerprint::of(None, HOST, "/pay/1", POISON.as_bytes());
     let now = Instant::now();
     for run in 0..2 {
--- a/crates/zinniastall-gateway/tests/path/streams.rs
+++ b/crates/zinniastall-gateway/tests/path/streams.rs
@@ -68,7 +68,7 @@
     caller.read_until("data: 1").await;
     assert!(since.elapsed() < Duration::from_secs(1));
     let response = caller.read_response().await.unwrap();
-    assert!(response.is_complete);
+    assert!(response.is_complete());
     assert_eq!(response.body, all(2));
 }
 
@@ -80,7 +80,7 @@
         .await
         .call(&get("/stream/1", "a", ""))
         .await;
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert_eq!(response.body, all(3), "a partial event was passed on");
     assert_eq!(target.requests().len(), 1);
 }
@@ -108,7 +108,7 @@
         .await
         .call(&get("/resumed/1", "a", ""))
         .await;
-    assert!(response.is_complete);
+    assert!(response.is_complete());
     assert_eq!(response.body, all(9));
     assert_eq!((one.requests().len(), two.requests().len()), (1, 1));
 }
@@ -126,7 +126,7 @@
     let gateway = Gateway::start(view(routes(), &[&one, &two])).await;
     let mut caller = gateway.connect().await;
     let response = caller.call(&get("/resumed/1", "a", "")).await;
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert_eq!(response.body, all(3));
     assert!(
         caller.reads_eof().await,
@@ -161,14 +161,14 @@
 async fn resumes_after_power_loss() {
     let since = std::time::Instant::now();
     let (response, runs) = loses_power("/resumed/1").await;
-    assert!(response.is_complete);
+    assert!(response.is_complete());
     assert_eq!((response.body, runs), (all(9), 2));
     assert!(since.elapsed() < Duration::from_secs(3));
 }
 
 async fn runs_once_despite_power_loss() {
     let (response, runs) = loses_power("/stream/1").await;
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert_eq!((response.body, runs), (all(4), 1));
 }
 
@@ -186,7 +186,7 @@
         .await
         .call(&get("/resumed/1", "a", ""))
         .await;
-    assert!(response.is_complete);
+    assert!(response.is_complete());
     assert_eq!(response.body, all(4));
     assert_eq!(target.requests().len() + other.requests().len(), 1);
 }
@@ -215,7 +215,7 @@
         !response.body.contains("xid:"),
         "an event was made of two halves"
     );
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert_eq!(one.requests().len() + two.requests().len(), 1);
 }
 
@@ -259,7 +259,7 @@
         .await
         .call(&get("/stream/1", "a", ""))
         .await;
-    assert!(!response.is_complete);
+    assert!(!response.is_complete());
     assert!(since.elapsed() < Duration::from_millis(800));
     crate::harness::wait_until("the target's connection closes", || target.closed() == 1).await;
 }
--- a/crates/zinniastall-standin/src/engine/chat.rs
+++ b/crates/zinniastall-standin/src/engine/chat.rs
@@ -14,6 +14,7 @@
     failure::{Action, Point},
     ledger::{Entry, Run, unix_ms},
     slots::Slot,
+    unframed::unframed,
 };
 
 /// Time after which a refused request may be retried.
@@ -39,6 +40,16 @@
     request: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
+    let is_unframed = engine.settings.unframed;
+    let answer = answer(engine, request, body).await;
+    if is_unframed {
+        unframed(answer)
+    } else {
+        answer
+    }
+}
+
+async fn answer(engine: web::Data<Engine>, request: HttpRequest, body: Bytes) -> HttpResponse {
     let Some(chat) = Chat::parse(&body) else {
         return HttpResponse::BadRequest().json(error_body("malformed", "not a chat request"));
     };
@@ -90,7 +101,7 @@
     {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
-        Some(Action::Cut) => return stream::cut_connection(),
+        Some(Action::Cut | Action::End | Action::Tear) => return stream::cut_connection(),
         Some(Action::Error | Action::Die) => {
             return HttpResponse::InternalServerError().json(error_body("failed", "engine failed"));
         }
@@ -118,6 +129,13 @@
     match job.engine.failure.trigger(Point::End, 0, &job.chat.prompt) {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
+        Some(Action::End | Action::Tear) => {
+            let answer = job.chat.completion(&job.request).to_string();
+            let half = answer[..answer.len() / 2].to_owned();
+            return HttpResponse::Ok()
+                .content_type("application/json")
+                .body(half);
+        }
         Some(_) => return stream::cut_connection(),
     }
     let answer = job.chat.completion(&job.request);
--- a/crates/zinniastall-standin/src/engine/stream.rs
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -31,7 +31,7 @@
     let offset = job.offset.to_string();
     let events = stream::unfold((job, first), |(mut job, step)| async move {
         match step {
-            Step::Event(index) => Some(next_event(job, index).await),
+            Step::Event(index) => next_event(job, index).await,
             Step::Done => {
                 job.run.finish();
                 Some((
@@ -48,7 +48,7 @@
         .streaming(events)
 }
 
-async fn next_event(mut job: Job, index: usize) -> (Result<Bytes, Cut>, (Job, Step)) {
+async fn next_event(mut job: Job, index: usize) -> Option<(Result<Bytes, Cut>, (Job, Step))> {
     let wait = match index {
         _ if index == job.offset => job.engine.first_token_latency(job.uncached_blocks),
         _ => job.engine.settings.engine.inter_token_latency,
@@ -76,7 +76,13 @@
     match action {
         None => {}
         Some(Action::Hang) => std::future::pending().await,
-        Some(_) => return (Err(Cut), (job, Step::Ended)),
+        Some(Action::End) => return None,
+        Some(Action::Tear) => {
+            let event = job.chat.chunk(&job.request, index).to_string();
+            let half = format!("data: {}", &event[..event.len() / 2]);
+            return Some((Ok(Bytes::from(half)), (job, Step::Ended)));
+        }
+        Some(_) => return Some((Err(Cut), (job, Step::Ended))),
     }
     let data = job.chat.chunk(&job.request, index);
     let next = if last {
@@ -84,7 +90,7 @@
     } else {
         Step::Event(index + 1)
     };
-    (Ok(Bytes::from(format!("data: {data}\n\n"))), (job, next))
+    Some((Ok(Bytes::from(format!("data: {data}\n\n"))), (job, next)))
 }
 
 /// Cuts the connection: the answer announces a body of one byte that is never sent.
--- a/crates/zinniastall-standin/src/failure.rs
+++ b/crates/zinniastall-standin/src/failure.rs
@@ -28,6 +28,10 @@
     Die,
     /// The connection is cut.
     Cut,
+    /// The answer ends in order, as if it were whole.
+    End,
+    /// The same, after half an event.
+    Tear,
     /// Nothing more is sent, and the connection stays open.
     Hang,
     /// The answer is an error at [`Point::First`]; at other points the connection is cut.
@@ -107,7 +111,12 @@
             parse_point,
             Point::None,
         ),
-        action: reader.word("action", "die, cut, hang, error", parse_action, Action::Die),
+        action: reader.word(
+            "action",
+            "die, cut, end, tear, hang, error",
+            parse_action,
+            Action::Die,
+        ),
         events: usize::try_from(reader.number("events", 0..=1_000_000, 0)).unwrap_or(usize::MAX),
         times: reader.number("times", 0..=1_000_000, 1),
         mark: reader.optional_text("mark").unwrap_or_default(),
--- a/crates/zinniastall-standin/src/lib.rs
+++ b/crates/zinniastall-standin/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod settings;
 pub mod slots;
 pub mod statsd;
+mod unframed;
 pub mod weights;
--- a/crates/zinniastall-standin/src/service.rs
+++ b/crates/zinniastall-standin/src/service.rs
@@ -10,6 +10,7 @@
     ledger::{Entry, Ledger, unix_ms},
     settings::Standin,
     slots::Slots,
+    unframed::unframed,
 };
 
 /// A plain service, shared by all threads.
@@ -39,6 +40,16 @@
 }
 
 async fn handle(service: web::Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let is_unframed = service.settings.unframed;
+    let answer = answer(service, request, body).await;
+    if is_unframed {
+        unframed(answer)
+    } else {
+        answer
+    }
+}
+
+async fn answer(service: web::Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
     let Some(slot) = service.slots.acquire().await else {
         return HttpResponse::ServiceUnavailable()
             .insert_header((header::OUTCOME, "not-run"))
--- a/crates/zinniastall-standin/src/settings.rs
+++ b/crates/zinniastall-standin/src/settings.rs
@@ -39,6 +39,8 @@
     pub slots: usize,
     /// Requests that may wait for a slot; further ones are refused as not run.
     pub queue: usize,
+    /// Whether its answers have neither a length nor chunks.
+    pub unframed: bool,
     /// Failure to inject.
     pub failure: Failure,
     /// Announcement as a target.
@@ -140,6 +142,7 @@
             ledger_file: reader.optional_text("ledger_file").map(PathBuf::from),
             slots: to_usize(reader.number("slots", 1..=100_000, 8)),
             queue: to_usize(reader.number("queue", 0..=100_000, 64)),
+            unframed: reader.flag("unframed", false),
             failure: reader.nested("failure", failure::read),
             announce: reader.nested("announce", read_announce),
             engine: reader.nested("engine", read_engine),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod page;
 pub mod process;
 pub mod proxy;
+pub mod raw;
 pub use zinniastall_load::sse;
 pub mod settings;
 pub mod usage;
--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod cold;
 mod drain;
+mod endings;
 mod entry_lost;
 mod forward;
 mod forwarded;
