fix(gateway): an answer's end is never told with more certainty than its target gave

What callers saw: a 200 with a target's signature and a body that is short, framed as complete (Content-Length, or our own last chunk), for answers of targets that have neither a length nor chunks and were broken off; partial events in streams, also where the target sent a last chunk; HTTP/1.0 callers saw broken streams end in order.

Cause: the orderly end of a connection counted as the end of the answer (premature end of file; a truncation of a close-delimited body). The decoder called such a body complete, and everybody behind it could only repeat that.

Fix: http::ending::Ending travels with the answer. path/delivery.rs decides it once: the decoder's word, lowered to incomplete if a stream ends inside an event, or if the target has crashed. The responder can't end a body without it: an unconfirmed answer goes to the caller as it came, without length or chunks and with Connection: close; to another instance in chunks with zs-close-delimited, so that a hop that breaks isn't taken for the target's end. While such an answer is unfinished its connection is set to reset, by drop and by the end of the process. A stream that ends inside an event is broken off, and resumed where it may be.

Crash or end: a stream whose connection ended in order is complete up to here for its caller, so that only the end waits for a refused connection (one connect). A plain answer waits only if other connections of that target ended in the same moment; without such a sign there is no wait.

Also: lines that end with a carriage return, or with both, mixed; the id of an event longer than the buffer; a streaming route's answer that is no event stream is forwarded as it arrives; Transfer-Encoding in an HTTP/1.0 answer is refused (RFC 9112, 6.1); a connection that ended is not pooled.

--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -25,6 +25,10 @@
 /// Field between instances of a region: the request was handed on because the sender doesn't reach
 /// the targets. The receiver sends it to a target itself or rejects it.
 pub const DETOUR: HeaderName = HeaderName::from_static("zs-detour");
+/// Field between instances, in an answer: the target's answer had neither a length nor chunks, so that
+/// its end is not known for certain. The answer between the instances states its own end, which tells
+/// that the target's connection ended in order.
+pub const CLOSE_DELIMITED: HeaderName = HeaderName::from_static("zs-close-delimited");
 /// Prefix of the fields between instances; fields with this prefix are removed from callers'
 /// requests.
 pub const INTERNAL_PREFIX: &str = "zs-";
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -10,7 +10,6 @@
 use zinniastall_coord::rate::Rate;
 use zinniastall_http::{
     body::{Decoder, Framing},
-    connection::Part,
     ending::Ending,
     head::Response,
     server::Reply,
@@ -24,10 +23,7 @@
     job::{Job, header_number, header_text},
     pool::{CONNECT_TIMEOUT, Connection, REMOTE_CONNECT_TIMEOUT},
     responder::Responder,
-    transfer::{
-        drain_body, drain_refusal, end_to_end_headers, forward_events, framing, next_head,
-        read_body,
-    },
+    transfer::{drain_body, drain_refusal, next_head},
 };
 use crate::{
     headers::{OUTCOME, RETRY_MS},
@@ -82,7 +78,7 @@
     /// one.
     NotRun(Option<Duration>),
     /// The target answered with an error of its own.
-    Failing(Reply),
+    Failing(Reply, Ending),
     /// The request was sent, and it is unknown whether it ran.
     Unknown(Why),
     /// Part of the answer was forwarded, and no more comes from this target.
@@ -109,7 +105,7 @@
             Self::Delivered(_) => "unconfirmed",
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
-            Self::Failing(_) => "failing",
+            Self::Failing(..) => "failing",
             Self::Unknown(_) => "unknown",
             Self::Broken(_) => "broken",
             Self::Torn(_) => "torn",
@@ -235,12 +231,12 @@
         } else {
             flight.answer_started();
             let ended = self
-                .forward_whole(job, &response, &mut connection, responder)
+                .forward_whole(attempt, &response, &mut connection, responder)
                 .await;
             self.record_service_time(attempt, &ended, now.elapsed());
             ended
         };
-        if is_clean && matches!(ended, Ended::Delivered(_) | Ended::Failing(_)) {
+        if is_clean && matches!(ended, Ended::Delivered(_) | Ended::Failing(..)) {
             self.pool.release(place.address(), connection, &response);
         }
         ended
@@ -271,7 +267,7 @@
     }
 
     /// Records that part of the answer arrived.
-    fn heard(&self, place: &Place, is_new: bool) {
+    pub(super) fn heard(&self, place: &Place, is_new: bool) {
         if let Some(target) = place.target() {
             self.path_heard(target, is_new);
         }
@@ -280,7 +276,7 @@
     /// Waits for the answer; if the request may be repeated, only for as long as its path gives hope.
     ///
     /// Otherwise the only hope is that the answer comes before the deadline.
-    async fn while_reachable<T>(
+    pub(super) async fn while_reachable<T>(
         &self,
         attempt: &Attempt<'_>,
         work: impl Future<Output = Result<T, Why>>,
@@ -400,100 +396,4 @@
             tracker.record_service_time(&attempt.job.service, took, attempt.ahead, *slots);
         }
     }
-
-    /// Forwards an answer once it is complete: until then, a truncated answer can still become a
-    /// refusal.
-    async fn forward_whole(
-        &self,
-        job: &Job,
-        response: &Response,
-        connection: &mut Connection,
-        responder: &mut Responder,
-    ) -> Ended {
-        let framing = match framing(job, response) {
-            Ok(framing) => framing,
-            Err(why) => return Ended::Unknown(why),
-        };
-        let read = read_body(framing, &mut connection.reader).await;
-        let known = read
-            .as_ref()
-            .map_or(Ending::Incomplete, |(_, ending)| *ending);
-        self.metrics.count_ending(framing, known);
-        let (body, ending) = match read {
-            Ok(read) => read,
-            Err(why) => return Ended::Unknown(why),
-        };
-        let answer = Reply {
-            status: response.status,
-            headers: end_to_end_headers(&response.headers),
-            body,
-        };
-        if response.status.is_server_error() && job.route().is_retryable() {
-            return Ended::Failing(answer);
-        }
-        match responder.send(answer).await {
-            Ok(()) => Ended::Delivered(ending),
-            Err(error) => Ended::CallerGone(error),
-        }
-    }
-
-    /// Forwards a stream event by event.
-    async fn forward_stream(
-        &self,
-        attempt: &Attempt<'_>,
-        response: &Response,
-        connection: &mut Connection,
-        flight: &mut Guard,
-        events: &mut Events,
-        responder: &mut Responder,
-    ) -> Ended {
-        let framing = match framing(attempt.job, response) {
-            Ok(framing) => framing,
-            Err(why) => return Ended::Unknown(why),
-        };
-        let mut decoder = Decoder::new(framing);
-        events.discard_partial();
-        loop {
-            let next = async {
-                let part = connection.reader.part(&mut decoder).await;
-                part.map_err(|error| error.to_string())
-            };
-            let part = match self.while_reachable(attempt, next).await {
-                Ok(part) => {
-                    self.heard(attempt.place, !connection.is_used);
-                    part
-                }
-                Err(why) => {
-                    self.metrics.count_ending(framing, Ending::Incomplete);
-                    return broken(why, events, responder);
-                }
-            };
-            let (complete, ending) = match part {
-                Part::Piece(piece) => (events.push(&piece), None),
-                Part::End(ending) => (events.finish(), Some(ending)),
-            };
-            if !complete.is_empty() {
-                flight.answer_started();
-            }
-            let is_end = ending.is_some();
-            if let Err(error) = forward_events(response, complete, is_end, responder).await {
-                return Ended::CallerGone(error);
-            }
-            if let Some(ending) = ending {
-                self.metrics.count_ending(framing, ending);
-                return Ended::Delivered(ending);
-            }
-        }
-    }
-}
-
-/// Ends an attempt whose stream was broken off.
-fn broken(why: Why, events: &Events, responder: &Responder) -> Ended {
-    if events.is_mid_event() {
-        Ended::Torn(why)
-    } else if responder.has_begun() {
-        Ended::Broken(why)
-    } else {
-        Ended::Unknown(why)
-    }
 }
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -221,7 +221,7 @@
 
     /// Returns whether a target is expected to stay; one that is draining or was removed ends as
     /// planned.
-    fn is_expected_to_stay(&self, target: &str) -> bool {
+    pub(super) fn is_expected_to_stay(&self, target: &str) -> bool {
         let view = self.state.view();
         let known = view.targets.by_name().get(target);
         known.is_some_and(|known| known.gone_at.is_none())
--- /dev/null
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -0,0 +1,213 @@
+//! Forwards the answer of an attempt, and decides what is known of its end.
+//!
+//! The body's decoder tells how it ended on its connection. Two more things lower that: a stream that
+//! ends inside an event was broken off, and so was an answer without framing whose target has crashed.
+
+use bytes::Bytes;
+use zinniastall_http::{
+    body::Decoder, connection::Part, ending::Ending, head::Response, probe::is_refused,
+    server::Reply,
+};
+
+use super::{
+    Proxy,
+    attempt::{Attempt, Ended, Place, Why},
+    events::{Events, Torn},
+    pool::Connection,
+    responder::Responder,
+    transfer::{Delimited, end_to_end_headers, forward_piece, is_event_stream, read_body},
+};
+use crate::tracker::Guard;
+
+/// Reason why an answer without framing counts as broken off.
+const CRASHED: &str = "the connection ended as the target crashed";
+
+impl Proxy {
+    /// Forwards an answer once it has ended: until then, a truncated answer can still become a
+    /// refusal.
+    pub(super) async fn forward_whole(
+        &self,
+        attempt: &Attempt<'_>,
+        response: &Response,
+        connection: &mut Connection,
+        responder: &mut Responder,
+    ) -> Ended {
+        let job = attempt.job;
+        let delimited = match Delimited::of(job, attempt.place, response) {
+            Ok(delimited) => delimited,
+            Err(why) => return Ended::Unknown(why),
+        };
+        let mut read = read_body(delimited, &mut connection.reader).await;
+        if let Ok((body, ending)) = &read {
+            let is_torn = is_event_stream(response) == Some(true) && ends_inside_event(body);
+            if is_torn {
+                read = Err(Torn.to_string());
+            } else if *ending == Ending::Unconfirmed && self.shows_crash(attempt.place).await {
+                read = Err(CRASHED.to_owned());
+            }
+        }
+        let ending = read.as_ref().map_or(Ending::Incomplete, |read| read.1);
+        self.metrics.count_ending(delimited.framing, ending);
+        let body = match read {
+            Ok((body, _)) => body,
+            Err(why) => return Ended::Unknown(why),
+        };
+        let answer = Reply {
+            status: response.status,
+            headers: end_to_end_headers(&response.headers),
+            body,
+        };
+        if response.status.is_server_error() && job.route().is_retryable() {
+            return Ended::Failing(answer, ending);
+        }
+        match responder.send_as(answer, ending).await {
+            Ok(()) => Ended::Delivered(ending),
+            Err(error) => Ended::CallerGone(error),
+        }
+    }
+
+    /// Forwards a stream event by event.
+    pub(super) async fn forward_stream(
+        &self,
+        attempt: &Attempt<'_>,
+        response: &Response,
+        connection: &mut Connection,
+        flight: &mut Guard,
+        events: &mut Events,
+        responder: &mut Responder,
+    ) -> Ended {
+        let delimited = match Delimited::of(attempt.job, attempt.place, response) {
+            Ok(delimited) => delimited,
+            Err(why) => return Ended::Unknown(why),
+        };
+        let is_events = is_event_stream(response).unwrap_or(true);
+        if responder.has_begun() && !is_events {
+            return Ended::Broken("no event stream to resume".to_owned());
+        }
+        let mut parts = Parts::new(is_events, events);
+        let mut decoder = Decoder::new(delimited.framing);
+        loop {
+            let next = async {
+                let part = connection.reader.part(&mut decoder).await;
+                part.map_err(|error| error.to_string())
+            };
+            let part = match self.while_reachable(attempt, next).await {
+                Ok(part) => part,
+                Err(why) => return self.broken(why, delimited, &parts, responder),
+            };
+            self.heard(attempt.place, !connection.is_used);
+            let ending = match &part {
+                Part::Piece(_) => None,
+                Part::End(ending) => Some((*ending).min(delimited.highest)),
+            };
+            let piece = match parts.next(part) {
+                Ok(piece) => piece,
+                Err(torn) => {
+                    return self.broken(torn.to_string(), delimited, &parts, responder);
+                }
+            };
+            if !piece.is_empty() {
+                flight.answer_started();
+            }
+            if (ending.is_some() || !piece.is_empty())
+                && let Err(error) =
+                    forward_piece(response, delimited.highest, piece, responder).await
+            {
+                return Ended::CallerGone(error);
+            }
+            let Some(ending) = ending else { continue };
+            if ending == Ending::Unconfirmed && self.has_ended_with(attempt.place).await {
+                return self.broken(CRASHED.to_owned(), delimited, &parts, responder);
+            }
+            self.metrics.count_ending(delimited.framing, ending);
+            return match responder.finish_body(ending).await {
+                Ok(true) => Ended::Delivered(ending),
+                Ok(false) => Ended::Torn("the answer that resumes it has no framing".to_owned()),
+                Err(error) => Ended::CallerGone(error),
+            };
+        }
+    }
+
+    /// Ends an attempt whose stream was broken off.
+    fn broken(
+        &self,
+        why: Why,
+        delimited: Delimited,
+        parts: &Parts<'_>,
+        responder: &Responder,
+    ) -> Ended {
+        self.metrics
+            .count_ending(delimited.framing, Ending::Incomplete);
+        if !responder.has_begun() {
+            Ended::Unknown(why)
+        } else if parts.may_go_on_elsewhere() {
+            Ended::Broken(why)
+        } else {
+            Ended::Torn(why)
+        }
+    }
+
+    /// Returns whether other connections to a target ended together with that of an answer, and the
+    /// target refuses a new one. Without such a sign nothing is awaited.
+    async fn shows_crash(&self, place: &Place) -> bool {
+        let Place::Target {
+            target, address, ..
+        } = place
+        else {
+            return false;
+        };
+        let others = self.closings.note(target);
+        // Lets other tasks read the ends of their connections, if these have ended, too.
+        tokio::task::yield_now().await;
+        let has_sign = others || self.closings.is_crowded(target) || self.pool.has_lost(address);
+        has_sign && self.has_ended_with(place).await
+    }
+
+    /// Returns whether the target behind an answer's connection has ended, although it was expected to
+    /// stay.
+    async fn has_ended_with(&self, place: &Place) -> bool {
+        let Place::Target {
+            target, address, ..
+        } = place
+        else {
+            return false;
+        };
+        self.is_expected_to_stay(target) && is_refused(address).await
+    }
+}
+
+/// Returns whether a body of events ends inside one.
+fn ends_inside_event(body: &[u8]) -> bool {
+    let mut events = Events::default();
+    events.push(body);
+    events.finish().is_err()
+}
+
+/// Parts of a stream that may be forwarded.
+struct Parts<'a> {
+    /// Whether the stream is a series of events; otherwise it is forwarded as it arrives.
+    is_events: bool,
+    events: &'a mut Events,
+}
+
+impl<'a> Parts<'a> {
+    fn new(is_events: bool, events: &'a mut Events) -> Self {
+        events.discard_partial();
+        Self { is_events, events }
+    }
+
+    /// Returns what may be forwarded with the next part of the stream.
+    fn next(&mut self, part: Part) -> Result<Bytes, Torn> {
+        match part {
+            Part::Piece(piece) if self.is_events => Ok(self.events.push(&piece)),
+            Part::Piece(piece) => Ok(piece),
+            Part::End(_) if self.is_events => self.events.finish(),
+            Part::End(_) => Ok(Bytes::new()),
+        }
+    }
+
+    /// Returns whether another target could continue the stream.
+    const fn may_go_on_elsewhere(&self) -> bool {
+        self.is_events && !self.events.is_mid_event()
+    }
+}
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -3,7 +3,9 @@
 
 pub mod answer;
 pub mod attempt;
+mod closings;
 mod crash;
+mod delivery;
 pub mod events;
 pub mod job;
 mod outgoing;
@@ -35,7 +37,7 @@
     view::Shared,
 };
 
-use self::{pool::Pool, serve::Connections};
+use self::{closings::Closings, pool::Pool, serve::Connections};
 
 /// The reverse proxy of one traffic thread.
 #[derive(Debug)]
@@ -66,6 +68,8 @@
     pub suspects_changed: Rc<Notify>,
     /// Idle connections to targets and instances.
     pub pool: Pool,
+    /// Connections to targets that ended with a request on them.
+    closings: Closings,
     /// Connections of callers and instances.
     pub connections: Connections,
     /// Log of requests.
@@ -88,6 +92,7 @@
             probes: RefCell::default(),
             suspects_changed: Rc::default(),
             pool: Pool::default(),
+            closings: Closings::default(),
             connections: Connections::default(),
             request_log: Log::default(),
             metrics,
--- a/crates/zinniastall-gateway/src/path/pool.rs
+++ b/crates/zinniastall-gateway/src/path/pool.rs
@@ -78,9 +78,10 @@
         })
     }
 
-    /// Returns a connection to the pool, unless the answer closes it or left bytes behind on it.
+    /// Returns a connection to the pool, unless the answer ended it or left bytes behind on it.
     pub fn release(&self, address: &str, mut connection: Connection, answer: &Response) {
-        if !answer.is_keep_alive() || connection.reader.has_unread() {
+        let reader = &connection.reader;
+        if !answer.is_keep_alive() || reader.has_unread() || reader.has_ended() {
             return;
         }
         connection.is_used = true;
@@ -99,6 +100,17 @@
         }
     }
 
+    /// Returns whether an idle connection to an address has ended, and forgets those that have.
+    pub fn has_lost(&self, address: &str) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(address) else {
+            return false;
+        };
+        let before = connections.len();
+        connections.retain_mut(|idle| !idle.connection.reader.is_stale());
+        connections.len() < before
+    }
+
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/zinniastall-gateway/src/path/responder.rs
+++ b/crates/zinniastall-gateway/src/path/responder.rs
@@ -8,17 +8,22 @@
 use bytes::{Bytes, BytesMut};
 use http::{
     HeaderMap, HeaderValue, StatusCode,
-    header::{CONNECTION, TRANSFER_ENCODING},
+    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use zinniastall_coord::quarantine::Suspicion;
 use zinniastall_http::{
     body::{LAST_CHUNK, write_chunk},
     connection::Writer,
+    ending::Ending,
     head,
     server::Reply,
 };
 
 use super::answer::Refusal;
+use crate::headers::CLOSE_DELIMITED;
+
+/// Value of a field whose presence says all.
+const TRUE: HeaderValue = HeaderValue::from_static("1");
 
 /// Progress of an answer.
 #[derive(Debug, Clone, Copy)]
@@ -28,6 +33,17 @@
     Complete,
 }
 
+/// What tells the receiver of an answer written in pieces where it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Delimiter {
+    /// The last chunk, which confirms the end.
+    Chunks,
+    /// The last chunk, in an answer to an instance which knows that it confirms nothing.
+    DoubtfulChunks,
+    /// The end of the connection.
+    Connection,
+}
+
 /// Writes the answers of successive requests on a connection.
 #[derive(Debug)]
 pub struct Responder {
@@ -35,6 +51,7 @@
     is_instance: bool,
     keep_alive: bool,
     is_modern: bool,
+    delimiter: Delimiter,
     progress: Progress,
     begun: Option<Instant>,
     status: Option<StatusCode>,
@@ -51,6 +68,7 @@
             is_instance,
             keep_alive: true,
             is_modern: true,
+            delimiter: Delimiter::Chunks,
             progress: Progress::Pending,
             begun: None,
             status: None,
@@ -102,20 +120,36 @@
         matches!(self.progress, Progress::Complete) && self.keep_alive
     }
 
-    /// Writes a complete answer.
+    /// Writes an answer that states its own end.
     ///
     /// # Errors
     ///
     /// Fails if the connection does.
     pub async fn send(&mut self, reply: Reply) -> io::Result<()> {
-        self.progress = Progress::Begun;
-        self.begun = Some(Instant::now());
-        self.status = Some(reply.status);
+        self.begin(reply.status);
         self.writer.write(&reply.encode(self.keep_alive)).await?;
         self.progress = Progress::Complete;
         Ok(())
     }
 
+    /// Writes a whole answer with what is known of its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does.
+    pub async fn send_as(&mut self, mut reply: Reply, ending: Ending) -> io::Result<()> {
+        if ending == Ending::Complete {
+            return self.send(reply).await;
+        }
+        if self.is_instance {
+            reply.headers.insert(CLOSE_DELIMITED, TRUE);
+            return self.send(reply).await;
+        }
+        self.write_head(reply.status, reply.headers, ending).await?;
+        self.write_piece(reply.body).await?;
+        self.finish_body(ending).await.map(drop)
+    }
+
     /// Writes a refusal; another instance also gets the suspicion against the request.
     ///
     /// # Errors
@@ -143,7 +177,8 @@
         self.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
     }
 
-    /// Writes the head of an answer whose body follows in pieces.
+    /// Writes the head of an answer whose body follows in pieces; `highest` is the most that can be
+    /// known of its end.
     ///
     /// # Errors
     ///
@@ -152,15 +187,24 @@
         &mut self,
         status: StatusCode,
         mut headers: HeaderMap,
+        highest: Ending,
     ) -> io::Result<()> {
-        self.progress = Progress::Begun;
-        self.begun = Some(Instant::now());
-        self.status = Some(status);
-        if self.is_modern {
+        self.begin(status);
+        self.delimiter = match highest {
+            Ending::Complete if self.is_modern => Delimiter::Chunks,
+            _ if self.is_instance => Delimiter::DoubtfulChunks,
+            _ => Delimiter::Connection,
+        };
+        headers.remove(CONTENT_LENGTH);
+        if self.delimiter == Delimiter::Connection {
+            self.keep_alive = false;
+            self.writer.reset_unless_finished()?;
+        } else {
             let chunked = HeaderValue::from_static("chunked");
             headers.insert(TRANSFER_ENCODING, chunked);
-        } else {
-            self.keep_alive = false;
+        }
+        if self.delimiter == Delimiter::DoubtfulChunks {
+            headers.insert(CLOSE_DELIMITED, TRUE);
         }
         if !self.keep_alive {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -183,7 +227,7 @@
         if let Some(last) = self.last_piece.replace(now) {
             self.pause = self.pause.max(now.duration_since(last));
         }
-        if !self.is_modern {
+        if self.delimiter == Delimiter::Connection {
             return self.writer.write(&bytes).await;
         }
         let mut output = BytesMut::with_capacity(bytes.len() + 16);
@@ -191,17 +235,29 @@
         self.writer.write(&output).await
     }
 
-    /// Ends a body written in pieces; without this the answer does not look complete.
+    /// Ends a body written in pieces; without this the answer is visibly incomplete.
+    ///
+    /// Returns false, and leaves the body unfinished, if its end would look more certain than it is.
     ///
     /// # Errors
     ///
     /// Fails if the connection does.
-    pub async fn finish_body(&mut self) -> io::Result<()> {
-        if self.is_modern {
-            self.writer.write(LAST_CHUNK).await?;
+    pub async fn finish_body(&mut self, ending: Ending) -> io::Result<bool> {
+        match (self.delimiter, ending) {
+            (_, Ending::Incomplete) | (Delimiter::Chunks, Ending::Unconfirmed) => return Ok(false),
+            (Delimiter::Connection, _) => self.writer.finish().await?,
+            (Delimiter::Chunks | Delimiter::DoubtfulChunks, _) => {
+                self.writer.write(LAST_CHUNK).await?;
+            }
         }
         self.progress = Progress::Complete;
-        Ok(())
+        Ok(true)
+    }
+
+    fn begin(&mut self, status: StatusCode) {
+        self.progress = Progress::Begun;
+        self.begun = Some(Instant::now());
+        self.status = Some(status);
     }
 
     /// Shuts down the write half of the connection.
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -64,7 +64,7 @@
     interrupted_at: Option<Instant>,
     /// Whether a target crashed under the request.
     has_crashed: bool,
-    server_error: Option<Reply>,
+    server_error: Option<(Reply, Ending)>,
 }
 
 /// Next step after an attempt.
@@ -185,6 +185,9 @@
                 };
                 let before = self.known_before(job, &place);
                 let ended = self.attempt(&attempt, events, responder).await;
+                if let Some(target) = place.target().filter(|_| ended.is_failure()) {
+                    self.closings.note(target);
+                }
                 let has_crashed = self
                     .update_suspicion(&attempt, &ended, &before, responder)
                     .await;
@@ -209,9 +212,9 @@
         if responder.has_begun() {
             return Ok(End::Aborted(refusal.as_str().to_owned()));
         }
-        if let Some(answer) = state.server_error {
-            responder.send(answer).await?;
-            return Ok(End::Answered(Ending::Complete));
+        if let Some((answer, ending)) = state.server_error {
+            responder.send_as(answer, ending).await?;
+            return Ok(End::Answered(ending));
         }
         let suspicion = self.suspicion(state.job);
         responder.refuse(refusal, suspicion.as_ref()).await?;
@@ -251,9 +254,9 @@
                     state.no_place(responder, retry_after.unwrap_or(REFUSED_RETRY))
                 }
             }
-            Ended::Failing(answer) => {
+            Ended::Failing(answer, ending) => {
                 state.sent += 1;
-                state.server_error = Some(answer);
+                state.server_error = Some((answer, ending));
                 if self.may_repeat(state) {
                     Step::Retry
                 } else {
@@ -353,9 +356,9 @@
                 account.record.unreachable(now);
                 account.blocked_until = Some(now + REFUSAL_BACKOFF);
             }
-            Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) | Ended::Failing(_) => {
+            Ended::Unknown(_) | Ended::Broken(_) | Ended::Torn(_) | Ended::Failing(..) => {
                 account.record.failure(now);
-                if let (Some(target), false) = (place.target(), matches!(ended, Ended::Failing(_)))
+                if let (Some(target), false) = (place.target(), matches!(ended, Ended::Failing(..)))
                 {
                     self.reach.broke(target);
                 }
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, header::CONTENT_TYPE};
 use tokio::time;
 use zinniastall_http::{
     body::{Decoder, Framing},
@@ -12,8 +12,15 @@
     head::{self, Response},
 };
 
-use super::{attempt::Why, job::Job, responder::Responder};
+use super::{
+    attempt::{Place, Why},
+    job::Job,
+    responder::Responder,
+};
+use crate::headers::CLOSE_DELIMITED;
 
+/// Content type of a series of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Longest complete answer; streams have no limit.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 /// Longest wait for the body of a refusal, which nobody reads. A target that states no length or
@@ -55,18 +62,49 @@
     }
 }
 
-/// Returns the framing of the answer to a request.
-pub(super) fn framing(job: &Job, response: &Response) -> Result<Framing, Why> {
-    let framing = response.framing(job.head.method == Method::HEAD);
-    framing.map_err(|fault| fault.to_string())
+/// How an answer is delimited, here and at its target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Delimited {
+    /// Framing on the connection from which it is read.
+    pub(super) framing: Framing,
+    /// The most that can be known of its end.
+    pub(super) highest: Ending,
+}
+
+impl Delimited {
+    /// Reads how an answer is delimited that came from a place.
+    pub(super) fn of(job: &Job, place: &Place, response: &Response) -> Result<Self, Why> {
+        let framing = response.framing(job.head.method == Method::HEAD);
+        let framing = framing.map_err(|fault| fault.to_string())?;
+        let is_close = framing == Framing::Close;
+        let is_instance = matches!(place, Place::Instance { .. });
+        if is_instance && is_close {
+            // Instances mark the end of all that they forward.
+            return Err("the other instance's answer has no framing".to_owned());
+        }
+        let is_doubtful =
+            is_close || (is_instance && response.headers.contains_key(CLOSE_DELIMITED));
+        let highest = if is_doubtful {
+            Ending::Unconfirmed
+        } else {
+            Ending::Complete
+        };
+        Ok(Self { framing, highest })
+    }
+}
+
+/// Returns whether an answer says that its body is a series of events, if it says anything of it.
+pub(super) fn is_event_stream(response: &Response) -> Option<bool> {
+    let kind = response.headers.get(CONTENT_TYPE)?;
+    Some(kind.as_bytes().starts_with(EVENT_STREAM))
 }
 
 /// Reads a whole body, and what is known of its end.
 pub(super) async fn read_body(
-    framing: Framing,
+    delimited: Delimited,
     reader: &mut Reader,
 ) -> Result<(Bytes, Ending), Why> {
-    let mut decoder = Decoder::new(framing);
+    let mut decoder = Decoder::new(delimited.framing);
     let mut body = BytesMut::new();
     loop {
         let part = reader.part(&mut decoder).await;
@@ -75,32 +113,31 @@
                 return Err("answer exceeds the size limit".to_owned());
             }
             Part::Piece(piece) => body.extend_from_slice(&piece),
-            Part::End(ending) => return Ok((body.freeze(), ending)),
+            Part::End(ending) => return Ok((body.freeze(), ending.min(delimited.highest))),
         }
     }
 }
 
-/// Forwards events of a stream, preceded by its head if that has not been sent yet.
-pub(super) async fn forward_events(
+/// Forwards part of a stream, preceded by its head if that has not been sent yet.
+pub(super) async fn forward_piece(
     response: &Response,
-    events: Bytes,
-    is_end: bool,
+    highest: Ending,
+    piece: Bytes,
     responder: &mut Responder,
 ) -> io::Result<()> {
-    if !responder.has_begun() && (is_end || !events.is_empty()) {
+    if !responder.has_begun() {
         let headers = end_to_end_headers(&response.headers);
-        responder.write_head(response.status, headers).await?;
-    }
-    responder.write_piece(events).await?;
-    if is_end {
-        responder.finish_body().await?;
+        responder
+            .write_head(response.status, headers, highest)
+            .await?;
     }
-    Ok(())
+    responder.write_piece(piece).await
 }
 
-/// Returns the headers of a target's answer without hop-by-hop fields.
+/// Returns the headers of an answer without those that concern only its connection.
 pub(super) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
     head::strip_hop_by_hop(&mut headers);
+    headers.remove(CLOSE_DELIMITED);
     headers
 }
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -241,7 +241,7 @@
                 why.as_str()
             }
             Ended::NotRun(_) => "the target refused the request",
-            Ended::Failing(answer) => answer.status.as_str(),
+            Ended::Failing(answer, _) => answer.status.as_str(),
             Ended::CallerGone(_) => "the caller is gone",
         };
         if !self.admits(matches!(ended, Ended::Delivered(_))) {
--- a/crates/zinniastall-gateway/tests/events.rs
+++ b/crates/zinniastall-gateway/tests/events.rs
@@ -1,6 +1,10 @@
 //! Streams split into events.
 
-use zinniastall_gateway::path::events::Events;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+use zinniastall_gateway::path::events::{Events, Torn};
 
 /// An engine crashes in the middle of an event. Another engine resumes the stream at the start of
 /// an event. If the partial event were kept, the caller would read an event made of parts of two
@@ -32,7 +36,7 @@
             assert!(whole.is_empty() || whole.ends_with(b"\n\n"), "size {size}");
             passed.extend_from_slice(&whole);
         }
-        passed.extend_from_slice(&events.finish());
+        passed.extend_from_slice(&events.finish().expect("no partial event"));
         assert_eq!(passed, text, "size {size}");
     }
 }
@@ -80,3 +84,115 @@
     let events = Events::resuming_after(Some("12".to_owned()));
     assert_eq!(events.last_id(), Some("12"));
 }
+
+const SEED: u64 = 48;
+
+/// Feeds a stream in pieces of a size; returns what was passed on, and the rest if it ended cleanly.
+fn feed(text: &[u8], size: usize) -> (Events, Vec<u8>, Result<bytes::Bytes, Torn>) {
+    let (mut events, mut passed) = (Events::default(), Vec::new());
+    for piece in text.chunks(size) {
+        passed.extend_from_slice(&events.push(piece));
+    }
+    let rest = events.finish();
+    (events, passed, rest)
+}
+
+/// Guards against a stream that ends inside an event and counts as complete, whatever ends its lines,
+/// wherever it is cut and however it is split.
+#[test]
+fn a_stream_cut_inside_an_event_is_torn() {
+    let fields = prop_oneof![
+        "data: [a-z]{0,6}",
+        "data",
+        ": [a-z]{0,6}",
+        "event: [a-z]{1,4}",
+    ];
+    let event = prop::collection::vec(fields, 1..4);
+    let end = prop_oneof![Just("\n"), Just("\r"), Just("\r\n")];
+    let input = (
+        prop::collection::vec(event, 1..6),
+        end,
+        0..200_usize,
+        1..40_usize,
+    );
+    println!("seed {SEED}");
+    let mut runner = TestRunner::new(Config {
+        cases: 600,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    });
+    let result = runner.run(&input, |(events, end, cut, size)| {
+        let numbered = events.iter().enumerate();
+        let numbered =
+            numbered.map(|(id, fields)| format!("id: {id}{end}{}{end}{end}", fields.join(end)));
+        let texts: Vec<String> = numbered.collect();
+        let text = texts.concat();
+        let cut = cut.min(text.len());
+        let (events, passed, rest) = feed(&text.as_bytes()[..cut], size);
+        let (mut whole, mut ended) = (0, 0);
+        for event in &texts {
+            // A line feed that belongs to the last carriage return may be missing.
+            let least = event.len() - usize::from(end == "\r\n");
+            if whole + least > cut {
+                break;
+            }
+            whole += event.len();
+            ended += 1;
+        }
+        let is_between = cut <= whole;
+        prop_assert_eq!(rest.is_ok(), is_between, "{:?} cut at {}", text, cut);
+        let all = [&passed[..], &rest.unwrap_or_default()].concat();
+        prop_assert_eq!(&all, &text.as_bytes()[..whole.min(cut)]);
+        let last = (ended > 0).then(|| (ended - 1).to_string());
+        if passed.len() >= whole {
+            prop_assert_eq!(events.last_id(), last.as_deref());
+        }
+        Ok(())
+    });
+    result.expect("torn exactly if cut inside an event");
+}
+
+/// Guards against streams that count as broken off because something other than an event ends them.
+#[test]
+fn comments_and_blank_lines_behind_the_last_event_end_a_stream() {
+    for rest in [
+        "",
+        "\n",
+        "\r\n",
+        ": bye\n",
+        ": bye\r\n\r\n",
+        "\r",
+        ": one\n: two\n",
+    ] {
+        let text = format!("id: 1\ndata: a\n\n{rest}");
+        for size in 1..text.len() {
+            let (_, passed, left) = feed(text.as_bytes(), size);
+            let left = left.expect("no partial event");
+            assert_eq!([&passed[..], &left].concat(), text.as_bytes(), "{rest:?}");
+        }
+    }
+    for torn in [
+        "d",
+        "data: b",
+        "data: b\n",
+        "id: 2\r\n",
+        ": comm",
+        ": comment\ndata",
+    ] {
+        let text = format!("id: 1\ndata: a\n\n{torn}");
+        let (_, passed, left) = feed(text.as_bytes(), 7);
+        assert_eq!((&passed[..], left), (&b"id: 1\ndata: a\n\n"[..], Err(Torn)));
+    }
+}
+
+/// Guards against a stream that resumes before an event that was forwarded in parts.
+#[test]
+fn a_long_event_is_known_by_its_id_once_it_has_ended() {
+    let mut events = Events::resuming_after(Some("1".to_owned()));
+    events.push(b"id: 2\n");
+    events.push(&vec![b'x'; 300 << 10]);
+    assert_eq!(events.last_id(), Some("1"));
+    events.push(b"\n\n");
+    assert_eq!(events.last_id(), Some("2"));
+}
--- a/crates/zinniastall-http/src/connection.rs
+++ b/crates/zinniastall-http/src/connection.rs
@@ -60,9 +60,13 @@
 }
 
 /// Write half of a connection.
+///
+/// Dropping it ends the connection in order, unless [`reset_unless_finished`](Self::reset_unless_finished)
+/// was called.
 #[derive(Debug)]
 pub struct Writer {
-    half: OwnedWriteHalf,
+    half: Option<OwnedWriteHalf>,
+    is_unfinished: bool,
 }
 
 /// Splits a connection into its halves and disables Nagle's algorithm.
@@ -78,7 +82,11 @@
         input: BytesMut::new(),
         ended: false,
     };
-    Ok((reader, Writer { half: write }))
+    let writer = Writer {
+        half: Some(write),
+        is_unfinished: false,
+    };
+    Ok((reader, writer))
 }
 
 impl Reader {
@@ -158,6 +166,11 @@
         any
     }
 
+    /// Returns whether the peer has ended the connection in order.
+    pub const fn has_ended(&self) -> bool {
+        self.ended
+    }
+
     /// Returns whether bytes are buffered beyond the messages read so far.
     pub fn has_unread(&self) -> bool {
         !self.input.is_empty()
@@ -204,7 +217,21 @@
     ///
     /// Fails if the connection fails.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.half.write_all(bytes).await
+        self.half()?.write_all(bytes).await
+    }
+
+    /// Has the connection reset instead of ended in order, by dropping it or by the end of the process,
+    /// until [`finish`](Self::finish).
+    ///
+    /// The peer of a close-delimited message would take an orderly end for the message's.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has already failed.
+    pub fn reset_unless_finished(&mut self) -> io::Result<()> {
+        self.half()?.as_ref().set_zero_linger()?;
+        self.is_unfinished = true;
+        Ok(())
     }
 
     /// Shuts down the write direction.
@@ -213,7 +240,13 @@
     ///
     /// Fails if the connection has already failed.
     pub async fn finish(&mut self) -> io::Result<()> {
-        self.half.shutdown().await
+        let was_unfinished = std::mem::take(&mut self.is_unfinished);
+        let half = self.half()?;
+        if was_unfinished {
+            #[expect(deprecated, reason = "without a time it does not block")]
+            half.as_ref().set_linger(None)?;
+        }
+        half.shutdown().await
     }
 
     /// Returns the address of the peer.
@@ -222,6 +255,24 @@
     ///
     /// Fails if the connection has already failed.
     pub fn peer(&self) -> io::Result<SocketAddr> {
-        self.half.peer_addr()
+        self.half
+            .as_ref()
+            .ok_or(io::ErrorKind::NotConnected)?
+            .peer_addr()
+    }
+
+    fn half(&mut self) -> io::Result<&mut OwnedWriteHalf> {
+        Ok(self.half.as_mut().ok_or(io::ErrorKind::NotConnected)?)
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        if self.is_unfinished
+            && let Some(half) = self.half.take()
+        {
+            // Dropping it would shut the connection down in order first.
+            half.forget();
+        }
     }
 }
--- a/crates/zinniastall-http/src/head.rs
+++ b/crates/zinniastall-http/src/head.rs
@@ -100,6 +100,9 @@
     /// [`Error::Ambiguous`] if the head doesn't determine a single end.
     pub fn framing(&self, head_only: bool) -> Result<Framing, Error> {
         let declared = declared_framing(&self.headers)?;
+        if !self.is_http11 && declared == Some(Framing::Chunked) {
+            return Err(Error::Ambiguous("a transfer coding in HTTP/1.0"));
+        }
         let bodiless = head_only
             || self.status.is_informational()
             || self.status == StatusCode::NO_CONTENT
