fix(entry): answers without framing are delivered, and with their doubt

What callers saw: a 200 with the outcome 'answered' and an empty body for each plain answer of a target that has neither a length nor chunks (HTTP/1.1); streams that end so reported as lost although their closing event had arrived; at a caller of HTTP/1.0, chunks in an HTTP/1.0 response.

Cause: awc takes an HTTP/1.1 response without framing for one without a body (actix-http h1/decoder.rs: only HTTP/1.0 is read to the end of the connection), and callers::guard turned every end of a connection into an error.

Fix: targets are asked by zinniastall-http, as on the gateway path (client::Exchange, pool and events are shared now; the guard is gone). Reply::highest is the most that is known of an answer's end; it goes with the reply into a ticket's record and over the hop (stream::Message::Head.highest; absent means complete, as older instances say). The caller gets an unconfirmed answer without length or chunks, with the outcome 'unknown'; while it is unfinished its connection is set to reset. A closing event confirms a stream's end whatever follows. A stream of a plain service that ends inside an event counts as broken off.

--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -8,6 +8,7 @@
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use zinniastall_coord::quarantine::{HOLD_SHARE, MAX_HOLD, may_retry_after_crash};
+use zinniastall_http::ending::Ending;
 use zinniastall_model::id;
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
@@ -228,6 +229,8 @@
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
     if events && call.request.events {
         reply.body = relay::resumable_events(worker, call, &watch, reply.body);
+        // The closing event confirms the end, whatever the framing.
+        reply.highest = Ending::Complete;
     }
     reply.body = track_in_flight(reply.body, &in_flight, &watch, status);
     if events {
--- a/crates/zinniastall-entry/src/callers/completion.rs
+++ b/crates/zinniastall-entry/src/callers/completion.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt, stream};
+use zinniastall_http::ending::Ending;
 use zinniastall_model::id;
 use zinniastall_route::outcome::{Outcome, Refusal};
 use zinniastall_settings::metrics::Recorder;
@@ -103,9 +104,12 @@
         self.end(refusal.outcome, refusal.reason.kind());
     }
 
-    /// Records a complete response.
-    pub fn answered(&mut self) {
+    /// Records a response that has ended, with what is known of its end.
+    pub fn answered(&mut self, ending: Ending) {
         self.first_part();
+        if ending != Ending::Complete {
+            return self.end(Outcome::Unknown, ending.as_str());
+        }
         let total = self.started.elapsed();
         let name = self.metric_name("request.whole", "forwarded.whole");
         self.recorder.time(name, &self.client, &self.class, total);
@@ -150,9 +154,10 @@
         );
     }
 
-    /// Records the outcome when the relayed body ends.
-    pub fn track_body(self, body: Body) -> Body {
-        let next = |(mut body, mut completion): (Body, Self)| async move {
+    /// Records the outcome when the relayed body ends; `highest` is the most that is known of its end
+    /// then.
+    pub fn track_body(self, body: Body, highest: Ending) -> Body {
+        let next = move |(mut body, mut completion): (Body, Self)| async move {
             match body.next().await {
                 Some(Ok(bytes)) => {
                     completion.first_part();
@@ -163,7 +168,7 @@
                     Some((Err(refusal), (body, completion)))
                 }
                 None => {
-                    completion.answered();
+                    completion.answered(highest);
                     None
                 }
             }
--- a/crates/zinniastall-entry/src/callers/connection.rs
+++ b/crates/zinniastall-entry/src/callers/connection.rs
@@ -40,6 +40,8 @@
     open: Cell<usize>,
     /// A response has ended and may not have been flushed yet.
     ended: Cell<bool>,
+    /// A response that ends with its connection has begun and not ended.
+    unfinished: Cell<bool>,
 }
 
 impl Responses {
@@ -49,11 +51,23 @@
         ResponseGuard(Rc::clone(&self.0))
     }
 
+    /// Tells whether a response that ends with its connection has begun and not ended: then the
+    /// connection is reset if it is dropped, also by the end of the process.
+    fn set_unfinished(&self, is_unfinished: bool) {
+        self.0.unfinished.set(is_unfinished);
+    }
+
     fn is_idle(&self) -> bool {
         self.0.open.get() == 0 && !self.0.ended.get()
     }
 }
 
+impl ResponseGuard {
+    fn responses(&self) -> Responses {
+        Responses(Rc::clone(&self.0))
+    }
+}
+
 /// Keeps a response marked as open until dropped.
 #[derive(Debug)]
 pub struct ResponseGuard(Rc<ResponseState>);
@@ -69,15 +83,21 @@
 #[derive(Debug)]
 pub struct GuardedBody<B> {
     body: B,
-    _guard: ResponseGuard,
+    is_close_delimited: bool,
+    guard: ResponseGuard,
 }
 
 impl<B> GuardedBody<B> {
-    /// Wraps a body together with the guard of its response.
-    pub const fn new(body: B, guard: ResponseGuard) -> Self {
+    /// Wraps a body together with the guard of its response; `is_close_delimited` tells whether it
+    /// ends with its connection.
+    pub fn new(body: B, is_close_delimited: bool, guard: ResponseGuard) -> Self {
+        if is_close_delimited {
+            guard.responses().set_unfinished(true);
+        }
         Self {
             body,
-            _guard: guard,
+            is_close_delimited,
+            guard,
         }
     }
 }
@@ -93,7 +113,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(context)
+        let part = ready!(Pin::new(&mut self.body).poll_next(context));
+        if part.is_none() && self.is_close_delimited {
+            self.guard.responses().set_unfinished(false);
+        }
+        Poll::Ready(part)
     }
 }
 
@@ -105,6 +129,8 @@
     responses: Responses,
     /// Whether everything written so far has been flushed.
     flushed: bool,
+    /// Whether the socket is set to reset the connection when it is closed.
+    resets: bool,
     /// Unwritten rest of a typed refusal, and the length of the bare response that it replaces.
     replacement: Option<(Bytes, usize)>,
 }
@@ -117,6 +143,7 @@
             instance,
             responses: Responses::default(),
             flushed: true,
+            resets: false,
             replacement: None,
         }
     }
@@ -133,6 +160,21 @@
         typed_refusal(std::str::from_utf8(bytes).ok()?, &self.instance).map(Bytes::from)
     }
 
+    /// Has the socket reset the connection on its close while a response that ends with it is
+    /// unfinished: an orderly end would look like the response's.
+    fn sync_reset(&mut self) -> io::Result<()> {
+        let resets = self.responses.0.unfinished.get();
+        if resets == self.resets {
+            return Ok(());
+        }
+        self.resets = resets;
+        if resets {
+            return self.stream.set_zero_linger();
+        }
+        #[expect(deprecated, reason = "without a time it does not block")]
+        self.stream.set_linger(None)
+    }
+
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         Pin::new(&mut self.get_mut().stream)
     }
@@ -182,6 +224,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.sync_reset()?;
         if this.replacement.is_none() {
             this.replacement = this.typed_refusal(bytes).map(|text| (text, bytes.len()));
         }
@@ -203,6 +246,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        this.sync_reset()?;
         ready!(Pin::new(&mut this.stream).poll_flush(context))?;
         // The library flushes when its buffer is empty, so the next write either starts a response
         // or continues one that is open.
@@ -212,6 +256,12 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_shutdown(context)
+        let this = self.get_mut();
+        this.sync_reset()?;
+        if this.resets {
+            // Closing the socket resets the connection; shutting it down would end it in order first.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut this.stream).poll_shutdown(context)
     }
 }
--- a/crates/zinniastall-entry/src/callers/forward/handler.rs
+++ b/crates/zinniastall-entry/src/callers/forward/handler.rs
@@ -31,12 +31,16 @@
     let mut completion = Completion::forwarded(worker.recorder.clone(), &sender.instance);
     let mut call = None;
     let end = match run(&worker, &sender, open, &mut call, &mut completion).await {
-        Ok(answer) => relay(stream, answer, &credit, &out, &mut completion).await,
+        Ok(answer) => {
+            let highest = answer.0.highest;
+            let length = relay(stream, answer, &credit, &out, &mut completion).await;
+            length.map(|length| (length, highest))
+        }
         Err(refusal) => Err(refusal),
     };
     let last = match end {
-        Ok(length) => {
-            completion.answered();
+        Ok((length, highest)) => {
+            completion.answered(highest);
             Message::End { stream, length }
         }
         Err(refusal) => {
@@ -117,6 +121,7 @@
         stream,
         status: reply.status,
         headers: head::headers(&reply, buffered.as_ref().map(Bytes::len)),
+        highest: reply.highest,
     };
     drop(out.send(head).await);
     let mut offset = 0;
--- a/crates/zinniastall-entry/src/callers/forward/head.rs
+++ b/crates/zinniastall-entry/src/callers/forward/head.rs
@@ -1,5 +1,6 @@
 //! Response heads in messages between instances.
 
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{
     header::{PLACE, TARGET},
     place::Place,
@@ -8,7 +9,12 @@
 use crate::callers::reply::{Body, Reply, Served};
 
 /// Converts a received head to a reply with the given body.
-pub(super) fn reply(status: u16, headers: Vec<(String, String)>, body: Body) -> Reply {
+pub(super) fn reply(
+    status: u16,
+    headers: Vec<(String, String)>,
+    highest: Ending,
+    body: Body,
+) -> Reply {
     let find = |name: &str| {
         let mut pairs = headers.iter();
         let pair = pairs.find(|(key, _)| key == name)?;
@@ -29,6 +35,7 @@
         status,
         headers,
         length,
+        highest,
         events,
         offset: 0,
         served,
--- a/crates/zinniastall-entry/src/callers/forward/mux.rs
+++ b/crates/zinniastall-entry/src/callers/forward/mux.rs
@@ -103,8 +103,11 @@
         self.send(Message::Open(Box::new(open)));
         match answer.receiver.recv().await {
             Some(Message::Head {
-                status, headers, ..
-            }) => Ok(reply(status, headers, lazy_body(answer))),
+                status,
+                headers,
+                highest,
+                ..
+            }) => Ok(reply(status, headers, highest, lazy_body(answer))),
             Some(Message::Failed { failure, .. }) => {
                 answer.ended = true;
                 Err(refusal(failure))
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -10,7 +10,6 @@
 pub mod completion;
 pub mod connection;
 pub mod forward;
-pub mod guard;
 pub mod locate;
 pub mod pipeline;
 pub mod progress;
@@ -63,9 +62,9 @@
             completion.served(&reply.served.target);
             let id = completion.request().to_owned();
             if buffered.is_some() {
-                completion.answered();
+                completion.answered(reply.highest);
             } else {
-                reply.body = completion.track_body(reply.body);
+                reply.body = completion.track_body(reply.body, reply.highest);
             }
             response::build(reply, buffered, &id, &instance)
         }
--- a/crates/zinniastall-entry/src/callers/rate.rs
+++ b/crates/zinniastall-entry/src/callers/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use awc::http::header::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue};
 use tokio::time;
 use zinniastall_coord::rate::{Change, Demand, Named, PERMIT_TTL, Permits, Said, Verdict};
 use zinniastall_model::header::{RATE_LIMIT, REJECTION_LIMIT};
@@ -33,7 +33,7 @@
         (headers, is_rejection): (&HeaderMap, bool),
         sent_at: Instant,
     ) {
-        let field = |name| headers.get_all(name).map(HeaderValue::as_bytes);
+        let field = |name| headers.get_all(name).iter().map(HeaderValue::as_bytes);
         let named = Named::read(field(RATE_LIMIT), field(REJECTION_LIMIT), is_rejection);
         let rate = match named {
             Ok(named) => named.rate,
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -138,7 +138,8 @@
                     }
                     continue;
                 }
-                None if self.events.end().is_ok() => return Ok(None),
+                // Nothing that follows the closing event belongs to the stream.
+                _ if self.events.end().is_ok() => return Ok(None),
                 None => Refusal::unknown(Reason::TargetLost),
                 Some(Err(refusal)) => refusal,
             };
--- a/crates/zinniastall-entry/src/callers/reply.rs
+++ b/crates/zinniastall-entry/src/callers/reply.rs
@@ -7,10 +7,11 @@
     StreamExt,
     stream::{self, LocalBoxStream},
 };
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{id, place::Place};
 use zinniastall_route::outcome::Refusal;
 
-/// Parts of a body. The stream ends without an error only if the body is complete.
+/// Parts of a body. The stream ends with an error if the body is known to be incomplete.
 pub type Body = LocalBoxStream<'static, Result<Bytes, Refusal>>;
 
 /// A response whose head has arrived.
@@ -21,6 +22,8 @@
     pub headers: Vec<(String, String)>,
     /// Announced length of the body.
     pub length: Option<u64>,
+    /// The most that is known of its end once the body has ended without an error.
+    pub highest: Ending,
     /// Whether the body is an event stream.
     pub events: bool,
     /// Event number at which a resumed stream starts, as stated by the target.
@@ -57,7 +60,7 @@
 
 /// Source of a body's parts.
 pub(super) trait BodySource: 'static {
-    /// Returns the next part, or `None` at the end of a complete body.
+    /// Returns the next part, or `None` at the end of a body that is not known to be incomplete.
     ///
     /// # Errors
     ///
--- a/crates/zinniastall-entry/src/callers/response.rs
+++ b/crates/zinniastall-entry/src/callers/response.rs
@@ -3,11 +3,12 @@
 use actix_web::{
     HttpResponse, HttpResponseBuilder,
     body::SizedStream,
-    http::{StatusCode, header as http},
+    http::{ConnectionType, StatusCode, header as http},
 };
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use serde::Serialize;
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{
     header::{INSTANCE, OUTCOME, PLACE, REQUEST, RETRY, TARGET, TICKET},
     id,
@@ -87,11 +88,31 @@
         .insert_header((INSTANCE, instance.as_str()))
         .insert_header((TARGET, reply.served.target.as_str()))
         .insert_header((PLACE, reply.served.place.to_string()));
-    if let Some(bytes) = buffered {
+    let is_confirmed = reply.highest == Ending::Complete;
+    let Some(bytes) = buffered else {
+        let response = stream_body(&mut response, reply);
+        return if is_confirmed {
+            response
+        } else {
+            close_delimited(response)
+        };
+    };
+    if is_confirmed {
         response.insert_header((OUTCOME, Outcome::Answered.as_str()));
         return response.body(bytes);
     }
-    stream_body(&mut response, reply)
+    response.insert_header((OUTCOME, Outcome::Unknown.as_str()));
+    let whole = stream::once(async { Ok::<_, Refusal>(bytes) });
+    close_delimited(response.streaming(whole))
+}
+
+/// Has a response end with its connection, without a length or chunks of its own.
+fn close_delimited(response: HttpResponse) -> HttpResponse {
+    response.map_body(|head, body| {
+        head.no_chunking(true);
+        head.set_connection_type(ConnectionType::Close);
+        body
+    })
 }
 
 fn stream_body(response: &mut HttpResponseBuilder, reply: Reply) -> HttpResponse {
--- a/crates/zinniastall-entry/src/callers/server.rs
+++ b/crates/zinniastall-entry/src/callers/server.rs
@@ -12,7 +12,9 @@
 use actix_service::{IntoServiceFactory, Service as _, ServiceFactoryExt, fn_service, map_config};
 use actix_web::{
     App, Error,
+    body::{BodySize, MessageBody},
     dev::{AppConfig, ServiceRequest},
+    http::{ConnectionType, Version},
 };
 
 use super::{
@@ -47,10 +49,20 @@
             .wrap_fn(|request: ServiceRequest, next| {
                 let responses = request.request().conn_data::<Responses>().cloned();
                 let guard = responses.unwrap_or_default().start();
+                let is_old = request.version() < Version::HTTP_11;
                 let call = next.call(request);
                 async move {
                     let response = call.await?;
-                    Ok(response.map_body(|_, body| GuardedBody::new(body, guard)))
+                    Ok(response.map_body(|head, body| {
+                        let is_stream = body.size() == BodySize::Stream;
+                        if is_old && is_stream {
+                            // The library would send chunks, which HTTP/1.0 doesn't have.
+                            head.no_chunking(true);
+                            head.set_connection_type(ConnectionType::Close);
+                        }
+                        let is_close_delimited = is_stream && !head.chunked();
+                        GuardedBody::new(body, is_close_delimited, guard)
+                    }))
                 }
             })
             .configure(|config| service.configure(config));
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -1,146 +1,109 @@
-//! HTTP client for targets.
+//! Sends requests to targets and reads their answers.
 //!
-//! "Not run" must be certain. Once the HTTP library holds a connection, bytes of the request may
-//! have left, so every later failure is "unknown". Only failures to connect, and typed refusals
-//! from the target, are "not run". Retries and redirects in the library are disabled, since both
-//! could run a request twice.
-
-use std::time::{Duration, Instant};
-
-use actix_service::ServiceExt;
-use actix_tls::connect::{Connection, Connector as Dialer};
-use awc::{
-    Client, ClientResponse, Connector,
-    error::{ConnectError, SendRequestError},
-    http::{StatusCode, Uri, header},
+//! "Not run" must be certain. Once a connection is open, bytes of the request may have left, so every
+//! later failure is "unknown". Only failures to connect, and typed refusals from the target, are "not
+//! run".
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
 };
-use bytes::Bytes;
-use futures_util::{StreamExt, stream};
-use zinniastall_model::header::{OFFSET, OUTCOME, RETRY};
-use zinniastall_route::{
-    outcome::{Outcome, Reason, Refusal},
-    relay::Length,
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use tokio::time::timeout_at;
+use zinniastall_http::{
+    body::{Decoder, Framing},
+    client::Exchange,
+    connection::Part,
+    ending::Ending,
+    events::Events,
+    head::{self, Response},
+    pool::Connection,
 };
+use zinniastall_model::header::{OFFSET, OUTCOME, RETRY};
+use zinniastall_route::outcome::{Outcome, Reason, Refusal};
 use zinniastall_wire::gossip;
 
 use super::{
     call::{Call, is_forwarded},
-    guard::Guard,
-    reply::{Body, Reply, Served, remaining_ms},
+    reply::{BodySource, Reply, Served, lazy_body, remaining_ms},
     worker::Worker,
 };
 
 /// Maximum time to connect to a target of the zone; the request is validated before it.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle time after which a pooled connection is closed. It is shorter than the keep-alive time
-/// common in HTTP servers, so that a connection is rarely found closed by the other end.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Maximum lifetime of a connection in constant use, in multiples of the idle timeout.
-const MAX_LIFETIME_IN_IDLE_TIMEOUTS: u32 = 15;
-
-/// Connections from one thread to targets.
-#[derive(Clone)]
-pub struct Clients {
-    pooled: Client,
-    fresh: Client,
-}
-
-impl std::fmt::Debug for Clients {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Clients").finish_non_exhaustive()
-    }
-}
-
-impl Default for Clients {
-    fn default() -> Self {
-        Self {
-            pooled: client(IDLE_TIMEOUT),
-            fresh: client(Duration::ZERO),
-        }
-    }
-}
-
-impl Clients {
-    /// Returns the HTTP client for a request.
-    ///
-    /// A target may close a pooled connection at the moment it is reused, and then it is unknown
-    /// whether the request was read. Requests that must not be repeated would end as "unknown", so
-    /// each of them gets a new connection.
-    const fn client(&self, idempotent: bool) -> &Client {
-        if idempotent {
-            &self.pooled
-        } else {
-            &self.fresh
-        }
-    }
-}
 
-fn client(lifetime: Duration) -> Client {
-    let dialer = Dialer::default().service().map(guard);
-    let connector = Connector::new()
-        .connector(dialer)
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(lifetime)
-        .conn_lifetime(lifetime.saturating_mul(MAX_LIFETIME_IN_IDLE_TIMEOUTS))
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_redirects()
-        .disable_timeout()
-        .no_default_headers()
-        .finish()
-}
-
-fn guard(connection: Connection<Uri, actix_rt::net::TcpStream>) -> Connection<Uri, Guard> {
-    let (stream, rest) = connection.replace_io(());
-    // Without `TCP_NODELAY`, small events would wait for acknowledgements. A failure only adds
-    // latency.
-    let _ = stream.set_nodelay(true);
-    rest.replace_io(Guard::new(stream)).1
-}
-
-/// Sends a request to a target and waits for the response head.
+/// Sends a request to a target and waits for the head of its answer.
 ///
 /// # Errors
 ///
 /// Returns a [`Refusal`] whose outcome tells whether the target may have run the request.
 pub async fn send(
-    worker: &Worker,
+    worker: &Rc<Worker>,
     target: &gossip::Target,
     call: &Call,
     offset: u64,
 ) -> Result<Reply, Refusal> {
-    let url = format!("http://{}{}", target.address, call.path);
-    let method = awc::http::Method::from_bytes(call.method.as_bytes()).map_err(|_| {
-        Refusal::not_run(Reason::MalformedBody("the method is not known".to_owned()))
-    })?;
-    let client = worker.client.client(call.request.idempotent);
-    let mut request = client.request(method, url);
-    for (name, value) in &call.headers {
-        request = request.insert_header((name.as_str(), value.as_str()));
-    }
     let left = remaining_ms(call.request.deadline);
-    for (name, value) in call.system_headers(left, offset) {
-        request = request.insert_header((name, value));
-    }
+    let request = encode(call, &target.address, left, offset)?;
     if left == 0 {
         return Err(Refusal::not_run(Reason::DeadlineNotFeasible));
     }
+    let deadline = Instant::now() + Duration::from_millis(left);
     let sent_at = Instant::now();
-    let response = request
-        .timeout(Duration::from_millis(left))
-        .send_body(call.body.clone())
-        .await
-        .map_err(|error| worker.failed_path(target, &error))?;
+    let mut connection = worker.connect(target, call, deadline).await?;
+    let Connection { reader, writer, .. } = &mut connection;
+    let mut exchange = Exchange::start(reader, writer, &request);
+    let head = timeout_at(deadline.into(), exchange.next_head()).await;
+    let is_clean = exchange.is_written() && !exchange.has_failed();
+    drop(exchange);
+    let head = head.map_err(|_| Refusal::unknown(Reason::DeadlinePassed))?;
+    let head = head.map_err(|error| worker.lost(target, call, &error.to_string()))?;
     let reach = worker.service.shared_view.paths();
-    reach.heard(&target.target, !call.request.idempotent);
-    let refusal = typed_refusal(&response);
-    let answer = (response.headers(), refusal.is_some());
+    reach.heard(&target.target, !connection.is_used);
+    let refusal = typed_refusal(&head);
+    let answer = (&head.headers, refusal.is_some());
     worker.observe_rate(target, call, answer, sent_at);
     if let Some(refusal) = refusal {
         return Err(refusal);
     }
-    Ok(read_head(response, target))
+    let framing = head.framing(call.method == Method::HEAD.as_str());
+    let framing = framing.map_err(|error| worker.lost(target, call, &error.to_string()))?;
+    let body = TargetBody {
+        worker: Rc::clone(worker),
+        request: call.request.id.clone(),
+        target: target.clone(),
+        connection: Some(connection),
+        is_reusable: is_clean,
+        framing,
+        decoder: Decoder::new(framing),
+        events: Events::default(),
+        head,
+    };
+    Ok(body.reply())
+}
+
+/// Encodes a request for a target.
+fn encode(call: &Call, address: &str, left: u64, offset: u64) -> Result<BytesMut, Refusal> {
+    let malformed = |what: &str| Refusal::not_run(Reason::MalformedBody(what.to_owned()));
+    let method = Method::from_bytes(call.method.as_bytes());
+    let method = method.map_err(|_| malformed("the method is not known"))?;
+    let mut headers = HeaderMap::new();
+    let own = call.system_headers(left, offset);
+    let own = own.iter().map(|(name, value)| (*name, value.as_str()));
+    let callers = call.headers.iter();
+    let callers = callers.map(|(name, value)| (name.as_str(), value.as_str()));
+    for (name, value) in callers.chain(own).chain([("host", address)]) {
+        let name = HeaderName::try_from(name).map_err(|_| malformed("a header name"))?;
+        let value = HeaderValue::try_from(value).map_err(|_| malformed("a header value"))?;
+        headers.append(name, value);
+    }
+    headers.insert(header::CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    let mut output = BytesMut::with_capacity(1024 + call.body.len());
+    head::write_request(&mut output, &method, &call.path, &headers);
+    output.extend_from_slice(&call.body);
+    Ok(output)
 }
 
 /// Waits for a target's work on a request; if the request may be repeated, only for as long as the path
@@ -164,74 +127,58 @@
 }
 
 impl Worker {
-    /// Records what a send error says of the path to a target, and classifies it.
-    fn failed_path(&self, target: &gossip::Target, error: &SendRequestError) -> Refusal {
-        let refusal = classify(error);
-        let reach = self.service.shared_view.paths();
-        match refusal.reason {
-            Reason::TargetUnreachable => reach.failed(&target.target, &error.to_string()),
-            Reason::TargetLost => reach.broke(&target.target),
-            _ => {}
-        }
-        refusal
-    }
-}
-
-/// Classifies a send error by whether the request may have run.
-fn classify(error: &SendRequestError) -> Refusal {
-    match error {
-        // `Disconnected` is the only connection error that the library also reports for a
-        // connection that broke while in use.
-        SendRequestError::Connect(ConnectError::Disconnected) => {
-            Refusal::unknown(Reason::TargetLost)
-        }
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
+    /// Takes or opens a connection to a target.
+    ///
+    /// A target may close a pooled connection at the moment it is reused, and then it is unknown
+    /// whether the request was read. Requests that must not be repeated would end as "unknown", so
+    /// each of them gets a new connection.
+    async fn connect(
+        &self,
+        target: &gossip::Target,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<Connection, Refusal> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let timeout = left.min(CONNECT_TIMEOUT);
+        let connected = if call.request.idempotent {
+            self.connections
+                .connect(&target.address, true, timeout)
+                .await
+        } else {
+            Connection::open(&target.address, timeout).await
+        };
+        connected.map_err(|error| {
+            let reach = self.service.shared_view.paths();
+            reach.failed(&target.target, &error.to_string());
             Refusal::not_run(Reason::TargetUnreachable)
-        }
-        SendRequestError::Timeout => Refusal::unknown(Reason::DeadlinePassed),
-        _ => Refusal::unknown(Reason::TargetLost),
+        })
     }
-}
 
-fn read_head(response: ClientResponse, target: &gossip::Target) -> Reply {
-    let text = |name: header::HeaderName| response.headers().get(name)?.to_str().ok();
-    let length = text(header::CONTENT_LENGTH).and_then(|value| value.parse().ok());
-    let events =
-        text(header::CONTENT_TYPE).is_some_and(|value| value.starts_with("text/event-stream"));
-    let offset = response.headers().get(OFFSET);
-    let offset = offset.and_then(|value| value.to_str().ok()?.parse().ok());
-    let offset = offset.unwrap_or_default();
-    let headers = response.headers().iter().filter_map(|(name, value)| {
-        let value = value.to_str().ok()?;
-        is_forwarded(name.as_str()).then(|| (name.as_str().to_owned(), value.to_owned()))
-    });
-    Reply {
-        status: response.status().as_u16(),
-        headers: headers.collect(),
-        length: if events { None } else { length },
-        events,
-        offset,
-        served: Served {
-            target: target.target.clone(),
-            place: target.place.clone(),
-        },
-        body: read_body(response, Length::new(length)),
+    /// Records that the connection to a target broke.
+    fn lost(&self, target: &gossip::Target, call: &Call, why: &str) -> Refusal {
+        self.service.shared_view.paths().broke(&target.target);
+        tracing::info!(
+            event = "answer-lost",
+            request = call.request.id,
+            target = target.target,
+            why,
+        );
+        Refusal::unknown(Reason::TargetLost)
     }
 }
 
 /// Recognises a target's typed refusal, which states that the request has not run.
-fn typed_refusal(response: &ClientResponse) -> Option<Refusal> {
-    let status = response.status();
+fn typed_refusal(head: &Response) -> Option<Refusal> {
     let refusing = [
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
     ];
-    let said = response.headers().get(OUTCOME)?.to_str().ok()?;
-    if !refusing.contains(&status) || said != Outcome::NotRun.as_str() {
+    let said = head.headers.get(OUTCOME)?.to_str().ok()?;
+    if !refusing.contains(&head.status) || said != Outcome::NotRun.as_str() {
         return None;
     }
     let refusal = Refusal::not_run(Reason::TargetRefused);
-    let retry = response.headers().get(RETRY);
+    let retry = head.headers.get(RETRY);
     let millis = retry.and_then(|value| value.to_str().ok()?.parse().ok());
     Some(match millis {
         Some(millis) => refusal.retry_after(Duration::from_millis(millis)),
@@ -239,17 +186,119 @@
     })
 }
 
-fn read_body(response: ClientResponse, length: Length) -> Body {
-    let next = |state: Option<(ClientResponse, Length)>| async move {
-        let (mut response, mut length) = state?;
-        let part: Option<Result<Bytes, _>> = response.next().await;
-        match part {
-            Some(Ok(bytes)) if length.push(&bytes).is_ok() => {
-                Some((Ok(bytes), Some((response, length))))
+/// Body of a target's answer; dropping it before its end closes the connection.
+struct TargetBody {
+    worker: Rc<Worker>,
+    request: String,
+    target: gossip::Target,
+    /// Connection, until the body has ended.
+    connection: Option<Connection>,
+    /// Whether the target has read the whole request, so that the next one would not be taken for a
+    /// part of it.
+    is_reusable: bool,
+    framing: Framing,
+    decoder: Decoder,
+    /// Splits a series of events, to recognise one that was broken off.
+    events: Events,
+    head: Response,
+}
+
+impl TargetBody {
+    fn text(&self, name: impl header::AsHeaderName) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the most that can be known of the end of the body.
+    fn highest(&self) -> Ending {
+        match self.framing {
+            Framing::Close => Ending::Unconfirmed,
+            _ => Ending::Complete,
+        }
+    }
+
+    fn is_events(&self) -> bool {
+        let kind = self.text(header::CONTENT_TYPE);
+        kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+    }
+
+    fn reply(self) -> Reply {
+        let offset = self.text(OFFSET).and_then(|value| value.parse().ok());
+        let headers = self.head.headers.iter().filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            is_forwarded(name.as_str()).then(|| (name.as_str().to_owned(), value.to_owned()))
+        });
+        let events = self.is_events();
+        Reply {
+            status: self.head.status.as_u16(),
+            headers: headers.collect(),
+            length: match self.framing {
+                Framing::Length(length) if !events => Some(length),
+                _ => None,
+            },
+            highest: self.highest(),
+            events,
+            offset: offset.unwrap_or_default(),
+            served: Served {
+                target: self.target.target.clone(),
+                place: self.target.place.clone(),
+            },
+            body: lazy_body(self),
+        }
+    }
+
+    /// Records how the body ended, and returns the connection to the pool if it may serve another
+    /// request.
+    fn ended(&mut self, ending: Ending, why: &str) {
+        let name = match ending {
+            Ending::Complete => "answers.complete",
+            Ending::Unconfirmed => "answers.unconfirmed",
+            Ending::Incomplete => "answers.incomplete",
+        };
+        self.worker.recorder.count(name, 1);
+        if ending != Ending::Complete {
+            tracing::info!(
+                event = "answer-ended",
+                request = self.request,
+                target = self.target.target,
+                framing = self.framing.as_str(),
+                ending = ending.as_str(),
+                why,
+            );
+        }
+        let is_reusable = self.is_reusable && ending == Ending::Complete;
+        if let Some(connection) = self.connection.take().filter(|_| is_reusable) {
+            let pool = &self.worker.connections;
+            pool.release(&self.target.address, connection, &self.head);
+        }
+    }
+
+    fn broken(&mut self, why: &str) -> Refusal {
+        self.ended(Ending::Incomplete, why);
+        Refusal::unknown(Reason::TargetLost)
+    }
+}
+
+impl BodySource for TargetBody {
+    async fn next_part(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let is_events = self.is_events();
+        let Some(connection) = &mut self.connection else {
+            return Err(Refusal::unknown(Reason::TargetLost));
+        };
+        match connection.reader.part(&mut self.decoder).await {
+            Ok(Part::Piece(bytes)) => {
+                if is_events {
+                    self.events.push(&bytes);
+                }
+                Ok(Some(bytes))
             }
-            None if length.end().is_ok() => None,
-            _ => Some((Err(Refusal::unknown(Reason::TargetLost)), None)),
+            Ok(Part::End(_)) if is_events && let Err(torn) = self.events.finish() => {
+                Err(self.broken(&torn.to_string()))
+            }
+            Ok(Part::End(ending)) => {
+                self.ended(ending, "the answer states no end of its own");
+                Ok(None)
+            }
+            Err(error) => Err(self.broken(&error.to_string())),
         }
-    };
-    stream::unfold(Some((response, length)), next).boxed_local()
+    }
 }
--- a/crates/zinniastall-entry/src/callers/ticket/record.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/record.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
+use zinniastall_http::ending::Ending;
 use zinniastall_route::outcome::{Reason, Refusal};
 
 use super::reader::Reader;
@@ -42,6 +43,7 @@
     status: u16,
     headers: Vec<(String, String)>,
     length: Option<u64>,
+    highest: Ending,
     events: bool,
     served: Served,
 }
@@ -77,6 +79,7 @@
             status: reply.status,
             headers: reply.headers.clone(),
             length: reply.length,
+            highest: reply.highest,
             events: reply.events,
             served: reply.served.clone(),
         });
@@ -141,6 +144,7 @@
             status: head.status,
             headers: head.headers,
             length: head.length,
+            highest: head.highest,
             events: head.events,
             offset: 0,
             served: head.served,
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -2,19 +2,20 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use zinniastall_http::pool::Pool;
 use zinniastall_model::{place::Place, state::State};
 use zinniastall_route::{identify::Index, outcome::Reason, request::Request, residency};
 use zinniastall_settings::metrics::Recorder;
 
-use super::{Service, forward::Links, target::Clients};
+use super::{Service, forward::Links};
 use crate::view::View;
 
 /// State of one traffic thread.
 pub struct Worker {
     /// State shared by all traffic threads.
     pub service: Service,
-    /// Connections to targets.
-    pub client: Clients,
+    /// Idle connections to targets.
+    pub connections: Pool,
     /// Links to other instances.
     pub links: Links,
     /// Histograms of this thread.
@@ -32,7 +33,7 @@
     /// Creates the worker of the current thread.
     pub fn new(service: Service) -> Self {
         Self {
-            client: Clients::default(),
+            connections: Pool::default(),
             links: Links::new(
                 service.identity.clone(),
                 service.shared_view.quarantine().clone(),
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -9,9 +9,12 @@
 use http::StatusCode;
 use zinniastall_coord::rate::Rate;
 use zinniastall_http::{
-    body::{Decoder, Framing},
+    body::Decoder,
+    client::Exchange,
     ending::Ending,
+    events::Events,
     head::Response,
+    pool::{CONNECT_TIMEOUT, Connection, REMOTE_CONNECT_TIMEOUT},
     server::Reply,
 };
 use zinniastall_model::id;
@@ -19,11 +22,9 @@
 use super::{
     Proxy,
     answer::Outcome,
-    events::Events,
     job::{Job, header_number, header_text},
-    pool::{CONNECT_TIMEOUT, Connection, REMOTE_CONNECT_TIMEOUT},
     responder::Responder,
-    transfer::{drain_body, drain_refusal, next_head},
+    transfer::{drain_body, drain_refusal},
 };
 use crate::{
     headers::{OUTCOME, RETRY_MS},
@@ -303,29 +304,11 @@
         output: &[u8],
     ) -> Result<(Response, bool), Why> {
         let Connection { reader, writer, .. } = connection;
-        let mut is_written = false;
+        let mut exchange = Exchange::start(reader, writer, output);
         let mut stray_answers = 0;
-        let mut writing = std::pin::pin!(writer.write(output));
         let response = loop {
-            let response = if is_written {
-                next_head(reader).await?
-            } else {
-                tokio::select! {
-                    biased;
-                    written = &mut writing => {
-                        is_written = true;
-                        if written.is_err() {
-                            // The answer may have arrived nevertheless.
-                            stray_answers = MAX_STRAY_ANSWERS;
-                        }
-                        continue;
-                    }
-                    response = next_head(reader) => response?,
-                }
-            };
-            if response.status.is_informational() {
-                continue;
-            }
+            let response = exchange.next_head().await;
+            let response = response.map_err(|error| error.to_string())?;
             let echoed = header_text(&response.headers, &self.header_names.request_id);
             if echoed.is_none_or(|echoed| echoed == job.id) {
                 break response;
@@ -334,15 +317,15 @@
             stray_answers += 1;
             tracing::info!(event = "stray-answer", id = job.id, other = echoed);
             let framing = response.framing(false).map_err(|fault| fault.to_string())?;
-            let length_known = framing != Framing::Close;
             if stray_answers > MAX_STRAY_ANSWERS
-                || !length_known
-                || !drain_body(reader, Decoder::new(framing)).await
+                || exchange.has_failed()
+                || !drain_body(exchange.reader(), Decoder::new(framing)).await
             {
                 return Err("answers to other requests".to_owned());
             }
         };
-        Ok((response, is_written && stray_answers == 0))
+        let is_clean = exchange.is_written() && !exchange.has_failed() && stray_answers == 0;
+        Ok((response, is_clean))
     }
 
     /// Returns the end of the attempt if the answer says that the request has not run.
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -5,15 +5,19 @@
 
 use bytes::Bytes;
 use zinniastall_http::{
-    body::Decoder, connection::Part, ending::Ending, head::Response, probe::is_refused,
+    body::Decoder,
+    connection::Part,
+    ending::Ending,
+    events::{Events, Torn},
+    head::Response,
+    pool::Connection,
+    probe::is_refused,
     server::Reply,
 };
 
 use super::{
     Proxy,
     attempt::{Attempt, Ended, Place, Why},
-    events::{Events, Torn},
-    pool::Connection,
     responder::Responder,
     transfer::{Delimited, end_to_end_headers, forward_piece, is_event_stream, read_body},
 };
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -6,11 +6,9 @@
 mod closings;
 mod crash;
 mod delivery;
-pub mod events;
 pub mod job;
 mod outgoing;
 pub mod placement;
-pub mod pool;
 mod rate;
 pub mod reach;
 pub mod responder;
@@ -22,6 +20,7 @@
 
 use tokio::sync::Notify;
 use zinniastall_coord::quarantine::Probes;
+use zinniastall_http::pool::Pool;
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
@@ -37,7 +36,7 @@
     view::Shared,
 };
 
-use self::{closings::Closings, pool::Pool, serve::Connections};
+use self::{closings::Closings, serve::Connections};
 
 /// The reverse proxy of one traffic thread.
 #[derive(Debug)]
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -10,14 +10,13 @@
 use zinniastall_coord::quarantine::{
     HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
 };
-use zinniastall_http::{ending::Ending, server::Reply};
+use zinniastall_http::{ending::Ending, events::Events, server::Reply};
 
 use super::{
     Proxy,
     answer::Refusal,
     attempt::{Attempt, Ended, Place},
     crash::Clearance,
-    events::Events,
     job::{Job, header_text},
     placement::{Placement, Tried},
     responder::Responder,
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -7,7 +7,7 @@
 use tokio::time;
 use zinniastall_http::{
     body::{Decoder, Framing},
-    connection::{MAX_RESPONSE_HEAD_BYTES, Part, Reader},
+    connection::{Part, Reader},
     ending::Ending,
     head::{self, Response},
 };
@@ -28,15 +28,6 @@
 /// cost of a new one. Nearly all refusals arrive in one piece.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// Reads the head of the next answer.
-pub(super) async fn next_head(reader: &mut Reader) -> Result<Response, Why> {
-    match reader.head::<Response>(MAX_RESPONSE_HEAD_BYTES).await {
-        Ok(Some(response)) => Ok(response),
-        Ok(None) => Err("closed without an answer".to_owned()),
-        Err(error) => Err(error.to_string()),
-    }
-}
-
 /// Drains the body of a refusal and returns whether the connection may be reused.
 pub(super) async fn drain_refusal(response: &Response, reader: &mut Reader) -> bool {
     let Ok(framing) = response.framing(false) else {
--- /dev/null
+++ b/crates/zinniastall-http/src/client.rs
@@ -0,0 +1,82 @@
+//! Sends a request on a connection while its answer is read.
+
+use std::io;
+
+use futures_util::{FutureExt, future::LocalBoxFuture};
+
+use crate::{
+    connection::{Error, MAX_RESPONSE_HEAD_BYTES, Reader, Writer},
+    head::Response,
+};
+
+/// A request that is written, and whose answer is awaited.
+///
+/// A server may answer before it has read a long body, so both directions make progress together.
+pub struct Exchange<'a> {
+    reader: &'a mut Reader,
+    writing: Option<LocalBoxFuture<'a, io::Result<()>>>,
+    has_failed: bool,
+}
+
+impl std::fmt::Debug for Exchange<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Exchange")
+            .field("is_written", &self.is_written())
+            .finish_non_exhaustive()
+    }
+}
+
+impl<'a> Exchange<'a> {
+    /// Starts to write an encoded request.
+    pub fn start(reader: &'a mut Reader, writer: &'a mut Writer, request: &'a [u8]) -> Self {
+        Self {
+            reader,
+            writing: Some(writer.write(request).boxed_local()),
+            has_failed: false,
+        }
+    }
+
+    /// Returns whether the whole request has been written, or its writing has failed.
+    pub const fn is_written(&self) -> bool {
+        self.writing.is_none()
+    }
+
+    /// Returns whether the request could not be written in full. An answer may have arrived
+    /// nevertheless.
+    pub const fn has_failed(&self) -> bool {
+        self.has_failed
+    }
+
+    /// Returns the half from which the body of an answer is read.
+    pub const fn reader(&mut self) -> &mut Reader {
+        self.reader
+    }
+
+    /// Reads the head of the next answer, without informational ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails or ends, or if the head is invalid.
+    pub async fn next_head(&mut self) -> Result<Response, Error> {
+        loop {
+            let head = self.reader.head::<Response>(MAX_RESPONSE_HEAD_BYTES);
+            let head = match &mut self.writing {
+                None => head.await?,
+                Some(writing) => tokio::select! {
+                    biased;
+                    written = writing => {
+                        self.writing = None;
+                        self.has_failed = written.is_err();
+                        continue;
+                    }
+                    head = head => head?,
+                },
+            };
+            match head {
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => return Ok(head),
+                None => return Err(Error::Closed),
+            }
+        }
+    }
+}
--- a/crates/zinniastall-http/src/connection.rs
+++ b/crates/zinniastall-http/src/connection.rs
@@ -40,6 +40,9 @@
     /// The connection ended inside a head.
     #[error("the connection ended inside a head")]
     Ended,
+    /// The connection ended without a message.
+    #[error("closed without an answer")]
+    Closed,
 }
 
 /// What is read of a body next.
--- a/crates/zinniastall-http/src/lib.rs
+++ b/crates/zinniastall-http/src/lib.rs
@@ -5,7 +5,10 @@
 //! | [`head`] | strict parsing and writing of request and response heads |
 //! | [`body`] | decoding and encoding of bodies, without I/O |
 //! | [`ending`] | what is known of the end of a message |
+//! | [`events`] | streams split into events |
 //! | [`connection`] | buffered read and write halves of a connection |
+//! | [`client`] | sending a request and reading its answer |
+//! | [`pool`] | idle connections, by address |
 //! | [`probe`] | whether a server still listens |
 //! | [`watch`] | waiting for work that may have become hopeless |
 //! | [`server`] | a small server for handlers that work on complete bodies |
@@ -15,9 +18,12 @@
 //! feeds) is therefore refused.
 
 pub mod body;
+pub mod client;
 pub mod connection;
 pub mod ending;
+pub mod events;
 pub mod head;
+pub mod pool;
 pub mod probe;
 pub mod server;
 pub mod watch;
--- a/crates/zinniastall-gateway/src/path/pool.rs
+++ b/crates/zinniastall-http/src/pool.rs
@@ -8,7 +8,8 @@
 
 use indexmap::IndexMap;
 use tokio::{net::TcpStream, time};
-use zinniastall_http::{
+
+use crate::{
     connection::{self, Reader, Writer},
     head::Response,
 };
@@ -40,6 +41,24 @@
     pub is_used: bool,
 }
 
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can be opened in time; nothing was sent then.
+    pub async fn open(address: &str, timeout: Duration) -> io::Result<Self> {
+        let stream = time::timeout(timeout, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let (reader, writer) = connection::split(stream)?;
+        Ok(Self {
+            reader,
+            writer,
+            is_used: false,
+        })
+    }
+}
+
 /// Idle connections, by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -65,17 +84,10 @@
         repeats: bool,
         timeout: Duration,
     ) -> io::Result<Connection> {
-        if let Some(connection) = self.take(address, repeats) {
-            return Ok(connection);
+        match self.take(address, repeats) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address, timeout).await,
         }
-        let stream = time::timeout(timeout, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        let (reader, writer) = connection::split(stream)?;
-        Ok(Connection {
-            reader,
-            writer,
-            is_used: false,
-        })
     }
 
     /// Returns a connection to the pool, unless the answer ended it or left bytes behind on it.
--- a/crates/zinniastall-gateway/tests/events.rs
+++ b/crates/zinniastall-http/tests/events.rs
@@ -4,7 +4,7 @@
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
 };
-use zinniastall_gateway::path::events::{Events, Torn};
+use zinniastall_http::events::{Events, Torn};
 
 /// An engine crashes in the middle of an event. Another engine resumes the stream at the start of
 /// an event. If the partial event were kept, the caller would read an event made of parts of two
--- a/crates/zinniastall-wire/src/stream.rs
+++ b/crates/zinniastall-wire/src/stream.rs
@@ -5,6 +5,7 @@
 //! total length, so that a truncated response never appears complete.
 
 use serde::{Deserialize, Serialize};
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{fingerprint::Suspect, id, object::Subject, place::Place};
 
 /// Id of a stream, unique within its link.
@@ -24,6 +25,9 @@
         status: u16,
         /// HTTP headers to pass to the caller.
         headers: Vec<(String, String)>,
+        /// The most that is known of the end of the target's answer once [`Message::End`] has arrived.
+        #[serde(default = "complete", skip_serializing_if = "is_complete")]
+        highest: Ending,
     },
     /// Part of the response body.
     Data {
@@ -35,7 +39,7 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
-    /// Completes the response.
+    /// Ends the response; a response without it is incomplete.
     End {
         /// Id of the stream.
         stream: Id,
@@ -82,6 +86,18 @@
     }
 }
 
+const fn complete() -> Ending {
+    Ending::Complete
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature that serde expects"
+)]
+const fn is_complete(ending: &Ending) -> bool {
+    matches!(ending, Ending::Complete)
+}
+
 /// A complete request that is forwarded to another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
