--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -10,6 +10,7 @@
     membership::Heartbeat,
     rate::{Limit, Rate},
 };
+use zinniastall_http::ending::Ending;
 use zinniastall_model::{
     change::{Body, Change, Origin},
     fingerprint::{Fingerprint, Suspect, Suspects},
@@ -412,6 +413,14 @@
         .boxed()
 }
 
+fn ending() -> impl Strategy<Value = Ending> {
+    prop::sample::select(vec![
+        Ending::Incomplete,
+        Ending::Unconfirmed,
+        Ending::Complete,
+    ])
+}
+
 fn stream() -> BoxedStrategy<stream::Message> {
     use stream::Message;
     let failure = prop_oneof![
@@ -420,13 +429,14 @@
     ];
     prop_oneof![
         open().prop_map(|open| Message::Open(Box::new(open))),
-        (any::<u64>(), any::<u16>(), headers()).prop_map(|(stream, status, headers)| {
-            Message::Head {
+        (any::<u64>(), any::<u16>(), headers(), ending()).prop_map(
+            |(stream, status, headers, highest)| Message::Head {
                 stream,
                 status,
                 headers,
+                highest,
             }
-        }),
+        ),
         (any::<u64>(), any::<u64>(), bytes()).prop_map(|(stream, offset, bytes)| Message::Data {
             stream,
             offset,
