fix(load): the load tool tells an answer's end by its framing

The load tool read answers with awc, which ends a body without an error if its connection closes early, and takes an HTTP/1.1 answer without framing for an empty one: whole answers without framing counted as broken, and a plain one whose JSON happened to be whole as answered, whatever its end. It reads with zinniastall-http now; an answer whose end is unconfirmed is no answered one. The stand-in's download of weights compares what arrived with the announced length for the same reason.

--- a/crates/zinniastall-load/src/call.rs
+++ b/crates/zinniastall-load/src/call.rs
@@ -2,13 +2,21 @@
 
 use std::time::{Duration, Instant};
 
-use awc::{
-    Client,
-    error::{ConnectError, SendRequestError},
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt, stream};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method,
+    header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST},
 };
-use bytes::Bytes;
-use futures_util::{Stream, StreamExt};
 use serde_json::Value;
+use zinniastall_http::{
+    body::Decoder,
+    client::Exchange,
+    connection::{Error, Part},
+    ending::Ending,
+    head::{Response, write_request},
+    pool::{Connection, Pool},
+};
 use zinniastall_model::header;
 
 use crate::{
@@ -20,12 +28,14 @@
 
 /// Longest body of an answer that is not streamed.
 const MAX_BODY_BYTES: usize = 64 << 20;
+/// Path of all requests.
+const PATH: &str = "/v1/chat/completions";
 
 /// A request to send.
 #[derive(Debug)]
 pub struct Call<'a> {
-    /// URL.
-    pub url: String,
+    /// Address.
+    pub address: String,
     /// Source.
     pub source: &'a Source,
     /// Prompt, with the body to send.
@@ -34,6 +44,8 @@
     pub ticket: Option<String>,
     /// Deadline, sent as a header.
     pub deadline: Duration,
+    /// Longest time to connect.
+    pub connect_timeout: Duration,
     /// Planned start.
     pub due: Instant,
 }
@@ -77,48 +89,43 @@
 
 impl Call<'_> {
     /// Sends the request and waits for the end of its answer.
-    pub async fn send(&self, client: &Client) -> Sample {
-        let mut request = client
-            .post(&self.url)
-            .insert_header(("content-type", "application/json"))
-            .insert_header((header::CLASS, self.source.class.as_str()))
-            .insert_header((header::DEADLINE, self.deadline.as_millis().to_string()))
-            .insert_header((header::IDEMPOTENT, self.source.idempotent.to_string()));
-        if !self.source.key.is_empty() {
-            request = request.bearer_auth(&self.source.key);
-        }
-        if let Some(ticket) = &self.ticket {
-            request = request.insert_header((header::TICKET, ticket.as_str()));
-        }
-        let body = Bytes::copy_from_slice(self.prompt.body.as_bytes());
-        let mut response = match request.send_body(body).await {
-            Ok(response) => response,
-            // The HTTP library also reports this for a connection that broke while in use, so the
-            // request may have run.
-            Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
-                return Sample::new(Outcome::Unknown, self.due, "broken");
-            }
+    pub async fn send(&self, pool: &Pool) -> Sample {
+        let connected = pool
+            .connect(&self.address, true, self.connect_timeout)
+            .await;
+        let Ok(mut connection) = connected else {
             // Without a connection no byte was sent.
-            Err(SendRequestError::Connect(_)) => {
-                return Sample::new(Outcome::NotRun, self.due, "connect");
-            }
-            Err(_) => return Sample::new(Outcome::Unknown, self.due, "broken"),
+            return Sample::new(Outcome::NotRun, self.due, "connect");
+        };
+        let request = self.encode();
+        let Connection { reader, writer, .. } = &mut connection;
+        let response = Exchange::start(reader, writer, &request).next_head().await;
+        let framing = response.as_ref().ok().map(|head| head.framing(false));
+        let (Ok(head), Some(Ok(framing))) = (response, framing) else {
+            return Sample::new(Outcome::Unknown, self.due, "broken");
         };
         let text = |name: &str| {
-            let value = response.headers().get(name);
+            let value = head.headers.get(name);
             let value = value.and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
         let (place, instance) = (text(header::PLACE), text(header::INSTANCE));
-        let sample = if !response.status().is_success() {
-            let outcome = Outcome::parse(&text(header::OUTCOME));
-            let error = error_type(response.body().limit(MAX_BODY_BYTES).await.ok());
+        let outcome = Outcome::parse(&text(header::OUTCOME));
+        let is_success = head.status.is_success();
+        let body = Body {
+            pool,
+            address: &self.address,
+            decoder: Decoder::new(framing),
+            connection,
+            head,
+        };
+        let sample = if !is_success {
+            let error = error_type(body.read().await.map(|(body, _)| body));
             Sample::new(outcome, self.due, &error)
         } else if self.source.stream {
-            self.read_events(Events::new(response)).await
+            self.read_events(Events::new(Box::pin(body.parts()))).await
         } else {
-            let body = response.body().limit(MAX_BODY_BYTES).await.ok();
-            self.check_body(body)
+            self.check_body(body.read().await)
         };
         Sample {
             place,
@@ -127,18 +134,53 @@
         }
     }
 
-    /// Evaluates an answer that is not streamed.
-    fn check_body(&self, body: Option<Bytes>) -> Sample {
-        let body = body.and_then(|body| serde_json::from_slice::<Value>(&body).ok());
-        let Some(body) = body else {
+    fn encode(&self) -> BytesMut {
+        let mut headers = HeaderMap::new();
+        let mut set = |name: HeaderName, value: &str| {
+            headers.extend(HeaderValue::try_from(value).map(|value| (name, value)));
+        };
+        set(HOST, &self.address);
+        set(CONTENT_TYPE, "application/json");
+        set(CONTENT_LENGTH, &self.prompt.body.len().to_string());
+        let own = HeaderName::from_static;
+        set(own(header::CLASS), &self.source.class);
+        set(
+            own(header::DEADLINE),
+            &self.deadline.as_millis().to_string(),
+        );
+        set(own(header::IDEMPOTENT), &self.source.idempotent.to_string());
+        if !self.source.key.is_empty() {
+            set(AUTHORIZATION, &format!("Bearer {}", self.source.key));
+        }
+        if let Some(ticket) = &self.ticket {
+            set(own(header::TICKET), ticket);
+        }
+        let mut output = BytesMut::new();
+        write_request(&mut output, &Method::POST, PATH, &headers);
+        output.extend_from_slice(self.prompt.body.as_bytes());
+        output
+    }
+
+    /// Evaluates an answer that is not streamed. One whose end is not known for certain isn't counted
+    /// as answered.
+    fn check_body(&self, body: Option<(Bytes, Ending)>) -> Sample {
+        let parsed = body.and_then(|(body, ending)| {
+            let body = serde_json::from_slice::<Value>(&body).ok()?;
+            Some((body, ending))
+        });
+        let Some((body, ending)) = parsed else {
             return Sample::new(Outcome::Unknown, self.due, "broken");
         };
         let content = body["choices"][0]["message"]["content"].as_str();
         let correct = content.is_some_and(|content| self.matches(content));
+        let (outcome, error) = match ending {
+            Ending::Complete => (Outcome::Answered, ""),
+            _ => (Outcome::Unknown, ending.as_str()),
+        };
         Sample {
             correct,
             first_token: Some(self.due.elapsed()),
-            ..Sample::new(Outcome::Answered, self.due, "")
+            ..Sample::new(outcome, self.due, error)
         }
     }
 
@@ -210,3 +252,51 @@
     let error_type = body.and_then(|body| Some(body["error"]["type"].as_str()?.to_owned()));
     error_type.unwrap_or_else(|| "untyped".to_owned())
 }
+
+/// Body of an answer, on its connection.
+struct Body<'a> {
+    pool: &'a Pool,
+    address: &'a str,
+    decoder: Decoder,
+    connection: Connection,
+    head: Response,
+}
+
+impl<'a> Body<'a> {
+    /// Reads the whole body; returns `None` if it breaks off or is too long.
+    async fn read(mut self) -> Option<(Bytes, Ending)> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.connection.reader.part(&mut self.decoder).await {
+                Ok(Part::Piece(piece)) => body.extend_from_slice(&piece),
+                Ok(Part::End(ending)) => {
+                    self.release();
+                    return Some((body.freeze(), ending));
+                }
+                Err(_) => return None,
+            }
+            if body.len() > MAX_BODY_BYTES {
+                return None;
+            }
+        }
+    }
+
+    /// Returns the parts of the body as they arrive.
+    fn parts(self) -> impl Stream<Item = Result<Bytes, Error>> + 'a {
+        stream::unfold(Some(self), |body| async move {
+            let mut body = body?;
+            match body.connection.reader.part(&mut body.decoder).await {
+                Ok(Part::Piece(piece)) => Some((Ok(piece), Some(body))),
+                Ok(Part::End(_)) => {
+                    body.release();
+                    None
+                }
+                Err(error) => Some((Err(error), None)),
+            }
+        })
+    }
+
+    fn release(self) {
+        self.pool.release(self.address, self.connection, &self.head);
+    }
+}
--- a/crates/zinniastall-load/src/worker.rs
+++ b/crates/zinniastall-load/src/worker.rs
@@ -12,6 +12,8 @@
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::mpsc;
 
+use zinniastall_http::pool::Pool;
+
 use crate::{
     call::{Call, Sample},
     locate::{Choice, Directory},
@@ -34,6 +36,7 @@
     experiment: Arc<Experiment>,
     variant: Variant,
     client: Client,
+    pool: Pool,
     /// One for each source.
     directories: Vec<RefCell<Directory>>,
     rng: RefCell<StdRng>,
@@ -62,6 +65,7 @@
         directories: (0..sources).map(|_| RefCell::default()).collect(),
         tally: RefCell::default(),
         client,
+        pool: Pool::default(),
         variant,
         experiment,
     });
@@ -89,14 +93,15 @@
             None => Sample::new(Outcome::NotRun, due, "no-instance"),
             Some(choice) => {
                 let call = Call {
-                    url: format!("http://{}/v1/chat/completions", choice.address),
+                    address: choice.address,
                     source,
                     prompt: &prompt,
                     ticket: choice.ticket,
                     deadline: experiment.deadline,
+                    connect_timeout: experiment.timeout,
                     due,
                 };
-                let sent = call.send(&self.client);
+                let sent = call.send(&self.pool);
                 let timed = tokio::time::timeout(experiment.timeout, sent).await;
                 timed.unwrap_or_else(|_| Sample::new(Outcome::Unknown, due, "late"))
             }
--- a/crates/zinniastall-standin/src/weights.rs
+++ b/crates/zinniastall-standin/src/weights.rs
@@ -9,11 +9,12 @@
     time::Duration,
 };
 
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpResponse, http::header::CONTENT_LENGTH, web};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use serde::Serialize;
 use tokio::time::Instant;
+use zinniastall_route::relay::{self, Length};
 
 use crate::settings::Weights;
 
@@ -123,6 +124,10 @@
     Incomplete(String),
 }
 
+fn incomplete(reason: relay::Error) -> Error {
+    Error::Incomplete(reason.to_string())
+}
+
 /// Downloads one file and discards it.
 ///
 /// # Errors
@@ -133,8 +138,14 @@
     let request = client.get(format!("http://{store}/weights/{name}"));
     let sent = request.send().await;
     let mut answer = sent.map_err(|error| Error::Request(error.to_string()))?;
+    let announced = answer.headers().get(CONTENT_LENGTH);
+    let announced = announced.and_then(|length| length.to_str().ok()?.parse().ok());
+    let mut received = Length::new(announced);
     while let Some(chunk) = answer.next().await {
-        chunk.map_err(|error| Error::Incomplete(error.to_string()))?;
+        let chunk = chunk.map_err(|error| Error::Incomplete(error.to_string()))?;
+        received.push(&chunk).map_err(incomplete)?;
     }
+    // The library ends a body without an error if its connection closes early.
+    received.end().map_err(incomplete)?;
     Ok(())
 }
