--- a/crates/zinniastall-http/tests/body.rs
+++ b/crates/zinniastall-http/tests/body.rs
@@ -114,3 +114,40 @@
     });
     result.expect("no input panics");
 }
+
+/// Guards against a body that counts as complete although it was cut, at any offset, in any framing, and
+/// against an end of the connection that confirms more than the framing does.
+#[test]
+fn a_body_is_complete_only_if_it_says_so_itself() {
+    let pieces = prop::collection::vec(prop::collection::vec(any::<u8>(), 0..60), 0..5);
+    let input = (pieces, 0..3_usize, 0..400_usize, 1..64_usize);
+    let result = runner().run(&input, |(pieces, kind, cut, size)| {
+        let body = pieces.concat();
+        let (framing, sent) = match kind {
+            0 => (Framing::Length(body.len() as u64), body.clone()),
+            1 => (Framing::Chunked, chunked(&pieces)),
+            _ => (Framing::Close, body.clone()),
+        };
+        let cut = cut.min(sent.len());
+        let mut decoder = Decoder::new(framing);
+        let (mut input, mut read) = (BytesMut::new(), Vec::new());
+        for piece in sent[..cut].chunks(size) {
+            input.extend_from_slice(piece);
+            while let Step::Piece(bytes) = decoder.decode(&mut input)? {
+                read.extend_from_slice(&bytes);
+            }
+        }
+        let expected = match framing {
+            Framing::Close => Ok(Ending::Unconfirmed),
+            _ if cut == sent.len() => Ok(Ending::Complete),
+            _ => Err(Error::Truncated),
+        };
+        prop_assert_eq!(decoder.finish(), expected);
+        prop_assert!(body.starts_with(&read));
+        if expected.is_ok() {
+            prop_assert_eq!(read.len(), if kind == 2 { cut } else { body.len() });
+        }
+        Ok(())
+    });
+    result.expect("complete only if whole");
+}
