--- a/crates/zinniastall-store/tests/replicas.rs
+++ b/crates/zinniastall-store/tests/replicas.rs
@@ -31,6 +31,7 @@
     applied: Vec<Entry>,
     isolated_until: Instant,
     crash_at: Option<Instant>,
+    is_gone: bool,
 }
 
 struct Group {
@@ -57,6 +58,7 @@
             applied: Vec::new(),
             isolated_until: now,
             crash_at: None,
+            is_gone: false,
         };
         node.start(now);
         node
@@ -82,7 +84,12 @@
             return messages;
         };
         while let Some(mut ready) = replica.ready() {
+            let (before, changes) = (store.syncs(), ready.needs_sync());
             store.save(&ready).expect("the folder can be written");
+            assert!(
+                !changes || store.syncs() > before,
+                "sent before it is synced"
+            );
             messages.append(&mut ready.messages);
             if let Some(snapshot) = &ready.install {
                 self.applied = parse(&snapshot.data);
@@ -216,9 +223,25 @@
         }
     }
 
+    /// Loses the disk of one replica for good, and the power of all others in the same moment.
+    fn lose_a_disk_and_all_power(&mut self) {
+        let lost = self.rng.random_range(0..REPLICAS);
+        self.packets.clear();
+        for (place, node) in self.nodes.iter_mut().enumerate() {
+            node.open = None;
+            if place == lost {
+                node.is_gone = true;
+                node.isolated_until = self.now + Duration::from_hours(1);
+            } else {
+                node.start(self.now);
+            }
+        }
+    }
+
     fn is_settled(&self) -> bool {
         let has_leader = self.nodes.iter().any(|node| node.is_leader(self.now));
-        let least = self.nodes.iter().map(|node| node.applied.len()).min();
+        let kept = self.nodes.iter().filter(|node| !node.is_gone);
+        let least = kept.map(|node| node.applied.len()).min();
         has_leader && least.is_some_and(|least| least + 20 > self.committed.len())
     }
 }
@@ -243,3 +266,36 @@
         }
     }
 }
+
+/// Guards against an acknowledged change that is lost when a disk is, and all others lose power in the
+/// same moment.
+#[test]
+fn a_lost_disk_and_a_loss_of_all_power_lose_nothing_acknowledged() {
+    for seed in 0..40 {
+        let mut group = Group::new(seed);
+        let steps = group.rng.random_range(60..200);
+        let mut is_complete = false;
+        for _ in 0..steps {
+            group.step(0.02);
+        }
+        while !is_complete {
+            group.step(0.0);
+            let voters = group.nodes.iter().filter_map(|node| node.open.as_ref());
+            let mut voters = voters.map(|(_, replica)| replica.status(group.now).voters);
+            is_complete =
+                voters.all(|voters| voters.learners.is_empty() && voters.voters.len() == REPLICAS);
+        }
+        // Whatever any replica has applied by now may have been acknowledged.
+        let acknowledged = group.committed.clone();
+        group.lose_a_disk_and_all_power();
+        let end = group.now + Duration::from_mins(1);
+        while group.committed.len() < acknowledged.len() + 20 || !group.is_settled() {
+            assert!(group.now < end, "seed {seed}: not settled within a minute");
+            group.step(0.0);
+        }
+        for node in group.nodes.iter().filter(|node| !node.is_gone) {
+            let known = node.applied.len().min(acknowledged.len());
+            assert_eq!(node.applied[..known], acknowledged[..known], "seed {seed}");
+        }
+    }
+}
