fix(gateway): a plain answer without framing waits only if its target has no other request left

Any two ends within 5 ms counted as a sign of a crash, which a target with a few hundred answers a second gives all the time: each of its answers would have paid a connect. While another connection of that target is open its process lives, so the sign is now that all requests of this instance there ended in one moment.

--- a/crates/zinniastall-gateway/src/path/closings.rs
+++ b/crates/zinniastall-gateway/src/path/closings.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::VecDeque,
     time::{Duration, Instant},
 };
 
@@ -11,36 +12,29 @@
 /// Time within which ends of connections count as one moment.
 const MOMENT: Duration = Duration::from_millis(5);
 
-/// Ends of connections in the last moment, by target.
+/// When connections with a request on them ended, within the last moment, by target.
 #[derive(Debug, Default)]
-pub(super) struct Closings(RefCell<IndexMap<id::Target, Closing>>);
-
-#[derive(Debug)]
-struct Closing {
-    at: Instant,
-    count: usize,
-}
+pub(super) struct Closings(RefCell<IndexMap<id::Target, VecDeque<Instant>>>);
 
 impl Closings {
-    /// Records the end of a connection with a request on it; returns whether another one ended in the
-    /// same moment.
-    pub(super) fn note(&self, target: &str) -> bool {
+    /// Records the end of a connection to a target.
+    pub(super) fn note(&self, target: &str) {
         let now = Instant::now();
         let mut closings = self.0.borrow_mut();
-        closings.retain(|_, closing| closing.at + MOMENT > now);
-        let closing = closings
+        closings.retain(|_, ends| {
+            while ends.pop_front_if(|end| *end + MOMENT <= now).is_some() {}
+            !ends.is_empty()
+        });
+        closings
             .entry(target.to_owned())
-            .or_insert(Closing { at: now, count: 0 });
-        closing.at = now;
-        closing.count += 1;
-        closing.count > 1
+            .or_default()
+            .push_back(now);
     }
 
-    /// Returns whether several connections to a target ended in the last moment.
-    pub(super) fn is_crowded(&self, target: &str) -> bool {
+    /// Returns how many connections to a target ended within the last moment.
+    pub(super) fn recent(&self, target: &str) -> usize {
         let closings = self.0.borrow();
-        closings
-            .get(target)
-            .is_some_and(|closing| closing.count > 1 && closing.at.elapsed() < MOMENT)
+        let ends = closings.get(target).into_iter().flatten();
+        ends.filter(|end| end.elapsed() < MOMENT).count()
     }
 }
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -246,10 +246,14 @@
     /// Returns the in-flight requests at a target, of all instances as far as they are known.
     fn in_flight(&self, target: &str, now: Instant) -> u32 {
         let others = self.neighbours.borrow().load_at(target, now);
+        self.own_in_flight(target).saturating_add(others.in_flight)
+    }
+
+    /// Returns the in-flight requests of this instance at a target.
+    pub(super) fn own_in_flight(&self, target: &str) -> u32 {
         let mut tracker = self.tracker.borrow_mut();
         let own = tracker.find(target);
-        let own = own.map_or(0, |account| account.in_flight);
-        own.saturating_add(others.in_flight)
+        own.map_or(0, |account| account.in_flight)
     }
 
     fn record_success(&self, job: &Job) {
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -151,8 +151,9 @@
         }
     }
 
-    /// Returns whether other connections to a target ended together with that of an answer, and the
-    /// target refuses a new one. Without such a sign nothing is awaited.
+    /// Returns whether a target has crashed that is looked after only if there is a sign of it: all its
+    /// requests, of which there are several, ended in one moment, or an idle connection has ended. While
+    /// any other stays open its process lives. Without a sign nothing is awaited.
     async fn shows_crash(&self, place: &Place) -> bool {
         let Place::Target {
             target, address, ..
@@ -160,10 +161,13 @@
         else {
             return false;
         };
-        let others = self.closings.note(target);
+        self.closings.note(target);
         // Lets other tasks read the ends of their connections, if these have ended, too.
         tokio::task::yield_now().await;
-        let has_sign = others || self.closings.is_crowded(target) || self.pool.has_lost(address);
+        let ended = self.closings.recent(target);
+        let in_flight = self.own_in_flight(target) as usize;
+        let have_all_ended = ended > 1 && ended >= in_flight;
+        let has_sign = have_all_ended || self.pool.has_lost(address);
         has_sign && self.has_ended_with(place).await
     }
 
