test(soak): engines without framing, and answers that are broken off

The second engine of each zone answers without a length or chunks, and a new fault has an engine end answers in order, inside an event, or cut them.

--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, rngs::StdRng, seq::IndexedRandom};
+use serde_json::json;
 use zinniastall_tests::proxy::{
     Proxy,
     rule::{Direction, Rule},
@@ -27,6 +28,8 @@
     Reset(String),
     /// Delays all connections to a process.
     Slow(String, Duration),
+    /// Has a target break some answers off: in order, inside an event, or by cutting the connection.
+    Tear(String, &'static str, &'static str),
     /// Cuts entry instances off from all targets, by resets or by silence.
     Cut(Vec<String>, bool, Duration),
 }
@@ -39,7 +42,7 @@
         let group = groups[random.random_range(0..groups.len())];
         group.choose(random).cloned().unwrap_or_default()
     };
-    match random.random_range(0..9) {
+    match random.random_range(0..11) {
         0 => Fault::Kill(name(random), duration),
         1 => Fault::Freeze(name(random), duration),
         2 => Fault::Stop(name(random)),
@@ -56,6 +59,16 @@
         4 => Fault::OneWay(name(random), duration),
         5 => Fault::Reset(name(random)),
         6 | 7 => {
+            let target = system.targets.choose(random).cloned().unwrap_or_default();
+            let actions = ["end", "tear", "cut"];
+            let point = if random.random() { "events" } else { "end" };
+            Fault::Tear(
+                target,
+                point,
+                actions[random.random_range(0..actions.len())],
+            )
+        }
+        8 | 9 => {
             let most = system.entries.len();
             let amount = random.random_range(1..=most);
             let cut = system.entries.choose_multiple(random, amount);
@@ -134,6 +147,11 @@
             operate_for(system, operator, *duration).await;
             system.cluster.heal();
         }
+        Fault::Tear(target, point, action) => {
+            let events = if *point == "events" { 5 } else { 0 };
+            let failure = json!({"point": point, "action": action, "events": events, "times": 4});
+            system.cluster.fail(target, &failure).await?;
+        }
         Fault::Slow(name, duration) => {
             let node = system.cluster.node(name)?;
             let delay = Duration::from_millis(50);
--- a/xtask/src/soak/limits.rs
+++ b/xtask/src/soak/limits.rs
@@ -66,7 +66,7 @@
             Fault::Cut(entries, is_reset, _) => {
                 !is_reset && entries.iter().any(|entry| is_in_zone_of(target, entry))
             }
-            Fault::Partition(..) => false,
+            Fault::Partition(..) | Fault::Tear(..) => false,
         };
         for target in targets.iter().filter(|target| spoils(target)) {
             self.end(target);
--- a/xtask/src/soak/system.rs
+++ b/xtask/src/soak/system.rs
@@ -44,6 +44,7 @@
                 let name = format!("engine-{region}-{zone}-{number}");
                 let settings = json!({
                     "ledger_file": ledgers.path().join(&name),
+                    "unframed": number == 2,
                     "engine": {"first_ms": 10, "token_us": 5_000},
                 });
                 cluster
