fix(gateway): a region whose instances are all cut off, silently, is served by another

What callers saw: requests at the instances of a region whose targets take connections and say nothing waited their whole time-out, for as long as the cut lasted, although another region could have served them.

Cause: silence alone made no path lost as long as no neighbour vouched for the target, so that a region which is cut off as a whole looked like targets that pause.

Fix: a path whose probe stayed silent as well is doubtful; new requests go to another region while all of a request's targets are, and forwarded ones go back. A pause of a second makes none lost and gives up no request (coord tests). Open: the entry path.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -69,6 +69,8 @@
     is_probing: bool,
     /// Whether the target became suspect because it said nothing to requests.
     is_silent: bool,
+    /// Whether it said nothing to a probe either since then.
+    is_mute: bool,
     backoff: Duration,
     silence_timeout: Duration,
     deaf_timeout: Duration,
@@ -86,6 +88,7 @@
             probe_at: None,
             is_probing: false,
             is_silent: false,
+            is_mute: false,
             backoff: PROBE_BACKOFF.0,
             silence_timeout: SILENCE_TIMEOUT,
             deaf_timeout: DEAF_TIMEOUT,
@@ -111,6 +114,7 @@
     pub(super) fn heard(&mut self, now: Instant) {
         self.heard_at = Some(now);
         self.is_silent = false;
+        self.is_mute = false;
         self.silence_timeout = SILENCE_TIMEOUT;
         self.deaf_timeout = DEAF_TIMEOUT;
     }
@@ -146,6 +150,11 @@
         self.state == State::Suspect && self.is_silent
     }
 
+    /// Returns whether the target has said nothing, to requests and to a probe.
+    pub(super) fn is_mute_suspect(&self) -> bool {
+        self.state == State::Suspect && self.is_mute
+    }
+
     /// Schedules a probe, unless one is under way.
     pub(super) fn probe_soon(&mut self, now: Instant) {
         let at = self.probe_at.map_or(now, |at| at.min(now));
@@ -189,6 +198,7 @@
                 if self.state == State::Open {
                     self.enter(State::Suspect, now);
                 }
+                self.is_mute |= self.is_silent && probe == Probe::Silent;
                 self.probe_later(now);
             }
             Probe::Failed => self.lose(now),
@@ -202,6 +212,7 @@
         }
         self.heard_at = Some(now);
         self.is_silent = false;
+        self.is_mute = false;
         self.probe_at = None;
         self.backoff = PROBE_BACKOFF.0;
         self.enter(State::Open, now);
--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -101,21 +101,46 @@
         path.suspect(false, now);
     }
 
+    /// Returns whether a target has said nothing of late, neither to requests nor to a probe. It may
+    /// have paused, or this instance may be cut off from it: requests better go elsewhere for now.
+    pub fn is_doubtful(&self, target: &str) -> bool {
+        let path = self.paths.get(target);
+        path.is_some_and(Path::is_mute_suspect)
+    }
+
+    /// Loses the paths to targets that were silent for [`DARK_TIMEOUT`], to probes too, while this
+    /// instance hears from no target; returns the targets. A pause does not last as long.
+    pub fn lose_dark(&mut self, now: Instant) -> Vec<String> {
+        if !self.is_deaf_for(DARK_TIMEOUT, now) {
+            return Vec::new();
+        }
+        let is_dark = |path: &Path| {
+            path.is_mute_suspect() && path.is_waiting() && path.silence(now) >= DARK_TIMEOUT
+        };
+        let dark = self.paths.iter_mut().filter(|(_, path)| is_dark(path));
+        let lost = dark.map(|(target, path)| {
+            path.lose(now);
+            target.clone()
+        });
+        lost.collect()
+    }
+
     /// Starts the probes that are due; returns the targets to probe.
     pub fn start_probes(&mut self, now: Instant) -> Vec<String> {
-        let is_deaf = self.is_deaf(now);
+        let is_deaf = self.is_deaf_for(DEAF_TIMEOUT, now);
         let paths = self.paths.iter_mut();
         let due = paths
             .filter_map(|(target, path)| path.start_probe(is_deaf, now).then(|| target.clone()));
         due.collect()
     }
 
-    /// Returns whether this instance hears from no target although requests are in progress, at more
-    /// than one target if it uses several. One target alone is often silent for reasons of its own.
-    fn is_deaf(&self, now: Instant) -> bool {
+    /// Returns whether this instance has heard from no target for a time although requests are in
+    /// progress, at more than one target if it uses several. One target alone is often silent for reasons
+    /// of its own.
+    fn is_deaf_for(&self, time: Duration, now: Instant) -> bool {
         let waiting = self.paths.values().filter(|path| path.is_waiting()).count();
         let is_silent = |path: &Path| {
-            let is_recent = |at: Instant| now.saturating_duration_since(at) < DEAF_TIMEOUT;
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
             !path.heard_at.is_some_and(is_recent)
         };
         waiting >= self.paths.len().min(2) && self.paths.values().all(is_silent)
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -124,6 +124,53 @@
     assert!(!paths.is_given_up(TARGET, start + VOUCHER_TTL * 3));
 }
 
+/// Returns paths with requests at two targets that have said nothing since the start, nor to a probe.
+fn mute(start: Instant) -> Paths {
+    let mut paths = Paths::default();
+    for target in [TARGET, "engine-2"] {
+        paths.begin(target, start);
+        paths.heard(target, true, start);
+    }
+    let probed = start + millis(400);
+    assert_eq!(paths.start_probes(probed).len(), 2);
+    for target in [TARGET, "engine-2"] {
+        assert!(!paths.is_doubtful(target));
+        paths.probed(target, Probe::Silent, start + millis(800));
+    }
+    paths
+}
+
+/// Guards against a region that is cut off as a whole and waits for its targets for as long as that lasts.
+#[test]
+fn targets_that_are_all_silent_are_doubtful_and_then_lost() {
+    let start = Instant::now();
+    let mut paths = mute(start);
+    assert!(paths.is_doubtful(TARGET));
+    let pausing = start + millis(1_500);
+    assert!(paths.lose_dark(pausing).is_empty());
+    assert!(!paths.is_given_up(TARGET, pausing));
+    assert_eq!(paths.lose_dark(start + DARK_TIMEOUT).len(), 2);
+    assert!(paths.is_given_up(TARGET, start + DARK_TIMEOUT));
+    let back = start + DARK_TIMEOUT * 3;
+    assert_eq!(paths.probed(TARGET, Probe::Answered, back), Change::Back);
+    assert_eq!(paths.route(TARGET, back, |_| true), Route::Direct);
+}
+
+/// Guards against a pause of a second that counts as a cut, or costs requests that are at the target.
+#[test]
+fn targets_that_all_pause_for_a_second_keep_their_requests() {
+    let start = Instant::now();
+    let mut paths = mute(start);
+    let end = start + Duration::from_secs(1);
+    assert!(paths.lose_dark(end).is_empty());
+    assert!(!paths.is_given_up(TARGET, end));
+    paths.heard(TARGET, false, end);
+    assert!(!paths.is_doubtful(TARGET));
+    // The other one is still silent, but this instance is not cut off.
+    assert!(paths.lose_dark(start + DARK_TIMEOUT).is_empty());
+    assert!(paths.lose_dark(end + millis(399)).is_empty());
+}
+
 /// Guards against two instances that are both cut off and vouch for each other.
 #[test]
 fn instances_without_a_path_convince_nobody() {
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -40,6 +40,9 @@
 /// Time since a path was lost for which requests are held rather than rejected, while neighbours are
 /// asked and the target is probed.
 const UNREACHED_HOLD: Duration = Duration::from_secs(1);
+/// Retry time of a request for which all targets of this region say nothing: a pause of theirs may be
+/// over by then.
+const DOUBT_RETRY: Duration = Duration::from_millis(300);
 /// Coordinators that are asked about one request, one after the other, while the claims of others
 /// make another target the better choice.
 const MAX_CLAIMS: usize = 3;
@@ -98,11 +101,18 @@
     opens_soon: bool,
     /// Targets that no known path leads to.
     unreached: usize,
+    /// Targets that are tried directly although they say nothing, since no neighbour hears from them.
+    doubtful: usize,
     /// Whether the priority of other requests doesn't count for this one.
     is_unranked: bool,
 }
 
 impl LocalTargets<'_> {
+    /// Returns whether all targets that could get the request say nothing.
+    const fn are_doubtful(&self) -> bool {
+        self.doubtful > 0 && self.doubtful == self.candidates.len()
+    }
+
     /// Returns the basis of the target with the least cost.
     fn best_basis(&self) -> Basis {
         let indexed = self.candidates.iter().enumerate();
@@ -224,6 +234,15 @@
             opens_soon: local.opens_soon && !job.is_passed_on,
         };
         drop(tracker);
+        if local.are_doubtful() {
+            // Another region may serve the request, or the instance that forwarded it knows one.
+            if job.is_passed_on {
+                return Placement::Refuse(DOUBT_RETRY, local.best_basis());
+            }
+            if let Choice::Remote(at) = choose(&[], &regions, constraints) {
+                return place_remote(&remote[at]);
+            }
+        }
         match choose(&local.candidates, &regions, constraints) {
             Choice::Local(at) => self.place_local(job, &local, at, now),
             Choice::Remote(at) => place_remote(&remote[at]),
@@ -353,6 +372,13 @@
                 }
                 let rate = self.rates.rate(target, job.cold_rate(), now);
                 let candidate = self.with_permit_wait(candidate, target, rate, now);
+                let is_doubtful = path == Path::Direct
+                    && self
+                        .reach
+                        .paths()
+                        .borrow()
+                        .is_doubtful(&target.report.target);
+                local.doubtful += usize::from(is_doubtful);
                 let (candidate, detour) = with_path(candidate, path);
                 local.detours.push(detour);
                 local.holders.push(holder);
--- a/crates/zinniastall-gateway/src/path/reach.rs
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -40,6 +40,10 @@
             () = proxy.reach.probes.notified() => {}
         }
         let now = Instant::now();
+        let dark = proxy.reach.paths().borrow_mut().lose_dark(now);
+        for target in dark {
+            proxy.record_path(&target, Change::Lost, "all targets are silent");
+        }
         let due = proxy.reach.paths().borrow_mut().start_probes(now);
         if !due.is_empty() && last_asked + QUESTION_INTERVAL / 4 < now {
             last_asked = now;
