fix(coord): a request leaves a target only on evidence later than the silence it contradicts

What callers could see: a request that may be repeated is run again beside a target that only paused, because a neighbour heard from it later than this instance did, which proves nothing if the target pauses for everybody.

Cause: evidence was compared with the last time this instance heard from the target, not with the time at which it failed to.

Neighbours are asked at once after a failed probe.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -20,6 +20,10 @@
 /// Time for which a target that says nothing to requests stays suspect although connections open.
 const SILENT_HOLD: Duration = Duration::from_secs(5);
 
+/// Difference by which one observation must be later than another: how far two messages may overtake
+/// each other.
+pub(super) const LATER_MARGIN: Duration = Duration::from_millis(10);
+
 /// State of a path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -54,6 +58,17 @@
     pub(super) told_at: Instant,
 }
 
+/// To whom a suspect target has said nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    /// It is not suspect of silence.
+    Nobody,
+    /// To requests.
+    Requests,
+    /// To requests and then to a probe.
+    Probes,
+}
+
 /// The path from this instance to one target.
 #[derive(Debug)]
 pub(super) struct Path {
@@ -66,11 +81,14 @@
     waiting: u32,
     waiting_since: Instant,
     probe_at: Option<Instant>,
+    /// When the last probe began.
+    probe_began: Instant,
+    /// Start of the first failed probe since the path was open, and the end of the last one.
+    failed_probes: Option<(Instant, Instant)>,
+    /// Whether a neighbour is known to have heard from the target while the path was lost.
+    pub(super) is_contradicted: bool,
     is_probing: bool,
-    /// Whether the target became suspect because it said nothing to requests.
-    is_silent: bool,
-    /// Whether it said nothing to a probe either since then.
-    is_mute: bool,
+    silence_of: Silence,
     backoff: Duration,
     silence_timeout: Duration,
     deaf_timeout: Duration,
@@ -86,9 +104,11 @@
             waiting: 0,
             waiting_since: now,
             probe_at: None,
+            probe_began: now,
+            failed_probes: None,
+            is_contradicted: false,
             is_probing: false,
-            is_silent: false,
-            is_mute: false,
+            silence_of: Silence::Nobody,
             backoff: PROBE_BACKOFF.0,
             silence_timeout: SILENCE_TIMEOUT,
             deaf_timeout: DEAF_TIMEOUT,
@@ -113,8 +133,7 @@
 
     pub(super) fn heard(&mut self, now: Instant) {
         self.heard_at = Some(now);
-        self.is_silent = false;
-        self.is_mute = false;
+        self.silence_of = Silence::Nobody;
         self.silence_timeout = SILENCE_TIMEOUT;
         self.deaf_timeout = DEAF_TIMEOUT;
     }
@@ -134,25 +153,37 @@
             self.state = state;
             self.since = now;
         }
+        if state == State::Open {
+            self.failed_probes = None;
+            self.is_contradicted = false;
+        }
     }
 
     /// Puts the path under suspicion, unless it is lost, and schedules a probe.
     pub(super) fn suspect(&mut self, is_silent: bool, now: Instant) {
         if self.state == State::Open {
-            self.is_silent = is_silent;
+            self.silence_of = if is_silent {
+                Silence::Requests
+            } else {
+                Silence::Nobody
+            };
             self.enter(State::Suspect, now);
         }
         self.probe_soon(now);
     }
 
+    fn is_silent(&self) -> bool {
+        self.silence_of != Silence::Nobody
+    }
+
     /// Returns whether the path is suspect because the target said nothing.
     pub(super) fn is_silent_suspect(&self) -> bool {
-        self.state == State::Suspect && self.is_silent
+        self.state == State::Suspect && self.is_silent()
     }
 
     /// Returns whether the target has said nothing, to requests and to a probe.
     pub(super) fn is_mute_suspect(&self) -> bool {
-        self.state == State::Suspect && self.is_mute
+        self.state == State::Suspect && self.silence_of == Silence::Probes
     }
 
     /// Schedules a probe, unless one is under way.
@@ -180,6 +211,7 @@
         let is_due = !self.is_probing && self.probe_at.is_some_and(|at| at <= now);
         if is_due {
             self.is_probing = true;
+            self.probe_began = now;
             self.probe_at = None;
         }
         is_due
@@ -190,7 +222,7 @@
         self.is_probing = false;
         match probe {
             Probe::Answered => self.restore(now),
-            Probe::Opened if !self.is_silent => self.restore(now),
+            Probe::Opened if !self.is_silent() => self.restore(now),
             Probe::Opened if now.saturating_duration_since(self.since) >= SILENT_HOLD => {
                 self.restore(now);
             }
@@ -198,21 +230,50 @@
                 if self.state == State::Open {
                     self.enter(State::Suspect, now);
                 }
-                self.is_mute |= self.is_silent && probe == Probe::Silent;
+                if self.is_silent() && probe == Probe::Silent {
+                    self.silence_of = Silence::Probes;
+                }
                 self.probe_later(now);
             }
-            Probe::Failed => self.lose(now),
+            Probe::Failed => {
+                self.note_failure(now);
+                self.lose(now);
+            }
         }
     }
 
+    /// Records a failed probe. A neighbour that heard from the target after an earlier one had begun, and
+    /// before this one did, has seen it between two failures of this path.
+    fn note_failure(&mut self, now: Instant) {
+        let first = self.failed_probes.map(|(first, _)| first);
+        let began = self.probe_began;
+        let is_between = |held: &Voucher| {
+            first.is_some_and(|first| held.heard_at > first + LATER_MARGIN) && held.heard_at < began
+        };
+        self.is_contradicted |= self.vouchers.values().any(is_between);
+        self.failed_probes = Some((first.unwrap_or(began), now));
+    }
+
+    /// Records a neighbour's voucher. If it heard from the target while the last failed probe was under
+    /// way, only this path is lost. Hearing from it before proves nothing, since the target may have
+    /// paused for everybody since; neither does hearing from it after, since the pause may be over.
+    pub(super) fn vouch(&mut self, instance: &str, voucher: Voucher) {
+        let is_during = |(_, ended): (Instant, Instant)| {
+            voucher.heard_at > self.probe_began + LATER_MARGIN
+                && voucher.heard_at <= ended + LATER_MARGIN
+        };
+        let is_lost = self.state == State::Lost && !self.is_probing;
+        self.is_contradicted |= is_lost && self.failed_probes.is_some_and(is_during);
+        self.vouchers.insert(instance.to_owned(), voucher);
+    }
+
     fn restore(&mut self, now: Instant) {
         if self.silence(now) >= self.deaf_timeout {
             self.deaf_timeout = (self.deaf_timeout * 2).min(MAX_SILENCE_TIMEOUT);
             self.silence_timeout = (self.silence_timeout * 2).min(MAX_SILENCE_TIMEOUT);
         }
         self.heard_at = Some(now);
-        self.is_silent = false;
-        self.is_mute = false;
+        self.silence_of = Silence::Nobody;
         self.probe_at = None;
         self.backoff = PROBE_BACKOFF.0;
         self.enter(State::Open, now);
--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -6,7 +6,7 @@
 
 use super::{
     DARK_TIMEOUT, EVIDENCE_TTL, VOUCHER_TTL,
-    path::{DEAF_TIMEOUT, Path, Probe, State, Voucher},
+    path::{DEAF_TIMEOUT, LATER_MARGIN, Path, Probe, State, Voucher},
 };
 
 /// Time since which a target must have been heard to stay above suspicion when another path fails.
@@ -16,9 +16,6 @@
 /// Interval at which a waiting request checks its path: while the path is open, and otherwise.
 const WATCH_INTERVALS: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(20));
-/// Difference by which a neighbour must have heard from a target later than this instance to show
-/// that the target is alive: how far two messages may overtake each other.
-const LATER_MARGIN: Duration = Duration::from_millis(10);
 
 /// How a request reaches a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -195,14 +192,12 @@
         }
     }
 
-    /// Returns whether a request should stop waiting for an answer, because a neighbour reaches the
-    /// target and this instance doesn't, or because nobody does for a long time.
+    /// Returns whether a request should stop waiting for an answer, because a neighbour heard from the
+    /// target while this instance could not reach it, or because nobody does for a long time.
     pub fn is_given_up(&self, target: &str, now: Instant) -> bool {
         let lost = self.paths.get(target);
         let lost = lost.filter(|path| path.state == State::Lost);
-        lost.is_some_and(|path| {
-            path.silence(now) >= DARK_TIMEOUT || self.is_alive_since(target, path.heard_at, now)
-        })
+        lost.is_some_and(|path| path.silence(now) >= DARK_TIMEOUT || path.is_contradicted)
     }
 
     /// Returns whether a neighbour has heard from a target later than a time.
@@ -258,8 +253,7 @@
         };
         let heard_at = now.checked_sub(age).unwrap_or(now);
         let told_at = now;
-        path.vouchers
-            .insert(instance.to_owned(), Voucher { heard_at, told_at });
+        path.vouch(instance, Voucher { heard_at, told_at });
         let is_later = |at: Instant| heard_at > at + LATER_MARGIN;
         if path.is_silent_suspect() && path.heard_at.is_none_or(is_later) {
             self.suspect_others(true, now);
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -105,23 +105,73 @@
     assert_eq!(paths.start_probes(deaf).len(), 2, "now nothing is heard");
 }
 
+/// Returns paths with a request at a target that was heard at the start, and whose probe has failed.
+fn silent(start: Instant) -> Paths {
+    let mut paths = Paths::default();
+    paths.begin(TARGET, start);
+    paths.heard(TARGET, true, start);
+    assert_eq!(paths.start_probes(start + millis(400)), [TARGET]);
+    paths.probed(TARGET, Probe::Failed, start + millis(520));
+    paths
+}
+
+/// Guards against a request that is run again because a neighbour heard a target last that then paused
+/// for everybody.
+#[test]
+fn a_neighbour_that_heard_a_pausing_target_last_proves_nothing() {
+    let start = Instant::now();
+    let mut paths = silent(start);
+    let now = start + millis(522);
+    // It was heard there 300 ms after it was heard here, and 100 ms before the probe.
+    paths.vouch(TARGET, NEIGHBOURS[0], millis(222), now);
+    assert!(!paths.is_given_up(TARGET, now));
+}
+
+/// Guards against a request that leaves its target in the moment in which that goes on after a pause.
+#[test]
+fn a_target_that_has_just_ended_its_pause_keeps_its_requests() {
+    let start = Instant::now();
+    let mut paths = silent(start);
+    let now = start + millis(1_100);
+    paths.vouch(TARGET, NEIGHBOURS[0], Duration::ZERO, now);
+    assert!(!paths.is_given_up(TARGET, now), "no probe since");
+    assert_eq!(paths.start_probes(now), [TARGET]);
+    paths.probed(TARGET, Probe::Answered, now + millis(2));
+    assert!(!paths.is_given_up(TARGET, now + millis(2)));
+}
+
 /// Guards against requests that wait for a target that others reach, or that nobody does.
 #[test]
 fn a_request_gives_up_a_lost_target_that_others_hear_or_nobody_does() {
     let start = Instant::now();
-    let mut paths = Paths::default();
-    paths.begin(TARGET, start);
-    paths.heard(TARGET, true, start);
-    paths.failed(TARGET, start + millis(450));
-    let now = start + millis(500);
-    paths.vouch(TARGET, NEIGHBOURS[0], millis(600), now);
-    assert!(!paths.is_given_up(TARGET, now), "heard before the silence");
-    paths.vouch(TARGET, NEIGHBOURS[0], millis(10), now);
+    let mut paths = silent(start);
+    let now = start + millis(522);
+    assert!(!paths.is_given_up(TARGET, now));
+    // A neighbour heard it while the probe got no connection.
+    paths.vouch(TARGET, NEIGHBOURS[0], millis(30), now);
     assert!(paths.is_given_up(TARGET, now));
-    let later = start + DARK_TIMEOUT;
-    assert!(paths.is_given_up(TARGET, later), "dark");
+    let dark = silent(start);
+    let last = start + DARK_TIMEOUT;
+    assert!(!dark.is_given_up(TARGET, start + millis(1_500)));
+    assert!(dark.is_given_up(TARGET, last));
     paths.end(TARGET);
-    assert!(!paths.is_given_up(TARGET, start + VOUCHER_TTL * 3));
+    paths.probed(TARGET, Probe::Answered, now);
+    assert!(!paths.is_given_up(TARGET, now + VOUCHER_TTL));
+}
+
+/// Guards against a cut that is not recognised where neighbours hear from a target only when they probe
+/// it.
+#[test]
+fn a_neighbour_that_heard_a_target_between_two_failed_probes_contradicts() {
+    let start = Instant::now();
+    let mut paths = silent(start);
+    let heard = start + millis(560);
+    paths.vouch(TARGET, NEIGHBOURS[0], Duration::ZERO, heard);
+    assert!(!paths.is_given_up(TARGET, heard));
+    let next = start + millis(630);
+    assert_eq!(paths.start_probes(next), [TARGET]);
+    paths.probed(TARGET, Probe::Failed, next + millis(120));
+    assert!(paths.is_given_up(TARGET, next + millis(120)));
 }
 
 /// Returns paths with requests at two targets that have said nothing since the start, nor to a probe.
--- a/crates/zinniastall-entry/src/reach.rs
+++ b/crates/zinniastall-entry/src/reach.rs
@@ -132,6 +132,10 @@
     /// Records the result of a probe.
     pub fn probed(&self, target: &str, probe: Probe, why: &str) {
         let change = self.paths().probed(target, probe, Instant::now());
+        if probe == Probe::Failed {
+            // What others heard in the meantime tells whether only this path is lost.
+            self.unsettle();
+        }
         self.record(target, change, why);
     }
 
--- a/crates/zinniastall-gateway/src/path/reach.rs
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -75,6 +75,10 @@
         let mut paths = reach.paths().borrow_mut();
         paths.probed(&target, probe, Instant::now())
     };
+    if probe == Probe::Failed {
+        // What neighbours heard in the meantime tells whether only this path is lost.
+        reach.questions.notify_one();
+    }
     proxy.record_path(&target, change, &why);
 }
 
