--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -148,6 +148,16 @@
         }
     }
 
+    /// Returns the name and address of the target of an attempt that goes there directly.
+    pub fn direct(&self) -> Option<(&str, &str)> {
+        match self {
+            Self::Target {
+                target, address, ..
+            } => Some((target, address)),
+            Self::Instance { .. } => None,
+        }
+    }
+
     /// Returns the target for which a neighbour was chosen that reaches it, if the place is one.
     pub fn detour(&self) -> Option<&str> {
         match self {
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -36,24 +36,9 @@
         connection: &mut Connection,
         responder: &mut Responder,
     ) -> Ended {
-        let job = attempt.job;
-        let delimited = match Delimited::of(job, attempt.place, response) {
-            Ok(delimited) => delimited,
-            Err(why) => return Ended::Unknown(why),
-        };
-        let mut read = read_body(delimited, &mut connection.reader).await;
-        if let Ok((body, ending)) = &read {
-            let is_torn = is_event_stream(response) == Some(true) && ends_inside_event(body);
-            if is_torn {
-                read = Err(Torn.to_string());
-            } else if *ending == Ending::Unconfirmed && self.shows_crash(attempt.place).await {
-                read = Err(CRASHED.to_owned());
-            }
-        }
-        let ending = read.as_ref().map_or(Ending::Incomplete, |read| read.1);
-        self.metrics.count_ending(delimited.framing, ending);
-        let body = match read {
-            Ok((body, _)) => body,
+        let received = self.receive_whole(attempt, response, connection).await;
+        let (body, ending) = match received {
+            Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
         let answer = Reply {
@@ -61,7 +46,7 @@
             headers: end_to_end_headers(&response.headers),
             body,
         };
-        if response.status.is_server_error() && job.route().is_retryable() {
+        if response.status.is_server_error() && attempt.job.route().is_retryable() {
             return Ended::Failing(answer, ending);
         }
         match responder.send_as(answer, ending).await {
@@ -70,6 +55,30 @@
         }
     }
 
+    /// Reads a whole body, and decides what is known of its end.
+    async fn receive_whole(
+        &self,
+        attempt: &Attempt<'_>,
+        response: &Response,
+        connection: &mut Connection,
+    ) -> Result<(Bytes, Ending), Why> {
+        let delimited = Delimited::of(attempt.job, attempt.place, response)?;
+        let mut received = read_body(delimited, &mut connection.reader).await;
+        if let Ok((body, ending)) = &received {
+            let is_events = is_event_stream(response) == Some(true);
+            if is_events && ends_inside_event(body) {
+                received = Err(Torn.to_string());
+            } else if *ending == Ending::Unconfirmed && self.shows_crash(attempt.place).await {
+                received = Err(CRASHED.to_owned());
+            }
+        }
+        let ending = received
+            .as_ref()
+            .map_or(Ending::Incomplete, |(_, ending)| *ending);
+        self.metrics.count_ending(delimited.framing, ending);
+        received
+    }
+
     /// Forwards a stream event by event.
     pub(super) async fn forward_stream(
         &self,
@@ -155,10 +164,7 @@
     /// requests, of which there are several, ended in one moment, or an idle connection has ended. While
     /// any other stays open its process lives. Without a sign nothing is awaited.
     async fn shows_crash(&self, place: &Place) -> bool {
-        let Place::Target {
-            target, address, ..
-        } = place
-        else {
+        let Some((target, address)) = place.direct() else {
             return false;
         };
         self.closings.note(target);
@@ -174,10 +180,7 @@
     /// Returns whether the target behind an answer's connection has ended, although it was expected to
     /// stay.
     async fn has_ended_with(&self, place: &Place) -> bool {
-        let Place::Target {
-            target, address, ..
-        } = place
-        else {
+        let Some((target, address)) = place.direct() else {
             return false;
         };
         self.is_expected_to_stay(target) && is_refused(address).await
