--- a/crates/zinniastall-ctl/tests/explain.rs
+++ b/crates/zinniastall-ctl/tests/explain.rs
@@ -53,6 +53,19 @@
     assert!(number(given_up, "retry_after_ms") > 0);
 }
 
+/// Guards against an answer that may be cut and looks complete in its timeline.
+#[test]
+fn an_answer_without_framing_is_unconfirmed() {
+    let timeline = explain("unconfirmed.log");
+    assert_eq!(timeline["end"], "unconfirmed");
+    let attempt = step(&timeline, "attempt");
+    assert_eq!(attempt["fields"]["place"], "i-0");
+    assert_eq!(
+        attempt["fields"]["why"],
+        "the answer states no end of its own"
+    );
+}
+
 /// A caller got a 502. The timeline must name the target that closed the connection without an
 /// answer.
 #[test]
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -247,7 +247,10 @@
             }
         };
         match ended {
-            run::End::Answered(ending) => self.record_end(job, responder, answered(ending), ""),
+            run::End::Answered(ending) => {
+                let (outcome, why) = answered(ending);
+                self.record_end(job, responder, outcome, why);
+            }
             run::End::Refused(refusal) => {
                 self.refund(job, refusal.outcome());
                 self.record_end(job, responder, refusal.outcome().as_str(), refusal.as_str());
@@ -438,11 +441,11 @@
     }
 }
 
-/// Returns the outcome of a request whose answer was forwarded up to its end.
-const fn answered(ending: Ending) -> &'static str {
+/// Returns the outcome of a request whose answer was forwarded up to its end, and the reason.
+const fn answered(ending: Ending) -> (&'static str, &'static str) {
     match ending {
-        Ending::Complete => "answered",
-        ending => ending.as_str(),
+        Ending::Complete => ("answered", ""),
+        ending => (ending.as_str(), "the answer states no end of its own"),
     }
 }
 
