fix: a content type is compared without regard to case

An engine that writes Text/Event-Stream would have lost what holds for events: whole ones only, resumption. One function for both paths and the hop. endings:: passes with such a type.

--- a/crates/zinniastall-entry/src/callers/forward/head.rs
+++ b/crates/zinniastall-entry/src/callers/forward/head.rs
@@ -1,6 +1,6 @@
 //! Response heads in messages between instances.
 
-use zinniastall_http::ending::Ending;
+use zinniastall_http::{ending::Ending, events::is_event_stream};
 use zinniastall_model::{
     header::{PLACE, TARGET},
     place::Place,
@@ -21,7 +21,7 @@
         Some(pair.1.clone())
     };
     let length = find("content-length").and_then(|length| length.parse().ok());
-    let events = find("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let events = find("content-type").is_some_and(|kind| is_event_stream(kind.as_bytes()));
     let place = find(PLACE).unwrap_or_default();
     let (region, zone) = place.split_once('/').unwrap_or_default();
     let served = Served {
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -17,7 +17,7 @@
     client::Exchange,
     connection::Part,
     ending::Ending,
-    events::Events,
+    events::{self, Events},
     head::{self, Response},
     pool::Connection,
 };
@@ -218,7 +218,7 @@
 
     fn is_events(&self) -> bool {
         let kind = self.text(header::CONTENT_TYPE);
-        kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+        kind.is_some_and(|kind| events::is_event_stream(kind.as_bytes()))
     }
 
     fn reply(self) -> Reply {
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -9,6 +9,7 @@
     body::{Decoder, Framing},
     connection::{Part, Reader},
     ending::Ending,
+    events,
     head::{self, Response},
 };
 
@@ -19,8 +20,6 @@
 };
 use crate::headers::CLOSE_DELIMITED;
 
-/// Content type of a series of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Longest complete answer; streams have no limit.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 /// Longest wait for the body of a refusal, which nobody reads. A target that states no length or
@@ -87,7 +86,7 @@
 /// Returns whether an answer says that its body is a series of events, if it says anything of it.
 pub(super) fn is_event_stream(response: &Response) -> Option<bool> {
     let kind = response.headers.get(CONTENT_TYPE)?;
-    Some(kind.as_bytes().starts_with(EVENT_STREAM))
+    Some(events::is_event_stream(kind.as_bytes()))
 }
 
 /// Reads a whole body, and what is known of its end.
--- a/crates/zinniastall-gateway/tests/path/endings.rs
+++ b/crates/zinniastall-gateway/tests/path/endings.rs
@@ -13,7 +13,7 @@
     streams::{all, chunk, event},
 };
 
-const EVENTS: &str = "content-type: text/event-stream\r\n";
+const EVENTS: &str = "content-type: Text/Event-Stream; charset=utf-8\r\n";
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
 /// A short while, in which all requests of a test have arrived.
--- a/crates/zinniastall-http/src/events.rs
+++ b/crates/zinniastall-http/src/events.rs
@@ -6,6 +6,15 @@
 /// Longest event that is buffered until it is complete; a longer one is forwarded as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Content type of a series of events.
+const CONTENT_TYPE: &[u8] = b"text/event-stream";
+
+/// Returns whether a content type is that of a series of events.
+pub fn is_event_stream(content_type: &[u8]) -> bool {
+    let start = content_type.get(..CONTENT_TYPE.len());
+    start.is_some_and(|start| start.eq_ignore_ascii_case(CONTENT_TYPE))
+}
+
 /// Splits a stream into complete events and remembers the id of the last one.
 ///
 /// An event ends with a blank line; a line ends with `\n`, `\r` or `\r\n` (WHATWG HTML, 9.2.6).
