--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -150,10 +150,12 @@
     // A neighbour heard it while the probe got no connection.
     paths.vouch(TARGET, NEIGHBOURS[0], millis(30), now);
     assert!(paths.is_given_up(TARGET, now));
-    let dark = silent(start);
+    let mut dark = silent(start);
     let last = start + DARK_TIMEOUT;
     assert!(!dark.is_given_up(TARGET, start + millis(1_500)));
     assert!(dark.is_given_up(TARGET, last));
+    dark.end(TARGET);
+    assert!(!dark.is_given_up(TARGET, start + VOUCHER_TTL * 3));
     paths.end(TARGET);
     paths.probed(TARGET, Probe::Answered, now);
     assert!(!paths.is_given_up(TARGET, now + VOUCHER_TTL));
