fix(gateway): a crash counts although the target's listener closes last

What callers saw: a request that crashes its targets could crash any number of them, and take a service down, where the listening socket of a process that ends closes a moment after its connections (a child that has not executed yet holds it; a process may also close them in that order). With 5 ms in between nine of nine targets ended, and other callers got 503.

Cause: the crash check took a connection that opens for a living process. A listener's backlog opens connections for a process that is ending, too.

Why this works: a connection that opens is asked for the service's health, as probes of paths do already. A process that lives answers; one that is ending closes the connection, and the next one is refused. At most three connections; whatever is neither answered nor refused after them is no crash, as before. A living target costs one round trip more, a busy one 100 ms, and only after a connection with a request on it broke. The check of answers without framing (`Proxy::has_ended_with`) uses the same function. The entry path already looked whether such a connection closes.

--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -20,6 +20,7 @@
     Proxy,
     attempt::{Attempt, Ended, Place},
     job::{Job, header_text},
+    reach,
     responder::Responder,
 };
 use crate::{headers::SUSPICION, suspects};
@@ -162,9 +163,8 @@
     /// Checks whether a target whose connection broke has crashed, and records it.
     async fn has_crashed(&self, job: &Job, target: &str, address: &str, before: &Before) -> bool {
         let broke_at = Instant::now();
-        let has_crashed = self.is_expected_to_stay(target)
-            && is_refused(address).await
-            && !self.is_contradicted(target, broke_at).await;
+        let has_crashed =
+            self.has_ended(target, address).await && !self.is_contradicted(target, broke_at).await;
         let sent = before.sent.as_ref().filter(|sent| !sent.had_crashed());
         if let Some(sent) = sent.filter(|_| has_crashed) {
             self.record_crash(job, target, sent);
@@ -219,9 +219,19 @@
         self.keep_suspects();
     }
 
+    /// Returns whether a target's process has ended although it was expected to stay.
+    pub(super) async fn has_ended(&self, target: &str, address: &str) -> bool {
+        if !self.is_expected_to_stay(target) {
+            return false;
+        }
+        let view = self.state.view();
+        let health_path = reach::address(&view, target).map_or("/", |(_, path)| path);
+        is_refused(address, health_path).await
+    }
+
     /// Returns whether a target is expected to stay; one that is draining or was removed ends as
     /// planned.
-    pub(super) fn is_expected_to_stay(&self, target: &str) -> bool {
+    fn is_expected_to_stay(&self, target: &str) -> bool {
         let view = self.state.view();
         let known = view.targets.by_name().get(target);
         known.is_some_and(|known| known.gone_at.is_none())
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -11,7 +11,6 @@
     events::{Events, Torn},
     head::Response,
     pool::Connection,
-    probe::is_refused,
     server::Reply,
 };
 
@@ -183,7 +182,7 @@
         let Some((target, address)) = place.direct() else {
             return false;
         };
-        self.is_expected_to_stay(target) && is_refused(address).await
+        self.has_ended(target, address).await
     }
 }
 
--- a/crates/zinniastall-gateway/src/path/reach.rs
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -157,7 +157,8 @@
     }
 }
 
-fn address<'a>(view: &'a View, target: &str) -> Option<(&'a str, &'a str)> {
+/// Returns the address and the health path of a target.
+pub(super) fn address<'a>(view: &'a View, target: &str) -> Option<(&'a str, &'a str)> {
     let report = &view.targets.by_name().get(target)?.report;
     let service = view.table()?.service(&report.service)?;
     Some((&report.address, &service.health_path))
--- a/crates/zinniastall-http/src/probe.rs
+++ b/crates/zinniastall-http/src/probe.rs
@@ -24,12 +24,24 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest wait of [`answers`] for the first byte of an answer. A busy server queues the request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Connections that [`is_refused`] opens at most.
+const MAX_CONNECTIONS: usize = 3;
 
 /// Returns whether an address refuses connections: the machine is up, but the listening process has
 /// ended.
-pub async fn is_refused(address: &str) -> bool {
-    let connected = connect(address).await;
-    connected.is_some_and(|connected| connected.is_err_and(|error| is_refusal(&error)))
+///
+/// A process that ends closes its connections and its listener one after the other, and a connection
+/// that opens in between is closed unanswered. So one that opens is asked for the server's health, and
+/// another one is opened if it closes.
+pub async fn is_refused(address: &str, health_path: &str) -> bool {
+    for _ in 0..MAX_CONNECTIONS {
+        match exchange(address, health_path, REFUSAL_TIMEOUT, CLOSE_TIMEOUT).await {
+            Err(error) if is_refusal(&error) => return true,
+            Err(error) if is_close(&error) => {}
+            Ok(_) | Err(_) => return false,
+        }
+    }
+    false
 }
 
 /// Returns whether the process behind an address has ended.
@@ -53,7 +65,17 @@
 ///
 /// Fails if no connection opens, or if it does not last.
 pub async fn answers(address: &str, path: &str) -> io::Result<bool> {
-    let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    exchange(address, path, CONNECT_TIMEOUT, ANSWER_TIMEOUT).await
+}
+
+/// Sends a request on a new connection, and returns whether an answer begins in time.
+async fn exchange(
+    address: &str,
+    path: &str,
+    connect_timeout: Duration,
+    answer_timeout: Duration,
+) -> io::Result<bool> {
+    let connected = time::timeout(connect_timeout, TcpStream::connect(address)).await;
     let mut stream = connected.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let mut first = [0; 1];
@@ -61,7 +83,7 @@
         stream.write_all(request.as_bytes()).await?;
         stream.read(&mut first).await
     };
-    match time::timeout(ANSWER_TIMEOUT, exchange).await {
+    match time::timeout(answer_timeout, exchange).await {
         Ok(Ok(0)) => Err(io::Error::from(ErrorKind::UnexpectedEof)),
         Ok(answered) => answered.map(|_| true),
         Err(_) => Ok(false),
@@ -94,7 +116,7 @@
 fn is_close(error: &io::Error) -> bool {
     matches!(
         error.kind(),
-        ErrorKind::ConnectionReset | ErrorKind::BrokenPipe
+        ErrorKind::ConnectionReset | ErrorKind::BrokenPipe | ErrorKind::UnexpectedEof
     )
 }
 
