fix: a request that rides along with a poisonous one is told apart by the third crash

Cause: each crash counts against all that ran there. Two requests that are at the same three targets are the same to that evidence.

Change, on both paths: a request with two crashes runs where no other one with two crashes of the same instance does (`coord::quarantine::Probes`). It goes to another target, waits as long as a copy of it would, and is rejected as not run after that. The third crash then counts against one of them. On the gateway path such a request prefers a target by rendezvous hashing of its fingerprint, so that two that different instances send at the same time are unlikely to meet. Ruled out: one more crash for each of a group (gives up the bound of three), a permit from one place (a trip for each try; not needed within an instance). Open: two that different instances send to the same target at the same moment.

--- a/crates/zinniastall-coord/src/quarantine.rs
+++ b/crates/zinniastall-coord/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests that crash the processes that run them.
 //!
 //! A process that crashes takes down all requests that it runs. Each of them is a suspect, and at
-//! most one of them is the cause. Four rules tell them apart:
+//! most one of them is the cause. Five rules tell them apart:
 //!
 //! - A request that finishes anywhere is cleared.
 //! - A crash counts if all earlier crashes were known when the request was sent. Crashes of copies
@@ -10,6 +10,7 @@
 //! - A crash doesn't count against a request that was sent when the crash was known: the process
 //!   was not there to run it.
 //! - A request is quarantined only at [`CRASH_LIMIT`] crashes.
+//! - A request that one more crash would quarantine runs where no other such request does.
 //!
 //! Instances that share a [`Table`] send each other their [`Suspicion`]s. Merging is commutative,
 //! associative and idempotent, so messages may be lost, duplicated, delayed and reordered.
--- a/crates/zinniastall-coord/src/quarantine/probe.rs
+++ b/crates/zinniastall-coord/src/quarantine/probe.rs
@@ -2,7 +2,7 @@
 
 use std::{hash::Hash, time::Duration};
 
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 
 use super::{CRASH_LIMIT, STRONG_SUSPECT_CRASHES};
 
@@ -48,22 +48,50 @@
     crashes < STRONG_SUSPECT_CRASHES
 }
 
-/// Suspects of which a copy is at a target.
+/// Suspects of which a copy is being sent or is at a target.
 ///
-/// One copy is tried at a time: it either finishes and is cleared, or crashes a single target.
+/// One copy is tried at a time: it either finishes and is cleared, or crashes a single target. Strong
+/// suspects don't share a target either: its crash would count against all of them.
 #[derive(Debug)]
-pub struct Probes<K>(IndexSet<K>);
+pub struct Probes<K>(IndexMap<K, Option<String>>);
 
 impl<K> Default for Probes<K> {
     fn default() -> Self {
-        Self(IndexSet::new())
+        Self(IndexMap::new())
     }
 }
 
 impl<K: Hash + Eq> Probes<K> {
     /// Marks a suspect as in flight; returns `false` if it is already.
     pub fn begin(&mut self, request: K) -> bool {
-        self.0.insert(request)
+        if self.0.contains_key(&request) {
+            return false;
+        }
+        self.0.insert(request, None);
+        true
+    }
+
+    /// Returns the targets at which strong suspects other than this one are.
+    pub fn occupied<'a>(&'a self, request: &'a K) -> impl Iterator<Item = &'a str> {
+        let others = self.0.iter().filter(move |(other, _)| *other != request);
+        others.filter_map(|(_, at)| at.as_deref())
+    }
+
+    /// Returns whether a strong suspect other than this one is at a target.
+    pub fn is_occupied(&self, target: &str, request: &K) -> bool {
+        self.occupied(request).any(|at| at == target)
+    }
+
+    /// Records that a strong suspect in flight is sent to a target; returns `false` if another one is
+    /// there.
+    pub fn enter(&mut self, target: &str, request: &K) -> bool {
+        if self.is_occupied(target, request) {
+            return false;
+        }
+        if let Some(at) = self.0.get_mut(request) {
+            *at = Some(target.to_owned());
+        }
+        true
     }
 
     /// Marks a suspect as no longer in flight.
--- a/crates/zinniastall-coord/tests/quarantine.rs
+++ b/crates/zinniastall-coord/tests/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use zinniastall_coord::quarantine::{CRASH_LIMIT, Run, Sent, Suspects, Suspicion, Table};
+use zinniastall_coord::quarantine::{CRASH_LIMIT, Probes, Run, Sent, Suspects, Suspicion, Table};
 
 type Key = [u8; 1];
 
@@ -232,3 +232,20 @@
     what_was_known_before_a_finish_does_not_count:
         [Send(1), Crash(0), Send(2), Finished, Crash(1)] => 1;
 }
+
+/// Guards against a crash that counts against several strong suspects.
+#[test]
+fn strong_suspects_do_not_share_a_target() {
+    let mut probes = Probes::default();
+    assert!(probes.begin(KEY) && probes.begin(OTHER));
+    assert!(!probes.begin(KEY));
+    assert!(probes.enter("one", &KEY));
+    assert!(probes.enter("one", &KEY), "a request may stay where it is");
+    assert!(!probes.enter("one", &OTHER));
+    assert!(probes.enter("two", &OTHER));
+    assert_eq!(probes.occupied(&KEY).collect::<Vec<_>>(), ["two"]);
+    assert!(probes.enter("three", &OTHER));
+    assert!(probes.enter("two", &KEY), "a suspect has left it");
+    probes.end(&KEY);
+    assert!(probes.enter("two", &OTHER));
+}
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -7,7 +7,10 @@
 };
 
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
-use zinniastall_coord::quarantine::{HOLD_SHARE, MAX_HOLD, may_retry_after_crash};
+use tokio::time;
+use zinniastall_coord::quarantine::{
+    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
+};
 use zinniastall_http::ending::Ending;
 use zinniastall_model::id;
 use zinniastall_route::{
@@ -74,8 +77,19 @@
             Err(refusal) => return Err(dispatch::merge(earlier, refusal)),
         };
         let crashes_before = worker.crashes(call);
-        let decision = match admission.admit(request, &tried) {
+        let mut avoided = worker.occupied(call);
+        let is_crowded = !avoided.is_empty();
+        avoided.extend(tried.iter().cloned());
+        let decision = match admission.admit(request, &avoided) {
             Ok(decision) => decision,
+            Err(refusal) if is_crowded && matches!(refusal.reason, Reason::NoTarget(_)) => {
+                if hold_until <= Instant::now() {
+                    return Err(merge_last(earlier, refusal.retry_after(HELD_RETRY_AFTER)));
+                }
+                drop(probe);
+                time::sleep(HOLD_POLL_INTERVAL).await;
+                continue;
+            }
             // The retry budget has granted another attempt. If no other target is left, the target
             // that lost the request is tried again, since it may have lost only the connection.
             Err(refusal) if only_tried_left(&refusal, earlier.as_ref(), &tried) => {
@@ -95,6 +109,8 @@
             },
         };
         let attempt = match started {
+            // Another strong suspect has been sent there since the choice.
+            Started::Here(in_flight) if !may_enter(probe.as_ref(), &in_flight) => continue,
             Started::Here(in_flight) => {
                 let target = in_flight.target().clone();
                 let reach = worker.service.shared_view.paths();
@@ -147,6 +163,11 @@
     }
 }
 
+/// Returns whether a request may share its target with the suspects that are there.
+fn may_enter(probe: Option<&Probe>, in_flight: &InFlight) -> bool {
+    probe.is_none_or(|probe| probe.enter(in_flight.target()))
+}
+
 /// Waits for a permit to send a request to the target that was chosen. If there is none, returns the
 /// time until the next one; the request is then admitted anew.
 async fn denial(
--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -9,7 +9,7 @@
     Suspicion,
 };
 use zinniastall_http::probe::has_ended;
-use zinniastall_model::fingerprint::Suspect;
+use zinniastall_model::{fingerprint::Suspect, id};
 use zinniastall_route::outcome::{Outcome, Reason, Refusal};
 use zinniastall_wire::gossip;
 
@@ -56,7 +56,8 @@
                 Clearance::Paced | Clearance::Alone => {}
             }
             let quarantine = self.service.shared_view.quarantine();
-            if let Some(probe) = quarantine.begin_probe(call.fingerprint()) {
+            let is_strong = clearance == Clearance::Alone;
+            if let Some(probe) = quarantine.begin_probe(call.fingerprint(), is_strong) {
                 return Ok(Some(probe));
             }
             let is_late = Instant::now() >= hold_until;
@@ -71,6 +72,15 @@
         }
     }
 
+    /// Returns the targets to which a request must not be sent because strong suspects are there.
+    pub(super) fn occupied(&self, call: &Call) -> Vec<id::Target> {
+        if Clearance::of(self.crashes(call)) != Clearance::Alone {
+            return Vec::new();
+        }
+        let quarantine = self.service.shared_view.quarantine();
+        quarantine.occupied(call.fingerprint())
+    }
+
     /// Returns whether a request that was cleared before may still be sent.
     pub(super) fn may_still_be_sent(&self, call: &Call, probe: Option<&Probe>) -> bool {
         match Clearance::of(self.crashes(call)) {
--- a/crates/zinniastall-entry/src/quarantine.rs
+++ b/crates/zinniastall-entry/src/quarantine.rs
@@ -18,6 +18,7 @@
 use zinniastall_coord::quarantine::{Change, Known, Probes, Run, Scope, Sent, Suspicion};
 use zinniastall_model::{
     fingerprint::{Fingerprint, Suspect, Suspects},
+    id,
     state::State,
 };
 
@@ -58,11 +59,20 @@
     version: u64,
 }
 
-/// Guard that marks a strong suspect as being at a target.
+/// Guard that marks a suspect as in flight.
 #[derive(Debug)]
 pub struct Probe {
     quarantine: Quarantine,
     request: Fingerprint,
+    is_strong: bool,
+}
+
+impl Probe {
+    /// Records that the request is sent to a target; returns `false` if it is a strong suspect and
+    /// another one is there.
+    pub fn enter(&self, target: &str) -> bool {
+        !self.is_strong || lock(&self.quarantine.0.probes).enter(target, &self.request)
+    }
 }
 
 impl Drop for Probe {
@@ -216,15 +226,22 @@
         self.writer().missing.clone()
     }
 
-    /// Marks a strong suspect as in flight at a target; returns `None` if it is already.
-    pub fn begin_probe(&self, request: Fingerprint) -> Option<Probe> {
+    /// Marks a suspect as in flight; returns `None` if it is already.
+    pub fn begin_probe(&self, request: Fingerprint, is_strong: bool) -> Option<Probe> {
         let is_first = lock(&self.0.probes).begin(request);
         is_first.then(|| Probe {
             quarantine: self.clone(),
             request,
+            is_strong,
         })
     }
 
+    /// Returns the targets at which strong suspects other than a request are.
+    pub fn occupied(&self, request: Fingerprint) -> Vec<id::Target> {
+        let probes = lock(&self.0.probes);
+        probes.occupied(&request).map(str::to_owned).collect()
+    }
+
     /// Applies a function that returns its result and whether it changed a suspicion.
     fn change<T>(&self, apply: impl FnOnce(&mut Suspects) -> (T, bool)) -> T {
         let mut writer = self.writer();
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Returns the target that will run the request, if this instance chose one.
+    pub fn destined_target(&self) -> Option<&str> {
+        self.target().map(String::as_str).or_else(|| self.detour())
+    }
+
     /// Returns the target for which a neighbour was chosen that reaches it, if the place is one.
     pub fn detour(&self) -> Option<&str> {
         match self {
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -58,6 +58,15 @@
 pub(super) struct Probe<'a> {
     probes: &'a RefCell<Probes<Fingerprint>>,
     request: Fingerprint,
+    is_strong: bool,
+}
+
+impl Probe<'_> {
+    /// Records that the request is sent to a target; returns `false` if it is a strong suspect and
+    /// another one is there.
+    pub(super) fn enter(&self, target: &str) -> bool {
+        !self.is_strong || self.probes.borrow_mut().enter(target, &self.request)
+    }
 }
 
 impl Drop for Probe<'_> {
@@ -94,16 +103,24 @@
             quarantine::Clearance::Paced | quarantine::Clearance::Alone => {}
         }
         let request = job.fingerprint();
+        let is_strong = clearance == quarantine::Clearance::Alone;
         if !self.probes.borrow_mut().begin(request) {
-            let is_weak = clearance == quarantine::Clearance::Paced;
-            return Clearance::Held { is_weak };
+            return Clearance::Held {
+                is_weak: !is_strong,
+            };
         }
         Clearance::Granted(Some(Probe {
             probes: &self.probes,
             request,
+            is_strong,
         }))
     }
 
+    /// Returns whether a request is a strong suspect.
+    pub(super) fn is_strong_suspect(&self, job: &Job) -> bool {
+        quarantine::Clearance::of(self.crashes(job)) == quarantine::Clearance::Alone
+    }
+
     /// Records that a request was rejected because it is quarantined.
     pub(super) fn record_rejection(&self, job: &Job) {
         self.metrics.count_suspect("rejected");
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -4,8 +4,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
-use zinniastall_coord::{rate::Rate, rendezvous};
-use zinniastall_model::{id, presence::Presence};
+use zinniastall_coord::{rate::Rate, rendezvous::weight};
+use zinniastall_model::{fingerprint::Fingerprint, id, presence::Presence};
 
 use super::{Proxy, attempt::Place, job::Job};
 use crate::{
@@ -105,9 +105,20 @@
     doubtful: usize,
     /// Whether the priority of other requests doesn't count for this one.
     is_unranked: bool,
+    /// Target for a strong suspect, by its index.
+    preferred: Option<usize>,
 }
 
 impl LocalTargets<'_> {
+    /// Returns the target that a strong suspect should go to. All instances that know the same targets
+    /// choose the same one, and another one for another suspect, so that two that are sent at the same
+    /// time by different instances are unlikely to meet.
+    fn preferred(&self, request: Fingerprint) -> Option<usize> {
+        let request = request.to_string();
+        let fit = (0..self.targets.len()).filter(|at| !self.candidates[*at].is_ejected);
+        fit.max_by_key(|at| weight(&request, &self.targets[*at].report.target))
+    }
+
     /// Returns whether all targets that could get the request say nothing.
     const fn are_doubtful(&self) -> bool {
         self.doubtful > 0 && self.doubtful == self.candidates.len()
@@ -244,7 +255,10 @@
             }
         }
         match choose(&local.candidates, &regions, constraints) {
-            Choice::Local(at) => self.place_local(job, &local, at, now),
+            Choice::Local(at) => {
+                let at = local.preferred.unwrap_or(at);
+                self.place_local(job, &local, at, now)
+            }
             Choice::Remote(at) => place_remote(&remote[at]),
             Choice::Wait(after) => Placement::Wait(after),
             Choice::Refuse(after) => Placement::Refuse(after, local.best_basis()),
@@ -348,10 +362,15 @@
         let targets = view.targets.of(&job.service, &view.place.region);
         let targets: Vec<&Target> = targets.collect();
         let cache_owner = cache_owner(job, &targets);
+        let is_strong_suspect = self.is_strong_suspect(job);
         for target in targets {
             if is_leaving(target, view, now) {
                 continue;
             }
+            if is_strong_suspect && self.is_occupied(job, target) {
+                local.opens_soon = true;
+                continue;
+            }
             let path = self.path(job, tried, &target.report.target, view, now);
             if let Path::None { since } = path {
                 local.unreached += 1;
@@ -389,11 +408,20 @@
                 local.reading_us.push(reading_us);
             }
         }
+        if is_strong_suspect {
+            local.preferred = local.preferred(job.fingerprint());
+        }
         let is_limited = local.rates.iter().any(Option::is_some);
         local.is_unranked = is_limited && rand::rng().random_bool(UNRANKED_SHARE);
         local
     }
 
+    /// Returns whether a strong suspect other than this request is at a target.
+    fn is_occupied(&self, job: &Job, target: &Target) -> bool {
+        let probes = self.probes.borrow();
+        probes.is_occupied(&target.report.target, &job.fingerprint())
+    }
+
     /// Returns whether a target that was chosen before may still get a request.
     pub(super) fn may_get_requests(&self, target: &Target, view: &View, now: Instant) -> bool {
         !is_leaving(target, view, now) && !self.is_shut(target, now)
@@ -615,7 +643,7 @@
 fn cache_owner<'a>(job: &Job, targets: &[&'a Target]) -> Option<&'a str> {
     let key = job.prompt.shared().last()?;
     let names = targets.iter().map(|target| target.report.target.as_str());
-    names.max_by_key(|name| rendezvous::weight(key, name))
+    names.max_by_key(|name| weight(key, name))
 }
 
 fn place_remote(remote: &RemoteRegion<'_>) -> Placement {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -16,7 +16,7 @@
     Proxy,
     answer::Refusal,
     attempt::{Attempt, Ended, Place},
-    crash::Clearance,
+    crash::{Clearance, Probe},
     job::{Job, header_text},
     placement::{Placement, Tried},
     responder::Responder,
@@ -120,13 +120,16 @@
         };
         loop {
             let step = match self.clearance(job) {
-                Clearance::Granted(_probe) => self.step(&mut state, &mut events, responder).await?,
+                Clearance::Granted(probe) => {
+                    let probe = probe.as_ref();
+                    self.step(&mut state, probe, &mut events, responder).await?
+                }
                 Clearance::Held { .. } if state.may_be_held() => {
                     time::sleep(HOLD_POLL_INTERVAL).await;
                     Step::Retry
                 }
                 Clearance::Held { is_weak: true } => {
-                    self.step(&mut state, &mut events, responder).await?
+                    self.step(&mut state, None, &mut events, responder).await?
                 }
                 Clearance::Held { is_weak: false } => state.no_place(responder, HELD_RETRY_AFTER),
                 Clearance::Refused => {
@@ -149,6 +152,7 @@
     async fn step(
         &self,
         state: &mut State<'_>,
+        probe: Option<&Probe<'_>>,
         events: &mut Events,
         responder: &mut Responder,
     ) -> io::Result<Step> {
@@ -173,6 +177,15 @@
             }
             // The key may have been revoked while the request waited.
             Placement::Send(..) if !self.is_trusted(job) => state.no_place(responder, STALE_RETRY),
+            // Another strong suspect may have been sent there since the choice.
+            Placement::Send(place, ..)
+                if place
+                    .destined_target()
+                    .is_some_and(|target| probe.is_some_and(|probe| !probe.enter(target))) =>
+            {
+                time::sleep(HOLD_POLL_INTERVAL).await;
+                Step::Retry
+            }
             Placement::Send(place, reading_us, basis, _slot) => {
                 self.request_log.placed(job, &place, basis, state.sent);
                 let attempt = Attempt {
--- a/tests/tests/path/poison.rs
+++ b/tests/tests/path/poison.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use actix_rt::time::sleep;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{Value, json};
 use zinniastall_tests::{
@@ -481,6 +482,45 @@
     Ok(())
 }
 
+/// Guards against turning away a request because it ran beside one that crashes its engines, each time
+/// on the only engine that was left.
+#[actix_rt::test]
+async fn a_request_that_rides_along_is_answered() -> Result<()> {
+    let builder = Cluster::builder().zone("patras", "a", 1);
+    let mut cluster = System::start(builder.entry(short_linger())).await?;
+    configure(&mut cluster).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let crash = json!({"point": "first", "action": "die", "times": 1_000, "mark": MARK});
+    let (mut crashed, mut is_running, mut poison) = (0, false, 0);
+    for _ in 0..COPIES {
+        let name = format!("engine-{crashed}");
+        if !is_running {
+            let settings = json!({"engine": {"token_us": 2_000}});
+            cluster
+                .engine(&name, ("patras", "a"), MODEL, settings)
+                .await?;
+            cluster
+                .wait_serving(address, KEY, &chat("innocent", 1, false))
+                .await?;
+            cluster.fail(&name, &crash).await?;
+        }
+        let rider = actix_rt::spawn(ask(address, &chat("rider", 600, false)).send());
+        sleep(Duration::from_millis(200)).await;
+        let body = chat(MARK, 8, false);
+        poison = ask(address, &body).send().await?.status();
+        let rider = rider.await.expect("the rider ends")?;
+        assert_ne!(rider.status(), 400, "{}", rider.text());
+        is_running = cluster.target(&name)?.process().exit_status().is_none();
+        crashed += usize::from(!is_running);
+        if poison == 400 {
+            assert_eq!((rider.status(), crashed), (200, MAX_CRASHED));
+            break;
+        }
+    }
+    assert_eq!(poison, 400);
+    Ok(())
+}
+
 /// Guards against sending copies of a strong suspect to several engines at once.
 #[actix_rt::test]
 async fn copies_of_a_strong_suspect_run_one_at_a_time() -> Result<()> {
