fix(entry): the facts of a former speaker no longer hide those of its successor

What callers saw: requests of a zone without a usable target of its own were rejected with `no-target` although another zone had free slots, from 5 s after that zone's start until its load changed.

Cause: two instances of a zone that don't know each other yet both speak for it. Other zones keep the younger facts. If these are of the instance that stops speaking, nobody renews them, and those of the other one, which it takes for published, are not sent again: they count for 5 s and are gone after 10 s.

Why this works: an instance that speaks and hears facts or a renewal of another instance of its own zone publishes its facts again, with new numbers. They are younger than what the other one sent, wherever that was kept. Withdrawn facts stay known, so that they are still withdrawn. While both speak, each hears the other's renewals once an interval at most.

--- a/crates/zinniastall-coord/src/digest/author.rs
+++ b/crates/zinniastall-coord/src/digest/author.rs
@@ -2,7 +2,7 @@
 
 use std::hash::Hash;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::{Item, Renewal};
 
@@ -13,6 +13,8 @@
     incarnation: u64,
     sequence: u64,
     values: IndexMap<K, V>,
+    /// Keys whose items have to be published again.
+    hidden: IndexSet<K>,
 }
 
 impl<K: Clone + Eq + Hash, M: Clone, V: Clone + PartialEq> Author<K, M, V> {
@@ -23,6 +25,7 @@
             incarnation,
             sequence: 0,
             values: IndexMap::new(),
+            hidden: IndexSet::new(),
         }
     }
 
@@ -30,7 +33,8 @@
     ///
     /// Values should be coarse: each change is sent to every instance.
     pub fn make(&mut self, key: K, value: Option<V>) -> Option<Item<K, M, V>> {
-        if self.values.get(&key) == value.as_ref() {
+        let is_hidden = self.hidden.swap_remove(&key);
+        if self.values.get(&key) == value.as_ref() && !is_hidden {
             return None;
         }
         match value.clone() {
@@ -56,6 +60,19 @@
         self.values.clear();
     }
 
+    /// Records that another maker's items may hide all of this one's, so that each is published again.
+    pub fn hide(&mut self)
+    where
+        K: Clone,
+    {
+        self.hidden = self.values.keys().cloned().collect();
+    }
+
+    /// Returns whether the item of a key has to be published again although its value is the same.
+    pub fn is_hidden(&self, key: &K) -> bool {
+        self.hidden.contains(key)
+    }
+
     /// Returns the last value of a key.
     pub fn value(&self, key: &K) -> Option<&V> {
         self.values.get(key)
--- a/crates/zinniastall-entry/src/spread/digests.rs
+++ b/crates/zinniastall-entry/src/spread/digests.rs
@@ -19,6 +19,9 @@
 #[derive(Debug)]
 pub struct Digests {
     place: Place,
+    own: id::Instance,
+    /// Other instances of the zone.
+    zone: IndexSet<id::Instance>,
     speaker: Speaker,
     table: Facts,
     forwarder: Forwarder,
@@ -40,6 +43,8 @@
             speaker: Speaker::new(own, incarnation, place.clone(), interval, now),
             forwarder: Forwarder::new(place.clone()),
             place,
+            own: own.clone(),
+            zone: IndexSet::new(),
             table: Facts::new(horizon),
             horizon,
         }
@@ -53,6 +58,9 @@
         targets: &IndexMap<id::Target, view::Target>,
         now: Instant,
     ) {
+        let others = contacts.iter().map(|peer| &peer.instance);
+        let others = others.filter(|instance| **instance != self.own);
+        self.zone = others.cloned().collect();
         let snapshot = Snapshot {
             contacts,
             own: sum_targets(targets),
@@ -171,6 +179,7 @@
         // While this instance is the zone's speaker, no other instance speaks for the zone.
         let speaks = self.speaker.scope() > Scope::None;
         if from.is_some() && *topic.place() == self.place && speaks {
+            self.speaker.republish();
             return false;
         }
         if !self.table.apply(item, now) {
@@ -186,6 +195,11 @@
         renewal: &gossip::Renewal,
         now: Instant,
     ) -> bool {
+        let maker = &renewal.maker.instance;
+        if from.is_some() && self.speaker.scope() > Scope::None && self.zone.contains(maker) {
+            self.speaker.republish();
+            return false;
+        }
         let known = self.forwarder.knows_maker(&renewal.maker);
         if !known || !self.table.renew(renewal, now) {
             return false;
--- a/crates/zinniastall-entry/src/spread/speaker.rs
+++ b/crates/zinniastall-entry/src/spread/speaker.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Publishes all facts again when they are due next.
+    ///
+    /// While another instance spoke as well, tables kept whatever was younger. Its facts stay there
+    /// although nobody renews them, and hide those of this instance.
+    pub fn republish(&mut self) {
+        self.authors.iter_mut().for_each(Author::hide);
+    }
+
     /// Sets what this instance speaks for.
     ///
     /// An instance that takes over finds the facts of its predecessor in every table, so it must
@@ -211,6 +219,9 @@
     /// at once: the last free slot is taken, a first slot becomes free, or another zone must be
     /// advertised.
     fn must_send(&self, topic: &Topic, fact: &Fact, now: Instant) -> bool {
+        if self.authors.iter().any(|author| author.is_hidden(topic)) {
+            return true;
+        }
         let last = self.last_fact(topic);
         let (Some((advertised, before)), Some((chosen, after))) =
             (last.and_then(read_capacity), read_capacity(fact))
--- a/crates/zinniastall-entry/tests/speaker.rs
+++ b/crates/zinniastall-entry/tests/speaker.rs
@@ -152,16 +152,25 @@
 
 impl Zone {
     fn new(region: &str, zone: &str, lines: &[(Handle, Place)], now: Instant) -> Self {
-        let place = Place::new(region, zone);
         let name = format!("entry-{region}-{zone}");
-        let mut digests = Digests::new(&name, 1, place.clone(), INTERVAL, now);
+        Self::with_speaker(&name, Place::new(region, zone), lines, now)
+    }
+
+    fn with_speaker(name: &str, place: Place, lines: &[(Handle, Place)], now: Instant) -> Self {
+        let mut digests = Digests::new(&name.to_owned(), 1, place.clone(), INTERVAL, now);
         digests.set_links(&lines.iter().cloned().collect());
         Self { place, digests }
     }
 
     fn speak(&mut self, scope: Scope, busy: u32, now: Instant) {
-        let door = Peer {
-            instance: format!("entry-{}", self.place.zone),
+        let members = [format!("entry-{}", self.place.zone)];
+        self.speak_with(&members, scope, busy, now);
+    }
+
+    /// Speaks as an instance that knows the members of its zone.
+    fn speak_with(&mut self, members: &[String], scope: Scope, busy: u32, now: Instant) {
+        let door = |instance: &String| Peer {
+            instance: instance.clone(),
             incarnation: 1,
             place: self.place.clone(),
             links: String::new(),
@@ -172,7 +181,8 @@
             up_ms: 60_000,
         };
         let targets = [("engine".to_owned(), target(&self.place, busy, now))].into();
-        self.digests.speak(scope, vec![door], &targets, now);
+        let doors = members.iter().map(door).collect();
+        self.digests.speak(scope, doors, &targets, now);
     }
 
     fn flush(&mut self, now: Instant) -> IndexMap<Handle, Delta> {
@@ -370,3 +380,48 @@
     let doors = patras.digests.contacts(start + TICK * 60);
     assert_eq!(doors.len(), 1, "the zone's own facts are still renewed");
 }
+
+/// Returns how old the facts about a zone get elsewhere, of which two instances speak until one hears what
+/// `is_heard` selects of what the other one sent.
+fn oldest_fact(is_heard: impl Fn(&Delta) -> bool) -> Duration {
+    let start = Instant::now();
+    let [_, _, mut patras] = three_zones(start);
+    let place = Place::new("athens", "a");
+    let links = [(TO_PATRAS, patras.place.clone())];
+    let members = ["entry-a".to_owned(), "entry-b".to_owned()];
+    let [mut stays, mut stops] =
+        [0, 1].map(|at: usize| Zone::with_speaker(&members[at], place.clone(), &links, start));
+    let mut sent = Vec::new();
+    let mut oldest = Duration::ZERO;
+    for tick in 0..40 {
+        let now = start + TICK * tick;
+        stays.speak_with(&members, Scope::Region, 6, now);
+        patras.take(&place, stays.flush(now).get(&TO_PATRAS), now);
+        if tick < 6 {
+            // What it sends arrives last.
+            stops.speak_with(&members, Scope::Region, 6, now);
+            sent.extend(stops.flush(now).swap_remove(&TO_PATRAS));
+            patras.take(&place, sent.last(), now);
+        }
+        if tick == 6 {
+            stays.take(&place, sent.iter().find(|news| is_heard(news)), now);
+        }
+        let digests = patras.digests.capacities(now);
+        let ages = digests.iter().map(|digest| now - digest.made);
+        oldest = oldest.max(ages.max().unwrap_or(HORIZON));
+    }
+    oldest
+}
+
+/// Guards against losing a zone whose load does not change: two of its instances speak for it until they
+/// know each other, and the facts of the one that stops are the younger ones.
+#[test]
+fn facts_of_a_former_speaker_do_not_hide_those_of_the_next() {
+    let bound = INTERVAL * 5 / 2;
+    let of_items = oldest_fact(|news| !news.items.is_empty());
+    let of_renewals = oldest_fact(|news| news.items.is_empty());
+    assert!(
+        of_items <= bound && of_renewals <= bound,
+        "{of_items:?}, {of_renewals:?}"
+    );
+}
