fix(entry): a zone whose targets are all silent is served by another

What callers saw: while all targets of a zone took connections and said nothing, requests of its callers waited until their deadlines and ended as 504, for as long as that lasted, although another zone could have served them.

Cause: a probe of this path only opened a connection, which works at such targets. Nothing told their silence from long work.

Change: a target may name a `health_path` in its announcement, which is asked as gateway instances do (`probe::answers`). Targets without a health path are treated as before: silence of theirs is no evidence. The digest that tells a target's renewals from each other covers the path only if there is one, so that older instances compute the same for targets without one. The stand-in answers `/health` and announces it.

--- a/crates/zinniastall-entry/examples/slopes/node.rs
+++ b/crates/zinniastall-entry/examples/slopes/node.rs
@@ -92,6 +92,7 @@
             sequence,
             place: self.place.clone(),
             address: "127.0.0.1:9".to_owned(),
+            health_path: None,
             kind: "standin".to_owned(),
             role: "both".to_owned(),
             serves: (0..models).map(serving).collect(),
--- a/crates/zinniastall-entry/src/callers/admission/candidates.rs
+++ b/crates/zinniastall-entry/src/callers/admission/candidates.rs
@@ -45,6 +45,8 @@
     limited: IndexMap<&'a str, Limited>,
     /// Whether any target serves the subject, including those that failed this request.
     any_serving: bool,
+    /// Whether all of them say nothing, so that another place should get the request.
+    are_doubtful: bool,
 }
 
 impl<'a> Candidates<'a> {
@@ -68,13 +70,24 @@
         all.retain(|candidate| !tried.iter().any(|target| target == candidate.target));
         prefer_version(view, request, &mut all);
         let all = without_ejected(all, policy, now);
+        let are_doubtful = !all.is_empty()
+            && all
+                .iter()
+                .all(|candidate| reach.is_doubtful(view, candidate.target, request, now));
         Self {
+            are_doubtful,
             limited: limited(view, &all, rates, now),
             all,
             any_serving,
         }
     }
 
+    /// Returns whether a request that came from another place should go back there: it may know one
+    /// whose targets answer.
+    pub(super) const fn go_back(&self, request: &Request) -> bool {
+        self.are_doubtful && request.hops.len() > 1
+    }
+
     pub(super) const fn is_empty(&self) -> bool {
         self.all.is_empty()
     }
@@ -152,6 +165,9 @@
 
     /// Returns the lowest cost of serving the request here, ignoring the queue.
     pub(super) fn cheapest(&self, policy: &Policy, prefixes: &[u64], now: Instant) -> Local {
+        if self.are_doubtful {
+            return Local::Tried;
+        }
         let costs = self.all.iter();
         let costs = costs.map(|candidate| {
             let cost = choose::cost(policy, prefixes, candidate.load, now);
@@ -192,6 +208,7 @@
         limited: limited(view, &all, sources.rates, now),
         all,
         any_serving: true,
+        are_doubtful: false,
     };
     candidates.have_room()
 }
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -94,7 +94,7 @@
                 hops,
             )));
         }
-        if found.is_empty() {
+        if found.is_empty() || found.go_back(request) {
             let subject = request.subject.name().to_owned();
             return Err(
                 Refusal::not_run(Reason::NoTarget(subject)).retry_after(NO_TARGET_RETRY_AFTER)
--- a/crates/zinniastall-entry/src/reach.rs
+++ b/crates/zinniastall-entry/src/reach.rs
@@ -120,6 +120,14 @@
         self.unsettle();
     }
 
+    /// Loses the paths to targets that say nothing, to probes too, while this instance hears from none.
+    pub fn lose_dark(&self, now: Instant) {
+        let dark = self.paths().lose_dark(now);
+        for target in dark {
+            self.record(&target, Change::Lost, "all targets are silent");
+        }
+    }
+
     /// Returns the targets to probe now.
     pub fn start_probes(&self, now: Instant) -> Vec<id::Target> {
         let due = self.paths().start_probes(now);
@@ -182,6 +190,14 @@
         self.path(view, target, request, now) != Path::None
     }
 
+    /// Returns whether a request would go directly to a target that has said nothing of late, neither to
+    /// requests nor to a probe.
+    pub fn is_doubtful(&self, view: &View, target: &str, request: &Request, now: Instant) -> bool {
+        self.0.is_unsettled.load(Ordering::Relaxed)
+            && self.path(view, target, request, now) == Path::Direct
+            && self.paths().is_doubtful(target)
+    }
+
     /// Waits, for a moment at most, until it is known how a target is reached to which no connection could
     /// be opened.
     pub async fn settle(&self, view: &View, target: &str, request: &Request) {
--- a/crates/zinniastall-entry/src/spread/paths.rs
+++ b/crates/zinniastall-entry/src/spread/paths.rs
@@ -6,12 +6,12 @@
 use actix::{Addr, Context, Handler, Message};
 use tokio::time;
 use zinniastall_coord::reach::{Probe, QUESTION_INTERVAL};
-use zinniastall_http::probe::stays_open;
+use zinniastall_http::probe::{answers, stays_open};
 use zinniastall_model::{id, place::Place};
 use zinniastall_wire::gossip;
 
 use super::{actor::Spread, links::Handle};
-use crate::reach::Reach;
+use crate::{reach::Reach, view::Target};
 
 /// Interval at which due probes are started.
 const PROBE_TICK: Duration = Duration::from_millis(50);
@@ -47,10 +47,10 @@
         let view = self.dependencies.shared_view.view();
         let now = Instant::now();
         self.reach().expire(&view, now);
+        self.reach().lose_dark(now);
         for target in self.reach().start_probes(now) {
-            let address = view.targets.get(&target);
-            let address = address.map(|known| known.report.address.clone());
-            actix::spawn(probe(self.reach().clone(), target, address));
+            let known = view.targets.get(&target).cloned();
+            actix::spawn(probe(self.reach().clone(), target, known));
         }
     }
 
@@ -59,13 +59,26 @@
     }
 }
 
-async fn probe(reach: Reach, target: id::Target, address: Option<String>) {
-    let Some(address) = address else {
+/// Probes the path to a target: asks for its health if it names a path for that, and otherwise opens a
+/// connection only, since a target might run whatever else it is asked.
+async fn probe(reach: Reach, target: id::Target, known: Option<Target>) {
+    let Some(known) = known else {
         reach.probed(&target, Probe::Failed, "the target is not known any more");
         return;
     };
-    match stays_open(&address).await {
-        Ok(()) => reach.probed(&target, Probe::Opened, ""),
+    let report = &known.report;
+    let probed = match &report.health_path {
+        Some(path) => answers(&report.address, path).await.map(|is_answered| {
+            if is_answered {
+                Probe::Answered
+            } else {
+                Probe::Silent
+            }
+        }),
+        None => stays_open(&report.address).await.map(|()| Probe::Opened),
+    };
+    match probed {
+        Ok(probe) => reach.probed(&target, probe, ""),
         Err(error) => reach.probed(&target, Probe::Failed, &error.to_string()),
     }
 }
--- a/crates/zinniastall-entry/src/targets/body.rs
+++ b/crates/zinniastall-entry/src/targets/body.rs
@@ -12,6 +12,8 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum length of a name, version, kind or role.
 const MAX_NAME_BYTES: usize = 64;
+/// Maximum length of the path of a health probe.
+const MAX_PATH_BYTES: usize = 256;
 /// Maximum number of models and services per target.
 const MAX_SERVED: usize = 64;
 /// Maximum number of adapters per model.
@@ -28,6 +30,8 @@
     incarnation: id::Incarnation,
     sequence: u64,
     address: SocketAddr,
+    #[serde(default)]
+    health_path: Option<String>,
     kind: String,
     role: String,
     serves: Vec<Serves>,
@@ -91,6 +95,8 @@
         ensure("slots", (1..=MAX_SLOTS).contains(&self.slots))?;
         ensure("price", self.price.is_finite() && self.price >= 0.0)?;
         ensure("serves", (1..=MAX_SERVED).contains(&self.serves.len()))?;
+        let health_path = self.health_path.as_deref();
+        ensure("health_path", health_path.is_none_or(is_path))?;
         let serves = self.serves.into_iter().map(Serves::check);
         Ok(gossip::Target {
             serves: serves.collect::<Result<_, _>>()?,
@@ -99,6 +105,7 @@
             sequence: self.sequence,
             place: place.clone(),
             address: self.address.to_string(),
+            health_path: self.health_path,
             kind: self.kind,
             role: self.role,
             slots: self.slots,
@@ -112,6 +119,13 @@
     }
 }
 
+/// Returns whether a text may stand in a request's first line as its target.
+fn is_path(path: &str) -> bool {
+    path.starts_with('/')
+        && path.len() <= MAX_PATH_BYTES
+        && path.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 impl Serves {
     fn check(self) -> Result<gossip::Serving, Problem> {
         let subject = match (self.model, self.service) {
--- a/crates/zinniastall-entry/tests/callers/harness.rs
+++ b/crates/zinniastall-entry/tests/callers/harness.rs
@@ -174,6 +174,7 @@
         sequence: 1,
         place: place.clone(),
         address: address.to_string(),
+        health_path: None,
         kind: "standin".into(),
         role: "both".into(),
         serves: vec![
--- a/crates/zinniastall-entry/tests/speaker.rs
+++ b/crates/zinniastall-entry/tests/speaker.rs
@@ -213,6 +213,7 @@
             sequence: 1,
             place: place.clone(),
             address: String::new(),
+            health_path: None,
             kind: "standin".to_owned(),
             role: "both".to_owned(),
             serves: vec![Serving {
--- a/crates/zinniastall-entry/tests/spread.rs
+++ b/crates/zinniastall-entry/tests/spread.rs
@@ -45,6 +45,7 @@
         sequence,
         place: Place::new("athens", "a"),
         address: "127.0.0.1:9".to_owned(),
+        health_path: None,
         kind: "standin".to_owned(),
         role: "both".to_owned(),
         serves: vec![Serving {
--- a/crates/zinniastall-route/src/spill.rs
+++ b/crates/zinniastall-route/src/spill.rs
@@ -46,7 +46,8 @@
 pub enum Local {
     /// No local target serves the subject.
     None,
-    /// All local targets have failed this request already, which says nothing about other requests.
+    /// All local targets have failed this request already, or say nothing for the moment, which says
+    /// nothing about other requests.
     Tried,
     /// The lowest cost of a local target, in milliseconds.
     Cost(f64),
--- a/crates/zinniastall-standin/src/announce.rs
+++ b/crates/zinniastall-standin/src/announce.rs
@@ -25,6 +25,9 @@
 /// Shortest and longest time between two announcements, whatever an answer asks for.
 const RENEWAL_BOUNDS_MS: (u64, u64) = (10, 60_000);
 
+/// Path that answers whether the process is alive.
+pub(crate) const HEALTH_PATH: &str = "/health";
+
 /// What a target announces besides its load.
 pub trait Capabilities: Send + Sync {
     /// Returns the role.
@@ -130,6 +133,7 @@
             "incarnation": self.incarnation,
             "sequence": sequence,
             "address": self.address,
+            "health_path": HEALTH_PATH,
             "kind": self.settings.kind,
             "role": self.capabilities.role(),
             "serves": self.capabilities.serves(),
--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -17,7 +17,7 @@
 use zinniastall_settings::{cli, log};
 
 use crate::{
-    announce::{Announcer, Capabilities},
+    announce::{Announcer, Capabilities, HEALTH_PATH},
     engine::Engine,
     failure::{Failure, Injector},
     ledger::Ledger,
@@ -134,6 +134,7 @@
             .app_data(shared.clone())
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/rate-limit", web::post().to(set_rate_limit))
+            .route(HEALTH_PATH, web::get().to(HttpResponse::Ok))
             .route("/ledger", web::get().to(list_ledger))
             .route("/failure", web::post().to(set_failure))
             .configure(configure.clone())
--- a/crates/zinniastall-wire/src/gossip.rs
+++ b/crates/zinniastall-wire/src/gossip.rs
@@ -137,6 +137,9 @@
     pub place: Place,
     /// Address of its HTTP interface.
     pub address: String,
+    /// Path that answers a `GET` without running anything, if it names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
     /// Kind of target, which determines whether it checks fencing tokens.
     pub kind: String,
     /// Role, such as `prefill`, `decode` or `both`.
@@ -172,6 +175,10 @@
         );
         // Writing to a hasher cannot fail. A failure would only cause a full report to be sent.
         drop(ciborium::into_writer(&stable, &mut hasher));
+        // Instances that don't know the field compute the same tag of a target without it.
+        if let Some(health_path) = &self.health_path {
+            hasher.update(health_path.as_bytes());
+        }
         let mut tag = [0; 8];
         tag.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
         u64::from_le_bytes(tag)
--- a/crates/zinniastall-wire/tests/codec.rs
+++ b/crates/zinniastall-wire/tests/codec.rs
@@ -224,6 +224,7 @@
                 sequence: number,
                 place,
                 address: target.clone(),
+                health_path: flag.then(|| target.clone()),
                 kind: target.clone(),
                 role: target.clone(),
                 serves: vec![gossip::Serving {
--- a/tests/tests/path/partitions.rs
+++ b/tests/tests/path/partitions.rs
@@ -1,37 +1,58 @@
 //! Tests instances that are cut off from targets which the others of their zone reach.
 
+use std::net::SocketAddr;
+
 use serde_json::json;
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 use zinniastall_tests::{
     Result,
+    cluster::Cluster,
     proxy::rule::{Direction, Rule},
     wait,
 };
 
-use super::support::{System, ask, ask_once, chat, ticket, zone};
+use super::support::{
+    KEY, MODEL, System, ask, ask_once, chat, configure, short_linger, ticket, zone,
+};
 
 const ENTRIES: [&str; 2] = ["patras-a-1", "patras-a-2"];
 /// Time after a cut from which callers of all instances are served alike.
 const SETTLING: Duration = Duration::from_secs(1);
+/// Callers of each instance in a cut that affects all of them.
+const CALLERS: usize = 4;
 /// Length of the spans in which requests are counted.
 const SPAN: Duration = Duration::from_secs(4);
 
-/// Sets the rule for connections from the first instance to all targets.
-fn cut(cluster: &System, rule: Rule) {
+/// Sets the rule for connections from these instances to all targets.
+fn cut_off(cluster: &System, entries: &[&str], rule: Rule) {
     for target in cluster.targets() {
-        let proxies = target.proxies().values();
-        proxies.for_each(|proxy| proxy.rule_for(ENTRIES[0], rule));
+        for proxy in target.proxies().values() {
+            for entry in entries {
+                proxy.rule_for(entry, rule);
+            }
+        }
     }
 }
 
+/// Sets the rule for connections from the first instance to all targets.
+fn cut(cluster: &System, rule: Rule) {
+    cut_off(cluster, &ENTRIES[..1], rule);
+}
+
 /// Sends requests to both instances until a time, which may be repeated and must not be in turn;
 /// returns the statuses of each instance.
 async fn ask_until(cluster: &mut System, end: Instant) -> Result<Vec<Vec<u16>>> {
-    let mut addresses = Vec::new();
-    for entry in ENTRIES {
-        addresses.push(cluster.entry(entry)?.address("callers")?);
-    }
-    let callers = addresses.into_iter().map(|address| async move {
+    ask_all_until(&addresses(cluster)?, end).await
+}
+
+/// Returns the addresses of both instances for callers.
+fn addresses(cluster: &mut System) -> Result<Vec<SocketAddr>> {
+    let address = |entry| cluster.entry(entry)?.address("callers");
+    ENTRIES.into_iter().map(address).collect()
+}
+
+async fn ask_all_until(addresses: &[SocketAddr], end: Instant) -> Result<Vec<Vec<u16>>> {
+    let callers = addresses.iter().copied().map(|address| async move {
         let mut statuses = Vec::new();
         while Instant::now() < end {
             let body = chat(&format!("room {}", statuses.len()), 1, false);
@@ -92,6 +113,70 @@
     assert_served_alike(rule, 0.98).await
 }
 
+/// Starts two zones with two targets each; returns the addresses of the first one's instances, one for
+/// each caller.
+async fn start_two_zones() -> Result<(System, Vec<SocketAddr>)> {
+    let builder = Cluster::builder()
+        .zone("patras", "a", 2)
+        .zone("patras", "b", 2);
+    let mut cluster = System::start(builder.entry(short_linger())).await?;
+    for (engine, zone) in [("1", "a"), ("2", "a"), ("3", "b"), ("4", "b")] {
+        let name = format!("engine-{engine}");
+        cluster
+            .engine(&name, ("patras", zone), MODEL, json!({}))
+            .await?;
+    }
+    configure(&mut cluster).await?;
+    let addresses = addresses(&mut cluster)?;
+    for &address in &addresses {
+        cluster
+            .wait_serving(address, KEY, &chat("ready", 1, false))
+            .await?;
+    }
+    let callers = addresses.repeat(CALLERS);
+    ask_all_until(&callers, Instant::now() + SETTLING).await?;
+    Ok((cluster, callers))
+}
+
+/// Returns the rule under which targets take connections and say nothing.
+fn stalled() -> Rule {
+    Rule::default().with(Direction::Both, |effect| effect.stalled = true)
+}
+
+/// Guards against a zone whose callers wait in vain, for as long as its targets take connections and say
+/// nothing, although another zone could serve them.
+#[actix_rt::test]
+async fn a_zone_whose_targets_are_all_silent_is_served_by_another() -> Result<()> {
+    let (mut cluster, callers) = start_two_zones().await?;
+    for (rule, settling) in [(stalled(), SETTLING), (Rule::default(), 2 * SETTLING)] {
+        cut_off(&cluster, &ENTRIES, rule);
+        let settled = Instant::now() + settling;
+        let (_, statuses) = futures_util::try_join!(ask_all_until(&callers, settled), async {
+            sleep_until(settled).await;
+            ask_all_until(&callers, settled + SPAN).await
+        })?;
+        let served = share(&statuses.concat());
+        assert!(served >= 0.98, "{rule:?}: {served} {statuses:?}");
+    }
+    cluster.stop().await
+}
+
+/// Guards against taking targets for dark that only pause.
+#[actix_rt::test]
+async fn a_zone_whose_targets_all_pause_for_a_second_loses_no_request() -> Result<()> {
+    let (mut cluster, callers) = start_two_zones().await?;
+    let end = Instant::now() + SPAN;
+    let (statuses, ()) = futures_util::try_join!(ask_all_until(&callers, end), async {
+        cut_off(&cluster, &ENTRIES, stalled());
+        sleep(Duration::from_secs(1)).await;
+        cut_off(&cluster, &ENTRIES, Rule::default());
+        Ok(())
+    })?;
+    let statuses = statuses.concat();
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    cluster.stop().await
+}
+
 /// Guards against an instance that is cut off without operators seeing it.
 #[actix_rt::test]
 async fn operators_see_which_targets_an_instance_does_not_reach() -> Result<()> {
--- a/tests/tests/spread/targets.rs
+++ b/tests/tests/spread/targets.rs
@@ -18,17 +18,42 @@
 /// Concurrent callers for each instance under load.
 const CALLERS: usize = 4;
 
-/// Announces a target to an entry instance in place of the target itself; returns the status.
-async fn announce(cluster: &mut Cluster, entry: &str, run: u64, sequence: u64) -> Result<u16> {
-    let body = json!({
+/// Returns the announcement of a target that does not run.
+fn announcement(run: u64, sequence: u64) -> Value {
+    json!({
         "target": "by-hand", "incarnation": run, "sequence": sequence,
         "address": "127.0.0.1:9", "kind": "standin", "role": "both",
         "serves": [{"model": "other", "version": "1"}],
         "slots": 8, "busy": 0, "price": 1.0,
-    });
+    })
+}
+
+/// Announces a target to an entry instance in place of the target itself; returns the status.
+async fn announce(cluster: &mut Cluster, entry: &str, run: u64, sequence: u64) -> Result<u16> {
+    let body = announcement(run, sequence);
     post(cluster, entry, "/v1/targets/announce", &body).await
 }
 
+/// Guards against sending targets what their announcements smuggle into the head of a probe.
+#[actix_rt::test]
+async fn health_paths_are_checked() -> Result<()> {
+    let mut cluster = start(&[("athens", "a")], 1).await?;
+    let long = format!("/{}", "a".repeat(256));
+    let bad = ["", "health", "/a b", "/a\r\nx: y", "/\u{e9}", &long];
+    let paths = bad.map(|path| (path, 400));
+    for (sequence, (path, status)) in paths
+        .into_iter()
+        .chain([("/health?deep=0", 200)])
+        .enumerate()
+    {
+        let mut body = announcement(7, sequence as u64 + 1);
+        body["health_path"] = json!(path);
+        let answered = post(&mut cluster, "athens-a-1", "/v1/targets/announce", &body).await?;
+        assert_eq!(answered, status, "{path:?}");
+    }
+    cluster.stop().await
+}
+
 async fn post(cluster: &mut Cluster, entry: &str, path: &str, body: &Value) -> Result<u16> {
     let address = cluster.entry(entry)?.process().address("targets").await?;
     Ok(http::post(address, path).json(body).send().await?.status())
