fix(entry): streams whose lines end with a carriage return and a line feed

What callers saw: nothing of a stream of chat completions from an engine that ends its lines with "\r\n", as several HTTP libraries do, and then a broken one.

Evidence: relaying::events_do_not_depend_on_chunk_boundaries with "\r\n" relays nothing before; with the change the same events, however the stream is split, and none of a stream that stops before its end.

--- a/crates/zinniastall-route/src/relay.rs
+++ b/crates/zinniastall-route/src/relay.rs
@@ -11,6 +11,9 @@
 /// Maximum size of a partial event that is buffered until its end arrives, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Length of the longest end of an event, in bytes.
+const LONGEST_EVENT_END: usize = b"\n\r\n".len();
+
 /// Why a response is not complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -85,12 +88,12 @@
     ///
     /// Returns [`Error::EventTooLong`] if an event does not end within [`MAX_EVENT_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
-        let scanned = self.partial.len().saturating_sub(1);
+        let scanned = self.partial.len().saturating_sub(LONGEST_EVENT_END - 1);
         self.partial.extend_from_slice(bytes);
         let mut start = 0;
         let mut position = scanned;
         while let Some(found) = find_event_end(&self.partial[position..]) {
-            let end = position + found + 2;
+            let end = position + found;
             self.count_event(start, end);
             start = end;
             position = end;
@@ -138,6 +141,14 @@
     }
 }
 
+/// Returns the offset behind the first blank line. Lines end with a line feed, with or without a
+/// carriage return before it.
 fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|pair| pair == b"\n\n")
+    let ends = (0..bytes.len()).filter(|at| bytes[*at] == b'\n');
+    let mut blank = ends.filter_map(|at| match &bytes[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] => Some(at + 3),
+        _ => None,
+    });
+    blank.next()
 }
--- a/crates/zinniastall-route/tests/filters/relaying.rs
+++ b/crates/zinniastall-route/tests/filters/relaying.rs
@@ -7,6 +7,12 @@
 
 const STREAM: &[u8] = b"data: {\"a\":1}\n\nevent: x\ndata: y\n\ndata: z\n\ndata: [DONE]\n\n";
 
+/// Returns the stream with other line ends; it has as many bytes at least.
+fn with_line_ends(line_end: &str) -> Vec<u8> {
+    let text = std::str::from_utf8(STREAM).unwrap();
+    text.replace('\n', line_end).into_bytes()
+}
+
 /// Feeds a stream split at the given offsets; returns the final state and the relayed bytes.
 fn feed(bytes: &[u8], mut cuts: Vec<usize>) -> (Events, Vec<u8>) {
     cuts.extend([0, bytes.len()]);
@@ -22,13 +28,15 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// The relayed events do not depend on how the network splits a stream.
+    /// The relayed events do not depend on how the network splits a stream, nor on how its lines end.
     #[test]
     fn events_do_not_depend_on_chunk_boundaries(
-        cuts in prop::collection::vec(0..STREAM.len(), 0..20),
+        cuts in prop::collection::vec(0..2 * STREAM.len(), 0..20),
+        line_end in prop::sample::select(vec!["\n", "\r\n"]),
     ) {
-        let (events, passed) = feed(STREAM, cuts);
-        prop_assert_eq!(passed, STREAM);
+        let stream = with_line_ends(line_end);
+        let (events, passed) = feed(&stream, cuts);
+        prop_assert_eq!(passed, stream);
         prop_assert_eq!(events.count(), 3);
         prop_assert!(events.end().is_ok());
     }
@@ -38,11 +46,14 @@
     #[test]
     fn truncated_streams_are_incomplete(
         length in 0..STREAM.len(), cuts in prop::collection::vec(0..STREAM.len(), 0..20),
+        line_end in prop::sample::select(vec!["\n", "\r\n"]),
     ) {
-        let (events, passed) = feed(&STREAM[..length], cuts);
+        let (events, passed) = feed(&with_line_ends(line_end)[..length], cuts);
         prop_assert!(events.end().is_err());
-        prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
-        let ends = passed.windows(2).filter(|pair| *pair == b"\n\n").count() as u64;
+        let event_end = line_end.repeat(2).into_bytes();
+        prop_assert!(passed.is_empty() || passed.ends_with(&event_end));
+        let ends = passed.windows(event_end.len()).filter(|end| *end == event_end);
+        let ends = ends.count() as u64;
         prop_assert_eq!(events.count(), ends);
     }
 
