--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -75,6 +75,14 @@
     }
 }
 
+/// Returns whether a request may share its target with the suspects that are there.
+pub(super) fn may_enter(probe: Option<&Probe<'_>>, place: &Place) -> bool {
+    let (Some(probe), Some(target)) = (probe, place.destined_target()) else {
+        return true;
+    };
+    probe.enter(target)
+}
+
 impl Proxy {
     /// Returns the number of crashes that count against a request.
     pub(super) fn crashes(&self, job: &Job) -> usize {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -16,7 +16,7 @@
     Proxy,
     answer::Refusal,
     attempt::{Attempt, Ended, Place},
-    crash::{Clearance, Probe},
+    crash::{Clearance, Probe, may_enter},
     job::{Job, header_text},
     placement::{Placement, Tried},
     responder::Responder,
@@ -178,11 +178,7 @@
             // The key may have been revoked while the request waited.
             Placement::Send(..) if !self.is_trusted(job) => state.no_place(responder, STALE_RETRY),
             // Another strong suspect may have been sent there since the choice.
-            Placement::Send(place, ..)
-                if place
-                    .destined_target()
-                    .is_some_and(|target| probe.is_some_and(|probe| !probe.enter(target))) =>
-            {
+            Placement::Send(place, ..) if !may_enter(probe, &place) => {
                 time::sleep(HOLD_POLL_INTERVAL).await;
                 Step::Retry
             }
