fix: a cut is not taken for a crash because a neighbour probed too quickly

What callers saw: where an instance was cut off from a target by resets and refusals, the target could count as crashed although a neighbour reached it: it got no work at any instance until it announced itself again, and the request became a suspect.

Cause: evidence against a crash has to be 10 ms later than the break, as messages overtake each other; but neighbours were asked for evidence since the break. One that probed the target within those 10 ms answered with that each time, which never counted, and had no reason to probe again. On the entry path this showed when probes got an answer in 3 ms instead of waiting 30 ms for a connection to stay open.

Why this works: neighbours are asked for evidence that is as late as it has to be. A neighbour whose evidence is too early probes again, and its next answer counts, within the time that there is.

--- a/crates/zinniastall-coord/src/reach.rs
+++ b/crates/zinniastall-coord/src/reach.rs
@@ -32,8 +32,9 @@
 mod path;
 mod paths;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use path::LATER_MARGIN;
 pub use path::{Probe, State};
 pub use paths::{Change, Paths, Route};
 
@@ -47,3 +48,13 @@
 /// Silence of a target that is reached by nobody after which requests stop waiting for it. A target
 /// that pauses for a second goes on with its requests.
 pub const DARK_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// Returns the longest age of the evidence that neighbours are asked for. `crashed_at` is when the target
+/// may have crashed: what they heard before, or too soon after to tell, says nothing, and would keep them
+/// from probing it.
+pub fn longest_age(crashed_at: Option<Instant>, now: Instant) -> Duration {
+    crashed_at.map_or(EVIDENCE_TTL, |at| {
+        now.saturating_duration_since(at)
+            .saturating_sub(LATER_MARGIN)
+    })
+}
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use zinniastall_coord::reach::{
-    Change, DARK_TIMEOUT, EVIDENCE_TTL, Paths, Probe, Route, State, VOUCHER_TTL,
+    Change, DARK_TIMEOUT, EVIDENCE_TTL, Paths, Probe, Route, State, VOUCHER_TTL, longest_age,
 };
 
 const TARGET: &str = "engine-1";
@@ -223,6 +223,29 @@
     assert!(paths.lose_dark(end + millis(399)).is_empty());
 }
 
+/// Guards against taking a cut for a crash because a neighbour, asked at once, answers with what it heard
+/// too soon after.
+#[test]
+fn a_neighbour_that_probes_quickly_contradicts_a_crash() {
+    for (question_interval, time) in [(15, 50), (40, 90)] {
+        let start = Instant::now();
+        let (mut asking, mut neighbour) = (lost(start), Paths::default());
+        let mut is_contradicted = false;
+        for elapsed in (0..=time).step_by(question_interval).map(millis) {
+            let now = start + elapsed;
+            let longest = longest_age(Some(start), now);
+            if let Some(age) = neighbour.evidence(TARGET, longest, now) {
+                asking.vouch(TARGET, NEIGHBOURS[0], age, now + millis(1));
+            }
+            if !neighbour.start_probes(now).is_empty() {
+                neighbour.probed(TARGET, Probe::Answered, now + millis(2));
+            }
+            is_contradicted |= asking.is_alive_since(TARGET, Some(start), now + millis(1));
+        }
+        assert!(is_contradicted, "asked every {question_interval} ms");
+    }
+}
+
 /// Guards against two instances that are both cut off and vouch for each other.
 #[test]
 fn instances_without_a_path_convince_nobody() {
--- a/crates/zinniastall-entry/src/reach.rs
+++ b/crates/zinniastall-entry/src/reach.rs
@@ -16,7 +16,7 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use tokio::{sync::Notify, time};
-use zinniastall_coord::reach::{Change, EVIDENCE_TTL, Paths, Probe, Route};
+use zinniastall_coord::reach::{Change, Paths, Probe, Route, longest_age};
 use zinniastall_http::watch;
 use zinniastall_model::id;
 use zinniastall_route::request::Request;
@@ -243,7 +243,7 @@
     /// Returns the question for the other instances of the zone; `None` while all paths are open.
     pub fn question(&self, view: &View) -> Option<Part> {
         let crashing = self.crashing().clone();
-        let longest = |target: &str| crashing.get(target).map_or(EVIDENCE_TTL, Instant::elapsed);
+        let longest = |target: &str| longest_age(crashing.get(target).copied(), Instant::now());
         let subject = |target: &str| {
             let known = view.targets.get(target)?;
             let serving = known.report.serves.first()?;
--- a/crates/zinniastall-gateway/src/reach.rs
+++ b/crates/zinniastall-gateway/src/reach.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
-use zinniastall_coord::reach::{DARK_TIMEOUT, EVIDENCE_TTL, Paths, Route, State};
+use zinniastall_coord::reach::{DARK_TIMEOUT, Paths, Route, State, longest_age};
 use zinniastall_http::watch;
 use zinniastall_model::id;
 use zinniastall_wire::reach::Report;
@@ -237,7 +237,7 @@
     /// Returns the longest age of the evidence that neighbours are asked for.
     pub fn longest_age(&self, target: &str) -> Duration {
         let crashing = self.crashing.borrow();
-        crashing.get(target).map_or(EVIDENCE_TTL, Instant::elapsed)
+        longest_age(crashing.get(target).copied(), Instant::now())
     }
 
     /// Returns the lost paths for operators, and logs when all paths of the region are lost or no
