fix: where all targets are silent, those without requests are doubted too

What callers saw: in a cut of all targets, requests that came after the first ones had been given up went to the targets that had none in progress, and waited there until their deadlines: 504 from 1 s to 4 s after the cut.

Cause: only a target at which requests wait becomes suspect. One that this instance had not used, or not at that moment, stayed open, also when nothing else answered; and the loss of the first path left one target with requests, which alone was no evidence of a cut.

A lost or doubtful path counts as tried when the others are given up.

Entry instances log `cut-off` and `cut-off-ended` as gateway instances do.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -172,6 +172,12 @@
         self.probe_soon(now);
     }
 
+    /// Puts an open path under suspicion as if a probe had already been silent, and schedules one.
+    pub(super) fn doubt(&mut self, now: Instant) {
+        self.suspect(true, now);
+        self.silence_of = Silence::Probes;
+    }
+
     fn is_silent(&self) -> bool {
         self.silence_of != Silence::Nobody
     }
--- a/crates/zinniastall-coord/src/reach/paths.rs
+++ b/crates/zinniastall-coord/src/reach/paths.rs
@@ -105,10 +105,29 @@
         path.is_some_and(Path::is_mute_suspect)
     }
 
+    /// Doubts the targets of which nothing is known either, once one has said nothing to a probe and
+    /// none was heard since: requests would go to them, one after the other. A probe settles each.
+    pub fn doubt_unheard<'a>(&mut self, known: impl Iterator<Item = &'a str>, now: Instant) {
+        let mute = self.paths.values().filter(|path| path.is_mute_suspect());
+        let Some(since) = mute.map(|path| path.since).min() else {
+            return;
+        };
+        if self.paths.values().any(|path| path.heard_at > Some(since)) {
+            return;
+        }
+        let open = known.filter(|target| self.state(target) == State::Open);
+        let unheard: Vec<String> = open.take(MAX_SUSPECTS).map(str::to_owned).collect();
+        for target in unheard {
+            self.path(&target, now).doubt(now);
+        }
+    }
+
     /// Loses the paths to targets that were silent for [`DARK_TIMEOUT`], to probes too, while this
     /// instance hears from no target; returns the targets. A pause does not last as long.
     pub fn lose_dark(&mut self, now: Instant) -> Vec<String> {
-        if !self.is_deaf_for(DARK_TIMEOUT, now) {
+        let is_tried =
+            |path: &Path| path.is_waiting() || path.is_mute_suspect() || path.state == State::Lost;
+        if !self.is_deaf_for(DARK_TIMEOUT, is_tried, now) {
             return Vec::new();
         }
         let is_dark = |path: &Path| {
@@ -124,23 +143,22 @@
 
     /// Starts the probes that are due; returns the targets to probe.
     pub fn start_probes(&mut self, now: Instant) -> Vec<String> {
-        let is_deaf = self.is_deaf_for(DEAF_TIMEOUT, now);
+        let is_deaf = self.is_deaf_for(DEAF_TIMEOUT, Path::is_waiting, now);
         let paths = self.paths.iter_mut();
         let due = paths
             .filter_map(|(target, path)| path.start_probe(is_deaf, now).then(|| target.clone()));
         due.collect()
     }
 
-    /// Returns whether this instance has heard from no target for a time although requests are in
-    /// progress, at more than one target if it uses several. One target alone is often silent for reasons
-    /// of its own.
-    fn is_deaf_for(&self, time: Duration, now: Instant) -> bool {
-        let waiting = self.paths.values().filter(|path| path.is_waiting()).count();
+    /// Returns whether this instance has heard from no target for a time although it tries, at more than
+    /// one target if it uses several. One target alone is often silent for reasons of its own.
+    fn is_deaf_for(&self, time: Duration, is_tried: impl Fn(&Path) -> bool, now: Instant) -> bool {
+        let tried = self.paths.values().filter(|path| is_tried(path)).count();
         let is_silent = |path: &Path| {
             let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
             !path.heard_at.is_some_and(is_recent)
         };
-        waiting >= self.paths.len().min(2) && self.paths.values().all(is_silent)
+        tried >= self.paths.len().min(2) && self.paths.values().all(is_silent)
     }
 
     /// Records the result of a probe.
@@ -218,6 +236,14 @@
         unsettled.map(|(target, _)| target.as_str())
     }
 
+    /// Returns the number of targets, and how many of them have a lost path.
+    pub fn count_lost<'a>(&self, targets: impl Iterator<Item = &'a str>) -> (usize, usize) {
+        targets.fold((0, 0), |(all, lost), target| {
+            let is_lost = self.state(target) == State::Lost;
+            (all + 1, lost + usize::from(is_lost))
+        })
+    }
+
     /// Returns the targets whose paths are lost, with the time since then and the number of
     /// neighbours that vouch for them.
     pub fn lost(&self, now: Instant) -> impl Iterator<Item = (&str, Duration, usize)> {
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -208,6 +208,39 @@
     assert_eq!(paths.route(TARGET, back, |_| true), Route::Direct);
 }
 
+/// Guards against sending requests to the targets that are left, one after the other, where all that had
+/// any are silent.
+#[test]
+fn targets_without_requests_are_as_doubtful_as_those_that_are_silent() {
+    let start = Instant::now();
+    let mut paths = mute(start);
+    let now = start + millis(810);
+    let known = || [TARGET, "engine-2", "idle"].into_iter();
+    paths.doubt_unheard(known(), now);
+    assert!(paths.is_doubtful("idle"));
+    assert_eq!(paths.start_probes(now), ["idle"]);
+    paths.probed("idle", Probe::Answered, now);
+    for elapsed in (820..5_000).step_by(10).map(millis) {
+        paths.doubt_unheard(known(), start + elapsed);
+        assert!(!paths.is_doubtful("idle"), "after {elapsed:?}");
+    }
+    assert!(paths.lose_dark(start + DARK_TIMEOUT).is_empty());
+}
+
+/// Guards against a target that is never lost because the other one was first.
+#[test]
+fn a_silent_target_is_lost_after_the_other_one() {
+    let start = Instant::now();
+    let mut paths = mute(start);
+    paths.end("engine-2");
+    let dark = start + DARK_TIMEOUT;
+    assert_eq!(paths.lose_dark(dark), [TARGET]);
+    assert!(paths.is_doubtful("engine-2"));
+    paths.begin("engine-2", dark);
+    assert!(paths.lose_dark(dark + millis(1_599)).is_empty());
+    assert_eq!(paths.lose_dark(dark + DARK_TIMEOUT), ["engine-2"]);
+}
+
 /// Guards against a pause of a second that counts as a cut, or costs requests that are at the target.
 #[test]
 fn targets_that_all_pause_for_a_second_keep_their_requests() {
--- a/crates/zinniastall-entry/src/reach.rs
+++ b/crates/zinniastall-entry/src/reach.rs
@@ -51,6 +51,7 @@
     changed: Notify,
     /// Whether any path may not be open. Without it, the choice of a target takes no lock.
     is_unsettled: AtomicBool,
+    is_cut_off: AtomicBool,
 }
 
 impl fmt::Debug for Inner {
@@ -120,9 +121,17 @@
         self.unsettle();
     }
 
-    /// Loses the paths to targets that say nothing, to probes too, while this instance hears from none.
-    pub fn lose_dark(&self, now: Instant) {
-        let dark = self.paths().lose_dark(now);
+    /// Doubts and loses the paths to targets that say nothing, to probes too, while this instance hears
+    /// from none.
+    pub fn lose_dark(&self, view: &View, now: Instant) {
+        let dark = {
+            let mut paths = self.paths();
+            // Without a health path, a target's silence can't be told from long work.
+            let asked = view.targets.iter();
+            let asked = asked.filter(|(_, known)| known.report.health_path.is_some());
+            paths.doubt_unheard(asked.map(|(target, _)| target.as_str()), now);
+            paths.lose_dark(now)
+        };
         for target in dark {
             self.record(&target, Change::Lost, "all targets are silent");
         }
@@ -272,12 +281,27 @@
         Report::new(&view.instance, &self.paths(), Instant::now())
     }
 
-    /// Forgets targets that are not known any more, and what has expired.
+    /// Forgets targets that are not known any more, and what has expired; logs when all paths of the zone
+    /// are lost or no longer.
     pub fn expire(&self, view: &View, now: Instant) {
         let mut paths = self.paths();
         paths.retain(|target| view.targets.contains_key(target), now);
         let is_unsettled = paths.questions().next().is_some();
         self.0.is_unsettled.store(is_unsettled, Ordering::Relaxed);
+        let (targets, unreached) = if is_unsettled {
+            paths.count_lost(view.targets.keys().map(String::as_str))
+        } else {
+            (view.targets.len(), 0)
+        };
+        let is_cut_off = targets > 0 && unreached == targets;
+        if self.0.is_cut_off.swap(is_cut_off, Ordering::Relaxed) == is_cut_off {
+            return;
+        }
+        if is_cut_off {
+            tracing::warn!(event = "cut-off", targets);
+        } else {
+            tracing::info!(event = "cut-off-ended", targets, unreached);
+        }
     }
 
     /// Waits until there may be something to ask or to probe.
--- a/crates/zinniastall-entry/src/spread/paths.rs
+++ b/crates/zinniastall-entry/src/spread/paths.rs
@@ -47,7 +47,7 @@
         let view = self.dependencies.shared_view.view();
         let now = Instant::now();
         self.reach().expire(&view, now);
-        self.reach().lose_dark(now);
+        self.reach().lose_dark(&view, now);
         for target in self.reach().start_probes(now) {
             let known = view.targets.get(&target).cloned();
             actix::spawn(probe(self.reach().clone(), target, known));
--- a/crates/zinniastall-gateway/src/path/reach.rs
+++ b/crates/zinniastall-gateway/src/path/reach.rs
@@ -40,6 +40,11 @@
             () = proxy.reach.probes.notified() => {}
         }
         let now = Instant::now();
+        let view = proxy.state.view();
+        let near = view.targets.by_name().values().map(|known| &known.report);
+        let near = near.filter(|report| report.place.region == view.place.region);
+        let near = near.map(|report| report.target.as_str());
+        proxy.reach.paths().borrow_mut().doubt_unheard(near, now);
         let dark = proxy.reach.paths().borrow_mut().lose_dark(now);
         for target in dark {
             proxy.record_path(&target, Change::Lost, "all targets are silent");
--- a/crates/zinniastall-gateway/src/reach.rs
+++ b/crates/zinniastall-gateway/src/reach.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
-use zinniastall_coord::reach::{DARK_TIMEOUT, Paths, Route, State, longest_age};
+use zinniastall_coord::reach::{DARK_TIMEOUT, Paths, Route, longest_age};
 use zinniastall_http::watch;
 use zinniastall_model::id;
 use zinniastall_wire::reach::Report;
@@ -246,11 +246,8 @@
         let paths = self.paths.borrow();
         let near = view.targets.by_name().values();
         let near = near.filter(|target| target.report.place.region == view.place.region);
-        let (mut targets, mut unreached) = (0, 0);
-        for target in near {
-            targets += 1;
-            unreached += usize::from(paths.state(&target.report.target) == State::Lost);
-        }
+        let near = near.map(|target| target.report.target.as_str());
+        let (targets, unreached) = paths.count_lost(near);
         let is_cut_off = targets > 0 && unreached == targets;
         if self.is_cut_off.replace(is_cut_off) != is_cut_off {
             if is_cut_off {
--- a/tests/tests/path/partitions.rs
+++ b/tests/tests/path/partitions.rs
@@ -158,6 +158,11 @@
         let served = share(&statuses.concat());
         assert!(served >= 0.98, "{rule:?}: {served} {statuses:?}");
     }
+    for entry in ENTRIES {
+        let log = cluster.entry(entry)?.process().log();
+        let events = ["cut-off", "cut-off-ended"].map(|event| log.events(event).len());
+        assert_eq!(events, [1, 1], "{entry}");
+    }
     cluster.stop().await
 }
 
