feat(gateway): software versions of targets and continued streams in the log

The two streams of the incident don't occur in any log: no line says which version a target has, nor that a request continues a stream. `placed` now has `version` and `resumes`. No request goes anywhere else than before.

The stand-in announces a software version, states it in each answer and writes it into each event of an engine's stream.

--- a/crates/zinniastall-control/src/hub/targets.rs
+++ b/crates/zinniastall-control/src/hub/targets.rs
@@ -119,6 +119,7 @@
             service: String::new(),
             address: String::new(),
             place: zinniastall_model::place::Place::new("", ""),
+            version: None,
             slots: 0,
             state: State::Gone,
             cold_ms: 0,
--- a/crates/zinniastall-control/tests/hub/main.rs
+++ b/crates/zinniastall-control/tests/hub/main.rs
@@ -132,6 +132,7 @@
         service: "api".to_owned(),
         address: "a".to_owned(),
         place: Place::new("patras", "patras-a"),
+        version: Some("v1".to_owned()),
         slots: 4,
         state,
         cold_ms: 0,
--- a/crates/zinniastall-control/tests/recall.rs
+++ b/crates/zinniastall-control/tests/recall.rs
@@ -76,6 +76,7 @@
         service: "api".to_owned(),
         address: address.to_owned(),
         place: Place::new("patras", zone),
+        version: Some("v1".to_owned()),
         slots: 4,
         state: State::Ready,
         cold_ms: 0,
--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -112,6 +112,7 @@
         service: format!("s{}", at / REGIONS % SERVICES),
         address: format!("10.0.{}.{}:8000", at / 250, at % 250),
         place: place(at),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: State::Ready,
         cold_ms: 0,
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -38,6 +38,8 @@
 pub struct Names {
     /// Id of a request; targets echo it.
     pub request_id: HeaderName,
+    /// Id of the request that brought the first event of a stream that its caller takes up.
+    pub resumes: HeaderName,
     /// Time left until a request's deadline, in milliseconds.
     pub deadline_ms: HeaderName,
     /// Target that a request is addressed to; any other target refuses it.
@@ -66,6 +68,7 @@
     fn default() -> Self {
         Self {
             request_id: HeaderName::from_static("request-id"),
+            resumes: HeaderName::from_static("resumes"),
             deadline_ms: HeaderName::from_static("deadline-ms"),
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -50,6 +50,8 @@
         source: Option<String>,
         /// Run of its process.
         incarnation: id::Incarnation,
+        /// Version of its software, if it states one.
+        version: Option<id::Version>,
         /// Rate that it takes from all instances together, if that is limited.
         rate: Option<Rate>,
     },
@@ -158,6 +160,15 @@
         }
     }
 
+    /// Returns the version of the target's software, if the attempt goes there directly and the target
+    /// states one.
+    pub fn version(&self) -> Option<&str> {
+        match self {
+            Self::Target { version, .. } => version.as_deref(),
+            Self::Instance { .. } => None,
+        }
+    }
+
     /// Returns the target that will run the request, if this instance chose one.
     pub fn destined_target(&self) -> Option<&str> {
         self.target().map(String::as_str).or_else(|| self.detour())
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -24,13 +24,16 @@
         quota,
     },
     freshness::Trust,
-    headers::{ACCOUNT, DETOUR, Names},
+    headers::{ACCOUNT, DETOUR, LAST_EVENT_ID, Names},
     view::View,
 };
 
 /// Points of the hash range over which a route's requests are split between its services.
 const SPLIT_POINTS: u64 = 1 << 32;
 
+/// Longest id by which a request can name another one.
+const MAX_ID_BYTES: usize = 128;
+
 /// A request to be served.
 #[derive(Debug)]
 pub struct Job {
@@ -40,6 +43,8 @@
     pub body: Bytes,
     /// Request id, as given by the caller.
     pub id: String,
+    /// What the request says of an earlier attempt whose stream it continues.
+    pub continuation: Continuation,
     /// Service that serves the request.
     pub service: id::Service,
     /// When the head was complete.
@@ -61,6 +66,17 @@
     fingerprint: OnceCell<Fingerprint>,
 }
 
+/// What a request says of the stream that it continues.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Continuation {
+    /// It begins.
+    None,
+    /// It continues the stream whose first event the request with this id brought.
+    Of(String),
+    /// It continues a stream and doesn't name that request, or not by one usable id.
+    Unnamed,
+}
+
 /// Charge of a request against a client account's quota.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge {
@@ -156,6 +172,7 @@
         let timeout = requested.map_or(route.timeout(), |requested| requested.min(route.timeout()));
         let prompt = Prompt::read(&head.headers, names);
         Ok(Job {
+            continuation: Continuation::read(&head.headers, names),
             id,
             service,
             arrived,
@@ -192,6 +209,14 @@
         self.table().account(self.account?)
     }
 
+    /// Returns the id of the request whose stream this one continues, if it names one.
+    pub fn resumes(&self) -> Option<&str> {
+        match &self.continuation {
+            Continuation::Of(id) => Some(id),
+            Continuation::None | Continuation::Unnamed => None,
+        }
+    }
+
     /// Returns the fingerprint that identifies repeats of this request, computed on first use.
     pub fn fingerprint(&self) -> Fingerprint {
         let compute = || {
@@ -278,6 +303,25 @@
     }
 }
 
+impl Continuation {
+    fn read(headers: &HeaderMap, names: &Names) -> Self {
+        let has_last = headers
+            .get(&LAST_EVENT_ID)
+            .is_some_and(|last| !last.is_empty());
+        let mut ids = headers.get_all(&names.resumes).iter();
+        let (first, second) = (ids.next(), ids.next());
+        if first.is_none() && !has_last {
+            return Self::None;
+        }
+        let id = first.filter(|_| second.is_none());
+        let id = id.map(|id| id.as_bytes().trim_ascii()).filter(|id| {
+            (1..=MAX_ID_BYTES).contains(&id.len()) && id.iter().all(u8::is_ascii_graphic)
+        });
+        let id = id.and_then(|id| std::str::from_utf8(id).ok());
+        id.map_or(Self::Unnamed, |id| Self::Of(id.to_owned()))
+    }
+}
+
 impl Prompt {
     fn read(headers: &HeaderMap, names: &Names) -> Self {
         let parts = header_text(headers, &names.prompt_parts).unwrap_or_default();
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -293,6 +293,7 @@
                 slots: report.slots,
                 source: self.source(job, local, at),
                 incarnation: report.incarnation,
+                version: report.version.clone(),
                 rate: local.rates[at],
             },
         };
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -146,6 +146,8 @@
             route = job.route().name,
             service = job.service,
             place = place.name(),
+            version = place.version(),
+            resumes = job.resumes(),
             far = matches!(place, Place::Instance { detour: None, .. }),
             detour_to = place.detour(),
             detour_age_ms = basis.detour_age.map(millis),
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -109,6 +109,7 @@
         service: "api".to_owned(),
         address: address.to_string(),
         place: Place::new("patras", "patras-a"),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: State::Ready,
         cold_ms: 0,
--- a/crates/zinniastall-gateway/tests/groups.rs
+++ b/crates/zinniastall-gateway/tests/groups.rs
@@ -24,6 +24,7 @@
         service: SERVICES[service].to_owned(),
         address: "127.0.0.1:9".to_owned(),
         place: Place::new(REGIONS[region], "zone"),
+        version: Some("v1".to_owned()),
         slots: 1,
         state: State::Ready,
         cold_ms: 0,
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -23,6 +23,7 @@
         service: "api".to_owned(),
         address: "127.0.0.1:9".to_owned(),
         place: Place::new("patras", "patras-a"),
+        version: Some("v1".to_owned()),
         slots: 4,
         state,
         cold_ms: 0,
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -356,6 +356,7 @@
             service: SERVICE.to_owned(),
             address: address.to_string(),
             place: Place::new(PLACE.0, PLACE.1),
+            version: Some("v1".to_owned()),
             slots: 4,
             state: State::Ready,
             cold_ms: 0,
--- a/crates/zinniastall-gateway/tests/reach.rs
+++ b/crates/zinniastall-gateway/tests/reach.rs
@@ -81,6 +81,7 @@
         service: "maps".to_owned(),
         address: String::new(),
         place: Place::new(REGION, "patras-0"),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: State::Ready,
         cold_ms: 0,
--- a/crates/zinniastall-model/src/header.rs
+++ b/crates/zinniastall-model/src/header.rs
@@ -28,6 +28,8 @@
 pub const TARGET: &str = "x-zinniastall-target";
 /// Response: region and availability zone of the target that served the request.
 pub const PLACE: &str = "x-zinniastall-place";
+/// Response of a target: version of the software that wrote the answer.
+pub const SOFTWARE: &str = "x-zinniastall-software";
 /// Response of a target: requests per second that it takes from all instances together, as a decimal
 /// number, for as long as it says so.
 pub const RATE_LIMIT: &str = "rate-limit";
--- a/crates/zinniastall-model/src/id.rs
+++ b/crates/zinniastall-model/src/id.rs
@@ -12,6 +12,8 @@
 pub type Region = String;
 /// Name of an availability zone, unique within its region.
 pub type Zone = String;
+/// Software version of a target's process; what two versions write doesn't fit together.
+pub type Version = String;
 /// Name of a model, as callers use it.
 pub type Model = String;
 /// Name of an adapter of a model.
--- a/crates/zinniastall-model/src/target.rs
+++ b/crates/zinniastall-model/src/target.rs
@@ -32,6 +32,9 @@
     pub address: String,
     /// Region and availability zone.
     pub place: Place,
+    /// Version of its software, if it states one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<id::Version>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Lifecycle state.
@@ -50,6 +53,7 @@
         self.incarnation != other.incarnation
             || self.state != other.state
             || self.address != other.address
+            || self.version != other.version
             || self.left_ms.is_some() != other.left_ms.is_some()
             || (self.cold_ms > 0) != (other.cold_ms > 0)
     }
--- a/crates/zinniastall-standin/src/announce.rs
+++ b/crates/zinniastall-standin/src/announce.rs
@@ -135,6 +135,7 @@
             "address": self.address,
             "health_path": HEALTH_PATH,
             "kind": self.settings.kind,
+            "software": self.settings.software,
             "role": self.capabilities.role(),
             "serves": self.capabilities.serves(),
             "slots": self.slots.slots(),
--- a/crates/zinniastall-standin/src/daemon.rs
+++ b/crates/zinniastall-standin/src/daemon.rs
@@ -13,7 +13,7 @@
     net::UdpSocket,
     signal::unix::{SignalKind, signal},
 };
-use zinniastall_model::header::RATE_LIMIT;
+use zinniastall_model::header::{RATE_LIMIT, SOFTWARE};
 use zinniastall_settings::{cli, log};
 
 use crate::{
@@ -115,15 +115,23 @@
     configure: impl Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
 ) -> std::io::Result<(Server, SocketAddr)> {
     let named = shared.named.clone();
+    let software = settings.announce.software.as_deref();
+    let software = software.and_then(|software| HeaderValue::try_from(software).ok());
     let shared = web::Data::new(shared);
     let server = HttpServer::new(move || {
         let named = named.clone();
+        let software = software.clone();
         App::new()
             .wrap_fn(move |request, service| {
                 let answer = service.call(request);
                 let value = named.value();
+                let software = software.clone();
                 async move {
                     let mut answer = answer.await?;
+                    if let Some(software) = software {
+                        let name = HeaderName::from_static(SOFTWARE);
+                        answer.headers_mut().insert(name, software);
+                    }
                     if let Some(value) = value {
                         let name = HeaderName::from_static(RATE_LIMIT);
                         answer.headers_mut().insert(name, value);
--- a/crates/zinniastall-standin/src/engine/stream.rs
+++ b/crates/zinniastall-standin/src/engine/stream.rs
@@ -84,7 +84,10 @@
         }
         Some(_) => return Some((Err(Cut), (job, Step::Ended))),
     }
-    let data = job.chat.chunk(&job.request, index);
+    let mut data = job.chat.chunk(&job.request, index);
+    if let Some(software) = &job.engine.settings.announce.software {
+        data["system_fingerprint"] = software.as_str().into();
+    }
     let next = if last {
         Step::Done
     } else {
--- a/crates/zinniastall-standin/src/settings.rs
+++ b/crates/zinniastall-standin/src/settings.rs
@@ -70,6 +70,8 @@
     pub price: f64,
     /// Whether it reports a gap in its cache events.
     pub cache_gap: bool,
+    /// Version of its software, which it announces and writes into each answer and event.
+    pub software: Option<id::Version>,
 }
 
 /// Settings of a model engine.
@@ -183,6 +185,7 @@
         report_lag: reader.millis("lag_ms", 0..=600_000, 0),
         price: reader.fraction("price", 1e9, 1.0),
         cache_gap: reader.flag("gap", false),
+        software: reader.optional_name("software"),
     }
 }
 
