--- a/tests/tests/path/main.rs
+++ b/tests/tests/path/main.rs
@@ -23,3 +23,4 @@
 mod storm;
 mod support;
 mod together;
+mod versions;
