--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,5 +1,5 @@
 //! Coordination primitives without I/O: consensus, leases, fencing tokens, command deduplication,
-//! tickets, membership, digests, quarantine, rate limits and reachability.
+//! tickets, membership, digests, quarantine, origins of streams, rate limits and reachability.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Each primitive is a state
 //! machine: the embedder passes it messages and the current [`Instant`](std::time::Instant), and it
@@ -17,6 +17,7 @@
 //! | [`fence`] | fencing tokens, and the gate that refuses old ones |
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
 //! | [`quarantine`] | requests that crash the processes that run them, and shared suspicions |
+//! | [`origin`] | which software version began a stream, and where it may go on |
 //! | [`rate`] | rate limits that many instances keep together |
 //! | [`reach`] | paths to targets, as neighbours confirm them |
 //! | [`rendezvous`] | weights that assign keys to members |
@@ -29,6 +30,7 @@
 pub mod lease;
 pub mod log;
 pub mod membership;
+pub mod origin;
 pub mod quarantine;
 pub mod rate;
 pub mod reach;
