--- a/crates/zinniastall-control/src/daemon.rs
+++ b/crates/zinniastall-control/src/daemon.rs
@@ -100,6 +100,7 @@
     actix::spawn(hub.clone().run());
     actix::spawn(hub.clone().read_index(control.clone().recipient()));
     actix::spawn(hub.clone().record_suspects(control.clone().recipient()));
+    actix::spawn(hub.clone().agree_on_versions(control.clone().recipient()));
     actix::spawn(list_members(control.clone(), hub.clone()));
     let acceptor = Acceptor {
         identity: Rc::clone(&identity),
--- a/crates/zinniastall-control/src/hub.rs
+++ b/crates/zinniastall-control/src/hub.rs
@@ -15,6 +15,7 @@
 mod read_index;
 mod suspects;
 mod targets;
+mod versions;
 
 use std::{
     cell::{Cell, RefCell},
@@ -51,6 +52,7 @@
     read_index::{Answer, Question, Rounds},
     suspects::Recorder,
     targets::{Targets, Versions},
+    versions::Announcer,
 };
 use crate::{
     control::{ReadIndex, Write},
@@ -99,6 +101,7 @@
     history: RefCell<History>,
     read_index: Rounds,
     recorder: Recorder,
+    announcer: Announcer,
     limits: Board,
     reach: reach::Board,
     round: watch::Sender<Round>,
@@ -147,6 +150,7 @@
             history: RefCell::default(),
             read_index: Rounds::default(),
             recorder: Recorder::default(),
+            announcer: Announcer::default(),
             limits: Board::default(),
             reach: reach::Board::default(),
             round: watch::Sender::default(),
@@ -232,6 +236,14 @@
             .await;
     }
 
+    /// Has the group agree on the software versions that targets state.
+    pub async fn agree_on_versions(self, group: Recipient<Write>) {
+        self.inner
+            .announcer
+            .run(group, self.inner.feed.clone())
+            .await;
+    }
+
     /// Reports suspected requests for the group to record.
     pub fn report_suspects(&self, suspects: Vec<Suspect>) {
         self.inner.recorder.report(suspects);
@@ -339,6 +351,10 @@
                 self.recorder.report(suspects);
                 Ok(Vec::new())
             }
+            Message::Versions(stated) => {
+                self.announcer.hear(stated);
+                Ok(Vec::new())
+            }
             Message::Limits(reported) => {
                 self.limits.hear(reported, std::time::Instant::now());
                 Ok(Vec::new())
@@ -488,6 +504,7 @@
                 revision: state.revision,
                 table,
                 evacuated: state.evacuated.iter().cloned().collect(),
+                versions: Some(state.versions.clone()),
             })))
         };
         let key = Key::Configuration(state.revision);
--- a/crates/zinniastall-control/src/hub/history.rs
+++ b/crates/zinniastall-control/src/hub/history.rs
@@ -52,5 +52,6 @@
         revision: after.revision,
         table: (!is_same).then(table),
         evacuated: after.evacuated.iter().cloned().collect(),
+        versions: Some(after.versions.clone()),
     })
 }
--- a/crates/zinniastall-control/src/rpc/watch.rs
+++ b/crates/zinniastall-control/src/rpc/watch.rs
@@ -86,7 +86,8 @@
         | Body::Evacuate(_)
         | Body::Reopen(_)
         | Body::Suspect(_)
-        | Body::Release(_) => return None,
+        | Body::Release(_)
+        | Body::Versions(_) => return None,
     };
     Some((
         key,
--- a/crates/zinniastall-control/tests/hub/main.rs
+++ b/crates/zinniastall-control/tests/hub/main.rs
@@ -116,6 +116,7 @@
         callers: "c".to_owned(),
         forward: "f".to_owned(),
         ready: true,
+        checks_origins: true,
         load: vec![Load {
             service: "api".to_owned(),
             in_flight,
--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use zinniastall_coord::origin::Requirement;
 use zinniastall_gateway::{
     freshness::Trust,
     headers::Names,
@@ -62,7 +63,7 @@
     for _ in 0..rounds {
         job.arrived = Instant::now();
         job.deadline = job.arrived + Duration::from_secs(5);
-        black_box(traffic.choose(job, &tried, &Claimed::new()));
+        black_box(traffic.choose(job, &tried, &Requirement::Any, &Claimed::new()));
     }
     since.elapsed() / rounds
 }
@@ -93,6 +94,7 @@
         revision: 1,
         table: Some(table),
         evacuated: Vec::new(),
+        versions: None,
     }));
     view.targets = Arc::new((0..TARGETS).map(target).collect());
     view.instances = Arc::new((0..INSTANCES).map(instance).collect());
@@ -137,6 +139,7 @@
         callers: "127.0.0.1:1".to_owned(),
         forward: "127.0.0.1:1".to_owned(),
         ready: true,
+        checks_origins: true,
         load: Vec::new(),
     };
     (name, presence)
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -14,6 +14,7 @@
     task::JoinHandle,
     time,
 };
+use zinniastall_coord::origin::CONFIRMATION_LEASE;
 use zinniastall_model::{
     id,
     place::Place,
@@ -87,7 +88,9 @@
     /// Fails if an address cannot be bound.
     pub fn start(settings: &Settings) -> std::io::Result<Self> {
         let view = View::new(settings.instance.clone(), settings.place.clone());
-        let state = Shared::new(view).with_lease(Lease::new(settings.policy.lease));
+        let state = Shared::new(view)
+            .with_lease(Lease::new(settings.policy.lease))
+            .with_versions_lease(Lease::new(Some(CONFIRMATION_LEASE)));
         let shared_load = Arc::new(SharedLoad::default());
         let metrics = Metrics::new();
         let callers = bind(settings.callers)?;
@@ -190,6 +193,7 @@
         callers: hello.service.clone(),
         forward: hello.links.clone(),
         ready: state.is_ready(),
+        checks_origins: true,
         load: shared_load
             .load
             .lock()
@@ -232,6 +236,7 @@
                 claims: Rc::clone(&traffic.claims),
                 rates: Rc::clone(&traffic.rates),
                 reach: Rc::clone(&traffic.reach),
+                origins: Rc::clone(&traffic.origins),
                 quotas: Rc::clone(&traffic.quotas),
                 suspects: Rc::clone(&traffic.suspects),
                 news: Rc::clone(&traffic.suspects_changed),
--- a/crates/zinniastall-gateway/src/decide/fetch.rs
+++ b/crates/zinniastall-gateway/src/decide/fetch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Tokens of a prompt that one target is expected to have cached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Holder {
     /// Tokens that this instance sent there.
     pub known: u64,
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -3,11 +3,11 @@
 //! A deployment's adapter supplies its own names.
 
 use http::HeaderName;
-use zinniastall_model::header::{RATE_LIMIT, REJECTION_LIMIT};
+use zinniastall_model::header::{self, RATE_LIMIT, REJECTION_LIMIT};
 
 /// Id of the last event that the caller received; a stream resumes after it. Browsers' event
 /// sources send this field.
-pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static(header::LAST_EVENT_ID);
 /// Field between instances: the sender's configuration revision.
 ///
 /// Its presence marks a forwarded request, which the receiver either serves itself or rejects.
@@ -29,6 +29,12 @@
 /// its end is not known for certain. The answer between the instances states its own end, which tells
 /// that the target's connection ended in order.
 pub const CLOSE_DELIMITED: HeaderName = HeaderName::from_static("zs-close-delimited");
+/// Field between instances: the service and the software version at which a stream has to go on, as
+/// JSON. The receiver sends the request to such a target or rejects it.
+pub const REQUIRES: HeaderName = HeaderName::from_static("zs-requires");
+/// Field between instances, in an answer: the service and the software version of the target that
+/// wrote it, as JSON.
+pub const ORIGIN: HeaderName = HeaderName::from_static("zs-origin");
 /// Prefix of the fields between instances; fields with this prefix are removed from callers'
 /// requests.
 pub const INTERNAL_PREFIX: &str = "zs-";
@@ -68,7 +74,7 @@
     fn default() -> Self {
         Self {
             request_id: HeaderName::from_static("request-id"),
-            resumes: HeaderName::from_static("resumes"),
+            resumes: HeaderName::from_static(header::RESUMES),
             deadline_ms: HeaderName::from_static("deadline-ms"),
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod locate;
 pub mod metrics;
 pub mod neighbours;
+pub mod origins;
 pub mod path;
 pub mod policy;
 pub mod reach;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -70,6 +70,12 @@
     outcome: &'static str,
 }
 
+/// Labels of requests that continue streams.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TakenUpLabels {
+    outcome: &'static str,
+}
+
 /// Labels of finished attempts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
@@ -101,6 +107,7 @@
     limits: Counters<LimitLabels>,
     paths: Counters<PathLabels>,
     detours: Counters<DetourLabels>,
+    taken_up: Counters<TakenUpLabels>,
     unreached: Gauge,
     quarantined: Gauge,
     limited: Gauge,
@@ -148,6 +155,10 @@
             ),
             limits: page.counters("target_limits", "Rates that targets named, by event"),
             paths: page.counters("paths", "Paths to targets, by event"),
+            taken_up: page.counters(
+                "taken_up",
+                "Streams that callers or instances took up, by outcome",
+            ),
             detours: page.counters(
                 "detours",
                 "Requests handed to a neighbour that reaches the targets, by outcome",
@@ -244,6 +255,13 @@
         self.detours.get_or_create(&DetourLabels { outcome }).inc();
     }
 
+    /// Counts a stream that was taken up: `went-on`, or the reason why it couldn't.
+    pub fn count_taken_up(&self, outcome: &'static str) {
+        self.taken_up
+            .get_or_create(&TakenUpLabels { outcome })
+            .inc();
+    }
+
     /// Sets the number of targets that this instance does not reach.
     pub fn set_unreached(&self, targets: usize) {
         self.unreached.set(targets as u64);
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -1,6 +1,6 @@
 //! Exchange of datagrams between the instances of the system: requests in flight at each target,
 //! use of quotas, rates that targets name, permits to send to these, requests suspected of crashing
-//! targets, and the targets that an instance does not reach.
+//! targets, the versions that began streams, and the targets that an instance does not reach.
 //!
 //! Instances that share targets have to know each other's requests when they place their own. By
 //! way of the control replicas that information is a sum over all targets and half a second old, so
@@ -19,7 +19,7 @@
 pub mod datagram;
 mod flood;
 pub mod limits;
-mod queries;
+pub(crate) mod queries;
 pub mod rates;
 pub mod reach;
 mod reports;
@@ -49,6 +49,7 @@
 };
 use crate::{
     decide::quota::{self, Quotas},
+    origins::Origins,
     reach::Reach,
     suspects::Suspects,
     tracker::Tracker,
@@ -285,6 +286,8 @@
     pub rates: Rc<Rates>,
     /// Paths to targets.
     pub reach: Rc<Reach>,
+    /// What began streams.
+    pub origins: Rc<Origins>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -346,6 +349,15 @@
                 self.rates.receive_answer(number, datagram);
                 Vec::new()
             }
+            Datagram::Origins(records) => {
+                self.origins.receive(&records, now);
+                Vec::new()
+            }
+            Datagram::OriginQuestion { number, key } => vec![self.origins.answer(number, &key)],
+            Datagram::OriginAnswer { number, .. } => {
+                self.origins.receive_answer(number, datagram);
+                Vec::new()
+            }
             Datagram::Limits { for_all, part } => {
                 self.receive_limits(roster, &part, for_all);
                 Vec::new()
@@ -469,11 +481,13 @@
         claims,
         rates,
         reach,
+        origins,
         suspects,
         news,
         ..
     } = &context;
     claims.set_socket(Rc::clone(&socket));
+    origins.set_socket(Rc::clone(&socket));
     rates.set_socket(Rc::clone(&socket));
     rates.start_introduction();
     let mut exchanges = Exchanges::default();
@@ -520,6 +534,7 @@
             _ = ticks.tick() => {
                 claims.expire(Instant::now());
                 rates.expire(state, Instant::now());
+                origins.update(state, Instant::now());
                 let view = state.view();
                 let own = tracker.borrow().by_target();
                 let own = own.into_iter().map(|(target, load)| (key(&target), load));
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -3,7 +3,10 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::rendezvous;
+use zinniastall_coord::{
+    origin::{self, Origin, Record},
+    rendezvous,
+};
 use zinniastall_model::id;
 use zinniastall_wire::{rates, reach};
 
@@ -160,6 +163,32 @@
     /// Answer to [`Datagram::PathQuestion`].
     #[serde(rename = "o")]
     PathAnswer(reach::Part),
+    /// Tells which software versions began streams.
+    #[serde(rename = "b")]
+    Origins(Vec<Record>),
+    /// Asks which software version began a stream.
+    #[serde(rename = "f")]
+    OriginQuestion {
+        /// Number of the question, chosen by the sender.
+        #[serde(rename = "n")]
+        number: u32,
+        /// Stream.
+        #[serde(rename = "k")]
+        key: origin::Key,
+    },
+    /// Answer to [`Datagram::OriginQuestion`].
+    #[serde(rename = "k")]
+    OriginAnswer {
+        /// Number of the question that is answered.
+        #[serde(rename = "n")]
+        number: u32,
+        /// What began the stream, if the sender knows it.
+        #[serde(rename = "o")]
+        origin: Option<Origin>,
+        /// Whether the sender was told different beginnings.
+        #[serde(rename = "d")]
+        is_disputed: bool,
+    },
     /// Announces to a target's coordinator that an instance is about to send a request to the
     /// target.
     #[serde(rename = "c")]
--- a/crates/zinniastall-gateway/src/neighbours/queries.rs
+++ b/crates/zinniastall-gateway/src/neighbours/queries.rs
@@ -1,4 +1,4 @@
-//! Questions to other instances of the region, by datagram.
+//! Questions to other instances, by datagram.
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,7 +17,7 @@
 
 /// Questions that await their answers.
 #[derive(Debug, Default)]
-pub(super) struct Queries {
+pub(crate) struct Queries {
     socket: RefCell<Option<Rc<UdpSocket>>>,
     pending: RefCell<IndexMap<u32, oneshot::Sender<Datagram>>>,
     last_number: Cell<u32>,
@@ -25,17 +25,29 @@
 
 impl Queries {
     /// Sets the socket to ask from; without one no questions are asked.
-    pub(super) fn set_socket(&self, socket: Rc<UdpSocket>) {
+    pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
         self.socket.replace(Some(socket));
     }
 
     /// Asks an instance up to `tries` times, under the same number; returns its answer, or `None` if
     /// it doesn't answer in time.
-    pub(super) async fn ask(
+    pub(crate) async fn ask(
         &self,
         address: SocketAddr,
         tries: usize,
         question: impl FnOnce(u32) -> Datagram,
+    ) -> Option<Datagram> {
+        self.ask_within(address, tries, ANSWER_TIMEOUT, question)
+            .await
+    }
+
+    /// Does the same with a timeout for each try, for instances that may be in another region.
+    pub(crate) async fn ask_within(
+        &self,
+        address: SocketAddr,
+        tries: usize,
+        timeout: Duration,
+        question: impl FnOnce(u32) -> Datagram,
     ) -> Option<Datagram> {
         let socket = self.socket.borrow().clone()?;
         let number = self.next_number();
@@ -45,7 +57,7 @@
         for _ in 0..tries {
             // A question that can't be sent is handled like one without an answer.
             let _ = socket.send_to(&bytes, address).await;
-            if let Ok(answered) = time::timeout(ANSWER_TIMEOUT, &mut answered).await {
+            if let Ok(answered) = time::timeout(timeout, &mut answered).await {
                 return answered.ok();
             }
         }
@@ -54,14 +66,14 @@
     }
 
     /// Returns the number of the next question.
-    pub(super) fn next_number(&self) -> u32 {
+    pub(crate) fn next_number(&self) -> u32 {
         let number = self.last_number.get().wrapping_add(1);
         self.last_number.set(number);
         number
     }
 
     /// Tells an instance something that needs no answer.
-    pub(super) fn tell(&self, address: SocketAddr, datagram: &Datagram) {
+    pub(crate) fn tell(&self, address: SocketAddr, datagram: &Datagram) {
         if let (Some(socket), Ok(bytes)) = (&*self.socket.borrow(), datagram.encode()) {
             // A full send buffer loses the datagram like the network may.
             let _ = socket.try_send_to(&bytes, address);
@@ -69,7 +81,7 @@
     }
 
     /// Completes the question that an instance has answered.
-    pub(super) fn receive_answer(&self, number: u32, answer: Datagram) {
+    pub(crate) fn receive_answer(&self, number: u32, answer: Datagram) {
         if let Some(pending) = self.pending.borrow_mut().swap_remove(&number) {
             // The receiver may have given up at this moment.
             let _ = pending.send(answer);
@@ -77,7 +89,7 @@
     }
 
     /// Forgets questions that nobody awaits any more, because their caller has left.
-    pub(super) fn expire(&self) {
+    pub(crate) fn expire(&self) {
         let mut pending = self.pending.borrow_mut();
         pending.retain(|_, answer| !answer.is_closed());
     }
--- a/crates/zinniastall-gateway/src/path/answer.rs
+++ b/crates/zinniastall-gateway/src/path/answer.rs
@@ -41,6 +41,10 @@
     Quarantined,
     /// The request was never sent; it may be retried after the given time.
     Busy(Duration),
+    /// It isn't known which version began the stream that the request continues.
+    VersionUnknown,
+    /// No target has the version that began the stream.
+    VersionNotServed,
     /// A target refused the request before running it; it may be retried after the given time.
     Refused(Duration),
     /// The request was sent, and it is unknown whether it ran.
@@ -69,6 +73,10 @@
 /// Retry time for instances with different configurations.
 const MISMATCH_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Retry time of a request that continues a stream which can't go on now. A rollback brings a version
+/// back, and an instance that is cut off its records, but neither within moments.
+pub const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Outcome {
     /// Returns the value sent between instances.
     pub const fn as_str(self) -> &'static str {
@@ -99,6 +107,8 @@
             Self::Unconfigured
             | Self::Stale
             | Self::Mismatch
+            | Self::VersionUnknown
+            | Self::VersionNotServed
             | Self::Busy(_)
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -124,6 +134,7 @@
             Self::Unconfigured => Some(UNCONFIGURED_RETRY_AFTER),
             Self::Stale => Some(STALE_RETRY_AFTER),
             Self::Mismatch => Some(MISMATCH_RETRY_AFTER),
+            Self::VersionUnknown | Self::VersionNotServed => Some(VERSION_RETRY_AFTER),
             Self::Busy(retry_after)
             | Self::Refused(retry_after)
             | Self::QuotaExceeded(retry_after) => Some(retry_after),
@@ -146,6 +157,8 @@
             Self::QuotaExceeded(_) => "quota-exceeded",
             Self::Quarantined => "quarantined",
             Self::Busy(_) => "busy",
+            Self::VersionUnknown => "version-unknown",
+            Self::VersionNotServed => "version-not-served",
             Self::Refused(_) => "refused-by-target",
             Self::AnswerLost => "answer-lost",
             Self::DeadlineExceeded => "out-of-time",
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -1,13 +1,13 @@
 //! One attempt: sends a request to one target or instance and forwards its answer.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     time::{Duration, Instant},
 };
 
 use http::StatusCode;
-use zinniastall_coord::rate::Rate;
+use zinniastall_coord::{origin::Requirement, rate::Rate};
 use zinniastall_http::{
     body::Decoder,
     client::Exchange,
@@ -133,6 +133,10 @@
     pub ahead: u32,
     /// Whether the request may have run.
     pub may_have_run: &'a Cell<bool>,
+    /// What the destination must satisfy.
+    pub requirement: &'a Requirement,
+    /// What another destination must satisfy, once the first event was forwarded.
+    pub began: &'a RefCell<Option<Requirement>>,
 }
 
 impl Place {
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -92,6 +92,12 @@
             Ok(delimited) => delimited,
             Err(why) => return Ended::Unknown(why),
         };
+        let origin = Self::origin(attempt, response);
+        if let Some(required) = attempt.requirement.origin()
+            && origin.as_ref() != Some(required)
+        {
+            return other_version(responder);
+        }
         let is_events = is_event_stream(response).unwrap_or(true);
         if responder.has_begun() && !is_events {
             return Ended::Broken("no event stream to resume".to_owned());
@@ -120,12 +126,16 @@
             };
             if !piece.is_empty() {
                 flight.answer_started();
+                if attempt.began.borrow().is_none() {
+                    self.began(attempt, origin.as_ref());
+                }
             }
-            if (ending.is_some() || !piece.is_empty())
-                && let Err(error) =
-                    forward_piece(response, delimited.highest, piece, responder).await
-            {
-                return Ended::CallerGone(error);
+            if ending.is_some() || !piece.is_empty() {
+                let (highest, origin) = (delimited.highest, origin.as_ref());
+                let forwarded = forward_piece(response, highest, origin, piece, responder).await;
+                if let Err(error) = forwarded {
+                    return Ended::CallerGone(error);
+                }
             }
             let Some(ending) = ending else { continue };
             if ending == Ending::Unconfirmed && self.has_ended_with(attempt.place).await {
@@ -186,6 +196,16 @@
     }
 }
 
+/// Ends an attempt whose answer doesn't come from the version that began the stream.
+fn other_version(responder: &Responder) -> Ended {
+    let why = "the other instance sent it to another version".to_owned();
+    if responder.has_begun() {
+        Ended::Broken(why)
+    } else {
+        Ended::Unknown(why)
+    }
+}
+
 /// Returns whether a body of events ends inside one.
 fn ends_inside_event(body: &[u8]) -> bool {
     let mut events = Events::default();
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -51,6 +51,8 @@
     pub arrived: Instant,
     /// When the final answer is due.
     pub deadline: Instant,
+    /// Time for which the caller waits, over all its attempts.
+    pub patience: Duration,
     /// Whether another instance forwarded the request; if so, it is served here or not at all.
     pub is_passed_on: bool,
     /// Whether a neighbour forwarded the request because it does not reach the targets; if so, it is
@@ -163,7 +165,13 @@
             .ok_or(Refusal::Unconfigured)?;
         let route = table.routes.get(self.route).ok_or(Refusal::NoRoute)?;
         // Every instance picks the same service for the same request.
-        let point = rendezvous::weight(&route.name, &id) % SPLIT_POINTS;
+        // A stream goes on at the service that began it.
+        let continuation = Continuation::read(&head.headers, names);
+        let begun = match &continuation {
+            Continuation::Of(id) if route.kind == Kind::Stream => id,
+            _ => &id,
+        };
+        let point = rendezvous::weight(&route.name, begun) % SPLIT_POINTS;
         let service = route.service_at(point).ok_or(Refusal::NoRoute)?.clone();
         let is_same = |held: &Service| held.name == service;
         let service_entry = table.services.iter().position(is_same);
@@ -172,11 +180,12 @@
         let timeout = requested.map_or(route.timeout(), |requested| requested.min(route.timeout()));
         let prompt = Prompt::read(&head.headers, names);
         Ok(Job {
-            continuation: Continuation::read(&head.headers, names),
+            continuation,
             id,
             service,
             arrived,
             deadline: arrived + timeout,
+            patience: requested.unwrap_or(timeout),
             is_detoured: self.is_passed_on && head.headers.contains_key(DETOUR),
             is_passed_on: self.is_passed_on,
             prompt,
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod delivery;
 pub mod job;
+mod origin;
 mod outgoing;
 pub mod placement;
 mod rate;
@@ -28,6 +29,7 @@
     headers::Names,
     metrics::Metrics,
     neighbours::{Neighbours, claims::Claims, rates::Rates},
+    origins::Origins,
     policy::Policy,
     reach::Reach,
     request_log::Log,
@@ -57,6 +59,8 @@
     pub rates: Rc<Rates>,
     /// Paths to targets, and the neighbours that reach those that this instance doesn't.
     pub reach: Rc<Reach>,
+    /// What began streams.
+    pub origins: Rc<Origins>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -86,6 +90,7 @@
             claims: Rc::default(),
             rates: Rc::default(),
             reach: Rc::default(),
+            origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             suspects: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -12,9 +12,10 @@
 use super::{
     Proxy,
     attempt::{Attempt, Place},
+    origin,
 };
 use crate::{
-    headers::{ACCOUNT, DETOUR, INTERNAL_PREFIX, LAST_EVENT_ID, REVISION, SUSPICION},
+    headers::{ACCOUNT, DETOUR, INTERNAL_PREFIX, LAST_EVENT_ID, REQUIRES, REVISION, SUSPICION},
     suspects,
 };
 
@@ -67,6 +68,7 @@
                 if detour.is_some() {
                     headers.insert(DETOUR, HeaderValue::from_static("1"));
                 }
+                origin::state(&mut headers, REQUIRES, attempt.requirement.origin());
                 headers.insert(REVISION, HeaderValue::from(job.revision()));
                 headers.extend(account.map(|account| (ACCOUNT, account)));
                 let suspicion = self.suspicion(job);
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
-use zinniastall_coord::{rate::Rate, rendezvous::weight};
+use zinniastall_coord::{origin::Requirement, rate::Rate, rendezvous::weight};
 use zinniastall_model::{fingerprint::Fingerprint, id, presence::Presence};
 
 use super::{Proxy, attempt::Place, job::Job};
@@ -71,6 +71,8 @@
     Send(Place, u64, Basis, Option<Slot>),
     /// Nowhere for now; to be decided again after the given time.
     Wait(Duration),
+    /// Nowhere, since no known target satisfies the requirement.
+    Unserved,
     /// Nowhere; worth retrying after the given time. The basis is that of the best target.
     Refuse(Duration, Basis),
 }
@@ -84,6 +86,11 @@
     fn has(&self, name: &str) -> bool {
         self.names.contains(name)
     }
+
+    /// Forgets what was tried, so that it may be tried again; returns whether there was anything.
+    pub fn clear(&mut self) -> bool {
+        !std::mem::take(&mut self.names).is_empty()
+    }
 }
 
 /// Targets of this region that may get a request, with the inputs for the choice; all lists share
@@ -156,10 +163,13 @@
     /// Chooses where a request goes next, and records the choice.
     ///
     /// A target that takes a limited rate is chosen only with a permit of its coordinator.
-    pub async fn place(&self, job: &Job, tried: &Tried) -> Placement {
+    pub async fn place(&self, job: &Job, tried: &Tried, requirement: &Requirement) -> Placement {
+        if requirement.is_continuing() && !Self::is_served(job, requirement, &self.state.view()) {
+            return Placement::Unserved;
+        }
         let mut tried = tried.clone();
         for asked in 0..MAX_PERMITS {
-            let mut next = self.choose_claimed(job, &tried).await;
+            let mut next = self.choose_claimed(job, &tried, requirement).await;
             let Placement::Send(place, _, _, slot) = &mut next else {
                 if asked == 0 {
                     return next;
@@ -193,10 +203,15 @@
     ///
     /// In a large region the target's coordinator is asked first, since other instances may have
     /// chosen the same target on the same information.
-    async fn choose_claimed(&self, job: &Job, tried: &Tried) -> Placement {
+    async fn choose_claimed(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        requirement: &Requirement,
+    ) -> Placement {
         let view = self.state.view();
         let mut claimed = Claimed::default();
-        let mut next = self.choose(job, tried, &claimed);
+        let mut next = self.choose(job, tried, requirement, &claimed);
         while claimed.len() < MAX_CLAIMS && !is_small(&view) {
             let Placement::Send(Place::Target { target, .. }, reading_us, ..) = &next else {
                 break;
@@ -211,7 +226,7 @@
             claimed.insert(target.clone(), load);
             // Regional sums already contain part of the claimed load. Counting it twice may move a
             // request to another target of this region, but must not move it to another region.
-            let again = self.choose(job, tried, &claimed);
+            let again = self.choose(job, tried, requirement, &claimed);
             if !matches!(again, Placement::Send(Place::Target { .. }, ..)) {
                 break;
             }
@@ -221,13 +236,19 @@
     }
 
     /// Chooses where a request goes next by the information of this instance.
-    pub fn choose(&self, job: &Job, tried: &Tried, claimed: &Claimed) -> Placement {
+    pub fn choose(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        requirement: &Requirement,
+        claimed: &Claimed,
+    ) -> Placement {
         let (view, now) = (self.state.view(), Instant::now());
-        let local = self.local_targets(job, tried, claimed, &view, now);
+        let local = self.local_targets(job, tried, requirement, claimed, &view, now);
         let remote = if job.is_passed_on {
             Vec::new()
         } else {
-            self.remote_regions(job, tried, &view, now)
+            self.remote_regions(job, tried, requirement, &view, now)
         };
         let regions: Vec<Region> = remote.iter().map(|remote| remote.region).collect();
         let tracker = self.tracker.borrow();
@@ -328,9 +349,24 @@
 
     /// Returns how a request reaches a target: directly, by a neighbour that vouches for it, or not at
     /// all. A request that a neighbour handed on goes directly or not at all.
-    fn path(&self, job: &Job, tried: &Tried, target: &str, view: &View, now: Instant) -> Path {
+    fn path(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        requirement: &Requirement,
+        target: &str,
+        view: &View,
+        now: Instant,
+    ) -> Path {
+        let is_heeding = |instance: &str| {
+            let known = view.instances.by_name().get(instance);
+            known.is_some_and(|known| heeds(known, requirement))
+        };
         let fits = |instance: &str| {
-            !job.is_detoured && !tried.has(instance) && !self.is_blocked(instance, now)
+            !job.is_detoured
+                && !tried.has(instance)
+                && !self.is_blocked(instance, now)
+                && is_heeding(instance)
         };
         self.reach.path(view, target, fits, now)
     }
@@ -344,7 +380,14 @@
             mbps: engine.link_mbps,
         };
         let prefill_time = |tokens| self.policy.rates.expected(tokens, 0);
-        let source = fetch::source(&local.holders, at, link, prefill_time)?;
+        // What two versions keep doesn't fit together either.
+        let version = |at: usize| local.targets[at].report.version.as_deref();
+        let holders = local.holders.iter().enumerate().map(|(other, holder)| {
+            let fits = other == at || (version(at).is_some() && version(other) == version(at));
+            if fits { *holder } else { Holder::default() }
+        });
+        let holders: Vec<Holder> = holders.collect();
+        let source = fetch::source(&holders, at, link, prefill_time)?;
         Some(local.targets[source].report.address.clone())
     }
 
@@ -352,6 +395,7 @@
         &self,
         job: &Job,
         tried: &Tried,
+        requirement: &Requirement,
         claimed: &Claimed,
         view: &'a View,
         now: Instant,
@@ -368,11 +412,16 @@
             if is_leaving(target, view, now) {
                 continue;
             }
+            if !requirement.admits(&job.service, target.report.version.as_deref()) {
+                // The first version of a service is settled within moments.
+                local.opens_soon |= matches!(requirement, Requirement::Settled(_));
+                continue;
+            }
             if is_strong_suspect && self.is_occupied(job, target) {
                 local.opens_soon = true;
                 continue;
             }
-            let path = self.path(job, tried, &target.report.target, view, now);
+            let path = self.path(job, tried, requirement, &target.report.target, view, now);
             if let Path::None { since } = path {
                 local.unreached += 1;
                 local.opens_soon |= since < UNREACHED_HOLD;
@@ -559,6 +608,7 @@
         &self,
         job: &Job,
         tried: &Tried,
+        requirement: &Requirement,
         view: &'a View,
         now: Instant,
     ) -> Vec<RemoteRegion<'a>> {
@@ -571,9 +621,10 @@
         let regions = view.targets.regions(&job.service).filter(may_run);
         let remote = regions.filter_map(|name| {
             let ready = view.instances.ready_in(name);
-            let instances: Vec<&Presence> =
-                ready.filter(|held| !tried.has(&held.instance)).collect();
-            let wait = self.remote_wait(job, name, view, now)?;
+            let instances: Vec<&Presence> = ready
+                .filter(|held| !tried.has(&held.instance) && heeds(held, requirement))
+                .collect();
+            let wait = self.remote_wait(job, name, requirement, view, now)?;
             let round_trip = self.policy.region_round_trip;
             let region = Region { wait, round_trip };
             (!instances.is_empty()).then_some(RemoteRegion { instances, region })
@@ -583,11 +634,22 @@
 
     /// Returns the expected wait in another region, or `None` if no target there would accept the
     /// request.
-    fn remote_wait(&self, job: &Job, region: &str, view: &View, now: Instant) -> Option<Duration> {
+    fn remote_wait(
+        &self,
+        job: &Job,
+        region: &str,
+        requirement: &Requirement,
+        view: &View,
+        now: Instant,
+    ) -> Option<Duration> {
         let is_usable = |target: &&Target| {
+            let version = target.report.version.as_deref();
             let accepts_load = self.rates.rate(target, job.cold_rate(), now).is_none();
             let zone = &target.report.place.zone;
-            accepts_load && !view.is_evacuated(zone) && target.gone_at.is_none()
+            accepts_load
+                && requirement.admits(&job.service, version)
+                && !view.is_evacuated(zone)
+                && target.gone_at.is_none()
         };
         let targets = view.targets.of(&job.service, region);
         let targets: Vec<&Target> = targets.filter(is_usable).collect();
@@ -608,6 +670,11 @@
     }
 }
 
+/// Returns whether an instance sends a request only to a target that satisfies the requirement.
+const fn heeds(instance: &Presence, requirement: &Requirement) -> bool {
+    instance.checks_origins || !requirement.is_continuing()
+}
+
 /// Adds the cost of the path to a candidate; returns the neighbour that the path leads by, if it does.
 fn with_path(candidate: Candidate, path: Path) -> (Candidate, Option<id::Instance>) {
     let Path::Detour(instance) = path else {
--- a/crates/zinniastall-gateway/src/path/responder.rs
+++ b/crates/zinniastall-gateway/src/path/responder.rs
@@ -89,6 +89,11 @@
         self.pause = Duration::ZERO;
     }
 
+    /// Returns whether the peer is another instance.
+    pub const fn is_instance(&self) -> bool {
+        self.is_instance
+    }
+
     /// Returns whether a byte of the answer may have been sent.
     pub const fn has_begun(&self) -> bool {
         !matches!(self.progress, Progress::Pending)
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -1,14 +1,17 @@
 //! Runs the attempts of one request until it has its final answer.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     time::{Duration, Instant},
 };
 
 use tokio::time;
-use zinniastall_coord::quarantine::{
-    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
+use zinniastall_coord::{
+    origin::Requirement,
+    quarantine::{
+        HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
+    },
 };
 use zinniastall_http::{ending::Ending, events::Events, server::Reply};
 
@@ -59,6 +62,8 @@
     unreachable: usize,
     /// Whether an attempt may have run the request.
     may_have_run: &'a Cell<bool>,
+    /// What the next target must satisfy, if the request continues a stream.
+    continuing: Option<Requirement>,
     was_held: bool,
     interrupted_at: Option<Instant>,
     /// Whether a target crashed under the request.
@@ -113,6 +118,7 @@
             sent: 0,
             unreachable: 0,
             may_have_run,
+            continuing: self.continuing(job).await,
             was_held: false,
             interrupted_at: None,
             has_crashed: false,
@@ -157,7 +163,13 @@
         responder: &mut Responder,
     ) -> io::Result<Step> {
         let job = state.job;
-        Ok(match self.place(job, &state.tried).await {
+        let requirement = state.continuing.clone();
+        let requirement = requirement.unwrap_or_else(|| self.beginning(job));
+        Ok(match self.place(job, &state.tried, &requirement).await {
+            Placement::Unserved => {
+                self.metrics.count_taken_up(unserved(&requirement).as_str());
+                state.no_version(responder, unserved(&requirement))
+            }
             Placement::Wait(retry_after) => {
                 if !state.was_held {
                     state.was_held = true;
@@ -167,6 +179,12 @@
                 time::sleep(retry_after).await;
                 Step::Retry
             }
+            // Only targets that were tried are of the version that began the stream.
+            Placement::Refuse(..)
+                if self.excludes_targets(job, &requirement) && state.tried.clear() =>
+            {
+                Step::Retry
+            }
             Placement::Refuse(..) if state.may_resume(responder) => {
                 time::sleep(RESUME_POLL.0).await;
                 Step::Retry
@@ -183,16 +201,26 @@
                 Step::Retry
             }
             Placement::Send(place, reading_us, basis, _slot) => {
-                self.request_log.placed(job, &place, basis, state.sent);
+                self.request_log
+                    .placed(job, &place, &requirement, basis, state.sent);
+                let began = RefCell::default();
                 let attempt = Attempt {
                     job,
                     place: &place,
                     reading_us,
                     ahead: basis.in_flight,
                     may_have_run: state.may_have_run,
+                    requirement: &requirement,
+                    began: &began,
                 };
                 let before = self.known_before(job, &place);
                 let ended = self.attempt(&attempt, events, responder).await;
+                if let Some(next) = began.take() {
+                    if state.continuing.is_some() {
+                        self.metrics.count_taken_up("went-on");
+                    }
+                    state.continuing.get_or_insert(next);
+                }
                 if let Some(target) = place.target().filter(|_| ended.is_failure()) {
                     self.closings.note(target);
                 }
@@ -407,6 +435,17 @@
         Step::Refuse(Refusal::Quarantined)
     }
 
+    /// Ends a request that continues a stream which can't go on.
+    fn no_version(&self, responder: &Responder, refusal: Refusal) -> Step {
+        if responder.has_begun() {
+            return Step::Finish(End::Aborted(refusal.as_str().to_owned()));
+        }
+        if self.may_have_run.get() {
+            return Step::Refuse(Refusal::AnswerLost);
+        }
+        Step::Refuse(refusal)
+    }
+
     /// Ends a request for which no target is available now.
     fn no_place(&self, responder: &Responder, retry_after: Duration) -> Step {
         if responder.has_begun() {
@@ -421,3 +460,11 @@
         Step::Refuse(Refusal::Busy(retry_after))
     }
 }
+
+/// Returns why a stream can't go on for which no target satisfies the requirement.
+const fn unserved(requirement: &Requirement) -> Refusal {
+    match requirement {
+        Requirement::Unknown => Refusal::VersionUnknown,
+        _ => Refusal::VersionNotServed,
+    }
+}
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, header::CONTENT_TYPE};
 use tokio::time;
+use zinniastall_coord::origin::Origin;
 use zinniastall_http::{
     body::{Decoder, Framing},
     connection::{Part, Reader},
@@ -16,9 +17,10 @@
 use super::{
     attempt::{Place, Why},
     job::Job,
+    origin,
     responder::Responder,
 };
-use crate::headers::CLOSE_DELIMITED;
+use crate::headers::{CLOSE_DELIMITED, ORIGIN};
 
 /// Longest complete answer; streams have no limit.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -108,15 +110,20 @@
     }
 }
 
-/// Forwards part of a stream, preceded by its head if that has not been sent yet.
+/// Forwards part of a stream, preceded by its head if that has not been sent yet; another instance is
+/// told what wrote it.
 pub(super) async fn forward_piece(
     response: &Response,
     highest: Ending,
+    origin: Option<&Origin>,
     piece: Bytes,
     responder: &mut Responder,
 ) -> io::Result<()> {
     if !responder.has_begun() {
-        let headers = end_to_end_headers(&response.headers);
+        let mut headers = end_to_end_headers(&response.headers);
+        if responder.is_instance() {
+            origin::state(&mut headers, ORIGIN, origin);
+        }
         responder
             .write_head(response.status, headers, highest)
             .await?;
@@ -129,5 +136,6 @@
     let mut headers = headers.clone();
     head::strip_hop_by_hop(&mut headers);
     headers.remove(CLOSE_DELIMITED);
+    headers.remove(ORIGIN);
     headers
 }
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -9,7 +9,10 @@
     time::{Duration, Instant},
 };
 
-use zinniastall_coord::rate::{Demand, Invalid, Verdict};
+use zinniastall_coord::{
+    origin::Requirement,
+    rate::{Demand, Invalid, Verdict},
+};
 use zinniastall_http::ending::Ending;
 use zinniastall_model::{id, routing::Route};
 
@@ -135,7 +138,14 @@
 
 impl Log {
     /// Logs where a request is sent and the estimates behind the decision.
-    pub fn placed(&self, job: &Job, place: &Place, basis: Basis, attempt: u32) {
+    pub fn placed(
+        &self,
+        job: &Job,
+        place: &Place,
+        requirement: &Requirement,
+        basis: Basis,
+        attempt: u32,
+    ) {
         let is_first = attempt == 0;
         if !self.admits(is_first) {
             return;
@@ -148,6 +158,7 @@
             place = place.name(),
             version = place.version(),
             resumes = job.resumes(),
+            began = requirement.origin().map(|origin| origin.version.as_str()),
             far = matches!(place, Place::Instance { detour: None, .. }),
             detour_to = place.detour(),
             detour_age_ms = basis.detour_age.map(millis),
@@ -164,6 +175,22 @@
         );
     }
 
+    /// Logs that a request continues a stream, and what is known of its beginning; `source` tells from
+    /// where.
+    pub fn taken_up(&self, job: &Job, requirement: &Requirement, source: &'static str) {
+        let origin = requirement.origin();
+        if self.admits(origin.is_some()) {
+            tracing::info!(
+                event = "taken-up",
+                id = job.id,
+                route = job.route().name,
+                resumes = job.resumes(),
+                began = origin.map(|origin| origin.version.as_str()),
+                source,
+            );
+        }
+    }
+
     /// Logs the answer to a request's demand for a permit of a target that takes a limited rate.
     ///
     /// `source` returns the coordinator that was asked, and the time since the target's rate was
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -8,10 +8,10 @@
 };
 
 use futures_util::StreamExt;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 use tokio::{sync::Notify, task::JoinHandle, time};
-use zinniastall_model::{id, place::Place, presence::Presence};
+use zinniastall_model::{id, place::Place, presence::Presence, routing::Kind};
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -281,6 +281,7 @@
                             self.missing_suspects(),
                             self.named_rates(),
                             self.unreached(),
+                            self.unknown_versions(),
                         ]
                     }
                     () = self.presence_changed.notified() => [
@@ -289,6 +290,7 @@
                         None,
                         None,
                         None,
+                        None,
                     ],
                     () = self.sources_changed.notified() => continue,
                     () = self.fetch_ended.notified(), if fetch_at.is_some() => {
@@ -301,7 +303,7 @@
                             continue;
                         }
                         let fetch = Message::Fetch(self.cluster.borrow().revision());
-                        [Some(fetch), None, None, None, None]
+                        [Some(fetch), None, None, None, None, None]
                     }
                     () = time::sleep_until(timeout_at) => return Error::Closed,
             };
@@ -338,7 +340,7 @@
     /// for the replicas that are subscribed to, and for all others once the last confirmation is
     /// old.
     fn confirmation_request(&self, is_source: bool) -> Option<Message> {
-        if !self.state.lease().is_needed() {
+        if !self.state.lease().is_needed() && !self.has_streams() {
             return None;
         }
         let now = clock::now();
@@ -348,6 +350,31 @@
         (is_source || is_old).then_some(Message::ReadIndex(stamp))
     }
 
+    /// Returns whether streams are served, which may go on where the versions of services are certain.
+    fn has_streams(&self) -> bool {
+        let view = self.state.view();
+        let table = view.table();
+        table.is_some_and(|table| table.routes.iter().any(|route| route.kind == Kind::Stream))
+    }
+
+    /// Returns the versions that targets state and the group doesn't know. They go to all replicas,
+    /// since this instance doesn't know which one leads.
+    fn unknown_versions(&self) -> Option<Message> {
+        let view = self.state.view();
+        let versions = view.versions()?;
+        let reports = view.targets.by_name().values().map(|known| &known.report);
+        let unknown = reports.filter(|report| {
+            let held = versions.get(&report.service);
+            held.is_none_or(|held| !held.has(report.version.as_deref()))
+        });
+        let names = unknown.map(|report| {
+            let version = report.version.clone().unwrap_or_default();
+            (report.service.clone(), version)
+        });
+        let names: IndexSet<_> = names.collect();
+        (!names.is_empty()).then(|| Message::Versions(names.into_iter().collect()))
+    }
+
     /// Handles a replica's answer that the group had reached a revision when this instance asked.
     fn handle_confirmation(&self, stamp: Stamp, reached: id::Revision) {
         let asked = Duration::from_nanos(stamp);
@@ -367,6 +394,7 @@
         if let Some(confirmed) = self.freshness.borrow().confirmed() {
             let was_ready = self.state.is_ready();
             self.state.lease().extend(confirmed);
+            self.state.versions_lease().extend(confirmed);
             if was_ready != self.state.is_ready() {
                 self.announce();
             }
@@ -431,6 +459,7 @@
             | Message::Subscribe(_)
             | Message::Limits(_)
             | Message::Unreached(_)
+            | Message::Versions(_)
             | Message::ReadIndex(_) => {}
         }
         false
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -8,7 +8,10 @@
 use arc_swap::ArcSwap;
 use zinniastall_coord::rate::Limit;
 use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
-use zinniastall_wire::{hub::Configuration, reach};
+use zinniastall_wire::{
+    hub::{Configuration, Versions},
+    reach,
+};
 
 use crate::{
     clock,
@@ -71,6 +74,11 @@
         self.configuration.as_ref()?.table.as_ref()
     }
 
+    /// Returns the software versions by service; `None` if the control replicas don't keep them.
+    pub fn versions(&self) -> Option<&Versions> {
+        self.configuration.as_ref()?.versions.as_ref()
+    }
+
     /// Returns the revision of the configuration in force; 0 for none.
     pub fn revision(&self) -> id::Revision {
         self.configuration.as_ref().map_or(0, |held| held.revision)
@@ -107,6 +115,7 @@
 pub struct Shared {
     view: Arc<ArcSwap<View>>,
     lease: Lease,
+    versions_lease: Lease,
     suspects: Arc<Suspects>,
     limits: Arc<ArcSwap<Vec<(id::Target, Limit)>>>,
     unreached: Arc<ArcSwap<Option<reach::Report>>>,
@@ -119,6 +128,7 @@
         Self {
             view: Arc::new(ArcSwap::from_pointee(view)),
             lease: Lease::new(None),
+            versions_lease: Lease::new(None),
             suspects: Arc::default(),
             limits: Arc::default(),
             unreached: Arc::default(),
@@ -133,6 +143,18 @@
         self
     }
 
+    /// Sets the lease that limits how long the versions of services may be relied on.
+    #[must_use]
+    pub fn with_versions_lease(mut self, lease: Lease) -> Self {
+        self.versions_lease = lease;
+        self
+    }
+
+    /// Returns the lease on the versions of services.
+    pub const fn versions_lease(&self) -> &Lease {
+        &self.versions_lease
+    }
+
     /// Returns the lease on the configuration.
     pub const fn lease(&self) -> &Lease {
         &self.lease
@@ -160,6 +182,12 @@
         self.lease.trust(clock::now())
     }
 
+    /// Returns whether the versions of services in a view that is read after this call may be relied
+    /// on now.
+    pub fn versions_trust(&self) -> Trust {
+        self.versions_lease.trust(clock::now())
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -55,6 +55,7 @@
                 callers: String::new(),
                 forward: socket.local_addr().expect("bound").to_string(),
                 ready: true,
+                checks_origins: true,
                 load: Vec::new(),
             };
             present.push(((*name).to_owned(), presence));
@@ -79,6 +80,7 @@
                     claims: own,
                     rates: Rc::default(),
                     reach: Rc::default(),
+                    origins: Rc::default(),
                     quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
                     suspects: Rc::default(),
                     news: Rc::default(),
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -98,6 +98,7 @@
         revision,
         table: Some(Table::new(number, vec![route], vec![Service::new("api")])),
         evacuated: Vec::new(),
+        versions: None,
     }
 }
 
--- a/crates/zinniastall-gateway/tests/groups.rs
+++ b/crates/zinniastall-gateway/tests/groups.rs
@@ -48,6 +48,7 @@
         callers: String::new(),
         forward: String::new(),
         ready,
+        checks_origins: true,
         load: Vec::new(),
     };
     (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -44,6 +44,7 @@
         callers: name.to_owned(),
         forward: String::new(),
         ready,
+        checks_origins: true,
         load: Vec::new(),
     }
 }
@@ -70,6 +71,7 @@
         revision,
         table: Some(Table::new(revision, Vec::new(), vec![service])),
         evacuated: evacuated.iter().map(|zone| (*zone).to_owned()).collect(),
+        versions: None,
     }
 }
 
--- a/crates/zinniastall-gateway/tests/locate.rs
+++ b/crates/zinniastall-gateway/tests/locate.rs
@@ -31,6 +31,7 @@
         revision: 1,
         table: Some(table),
         evacuated: Vec::new(),
+        versions: None,
     }));
     let presences = instances.iter().map(|(region, name, ready)| {
         let presence = Presence {
@@ -40,6 +41,7 @@
             callers: (*name).to_owned(),
             forward: String::new(),
             ready: *ready,
+            checks_origins: true,
             load: Vec::new(),
         };
         ((*name).to_owned(), presence)
--- a/crates/zinniastall-gateway/tests/neighbours.rs
+++ b/crates/zinniastall-gateway/tests/neighbours.rs
@@ -46,6 +46,7 @@
         callers: String::new(),
         forward: String::new(),
         ready,
+        checks_origins: true,
         load: Vec::new(),
     }
 }
--- a/crates/zinniastall-gateway/tests/path/answers.rs
+++ b/crates/zinniastall-gateway/tests/path/answers.rs
@@ -313,6 +313,7 @@
         revision: 2,
         table: Some(table),
         evacuated: Vec::new(),
+        versions: None,
     }));
     let gateway = Gateway::start(view).await;
     for _ in 0..2 {
--- a/crates/zinniastall-gateway/tests/path/bounds.rs
+++ b/crates/zinniastall-gateway/tests/path/bounds.rs
@@ -47,6 +47,7 @@
         revision: 2,
         table,
         evacuated: vec![PLACE.1.to_owned()],
+        versions: None,
     }));
     let gateway = Gateway::start(view).await;
     let response = gateway
@@ -69,6 +70,7 @@
         revision: 2,
         table: Some(table),
         evacuated: Vec::new(),
+        versions: None,
     }));
     let mut cold = known_target("target-0", target.address);
     cold.cold_until = Some(Instant::now() + Duration::from_mins(1));
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -10,6 +10,7 @@
     task::LocalSet,
     time,
 };
+use zinniastall_coord::origin::Stage;
 use zinniastall_gateway::{
     headers::Names,
     metrics::Metrics,
@@ -23,7 +24,7 @@
     routing::{Kind, Route, Service, Share, Table},
     target::{Report, State},
 };
-use zinniastall_wire::hub::Configuration;
+use zinniastall_wire::hub::{self, Configuration};
 
 /// Longest time that a test, or a step of it, may take.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -31,6 +32,8 @@
 pub(crate) const HOST: &str = "maps.example";
 /// Service behind all routes.
 pub(crate) const SERVICE: &str = "api";
+/// Software version of all targets.
+pub(crate) const VERSION: &str = "v1";
 /// Region and zone of the gateway.
 pub(crate) const PLACE: (&str, &str) = ("patras", "patras-a");
 
@@ -310,6 +313,12 @@
     route
 }
 
+/// Returns the versions of the one service, all settled.
+pub(crate) fn versions(names: &[&str]) -> hub::Versions {
+    let settled = names.iter().map(|name| (*name, Stage::Settled));
+    std::iter::once((SERVICE.to_owned(), Arc::new(settled.collect()))).collect()
+}
+
 /// Returns a view with routes and targets, as an instance in `PLACE` has it.
 pub(crate) fn view(routes: Vec<Route>, targets: &[&Target]) -> View {
     let table = Table::new(1, routes, vec![Service::new(SERVICE)]);
@@ -318,6 +327,7 @@
         revision: 1,
         table: Some(table),
         evacuated: Vec::new(),
+        versions: Some(versions(&[VERSION])),
     }));
     let known = targets.iter().enumerate().map(|(at, target)| {
         let name = format!("target-{at}");
@@ -341,6 +351,7 @@
         callers: "127.0.0.1:1".to_owned(),
         forward: forward.to_owned(),
         ready: true,
+        checks_origins: true,
         load: Vec::new(),
     };
     (name.to_owned(), presence)
@@ -356,7 +367,7 @@
             service: SERVICE.to_owned(),
             address: address.to_string(),
             place: Place::new(PLACE.0, PLACE.1),
-            version: Some("v1".to_owned()),
+            version: Some(VERSION.to_owned()),
             slots: 4,
             state: State::Ready,
             cold_ms: 0,
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -17,6 +17,7 @@
 mod rates;
 mod request_log;
 mod streams;
+mod versions;
 
 /// Defines tests that run on one thread: `cases! { name => async function, ... }`.
 macro_rules! cases {
--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -47,6 +47,7 @@
         claims: Rc::clone(&proxy.claims),
         rates: Rc::clone(&proxy.rates),
         reach: Rc::clone(&proxy.reach),
+        origins: Rc::clone(&proxy.origins),
         quotas: Rc::clone(&proxy.quotas),
         suspects: Rc::clone(&proxy.suspects),
         news: Rc::clone(&proxy.suspects_changed),
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -0,0 +1,298 @@
+//! Streams of targets of several software versions.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use zinniastall_coord::origin::{CONFIRMATION_LEASE, Stage};
+use zinniastall_gateway::{
+    freshness::Lease,
+    view::{Shared, Target as KnownTarget, View},
+};
+use zinniastall_model::{
+    place::Place,
+    routing::{Kind, Route},
+};
+use zinniastall_wire::hub::Configuration;
+
+use crate::{
+    cases,
+    harness::{
+        Action, Gateway, PLACE, Request, Response, SERVICE, Target, get, instance, known_target,
+        post, route, versions, view,
+    },
+    streams::{chunk, event, head},
+};
+
+/// Events of a stream.
+const EVENTS: u32 = 6;
+/// Events after which the first target breaks off.
+const BROKEN_AFTER: u32 = 3;
+const FAR: (&str, &str) = ("athens", "athens-a");
+
+fn routes() -> Vec<Route> {
+    let mut resumable = route("/resumed/", Kind::Stream, 3);
+    resumable.resumable = true;
+    vec![resumable, route("/plans/", Kind::Idempotent, 3)]
+}
+
+/// Writes its version into each event, and breaks off streams that begin with `broken` in their path.
+fn writer(version: &'static str) -> impl Fn(&Request) -> Vec<Action> + 'static {
+    move |request| {
+        if request.head.contains("/plans/") {
+            return vec![Action::Send(request.response(version))];
+        }
+        let last = request.header("last-event-id").parse().unwrap_or(0);
+        let is_broken = last == 0 && request.head.contains("broken");
+        let mut actions = vec![Action::Send(head(request.id()).into_bytes())];
+        for id in last + 1..=EVENTS {
+            if is_broken && id > BROKEN_AFTER {
+                actions.push(Action::Close);
+                return actions;
+            }
+            let event = event(id).replace("data: ", &format!("data: {version} "));
+            actions.push(Action::Send(chunk(&event).into_bytes()));
+        }
+        actions.push(Action::Send(b"0\r\n\r\n".to_vec()));
+        actions
+    }
+}
+
+/// Starts a target of each version, as a gateway sees them; an empty version is none.
+async fn writers(names: &[&'static str]) -> Vec<(Target, KnownTarget)> {
+    let mut all = Vec::new();
+    for (at, version) in names.iter().enumerate() {
+        let target = Target::start(writer(version)).await;
+        let mut known = known_target(&format!("target-{at}"), target.address);
+        known.report.version = Some((*version).to_owned()).filter(|version| !version.is_empty());
+        all.push((target, known));
+    }
+    all
+}
+
+/// Returns a view with targets, and with the versions that the group has settled.
+fn seen(targets: &[(Target, KnownTarget)], settled: &[&str]) -> View {
+    let mut view = view(routes(), &[]);
+    let known = targets.iter().map(|(_, known)| known.clone());
+    let known = known.map(|known| (known.report.target.clone(), known));
+    view.targets = Arc::new(known.collect());
+    view.configuration = Some(Arc::new(Configuration {
+        versions: Some(versions(settled)),
+        ..Configuration::clone(view.configuration.as_ref().unwrap())
+    }));
+    view
+}
+
+async fn ask(gateway: &Gateway, path: &str, id: &str, fields: &str) -> Response {
+    let mut caller = gateway.connect().await;
+    caller.call(&get(path, id, fields)).await
+}
+
+/// Returns the versions that wrote a stream.
+fn written_by(body: &str) -> IndexSet<String> {
+    let lines = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    lines
+        .filter_map(|data| data.split(' ').next().map(ToOwned::to_owned))
+        .collect()
+}
+
+fn runs(targets: &[(Target, KnownTarget)]) -> usize {
+    targets
+        .iter()
+        .map(|(target, _)| target.requests().len())
+        .sum()
+}
+
+fn assert_rejected(response: &Response, why: &str) {
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.body.contains(why), "{response:?}");
+    assert!(!response.header("retry-after").is_empty());
+}
+
+async fn goes_on_at_its_version_or_not_at_all() {
+    let targets = writers(&["v1", "v2", "v1"]).await;
+    let gateway = Gateway::start(seen(&targets, &["v1", "v2"])).await;
+    for stream in 0..20 {
+        let id = format!("s{stream}");
+        let first = ask(&gateway, "/resumed/broken", &id, "").await;
+        let mut versions = written_by(&first.body);
+        assert_eq!(versions.len(), 1, "{first:?}");
+        if first.is_complete() {
+            continue;
+        }
+        let fields = format!("Last-Event-Id: {BROKEN_AFTER}\r\nResumes: {id}\r\n");
+        let rest = ask(&gateway, "/resumed/1", &format!("{id}-1"), &fields).await;
+        assert!(rest.is_complete(), "{rest:?}");
+        versions.extend(written_by(&rest.body));
+        assert_eq!(versions.len(), 1);
+    }
+}
+
+async fn rejects_what_is_unknown(settled: &'static [&'static str], is_trusted: bool) {
+    let targets = writers(&["v1", "v1"]).await;
+    let mut board = Shared::new(seen(&targets, settled));
+    if !is_trusted {
+        board = board.with_versions_lease(Lease::new(Some(CONFIRMATION_LEASE)));
+    }
+    let gateway = Gateway::on(board).await;
+    for fields in ["Resumes: nobody\r\n", "", "Resumes: a\r\nResumes: b\r\n"] {
+        let fields = format!("Last-Event-Id: 3\r\n{fields}");
+        let response = ask(&gateway, "/resumed/1", "x", &fields).await;
+        assert_rejected(&response, "version-unknown");
+    }
+    assert_eq!(runs(&targets), 0);
+}
+
+async fn rejects_a_version_that_is_gone() {
+    let targets = writers(&["v1", "v2"]).await;
+    let board = Shared::new(seen(&targets[..1], &["v1", "v2"]));
+    let gateway = Gateway::on(board.clone()).await;
+    let first = ask(&gateway, "/resumed/1", "s", "").await;
+    assert_eq!(written_by(&first.body).len(), 1);
+    board.publish(seen(&targets[1..], &["v1", "v2"]));
+    let fields = "Last-Event-Id: 3\r\nResumes: s\r\n";
+    let rest = ask(&gateway, "/resumed/1", "s-1", fields).await;
+    assert_rejected(&rest, "version-not-served");
+    // A rollback brings it back.
+    board.publish(seen(&targets, &["v1", "v2"]));
+    let rest = ask(&gateway, "/resumed/1", "s-2", fields).await;
+    assert_eq!(written_by(&rest.body), written_by(&first.body));
+}
+
+async fn doubts_an_id_that_began_twice() {
+    let targets = writers(&["v1", "v2"]).await;
+    let board = Shared::new(seen(&targets[..1], &["v1", "v2"]));
+    let gateway = Gateway::on(board.clone()).await;
+    ask(&gateway, "/resumed/1", "s", "").await;
+    board.publish(seen(&targets[1..], &["v1", "v2"]));
+    ask(&gateway, "/resumed/1", "s", "").await;
+    board.publish(seen(&targets, &["v1", "v2"]));
+    let fields = "Last-Event-Id: 3\r\nResumes: s\r\n";
+    let rest = ask(&gateway, "/resumed/1", "s-1", fields).await;
+    assert_rejected(&rest, "version-unknown");
+}
+
+async fn begins_only_at_settled_versions() {
+    let targets = writers(&["v1", "v2"]).await;
+    let mut view = seen(&targets, &[]);
+    let set = [("v1", Stage::Settled), ("v2", Stage::Announced)];
+    let set = Arc::new(set.into_iter().collect());
+    view.configuration = Some(Arc::new(Configuration {
+        versions: Some([(SERVICE.to_owned(), set)].into_iter().collect()),
+        ..Configuration::clone(view.configuration.as_ref().unwrap())
+    }));
+    let gateway = Gateway::start(view).await;
+    let mut plain = IndexSet::new();
+    for at in 0..20 {
+        let response = ask(&gateway, "/resumed/1", &format!("s{at}"), "").await;
+        assert!(written_by(&response.body).contains("v1"), "{response:?}");
+        let mut caller = gateway.connect().await;
+        let response = caller.call(&post("/plans/1", &format!("p{at}"), "")).await;
+        plain.insert(response.body);
+    }
+    assert_eq!(plain.len(), 2, "what isn't a stream goes to all targets");
+}
+
+async fn a_target_without_a_version_goes_on_nowhere() {
+    let targets = writers(&["", ""]).await;
+    let gateway = Gateway::start(seen(&targets, &[""])).await;
+    let first = ask(&gateway, "/resumed/broken", "s", "").await;
+    assert!(!first.is_complete());
+    assert_eq!(runs(&targets), 1);
+    let fields = "Last-Event-Id: 3\r\nResumes: s\r\n";
+    let rest = ask(&gateway, "/resumed/1", "s-1", fields).await;
+    assert_rejected(&rest, "version-unknown");
+}
+
+/// Starts an instance without targets, and one in another region with these targets.
+async fn two_regions(targets: &[(Target, KnownTarget)], checks_origins: bool) -> [Gateway; 2] {
+    let settled = ["v1", "v2"];
+    let mut far = seen(targets, &settled);
+    far.place = Place::new(FAR.0, FAR.1);
+    let targets = far.targets.by_name().clone().into_iter();
+    let targets = targets.map(|(name, mut known)| {
+        known.report.place = Place::new(FAR.0, FAR.1);
+        (name, known)
+    });
+    far.targets = Arc::new(targets.collect());
+    let mut near = far.clone();
+    near.place = Place::new(PLACE.0, PLACE.1);
+    "edge-2".clone_into(&mut far.instance);
+    let far = Gateway::start(far).await;
+    let (name, mut presence) = instance("edge-2", FAR, &far.forward.to_string());
+    presence.checks_origins = checks_origins;
+    near.instances = Arc::new([(name, presence)].into_iter().collect());
+    [Gateway::start(near).await, far]
+}
+
+async fn carries_the_requirement_over_a_border() {
+    let targets = writers(&["v1", "v2", "v1"]).await;
+    let [near, _far] = two_regions(&targets, true).await;
+    for stream in 0..20 {
+        let id = format!("s{stream}");
+        let first = ask(&near, "/resumed/1", &id, "").await;
+        assert_eq!(first.header("zs-origin"), "", "stays between instances");
+        let fields = format!("Last-Event-Id: 3\r\nResumes: {id}\r\n");
+        let rest = ask(&near, "/resumed/1", &format!("{id}-1"), &fields).await;
+        assert!(rest.is_complete(), "{rest:?}");
+        assert_eq!(written_by(&rest.body), written_by(&first.body));
+    }
+}
+
+async fn an_instance_that_checks_nothing_gets_no_stream_to_go_on_with() {
+    let targets = writers(&["v1", "v2"]).await;
+    let [near, _far] = two_regions(&targets, false).await;
+    ask(&near, "/resumed/1", "s", "").await;
+    let before = runs(&targets);
+    let fields = "Last-Event-Id: 3\r\nResumes: s\r\n";
+    let rest = ask(&near, "/resumed/1", "s-1", fields).await;
+    assert_eq!(rest.status, 503, "{rest:?}");
+    assert_eq!(runs(&targets), before);
+}
+
+async fn callers_and_targets_state_no_origins() {
+    let target = Target::start(|request| {
+        let origin = r#"zs-origin: {"s":"api","v":"v2"}"#;
+        let head = head(request.id()).replace("\r\n\r\n", &format!("\r\n{origin}\r\n\r\n"));
+        let events: String = (1..=EVENTS).map(|id| chunk(&event(id))).collect();
+        vec![Action::Send((head + &events + "0\r\n\r\n").into_bytes())]
+    })
+    .await;
+    let known = known_target("target-0", target.address);
+    let targets = [(target, known)];
+    let gateway = Gateway::start(seen(&targets, &["v1", "v2"])).await;
+    let first = ask(&gateway, "/resumed/1", "s", "").await;
+    assert_eq!(first.header("zs-origin"), "");
+    let forged = "zs-requires: {\"s\":\"api\",\"v\":\"v1\"}\r\n";
+    let fields = format!("Last-Event-Id: 3\r\nResumes: nobody\r\n{forged}");
+    let response = ask(&gateway, "/resumed/1", "x", &fields).await;
+    assert_rejected(&response, "version-unknown");
+    let fields = "Last-Event-Id: 3\r\nResumes: s\r\n";
+    let rest = ask(&gateway, "/resumed/1", "s-1", fields).await;
+    assert_eq!(rest.status, 200, "it began at v1, whatever the target says");
+}
+
+cases! {
+    /// Guards against streams that go on at another version, in one answer or taken up by the caller.
+    a_stream_goes_on_at_the_version_that_began_it => goes_on_at_its_version_or_not_at_all(),
+    /// Guards against an unknown origin that is taken for any, while two versions serve.
+    an_unknown_origin_admits_no_target => rejects_what_is_unknown(&["v1", "v2"], true),
+    /// Guards against an instance that is cut off from control and takes the version that it knows for
+    /// the only one.
+    an_unconfirmed_set_of_one_version_is_not_relied_on => rejects_what_is_unknown(&["v1"], false),
+    /// Guards against requests that are held, or sent elsewhere, although no target of their version is
+    /// left.
+    a_version_that_is_gone_is_rejected_at_once => rejects_a_version_that_is_gone(),
+    /// Guards against the first of two beginnings of one id that is taken for the only one.
+    an_id_that_began_twice_goes_on_nowhere => doubts_an_id_that_began_twice(),
+    /// Guards against streams that begin at a version of which others may not know yet.
+    streams_begin_only_at_settled_versions => begins_only_at_settled_versions(),
+    /// Guards against targets without a version that are taken for one version.
+    a_stream_of_a_target_without_a_version_goes_on_nowhere => a_target_without_a_version_goes_on_nowhere(),
+    /// Guards against a border behind which the version that began a stream is forgotten.
+    another_region_keeps_to_the_version => carries_the_requirement_over_a_border(),
+    /// Guards against an instance of an older version, which takes a requirement for any other field.
+    an_older_instance_gets_no_stream_to_go_on_with =>
+        an_instance_that_checks_nothing_gets_no_stream_to_go_on_with(),
+    /// Guards against origins and requirements that callers or targets forge.
+    origins_of_callers_and_targets_are_not_believed => callers_and_targets_state_no_origins(),
+}
--- a/crates/zinniastall-gateway/tests/quotas.rs
+++ b/crates/zinniastall-gateway/tests/quotas.rs
@@ -124,6 +124,7 @@
             callers: String::new(),
             forward: String::new(),
             ready: true,
+            checks_origins: true,
             load: Vec::new(),
         };
         (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/rates.rs
+++ b/crates/zinniastall-gateway/tests/rates.rs
@@ -158,6 +158,7 @@
                 callers: String::new(),
                 forward: String::new(),
                 ready: true,
+                checks_origins: true,
                 load: Vec::new(),
             };
             (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/reach.rs
+++ b/crates/zinniastall-gateway/tests/reach.rs
@@ -68,6 +68,7 @@
         callers: String::new(),
         forward: String::new(),
         ready: true,
+        checks_origins: true,
         load: Vec::new(),
     };
     (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -25,6 +25,7 @@
         callers: String::new(),
         forward: address,
         ready: true,
+        checks_origins: true,
         load: Vec::new(),
     }
 }
@@ -65,6 +66,7 @@
             claims: Rc::default(),
             rates: Rc::default(),
             reach: Rc::default(),
+            origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
             suspects: Rc::default(),
             news: Rc::default(),
--- a/crates/zinniastall-model/src/change.rs
+++ b/crates/zinniastall-model/src/change.rs
@@ -1,6 +1,7 @@
 //! Changes: the commands that the control log carries, and the answers to them.
 
 use serde::{Deserialize, Serialize};
+use zinniastall_coord::origin::Stage;
 
 use crate::{
     fingerprint::{Fingerprint, Suspect},
@@ -34,6 +35,8 @@
     Suspect(Vec<Suspect>),
     /// Releases a request from quarantine.
     Release(Fingerprint),
+    /// Brings software versions of services to a stage, as targets state them.
+    Versions(Vec<(id::Service, id::Version, Stage)>),
 }
 
 /// Sender and command id of a change, which together make it idempotent.
--- a/crates/zinniastall-model/src/header.rs
+++ b/crates/zinniastall-model/src/header.rs
@@ -15,6 +15,11 @@
 pub const CLIENT: &str = "x-zinniastall-client";
 /// Request and response: id of the request, for logs.
 pub const REQUEST: &str = "x-zinniastall-request";
+/// Request: id of the last event of a stream that the caller received; the stream goes on after it
+/// (WHATWG HTML, 9.2).
+pub const LAST_EVENT_ID: &str = "last-event-id";
+/// Request: id of the request that brought the first event of a stream which its caller takes up.
+pub const RESUMES: &str = "resumes";
 /// Order to a target: fencing token.
 pub const FENCE: &str = "x-zinniastall-fence";
 /// Response: outcome of the request: `answered`, `not-run` or `unknown`. A target sets `not-run`
@@ -28,7 +33,8 @@
 pub const TARGET: &str = "x-zinniastall-target";
 /// Response: region and availability zone of the target that served the request.
 pub const PLACE: &str = "x-zinniastall-place";
-/// Response of a target: version of the software that wrote the answer.
+/// Response of a target: version of the software that wrote the answer. Request to a target: version
+/// at which an interrupted stream resumes; others refuse it.
 pub const SOFTWARE: &str = "x-zinniastall-software";
 /// Response of a target: requests per second that it takes from all instances together, as a decimal
 /// number, for as long as it says so.
--- a/crates/zinniastall-model/src/presence.rs
+++ b/crates/zinniastall-model/src/presence.rs
@@ -19,6 +19,9 @@
     pub forward: String,
     /// Whether it accepts requests from callers.
     pub ready: bool,
+    /// Whether it sends a stream that it is told to continue only to a target of the given version.
+    #[serde(default)]
+    pub checks_origins: bool,
     /// In-flight requests at targets, by service.
     pub load: Vec<Load>,
 }
@@ -28,6 +31,7 @@
     pub fn differs(&self, other: &Self) -> bool {
         self.incarnation != other.incarnation
             || self.ready != other.ready
+            || self.checks_origins != other.checks_origins
             || self.place != other.place
             || self.callers != other.callers
             || self.forward != other.forward
--- a/crates/zinniastall-model/src/state.rs
+++ b/crates/zinniastall-model/src/state.rs
@@ -4,7 +4,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::quarantine::{CRASH_LIMIT, Suspicion};
+use zinniastall_coord::{
+    origin::{Stage, Versions},
+    quarantine::{CRASH_LIMIT, Suspicion},
+};
 
 use crate::{
     change::{Answer, Body, Change, Invalid},
@@ -29,6 +32,9 @@
 /// Maximum number of evacuated zones.
 const MAX_EVACUATED_ZONES: usize = 1024;
 
+/// Maximum number of services whose software versions are kept; no streams begin at further ones.
+const MAX_VERSIONED_SERVICES: usize = 4096;
+
 /// Maximum number of requests kept as quarantined or released. Each of them has crashed three
 /// targets.
 const MAX_SUSPECTS: usize = 1024;
@@ -87,6 +93,9 @@
     /// Revision of the last change of [`State::suspects`].
     #[serde(default)]
     pub suspected: id::Revision,
+    /// Software versions by service, shared so that publishing a new state copies none.
+    #[serde(default)]
+    pub versions: IndexMap<id::Service, Arc<Versions>>,
 }
 
 impl State {
@@ -106,6 +115,7 @@
             Body::Reopen(zone) => Ok(self.reopen(zone)),
             Body::Suspect(suspects) => Ok(self.suspect(suspects)),
             Body::Release(request) => Ok(self.release(*request)),
+            Body::Versions(versions) => Ok(self.advance(versions)),
         };
         result.unwrap_or_else(|rejected| rejected)
     }
@@ -221,6 +231,26 @@
         self.done(false)
     }
 
+    /// Returns whether the state doesn't know a software version of a service.
+    pub fn lacks_version(&self, service: &str, version: &str) -> bool {
+        let held = self.versions.get(service);
+        held.is_none_or(|held| !held.has(Some(version)))
+    }
+
+    fn advance(&mut self, versions: &[(id::Service, id::Version, Stage)]) -> Answer {
+        let mut has_changed = false;
+        for (service, version, stage) in versions {
+            if !self.versions.contains_key(service) && self.versions.len() >= MAX_VERSIONED_SERVICES
+            {
+                continue;
+            }
+            let held = self.versions.entry(service.clone()).or_default();
+            has_changed |= Arc::make_mut(held).advance(version, *stage);
+        }
+        self.revision += u64::from(has_changed);
+        self.done(false)
+    }
+
     fn insert_suspect(&mut self, request: Fingerprint, suspicion: Suspicion) {
         self.suspects.insert(request, suspicion);
         let surplus = self.suspects.len().saturating_sub(MAX_SUSPECTS);
--- a/crates/zinniastall-wire/src/hello.rs
+++ b/crates/zinniastall-wire/src/hello.rs
@@ -4,7 +4,7 @@
 use zinniastall_model::{id, place::Place};
 
 /// Version of the frame format, which must be the same at both ends.
-pub const VERSION: u16 = 6;
+pub const VERSION: u16 = 7;
 
 /// Purpose of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/zinniastall-wire/src/hub.rs
+++ b/crates/zinniastall-wire/src/hub.rs
@@ -6,8 +6,11 @@
 //! the nearest replica that has it; otherwise tables of hundreds of routes would cross every region
 //! border once per replica.
 
+use std::sync::Arc;
+
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use zinniastall_coord::rate::Limit;
+use zinniastall_coord::{origin, rate::Limit};
 use zinniastall_model::{
     fingerprint::Suspect,
     id,
@@ -39,6 +42,8 @@
     /// Gateway: quarantined and released requests that the group doesn't hold yet. Control: all
     /// those that the group holds.
     Suspects(Vec<Suspect>),
+    /// Gateway: software versions of services that targets state and the group doesn't know.
+    Versions(Vec<(id::Service, id::Version)>),
     /// Gateway: rates that targets have named to instances.
     Limits(Vec<(id::Target, Limit)>),
     /// Gateway: targets that it does not reach.
@@ -89,8 +94,14 @@
     pub table: Option<Table>,
     /// Evacuated availability zones, whose targets get no new requests.
     pub evacuated: Vec<id::Zone>,
+    /// Software versions by service; `None` from a replica that doesn't know of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<Versions>,
 }
 
+/// Software versions by service.
+pub type Versions = IndexMap<id::Service, Arc<origin::Versions>>;
+
 /// Difference between the configurations of two revisions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
@@ -102,6 +113,9 @@
     pub table: Option<routing::Changes>,
     /// Evacuated availability zones, whose targets get no new requests.
     pub evacuated: Vec<id::Zone>,
+    /// Software versions by service; `None` from a replica that doesn't know of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<Versions>,
 }
 
 impl Changes {
@@ -118,6 +132,7 @@
             revision: self.revision,
             table: Some(after.unwrap_or_else(|| before.clone())),
             evacuated: self.evacuated,
+            versions: self.versions,
         })
     }
 }
@@ -131,6 +146,7 @@
         service = report.service,
         address = report.address,
         zone = report.place.zone,
+        version = report.version,
         run = report.incarnation,
         sequence = report.sequence,
         cold_ms = report.cold_ms,
