fix(entry): a stream goes on only with the software that began it

What callers saw: a chat stream whose connection breaks goes on at its target, by name and address, whoever answers there: a process that has just started with other software, before its first announcement.

Cause: the target's name survives its restarts, and nothing compared runs or software. An announcement can't: it comes later than the first answer.

Why it works: targets state their software in each answer, the request that resumes a stream names it, so that another refuses it, and an answer that doesn't state the same isn't used. Without a statement nothing is resumed. Callers can't take up chat streams on this path: `resumes`, and `last-event-id` for a model, are rejected as not run before a target sees them.

The tests' engines state software 1.0 unless told otherwise, since targets that state none have no streams resumed any more.

--- a/crates/zinniastall-entry/src/callers/accept.rs
+++ b/crates/zinniastall-entry/src/callers/accept.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 use zinniastall_model::{
-    header::{CLASS, DEADLINE, IDEMPOTENT, REQUEST, TICKET},
+    header::{CLASS, DEADLINE, IDEMPOTENT, LAST_EVENT_ID, REQUEST, RESUMES, TICKET},
     id,
     object::Subject,
     state::State,
@@ -101,6 +101,7 @@
     let route = index.route(http.path(), chat.as_ref().map(|chat| chat.model.as_str()))?;
     let regions = residency::permitted(index.rules(&client.id), &route.subject, &view.place);
     residency::check(&regions)?;
+    check_begins(http, &route.subject)?;
     let ticket = header_text(http, TICKET)?.map(ToOwned::to_owned);
     let idempotent = flag(http, IDEMPOTENT)?.unwrap_or(route.idempotent);
     let request = Request {
@@ -131,6 +132,22 @@
     })
 }
 
+/// Checks that a request takes up no stream: no instance of this path keeps which software version
+/// began it.
+///
+/// What a plain service means by the id of the last event is its own matter.
+fn check_begins(http: &HttpRequest, subject: &Subject) -> Result<(), Reason> {
+    let has = |name| {
+        let value = http.headers().get(name);
+        value.is_some_and(|value| !value.is_empty())
+    };
+    let takes_up = has(RESUMES) || (matches!(subject, Subject::Model(_)) && has(LAST_EVENT_ID));
+    if takes_up {
+        return Err(Reason::VersionUnknown);
+    }
+    Ok(())
+}
+
 /// Returns the bearer key that identifies the client.
 ///
 /// # Errors
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -226,7 +226,7 @@
     let reach = worker.service.shared_view.paths();
     let path = reach.begin(&report.target);
     let watch = Rc::new(Watch::new(worker, call, report, probe));
-    let sent = target::send(worker, watch.target(), call, 0);
+    let sent = target::send(worker, watch.target(), call, None);
     let sent = target::while_reachable(worker, watch.target(), call, sent).await;
     let mut reply = match sent {
         Ok(reply) => reply,
@@ -249,7 +249,8 @@
     let stall_timeout = worker.service.stall_timeout;
     reply.body = relay::with_timeouts(reply.body, events, call.request.deadline, stall_timeout);
     if events && call.request.events {
-        reply.body = relay::resumable_events(worker, call, &watch, reply.body);
+        let software = reply.software.take();
+        reply.body = relay::resumable_events(worker, call, &watch, software.as_deref(), reply.body);
         // The closing event confirms the end, whatever the framing.
         reply.highest = Ending::Complete;
     }
--- a/crates/zinniastall-entry/src/callers/call.rs
+++ b/crates/zinniastall-entry/src/callers/call.rs
@@ -3,6 +3,7 @@
 use std::cell::OnceCell;
 
 use bytes::Bytes;
+use zinniastall_coord::origin::Requirement;
 use zinniastall_model::{fingerprint::Fingerprint, header};
 use zinniastall_route::request::Request;
 
@@ -60,15 +61,21 @@
     }
 
     /// Returns the system's own headers for a request to a target.
-    pub fn system_headers(&self, left_ms: u64, offset: u64) -> Vec<(&'static str, String)> {
+    pub fn system_headers(
+        &self,
+        left_ms: u64,
+        continues: Option<(u64, &Requirement)>,
+    ) -> Vec<(&'static str, String)> {
         let mut headers = vec![
             (header::REQUEST, self.request.id.clone()),
             (header::CLIENT, self.request.client.clone()),
             (header::CLASS, self.request.class.clone()),
             (header::DEADLINE, left_ms.to_string()),
         ];
-        if offset > 0 {
+        if let Some((offset, requirement)) = continues {
             headers.push((header::OFFSET, offset.to_string()));
+            let origin = requirement.origin();
+            headers.extend(origin.map(|origin| (header::SOFTWARE, origin.version.clone())));
         }
         headers
     }
--- a/crates/zinniastall-entry/src/callers/forward/head.rs
+++ b/crates/zinniastall-entry/src/callers/forward/head.rs
@@ -39,6 +39,7 @@
         events,
         offset: 0,
         served,
+        software: None,
         body,
     }
 }
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use tokio::time::timeout_at;
+use zinniastall_coord::origin::{Origin, Requirement};
 use zinniastall_route::{
     dispatch::{self, Next, Progress},
     outcome::{Reason, Refusal},
@@ -102,6 +103,8 @@
     call: Rc<Call>,
     watch: Rc<Watch>,
     body: Body,
+    /// What a target that goes on with the stream must satisfy.
+    requirement: Requirement,
     events: Events,
     attempts: u32,
 }
@@ -109,14 +112,18 @@
 /// Relays complete events only, and fails if the closing event is missing.
 ///
 /// If the connection breaks in between, an idempotent stream resumes at its offset on the same
-/// target, provided that the target supports it and the retry budget permits.
+/// target, provided that the target supports it and the retry budget permits. The process behind the
+/// target's address may be another by then, so both answers must state the same software.
 pub(super) fn resumable_events(
     worker: &Rc<Worker>,
     call: &Rc<Call>,
     watch: &Rc<Watch>,
+    software: Option<&str>,
     body: Body,
 ) -> Body {
+    let origin = Origin::new(call.request.subject.name(), software);
     lazy_body(EventStream {
+        requirement: Requirement::continuing(origin),
         worker: Rc::clone(worker),
         call: Rc::clone(call),
         watch: Rc::clone(watch),
@@ -149,6 +156,17 @@
 }
 
 impl EventStream {
+    /// Records that the stream can't go on at its target.
+    fn refuse(&self, why: &'static str) {
+        self.worker.recorder.count("taken-up.refused", 1);
+        tracing::info!(
+            event = "not-resumed",
+            request = self.call.request.id,
+            target = self.watch.target().target,
+            why,
+        );
+    }
+
     async fn resume(&mut self, broken: Refusal) -> Result<(), Refusal> {
         let request = &self.call.request;
         let progress = Progress {
@@ -163,6 +181,10 @@
         if next == Next::End || offset == 0 || !request.idempotent {
             return Err(broken);
         }
+        if self.requirement == Requirement::Unknown {
+            self.refuse("version-unknown");
+            return Err(broken);
+        }
         // The request may be what crashed the target.
         if self.watch.failed(&broken).await {
             return Err(broken);
@@ -179,14 +201,21 @@
             return Err(broken);
         }
         self.attempts += 1;
-        let reply = target::send(&self.worker, self.watch.target(), &self.call, offset)
+        let continues = Some((offset, &self.requirement));
+        let reply = target::send(&self.worker, self.watch.target(), &self.call, continues)
             .await
             .map_err(|_| broken.clone())?;
+        let subject = request.subject.name();
+        if !self.requirement.admits(subject, reply.software.as_deref()) {
+            self.refuse("version-not-served");
+            return Err(broken);
+        }
         // A target that ignores the offset starts over; relaying that would duplicate events.
         if !reply.events || reply.offset != offset {
             return Err(broken);
         }
         let stall_timeout = self.worker.service.stall_timeout;
+        self.worker.recorder.count("taken-up.went-on", 1);
         self.events.resume();
         self.body = with_timeouts(
             reply.body,
--- a/crates/zinniastall-entry/src/callers/reply.rs
+++ b/crates/zinniastall-entry/src/callers/reply.rs
@@ -30,6 +30,9 @@
     pub offset: u64,
     /// Target that serves the request.
     pub served: Served,
+    /// Version of the software that writes the answer, if its target states it and this instance
+    /// received it from there.
+    pub software: Option<String>,
     /// Body; dropping it cancels the request at the target.
     pub body: Body,
 }
--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use tokio::time::timeout_at;
+use zinniastall_coord::origin::Requirement;
 use zinniastall_http::{
     body::{Decoder, Framing},
     client::Exchange,
@@ -21,7 +22,7 @@
     head::{self, Response},
     pool::Connection,
 };
-use zinniastall_model::header::{OFFSET, OUTCOME, RETRY};
+use zinniastall_model::header::{OFFSET, OUTCOME, RETRY, SOFTWARE};
 use zinniastall_route::outcome::{Outcome, Reason, Refusal};
 use zinniastall_wire::gossip;
 
@@ -36,6 +37,9 @@
 
 /// Sends a request to a target and waits for the head of its answer.
 ///
+/// A request that `continues` a stream names the event at which it does, and what the target must
+/// satisfy to run it.
+///
 /// # Errors
 ///
 /// Returns a [`Refusal`] whose outcome tells whether the target may have run the request.
@@ -43,10 +47,10 @@
     worker: &Rc<Worker>,
     target: &gossip::Target,
     call: &Call,
-    offset: u64,
+    continues: Option<(u64, &Requirement)>,
 ) -> Result<Reply, Refusal> {
     let left = remaining_ms(call.request.deadline);
-    let request = encode(call, &target.address, left, offset)?;
+    let request = encode(call, &target.address, left, continues)?;
     if left == 0 {
         return Err(Refusal::not_run(Reason::DeadlineNotFeasible));
     }
@@ -85,12 +89,17 @@
 }
 
 /// Encodes a request for a target.
-fn encode(call: &Call, address: &str, left: u64, offset: u64) -> Result<BytesMut, Refusal> {
+fn encode(
+    call: &Call,
+    address: &str,
+    left: u64,
+    continues: Option<(u64, &Requirement)>,
+) -> Result<BytesMut, Refusal> {
     let malformed = |what: &str| Refusal::not_run(Reason::MalformedBody(what.to_owned()));
     let method = Method::from_bytes(call.method.as_bytes());
     let method = method.map_err(|_| malformed("the method is not known"))?;
     let mut headers = HeaderMap::new();
-    let own = call.system_headers(left, offset);
+    let own = call.system_headers(left, continues);
     let own = own.iter().map(|(name, value)| (*name, value.as_str()));
     let callers = call.headers.iter();
     let callers = callers.map(|(name, value)| (name.as_str(), value.as_str()));
@@ -242,6 +251,7 @@
                 target: self.target.target.clone(),
                 place: self.target.place.clone(),
             },
+            software: self.text(SOFTWARE).map(ToOwned::to_owned),
             body: lazy_body(self),
         }
     }
--- a/crates/zinniastall-entry/src/callers/ticket/record.rs
+++ b/crates/zinniastall-entry/src/callers/ticket/record.rs
@@ -148,6 +148,7 @@
             events: head.events,
             offset: 0,
             served: head.served,
+            software: None,
             body: reply::lazy_body(reader),
         })
     }
--- a/crates/zinniastall-route/src/outcome.rs
+++ b/crates/zinniastall-route/src/outcome.rs
@@ -102,6 +102,9 @@
     /// The queue is full.
     #[error("the queue is full")]
     QueueFull,
+    /// Nothing tells which software version began the stream that the caller takes up.
+    #[error("it is not known which software version began the stream; ask for it anew")]
+    VersionUnknown,
     /// The target refused the request before running it.
     #[error("the target refused the request before running it")]
     TargetRefused,
@@ -159,6 +162,7 @@
             Self::DeadlineNotFeasible => "deadline-not-feasible",
             Self::ShareUsedUp => "share-used-up",
             Self::QueueFull => "queue-full",
+            Self::VersionUnknown => "version-unknown",
             Self::TargetRefused => "target-refused",
             Self::TargetUnreachable => "target-unreachable",
             Self::TargetLost => "target-lost",
--- a/crates/zinniastall-standin/src/engine/chat.rs
+++ b/crates/zinniastall-standin/src/engine/chat.rs
@@ -56,6 +56,11 @@
     if !engine.serves_model(&chat.model) {
         return refuse(&engine, &error_body("not-held", "model not held"));
     }
+    let required = request.headers().get(header::SOFTWARE);
+    let own = engine.settings.announce.software.as_deref();
+    if required.is_some_and(|required| required.to_str().ok() != own) {
+        return refuse(&engine, &error_body("other-software", "not this software"));
+    }
     let Some(slot) = engine.slots.acquire().await else {
         return refuse(
             &engine,
--- a/tests/src/cluster/mod.rs
+++ b/tests/src/cluster/mod.rs
@@ -119,7 +119,8 @@
 
     /// Starts a stand-in model engine that serves `model` in a zone with entry instances.
     ///
-    /// `change` is merged into its settings.
+    /// `change` is merged into its settings. It states software version 1.0, or none if `change` has
+    /// null there.
     ///
     /// # Errors
     ///
@@ -134,8 +135,14 @@
         let mut settings = json!({
             "kind": "engine",
             "engine": {"models": [{"model": model, "version": "1"}]},
+            "announce": {"software": "1.0"},
         });
         settings::merge(&mut settings, change);
+        if settings["announce"]["software"].is_null()
+            && let Some(announce) = settings["announce"].as_object_mut()
+        {
+            announce.remove("software");
+        }
         self.standin(name, place, settings).await
     }
 
