fix(gateway): lists from long ago don't count again once no replica is linked

What callers would see: with no control replica in reach, an instance takes others for not ready and sends nothing to their regions; streams are not told to them either.

Cause: when no replica is linked, all lists count, also that of a replica that was unsubscribed from minutes before. Of two entries for one run the one that isn't ready wins, so an instance that was starting then counts as starting.

The test in knowledge.rs fails on the code before with that sequence of lists.

Fix: without a linked replica those lists count that did when the last link ended. Records go to, and are asked of, all instances of the list, ready or not.

--- a/crates/zinniastall-gateway/src/cluster_state.rs
+++ b/crates/zinniastall-gateway/src/cluster_state.rs
@@ -193,6 +193,7 @@
         if let Some(list) = self.lists.get_mut(replica) {
             list.is_subscribed = false;
             list.ended_at.get_or_insert(now);
+            self.instances = None;
         }
     }
 
@@ -270,12 +271,14 @@
 
     /// Returns the lists that are valid.
     ///
-    /// If no replica is linked, this instance is the one that is cut off, and all lists remain
-    /// valid.
+    /// If no replica is linked, this instance is the one that is cut off, and the lists remain valid
+    /// that were when the last link ended.
     fn current_lists(&self, now: Instant) -> impl Iterator<Item = &InstanceList> {
         let linked = self.lists.values().any(|list| list.ended_at.is_none());
+        let last_end = self.lists.values().filter_map(|list| list.ended_at).max();
+        let moment = last_end.filter(|_| !linked).unwrap_or(now);
         let lists = self.lists.values();
-        lists.filter(move |list| !linked || list.is_fresh(now))
+        lists.filter(move |list| list.is_fresh(moment))
     }
 
     /// Returns the instances in any valid list.
--- a/crates/zinniastall-gateway/src/origins.rs
+++ b/crates/zinniastall-gateway/src/origins.rs
@@ -246,8 +246,7 @@
 fn others(view: &View) -> IndexMap<&str, Vec<&str>> {
     let mut regions: IndexMap<&str, Vec<&str>> = IndexMap::new();
     let instances = view.instances.by_name().values();
-    let holders = instances
-        .filter(|held| held.ready && held.checks_origins && held.instance != view.instance);
+    let holders = instances.filter(|held| held.checks_origins && held.instance != view.instance);
     for held in holders {
         let region = regions.entry(&held.place.region).or_default();
         region.push(&held.instance);
--- a/crates/zinniastall-gateway/src/path/origin.rs
+++ b/crates/zinniastall-gateway/src/path/origin.rs
@@ -103,7 +103,8 @@
     /// Records that the first event of a stream is about to be forwarded.
     pub(super) fn began(&self, attempt: &Attempt<'_>, origin: Option<&Origin>) {
         let job = attempt.job;
-        *attempt.began.borrow_mut() = Some(Requirement::continuing(origin.cloned()));
+        let known = origin.cloned().or_else(|| self.sole_origin(job));
+        *attempt.began.borrow_mut() = Some(Requirement::continuing(known));
         // The instance that the caller connected to records what the caller received.
         let id = job.resumes().unwrap_or(&job.id);
         let Some(origin) = origin.filter(|_| !job.is_passed_on && !id.is_empty()) else {
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -361,11 +361,12 @@
     /// since this instance doesn't know which one leads.
     fn unknown_versions(&self) -> Option<Message> {
         let view = self.state.view();
-        let versions = view.versions()?;
+        let (versions, table) = (view.versions()?, view.table()?);
         let reports = view.targets.by_name().values().map(|known| &known.report);
         let unknown = reports.filter(|report| {
             let held = versions.get(&report.service);
-            held.is_none_or(|held| !held.has(report.version.as_deref()))
+            let is_known = held.is_some_and(|held| held.has(report.version.as_deref()));
+            !is_known && table.service(&report.service).is_some()
         });
         let names = unknown.map(|report| {
             let version = report.version.clone().unwrap_or_default();
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -236,3 +236,31 @@
     let later = now + Duration::from_secs(4);
     assert!(known.view(later).instances.by_name()["a"].ready);
 }
+
+/// Guards against lists from long ago that count again once no replica is linked: instances that were
+/// starting at that time would count as not ready.
+#[test]
+fn a_list_from_long_ago_stays_forgotten_without_any_replica() {
+    let start = Instant::now();
+    let mut known = state();
+    known.subscribe("far", start);
+    known.apply_instances("far", whole_list(vec![presence("edge-2", 1, false)]));
+    known.unsubscribe("far", start);
+    known.subscribe("near", start);
+    known.apply_instances("near", whole_list(vec![presence("edge-2", 1, true)]));
+    let later = start + Duration::from_mins(1);
+    known.unsubscribe("near", later);
+    for now in [later, later + Duration::from_mins(1)] {
+        let view = known.view(now);
+        let is_ready = view
+            .instances
+            .by_name()
+            .get("edge-2")
+            .map(|held| held.ready);
+        assert_eq!(
+            is_ready,
+            Some(true),
+            "it was ready when the last replica was lost"
+        );
+    }
+}
--- a/crates/zinniastall-gateway/tests/path/versions.rs
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -1,11 +1,13 @@
 //! Streams of targets of several software versions.
 
-use std::{sync::Arc, time::Instant};
+use std::{rc::Rc, sync::Arc, time::Instant};
 
 use indexmap::IndexSet;
-use zinniastall_coord::origin::{CONFIRMATION_LEASE, Stage};
+use tokio::net::UdpSocket;
+use zinniastall_coord::origin::{CONFIRMATION_LEASE, Key, Stage};
 use zinniastall_gateway::{
     freshness::Lease,
+    neighbours::datagram::{Datagram, MAX_DATAGRAM_BYTES},
     view::{Shared, Target as KnownTarget, View},
 };
 use zinniastall_model::{
@@ -323,3 +325,81 @@
     /// Guards against a record that was made on the report of an earlier run of the target.
     a_later_run_at_another_version_makes_a_record_doubtful => corrects_a_record_of_an_earlier_run(),
 }
+
+/// Starts an instance with a neighbour that only listens to its datagrams.
+async fn beside_a_listener(
+    settled: &[&str],
+    names: &[&'static str],
+) -> (Gateway, std::net::UdpSocket) {
+    let targets = writers(names).await;
+    // Not one of the runtime, which would have to notice first that a datagram is there.
+    let neighbour = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    neighbour.set_nonblocking(true).unwrap();
+    let address = neighbour.local_addr().unwrap().to_string();
+    let mut view = seen(&targets, settled);
+    view.instances = Arc::new([instance("edge-2", PLACE, &address)].into_iter().collect());
+    let gateway = Gateway::start(view).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    gateway.proxy.origins.set_socket(Rc::new(socket));
+    (gateway, neighbour)
+}
+
+async fn tells_a_neighbour_before_the_first_event() {
+    let (gateway, neighbour) = beside_a_listener(&["v1", "v2"], &["v1"]).await;
+    let mut caller = gateway.connect().await;
+    caller.send(&get("/resumed/1", "s", "")).await;
+    caller.read_until("data: ").await;
+    // The event has arrived, so the datagram has, too: both were sent to this machine, in this order.
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let length = neighbour.recv(&mut buffer).unwrap();
+    let Datagram::Origins(told) = Datagram::decode(&buffer[..length]).unwrap() else {
+        panic!("another datagram");
+    };
+    assert_eq!(told[0].key, Key::of("s"));
+    assert_eq!(told[0].origin.version, "v1");
+}
+
+async fn tells_nobody_while_one_version_serves() {
+    let (gateway, neighbour) = beside_a_listener(&["v1"], &["v1"]).await;
+    for stream in 0..5 {
+        let id = format!("s{stream}");
+        ask(&gateway, "/resumed/1", &id, "").await;
+        let fields = format!("Last-Event-Id: 3\r\nResumes: other-{stream}\r\n");
+        let rest = ask(&gateway, "/resumed/1", &format!("{id}-1"), &fields).await;
+        assert!(rest.is_complete(), "{rest:?}");
+    }
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let received = neighbour.recv(&mut buffer);
+    assert!(received.is_err(), "{received:?}");
+}
+
+async fn tells_of_earlier_streams_once_a_second_version_is_announced() {
+    let (gateway, neighbour) = beside_a_listener(&["v1"], &["v1"]).await;
+    let state = &gateway.proxy.state;
+    gateway.proxy.origins.update(state, Instant::now());
+    ask(&gateway, "/resumed/1", "s", "").await;
+    let mut view = View::clone(&state.view());
+    view.configuration = Some(Arc::new(Configuration {
+        versions: Some(versions(&["v1", "v2"])),
+        ..Configuration::clone(view.configuration.as_ref().unwrap())
+    }));
+    state.publish(view);
+    gateway.proxy.origins.update(state, Instant::now());
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let length = neighbour.recv(&mut buffer).unwrap();
+    let datagram = Datagram::decode(&buffer[..length]).unwrap();
+    let Datagram::Origins(told) = datagram else {
+        panic!("{datagram:?}");
+    };
+    assert_eq!((told.len(), told[0].key), (1, Key::of("s")));
+}
+
+cases! {
+    /// Guards against an instance that ends right after the first event and takes its record with it.
+    others_know_what_began_a_stream_before_its_caller_does => tells_a_neighbour_before_the_first_event(),
+    /// Guards against traffic and waits that one version alone doesn't need.
+    nobody_is_told_or_asked_while_one_version_serves => tells_nobody_while_one_version_serves(),
+    /// Guards against streams that nobody knows since they began when there was one version.
+    others_are_told_of_streams_from_before_a_second_version =>
+        tells_of_earlier_streams_once_a_second_version_is_announced(),
+}
