test(soak): targets that start again with other software; streams of two versions are a violation

The load tool compares the software that each event of a stream names; `mixed` in its audit and in the soak's last line. The soak kills targets and starts them again under their names and addresses at one of three versions, beside all other faults.

--- a/crates/zinniastall-load/src/audit.rs
+++ b/crates/zinniastall-load/src/audit.rs
@@ -44,6 +44,8 @@
     pub ran_anyway: u64,
     /// Requests that may run at most once and ran more than once.
     pub doubled: u64,
+    /// Streams that hold events of two software versions.
+    pub mixed: u64,
     /// Sum of the times of finished runs, in milliseconds.
     pub busy_ms: u64,
     /// Prompt blocks that were found in caches.
@@ -55,7 +57,7 @@
 impl Audit {
     /// Returns the number of broken guarantees.
     pub const fn violations(&self) -> u64 {
-        self.wrong + self.invented + self.ran_anyway + self.doubled
+        self.wrong + self.invented + self.ran_anyway + self.doubled + self.mixed
     }
 }
 
@@ -124,6 +126,7 @@
             .unwrap_or(0);
         let answered = observation.outcome == Outcome::Answered;
         audit.wrong += u64::from(answered && !observation.correct);
+        audit.mixed += u64::from(observation.mixed);
         if ledgers > 0 {
             audit.invented += u64::from(answered && ran == 0);
             audit.ran_anyway += u64::from(observation.outcome == Outcome::NotRun && ran > 0);
--- a/crates/zinniastall-load/src/call.rs
+++ b/crates/zinniastall-load/src/call.rs
@@ -57,6 +57,8 @@
     pub outcome: Outcome,
     /// Whether the answer was whole and the one to this prompt.
     pub correct: bool,
+    /// Whether a streamed answer, whole or not, holds events of two software versions.
+    pub mixed: bool,
     /// From the planned start to the first token.
     pub first_token: Option<Duration>,
     /// Times between tokens.
@@ -77,6 +79,7 @@
         Self {
             outcome,
             correct: false,
+            mixed: false,
             first_token: None,
             token_gaps: Vec::new(),
             total: due.elapsed(),
@@ -193,6 +196,7 @@
         let mut token_gaps = Vec::new();
         let mut last = Instant::now();
         let mut content = String::new();
+        let (mut software, mut mixed) = (None, false);
         let mut end = (Outcome::Unknown, "broken".to_owned());
         while let Ok(Some(event)) = events.next().await {
             if event.data == DONE {
@@ -209,6 +213,8 @@
             let Some(token) = data["choices"][0]["delta"]["content"].as_str() else {
                 continue;
             };
+            let fingerprint = data["system_fingerprint"].clone();
+            mixed |= *software.get_or_insert_with(|| fingerprint.clone()) != fingerprint;
             content += token;
             let now = Instant::now();
             match first_token {
@@ -219,6 +225,7 @@
         }
         let sample = Sample {
             correct: end.0 == Outcome::Answered && self.matches(&content),
+            mixed,
             first_token,
             token_gaps,
             ..Sample::new(end.0, self.due, &end.1)
--- a/crates/zinniastall-load/src/tally.rs
+++ b/crates/zinniastall-load/src/tally.rs
@@ -23,6 +23,8 @@
     pub idempotent: bool,
     /// Whether a whole answer was the one to its prompt.
     pub correct: bool,
+    /// Whether a streamed answer holds events of two software versions.
+    pub mixed: bool,
 }
 
 /// Samples of one client and class.
--- a/crates/zinniastall-load/src/worker.rs
+++ b/crates/zinniastall-load/src/worker.rs
@@ -115,6 +115,7 @@
             outcome: sample.outcome,
             idempotent: source.idempotent,
             correct: sample.correct,
+            mixed: sample.mixed,
         });
     }
 
--- a/crates/zinniastall-load/tests/load.rs
+++ b/crates/zinniastall-load/tests/load.rs
@@ -72,6 +72,7 @@
                 outcome: $outcome,
                 idempotent: $idempotent,
                 correct: true,
+                mixed: false,
             };
             let run = Run {
                 body_digest: "d".to_owned(),
@@ -104,6 +105,20 @@
         outcome: Outcome::Answered,
         idempotent: true,
         correct: false,
+        mixed: false,
+    };
+    assert_eq!(audit::compare(&[observation], &[], 0).violations(), 1);
+}
+
+/// Guards against a stream of two software versions that counts as fine because it breaks off.
+#[test]
+fn a_mixed_stream_is_a_violation_also_if_it_is_not_whole() {
+    let observation = Observation {
+        digest: "d".to_owned(),
+        outcome: Outcome::Unknown,
+        idempotent: true,
+        correct: false,
+        mixed: true,
     };
     assert_eq!(audit::compare(&[observation], &[], 0).violations(), 1);
 }
--- a/xtask/src/bench/path/mod.rs
+++ b/xtask/src/bench/path/mod.rs
@@ -102,7 +102,7 @@
     let of = |value: &Value| value.as_f64().unwrap_or_default();
     let percent =
         |part: &Value, whole: &Value| format!("{:.1} %", 100.0 * of(part) / of(whole).max(1.0));
-    let violations = ["wrong", "invented", "ran_anyway", "doubled"];
+    let violations = ["wrong", "invented", "ran_anyway", "doubled", "mixed"];
     let violations: f64 = violations.iter().map(|name| of(&audit[*name])).sum();
     let mut row = vec![format!("{:.0} %", share * 100.0), policy.to_owned()];
     row.push(format!("{:.0}", of(&all["goodput"])));
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -11,6 +11,9 @@
 
 use super::{operator::Operator, system::System};
 
+/// Software versions of targets.
+const SOFTWARE: [&str; 3] = ["1.0", "1.1", "1.2"];
+
 /// A fault, with its subject and duration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -30,6 +33,8 @@
     Slow(String, Duration),
     /// Has a target break some answers off: in order, inside an event, or by cutting the connection.
     Tear(String, &'static str, &'static str),
+    /// Kills a target and starts it again with other software, under its name and address.
+    Upgrade(String, &'static str),
     /// Cuts entry instances off from all targets, by resets or by silence.
     Cut(Vec<String>, bool, Duration),
 }
@@ -42,7 +47,7 @@
         let group = groups[random.random_range(0..groups.len())];
         group.choose(random).cloned().unwrap_or_default()
     };
-    match random.random_range(0..11) {
+    match random.random_range(0..13) {
         0 => Fault::Kill(name(random), duration),
         1 => Fault::Freeze(name(random), duration),
         2 => Fault::Stop(name(random)),
@@ -68,6 +73,11 @@
                 actions[random.random_range(0..actions.len())],
             )
         }
+        11 | 12 => {
+            let target = system.targets.choose(random).cloned().unwrap_or_default();
+            let software = SOFTWARE[random.random_range(0..SOFTWARE.len())];
+            Fault::Upgrade(target, software)
+        }
         8 | 9 => {
             let most = system.entries.len();
             let amount = random.random_range(1..=most);
@@ -152,6 +162,11 @@
             let failure = json!({"point": point, "action": action, "events": events, "times": 4});
             system.cluster.fail(target, &failure).await?;
         }
+        Fault::Upgrade(target, software) => {
+            let node = system.cluster.target(target)?;
+            node.settings()["announce"]["software"] = (*software).into();
+            node.restart().await?;
+        }
         Fault::Slow(name, duration) => {
             let node = system.cluster.node(name)?;
             let delay = Duration::from_millis(50);
--- a/xtask/src/soak/limits.rs
+++ b/xtask/src/soak/limits.rs
@@ -58,6 +58,7 @@
         let targets: Vec<String> = self.current.keys().cloned().collect();
         let spoils = |target: &String| match fault {
             Fault::Kill(name, _)
+            | Fault::Upgrade(name, _)
             | Fault::Freeze(name, _)
             | Fault::Stop(name)
             | Fault::Slow(name, _)
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -95,7 +95,7 @@
         usize::try_from(count).unwrap_or(usize::MAX)
     };
     println!("soak: errors {}", all["errors"]);
-    let ledger: usize = ["wrong", "invented", "ran_anyway", "doubled"]
+    let ledger: usize = ["wrong", "invented", "ran_anyway", "doubled", "mixed"]
         .map(of)
         .iter()
         .sum();
@@ -107,7 +107,7 @@
         + findings.died;
     println!(
         "soak: requests={} answered={} not_run={} unknown={} runs={} changes={} faults={} \
-         wrong={} invented={} ran_anyway={} doubled={} strayed={} limits={} exceeded={} \
+         wrong={} invented={} ran_anyway={} doubled={} mixed={} strayed={} limits={} exceeded={} \
          reverted={} unclean={} died={} \
          violations={broken} seed={seed}",
         all["requests"],
@@ -121,6 +121,7 @@
         audit["invented"],
         audit["ran_anyway"],
         audit["doubled"],
+        audit["mixed"],
         findings.strayed,
         findings.limits,
         findings.limited,
