fix(gateway): a question for the beginning of a stream is repeated once

A lost datagram to each of the instances that hold the record made the stream unknown. Two tries of 150 ms instead of one of 200.

--- a/crates/zinniastall-gateway/src/origins.rs
+++ b/crates/zinniastall-gateway/src/origins.rs
@@ -21,8 +21,11 @@
     view::{Shared, View},
 };
 
-/// Timeout for an answer: a round trip between the farthest regions.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout for an answer, after which the question is repeated once: a round trip between the farthest
+/// regions. A datagram may be lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Number of times that an instance is asked.
+const TRIES: usize = 2;
 /// Time after its beginning within which a stream's target may report a run that had begun before.
 const WATCH_TIME: Duration = Duration::from_secs(4);
 /// Streams that are watched at most: those of [`WATCH_TIME`] at several times the usual rate.
@@ -146,7 +149,7 @@
         let question = |number| Datagram::OriginQuestion { number, key: *key };
         let questions = addresses.map(|address| {
             self.queries
-                .ask_within(address, 1, ANSWER_TIMEOUT, question)
+                .ask_within(address, TRIES, ANSWER_TIMEOUT, question)
         });
         let mut answers: FuturesUnordered<_> = questions.collect();
         while let Some(answer) = answers.next().await {
