test(gateway): the first version of a service is reported at once (red)

A stream begins at a settled version only, and instances tell the group of a version that it lacks with their heartbeat, every 500 ms, after which the leader gathers for 50 ms more. So the first streams of each service wait for up to 0.6 s, more than the 0.45 s for which they are held.

The test counts heartbeats before the report of a new version, so that it depends on no clock.

--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -4,7 +4,13 @@
     reason = "a failing helper fails its test, as the test's own lines do"
 )]
 
-use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::{
@@ -26,7 +32,7 @@
 use zinniastall_wire::{
     frame::Frame,
     hello::{Hello, Purpose, VERSION},
-    hub::{Configuration, Message},
+    hub::{Configuration, Message, Versions},
     link::Link,
 };
 
@@ -37,15 +43,43 @@
 struct Replica {
     address: SocketAddr,
     messages: mpsc::UnboundedSender<Message>,
+    heard: Heard,
 }
 
+/// Messages that a replica has received, except questions for the configuration.
+type Heard = Rc<RefCell<Vec<Message>>>;
+
 impl Replica {
     async fn start(held: Configuration) -> Self {
         let listener = TcpListener::bind(ANY_PORT).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (messages, queued) = mpsc::unbounded_channel();
-        actix::spawn(serve(listener, held, queued));
-        Self { address, messages }
+        let heard = Heard::default();
+        actix::spawn(serve(listener, held, queued, Rc::clone(&heard)));
+        Self {
+            address,
+            messages,
+            heard,
+        }
+    }
+
+    /// Forgets what was received before, and waits until a version is reported; returns whether that
+    /// came before a heartbeat.
+    async fn hears_early(&self, version: &str) -> bool {
+        let names = |message: &Message| {
+            let Message::Versions(names) = message else {
+                return false;
+            };
+            names.iter().any(|(_, stated)| stated == version)
+        };
+        self.heard.borrow_mut().clear();
+        wait_until("the version is reported", || {
+            self.heard.borrow().iter().any(names)
+        })
+        .await;
+        let heard = self.heard.borrow();
+        let mut before = heard.iter().take_while(|message| !names(message));
+        !before.any(|message| matches!(message, Message::Present(_)))
     }
 }
 
@@ -53,6 +87,7 @@
     listener: TcpListener,
     held: Configuration,
     mut messages: mpsc::UnboundedReceiver<Message>,
+    heard: Heard,
 ) {
     let (stream, _) = listener.accept().await.unwrap();
     let hello = |peer: &Hello| {
@@ -79,6 +114,10 @@
                 Some(Ok(Frame::Hub(Message::Fetch(_)))) => {
                     Message::Configuration(Box::new(held.clone()))
                 }
+                Some(Ok(Frame::Hub(message))) => {
+                    heard.borrow_mut().push(message);
+                    continue;
+                }
                 Some(Ok(_)) => continue,
                 _ => return,
             },
@@ -284,3 +323,34 @@
         assert_eq!(board.view().table().unwrap().number, 40);
     });
 }
+
+/// Guards against streams that are rejected while instances wait for a heartbeat to report the first
+/// version of a service.
+#[test]
+fn a_version_that_the_group_lacks_is_reported_at_once() {
+    run(async {
+        let mut held = configuration(1, 1);
+        held.versions = Some(Versions::default());
+        let replica = Replica::start(held).await;
+        let gateway = gateway(vec![replica.address.to_string()]);
+        let board = gateway.state.clone();
+        wait_until("the instance is ready", || board.is_ready()).await;
+        let address = target().await;
+        let mut early = 0;
+        for number in 1..=6 {
+            let version = format!("v{number}");
+            let report = Report {
+                target: format!("target-{number}"),
+                version: Some(version.clone()),
+                ..report(address)
+            };
+            replica
+                .messages
+                .send(Message::Targets(vec![report]))
+                .unwrap();
+            early += usize::from(replica.hears_early(&version).await);
+        }
+        // A heartbeat may be due at the same moment.
+        assert!(early > 0, "all with a heartbeat");
+    });
+}
