fix(gateway): a service's first version is agreed on within milliseconds, not a heartbeat

What callers saw: the first streams of a service were held for up to 0.45 s and then rejected as busy, while its other requests were served.

Cause: instances told the group of a version that it lacked with their heartbeat, every 500 ms, and the leader gathered such reports for 50 ms.

Change: what the group lacks is computed where a view is published, and links are woken up when it gains a version; heartbeats repeat it. The leader gathers for 10 ms: what it has announced meanwhile it knows.

--- a/crates/zinniastall-control/src/hub/versions.rs
+++ b/crates/zinniastall-control/src/hub/versions.rs
@@ -23,7 +23,7 @@
 use crate::control::{Reply, Write};
 
 /// Time during which reports are gathered, since all instances discover the same versions.
-const GATHER_WINDOW: Duration = Duration::from_millis(50);
+const GATHER_WINDOW: Duration = Duration::from_millis(10);
 /// Interval at which versions are settled that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Versions that may wait to be announced; instances repeat their reports.
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -10,7 +10,11 @@
 use futures_util::StreamExt;
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
-use tokio::{sync::Notify, task::JoinHandle, time};
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time,
+};
 use zinniastall_model::{id, place::Place, presence::Presence, routing::Kind};
 use zinniastall_wire::{
     frame::Frame,
@@ -76,8 +80,13 @@
     fetch_ended: Notify,
     freshness: RefCell<Freshness>,
     view_stale: Notify,
+    /// Versions that the group lacked when the last view was published.
+    lacking: watch::Sender<IndexSet<Name>>,
 }
 
+/// A software version of a service.
+type Name = (id::Service, id::Version);
+
 impl std::fmt::Debug for Uplinks {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Uplinks")
@@ -111,6 +120,7 @@
             fetch_ended: Notify::new(),
             freshness: RefCell::default(),
             view_stale: Notify::new(),
+            lacking: watch::Sender::default(),
         });
         uplinks.update_links();
         actix::spawn(Rc::clone(&uplinks).refresh());
@@ -146,7 +156,13 @@
     fn publish(&self) {
         let view = self.cluster.borrow_mut().view(Instant::now());
         log_instances(&self.state.view(), &view);
+        let lacking = lacking_versions(&view);
         self.state.publish(view);
+        self.lacking.send_if_modified(|before| {
+            let has_new = !lacking.is_subset(before);
+            *before = lacking;
+            has_new
+        });
     }
 
     /// Keeps a link to each seed and to each replica in any replica's list.
@@ -249,6 +265,7 @@
         let mut timeout_at = time::Instant::now() + LINK_TIMEOUT;
         let mut fetch_at: Option<time::Instant> = None;
         let mut is_subscribed = false;
+        let mut lacking = self.lacking.subscribe();
         loop {
             let fetch_due = fetch_at.unwrap_or(timeout_at);
             let subscription = self.update_subscription(replica, &mut is_subscribed);
@@ -284,6 +301,15 @@
                             self.unknown_versions(),
                         ]
                     }
+                    // The first streams of a service wait until the group knows its version.
+                    Ok(()) = lacking.changed() => [
+                        self.unknown_versions(),
+                        None,
+                        None,
+                        None,
+                        None,
+                        None,
+                    ],
                     () = self.presence_changed.notified() => [
                         Some(Message::Present((self.presence)())),
                         None,
@@ -357,23 +383,11 @@
         table.is_some_and(|table| table.routes.iter().any(|route| route.kind == Kind::Stream))
     }
 
-    /// Returns the versions that targets state and the group doesn't know. They go to all replicas,
-    /// since this instance doesn't know which one leads.
+    /// Returns the versions that targets state and the group lacks. They go to all replicas, since
+    /// this instance doesn't know which one leads.
     fn unknown_versions(&self) -> Option<Message> {
-        let view = self.state.view();
-        let (versions, table) = (view.versions()?, view.table()?);
-        let reports = view.targets.by_name().values().map(|known| &known.report);
-        let unknown = reports.filter(|report| {
-            let held = versions.get(&report.service);
-            let is_known = held.is_some_and(|held| held.has(report.version.as_deref()));
-            !is_known && table.service(&report.service).is_some()
-        });
-        let names = unknown.map(|report| {
-            let version = report.version.clone().unwrap_or_default();
-            (report.service.clone(), version)
-        });
-        let names: IndexSet<_> = names.collect();
-        (!names.is_empty()).then(|| Message::Versions(names.into_iter().collect()))
+        let lacking = self.lacking.borrow();
+        (!lacking.is_empty()).then(|| Message::Versions(lacking.iter().cloned().collect()))
     }
 
     /// Handles a replica's answer that the group had reached a revision when this instance asked.
@@ -512,6 +526,24 @@
     }
 }
 
+/// Returns the versions that targets state and the group lacks, of services in the routing table.
+fn lacking_versions(view: &View) -> IndexSet<Name> {
+    let (Some(versions), Some(table)) = (view.versions(), view.table()) else {
+        return IndexSet::new();
+    };
+    let reports = view.targets.by_name().values().map(|known| &known.report);
+    let lacking = reports.filter(|report| {
+        let held = versions.get(&report.service);
+        let is_known = held.is_some_and(|held| held.has(report.version.as_deref()));
+        !is_known && table.service(&report.service).is_some()
+    });
+    let names = lacking.map(|report| {
+        let version = report.version.clone().unwrap_or_default();
+        (report.service.clone(), version)
+    });
+    names.collect()
+}
+
 /// Logs which instances appeared, disappeared or changed their readiness.
 fn log_instances(before: &View, after: &View) {
     if Arc::ptr_eq(&before.instances, &after.instances) {
