fix(gateway): an idle connection that ended stays a sign that its target started again

What callers saw: a stream that goes on at a target which has started again under its name with other software, where the instance had only idle connections to it.

Cause: a request that begins takes a connection from the pool, and the pool dropped those that had ended without a word. The next stream to go on found no sign that the target's connections had ended.

Change: the pool remembers when idle connections ended, whoever finds out, until that is asked for or ten seconds have passed.

Measured: the new test failed on the code before with a stream written by v2 where v1 began it, and passes.

--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -223,7 +223,7 @@
                 }
                 if let Some((target, address)) = place.direct().filter(|_| ended.is_failure()) {
                     self.closings.note(target);
-                    self.runs.lose(address, Instant::now());
+                    self.runs.lose(address);
                 }
                 let has_crashed = self
                     .update_suspicion(&attempt, &ended, &before, responder)
--- a/crates/zinniastall-gateway/src/path/runs.rs
+++ b/crates/zinniastall-gateway/src/path/runs.rs
@@ -15,14 +15,13 @@
 };
 
 use indexmap::IndexMap;
+use zinniastall_http::pool::Loss;
 
 use super::Proxy;
 use crate::view::Target;
 
 /// Time that a report may take from its target to this instance.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(400);
-/// Time after which the end of a connection is forgotten; targets report every few seconds.
-const LOSS_TTL: Duration = Duration::from_secs(10);
 
 /// What is known of the process behind a target's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,13 +45,6 @@
     lost: Option<Loss>,
 }
 
-/// When a connection ended: between two times.
-#[derive(Debug, Clone, Copy)]
-struct Loss {
-    after: Instant,
-    before: Instant,
-}
-
 /// Counts a connection in use until it is dropped.
 #[derive(Debug)]
 pub(super) struct Guard {
@@ -74,13 +66,22 @@
         }
     }
 
-    /// Records that a connection to an address ended too early, some time after the given one.
-    pub(super) fn lose(&self, address: &str, after: Instant) {
+    /// Records that a connection to an address ended too early.
+    pub(super) fn lose(&self, address: &str) {
+        let now = Instant::now();
+        let loss = Loss {
+            after: now,
+            before: now,
+        };
+        self.add_loss(address, loss);
+    }
+
+    fn add_loss(&self, address: &str, loss: Loss) {
         let now = Instant::now();
         let mut entries = self.0.borrow_mut();
         entries.retain(|_, entry| !entry.opened.is_empty() || entry.has_recent_loss(now));
         let entry = entries.entry(address.to_owned()).or_default();
-        entry.lost = Some(Loss { after, before: now });
+        entry.lost = Some(loss);
     }
 
     fn lost(&self, address: &str) -> Option<Loss> {
@@ -109,7 +110,7 @@
     }
 
     fn has_recent_loss(&self, now: Instant) -> bool {
-        self.lost.is_some_and(|lost| lost.before + LOSS_TTL > now)
+        self.lost.is_some_and(|lost| !lost.is_old(now))
     }
 }
 
@@ -130,8 +131,8 @@
     /// Returns what is known of the process behind a target's address.
     pub(super) fn target_run(&self, target: &Target) -> Run {
         let address = target.report.address.as_str();
-        if let Some(after) = self.pool.lost_since(address) {
-            self.runs.lose(address, after);
+        if let Some(loss) = self.pool.take_loss(address) {
+            self.runs.add_loss(address, loss);
         }
         let has_older =
             |than| self.runs.has_older(address, than) || self.pool.has_older(address, than);
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod rates;
 mod request_log;
+mod restarts;
 mod streams;
 mod versions;
 
--- a/crates/zinniastall-gateway/tests/path/versions.rs
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -38,7 +38,7 @@
 }
 
 /// Writes its version into each event, and breaks off streams that begin with `broken` in their path.
-fn writer(version: &'static str) -> impl Fn(&Request) -> Vec<Action> + 'static {
+pub(crate) fn writer(version: &'static str) -> impl Fn(&Request) -> Vec<Action> + 'static {
     move |request| {
         if request.head.contains("/plans/") {
             return vec![Action::Send(request.response(version))];
@@ -60,7 +60,7 @@
 }
 
 /// Starts a target of each version, as a gateway sees them; an empty version is none.
-async fn writers(names: &[&'static str]) -> Vec<(Target, KnownTarget)> {
+pub(crate) async fn writers(names: &[&'static str]) -> Vec<(Target, KnownTarget)> {
     let mut all = Vec::new();
     for (at, version) in names.iter().enumerate() {
         let target = Target::start(writer(version)).await;
@@ -72,7 +72,7 @@
 }
 
 /// Returns a view with targets, and with the versions that the group has settled.
-fn seen(targets: &[(Target, KnownTarget)], settled: &[&str]) -> View {
+pub(crate) fn seen(targets: &[(Target, KnownTarget)], settled: &[&str]) -> View {
     let mut view = view(routes(), &[]);
     let known = targets.iter().map(|(_, known)| known.clone());
     let known = known.map(|known| (known.report.target.clone(), known));
@@ -84,13 +84,13 @@
     view
 }
 
-async fn ask(gateway: &Gateway, path: &str, id: &str, fields: &str) -> Response {
+pub(crate) async fn ask(gateway: &Gateway, path: &str, id: &str, fields: &str) -> Response {
     let mut caller = gateway.connect().await;
     caller.call(&get(path, id, fields)).await
 }
 
 /// Returns the versions that wrote a stream.
-fn written_by(body: &str) -> IndexSet<String> {
+pub(crate) fn written_by(body: &str) -> IndexSet<String> {
     let lines = body.lines().filter_map(|line| line.strip_prefix("data: "));
     lines
         .filter_map(|data| data.split(' ').next().map(ToOwned::to_owned))
--- a/crates/zinniastall-http/src/pool.rs
+++ b/crates/zinniastall-http/src/pool.rs
@@ -62,10 +62,39 @@
     }
 }
 
+/// Time for which the ends of idle connections are remembered.
+const LOSS_TTL: Duration = Duration::from_secs(10);
+
 /// Idle connections, by address.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<IndexMap<String, Vec<Idle>>>,
+    losses: RefCell<IndexMap<String, Loss>>,
+}
+
+/// When connections to an address ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loss {
+    /// Time at which the first of them was still open.
+    pub after: Instant,
+    /// Time by which all of them had ended.
+    pub before: Instant,
+}
+
+impl Loss {
+    /// Adds another loss at the same address.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        Self {
+            after: self.after.min(other.after),
+            before: self.before.max(other.before),
+        }
+    }
+
+    /// Returns whether the loss is too old to say anything about the peer.
+    pub fn is_old(&self, now: Instant) -> bool {
+        self.before + LOSS_TTL <= now
+    }
 }
 
 #[derive(Debug)]
@@ -115,18 +144,34 @@
         }
     }
 
-    /// Returns whether an idle connection to an address has ended, and forgets those that have.
+    /// Returns whether an idle connection to an address has ended since this was last asked.
     pub fn has_lost(&self, address: &str) -> bool {
-        self.lost_since(address).is_some()
-    }
-
-    /// Returns since when the first of the idle connections to an address was idle that have ended, and
-    /// forgets these.
-    pub fn lost_since(&self, address: &str) -> Option<Instant> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(address)?;
+        let Some(connections) = idle.get_mut(address) else {
+            return false;
+        };
         let ended = connections.extract_if(.., |idle| idle.connection.reader.is_stale());
-        ended.map(|idle| idle.since).min()
+        let since = ended.map(|idle| idle.since).min();
+        since
+            .inspect(|since| self.note_loss(address, *since))
+            .is_some()
+    }
+
+    /// Returns when idle connections to an address ended, and forgets it.
+    pub fn take_loss(&self, address: &str) -> Option<Loss> {
+        self.has_lost(address);
+        self.losses.borrow_mut().swap_remove(address)
+    }
+
+    /// Records that a connection ended that had been idle since a time.
+    fn note_loss(&self, address: &str, since: Instant) {
+        let loss = Loss {
+            after: since,
+            before: Instant::now(),
+        };
+        let mut losses = self.losses.borrow_mut();
+        let held = losses.entry(address.to_owned()).or_insert(loss);
+        *held = held.and(loss);
     }
 
     /// Returns whether an idle connection to an address was opened before a time.
@@ -148,6 +193,7 @@
 
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
+        self.losses.borrow_mut().retain(|_, loss| !loss.is_old(now));
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
             connections.retain(|connection| connection.until > now);
@@ -162,7 +208,9 @@
         while let Some(mut newest) = connections.pop() {
             let is_expired =
                 newest.until <= now || (!repeats && newest.since + MAX_IDLE_UNREPEATABLE <= now);
-            if !is_expired && !newest.connection.reader.is_stale() {
+            if newest.connection.reader.is_stale() {
+                self.note_loss(address, newest.since);
+            } else if !is_expired {
                 return Some(newest.connection);
             }
         }
