test(gateway): a detour and a split route keep to what began a stream

A stream that is taken up at an instance that reaches no target itself goes on by its neighbour at the version that began it; one of a route that is split between two services goes on at the service that began it.

Both pass on the code as it is.

--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -37,7 +37,7 @@
 }
 
 /// Starts the exchange of datagrams of an instance.
-async fn exchange(gateway: &Gateway) {
+pub(crate) async fn exchange(gateway: &Gateway) {
     let socket = Rc::new(UdpSocket::bind(gateway.forward).await.unwrap());
     let proxy: &Proxy = &gateway.proxy;
     let context = Context {
@@ -89,12 +89,12 @@
 }
 
 /// Has an instance send requests, so that it hears from its target, for as long as the test runs.
-fn keep_busy(gateway: &Gateway) {
+pub(crate) fn keep_busy(gateway: &Gateway, path: &'static str) {
     let callers = gateway.callers;
     tokio::task::spawn_local(async move {
         loop {
             let mut caller = crate::harness::Caller::connect(callers).await;
-            caller.call(&post("/pay/1", "busy", "x")).await;
+            caller.call(&post(path, "busy", "x")).await;
             time::sleep(Duration::from_millis(30)).await;
         }
     });
@@ -116,7 +116,7 @@
     });
     let reached = Target::start(answer).await;
     let [cut, neighbour] = pair([&dark, &reached]).await;
-    keep_busy(&neighbour);
+    keep_busy(&neighbour, "/pay/1");
     time::sleep(Duration::from_millis(500)).await;
     let mut caller = cut.connect().await;
     caller.send(&get("/resumed/1", "a", "")).await;
@@ -134,7 +134,7 @@
     let dark = Target::with_short_backlog(|_| vec![Action::PowerLoss]);
     let reached = Target::start(answer).await;
     let [cut, neighbour] = pair([&dark, &reached]).await;
-    keep_busy(&neighbour);
+    keep_busy(&neighbour, "/pay/1");
     let mut first = cut.connect().await;
     first.send(&post("/pay/1", "lost", "x")).await;
     time::sleep(Duration::from_secs(1)).await;
@@ -178,7 +178,7 @@
     let crashing = Target::start(|_| vec![Action::Crash]).await;
     let reached = Target::start(answer).await;
     let [cut, neighbour] = pair([&crashing, &reached]).await;
-    keep_busy(&neighbour);
+    keep_busy(&neighbour, "/pay/1");
     time::sleep(Duration::from_millis(200)).await;
     cut.connect().await.call(&get("/resumed/1", "a", "")).await;
     assert!(cut.proxy.suspects.borrow().is_empty());
@@ -190,7 +190,7 @@
     let dark = Target::with_short_backlog(|_| vec![Action::PowerLoss]);
     let reached = Target::start(answer).await;
     let [cut, neighbour] = pair([&dark, &reached]).await;
-    keep_busy(&neighbour);
+    keep_busy(&neighbour, "/pay/1");
     let mut waiting = cut.connect().await;
     waiting.send(&post("/pay/1", "lost", "x")).await;
     time::sleep(Duration::from_secs(1)).await;
--- a/crates/zinniastall-gateway/tests/path/versions.rs
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -12,7 +12,7 @@
 };
 use zinniastall_model::{
     place::Place,
-    routing::{Kind, Route},
+    routing::{Kind, Route, Service, Share, Table},
 };
 use zinniastall_wire::hub::Configuration;
 
@@ -22,6 +22,7 @@
         Action, Gateway, PLACE, Request, Response, SERVICE, Target, get, instance, known_target,
         post, route, versions, view,
     },
+    partitions::{exchange, keep_busy},
     streams::{chunk, event, head},
 };
 
@@ -63,14 +64,18 @@
 pub(crate) async fn writers(names: &[&'static str]) -> Vec<(Target, KnownTarget)> {
     let mut all = Vec::new();
     for (at, version) in names.iter().enumerate() {
-        let target = Target::start(writer(version)).await;
-        let mut known = known_target(&format!("target-{at}"), target.address);
-        known.report.version = Some((*version).to_owned()).filter(|version| !version.is_empty());
-        all.push((target, known));
+        all.push(known(at, Target::start(writer(version)).await, version));
     }
     all
 }
 
+/// Returns a target of a version with what a gateway sees of it.
+fn known(at: usize, target: Target, version: &str) -> (Target, KnownTarget) {
+    let mut known = known_target(&format!("target-{at}"), target.address);
+    known.report.version = Some(version.to_owned()).filter(|version| !version.is_empty());
+    (target, known)
+}
+
 /// Returns a view with targets, and with the versions that the group has settled.
 pub(crate) fn seen(targets: &[(Target, KnownTarget)], settled: &[&str]) -> View {
     let mut view = view(routes(), &[]);
@@ -251,6 +256,70 @@
     assert_eq!(runs(&targets), before);
 }
 
+async fn carries_the_requirement_over_a_detour() {
+    let dark = || Target::with_short_backlog(|_| vec![Action::PowerLoss]);
+    let dark = [known(0, dark(), "v1"), known(1, dark(), "v2")];
+    let reached = writers(&["v1", "v2"]).await;
+    let mut views = [seen(&dark, &["v1", "v2"]), seen(&reached, &["v1", "v2"])];
+    "edge-2".clone_into(&mut views[1].instance);
+    let boards = views.map(Shared::new);
+    let [cut, neighbour] = [
+        Gateway::on(boards[0].clone()).await,
+        Gateway::on(boards[1].clone()).await,
+    ];
+    for (board, gateway) in boards.iter().zip([&cut, &neighbour]) {
+        let list = [("edge-1", &cut), ("edge-2", &neighbour)];
+        let list = list.map(|(name, at)| instance(name, PLACE, &at.forward.to_string()));
+        let view = View::clone(&board.view());
+        let instances = Arc::new(list.into_iter().collect());
+        board.publish(View { instances, ..view });
+        exchange(gateway).await;
+    }
+    keep_busy(&neighbour, "/plans/1");
+    // The instance that is cut off finds that out from requests.
+    ask(&cut, "/plans/1", "p", "").await;
+    for stream in 0..20 {
+        let id = format!("s{stream}");
+        let first = ask(&neighbour, "/resumed/1", &id, "").await;
+        let fields = format!("Last-Event-Id: 3\r\nResumes: {id}\r\n");
+        let rest = ask(&cut, "/resumed/1", &format!("{id}-1"), &fields).await;
+        assert!(rest.is_complete(), "{rest:?}");
+        assert_eq!(written_by(&rest.body), written_by(&first.body));
+    }
+}
+
+async fn goes_on_at_the_service_that_began_it() {
+    let mut targets = writers(&["v1", "w1"]).await;
+    "other".clone_into(&mut targets[1].1.report.service);
+    let mut view = seen(&targets, &["v1"]);
+    let mut split = routes().swap_remove(0).to(Share {
+        service: "other".to_owned(),
+        weight: 1,
+    });
+    split.attempts = 1;
+    let services = [SERVICE, "other"].map(Service::new);
+    let other = std::iter::once(("w1", Stage::Settled)).collect();
+    let mut held = Configuration::clone(view.configuration.as_ref().unwrap());
+    held.table = Some(Table::new(1, vec![split], services.into()));
+    held.versions
+        .as_mut()
+        .unwrap()
+        .insert("other".to_owned(), Arc::new(other));
+    view.configuration = Some(Arc::new(held));
+    let gateway = Gateway::start(view).await;
+    let mut begun = IndexSet::new();
+    for stream in 0..20 {
+        let id = format!("s{stream}");
+        let first = ask(&gateway, "/resumed/1", &id, "").await;
+        let fields = format!("Last-Event-Id: 3\r\nResumes: {id}\r\n");
+        let rest = ask(&gateway, "/resumed/1", &format!("{id}-1"), &fields).await;
+        assert!(rest.is_complete(), "{rest:?}");
+        assert_eq!(written_by(&rest.body), written_by(&first.body));
+        begun.extend(written_by(&first.body));
+    }
+    assert_eq!(begun.len(), 2, "both services begin streams");
+}
+
 async fn callers_and_targets_state_no_origins() {
     let target = Target::start(|request| {
         let origin = r#"zs-origin: {"s":"api","v":"v2"}"#;
@@ -292,6 +361,10 @@
     a_stream_of_a_target_without_a_version_goes_on_nowhere => a_target_without_a_version_goes_on_nowhere(),
     /// Guards against a border behind which the version that began a stream is forgotten.
     another_region_keeps_to_the_version => carries_the_requirement_over_a_border(),
+    /// Guards against a neighbour that forgets the version, where this instance reaches no target.
+    a_detour_keeps_to_the_version => carries_the_requirement_over_a_detour(),
+    /// Guards against streams of a split route that their callers take up at another service.
+    a_split_route_keeps_to_the_service => goes_on_at_the_service_that_began_it(),
     /// Guards against an instance of an older version, which takes a requirement for any other field.
     an_older_instance_gets_no_stream_to_go_on_with =>
         an_instance_that_checks_nothing_gets_no_stream_to_go_on_with(),
