fix(gateway): a draining instance hands over what began streams

What callers saw: after a rolling restart of the instances, while targets of two versions serve, no stream from before could be taken up: rejected as version-unknown.

Cause: a record is held by the instance that began the stream and three that it told. An instance that ended took its records with it, and the one that came back knew nothing; once all four had been restarted nobody did.

Change: when it drains, an instance tells the records that it holds to the three that rank highest for each, its own and those that it was told, except of services whose sole version is certain. An instance that has come back gets them from those that drain after it.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -291,6 +291,7 @@
 /// would cut off a request that arrives between the reading and the exit.
 async fn finish(traffic: &Proxy, accepting: [JoinHandle<()>; 2], order: DrainOrder) {
     let since = Instant::now();
+    traffic.origins.hand_over(&traffic.state);
     let connections = &traffic.connections;
     let is_expired = |since: Instant| since.elapsed() >= order.max_wait;
     while !is_expired(since) && since.elapsed() < order.min_wait {
--- a/crates/zinniastall-gateway/src/origins.rs
+++ b/crates/zinniastall-gateway/src/origins.rs
@@ -224,6 +224,16 @@
         self.tell_all(&view, &news);
     }
 
+    /// Tells others all that this instance knows, except of services whose sole version is certain. To be
+    /// called before it ends: those that were told with it may end as well, one after the other.
+    pub fn hand_over(&self, state: &Shared) {
+        let mut records = self.records.borrow().all(Instant::now());
+        records.retain(|record| sole_version(state, &record.origin.service).is_none());
+        if !records.is_empty() {
+            self.tell_all(&state.view(), &records);
+        }
+    }
+
     fn tell_all(&self, view: &View, news: &[Record]) {
         let regions = others(view);
         let mut by_instance: IndexMap<&str, Vec<Record>> = IndexMap::new();
