test(gateway): caches are fetched from the same version only

A target that gets a prompt whose beginning another one holds is told to fetch its cache from there if both state the same version, and not if they state others or none.

--- a/crates/zinniastall-gateway/tests/path/versions.rs
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -1,9 +1,14 @@
 //! Streams of targets of several software versions.
 
-use std::{rc::Rc, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexSet;
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, time};
 use zinniastall_coord::origin::{CONFIRMATION_LEASE, Key, Stage};
 use zinniastall_gateway::{
     freshness::Lease,
@@ -12,7 +17,7 @@
 };
 use zinniastall_model::{
     place::Place,
-    routing::{Kind, Route, Service, Share, Table},
+    routing::{Engine, Kind, Route, Service, Share, Table},
 };
 use zinniastall_wire::hub::Configuration;
 
@@ -320,6 +325,56 @@
     assert_eq!(begun.len(), 2, "both services begin streams");
 }
 
+/// Keeps a target busy with a long prompt, and returns where the other one fetches the cache from that
+/// a prompt with the same beginning needs.
+async fn fetches_from(names: [&'static str; 2]) -> Option<SocketAddr> {
+    let mut targets = Vec::new();
+    for (at, version) in names.into_iter().enumerate() {
+        let target = Target::start(move |request| {
+            let mut actions = writer(version)(request);
+            if request.header("prompt-parts").contains("long") {
+                actions.insert(0, Action::Wait(Duration::from_secs(5)));
+            }
+            actions
+        });
+        targets.push(known(at, target.await, version));
+    }
+    let mut view = seen(&targets, &["v1", "v2", ""]);
+    let mut held = Configuration::clone(view.configuration.as_ref().unwrap());
+    let mut service = Service::new(SERVICE);
+    service.engine = Some(Engine {
+        slots: 8,
+        tokens: 1 << 20,
+        stride: 1,
+        token_bytes: 1_000,
+        link_mbps: 100_000,
+    });
+    held.table = Some(Table::new(1, routes(), vec![service]));
+    view.configuration = Some(Arc::new(held));
+    let gateway = Gateway::start(view).await;
+    let mut caller = gateway.connect().await;
+    let long = "prompt-parts: shared:5000,long:60000\r\n";
+    caller.send(&get("/resumed/1", "long", long)).await;
+    while runs(&targets) == 0 {
+        time::sleep(Duration::from_millis(1)).await;
+    }
+    let short = "prompt-parts: shared:5000,short:10\r\n";
+    assert!(
+        ask(&gateway, "/resumed/1", "short", short)
+            .await
+            .is_complete()
+    );
+    let requests = targets.iter().flat_map(|(target, _)| target.requests());
+    let mut fetched = requests.map(|request| request.header("fetch-from").to_owned());
+    fetched.find_map(|address| address.parse().ok())
+}
+
+async fn fetches_caches_of_its_own_version_only() {
+    assert!(fetches_from(["v1", "v1"]).await.is_some());
+    assert_eq!(fetches_from(["v1", "v2"]).await, None);
+    assert_eq!(fetches_from(["", ""]).await, None);
+}
+
 async fn callers_and_targets_state_no_origins() {
     let target = Target::start(|request| {
         let origin = r#"zs-origin: {"s":"api","v":"v2"}"#;
@@ -365,6 +420,8 @@
     a_detour_keeps_to_the_version => carries_the_requirement_over_a_detour(),
     /// Guards against streams of a split route that their callers take up at another service.
     a_split_route_keeps_to_the_service => goes_on_at_the_service_that_began_it(),
+    /// Guards against a prompt that a target goes on with from the cache of another version.
+    a_cache_is_fetched_from_the_same_version => fetches_caches_of_its_own_version_only(),
     /// Guards against an instance of an older version, which takes a requirement for any other field.
     an_older_instance_gets_no_stream_to_go_on_with =>
         an_instance_that_checks_nothing_gets_no_stream_to_go_on_with(),
