feat(gateway): log and count each decision on a retry

Change: event=retry with the outcome, the requests and retries of the window, what is allowed and the number of instances assumed; a counter by service and outcome. No decision changes.

--- a/crates/zinniastall-gateway/src/decide/budget.rs
+++ b/crates/zinniastall-gateway/src/decide/budget.rs
@@ -66,6 +66,16 @@
     /// Takes one retry out of the budget and returns whether it held one; `instances` share the
     /// fixed number.
     pub fn withdraw(&mut self, now: Instant, instances: usize) -> bool {
+        let figures = self.figures(now, instances);
+        if f64::from(figures.retries + 1) > figures.allowed {
+            return false;
+        }
+        self.retries.add(now, self.bound.window, 1);
+        true
+    }
+
+    /// Returns what a decision made now would be based on.
+    pub fn figures(&mut self, now: Instant, instances: usize) -> Figures {
         let window = self.bound.window;
         let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
         // An instance that left a moment ago may have used its part within this window.
@@ -73,14 +83,28 @@
         let share = f64::from(self.bound.slack) / f64::from(self.instances.highest(now, window));
         let requests = f64::from(self.requests.sum(now, window));
         let allowed = BOUND_SHARE * (self.bound.ratio * requests + share);
-        if f64::from(self.retries.sum(now, window) + 1) > allowed {
-            return false;
+        Figures {
+            requests: self.requests.sum(now, window),
+            retries: self.retries.sum(now, window),
+            allowed,
+            instances: self.instances.highest(now, window),
         }
-        self.retries.add(now, window, 1);
-        true
     }
 }
 
+/// What a decision on a retry is based on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figures {
+    /// Requests within the last window.
+    pub requests: u32,
+    /// Retries within the last window.
+    pub retries: u32,
+    /// Retries that may be made within the window.
+    pub allowed: f64,
+    /// Number of instances that share the fixed number.
+    pub instances: u32,
+}
+
 /// Values by bucket of the window, oldest first.
 #[derive(Debug, Default)]
 struct Window(VecDeque<(Instant, u32)>);
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -17,7 +17,9 @@
 const MAX_ROUTE_LABELS: usize = 64;
 /// Client accounts with a label of their own; all others share [`OTHER_LABEL`].
 const MAX_ACCOUNT_LABELS: usize = 64;
-/// Label shared by the routes and accounts beyond the limits.
+/// Services with a label of their own; all others share [`OTHER_LABEL`].
+const MAX_SERVICE_LABELS: usize = 64;
+/// Label shared by the routes, accounts and services beyond the limits.
 const OTHER_LABEL: &str = "other";
 
 /// Labels of finished requests.
@@ -76,6 +78,13 @@
     outcome: &'static str,
 }
 
+/// Labels of decisions on retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    service: String,
+    outcome: &'static str,
+}
+
 /// Labels of finished attempts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
@@ -95,11 +104,13 @@
     page: Page,
     routes: Arc<Mutex<IndexSet<String>>>,
     accounts: Arc<Mutex<IndexSet<String>>>,
+    services: Arc<Mutex<IndexSet<String>>>,
     requests: Counters<RequestLabels>,
     seconds: Histograms<RouteLabels>,
     first_seconds: Histograms<RouteLabels>,
     pause_seconds: Histograms<RouteLabels>,
     attempts: Counters<AttemptLabels>,
+    retries: Counters<RetryLabels>,
     endings: Counters<EndingLabels>,
     units: Counters<UnitLabels>,
     suspects: Counters<SuspectLabels>,
@@ -137,6 +148,7 @@
                 "Longest time between two pieces of an answer",
             ),
             attempts: page.counters("attempts", "Attempts by outcome"),
+            retries: page.counters("retries", "Decisions on retries by service and outcome"),
             endings: page.counters(
                 "answer_endings",
                 "Answers received, by their framing and by what is known of their end",
@@ -176,6 +188,7 @@
             page: page.build(),
             routes: Arc::default(),
             accounts: Arc::default(),
+            services: Arc::default(),
             request_count: Arc::default(),
         }
     }
@@ -210,6 +223,15 @@
             .inc();
     }
 
+    /// Counts a decision on a retry of a request for a service.
+    pub fn count_retry(&self, service: &str, is_granted: bool) {
+        let retry_labels = RetryLabels {
+            service: bounded_label(&self.services, service, MAX_SERVICE_LABELS),
+            outcome: if is_granted { "granted" } else { "denied" },
+        };
+        self.retries.get_or_create(&retry_labels).inc();
+    }
+
     /// Counts the end of an answer that was received.
     pub fn count_ending(&self, framing: Framing, ending: Ending) {
         let ending_labels = EndingLabels {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -331,10 +331,14 @@
             return false;
         }
         let instances = self.state.view().instances.by_name().len();
+        let now = Instant::now();
         let mut tracker = self.tracker.borrow_mut();
-        tracker
-            .budget(&job.service)
-            .withdraw(Instant::now(), instances)
+        let budget = tracker.budget(&job.service);
+        let figures = budget.figures(now, instances);
+        let is_granted = budget.withdraw(now, instances);
+        self.request_log.retry(job, is_granted, figures);
+        self.metrics.count_retry(&job.service, is_granted);
+        is_granted
     }
 
     /// Returns whether a request may still be sent according to the accounts known here. A
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -17,7 +17,7 @@
 use zinniastall_model::{id, routing::Route};
 
 use super::{
-    decide::quota::Excess,
+    decide::{budget::Figures, quota::Excess},
     path::{
         attempt::{Ended, Place},
         job::{Charge, Job},
@@ -287,6 +287,25 @@
         );
     }
 
+    /// Logs whether the budget held a retry, and what it holds.
+    pub fn retry(&self, job: &Job, is_granted: bool, figures: Figures) {
+        if !self.admits(false) {
+            return;
+        }
+        tracing::info!(
+            event = "retry",
+            id = job.id,
+            route = job.route().name,
+            service = job.service,
+            outcome = if is_granted { "granted" } else { "denied" },
+            requests = figures.requests,
+            retries = figures.retries,
+            allowed = figures.allowed,
+            instances = figures.instances,
+            left_ms = millis(job.left(Instant::now())),
+        );
+    }
+
     /// Logs that a target crashed with a request in flight.
     ///
     /// `in_flight` is the number of requests at the target, from all instances as far as known, and
