test: a retry budget that begins anew with each start of an instance (red)

Failure: all instances are killed and started again every 2.5 s while targets fail; each start brings a full share of the fixed number.

--- a/crates/zinniastall-gateway/tests/decide/budget.rs
+++ b/crates/zinniastall-gateway/tests/decide/budget.rs
@@ -101,3 +101,29 @@
     let more = (0..200).filter(|_| budget.withdraw(later, 1)).count();
     assert!(first + more <= 58 / 9, "{first} and {more}");
 }
+
+/// Guards against a budget that begins anew with each start of an instance.
+#[test]
+fn instances_that_start_again_keep_to_the_bound() {
+    let start = Instant::now();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for life in 0..8 {
+        let mut budgets: Vec<Budget> = (0..9).map(|_| Budget::new(BOUND)).collect();
+        for step in 0..25 {
+            let now = life * 2_500 + step * 100;
+            let at = start + Duration::from_millis(now);
+            for budget in &mut budgets {
+                budget.deposit(at);
+                requests.push(now);
+                if budget.withdraw(at, 9) {
+                    repeats.push(now);
+                }
+            }
+        }
+    }
+    let excess = max_excess(&requests, &repeats);
+    assert!(
+        excess <= f64::from(BOUND.slack),
+        "{excess} beyond the share"
+    );
+}
