fix(gateway): one retry budget over all runs of all instances

Callers saw: when targets fail while instances start again, targets get more retries than the system's budget holds, which takes the rest of their capacity.

Cause: a quantity of the whole system kept by parts that don't add up to it. Each run began with a full share of the fixed number, whatever the run before it had spent; each divided the fixed number by the instances that it saw at that moment; a retry counted when it was decided, not when it was sent.

Evidence: event=retry on the logic before: retries granted with 28 to 45 instances assumed of 83 in the second after each start, and a full share by each run; 908 arrivals beyond the first, 868 allowed.

Change: coord::retry. Retries are paid for by requests that the same run received in the same window, so that parts of runs add up; a run begins as if it had spent its share of the fixed number; a share is held only while linked to a majority of the control replicas, half of which are now subscribed to, so any two instances with a share know each other; a retry counts until its target has answered.

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -1,5 +1,6 @@
 //! Coordination primitives without I/O: consensus, leases, fencing tokens, command deduplication,
-//! tickets, membership, digests, quarantine, origins of streams, rate limits and reachability.
+//! tickets, membership, digests, quarantine, origins of streams, rate limits, retry budgets and
+//! reachability.
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Each primitive is a state
 //! machine: the embedder passes it messages and the current [`Instant`](std::time::Instant), and it
@@ -20,6 +21,7 @@
 //! | [`origin`] | which software version began a stream, and where it may go on |
 //! | [`rate`] | rate limits that many instances keep together |
 //! | [`reach`] | paths to targets, as neighbours confirm them |
+//! | [`retry`] | retry budgets that many instances share without messages |
 //! | [`rendezvous`] | weights that assign keys to members |
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
@@ -36,6 +38,7 @@
 pub mod reach;
 pub mod rendezvous;
 pub mod replica;
+pub mod retry;
 pub mod ticket;
 pub mod voters;
 
--- a/crates/zinniastall-gateway/src/cluster_state.rs
+++ b/crates/zinniastall-gateway/src/cluster_state.rs
@@ -208,6 +208,7 @@
             targets: Arc::new(self.ready_targets(now)),
             instances: self.instances(now),
             loads: Arc::clone(&self.loads),
+            retry_share: None,
         }
     }
 
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -15,6 +15,7 @@
     time,
 };
 use zinniastall_coord::origin::CONFIRMATION_LEASE;
+use zinniastall_coord::retry::Division;
 use zinniastall_model::{
     id,
     place::Place,
@@ -178,7 +179,8 @@
     let cluster = State::new(settings.instance.clone(), settings.place.clone());
     let presence = presence_source(hello.clone(), state.clone(), Arc::clone(shared_load));
     let seeds = settings.seeds.clone();
-    Uplinks::start(hello, presence, cluster, state.clone(), seeds)
+    let division = Division::new(settings.policy.retry_budget.window);
+    Uplinks::start(hello, presence, (cluster, division), state.clone(), seeds)
 }
 
 fn presence_source(
@@ -260,6 +262,8 @@
                 let instances = view.instances.by_name().values();
                 let ready = instances.filter(|held| held.ready).count();
                 traffic.metrics.set_known(view.revision(), view.targets.by_name().len(), ready);
+                let share = view.retry_share.map_or(0, |share| share.instances);
+                traffic.metrics.set_retry_shares(share);
                 traffic.metrics.set_connections(traffic.connections.open());
                 traffic.keep_suspects();
                 let quarantined = traffic.suspects.borrow().quarantined();
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -1,7 +1,6 @@
 //! Decisions of the request path as pure functions of the known state and the current time, without
 //! I/O.
 
-pub mod budget;
 pub mod concurrency;
 pub mod fetch;
 pub mod identity;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -121,6 +121,7 @@
     taken_up: Counters<TakenUpLabels>,
     unreached: Gauge,
     quarantined: Gauge,
+    retry_shares: Gauge,
     limited: Gauge,
     revision: Gauge,
     targets: Gauge,
@@ -180,6 +181,10 @@
                 "Targets that are not reached from here",
             ),
             limited: page.gauge("limited_targets", "Targets that name a rate"),
+            retry_shares: page.gauge(
+                "retry_shares",
+                "Instances that divide the fixed number of retries; 0 while this one holds no share",
+            ),
             quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             revision: page.gauge("revision", "Configuration in force"),
             targets: page.gauge("targets", "Targets that take requests"),
@@ -223,11 +228,11 @@
             .inc();
     }
 
-    /// Counts a decision on a retry of a request for a service.
-    pub fn count_retry(&self, service: &str, is_granted: bool) {
+    /// Counts a decision on a retry of a request for a service: `granted`, or why it wasn't.
+    pub fn count_retry(&self, service: &str, outcome: &'static str) {
         let retry_labels = RetryLabels {
             service: bounded_label(&self.services, service, MAX_SERVICE_LABELS),
-            outcome: if is_granted { "granted" } else { "denied" },
+            outcome,
         };
         self.retries.get_or_create(&retry_labels).inc();
     }
@@ -299,6 +304,12 @@
         self.quarantined.set(requests as u64);
     }
 
+    /// Sets the number of instances that divide the fixed number of retries; 0 while this one holds
+    /// no share.
+    pub fn set_retry_shares(&self, instances: u32) {
+        self.retry_shares.set(u64::from(instances));
+    }
+
     /// Sets the revision in force and the numbers of ready targets and instances.
     pub fn set_known(&self, revision: u64, targets: usize, instances: usize) {
         self.revision.set(revision);
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -7,7 +7,7 @@
 };
 
 use http::StatusCode;
-use zinniastall_coord::{origin::Requirement, rate::Rate};
+use zinniastall_coord::{origin::Requirement, rate::Rate, retry::Grant};
 use zinniastall_http::{
     body::Decoder,
     client::Exchange,
@@ -137,6 +137,21 @@
     pub requirement: &'a Requirement,
     /// What another destination must satisfy, once the first event was forwarded.
     pub began: &'a RefCell<Option<Requirement>>,
+    /// Right to send the request once more, if it was sent before.
+    pub retry: &'a RefCell<Option<Grant>>,
+}
+
+impl Attempt<'_> {
+    fn set_retry_sent(&self, is_sent: bool) {
+        if let Some(retry) = self.retry.borrow_mut().as_mut() {
+            retry.set_sent(is_sent);
+        }
+    }
+
+    /// Ends the retry: its target has answered, or isn't waited for any more.
+    fn end_retry(&self) {
+        self.retry.take();
+    }
 }
 
 impl Place {
@@ -227,18 +242,26 @@
         let _run = direct.map(|(_, address)| self.runs.hold(address, connection.opened));
         let output = self.encode(attempt, events.last_id());
         let may_have_run_before = attempt.may_have_run.replace(true);
+        attempt.set_retry_sent(true);
         let is_new = !connection.is_used;
         let exchange = self.exchange(job, &mut connection, &output);
         let received = self.while_reachable(attempt, exchange).await;
         let (response, is_clean) = match received {
             Ok(received) => received,
-            Err(why) => return Ended::Unknown(why),
+            Err(why) => {
+                attempt.end_retry();
+                return Ended::Unknown(why);
+            }
         };
         self.heard(place, is_new);
         self.observe_rate(attempt, &response, now, connection.is_used);
-        if let Some(ended) =
-            self.refusal(attempt, &response, connection.is_used, may_have_run_before)
-        {
+        let refusal = self.refusal(attempt, &response, connection.is_used, may_have_run_before);
+        if matches!(refusal, Some(Ended::NotSent(_))) {
+            attempt.set_retry_sent(false);
+        } else {
+            attempt.end_retry();
+        }
+        if let Some(ended) = refusal {
             if is_clean && drain_refusal(&response, &mut connection.reader).await {
                 self.pool.release(place.address(), connection, &response);
             }
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -21,7 +21,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use tokio::sync::Notify;
-use zinniastall_coord::quarantine::Probes;
+use zinniastall_coord::{quarantine::Probes, retry::Budgets};
 use zinniastall_http::pool::Pool;
 use zinniastall_model::fingerprint::Fingerprint;
 
@@ -50,6 +50,8 @@
     pub header_names: Names,
     /// Times and weights of the deployment.
     pub policy: Policy,
+    /// Retry budgets, by service.
+    pub retries: Budgets,
     /// Requests of this thread, by target and service.
     pub tracker: Rc<RefCell<Tracker>>,
     /// Load of the region's other instances at targets.
@@ -88,7 +90,8 @@
     /// Creates the proxy of a thread.
     pub fn new(state: Shared, header_names: Names, policy: Policy, metrics: Metrics) -> Self {
         Self {
-            tracker: Rc::new(RefCell::new(Tracker::new(policy.retry_budget))),
+            retries: Budgets::new(policy.retry_budget),
+            tracker: Rc::default(),
             neighbours: Rc::default(),
             claims: Rc::default(),
             rates: Rc::default(),
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -12,6 +12,7 @@
     quarantine::{
         HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
     },
+    retry::{Denial, Grant},
 };
 use zinniastall_http::{ending::Ending, events::Events, server::Reply};
 
@@ -68,6 +69,8 @@
     interrupted_at: Option<Instant>,
     /// Whether a target crashed under the request.
     has_crashed: bool,
+    /// Right to send the request once more, until it is used.
+    retry: RefCell<Option<Grant>>,
     server_error: Option<(Reply, Ending)>,
 }
 
@@ -122,6 +125,7 @@
             was_held: false,
             interrupted_at: None,
             has_crashed: false,
+            retry: RefCell::default(),
             server_error: None,
         };
         loop {
@@ -212,6 +216,7 @@
                     may_have_run: state.may_have_run,
                     requirement: &requirement,
                     began: &began,
+                    retry: &state.retry,
                 };
                 let before = self.known_before(job, &place);
                 let ended = self.attempt(&attempt, events, responder).await;
@@ -321,7 +326,7 @@
         })
     }
 
-    /// Returns whether a request may be retried, and if so takes the retry out of the budget.
+    /// Returns whether a request may be retried, and if so reserves the retry in the budget.
     fn may_repeat(&self, state: &State<'_>) -> bool {
         let job = state.job;
         if job.is_passed_on || state.sent >= job.route().attempts {
@@ -330,14 +335,15 @@
         if state.has_crashed && !may_retry_after_crash(self.crashes(job)) {
             return false;
         }
-        let instances = self.state.view().instances.by_name().len();
-        let now = Instant::now();
-        let mut tracker = self.tracker.borrow_mut();
-        let budget = tracker.budget(&job.service);
-        let figures = budget.figures(now, instances);
-        let is_granted = budget.withdraw(now, instances);
-        self.request_log.retry(job, is_granted, figures);
-        self.metrics.count_retry(&job.service, is_granted);
+        let share = self.state.view().retry_share;
+        let granted = self.retries.reserve(&job.service, share, Instant::now());
+        self.request_log.retry(job, &granted);
+        self.metrics.count_retry(
+            &job.service,
+            granted.as_ref().err().map_or("granted", Denial::as_str),
+        );
+        let is_granted = granted.is_ok();
+        state.retry.replace(granted.ok());
         is_granted
     }
 
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -319,9 +319,10 @@
             gap_ms: job.route().gap_ms,
         };
         tracker.record_demand(&job.service, asked, job.arrived);
+        drop(tracker);
         // The instance that the caller connected to has counted it already.
         if !job.is_passed_on {
-            tracker.budget(&job.service).deposit(job.arrived);
+            self.retries.deposit(&job.service, job.arrived);
         }
     }
 
--- a/crates/zinniastall-gateway/src/policy.rs
+++ b/crates/zinniastall-gateway/src/policy.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::decide::{budget::Bound, prefill::Rates, quota};
+use zinniastall_coord::retry::Bound;
+
+use crate::decide::{prefill::Rates, quota};
 
 /// Timings and limits that the request path decides by.
 #[derive(Debug, Clone, Copy)]
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -12,12 +12,13 @@
 use zinniastall_coord::{
     origin::Requirement,
     rate::{Demand, Invalid, Verdict},
+    retry::{Denial, Grant},
 };
 use zinniastall_http::ending::Ending;
 use zinniastall_model::{id, routing::Route};
 
 use super::{
-    decide::{budget::Figures, quota::Excess},
+    decide::quota::Excess,
     path::{
         attempt::{Ended, Place},
         job::{Charge, Job},
@@ -287,21 +288,23 @@
         );
     }
 
-    /// Logs whether the budget held a retry, and what it holds.
-    pub fn retry(&self, job: &Job, is_granted: bool, figures: Figures) {
+    /// Logs whether the budget held a retry, and otherwise what exhausted it.
+    pub fn retry(&self, job: &Job, granted: &Result<Grant, Denial>) {
         if !self.admits(false) {
             return;
         }
+        let denial = granted.as_ref().err();
         tracing::info!(
             event = "retry",
             id = job.id,
             route = job.route().name,
             service = job.service,
-            outcome = if is_granted { "granted" } else { "denied" },
-            requests = figures.requests,
-            retries = figures.retries,
-            allowed = figures.allowed,
-            instances = figures.instances,
+            outcome = denial.map_or("granted", Denial::as_str),
+            span_ms = denial.map(|denial| millis(denial.span)),
+            requests = denial.map(|denial| denial.requests),
+            retries = denial.map(|denial| denial.retries),
+            allowed = denial.map(|denial| denial.allowed),
+            instances = denial.and_then(|denial| denial.instances),
             left_ms = millis(job.left(Instant::now())),
         );
     }
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -10,12 +10,7 @@
 use zinniastall_model::{id, presence::Load};
 
 use crate::{
-    decide::{
-        budget::{Bound, Budget},
-        concurrency::Limit,
-        outlier::Record,
-        service_time::Estimate,
-    },
+    decide::{concurrency::Limit, outlier::Record, service_time::Estimate},
     neighbours,
 };
 
@@ -31,11 +26,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// In-flight requests, observed behaviour and demand, as one instance knows them.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Tracker {
-    retry_bound: Bound,
     targets: IndexMap<id::Target, Target>,
-    budgets: IndexMap<id::Service, Budget>,
     service_times: IndexMap<id::Service, Estimate>,
     blocked_regions: IndexMap<id::Service, IndexMap<id::Region, Block>>,
     demands: IndexMap<id::Service, IndexMap<Demand, Instant>>,
@@ -88,18 +81,6 @@
 }
 
 impl Tracker {
-    /// Creates a tracker without any targets or services.
-    pub fn new(retry_bound: Bound) -> Self {
-        Self {
-            retry_bound,
-            targets: IndexMap::new(),
-            budgets: IndexMap::new(),
-            service_times: IndexMap::new(),
-            blocked_regions: IndexMap::new(),
-            demands: IndexMap::new(),
-        }
-    }
-
     /// Returns what is known of a target, and starts tracking it if necessary.
     pub fn target(&mut self, target: &str, service: &str, now: Instant) -> &mut Target {
         if let Some(at) = self.targets.get_index_of(target) {
@@ -131,14 +112,6 @@
             .map_or(0, |target| target.in_flight)
     }
 
-    /// Returns the retry budget of a service.
-    pub fn budget(&mut self, service: &str) -> &mut Budget {
-        let retry_bound = self.retry_bound;
-        self.budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(retry_bound))
-    }
-
     /// Returns the expected service time of a plain service; `assumed` weighs as much as one
     /// observation.
     pub fn service_time(&self, service: &str, assumed: Duration) -> Duration {
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -15,6 +15,7 @@
     task::JoinHandle,
     time,
 };
+use zinniastall_coord::retry::{Division, Share};
 use zinniastall_model::{id, place::Place, presence::Presence, routing::Kind};
 use zinniastall_wire::{
     frame::Frame,
@@ -56,9 +57,11 @@
 /// Age of the last confirmation at which all replicas are asked for the next one, not only the
 /// nearest.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Replicas that are subscribed to for the list of instances. All know the same; the second one
-/// covers for the first while that restarts or is cut off from some instances.
-const SUBSCRIBED_REPLICAS: usize = 2;
+/// Least number of replicas that are subscribed to for the list of instances: the second one covers
+/// for the first while that restarts or is cut off from some instances.
+const MIN_SUBSCRIPTIONS: usize = 2;
+/// Replicas that are asked whether the configuration is the newest.
+const CONFIRMING_REPLICAS: usize = 2;
 
 /// Function that returns the current presence of this instance.
 pub type PresenceSource = Rc<dyn Fn() -> Presence>;
@@ -68,6 +71,7 @@
     hello: Hello,
     presence: PresenceSource,
     cluster: RefCell<State>,
+    division: RefCell<Division>,
     state: Shared,
     tasks: RefCell<IndexMap<Replica, JoinHandle<()>>>,
     seeds: RefCell<Vec<Replica>>,
@@ -100,7 +104,7 @@
     pub fn start(
         hello: Hello,
         presence: PresenceSource,
-        cluster: State,
+        (cluster, division): (State, Division),
         state: Shared,
         seeds: Vec<Replica>,
     ) -> Rc<Self> {
@@ -108,6 +112,7 @@
             hello,
             presence,
             cluster: RefCell::new(cluster),
+            division: RefCell::new(division),
             state,
             tasks: RefCell::default(),
             seeds: RefCell::new(seeds),
@@ -154,7 +159,9 @@
     }
 
     fn publish(&self) {
-        let view = self.cluster.borrow_mut().view(Instant::now());
+        let now = Instant::now();
+        let mut view = self.cluster.borrow_mut().view(now);
+        view.retry_share = self.retry_share(&view, now);
         log_instances(&self.state.view(), &view);
         let lacking = lacking_versions(&view);
         self.state.publish(view);
@@ -165,6 +172,18 @@
         });
     }
 
+    /// Returns the share of the fixed number of retries that this instance holds.
+    fn retry_share(&self, view: &View, now: Instant) -> Option<Share> {
+        let known = self.tasks.borrow().len();
+        let is_in_touch = self.linked.borrow().len() > known / 2;
+        let instances = view.instances.by_name();
+        let is_listed = instances.contains_key(&view.instance);
+        let count = instances.len() + usize::from(!is_listed);
+        let mut division = self.division.borrow_mut();
+        division.observe(is_in_touch, count, now);
+        division.share()
+    }
+
     /// Keeps a link to each seed and to each replica in any replica's list.
     fn update_links(self: &Rc<Self>) {
         let mut wanted: Vec<Replica> = self.seeds.borrow().clone();
@@ -225,21 +244,27 @@
         }
     }
 
-    /// Returns whether a replica is among the nearest linked ones, which are subscribed to.
-    fn is_source(&self, replica: &str) -> bool {
+    /// Returns how many replicas are subscribed to. Any majority of the replicas includes one of
+    /// them, so every instance that is linked to a majority is listed.
+    fn subscriptions(&self) -> usize {
+        self.tasks.borrow().len().div_ceil(2).max(MIN_SUBSCRIPTIONS)
+    }
+
+    /// Returns whether a replica is among a number of the nearest linked ones.
+    fn is_among_nearest(&self, replica: &str, number: usize) -> bool {
         let linked = self.linked.borrow();
         let own = &self.hello.place;
         let mut nearest: Vec<_> = linked.iter().collect();
         nearest.sort_by_key(|(name, place)| {
             (place.zone != own.zone, place.region != own.region, *name)
         });
-        let mut sources = nearest.into_iter().take(SUBSCRIBED_REPLICAS);
-        sources.any(|(name, _)| name == replica)
+        let mut nearest = nearest.into_iter().take(number);
+        nearest.any(|(name, _)| name == replica)
     }
 
     /// Returns the message for a replica that should be subscribed to from now on, or no longer.
     fn update_subscription(&self, replica: &str, is_subscribed: &mut bool) -> Option<Message> {
-        let is_source = self.is_source(replica);
+        let is_source = self.is_among_nearest(replica, self.subscriptions());
         if is_source == *is_subscribed {
             return None;
         }
@@ -291,7 +316,7 @@
                         continue;
                     }
                     _ = heartbeat.tick() => {
-                        let confirmation = self.confirmation_request(is_subscribed);
+                        let confirmation = self.confirmation_request(replica);
                         [
                             Some(Message::Present((self.presence)())),
                             confirmation,
@@ -363,9 +388,8 @@
     }
 
     /// Returns the question whether the configuration in force is the newest, if it is due: always
-    /// for the replicas that are subscribed to, and for all others once the last confirmation is
-    /// old.
-    fn confirmation_request(&self, is_source: bool) -> Option<Message> {
+    /// for the nearest replicas, and for all others once the last confirmation is old.
+    fn confirmation_request(&self, replica: &str) -> Option<Message> {
         if !self.state.lease().is_needed() && !self.has_streams() {
             return None;
         }
@@ -373,7 +397,8 @@
         let confirmed = self.freshness.borrow().confirmed();
         let is_old = confirmed.is_none_or(|confirmed| confirmed + CONFIRMATION_TIMEOUT < now);
         let stamp = u64::try_from(now.as_nanos()).unwrap_or(u64::MAX);
-        (is_source || is_old).then_some(Message::ReadIndex(stamp))
+        let is_near = self.is_among_nearest(replica, CONFIRMING_REPLICAS);
+        (is_near || is_old).then_some(Message::ReadIndex(stamp))
     }
 
     /// Returns whether streams are served, which may go on where the versions of services are certain.
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use arc_swap::ArcSwap;
-use zinniastall_coord::rate::Limit;
+use zinniastall_coord::{rate::Limit, retry};
 use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
 use zinniastall_wire::{
     hub::{Configuration, Versions},
@@ -54,6 +54,8 @@
     pub instances: Arc<Instances>,
     /// Load by service and region.
     pub loads: Arc<Loads>,
+    /// Share of the fixed number of retries that this instance holds, if it holds one.
+    pub retry_share: Option<retry::Share>,
 }
 
 impl View {
@@ -66,6 +68,7 @@
             targets: Arc::default(),
             instances: Arc::default(),
             loads: Arc::default(),
+            retry_share: None,
         }
     }
 
--- a/crates/zinniastall-gateway/tests/books.rs
+++ b/crates/zinniastall-gateway/tests/books.rs
@@ -2,10 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use zinniastall_gateway::{
-    decide::budget::Bound,
-    tracker::{Demand, Tracker},
-};
+use zinniastall_gateway::tracker::{Demand, Tracker};
 
 const fn usage(priority: u8, gap_ms: u64) -> Demand {
     Demand {
@@ -20,7 +17,7 @@
 #[test]
 fn only_routes_in_use_affect_others() {
     let now = Instant::now();
-    let mut tracker = Tracker::new(Bound::default());
+    let mut tracker = Tracker::default();
     assert_eq!(tracker.min_gap("s", now), Duration::ZERO);
     tracker.record_demand("s", usage(0, 900), now);
     tracker.record_demand("s", usage(0, 600), now);
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -10,10 +10,7 @@
 use tokio::{net::UdpSocket, time};
 use zinniastall_coord::rendezvous;
 use zinniastall_gateway::{
-    decide::{
-        budget::Bound,
-        quota::{self, Quotas},
-    },
+    decide::quota::{self, Quotas},
     neighbours::{
         self, Context, Load,
         claims::{Claims, History},
@@ -70,7 +67,7 @@
             if are_alive(name) {
                 let mut view = view.clone();
                 (*name).clone_into(&mut view.instance);
-                let books = Rc::new(RefCell::new(Tracker::new(Bound::default())));
+                let books = Rc::<RefCell<Tracker>>::default();
                 let neighbours = Rc::default();
                 let served = Rc::clone(socket);
                 let shared = Context {
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -6,7 +6,6 @@
 )]
 
 mod decide {
-    pub(crate) mod budget;
     pub(crate) mod concurrency;
     pub(crate) mod fetch;
     pub(crate) mod outlier;
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -1,6 +1,13 @@
 //! A gateway's request path between scripted targets and raw callers, on one thread.
 
-use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 pub(crate) use crate::caller::{Caller, Response, get, post};
 use tokio::{
@@ -10,7 +17,7 @@
     task::LocalSet,
     time,
 };
-use zinniastall_coord::origin::Stage;
+use zinniastall_coord::{origin::Stage, retry};
 use zinniastall_gateway::{
     headers::Names,
     metrics::Metrics,
@@ -339,9 +346,20 @@
             .into_iter()
             .collect(),
     );
+    view.retry_share = Some(retry_share());
     view
 }
 
+/// Returns the whole fixed number of retries, as a single instance holds it.
+fn retry_share() -> retry::Share {
+    let now = Instant::now();
+    retry::Share {
+        instances: 1,
+        since: now.checked_sub(Duration::from_secs(1)).unwrap(),
+        until: now + Duration::from_hours(1),
+    }
+}
+
 /// Returns a gateway instance as other instances see it.
 pub(crate) fn instance(name: &str, place: (&str, &str), forward: &str) -> (String, Presence) {
     let presence = Presence {
@@ -374,7 +392,7 @@
             left_ms: None,
             age_ms: 0,
         },
-        heard_at: std::time::Instant::now(),
+        heard_at: Instant::now(),
         cold_until: None,
         gone_at: None,
     }
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -4,10 +4,7 @@
 
 use tokio::{net::UdpSocket, time};
 use zinniastall_gateway::{
-    decide::{
-        budget::Bound,
-        quota::{self, Quotas},
-    },
+    decide::quota::{self, Quotas},
     neighbours::{self, Context, Neighbours},
     tracker::{Guard, Tracker},
     view::{Shared, View},
@@ -52,7 +49,7 @@
             view.instances = Arc::new(named.collect());
             Shared::new(view)
         };
-        let books = || Rc::new(RefCell::new(Tracker::new(Bound::default())));
+        let books = || Rc::<RefCell<Tracker>>::default();
         let (busy, idle) = (books(), books());
         let now = std::time::Instant::now();
         let flights: Vec<Guard> = (0..TARGETS)
