fix(entry): the same retry budget as on the gateway path

Callers saw: nothing reported; found by looking for the cause elsewhere. Each entry instance had a bucket of ten retries for all models, undivided: the number grew with the instances, and each start brought ten more.

Change: coord::retry by model or service in place of route::budget. The instances that divide the fixed number are the members in the replicated configuration; in touch is who is linked to the control group. retry_slack (100, of all instances), retry_window_ms and retry_settle_ms in the entry's settings; retry lines, retries.granted, retries.denied, retry-share.

--- a/crates/zinniastall-coord/src/retry.rs
+++ b/crates/zinniastall-coord/src/retry.rs
@@ -45,7 +45,7 @@
 
 pub use budget::{Budget, Denial};
 pub use budgets::{Budgets, Grant};
-pub use division::{Division, Share};
+pub use division::{Division, SETTLING, Share};
 
 /// Limit on the retries of a service, over all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/zinniastall-coord/src/retry/division.rs
+++ b/crates/zinniastall-coord/src/retry/division.rs
@@ -8,9 +8,9 @@
 /// Longest time between two observations. After a longer one this instance was suspended, and the
 /// others may have gone on without it.
 const MAX_GAP: Duration = Duration::from_millis(2_500);
-/// Time in touch after which all instances in touch know of each other: a link that has silently
-/// broken is noticed within [`MAX_GAP`], and lists travel within a second.
-const SETTLING: Duration = Duration::from_millis(3_500);
+/// Default time in touch after which all instances in touch know of each other: a link that has
+/// silently broken is noticed within 2.5 s, and lists travel within a second.
+pub const SETTLING: Duration = Duration::from_millis(3_500);
 
 /// Equal share of the fixed number, held by one run of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,24 +32,35 @@
 /// window, each has counted all.
 #[derive(Debug)]
 pub struct Division {
-    memory: Duration,
+    window: Duration,
+    settling: Duration,
     in_touch_since: Option<Instant>,
     observed_at: Option<Instant>,
     /// Numbers of instances and when each was observed last; each is larger than all later ones.
     maxima: VecDeque<(Instant, u32)>,
+    whole: Option<u32>,
 }
 
 impl Division {
     /// Creates the division of an instance that is not in touch; `window` is that of the bound.
     pub const fn new(window: Duration) -> Self {
         Self {
-            memory: window.saturating_add(SETTLING),
+            window,
+            settling: SETTLING,
             in_touch_since: None,
             observed_at: None,
             maxima: VecDeque::new(),
+            whole: None,
         }
     }
 
+    /// Sets the time in touch after which all instances in touch know of each other.
+    #[must_use]
+    pub const fn settling(mut self, settling: Duration) -> Self {
+        self.settling = settling;
+        self
+    }
+
     /// Records whether this instance is in touch, and how many instances it knows of, including
     /// itself.
     pub fn observe(&mut self, is_in_touch: bool, instances: usize, now: Instant) {
@@ -73,15 +84,25 @@
         while self
             .maxima
             .front()
-            .is_some_and(|(at, _)| *at + self.memory <= now)
+            .is_some_and(|(at, _)| *at + self.window + self.settling <= now)
         {
             self.maxima.pop_front();
         }
+        let whole = self
+            .share()
+            .filter(|share| share.since + self.window <= now);
+        self.whole = whole.map(|share| share.instances);
+    }
+
+    /// Returns the number of instances that divide the fixed number, or `None` if this one could not
+    /// use its whole share when it was observed last.
+    pub const fn whole(&self) -> Option<u32> {
+        self.whole
     }
 
     /// Returns the share that this instance holds, or `None` if it holds none.
     pub fn share(&self) -> Option<Share> {
-        let since = self.in_touch_since? + SETTLING;
+        let since = self.in_touch_since? + self.settling;
         let observed_at = self.observed_at?;
         let (_, instances) = self.maxima.front()?;
         (since <= observed_at).then_some(Share {
--- a/crates/zinniastall-entry/examples/slopes/node.rs
+++ b/crates/zinniastall-entry/examples/slopes/node.rs
@@ -1,6 +1,7 @@
 //! A small entry instance within this process: its actors and links, without callers.
 
 use actix::{Actor, Addr};
+use zinniastall_coord::retry::{Bound, Division};
 use zinniastall_entry::{
     links::{self, Acceptors, Addresses, Identity},
     publish::Publisher,
@@ -52,7 +53,8 @@
         let dependencies = Dependencies {
             identity: identity.clone(),
             shared_view: shared_view.clone(),
-            publisher: Publisher::new(shared_view.clone()).start(),
+            publisher: Publisher::new(shared_view.clone(), Division::new(Bound::default().window))
+                .start(),
             recorder: Registry::start("slopes", None)?.recorder(),
         };
         let spread = Spread::new(settings, seeds.into_iter(), dependencies).start();
--- a/crates/zinniastall-entry/src/callers/admission/mod.rs
+++ b/crates/zinniastall-entry/src/callers/admission/mod.rs
@@ -16,6 +16,7 @@
     time::{Duration, Instant},
 };
 
+use zinniastall_coord::retry::{self, Budgets, Denial};
 use zinniastall_model::id;
 use zinniastall_route::{
     choose::Chooser,
@@ -53,6 +54,7 @@
 pub struct Admission {
     shared_view: Shared,
     policy: Arc<Policy>,
+    retries: Budgets,
     state: Arc<Mutex<State>>,
 }
 
@@ -61,14 +63,15 @@
     pub fn new(shared_view: Shared, policy: Arc<Policy>) -> Self {
         Self {
             shared_view,
-            state: Arc::new(Mutex::new(State::new(policy.earned_retries()))),
+            retries: Budgets::new(policy.retry_bound()),
+            state: Arc::new(Mutex::new(State::new())),
             policy,
         }
     }
 
     /// Counts a new request, which earns a part of a retry.
-    pub fn begin(&self) {
-        self.lock().budget.deposit();
+    pub fn begin(&self, request: &Request) {
+        self.retries.deposit(request.subject.name(), Instant::now());
     }
 
     /// Decides where a request goes; the targets in `tried` have already failed it.
@@ -116,9 +119,15 @@
         Ok(Decision::Queued(waiting))
     }
 
-    /// Takes one retry from the budget; returns `false` if it is exhausted.
-    pub fn retry(&self) -> bool {
-        self.lock().budget.withdraw()
+    /// Reserves a retry of a request in the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Denial`] if the budget is exhausted.
+    pub fn retry(&self, request: &Request) -> Result<retry::Grant, Denial> {
+        let share = self.shared_view.view().retry_share;
+        let name = request.subject.name();
+        self.retries.reserve(name, share, Instant::now())
     }
 
     fn choose(
--- a/crates/zinniastall-entry/src/callers/admission/state.rs
+++ b/crates/zinniastall-entry/src/callers/admission/state.rs
@@ -6,7 +6,6 @@
 use zinniastall_model::{id, object::Subject};
 use zinniastall_route::{
     admit,
-    budget::Budget,
     choose::{self, Chooser},
     load::{End, Table},
     outcome::{Reason, Refusal},
@@ -24,12 +23,11 @@
     view::{self, Shared, View},
 };
 
-/// Load of the targets, queues and retry budget of an instance.
+/// Load of the targets, and queues of an instance.
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) table: Table,
     pub(super) chooser: Chooser,
-    pub(super) budget: Budget,
     pub(super) queues: Queues,
     /// Requests of this instance in flight at targets.
     in_flight: u32,
@@ -39,12 +37,11 @@
 }
 
 impl State {
-    /// Creates an empty state; `retries` is the number of retries earned per request.
-    pub(super) fn new(retries: f64) -> Self {
+    /// Creates an empty state.
+    pub(super) fn new() -> Self {
         Self {
             table: Table::default(),
             chooser: Chooser::default(),
-            budget: Budget::new(retries),
             queues: Queues::default(),
             in_flight: 0,
             capacity: 1,
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -11,6 +11,7 @@
 use zinniastall_coord::quarantine::{
     HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
 };
+use zinniastall_coord::retry::Grant;
 use zinniastall_http::ending::Ending;
 use zinniastall_model::id;
 use zinniastall_route::{
@@ -68,7 +69,8 @@
     let mut tried: Vec<id::Target> = Vec::new();
     let mut attempts_made = 0;
     let mut denied = 0;
-    admission.begin();
+    admission.begin(request);
+    let mut retry: Option<Grant> = None;
     let left = request.deadline.saturating_duration_since(Instant::now());
     let hold_until = Instant::now() + left.mul_f64(HOLD_SHARE).min(MAX_HOLD);
     loop {
@@ -124,23 +126,13 @@
                     }
                     continue;
                 }
-                match path {
-                    Path::Direct => {
-                        attempt_local(worker, call, *in_flight, probe, &mut tried).await
-                    }
-                    Path::Detour(peer) => {
-                        attempt_detour(worker, call, *in_flight, &peer, probe).await
-                    }
-                    Path::None => {
-                        let refusal = Refusal::not_run(Reason::TargetUnreachable);
-                        Err(refusal.retry_after(UNREACHABLE_RETRY_AFTER))
-                    }
-                }
+                attempt_on(path, worker, call, *in_flight, probe, &mut tried).await
             }
             Started::Elsewhere(forwarded) => {
                 attempt_forwarded(worker, call, forwarded, probe).await
             }
         };
+        end_retry(retry.take(), &attempt);
         let refusal = match attempt {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
@@ -156,7 +148,11 @@
         let has_crashed = refusal.outcome == Outcome::Unknown && crashes > crashes_before;
         let merged = dispatch::merge(earlier.take(), refusal);
         let is_last = next == Next::End || (has_crashed && !may_retry_after_crash(crashes));
-        if is_last || !admission.retry() {
+        if is_last {
+            return Err(merged);
+        }
+        retry = worker.retry(request).ok();
+        if retry.is_none() {
             return Err(merged);
         }
         earlier = Some(merged);
@@ -209,6 +205,33 @@
     }
 }
 
+/// Sends a request to the target that was chosen, by the path that reaches it.
+async fn attempt_on(
+    path: Path,
+    worker: &Rc<Worker>,
+    call: &Rc<Call>,
+    in_flight: InFlight,
+    probe: Option<Probe>,
+    tried: &mut Vec<id::Target>,
+) -> Result<Answer, Refusal> {
+    match path {
+        Path::Direct => attempt_local(worker, call, in_flight, probe, tried).await,
+        Path::Detour(peer) => attempt_detour(worker, call, in_flight, &peer, probe).await,
+        Path::None => {
+            let refusal = Refusal::not_run(Reason::TargetUnreachable);
+            Err(refusal.retry_after(UNREACHABLE_RETRY_AFTER))
+        }
+    }
+}
+
+/// Ends a retry, which counts unless nothing was sent.
+fn end_retry(retry: Option<Grant>, attempt: &Result<Answer, Refusal>) {
+    let failure = attempt.as_ref().err();
+    if let Some(mut retry) = retry {
+        retry.set_sent(failure.is_none_or(|refusal| refusal.reason != Reason::TargetUnreachable));
+    }
+}
+
 async fn attempt_local(
     worker: &Rc<Worker>,
     call: &Rc<Call>,
--- a/crates/zinniastall-entry/src/callers/relay.rs
+++ b/crates/zinniastall-entry/src/callers/relay.rs
@@ -193,18 +193,20 @@
         if self.worker.check_again(request, here).is_err() {
             return Err(broken);
         }
-        if !self.worker.service.admission.retry() {
+        let Ok(mut retry) = self.worker.retry(request) else {
             return Err(broken);
-        }
+        };
         let target = self.watch.target();
         if self.worker.await_permit(&self.call, target, None).await == Permit::Denied {
             return Err(broken);
         }
         self.attempts += 1;
         let continues = Some((offset, &self.requirement));
+        retry.set_sent(true);
         let reply = target::send(&self.worker, self.watch.target(), &self.call, continues)
             .await
             .map_err(|_| broken.clone())?;
+        drop(retry);
         let subject = request.subject.name();
         if !self.requirement.admits(subject, reply.software.as_deref()) {
             self.refuse("version-not-served");
--- a/crates/zinniastall-entry/src/callers/settings.rs
+++ b/crates/zinniastall-entry/src/callers/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use zinniastall_coord::retry::Bound;
 use zinniastall_route::policy::{Choice, Policy, Weights};
 use zinniastall_settings::reader::Reader;
 
@@ -50,12 +51,20 @@
     let choice = reader.word("choice", Choice::WORDS, Choice::parse, Choice::Cost);
     let weights = reader.nested("weights", weights);
     let classes = reader.names("classes");
+    let slack = reader.number("retry_slack", 0..=1_000_000, 100);
+    let slack = u32::try_from(slack).unwrap_or(u32::MAX);
     let policy = Policy::default()
         .choice(choice)
         .weights(weights)
         .block_prefill(reader.millis("block_ms", 0..=60_000, 4))
         .queue(count(reader.number("queue", 0..=1_000_000, 1024)))
-        .retry_ratio(reader.fraction("retry_share", 1.0, 0.1))
+        .retry_budget(
+            Bound::default()
+                .window(reader.millis("retry_window_ms", 100..=600_000, 10_000))
+                .ratio(reader.fraction("retry_share", 1.0, 0.1))
+                .slack(slack),
+        )
+        .retry_settling(reader.millis("retry_settle_ms", 0..=60_000, 3_500))
         .eject_floor(reader.fraction("eject_floor", 1.0, 0.5))
         .border_costs(
             reader.millis("zone_border_ms", 0..=60_000, 5),
--- a/crates/zinniastall-entry/src/callers/worker.rs
+++ b/crates/zinniastall-entry/src/callers/worker.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use zinniastall_coord::retry::{Denial, Grant};
 use zinniastall_http::pool::Pool;
 use zinniastall_model::{place::Place, state::State};
 use zinniastall_route::{identify::Index, outcome::Reason, request::Request, residency};
@@ -58,6 +59,33 @@
         Rc::clone(&index)
     }
 
+    /// Reserves a retry of a request in the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Denial`] if the budget is exhausted.
+    pub fn retry(&self, request: &Request) -> Result<Grant, Denial> {
+        let granted = self.service.admission.retry(request);
+        match &granted {
+            Ok(_) => self.recorder.count("retries.granted", 1),
+            Err(denial) => {
+                self.recorder.count("retries.denied", 1);
+                tracing::info!(
+                    event = "retry",
+                    request = request.id,
+                    subject = request.subject.name(),
+                    outcome = denial.as_str(),
+                    span_ms = denial.span.as_millis(),
+                    requests = denial.requests,
+                    retries = denial.retries,
+                    allowed = denial.allowed,
+                    instances = denial.instances,
+                );
+            }
+        }
+        granted
+    }
+
     /// Validates a request against the current configuration before it is sent to a place.
     ///
     /// # Errors
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -43,7 +43,8 @@
 
 async fn serve(settings: Entry) -> eyre::Result<()> {
     let shared_view = Shared::new(initial_view(&settings));
-    let publisher = Publisher::new(shared_view.clone()).start();
+    let division = settings.callers.policy.retry_division();
+    let publisher = Publisher::new(shared_view.clone(), division).start();
     let sockets = Sockets::bind(&settings).await?;
     let identity = sockets.identity(&settings, &shared_view.view())?;
     let metrics = metrics::Registry::start("zinniastall.entry", settings.statsd)?;
--- a/crates/zinniastall-entry/src/publish.rs
+++ b/crates/zinniastall-entry/src/publish.rs
@@ -1,28 +1,57 @@
 //! Publishes the view, combining the state of all components of the instance.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use actix::{Actor, Context, Handler, Message};
+use actix::{Actor, AsyncContext, Context, Handler, Message};
 use indexmap::IndexMap;
+use zinniastall_coord::retry::Division;
 use zinniastall_model::{id, state::State};
 use zinniastall_wire::gossip;
 
 use crate::view::{Digest, Shared, Target, View};
 
+/// Interval at which this instance checks whether it is in touch.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Actor on the control arbiter that replaces the view when a part of it changes.
 #[derive(Debug)]
 pub struct Publisher {
     view: View,
     shared_view: Shared,
+    division: Division,
 }
 
 impl Publisher {
-    /// Creates the publisher of a shared view.
-    pub fn new(shared_view: Shared) -> Self {
+    /// Creates the publisher of a shared view; `division` is that of the retry budget.
+    pub fn new(shared_view: Shared, division: Division) -> Self {
         Self {
             view: (*shared_view.view()).clone(),
             shared_view,
+            division,
+        }
+    }
+
+    /// Updates the share of the retry budget. Members are agreed on, so an instance that is linked to
+    /// the control group counts all that may hold a share.
+    fn observe(&mut self) {
+        let members = self
+            .view
+            .state
+            .as_ref()
+            .map_or(0, |state| state.members.len());
+        let is_in_touch = self.view.connected && members > 0;
+        let now = Instant::now();
+        let before = self.division.whole();
+        self.division.observe(is_in_touch, members, now);
+        let instances = self.division.whole();
+        if instances != before {
+            tracing::info!(event = "retry-share", instances, is_in_touch);
         }
+        self.view.retry_share = self.division.share();
+        self.publish();
     }
 
     fn publish(&self) {
@@ -32,6 +61,10 @@
 
 impl Actor for Publisher {
     type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(OBSERVATION_INTERVAL, |publisher, _| publisher.observe());
+    }
 }
 
 /// The configuration in force has changed, or whether control is reachable.
@@ -85,7 +118,7 @@
             self.view.state = Some(message.state);
         }
         self.view.connected = message.connected;
-        self.publish();
+        self.observe();
     }
 }
 
--- a/crates/zinniastall-entry/src/view.rs
+++ b/crates/zinniastall-entry/src/view.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use tokio::sync::watch;
+use zinniastall_coord::retry::Share;
 use zinniastall_model::{id, place::Place, state::State};
 use zinniastall_route::locate::Candidate;
 use zinniastall_wire::gossip;
@@ -38,6 +39,8 @@
     pub targets: Arc<IndexMap<id::Target, Target>>,
     /// Capacities of other zones, the latest per place, subject and role.
     pub digests: Arc<Vec<Digest>>,
+    /// Share of the fixed number of retries that this instance holds, if it holds one.
+    pub retry_share: Option<Share>,
 }
 
 impl View {
@@ -53,6 +56,7 @@
             peers: Arc::default(),
             targets: Arc::default(),
             digests: Arc::default(),
+            retry_share: None,
         }
     }
 
--- a/crates/zinniastall-entry/tests/callers/harness.rs
+++ b/crates/zinniastall-entry/tests/callers/harness.rs
@@ -11,6 +11,7 @@
 };
 
 use actix_web::dev::ServerHandle;
+use zinniastall_coord::retry::Share;
 use zinniastall_entry::{
     callers::{Service, server, settings::Callers},
     settings::{Entry, Limits},
@@ -158,6 +159,12 @@
     let mut view = View::new("patras-a-1".into(), 1, place.clone());
     view.state = Some(Arc::new(state()));
     view.connected = true;
+    let now = Instant::now();
+    view.retry_share = Some(Share {
+        instances: 1,
+        since: now.checked_sub(Duration::from_secs(1)).unwrap(),
+        until: now + Duration::from_hours(1),
+    });
     view.targets = Arc::new(targets.collect());
     view
 }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -180,7 +180,12 @@
         let is_listed = instances.contains_key(&view.instance);
         let count = instances.len() + usize::from(!is_listed);
         let mut division = self.division.borrow_mut();
+        let before = division.whole();
         division.observe(is_in_touch, count, now);
+        let instances = division.whole();
+        if instances != before {
+            tracing::info!(event = "retry-share", instances, is_in_touch);
+        }
         division.share()
     }
 
--- a/crates/zinniastall-route/src/lib.rs
+++ b/crates/zinniastall-route/src/lib.rs
@@ -8,7 +8,6 @@
 //! Every request ends with exactly one [`outcome::Outcome`].
 
 pub mod admit;
-pub mod budget;
 mod cache;
 pub mod choose;
 pub mod dispatch;
--- a/crates/zinniastall-route/src/policy.rs
+++ b/crates/zinniastall-route/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use zinniastall_coord::retry;
 use zinniastall_model::id;
 
 /// How a target is selected. All but [`Choice::Cost`] are baselines to compare it with.
@@ -78,7 +79,8 @@
     pub(crate) block_prefill: Duration,
     pub(crate) classes: Vec<id::Class>,
     pub(crate) queue: usize,
-    pub(crate) retry_ratio: f64,
+    pub(crate) retry_budget: retry::Bound,
+    pub(crate) retry_settling: Duration,
     pub(crate) eject_floor: f64,
     pub(crate) zone_border: Duration,
     pub(crate) region_border: Duration,
@@ -93,7 +95,8 @@
             block_prefill: Duration::from_millis(4),
             classes: vec!["interactive".into(), "batch".into()],
             queue: 1024,
-            retry_ratio: 0.1,
+            retry_budget: retry::Bound::default().ratio(0.1).slack(100),
+            retry_settling: retry::SETTLING,
             eject_floor: 0.5,
             zone_border: Duration::from_millis(5),
             region_border: Duration::from_millis(60),
@@ -138,10 +141,17 @@
         self
     }
 
-    /// Sets the number of retries that each request earns.
+    /// Sets the limit on the retries of a model or service, over all instances.
     #[must_use]
-    pub const fn retry_ratio(mut self, ratio: f64) -> Self {
-        self.retry_ratio = ratio;
+    pub const fn retry_budget(mut self, bound: retry::Bound) -> Self {
+        self.retry_budget = bound;
+        self
+    }
+
+    /// Sets the time that an instance is in touch before it holds a share of the retry budget.
+    #[must_use]
+    pub const fn retry_settling(mut self, settling: Duration) -> Self {
+        self.retry_settling = settling;
         self
     }
 
@@ -181,9 +191,14 @@
         }
     }
 
-    /// Returns the number of retries that each request earns.
-    pub const fn earned_retries(&self) -> f64 {
-        self.retry_ratio
+    /// Returns the limit on the retries of a model or service, over all instances.
+    pub const fn retry_bound(&self) -> retry::Bound {
+        self.retry_budget
+    }
+
+    /// Returns how the retry budget is divided among the instances.
+    pub const fn retry_division(&self) -> retry::Division {
+        retry::Division::new(self.retry_budget.window).settling(self.retry_settling)
     }
 
     /// Returns the maximum number of requests that wait for one model or service.
--- a/tests/tests/path/support.rs
+++ b/tests/tests/path/support.rs
@@ -90,6 +90,9 @@
 pub(crate) async fn configure(cluster: &mut Cluster) -> Result<()> {
     cluster.client(CLIENT, KEY).await?;
     cluster.model(MODEL).await?;
+    for entry in cluster.entries() {
+        entry.running().event("retry-share").await?;
+    }
     Ok(())
 }
 
