feat(gateway): switches for the parts of load control

Cause: the parts that two deployments with hard load call for must not change what the others get.

Change: Policy::load_control holds a flag for each part, off by default; the view carries those that apply. Instances announce their processor capacity, and some parts apply only where these differ, which stays so for a run once seen. No part is built yet, so nothing is decided differently.

--- a/crates/zinniastall-control/tests/hub/main.rs
+++ b/crates/zinniastall-control/tests/hub/main.rs
@@ -117,6 +117,7 @@
         forward: "f".to_owned(),
         ready: true,
         checks_origins: true,
+        capacity: 0,
         load: vec![Load {
             service: "api".to_owned(),
             in_flight,
--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -140,6 +140,7 @@
         forward: "127.0.0.1:1".to_owned(),
         ready: true,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     };
     (name, presence)
--- a/crates/zinniastall-gateway/src/cluster_state.rs
+++ b/crates/zinniastall-gateway/src/cluster_state.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     index::{Instances, Loads, Targets},
+    policy::Switches,
     view::{Target, View},
 };
 
@@ -49,6 +50,10 @@
     instances: Option<(usize, Arc<Instances>)>,
     reopened: IndexMap<id::Zone, Instant>,
     loads: Arc<Loads>,
+    switches: Switches,
+    /// Whether instances of different capacities were listed in this run. A list that is cut down by
+    /// a partition doesn't show that the deployment has changed.
+    is_uneven: bool,
 }
 
 #[derive(Debug)]
@@ -85,9 +90,18 @@
             instances: None,
             reopened: IndexMap::new(),
             loads: Arc::default(),
+            switches: Switches::default(),
+            is_uneven: false,
         }
     }
 
+    /// Sets the parts of load control that are switched on.
+    #[must_use]
+    pub const fn with_load_control(mut self, switches: Switches) -> Self {
+        self.switches = switches;
+        self
+    }
+
     /// Returns the revision of the configuration in force; 0 for none.
     pub fn revision(&self) -> id::Revision {
         self.configuration.as_ref().map_or(0, |held| held.revision)
@@ -201,14 +215,17 @@
     pub fn view(&mut self, now: Instant) -> View {
         self.targets
             .retain(|_, known| now.saturating_duration_since(known.heard_at) < REPORT_TTL);
+        let instances = self.instances(now);
+        self.is_uneven |= instances.is_uneven();
         View {
             instance: self.instance.clone(),
             place: self.place.clone(),
             configuration: self.configuration.clone(),
             targets: Arc::new(self.ready_targets(now)),
-            instances: self.instances(now),
+            instances,
             loads: Arc::clone(&self.loads),
             retry_share: None,
+            load_control: self.switches.effective(self.is_uneven),
         }
     }
 
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -59,6 +59,8 @@
     pub names: Names,
     /// Timings and limits of the deployment.
     pub policy: Policy,
+    /// Processor capacity of the instance, in thousandths of a core; 0 if unknown.
+    pub capacity: u32,
 }
 
 /// A running gateway instance.
@@ -176,8 +178,14 @@
         links: addresses.1.to_string(),
         service: addresses.0.to_string(),
     };
-    let cluster = State::new(settings.instance.clone(), settings.place.clone());
-    let presence = presence_source(hello.clone(), state.clone(), Arc::clone(shared_load));
+    let cluster = State::new(settings.instance.clone(), settings.place.clone())
+        .with_load_control(settings.policy.load_control);
+    let presence = presence_source(
+        hello.clone(),
+        state.clone(),
+        Arc::clone(shared_load),
+        settings.capacity,
+    );
     let seeds = settings.seeds.clone();
     let division = Division::new(settings.policy.retry_budget.window);
     Uplinks::start(hello, presence, (cluster, division), state.clone(), seeds)
@@ -187,6 +195,7 @@
     hello: Hello,
     state: Shared,
     shared_load: Arc<SharedLoad>,
+    capacity: u32,
 ) -> Rc<dyn Fn() -> Presence> {
     Rc::new(move || Presence {
         instance: hello.instance.clone(),
@@ -196,6 +205,7 @@
         forward: hello.links.clone(),
         ready: state.is_ready(),
         checks_origins: true,
+        capacity,
         load: shared_load
             .load
             .lock()
--- a/crates/zinniastall-gateway/src/index.rs
+++ b/crates/zinniastall-gateway/src/index.rs
@@ -99,6 +99,14 @@
         &self.named
     }
 
+    /// Returns whether instances state different capacities.
+    pub fn is_uneven(&self) -> bool {
+        let mut stated = self.named.values().map(|presence| presence.capacity);
+        let mut stated = stated.by_ref().filter(|capacity| *capacity > 0);
+        let first = stated.next();
+        stated.any(|capacity| Some(capacity) != first)
+    }
+
     /// Returns the instances of a region.
     pub fn in_region(&self, region: &str) -> impl Iterator<Item = &Presence> {
         let positions = self.regions.positions(region).iter();
--- a/crates/zinniastall-gateway/src/policy.rs
+++ b/crates/zinniastall-gateway/src/policy.rs
@@ -1,9 +1,12 @@
 //! Timings and limits of a deployment.
 
+mod load_control;
+
 use std::time::Duration;
 
 use zinniastall_coord::retry::Bound;
 
+pub use self::load_control::{LoadControl, Switches, UnknownPart};
 use crate::decide::{prefill::Rates, quota};
 
 /// Timings and limits that the request path decides by.
@@ -21,6 +24,8 @@
     pub quota: quota::Bound,
     /// Time for which a configuration may be relied on after its confirmation; `None` for no limit.
     pub lease: Option<Duration>,
+    /// Parts of load control that are switched on.
+    pub load_control: Switches,
 }
 
 impl Default for Policy {
@@ -33,6 +38,7 @@
             region_round_trip: Duration::from_millis(120),
             quota: quota::Bound::default(),
             lease: None,
+            load_control: Switches::default(),
         }
     }
 }
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -17,6 +17,7 @@
     clock,
     freshness::{Lease, Trust},
     index::{Instances, Loads, Targets},
+    policy::LoadControl,
 };
 
 /// A target and what follows from its last report.
@@ -56,6 +57,8 @@
     pub loads: Arc<Loads>,
     /// Share of the fixed number of retries that this instance holds, if it holds one.
     pub retry_share: Option<retry::Share>,
+    /// Parts of load control that apply.
+    pub load_control: LoadControl,
 }
 
 impl View {
@@ -69,6 +72,7 @@
             instances: Arc::default(),
             loads: Arc::default(),
             retry_share: None,
+            load_control: LoadControl::default(),
         }
     }
 
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -53,6 +53,7 @@
                 forward: socket.local_addr().expect("bound").to_string(),
                 ready: true,
                 checks_origins: true,
+                capacity: 0,
                 load: Vec::new(),
             };
             present.push(((*name).to_owned(), presence));
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -197,6 +197,7 @@
         seeds,
         names: Names::default(),
         policy: Policy::default(),
+        capacity: 0,
     };
     Gateway::start(&settings).unwrap()
 }
--- a/crates/zinniastall-gateway/tests/groups.rs
+++ b/crates/zinniastall-gateway/tests/groups.rs
@@ -49,6 +49,7 @@
         forward: String::new(),
         ready,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     };
     (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -45,6 +45,7 @@
         forward: String::new(),
         ready,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     }
 }
--- a/crates/zinniastall-gateway/tests/locate.rs
+++ b/crates/zinniastall-gateway/tests/locate.rs
@@ -42,6 +42,7 @@
             forward: String::new(),
             ready: *ready,
             checks_origins: true,
+            capacity: 0,
             load: Vec::new(),
         };
         ((*name).to_owned(), presence)
--- a/crates/zinniastall-gateway/tests/neighbours.rs
+++ b/crates/zinniastall-gateway/tests/neighbours.rs
@@ -47,6 +47,7 @@
         forward: String::new(),
         ready,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     }
 }
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -381,6 +381,7 @@
         forward: forward.to_owned(),
         ready: true,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     };
     (name.to_owned(), presence)
--- a/crates/zinniastall-gateway/tests/quotas.rs
+++ b/crates/zinniastall-gateway/tests/quotas.rs
@@ -125,6 +125,7 @@
             forward: String::new(),
             ready: true,
             checks_origins: true,
+            capacity: 0,
             load: Vec::new(),
         };
         (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/rates.rs
+++ b/crates/zinniastall-gateway/tests/rates.rs
@@ -159,6 +159,7 @@
                 forward: String::new(),
                 ready: true,
                 checks_origins: true,
+                capacity: 0,
                 load: Vec::new(),
             };
             (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/reach.rs
+++ b/crates/zinniastall-gateway/tests/reach.rs
@@ -69,6 +69,7 @@
         forward: String::new(),
         ready: true,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     };
     (presence.instance.clone(), presence)
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -23,6 +23,7 @@
         forward: address,
         ready: true,
         checks_origins: true,
+        capacity: 0,
         load: Vec::new(),
     }
 }
--- a/crates/zinniastall-model/src/presence.rs
+++ b/crates/zinniastall-model/src/presence.rs
@@ -22,6 +22,9 @@
     /// Whether it sends a stream that it is told to continue only to a target of the given version.
     #[serde(default)]
     pub checks_origins: bool,
+    /// Processor capacity, in thousandths of a core; 0 if it is not stated.
+    #[serde(default)]
+    pub capacity: u32,
     /// In-flight requests at targets, by service.
     pub load: Vec<Load>,
 }
@@ -32,6 +35,7 @@
         self.incarnation != other.incarnation
             || self.ready != other.ready
             || self.checks_origins != other.checks_origins
+            || self.capacity != other.capacity
             || self.place != other.place
             || self.callers != other.callers
             || self.forward != other.forward
