feat(gateway): room for urgent requests, and instances listed by capacity

Cause: a less urgent route with a longer objective was admitted up to longer waits than an urgent one with a short objective, so its requests filled the queues. Callers chose uniformly among instances of 0.09 and 0.3 cores.

Change: with urgent-room a request waits no longer than the most urgent requests in use may, cut by rank as before. With instance-weights a listing names an instance up to four times, in proportion to its capacity. Both are off by default; given-up names the longest wait that was admitted.

Result: played without a network, all of 1,000 urgent requests are served beside a peak of less urgent ones, under 100 without.

--- a/crates/zinniastall-gateway/src/decide/place.rs
+++ b/crates/zinniastall-gateway/src/decide/place.rs
@@ -97,6 +97,9 @@
     pub gap: Duration,
     /// Whether a target of this region is expected to accept requests again within moments.
     pub opens_soon: bool,
+    /// Shortest objective of the more urgent requests, if a less urgent one may wait no longer than
+    /// they may.
+    pub urgent_objective: Option<Duration>,
 }
 
 /// A decision on where a request goes.
@@ -222,11 +225,16 @@
     ///
     /// Less urgent requests are shed first: their queue is kept shorter, which leaves capacity for
     /// the urgent ones. They do not starve, since they keep part of the queue.
-    fn max_wait(&self) -> Duration {
+    pub fn max_wait(&self) -> Duration {
         let share = (1.0 - WAIT_CUT_PER_RANK * as_f64(self.rank)).max(MIN_WAIT_SHARE);
-        self.objective
-            .mul_f64(OBJECTIVE_SHARE * share)
-            .max(self.late_wait())
+        let own = self.objective.mul_f64(OBJECTIVE_SHARE * share);
+        let own = own.max(self.late_wait());
+        // Without this limit the requests of a route with a long objective fill the queues up to
+        // where those of an urgent route with a short one are refused.
+        let limit = self.urgent_objective;
+        limit.map_or(own, |urgent| {
+            own.min(urgent.mul_f64(OBJECTIVE_SHARE * share))
+        })
     }
 
     /// Returns the wait acceptable for an answer that already missed the objective.
--- a/crates/zinniastall-gateway/src/locate.rs
+++ b/crates/zinniastall-gateway/src/locate.rs
@@ -11,6 +11,9 @@
 /// Ready instances that a zone needs for its callers to be sent to that zone alone; a single
 /// instance would take all of them down with it.
 const MIN_ZONE_INSTANCES: usize = 3;
+/// Maximum number of times that an instance is listed. The capacity of an instance that fails at once
+/// is missing until its callers' listings end.
+const MAX_COPIES: u32 = 4;
 /// Time for which a listing is valid. It bounds how long callers keep using an instance that stops.
 const LISTING_TTL: Duration = Duration::from_secs(2);
 
@@ -41,11 +44,16 @@
         .partition(|held| held.ready);
     let own: Vec<&Presence> = within(&ready, |held| held.place.region == region);
     let nearest: Vec<&Presence> = within(&own, |held| held.place.zone == zone);
-    if nearest.len() >= MIN_ZONE_INSTANCES {
-        return Listing::of(nearest);
+    let near = if nearest.len() >= MIN_ZONE_INSTANCES {
+        nearest
+    } else {
+        own
+    };
+    if !near.is_empty() && view.load_control.instance_weights {
+        return Listing::weighted(&near);
     }
-    if !own.is_empty() {
-        return Listing::of(own);
+    if !near.is_empty() {
+        return Listing::of(near);
     }
     let bound: Vec<&Route> = table
         .routes
@@ -75,6 +83,24 @@
             valid: LISTING_TTL,
         }
     }
+
+    /// Lists each instance as often as its capacity is a multiple of the smallest one. Callers choose
+    /// among the addresses at random, so an instance gets connections in proportion to its capacity.
+    fn weighted(instances: &[&Presence]) -> Self {
+        let stated = instances.iter().map(|held| held.capacity);
+        let smallest = stated.filter(|capacity| *capacity > 0).min().unwrap_or(1);
+        let copies = |held: &Presence| (held.capacity / smallest).clamp(1, MAX_COPIES);
+        let most = instances.iter().map(|held| copies(held)).max();
+        // Copies come in rounds, so that a listing that is cut off still names every instance.
+        let rounds = (0..most.unwrap_or(0)).flat_map(|round| {
+            let left = instances.iter().filter(move |held| copies(held) > round);
+            left.map(|held| held.callers.clone())
+        });
+        Self {
+            addresses: rounds.take(MAX_ADDRESSES).collect(),
+            valid: LISTING_TTL,
+        }
+    }
 }
 
 fn within<'a>(instances: &[&'a Presence], fits: impl Fn(&Presence) -> bool) -> Vec<&'a Presence> {
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -143,6 +143,7 @@
             wait: candidate.wait,
             permit_wait: candidate.permit_wait,
             prefill: candidate.prefill,
+            max_wait: Duration::ZERO,
             in_flight: self.flights[at],
             report_age: self.targets[at].heard_at.elapsed(),
             candidates: self.candidates.len(),
@@ -268,6 +269,11 @@
             route_rank: tracker.route_rank(&job.service, job.route().priority, now),
             // The instance that forwarded the request may find another target at once.
             opens_soon: local.opens_soon && !job.is_passed_on,
+            urgent_objective: if view.load_control.urgent_room {
+                tracker.urgent_objective(&job.service, job.priority(), now)
+            } else {
+                None
+            },
         };
         drop(tracker);
         if local.are_doubtful() {
@@ -286,7 +292,11 @@
             }
             Choice::Remote(at) => place_remote(&remote[at]),
             Choice::Wait(after) => Placement::Wait(after),
-            Choice::Refuse(after) => Placement::Refuse(after, local.best_basis()),
+            Choice::Refuse(after) => {
+                let mut basis = local.best_basis();
+                basis.max_wait = constraints.max_wait();
+                Placement::Refuse(after, basis)
+            }
         }
     }
 
@@ -326,6 +336,7 @@
             wait: candidate.wait,
             permit_wait: candidate.permit_wait,
             prefill: candidate.prefill,
+            max_wait: Duration::ZERO,
             in_flight: local.flights[at],
             report_age: now.saturating_duration_since(target.heard_at),
             candidates: local.candidates.len(),
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -314,6 +314,7 @@
         let asked = Demand {
             priority: job.priority(),
             route_priority: job.route().priority,
+            objective_ms: job.route().objective_ms,
             gap_ms: job.route().gap_ms,
         };
         tracker.record_demand(&job.service, asked, job.arrived);
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -44,6 +44,8 @@
     pub permit_wait: Duration,
     /// Expected time to read the prompt there.
     pub prefill: Duration,
+    /// Longest expected wait for which the request is admitted; zero if it wasn't compared.
+    pub max_wait: Duration,
     /// Requests in flight at the target, from all instances as far as known.
     pub in_flight: u32,
     /// Age of the target's last report.
@@ -396,6 +398,7 @@
             route = job.route().name,
             service = job.service,
             wait_ms = millis(basis.wait),
+            max_wait_ms = millis(basis.max_wait),
             permit_ms = millis(basis.permit_wait),
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -48,6 +48,8 @@
     pub priority: u8,
     /// Priority of the route alone, whichever account uses it.
     pub route_priority: u8,
+    /// Latency objective of the route, in milliseconds.
+    pub objective_ms: u64,
     /// Longest gap between two events of a stream that the route permits, in milliseconds; 0 for no
     /// limit.
     pub gap_ms: u64,
@@ -151,6 +153,15 @@
         more_urgent(demands.map(|demand| demand.route_priority), priority)
     }
 
+    /// Returns the shortest objective among the more urgent requests for a service; `None` if there
+    /// are none.
+    pub fn urgent_objective(&self, service: &str, priority: u8, now: Instant) -> Option<Duration> {
+        let demands = self.demands_for(service, now);
+        let urgent = demands.filter(|demand| demand.priority < priority);
+        let objectives = urgent.map(|demand| demand.objective_ms);
+        objectives.min().map(Duration::from_millis)
+    }
+
     /// Returns the smallest gap limit among the routes that currently have requests for a service;
     /// zero if none has a limit.
     pub fn min_gap(&self, service: &str, now: Instant) -> Duration {
--- a/crates/zinniastall-gateway/tests/books.rs
+++ b/crates/zinniastall-gateway/tests/books.rs
@@ -8,6 +8,7 @@
     Demand {
         priority,
         route_priority: priority,
+        objective_ms: 1_000,
         gap_ms,
     }
 }
--- a/crates/zinniastall-gateway/tests/decide/place.rs
+++ b/crates/zinniastall-gateway/tests/decide/place.rs
@@ -30,6 +30,7 @@
     route_rank: 0,
     gap: Duration::ZERO,
     opens_soon: false,
+    urgent_objective: None,
 };
 
 /// A target that holds a prompt's prefix is worth a queue of up to twice the time that the prefill
@@ -381,3 +382,71 @@
     assert!(urgent_first > 97, "{urgent_first}");
     assert!(others_first > 30, "{others_first}");
 }
+
+/// Two routes share engines: urgent requests that have to begin within 0.8 s, and twice as many less
+/// urgent ones that may begin within 3 s. Together they ask for twice the capacity of the queue.
+/// Returns the urgent and the less urgent requests that were admitted.
+fn admitted_of_two_routes(limits_less_urgent: bool) -> (u32, u32) {
+    let urgent = Constraints {
+        objective: ms(800),
+        ..CONSTRAINTS
+    };
+    let less_urgent = Constraints {
+        objective: ms(3_000),
+        rank: 1,
+        urgent_objective: limits_less_urgent.then_some(ms(800)),
+        ..CONSTRAINTS
+    };
+    let (mut queued_ms, mut admitted) = (0_u64, (0, 0));
+    for step in 0..3_000_u64 {
+        // Each step takes 10 ms of the queue away and asks for 20 ms of work.
+        queued_ms = queued_ms.saturating_sub(10);
+        let is_urgent = step % 3 == 0;
+        let constraints = if is_urgent { urgent } else { less_urgent };
+        if choose(&[candidate(queued_ms, 0)], &[], constraints) == Choice::Local(0) {
+            queued_ms += 20;
+            let count = if is_urgent {
+                &mut admitted.0
+            } else {
+                &mut admitted.1
+            };
+            *count += 1;
+        }
+    }
+    admitted
+}
+
+/// Guards against a peak of less urgent requests with a long objective that fills the queue, so that
+/// urgent requests with a short one are refused.
+#[test]
+fn less_urgent_requests_leave_room_for_urgent_ones() {
+    let (urgent, less_urgent) = admitted_of_two_routes(true);
+    assert_eq!(urgent, 1_000, "all urgent requests are served");
+    assert!(
+        less_urgent >= 450,
+        "the rest of the room is used: {less_urgent}"
+    );
+    let (urgent, _) = admitted_of_two_routes(false);
+    assert!(
+        urgent < 100,
+        "without the limit the queue is full: {urgent}"
+    );
+}
+
+/// The limit never lets a request wait longer than its own objective permits.
+#[test]
+fn the_limit_for_urgent_requests_raises_no_bound() {
+    let own = Constraints {
+        objective: ms(500),
+        rank: 1,
+        ..CONSTRAINTS
+    };
+    let limited = Constraints {
+        urgent_objective: Some(ms(5_000)),
+        ..own
+    };
+    for wait in (0..1_000).step_by(10) {
+        let target = [candidate(wait, 0)];
+        assert_eq!(choose(&target, &[], limited), choose(&target, &[], own));
+    }
+}
--- a/crates/zinniastall-gateway/tests/decide/steady.rs
+++ b/crates/zinniastall-gateway/tests/decide/steady.rs
@@ -256,6 +256,7 @@
         route_rank: usize::from(is_long),
         gap,
         opens_soon: false,
+        urgent_objective: None,
     }
 }
 
--- a/crates/zinniastall-gateway/tests/locate.rs
+++ b/crates/zinniastall-gateway/tests/locate.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use zinniastall_gateway::{locate::list, view::View};
+use zinniastall_gateway::{locate::list, policy::LoadControl, view::View};
 use zinniastall_model::{
     place::Place,
     presence::Presence,
@@ -105,3 +105,43 @@
     early.configuration = None;
     assert!(located(&early).is_empty());
 }
+
+/// Returns a view of instances of one zone with the given capacities.
+fn uneven(capacities: &[u32]) -> View {
+    let names: Vec<String> = (0..capacities.len()).map(|at| format!("p{at}")).collect();
+    let instances: Vec<_> = names.iter().map(|name| ("patras", &**name, true)).collect();
+    let mut view = view(&instances, &[&[]]);
+    let mut presences: Vec<Presence> = view.instances.by_name().values().cloned().collect();
+    for (presence, capacity) in presences.iter_mut().zip(capacities) {
+        presence.capacity = *capacity;
+    }
+    let listed = presences.into_iter();
+    let listed = listed.map(|presence| (presence.instance.clone(), presence));
+    view.instances = Arc::new(listed.collect());
+    view
+}
+
+/// Guards against small instances that get as many connections as large ones and answer late.
+#[test]
+fn instances_are_listed_in_proportion_to_their_capacity() {
+    let mut view = uneven(&[90, 300, 0, 2_000]);
+    assert_eq!(located(&view), ["p0", "p1", "p2", "p3"]);
+    view.load_control = LoadControl {
+        instance_weights: true,
+        ..LoadControl::default()
+    };
+    let listed = located(&view);
+    let times = |name: &str| listed.iter().filter(|listed| *listed == name).count();
+    assert_eq!(["p0", "p1", "p2", "p3"].map(times), [1, 3, 1, 4]);
+}
+
+/// A listing has at most 64 entries. Each instance is named once before any is named again.
+#[test]
+fn a_full_listing_names_every_instance() {
+    let mut view = uneven(&[[90; 30], [300; 30]].concat());
+    view.load_control.instance_weights = true;
+    let listed = located(&view);
+    assert_eq!(listed.len(), 64);
+    let named = (0..60).filter(|at| listed.contains(&format!("p{at}")));
+    assert_eq!(named.count(), 60);
+}
