feat(gateway): engines divided between long prompts and short streams

Cause: long prompts and short streams share all engines of a service. An engine that prefills a chunk in each step of an event pauses its streams for longer than their routes permit.

Change: with `division` on, the first collector of the region's first zone decides once a second how many engines take long prompts, by the prefill and decode time of both kinds that it sees, and sends that to the region. All instances order the engines by the same hash. A request whose side has no room goes to an idle engine of the other side. With the flag off nothing is recorded, sent or filtered.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -247,6 +247,7 @@
                 neighbours: Rc::clone(&traffic.neighbours),
                 claims: Rc::clone(&traffic.claims),
                 rates: Rc::clone(&traffic.rates),
+                divisions: Rc::clone(&traffic.divisions),
                 reach: Rc::clone(&traffic.reach),
                 origins: Rc::clone(&traffic.origins),
                 quotas: Rc::clone(&traffic.quotas),
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -60,6 +60,18 @@
     event: &'static str,
 }
 
+/// Labels of decisions on the division of engines, by event.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DivisionLabels {
+    event: &'static str,
+}
+
+/// Labels of requests placed at divided engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SideLabels {
+    side: &'static str,
+}
+
 /// Labels of events of the paths to targets.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PathLabels {
@@ -116,6 +128,10 @@
     suspects: Counters<SuspectLabels>,
     permits: Counters<PermitLabels>,
     limits: Counters<LimitLabels>,
+    divisions: Counters<DivisionLabels>,
+    sides: Counters<SideLabels>,
+    divided: Gauge,
+    long_targets: Gauge,
     paths: Counters<PathLabels>,
     detours: Counters<DetourLabels>,
     taken_up: Counters<TakenUpLabels>,
@@ -167,6 +183,16 @@
                 "Permits to send to targets that take a limited rate, by outcome",
             ),
             limits: page.counters("target_limits", "Rates that targets named, by event"),
+            divisions: page.counters(
+                "division_decisions",
+                "Decisions of others on the division of engines, by event",
+            ),
+            sides: page.counters(
+                "division_placements",
+                "Choices of divided engines by side",
+            ),
+            divided: page.gauge("divided_services", "Services whose engines are divided"),
+            long_targets: page.gauge("long_targets", "Engines that take long prompts"),
             paths: page.counters("paths", "Paths to targets, by event"),
             taken_up: page.counters(
                 "taken_up",
@@ -272,6 +298,24 @@
         self.limits.get_or_create(&LimitLabels { event }).inc();
     }
 
+    /// Counts a decision of another instance on the division of engines: `accepted`, `repeated`, `stale`
+    /// or `invalid`.
+    pub fn count_division(&self, event: &'static str) {
+        let labels = DivisionLabels { event };
+        self.divisions.get_or_create(&labels).inc();
+    }
+
+    /// Counts the choice of a divided engine: of the side `long` or `short`, or of the `other` one.
+    pub fn count_side(&self, side: &'static str) {
+        self.sides.get_or_create(&SideLabels { side }).inc();
+    }
+
+    /// Sets the numbers of services whose engines are divided, and of engines that take long prompts.
+    pub fn set_divided(&self, services: usize, long_targets: usize) {
+        self.divided.set(services as u64);
+        self.long_targets.set(long_targets as u64);
+    }
+
     /// Counts an event of a path to a target: `lost`, `back` or `probed`.
     pub fn count_path(&self, event: &'static str) {
         self.paths.get_or_create(&PathLabels { event }).inc();
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -17,6 +17,7 @@
 pub mod collector;
 pub mod coordinator;
 pub mod datagram;
+pub mod division;
 mod flood;
 pub mod limits;
 pub mod permits;
@@ -44,6 +45,7 @@
     claims::Claims,
     collector::Roster,
     datagram::{Datagram, Key, MAX_DATAGRAM_BYTES, Part, Round, key, parts},
+    division::Divisions,
     permits::Permits,
     rates::Rates,
     reports::{Reports, add},
@@ -55,7 +57,7 @@
     reach::Reach,
     suspects::Suspects,
     tracker::Tracker,
-    view::{Shared, View},
+    view::{Shared, Target, View},
 };
 
 /// Interval of load reports while requests are in flight.
@@ -286,6 +288,8 @@
     pub claims: Rc<Claims>,
     /// Rates of targets.
     pub rates: Rc<Rates>,
+    /// Engines divided between long prompts and short streams.
+    pub divisions: Rc<RefCell<Divisions>>,
     /// Paths to targets.
     pub reach: Rc<Reach>,
     /// What began streams.
@@ -396,6 +400,11 @@
             Datagram::SuspectSum { digest, is_answer } => {
                 suspicions::answers(roster, &self.suspects.borrow(), digest, is_answer)
             }
+            Datagram::Division(part) => {
+                let mut divisions = self.divisions.borrow_mut();
+                divisions.receive(roster, &self.state.view(), &part, now);
+                Vec::new()
+            }
             Datagram::Report { .. } | Datagram::Zone { .. } | Datagram::Region { .. } => {
                 self.neighbours.borrow_mut().receive(datagram, now);
                 Vec::new()
@@ -430,6 +439,18 @@
         }
     }
 
+    /// Returns the decisions on the division of engines to send in this round.
+    fn divide(&self, roster: &Roster, view: &View, now: Instant) -> Vec<Outgoing> {
+        let tracker = self.tracker.borrow();
+        let inputs = Engines {
+            tracker: &tracker,
+            rates: &self.rates,
+            now,
+        };
+        let mut divisions = self.divisions.borrow_mut();
+        divisions.round(roster, view, &inputs, now)
+    }
+
     /// Returns the quota datagrams to send in this round; none if no account has a quota.
     fn usage(&self, exchange: &mut Exchange, roster: &Roster, now: Instant) -> Vec<Outgoing> {
         let view = self.state.view();
@@ -485,6 +506,28 @@
     }
 }
 
+/// What this instance knows of engines that are divided.
+struct Engines<'a> {
+    tracker: &'a Tracker,
+    rates: &'a Rates,
+    now: Instant,
+}
+
+impl division::Inputs for Engines<'_> {
+    fn gap(&self, service: &str) -> Duration {
+        self.tracker.min_gap(service, self.now)
+    }
+
+    fn is_limited(&self, target: &Target) -> bool {
+        self.rates.rate(target, 0, self.now).is_some()
+    }
+
+    /// The speed of single engines is not known here.
+    fn is_slow(&self, _target: &Target) -> bool {
+        false
+    }
+}
+
 /// Exchanges datagrams with the other instances; never returns.
 pub async fn run(socket: Rc<UdpSocket>, context: Context) {
     let Context {
@@ -563,6 +606,7 @@
                 let now = Instant::now();
                 let mut outgoing = neighbours.borrow_mut().round(&roster, own.collect(), now);
                 outgoing.extend(context.usage(&mut exchanges.usage, &roster, now));
+                outgoing.extend(context.divide(&roster, &view, now));
                 outgoing.extend(exchanges.suspects.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
                 // Requests are served as soon as there is a configuration.
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -34,6 +34,7 @@
     remote_collectors: Vec<id::Instance>,
     zones: IndexSet<id::Zone>,
     instances: IndexSet<id::Instance>,
+    is_in_first_zone: bool,
 }
 
 impl Roster {
@@ -47,6 +48,7 @@
             zone: view.place.zone.clone(),
             neighbours: others.map(|held| held.instance.clone()).collect(),
             instances: view.instances.by_name().keys().cloned().collect(),
+            is_in_first_zone: near.iter().all(|held| held.place.zone >= view.place.zone),
             ..Self::default()
         };
         let mut zones: IndexMap<&Place, Vec<&Presence>> = IndexMap::new();
@@ -95,6 +97,11 @@
         self.own_collectors.first() == Some(&self.instance)
     }
 
+    /// Returns whether no zone of the region that has live instances comes before this one by name.
+    pub const fn is_in_first_zone(&self) -> bool {
+        self.is_in_first_zone
+    }
+
     /// Returns the recipients of this instance's load reports.
     pub fn report_recipients(&self) -> Vec<id::Instance> {
         if self.is_small() {
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -10,7 +10,7 @@
 use zinniastall_model::id;
 use zinniastall_wire::{rates, reach};
 
-use super::{Load, Loads, limits, permits, suspicions, usage};
+use super::{Load, Loads, division, limits, permits, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -157,6 +157,9 @@
         #[serde(rename = "g")]
         is_granted: bool,
     },
+    /// Division of engines between long prompts and short streams.
+    #[serde(rename = "dv")]
+    Division(division::Part),
     /// Asks which of some targets the receiver reaches.
     #[serde(rename = "q")]
     PathQuestion(reach::Part),
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -6,6 +6,7 @@
 mod closings;
 mod crash;
 mod delivery;
+mod division;
 mod held;
 pub mod job;
 mod origin;
@@ -30,7 +31,7 @@
     decide::quota::Quotas,
     headers::Names,
     metrics::Metrics,
-    neighbours::{Neighbours, claims::Claims, permits::Permits, rates::Rates},
+    neighbours::{Neighbours, claims::Claims, division::Divisions, permits::Permits, rates::Rates},
     origins::Origins,
     policy::Policy,
     reach::Reach,
@@ -61,6 +62,8 @@
     pub claims: Rc<Claims>,
     /// Rates of targets, and permits to send to those that take a limited one.
     pub rates: Rc<Rates>,
+    /// Engines divided between long prompts and short streams.
+    pub divisions: Rc<RefCell<Divisions>>,
     /// Paths to targets, and the neighbours that reach those that this instance doesn't.
     pub reach: Rc<Reach>,
     /// What began streams.
@@ -105,6 +108,7 @@
             neighbours: Rc::default(),
             claims: Rc::default(),
             rates: Rc::default(),
+            divisions: Rc::new(RefCell::new(Divisions::new(policy.rates, metrics.clone()))),
             reach: Rc::default(),
             origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -118,6 +118,8 @@
     is_unranked: bool,
     /// Target for a strong suspect, by its index.
     preferred: Option<usize>,
+    /// Side of the engines, if they are divided.
+    side: Option<&'static str>,
 }
 
 impl LocalTargets<'_> {
@@ -148,6 +150,7 @@
             candidates: self.candidates.len(),
             unreached: self.unreached,
             detour_age: None,
+            side: self.side,
         });
         basis.unwrap_or(Basis {
             unreached: self.unreached,
@@ -174,7 +177,7 @@
         let mut tried = tried.clone();
         for asked in 0..MAX_PERMITS {
             let mut next = self.choose_claimed(job, &tried, requirement).await;
-            let Placement::Send(place, _, _, slot) = &mut next else {
+            let Placement::Send(place, reading_us, _, slot) = &mut next else {
                 if asked == 0 {
                     return next;
                 }
@@ -195,6 +198,9 @@
                 continue;
             }
             self.record_placement(job, place);
+            if matches!(place, Place::Target { .. }) {
+                self.record_prefill(job, *reading_us);
+            }
             return next;
         }
         if job.objective(Instant::now()).is_zero() {
@@ -248,7 +254,7 @@
         claimed: &Claimed,
     ) -> Placement {
         let (view, now) = (self.state.view(), Instant::now());
-        let local = self.local_targets(job, tried, requirement, claimed, &view, now);
+        let mut local = self.local_targets(job, tried, requirement, claimed, &view, now);
         let remote = if job.is_passed_on {
             Vec::new()
         } else {
@@ -279,7 +285,10 @@
                 return place_remote(&remote[at]);
             }
         }
-        match choose(&local.candidates, &regions, constraints) {
+        let known = (&local.targets[..], &local.candidates[..]);
+        let (choice, side) = self.choose_by_side(job, known, &regions, constraints, (&view, now));
+        local.side = side;
+        match choice {
             Choice::Local(at) => {
                 let at = local.preferred.unwrap_or(at);
                 self.place_local(job, &local, at, now)
@@ -334,6 +343,7 @@
                 let paths = self.reach.paths().borrow();
                 paths.voucher_age(&report.target, instance, now)
             }),
+            side: local.side,
         };
         Placement::Send(place, local.reading_us[at], basis, None)
     }
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -318,6 +318,7 @@
         };
         tracker.record_demand(&job.service, asked, job.arrived);
         drop(tracker);
+        self.record_work(job);
         // The instance that the caller connected to has counted it already.
         if !job.is_passed_on {
             self.retries.deposit(&job.service, job.arrived);
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -54,6 +54,8 @@
     pub unreached: usize,
     /// Time since the neighbour heard from the target, if the place is a neighbour.
     pub detour_age: Option<Duration>,
+    /// Side of the engine, if the engines are divided between kinds of requests.
+    pub side: Option<&'static str>,
 }
 
 /// How a request ended.
@@ -173,6 +175,7 @@
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
+            side = basis.side,
             revision = job.revision(),
             left_ms = millis(job.left(Instant::now())),
         );
@@ -400,6 +403,7 @@
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
+            side = basis.side,
             unreached = basis.unreached,
             objective_ms = job.route().objective_ms,
             left_ms = millis(job.left(Instant::now())),
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -10,11 +10,16 @@
 use tokio::{net::UdpSocket, time};
 use zinniastall_coord::rendezvous;
 use zinniastall_gateway::{
-    decide::quota::{self, Quotas},
+    decide::{
+        prefill::Rates,
+        quota::{self, Quotas},
+    },
+    metrics::Metrics,
     neighbours::{
         self, Context, Load,
         claims::{Claims, History},
         datagram::{Datagram, MAX_DATAGRAM_BYTES as LONGEST_DATAGRAM},
+        division::Divisions,
     },
     tracker::Tracker,
     view::{Shared, View},
@@ -77,6 +82,10 @@
                     neighbours,
                     claims: own,
                     rates: Rc::default(),
+                    divisions: Rc::new(RefCell::new(Divisions::new(
+                        Rates::default(),
+                        Metrics::new(),
+                    ))),
                     reach: Rc::default(),
                     origins: Rc::default(),
                     quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
--- a/crates/zinniastall-gateway/tests/decide.rs
+++ b/crates/zinniastall-gateway/tests/decide.rs
@@ -7,6 +7,7 @@
 
 mod decide {
     pub(crate) mod concurrency;
+    pub(crate) mod division;
     pub(crate) mod fetch;
     pub(crate) mod outlier;
     pub(crate) mod place;
--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -46,6 +46,7 @@
         neighbours: Rc::clone(&proxy.neighbours),
         claims: Rc::clone(&proxy.claims),
         rates: Rc::clone(&proxy.rates),
+        divisions: Rc::clone(&proxy.divisions),
         reach: Rc::clone(&proxy.reach),
         origins: Rc::clone(&proxy.origins),
         quotas: Rc::clone(&proxy.quotas),
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -4,8 +4,12 @@
 
 use tokio::{net::UdpSocket, time};
 use zinniastall_gateway::{
-    decide::quota::{self, Quotas},
-    neighbours::{self, Context, Neighbours},
+    decide::{
+        prefill::Rates,
+        quota::{self, Quotas},
+    },
+    metrics::Metrics,
+    neighbours::{self, Context, Neighbours, division::Divisions},
     tracker::{Guard, Tracker},
     view::{Shared, View},
 };
@@ -63,6 +67,10 @@
             neighbours,
             claims: Rc::default(),
             rates: Rc::default(),
+            divisions: Rc::new(RefCell::new(Divisions::new(
+                Rates::default(),
+                Metrics::new(),
+            ))),
             reach: Rc::default(),
             origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(quota::Bound::default()))),
