--- a/crates/zinniastall-gateway/tests/decide/division.rs
+++ b/crates/zinniastall-gateway/tests/decide/division.rs
@@ -187,6 +187,7 @@
         route_rank: is_long,
         gap: GAP,
         opens_soon: false,
+        urgent_objective: None,
     }
 }
 
