feat(gateway): log lines, metrics and documentation of the return schedule

Callers are told 30 ms less than a third of their time, since they compute it when the answer has arrived. The tests between instances use the harness of the request path.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -280,6 +280,7 @@
                 traffic.keep_suspects();
                 let quarantined = traffic.suspects.borrow().quarantined();
                 traffic.metrics.set_quarantined(quarantined);
+                traffic.metrics.set_return_promises(traffic.returns.len());
                 traffic.reach.expire(&view, Instant::now());
                 let unreached = traffic.reach.observe(&view, Instant::now());
                 let count = unreached.as_ref().map_or(0, |report| report.unreached.len());
--- a/crates/zinniastall-gateway/src/decide/returns.rs
+++ b/crates/zinniastall-gateway/src/decide/returns.rs
@@ -24,13 +24,17 @@
 pub const GRACE: Duration = Duration::from_secs(1);
 /// Share of its remaining time, as a divisor, up to which a caller honours `Retry-After`.
 const HONOURED_PART: u32 = 3;
+/// Time by which a return is told to come before that: a caller computes its share when the answer has
+/// arrived, some milliseconds later, and `Retry-After` is rounded to hundredths of a second.
+const HONOUR_MARGIN: Duration = Duration::from_millis(30);
 /// Time without a request after which a service's schedule is forgotten; all of its slots have passed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Returns the latest time at which a caller that has `left` until its deadline honours
 /// `Retry-After`.
 pub fn latest_delay(left: Duration) -> Duration {
-    (left / HONOURED_PART).min(MAX_DELAY)
+    let honoured = (left / HONOURED_PART).saturating_sub(HONOUR_MARGIN);
+    honoured.min(MAX_DELAY)
 }
 
 /// Schedules of one instance by service. A service has either engines or plain targets, so all of its
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -126,6 +126,7 @@
     detours: Counters<DetourLabels>,
     taken_up: Counters<TakenUpLabels>,
     returns: Counters<ReturnLabels>,
+    promises: Gauge,
     unreached: Gauge,
     quarantined: Gauge,
     retry_shares: Gauge,
@@ -187,6 +188,10 @@
                 "detours",
                 "Requests handed to a neighbour that reaches the targets, by outcome",
             ),
+            promises: page.gauge(
+                "return_promises",
+                "Promises of room for rejected requests that are held here",
+            ),
             unreached: page.gauge(
                 "unreached_targets",
                 "Targets that are not reached from here",
@@ -306,6 +311,11 @@
         self.returns.get_or_create(&ReturnLabels { event }).inc();
     }
 
+    /// Sets the number of promises of room that this instance holds.
+    pub fn set_return_promises(&self, promises: usize) {
+        self.promises.set(promises as u64);
+    }
+
     /// Sets the number of targets that this instance does not reach.
     pub fn set_unreached(&self, targets: usize) {
         self.unreached.set(targets as u64);
--- a/crates/zinniastall-gateway/src/path/returns.rs
+++ b/crates/zinniastall-gateway/src/path/returns.rs
@@ -144,7 +144,8 @@
         };
         self.returns.give(view, promise);
         self.metrics.count_return("promised");
-        self.request_log.return_promised(job, &request, &booking);
+        self.request_log
+            .return_promised(job, basis, &request, &booking);
         Some(booking.delay)
     }
 
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -413,7 +413,7 @@
     }
 
     /// Logs that a rejected request was promised room, and the room and work that it was decided on.
-    pub fn return_promised(&self, job: &Job, request: &Request, booking: &Booking) {
+    pub fn return_promised(&self, job: &Job, basis: &Basis, request: &Request, booking: &Booking) {
         if !self.admits(false) {
             return;
         }
@@ -426,6 +426,8 @@
             work = request.work,
             room = booking.room,
             priority = request.priority,
+            wait_ms = millis(basis.wait),
+            report_age_ms = millis(basis.report_age),
             left_ms = millis(request.left),
         );
     }
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -15,6 +15,7 @@
 mod heads;
 mod partitions;
 mod parts;
+mod promises;
 mod quarantine;
 mod rates;
 mod request_log;
