--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -250,6 +250,7 @@
                 divisions: Rc::clone(&traffic.divisions),
                 reach: Rc::clone(&traffic.reach),
                 origins: Rc::clone(&traffic.origins),
+                returns: Rc::clone(&traffic.returns),
                 quotas: Rc::clone(&traffic.quotas),
                 suspects: Rc::clone(&traffic.suspects),
                 permits: Rc::clone(&traffic.permits),
@@ -280,6 +281,7 @@
                 traffic.keep_suspects();
                 let quarantined = traffic.suspects.borrow().quarantined();
                 traffic.metrics.set_quarantined(quarantined);
+                traffic.metrics.set_return_promises(traffic.returns.len());
                 traffic.reach.expire(&view, Instant::now());
                 let unreached = traffic.reach.observe(&view, Instant::now());
                 let count = unreached.as_ref().map_or(0, |report| report.unreached.len());
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -15,6 +15,7 @@
 mod rate;
 pub mod reach;
 pub mod responder;
+pub mod returns;
 pub mod run;
 mod runs;
 pub mod serve;
@@ -28,10 +29,13 @@
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
-    decide::quota::Quotas,
+    decide::{quota::Quotas, returns::Schedules},
     headers::Names,
     metrics::Metrics,
-    neighbours::{Neighbours, claims::Claims, division::Divisions, permits::Permits, rates::Rates},
+    neighbours::{
+        Neighbours, claims::Claims, division::Divisions, permits::Permits, rates::Rates,
+        returns::Returns,
+    },
     origins::Origins,
     policy::Policy,
     reach::Reach,
@@ -68,6 +72,10 @@
     pub reach: Rc<Reach>,
     /// What began streams.
     pub origins: Rc<Origins>,
+    /// Promises of room for rejected requests.
+    pub returns: Rc<Returns>,
+    /// Times at which rejected requests of this thread should return.
+    schedules: RefCell<Schedules>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
     /// Requests suspected of crashing targets.
@@ -111,6 +119,8 @@
             divisions: Rc::new(RefCell::new(Divisions::new(policy.rates, metrics.clone()))),
             reach: Rc::default(),
             origins: Rc::default(),
+            returns: Rc::new(Returns::new(metrics.clone())),
+            schedules: RefCell::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             suspects: Rc::default(),
             permits: Rc::default(),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -149,11 +149,13 @@
             in_flight: self.flights[at],
             report_age: self.targets[at].heard_at.elapsed(),
             candidates: self.candidates.len(),
+            opens_soon: self.opens_soon,
             unreached: self.unreached,
             detour_age: None,
             side: self.side,
         });
         basis.unwrap_or(Basis {
+            opens_soon: self.opens_soon,
             unreached: self.unreached,
             ..Basis::default()
         })
@@ -256,6 +258,8 @@
     ) -> Placement {
         let (view, now) = (self.state.view(), Instant::now());
         let mut local = self.local_targets(job, tried, requirement, claimed, &view, now);
+        let slots = local.targets.first().map_or(1, |first| first.report.slots);
+        self.reserve_due(job, &mut local.candidates, slots, &view, now);
         let remote = if job.is_passed_on {
             Vec::new()
         } else {
@@ -282,6 +286,7 @@
             },
         };
         drop(tracker);
+        let constraints = Self::return_constraints(job, constraints);
         if local.are_doubtful() {
             // Another region may serve the request, or the instance that forwarded it knows one.
             if job.is_passed_on {
@@ -349,6 +354,7 @@
             in_flight: local.flights[at],
             report_age: now.saturating_duration_since(target.heard_at),
             candidates: local.candidates.len(),
+            opens_soon: local.opens_soon,
             unreached: local.unreached,
             detour_age: local.detours[at].as_ref().and_then(|instance| {
                 let paths = self.reach.paths().borrow();
--- a/crates/zinniastall-gateway/tests/division.rs
+++ b/crates/zinniastall-gateway/tests/division.rs
@@ -502,6 +502,7 @@
         let job = matched.job(&Names::default(), head, Bytes::new(), Instant::now());
         let job = job.unwrap();
         let demand = Demand {
+            objective_ms: 800,
             priority: 0,
             route_priority: 0,
             gap_ms: 400,
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -15,10 +15,12 @@
 mod heads;
 mod partitions;
 mod parts;
+mod promises;
 mod quarantine;
 mod rates;
 mod request_log;
 mod restarts;
+mod returns;
 mod streams;
 mod versions;
 
--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -49,6 +49,7 @@
         divisions: Rc::clone(&proxy.divisions),
         reach: Rc::clone(&proxy.reach),
         origins: Rc::clone(&proxy.origins),
+        returns: Rc::clone(&proxy.returns),
         quotas: Rc::clone(&proxy.quotas),
         suspects: Rc::clone(&proxy.suspects),
         permits: Rc::clone(&proxy.permits),
