feat(gateway): regions lend each other room

Cause: each request compared its wait with a sum that is half a second old, and one rejection by a region made an instance avoid it for 0.12 to 2 s, so a region at its peak rejected requests while others were idle.

Change: coord::overflow divides a room max-min by need, in prefill time and in requests, and keeps grants and tokens; neighbours::overflow exchanges room, need and grants by datagrams ro, rn and rg; a request that its region would not serve in time takes a token and goes to the lending region. Off unless view.load_control.overflow is on.

--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
 //! | [`quarantine`] | requests that crash the processes that run them, and shared suspicions |
 //! | [`origin`] | which software version began a stream, and where it may go on |
+//! | [`overflow`] | room that regions lend each other |
 //! | [`rate`] | rate limits that many instances keep together |
 //! | [`reach`] | paths to targets, as neighbours confirm them |
 //! | [`retry`] | retry budgets that many instances share without messages |
@@ -33,6 +34,7 @@
 pub mod log;
 pub mod membership;
 pub mod origin;
+pub mod overflow;
 pub mod quarantine;
 pub mod rate;
 pub mod reach;
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -253,6 +253,8 @@
                 suspects: Rc::clone(&traffic.suspects),
                 permits: Rc::clone(&traffic.permits),
                 news: Rc::clone(&traffic.suspects_changed),
+                overflow: Rc::clone(&traffic.overflow),
+                policy: traffic.policy,
             };
             actix::spawn(neighbours::run(Rc::new(socket), context));
         }
--- a/crates/zinniastall-gateway/src/decide/place.rs
+++ b/crates/zinniastall-gateway/src/decide/place.rs
@@ -222,7 +222,7 @@
     ///
     /// Less urgent requests are shed first: their queue is kept shorter, which leaves capacity for
     /// the urgent ones. They do not starve, since they keep part of the queue.
-    fn max_wait(&self) -> Duration {
+    pub(crate) fn max_wait(&self) -> Duration {
         let share = (1.0 - WAIT_CUT_PER_RANK * as_f64(self.rank)).max(MIN_WAIT_SHARE);
         self.objective
             .mul_f64(OBJECTIVE_SHARE * share)
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -7,8 +7,9 @@
 
 use indexmap::IndexSet;
 use prometheus_client::encoding::EncodeLabelSet;
+use zinniastall_coord::overflow::Amount;
 use zinniastall_http::{body::Framing, ending::Ending};
-use zinniastall_settings::scrape::{Builder, Counters, Gauge, Histograms, Page};
+use zinniastall_settings::scrape::{Builder, Counters, Gauge, Gauges, Histograms, Page};
 
 use crate::request_log::End;
 
@@ -78,6 +79,26 @@
     outcome: &'static str,
 }
 
+/// Labels of requests that room in other regions was sought for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverflowLabels {
+    outcome: &'static str,
+}
+
+/// Labels of messages about room that were dropped.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverflowDroppedLabels {
+    reason: &'static str,
+}
+
+/// Labels of what a region can lend, needs, lends and borrows.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverflowAmountLabels {
+    region: String,
+    service: String,
+    kind: &'static str,
+}
+
 /// Labels of decisions on retries.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
@@ -119,6 +140,10 @@
     paths: Counters<PathLabels>,
     detours: Counters<DetourLabels>,
     taken_up: Counters<TakenUpLabels>,
+    overflow: Counters<OverflowLabels>,
+    overflow_dropped: Counters<OverflowDroppedLabels>,
+    overflow_requests: Gauges<OverflowAmountLabels>,
+    overflow_work: Gauges<OverflowAmountLabels>,
     unreached: Gauge,
     quarantined: Gauge,
     retry_shares: Gauge,
@@ -176,6 +201,22 @@
                 "detours",
                 "Requests handed to a neighbour that reaches the targets, by outcome",
             ),
+            overflow: page.counters(
+                "overflow",
+                "Requests that room in other regions was sought for, by outcome",
+            ),
+            overflow_dropped: page.counters(
+                "overflow_dropped",
+                "Messages about room in other regions that were not used, by reason",
+            ),
+            overflow_requests: page.gauges(
+                "overflow_requests_per_second",
+                "Requests per second that a region can lend, needs, lends and borrows",
+            ),
+            overflow_work: page.gauges(
+                "overflow_work_ms_per_second",
+                "Prefill time per second that a region can lend, needs, lends and borrows",
+            ),
             unreached: page.gauge(
                 "unreached_targets",
                 "Targets that are not reached from here",
@@ -289,6 +330,34 @@
             .inc();
     }
 
+    /// Counts a request that room in another region was sought for: `sent`, `no-token`, and then
+    /// `served` or `rejected` there.
+    pub fn count_overflow(&self, outcome: &'static str) {
+        self.overflow
+            .get_or_create(&OverflowLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a message about room in other regions that was not used, and why.
+    pub fn count_overflow_dropped(&self, reason: &'static str) {
+        self.overflow_dropped
+            .get_or_create(&OverflowDroppedLabels { reason })
+            .inc();
+    }
+
+    /// Sets an amount of a service and region: its `room`, `need`, or what is `lent` or `borrowed`.
+    pub fn set_overflow(&self, region: &str, service: &str, kind: &'static str, amount: Amount) {
+        let amount_labels = OverflowAmountLabels {
+            region: region.to_owned(),
+            service: bounded_label(&self.services, service, MAX_SERVICE_LABELS),
+            kind,
+        };
+        let requests = self.overflow_requests.get_or_create(&amount_labels);
+        requests.set(amount.requests / 1_000);
+        let work = self.overflow_work.get_or_create(&amount_labels);
+        work.set(amount.work / 1_000);
+    }
+
     /// Sets the number of targets that this instance does not reach.
     pub fn set_unreached(&self, targets: usize) {
         self.unreached.set(targets as u64);
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -19,6 +19,7 @@
 pub mod datagram;
 mod flood;
 pub mod limits;
+pub mod overflow;
 pub mod permits;
 pub(crate) mod queries;
 pub mod rates;
@@ -44,6 +45,7 @@
     claims::Claims,
     collector::Roster,
     datagram::{Datagram, Key, MAX_DATAGRAM_BYTES, Part, Round, key, parts},
+    overflow::Overflow,
     permits::Permits,
     rates::Rates,
     reports::{Reports, add},
@@ -52,6 +54,7 @@
 use crate::{
     decide::quota::{self, Quotas},
     origins::Origins,
+    policy::Policy,
     reach::Reach,
     suspects::Suspects,
     tracker::Tracker,
@@ -298,6 +301,10 @@
     pub permits: Rc<Permits>,
     /// Notified when there is news of suspects to send.
     pub news: Rc<Notify>,
+    /// Tokens and need of this instance, for the exchange of room between regions.
+    pub overflow: Rc<Overflow>,
+    /// Timings and limits of the deployment.
+    pub policy: Policy,
 }
 
 impl Context {
@@ -396,6 +403,12 @@
             Datagram::SuspectSum { digest, is_answer } => {
                 suspicions::answers(roster, &self.suspects.borrow(), digest, is_answer)
             }
+            Datagram::RegionRoom(_) | Datagram::RegionNeed(_) | Datagram::RegionGrant(_) => {
+                let view = self.state.view();
+                let inputs = self.overflow_inputs(&view);
+                exchanges.overflow.receive(&inputs, sender, datagram, now);
+                Vec::new()
+            }
             Datagram::Report { .. } | Datagram::Zone { .. } | Datagram::Region { .. } => {
                 self.neighbours.borrow_mut().receive(datagram, now);
                 Vec::new()
@@ -403,6 +416,18 @@
         }
     }
 
+    fn overflow_inputs<'a>(&'a self, view: &'a View) -> overflow::Inputs<'a> {
+        overflow::Inputs {
+            view,
+            tracker: &self.tracker,
+            neighbours: &self.neighbours,
+            rates: &self.rates,
+            reach: &self.reach,
+            policy: &self.policy,
+            overflow: &self.overflow,
+        }
+    }
+
     /// Merges suspicions that another instance sent.
     fn receive_suspects(&self, roster: &Roster, part: &suspicions::Part, for_all: bool) {
         let mut suspects = self.suspects.borrow_mut();
@@ -466,6 +491,7 @@
     suspects: suspicions::Exchange,
     limits: limits::Exchange,
     reach: reach::Exchange,
+    overflow: overflow::Exchange,
 }
 
 /// What this instance knows of client accounts.
@@ -571,6 +597,8 @@
                 }
                 outgoing.extend(exchanges.limits.round(&roster, &rates.limits().borrow()));
                 outgoing.extend(limits::news(&roster, &mut rates.limits().borrow_mut()));
+                let inputs = context.overflow_inputs(&view);
+                outgoing.extend(exchanges.overflow.tick(&inputs, now));
                 send_all(&socket, &view, outgoing).await;
             }
         }
--- a/crates/zinniastall-gateway/src/neighbours/collector.rs
+++ b/crates/zinniastall-gateway/src/neighbours/collector.rs
@@ -165,7 +165,7 @@
 
 /// Returns the collectors of a zone, the first collector first. A draining instance is about to
 /// end, so it collects only if no other is left.
-fn collectors(mut members: Vec<&Presence>, zone: &str) -> Vec<id::Instance> {
+pub(super) fn collectors(mut members: Vec<&Presence>, zone: &str) -> Vec<id::Instance> {
     members.sort_by_cached_key(|held| (held.ready, weight(zone, &held.instance)));
     let first = members.into_iter().rev().take(COLLECTORS_PER_ZONE);
     first.map(|held| held.instance.clone()).collect()
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -10,7 +10,7 @@
 use zinniastall_model::id;
 use zinniastall_wire::{rates, reach};
 
-use super::{Load, Loads, limits, permits, suspicions, usage};
+use super::{Load, Loads, limits, overflow, permits, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -202,6 +202,15 @@
         #[serde(rename = "g")]
         is_granted: bool,
     },
+    /// Room, need and grants of a region, from its acting leader to the leaders of other regions.
+    #[serde(rename = "ro")]
+    RegionRoom(overflow::messages::Room),
+    /// Need of one instance, to the leaders of its region.
+    #[serde(rename = "rn")]
+    RegionNeed(overflow::messages::Need),
+    /// Grants of a region, from its acting leader to its instances.
+    #[serde(rename = "rg")]
+    RegionGrant(overflow::messages::Grant),
     /// Announces to a target's coordinator that an instance is about to send a request to the
     /// target.
     #[serde(rename = "c")]
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -133,6 +133,8 @@
     pub ahead: u32,
     /// Whether the request may have run.
     pub may_have_run: &'a Cell<bool>,
+    /// Whether the request goes to another region under a grant.
+    pub is_granted: bool,
     /// What the destination must satisfy.
     pub requirement: &'a Requirement,
     /// What another destination must satisfy, once the first event was forwarded.
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -1,7 +1,7 @@
 //! A request with its route, service, account and deadline.
 
 use std::{
-    cell::OnceCell,
+    cell::{Cell, OnceCell},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -67,6 +67,8 @@
     account: Option<usize>,
     model: String,
     subjects: OnceCell<Subjects>,
+    /// Whether the request was counted as one that found no room in this region.
+    pub is_need_counted: Cell<bool>,
 }
 
 /// What a request says of the stream that it continues.
@@ -200,6 +202,7 @@
                 .unwrap_or_default()
                 .to_owned(),
             subjects: OnceCell::new(),
+            is_need_counted: Cell::new(false),
             head,
             body,
         })
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -10,6 +10,7 @@
 pub mod job;
 mod origin;
 mod outgoing;
+mod overflow;
 pub mod placement;
 mod rate;
 pub mod reach;
@@ -30,7 +31,7 @@
     decide::quota::Quotas,
     headers::Names,
     metrics::Metrics,
-    neighbours::{Neighbours, claims::Claims, permits::Permits, rates::Rates},
+    neighbours::{Neighbours, claims::Claims, overflow::Overflow, permits::Permits, rates::Rates},
     origins::Origins,
     policy::Policy,
     reach::Reach,
@@ -67,6 +68,8 @@
     pub origins: Rc<Origins>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
+    /// Tokens for requests to other regions.
+    pub overflow: Rc<Overflow>,
     /// Requests suspected of crashing targets.
     pub suspects: Rc<RefCell<Suspects>>,
     /// Permits to send requests with suspects.
@@ -108,6 +111,7 @@
             reach: Rc::default(),
             origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
+            overflow: Rc::new(Overflow::new(metrics.clone())),
             suspects: Rc::default(),
             permits: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -87,7 +87,7 @@
         self.names.insert(name.to_owned());
     }
 
-    fn has(&self, name: &str) -> bool {
+    pub(super) fn has(&self, name: &str) -> bool {
         self.names.contains(name)
     }
 
@@ -148,6 +148,7 @@
             candidates: self.candidates.len(),
             unreached: self.unreached,
             detour_age: None,
+            far_by: None,
         });
         basis.unwrap_or(Basis {
             unreached: self.unreached,
@@ -279,6 +280,13 @@
                 return place_remote(&remote[at]);
             }
         }
+        // A choice that is made again for the claims of others must not leave the region.
+        if view.load_control.overflow && !job.is_passed_on && claimed.is_empty() {
+            let home = (local.candidates.as_slice(), constraints);
+            if let Some(next) = self.overflow(job, tried, requirement, home, &view, now) {
+                return next;
+            }
+        }
         match choose(&local.candidates, &regions, constraints) {
             Choice::Local(at) => {
                 let at = local.preferred.unwrap_or(at);
@@ -334,6 +342,7 @@
                 let paths = self.reach.paths().borrow();
                 paths.voucher_age(&report.target, instance, now)
             }),
+            far_by: None,
         };
         Placement::Send(place, local.reading_us[at], basis, None)
     }
@@ -643,6 +652,7 @@
             **region != view.place.region
                 && job.permits(region)
                 && !tracker.is_region_blocked(region, &job.service, now)
+                && !self.is_lender_paused(view, region, &job.service, now)
         };
         let regions = view.targets.regions(&job.service).filter(may_run);
         let remote = regions.filter_map(|name| {
@@ -697,7 +707,7 @@
 }
 
 /// Returns whether an instance sends a request only to a target that satisfies the requirement.
-const fn heeds(instance: &Presence, requirement: &Requirement) -> bool {
+pub(super) const fn heeds(instance: &Presence, requirement: &Requirement) -> bool {
     instance.checks_origins || !requirement.is_continuing()
 }
 
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -217,6 +217,7 @@
                     place: &place,
                     reading_us,
                     ahead: basis.in_flight,
+                    is_granted: basis.far_by.is_some(),
                     may_have_run: state.may_have_run,
                     requirement: &requirement,
                     began: &began,
@@ -367,6 +368,9 @@
         if place.detour().is_some() {
             self.metrics.count_detour(ended.as_str());
         }
+        if attempt.is_granted {
+            self.record_granted(job, place, ended);
+        }
         let now = Instant::now();
         let service = match place {
             Place::Target { .. } => job.service.as_str(),
@@ -396,6 +400,7 @@
                     detour: None,
                     ..
                 } = place
+                    && !attempt.is_granted
                 {
                     tracker.block_region(region, &job.service, now);
                 }
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -54,6 +54,8 @@
     pub unreached: usize,
     /// Time since the neighbour heard from the target, if the place is a neighbour.
     pub detour_age: Option<Duration>,
+    /// By which right the request goes to another region, if by one: `grant`.
+    pub far_by: Option<&'static str>,
 }
 
 /// How a request ended.
@@ -163,6 +165,7 @@
             resumes = job.resumes(),
             began = requirement.origin().map(|origin| origin.version.as_str()),
             far = matches!(place, Place::Instance { detour: None, .. }),
+            far_by = basis.far_by,
             detour_to = place.detour(),
             detour_age_ms = basis.detour_age.map(millis),
             unreached = basis.unreached,
@@ -459,6 +462,7 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
+/// Returns a duration in whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -112,6 +112,21 @@
             .map_or(0, |target| target.in_flight)
     }
 
+    /// Returns the load of this instance at a target.
+    pub fn load_at(&self, target: &str) -> neighbours::Load {
+        let known = self.targets.get(target);
+        known.map_or_else(neighbours::Load::default, |target| neighbours::Load {
+            in_flight: target.in_flight,
+            reading_us: target.reading_us,
+        })
+    }
+
+    /// Returns whether a target is ejected because its last requests failed.
+    pub fn is_ejected(&self, target: &str, now: Instant) -> bool {
+        let known = self.targets.get(target);
+        known.is_some_and(|target| target.record.is_ejected(now))
+    }
+
     /// Returns the expected service time of a plain service; `assumed` weighs as much as one
     /// observation.
     pub fn service_time(&self, service: &str, assumed: Duration) -> Duration {
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -16,6 +16,7 @@
         claims::{Claims, History},
         datagram::{Datagram, MAX_DATAGRAM_BYTES as LONGEST_DATAGRAM},
     },
+    policy::Policy,
     tracker::Tracker,
     view::{Shared, View},
 };
@@ -83,6 +84,8 @@
                     suspects: Rc::default(),
                     permits: Rc::default(),
                     news: Rc::default(),
+                    overflow: Rc::default(),
+                    policy: Policy::default(),
                 };
                 actix::spawn(neighbours::run(served, shared));
             }
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -13,6 +13,7 @@
 mod endless;
 mod harness;
 mod heads;
+mod overflow;
 mod partitions;
 mod parts;
 mod quarantine;
--- a/crates/zinniastall-gateway/tests/path/partitions.rs
+++ b/crates/zinniastall-gateway/tests/path/partitions.rs
@@ -52,6 +52,8 @@
         suspects: Rc::clone(&proxy.suspects),
         permits: Rc::clone(&proxy.permits),
         news: Rc::clone(&proxy.suspects_changed),
+        overflow: Rc::clone(&proxy.overflow),
+        policy: proxy.policy,
     };
     tokio::task::spawn_local(neighbours::run(socket, context));
 }
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -6,6 +6,7 @@
 use zinniastall_gateway::{
     decide::quota::{self, Quotas},
     neighbours::{self, Context, Neighbours},
+    policy::Policy,
     tracker::{Guard, Tracker},
     view::{Shared, View},
 };
@@ -69,6 +70,8 @@
             suspects: Rc::default(),
             permits: Rc::default(),
             news: Rc::default(),
+            overflow: Rc::default(),
+            policy: Policy::default(),
         };
         let busy = shared("one", busy, Rc::default());
         let idle = shared("two", idle, Rc::clone(&heard));
--- a/crates/zinniastall-settings/src/scrape.rs
+++ b/crates/zinniastall-settings/src/scrape.rs
@@ -25,6 +25,8 @@
 pub type Gauge = gauge::Gauge<u64, AtomicU64>;
 /// Family of counters by labels.
 pub type Counters<L> = Family<L, Counter>;
+/// Family of gauges by labels.
+pub type Gauges<L> = Family<L, Gauge>;
 /// Family of histograms by labels, in seconds.
 pub type Histograms<L> = Family<L, histogram::Histogram>;
 
@@ -69,6 +71,16 @@
         histograms
     }
 
+    /// Registers a family of gauges.
+    pub fn gauges<L>(&mut self, name: &str, help: &str) -> Gauges<L>
+    where
+        L: Clone + Debug + Eq + Hash + EncodeLabelSet + Send + Sync + 'static,
+    {
+        let gauges = Gauges::default();
+        self.registry.register(name, help, gauges.clone());
+        gauges
+    }
+
     /// Registers a gauge.
     pub fn gauge(&mut self, name: &str, help: &str) -> Gauge {
         let gauge = Gauge::default();
