--- a/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
+++ b/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
@@ -1,5 +1,9 @@
 //! Rounds of the exchange, and the state that they span.
 
+mod passing;
+mod showing;
+mod telling;
+
 use std::{
     cell::RefCell,
     net::SocketAddr,
@@ -7,26 +11,22 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use zinniastall_coord::overflow::{
     Amount, Borrower, GRANT_LIFE, HOLD, Lender, ROUND, Stale, TAKEOVER,
 };
-use zinniastall_model::{id, presence::Presence};
+use zinniastall_model::id;
 
 use super::{
     Overflow, Shown,
     leaders::Leaders,
-    messages::{
-        ANYWHERE, Entry, Grant, GrantEntry, Invalid, MAX_GRANTS, MAX_SERVICES, Need, RegionEntry,
-        Room,
-    },
+    messages::{ANYWHERE, Entry, Grant, Invalid, MAX_SERVICES, Need, RegionEntry, Room},
     rooms,
 };
 use crate::{
     index::Instances,
     neighbours::{
         Neighbours, Outgoing,
-        collector::collectors,
         datagram::{Datagram, Key, Round, key},
         rates::Rates,
     },
@@ -40,16 +40,11 @@
 const TICKS_PER_ROUND: u32 = 2;
 /// Ticks from one report of an instance's need to the next.
 const TICKS_PER_NEED: u32 = 4;
-/// Rounds from one message to a region that neither lends nor borrows to the next.
-const IDLE_ROUNDS: Round = 5;
 /// Age at which the need of an instance expires: two reports were lost.
-const NEED_TTL: Duration = Duration::from_millis(1_200);
-/// Age at which the room of another region expires: two messages to an idle region were lost.
-const ROOM_TTL: Duration = Duration::from_millis(2_500);
-/// Regions that are asked for room for one service, those with the most.
-const MAX_LENDERS: usize = 4;
-/// Shortest time between two log lines about the room of a service.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
+const NEED_TTL: Duration = Duration::from_secs(2);
+/// Instances of a region above which need is reported, and grants are passed on, half as often: the
+/// traffic of a leader grows with their number.
+const MAX_FREQUENT: usize = 32;
 
 /// What a round reads.
 #[derive(Debug, Clone, Copy)]
@@ -118,6 +113,8 @@
     grants: Amounts,
     /// Need by the region in which requests may run, this one included.
     need: Amounts,
+    /// Regions that are asked for room.
+    lenders: Vec<Key>,
 }
 
 impl Service<'_> {
@@ -259,31 +256,6 @@
         Ok(())
     }
 
-    /// Passes grants on to the zone; the second collector does so only while the first is silent.
-    fn relay(&mut self, view: &View, grant: Grant, now: Instant) {
-        let zone = &view.place.zone;
-        let members = view.instances.in_region(&view.place.region);
-        let members: Vec<&Presence> = members.filter(|held| held.place.zone == *zone).collect();
-        let collectors = collectors(members.clone(), zone);
-        let is_heard = |at| now.saturating_duration_since(at) < TAKEOVER;
-        let acts = match collectors.iter().position(|name| *name == view.instance) {
-            Some(0) => true,
-            Some(_) => !self.passed_on_at.is_some_and(is_heard),
-            None => false,
-        };
-        if !acts {
-            return;
-        }
-        let others = members.iter().filter(|held| held.instance != view.instance);
-        self.relayed.push(Outgoing {
-            to: others.map(|held| held.instance.clone()).collect(),
-            datagram: Datagram::RegionGrant(Grant {
-                for_all: false,
-                ..grant
-            }),
-        });
-    }
-
     /// Acts on a tick of the load reports; returns the datagrams to send.
     pub fn tick(&mut self, inputs: &Inputs<'_>, now: Instant) -> Vec<Outgoing> {
         let view = inputs.view;
@@ -293,7 +265,7 @@
         self.tick = self.tick.wrapping_add(1);
         self.update_leaders(view, now);
         let mut outgoing = std::mem::take(&mut self.relayed);
-        if self.tick.is_multiple_of(TICKS_PER_NEED) {
+        if self.tick.is_multiple_of(TICKS_PER_NEED * slowness(view)) {
             outgoing.extend(self.report_need(inputs, now));
         }
         if self.tick.is_multiple_of(TICKS_PER_ROUND) && self.is_acting(view, now) {
@@ -363,7 +335,7 @@
         *round = round.wrapping_add(1);
         let round = *round;
         let services = self.services(inputs, now);
-        let mut outgoing = self.room_messages(view, &services, round, now);
+        let mut outgoing = self.room_messages(view, &services, round);
         outgoing.extend(self.pass_on(inputs, round, now));
         self.show(inputs, &services, round, now);
         outgoing
@@ -388,6 +360,7 @@
                 room: rooms::of(inputs, table, service, now),
                 grants: Amounts::default(),
                 need: Amounts::default(),
+                lenders: self.lenders(home, key(&service.name), now),
             })
             .collect();
         let is_ready = view.instances.ready_in(home).next().is_some();
@@ -434,199 +407,12 @@
         let lender = self.lenders.entry(service.key).or_default();
         lender.divide(service.room.amount, &needs, now)
     }
-
-    /// Returns the messages to the leaders of other regions and to the other leader of this one.
-    fn room_messages(
-        &self,
-        view: &View,
-        services: &[Service<'_>],
-        round: Round,
-        now: Instant,
-    ) -> Vec<Outgoing> {
-        let home = &view.place.region;
-        let mut outgoing = Vec::new();
-        for region in self.leaders.regions() {
-            let leaders = self.leaders.of(region).iter();
-            let to = leaders.filter(|leader| **leader != view.instance);
-            let message = if region == home {
-                own_message(home, services, round)
-            } else {
-                self.message(home, region, services, round, now)
-            };
-            let is_idle = message.needs.is_empty() && message.grants.is_empty();
-            if is_idle && region != home && !round.is_multiple_of(IDLE_ROUNDS) {
-                continue;
-            }
-            outgoing.push(Outgoing {
-                to: to.cloned().collect(),
-                datagram: Datagram::RegionRoom(message),
-            });
-        }
-        outgoing
-    }
-
-    fn message(
-        &self,
-        home: &id::Region,
-        region: &id::Region,
-        services: &[Service<'_>],
-        round: Round,
-        now: Instant,
-    ) -> Room {
-        let to = key(region);
-        let needs = services.iter().filter_map(|service| {
-            let need = service.need_of(to);
-            let is_asked = !need.is_zero() && self.is_asked(region, service.key, now);
-            is_asked.then(|| Entry::new(service.key, need))
-        });
-        let grants = services.iter().filter_map(|service| {
-            let grant = service.grants.get(&to)?;
-            Some(RegionEntry::new(service.key, to, *grant))
-        });
-        Room {
-            region: home.clone(),
-            round,
-            rooms: rooms(services),
-            needs: needs.collect(),
-            grants: grants.collect(),
-        }
-    }
-
-    /// Returns whether a region is among those with the most room for a service.
-    fn is_asked(&self, region: &id::Region, service: Key, now: Instant) -> bool {
-        let room_of = |(told_at, rooms): &(Instant, Amounts)| {
-            let is_fresh = now.saturating_duration_since(*told_at) < ROOM_TTL;
-            let room = rooms.get(&service).filter(|_| is_fresh);
-            room.map_or(0, |room| room.requests)
-        };
-        let own = self.rooms.get(region).map_or(0, room_of);
-        let larger = self.rooms.values().filter(|held| room_of(held) > own);
-        own > 0 && larger.count() < MAX_LENDERS
-    }
-
-    /// Passes the grants of other regions on to the instances of this one.
-    fn pass_on(&mut self, inputs: &Inputs<'_>, round: Round, now: Instant) -> Vec<Outgoing> {
-        let view = inputs.view;
-        let mut grants = Vec::new();
-        for (lender, told, until) in self.told.grants(now) {
-            let left = until.saturating_duration_since(now).as_millis();
-            let left = u32::try_from(left).unwrap_or(u32::MAX);
-            let entries = told.grants.iter().filter(|(_, amount)| !amount.is_zero());
-            grants.extend(entries.map(|(service, amount)| {
-                GrantEntry(*service, key(lender), amount.work, amount.requests, left)
-            }));
-        }
-        // One message without grants ends those that were passed on.
-        if grants.is_empty() && !std::mem::take(&mut self.has_passed_on) {
-            return Vec::new();
-        }
-        self.has_passed_on = !grants.is_empty();
-        grants.sort_by_key(|entry| std::cmp::Reverse(entry.3));
-        grants.truncate(MAX_GRANTS);
-        let members = view.instances.ready_in(&view.place.region);
-        let capacities = members.map(|member| u64::from(member.capacity));
-        let capacities: Vec<u64> = capacities.collect();
-        let by_capacity = capacities.iter().all(|capacity| *capacity > 0);
-        let weight = if by_capacity {
-            capacities.iter().sum()
-        } else {
-            capacities.len() as u64
-        };
-        let grant = Grant {
-            round,
-            for_all: false,
-            weight: weight.max(1),
-            by_capacity,
-            grants,
-        };
-        let mut wallet = inputs.overflow.wallet.borrow_mut();
-        // Its own rounds are in order, but for those of another leader that acted at once.
-        let _ = wallet.receive(view, &grant, now);
-        drop(wallet);
-        let zone = view
-            .instances
-            .in_region(&view.place.region)
-            .filter(|member| {
-                member.place.zone == view.place.zone && member.instance != view.instance
-            });
-        let others = Grant {
-            for_all: true,
-            ..grant.clone()
-        };
-        let own = Outgoing {
-            to: zone.map(|member| member.instance.clone()).collect(),
-            datagram: Datagram::RegionGrant(grant),
-        };
-        let others = Outgoing {
-            to: self.leaders.zone_collectors().cloned().collect(),
-            datagram: Datagram::RegionGrant(others),
-        };
-        vec![own, others]
-    }
-
-    /// Updates metrics and logs what has changed.
-    fn show(&mut self, inputs: &Inputs<'_>, services: &[Service<'_>], round: Round, now: Instant) {
-        let (view, metrics) = (inputs.view, inputs.overflow.metrics());
-        for service in services {
-            let sum = |amounts: &mut dyn Iterator<Item = Amount>| {
-                amounts.fold(Amount::default(), Amount::plus)
-            };
-            let borrowed = self.told.grants(now).map(|(_, told, _)| {
-                let held = told.grants.get(&service.key);
-                held.copied().unwrap_or_default()
-            });
-            let shown = Shown {
-                room: service.room.amount,
-                need: service.need_at_home(view),
-                lent: sum(&mut service.grants.values().copied()),
-                borrowed: sum(&mut borrowed.into_iter()),
-                targets: service.room.targets,
-                oldest_report: service.room.oldest_report,
-            };
-            let kinds = [
-                ("room", shown.room),
-                ("need", shown.need),
-                ("lent", shown.lent),
-                ("borrowed", shown.borrowed),
-            ];
-            for (kind, amount) in kinds {
-                metrics.set_overflow(&view.place.region, service.name, kind, amount);
-            }
-            let last = self.shown.get(service.name);
-            let is_due = |at: Instant| now.saturating_duration_since(at) >= LOG_INTERVAL;
-            let is_new = last.is_none_or(|(at, last)| is_due(*at) && shown.differs(last));
-            if is_new {
-                shown.log(view, service.name, round);
-                self.shown.insert(service.name.clone(), (now, shown));
-            }
-        }
-        let known: IndexSet<&id::Service> = services.iter().map(|service| service.name).collect();
-        self.shown.retain(|name, _| known.contains(name));
-    }
-}
-
-/// Returns the message to the other leader of the region, which needs to know all grants.
-fn own_message(home: &id::Region, services: &[Service<'_>], round: Round) -> Room {
-    let grants = services.iter().flat_map(|service| {
-        let grants = service.grants.iter();
-        grants.map(|(region, amount)| RegionEntry::new(service.key, *region, *amount))
-    });
-    Room {
-        region: home.clone(),
-        round,
-        rooms: rooms(services),
-        needs: Vec::new(),
-        grants: grants.take(MAX_GRANTS).collect(),
-    }
 }
 
-fn rooms(services: &[Service<'_>]) -> Vec<Entry> {
-    let with_room = services
-        .iter()
-        .filter(|service| !service.room.amount.is_zero());
-    with_room
-        .map(|service| Entry::new(service.key, service.room.amount))
-        .collect()
+/// Returns by how much the messages within a region are less frequent than in a small one.
+fn slowness(view: &View) -> u32 {
+    let members = view.instances.in_region(&view.place.region);
+    if members.count() > MAX_FREQUENT { 2 } else { 1 }
 }
 
 /// Returns the first round of a run of the process: by the clock, so that a process that starts
--- a/crates/zinniastall-gateway/tests/overflow.rs
+++ b/crates/zinniastall-gateway/tests/overflow.rs
@@ -45,9 +45,44 @@
 /// Region that needs room, and the others.
 const HOME: &str = "patras";
 const REGIONS: [&str; 3] = [HOME, "chania", "volos"];
-const ZONES: [&str; 2] = ["a", "b"];
-const PER_ZONE: usize = 4;
-const ENGINES: usize = 4;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Size of a system.
+#[derive(Debug, Clone, Copy)]
+struct Shape {
+    regions: usize,
+    zones: usize,
+    /// Instances in each zone.
+    per_zone: usize,
+    services: usize,
+    /// Engines of each service in each region.
+    engines: usize,
+    /// Regions whose callers need more than they have.
+    needy: usize,
+}
+
+const SMALL: Shape = Shape {
+    regions: 3,
+    zones: 2,
+    per_zone: 4,
+    services: 1,
+    engines: 4,
+    needy: 1,
+};
+
+impl Shape {
+    fn regions(&self) -> Vec<id::Region> {
+        let named = REGIONS.iter().map(|name| (*name).to_owned());
+        let others = (3..self.regions).map(|at| format!("region{at:02}"));
+        named.chain(others).collect()
+    }
+
+    fn services(&self) -> Vec<id::Service> {
+        let others = (1..self.services).map(|at| format!("llm{at}"));
+        std::iter::once("llm".to_owned()).chain(others).collect()
+    }
+}
+
 /// Requests that each instance of the needy region can't place in a tick.
 const UNPLACED: usize = 2;
 const WORK: u64 = 20_000;
@@ -72,15 +107,15 @@
     }
 }
 
-fn engine(region: &str, at: usize, now: Instant) -> (id::Target, Target) {
-    let target = format!("llm-{region}-{at}");
+fn engine(service: &str, place: Place, at: usize, now: Instant) -> (id::Target, Target) {
+    let target = format!("{service}-{}-{at}", place.region);
     let report = Report {
         target: target.clone(),
         incarnation: 1,
         sequence: 1,
-        service: "llm".to_owned(),
+        service: service.to_owned(),
         address: String::new(),
-        place: Place::new(region, ZONES[at % 2]),
+        place,
         version: None,
         slots: 64,
         state: State::Ready,
@@ -97,44 +132,61 @@
     (target, known)
 }
 
-fn table() -> Table {
-    let route = Route::new("chat", "maps.example", "/", Kind::Stream).to(Share {
-        service: "llm".to_owned(),
-        weight: 1,
-    });
-    let mut service = Service::new("llm");
-    service.engine = Some(Engine {
-        slots: 64,
-        tokens: 400_000,
-        stride: 1,
-        token_bytes: 0,
-        link_mbps: 0,
-    });
-    Table::new(1, vec![route], vec![service])
+fn table(shape: Shape) -> Table {
+    let route = |service: &id::Service| {
+        Route::new(
+            service,
+            "maps.example",
+            &format!("/{service}/"),
+            Kind::Stream,
+        )
+        .to(Share {
+            service: service.clone(),
+            weight: 1,
+        })
+    };
+    let entry = |service: &id::Service| {
+        let mut service = Service::new(service);
+        service.engine = Some(Engine {
+            slots: 64,
+            tokens: 400_000,
+            stride: 1,
+            token_bytes: 0,
+            link_mbps: 0,
+        });
+        service
+    };
+    let services = shape.services();
+    let routes = services.iter().map(route).collect();
+    Table::new(1, routes, services.iter().map(entry).collect())
 }
 
 /// Returns what all instances know, as one of them.
-fn view(now: Instant) -> View {
+fn view(shape: Shape, now: Instant) -> View {
     let mut view = View::new(String::new(), Place::new(HOME, "a"));
     view.configuration = Some(Arc::new(Configuration {
         revision: 1,
-        table: Some(table()),
+        table: Some(table(shape)),
         evacuated: Vec::new(),
         versions: None,
     }));
-    let places = REGIONS
-        .iter()
-        .flat_map(|region| ZONES.map(|zone| Place::new(*region, zone)));
-    let instances = places.flat_map(|place| (0..PER_ZONE).map(move |at| (place.clone(), at)));
-    let present = instances.enumerate().map(|(number, (place, at))| {
-        let presence = presence(&place, at, number);
-        (presence.instance.clone(), presence)
-    });
-    view.instances = Arc::new(present.collect());
-    let engines = REGIONS
-        .iter()
-        .flat_map(|region| (0..ENGINES).map(move |at| engine(region, at, now)));
-    view.targets = Arc::new(engines.collect());
+    let (mut present, mut engines) = (Vec::new(), Vec::new());
+    for region in shape.regions() {
+        for zone in &ZONES[..shape.zones] {
+            for at in 0..shape.per_zone {
+                let presence = presence(&Place::new(region.as_str(), *zone), at, present.len());
+                present.push((presence.instance.clone(), presence));
+            }
+        }
+        for service in shape.services() {
+            for at in 0..shape.engines {
+                let place = Place::new(region.as_str(), ZONES[at % shape.zones]);
+                engines.push(engine(&service, place, at, now));
+            }
+        }
+    }
+    view.instances = Arc::new(present.into_iter().collect());
+    view.targets = Arc::new(engines.into_iter().collect());
     view.load_control = LoadControl {
         overflow: true,
         ..LoadControl::default()
@@ -213,21 +265,30 @@
     members: IndexMap<id::Instance, Member>,
     now: Instant,
     sent: Vec<(id::Instance, Outgoing)>,
-    /// Whether the callers of the needy region ask for more than it has.
-    is_needy: bool,
+    /// Regions whose callers ask for more than they have.
+    needy: Vec<id::Region>,
+    services: Vec<id::Service>,
+    /// Datagrams and bytes that each instance sent and received.
+    traffic: IndexMap<id::Instance, [usize; 4]>,
 }
 
 impl World {
     fn new() -> Self {
+        Self::of(SMALL)
+    }
+
+    fn of(shape: Shape) -> Self {
         let now = Instant::now();
-        let view = view(now);
+        let view = view(shape, now);
         let present = view.instances.by_name().values();
         let members = present.map(|held| (held.instance.clone(), Member::new(view.clone(), held)));
         Self {
             members: members.collect(),
             now,
             sent: Vec::new(),
-            is_needy: true,
+            needy: shape.regions().into_iter().take(shape.needy).collect(),
+            services: shape.services(),
+            traffic: IndexMap::new(),
         }
     }
 
@@ -244,11 +305,12 @@
             let now = self.now;
             let mut sent = Vec::new();
             for (name, member) in &mut self.members {
-                if self.is_needy && member.view.place.region == HOME {
+                let region = &member.view.place.region;
+                for service in self.services.iter().filter(|_| self.needy.contains(region)) {
                     let mut wallet = member.overflow.wallet.borrow_mut();
                     for _ in 0..UNPLACED {
-                        let regions = [ANYWHERE, key(HOME)].into_iter();
-                        wallet.record_need("llm", regions, WORK, now);
+                        let regions = [ANYWHERE, key(region)].into_iter();
+                        wallet.record_need(service, regions, WORK, now);
                     }
                 }
                 let outgoing = member.with(|exchange, inputs| exchange.tick(inputs, now));
@@ -265,6 +327,10 @@
                     .parse()
                     .unwrap();
                 for to in outgoing.to.iter().filter(|to| arrives(from, to)) {
+                    let sent = self.traffic.entry(from.clone()).or_default();
+                    (sent[0], sent[1]) = (sent[0] + 1, sent[1] + bytes.len());
+                    let received = self.traffic.entry(to.clone()).or_default();
+                    (received[2], received[3]) = (received[2] + 1, received[3] + bytes.len());
                     let datagram = Datagram::decode(&bytes).unwrap();
                     self.members[to].receive(sender, datagram, now);
                 }
@@ -335,7 +401,7 @@
             world.run(1, |from, to| from != dead && to != dead);
             let live = world.home().filter(|member| member.view.instance != dead);
             let live = live.filter(|member| member.is_live(world.now)).count();
-            let alive = ZONES.len() * PER_ZONE - usize::from(region == HOME);
+            let alive = SMALL.zones * SMALL.per_zone - usize::from(region == HOME);
             assert_eq!(live, alive, "{region}, tick {tick}");
         }
     }
@@ -395,7 +461,7 @@
 
 /// Returns the room that a region's leader states for the service.
 fn stated(world: &mut World, region: &str) -> u64 {
-    world.is_needy = false;
+    world.needy.clear();
     let leader = world.leaders(region).remove(0);
     for _ in 0..20 {
         world.run(1, all);
@@ -657,3 +723,44 @@
         assert!(length <= MAX_DATAGRAM_BYTES);
     }
 }
+
+/// Guards against traffic that grows with the system: at most 20 KB/s of each instance on average, and
+/// a bounded number at the leaders, which change with the instances.
+#[test]
+fn traffic_is_bounded_at_every_size() {
+    let shape = |regions, zones, per_zone, services, engines, needy| Shape {
+        regions,
+        zones,
+        per_zone,
+        services,
+        engines,
+        needy,
+    };
+    let shapes = [
+        shape(3, 2, 10, 2, 10, 1),
+        shape(6, 2, 25, 4, 20, 2),
+        shape(23, 3, 25, 4, 20, 8),
+    ];
+    for shape in shapes {
+        let mut world = World::of(shape);
+        world.run(24, all);
+        world.traffic.clear();
+        world.run(16, all);
+        let instances = world.members.len();
+        let per_second = |of: usize| {
+            let counts = world.traffic.values().map(|traffic| traffic[of] * 10 / 16);
+            (
+                counts.clone().sum::<usize>() / instances,
+                counts.max().unwrap(),
+            )
+        };
+        let [sent, sent_bytes, received, received_bytes] = [0, 1, 2, 3].map(per_second);
+        println!(
+            "instances={instances} sent={sent:?} bytes={sent_bytes:?} \
+             received={received:?} bytes={received_bytes:?}"
+        );
+        assert!(sent_bytes.0 <= 20_000 && received_bytes.0 <= 20_000);
+        assert!(sent.1 <= 200 && received.1 <= 200);
+        assert!(sent_bytes.1 <= 40_000 && received_bytes.1 <= 40_000);
+    }
+}
