--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -70,6 +70,8 @@
     account: Option<usize>,
     model: String,
     subjects: OnceCell<Subjects>,
+    /// Whether the request was counted as one that found no room in this region.
+    pub is_need_counted: Cell<bool>,
 }
 
 /// What a request says of the stream that it continues.
@@ -204,6 +206,7 @@
                 .unwrap_or_default()
                 .to_owned(),
             subjects: OnceCell::new(),
+            is_need_counted: Cell::new(false),
             head,
             body,
         })
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -11,6 +11,7 @@
 pub mod job;
 mod origin;
 mod outgoing;
+mod overflow;
 pub mod placement;
 mod rate;
 pub mod reach;
@@ -33,8 +34,8 @@
     headers::Names,
     metrics::Metrics,
     neighbours::{
-        Neighbours, claims::Claims, division::Divisions, permits::Permits, rates::Rates,
-        returns::Returns,
+        Neighbours, claims::Claims, division::Divisions, overflow::Overflow, permits::Permits,
+        rates::Rates, returns::Returns,
     },
     origins::Origins,
     policy::Policy,
@@ -78,6 +79,8 @@
     schedules: RefCell<Schedules>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
+    /// Tokens for requests to other regions.
+    pub overflow: Rc<Overflow>,
     /// Requests suspected of crashing targets.
     pub suspects: Rc<RefCell<Suspects>>,
     /// Permits to send requests with suspects.
@@ -122,6 +125,7 @@
             returns: Rc::new(Returns::new(metrics.clone())),
             schedules: RefCell::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
+            overflow: Rc::new(Overflow::new(metrics.clone())),
             suspects: Rc::default(),
             permits: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -87,7 +87,7 @@
         self.names.insert(name.to_owned());
     }
 
-    fn has(&self, name: &str) -> bool {
+    pub(super) fn has(&self, name: &str) -> bool {
         self.names.contains(name)
     }
 
@@ -153,6 +153,7 @@
             unreached: self.unreached,
             detour_age: None,
             side: self.side,
+            far_by: None,
         });
         basis.unwrap_or(Basis {
             opens_soon: self.opens_soon,
@@ -296,6 +297,13 @@
                 return place_remote(&remote[at]);
             }
         }
+        // A choice that is made again for the claims of others must not leave the region.
+        if view.load_control.overflow && !job.is_passed_on && claimed.is_empty() {
+            let home = (local.candidates.as_slice(), constraints);
+            if let Some(next) = self.overflow(job, tried, requirement, home, &view, now) {
+                return next;
+            }
+        }
         let known = (&local.targets[..], &local.candidates[..]);
         let (choice, side) = self.choose_by_side(job, known, &regions, constraints, (&view, now));
         local.side = side;
@@ -361,6 +369,7 @@
                 paths.voucher_age(&report.target, instance, now)
             }),
             side: local.side,
+            far_by: None,
         };
         Placement::Send(place, local.reading_us[at], basis, None)
     }
@@ -670,6 +679,7 @@
             **region != view.place.region
                 && job.permits(region)
                 && !tracker.is_region_blocked(region, &job.service, now)
+                && !self.is_lender_paused(view, region, &job.service, now)
         };
         let regions = view.targets.regions(&job.service).filter(may_run);
         let remote = regions.filter_map(|name| {
@@ -724,7 +734,7 @@
 }
 
 /// Returns whether an instance sends a request only to a target that satisfies the requirement.
-const fn heeds(instance: &Presence, requirement: &Requirement) -> bool {
+pub(super) const fn heeds(instance: &Presence, requirement: &Requirement) -> bool {
     instance.checks_origins || !requirement.is_continuing()
 }
 
--- a/crates/zinniastall-gateway/tests/claims.rs
+++ b/crates/zinniastall-gateway/tests/claims.rs
@@ -21,6 +21,7 @@
         datagram::{Datagram, MAX_DATAGRAM_BYTES as LONGEST_DATAGRAM},
         division::Divisions,
     },
+    policy::Policy,
     tracker::Tracker,
     view::{Shared, View},
 };
@@ -93,6 +94,8 @@
                     suspects: Rc::default(),
                     permits: Rc::default(),
                     news: Rc::default(),
+                    overflow: Rc::default(),
+                    policy: Policy::default(),
                 };
                 actix::spawn(neighbours::run(served, shared));
             }
--- a/crates/zinniastall-gateway/tests/decide/returns.rs
+++ b/crates/zinniastall-gateway/tests/decide/returns.rs
@@ -181,6 +181,7 @@
         route_rank: rank,
         gap: Duration::ZERO,
         opens_soon: false,
+        urgent_objective: None,
     }
 }
 
--- a/crates/zinniastall-gateway/tests/words.rs
+++ b/crates/zinniastall-gateway/tests/words.rs
@@ -10,6 +10,7 @@
     },
     metrics::Metrics,
     neighbours::{self, Context, Neighbours, division::Divisions},
+    policy::Policy,
     tracker::{Guard, Tracker},
     view::{Shared, View},
 };
@@ -78,6 +79,8 @@
             suspects: Rc::default(),
             permits: Rc::default(),
             news: Rc::default(),
+            overflow: Rc::default(),
+            policy: Policy::default(),
         };
         let busy = shared("one", busy, Rc::default());
         let idle = shared("two", idle, Rc::clone(&heard));
