feat(gateway): fair shares among accounts in scarce capacity

Cause: one account that sends six times its usual load takes the room of all others, since targets are chosen without regard to accounts, and quotas don't divide capacity.

Change: while an instance rejects requests for lack of room, it admits only a fraction of the requests of accounts above a weighted max-min level, computed from the totals of demand and use that instances exchange already (decide/fair_share). The rejection is a 503 that names a spread time, and its quota charge is refunded. Behind view.load_control.fair_shares; off, nothing is counted and nothing is decided otherwise.

--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -2,6 +2,7 @@
 //! I/O.
 
 pub mod concurrency;
+pub mod fair_share;
 pub mod fetch;
 pub mod identity;
 pub mod outlier;
--- a/crates/zinniastall-gateway/src/decide/quota.rs
+++ b/crates/zinniastall-gateway/src/decide/quota.rs
@@ -248,6 +248,13 @@
         as_f64(quota.rate) * EXCESSIVE_RATE_SHARE * counted / asked
     }
 
+    /// Returns the totals over all instances and when they were heard, if they are current.
+    pub fn totals(&self, now: Instant) -> Option<(&Totals, Instant)> {
+        let (_, heard_at) = self.totals_heard?;
+        let is_current = now.saturating_duration_since(heard_at) < MAX_TOTALS_AGE;
+        is_current.then_some((&self.totals, heard_at))
+    }
+
     /// Returns the units used within the last window, if all of it is known.
     pub fn window_usage(&self, key: Key, now: Instant) -> Option<u64> {
         let history = self.histories.get(&key)?;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -42,6 +42,12 @@
     outcome: &'static str,
 }
 
+/// Labels of requests rejected because their client account exceeds its share.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShareLabels {
+    account: String,
+}
+
 /// Labels of events of requests that are suspected of crashing targets.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SuspectLabels {
@@ -113,6 +119,7 @@
     retries: Counters<RetryLabels>,
     endings: Counters<EndingLabels>,
     units: Counters<UnitLabels>,
+    shares: Counters<ShareLabels>,
     suspects: Counters<SuspectLabels>,
     permits: Counters<PermitLabels>,
     limits: Counters<LimitLabels>,
@@ -158,6 +165,10 @@
                 "quota_units",
                 "Units of quotas by client account and outcome",
             ),
+            shares: page.counters(
+                "shares_exceeded",
+                "Requests rejected because their client account exceeds its share of scarce capacity",
+            ),
             suspects: page.counters(
                 "suspects",
                 "Requests at targets that crashed, and what became of them",
@@ -255,6 +266,12 @@
         self.units.get_or_create(&unit_labels).inc_by(units);
     }
 
+    /// Counts a request that was rejected because its client account exceeds its share.
+    pub fn count_share_exceeded(&self, account: &str) {
+        let account = bounded_label(&self.accounts, account, MAX_ACCOUNT_LABELS);
+        self.shares.get_or_create(&ShareLabels { account }).inc();
+    }
+
     /// Counts an event of a request that is suspected of crashing targets: `crashed`, `cleared`,
     /// `quarantined` or `rejected`.
     pub fn count_suspect(&self, event: &'static str) {
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -6,6 +6,7 @@
 mod closings;
 mod crash;
 mod delivery;
+mod fair_share;
 mod held;
 pub mod job;
 mod origin;
@@ -27,7 +28,7 @@
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
-    decide::quota::Quotas,
+    decide::{fair_share::Shares, quota::Quotas},
     headers::Names,
     metrics::Metrics,
     neighbours::{Neighbours, claims::Claims, permits::Permits, rates::Rates},
@@ -67,6 +68,8 @@
     pub origins: Rc<Origins>,
     /// Use of client accounts' quotas.
     pub quotas: Rc<RefCell<Quotas>>,
+    /// Shares of client accounts in scarce capacity.
+    pub shares: RefCell<Shares>,
     /// Requests suspected of crashing targets.
     pub suspects: Rc<RefCell<Suspects>>,
     /// Permits to send requests with suspects.
@@ -108,6 +111,7 @@
             reach: Rc::default(),
             origins: Rc::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
+            shares: RefCell::default(),
             suspects: Rc::default(),
             permits: Rc::default(),
             probes: RefCell::default(),
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -199,6 +199,9 @@
             }
             Placement::Refuse(retry_after, basis) => {
                 self.request_log.given_up(job, basis, retry_after);
+                if !responder.has_begun() {
+                    self.record_no_room(job);
+                }
                 state.no_place(responder, retry_after)
             }
             // The key may have been revoked while the request waited.
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -235,6 +235,7 @@
             self.record_end(job, responder, refusal.outcome().as_str(), why);
             return Ok(responder.keeps_open());
         }
+        self.record_room_asked(job);
         let ended = tokio::select! {
             biased;
             ended = self.run(job, responder) => ended?,
@@ -288,13 +289,17 @@
         let account = job.account().map_or("", |account| account.name.as_str());
         self.metrics
             .count_units(account, charge.cost, admitted.is_ok());
-        admitted.map_err(|excess| {
+        drop(quotas);
+        let admitted = admitted.map_err(|excess| {
             self.request_log.exceeded(job, charge, excess);
             (
                 Refusal::QuotaExceeded(excess.retry_after),
                 "beyond its account's quota",
             )
-        })
+        });
+        admitted?;
+        self.check_share(job, charge, claim.draw)
+            .inspect_err(|(refusal, _)| self.refund(job, refusal.outcome()))
     }
 
     /// Refunds the quota of a request that has not run.
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -18,7 +18,7 @@
 use zinniastall_model::{fingerprint::Fingerprint, id, routing::Route};
 
 use super::{
-    decide::quota::Excess,
+    decide::{fair_share::Exceeded, quota::Excess},
     path::{
         attempt::{Ended, Place},
         job::{Charge, Job},
@@ -264,6 +264,25 @@
         );
     }
 
+    /// Logs that a request's account exceeds its share of scarce capacity.
+    pub fn share_exceeded(&self, job: &Job, charge: Charge, exceeded: Exceeded) {
+        if !self.admits(false) {
+            return;
+        }
+        tracing::info!(
+            event = "share-exceeded",
+            id = job.id,
+            account = job.account().map(|account| account.name.as_str()),
+            cost = charge.cost,
+            level = exceeded.share.level.round(),
+            demand = exceeded.share.demand.round(),
+            age_ms = millis(exceeded.age),
+            rejected = exceeded.rejected,
+            part = exceeded.share.fraction,
+            retry_after_ms = millis(exceeded.retry_after),
+        );
+    }
+
     /// Logs how an attempt ended, unless it brought a complete answer.
     pub fn attempted(&self, job: &Job, place: &Place, ended: &Ended) {
         let why = match ended {
--- a/crates/zinniastall-gateway/tests/path/accounts.rs
+++ b/crates/zinniastall-gateway/tests/path/accounts.rs
@@ -23,7 +23,7 @@
     vec![route("/plans/", Kind::Idempotent, 1), open]
 }
 
-fn with_accounts(mut view: View, accounts: Vec<Account>) -> View {
+pub(crate) fn with_accounts(mut view: View, accounts: Vec<Account>) -> View {
     let held = view.configuration.take().expect("a configuration");
     let mut configuration = (*held).clone();
     let table = configuration.table.take().expect("a table");
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod endings;
 mod endless;
+mod fair_shares;
 mod harness;
 mod heads;
 mod partitions;
