--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod concurrency;
 pub mod division;
+pub mod fair_share;
 pub mod fetch;
 pub mod identity;
 pub mod outlier;
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod delivery;
 mod division;
+mod fair_share;
 mod held;
 pub mod job;
 mod origin;
@@ -30,7 +31,7 @@
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
-    decide::{quota::Quotas, returns::Schedules},
+    decide::{fair_share::Shares, quota::Quotas, returns::Schedules},
     headers::Names,
     metrics::Metrics,
     neighbours::{
@@ -81,6 +82,8 @@
     pub quotas: Rc<RefCell<Quotas>>,
     /// Tokens for requests to other regions.
     pub overflow: Rc<Overflow>,
+    /// Shares of client accounts in scarce capacity.
+    pub shares: RefCell<Shares>,
     /// Requests suspected of crashing targets.
     pub suspects: Rc<RefCell<Suspects>>,
     /// Permits to send requests with suspects.
@@ -126,6 +129,7 @@
             schedules: RefCell::default(),
             quotas: Rc::new(RefCell::new(Quotas::new(policy.quota))),
             overflow: Rc::new(Overflow::new(metrics.clone())),
+            shares: RefCell::default(),
             suspects: Rc::default(),
             permits: Rc::default(),
             probes: RefCell::default(),
