feat(gateway): learned speed of engines and admission by memory

Cause: engine rates are constants, so slow engines get as many prompts and streams as fast ones. Nothing keeps requests from engines whose slots or memory are taken.

Change, behind `view.load_control.capacity`: the pace and the gaps of each engine are learned from the answers of its streams (decide/capacity.rs, line.rs, gaps.rs, watch.rs) and exchanged by way of the collectors (neighbours/paces.rs, datagrams `pc` and `pr`). decide/fit.rs puts engines last whose gaps are near the bound or that are three times slower than the median, and leaves out those whose gaps are above it, whose slots are taken or whose memory (decide/memory.rs) would be overfilled, while better ones exist. Expected waits are multiplied by an engine's pace; the service's own counts as at least 1, so that a service faster than nominal does not admit more. With the part off, the list of fits is empty and the decision is that of `place::choose`.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -273,6 +273,8 @@
                 let instances = view.instances.by_name().values();
                 let ready = instances.filter(|held| held.ready).count();
                 traffic.metrics.set_known(view.revision(), view.targets.by_name().len(), ready);
+                let now = Instant::now();
+                traffic.metrics.set_paces(&mut traffic.tracker.borrow_mut().capacity, now);
                 let share = view.retry_share.map_or(0, |share| share.instances);
                 traffic.metrics.set_retry_shares(share);
                 traffic.metrics.set_connections(traffic.connections.open());
--- a/crates/zinniastall-gateway/src/lib.rs
+++ b/crates/zinniastall-gateway/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod tracker;
 pub mod uplink;
 pub mod view;
+pub mod watch;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -1,16 +1,22 @@
 //! Counters, gauges and histograms of a gateway instance.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
 };
 
 use indexmap::IndexSet;
 use prometheus_client::encoding::EncodeLabelSet;
 use zinniastall_http::{body::Framing, ending::Ending};
-use zinniastall_settings::scrape::{Builder, Counters, Gauge, Histograms, Page};
+use zinniastall_settings::scrape::{Builder, Counters, Gauge, Gauges, Histograms, Page};
 
-use crate::request_log::End;
+use crate::{
+    decide::capacity::Capacity,
+    request_log::{End, thousandths},
+};
 
 /// Routes with a label of their own; all others share [`OTHER_LABEL`]. Operators add hundreds of
 /// routes, and each label costs some kilobytes on every instance.
@@ -19,6 +25,8 @@
 const MAX_ACCOUNT_LABELS: usize = 64;
 /// Services with a label of their own; all others share [`OTHER_LABEL`].
 const MAX_SERVICE_LABELS: usize = 64;
+/// Targets of which the learned figures are shown.
+const MAX_PACED_TARGETS: usize = 64;
 /// Label shared by the routes, accounts and services beyond the limits.
 const OTHER_LABEL: &str = "other";
 
@@ -98,6 +106,19 @@
     ending: &'static str,
 }
 
+/// Labels of what was learned of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PaceLabels {
+    service: String,
+    target: String,
+}
+
+/// Labels of what was learned of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Metrics of one instance; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -119,6 +140,10 @@
     paths: Counters<PathLabels>,
     detours: Counters<DetourLabels>,
     taken_up: Counters<TakenUpLabels>,
+    paces: Gauges<PaceLabels>,
+    gaps: Gauges<PaceLabels>,
+    service_paces: Gauges<ServiceLabels>,
+    dropped_paces: Gauge,
     unreached: Gauge,
     quarantined: Gauge,
     retry_shares: Gauge,
@@ -176,6 +201,22 @@
                 "detours",
                 "Requests handed to a neighbour that reaches the targets, by outcome",
             ),
+            paces: page.gauges(
+                "target_pace_thousandths",
+                "Learned time of a target for a prefill, in thousandths of the nominal one",
+            ),
+            gaps: page.gauges(
+                "target_gap_milliseconds",
+                "High quantile of the time between events of a target's streams",
+            ),
+            service_paces: page.gauges(
+                "service_pace_thousandths",
+                "Learned time of a service for a prefill, in thousandths of the nominal one",
+            ),
+            dropped_paces: page.gauge(
+                "dropped_paces",
+                "Reports on the speed of targets that were dropped, as stale or not valid",
+            ),
             unreached: page.gauge(
                 "unreached_targets",
                 "Targets that are not reached from here",
@@ -289,6 +330,26 @@
             .inc();
     }
 
+    /// Shows what was learned of targets and services.
+    pub fn set_paces(&self, capacity: &mut Capacity, now: Instant) {
+        self.dropped_paces.set(capacity.dropped);
+        self.service_paces.clear();
+        for (service, pace) in capacity.services(now).take(MAX_SERVICE_LABELS) {
+            let service = service.clone();
+            let gauge = self.service_paces.get_or_create(&ServiceLabels { service });
+            gauge.set(thousandths(pace));
+        }
+        self.paces.clear();
+        self.gaps.clear();
+        for (target, service, figures) in capacity.all(now).into_iter().take(MAX_PACED_TARGETS) {
+            let labels = PaceLabels { service, target };
+            let pace = self.paces.get_or_create(&labels);
+            pace.set(thousandths(figures.pace));
+            let gap = self.gaps.get_or_create(&labels);
+            gap.set(thousandths(figures.high_gap.as_secs_f64()));
+        }
+    }
+
     /// Sets the number of targets that this instance does not reach.
     pub fn set_unreached(&self, targets: usize) {
         self.unreached.set(targets as u64);
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -19,6 +19,7 @@
 pub mod datagram;
 mod flood;
 pub mod limits;
+pub mod paces;
 pub mod permits;
 pub(crate) mod queries;
 pub mod rates;
@@ -396,6 +397,15 @@
             Datagram::SuspectSum { digest, is_answer } => {
                 suspicions::answers(roster, &self.suspects.borrow(), digest, is_answer)
             }
+            Datagram::Paces { .. } | Datagram::RegionPaces { .. } => {
+                let view = self.state.view();
+                let capacity = &mut self.tracker.borrow_mut().capacity;
+                let dropped = exchanges
+                    .paces
+                    .receive(datagram, roster, &view, capacity, now);
+                capacity.dropped += dropped;
+                Vec::new()
+            }
             Datagram::Report { .. } | Datagram::Zone { .. } | Datagram::Region { .. } => {
                 self.neighbours.borrow_mut().receive(datagram, now);
                 Vec::new()
@@ -466,6 +476,7 @@
     suspects: suspicions::Exchange,
     limits: limits::Exchange,
     reach: reach::Exchange,
+    paces: paces::Exchange,
 }
 
 /// What this instance knows of client accounts.
@@ -563,6 +574,8 @@
                 let now = Instant::now();
                 let mut outgoing = neighbours.borrow_mut().round(&roster, own.collect(), now);
                 outgoing.extend(context.usage(&mut exchanges.usage, &roster, now));
+                let paces = &mut exchanges.paces;
+                outgoing.extend(paces.round(&roster, &view, &mut tracker.borrow_mut().capacity, now));
                 outgoing.extend(exchanges.suspects.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
                 // Requests are served as soon as there is a configuration.
--- a/crates/zinniastall-gateway/src/neighbours/datagram.rs
+++ b/crates/zinniastall-gateway/src/neighbours/datagram.rs
@@ -10,7 +10,7 @@
 use zinniastall_model::id;
 use zinniastall_wire::{rates, reach};
 
-use super::{Load, Loads, limits, permits, suspicions, usage};
+use super::{Load, Loads, limits, paces, permits, suspicions, usage};
 
 /// Maximum length of a datagram, in bytes. A longer one would be fragmented, and lost with any of
 /// its fragments.
@@ -229,6 +229,27 @@
         #[serde(rename = "r")]
         reading_ms: u32,
     },
+    /// Speed of targets as one instance observed it, to the collectors of its zone.
+    #[serde(rename = "pc")]
+    Paces {
+        /// Reporting instance.
+        #[serde(rename = "n")]
+        instance: id::Instance,
+        /// Observations by target.
+        #[serde(rename = "p")]
+        part: paces::Part,
+    },
+    /// Speed of targets as the instances of a zone observed it, to the collectors of the region's
+    /// other zones; as those of the whole region did, to the instances of the zone.
+    #[serde(rename = "pr")]
+    RegionPaces {
+        /// Sending collector.
+        #[serde(rename = "n")]
+        instance: id::Instance,
+        /// Observations by target.
+        #[serde(rename = "p")]
+        part: paces::Part,
+    },
 }
 
 /// Why a datagram can't be encoded.
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -27,6 +27,7 @@
     transfer::{drain_body, drain_refusal},
 };
 use crate::{
+    decide::fit::Measure,
     headers::{OUTCOME, RETRY_MS},
     reach,
     tracker::Guard,
@@ -131,6 +132,8 @@
     pub reading_us: u64,
     /// Requests that are expected to be at the target already.
     pub ahead: u32,
+    /// What is known of the request there, if its speed and memory are learned.
+    pub measure: Option<Measure>,
     /// Whether the request may have run.
     pub may_have_run: &'a Cell<bool>,
     /// What the destination must satisfy.
@@ -237,6 +240,7 @@
             Place::Instance { .. } => "",
         };
         let mut flight = Guard::start(&self.tracker, name, service, attempt.reading_us, now);
+        flight.watch = self.watch(attempt, now);
         let _path = self.begin_path(place);
         let direct = place.direct();
         let _run = direct.map(|(_, address)| self.runs.hold(address, connection.opened));
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -3,6 +3,8 @@
 //! The body's decoder tells how it ended on its connection. Two more things lower that: a stream that
 //! ends inside an event was broken off, and so was an answer without framing whose target has crashed.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use zinniastall_http::{
     body::Decoder,
@@ -134,6 +136,9 @@
             };
             if !piece.is_empty() {
                 flight.answer_started();
+                if let Some(watch) = &mut flight.watch {
+                    watch.event(Instant::now());
+                }
                 if attempt.began.borrow().is_none() {
                     self.began(attempt, origin.as_ref());
                 }
@@ -144,6 +149,9 @@
                 if let Err(error) = forwarded {
                     return Ended::CallerGone(error);
                 }
+                if let Some(watch) = &mut flight.watch {
+                    watch.forwarded(Instant::now());
+                }
             }
             let Some(ending) = ending else {
                 has_gone_on = has_gone_on || self.record_progress(attempt.job, responder);
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod attempt;
+mod capacity;
 mod closings;
 mod crash;
 mod delivery;
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -9,10 +9,17 @@
 };
 use zinniastall_model::{fingerprint::Fingerprint, id, presence::Presence};
 
-use super::{Proxy, attempt::Place, job::Job, runs::Run};
+use super::{
+    Proxy,
+    attempt::Place,
+    capacity::{Expected, TOO_LARGE_RETRY, is_too_large, known_footprint},
+    job::Job,
+    runs::Run,
+};
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
+        fit::{Fit, Measure, choose_fitting, paced},
         place::{Candidate, Choice, Constraints, Region, choose},
     },
     index::Total,
@@ -109,6 +116,9 @@
     flights: Vec<u32>,
     holders: Vec<Holder>,
     rates: Vec<Option<Rate>>,
+    /// What was learned of each target, and how well the request fits it; empty if nothing is learned.
+    measures: Vec<Measure>,
+    fits: Vec<Fit>,
     opens_soon: bool,
     /// Targets that no known path leads to.
     unreached: usize,
@@ -148,6 +158,7 @@
             candidates: self.candidates.len(),
             unreached: self.unreached,
             detour_age: None,
+            measure: self.measures.get(at).copied(),
         });
         basis.unwrap_or(Basis {
             unreached: self.unreached,
@@ -248,6 +259,9 @@
         claimed: &Claimed,
     ) -> Placement {
         let (view, now) = (self.state.view(), Instant::now());
+        if is_too_large(job, &view) {
+            return Placement::Refuse(TOO_LARGE_RETRY, Basis::default());
+        }
         let local = self.local_targets(job, tried, requirement, claimed, &view, now);
         let remote = if job.is_passed_on {
             Vec::new()
@@ -279,7 +293,7 @@
                 return place_remote(&remote[at]);
             }
         }
-        match choose(&local.candidates, &regions, constraints) {
+        match choose_fitting(&local.candidates, &local.fits, &regions, constraints) {
             Choice::Local(at) => {
                 let at = local.preferred.unwrap_or(at);
                 self.place_local(job, &local, at, now)
@@ -334,6 +348,7 @@
                 let paths = self.reach.paths().borrow();
                 paths.voucher_age(&report.target, instance, now)
             }),
+            measure: local.measures.get(at).copied(),
         };
         Placement::Send(place, local.reading_us[at], basis, None)
     }
@@ -411,6 +426,7 @@
         let targets = view.targets.of(&job.service, &view.place.region);
         let targets: Vec<&Target> = targets.collect();
         let cache_owner = cache_owner(job, &targets);
+        let footprint = known_footprint(job, view);
         let standing = self.standing(job);
         let is_strong_suspect = standing.clearance >= Clearance::Alone;
         for target in targets {
@@ -444,6 +460,22 @@
                     local.opens_soon = true;
                     continue;
                 }
+                let measured = footprint.as_ref().map(|footprint| {
+                    let expected = Expected {
+                        candidate: &candidate,
+                        reading_us,
+                        flights,
+                    };
+                    self.measure(job, target, footprint, expected, now)
+                });
+                let candidate = if let Some((measure, fit)) = measured {
+                    local.measures.push(measure);
+                    local.fits.push(fit);
+                    local.opens_soon |= fit == Fit::Overfull;
+                    paced(candidate, &measure.figures)
+                } else {
+                    candidate
+                };
                 let rate = self.rates.rate(target, job.cold_rate(), now);
                 let candidate = self.with_permit_wait(candidate, target, rate, now);
                 let candidate = if requirement.is_continuing() {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -217,6 +217,7 @@
                     place: &place,
                     reading_us,
                     ahead: basis.in_flight,
+                    measure: basis.measure,
                     may_have_run: state.may_have_run,
                     requirement: &requirement,
                     began: &began,
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -18,7 +18,7 @@
 use zinniastall_model::{fingerprint::Fingerprint, id, routing::Route};
 
 use super::{
-    decide::quota::Excess,
+    decide::{fit::Measure, quota::Excess},
     path::{
         attempt::{Ended, Place},
         job::{Charge, Job},
@@ -54,6 +54,31 @@
     pub unreached: usize,
     /// Time since the neighbour heard from the target, if the place is a neighbour.
     pub detour_age: Option<Duration>,
+    /// What was learned of the target, if that is switched on.
+    pub measure: Option<Measure>,
+}
+
+impl Basis {
+    /// Returns the target's pace in thousandths of the nominal one.
+    fn pace(&self) -> Option<u64> {
+        self.measure
+            .map(|measure| thousandths(measure.figures.pace))
+    }
+
+    /// Returns the time since the last observation of the target in milliseconds.
+    fn pace_age(&self) -> Option<u64> {
+        self.measure?.figures.age.map(millis)
+    }
+
+    /// Returns the high quantile of the gaps between its events in milliseconds.
+    fn gap(&self) -> Option<u64> {
+        self.measure.map(|measure| millis(measure.figures.high_gap))
+    }
+
+    /// Returns the expected use of its memory in thousandths.
+    fn memory(&self) -> Option<u64> {
+        self.measure.map(|measure| thousandths(measure.memory))
+    }
 }
 
 /// How a request ended.
@@ -173,6 +198,10 @@
             flights = basis.in_flight,
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
+            pace = basis.pace(),
+            pace_age_ms = basis.pace_age(),
+            gap_ms = basis.gap(),
+            memory = basis.memory(),
             revision = job.revision(),
             left_ms = millis(job.left(Instant::now())),
         );
@@ -401,6 +430,10 @@
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
             unreached = basis.unreached,
+            pace = basis.pace(),
+            pace_age_ms = basis.pace_age(),
+            gap_ms = basis.gap(),
+            memory = basis.memory(),
             objective_ms = job.route().objective_ms,
             left_ms = millis(job.left(Instant::now())),
             retry_after_ms = millis(after),
@@ -459,6 +492,16 @@
     }
 }
 
+/// Returns a factor or share in thousandths.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a conversion of a float that is out of range saturates"
+)]
+pub const fn thousandths(value: f64) -> u64 {
+    (value * 1_000.0) as u64
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/zinniastall-gateway/src/tracker.rs
+++ b/crates/zinniastall-gateway/src/tracker.rs
@@ -10,8 +10,12 @@
 use zinniastall_model::{id, presence::Load};
 
 use crate::{
-    decide::{concurrency::Limit, outlier::Record, service_time::Estimate},
+    decide::{
+        capacity::Capacity, concurrency::Limit, memory::Memory, outlier::Record,
+        service_time::Estimate,
+    },
     neighbours,
+    watch::Watch,
 };
 
 /// Prompt parts remembered for one target. An engine's cache holds about 250,000 tokens, which is
@@ -28,6 +32,10 @@
 /// In-flight requests, observed behaviour and demand, as one instance knows them.
 #[derive(Debug, Default)]
 pub struct Tracker {
+    /// Learned speed of engines.
+    pub capacity: Capacity,
+    /// Tokens at engines.
+    pub memory: Memory,
     targets: IndexMap<id::Target, Target>,
     service_times: IndexMap<id::Service, Estimate>,
     blocked_regions: IndexMap<id::Service, IndexMap<id::Region, Block>>,
@@ -75,6 +83,8 @@
 /// Counts a request as in flight at a target until it is dropped.
 #[derive(Debug)]
 pub struct Guard {
+    /// Observes the request, if its engine is to be learned.
+    pub watch: Option<Watch>,
     tracker: Rc<RefCell<Tracker>>,
     target: id::Target,
     reading_us: u64,
@@ -280,6 +290,7 @@
         entry.last_used = now;
         drop(open);
         Self {
+            watch: None,
             tracker: Rc::clone(tracker),
             target: target.to_owned(),
             reading_us,
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod bounds;
 mod caller;
+mod capacity;
 mod endings;
 mod endless;
 mod harness;
--- a/crates/zinniastall-settings/src/scrape.rs
+++ b/crates/zinniastall-settings/src/scrape.rs
@@ -23,6 +23,8 @@
 
 /// Gauge with an integer value.
 pub type Gauge = gauge::Gauge<u64, AtomicU64>;
+/// Family of gauges by labels.
+pub type Gauges<L> = Family<L, Gauge>;
 /// Family of counters by labels.
 pub type Counters<L> = Family<L, Counter>;
 /// Family of histograms by labels, in seconds.
@@ -76,6 +78,16 @@
         gauge
     }
 
+    /// Registers a family of gauges.
+    pub fn gauges<L>(&mut self, name: &str, help: &str) -> Gauges<L>
+    where
+        L: Clone + Debug + Eq + Hash + EncodeLabelSet + Send + Sync + 'static,
+    {
+        let gauges = Gauges::default();
+        self.registry.register(name, help, gauges.clone());
+        gauges
+    }
+
     /// Finishes the registration.
     pub fn build(self) -> Page {
         Page {
