--- a/crates/zinniastall-gateway/src/decide/division.rs
+++ b/crates/zinniastall-gateway/src/decide/division.rs
@@ -18,7 +18,8 @@
 use zinniastall_coord::rendezvous::weight;
 
 use super::{
-    place::{self, Candidate, Choice, Constraints, Region},
+    fit::{Fit, choose_fitting},
+    place::{Candidate, Choice, Constraints, Region},
     prefill::Rates,
 };
 
@@ -306,19 +307,20 @@
 /// Chooses where a request goes among divided engines; returns whether it goes to an engine of the
 /// other side.
 ///
-/// `is_own` tells which targets take requests of the side. If none of those accepts the request, or
+/// `fits` has an entry for each target, or is empty; `is_own` tells which targets take requests of the
+/// side. If none of those accepts the request, or
 /// only a full or ejected one does, it goes to an idle engine of the other side that accepts it.
 pub fn choose(
-    local: &[Candidate],
+    (local, fits): (&[Candidate], &[Fit]),
     (side, is_own): (Side, &[bool]),
     remote: &[Region],
     constraints: Constraints,
 ) -> (Choice, bool) {
     let (own, other): (Vec<usize>, Vec<usize>) = (0..local.len()).partition(|at| is_own[*at]);
-    let first = choose_among(local, &own, remote, constraints);
+    let first = choose_among((local, fits), &own, remote, constraints);
     let accepts = |choice| matches!(choice, Choice::Local(at) if has_room(&local[at]));
     let is_settled = match first {
-        Choice::Remote(_) => accepts(choose_among(local, &own, &[], constraints)),
+        Choice::Remote(_) => accepts(choose_among((local, fits), &own, &[], constraints)),
         other => accepts(other),
     };
     if is_settled {
@@ -326,20 +328,22 @@
     }
     let idle = other.into_iter().filter(|at| is_idle(&local[*at], side));
     let idle: Vec<usize> = idle.collect();
-    match choose_among(local, &idle, &[], constraints) {
+    match choose_among((local, fits), &idle, &[], constraints) {
         Choice::Local(at) => (Choice::Local(at), true),
         _ => (first, false),
     }
 }
 
 fn choose_among(
-    local: &[Candidate],
+    (local, fits): (&[Candidate], &[Fit]),
     places: &[usize],
     remote: &[Region],
     constraints: Constraints,
 ) -> Choice {
     let candidates: Vec<Candidate> = places.iter().map(|at| local[*at]).collect();
-    match place::choose(&candidates, remote, constraints) {
+    let fits = places.iter().filter_map(|at| fits.get(*at).copied());
+    let fits: Vec<Fit> = fits.collect();
+    match choose_fitting(&candidates, &fits, remote, constraints) {
         Choice::Local(at) => Choice::Local(places[at]),
         other => other,
     }
--- a/crates/zinniastall-gateway/src/neighbours.rs
+++ b/crates/zinniastall-gateway/src/neighbours.rs
@@ -21,6 +21,7 @@
 mod flood;
 pub mod limits;
 pub mod overflow;
+pub mod paces;
 pub mod permits;
 pub(crate) mod queries;
 pub mod rates;
@@ -428,6 +429,15 @@
                 exchanges.overflow.receive(&inputs, sender, datagram, now);
                 Vec::new()
             }
+            Datagram::Paces { .. } | Datagram::RegionPaces { .. } => {
+                let view = self.state.view();
+                let capacity = &mut self.tracker.borrow_mut().capacity;
+                let dropped = exchanges
+                    .paces
+                    .receive(datagram, roster, &view, capacity, now);
+                capacity.dropped += dropped;
+                Vec::new()
+            }
             Datagram::Report { .. } | Datagram::Zone { .. } | Datagram::Region { .. } => {
                 self.neighbours.borrow_mut().receive(datagram, now);
                 Vec::new()
@@ -523,6 +533,7 @@
     limits: limits::Exchange,
     reach: reach::Exchange,
     overflow: overflow::Exchange,
+    paces: paces::Exchange,
 }
 
 /// What this instance knows of client accounts.
@@ -646,6 +657,8 @@
                 let mut outgoing = neighbours.borrow_mut().round(&roster, own.collect(), now);
                 outgoing.extend(context.usage(&mut exchanges.usage, &roster, now));
                 outgoing.extend(context.divide(&roster, &view, now));
+                let paces = &mut exchanges.paces;
+                outgoing.extend(paces.round(&roster, &view, &mut tracker.borrow_mut().capacity, now));
                 outgoing.extend(exchanges.suspects.round(&roster, &suspects.borrow()));
                 outgoing.extend(suspicions::news(&roster, &mut suspects.borrow_mut()));
                 // Requests are served as soon as there is a configuration.
--- a/crates/zinniastall-gateway/src/path/division.rs
+++ b/crates/zinniastall-gateway/src/path/division.rs
@@ -6,7 +6,8 @@
 use crate::{
     decide::{
         division::{self, Side, Work},
-        place::{Candidate, Choice, Constraints, Region, choose},
+        fit::{Fit, choose_fitting},
+        place::{Candidate, Choice, Constraints, Region},
     },
     view::{Target, View},
 };
@@ -47,12 +48,12 @@
     pub(super) fn choose_by_side(
         &self,
         job: &Job,
-        (targets, candidates): (&[&Target], &[Candidate]),
+        (targets, candidates, fits): (&[&Target], &[Candidate], &[Fit]),
         regions: &[Region],
         constraints: Constraints,
         (view, now): (&View, Instant),
     ) -> (Choice, Option<&'static str>) {
-        let undivided = || (choose(candidates, regions, constraints), None);
+        let undivided = || (choose_fitting(candidates, fits, regions, constraints), None);
         if !view.load_control.division {
             return undivided();
         }
@@ -64,7 +65,7 @@
         let takes = |target: &&Target| sides.takes(&target.report.target, side);
         let is_own: Vec<bool> = targets.iter().map(takes).collect();
         let (choice, is_other) =
-            division::choose(candidates, (side, &is_own), regions, constraints);
+            division::choose((candidates, fits), (side, &is_own), regions, constraints);
         let side = if is_other { OTHER_SIDE } else { side.as_str() };
         if matches!(choice, Choice::Local(_)) {
             self.metrics.count_side(side);
--- a/crates/zinniastall-gateway/src/path/overflow.rs
+++ b/crates/zinniastall-gateway/src/path/overflow.rs
@@ -13,7 +13,10 @@
     placement::{Placement, Tried, heeds},
 };
 use crate::{
-    decide::place::{Candidate, Choice, Constraints, choose},
+    decide::{
+        fit::{Fit, choose_fitting},
+        place::{Candidate, Choice, Constraints},
+    },
     neighbours::{datagram::key, overflow::messages::ANYWHERE},
     request_log::Basis,
     view::View,
@@ -32,11 +35,11 @@
         job: &Job,
         tried: &Tried,
         requirement: &Requirement,
-        (candidates, constraints): (&[Candidate], Constraints),
+        (candidates, fits, constraints): (&[Candidate], &[Fit], Constraints),
         view: &View,
         now: Instant,
     ) -> Option<Placement> {
-        let is_served = matches!(choose(candidates, &[], constraints), Choice::Local(_));
+        let is_served = is_served(candidates, fits, constraints);
         if is_served || self.is_too_far(constraints) {
             return None;
         }
@@ -143,6 +146,14 @@
     }
 }
 
+/// Returns whether a target of this region would serve a request in time, with a free slot and within
+/// the bounds on gaps as far as they are known.
+fn is_served(candidates: &[Candidate], fits: &[Fit], constraints: Constraints) -> bool {
+    let fits_well = |at: usize| fits.get(at).is_none_or(|fit| *fit <= Fit::Reluctant);
+    let choice = choose_fitting(candidates, fits, &[], constraints);
+    matches!(choice, Choice::Local(at) if fits_well(at))
+}
+
 /// Returns the other regions in which a request may run and has targets.
 fn other_homes<'a>(job: &Job, requirement: &Requirement, view: &'a View) -> Vec<&'a str> {
     let is_fit = |region: &&id::Region| {
--- a/crates/zinniastall-gateway/src/path/placement.rs
+++ b/crates/zinniastall-gateway/src/path/placement.rs
@@ -9,10 +9,17 @@
 };
 use zinniastall_model::{fingerprint::Fingerprint, id, presence::Presence};
 
-use super::{Proxy, attempt::Place, job::Job, runs::Run};
+use super::{
+    Proxy,
+    attempt::Place,
+    capacity::{Expected, TOO_LARGE_RETRY, is_too_large},
+    job::Job,
+    runs::Run,
+};
 use crate::{
     decide::{
         fetch::{self, Holder, Link},
+        fit::{Fit, Measure, paced},
         place::{Candidate, Choice, Constraints, Region, choose},
     },
     index::Total,
@@ -109,6 +116,9 @@
     flights: Vec<u32>,
     holders: Vec<Holder>,
     rates: Vec<Option<Rate>>,
+    /// What was learned of each target, and how well the request fits it; empty if nothing is learned.
+    measures: Vec<Measure>,
+    fits: Vec<Fit>,
     opens_soon: bool,
     /// Targets that no known path leads to.
     unreached: usize,
@@ -154,6 +164,7 @@
             detour_age: None,
             side: self.side,
             far_by: None,
+            measure: self.measures.get(at).copied(),
         });
         basis.unwrap_or(Basis {
             opens_soon: self.opens_soon,
@@ -258,6 +269,9 @@
         claimed: &Claimed,
     ) -> Placement {
         let (view, now) = (self.state.view(), Instant::now());
+        if is_too_large(job, &view) {
+            return Placement::Refuse(TOO_LARGE_RETRY, Basis::default());
+        }
         let mut local = self.local_targets(job, tried, requirement, claimed, &view, now);
         let slots = local.targets.first().map_or(1, |first| first.report.slots);
         self.reserve_due(job, &mut local.candidates, slots, &view, now);
@@ -299,12 +313,12 @@
         }
         // A choice that is made again for the claims of others must not leave the region.
         if view.load_control.overflow && !job.is_passed_on && claimed.is_empty() {
-            let home = (local.candidates.as_slice(), constraints);
+            let home = (&local.candidates[..], &local.fits[..], constraints);
             if let Some(next) = self.overflow(job, tried, requirement, home, &view, now) {
                 return next;
             }
         }
-        let known = (&local.targets[..], &local.candidates[..]);
+        let known = (&local.targets[..], &local.candidates[..], &local.fits[..]);
         let (choice, side) = self.choose_by_side(job, known, &regions, constraints, (&view, now));
         local.side = side;
         match choice {
@@ -370,6 +384,7 @@
             }),
             side: local.side,
             far_by: None,
+            measure: local.measures.get(at).copied(),
         };
         Placement::Send(place, local.reading_us[at], basis, None)
     }
@@ -447,6 +462,7 @@
         let targets = view.targets.of(&job.service, &view.place.region);
         let targets: Vec<&Target> = targets.collect();
         let cache_owner = cache_owner(job, &targets);
+        let demand = self.demand(job, view, now);
         let standing = self.standing(job);
         let is_strong_suspect = standing.clearance >= Clearance::Alone;
         for target in targets {
@@ -480,6 +496,22 @@
                     local.opens_soon = true;
                     continue;
                 }
+                let measured = demand.as_ref().map(|demand| {
+                    let expected = Expected {
+                        candidate: &candidate,
+                        reading_us,
+                        flights,
+                    };
+                    self.measure(job, target, demand, expected, now)
+                });
+                let candidate = if let Some((measure, fit)) = measured {
+                    local.measures.push(measure);
+                    local.fits.push(fit);
+                    local.opens_soon |= fit == Fit::Overfull;
+                    paced(candidate, &measure.figures)
+                } else {
+                    candidate
+                };
                 let rate = self.rates.rate(target, job.cold_rate(), now);
                 let candidate = self.with_permit_wait(candidate, target, rate, now);
                 let candidate = if requirement.is_continuing() {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -232,6 +232,7 @@
                     reading_us,
                     ahead: basis.in_flight,
                     is_granted: basis.far_by.is_some(),
+                    measure: basis.measure,
                     may_have_run: state.may_have_run,
                     requirement: &requirement,
                     began: &began,
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -20,6 +20,7 @@
 use super::{
     decide::{
         fair_share::Exceeded,
+        fit::Measure,
         quota::Excess,
         returns::schedule::{Booking, Request},
     },
@@ -66,6 +67,31 @@
     pub side: Option<&'static str>,
     /// By which right the request goes to another region, if by one: `grant`.
     pub far_by: Option<&'static str>,
+    /// What was learned of the target, if that is switched on.
+    pub measure: Option<Measure>,
+}
+
+impl Basis {
+    /// Returns the target's pace in thousandths of the nominal one.
+    fn pace(&self) -> Option<u64> {
+        self.measure
+            .map(|measure| thousandths(measure.figures.pace))
+    }
+
+    /// Returns the time since the last observation of the target in milliseconds.
+    fn pace_age(&self) -> Option<u64> {
+        self.measure?.figures.age.map(millis)
+    }
+
+    /// Returns the high quantile of the gaps between its events in milliseconds.
+    fn gap(&self) -> Option<u64> {
+        self.measure.map(|measure| millis(measure.figures.high_gap))
+    }
+
+    /// Returns the expected use of its memory in thousandths.
+    fn memory(&self) -> Option<u64> {
+        self.measure.map(|measure| thousandths(measure.memory))
+    }
 }
 
 /// How a request ended.
@@ -187,6 +213,10 @@
             report_age_ms = millis(basis.report_age),
             candidates = basis.candidates,
             side = basis.side,
+            pace = basis.pace(),
+            pace_age_ms = basis.pace_age(),
+            gap_ms = basis.gap(),
+            memory = basis.memory(),
             revision = job.revision(),
             left_ms = millis(job.left(Instant::now())),
         );
@@ -436,6 +466,10 @@
             candidates = basis.candidates,
             side = basis.side,
             unreached = basis.unreached,
+            pace = basis.pace(),
+            pace_age_ms = basis.pace_age(),
+            gap_ms = basis.gap(),
+            memory = basis.memory(),
             objective_ms = job.route().objective_ms,
             left_ms = millis(job.left(Instant::now())),
             retry_after_ms = millis(after),
@@ -554,3 +588,13 @@
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns a factor or share in thousandths.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a conversion of a float that is out of range saturates"
+)]
+pub const fn thousandths(value: f64) -> u64 {
+    (value * 1_000.0) as u64
+}
--- a/crates/zinniastall-gateway/tests/decide/division.rs
+++ b/crates/zinniastall-gateway/tests/decide/division.rs
@@ -281,7 +281,7 @@
         let is_own: Vec<bool> = names.iter().map(is_own).collect();
         let all = constraints(side);
         let choice = match plan {
-            Some(_) => division::choose(&candidates, (side, &is_own), &[], all).0,
+            Some(_) => division::choose((&candidates, &[]), (side, &is_own), &[], all).0,
             None => choose(&candidates, &[], all),
         };
         if let Choice::Local(at) = choice {
--- a/crates/zinniastall-settings/src/scrape.rs
+++ b/crates/zinniastall-settings/src/scrape.rs
@@ -23,10 +23,10 @@
 
 /// Gauge with an integer value.
 pub type Gauge = gauge::Gauge<u64, AtomicU64>;
-/// Family of counters by labels.
-pub type Counters<L> = Family<L, Counter>;
 /// Family of gauges by labels.
 pub type Gauges<L> = Family<L, Gauge>;
+/// Family of counters by labels.
+pub type Counters<L> = Family<L, Counter>;
 /// Family of histograms by labels, in seconds.
 pub type Histograms<L> = Family<L, histogram::Histogram>;
 
