fix(gateway): lend room of services that no other region has

Cause: a leader skipped services whose targets are in its region only, so a region without targets got no grants. A test with two instances over sockets ran into its time limit.

Change: each service with targets anywhere has room and need. The test passes in under 2 s.

--- a/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
+++ b/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
@@ -348,12 +348,12 @@
             return Vec::new();
         };
         let home = &view.place.region;
-        let is_shared = |service: &&zinniastall_model::routing::Service| {
+        let is_served = |service: &&zinniastall_model::routing::Service| {
             let mut regions = view.targets.regions(&service.name);
-            regions.any(|region| region != home)
+            regions.next().is_some()
         };
-        let shared = table.services.iter().filter(is_shared).take(MAX_SERVICES);
-        let mut services: Vec<Service<'a>> = shared
+        let served = table.services.iter().filter(is_served).take(MAX_SERVICES);
+        let mut services: Vec<Service<'a>> = served
             .map(|service| Service {
                 name: &service.name,
                 key: key(&service.name),
--- a/crates/zinniastall-gateway/tests/path/overflow.rs
+++ b/crates/zinniastall-gateway/tests/path/overflow.rs
@@ -11,7 +11,7 @@
         overflow::messages::{Grant, GrantEntry},
     },
     policy::LoadControl,
-    view::View,
+    view::{Shared, View},
 };
 use zinniastall_model::{place::Place, routing::Kind};
 
@@ -20,6 +20,7 @@
     harness::{
         Action, Gateway, PLACE, Request, SERVICE, Target, get, instance, known_target, route, view,
     },
+    partitions::exchange,
 };
 
 const LENDER: (&str, &str) = ("athens", "athens-a");
@@ -202,7 +203,48 @@
     assert!(wallet.needs(Instant::now()).is_empty());
 }
 
+/// Guards against parts that work by themselves and aren't connected: two instances of two regions
+/// exchange datagrams until one sends requests under the other's grant.
+async fn lends_over_sockets() {
+    let target = Target::start(answer).await;
+    let route = route("/plans/", Kind::Idempotent, 3);
+    let names = [("edge-1", PLACE), ("edge-far", LENDER)];
+    let boards = names.map(|(name, place)| {
+        let mut view = view(vec![route.clone()], &[]);
+        let mut known = known_target("target-far", target.address);
+        known.report.place = Place::new(LENDER.0, LENDER.1);
+        view.targets = Arc::new([("target-far".to_owned(), known)].into_iter().collect());
+        name.clone_into(&mut view.instance);
+        view.place = Place::new(place.0, place.1);
+        view.load_control.overflow = true;
+        Shared::new(view)
+    });
+    let [home, far] = [&boards[0], &boards[1]].map(|board| Gateway::on(board.clone()));
+    let (home, far) = (home.await, far.await);
+    let pairs = names.iter().zip([&home, &far]);
+    let list =
+        pairs.map(|((name, place), gateway)| instance(name, *place, &gateway.forward.to_string()));
+    let list = Arc::new(list.collect());
+    for (board, gateway) in boards.iter().zip([&home, &far]) {
+        let view = View::clone(&board.view());
+        let instances = Arc::clone(&list);
+        board.publish(View { instances, ..view });
+        exchange(gateway).await;
+    }
+    let view = View::clone(&boards[0].view());
+    let pair = Pair {
+        gateway: home,
+        view,
+        far: target,
+    };
+    while pair.count("served") < 3 {
+        assert_eq!(pair.call(1).await, [200]);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 cases! {
+    instances_of_two_regions_lend_each_other_room => lends_over_sockets(),
     one_rejection_does_not_end_a_grant => one_rejection(),
     a_quarter_of_the_last_requests_rejected_pauses_a_lender => many_rejections(),
     a_request_without_tokens_is_decided_as_before => without_tokens(),
