fix(gateway): only the acting leader shows amounts of its region

Cause: the gauges of an instance that no longer acts kept what it had computed last.

Change: they are set to zero when it stops acting or the component is switched off.

--- a/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
+++ b/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
@@ -260,6 +260,7 @@
     pub fn tick(&mut self, inputs: &Inputs<'_>, now: Instant) -> Vec<Outgoing> {
         let view = inputs.view;
         if !view.load_control.overflow {
+            self.clear_shown(inputs);
             return Vec::new();
         }
         self.tick = self.tick.wrapping_add(1);
@@ -268,7 +269,9 @@
         if self.tick.is_multiple_of(TICKS_PER_NEED * slowness(view)) {
             outgoing.extend(self.report_need(inputs, now));
         }
-        if self.tick.is_multiple_of(TICKS_PER_ROUND) && self.is_acting(view, now) {
+        if !self.is_acting(view, now) {
+            self.clear_shown(inputs);
+        } else if self.tick.is_multiple_of(TICKS_PER_ROUND) {
             outgoing.extend(self.act(inputs, now));
         }
         outgoing
--- a/crates/zinniastall-gateway/src/neighbours/overflow/exchange/showing.rs
+++ b/crates/zinniastall-gateway/src/neighbours/overflow/exchange/showing.rs
@@ -11,8 +11,22 @@
 
 /// Shortest time between two log lines about the room of a service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Amounts that are shown, as they are labelled.
+const KINDS: [&str; 4] = ["room", "need", "lent", "borrowed"];
 
 impl Exchange {
+    /// Resets the metrics of an instance that no longer acts for its region, which would otherwise go on
+    /// to show what it computed last.
+    pub(super) fn clear_shown(&mut self, inputs: &Inputs<'_>) {
+        let region = &inputs.view.place.region;
+        for (service, _) in self.shown.drain(..) {
+            for kind in KINDS {
+                let metrics = inputs.overflow.metrics();
+                metrics.set_overflow(region, &service, kind, Amount::default());
+            }
+        }
+    }
+
     /// Updates metrics and logs what has changed.
     pub(super) fn show(
         &mut self,
@@ -38,13 +52,8 @@
                 targets: service.room.targets,
                 oldest_report: service.room.oldest_report,
             };
-            let kinds = [
-                ("room", shown.room),
-                ("need", shown.need),
-                ("lent", shown.lent),
-                ("borrowed", shown.borrowed),
-            ];
-            for (kind, amount) in kinds {
+            let amounts = [shown.room, shown.need, shown.lent, shown.borrowed];
+            for (kind, amount) in KINDS.into_iter().zip(amounts) {
                 metrics.set_overflow(&view.place.region, service.name, kind, amount);
             }
             let last = self.shown.get(service.name);
--- a/crates/zinniastall-gateway/tests/overflow.rs
+++ b/crates/zinniastall-gateway/tests/overflow.rs
@@ -430,6 +430,24 @@
     assert!(world.home().all(|member| member.is_live(world.now)));
 }
 
+/// Guards against metrics of an instance that goes on to show what it computed when it acted.
+#[test]
+fn only_the_acting_leader_shows_amounts() {
+    let mut world = World::new();
+    world.run(40, all);
+    let leaders = world.leaders("volos");
+    world.run(20, |from, to| ![from, to].contains(&leaders[0].as_str()));
+    world.run(20, all);
+    let shows = leaders.iter().map(|leader| {
+        let text = world.members[leader].metrics.text();
+        let mut lines = text
+            .lines()
+            .filter(|line| line.contains("overflow_requests_per_second{"));
+        lines.any(|line| !line.ends_with(" 0"))
+    });
+    assert_eq!(shows.collect::<Vec<bool>>(), [true, false]);
+}
+
 /// Guards against room of a region that is cut off and used on and on.
 #[test]
 fn grants_of_a_region_that_is_cut_off_end_after_a_second() {
