--- a/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
+++ b/crates/zinniastall-gateway/src/neighbours/overflow/exchange.rs
@@ -260,6 +260,7 @@
     pub fn tick(&mut self, inputs: &Inputs<'_>, now: Instant) -> Vec<Outgoing> {
         let view = inputs.view;
         if !view.load_control.overflow {
+            self.clear_shown(inputs);
             return Vec::new();
         }
         self.tick = self.tick.wrapping_add(1);
@@ -268,7 +269,9 @@
         if self.tick.is_multiple_of(TICKS_PER_NEED * slowness(view)) {
             outgoing.extend(self.report_need(inputs, now));
         }
-        if self.tick.is_multiple_of(TICKS_PER_ROUND) && self.is_acting(view, now) {
+        if !self.is_acting(view, now) {
+            self.clear_shown(inputs);
+        } else if self.tick.is_multiple_of(TICKS_PER_ROUND) {
             outgoing.extend(self.act(inputs, now));
         }
         outgoing
@@ -348,12 +351,12 @@
             return Vec::new();
         };
         let home = &view.place.region;
-        let is_shared = |service: &&zinniastall_model::routing::Service| {
+        let is_served = |service: &&zinniastall_model::routing::Service| {
             let mut regions = view.targets.regions(&service.name);
-            regions.any(|region| region != home)
+            regions.next().is_some()
         };
-        let shared = table.services.iter().filter(is_shared).take(MAX_SERVICES);
-        let mut services: Vec<Service<'a>> = shared
+        let served = table.services.iter().filter(is_served).take(MAX_SERVICES);
+        let mut services: Vec<Service<'a>> = served
             .map(|service| Service {
                 name: &service.name,
                 key: key(&service.name),
