test(gateway): a surge where capacity is enough usually

Cause: the simulation of fair shares covered only loads whose usual demand is above capacity already, where an account next to the level can't keep all of its usual share.

--- a/crates/zinniastall-gateway/tests/fair_shares/load.rs
+++ b/crates/zinniastall-gateway/tests/fair_shares/load.rs
@@ -14,8 +14,6 @@
 
 const ACCOUNTS: usize = 16;
 const LARGE_ACCOUNTS: usize = 4;
-/// Part of the usual demand that comes from each of the large accounts.
-const LARGE_PART: f64 = 0.12;
 const INSTANCES_PER_REGION: usize = 8;
 /// Usual demand of all accounts in all regions, in tokens per second.
 const USUAL_DEMAND: f64 = 5_000_000.0;
@@ -35,6 +33,8 @@
 #[derive(Clone, Copy)]
 struct Scenario {
     hot: usize,
+    /// Part of the usual demand that comes from each of the large accounts.
+    large_part: f64,
     /// Factor of the hot account's demand from [`SURGE_MS`] on.
     surge: f64,
     /// Part of each account's demand by region.
@@ -84,10 +84,11 @@
     }
 }
 
-fn usual(account: usize) -> f64 {
-    let small = (1.0 - LARGE_PART * LARGE_ACCOUNTS as f64) / (ACCOUNTS - LARGE_ACCOUNTS) as f64;
+/// Returns the usual demand of an account.
+fn usual(account: usize, large_part: f64) -> f64 {
+    let small = (1.0 - large_part * LARGE_ACCOUNTS as f64) / (ACCOUNTS - LARGE_ACCOUNTS) as f64;
     let part = if account < LARGE_ACCOUNTS {
-        LARGE_PART
+        large_part
     } else {
         small
     };
@@ -175,7 +176,9 @@
             let is_hot = account == self.scenario.hot && at >= SURGE_MS;
             let factor = if is_hot { self.scenario.surge } else { 1.0 };
             for region in 0..3 {
-                let tokens = usual(account) * factor * self.scenario.regions[region];
+                let tokens = usual(account, self.scenario.large_part)
+                    * factor
+                    * self.scenario.regions[region];
                 let mut left = tokens / mean_cost / 1_000.0;
                 while left > 0.0 && self.random.random_bool(left.min(1.0)) {
                     left -= 1.0;
@@ -319,16 +322,21 @@
 const PEAK: [f64; 3] = [0.8, 0.1, 0.1];
 const LARGE: usize = 0;
 const SMALL: usize = 15;
+/// Parts of the large accounts with which 0.6 of the demand during a surge of one of them is a little
+/// more than the usual demand of all, and a little less.
+const ABUNDANT: f64 = 0.16;
+const SCARCE: f64 = 0.12;
 
 /// Returns a scenario with capacity for 0.6 of the demand during a surge: in all regions together
 /// where they are evenly loaded, or else in the first one.
-fn scenario(hot: usize, regions: [f64; 3]) -> Scenario {
+fn scenario(hot: usize, large_part: f64, regions: [f64; 3]) -> Scenario {
     const SURGE: f64 = 6.0;
-    let demand = USUAL_DEMAND + usual(hot) * (SURGE - 1.0);
+    let demand = USUAL_DEMAND + usual(hot, large_part) * (SURGE - 1.0);
     let first = 0.6 * demand * regions[0];
     let others = if regions == EVEN { first } else { USUAL_DEMAND };
     Scenario {
         hot,
+        large_part,
         surge: SURGE,
         regions,
         capacity: [first, others, others],
@@ -341,7 +349,7 @@
 #[test]
 fn a_surge_leaves_the_others_their_share() {
     for seed in 1..=3 {
-        let others = play(scenario(LARGE, EVEN), seed);
+        let others = play(scenario(LARGE, SCARCE, EVEN), seed);
         assert!(others.small >= 0.95, "{others:?}");
         // They demand what the level is, and are cut in the seconds in which they demand more.
         assert!(others.large >= 0.8, "{others:?}");
@@ -350,11 +358,21 @@
     }
 }
 
+/// The same where capacity is enough usually: all other accounts are below the level.
+#[test]
+fn a_surge_costs_the_others_nothing_if_capacity_is_enough_usually() {
+    for seed in 1..=3 {
+        let others = play(scenario(LARGE, ABUNDANT, EVEN), seed);
+        assert!(others.small.min(others.large) >= 0.95, "{others:?}");
+        assert!(others.capacity_used >= 0.95, "{others:?}");
+    }
+}
+
 /// Guards against a full region that the sums over all regions don't show.
 #[test]
 fn a_surge_in_one_full_region_leaves_the_others_their_share() {
     for seed in 1..=3 {
-        let others = play(scenario(LARGE, PEAK), seed);
+        let others = play(scenario(LARGE, SCARCE, PEAK), seed);
         assert!(others.small >= 0.95, "{others:?}");
     }
 }
@@ -365,7 +383,7 @@
 #[test]
 fn a_surge_of_a_small_account_leaves_most_to_the_others() {
     for seed in 1..=3 {
-        let others = play(scenario(SMALL, EVEN), seed);
+        let others = play(scenario(SMALL, SCARCE, EVEN), seed);
         assert!(others.small >= 0.8, "{others:?}");
         assert!(others.hot <= 0.3, "{others:?}");
     }
@@ -376,7 +394,7 @@
 fn without_shares_a_surge_takes_the_room_of_others() {
     let scenario = Scenario {
         has_shares: false,
-        ..scenario(LARGE, EVEN)
+        ..scenario(LARGE, SCARCE, EVEN)
     };
     let others = play(scenario, 1);
     assert!(others.small <= 0.75, "{others:?}");
