test(gateway): the log line of a request above its account's share

Cause: no test saw event=share-exceeded.

Change: the path test checks one line for each such rejection, with level, demand, age of the totals and admitted part.

--- a/crates/zinniastall-gateway/tests/path/fair_shares.rs
+++ b/crates/zinniastall-gateway/tests/path/fair_shares.rs
@@ -9,6 +9,7 @@
     accounts::with_accounts,
     cases,
     harness::{Gateway, Response, Target, get, route, view},
+    request_log::{keep_log, lines},
 };
 
 const CALLS: usize = 40;
@@ -66,6 +67,7 @@
 }
 
 async fn rejects_above_the_share() {
+    keep_log();
     let target = Target::responding_with("fine").await;
     let gateway = gateway(true, &[&target], Some(Duration::ZERO)).await;
     let responses = calls(&gateway, HOT).await;
@@ -91,6 +93,11 @@
         rejected.len()
     );
     assert!(text.contains(&counted), "{text}");
+    let logged = lines(&["event=share-exceeded", "account=hot"]);
+    assert_eq!(logged.len(), rejected.len());
+    for field in [" level=", " demand=", " age_ms=", " part="] {
+        assert!(logged.iter().all(|line| line.contains(field)), "{logged:?}");
+    }
     let responses = calls(&gateway, SMALL).await;
     assert!(responses.iter().all(|response| response.status == 200));
 }
--- a/crates/zinniastall-gateway/tests/path/request_log.rs
+++ b/crates/zinniastall-gateway/tests/path/request_log.rs
@@ -42,7 +42,7 @@
 
 /// Installs the subscriber once, for all threads: one for a single thread misses lines from
 /// callsites that another thread has registered first.
-fn keep_log() {
+pub(crate) fn keep_log() {
     static START: Once = Once::new();
     START.call_once(|| {
         let layer = tracing_logfmt::builder().layer().with_writer(|| Writer);
@@ -54,7 +54,7 @@
 }
 
 /// Returns the lines of this thread that contain all of these words.
-fn lines(words: &[&str]) -> Vec<String> {
+pub(crate) fn lines(words: &[&str]) -> Vec<String> {
     let text = LOGGED.with_borrow(|logged| String::from_utf8_lossy(logged).into_owned());
     let lines = text.lines().filter(|line| {
         let fields: Vec<&str> = line.split(' ').collect();
