fix(coord): a shared part isn't blamed for two poisonous ones

Cause: three crashes under two poisonous parts speak most against the part that all requests share, and nothing was remembered of what had finished before the first crash. Beside it, the second part's crash raised the limit of the first, and both paths sent a request again after its own crash where another suspect of it had three already.

--- a/crates/zinniastall-coord/src/quarantine.rs
+++ b/crates/zinniastall-coord/src/quarantine.rs
@@ -14,7 +14,8 @@
 //! - A request that one more crash would quarantine runs where no other such request does.
 //! - A crash under a quarantined suspect doesn't count against a weaker one, which rode along.
 //! - Of two suspects that the same crashes speak against, neither is rejected without the other.
-//! - A part of a request that finished earlier is excused once.
+//! - A part of a request that finished earlier is excused once, and isn't blamed for some crashes that
+//!   parts which never finished explain together.
 //!
 //! Instances that share a [`Table`] send each other their [`Suspicion`]s. Merging is commutative,
 //! associative and idempotent, so messages may be lost, duplicated, delayed and reordered.
@@ -38,7 +39,7 @@
 //! assert!(!table.is_quarantined(b"request"));
 //! ```
 
-mod excuses;
+mod finishes;
 mod judgement;
 mod permits;
 mod probe;
@@ -61,7 +62,7 @@
 };
 pub use subjects::Subjects;
 pub use suspects::{Change, Known, Scope, Sent, Suspects};
-pub use suspicion::Suspicion;
+pub use suspicion::{Suspicion, has_new_crash};
 
 use crate::rendezvous;
 
@@ -160,11 +161,16 @@
         self.entries.get(&key).map(|held| held.updated_at)
     }
 
+    /// Returns all suspects, including those that were cleared.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (K, &Suspicion)> {
+        let held = self.entries.iter();
+        held.map(|(key, held)| (*key, &held.suspicion))
+    }
+
     /// Returns the requests that are strong suspects or quarantined.
     pub fn strong(&self) -> impl Iterator<Item = (K, &Suspicion)> {
-        let held = self.entries.iter();
-        let all = held.map(|(key, held)| (*key, &held.suspicion));
-        all.filter(|(_, suspicion)| suspicion.crashes() >= STRONG_SUSPECT_CRASHES)
+        self.all()
+            .filter(|(_, suspicion)| suspicion.crashes() >= STRONG_SUSPECT_CRASHES)
     }
 
     /// Returns the number of quarantined requests.
@@ -181,6 +187,13 @@
         self.change(key, now, |suspicion| suspicion.crash(run, was_suspect))
     }
 
+    /// Records that a request with a suspected part had finished before a crash.
+    pub(crate) fn mark_finished_before(&mut self, part: K) {
+        if let Some(held) = self.entries.get_mut(&part) {
+            held.suspicion.set_had_finished();
+        }
+    }
+
     /// Records that a request finished; returns whether that cleared it.
     pub fn finish(&mut self, key: K, now: Instant) -> bool {
         self.crashes(key) > 0 && self.change(key, now, Suspicion::clear)
@@ -192,7 +205,7 @@
         let held = self.suspicion(key);
         Merged {
             is_changed,
-            is_behind: held.is_some_and(|held| held != other),
+            is_behind: held.is_some_and(|held| !held.has_same_crashes(other)),
         }
     }
 
--- a/crates/zinniastall-coord/src/quarantine/judgement.rs
+++ b/crates/zinniastall-coord/src/quarantine/judgement.rs
@@ -10,6 +10,9 @@
 const BURST: usize = 8;
 /// Crashes that must speak against a part alone, and not against another one that is as strong.
 const MIN_INDEPENDENT: usize = 2;
+/// Crashes up to which a part that had finished isn't blamed for what parts that never finished explain:
+/// two poisonous parts end targets this often before both are quarantined.
+const MAX_SHARED: usize = 2 * CRASH_LIMIT;
 /// Suspects of one request for which permits are needed at most.
 const MAX_SUSPECTS: usize = 4;
 
@@ -52,23 +55,32 @@
 }
 
 impl<K: Key> Judgement<K> {
-    /// Judges suspects. `crashed` are the runs that are known to have crashed, the latest last.
+    /// Judges all suspects. `crashed` are the runs that are known to have crashed, the latest last.
     pub fn new<'a>(suspects: impl Iterator<Item = (K, &'a Suspicion)>, crashed: &[Run]) -> Self {
         let is_strong = |(_, held): &(K, &Suspicion)| held.counted() >= STRONG_SUSPECT_CRASHES;
-        let mut strong: Vec<(K, &Suspicion)> = suspects.filter(is_strong).collect();
+        let all: Vec<(K, &Suspicion)> = suspects.collect();
+        let mut strong: Vec<(K, &Suspicion)> = all.iter().copied().filter(is_strong).collect();
         strong.sort_by(|(one, held), (other, their)| {
             let order = their.strength().cmp(&held.strength());
             order.then_with(|| one.as_ref().cmp(other.as_ref()))
         });
         let implicated: IndexSet<Run> = strong.iter().flat_map(|(_, held)| held.runs()).collect();
+        let unproven = if strong.is_empty() {
+            IndexSet::new()
+        } else {
+            unproven_runs(&all)
+        };
         let mut judgement = Self {
             strong: IndexMap::new(),
             explained: IndexMap::new(),
         };
         for (key, held) in &strong {
             let open = judgement.open(held);
-            let limit = CRASH_LIMIT + unexplained(held, &implicated, crashed).min(MAX_RAISE);
-            let is_quarantined = open >= limit;
+            let is_explained = |run: &Run| {
+                implicated.contains(run) || !held.had_finished() && unproven.contains(run)
+            };
+            let limit = CRASH_LIMIT + unexplained(held, is_explained, crashed).min(MAX_RAISE);
+            let is_quarantined = open >= limit && !is_explained_by_others(held, &unproven);
             if is_quarantined {
                 judgement.explain(held);
             }
@@ -149,7 +161,7 @@
     }
 
     /// Finds for each quarantined part the others that explain its crashes. What crashes under a request
-    /// always crashes under its parts, too.
+    /// always crashes under its parts, too. A part that had finished is no rival of one that never did.
     fn find_rivals(&mut self, strong: &[(K, &Suspicion)]) {
         for (key, held) in strong {
             if !key.is_part() || !self.strong[key].is_quarantined {
@@ -157,7 +169,8 @@
             }
             let is_rival = |(other, their): &&(K, &Suspicion)| {
                 let is_open = self.strong[other].open >= STRONG_SUSPECT_CRASHES;
-                other != key && is_open && explains(their, held)
+                let is_likely = held.had_finished() || !their.had_finished();
+                other != key && is_open && is_likely && explains(their, held)
             };
             let rivals = strong.iter().filter(is_rival).map(|(other, _)| *other);
             let rivals = rivals.collect();
@@ -174,11 +187,25 @@
     is_as_strong && independent < MIN_INDEPENDENT
 }
 
-/// Returns the number of crashes since a suspect's first later one under which no strong suspect ran.
-fn unexplained(held: &Suspicion, implicated: &IndexSet<Run>, crashed: &[Run]) -> usize {
+/// Returns whether parts that never finished explain the crashes of a part that had: all that count but one
+/// have such a part.
+fn is_explained_by_others(held: &Suspicion, unproven: &IndexSet<Run>) -> bool {
+    let is_candidate = held.had_finished() && held.counted() <= MAX_SHARED;
+    is_candidate && held.counted_without(|run| unproven.contains(&run)) < MIN_INDEPENDENT
+}
+
+/// Returns the runs that crashed with a part that never finished.
+fn unproven_runs<K: Key>(all: &[(K, &Suspicion)]) -> IndexSet<Run> {
+    let parts = all.iter();
+    let parts = parts.filter(|(key, held)| key.is_part() && !held.had_finished());
+    parts.flat_map(|(_, held)| held.runs()).collect()
+}
+
+/// Returns the number of crashes since a suspect's first later one that nothing explains.
+fn unexplained(held: &Suspicion, is_explained: impl Fn(&Run) -> bool, crashed: &[Run]) -> usize {
     let Some(since) = crashed.iter().position(|run| held.later().contains(run)) else {
         return 0;
     };
     let after = crashed[since..].iter();
-    after.filter(|run| !implicated.contains(*run)).count()
+    after.filter(|run| !is_explained(run)).count()
 }
--- a/crates/zinniastall-coord/src/quarantine/suspects.rs
+++ b/crates/zinniastall-coord/src/quarantine/suspects.rs
@@ -10,7 +10,7 @@
 
 use super::{
     CRASH_LIMIT, Clearance, Judgement, Key, Merged, NEWS_TIME, Run, Standing, Subjects, Suspicion,
-    Table, excuses::Excuses,
+    Table, finishes::Finishes,
 };
 
 /// Maximum number of suspects, which take about a quarter of a megabyte. A crash adds one suspect
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct Suspects<K> {
     known: Known<K>,
-    excuses: Excuses<K>,
+    finishes: Finishes<K>,
     /// News that the others have not been told yet.
     pending: IndexMap<K, Pending>,
     /// List of the control group that was reconciled last.
@@ -51,6 +51,9 @@
     crashed_runs: IndexMap<Run, Instant>,
     /// What follows from the table, once it was asked for.
     judgement: OnceLock<Judgement<K>>,
+    /// The same without the latest crashes, of which not all reports have arrived: those that seem
+    /// unexplained until then raise limits.
+    early_judgement: OnceLock<Judgement<K>>,
 }
 
 impl<K: Key> Known<K> {
@@ -104,7 +107,8 @@
     /// Returns how a request stands.
     ///
     /// A part is rejected only once the reports of its last crash have arrived from all instances: they
-    /// may name another one.
+    /// may name another one. A request that would be rejected if not for a crash of which some may be
+    /// missing waits for them as well.
     pub fn standing(&self, subjects: &Subjects<K>, now: Instant) -> Standing<K> {
         if self.is_empty() {
             return Standing::free();
@@ -118,6 +122,11 @@
         if standing.clearance == Clearance::Refused && !standing.suspects.iter().any(is_settled) {
             standing.clearance = Clearance::Unsettled;
         }
+        let early = self.early_judgement(now);
+        let early = early.map(|early| early.standing(subjects, suspicion).clearance);
+        if standing.clearance < Clearance::Refused && early == Some(Clearance::Refused) {
+            standing.clearance = Clearance::Unsettled;
+        }
         standing
     }
 
@@ -159,15 +168,29 @@
     }
 
     fn judgement(&self) -> &Judgement<K> {
-        self.judgement.get_or_init(|| {
-            let crashed: Vec<Run> = self.crashed_runs.keys().copied().collect();
-            Judgement::new(self.table.strong(), &crashed)
-        })
+        self.judgement.get_or_init(|| self.judge(|_| true))
+    }
+
+    /// Returns the judgement without crashes of which not all reports have arrived; `None` if there are
+    /// none.
+    fn early_judgement(&self, now: Instant) -> Option<&Judgement<K>> {
+        let last = self.crashed_runs.last().map(|(_, since)| *since)?;
+        let is_early = last + NEWS_TIME > now;
+        let judge = || self.judge(|since| since + NEWS_TIME <= last);
+        is_early.then(|| self.early_judgement.get_or_init(judge))
+    }
+
+    fn judge(&self, is_settled: impl Fn(Instant) -> bool) -> Judgement<K> {
+        let crashed = self.crashed_runs.iter();
+        let crashed = crashed.filter(|(_, since)| is_settled(**since));
+        let crashed: Vec<Run> = crashed.map(|(run, _)| *run).collect();
+        Judgement::new(self.table.all(), &crashed)
     }
 
     /// Has the table judged anew, because it has changed.
     fn changed(&mut self) {
         self.judgement.take();
+        self.early_judgement.take();
     }
 }
 
@@ -232,8 +255,9 @@
                 table: Table::new(MAX_SUSPECTS),
                 crashed_runs: IndexMap::new(),
                 judgement: OnceLock::new(),
+                early_judgement: OnceLock::new(),
             },
-            excuses: Excuses::default(),
+            finishes: Finishes::default(),
             pending: IndexMap::new(),
             last_reconciled: Arc::default(),
         }
@@ -281,7 +305,7 @@
         }
         let mut change = Change::None;
         for key in subjects.keys() {
-            let is_excused = key.is_part() && self.excuses.use_up(key, sent.run);
+            let is_excused = key.is_part() && self.finishes.excuse(key, sent.run);
             if !is_excused {
                 change = change.max(self.count_crash(key, sent, now));
             }
@@ -301,10 +325,18 @@
         if !self.known.table.crash(key, sent.run, was_suspect, now) {
             return Change::None;
         }
+        self.mark_finished_before(key);
         self.schedule(key, Scope::All);
         self.change_since(key, was_quarantined)
     }
 
+    /// Marks a suspected part if this instance knows that a request with it had finished.
+    fn mark_finished_before(&mut self, key: K) {
+        if key.is_part() && self.finishes.has(&key) {
+            self.known.table.mark_finished_before(key);
+        }
+    }
+
     fn add_crashed_run(&mut self, run: Run, now: Instant) {
         self.known.changed();
         self.known.crashed_runs.entry(run).or_insert(now);
@@ -328,12 +360,27 @@
         self.clear(subjects.parts(), subjects.parts(), now)
     }
 
+    /// Returns whether the parts of a request that finishes now have to be remembered although nothing is
+    /// suspected. That is so for few requests: a part that many share is soon among theirs.
+    pub fn is_sample_due(&mut self, now: Instant) -> bool {
+        self.finishes.is_sample_due(now)
+    }
+
+    /// Remembers that a request with these parts has finished while nothing was suspected. It excuses none
+    /// of them from the first crash.
+    pub fn remember_finish(&mut self, parts: &[K]) {
+        for part in parts {
+            self.finishes.record(*part, false);
+        }
+    }
+
     fn clear(&mut self, keys: &[K], parts: &[K], now: Instant) -> Vec<K> {
         if self.is_empty() {
+            self.remember_finish(parts);
             return Vec::new();
         }
         for part in parts {
-            self.excuses.remember(*part);
+            self.finishes.record(*part, true);
         }
         let mut cleared = keys.to_vec();
         cleared.retain(|key| self.known.table.finish(*key, now));
@@ -374,7 +421,8 @@
             return Change::None;
         }
         if self.known.table.crashes(request) > 0 {
-            self.excuses.forget(&request);
+            self.mark_finished_before(request);
+            self.finishes.withdraw_excuse(request);
         }
         self.change_since(request, was_quarantined)
     }
@@ -400,7 +448,7 @@
             self.known.table.merge(*request, suspicion, now);
             known.insert(*request);
             let own = self.known.table.suspicion(*request);
-            if let Some(own) = own.filter(|own| *own != suspicion) {
+            if let Some(own) = own.filter(|own| !own.has_same_crashes(suspicion)) {
                 missing.push((*request, own.clone()));
             }
         }
--- a/crates/zinniastall-coord/src/quarantine/suspicion.rs
+++ b/crates/zinniastall-coord/src/quarantine/suspicion.rs
@@ -22,6 +22,9 @@
     /// The lowest runs that crashed with a copy that was sent while the suspect was suspected, in
     /// ascending order.
     later: Vec<Run>,
+    /// Whether a request with the part had finished before a crash, as far as known; always false for a
+    /// request. Instances may differ in it: it takes no messages of its own.
+    had_finished: bool,
 }
 
 /// The form on the wire, which instances read that keep a single first run.
@@ -36,6 +39,8 @@
     /// Further first runs.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     others: Vec<Run>,
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    had_finished: bool,
 }
 
 impl From<Packed> for Suspicion {
@@ -44,6 +49,7 @@
             round: packed.round,
             first: packed.first.into_iter().chain(packed.others).collect(),
             later: packed.later,
+            had_finished: packed.had_finished,
         };
         suspicion.normalize();
         suspicion
@@ -58,6 +64,7 @@
             first: first.next(),
             later: suspicion.later,
             others: first.collect(),
+            had_finished: suspicion.had_finished,
         }
     }
 }
@@ -109,6 +116,21 @@
         self.first.contains(&run) || self.later.contains(&run)
     }
 
+    /// Returns whether both name the same crashes of the same round, whatever had finished before.
+    pub(super) fn has_same_crashes(&self, other: &Self) -> bool {
+        self.round == other.round && self.first == other.first && self.later == other.later
+    }
+
+    /// Returns whether a request with the part had finished before a crash.
+    pub(super) const fn had_finished(&self) -> bool {
+        self.had_finished
+    }
+
+    /// Records that a request with the part had finished before a crash.
+    pub(super) const fn set_had_finished(&mut self) {
+        self.had_finished = true;
+    }
+
     pub(super) fn crash(&mut self, run: Run, was_suspect: bool) {
         let runs = if was_suspect {
             &mut self.later
@@ -137,6 +159,7 @@
         }
         self.first.extend(&other.first);
         self.later.extend(&other.later);
+        self.had_finished |= other.had_finished;
         self.normalize();
     }
 
@@ -152,8 +175,8 @@
 
     /// Returns the number of bytes that the suspicion takes on the wire at most, with a key.
     pub fn max_wire_bytes(&self) -> usize {
-        /// Key, round, names and lengths.
-        const FIXED: usize = 34;
+        /// Key, round, names, lengths and whether a request had finished.
+        const FIXED: usize = 37;
         /// A number of 64 bits.
         const EACH: usize = 9;
         FIXED + EACH * (self.first.len() + self.later.len())
@@ -167,3 +190,13 @@
         }
     }
 }
+
+/// Returns whether a crash counts against one of some suspects that didn't before; neither list names
+/// those against which nothing is known.
+pub fn has_new_crash<K: PartialEq>(before: &[(K, Suspicion)], now: &[(K, Suspicion)]) -> bool {
+    now.iter().any(|(key, held)| {
+        let earlier = before.iter().find(|(other, _)| other == key);
+        let earlier = earlier.filter(|(_, earlier)| held.is_same_round(earlier));
+        held.counted() > earlier.map_or(0, |(_, earlier)| earlier.counted())
+    })
+}
--- a/crates/zinniastall-entry/src/callers/attempts.rs
+++ b/crates/zinniastall-entry/src/callers/attempts.rs
@@ -9,7 +9,8 @@
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use tokio::time;
 use zinniastall_coord::quarantine::{
-    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, may_retry_after_crash,
+    HELD_RETRY_AFTER, HOLD_POLL_INTERVAL, HOLD_SHARE, MAX_HOLD, has_new_crash,
+    may_retry_after_crash,
 };
 use zinniastall_coord::retry::Grant;
 use zinniastall_http::ending::Ending;
@@ -78,7 +79,7 @@
             Ok(probe) => probe,
             Err(refusal) => return Err(dispatch::merge(earlier, refusal)),
         };
-        let crashes_before = worker.crashes(call);
+        let known_before = worker.suspicions(call);
         let mut avoided = worker.occupied(call);
         let is_crowded = !avoided.is_empty();
         avoided.extend(tried.iter().cloned());
@@ -144,8 +145,8 @@
             has_budget: true,
         };
         let next = dispatch::next(request, &refusal, progress, Instant::now());
-        let crashes = worker.crashes(call);
-        let has_crashed = refusal.outcome == Outcome::Unknown && crashes > crashes_before;
+        let has_crashed = refusal.outcome == Outcome::Unknown
+            && has_new_crash(&known_before, &worker.suspicions(call));
         let merged = dispatch::merge(earlier.take(), refusal);
         let is_strong = || !may_retry_after_crash(worker.standing(call).clearance);
         let is_last = next == Next::End || (has_crashed && is_strong());
--- a/crates/zinniastall-entry/src/callers/call.rs
+++ b/crates/zinniastall-entry/src/callers/call.rs
@@ -70,16 +70,21 @@
         self.subjects.get_or_init(|| {
             let client = Some(self.request.client.as_str());
             let request = Fingerprint::of(client, "", &self.path, &self.body);
-            let space = PartSpace {
-                service: "",
-                model: self.request.subject.name(),
-                account: client,
-            };
-            let messages = accept::messages(&self.request.subject, &self.body);
-            Subjects::new(request, shared_parts(space, &messages))
+            Subjects::new(request, self.shared_messages())
         })
     }
 
+    /// Returns the messages of the chat that other requests may share.
+    pub fn shared_messages(&self) -> Vec<Fingerprint> {
+        let space = PartSpace {
+            service: "",
+            model: self.request.subject.name(),
+            account: Some(self.request.client.as_str()),
+        };
+        let messages = accept::messages(&self.request.subject, &self.body);
+        shared_parts(space, &messages)
+    }
+
     /// Returns the system's own headers for a request to a target.
     pub fn system_headers(
         &self,
--- a/crates/zinniastall-entry/src/callers/suspect.rs
+++ b/crates/zinniastall-entry/src/callers/suspect.rs
@@ -157,9 +157,11 @@
     /// Records that a target answered a request with success.
     pub(super) fn record_success(&self, call: &Call) {
         let quarantine = self.service.shared_view.quarantine();
-        if !quarantine.is_empty(None) {
-            self.record_cleared(call, &quarantine.record_finish(call.subjects()));
+        if quarantine.is_empty(None) {
+            quarantine.remember_finish(|| call.shared_messages());
+            return;
         }
+        self.record_cleared(call, &quarantine.record_finish(call.subjects()));
     }
 
     /// Records that the answer to a request has gone on for a while.
--- a/crates/zinniastall-entry/src/quarantine.rs
+++ b/crates/zinniastall-entry/src/quarantine.rs
@@ -186,6 +186,17 @@
         })
     }
 
+    /// Remembers, for a sample of requests, that one finished while nothing was suspected. Waits for
+    /// nobody; `parts` is called only for a request of the sample.
+    pub fn remember_finish(&self, parts: impl FnOnce() -> Vec<Fingerprint>) {
+        let is_due =
+            |mut writer: MutexGuard<'_, Writer>| writer.suspects.is_sample_due(Instant::now());
+        if self.0.writer.try_lock().is_ok_and(is_due) {
+            let parts = parts();
+            self.writer().suspects.remember_finish(&parts);
+        }
+    }
+
     /// Records that the answer to a request has gone on for a while; returns the parts that this cleared.
     pub fn record_progress(&self, subjects: &Subjects) -> Vec<Fingerprint> {
         self.change(|suspects| {
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -59,8 +59,8 @@
 /// What was known of a request before an attempt.
 #[derive(Debug)]
 pub(super) struct Before {
-    /// Crashes that counted against the request or a part of it, for attempts at other instances.
-    crashes: usize,
+    /// What was known against the request and its parts, for attempts at other instances.
+    known: Vec<Suspect>,
     /// What was known of the request and the target, for attempts at targets.
     sent: Option<Sent>,
 }
@@ -263,7 +263,7 @@
     pub(super) fn known_before(&self, job: &Job, place: &Place) -> Before {
         let Place::Target { target, .. } = place else {
             return Before {
-                crashes: self.crashes(job),
+                known: self.suspicions(job),
                 sent: None,
             };
         };
@@ -272,7 +272,7 @@
         let run = known.map(|known| suspects::run(&known.report));
         let suspects = self.suspects.borrow();
         Before {
-            crashes: 0,
+            known: Vec::new(),
             sent: run.map(|run| suspects.sent(|| job.subjects(), run)),
         }
     }
@@ -309,7 +309,7 @@
                 }
                 Place::Instance { .. } => {
                     let is_broken = matches!(ended, Ended::Broken(_));
-                    self.has_crashed_elsewhere(job, is_broken, before.crashes)
+                    self.has_crashed_elsewhere(job, is_broken, &before.known)
                         .await
                 }
             },
@@ -324,13 +324,13 @@
     }
 
     /// Returns whether an instance of another region reported a crash that was unknown before.
-    async fn has_crashed_elsewhere(&self, job: &Job, is_broken: bool, before: usize) -> bool {
+    async fn has_crashed_elsewhere(&self, job: &Job, is_broken: bool, before: &[Suspect]) -> bool {
         // An interrupted stream carries no report of a crash, so the separate report is awaited;
         // it matters only if the stream may resume.
         if is_broken && job.route().resumable {
             time::sleep(CRASH_REPORT_DELAY).await;
         }
-        self.crashes(job) > before
+        quarantine::has_new_crash(before, &self.suspicions(job))
     }
 
     /// Merges what another instance reports against a request and its parts.
@@ -419,11 +419,15 @@
     }
 
     fn record_success(&self, job: &Job) {
+        let now = Instant::now();
         let mut suspects = self.suspects.borrow_mut();
         if suspects.is_empty() {
+            if suspects.is_sample_due(now) {
+                suspects.remember_finish(&job.shared_parts());
+            }
             return;
         }
-        let cleared = suspects.record_finish(job.subjects(), Instant::now());
+        let cleared = suspects.record_finish(job.subjects(), now);
         drop(suspects);
         self.record_cleared(job, &cleared);
     }
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -243,10 +243,15 @@
             let space = self.part_space();
             let host = self.head.host();
             let request = Fingerprint::of(space.account, host, &self.head.target, &self.body);
-            Subjects::new(request, shared_parts(space, &self.prompt.ids))
+            Subjects::new(request, self.shared_parts())
         })
     }
 
+    /// Returns the parts that the request shares with others, without a digest of its body.
+    pub fn shared_parts(&self) -> Vec<Fingerprint> {
+        shared_parts(self.part_space(), &self.prompt.ids)
+    }
+
     /// Returns the id of the part of the prompt that has a fingerprint, if one has.
     pub fn part(&self, fingerprint: Fingerprint) -> Option<&str> {
         let mut ids = self.prompt.ids.iter().filter(|_| fingerprint.is_part());
--- a/crates/zinniastall-gateway/tests/path/parts.rs
+++ b/crates/zinniastall-gateway/tests/path/parts.rs
@@ -120,6 +120,30 @@
     assert_eq!((poison.status, crash_count(&targets)), (400, MAX_CRASHES));
 }
 
+/// Targets crash under two poisonous parts before a further request with the part that all share finishes.
+async fn keeps_the_part_that_two_share() {
+    let targets = targets(9).await;
+    let known: Vec<&Target> = targets.iter().collect();
+    let gateway = Gateway::start(view(routes(), &known)).await;
+    let sound = send(&gateway, "/pay/1", "o0", &[FIRST, "s1"]).await;
+    assert_eq!(sound.status, 200);
+    for (at, other) in ["bad0a", "bad0a", "bad0b"].iter().enumerate() {
+        send(&gateway, "/pay/1", &format!("p{at}"), &[FIRST, other]).await;
+    }
+    assert_eq!(crash_count(&targets), 3);
+    for at in 1..3 {
+        let sound = send(&gateway, "/pay/1", &format!("o{at}"), &[FIRST, "s2"]).await;
+        assert_eq!(sound.status, 200, "{}", sound.body);
+    }
+    for at in 3..9 {
+        let other = ["bad0a", "bad0b"][at % 2];
+        send(&gateway, "/pay/1", &format!("p{at}"), &[FIRST, other]).await;
+        let sound = send(&gateway, "/pay/1", &format!("q{at}"), &[FIRST, "s2"]).await;
+        assert_eq!(sound.status, 200, "{}", sound.body);
+    }
+    assert_eq!(crash_count(&targets), 2 * MAX_CRASHES);
+}
+
 /// The part is written in other ways, between others, and behind more than are told apart.
 async fn knows_the_part(other: Vec<String>) {
     let targets = targets(9).await;
@@ -164,6 +188,8 @@
     parts_of_requests_that_crash_by_themselves_are_not_rejected => keeps_shared_parts(),
     /// Guards against rejecting a part because it always came with the poisonous one.
     a_companion_is_not_rejected => keeps_companions(),
+    /// Guards against rejecting what all requests share, because two poisonous parts came with it.
+    a_part_that_two_share_is_not_rejected => keeps_the_part_that_two_share(),
     /// Guards against a part that is run again because it is written in another way.
     a_part_is_compared_without_case => knows_the_part(vec!["BAD0".to_owned()]),
     a_part_is_compared_without_spaces => knows_the_part(vec![" bad0 ".to_owned()]),
--- a/tests/tests/path/poison.rs
+++ b/tests/tests/path/poison.rs
@@ -290,6 +290,40 @@
     bounds_crashes_of(scene, between, "prompt-part-quarantined").await
 }
 
+/// Guards against rejecting a message that all chats share, because engines ended under two other ones
+/// before a further chat with it was answered.
+#[actix_rt::test]
+async fn a_message_that_two_share_is_not_rejected() -> Result<()> {
+    let mut scene = Scene::start(Engines::SameZone, 1, false).await?;
+    let entry = scene.entries[0];
+    let address = scene.cluster.entry(entry)?.address("callers")?;
+    let body = |question: &str, other: &str| {
+        let mut body = chat(question, 1, false);
+        let shared =
+            ["all share this", other].map(|text| json!({"role": "system", "content": text}));
+        let messages = body["messages"].as_array_mut().expect("a list");
+        messages.splice(0..0, shared);
+        body
+    };
+    // While nothing is suspected, finishes are remembered once in 50 ms.
+    sleep(Duration::from_millis(100)).await;
+    let sound = ask(address, &body("before", "one")).send().await?;
+    assert_eq!(sound.status(), 200);
+    for (at, poison) in ["poison a", "poison b"].iter().enumerate() {
+        ask(address, &body(&format!("question {at}"), poison))
+            .send()
+            .await?;
+    }
+    let crashed = scene.crashed();
+    assert!(
+        (MAX_CRASHED..ENGINES).contains(&crashed),
+        "{crashed} engines ended"
+    );
+    let sound = ask(address, &body("after", "two")).send().await?;
+    assert_eq!(sound.status(), 200, "{:?}", error(&sound));
+    Ok(())
+}
+
 /// Defines a case: a request that crashes engines is sent again and again. At most three engines
 /// end, and then its callers are told at once that it won't be served.
 macro_rules! crashes_are_bounded {
