feat(gateway): long prompts on engines of their own aren't held back for short streams

Cause: on the long side of a division the bound on prompts ahead was still cut for the more urgent short streams, which don't run there. Change: the cut doesn't apply on the long side.

--- a/crates/zinniastall-gateway/src/decide/division.rs
+++ b/crates/zinniastall-gateway/src/decide/division.rs
@@ -317,6 +317,14 @@
     constraints: Constraints,
 ) -> (Choice, bool) {
     let (own, other): (Vec<usize>, Vec<usize>) = (0..local.len()).partition(|at| is_own[*at]);
+    let constraints = match side {
+        // No short streams run there that the prompts ahead could stall.
+        Side::Long => Constraints {
+            route_rank: 0,
+            ..constraints
+        },
+        Side::Short => constraints,
+    };
     let first = choose_among((local, fits), &own, remote, constraints);
     let accepts = |choice| matches!(choice, Choice::Local(at) if has_room(&local[at]));
     let is_settled = match first {
