--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -490,7 +490,7 @@
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                probe.bind(("0.0.0.0", port))
+                probe.bind(("127.0.0.1", port))
             except OSError:
                 return False
     return True
