fix(http): a reset that the writing of an upload notices ends no answer

Cause: a socket reports the error of a reset once. Writing and reading go on side by side in Exchange, and the writing took the error; the reader then found the bytes before the reset and a read of 0, an orderly end, which a close-delimited body takes for its own.

Change: Exchange tells the reader that writing failed; at the end of the bytes the reader then fails instead of ending. A broken pipe is left out: it means that the peer had ended its direction in order (FIN) before the reset, so the answer had ended.

Already handled, tests kept: status 000 and 099, names with a blank, tab, zero byte, control byte or return, a blank before the colon, a return in a value, a line without a colon; near and over a hop.

--- a/crates/zinniastall-entry/tests/callers/harness.rs
+++ b/crates/zinniastall-entry/tests/callers/harness.rs
@@ -65,10 +65,19 @@
 
     /// Starts the interface with changed settings.
     pub(crate) fn with(targets: &[SocketAddr], change: impl FnOnce(&mut Callers)) -> Self {
+        Self::with_bodies(targets, 4096, change)
+    }
+
+    /// Starts the interface with changed settings, for bodies of up to this many bytes.
+    pub(crate) fn with_bodies(
+        targets: &[SocketAddr],
+        body_bytes: usize,
+        change: impl FnOnce(&mut Callers),
+    ) -> Self {
         let mut settings: Entry = load::parse(include_str!("../../examples/entry.json")).unwrap();
         change(&mut settings.callers);
         let limits = Limits {
-            body_bytes: 4096,
+            body_bytes,
             arrival: Duration::from_millis(700),
             ..settings.limits.clone()
         };
@@ -265,6 +274,10 @@
     Endless,
     /// Writes these bytes and keeps the connection open until the other end closes it.
     Hold(&'static str),
+    /// Writes these bytes as soon as a request begins, and resets the connection.
+    Reset(&'static str),
+    /// Writes the first bytes, and then the second ones again and again, as long as they are read.
+    Flood(&'static str, &'static str),
 }
 
 /// A scripted target.
@@ -306,6 +319,16 @@
 
 fn play(mut stream: TcpStream, scripts: &[Script], counts: &[Arc<AtomicUsize>; 3]) {
     let [ran, sent, cancelled] = counts;
+    let next = &scripts[ran.load(Ordering::SeqCst).min(scripts.len() - 1)];
+    if let Script::Reset(answer) = next {
+        if stream.read_exact(&mut [0; 1024]).is_err() {
+            return;
+        }
+        ran.fetch_add(1, Ordering::SeqCst);
+        // Closing a connection with unread bytes resets it.
+        let _ = stream.write_all(answer.as_bytes());
+        return;
+    }
     if !read_request(&mut stream) {
         return;
     }
@@ -331,6 +354,14 @@
         Script::Write(answer) => {
             let _ = stream.write_all(answer.as_bytes());
         }
+        Script::Flood(answer, rest) => {
+            let _ = stream.write_all(answer.as_bytes());
+            let rest = rest.repeat((8 << 10) / rest.len());
+            while let Ok(written @ 1..) = stream.write(rest.as_bytes()) {
+                sent.fetch_add(written, Ordering::SeqCst);
+            }
+        }
+        Script::Reset(_) => {}
         Script::Hold(answer) => {
             let _ = stream.write_all(answer.as_bytes());
             let mut rest = [0; 16];
@@ -343,15 +374,12 @@
 /// Reads a head and a body of the announced length; returns `false` if the connection closes early.
 fn read_request(stream: &mut TcpStream) -> bool {
     let mut bytes = Vec::new();
-    let mut part = [0; 4096];
+    let mut part = vec![0; 64 << 10];
+    let mut length = None;
     loop {
-        let text = String::from_utf8_lossy(&bytes).to_lowercase();
-        if let Some(head) = text.find("\r\n\r\n") {
-            let length = text.split("content-length: ").nth(1);
-            let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
-            if bytes.len() >= head + 4 + length.unwrap_or(0) {
-                return true;
-            }
+        length = length.or_else(|| request_length(&bytes));
+        if length.is_some_and(|length| bytes.len() >= length) {
+            return true;
         }
         match stream.read(&mut part) {
             Ok(0) | Err(_) => return false,
@@ -360,6 +388,15 @@
     }
 }
 
+/// Returns the length of a request whose head is complete.
+fn request_length(bytes: &[u8]) -> Option<usize> {
+    let text = String::from_utf8_lossy(bytes).to_lowercase();
+    let head = text.find("\r\n\r\n")? + 4;
+    let length = text[..head].split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
+    Some(head + length.unwrap_or(0))
+}
+
 /// Waits until a condition holds; the timeout is generous, since the machine may be busy.
 pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + TIMEOUT;
--- a/crates/zinniastall-entry/tests/callers/main.rs
+++ b/crates/zinniastall-entry/tests/callers/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper of a test fails its test")]
 
 mod bad_input;
+mod broken;
 mod harness;
 mod load;
 mod outcomes;
--- /dev/null
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -0,0 +1,155 @@
+//! Targets whose answers are none in the protocol: no caller gets them, or a part of them.
+
+use std::sync::Arc;
+
+use zinniastall_gateway::view::View;
+use zinniastall_model::routing::{Kind, Route};
+
+use crate::{
+    cases,
+    harness::{Action, Gateway, Request, Target, post, route, view},
+    quarantine::two_regions,
+};
+
+/// Length of an upload that fits into no buffer between an instance and a target.
+const LONG: usize = 12 << 20;
+
+fn routes() -> Vec<Route> {
+    vec![
+        route("/plans/", Kind::Idempotent, 2),
+        route("/pay/", Kind::Once, 1),
+        route("/stream/", Kind::Stream, 1),
+    ]
+}
+
+/// Returns a view whose table permits long uploads.
+fn view_of_uploads(targets: &[&Target]) -> View {
+    let mut view = view(routes(), targets);
+    let mut configuration = (*view.configuration.unwrap()).clone();
+    if let Some(table) = &mut configuration.table {
+        table.limits.body_bytes = LONG;
+    }
+    view.configuration = Some(Arc::new(configuration));
+    view
+}
+
+/// What is put in place of a part of a sound answer.
+#[derive(Debug, Clone)]
+struct Fault {
+    status_line: &'static [u8],
+    line: &'static [u8],
+    body: &'static [u8],
+}
+
+impl Fault {
+    const fn status_line(status_line: &'static [u8]) -> Self {
+        Self {
+            status_line,
+            line: b"x-own: 1",
+            body: b"body",
+        }
+    }
+
+    const fn line(line: &'static [u8]) -> Self {
+        Self {
+            line,
+            ..Self::status_line(b"HTTP/1.1 200 OK")
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Vec<u8> {
+        let id = format!("request-id: {}", request.id());
+        let length = format!("content-length: {}", self.body.len());
+        let lines = [
+            self.status_line,
+            id.as_bytes(),
+            b"signed: yes",
+            self.line,
+            length.as_bytes(),
+            b"",
+            self.body,
+        ];
+        lines.join(&b"\r\n"[..])
+    }
+}
+
+/// A target answers with a fault, beside a sound one: a request that may be repeated is served by that
+/// one, any other fails. Callers are at the target's region, and at another one.
+async fn is_no_answer(fault: Fault) {
+    let faulty = move |request: &Request| vec![Action::Send(fault.answer(request)), Action::Close];
+    for is_far in [false, true] {
+        let only = Target::start(faulty.clone()).await;
+        let (far, near) = two_regions(routes(), &[&only]).await;
+        let gateway = if is_far { far } else { near };
+        for path in ["/pay/1", "/stream/1"] {
+            let response = gateway.connect().await.call(&post(path, "a", "x")).await;
+            assert_eq!(response.status, 502, "{path}, far {is_far}: {response:?}");
+            assert_eq!(response.header("signed"), "");
+        }
+        let (one, sound) = (
+            Target::start(faulty.clone()).await,
+            Target::responding_with("fine").await,
+        );
+        let (far, near) = two_regions(routes(), &[&one, &sound]).await;
+        let gateway = if is_far { far } else { near };
+        let mut served = 0;
+        for at in 0..6 {
+            let text = post("/plans/1", &format!("r{at}"), "x");
+            let response = gateway.connect().await.call(&text).await;
+            // A request that another instance passed on isn't repeated there.
+            assert!(response.status == 200 || is_far, "{response:?}");
+            if response.status == 200 {
+                assert_eq!(response.body, "fine", "far {is_far}");
+                served += 1;
+            }
+        }
+        assert!(served > 0);
+    }
+}
+
+/// A target answers a long upload at once, without a length, and resets the connection.
+async fn a_reset_under_an_upload_ends_no_answer() {
+    let script = |request: &Request| {
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n\r\n", request.id());
+        vec![
+            Action::Send((head + "the first part").into_bytes()),
+            Action::Reset,
+        ]
+    };
+    for path in ["/pay/1", "/stream/1"] {
+        let target = Target::answering_early(script).await;
+        let gateway = Gateway::start(view_of_uploads(&[&target])).await;
+        let text = post(path, "a", &"x".repeat(LONG));
+        let response = gateway.connect().await.call(&text).await;
+        assert_eq!(response.status, 502, "{path}: {}", response.body);
+        assert_eq!(target.requests().len(), 1);
+    }
+    let one = Target::answering_early(script).await;
+    let sound = Target::responding_with("fine").await;
+    let gateway = Gateway::start(view_of_uploads(&[&one, &sound])).await;
+    for at in 0..6 {
+        let text = post("/plans/1", &format!("r{at}"), &"x".repeat(LONG));
+        let response = gateway.connect().await.call(&text).await;
+        assert_eq!((response.status, response.body.as_str()), (200, "fine"));
+    }
+    assert!(!one.requests().is_empty());
+}
+
+cases! {
+    /// Guards against the part of an answer before a reset that is delivered as the whole.
+    a_reset_under_an_upload_is_no_end => a_reset_under_an_upload_ends_no_answer(),
+    /// Guards against an answer with a status that no server may send.
+    status_000_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 000 None")),
+    status_099_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 099 Low")),
+    /// Guards against a line that is passed on although its name is none, or that hides a length.
+    a_name_with_a_blank_is_no_answer => is_no_answer(Fault::line(b"x own: 1")),
+    a_name_before_a_blank_is_no_answer => is_no_answer(Fault::line(b"x-own : 1")),
+    a_length_before_a_blank_is_no_answer => is_no_answer(Fault::line(b"content-length : 2")),
+    a_name_behind_a_blank_is_no_answer => is_no_answer(Fault::line(b" x-own: 1")),
+    a_name_with_a_tab_is_no_answer => is_no_answer(Fault::line(b"x\town: 1")),
+    a_name_with_a_zero_byte_is_no_answer => is_no_answer(Fault::line(b"x\0own: 1")),
+    a_name_with_a_control_byte_is_no_answer => is_no_answer(Fault::line(b"x\x7fown: 1")),
+    a_name_with_a_return_is_no_answer => is_no_answer(Fault::line(b"x\rown: 1")),
+    a_value_with_a_return_is_no_answer => is_no_answer(Fault::line(b"x-own: 1\r2")),
+    a_line_without_a_colon_is_no_answer => is_no_answer(Fault::line(b"x-own")),
+}
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -124,11 +124,28 @@
 
 type Script = dyn Fn(&Request) -> Vec<Action>;
 
+/// How much of a request a target reads before it follows its script.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reads {
+    /// The head, and the part of the body that comes with it.
+    Head,
+    /// All of it.
+    Whole,
+}
+
 impl Target {
     /// Starts a target that handles each request as a script says.
     pub(crate) async fn start(script: impl Fn(&Request) -> Vec<Action> + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        Self::start_on(listener, script)
+        Self::start_on(listener, Reads::Whole, script)
+    }
+
+    /// Starts a target that follows a script as soon as it has read the head of a request.
+    pub(crate) async fn answering_early(
+        script: impl Fn(&Request) -> Vec<Action> + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_on(listener, Reads::Head, script)
     }
 
     /// Starts a target that can lose power: its backlog of new connections is short enough to be
@@ -136,10 +153,14 @@
     pub(crate) fn with_short_backlog(script: impl Fn(&Request) -> Vec<Action> + 'static) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
         socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        Self::start_on(socket.listen(1).unwrap(), script)
+        Self::start_on(socket.listen(1).unwrap(), Reads::Whole, script)
     }
 
-    fn start_on(listener: TcpListener, script: impl Fn(&Request) -> Vec<Action> + 'static) -> Self {
+    fn start_on(
+        listener: TcpListener,
+        reads: Reads,
+        script: impl Fn(&Request) -> Vec<Action> + 'static,
+    ) -> Self {
         let address = listener.local_addr().unwrap();
         let target = Self {
             address,
@@ -178,7 +199,11 @@
                         biased;
                         _ = crashed.wait_for(Option::is_some) => {}
                         () = serve_connection(
-                            stream, connection, &*script, (&requests, &probed), (&power_loss, &crash),
+                            stream,
+                            connection,
+                            (reads, &*script),
+                            (&requests, &probed),
+                            (&power_loss, &crash),
                         ) => {}
                     }
                     *closed.borrow_mut() += 1;
@@ -232,14 +257,14 @@
 async fn serve_connection(
     mut stream: TcpStream,
     connection: usize,
-    script: &Script,
+    (reads, script): (Reads, &Script),
     (requests, probed): (&RefCell<Vec<Request>>, &RefCell<usize>),
     (power_loss, crash): (&Notify, &watch::Sender<Option<Duration>>),
 ) {
     let mut input = Vec::new();
     loop {
-        let Some(request) = read_request(&mut stream, &mut input, connection, requests).await
-        else {
+        let read = read_request(&mut stream, reads, &mut input, connection, requests);
+        let Some(request) = read.await else {
             return;
         };
         if request.is_health() {
@@ -298,6 +323,7 @@
 
 async fn read_request(
     stream: &mut TcpStream,
+    reads: Reads,
     input: &mut Vec<u8>,
     connection: usize,
     requests: &RefCell<Vec<Request>>,
@@ -313,7 +339,10 @@
                 head,
                 body: Vec::new(),
             };
-            let length = request.header("content-length").parse().unwrap_or(0);
+            let length = match reads {
+                Reads::Head => input.len() - end - 4,
+                Reads::Whole => request.header("content-length").parse().unwrap_or(0),
+            };
             if input.len() >= end + 4 + length {
                 let rest = input.split_off(end + 4 + length);
                 let body = input.split_off(end + 4);
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod accounts;
 mod answers;
 mod bounds;
+mod broken;
 mod caller;
 mod capacity;
 mod departures;
--- a/crates/zinniastall-http/src/client.rs
+++ b/crates/zinniastall-http/src/client.rs
@@ -76,7 +76,10 @@
                     biased;
                     written = writing => {
                         self.writing = None;
-                        self.has_failed = written.is_err();
+                        if let Err(error) = written {
+                            self.has_failed = true;
+                            self.reader.note_write_failure(&error);
+                        }
                         continue;
                     }
                     head = head => head?,
--- a/crates/zinniastall-http/src/connection.rs
+++ b/crates/zinniastall-http/src/connection.rs
@@ -60,6 +60,8 @@
     half: OwnedReadHalf,
     input: BytesMut,
     ended: bool,
+    /// Failure of the connection that the write half was told of.
+    failed: Option<io::ErrorKind>,
 }
 
 /// Write half of a connection.
@@ -84,6 +86,7 @@
         half: read,
         input: BytesMut::new(),
         ended: false,
+        failed: None,
     };
     let writer = Writer {
         half: Some(write),
@@ -191,6 +194,17 @@
         }
     }
 
+    /// Records that writing failed on this connection.
+    ///
+    /// A socket reports the error of a reset once. If the write half has taken it, reading finds the
+    /// bytes that came before, and then what looks like an orderly end. A broken pipe is no such error:
+    /// the peer had ended its direction in order before it stopped reading.
+    pub fn note_write_failure(&mut self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.failed = Some(error.kind());
+        }
+    }
+
     async fn fill(&mut self) -> io::Result<usize> {
         if self.ended {
             return Ok(0);
@@ -201,8 +215,13 @@
         }
         self.input.reserve(READ_BYTES);
         let read = self.half.read_buf(&mut self.input).await?;
-        self.ended = read == 0;
-        Ok(read)
+        match self.failed {
+            Some(kind) if read == 0 => Err(kind.into()),
+            _ => {
+                self.ended = read == 0;
+                Ok(read)
+            }
+        }
     }
 
     /// Frees the buffer of an idle connection.
