fix(http): a status outside 100 to 599, and 101, is no answer

Cause: head parsing took any status that three digits of `http` can hold. RFC 9110, section 15, calls those outside 100 to 599 invalid. 101 counted as one more informational head, although no request asks for another protocol and what follows is not HTTP.

Change: one rule in the parser of response heads; 101 ends an exchange as malformed.

The other tests of heads passed before and are kept: each byte value at each place of names and values of 1 to 33 bytes, of the status line, lengths, codings.

--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -141,6 +141,13 @@
     /// Guards against an answer with a status that no server may send.
     status_000_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 000 None")),
     status_099_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 099 Low")),
+    status_600_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 600 High")),
+    status_999_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 999 High")),
+    /// Guards against an answer behind the end of HTTP on its connection.
+    status_101_is_no_answer => is_no_answer(Fault::status_line(
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK",
+    )),
+    status_100_alone_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 100 Continue")),
     /// Guards against a line that is passed on although its name is none, or that hides a length.
     a_name_with_a_blank_is_no_answer => is_no_answer(Fault::line(b"x own: 1")),
     a_name_before_a_blank_is_no_answer => is_no_answer(Fault::line(b"x-own : 1")),
--- a/crates/zinniastall-http/src/client.rs
+++ b/crates/zinniastall-http/src/client.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::StatusCode;
 
 use crate::{
     connection::{Error, MAX_RESPONSE_HEAD_BYTES, Reader, Writer},
@@ -86,6 +87,10 @@
                 },
             };
             match head {
+                Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                    // No request here asks for it, and what follows is not HTTP.
+                    return Err(head::Error::Malformed("status").into());
+                }
                 Some(head) if head.status.is_informational() => {
                     informational += 1;
                     if informational > MAX_INFORMATIONAL {
--- a/crates/zinniastall-http/src/head.rs
+++ b/crates/zinniastall-http/src/head.rs
@@ -164,9 +164,8 @@
         if !status.is_complete() {
             return Err(Error::Malformed("incomplete"));
         }
-        let code = StatusCode::from_u16(parsed.code.unwrap_or_default());
         let response = Self {
-            status: code.map_err(|_| Error::Malformed("status"))?,
+            status: valid_status(parsed.code.unwrap_or_default())?,
             is_http11: parsed.version == Some(1),
             headers: header_map(parsed.headers)?,
         };
@@ -204,6 +203,13 @@
     Ok(None)
 }
 
+/// Returns a status of the protocol (RFC 9110, 15); three digits may also be none.
+fn valid_status(code: u16) -> Result<StatusCode, Error> {
+    let status = StatusCode::from_u16(code).ok();
+    let is_valid = |status: &StatusCode| (100..600).contains(&status.as_u16());
+    status.filter(is_valid).ok_or(Error::Malformed("status"))
+}
+
 fn parse_error(error: httparse::Error) -> Error {
     match error {
         httparse::Error::TooManyHeaders => Error::TooLong,
