fix(gateway): a success without its target's signature is no answer

Cause: nothing told the request path that a deployment's targets mark their answers, so that a success from something else behind the address, or from a target in trouble, looked like any other.

Change: Names has the field by which targets sign, which the platform's adapter supplies; without it a success ends the attempt as unknown. It is repeated elsewhere where that is permitted, else the caller gets 502. Other statuses need no signature.

Evidence: broken::an_unsigned_success_is_no_answer failed before (200 "body"), passes.

--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -54,6 +54,9 @@
     pub expected_target: HeaderName,
     /// Marks a response to a request that was not run.
     pub not_run: HeaderName,
+    /// Mark of a target in each of its answers with a success, if the targets set one. Without it such an
+    /// answer isn't the target's.
+    pub signature: Option<HeaderName>,
     /// Requests per second that a target takes from all instances together, in its responses.
     pub rate_limit: HeaderName,
     /// Rejections per second that a target bears from all instances together, in its responses.
@@ -87,6 +90,7 @@
             deadline_ms: HeaderName::from_static("deadline-ms"),
             expected_target: HeaderName::from_static("expected-target"),
             not_run: HeaderName::from_static("not-run"),
+            signature: None,
             rate_limit: HeaderName::from_static(RATE_LIMIT),
             rejection_limit: HeaderName::from_static(REJECTION_LIMIT),
             pause: http::header::RETRY_AFTER,
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -297,6 +297,9 @@
             }
             return ended;
         }
+        if let Some(ended) = self.reject_answer(&response, responder) {
+            return ended;
+        }
         let is_stream = job.is_stream() && response.status.is_success();
         if responder.has_begun() && !is_stream {
             return Ended::Broken(format!(
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -25,6 +25,7 @@
 mod runs;
 pub mod serve;
 mod transfer;
+mod verify;
 
 use std::{cell::RefCell, rc::Rc};
 
--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use zinniastall_gateway::view::View;
+use zinniastall_gateway::{
+    headers::Names,
+    view::{Shared, View},
+};
 use zinniastall_model::routing::{Kind, Route};
 
 use crate::{
@@ -135,7 +138,52 @@
     assert!(!one.requests().is_empty());
 }
 
+/// A target answers with a success that it hasn't signed, or with one that it has.
+async fn is_unsigned() {
+    let names = Names {
+        signature: Some(http::HeaderName::from_static("signed")),
+        ..Names::default()
+    };
+    let unsigned = |request: &Request| {
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n", request.id());
+        let rest = "content-length: 4\r\n\r\nbody";
+        vec![Action::Send((head + rest).into_bytes())]
+    };
+    let target = Target::start(unsigned).await;
+    let board = Shared::new(view(routes(), &[&target]));
+    let gateway = Gateway::with_names(board, names.clone()).await;
+    for path in ["/pay/1", "/stream/1", "/plans/1"] {
+        let response = gateway.connect().await.call(&post(path, "a", "x")).await;
+        assert_eq!(response.status, 502, "{path}: {response:?}");
+    }
+    let (target, sound) = (
+        Target::start(unsigned).await,
+        Target::responding_with("fine").await,
+    );
+    let board = Shared::new(view(routes(), &[&target, &sound]));
+    let gateway = Gateway::with_names(board, names.clone()).await;
+    for at in 0..6 {
+        let text = post("/plans/1", &format!("r{at}"), "x");
+        let response = gateway.connect().await.call(&text).await;
+        assert_eq!((response.status, response.body.as_str()), (200, "fine"));
+    }
+    assert!(!target.requests().is_empty());
+    let failing = |request: &Request| {
+        let head = format!("HTTP/1.1 404 None\r\nrequest-id: {}\r\n", request.id());
+        vec![Action::Send(
+            (head + "content-length: 0\r\n\r\n").into_bytes(),
+        )]
+    };
+    let target = Target::start(failing).await;
+    let board = Shared::new(view(routes(), &[&target]));
+    let gateway = Gateway::with_names(board, names).await;
+    let response = gateway.connect().await.call(&post("/pay/1", "a", "")).await;
+    assert_eq!(response.status, 404);
+}
+
 cases! {
+    /// Guards against a success that is no answer of the target.
+    an_unsigned_success_is_no_answer => is_unsigned(),
     /// Guards against the part of an answer before a reset that is delivered as the whole.
     a_reset_under_an_upload_is_no_end => a_reset_under_an_upload_ends_no_answer(),
     /// Guards against an answer with a status that no server may send.
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -467,9 +467,14 @@
 
     /// Starts the request path of an instance whose view may change.
     pub(crate) async fn on(board: Shared) -> Self {
+        Self::with_names(board, Names::default()).await
+    }
+
+    /// Starts the request path of an instance in a deployment with other names.
+    pub(crate) async fn with_names(board: Shared, names: Names) -> Self {
         let names = Names {
             reserved: vec![http::HeaderName::from_static("secret")],
-            ..Names::default()
+            ..names
         };
         let mut policy = Policy::default();
         policy.retry_budget.slack = 100;
