fix: a body in a coding that its request didn't ask for is no answer

Cause: neither path looked at content codings. RFC 9110 permits any coding to a request that names none, but such a caller can't be expected to decode one, and takes the bytes for the body.

Change: http::coding compares the answer's codings with the request's Accept-Encoding; both paths end the attempt as unknown where one isn't accepted. A caller that asks for a coding gets it as before.

--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -16,6 +16,7 @@
 use zinniastall_http::{
     body::{Decoder, Framing},
     client::Exchange,
+    coding,
     connection::Part,
     ending::Ending,
     events::{self, Events},
@@ -82,6 +83,9 @@
     if let Some(refusal) = refusal {
         return Err(refusal);
     }
+    if !call.accepts_coding_of(&head) {
+        return Err(worker.lost(target, call, "a content coding that wasn't asked for"));
+    }
     let framing = head.framing(call.method == Method::HEAD.as_str());
     let framing = framing.map_err(|error| worker.lost(target, call, &error.to_string()))?;
     let body = TargetBody {
@@ -186,6 +190,15 @@
     }
 }
 
+impl Call {
+    fn accepts_coding_of(&self, answer: &Response) -> bool {
+        let is_accept = |name: &str| name.eq_ignore_ascii_case(header::ACCEPT_ENCODING.as_str());
+        let fields = self.headers.iter().filter(|(name, _)| is_accept(name));
+        let accepted: Vec<&str> = fields.map(|(_, value)| value.as_str()).collect();
+        coding::is_accepted(&accepted, &answer.headers)
+    }
+}
+
 /// Recognises a target's typed refusal, which states that the request has not run.
 fn typed_refusal(head: &Response) -> Option<Refusal> {
     let refusing = [
--- a/crates/zinniastall-entry/tests/callers/broken.rs
+++ b/crates/zinniastall-entry/tests/callers/broken.rs
@@ -30,6 +30,8 @@
     status_099: "HTTP/1.1 099 Low\r\ncontent-length: 4\r\n\r\nbody";
     status_600: "HTTP/1.1 600 High\r\ncontent-length: 4\r\n\r\nbody";
     status_999: "HTTP/1.1 999 High\r\ncontent-length: 4\r\n\r\nbody";
+    /// Guards against a body that its caller can't decode.
+    coding: "HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: 4\r\n\r\nbody";
     /// Guards against a line that is passed on although its name is none, or that hides a length.
     name_with_a_blank: "HTTP/1.1 200 OK\r\nx own: 1\r\ncontent-length: 4\r\n\r\nbody";
     name_before_a_blank: "HTTP/1.1 200 OK\r\nx-own : 1\r\ncontent-length: 4\r\n\r\nbody";
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -297,7 +297,7 @@
             }
             return ended;
         }
-        if let Some(ended) = self.reject_answer(&response, responder) {
+        if let Some(ended) = self.reject_answer(attempt, &response, responder) {
             return ended;
         }
         let is_stream = job.is_stream() && response.status.is_success();
--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     cases,
-    harness::{Action, Gateway, Request, Target, post, route, view},
+    harness::{Action, Gateway, Request, Target, get, post, route, view},
     quarantine::two_regions,
 };
 
@@ -181,9 +181,28 @@
     assert_eq!(response.status, 404);
 }
 
+/// A target answers with a coded body, to callers that ask for the coding and to others.
+async fn is_coded() {
+    let coded = Fault::line(b"content-encoding: gzip");
+    let script = move |request: &Request| vec![Action::Send(coded.answer(request))];
+    let target = Target::start(script).await;
+    let gateway = Gateway::start(view(routes(), &[&target])).await;
+    for (fields, status) in [
+        ("", 502),
+        ("accept-encoding: br\r\n", 502),
+        ("accept-encoding: br, gzip\r\n", 200),
+    ] {
+        let text = get("/pay/1", "a", fields);
+        let response = gateway.connect().await.call(&text).await;
+        assert_eq!(response.status, status, "{fields:?}: {response:?}");
+    }
+}
+
 cases! {
     /// Guards against a success that is no answer of the target.
     an_unsigned_success_is_no_answer => is_unsigned(),
+    /// Guards against a body that its caller can't decode.
+    a_coding_that_was_not_asked_for_is_no_answer => is_coded(),
     /// Guards against the part of an answer before a reset that is delivered as the whole.
     a_reset_under_an_upload_is_no_end => a_reset_under_an_upload_ends_no_answer(),
     /// Guards against an answer with a status that no server may send.
--- a/crates/zinniastall-http/src/lib.rs
+++ b/crates/zinniastall-http/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`head`] | strict parsing and writing of request and response heads |
 //! | [`body`] | decoding and encoding of bodies, without I/O |
+//! | [`coding`] | content codings that a request accepts |
 //! | [`ending`] | what is known of the end of a message |
 //! | [`events`] | streams split into events |
 //! | [`connection`] | buffered read and write halves of a connection |
@@ -20,6 +21,7 @@
 
 pub mod body;
 pub mod client;
+pub mod coding;
 pub mod connection;
 pub mod ending;
 pub mod events;
