fix(gateway): requests in progress are answered before a stopping instance ends

Cause: the drain waited for open connections up to its end, and the process then exited with whatever was in progress.

Change: 150 ms before the end of a drain all requests in progress get their final answers: 502 if a target may have run it, 503 with Retry-After if none has it. A stream that has begun is broken off visibly, as at its deadline. What is sent during a drain names no more time to its target than is left until then.

Evidence: requests_in_progress_are_answered_at_the_end_of_a_stop failed before (the requests were still open when the drain had ended), passes.

--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -320,26 +320,32 @@
 }
 
 /// Accepts connections until callers have learned of the drain, then waits until the open ones
-/// close.
+/// close. Requests that are still in progress shortly before the end get their final answers then.
 ///
 /// Connections that were accepted are served to their end. Exiting as soon as the counts read zero
 /// would cut off a request that arrives between the reading and the exit.
 async fn finish(traffic: &Proxy, accepting: [JoinHandle<()>; 2], order: DrainOrder) {
     let since = Instant::now();
+    let end = since + order.max_wait;
     traffic.origins.hand_over(&traffic.state);
     let connections = &traffic.connections;
-    let is_expired = |since: Instant| since.elapsed() >= order.max_wait;
-    while !is_expired(since) && since.elapsed() < order.min_wait {
-        time::sleep(POLL_INTERVAL).await;
-    }
+    let drain = traffic.state.draining();
+    let last_answer = drain.map_or(end, |drain| drain.last_answer());
+    sleep_while(|| Instant::now() < last_answer.min(since + order.min_wait)).await;
     for task in accepting {
         task.abort();
     }
-    while !is_expired(since) && connections.open() > 0 {
-        time::sleep(POLL_INTERVAL).await;
-    }
+    sleep_while(|| Instant::now() < last_answer && connections.open() > 0).await;
+    traffic.end_requests();
+    sleep_while(|| Instant::now() < end && connections.open() > 0).await;
     let (requests, open) = (connections.requests(), connections.open());
     tracing::info!(event = "drained", requests, connections = open);
     // The receiver may be gone.
     let _ = order.done.send(());
 }
+
+async fn sleep_while(condition: impl Fn() -> bool) {
+    while condition() {
+        time::sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -29,7 +29,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use zinniastall_coord::{departure::Departures, pause::Pauses, quarantine::Probes, retry::Budgets};
 use zinniastall_http::pool::Pool;
 use zinniastall_model::fingerprint::Fingerprint;
@@ -117,6 +117,8 @@
     runs: Runs,
     /// Connections of callers and instances.
     pub connections: Connections,
+    /// Whether requests in progress are ended, since this instance stops.
+    is_ending: watch::Sender<bool>,
     /// Log of requests.
     pub request_log: Log,
     /// Counters and histograms.
@@ -134,6 +136,11 @@
         self.bodies.bytes()
     }
 
+    /// Ends all requests in progress with their final answers.
+    pub fn end_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
     /// Creates the proxy of a thread.
     pub fn new(state: Shared, header_names: Names, policy: Policy, metrics: Metrics) -> Self {
         Self {
@@ -162,6 +169,7 @@
             bodies: Held::new(policy.memory / 2, SMALL_BODY_BYTES),
             runs: Runs::default(),
             connections: Connections::default(),
+            is_ending: watch::Sender::new(false),
             request_log: Log::default(),
             metrics,
             state,
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -1,6 +1,6 @@
 //! Encodes outgoing requests: which headers are forwarded, set and removed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http::{
@@ -12,6 +12,7 @@
 use super::{
     Proxy,
     attempt::{Attempt, Place},
+    job::Job,
     origin,
 };
 use crate::{
@@ -34,6 +35,14 @@
 }
 
 impl Proxy {
+    /// Returns the time in which an answer still reaches the caller.
+    fn time_left(&self, job: &Job) -> Duration {
+        let now = Instant::now();
+        let until = self.state.draining().map(|drain| drain.last_answer());
+        let until = until.map_or(job.deadline, |until| until.min(job.deadline));
+        until.saturating_duration_since(now)
+    }
+
     /// Encodes a request for its destination.
     pub(super) fn encode(&self, attempt: &Attempt<'_>, last_event: Option<&str>) -> Encoded {
         let job = attempt.job;
@@ -53,7 +62,7 @@
         if has_body {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(job.body.len()));
         }
-        let left = job.left(Instant::now()).as_millis();
+        let left = self.time_left(job).as_millis();
         let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
         headers.insert(&self.header_names.deadline_ms, HeaderValue::from(left));
         if let Some(last) = last_event.and_then(|last| HeaderValue::try_from(last).ok()) {
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -24,6 +24,7 @@
     job::{Job, header_text},
     placement::{Placement, Tried},
     responder::Responder,
+    serve::DRAINING_RETRY_AFTER,
 };
 use crate::{freshness::Trust, headers::LAST_EVENT_ID, request_log::Basis};
 
@@ -55,6 +56,34 @@
     Aborted(String),
 }
 
+/// What ends a request before its answer.
+#[derive(Debug, Clone, Copy)]
+enum Cut {
+    /// Its deadline passes.
+    Deadline,
+    /// This instance stops.
+    Stop,
+}
+
+impl Cut {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline exceeded",
+            Self::Stop => "this instance stops",
+        }
+    }
+
+    /// Returns the answer of a request whose own answer has not begun.
+    const fn refusal(self, may_have_run: bool) -> Refusal {
+        match self {
+            Self::Deadline if may_have_run => Refusal::DeadlineExceeded,
+            Self::Deadline => Refusal::Busy(REFUSED_RETRY),
+            Self::Stop if may_have_run => Refusal::AnswerLost,
+            Self::Stop => Refusal::Busy(DRAINING_RETRY_AFTER),
+        }
+    }
+}
+
 /// State of a request between two attempts.
 struct State<'a> {
     job: &'a Job,
@@ -85,7 +114,8 @@
 }
 
 impl Proxy {
-    /// Serves a request until it has its final answer, within its deadline.
+    /// Serves a request until it has its final answer, within its deadline and before this instance
+    /// stops.
     ///
     /// # Errors
     ///
@@ -93,22 +123,30 @@
     pub async fn run(&self, job: &Job, responder: &mut Responder) -> io::Result<End> {
         let may_have_run = Cell::new(false);
         let attempts = self.attempts(job, responder, &may_have_run);
-        let ended = time::timeout_at(job.deadline.into(), attempts).await;
-        if let Ok(ended) = ended {
-            return ended;
-        }
+        let cut = tokio::select! {
+            biased;
+            ended = time::timeout_at(job.deadline.into(), attempts) => match ended {
+                Ok(ended) => return ended,
+                Err(_) => Cut::Deadline,
+            },
+            () = self.until_requests_end() => Cut::Stop,
+        };
         if responder.has_begun() {
-            return Ok(End::Aborted("deadline exceeded".to_owned()));
+            return Ok(End::Aborted(cut.as_str().to_owned()));
         }
-        let refusal = if may_have_run.get() {
-            Refusal::DeadlineExceeded
-        } else {
-            Refusal::Busy(REFUSED_RETRY)
-        };
+        let refusal = cut.refusal(may_have_run.get());
         responder.refuse(refusal, &[]).await?;
         Ok(End::Refused(refusal))
     }
 
+    async fn until_requests_end(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        if is_ending.wait_for(|is_ending| *is_ending).await.is_err() {
+            // The sender lives as long as this.
+            std::future::pending().await
+        }
+    }
+
     async fn attempts(
         &self,
         job: &Job,
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -45,7 +45,7 @@
 const DRAIN_LAG: Duration = Duration::from_millis(2_800);
 /// Retry time of a request refused because this instance is stopping; any other instance accepts it
 /// at once.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(super) const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Retry time of a request that a neighbour handed on while too many such requests are in progress.
 const DETOUR_RETRY: Duration = Duration::from_millis(250);
 /// Retry time of a request for whose body there is no memory. Those that take it end within seconds.
@@ -380,7 +380,9 @@
     /// It would be cut off in the middle of its answer; refused at once, its caller finds another
     /// instance. A caller that could not yet know of the drain is served as far as time permits.
     fn outlasts_drain(&self, job: &Job) -> bool {
-        let late = |drain: Drain| job.arrived > drain.since + DRAIN_LAG && job.deadline > drain.end;
+        let late = |drain: Drain| {
+            job.arrived > drain.since + DRAIN_LAG && job.deadline > drain.last_answer()
+        };
         self.state.draining().is_some_and(late)
     }
 
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -111,6 +111,18 @@
     pub end: Instant,
 }
 
+/// Time before the end of a drain by which all requests get their final answers, so that these are
+/// written before the process ends.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
+impl Drain {
+    /// Returns the time at which requests that are still in progress are ended.
+    pub fn last_answer(&self) -> Instant {
+        let last = self.end.checked_sub(ANSWER_TIME);
+        last.map_or(self.since, |last| last.max(self.since))
+    }
+}
+
 /// Runs of targets that said in their answers that they leave.
 pub type Departures = IndexMap<id::Target, id::Incarnation>;
 
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -160,7 +160,7 @@
     }
 }
 
-/// Starts a target that responds after a few milliseconds.
+/// Starts a target that responds after as many milliseconds as the path names, five at least.
 async fn target() -> SocketAddr {
     let listener = TcpListener::bind(ANY_PORT).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -172,10 +172,15 @@
                     if read == 0 {
                         return;
                     }
-                    time::sleep(Duration::from_millis(5)).await;
                     let head = String::from_utf8_lossy(&buffer[..read]).into_owned();
+                    let path = head
+                        .split(' ')
+                        .nth(1)
+                        .and_then(|path| path.rsplit('/').next());
+                    let millis: u64 = path.and_then(|name| name.parse().ok()).unwrap_or(0);
+                    time::sleep(Duration::from_millis(millis.max(5))).await;
                     let line = head.lines().find(|line| line.starts_with("request-id"));
-                    let line = line.unwrap();
+                    let line = line.unwrap_or("x-health: good");
                     let answer =
                         format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 2\r\n\r\nok");
                     if stream.write_all(answer.as_bytes()).await.is_err() {
@@ -298,6 +303,66 @@
     });
 }
 
+/// Sends a request that takes as many milliseconds, whose caller waits for much longer.
+async fn ask(stream: &mut TcpStream, millis: u64) -> String {
+    let text = format!(
+        "POST /plans/{millis} HTTP/1.1\r\nHost: maps.example\r\nrequest-id: r{millis}\r\n\
+         deadline-ms: 15000\r\ncontent-length: 1\r\n\r\nx"
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let (mut answer, mut buffer) = (Vec::new(), [0; 4096]);
+    while !answer.ends_with(b"\r\n\r\nok") && !answer.ends_with(b"}") {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => answer.extend_from_slice(&buffer[..read]),
+        }
+    }
+    String::from_utf8(answer).unwrap()
+}
+
+/// Starts an instance with a target that it knows, and opens connections of callers.
+async fn stopping(callers: usize) -> (Replica, Gateway, Vec<TcpStream>) {
+    let replica = Replica::start(configuration(1, 1)).await;
+    let gateway = gateway(vec![replica.address.to_string()]);
+    let targets = Message::Targets(vec![report(target().await)]);
+    replica.messages.send(targets).unwrap();
+    let board = gateway.state.clone();
+    wait_until("the instance is ready", || {
+        board.is_ready() && !board.view().targets.by_name().is_empty()
+    })
+    .await;
+    let mut streams = Vec::new();
+    for _ in 0..callers {
+        streams.push(TcpStream::connect(gateway.callers).await.unwrap());
+    }
+    (replica, gateway, streams)
+}
+
+/// Guards against requests that were passed on and get no answer when their instance stops, although
+/// their callers would have waited.
+#[test]
+fn requests_in_progress_are_answered_at_the_end_of_a_stop() {
+    run(async {
+        let (_replica, mut gateway, mut streams) = stopping(3).await;
+        let asked = streams.iter_mut().map(async |stream| {
+            let answer = ask(stream, 10_000).await;
+            (answer, time::Instant::now())
+        });
+        let drain = async {
+            time::sleep(Duration::from_millis(100)).await;
+            gateway
+                .drain(Duration::from_millis(300), Duration::from_secs(1))
+                .await;
+            time::Instant::now()
+        };
+        let (answers, end) = futures_util::join!(futures_util::future::join_all(asked), drain);
+        for (answer, at) in answers {
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+            assert!(at <= end, "{:?} after the end", at - end);
+        }
+    });
+}
+
 /// Two replicas hold different configurations because one of them was partitioned. The instance
 /// hears the older one last; going back to it would serve by rules that operators were told are
 /// gone.
