fix(gateway): a stopping instance passes on nothing that is known to outlast it

Cause: until callers know of a drain, whatever arrives was admitted. A caller's deadline is no measure of a run, so refusing all whose deadline is later than the end of the grace would waste it.

Without a run to go by it is admitted as before, and gets its final answer at the end.

Evidence: a_request_that_outlasts_a_stop_is_rejected_at_once failed before (passed on 1.3 s into a drain of 2 s with runs of 0.8 s), passes; the same request at 0.4 s is answered, before and now.

--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -16,4 +16,5 @@
 pub mod prefill;
 pub mod quota;
 pub mod returns;
+pub mod run_time;
 pub mod service_time;
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -35,7 +35,7 @@
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
-    decide::{fair_share::Shares, quota::Quotas, returns::Schedules},
+    decide::{fair_share::Shares, quota::Quotas, returns::Schedules, run_time::RunTimes},
     headers::Names,
     metrics::Metrics,
     neighbours::{
@@ -117,6 +117,8 @@
     runs: Runs,
     /// Connections of callers and instances.
     pub connections: Connections,
+    /// How long requests of each route take.
+    run_times: RefCell<RunTimes>,
     /// Whether requests in progress are ended, since this instance stops.
     is_ending: watch::Sender<bool>,
     /// Log of requests.
@@ -169,6 +171,7 @@
             bodies: Held::new(policy.memory / 2, SMALL_BODY_BYTES),
             runs: Runs::default(),
             connections: Connections::default(),
+            run_times: RefCell::default(),
             is_ending: watch::Sender::new(false),
             request_log: Log::default(),
             metrics,
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -29,7 +29,7 @@
     responder::Responder,
     run,
 };
-use crate::{decide::quota::Claim, request_log::End, tracker::Demand, view::Drain};
+use crate::{decide::quota::Claim, request_log::End, tracker::Demand};
 
 /// Pause after a failed accept. The process is most likely out of file descriptors, and an
 /// immediate retry would spin.
@@ -252,10 +252,14 @@
         };
         match ended {
             run::End::Answered(ending) => {
+                self.record_run_time(job);
                 let (outcome, why) = answered(ending);
                 self.record_end(job, responder, outcome, why);
             }
             run::End::Refused(refusal) => {
+                if refusal.outcome() == Outcome::Unknown {
+                    self.record_run_time(job);
+                }
                 self.refund(job, refusal.outcome());
                 self.record_end(job, responder, refusal.outcome().as_str(), refusal.as_str());
             }
@@ -375,15 +379,26 @@
         self.metrics.count_request(&job.route().name, &end);
     }
 
+    /// Records how long a request took that was sent to a target.
+    fn record_run_time(&self, job: &Job) {
+        let (route, now) = (&job.route().name, Instant::now());
+        let took = now.saturating_duration_since(job.arrived);
+        self.run_times.borrow_mut().record(route, took, now);
+    }
+
     /// Returns whether a request might outlast this draining instance.
     ///
-    /// It would be cut off in the middle of its answer; refused at once, its caller finds another
-    /// instance. A caller that could not yet know of the drain is served as far as time permits.
+    /// It would get no answer of its target; refused at once, its caller finds another instance. A
+    /// caller that could not yet know of the drain is served if requests of the route are known to end
+    /// in time, or nothing is known of them.
     fn outlasts_drain(&self, job: &Job) -> bool {
-        let late = |drain: Drain| {
-            job.arrived > drain.since + DRAIN_LAG && job.deadline > drain.last_answer()
+        let Some(drain) = self.state.draining() else {
+            return false;
         };
-        self.state.draining().is_some_and(late)
+        let (now, last_answer) = (Instant::now(), drain.last_answer());
+        let longest = self.run_times.borrow().longest(&job.route().name);
+        let may_end = now + longest.unwrap_or_default() < last_answer;
+        job.deadline > last_answer && (job.arrived > drain.since + DRAIN_LAG || !may_end)
     }
 
     /// Waits for the first byte of a request and returns whether one came. A connection that is
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -363,6 +363,31 @@
     });
 }
 
+/// Guards against requests that a stopping instance passes on although they can't end in time, and
+/// against a time that it doesn't use.
+#[test]
+fn a_request_that_outlasts_a_stop_is_rejected_at_once() {
+    run(async {
+        let (_replica, mut gateway, mut streams) = stopping(1).await;
+        let learned = ask(&mut streams[0], 800).await;
+        assert!(learned.starts_with("HTTP/1.1 200"), "{learned:?}");
+        let callers = gateway.callers;
+        let ask_after = async |wait| {
+            time::sleep(Duration::from_millis(wait)).await;
+            let mut stream = TcpStream::connect(callers).await.unwrap();
+            let since = time::Instant::now();
+            (ask(&mut stream, 800).await, since.elapsed())
+        };
+        let drain = gateway.drain(Duration::from_millis(1_800), Duration::from_millis(2_000));
+        let ((), (early, _), (late, took)) =
+            futures_util::join!(drain, ask_after(400), ask_after(1_300));
+        assert!(early.starts_with("HTTP/1.1 200"), "{early:?}");
+        assert!(late.starts_with("HTTP/1.1 503"), "{late:?}");
+        assert!(late.contains("retry-after: "), "{late:?}");
+        assert!(took < Duration::from_millis(400), "{took:?}");
+    });
+}
+
 /// Two replicas hold different configurations because one of them was partitioned. The instance
 /// hears the older one last; going back to it would serve by rules that operators were told are
 /// gone.
