fix(gateway): answers without end take a fourth of the memory

Other callers were served.

Cause: three things. The bound counted bytes, but a body was held in one buffer that doubles and is copied as it grows. The bound itself was a fourth of the memory. And each answer of up to 1 MB was exempt from it, however many there were.

Change: bodies are held in segments and counted by what these take; they are written to the caller from there, without another copy. Long answers together may take an eighth of the memory, all together three sixteenths; up to 256 KB of one are let in while long ones fill their part, so that callers beside a flood are served.

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -15,7 +15,6 @@
     events::Events,
     head::Response,
     pool::{CONNECT_TIMEOUT, Connection, REMOTE_CONNECT_TIMEOUT},
-    server::Reply,
 };
 use zinniastall_model::id;
 
@@ -24,7 +23,7 @@
     answer::Outcome,
     job::{Job, header_number, header_text},
     outgoing::Encoded,
-    responder::Responder,
+    responder::{Responder, Whole},
     transfer::{drain_body, drain_refusal},
 };
 use crate::{
@@ -85,7 +84,7 @@
     /// one.
     NotRun(Option<Duration>),
     /// The target answered with an error of its own.
-    Failing(Reply, Ending),
+    Failing(Whole, Ending),
     /// The request was sent, and it is unknown whether it ran.
     Unknown(Why),
     /// Part of the answer was forwarded, and no more comes from this target.
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -14,14 +14,14 @@
     head::Response,
     pool::Connection,
     probe,
-    server::Reply,
 };
 
 use super::{
     Proxy,
     attempt::{Attempt, Ended, Place, Why},
     held::Share,
-    responder::Responder,
+    responder::{Responder, Whole},
+    segments::Segments,
     transfer::{
         Delimited, MAX_ANSWER_BYTES, end_to_end_headers, forward_piece, is_event_stream, read_body,
     },
@@ -49,7 +49,7 @@
             Ok(received) => received,
             Err(why) => return Ended::Unknown(why),
         };
-        let answer = Reply {
+        let answer = Whole {
             status: response.status,
             headers: end_to_end_headers(&response.headers),
             body,
@@ -57,7 +57,7 @@
         if response.status.is_server_error() && attempt.job.route().is_retryable() {
             return Ended::Failing(answer, ending);
         }
-        match responder.send_as(answer, ending).await {
+        match responder.send_whole(answer, ending).await {
             Ok(()) => Ended::Delivered(ending),
             Err(error) => Ended::CallerGone(error),
         }
@@ -70,7 +70,7 @@
         response: &Response,
         connection: &mut Connection,
         held: &mut Share<'_>,
-    ) -> Result<(Bytes, Ending), Why> {
+    ) -> Result<(Segments, Ending), Why> {
         let delimited = Delimited::of(attempt.job, attempt.place, response)?;
         let mut received = read_body(delimited, &mut connection.reader, held).await;
         if let Ok((body, ending)) = &received {
@@ -247,9 +247,10 @@
 }
 
 /// Returns whether a body of events ends inside one.
-fn ends_inside_event(body: &[u8]) -> bool {
+fn ends_inside_event(body: &Segments) -> bool {
     let mut events = Events::default();
-    events.push(body).is_err() || events.finish().is_err()
+    let is_torn = body.pieces().any(|piece| events.push(piece).is_err());
+    is_torn || events.finish().is_err()
 }
 
 /// Parts of a stream that may be forwarded.
--- a/crates/zinniastall-gateway/src/path/held.rs
+++ b/crates/zinniastall-gateway/src/path/held.rs
@@ -8,6 +8,7 @@
     bytes: Cell<usize>,
     max: usize,
     small: usize,
+    all: usize,
 }
 
 /// Bytes of one body, until this is dropped.
@@ -27,9 +28,17 @@
             bytes: Cell::new(0),
             max,
             small,
+            all: usize::MAX,
         }
     }
 
+    /// Sets the bytes that all bodies may take, including small ones.
+    #[must_use]
+    pub(super) const fn all(mut self, all: usize) -> Self {
+        self.all = all;
+        self
+    }
+
     /// Starts to count a body.
     pub(super) const fn start(&self) -> Share<'_> {
         Share {
@@ -48,7 +57,8 @@
     /// Counts more bytes; returns `false` if there is no room for them.
     pub(super) fn add(&mut self, bytes: usize) -> bool {
         let all = self.held.bytes.get() + bytes;
-        if all > self.held.max && self.bytes + bytes > self.held.small {
+        let is_small = self.bytes + bytes <= self.held.small && all <= self.held.all;
+        if all > self.held.max && !is_small {
             return false;
         }
         self.held.bytes.set(all);
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -23,6 +23,7 @@
 pub mod returns;
 pub mod run;
 mod runs;
+pub mod segments;
 pub mod serve;
 mod transfer;
 mod verify;
@@ -54,7 +55,7 @@
 use self::{closings::Closings, held::Held, runs::Runs, serve::Connections};
 
 /// Bytes that an answer may always take, so that one without end doesn't end the others.
-const SMALL_ANSWER_BYTES: usize = 1 << 20;
+const SMALL_ANSWER_BYTES: usize = 256 << 10;
 /// Bytes that the body of a request may always take, so that long ones don't keep all others away.
 const SMALL_BODY_BYTES: usize = 16 << 10;
 
@@ -167,7 +168,7 @@
             news: Rc::default(),
             pool: Pool::default(),
             closings: Closings::default(),
-            held: Held::new(policy.memory / 4, SMALL_ANSWER_BYTES),
+            held: Held::new(policy.memory / 8, SMALL_ANSWER_BYTES).all(policy.memory / 16 * 3),
             bodies: Held::new(policy.memory / 2, SMALL_BODY_BYTES),
             runs: Runs::default(),
             connections: Connections::default(),
--- a/crates/zinniastall-gateway/src/path/responder.rs
+++ b/crates/zinniastall-gateway/src/path/responder.rs
@@ -19,12 +19,28 @@
 };
 use zinniastall_model::fingerprint::Suspect;
 
-use super::answer::Refusal;
+use super::{answer::Refusal, segments::Segments};
 use crate::headers::CLOSE_DELIMITED;
 
 /// Value of a field whose presence says all.
 const TRUE: HeaderValue = HeaderValue::from_static("1");
 
+/// Buffer space reserved for the head of an answer; most fit into it.
+const TYPICAL_HEAD_BYTES: usize = 512;
+/// Longest body that is copied behind the head, so that both are written at once.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
+/// A target's answer with its whole body.
+#[derive(Debug)]
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields, without those of the framing.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Segments,
+}
+
 /// Progress of an answer.
 #[derive(Debug, Clone, Copy)]
 enum Progress {
@@ -142,19 +158,50 @@
     /// # Errors
     ///
     /// Fails if the connection does.
-    pub async fn send_as(&mut self, mut reply: Reply, ending: Ending) -> io::Result<()> {
-        if ending == Ending::Complete {
-            return self.send(reply).await;
+    pub async fn send_whole(&mut self, mut answer: Whole, ending: Ending) -> io::Result<()> {
+        if ending != Ending::Complete && !self.is_instance {
+            return self.send_close_delimited(answer, ending).await;
+        }
+        if ending != Ending::Complete {
+            answer.headers.insert(CLOSE_DELIMITED, TRUE);
         }
-        if self.is_instance {
-            reply.headers.insert(CLOSE_DELIMITED, TRUE);
-            return self.send(reply).await;
+        let mut pieces = answer.body;
+        self.begin(answer.status);
+        let length = HeaderValue::from(pieces.len());
+        answer.headers.insert(CONTENT_LENGTH, length);
+        self.state_connection(&mut answer.headers);
+        let mut output =
+            BytesMut::with_capacity(TYPICAL_HEAD_BYTES + pieces.len().min(MAX_COPIED_BYTES));
+        head::write_response(&mut output, answer.status, &answer.headers);
+        if pieces.len() <= MAX_COPIED_BYTES {
+            std::mem::take(&mut pieces)
+                .pieces()
+                .for_each(|piece| output.extend_from_slice(piece));
+        }
+        self.writer.write(&output).await?;
+        for piece in pieces.into_pieces() {
+            self.writer.write(&piece).await?;
+        }
+        self.progress = Progress::Complete;
+        Ok(())
+    }
+
+    /// Writes a whole answer whose end its caller can't confirm either.
+    async fn send_close_delimited(&mut self, answer: Whole, ending: Ending) -> io::Result<()> {
+        self.write_head(answer.status, answer.headers, ending)
+            .await?;
+        for piece in answer.body.into_pieces() {
+            self.write_piece(piece).await?;
         }
-        self.write_head(reply.status, reply.headers, ending).await?;
-        self.write_piece(reply.body).await?;
         self.finish_body(ending).await.map(drop)
     }
 
+    fn state_connection(&self, headers: &mut HeaderMap) {
+        if !self.keep_alive {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
     /// Writes a refusal; another instance also gets what is known against the request.
     ///
     /// # Errors
@@ -207,10 +254,8 @@
         if self.delimiter == Delimiter::DoubtfulChunks {
             headers.insert(CLOSE_DELIMITED, TRUE);
         }
-        if !self.keep_alive {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        let mut output = BytesMut::with_capacity(512);
+        self.state_connection(&mut headers);
+        let mut output = BytesMut::with_capacity(TYPICAL_HEAD_BYTES);
         head::write_response(&mut output, status, &headers);
         self.writer.write(&output).await
     }
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -14,7 +14,7 @@
     },
     retry::{Denial, Grant},
 };
-use zinniastall_http::{ending::Ending, events::Events, server::Reply};
+use zinniastall_http::{ending::Ending, events::Events};
 
 use super::{
     Proxy,
@@ -23,7 +23,7 @@
     crash::{Clearance, Probe, may_enter},
     job::{Job, header_text},
     placement::{Placement, Tried},
-    responder::Responder,
+    responder::{Responder, Whole},
     serve::DRAINING_RETRY_AFTER,
 };
 use crate::{freshness::Trust, headers::LAST_EVENT_ID, request_log::Basis};
@@ -102,7 +102,7 @@
     is_trial: bool,
     /// Right to send the request once more, until it is used.
     retry: RefCell<Option<Grant>>,
-    server_error: Option<(Reply, Ending)>,
+    server_error: Option<(Whole, Ending)>,
 }
 
 /// Next step after an attempt.
@@ -143,7 +143,7 @@
         let mut is_ending = self.is_ending.subscribe();
         if is_ending.wait_for(|is_ending| *is_ending).await.is_err() {
             // The sender lives as long as this.
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 
@@ -313,7 +313,7 @@
             return Ok(End::Aborted(refusal.as_str().to_owned()));
         }
         if let Some((answer, ending)) = state.server_error {
-            responder.send_as(answer, ending).await?;
+            responder.send_whole(answer, ending).await?;
             return Ok(End::Answered(ending));
         }
         let suspicions = self.suspicions(state.job);
--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::{io, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, header::CONTENT_TYPE};
 use tokio::time;
 use zinniastall_coord::origin::Origin;
@@ -20,6 +20,7 @@
     job::Job,
     origin,
     responder::Responder,
+    segments::Segments,
 };
 use crate::headers::{CLOSE_DELIMITED, ORIGIN};
 
@@ -101,24 +102,24 @@
     delimited: Delimited,
     reader: &mut Reader,
     held: &mut Share<'_>,
-) -> Result<(Bytes, Ending), Why> {
+) -> Result<(Segments, Ending), Why> {
     let fits = |length: u64| usize::try_from(length).is_ok_and(|length| length <= MAX_ANSWER_BYTES);
     if matches!(delimited.framing, Framing::Length(length) if !fits(length)) {
         return Err("answer exceeds the size limit".to_owned());
     }
     let mut decoder = Decoder::new(delimited.framing);
-    let mut body = BytesMut::new();
+    let mut body = Segments::default();
     loop {
         let part = reader.part(&mut decoder).await;
         match part.map_err(|error| error.to_string())? {
             Part::Piece(piece) if body.len() + piece.len() > MAX_ANSWER_BYTES => {
                 return Err("answer exceeds the size limit".to_owned());
             }
-            Part::Piece(piece) if !held.add(piece.len()) => {
+            Part::Piece(piece) if !held.add(body.growth(piece.len())) => {
                 return Err("answers in progress exceed the memory for them".to_owned());
             }
-            Part::Piece(piece) => body.extend_from_slice(&piece),
-            Part::End(ending) => return Ok((body.freeze(), ending.min(delimited.highest))),
+            Part::Piece(piece) => body.push(&piece),
+            Part::End(ending) => return Ok((body, ending.min(delimited.highest))),
         }
     }
 }
