fix(http): a connection that served a long upload isn't used again

What callers saw: with a target that answers uploads early and whole, and resets each connection 0.1 s later, 502 for one to three of six uploads (measured from outside on, 200 kB and 4 MB).

Cause: not the answer whose connection was reset, but the next request. The writing of an upload ends when the kernel has taken it; the target may not have read it. The connection went back to the pool, took the next request within the 0.1 s and was reset with it, so that its outcome was unknown.

Ruled out: a failed write before the head is read; the first upload of each series was answered.

Change: Exchange::is_reusable, for both paths, holds only for requests of up to 64 KB, which a server reads at once. A connection more for each longer one.

Evidence: broken::a_whole_answer_outlasts_a_reset failed before (upload 1 of 204800 bytes: 502), passes; the tests of broken ran 20 times each, no failure. Their targets are chosen at random, so three of them now go on until the faulty one was asked.

--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -70,7 +70,7 @@
     let Connection { reader, writer, .. } = &mut connection;
     let mut exchange = Exchange::start(reader, writer, [&request, &[]]);
     let head = timeout_at(deadline.into(), exchange.next_head()).await;
-    let is_clean = exchange.is_written() && !exchange.has_failed();
+    let is_clean = exchange.is_reusable();
     drop(exchange);
     let head = head.map_err(|_| Refusal::unknown(Reason::DeadlinePassed))?;
     let head = head.map_err(|error| worker.lost(target, call, &error.to_string()))?;
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -414,7 +414,7 @@
                 return Err("answers to other requests".to_owned());
             }
         };
-        let is_clean = exchange.is_written() && !exchange.has_failed() && stray_answers == 0;
+        let is_clean = exchange.is_reusable() && stray_answers == 0;
         Ok((response, is_clean))
     }
 
--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -1,6 +1,6 @@
 //! Targets whose answers are none in the protocol: no caller gets them, or a part of them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use zinniastall_gateway::{
     headers::Names,
@@ -96,7 +96,10 @@
         let (far, near) = two_regions(routes(), &[&one, &sound]).await;
         let gateway = if is_far { far } else { near };
         let mut served = 0;
-        for at in 0..6 {
+        for at in 0.. {
+            if at >= 6 && served > 0 && !one.requests().is_empty() {
+                break;
+            }
             let text = post("/plans/1", &format!("r{at}"), "x");
             let response = gateway.connect().await.call(&text).await;
             // A request that another instance passed on isn't repeated there.
@@ -106,7 +109,6 @@
                 served += 1;
             }
         }
-        assert!(served > 0);
     }
 }
 
@@ -130,12 +132,14 @@
     let one = Target::answering_early(script).await;
     let sound = Target::responding_with("fine").await;
     let gateway = Gateway::start(view_of_uploads(&[&one, &sound])).await;
-    for at in 0..6 {
+    for at in 0.. {
+        if at >= 3 && !one.requests().is_empty() {
+            break;
+        }
         let text = post("/plans/1", &format!("r{at}"), &"x".repeat(LONG));
         let response = gateway.connect().await.call(&text).await;
         assert_eq!((response.status, response.body.as_str()), (200, "fine"));
     }
-    assert!(!one.requests().is_empty());
 }
 
 /// A target answers with a success that it hasn't signed, or with one that it has.
@@ -162,12 +166,14 @@
     );
     let board = Shared::new(view(routes(), &[&target, &sound]));
     let gateway = Gateway::with_names(board, names.clone()).await;
-    for at in 0..6 {
+    for at in 0.. {
+        if at >= 6 && !target.requests().is_empty() {
+            break;
+        }
         let text = post("/plans/1", &format!("r{at}"), "x");
         let response = gateway.connect().await.call(&text).await;
         assert_eq!((response.status, response.body.as_str()), (200, "fine"));
     }
-    assert!(!target.requests().is_empty());
     let failing = |request: &Request| {
         let head = format!("HTTP/1.1 404 None\r\nrequest-id: {}\r\n", request.id());
         vec![Action::Send(
@@ -198,7 +204,31 @@
     }
 }
 
+/// A target answers uploads at once and whole, and resets each connection a moment later.
+async fn whole_answers_outlast_a_reset() {
+    for length in [200 << 10, LONG] {
+        let script = |request: &Request| {
+            vec![
+                Action::Send(request.response("fine")),
+                Action::Stall(Duration::from_millis(100)),
+                Action::Reset,
+            ]
+        };
+        let target = Target::answering_early(script).await;
+        let gateway = Gateway::start(view_of_uploads(&[&target])).await;
+        for at in 0..6 {
+            let text = post("/pay/1", &format!("r{at}"), &"x".repeat(length));
+            let response = gateway.connect().await.call(&text).await;
+            let got = (response.status, response.body.as_str());
+            assert_eq!(got, (200, "fine"), "upload {at} of {length} bytes");
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+}
+
 cases! {
+    /// Guards against a whole answer that is lost, since its connection or the one before is reset.
+    a_whole_answer_outlasts_a_reset => whole_answers_outlast_a_reset(),
     /// Guards against a success that is no answer of the target.
     an_unsigned_success_is_no_answer => is_unsigned(),
     /// Guards against a body that its caller can't decode.
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -68,6 +68,8 @@
     Flood(Vec<u8>),
     /// Waits.
     Wait(Duration),
+    /// Waits, without reading meanwhile.
+    Stall(Duration),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -299,6 +301,7 @@
                         }
                     }
                 }
+                Action::Stall(time) => time::sleep(time).await,
                 Action::Close => return,
                 Action::Reset => {
                     stream.set_zero_linger().unwrap();
--- a/crates/zinniastall-http/src/client.rs
+++ b/crates/zinniastall-http/src/client.rs
@@ -13,6 +13,10 @@
 /// Informational heads before an answer; servers send one or two.
 const MAX_INFORMATIONAL: usize = 16;
 
+/// Longest request that a server has most likely read when it answers. Of a longer one a part may still
+/// be in the buffers between the two ends.
+const MAX_READ_AT_ONCE_BYTES: usize = 64 << 10;
+
 /// A request that is written, and whose answer is awaited.
 ///
 /// A server may answer before it has read a long body, so both directions make progress together.
@@ -20,6 +24,7 @@
     reader: &'a mut Reader,
     writing: Option<LocalBoxFuture<'a, io::Result<()>>>,
     has_failed: bool,
+    length: usize,
 }
 
 impl std::fmt::Debug for Exchange<'_> {
@@ -33,6 +38,7 @@
 impl<'a> Exchange<'a> {
     /// Starts to write an encoded request, which may be in two parts.
     pub fn start(reader: &'a mut Reader, writer: &'a mut Writer, request: [&'a [u8]; 2]) -> Self {
+        let length = request.iter().map(|part| part.len()).sum();
         let write = async move {
             for part in request.into_iter().filter(|part| !part.is_empty()) {
                 writer.write(part).await?;
@@ -43,6 +49,7 @@
             reader,
             writing: Some(write.boxed_local()),
             has_failed: false,
+            length,
         }
     }
 
@@ -57,6 +64,14 @@
         self.has_failed
     }
 
+    /// Returns whether the connection may serve another request behind the answer.
+    ///
+    /// A server that has answered before it read all of a long request may take the next one for its
+    /// rest, or reset the connection with the next one on it.
+    pub const fn is_reusable(&self) -> bool {
+        self.is_written() && !self.has_failed && self.length <= MAX_READ_AT_ONCE_BYTES
+    }
+
     /// Returns the half from which the body of an answer is read.
     pub const fn reader(&mut self) -> &mut Reader {
         self.reader
