fix(control): health answers and answers to orders are read by http's reader

What was seen: a target whose health answer came behind an informational head (103) was not recalled by a replica that started; it had to report on its own.

Cause: the control replicas' two calls of targets were the only ones left that used another reader of answers (awc), which takes an informational head for the answer.

--- a/crates/zinniastall-control/src/control/order.rs
+++ b/crates/zinniastall-control/src/control/order.rs
@@ -6,8 +6,11 @@
 };
 
 use actix::{AsyncContext, Context, Handler, Message};
+use http::{HeaderMap, HeaderValue, Method, header::CONTENT_TYPE};
+use tokio::time;
 use zinniastall_coord::replica::Role;
-use zinniastall_model::{header, id};
+use zinniastall_http::{client, connection, head::Response};
+use zinniastall_model::{header, id, order::Order};
 use zinniastall_wire::follow::Drift;
 
 use super::Control;
@@ -100,20 +103,11 @@
         return;
     }
     pause_if_requested(data);
-    let connector = awc::Connector::new().timeout(send);
-    let client = awc::Client::builder()
-        .connector(connector)
-        .timeout(ANSWER_TIMEOUT)
-        .finish();
     let number = fence.to_u64();
-    let answered = client
-        .post(format!("http://{}{ORDERS_PATH}", drifted.address))
-        .insert_header((header::FENCE, number.to_string()))
-        .send_json(&order)
-        .await;
+    let answered = send_order(&drifted.address, &order, number, send).await;
     match answered {
         Ok(answer) => {
-            let status = answer.status().as_u16();
+            let status = answer.status.as_u16();
             tracing::info!(
                 event = "ordered",
                 target = drifted.target,
@@ -128,6 +122,33 @@
     }
 }
 
+/// Why an order got no answer.
+#[derive(Debug, thiserror::Error)]
+enum Unanswered {
+    #[error("it can't be encoded: {0}")]
+    Unencoded(#[from] serde_json::Error),
+    #[error(transparent)]
+    Failed(#[from] connection::Error),
+    #[error("no answer in time")]
+    Late(#[from] time::error::Elapsed),
+}
+
+async fn send_order(
+    address: &str,
+    order: &Order,
+    fence: u64,
+    connect_timeout: Duration,
+) -> Result<Response, Unanswered> {
+    let body = serde_json::to_vec(order)?;
+    let mut headers = HeaderMap::new();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(CONTENT_TYPE, json);
+    headers.insert(header::FENCE, HeaderValue::from(fence));
+    let call = (&Method::POST, ORDERS_PATH);
+    let asked = client::ask(address, call, headers, &body, connect_timeout);
+    Ok(time::timeout(ANSWER_TIMEOUT, asked).await??)
+}
+
 /// Blocks while a certain file exists, in debug builds only. Tests use it to freeze the process
 /// between the check of the lease and the write, where a freeze does the most harm.
 #[cfg(debug_assertions)]
--- a/crates/zinniastall-control/src/recall.rs
+++ b/crates/zinniastall-control/src/recall.rs
@@ -23,9 +23,11 @@
 
 use actix::Recipient;
 use futures_util::future::join_all;
+use http::{HeaderMap, Method};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time};
+use zinniastall_http::{client, connection};
 use zinniastall_model::{id, target::Report};
 use zinniastall_wire::feed::Feed;
 
@@ -145,24 +147,17 @@
                 return;
             }
         };
-        let connector = awc::Connector::new().timeout(HEALTH_TIMEOUT);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .timeout(HEALTH_TIMEOUT)
-            .finish();
-        let asked = remembered
-            .into_iter()
-            .map(|target| self.ask(&client, target));
+        let asked = remembered.into_iter().map(|target| self.ask(target));
         join_all(asked).await;
     }
 
-    async fn ask(&self, client: &awc::Client, remembered: Remembered) {
+    async fn ask(&self, remembered: Remembered) {
         let Remembered {
             report,
             health_path,
         } = remembered;
         let target = report.target.as_str();
-        match cold_ms(client, &report, &health_path, self.names).await {
+        match cold_ms(&report, &health_path, self.names).await {
             Ok(cold_ms) => {
                 tracing::info!(event = "target-recalled", target, cold_ms);
                 self.hub.note(answered(report, cold_ms));
@@ -281,7 +276,9 @@
 #[derive(Debug, thiserror::Error)]
 enum Unconfirmed {
     #[error("it gave no answer: {0}")]
-    NoAnswer(#[from] awc::error::SendRequestError),
+    NoAnswer(#[from] connection::Error),
+    #[error("it gave no answer in time")]
+    Late(#[from] time::error::Elapsed),
     #[error("it answered with status {0}")]
     Unhealthy(u16),
     #[error("another target lives at its address")]
@@ -289,18 +286,14 @@
 }
 
 /// Asks a target how much longer it stays cold.
-async fn cold_ms(
-    client: &awc::Client,
-    report: &Report,
-    health_path: &str,
-    names: Names,
-) -> Result<u64, Unconfirmed> {
-    let url = format!("http://{}{health_path}", report.address);
-    let answer = client.get(url).send().await?;
-    if !answer.status().is_success() {
-        return Err(Unconfirmed::Unhealthy(answer.status().as_u16()));
+async fn cold_ms(report: &Report, health_path: &str, names: Names) -> Result<u64, Unconfirmed> {
+    let call = (&Method::GET, health_path);
+    let asked = client::ask(&report.address, call, HeaderMap::new(), &[], HEALTH_TIMEOUT);
+    let answer = time::timeout(HEALTH_TIMEOUT, asked).await??;
+    if !answer.status.is_success() {
+        return Err(Unconfirmed::Unhealthy(answer.status.as_u16()));
     }
-    let field = |name: &str| answer.headers().get(name)?.to_str().ok();
+    let field = |name: &str| answer.headers.get(name)?.to_str().ok();
     if field(names.target) != Some(report.target.as_str()) {
         return Err(Unconfirmed::OtherTarget);
     }
--- a/crates/zinniastall-control/tests/recall.rs
+++ b/crates/zinniastall-control/tests/recall.rs
@@ -51,6 +51,11 @@
 
 /// Serves health requests as a target of the given name; returns its address.
 async fn target(name: &'static str, cold_ms: u64) -> String {
+    target_behind("", name, cold_ms).await
+}
+
+/// The same for a target that sends something before its answers.
+async fn target_behind(before: &'static str, name: &'static str, cold_ms: u64) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     actix::spawn(async move {
@@ -60,9 +65,10 @@
             let length = stream.read(&mut head).await.unwrap();
             assert!(head[..length].starts_with(b"GET /well "));
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nown-name: {name}\r\ncold-ms: {cold_ms}.0\r\ncontent-length: 0\r\n\r\n"
+                "{before}HTTP/1.1 200 OK\r\nown-name: {name}\r\ncold-ms: {cold_ms}.0\r\ncontent-length: 0\r\n\r\n"
             );
-            stream.write_all(answer.as_bytes()).await.unwrap();
+            // The replica may have closed the connection within the answer.
+            let _ = stream.write_all(answer.as_bytes()).await;
         }
     });
     address
@@ -191,6 +197,61 @@
     });
 }
 
+/// Guards against a target that is not recalled because of an informational head, and against one that
+/// is recalled by an answer that is none.
+#[test]
+fn targets_are_recalled_by_sound_answers_only() {
+    run(async {
+        let folder = tempfile::tempdir().unwrap();
+        let before = Run::start(folder.path());
+        let early = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+        let switched = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+        let broken = "HTTP/1.1 200 OK\r\nown name: x\r\n\r\n";
+        for (name, sent) in [("early", early), ("switched", switched), ("broken", broken)] {
+            let address = target_behind(sent, name, 0).await;
+            before.hub.note(report(name, "patras-a", &address));
+        }
+        let well = target("well", 0).await;
+        before.hub.note(report("well", "patras-a", &well));
+        let list = folder.path().join("targets");
+        until("the list is written", || list.exists()).await;
+        before.stop();
+        let after = Run::start(folder.path());
+        let expected = [("early".to_owned(), 0), ("well".to_owned(), 0)];
+        until("they are known", || after.known() == expected).await;
+        time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(after.known(), expected);
+    });
+}
+
+/// Guards against a replica that reads what a target sends for as long as it sends.
+#[test]
+fn an_answer_without_end_is_left() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let sent = std::rc::Rc::new(std::cell::Cell::new(0));
+        let counted = std::rc::Rc::clone(&sent);
+        actix::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\n").await.unwrap();
+            while stream.write_all(b"a: b\r\n").await.is_ok() {
+                counted.set(counted.get() + 6);
+            }
+            counted.set(usize::MAX);
+        });
+        let folder = tempfile::tempdir().unwrap();
+        let before = Run::start(folder.path());
+        before.hub.note(report("endless", "patras-a", &address));
+        let list = folder.path().join("targets");
+        until("the list is written", || list.exists()).await;
+        before.stop();
+        let after = Run::start(folder.path());
+        until("the connection is closed", || sent.get() == usize::MAX).await;
+        assert!(after.known().is_empty());
+    });
+}
+
 /// Guards against a recalled target whose remaining cold time counts from a report of before the restart:
 /// instances would take it for warm.
 #[test]
--- a/crates/zinniastall-http/src/client.rs
+++ b/crates/zinniastall-http/src/client.rs
@@ -1,13 +1,18 @@
 //! Sends a request on a connection while its answer is read.
 
-use std::io;
+use std::{io, time::Duration};
 
+use bytes::BytesMut;
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use http::StatusCode;
+use http::{
+    HeaderMap, HeaderValue, Method, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HOST},
+};
 
 use crate::{
     connection::{Error, MAX_RESPONSE_HEAD_BYTES, Reader, Writer},
     head::{self, Response},
+    pool::Connection,
 };
 
 /// Informational heads before an answer; servers send one or two.
@@ -17,6 +22,33 @@
 /// be in the buffers between the two ends.
 const MAX_READ_AT_ONCE_BYTES: usize = 64 << 10;
 
+/// Sends a request on a connection of its own, and returns the head of the answer; its body isn't read.
+///
+/// The caller sets no field of the framing or the connection, and bounds the time.
+///
+/// # Errors
+///
+/// Fails if no connection opens in time, if it fails, or if the answer is none in the protocol.
+pub async fn ask(
+    address: &str,
+    (method, path): (&Method, &str),
+    mut headers: HeaderMap,
+    body: &[u8],
+    connect_timeout: Duration,
+) -> Result<Response, Error> {
+    let host = HeaderValue::try_from(address).map_err(io::Error::other)?;
+    headers.insert(HOST, host);
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    let mut request = BytesMut::new();
+    head::write_request(&mut request, method, path, &headers);
+    let mut connection = Connection::open(address, connect_timeout).await?;
+    let Connection { reader, writer, .. } = &mut connection;
+    Exchange::start(reader, writer, [&request, body])
+        .next_head()
+        .await
+}
+
 /// A request that is written, and whose answer is awaited.
 ///
 /// A server may answer before it has read a long body, so both directions make progress together.
