fix(gateway): a target's answer can't speak for its instance

What callers saw: a target whose answer held zs-outcome, a field that instances exchange, had its answer over a hop taken for a refusal of the instance beside it. A request that had run, and must run once, was answered 503 "not-run". Found by reading every place that takes something from an answer's head; not reported.

Cause: of the fields between instances, only two were removed from targets' answers.

Change: all fields with the prefix of instances are removed from what a target sends.

Evidence: broken::fields_of_instances_are_not_taken_from_targets failed before (503 not-run for a request that ran), passes; all 247 path tests pass.

--- a/crates/zinniastall-gateway/src/path/transfer.rs
+++ b/crates/zinniastall-gateway/src/path/transfer.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, header::CONTENT_TYPE};
+use http::{HeaderMap, HeaderName, Method, header::CONTENT_TYPE};
 use tokio::time;
 use zinniastall_coord::origin::Origin;
 use zinniastall_http::{
@@ -22,7 +22,7 @@
     responder::Responder,
     segments::Segments,
 };
-use crate::headers::{CLOSE_DELIMITED, ORIGIN};
+use crate::headers::{CLOSE_DELIMITED, INTERNAL_PREFIX, ORIGIN};
 
 /// Longest answer, but for a series of events, which has no limit.
 pub(super) const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -145,11 +145,15 @@
     responder.write_piece(piece).await
 }
 
-/// Returns the headers of an answer without those that concern only its connection.
+/// Returns the headers of an answer without those that concern only its connection, or that instances
+/// exchange: from a target they would count as this instance's word.
 pub(super) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
     head::strip_hop_by_hop(&mut headers);
-    headers.remove(CLOSE_DELIMITED);
-    headers.remove(ORIGIN);
+    let is_internal = |name: &&HeaderName| name.as_str().starts_with(INTERNAL_PREFIX);
+    let internal: Vec<HeaderName> = headers.keys().filter(is_internal).cloned().collect();
+    for name in internal {
+        headers.remove(name);
+    }
     headers
 }
--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -226,7 +226,40 @@
     }
 }
 
+/// A target sends fields that instances exchange, over a hop: they would count as an instance's word.
+async fn is_no_instance() {
+    for field in [
+        "zs-outcome: not-run",
+        "zs-close-delimited: 1",
+        "zs-retry-after-ms: 9",
+    ] {
+        let script = move |request: &Request| {
+            let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n", request.id());
+            let rest = format!("{field}\r\ncontent-length: 4\r\n\r\nbody");
+            vec![Action::Send((head + &rest).into_bytes())]
+        };
+        let target = Target::start(script).await;
+        let (far, near) = two_regions(routes(), &[&target]).await;
+        for gateway in [far, near] {
+            let response = gateway
+                .connect()
+                .await
+                .call(&post("/pay/1", "a", "x"))
+                .await;
+            assert_eq!(
+                (response.status, response.body.as_str()),
+                (200, "body"),
+                "{field}"
+            );
+            assert!(response.is_complete(), "{field}");
+            assert!(!response.head.contains("zs-"), "{}", response.head);
+        }
+    }
+}
+
 cases! {
+    /// Guards against a request that ran and is told to its caller as not run.
+    fields_of_instances_are_not_taken_from_targets => is_no_instance(),
     /// Guards against a whole answer that is lost, since its connection or the one before is reset.
     a_whole_answer_outlasts_a_reset => whole_answers_outlast_a_reset(),
     /// Guards against a success that is no answer of the target.
