test: answers without end and any cut, split and end of an answer

Change: tests only. Entry path: heads, names, informational heads, blank lines, chunk sizes, extensions, trailers and events without end (502, connection closed). Decoder: lines without end are refused within 1 KB; no byte of an extension or a trailer is in a body. Reader and writer on a socket: 600 answers, seed 81, cut and split at random, ended in order or by a reset, under short and long requests: none is more certain than what arrived, none that is whole and ends in order is lost.

--- a/crates/zinniastall-entry/tests/callers/broken.rs
+++ b/crates/zinniastall-entry/tests/callers/broken.rs
@@ -5,6 +5,8 @@
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// Length of an upload that fits into no buffer between an instance and a target.
 const LONG: usize = 16 << 20;
+/// Bytes that a target may send in all its runs of one request.
+const MAX_SENT_BYTES: usize = 48 << 20;
 const COMPLETE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
 
 /// A target answers with a broken head; its caller learns that the outcome is unknown.
@@ -78,3 +80,33 @@
     assert_eq!(target.ran(), 1);
     harness.stop().await;
 }
+
+/// A target sends bytes again and again; its caller is told, and the target's connection is closed.
+async fn is_left(begin: &'static str, again: &'static str) {
+    let target = Fake::start(vec![Script::Flood(begin, again)]);
+    let harness = Harness::start(&[target.address]);
+    let answer = harness.post(CHAT_PATH, "", CHAT).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    // What was sent is at most what the kernel's buffers hold beside the bounds.
+    let sent = target.sent.load(std::sync::atomic::Ordering::SeqCst);
+    assert!(sent < MAX_SENT_BYTES, "{sent} bytes");
+    harness.stop().await;
+}
+
+macro_rules! floods {
+    ($($(#[$about:meta])* $name:ident: $begin:literal, $again:literal;)+) => {
+        $($(#[$about])* #[actix_web::test] async fn $name() { is_left($begin, $again).await; })+
+    };
+}
+
+floods! {
+    /// Guards against an instance that reads what a target sends for as long as it sends.
+    head_without_end: "HTTP/1.1 200 OK\r\n", "a: b\r\n";
+    name_without_end: "HTTP/1.1 200 OK\r\n", "a";
+    informational_heads_without_end: "", "HTTP/1.1 103 Early Hints\r\n\r\n";
+    blank_lines_without_end: "", "\r\n";
+    chunk_size_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0";
+    extension_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;", "x";
+    trailer_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "a: b\r\n";
+    event_without_end: "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n", "data: x";
+}
--- a/crates/zinniastall-http/tests/body.rs
+++ b/crates/zinniastall-http/tests/body.rs
@@ -151,3 +151,53 @@
     });
     result.expect("complete only if whole");
 }
+
+/// Guards against memory without bound for a line that doesn't end: a size, an extension, a trailer, or
+/// the end of a chunk.
+#[test]
+fn a_line_without_end_is_refused() {
+    for (before, again) in [
+        ("", "0"),
+        ("3;", "x"),
+        ("3\r\nabc", "x"),
+        ("0\r\n", "x"),
+        ("0\r\n", "x: y\r\n"),
+        ("0\r\n", "\r"),
+    ] {
+        let mut decoder = Decoder::new(Framing::Chunked);
+        let mut input = BytesMut::from(before);
+        let mut read = Ok(Step::More);
+        let mut most = 0;
+        for _ in 0..100_000 {
+            input.extend_from_slice(again.as_bytes());
+            most = most.max(input.len());
+            read = decoder.decode(&mut input);
+            while matches!(read, Ok(Step::Piece(_))) {
+                read = decoder.decode(&mut input);
+            }
+            if read.is_err() {
+                break;
+            }
+        }
+        assert_eq!(read, Err(Error::MalformedChunk), "{before:?}, {again:?}");
+        assert!(most <= 1_024, "{most} bytes of {again:?}");
+    }
+}
+
+/// Guards against parts of the framing that are taken for the body, whatever bytes they hold.
+#[test]
+fn nothing_of_extensions_and_trailers_is_in_the_body() {
+    for byte in (0..=u8::MAX).filter(|byte| *byte != b'\n') {
+        for (before, after) in [
+            (&b"3;x"[..], &b"y\r\nabc\r\n0\r\n\r\n"[..]),
+            (b"3\r\nabc\r\n0\r\na ", b"b: c\r\n\r\n"),
+            (b"3\r\nabc\r\n0;", b"\r\n\r\n"),
+        ] {
+            let bytes = [before, &[byte], after].concat();
+            if let Ok((body, is_done, rest)) = decode(Framing::Chunked, &bytes, bytes.len()) {
+                assert_eq!(body, b"abc", "{byte}");
+                assert!(is_done && rest.is_empty(), "{byte}");
+            }
+        }
+    }
+}
--- a/crates/zinniastall-http/tests/client.rs
+++ b/crates/zinniastall-http/tests/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -50,11 +51,21 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?.to_string();
     let server = tokio::spawn(serve(listener, end));
-    let mut connection = Connection::open(&address, TIMEOUT).await?;
     if matches!(end, End::ResetAtOnce) {
+        let opened = Connection::open(&address, TIMEOUT).await?;
         server.await.expect("the server ends");
+        return read_on(opened, LONG).await;
     }
-    let request = vec![b'x'; LONG];
+    read_answer(&address, LONG).await
+}
+
+/// Sends a request of some length, and returns the body of the answer with what is known of its end.
+async fn read_answer(address: &str, length: usize) -> Result<(Vec<u8>, Ending), Error> {
+    read_on(Connection::open(address, TIMEOUT).await?, length).await
+}
+
+async fn read_on(mut connection: Connection, length: usize) -> Result<(Vec<u8>, Ending), Error> {
+    let request = vec![b'x'; length];
     let Connection { reader, writer, .. } = &mut connection;
     let mut exchange = Exchange::start(reader, writer, [&request, &[]]);
     let head = exchange.next_head().await?;
@@ -88,3 +99,64 @@
         "{read:?}"
     );
 }
+
+/// How an answer is delimited.
+const ANSWERS: [&[u8]; 3] = [
+    b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nthe whole",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nthe \r\n5\r\nwhole\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\nthe whole",
+];
+
+/// Sends the parts of an answer one after the other, and ends the connection.
+async fn send_parts(listener: TcpListener, parts: [Vec<u8>; 2], end: End) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    for part in parts {
+        // The other end may have closed a connection whose answer is whole.
+        let _ = stream.write_all(&part).await;
+        tokio::task::yield_now().await;
+    }
+    if matches!(end, End::InOrder) {
+        let _ = stream.shutdown().await;
+        time::sleep(Duration::from_millis(5)).await;
+    } else {
+        stream.set_zero_linger().expect("an open socket");
+    }
+}
+
+/// Guards against an ending that is more certain than what arrived, wherever an answer is cut and split,
+/// however its connection ends, and whichever half of the connection is told of it.
+#[tokio::test]
+async fn an_ending_never_claims_more_than_arrived() {
+    const SEED: u64 = 81;
+    println!("seed {SEED}");
+    let mut rng = StdRng::seed_from_u64(SEED);
+    for run in 0..600 {
+        let answer = ANSWERS[rng.random_range(0..3)];
+        let cut = rng.random_range(0..=answer.len());
+        let split = rng.random_range(0..=cut);
+        let end = [End::InOrder, End::Reset][rng.random_range(0..2)];
+        let length = [100, LONG][usize::from(rng.random_range(0..4) == 0)];
+        let parts = [answer[..split].to_vec(), answer[split..cut].to_vec()];
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let server = tokio::spawn(send_parts(listener, parts, end));
+        let read = read_answer(&address, length).await;
+        server.await.expect("the server ends");
+        let is_framed = answer != ANSWERS[2];
+        let is_whole = cut == answer.len();
+        let what = format!("run {run}: cut {cut} of {answer:?}, {end:?}, {length}: {read:?}");
+        match read {
+            Ok((body, Ending::Complete)) => {
+                assert!(is_framed && is_whole && body == b"the whole", "{what}");
+            }
+            Ok((body, Ending::Unconfirmed)) => {
+                assert!(!is_framed && matches!(end, End::InOrder), "{what}");
+                assert!(answer[..cut].ends_with(&body), "{what}");
+            }
+            Ok((_, Ending::Incomplete)) | Err(_) => {
+                let is_sound = is_whole && matches!(end, End::InOrder);
+                assert!(!is_sound, "{what}");
+            }
+        }
+    }
+}
