fix(entry): requests in progress are answered when the time of a stop is over

What callers saw: an entry instance that was told to stop, with requests that ran longer than drain_ms, closed their connections without an answer.

Cause: the drain logged drain-cut and stopped the server, which aborts what is left.

Change: when the time is over, requests whose answers have not begun are answered 502 with outcome unknown, also those that another instance passed on; then the server stops as before.

Evidence: requests_that_outlast_a_stop_are_answered (two real instances, drain_ms 1000, runs of 8 s) failed before ("disconnected" before a response), passes.

Also here: a lint of the test of the gateway's stop.

--- a/crates/zinniastall-entry/src/callers/forward/handler.rs
+++ b/crates/zinniastall-entry/src/callers/forward/handler.rs
@@ -84,7 +84,8 @@
     })?;
     completion.identified(&call.request);
     let call = Rc::clone(unpacked.insert(Rc::new(call)));
-    pipeline::serve_forwarded(worker, call, sender).await
+    let answer = pipeline::serve_forwarded(worker, call, sender);
+    worker.service.until_requests_end(answer).await
 }
 
 /// Waits, up to a limit, for the configuration revision that the sender used.
--- a/crates/zinniastall-entry/src/callers/mod.rs
+++ b/crates/zinniastall-entry/src/callers/mod.rs
@@ -87,7 +87,8 @@
         worker.service.tickets.rejected_early(refusal, ticket, None)
     })?;
     completion.identified(&call.request);
-    pipeline::serve(worker, Rc::new(call)).await
+    let answer = pipeline::serve(worker, Rc::new(call));
+    worker.service.until_requests_end(answer).await
 }
 
 async fn read_call(
--- a/crates/zinniastall-entry/src/callers/service.rs
+++ b/crates/zinniastall-entry/src/callers/service.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use zinniastall_route::outcome::{Outcome, Refusal};
+use tokio::sync::watch;
+use zinniastall_route::outcome::{Outcome, Reason, Refusal};
 use zinniastall_settings::metrics::Registry;
 
 use super::{admission::Admission, progress::Progress, settings::Callers, ticket::Ledger};
@@ -33,6 +34,7 @@
     /// Identity of this instance on links; without it, no request is forwarded.
     pub identity: Option<Identity>,
     linger: Duration,
+    is_ending: Arc<watch::Sender<bool>>,
 }
 
 impl Service {
@@ -55,6 +57,7 @@
             progress: Progress::default(),
             identity: None,
             linger: settings.tickets.linger,
+            is_ending: Arc::default(),
         }
     }
 
@@ -74,6 +77,30 @@
         refusal.ticket(ticket)
     }
 
+    /// Ends all requests in progress whose answers have not begun.
+    pub fn end_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Waits for the answer of a request, until requests in progress are ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer's refusal, or "unknown" if the request was ended.
+    pub async fn until_requests_end<T>(
+        &self,
+        answer: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        let mut is_ending = self.is_ending.subscribe();
+        tokio::select! {
+            biased;
+            answer = answer => answer,
+            Ok(_) = is_ending.wait_for(|is_ending| *is_ending) => {
+                Err(Refusal::unknown(Reason::Draining))
+            }
+        }
+    }
+
     /// Waits until a draining instance can stop without interrupting a request.
     ///
     /// Requests in progress end first. Recorded responses are then kept for callers that lost
--- a/crates/zinniastall-entry/src/daemon.rs
+++ b/crates/zinniastall-entry/src/daemon.rs
@@ -119,13 +119,15 @@
     Ok(server.run())
 }
 
-/// Waits until no request is in progress, or until the limit is reached.
+/// Waits until no request is in progress, or until the limit is reached; requests that are still in
+/// progress then are answered as unknown.
 ///
 /// The listeners stay open meanwhile, so that new callers are redirected instead of finding a
 /// closed port.
 async fn drain(service: &callers::Service, limit: Duration) {
     if timeout(limit, service.drained()).await.is_err() {
         tracing::warn!(event = "drain-cut", requests = service.progress.count());
+        service.end_requests();
     }
 }
 
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -378,7 +378,7 @@
             let since = time::Instant::now();
             (ask(&mut stream, 800).await, since.elapsed())
         };
-        let drain = gateway.drain(Duration::from_millis(1_800), Duration::from_millis(2_000));
+        let drain = gateway.drain(Duration::from_millis(1_800), Duration::from_secs(2));
         let ((), (early, _), (late, took)) =
             futures_util::join!(drain, ask_after(400), ask_after(1_300));
         assert!(early.starts_with("HTTP/1.1 200"), "{early:?}");
--- a/tests/tests/path/drain.rs
+++ b/tests/tests/path/drain.rs
@@ -5,7 +5,7 @@
 use zinniastall_tests::{Result, http, wait};
 
 use super::support::{
-    ask, ask_once, chat, error, exits_cleanly, expected, terminate, ticket, zone, zone_with,
+    ask, ask_once, chat, error, exits_cleanly, expected, runs, terminate, ticket, zone, zone_with,
 };
 
 // An operator restarts an instance while a long answer streams through it. The stream must
@@ -34,6 +34,36 @@
     exits_cleanly(&mut cluster, "patras-a-1").await
 }
 
+/// Guards against requests in progress that get no answer when the time of a stop is over.
+#[actix_rt::test]
+async fn requests_that_outlast_a_stop_are_answered() -> Result<()> {
+    let settings = json!({"drain_ms": 1_000, "tickets": {"linger_ms": 200}});
+    let mut cluster = zone_with(&[json!({"engine": {"token_us": 400_000}})], settings).await?;
+    let address = cluster.entry("patras-a-1")?.address("callers")?;
+    let (ticket, body) = (ticket(address).await?, chat("a long brief", 20, false));
+    let asking = {
+        let body = body.clone();
+        actix_rt::spawn(async move {
+            let (once, repeatable) = (ask_once(address, &ticket, &body), ask(address, &body));
+            futures_util::future::try_join(once.send(), repeatable.send()).await
+        })
+    };
+    wait::until("both run", async || {
+        let begun = runs(&mut cluster, "engine-1", &body).await.ok()?;
+        (begun.len() >= 2).then_some(())
+    })
+    .await?;
+    terminate(&mut cluster, "patras-a-1").await?;
+    let (once, repeatable) = asking.await.expect("the callers end")?;
+    for answer in [once, repeatable] {
+        assert_eq!(answer.status(), 502);
+        assert_eq!(error(&answer).0, "unknown");
+    }
+    let status = cluster.entry("patras-a-1")?.process().wait_exit().await?;
+    assert!(status.success(), "{status}");
+    Ok(())
+}
+
 // An instance is told to stop right after it has run a billed request whose answer was lost. The
 // resend must still get that answer while the instance lingers.
 #[actix_rt::test]
