fix(gateway): bytes that take no more memory are always held

A long answer within its part was given up if short answers had filled the rest meanwhile, although its next bytes fit into the segment that it had.

Change: no growth needs no room.

--- a/crates/zinniastall-gateway/src/path/held.rs
+++ b/crates/zinniastall-gateway/src/path/held.rs
@@ -56,6 +56,9 @@
 impl Share<'_> {
     /// Counts more bytes; returns `false` if there is no room for them.
     pub(super) fn add(&mut self, bytes: usize) -> bool {
+        if bytes == 0 {
+            return true;
+        }
         let all = self.held.bytes.get() + bytes;
         let is_small = self.bytes + bytes <= self.held.small && all <= self.held.all;
         if all > self.held.max && !is_small {
