perf(gateway): connections between instances are kept behind long uploads

An instance reads all of a request before it answers, or closes the connection, so that its connections can be used again whatever the length; a new one to another region costs a round trip of 110 ms.

Change: only answers of targets end the use of a connection behind a long request. No figure of the saving was measured.

--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -268,7 +268,7 @@
         let may_have_run_before = attempt.may_have_run.replace(true);
         attempt.set_retry_sent(true);
         let is_new = !connection.is_used;
-        let exchange = self.exchange(job, &mut connection, &output);
+        let exchange = self.exchange(attempt, &mut connection, &output);
         let received = self.while_reachable(attempt, exchange).await;
         let (response, is_clean) = match received {
             Ok(received) => received,
@@ -389,10 +389,11 @@
     /// connection is not reused: the target would take the next request for the rest of that body.
     async fn exchange(
         &self,
-        job: &Job,
+        attempt: &Attempt<'_>,
         connection: &mut Connection,
         output: &Encoded,
     ) -> Result<(Response, bool), Why> {
+        let job = attempt.job;
         let Connection { reader, writer, .. } = connection;
         let mut exchange = Exchange::start(reader, writer, [&output.head, &output.body]);
         let mut stray_answers = 0;
@@ -414,8 +415,12 @@
                 return Err("answers to other requests".to_owned());
             }
         };
-        let is_clean = exchange.is_reusable() && stray_answers == 0;
-        Ok((response, is_clean))
+        // An instance reads the whole request first.
+        let is_clean = match attempt.place {
+            Place::Target { .. } => exchange.is_reusable(),
+            Place::Instance { .. } => exchange.is_sent(),
+        };
+        Ok((response, is_clean && stray_answers == 0))
     }
 
     /// Returns the end of the attempt if the answer says that the request has not run.
--- a/crates/zinniastall-http/src/client.rs
+++ b/crates/zinniastall-http/src/client.rs
@@ -96,12 +96,18 @@
         self.has_failed
     }
 
-    /// Returns whether the connection may serve another request behind the answer.
+    /// Returns whether the whole request was written.
+    pub const fn is_sent(&self) -> bool {
+        self.is_written() && !self.has_failed
+    }
+
+    /// Returns whether the connection may serve another request behind the answer of a server that may
+    /// answer early.
     ///
-    /// A server that has answered before it read all of a long request may take the next one for its
-    /// rest, or reset the connection with the next one on it.
+    /// One that has answered before it read all of a long request may take the next one for its rest, or
+    /// reset the connection with the next one on it.
     pub const fn is_reusable(&self) -> bool {
-        self.is_written() && !self.has_failed && self.length <= MAX_READ_AT_ONCE_BYTES
+        self.is_sent() && self.length <= MAX_READ_AT_ONCE_BYTES
     }
 
     /// Returns the half from which the body of an answer is read.
