test(gateway): a part before a reset is no answer whatever its status

Change: the test of the reset plays 200, 404 and 500. Without the reader being told of the writer's failure the 500 fails (status 500, Unconfirmed); all pass.

--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -112,23 +112,27 @@
     }
 }
 
-/// A target answers a long upload at once, without a length, and resets the connection.
+/// Answers at once, without a length, and resets the connection.
+fn reset_early(status: &str, request: &Request) -> Vec<Action> {
+    let head = format!("HTTP/1.1 {status}\r\nrequest-id: {}\r\n\r\n", request.id());
+    let part = (head + "the first part").into_bytes();
+    vec![Action::Send(part), Action::Reset]
+}
+
+/// A target answers long uploads early, and resets the connection.
 async fn a_reset_under_an_upload_ends_no_answer() {
-    let script = |request: &Request| {
-        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n\r\n", request.id());
-        vec![
-            Action::Send((head + "the first part").into_bytes()),
-            Action::Reset,
-        ]
-    };
-    for path in ["/pay/1", "/stream/1"] {
-        let target = Target::answering_early(script).await;
-        let gateway = Gateway::start(view_of_uploads(&[&target])).await;
-        let text = post(path, "a", &"x".repeat(LONG));
-        let response = gateway.connect().await.call(&text).await;
-        assert_eq!(response.status, 502, "{path}: {}", response.body);
-        assert_eq!(target.requests().len(), 1);
+    for status in ["200 OK", "404 None", "500 Failed"] {
+        for path in ["/pay/1", "/stream/1"] {
+            let script = move |request: &Request| reset_early(status, request);
+            let target = Target::answering_early(script).await;
+            let gateway = Gateway::start(view_of_uploads(&[&target])).await;
+            let text = post(path, "a", &"x".repeat(LONG));
+            let response = gateway.connect().await.call(&text).await;
+            assert_eq!(response.status, 502, "{path}, {status}: {response:?}");
+            assert_eq!(target.requests().len(), 1);
+        }
     }
+    let script = |request: &Request| reset_early("200 OK", request);
     let one = Target::answering_early(script).await;
     let sound = Target::responding_with("fine").await;
     let gateway = Gateway::start(view_of_uploads(&[&one, &sound])).await;
