feat(gateway): whether the configuration is confirmed, in logs and metrics; one lease for all of it

The log showed only which revision a request was matched by, not whether anybody could know that revision for the newest.

Change: the lease that covered the versions of services is the lease of the whole configuration; that of the accounts' keys, whose length the operators state, has a name of its own. Its length and the time after which nobody relies on an earlier state stand in coord::confirmation. Each change of trust is a log line (configuration-trust), the age a gauge. The question whether the configuration is the newest is asked by instances without streams as well; those with streams asked it before.

No decision changes here.

--- a/crates/zinniastall-control/src/hub/versions.rs
+++ b/crates/zinniastall-control/src/hub/versions.rs
@@ -12,7 +12,7 @@
 use actix::Recipient;
 use indexmap::{IndexMap, IndexSet};
 use tokio::{sync::Notify, sync::watch, time};
-use zinniastall_coord::origin::{SETTLE_TIME, Stage};
+use zinniastall_coord::{confirmation::SETTLE_TIME, origin::Stage};
 use zinniastall_model::{
     change::{Body, Change},
     id,
--- a/crates/zinniastall-coord/src/lib.rs
+++ b/crates/zinniastall-coord/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`lease`] | the time during which a leader may act alone |
 //! | [`membership`] | failure detection, by evidence for both directions of a link |
 //! | [`digest`] | facts about groups, flooded within a budget and expired |
+//! | [`confirmation`] | for how long a state counts as the newest |
 //! | [`departure`] | servers that say that they leave |
 //! | [`fence`] | fencing tokens, and the gate that refuses old ones |
 //! | [`command`] | deduplication of commands, so that a resend never runs twice |
@@ -30,6 +31,7 @@
 //! | [`ticket`] | authenticated tickets for work that runs at most once |
 
 pub mod command;
+pub mod confirmation;
 pub mod departure;
 pub mod digest;
 pub mod election;
--- a/crates/zinniastall-coord/src/origin.rs
+++ b/crates/zinniastall-coord/src/origin.rs
@@ -11,8 +11,11 @@
 //! - [`Versions`] is the set of a service's versions that the whole system agrees on. While it has one
 //!   member, that one is the origin of all streams, and nothing need be remembered. A version is
 //!   announced first and settled [`SETTLE_TIME`] later; streams begin only at settled versions, and an
-//!   instance relies on a set of one for no longer than [`CONFIRMATION_LEASE`] after it asked whether
-//!   the set is the newest. So nobody relies on it any more when streams begin at a second version.
+//!   instance relies on a set of one for no longer than [`LEASE`] after it asked whether the set is the
+//!   newest. So nobody relies on it any more when streams begin at a second version.
+//!
+//! [`LEASE`]: crate::confirmation::LEASE
+//! [`SETTLE_TIME`]: crate::confirmation::SETTLE_TIME
 //!
 //! # Example
 //!
@@ -31,7 +34,7 @@
 mod records;
 mod versions;
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -39,13 +42,6 @@
 pub use records::{Found, Key, Record, Records};
 pub use versions::{Stage, Versions};
 
-/// Time for which an instance may rely on a set of one version after it asked whether the set is the
-/// newest.
-pub const CONFIRMATION_LEASE: Duration = Duration::from_secs(3);
-/// Time between the announcement of a version and the first streams that begin at it. The excess over
-/// [`CONFIRMATION_LEASE`] covers clocks that run at different rates.
-pub const SETTLE_TIME: Duration = Duration::from_millis(3_500);
-
 /// Name of a service, or of a model.
 pub type Service = String;
 /// Software version of a target's process.
--- a/crates/zinniastall-coord/tests/origin.rs
+++ b/crates/zinniastall-coord/tests/origin.rs
@@ -7,9 +7,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use proptest::prelude::*;
-use zinniastall_coord::origin::{
-    CONFIRMATION_LEASE, Found, Key, Origin, Record, Records, Requirement, SETTLE_TIME, Stage,
-    Versions, asked, copies,
+use zinniastall_coord::{
+    confirmation::{LEASE, SETTLE_TIME},
+    origin::{Found, Key, Origin, Record, Records, Requirement, Stage, Versions, asked, copies},
 };
 
 const SERVICE: &str = "maps";
@@ -106,7 +106,7 @@
     /// Returns the origin that an instance takes for that of all streams.
     fn sole(&self, instance: usize) -> Option<Origin> {
         let confirmed = self.instances[instance].confirmed?;
-        let lease = CONFIRMATION_LEASE.as_millis();
+        let lease = LEASE.as_millis();
         let is_trusted = u128::from(self.now - confirmed) < lease;
         let version = self.held(instance).sole().filter(|_| is_trusted)?;
         Origin::new(SERVICE, Some(version))
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -14,8 +14,7 @@
     task::JoinHandle,
     time,
 };
-use zinniastall_coord::origin::CONFIRMATION_LEASE;
-use zinniastall_coord::retry::Division;
+use zinniastall_coord::{confirmation::LEASE, retry::Division};
 use zinniastall_model::{
     id,
     place::Place,
@@ -24,6 +23,7 @@
 use zinniastall_wire::hello::{Hello, Purpose, VERSION};
 
 use crate::{
+    clock,
     cluster_state::{Replica, State},
     freshness::Lease,
     headers::Names,
@@ -92,8 +92,8 @@
     pub fn start(settings: &Settings) -> std::io::Result<Self> {
         let view = View::new(settings.instance.clone(), settings.place.clone());
         let state = Shared::new(view)
-            .with_lease(Lease::new(settings.policy.lease))
-            .with_versions_lease(Lease::new(Some(CONFIRMATION_LEASE)));
+            .with_keys_lease(Lease::new(settings.policy.keys_lease))
+            .with_lease(Lease::new(Some(LEASE)));
         let shared_load = Arc::new(SharedLoad::default());
         let metrics = Metrics::new();
         let callers = bind(settings.callers)?;
@@ -278,6 +278,8 @@
                 let instances = view.instances.by_name().values();
                 let ready = instances.filter(|held| held.ready).count();
                 traffic.metrics.set_known(view.revision(), view.targets.by_name().len(), ready);
+                let age = traffic.state.lease().age(clock::now());
+                traffic.metrics.set_configuration_age(age);
                 let now = Instant::now();
                 traffic.metrics.set_paces(&mut traffic.tracker.borrow_mut().capacity, now);
                 let share = view.retry_share.map_or(0, |share| share.instances);
--- a/crates/zinniastall-gateway/src/freshness.rs
+++ b/crates/zinniastall-gateway/src/freshness.rs
@@ -87,6 +87,17 @@
     Stale,
 }
 
+impl Trust {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fresh => "fresh",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Stale => "stale",
+        }
+    }
+}
+
 /// Lease on the configuration; clones share it.
 #[derive(Debug, Clone)]
 pub struct Lease {
@@ -105,11 +116,6 @@
         }
     }
 
-    /// Returns whether confirmations are required.
-    pub const fn is_needed(&self) -> bool {
-        self.length.is_some()
-    }
-
     /// Extends the lease from a moment at which the configuration in force was the newest.
     ///
     /// Must only be called once the request path sees that configuration.
@@ -122,6 +128,14 @@
         self.end_ms.fetch_max(end, Ordering::SeqCst);
     }
 
+    /// Returns the time since the moment from which the lease was extended last; `None` before the
+    /// first confirmation, and without a duration.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        let end = self.end_ms.load(Ordering::SeqCst);
+        let length = self.length.filter(|_| end > 0)?;
+        Some((now + length).saturating_sub(Duration::from_millis(end)))
+    }
+
     /// Returns whether a configuration that is read after this call may be relied on at a moment.
     pub fn trust(&self, now: Moment) -> Trust {
         if self.length.is_none() {
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -5,7 +5,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexSet;
@@ -287,6 +287,7 @@
     limited: Gauge,
     paused: Gauge,
     revision: Gauge,
+    configuration_age: Gauge,
     targets: Gauge,
     instances: Gauge,
     connections: Gauge,
@@ -363,6 +364,10 @@
             ),
             quarantined: page.gauge("quarantined", "Requests that are not run any more"),
             revision: page.gauge("revision", "Configuration in force"),
+            configuration_age: page.gauge(
+                "configuration_age_milliseconds",
+                "Time since the configuration in force was the newest for certain",
+            ),
             targets: page.gauge("targets", "Targets that take requests"),
             instances: page.gauge("instances", "Instances that take requests"),
             connections: page.gauge("connections", "Connections of callers"),
@@ -605,6 +610,13 @@
         self.retry_shares.set(u64::from(instances));
     }
 
+    /// Sets the time since the configuration in force was the newest for certain; 0 if it was not
+    /// confirmed yet.
+    pub fn set_configuration_age(&self, age: Option<Duration>) {
+        self.configuration_age
+            .set(age.map_or(0, crate::request_log::millis));
+    }
+
     /// Sets the revision in force and the numbers of ready targets and instances.
     pub fn set_known(&self, revision: u64, targets: usize, instances: usize) {
         self.revision.set(revision);
--- a/crates/zinniastall-gateway/src/origins.rs
+++ b/crates/zinniastall-gateway/src/origins.rs
@@ -57,7 +57,7 @@
 /// Returns the version at which all streams of a service began, if that is certain.
 pub fn sole_version(state: &Shared, service: &str) -> Option<id::Version> {
     // The view is read after the lease, so it is at least as new as the one that the lease covers.
-    let trust = state.versions_trust();
+    let trust = state.trust();
     let view = state.view();
     let versions = view.versions()?.get(service)?;
     versions.sole().filter(|_| trust == Trust::Fresh).cloned()
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -420,7 +420,7 @@
     /// Returns whether a request may still be sent according to the accounts known here. A
     /// forwarded request was authenticated by the instance that its caller connected to.
     fn is_trusted(&self, job: &Job) -> bool {
-        job.is_passed_on || job.account().is_none() || self.state.trust() == Trust::Fresh
+        job.is_passed_on || job.account().is_none() || self.state.keys_trust() == Trust::Fresh
     }
 
     /// Records what an attempt says about its target; `has_crashed` tells whether a target crashed
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -202,7 +202,7 @@
         loop {
             // The view is read after the lease, so it is at least as new as the one that the lease
             // covers.
-            let trust = self.state.trust();
+            let trust = self.state.keys_trust();
             let matched = Match::new(&self.state.view(), trust, head, from_instances);
             let waits =
                 matches!(matched, Err(Refusal::Unconfigured)) || !self.rates.is_introduced();
--- a/crates/zinniastall-gateway/src/policy.rs
+++ b/crates/zinniastall-gateway/src/policy.rs
@@ -22,8 +22,9 @@
     pub region_round_trip: Duration,
     /// Window and limits by which client accounts' quotas are enforced.
     pub quota: quota::Bound,
-    /// Time for which a configuration may be relied on after its confirmation; `None` for no limit.
-    pub lease: Option<Duration>,
+    /// Time for which the accounts' keys may be relied on after the confirmation of the configuration;
+    /// `None` for no limit.
+    pub keys_lease: Option<Duration>,
     /// Parts of load control that are switched on.
     pub load_control: Switches,
     /// Memory of the process, in bytes; half of it may be taken by bodies of requests, a quarter by
@@ -40,7 +41,7 @@
             default_service_time: Duration::from_millis(20),
             region_round_trip: Duration::from_millis(120),
             quota: quota::Bound::default(),
-            lease: None,
+            keys_lease: None,
             load_control: Switches::default(),
             memory: 256 << 20,
         }
--- a/crates/zinniastall-gateway/src/uplink.rs
+++ b/crates/zinniastall-gateway/src/uplink.rs
@@ -1,7 +1,7 @@
 //! Links to the control replicas, and the only place that publishes a new view.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -16,7 +16,7 @@
     time,
 };
 use zinniastall_coord::retry::{Division, Share};
-use zinniastall_model::{id, place::Place, presence::Presence, routing::Kind};
+use zinniastall_model::{id, place::Place, presence::Presence};
 use zinniastall_wire::{
     frame::Frame,
     hello::Hello,
@@ -28,7 +28,8 @@
     clock,
     cluster_state::{Replica, State},
     config_fetch::Fetch,
-    freshness::Freshness,
+    freshness::{Freshness, Trust},
+    request_log::millis,
     view::{Shared, View},
 };
 
@@ -83,6 +84,7 @@
     fetch: RefCell<Fetch>,
     fetch_ended: Notify,
     freshness: RefCell<Freshness>,
+    trust: Cell<Trust>,
     view_stale: Notify,
     /// Versions that the group lacked when the last view was published.
     lacking: watch::Sender<IndexSet<Name>>,
@@ -124,6 +126,7 @@
             fetch: RefCell::default(),
             fetch_ended: Notify::new(),
             freshness: RefCell::default(),
+            trust: Cell::new(Trust::Unconfirmed),
             view_stale: Notify::new(),
             lacking: watch::Sender::default(),
         });
@@ -154,6 +157,7 @@
                 _ = tick.tick() => {}
                 () = self.view_stale.notified() => time::sleep(BATCH_DELAY).await,
             }
+            self.note_trust();
             self.publish();
         }
     }
@@ -399,9 +403,6 @@
     /// Returns the question whether the configuration in force is the newest, if it is due: always
     /// for the nearest replicas, and for all others once the last confirmation is old.
     fn confirmation_request(&self, replica: &str) -> Option<Message> {
-        if !self.state.lease().is_needed() && !self.has_streams() {
-            return None;
-        }
         let now = clock::now();
         let confirmed = self.freshness.borrow().confirmed();
         let is_old = confirmed.is_none_or(|confirmed| confirmed + CONFIRMATION_TIMEOUT < now);
@@ -410,13 +411,6 @@
         (is_near || is_old).then_some(Message::ReadIndex(stamp))
     }
 
-    /// Returns whether streams are served, which may go on where the versions of services are certain.
-    fn has_streams(&self) -> bool {
-        let view = self.state.view();
-        let table = view.table();
-        table.is_some_and(|table| table.routes.iter().any(|route| route.kind == Kind::Stream))
-    }
-
     /// Returns the versions that targets state and the group lacks. They go to all replicas, since
     /// this instance doesn't know which one leads.
     fn unknown_versions(&self) -> Option<Message> {
@@ -443,13 +437,29 @@
         if let Some(confirmed) = self.freshness.borrow().confirmed() {
             let was_ready = self.state.is_ready();
             self.state.lease().extend(confirmed);
-            self.state.versions_lease().extend(confirmed);
+            self.state.keys_lease().extend(confirmed);
+            self.note_trust();
             if was_ready != self.state.is_ready() {
                 self.announce();
             }
         }
     }
 
+    /// Logs whether the configuration may be relied on, when that changes.
+    fn note_trust(&self) {
+        let trust = self.state.trust();
+        if self.trust.replace(trust) == trust {
+            return;
+        }
+        let age = self.state.lease().age(clock::now());
+        tracing::info!(
+            event = "configuration-trust",
+            trust = trust.as_str(),
+            revision = self.cluster.borrow().revision(),
+            age_ms = age.map(millis),
+        );
+    }
+
     /// Handles a message; returns whether the replica has a newer configuration to fetch.
     fn handle_message(self: &Rc<Self>, replica: &str, message: Message) -> bool {
         let now = Instant::now();
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -135,13 +135,13 @@
     pub missing: ArcSwap<Vec<Suspect>>,
 }
 
-/// State shared between the threads of an instance: the current view, the configuration's lease,
+/// State shared between the threads of an instance: the current view, the configuration's leases,
 /// quarantined requests and the drain.
 #[derive(Debug, Clone)]
 pub struct Shared {
     view: Arc<ArcSwap<View>>,
     lease: Lease,
-    versions_lease: Lease,
+    keys_lease: Lease,
     suspects: Arc<Suspects>,
     limits: Arc<ArcSwap<Vec<(id::Target, Limit)>>>,
     departures: Arc<ArcSwap<Departures>>,
@@ -157,7 +157,7 @@
         Self {
             view: Arc::new(ArcSwap::from_pointee(view)),
             lease: Lease::new(None),
-            versions_lease: Lease::new(None),
+            keys_lease: Lease::new(None),
             suspects: Arc::default(),
             limits: Arc::default(),
             departures: Arc::default(),
@@ -174,23 +174,23 @@
         self
     }
 
-    /// Sets the lease that limits how long the versions of services may be relied on.
+    /// Sets the lease that limits how long the accounts' keys may be relied on.
     #[must_use]
-    pub fn with_versions_lease(mut self, lease: Lease) -> Self {
-        self.versions_lease = lease;
+    pub fn with_keys_lease(mut self, lease: Lease) -> Self {
+        self.keys_lease = lease;
         self
     }
 
-    /// Returns the lease on the versions of services.
-    pub const fn versions_lease(&self) -> &Lease {
-        &self.versions_lease
-    }
-
     /// Returns the lease on the configuration.
     pub const fn lease(&self) -> &Lease {
         &self.lease
     }
 
+    /// Returns the lease on the accounts' keys.
+    pub const fn keys_lease(&self) -> &Lease {
+        &self.keys_lease
+    }
+
     /// Returns the quarantined requests, as the control group knows them.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
@@ -219,10 +219,9 @@
         self.lease.trust(clock::now())
     }
 
-    /// Returns whether the versions of services in a view that is read after this call may be relied
-    /// on now.
-    pub fn versions_trust(&self) -> Trust {
-        self.versions_lease.trust(clock::now())
+    /// Returns whether the accounts' keys in a view that is read after this call may be relied on now.
+    pub fn keys_trust(&self) -> Trust {
+        self.keys_lease.trust(clock::now())
     }
 
     /// Returns the current view.
@@ -268,7 +267,7 @@
     /// so it is not ready if there are accounts. One with a stale confirmation remains ready: most
     /// likely the other instances have no newer one either.
     pub fn is_ready(&self) -> bool {
-        let trust = self.trust();
+        let trust = self.keys_trust();
         let view = self.view.load();
         let is_useful = |table: &Table| table.accounts.is_none() || trust != Trust::Unconfirmed;
         !self.is_draining() && view.table().is_some_and(is_useful)
--- a/crates/zinniastall-gateway/tests/path/accounts.rs
+++ b/crates/zinniastall-gateway/tests/path/accounts.rs
@@ -113,7 +113,7 @@
     if confirmed {
         lease.extend(clock::now().saturating_sub(Duration::from_millis(10)));
     }
-    let gateway = Gateway::on(Shared::new(view).with_lease(lease)).await;
+    let gateway = Gateway::on(Shared::new(view).with_keys_lease(lease)).await;
     let fields = "deadline-ms: 400\r\nAuthorization: Bearer ";
     let known = call(&gateway, "/plans/1", &format!("{fields}k-studio\r\n")).await;
     let unknown = call(&gateway, "/plans/1", &format!("{fields}k-other\r\n")).await;
@@ -141,7 +141,7 @@
     );
     let targets = std::mem::take(&mut view.targets);
     let lease = Lease::new(Some(Duration::from_millis(60)));
-    let board = Shared::new(view.clone()).with_lease(lease.clone());
+    let board = Shared::new(view.clone()).with_keys_lease(lease.clone());
     lease.extend(clock::now());
     let gateway = Gateway::on(board.clone()).await;
     // The only target counts as full for the moment, so that the request waits.
--- a/crates/zinniastall-gateway/tests/path/versions.rs
+++ b/crates/zinniastall-gateway/tests/path/versions.rs
@@ -9,7 +9,10 @@
 
 use indexmap::IndexSet;
 use tokio::{net::UdpSocket, time};
-use zinniastall_coord::origin::{CONFIRMATION_LEASE, Key, Stage};
+use zinniastall_coord::{
+    confirmation::LEASE,
+    origin::{Key, Stage},
+};
 use zinniastall_gateway::{
     freshness::Lease,
     neighbours::datagram::{Datagram, MAX_DATAGRAM_BYTES},
@@ -143,7 +146,7 @@
     let targets = writers(&["v1", "v1"]).await;
     let mut board = Shared::new(seen(&targets, settled));
     if !is_trusted {
-        board = board.with_versions_lease(Lease::new(Some(CONFIRMATION_LEASE)));
+        board = board.with_lease(Lease::new(Some(LEASE)));
     }
     let gateway = Gateway::on(board).await;
     for fields in ["Resumes: nobody\r\n", "", "Resumes: a\r\nResumes: b\r\n"] {
