fix(gateway): a request is repeated, and served at home, only by a confirmed configuration

Cause: requests are matched by whatever table is held. Only keys depended on the lease of freshness.rs, and only where operators ask for that. Evidence (log of the process test on the untouched decisions): trust=stale age_ms=4271 revision=2 at the moment the instance goes on, 16 requests matched by revision 2, retries of those lost 26 ms later; the later configuration arrives 50 ms after the instance went on.

Change: one decision (decide/vouch.rs). While the configuration isn't confirmed, nothing is repeated that may have run, streams aren't resumed, a request whose route or account has homes gets 503, a path without a route gets 503 instead of 404; all others are served, once. An instance that has just started or goes on after a suspension is told within moments, so its requests wait for that, a quarter of their time and 1.2 s at most (path/resumption.rs). One that lost touch while it ran holds nothing. What is decided by a confirmed configuration holds to the end of the request: it was sent before that.

The stand-in replica of tests/daemon.rs answers the question for the newest revision, as replicas do; without that its requests wait as at a replica that can't tell.

--- a/crates/zinniastall-gateway/examples/place_cost.rs
+++ b/crates/zinniastall-gateway/examples/place_cost.rs
@@ -11,7 +11,6 @@
 use bytes::{Bytes, BytesMut};
 use zinniastall_coord::origin::Requirement;
 use zinniastall_gateway::{
-    freshness::Trust,
     headers::Names,
     metrics::Metrics,
     neighbours::{
@@ -21,7 +20,7 @@
     },
     path::{
         Proxy,
-        job::{Job, Match},
+        job::{Job, Match, Trusts},
         placement::{Claimed, Tried},
     },
     policy::Policy,
@@ -49,7 +48,7 @@
                 prompt-parts: shared:2000,own:100\r\n\r\n";
     let mut input = BytesMut::from(head);
     let head = Request::parse(&mut input, 4_096)?.ok_or_else(|| eyre::eyre!("half a head"))?;
-    let judged = Match::new(&board.view(), Trust::Fresh, &head, false);
+    let judged = Match::of_caller(&board.view(), Trusts::FRESH, &head);
     let judged = judged.map_err(|refusal| eyre::eyre!("{refusal:?}"))?;
     let names = Names::default();
     let job = judged.job(&names, head, Bytes::new(), Instant::now());
--- a/crates/zinniastall-gateway/src/daemon.rs
+++ b/crates/zinniastall-gateway/src/daemon.rs
@@ -272,6 +272,7 @@
     loop {
         tokio::select! {
             _ = tick.tick() => {
+                traffic.observe_time();
                 traffic.pool.sweep(Instant::now());
                 let load = traffic.tracker.borrow().load();
                 let view = traffic.state.view();
--- a/crates/zinniastall-gateway/src/decide/mod.rs
+++ b/crates/zinniastall-gateway/src/decide/mod.rs
@@ -18,3 +18,4 @@
 pub mod returns;
 pub mod run_time;
 pub mod service_time;
+pub mod vouch;
--- a/crates/zinniastall-gateway/src/metrics.rs
+++ b/crates/zinniastall-gateway/src/metrics.rs
@@ -105,6 +105,12 @@
     event: &'static str,
 }
 
+/// Labels of requests that came while the configuration wasn't confirmed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnconfirmedLabels {
+    decision: &'static str,
+}
+
 /// Labels of requests that were handed to a neighbour.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DetourLabels {
@@ -280,6 +286,7 @@
     load_control: LoadControl,
     paths: Counters<PathLabels>,
     detours: Counters<DetourLabels>,
+    unconfirmed: Counters<UnconfirmedLabels>,
     taken_up: Counters<TakenUpLabels>,
     unreached: Gauge,
     quarantined: Gauge,
@@ -345,6 +352,10 @@
                 "taken_up",
                 "Streams that callers or instances took up, by outcome",
             ),
+            unconfirmed: page.counters(
+                "unconfirmed",
+                "Requests that came while the configuration wasn't confirmed, by decision",
+            ),
             detours: page.counters(
                 "detours",
                 "Requests handed to a neighbour that reaches the targets, by outcome",
@@ -506,6 +517,14 @@
         self.detours.get_or_create(&DetourLabels { outcome }).inc();
     }
 
+    /// Counts a request that came while the configuration wasn't confirmed: `served-once` or
+    /// `rejected`.
+    pub fn count_unconfirmed(&self, decision: &'static str) {
+        self.unconfirmed
+            .get_or_create(&UnconfirmedLabels { decision })
+            .inc();
+    }
+
     /// Counts a stream that was taken up: `went-on`, or the reason why it couldn't.
     pub fn count_taken_up(&self, outcome: &'static str) {
         self.taken_up
--- a/crates/zinniastall-gateway/src/neighbours/beliefs.rs
+++ b/crates/zinniastall-gateway/src/neighbours/beliefs.rs
@@ -27,7 +27,7 @@
 
 /// Pause of this process after which others may have taken over from it, and after which it may have
 /// missed messages.
-pub(super) const MAX_PAUSE: Duration = Duration::from_millis(500);
+pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Silence of all control replicas after which this instance may have missed messages. Each of them
 /// sends something at least once a second.
 const MAX_SILENCE: Duration = Duration::from_millis(1_300);
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -243,7 +243,7 @@
             Place::Instance { detour: None, .. } => REMOTE_CONNECT_TIMEOUT,
             _ => CONNECT_TIMEOUT,
         };
-        let repeats = job.route().is_retryable();
+        let repeats = job.is_retryable();
         let connected = self.pool.connect(place.address(), repeats, timeout).await;
         let mut connection = match connected {
             Ok(connection) => connection,
@@ -372,7 +372,7 @@
         attempt: &Attempt<'_>,
         work: impl Future<Output = Result<T, Why>>,
     ) -> Result<T, Why> {
-        if !attempt.job.route().is_retryable() {
+        if !attempt.job.is_retryable() {
             return work.await;
         }
         let outcome = match attempt.place {
@@ -457,7 +457,7 @@
         // Without the echoed id it may be a late refusal of an earlier request on the same
         // connection.
         let is_for_this_request = headers.contains_key(&self.header_names.request_id) || !is_used;
-        if !is_for_this_request && !attempt.job.route().is_retryable() {
+        if !is_for_this_request && !attempt.job.is_retryable() {
             return Some(Ended::Unknown("a refusal without a request id".to_owned()));
         }
         attempt.may_have_run.set(may_have_run_before);
--- a/crates/zinniastall-gateway/src/path/crash.rs
+++ b/crates/zinniastall-gateway/src/path/crash.rs
@@ -327,7 +327,7 @@
     async fn has_crashed_elsewhere(&self, job: &Job, is_broken: bool, before: &[Suspect]) -> bool {
         // An interrupted stream carries no report of a crash, so the separate report is awaited;
         // it matters only if the stream may resume.
-        if is_broken && job.route().resumable {
+        if is_broken && job.is_resumable() {
             time::sleep(CRASH_REPORT_DELAY).await;
         }
         quarantine::has_new_crash(before, &self.suspicions(job))
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -54,7 +54,7 @@
             headers: end_to_end_headers(&response.headers),
             body,
         };
-        if response.status.is_server_error() && attempt.job.route().is_retryable() {
+        if response.status.is_server_error() && attempt.job.is_retryable() {
             return Ended::Failing(answer, ending);
         }
         match responder.send_whole(answer, ending).await {
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -23,6 +23,7 @@
         identity::{self, Unauthenticated},
         quota,
         returns::MIN_DELAY,
+        vouch::vouch,
     },
     freshness::Trust,
     headers::{ACCOUNT, DETOUR, LAST_EVENT_ID, Names},
@@ -64,6 +65,8 @@
     pub prompt: Prompt,
     /// What is known of the promise of room for the request.
     pub promise: Cell<Return>,
+    /// Whether the configuration may be relied on for repeats of the request.
+    pub may_repeat: bool,
     configuration: Arc<Configuration>,
     /// Indexes of the route, the service and the account in the table.
     route: usize,
@@ -117,38 +120,75 @@
     route: usize,
     account: Option<usize>,
     is_passed_on: bool,
+    may_repeat: bool,
+}
+
+/// Whether what a view says may be relied on; read before the view.
+#[derive(Debug, Clone, Copy)]
+pub struct Trusts {
+    /// Whether the configuration may be.
+    pub configuration: Trust,
+    /// Whether the keys of its accounts may be.
+    pub keys: Trust,
+}
+
+impl Trusts {
+    /// Everything may be relied on.
+    pub const FRESH: Self = Self {
+        configuration: Trust::Fresh,
+        keys: Trust::Fresh,
+    };
 }
 
 impl Match {
-    /// Finds the route and the client account of a request; `trust` tells whether the view's
-    /// configuration may be relied on.
+    /// Finds the route and the client account of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if no routes are known yet, if the host has none for the path, if the
+    /// account is unknown, or if that can't be told by the configuration that is known.
+    pub fn of_caller(view: &View, trusts: Trusts, head: &Request) -> Result<Self, Refusal> {
+        let configuration = view.configuration.clone().ok_or(Refusal::Unconfigured)?;
+        let table = configuration.table.as_ref().ok_or(Refusal::Unconfigured)?;
+        let no_route = match trusts.configuration {
+            Trust::Fresh => Refusal::NoRoute,
+            Trust::Unconfirmed | Trust::Stale => Refusal::Stale,
+        };
+        let route = table.route_index(head.host(), head.path());
+        let route = route.ok_or(no_route)?;
+        let route_entry = &table.routes[route];
+        let account = identity::of_caller(table, route_entry, &head.headers, trusts.keys)?;
+        let entry = account.and_then(|account| table.account(account));
+        let may_repeat = vouch(trusts.configuration, route_entry, entry).ok_or(Refusal::Stale)?;
+        Ok(Self {
+            configuration,
+            route,
+            account,
+            is_passed_on: false,
+            may_repeat,
+        })
+    }
+
+    /// Finds the route and the client account of a request that another instance has matched and
+    /// forwarded.
     ///
     /// # Errors
     ///
     /// Returns a [`Refusal`] if no routes are known yet, if the host has none for the path, or if
     /// the account is unknown.
-    pub fn new(
-        view: &View,
-        trust: Trust,
-        head: &Request,
-        forwarded: bool,
-    ) -> Result<Self, Refusal> {
+    pub fn of_instance(view: &View, head: &Request) -> Result<Self, Refusal> {
         let configuration = view.configuration.clone().ok_or(Refusal::Unconfigured)?;
         let table = configuration.table.as_ref().ok_or(Refusal::Unconfigured)?;
-        let at = table.route_index(head.host(), head.path());
-        let route = at.ok_or(Refusal::NoRoute)?;
-        let route_entry = &table.routes[route];
-        let account = if forwarded {
-            identity::of_instance(table, route_entry, header_text(&head.headers, &ACCOUNT))
-        } else {
-            identity::of_caller(table, route_entry, &head.headers, trust)
-        };
-        let account = account?;
+        let route = table.route_index(head.host(), head.path());
+        let route = route.ok_or(Refusal::NoRoute)?;
+        let account = header_text(&head.headers, &ACCOUNT);
+        let account = identity::of_instance(table, &table.routes[route], account)?;
         Ok(Self {
             configuration,
             route,
             account,
-            is_passed_on: forwarded,
+            is_passed_on: true,
+            may_repeat: true,
         })
     }
 
@@ -197,6 +237,7 @@
             patience: requested.unwrap_or(timeout),
             is_detoured: self.is_passed_on && head.headers.contains_key(DETOUR),
             is_passed_on: self.is_passed_on,
+            may_repeat: self.may_repeat,
             prompt,
             promise: Cell::default(),
             configuration: self.configuration,
@@ -227,6 +268,16 @@
         &self.table().routes[self.route]
     }
 
+    /// Returns whether the request may be sent again when its outcome is unknown.
+    pub fn is_retryable(&self) -> bool {
+        self.may_repeat && self.route().is_retryable()
+    }
+
+    /// Returns whether an interrupted stream may go on at another target.
+    pub fn is_resumable(&self) -> bool {
+        self.may_repeat && self.route().resumable
+    }
+
     /// Returns the client account that made the request, if it needs one.
     pub fn account(&self) -> Option<&Account> {
         self.table().account(self.account?)
--- a/crates/zinniastall-gateway/src/path/mod.rs
+++ b/crates/zinniastall-gateway/src/path/mod.rs
@@ -20,6 +20,7 @@
 mod rate;
 pub mod reach;
 pub mod responder;
+mod resumption;
 pub mod returns;
 pub mod run;
 mod runs;
@@ -36,6 +37,7 @@
 use zinniastall_model::fingerprint::Fingerprint;
 
 use crate::{
+    clock,
     decide::{fair_share::Shares, quota::Quotas, returns::Schedules, run_time::RunTimes},
     headers::Names,
     metrics::Metrics,
@@ -52,7 +54,9 @@
     view::Shared,
 };
 
-use self::{closings::Closings, held::Held, runs::Runs, serve::Connections};
+use self::{
+    closings::Closings, held::Held, resumption::Resumption, runs::Runs, serve::Connections,
+};
 
 /// Bytes that an answer may always take, so that one without end doesn't end the others.
 const SMALL_ANSWER_BYTES: usize = 256 << 10;
@@ -116,6 +120,8 @@
     bodies: Held,
     /// Connections to targets that tell whether their processes are the same.
     runs: Runs,
+    /// Whether this instance has just started, or goes on after a suspension.
+    resumption: Resumption,
     /// Connections of callers and instances.
     pub connections: Connections,
     /// How long requests of each route take.
@@ -139,6 +145,11 @@
         self.bodies.bytes()
     }
 
+    /// Notices a suspension of this instance. To be called several times a second.
+    pub fn observe_time(&self) {
+        self.resumption.observe(clock::now());
+    }
+
     /// Ends all requests in progress with their final answers.
     pub fn end_requests(&self) {
         self.is_ending.send_replace(true);
@@ -171,6 +182,7 @@
             held: Held::new(policy.memory / 8, SMALL_ANSWER_BYTES).all(policy.memory / 16 * 3),
             bodies: Held::new(policy.memory / 2, SMALL_BODY_BYTES),
             runs: Runs::default(),
+            resumption: Resumption::default(),
             connections: Connections::default(),
             run_times: RefCell::default(),
             is_ending: watch::Sender::new(false),
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -376,7 +376,7 @@
             }
             Ended::Unknown(_) => {
                 state.sent += 1;
-                if job.route().is_retryable() && self.may_repeat(state) {
+                if job.is_retryable() && self.may_repeat(state) {
                     Step::Retry
                 } else {
                     Step::Refuse(Refusal::AnswerLost)
@@ -386,7 +386,7 @@
             Ended::Broken(why) => {
                 state.sent += 1;
                 state.interrupted_at = Some(Instant::now());
-                if job.route().resumable && self.may_repeat(state) {
+                if job.is_resumable() && self.may_repeat(state) {
                     Step::Retry
                 } else {
                     Step::Finish(End::Aborted(why))
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -25,11 +25,12 @@
     Proxy,
     answer::{Outcome, Refusal},
     held::Share,
-    job::{Job, Match, header_number, header_text},
+    job::{Job, Match, Trusts, header_number, header_text},
     responder::Responder,
+    resumption::MAX_HOLD,
     run,
 };
-use crate::{decide::quota::Claim, request_log::End, tracker::Demand};
+use crate::{clock, decide::quota::Claim, freshness::Trust, request_log::End, tracker::Demand};
 
 /// Pause after a failed accept. The process is most likely out of file descriptors, and an
 /// immediate retry would spin.
@@ -50,11 +51,8 @@
 const DETOUR_RETRY: Duration = Duration::from_millis(250);
 /// Retry time of a request for whose body there is no memory. Those that take it end within seconds.
 const BODY_RETRY: Duration = Duration::from_millis(500);
-/// Longest time for which a request is held until routes are known here. After a loss of all power,
-/// a leader is elected and has committed within it.
-const STARTUP_HOLD: Duration = Duration::from_millis(1_200);
-/// Interval at which a held request checks whether routes are known.
-const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(30);
+/// Interval at which a held request is matched again.
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Interval at which an idle connection checks whether this instance drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -189,7 +187,8 @@
 
     /// Matches a request to its route. A request that arrives before this instance knows any routes,
     /// and the rates that targets have named to others, is held for as long as it usually takes to
-    /// learn them: if it were sent away, it would find most other instances starting as well.
+    /// learn them: if it were sent away, it would find most other instances starting as well. So is one
+    /// that arrives before the configuration is confirmed again after a suspension.
     async fn match_route(
         &self,
         head: &Request,
@@ -198,18 +197,32 @@
     ) -> Result<Match, Refusal> {
         let left =
             header_number(&head.headers, &self.header_names.deadline_ms).map(Duration::from_millis);
-        let max_hold = left.map_or(STARTUP_HOLD, |left| (left / 4).min(STARTUP_HOLD));
+        let max_hold = left.map_or(MAX_HOLD, |left| (left / 4).min(MAX_HOLD));
         loop {
-            // The view is read after the lease, so it is at least as new as the one that the lease
-            // covers.
-            let trust = self.state.keys_trust();
-            let matched = Match::new(&self.state.view(), trust, head, from_instances);
-            let waits =
-                matches!(matched, Err(Refusal::Unconfigured)) || !self.rates.is_introduced();
+            let now = clock::now();
+            self.resumption.observe(now);
+            // The view is read after the leases, so it is at least as new as the one that they cover.
+            let trusts = Trusts {
+                configuration: self.state.trust(),
+                keys: self.state.keys_trust(),
+            };
+            let view = self.state.view();
+            let matched = if from_instances {
+                Match::of_instance(&view, head)
+            } else {
+                Match::of_caller(&view, trusts, head)
+            };
+            let is_untrusted = !from_instances && trusts.configuration != Trust::Fresh;
+            let waits = matches!(matched, Err(Refusal::Unconfigured))
+                || !self.rates.is_introduced()
+                || (is_untrusted && self.resumption.is_recent(now));
             if !waits || arrived.elapsed() >= max_hold {
+                if is_untrusted {
+                    self.metrics.count_unconfirmed(decision(&matched));
+                }
                 return matched;
             }
-            time::sleep(STARTUP_POLL_INTERVAL).await;
+            time::sleep(HOLD_POLL_INTERVAL).await;
         }
     }
 
@@ -494,6 +507,14 @@
     }
 }
 
+/// Returns what is decided for a request while the configuration isn't confirmed, for metrics.
+const fn decision(matched: &Result<Match, Refusal>) -> &'static str {
+    match matched {
+        Ok(_) => "served-once",
+        Err(_) => "rejected",
+    }
+}
+
 /// Reason why a body was not read.
 enum BodyError {
     Refused(Refusal),
--- a/crates/zinniastall-gateway/src/request_log.rs
+++ b/crates/zinniastall-gateway/src/request_log.rs
@@ -621,6 +621,7 @@
             took_ms = millis(end.duration),
             objective_ms = job.route().objective_ms,
             revision = job.revision(),
+            may_repeat = job.may_repeat,
             passed_on = job.is_passed_on,
             detoured = job.is_detoured,
         );
--- a/crates/zinniastall-gateway/tests/daemon.rs
+++ b/crates/zinniastall-gateway/tests/daemon.rs
@@ -114,6 +114,10 @@
                 Some(Ok(Frame::Hub(Message::Fetch(_)))) => {
                     Message::Configuration(Box::new(held.clone()))
                 }
+                Some(Ok(Frame::Hub(Message::ReadIndex(stamp)))) => Message::ReadIndexAnswer {
+                    stamp,
+                    revision: held.revision,
+                },
                 Some(Ok(Frame::Hub(message))) => {
                     heard.borrow_mut().push(message);
                     continue;
--- a/crates/zinniastall-gateway/tests/division.rs
+++ b/crates/zinniastall-gateway/tests/division.rs
@@ -17,7 +17,6 @@
 use zinniastall_coord::origin::Requirement;
 use zinniastall_gateway::{
     decide::{division::Work, prefill::Rates},
-    freshness::Trust,
     headers::Names,
     metrics::Metrics,
     neighbours::{
@@ -28,7 +27,7 @@
     path::{
         Proxy,
         attempt::Place as Destination,
-        job::Match,
+        job::{Match, Trusts},
         placement::{Claimed, Placement, Tried},
     },
     policy::Policy,
@@ -500,7 +499,7 @@
         );
         let mut input = BytesMut::from(head.as_str());
         let head = Request::parse(&mut input, 4_096).unwrap().unwrap();
-        let matched = Match::new(&self.shared.view(), Trust::Fresh, &head, false).unwrap();
+        let matched = Match::of_caller(&self.shared.view(), Trusts::FRESH, &head).unwrap();
         let job = matched.job(&Names::default(), head, Bytes::new(), Instant::now());
         let job = job.unwrap();
         let demand = Demand {
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod broken;
 mod caller;
 mod capacity;
+mod confirmation;
 mod departures;
 mod endings;
 mod endless;
