fix(control): a table that forbids something is confirmed once no instance relies on the one before

Cause: a table was acknowledged as soon as a majority held it, while an instance that didn't know of it could rely on the one before for up to 3 s more. A request that may run once only by a table that was confirmed before it was sent has no such margin.

Change: a table that forbids what one of the last 3.5 s permits, and what can't be undone (a repeat, a region; model::routing::narrows), is acknowledged 3.5 s after it was applied (coord::confirmation::SETTLE_TIME). By then every lease on an earlier table has ended, whether the instance is suspended, cut off or unknown; a lease that is granted later covers the table. All other tables are acknowledged as before, and no request waits or costs a message for it.

Weighed: a confirmation for each repeat, asked for after the request came. It needs no wait of operators, but each repeat waits for the group, 190 to 300 ms by the trips between regions, as long as answers are lost; and it says nothing about homes. Entry instances have this rule already: what forbids something is accepted once all members have confirmed it. Gateway instances aren't agreed on, so time takes the place of their word.

--- a/crates/zinniastall-control/src/control.rs
+++ b/crates/zinniastall-control/src/control.rs
@@ -17,6 +17,7 @@
 mod remember;
 mod repair;
 mod reply;
+mod settling;
 mod start;
 mod status;
 mod stop;
@@ -60,7 +61,8 @@
     write::Write,
 };
 use self::{
-    read::Reads, read_index::Questions, status::HealthQueries, waiting::Waiting, write::Unconfirmed,
+    read::Reads, read_index::Questions, settling::Settling, status::HealthQueries,
+    waiting::Waiting, write::Unconfirmed,
 };
 use crate::{
     disk::{Disk, Done},
@@ -97,6 +99,7 @@
     hub: Hub,
     waiting: Waiting,
     unconfirmed: Vec<Unconfirmed>,
+    settling: Settling,
     reads: Reads,
     read_index: Questions,
     health_queries: HealthQueries,
--- a/crates/zinniastall-control/src/control/apply.rs
+++ b/crates/zinniastall-control/src/control/apply.rs
@@ -1,6 +1,6 @@
 //! Applies committed entries and publishes the resulting configuration.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use zinniastall_coord::{
     log::{Entry, Payload},
@@ -9,6 +9,7 @@
 use zinniastall_model::{
     change::{Answer, Change},
     machine::Machine,
+    routing::Publication,
 };
 
 use super::{
@@ -59,6 +60,8 @@
             Ok(machine) => {
                 tracing::info!(event = "snapshot-installed", index = snapshot.last.index);
                 self.machine = machine;
+                let restored = self.machine.state().routing.as_ref();
+                self.settling.begin(restored, Instant::now());
                 let state = Arc::clone(self.machine.state()).stripped();
                 self.feed.send_modify(|feed| feed.restore(state));
                 self.waiting.abandon_through(snapshot.last.index);
@@ -88,7 +91,7 @@
 
     /// Returns whether a leader is known and everything known to be committed is applied.
     fn is_connected(&self) -> bool {
-        let status = self.replica.status(std::time::Instant::now());
+        let status = self.replica.status(Instant::now());
         status.leader.is_some() && status.commit > 0 && status.applied >= status.commit
     }
 
@@ -102,9 +105,13 @@
                 return None;
             }
         };
-        let before = self.machine.state().revision;
+        let state = self.machine.state();
+        let (before, replaced) = (state.revision, state.routing.clone());
         let answer = self.machine.apply(&change);
         let revision = self.machine.state().revision;
+        if let Some(replaced) = replaced {
+            self.settle(replaced);
+        }
         if revision > before {
             tracing::info!(event = "change-committed", revision);
             self.feed.send_if_modified(|feed| {
@@ -115,6 +122,19 @@
         Some(answer)
     }
 
+    /// Lets the table in force settle if it has replaced another one.
+    fn settle(&mut self, replaced: Arc<Publication>) {
+        let held = self.machine.state().routing.as_ref();
+        let Some(held) = held.filter(|held| !Arc::ptr_eq(held, &replaced)) else {
+            return;
+        };
+        let left = self.settling.replace(replaced, held, Instant::now());
+        if !left.is_zero() {
+            let (number, left_ms) = (held.table.number, left.as_millis());
+            tracing::info!(event = "table-settles", number, left_ms);
+        }
+    }
+
     fn answer_write(&mut self, entry: &Entry, outcome: Option<Answer>) {
         let Some(write) = self.waiting.take(entry.index) else {
             return;
@@ -128,7 +148,7 @@
             return;
         }
         match outcome {
-            Some(outcome) => self.finish_write(&outcome, write.wait, write.reply),
+            Some(outcome) => self.finish_write(&outcome, write.wait, write.is_table, write.reply),
             None => answer(write.reply, Reply::Unknown),
         }
     }
--- a/crates/zinniastall-control/src/control/group.rs
+++ b/crates/zinniastall-control/src/control/group.rs
@@ -32,6 +32,7 @@
                 let write = waiting::Write {
                     term,
                     wait: Duration::ZERO,
+                    is_table: false,
                     deadline: now + self.settings.limits.answer,
                     reply,
                 };
--- a/crates/zinniastall-control/src/control/start.rs
+++ b/crates/zinniastall-control/src/control/start.rs
@@ -17,8 +17,8 @@
 use zinniastall_wire::feed::Feed;
 
 use super::{
-    Confirmed, Control, heal::Heal, read::Reads, read_index::Questions, status::HealthQueries,
-    waiting::Waiting,
+    Confirmed, Control, heal::Heal, read::Reads, read_index::Questions, settling::Settling,
+    status::HealthQueries, waiting::Waiting,
 };
 use crate::{
     disk::Disk,
@@ -129,6 +129,7 @@
             hub: start.hub,
             waiting: Waiting::new(settings.limits.calls),
             unconfirmed: Vec::new(),
+            settling: Settling::default(),
             reads: Reads::default(),
             read_index: Questions::new(settings.timing.election),
             health_queries: HealthQueries::default(),
@@ -142,6 +143,8 @@
             failed: Some(start.failed),
             settings,
         };
+        let restored = control.machine.state().routing.as_ref();
+        control.settling.begin(restored, Instant::now());
         control.update_peers();
         Ok(control)
     }
--- a/crates/zinniastall-control/src/control/waiting.rs
+++ b/crates/zinniastall-control/src/control/waiting.rs
@@ -15,6 +15,8 @@
     pub(super) term: Term,
     /// How long its operator waits for confirmations.
     pub(super) wait: Duration,
+    /// Whether it is a routing table, which may have to settle.
+    pub(super) is_table: bool,
     /// When its outcome counts as unknown.
     pub(super) deadline: Instant,
     /// Receives the reply.
--- a/crates/zinniastall-control/src/control/write.rs
+++ b/crates/zinniastall-control/src/control/write.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use zinniastall_coord::replica::Refusal;
 use zinniastall_model::{
-    change::{Answer, Change},
+    change::{Answer, Body, Change},
     id,
 };
 
@@ -34,6 +34,8 @@
 pub(super) struct Unconfirmed {
     revision: id::Revision,
     narrows: bool,
+    /// When it counts as in force at instances that don't confirm.
+    settles_at: Instant,
     deadline: Instant,
     reply: oneshot::Sender<Reply>,
 }
@@ -56,8 +58,9 @@
         // This replica may have lost its leadership while the process was frozen. The tick notices
         // that before a write is taken whose outcome would be unknown.
         self.replica.tick(now);
+        let is_table = matches!(change.body, Body::Publish(_));
         if let Some(recorded) = self.machine.recorded(change) {
-            self.finish_write(&recorded, wait, reply);
+            self.finish_write(&recorded, wait, is_table, reply);
             return;
         }
         if !self.is_formed(now) {
@@ -77,6 +80,7 @@
                 let write = waiting::Write {
                     term,
                     wait,
+                    is_table,
                     deadline: now + self.settings.limits.answer,
                     reply,
                 };
@@ -86,23 +90,29 @@
         }
     }
 
-    /// Answers a write whose result is committed: at once, or when the confirmations have arrived.
+    /// Answers a write whose result is committed: at once, or when the confirmations have arrived and
+    /// a routing table has settled.
     pub(super) fn finish_write(
         &mut self,
         outcome: &Answer,
         wait: Duration,
+        is_table: bool,
         reply: oneshot::Sender<Reply>,
     ) {
         match outcome.clone() {
             Answer::Done { revision, narrows } => {
+                let now = Instant::now();
+                // An order that is sent again mustn't be acknowledged before the one that it repeats.
+                let settling = self.settling.left(now);
                 let write = Unconfirmed {
                     revision,
                     narrows,
-                    deadline: Instant::now() + wait,
+                    settles_at: now + if is_table { settling } else { Duration::ZERO },
+                    deadline: now + wait,
                     reply,
                 };
                 self.unconfirmed.push(write);
-                self.answer_confirmed(Instant::now());
+                self.answer_confirmed(now);
             }
             Answer::Conflict { current } => answer(reply, Reply::Conflict { current }),
             Answer::Reused => answer(reply, Reply::Reused),
@@ -110,16 +120,23 @@
         }
     }
 
-    /// Answers the writes whose confirmations have arrived or whose deadline has passed.
+    /// Answers the writes that have settled, and whose confirmations have arrived or whose deadline has
+    /// passed.
     pub(super) fn answer_confirmed(&mut self, now: Instant) {
         let is_over_limit = self.unconfirmed.len() > MAX_UNCONFIRMED;
         for write in std::mem::take(&mut self.unconfirmed) {
             let state = self.machine.state();
             let waiting = self.confirmed.missing(state, write.revision);
-            if !waiting.is_empty() && now < write.deadline && !is_over_limit {
+            let is_settled = now >= write.settles_at;
+            let waits = !is_settled || (!waiting.is_empty() && now < write.deadline);
+            if waits && !is_over_limit {
                 self.unconfirmed.push(write);
                 continue;
             }
+            if !is_settled {
+                answer(write.reply, Reply::Unknown);
+                continue;
+            }
             let reply = Reply::Done {
                 revision: write.revision,
                 narrows: write.narrows,
--- a/crates/zinniastall-model/src/routing.rs
+++ b/crates/zinniastall-model/src/routing.rs
@@ -20,6 +20,7 @@
 mod account;
 mod changes;
 mod index;
+mod narrow;
 
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 pub use self::{
     account::{Account, Digest, Quota, Unit},
     changes::Changes,
+    narrow::narrows,
 };
 use crate::id;
 
@@ -300,7 +302,11 @@
 
     /// Returns the index of the account that holds a key.
     pub fn account_index_by_key(&self, key: &[u8]) -> Option<usize> {
-        self.index.account(self, &Digest::of(key))
+        self.account_index_by_digest(&Digest::of(key))
+    }
+
+    fn account_index_by_digest(&self, digest: &Digest) -> Option<usize> {
+        self.index.account(self, digest)
     }
 
     /// Returns an account by its index.
