fix(gateway): a forwarded request is handled by its sender's routing table

The sender stated its revision, and nobody read it.

Change: the sender states what its table says of the request (model::routing::Rule: the table's number, a digest of the route and of the account's homes) instead of the revision. A receiver whose table says the same serves at once, whatever else differs. Otherwise one with an earlier table waits for the later one, as entry instances do, a quarter of the request's time and 1.2 s at most, and then rejects the request as not sent; one with a later table handles it by the sender's, which it keeps for 6 s after it was replaced. So neither side goes back. An instance of an earlier version states nothing and is served as before.

--- a/crates/zinniastall-gateway/src/cluster_state.rs
+++ b/crates/zinniastall-gateway/src/cluster_state.rs
@@ -5,6 +5,7 @@
 //! that replaces the other wins; and an instance is alive while any linked replica lists it.
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -36,12 +37,20 @@
 /// it answers; until then it may be cut off from the replicas but not from this instance.
 const REPORT_TTL: Duration = Duration::from_secs(25);
 
+/// Time for which a replaced table is kept. Other instances learn of the later one within it, and send
+/// on most of the requests that they have matched before.
+const REPLACED_TTL: Duration = Duration::from_secs(6);
+/// Replaced tables that are kept at most; one of hundreds of routes takes some 100 KB.
+const MAX_REPLACED: usize = 4;
+
 /// Everything that this instance has learned of the system.
 #[derive(Debug)]
 pub struct State {
     instance: id::Instance,
     place: Place,
     configuration: Option<Arc<Configuration>>,
+    /// Configurations whose tables were replaced, latest first, and when.
+    replaced: VecDeque<(Instant, Arc<Configuration>)>,
     targets: IndexMap<id::Target, Known>,
     lists: IndexMap<Replica, InstanceList>,
     /// Instances that are alive, and the number of lists that they were merged from.
@@ -79,6 +88,7 @@
             instance,
             place,
             configuration: None,
+            replaced: VecDeque::new(),
             targets: IndexMap::new(),
             lists: IndexMap::new(),
             instances: None,
@@ -113,7 +123,8 @@
             return false;
         }
         self.record_reopened(&configuration, now);
-        self.configuration = Some(Arc::new(configuration));
+        let before = self.configuration.replace(Arc::new(configuration));
+        self.record_replaced(before, now);
         true
     }
 
@@ -227,10 +238,17 @@
             .retain(|_, known| now.saturating_duration_since(known.heard_at()) < REPORT_TTL);
         let instances = self.instances(now);
         self.is_uneven |= instances.is_uneven();
+        let is_recent = |since: Instant| now.saturating_duration_since(since) < REPLACED_TTL;
+        self.replaced.retain(|(since, _)| is_recent(*since));
         View {
             instance: self.instance.clone(),
             place: self.place.clone(),
             configuration: self.configuration.clone(),
+            replaced: self
+                .replaced
+                .iter()
+                .map(|(_, held)| Arc::clone(held))
+                .collect(),
             targets: Arc::new(self.ready_targets(now)),
             instances,
             loads: Arc::clone(&self.loads),
@@ -289,6 +307,17 @@
         }
     }
 
+    /// Keeps a configuration for a time if its table was replaced.
+    fn record_replaced(&mut self, before: Option<Arc<Configuration>>, now: Instant) {
+        let number = |held: &Configuration| held.table.as_ref().map(|table| table.number);
+        let in_force = self.configuration.as_deref().and_then(number);
+        let Some(before) = before.filter(|before| number(before) != in_force) else {
+            return;
+        };
+        self.replaced.push_front((now, before));
+        self.replaced.truncate(MAX_REPLACED);
+    }
+
     /// Returns the instances that are alive. The lists are merged anew only if one of them changed
     /// or the number of valid lists did.
     fn instances(&mut self, now: Instant) -> Arc<Instances> {
--- a/crates/zinniastall-gateway/src/headers.rs
+++ b/crates/zinniastall-gateway/src/headers.rs
@@ -8,10 +8,10 @@
 /// Id of the last event that the caller received; a stream resumes after it. Browsers' event
 /// sources send this field.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static(header::LAST_EVENT_ID);
-/// Field between instances: the sender's configuration revision.
-///
-/// Its presence marks a forwarded request, which the receiver either serves itself or rejects.
-pub const REVISION: HeaderName = HeaderName::from_static("zs-revision");
+/// Field between instances: what the routing table says by which the sender matched the request; see
+/// [`Rule`](zinniastall_model::routing::Rule). The receiver handles the request by that table or
+/// rejects it.
+pub const RULE: HeaderName = HeaderName::from_static("zs-rule");
 /// Field between instances: the outcome of a forwarded request when there is no target's answer to
 /// pass on.
 pub const OUTCOME: HeaderName = HeaderName::from_static("zs-outcome");
--- a/crates/zinniastall-gateway/src/path/answer.rs
+++ b/crates/zinniastall-gateway/src/path/answer.rs
@@ -31,6 +31,8 @@
     Stale,
     /// The instance that forwarded the request uses another configuration.
     Mismatch,
+    /// The instance that forwarded the request uses a later configuration, which hasn't come here.
+    Behind,
     /// No route serves the path.
     NoRoute,
     /// The key belongs to no client account.
@@ -109,6 +111,7 @@
             Self::Unconfigured
             | Self::Stale
             | Self::Mismatch
+            | Self::Behind
             | Self::VersionUnknown
             | Self::VersionNotServed
             | Self::Busy(_)
@@ -135,7 +138,7 @@
         match self {
             Self::Unconfigured => Some(UNCONFIGURED_RETRY_AFTER),
             Self::Stale => Some(STALE_RETRY_AFTER),
-            Self::Mismatch => Some(MISMATCH_RETRY_AFTER),
+            Self::Mismatch | Self::Behind => Some(MISMATCH_RETRY_AFTER),
             Self::VersionUnknown | Self::VersionNotServed => Some(VERSION_RETRY_AFTER),
             Self::Busy(retry_after)
             | Self::Refused(retry_after)
@@ -154,6 +157,7 @@
             Self::Unconfigured => "no-configuration-yet",
             Self::Stale => "configuration-out-of-date",
             Self::Mismatch => "configurations-differ",
+            Self::Behind => "configuration-behind",
             Self::NoRoute => "no-such-route",
             Self::Unauthenticated => "unknown-key",
             Self::QuotaExceeded(_) => "quota-exceeded",
--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -13,7 +13,7 @@
 use zinniastall_model::{
     fingerprint::{Fingerprint, PartSpace, Subjects, shared_parts},
     id,
-    routing::{Account, Engine, Kind, Quota, Route, Service, Table},
+    routing::{Account, Engine, Kind, Quota, Route, Rule, Service, Table},
 };
 use zinniastall_wire::hub::Configuration;
 
@@ -26,7 +26,7 @@
         vouch::vouch,
     },
     freshness::Trust,
-    headers::{ACCOUNT, DETOUR, LAST_EVENT_ID, Names},
+    headers::{ACCOUNT, DETOUR, LAST_EVENT_ID, Names, RULE},
     neighbours::rates,
     view::View,
 };
@@ -170,21 +170,44 @@
     }
 
     /// Finds the route and the client account of a request that another instance has matched and
-    /// forwarded.
+    /// forwarded. The request is handled by that instance's table: the caller's next request is too,
+    /// and one that went back to an earlier table in between would be handled by two of them.
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] if no routes are known yet, if the host has none for the path, or if
-    /// the account is unknown.
+    /// Returns a [`Refusal`] if no routes are known yet, if that instance's table says something else
+    /// of the request and isn't known here, if the host has no route for the path, or if the account
+    /// is unknown.
     pub fn of_instance(view: &View, head: &Request) -> Result<Self, Refusal> {
-        let configuration = view.configuration.clone().ok_or(Refusal::Unconfigured)?;
+        let in_force = view.configuration.as_ref().ok_or(Refusal::Unconfigured)?;
+        let table = in_force.table.as_ref().ok_or(Refusal::Unconfigured)?;
+        let matched = Self::by_instance(in_force, head);
+        let rule = header_text(&head.headers, &RULE).and_then(|rule| rule.parse::<Rule>().ok());
+        // An instance of an earlier version states none.
+        let Some(rule) = rule else {
+            return matched;
+        };
+        if matched
+            .as_ref()
+            .is_ok_and(|matched| rule.agrees(&matched.rule()))
+        {
+            return matched;
+        }
+        if table.number < rule.number {
+            return Err(Refusal::Behind);
+        }
+        let replaced = view.replaced_table(rule.number);
+        Self::by_instance(replaced.ok_or(Refusal::Mismatch)?, head)
+    }
+
+    fn by_instance(configuration: &Arc<Configuration>, head: &Request) -> Result<Self, Refusal> {
         let table = configuration.table.as_ref().ok_or(Refusal::Unconfigured)?;
         let route = table.route_index(head.host(), head.path());
         let route = route.ok_or(Refusal::NoRoute)?;
         let account = header_text(&head.headers, &ACCOUNT);
         let account = identity::of_instance(table, &table.routes[route], account)?;
         Ok(Self {
-            configuration,
+            configuration: Arc::clone(configuration),
             route,
             account,
             is_passed_on: true,
@@ -192,6 +215,12 @@
         })
     }
 
+    fn rule(&self) -> Rule {
+        let table = table(&self.configuration);
+        let account = self.account.and_then(|account| table.account(account));
+        Rule::new(table, &table.routes[self.route], account)
+    }
+
     /// Creates the job of a request whose body has arrived.
     ///
     /// # Errors
@@ -258,9 +287,7 @@
 impl Job {
     /// Returns the routing table by which the request was matched.
     pub fn table(&self) -> &Table {
-        static EMPTY: std::sync::OnceLock<Table> = std::sync::OnceLock::new();
-        let table = self.configuration.table.as_ref();
-        table.unwrap_or_else(|| EMPTY.get_or_init(Table::default))
+        table(&self.configuration)
     }
 
     /// Returns the route.
@@ -370,6 +397,11 @@
         rates::cold_start(self.service_entry())
     }
 
+    /// Returns what the routing table says of the request.
+    pub fn rule(&self) -> Rule {
+        Rule::new(self.table(), self.route(), self.account())
+    }
+
     /// Returns the configuration revision by which the request was matched.
     pub fn revision(&self) -> id::Revision {
         self.configuration.revision
@@ -403,6 +435,13 @@
     }
 }
 
+/// Returns the routing table of a configuration that has one, or an empty one.
+fn table(configuration: &Configuration) -> &Table {
+    static EMPTY: std::sync::OnceLock<Table> = std::sync::OnceLock::new();
+    let table = configuration.table.as_ref();
+    table.unwrap_or_else(|| EMPTY.get_or_init(Table::default))
+}
+
 impl From<Unauthenticated> for Refusal {
     fn from(error: Unauthenticated) -> Self {
         match error {
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -16,7 +16,7 @@
     origin,
 };
 use crate::{
-    headers::{ACCOUNT, DETOUR, INTERNAL_PREFIX, LAST_EVENT_ID, REQUIRES, REVISION},
+    headers::{ACCOUNT, DETOUR, INTERNAL_PREFIX, LAST_EVENT_ID, REQUIRES, RULE},
     suspects,
 };
 
@@ -89,7 +89,8 @@
                     headers.insert(DETOUR, HeaderValue::from_static("1"));
                 }
                 origin::state(&mut headers, REQUIRES, attempt.requirement.origin());
-                headers.insert(REVISION, HeaderValue::from(job.revision()));
+                let rule = HeaderValue::try_from(job.rule().to_string());
+                headers.extend(rule.map(|rule| (RULE, rule)));
                 headers.extend(account.map(|account| (ACCOUNT, account)));
                 suspects::state(&mut headers, &self.suspicions(job));
             }
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -188,7 +188,8 @@
     /// Matches a request to its route. A request that arrives before this instance knows any routes,
     /// and the rates that targets have named to others, is held for as long as it usually takes to
     /// learn them: if it were sent away, it would find most other instances starting as well. So is one
-    /// that arrives before the configuration is confirmed again after a suspension.
+    /// that arrives before the configuration is confirmed again after a suspension, and one that was
+    /// matched by a later configuration, which is on its way here.
     async fn match_route(
         &self,
         head: &Request,
@@ -213,7 +214,7 @@
                 Match::of_caller(&view, trusts, head)
             };
             let is_untrusted = !from_instances && trusts.configuration != Trust::Fresh;
-            let waits = matches!(matched, Err(Refusal::Unconfigured))
+            let waits = matches!(matched, Err(Refusal::Unconfigured | Refusal::Behind))
                 || !self.rates.is_introduced()
                 || (is_untrusted && self.resumption.is_recent(now));
             if !waits || arrived.elapsed() >= max_hold {
--- a/crates/zinniastall-gateway/src/view.rs
+++ b/crates/zinniastall-gateway/src/view.rs
@@ -11,7 +11,13 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use zinniastall_coord::{rate::Limit, retry};
-use zinniastall_model::{fingerprint::Suspect, id, place::Place, routing::Table, target::Report};
+use zinniastall_model::{
+    fingerprint::Suspect,
+    id,
+    place::Place,
+    routing::{Number, Table},
+    target::Report,
+};
 use zinniastall_wire::{
     hub::{Configuration, Versions},
     reach,
@@ -53,6 +59,8 @@
     pub place: Place,
     /// Configuration in force; `None` until one has been received.
     pub configuration: Option<Arc<Configuration>>,
+    /// Configurations with tables that were replaced a short time ago, latest first.
+    pub replaced: Vec<Arc<Configuration>>,
     /// Targets that accept requests.
     pub targets: Arc<Targets>,
     /// Gateway instances that are alive, including this one once the others know it.
@@ -72,6 +80,7 @@
             instance,
             place,
             configuration: None,
+            replaced: Vec::new(),
             targets: Arc::default(),
             instances: Arc::default(),
             loads: Arc::default(),
@@ -85,6 +94,13 @@
         self.configuration.as_ref()?.table.as_ref()
     }
 
+    /// Returns the configuration with a table that was replaced a short time ago.
+    pub fn replaced_table(&self, number: Number) -> Option<&Arc<Configuration>> {
+        let has_number = |table: &Table| table.number == number;
+        let mut replaced = self.replaced.iter();
+        replaced.find(|replaced| replaced.table.as_ref().is_some_and(has_number))
+    }
+
     /// Returns the software versions by service; `None` if the control replicas don't keep them.
     pub fn versions(&self) -> Option<&Versions> {
         self.configuration.as_ref()?.versions.as_ref()
--- a/crates/zinniastall-gateway/tests/knowledge.rs
+++ b/crates/zinniastall-gateway/tests/knowledge.rs
@@ -267,3 +267,22 @@
         );
     }
 }
+
+/// Guards against an instance that forgets the table by which others still send on requests, or keeps it
+/// for good.
+#[test]
+fn a_replaced_table_is_known_for_a_time() {
+    let (mut known, now) = (state(), Instant::now());
+    let mut evacuated = configuration(1, &["patras-a"]);
+    evacuated.revision = 2;
+    known.apply_configuration(configuration(1, &[]), now);
+    known.apply_configuration(evacuated, now);
+    let view = known.view(now);
+    assert!(view.replaced.is_empty(), "the table is the same");
+    known.apply_configuration(configuration(7, &[]), now);
+    let view = known.view(now + Duration::from_secs(5));
+    assert_eq!(view.replaced_table(1).map(|held| held.revision), Some(2));
+    assert!(view.replaced_table(7).is_none(), "it is in force");
+    let view = known.view(now + Duration::from_secs(7));
+    assert!(view.replaced_table(1).is_none());
+}
--- a/crates/zinniastall-gateway/tests/path/main.rs
+++ b/crates/zinniastall-gateway/tests/path/main.rs
@@ -18,6 +18,7 @@
 mod fair_shares;
 mod harness;
 mod heads;
+mod hops;
 mod overflow;
 mod partitions;
 mod parts;
--- a/crates/zinniastall-model/src/routing.rs
+++ b/crates/zinniastall-model/src/routing.rs
@@ -21,6 +21,7 @@
 mod changes;
 mod index;
 mod narrow;
+mod rule;
 
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
     account::{Account, Digest, Quota, Unit},
     changes::Changes,
     narrow::narrows,
+    rule::{ParseError, Rule},
 };
 use crate::id;
 
