fix(gateway): requests find no target for want of news only after the news has come

Cause: the configuration is confirmed some 40 ms after an instance goes on, the lists of instances and the reports of targets come up to 50 ms later. Seen in its log: given-up candidates=0 at .258, while links to two replicas were 10 to 30 ms old.

Change: within 1.2 s of the end of a suspension a request that finds no target at all is placed again every few ms, for a quarter of its time at most. A start is no suspension, and a request that another instance forwarded doesn't wait.

--- a/crates/zinniastall-gateway/src/path/resumption.rs
+++ b/crates/zinniastall-gateway/src/path/resumption.rs
@@ -12,25 +12,36 @@
 /// within it.
 pub(super) const MAX_HOLD: Duration = Duration::from_millis(1_200);
 
-/// When this instance was last seen to run, and until when requests wait.
+/// When this instance was last seen to run, and when it started and went on.
 #[derive(Debug, Default)]
 pub(super) struct Resumption {
     seen: Cell<Option<Moment>>,
-    hold_until: Cell<Moment>,
+    started: Cell<Option<Moment>>,
+    resumed: Cell<Option<Moment>>,
 }
 
 impl Resumption {
     /// Notices a start or a suspension. To be called before decisions, and several times within
     /// [`MAX_PAUSE`].
     pub(super) fn observe(&self, now: Moment) {
-        let seen = self.seen.replace(Some(now));
-        if seen.is_none_or(|seen| now.saturating_sub(seen) > MAX_PAUSE) {
-            self.hold_until.set(now + MAX_HOLD);
+        match self.seen.replace(Some(now)) {
+            None => self.started.set(Some(now)),
+            Some(seen) if now.saturating_sub(seen) > MAX_PAUSE => self.resumed.set(Some(now)),
+            Some(_) => {}
         }
     }
 
-    /// Returns whether this instance has started or gone on within [`MAX_HOLD`].
+    /// Returns whether this instance has gone on after a suspension within [`MAX_HOLD`].
+    pub(super) fn has_resumed(&self, now: Moment) -> bool {
+        is_recent(self.resumed.get(), now)
+    }
+
+    /// Returns whether this instance has started, or gone on after a suspension, within [`MAX_HOLD`].
     pub(super) fn is_recent(&self, now: Moment) -> bool {
-        now < self.hold_until.get()
+        self.has_resumed(now) || is_recent(self.started.get(), now)
     }
 }
+
+fn is_recent(moment: Option<Moment>, now: Moment) -> bool {
+    moment.is_some_and(|moment| now.saturating_sub(moment) < MAX_HOLD)
+}
--- a/crates/zinniastall-gateway/src/path/run.rs
+++ b/crates/zinniastall-gateway/src/path/run.rs
@@ -235,6 +235,14 @@
                 time::sleep(RESUME_POLL.0).await;
                 Step::Retry
             }
+            Placement::Refuse(_, basis)
+                if basis.candidates == 0
+                    && state.may_be_rejected(responder)
+                    && self.awaits_news(job) =>
+            {
+                time::sleep(HOLD_POLL_INTERVAL).await;
+                Step::Retry
+            }
             Placement::Refuse(_, basis)
                 if state.may_be_rejected(responder) && self.redeem_return(job, &basis).await =>
             {
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -227,6 +227,15 @@
         }
     }
 
+    /// Returns whether a request without a target waits, because this instance goes on after a suspension
+    /// and is still told of targets and instances. Another instance that forwarded it may know some.
+    pub(super) fn awaits_news(&self, job: &Job) -> bool {
+        let max_hold = (job.patience / 4).min(MAX_HOLD);
+        !job.is_passed_on
+            && job.arrived.elapsed() < max_hold
+            && self.resumption.has_resumed(clock::now())
+    }
+
     /// Serves a request, unless the sender closes the connection.
     async fn serve(
         &self,
--- a/crates/zinniastall-gateway/tests/path/confirmation.rs
+++ b/crates/zinniastall-gateway/tests/path/confirmation.rs
@@ -188,7 +188,6 @@
     let mut took = Vec::new();
     let end = time::Instant::now() + Duration::from_secs(2);
     while time::Instant::now() < end {
-        gateway.proxy.observe_time();
         let since = time::Instant::now();
         assert_eq!(caller.call(&get("/plans/1", "a", "")).await.status, 200);
         took.push(since.elapsed());
@@ -200,6 +199,30 @@
     assert_eq!(held.count(), 1, "only the first, at the start: {took:?}");
 }
 
+/// Sends a request to an instance that learns of its only target 150 ms later; returns the status.
+async fn learns_of_a_target(is_suspended: bool) -> u16 {
+    let target = Target::responding_with("ok").await;
+    let board = Shared::new(view(routes(), &[]));
+    let gateway = Gateway::on(board.clone()).await;
+    let mut caller = gateway.connect().await;
+    assert_eq!(caller.call(&get("/plans/1", "a", "")).await.status, 503);
+    if is_suspended {
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    let learning = async {
+        time::sleep(Duration::from_millis(150)).await;
+        board.publish(view(routes(), &[&target]));
+    };
+    let request = get("/plans/1", "b", "");
+    let (answer, ()) = tokio::join!(caller.call(&request), learning);
+    answer.status
+}
+
+async fn a_resumed_instance_awaits_its_targets() {
+    assert_eq!(learns_of_a_target(true).await, 200);
+    assert_eq!(learns_of_a_target(false).await, 503);
+}
+
 cases! {
     repeats_under_a_confirmed_configuration =>
         ends(Confirmed::Now, "/plans/1", First::Lost, 200, 2),
@@ -227,5 +250,8 @@
         ends(Confirmed::LongAgo, "/other/1", First::Answered, 503, 0),
     resumes_no_stream_without_a_confirmation => a_stream_is_broken_off(),
     repeats_what_was_decided_under_a_lease => a_lease_that_ends_meanwhile_permits_the_repeat(),
+    /// Guards against requests that are rejected because an instance that goes on isn't told yet of the
+    /// targets and instances that it needs.
+    holds_requests_until_targets_are_known => a_resumed_instance_awaits_its_targets(),
     holds_nothing_where_touch_was_lost => an_instance_that_lost_touch_holds_nothing(),
 }
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -490,6 +490,7 @@
             proxy: Rc::clone(&proxy),
         };
         tokio::task::spawn_local(reach::run(Rc::clone(&proxy)));
+        tokio::task::spawn_local(observe_time(Rc::clone(&proxy)));
         let instances = serve::accept(Rc::clone(&proxy), forward, true);
         tokio::task::spawn_local(serve::accept(proxy, callers, false));
         tokio::task::spawn_local(instances);
@@ -502,6 +503,14 @@
     }
 }
 
+/// Does the part of the daemon's housekeeping by which an instance notices a suspension.
+async fn observe_time(proxy: Rc<Proxy>) {
+    loop {
+        proxy.observe_time();
+        time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Runs a test on one thread, within `TIMEOUT`.
 pub(crate) fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
