fix(http): an orderly end under a request that is still written ends no answer

Cause: a server that closes a connection ends its direction in order; only what is written later is reset. The rest of a request wasn't written any more once the answer had begun, so the reset was never seen.

Change: at the end of a close-delimited answer the rest of its request is written (client::Rest), and a failure, or a reset within 100 ms of the last write, means that the answer may have been broken off. A server that has half-closed and reads on shows neither. A request of up to 64 KB that was written when the answer began costs nothing, nor does a long one whose last part was written more than 100 ms before. One rule for both paths; an answer between instances states its own end.

Not told apart: a server that answers an upload in full without a length and closes without reading it; its answer becomes a 502 as well.

Measured: path test a_close_under_an_upload_is_no_end (200 KB, 4 MB) answers 200 with the rule taken out, 502 with it; the half-closed one is 200 both ways (4 KB to 4 MB). client tests, 6 starts: an orderly end under 200 KB, 4 MB and 32 MB isn't confirmed (confirmed with the rule taken out), that of a server that reads on is.

--- a/crates/zinniastall-entry/src/callers/target.rs
+++ b/crates/zinniastall-entry/src/callers/target.rs
@@ -15,7 +15,7 @@
 use zinniastall_coord::origin::Requirement;
 use zinniastall_http::{
     body::{Decoder, Framing},
-    client::Exchange,
+    client::{Exchange, Rest},
     coding,
     connection::Part,
     ending::Ending,
@@ -68,9 +68,9 @@
         return Err(Refusal::not_run(Reason::TargetPaused));
     }
     let Connection { reader, writer, .. } = &mut connection;
-    let mut exchange = Exchange::start(reader, writer, [&request, &[]]);
+    let mut exchange = Exchange::start(reader, writer, [request.freeze(), Bytes::new()]);
     let head = timeout_at(deadline.into(), exchange.next_head()).await;
-    let is_clean = exchange.is_reusable();
+    let (is_clean, rest) = (exchange.is_reusable(), exchange.rest());
     drop(exchange);
     let head = head.map_err(|_| Refusal::unknown(Reason::DeadlinePassed))?;
     let head = head.map_err(|error| worker.lost(target, call, &error.to_string()))?;
@@ -93,6 +93,7 @@
         request: call.request.id.clone(),
         target: target.clone(),
         connection: Some(connection),
+        rest,
         is_reusable: is_clean,
         framing,
         decoder: Decoder::new(framing),
@@ -225,6 +226,8 @@
     target: gossip::Target,
     /// Connection, until the body has ended.
     connection: Option<Connection>,
+    /// What was not written of the request when the answer began.
+    rest: Rest,
     /// Whether the target has read the whole request, so that the next one would not be taken for a
     /// part of it.
     is_reusable: bool,
@@ -327,6 +330,14 @@
             Ok(Part::End(_)) if is_events && let Err(torn) = self.events.finish() => {
                 Err(self.broken(&torn.to_string()))
             }
+            Ok(Part::End(Ending::Unconfirmed))
+                if let Err(error) = std::mem::take(&mut self.rest)
+                    .confirm(&mut connection.writer)
+                    .await =>
+            {
+                let why = format!("ended before the request was read: {error}");
+                Err(self.broken(&why))
+            }
             Ok(Part::End(ending)) => {
                 self.ended(ending, "the answer states no end of its own");
                 Ok(None)
--- a/crates/zinniastall-gateway/src/path/attempt.rs
+++ b/crates/zinniastall-gateway/src/path/attempt.rs
@@ -10,7 +10,7 @@
 use zinniastall_coord::{origin::Requirement, rate::Rate, retry::Grant};
 use zinniastall_http::{
     body::Decoder,
-    client::Exchange,
+    client::{Exchange, Rest},
     ending::Ending,
     events::Events,
     head::Response,
@@ -270,7 +270,7 @@
         let is_new = !connection.is_used;
         let exchange = self.exchange(attempt, &mut connection, &output);
         let received = self.while_reachable(attempt, exchange).await;
-        let (response, is_clean) = match received {
+        let (response, is_clean, rest) = match received {
             Ok(received) => received,
             Err(why) => {
                 attempt.end_retry();
@@ -310,7 +310,7 @@
             self.forward_stream(
                 attempt,
                 &response,
-                &mut connection,
+                (&mut connection, rest),
                 &mut flight,
                 events,
                 responder,
@@ -319,7 +319,7 @@
         } else {
             flight.answer_started();
             let ended = self
-                .forward_whole(attempt, &response, &mut connection, responder)
+                .forward_whole(attempt, &response, (&mut connection, rest), responder)
                 .await;
             self.record_service_time(attempt, &ended, now.elapsed());
             ended
@@ -392,10 +392,11 @@
         attempt: &Attempt<'_>,
         connection: &mut Connection,
         output: &Encoded,
-    ) -> Result<(Response, bool), Why> {
+    ) -> Result<(Response, bool, Rest), Why> {
         let job = attempt.job;
         let Connection { reader, writer, .. } = connection;
-        let mut exchange = Exchange::start(reader, writer, [&output.head, &output.body]);
+        let mut exchange =
+            Exchange::start(reader, writer, [output.head.clone(), output.body.clone()]);
         let mut stray_answers = 0;
         let response = loop {
             let response = exchange.next_head().await;
@@ -420,7 +421,7 @@
             Place::Target { .. } => exchange.is_reusable(),
             Place::Instance { .. } => exchange.is_sent(),
         };
-        Ok((response, is_clean && stray_answers == 0))
+        Ok((response, is_clean && stray_answers == 0, exchange.rest()))
     }
 
     /// Returns the end of the attempt if the answer says that the request has not run.
--- a/crates/zinniastall-gateway/src/path/delivery.rs
+++ b/crates/zinniastall-gateway/src/path/delivery.rs
@@ -3,11 +3,12 @@
 //! The body's decoder tells how it ended on its connection. Two more things lower that: a stream that
 //! ends inside an event was broken off, and so was an answer without framing whose target has crashed.
 
-use std::time::Instant;
+use std::{io, time::Instant};
 
 use bytes::Bytes;
 use zinniastall_http::{
     body::Decoder,
+    client::Rest,
     connection::Part,
     ending::Ending,
     events::{Events, Torn},
@@ -38,12 +39,12 @@
         &self,
         attempt: &Attempt<'_>,
         response: &Response,
-        connection: &mut Connection,
+        exchanged: (&mut Connection, Rest),
         responder: &mut Responder,
     ) -> Ended {
         let mut held = self.held.start();
         let received = self
-            .receive_whole(attempt, response, connection, &mut held)
+            .receive_whole(attempt, response, exchanged, &mut held)
             .await;
         let (body, ending) = match received {
             Ok(received) => received,
@@ -68,11 +69,16 @@
         &self,
         attempt: &Attempt<'_>,
         response: &Response,
-        connection: &mut Connection,
+        (connection, rest): (&mut Connection, Rest),
         held: &mut Share<'_>,
     ) -> Result<(Segments, Ending), Why> {
         let delimited = Delimited::of(attempt.job, attempt.place, response)?;
         let mut received = read_body(delimited, &mut connection.reader, held).await;
+        if matches!(received, Ok((_, Ending::Unconfirmed)))
+            && let Err(error) = rest.confirm(&mut connection.writer).await
+        {
+            received = Err(unread(&error));
+        }
         if let Ok((body, ending)) = &received {
             let is_events = is_event_stream(response) == Some(true);
             if is_events && ends_inside_event(body) {
@@ -93,7 +99,7 @@
         &self,
         attempt: &Attempt<'_>,
         response: &Response,
-        connection: &mut Connection,
+        (connection, mut rest): (&mut Connection, Rest),
         flight: &mut Guard,
         events: &mut Events,
         responder: &mut Responder,
@@ -124,6 +130,13 @@
                 Ok(part) => part,
                 Err(why) => return self.broken(why, delimited, &parts, responder),
             };
+            if matches!(part, Part::End(Ending::Unconfirmed))
+                && let Err(error) = std::mem::take(&mut rest)
+                    .confirm(&mut connection.writer)
+                    .await
+            {
+                return self.broken(unread(&error), delimited, &parts, responder);
+            }
             self.heard(attempt.place, !connection.is_used);
             let ending = match &part {
                 Part::Piece(_) => None,
@@ -236,6 +249,11 @@
     }
 }
 
+/// Returns why an answer counts as broken off whose target didn't read the request to its end.
+fn unread(error: &io::Error) -> Why {
+    format!("ended before the request was read: {error}")
+}
+
 /// Ends an attempt whose answer doesn't come from the version that began the stream.
 fn other_version(responder: &Responder) -> Ended {
     let why = "the other instance sent it to another version".to_owned();
--- a/crates/zinniastall-gateway/src/path/outgoing.rs
+++ b/crates/zinniastall-gateway/src/path/outgoing.rs
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub(super) struct Encoded {
     /// The head, and the body if it is short.
-    pub(super) head: BytesMut,
+    pub(super) head: Bytes,
     /// What is left of the body, shared with the request.
     pub(super) body: Bytes,
 }
@@ -101,7 +101,7 @@
         head::write_request(&mut output, &job.head.method, &job.head.target, &headers);
         output.extend_from_slice(&job.body[..copied]);
         Encoded {
-            head: output,
+            head: output.freeze(),
             body: job.body.slice(copied..),
         }
     }
--- a/crates/zinniastall-gateway/tests/path/broken.rs
+++ b/crates/zinniastall-gateway/tests/path/broken.rs
@@ -146,6 +146,40 @@
     }
 }
 
+/// Answers at once, without a length, and ends its direction of the connection in order.
+fn end_early(request: &Request, then: [Action; 2]) -> Vec<Action> {
+    let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n\r\n", request.id());
+    let part = Action::Send((head + "the first part").into_bytes());
+    [part, Action::HalfClose].into_iter().chain(then).collect()
+}
+
+/// A target answers long uploads early, and closes the connection while they are still written.
+async fn a_close_under_an_upload_ends_no_answer() {
+    for length in [200 << 10, 4 << 20] {
+        let close = [Action::Stall(Duration::from_millis(20)), Action::Close];
+        let script = move |request: &Request| end_early(request, close.clone());
+        let target = Target::answering_early(script).await;
+        let gateway = Gateway::start(view_of_uploads(&[&target])).await;
+        let text = post("/pay/1", "a", &"x".repeat(length));
+        let response = gateway.connect().await.call(&text).await;
+        assert_eq!(response.status, 502, "{length}: {response:?}");
+        assert_eq!(target.requests().len(), 1);
+    }
+}
+
+/// A target ends its direction early, and reads long uploads to their ends.
+async fn a_half_closed_answer_is_delivered() {
+    for length in [4 << 10, 200 << 10, 4 << 20] {
+        let script = |request: &Request| end_early(request, [Action::ReadOn, Action::Close]);
+        let target = Target::answering_early(script).await;
+        let gateway = Gateway::start(view_of_uploads(&[&target])).await;
+        let text = post("/pay/1", "a", &"x".repeat(length));
+        let response = gateway.connect().await.call(&text).await;
+        let (status, body) = (response.status, response.body.as_str());
+        assert_eq!((status, body), (200, "the first part"), "{length}");
+    }
+}
+
 /// A target answers with a success that it hasn't signed, or with one that it has.
 async fn is_unsigned() {
     let names = Names {
@@ -272,6 +306,10 @@
     a_coding_that_was_not_asked_for_is_no_answer => is_coded(),
     /// Guards against the part of an answer before a reset that is delivered as the whole.
     a_reset_under_an_upload_is_no_end => a_reset_under_an_upload_ends_no_answer(),
+    /// Guards against the same where the connection's orderly end comes before the reset.
+    a_close_under_an_upload_is_no_end => a_close_under_an_upload_ends_no_answer(),
+    /// Guards against a sound answer that is lost because its target ends its direction first.
+    a_half_closed_answer_under_an_upload_is_whole => a_half_closed_answer_is_delivered(),
     /// Guards against an answer with a status that no server may send.
     status_000_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 000 None")),
     status_099_is_no_answer => is_no_answer(Fault::status_line(b"HTTP/1.1 099 Low")),
--- a/crates/zinniastall-gateway/tests/path/harness.rs
+++ b/crates/zinniastall-gateway/tests/path/harness.rs
@@ -70,6 +70,10 @@
     Wait(Duration),
     /// Waits, without reading meanwhile.
     Stall(Duration),
+    /// Ends its direction of the connection in order.
+    HalfClose,
+    /// Reads whatever comes until the connection ends.
+    ReadOn,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -302,6 +306,16 @@
                     }
                 }
                 Action::Stall(time) => time::sleep(time).await,
+                Action::HalfClose => {
+                    if stream.shutdown().await.is_err() {
+                        return;
+                    }
+                }
+                Action::ReadOn => {
+                    // Whether all of it comes is what the test looks at.
+                    let _ = stream.read_to_end(&mut input).await;
+                    return;
+                }
                 Action::Close => return,
                 Action::Reset => {
                     stream.set_zero_linger().unwrap();
--- a/crates/zinniastall-http/src/connection.rs
+++ b/crates/zinniastall-http/src/connection.rs
@@ -242,6 +242,30 @@
         self.half()?.write_all(bytes).await
     }
 
+    /// Writes some of the bytes and returns how many.
+    ///
+    /// This method is cancel safe: if it doesn't return, nothing was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails.
+    pub async fn write_some(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.half()?.write(bytes).await? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            written => Ok(written),
+        }
+    }
+
+    /// Returns the failure of the connection that nobody was told of, such as that of a reset after the
+    /// peer had ended its direction.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be asked.
+    pub fn take_error(&mut self) -> io::Result<Option<io::Error>> {
+        self.half()?.as_ref().take_error()
+    }
+
     /// Has the connection reset instead of ended in order, by dropping it or by the end of the process,
     /// until [`finish`](Self::finish).
     ///
--- a/crates/zinniastall-http/tests/client.rs
+++ b/crates/zinniastall-http/tests/client.rs
@@ -1,7 +1,8 @@
 //! Answers that arrive while their request is still written.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
+use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -30,6 +31,10 @@
     Reset,
     /// Ends its direction in order, and resets the connection later.
     InOrder,
+    /// Closes the connection: its direction ends in order, and what is written later is reset.
+    Closed,
+    /// Ends its direction in order, and reads the request to its end.
+    HalfClosed,
 }
 
 async fn serve(listener: TcpListener, end: End) {
@@ -39,6 +44,16 @@
         stream.read_exact(&mut begun).await.expect("a request");
     }
     stream.write_all(PART).await.expect("an open connection");
+    if matches!(end, End::HalfClosed) {
+        stream.shutdown().await.expect("an open connection");
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).await.expect("the request");
+        return;
+    }
+    if matches!(end, End::Closed) {
+        stream.shutdown().await.expect("an open connection");
+        return;
+    }
     if matches!(end, End::InOrder) {
         stream.shutdown().await.expect("an open connection");
         time::sleep(Duration::from_millis(50)).await;
@@ -64,18 +79,31 @@
     read_on(Connection::open(address, TIMEOUT).await?, length).await
 }
 
-async fn read_on(mut connection: Connection, length: usize) -> Result<(Vec<u8>, Ending), Error> {
-    let request = vec![b'x'; length];
+async fn read_on(connection: Connection, length: usize) -> Result<(Vec<u8>, Ending), Error> {
+    let (body, ending, _) = read_and_confirm(connection, length).await?;
+    Ok((body, ending))
+}
+
+/// Reads an answer; returns its body, what is known of its end, and what the rest of the request tells.
+async fn read_and_confirm(
+    mut connection: Connection,
+    length: usize,
+) -> Result<(Vec<u8>, Ending, io::Result<()>), Error> {
+    let request = Bytes::from(vec![b'x'; length]);
     let Connection { reader, writer, .. } = &mut connection;
-    let mut exchange = Exchange::start(reader, writer, [&request, &[]]);
+    let mut exchange = Exchange::start(reader, writer, [request, Bytes::new()]);
     let head = exchange.next_head().await?;
+    let rest = exchange.rest();
     drop(exchange);
     let mut decoder = Decoder::new(head.framing(false)?);
     let mut body = Vec::new();
     loop {
         match connection.reader.part(&mut decoder).await? {
             Part::Piece(piece) => body.extend_from_slice(&piece),
-            Part::End(ending) => return Ok((body, ending)),
+            Part::End(ending) => {
+                let confirmed = rest.confirm(&mut connection.writer).await;
+                return Ok((body, ending, confirmed));
+            }
         }
     }
 }
@@ -90,6 +118,51 @@
     }
 }
 
+/// Sends a request to a server that ends its direction in order; returns what the rest of the request
+/// tells, and the time that this took.
+async fn confirm(end: End, length: usize) -> (io::Result<()>, Duration) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(serve(listener, end));
+    let connection = Connection::open(&address, TIMEOUT).await.expect("a server");
+    let since = time::Instant::now();
+    let read = time::timeout(TIMEOUT, read_and_confirm(connection, length)).await;
+    let (_, ending, confirmed) = read.expect("an end").expect("an answer");
+    assert_eq!(ending, Ending::Unconfirmed);
+    (confirmed, since.elapsed())
+}
+
+/// Guards against a part of an answer that counts as the whole, since its connection was closed under a
+/// request that was still written: an orderly end comes first.
+#[tokio::test]
+async fn an_orderly_end_under_a_request_is_not_confirmed() {
+    for length in [200 << 10, 4 << 20, LONG] {
+        let (confirmed, took) = confirm(End::Closed, length).await;
+        assert!(confirmed.is_err(), "{length}: {took:?}");
+    }
+}
+
+/// Guards against a sound answer that is lost because its server ends its direction first.
+#[tokio::test]
+async fn an_orderly_end_of_a_server_that_reads_on_is_confirmed() {
+    for length in [200 << 10, 4 << 20, LONG] {
+        let (confirmed, took) = confirm(End::HalfClosed, length).await;
+        assert!(confirmed.is_ok(), "{length}: {took:?}");
+    }
+}
+
+/// Guards against short requests that wait for a reset which can't come.
+#[tokio::test]
+async fn an_orderly_end_behind_a_short_request_costs_no_wait() {
+    for end in [End::InOrder, End::HalfClosed] {
+        let (confirmed, took) = confirm(end, 4_096).await;
+        assert!(
+            confirmed.is_ok() && took < Duration::from_millis(40),
+            "{took:?}"
+        );
+    }
+}
+
 /// Guards against an answer that is lost because its server reads no more of the request.
 #[tokio::test]
 async fn an_answer_that_ended_in_order_outlasts_a_later_reset() {
--- a/crates/zinniastall-load/src/call.rs
+++ b/crates/zinniastall-load/src/call.rs
@@ -102,7 +102,7 @@
         };
         let request = self.encode();
         let Connection { reader, writer, .. } = &mut connection;
-        let response = Exchange::start(reader, writer, [&request, &[]])
+        let response = Exchange::start(reader, writer, [request.freeze(), Bytes::new()])
             .next_head()
             .await;
         let framing = response.as_ref().ok().map(|head| head.framing(false));
