--- a/crates/zinniastall-entry/tests/callers/broken.rs
+++ b/crates/zinniastall-entry/tests/callers/broken.rs
@@ -81,6 +81,19 @@
     harness.stop().await;
 }
 
+/// Guards against the same where the connection's orderly end comes before the reset.
+#[actix_web::test]
+async fn a_close_under_an_upload_is_no_end() {
+    let target = Fake::start(vec![Script::Close("HTTP/1.1 200 OK\r\n\r\nthe first part")]);
+    let harness = Harness::with_bodies(&[target.address], 2 * LONG, |_| {});
+    let ticket = harness.tickets(1).await.remove(0);
+    let once = format!("x-zinniastall-ticket: {ticket}\r\n");
+    let answer = harness.post("/orders/1", &once, &"x".repeat(LONG)).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(target.ran(), 1);
+    harness.stop().await;
+}
+
 /// A target sends bytes again and again; its caller is told, and the target's connection is closed.
 async fn is_left(begin: &'static str, again: &'static str) {
     let target = Fake::start(vec![Script::Flood(begin, again)]);
--- a/crates/zinniastall-entry/tests/callers/harness.rs
+++ b/crates/zinniastall-entry/tests/callers/harness.rs
@@ -276,6 +276,9 @@
     Hold(&'static str),
     /// Writes these bytes as soon as a request begins, and resets the connection.
     Reset(&'static str),
+    /// Writes these bytes as soon as a request begins, and closes the connection: its orderly end comes
+    /// before the reset.
+    Close(&'static str),
     /// Writes the first bytes, and then the second ones again and again, as long as they are read.
     Flood(&'static str, &'static str),
 }
@@ -320,13 +323,17 @@
 fn play(mut stream: TcpStream, scripts: &[Script], counts: &[Arc<AtomicUsize>; 3]) {
     let [ran, sent, cancelled] = counts;
     let next = &scripts[ran.load(Ordering::SeqCst).min(scripts.len() - 1)];
-    if let Script::Reset(answer) = next {
+    if let Script::Reset(answer) | Script::Close(answer) = next {
         if stream.read_exact(&mut [0; 1024]).is_err() {
             return;
         }
         ran.fetch_add(1, Ordering::SeqCst);
         // Closing a connection with unread bytes resets it.
         let _ = stream.write_all(answer.as_bytes());
+        if matches!(next, Script::Close(_)) {
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            std::thread::sleep(Duration::from_millis(20));
+        }
         return;
     }
     if !read_request(&mut stream) {
@@ -361,7 +368,7 @@
                 sent.fetch_add(written, Ordering::SeqCst);
             }
         }
-        Script::Reset(_) => {}
+        Script::Reset(_) | Script::Close(_) => {}
         Script::Hold(answer) => {
             let _ = stream.write_all(answer.as_bytes());
             let mut rest = [0; 16];
