fix(coord): a target that falls silent behind a broken connection is lost

Cause: a path that is suspect because a connection broke takes a silent probe for nothing: only a path that became suspect by silence did. Seen in a start with the paths printed: engine-2 state=Suspect silence_of=Nobody, four requests waiting, probes Silent one after the other for 5 s; engine-1, suspect by silence, was lost after 1.6 s.

Being lost takes 1.6 s of silence as before.

--- a/crates/zinniastall-coord/src/reach/path.rs
+++ b/crates/zinniastall-coord/src/reach/path.rs
@@ -236,7 +236,9 @@
                 if self.state == State::Open {
                     self.enter(State::Suspect, now);
                 }
-                if self.is_silent() && probe == Probe::Silent {
+                // A path that is suspect for another reason may fall silent as well.
+                let is_unheard = self.is_silent() || self.silence(now) >= DEAF_TIMEOUT;
+                if is_unheard && probe == Probe::Silent {
                     self.silence_of = Silence::Probes;
                 }
                 self.probe_later(now);
--- a/crates/zinniastall-coord/tests/reach.rs
+++ b/crates/zinniastall-coord/tests/reach.rs
@@ -438,3 +438,31 @@
         prop_assert_eq!(paths.state(TARGET), State::Open);
     }
 }
+
+/// Guards against a silent target that gets requests for as long as its silence lasts, because its path was
+/// suspect for another reason before.
+#[test]
+fn a_target_that_falls_silent_behind_a_broken_connection_is_lost() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    for target in [TARGET, "engine-2"] {
+        paths.begin(target, start);
+        paths.heard(target, true, start);
+    }
+    paths.broke("engine-2", start + millis(10));
+    let (mut probes, mut lost) = (Vec::new(), Vec::new());
+    for elapsed in (20..4_000).step_by(10).map(millis) {
+        let now = start + elapsed;
+        let due = paths.start_probes(now);
+        probes.extend(due.into_iter().map(|target| (now + millis(400), target)));
+        probes.retain(|(end, target)| {
+            if *end <= now {
+                paths.probed(target, Probe::Silent, now);
+            }
+            *end > now
+        });
+        lost.extend(paths.lose_dark(now));
+    }
+    lost.sort();
+    assert_eq!(lost, [TARGET, "engine-2"]);
+}
