fix(gateway): an instance that lost touch while it ran serves requests with homes, once

Cause: a group without a majority was taken for an instance that is cut off. No half can move a home, so none of these requests could have run outside one.

Change: requests with homes are rejected only where nothing was confirmed since the start or the last suspension, where what is known may be of any age. Nothing is repeated that may have run in either case.

--- a/crates/zinniastall-gateway/src/path/job.rs
+++ b/crates/zinniastall-gateway/src/path/job.rs
@@ -23,7 +23,7 @@
         identity::{self, Unauthenticated},
         quota,
         returns::MIN_DELAY,
-        vouch::vouch,
+        vouch::{Knowledge, vouch},
     },
     freshness::Trust,
     headers::{ACCOUNT, DETOUR, LAST_EVENT_ID, Names, RULE},
@@ -127,7 +127,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Trusts {
     /// Whether the configuration may be.
-    pub configuration: Trust,
+    pub configuration: Knowledge,
     /// Whether the keys of its accounts may be.
     pub keys: Trust,
 }
@@ -135,7 +135,10 @@
 impl Trusts {
     /// Everything may be relied on.
     pub const FRESH: Self = Self {
-        configuration: Trust::Fresh,
+        configuration: Knowledge {
+            trust: Trust::Fresh,
+            is_heard: true,
+        },
         keys: Trust::Fresh,
     };
 }
@@ -150,7 +153,7 @@
     pub fn of_caller(view: &View, trusts: Trusts, head: &Request) -> Result<Self, Refusal> {
         let configuration = view.configuration.clone().ok_or(Refusal::Unconfigured)?;
         let table = configuration.table.as_ref().ok_or(Refusal::Unconfigured)?;
-        let no_route = match trusts.configuration {
+        let no_route = match trusts.configuration.trust {
             Trust::Fresh => Refusal::NoRoute,
             Trust::Unconfirmed | Trust::Stale => Refusal::Stale,
         };
--- a/crates/zinniastall-gateway/src/path/resumption.rs
+++ b/crates/zinniastall-gateway/src/path/resumption.rs
@@ -36,6 +36,11 @@
         is_recent(self.resumed.get(), now)
     }
 
+    /// Returns whether this instance has not been suspended since a moment.
+    pub(super) fn ran_since(&self, moment: Moment) -> bool {
+        self.resumed.get().is_none_or(|resumed| resumed <= moment)
+    }
+
     /// Returns whether this instance has started, or gone on after a suspension, within [`MAX_HOLD`].
     pub(super) fn is_recent(&self, now: Moment) -> bool {
         self.has_resumed(now) || is_recent(self.started.get(), now)
--- a/crates/zinniastall-gateway/src/path/serve.rs
+++ b/crates/zinniastall-gateway/src/path/serve.rs
@@ -30,7 +30,13 @@
     resumption::MAX_HOLD,
     run,
 };
-use crate::{clock, decide::quota::Claim, freshness::Trust, request_log::End, tracker::Demand};
+use crate::{
+    clock::{self, Moment},
+    decide::{quota::Claim, vouch::Knowledge},
+    freshness::Trust,
+    request_log::End,
+    tracker::Demand,
+};
 
 /// Pause after a failed accept. The process is most likely out of file descriptors, and an
 /// immediate retry would spin.
@@ -204,7 +210,7 @@
             self.resumption.observe(now);
             // The view is read after the leases, so it is at least as new as the one that they cover.
             let trusts = Trusts {
-                configuration: self.state.trust(),
+                configuration: self.knowledge(now),
                 keys: self.state.keys_trust(),
             };
             let view = self.state.view();
@@ -213,7 +219,7 @@
             } else {
                 Match::of_caller(&view, trusts, head)
             };
-            let is_untrusted = !from_instances && trusts.configuration != Trust::Fresh;
+            let is_untrusted = !from_instances && trusts.configuration.trust != Trust::Fresh;
             let waits = matches!(matched, Err(Refusal::Unconfigured | Refusal::Behind))
                 || !self.rates.is_introduced()
                 || (is_untrusted && self.resumption.is_recent(now));
@@ -227,6 +233,17 @@
         }
     }
 
+    /// Returns what is known of the configuration of a view that is read after this call.
+    fn knowledge(&self, now: Moment) -> Knowledge {
+        let trust = self.state.trust();
+        let age = self.state.lease().age(now);
+        let was_heard = |age| self.resumption.ran_since(now.saturating_sub(age));
+        Knowledge {
+            trust,
+            is_heard: trust != Trust::Unconfirmed && age.is_none_or(was_heard),
+        }
+    }
+
     /// Returns whether a request without a target waits, because this instance goes on after a suspension
     /// and is still told of targets and instances. Another instance that forwarded it may know some.
     pub(super) fn awaits_news(&self, job: &Job) -> bool {
